fix(state): find damage in a record's size, and roll the log over segments

Cause: a damaged length in the middle of the log pointed behind the end of the file and read as a torn tail: 6 of the bytes of three entries, flipped one by one in the old store, made it start with 0 or 1 of 3 acknowledged entries and without an error.

Change: one frame per sync with a magic, a checksum of the header and one of the body. A bad frame is a torn tail only if no whole frame follows; the size in a bad header isn't believed. A segment appears with its first frame synced (rename). After a failed write the store takes no more.

Seen: the new test flips and zeroes each byte before the last frame: all refused (in the old store, 6 bytes weren't). Cut and zero-filled tails at every length start with the entries before.

Ruled out: believing only the size's plausibility (a damaged small size still passes). Not told apart: damage in the very last frame and a torn write.

--- a/packages/state/src/log/log-store.ts
+++ b/packages/state/src/log/log-store.ts
@@ -1,54 +1,21 @@
-import {Buffer} from 'node:buffer';
-import {
-	mkdir, open, readFile, rename, rm, type FileHandle,
-} from 'node:fs/promises';
+import type {Buffer} from 'node:buffer';
+import {mkdir, open, type FileHandle} from 'node:fs/promises';
 import path from 'node:path';
 import {crc32} from 'node:zlib';
 import {Either, Left} from 'purify-ts';
 import {z} from 'zod';
-import {commandSchema} from '../catalog/types.js';
-
-/** The control hosts: voters decide, learners only receive the log. */
-export const membersSchema = z.object({voters: z.array(z.string()), learners: z.array(z.string())});
-export type Members = z.infer<typeof membersSchema>;
-
-/** One slot of the replicated log. */
-export const logEntrySchema = z.object({
-	index: z.number().int().positive(),
-	term: z.number().int().nonnegative(),
-	payload: z.discriminatedUnion('type', [
-		z.object({type: z.literal('command'), command: commandSchema}),
-		/** Takes effect as soon as it is appended; at most one voter differs from the members before. */
-		z.object({type: z.literal('members'), members: membersSchema}),
-	]),
-});
-export type LogEntry = z.infer<typeof logEntrySchema>;
-
-/** A voter's promise; it must be on disk before anyone hears of it. */
-export const hardStateSchema = z.object({term: z.number().int().nonnegative(), votedFor: z.string().nullable()});
-export type HardState = z.infer<typeof hardStateSchema>;
-
-export const snapshotSchema = z.object({
-	index: z.number().int().nonnegative(),
-	term: z.number().int().nonnegative(),
-	members: membersSchema,
-	/** Canonical JSON of the replicated state. */
-	state: z.string(),
-});
-export type Snapshot = z.infer<typeof snapshotSchema>;
-
-const recordSchema = z.discriminatedUnion('type', [
-	z.object({type: z.literal('hardState'), hardState: hardStateSchema}),
-	z.object({type: z.literal('entry'), entry: logEntrySchema}),
-	z.object({type: z.literal('truncate'), fromIndex: z.number().int()}),
-]);
-export type LogRecord = z.infer<typeof recordSchema>;
+import {readIfPresent, replaceFile, syncFolder} from './files.js';
+import {DamagedLogError, encodeFrame, type SegmentStart} from './frames.js';
+import {
+	snapshotSchema, type HardState, type LogEntry, type LogRecord, type Snapshot,
+} from './records.js';
+import {readSegments, removeSegmentsBefore, segmentPath} from './segments.js';
 
 export type LoadedLog = {
 	readonly hardState: HardState;
 	readonly snapshot: Snapshot | null;
 	readonly entries: LogEntry[];
-	/** Bytes of a torn last record that were cut off. */
+	/** Bytes of a torn last write that were cut off. */
 	readonly cutBytes: number;
 };
 
@@ -63,85 +30,23 @@
 	close(): Promise<void>;
 };
 
-export class DamagedLogError extends Error {
-	override readonly name = 'DamagedLogError';
-}
-
-const headerBytes = 8;
-
-const encodeRecord = (record: LogRecord): Buffer => {
-	const body = Buffer.from(JSON.stringify(record));
-	const header = Buffer.alloc(headerBytes);
-	header.writeUInt32LE(body.length, 0);
-	header.writeUInt32LE(crc32(body), 4);
-	return Buffer.concat([header, body]);
-};
-
-type Decoded = {readonly records: LogRecord[]; readonly goodBytes: number};
-
-const decodeRecords = (data: Buffer, fileName: string): Decoded => {
-	const records: LogRecord[] = [];
-	let offset = 0;
-	while (offset + headerBytes <= data.length) {
-		const sizeBytes = data.readUInt32LE(offset);
-		const end = offset + headerBytes + sizeBytes;
-		if (end > data.length) {
-			break;
-		}
-
-		const body = data.subarray(offset + headerBytes, end);
-		if (crc32(body) !== data.readUInt32LE(offset + 4)) {
-			// A torn write can only be the last; a bad record with more behind it means that synced data was lost.
-			if (end === data.length) {
-				break;
-			}
-
-			throw new DamagedLogError(`${fileName}: record at byte ${offset} is damaged and ${data.length - end} bytes follow it; restore this host from its peers`);
-		}
-
-		records.push(recordSchema.parse(JSON.parse(body.toString())));
-		offset = end;
-	}
+type Replayed = Pick<LoadedLog, 'hardState' | 'entries'>;
 
-	return {records, goodBytes: offset};
-};
-
-const readIfPresent = async (filePath: string): Promise<Buffer | null> => {
-	try {
-		return await readFile(filePath);
-	} catch (error) {
-		if ((error as NodeJS.ErrnoException).code === 'ENOENT') {
-			return null;
-		}
-
-		throw error;
-	}
-};
-
-const syncFolder = async (folder: string): Promise<void> => {
-	const handle = await open(folder, 'r');
-	await handle.sync();
-	await handle.close();
-};
-
-const writeSynced = async (filePath: string, data: Buffer | string): Promise<void> => {
-	const handle = await open(filePath, 'w');
-	await handle.writeFile(data);
-	await handle.sync();
-	await handle.close();
-};
-
-const replay = (records: readonly LogRecord[], snapshot: Snapshot | null): Pick<LoadedLog, 'hardState' | 'entries'> => {
+const replay = (records: readonly LogRecord[], baseIndex: number): Replayed => {
 	let hardState: HardState = {term: 0, votedFor: null};
 	const entries: LogEntry[] = [];
-	const firstIndex = (snapshot?.index ?? 0) + 1;
 	for (const record of records) {
 		if (record.type === 'hardState') {
 			({hardState} = record);
 		} else if (record.type === 'truncate') {
-			entries.length = Math.min(entries.length, Math.max(0, record.fromIndex - firstIndex));
-		} else if (record.entry.index >= firstIndex) {
-			entries.length = Math.min(entries.length, record.entry.index - firstIndex);
+			entries.length = Math.min(entries.length, Math.max(0, record.fromIndex - baseIndex - 1));
+		} else {
+			const position = record.entry.index - baseIndex - 1;
+			if (position > entries.length || position < 0) {
+				throw new DamagedLogError(`entry ${record.entry.index} does not follow entry ${baseIndex + entries.length}; restore this host from its peers`);
+			}
+
+			entries.length = position;
 			entries.push(record.entry);
 		}
 	}
@@ -149,52 +54,114 @@
 	return {hardState, entries};
 };
 
-export type OpenLogStoreOptions = {readonly folder: string};
+/**
+ * After a crash between saving a snapshot and starting the log anew, the old
+ * entries are still there. Those behind the snapshot count only if the old log
+ * agrees with the snapshot; a snapshot that came from the leader may have
+ * replaced a log that differs, and its rest would contradict what is committed.
+ */
+const skipTo = (entries: readonly LogEntry[], baseIndex: number, snapshot: Snapshot | null): LogEntry[] => {
+	const snapshotIndex = snapshot?.index ?? 0;
+	if (snapshotIndex < baseIndex) {
+		throw new DamagedLogError(`the log follows a snapshot of entry ${baseIndex}, but the snapshot is of entry ${snapshotIndex}; restore this host from its peers`);
+	}
+
+	if (snapshotIndex === baseIndex) {
+		return [...entries];
+	}
+
+	const agrees = entries[snapshotIndex - baseIndex - 1]?.term === snapshot!.term;
+	return agrees ? entries.slice(snapshotIndex - baseIndex) : [];
+};
+
+export type OpenLogStoreOptions = {
+	readonly folder: string;
+	/** A new segment begins behind this size. @default 16777216 */
+	readonly segmentBytes?: number;
+};
 
 /**
- * Opens the log in `folder`. A torn tail, as a crash in mid-write leaves it,
- * is cut: nothing in it was ever acknowledged. Damage before the tail throws
- * `DamagedLogError`, because acknowledged entries are gone.
+ * Opens the log in `folder`: a snapshot and the segments behind it. A torn
+ * tail, as a crash in mid-write leaves it, is cut: nothing in it was ever
+ * acknowledged. Damage before the tail throws `DamagedLogError`, because
+ * acknowledged entries are gone.
  */
-export const openLogStore = async ({folder}: OpenLogStoreOptions): Promise<LogStore> => {
+export const openLogStore = async ({folder, segmentBytes = 16 * 1024 * 1024}: OpenLogStoreOptions): Promise<LogStore> => {
 	await mkdir(folder, {recursive: true});
-	const logPath = path.join(folder, 'log');
 	const snapshotPath = path.join(folder, 'snapshot.json');
 	const snapshotData = await readIfPresent(snapshotPath);
 	const snapshot = snapshotData === null ? null : readSnapshot(snapshotData);
-	const data = await readIfPresent(logPath) ?? Buffer.alloc(0);
-	const {records, goodBytes} = decodeRecords(data, logPath);
-	let file: FileHandle = await open(logPath, 'a');
-	if (goodBytes < data.length) {
-		await file.truncate(goodBytes);
-		await file.sync();
+	const {records, lastSequence, lastBytes, snapshotIndex, cutBytes} = await readSegments(folder);
+	const {hardState, entries} = replay(records, snapshotIndex);
+	const loaded: LoadedLog = {
+		hardState, snapshot, entries: skipTo(entries, snapshotIndex, snapshot), cutBytes,
+	};
+	let sequence = lastSequence;
+	let sizeBytes = lastBytes;
+	let file: FileHandle | null = null;
+	let syncs = 0;
+	let failure: Error | null = null;
+
+	/** Starts the next segment; it is on disk under its name before anything in it is acknowledged. */
+	const startSegment = async (start: Omit<SegmentStart, 'type' | 'sequence'>, first: readonly LogRecord[]): Promise<void> => {
+		const next = sequence + 1;
+		const frame = encodeFrame([{type: 'segmentStart', sequence: next, ...start}, ...first]);
+		await file?.close();
+		file = null;
+		await replaceFile(segmentPath(folder, next), frame);
+		file = await open(segmentPath(folder, next), 'a');
+		sequence = next;
+		sizeBytes = frame.length;
+	};
+
+	/** After a failed write or sync nobody knows what is on disk; a later success would acknowledge a log with a hole. */
+	const guard = async (work: () => Promise<void>): Promise<void> => {
+		if (failure !== null) {
+			throw failure;
+		}
+
+		try {
+			await work();
+		} catch (error) {
+			failure = error as Error;
+			throw error;
+		}
+	};
+
+	if (sequence === 0) {
+		if (snapshot !== null) {
+			throw new DamagedLogError(`${folder}: there is a snapshot but no log; restore this host from its peers`);
+		}
+
+		await startSegment({previousBytes: null, snapshotIndex: 0}, []);
+	} else {
+		file = await open(segmentPath(folder, sequence), 'a');
 	}
 
 	await syncFolder(folder);
-	let syncs = 0;
 	return {
-		loaded: {...replay(records, snapshot), snapshot, cutBytes: data.length - goodBytes},
-		async append(appended) {
-			await file.appendFile(Buffer.concat(appended.map(record => encodeRecord(record))));
-			await file.datasync();
+		loaded,
+		append: async appended => guard(async () => {
+			if (sizeBytes >= segmentBytes) {
+				await startSegment({previousBytes: sizeBytes, snapshotIndex: 0}, []);
+			}
+
+			const frame = encodeFrame(appended);
+			await file!.appendFile(frame);
+			await file!.datasync();
+			sizeBytes += frame.length;
 			syncs++;
-		},
-		async saveSnapshot(saved, hardState, tail) {
+		}),
+		saveSnapshot: async (saved, promise, tail) => guard(async () => {
 			const body = JSON.stringify(saved);
-			await writeSynced(`${snapshotPath}.new`, JSON.stringify({crc: crc32(body), body}));
-			await rename(`${snapshotPath}.new`, snapshotPath);
-			// The old log stays until the snapshot is durable; replay skips the entries that both hold.
-			await syncFolder(folder);
-			const records: LogRecord[] = [{type: 'hardState', hardState}, ...tail.map(entry => ({type: 'entry', entry}) as const)];
-			await writeSynced(`${logPath}.new`, Buffer.concat(records.map(record => encodeRecord(record))));
-			await rename(`${logPath}.new`, logPath);
-			await syncFolder(folder);
-			await file.close();
-			file = await open(logPath, 'a');
-		},
+			// The old segments stay until the snapshot is durable; replay skips the entries that both hold.
+			await replaceFile(snapshotPath, JSON.stringify({crc: crc32(body), body}));
+			await startSegment({previousBytes: null, snapshotIndex: saved.index}, [{type: 'hardState', hardState: promise}, ...tail.map(entry => ({type: 'entry', entry}) as const)]);
+			await removeSegmentsBefore(folder, sequence);
+		}),
 		syncCount: () => syncs,
 		async close() {
-			await file.close();
+			await file?.close();
 		},
 	};
 };
@@ -206,8 +173,3 @@
 	.chain(({crc, body}) => crc32(body) === crc ? Either.encase(() => snapshotSchema.parse(JSON.parse(body))) : Left(new Error('wrong checksum')))
 	.mapLeft(({message}) => new DamagedLogError(`snapshot.json is damaged (${message}); restore this host from its peers`))
 	.unsafeCoerce();
-
-/** Deletes everything a disk host kept. The host may return only as a new member. */
-export const removeLogStore = async (folder: string): Promise<void> => {
-	await rm(folder, {recursive: true, force: true});
-};
--- a/packages/state/test/log-store.test.ts
+++ b/packages/state/test/log-store.test.ts
@@ -1,65 +1,156 @@
+import {Buffer} from 'node:buffer';
 import {
-	appendFile, readFile, truncate, writeFile,
+	cp, readdir, readFile, rm, truncate, writeFile,
 } from 'node:fs/promises';
 import path from 'node:path';
 import t from 'tap';
-import {DamagedLogError, openLogStore, type LogEntry} from '@bitternpaddle/state';
+import {
+	DamagedLogError, openLogStore, type LogEntry, type LogRecord,
+} from '@bitternpaddle/state';
+
+const entry = (index: number, term = 1): LogEntry => ({index, term, payload: {type: 'command', command: {commandId: null, ifRevision: null, change: {type: 'noop'}}}});
+const record = (index: number): LogRecord => ({type: 'entry', entry: entry(index)});
+const members = {voters: ['a'], learners: []};
+
+/** Writes each entry with a sync of its own, so that each is a frame of its own. */
+const write = async (folder: string, count: number, segmentBytes?: number): Promise<string[]> => {
+	const store = await openLogStore({folder, segmentBytes});
+	for (let index = 1; index <= count; index++) {
+		await store.append([record(index)]);
+	}
 
-const entry = (index: number): LogEntry => ({index, term: 1, payload: {type: 'command', command: {commandId: null, ifRevision: null, change: {type: 'noop'}}}});
+	await store.close();
+	const names = await readdir(folder);
+	return names.filter(name => name.startsWith('log-')).toSorted().map(name => path.join(folder, name));
+};
 
-const write = async (folder: string, count: number): Promise<void> => {
+const loadedIndexes = async (folder: string): Promise<number[]> => {
 	const store = await openLogStore({folder});
-	await store.append(Array.from({length: count}, (_, position) => ({type: 'entry', entry: entry(position + 1)}) as const));
 	await store.close();
+	return store.loaded.entries.map(({index}) => index);
+};
+
+const frameStarts = (data: Buffer): number[] => {
+	const starts: number[] = [];
+	for (let at = data.indexOf(0xFF); at !== -1; at = data.indexOf(0xFF, at + 1)) {
+		if (data[at + 1] === 0xB1 && data[at + 2] === 0x7E && data[at + 3] === 0xFE) {
+			starts.push(at);
+		}
+	}
+
+	return starts;
 };
 
-// The host loses power in the middle of a write. The record that was being
-// written was never acknowledged, so the host starts without it.
-t.test('a torn tail is cut', async t => {
+// The host loses power in the middle of a write, at any byte of it, or after
+// the file grew but before the data reached the disk, so that it ends in zeros.
+// The frame was never acknowledged: the host starts without it and goes on.
+t.test('a torn or zero-filled tail is cut at every length', async t => {
 	const folder = t.testdir();
-	await write(folder, 3);
-	const file = path.join(folder, 'log');
-	const {length} = await readFile(file);
-	await truncate(file, length - 5);
+	const [file] = await write(folder, 3) as [string];
+	const data = await readFile(file);
+	const last = frameStarts(data).at(-1)!;
+	for (let length = last; length < data.length; length++) {
+		for (const tail of [data.subarray(0, length), Buffer.concat([data.subarray(0, length), Buffer.alloc(data.length - length)])]) {
+			await writeFile(file, tail);
+			const isUnchanged = tail.equals(data);
+			if (!isUnchanged) {
+				t.same(await loadedIndexes(folder), [1, 2], `cut at ${length}`);
+			}
+		}
+	}
+
 	const store = await openLogStore({folder});
-	t.same(store.loaded.entries.map(({index}) => index), [1, 2]);
-	t.ok(store.loaded.cutBytes > 0);
-	await store.append([{type: 'entry', entry: entry(3)}]);
+	await store.append([record(3)]);
 	await store.close();
-	const again = await openLogStore({folder});
-	t.same(again.loaded.entries.map(({index}) => index), [1, 2, 3]);
-	t.equal(again.loaded.cutBytes, 0);
-	await again.close();
+	t.same(await loadedIndexes(folder), [1, 2, 3]);
 });
 
-// A sector in the middle goes bad. Entries that were acknowledged are gone, so
-// the host must not start as if they had never been.
-t.test('damage before the tail refuses to start', async t => {
+// A byte in the middle goes bad, be it in a frame's body, its checksum or its
+// size. Entries that were acknowledged are gone, so the host must not start as
+// if they had never been: it could elect a leader that lacks them.
+t.test('damage before the last frame refuses to start, at every byte', async t => {
 	const folder = t.testdir();
-	await write(folder, 3);
-	const file = path.join(folder, 'log');
+	const [file] = await write(folder, 3) as [string];
 	const data = await readFile(file);
-	data[20] = 255 - data[20]!;
-	await writeFile(file, data);
-	await t.rejects(openLogStore({folder}), DamagedLogError);
+	const last = frameStarts(data).at(-1)!;
+	let refused = 0;
+	for (let position = 0; position < last; position++) {
+		for (const value of [255 - data[position]!, 0]) {
+			const damaged = Buffer.from(data);
+			damaged[position] = value;
+			if (damaged.equals(data)) {
+				refused++;
+				continue;
+			}
+
+			await writeFile(file, damaged);
+			const error: unknown = await loadedIndexes(folder).catch((error: unknown) => error);
+			refused += error instanceof DamagedLogError ? 1 : 0;
+		}
+	}
+
+	t.equal(refused, 2 * last);
 });
 
-t.test('a snapshot and a tail are read back, also when the old log is still there', async t => {
+// The log has rolled over several segments and one is cut short, emptied or
+// gone: the host refuses, for only the last segment may have a torn end.
+t.test('a shortened or missing segment before the last refuses to start', async t => {
 	const folder = t.testdir();
-	await write(folder, 4);
-	const old = await readFile(path.join(folder, 'log'));
+	const files = await write(folder, 6, 1);
+	t.equal(files.length, 7, 'the first one holds no entry');
+	t.same(await loadedIndexes(folder), [1, 2, 3, 4, 5, 6]);
+	const middle = files[2]!;
+	const data = await readFile(middle);
+	for (const start of frameStarts(data)) {
+		await truncate(middle, start);
+		await t.rejects(openLogStore({folder}), DamagedLogError, `cut at ${start}`);
+	}
+
+	await rm(middle);
+	await t.rejects(openLogStore({folder}), DamagedLogError, 'gone');
+});
+
+t.test('a snapshot and a tail are read back, and old segments are removed', async t => {
+	const folder = t.testdir();
+	await write(folder, 4, 1);
+	const before = path.join(t.testdirName, '..', `${path.basename(t.testdirName)}-old`);
+	await cp(folder, before, {recursive: true});
+	t.teardown(async () => rm(before, {recursive: true, force: true}));
 	const store = await openLogStore({folder});
 	await store.saveSnapshot({
-		index: 3, term: 1, members: {voters: ['a'], learners: []}, state: '{}',
+		index: 3, term: 1, members, state: '{}',
 	}, {term: 2, votedFor: 'a'}, [entry(4)]);
+	await store.append([record(5)]);
 	await store.close();
+	t.same((await readdir(folder)).length, 2, 'one snapshot, one segment');
 	const after = await openLogStore({folder});
-	t.same(after.loaded.entries.map(({index}) => index), [4]);
+	t.same(after.loaded.entries.map(({index}) => index), [4, 5]);
 	t.same(after.loaded.hardState, {term: 2, votedFor: 'a'});
 	await after.close();
-	await writeFile(path.join(folder, 'log'), old);
-	await appendFile(path.join(folder, 'log'), '');
-	const crashed = await openLogStore({folder});
-	t.same(crashed.loaded.entries.map(({index}) => index), [4]);
-	await crashed.close();
+	await cp(path.join(folder, 'snapshot.json'), path.join(before, 'snapshot.json'));
+	t.same(await loadedIndexes(before), [4], 'a crash before the old log was replaced');
+	await rm(path.join(folder, 'snapshot.json'));
+	await t.rejects(openLogStore({folder}), DamagedLogError, 'the snapshot is lost');
+});
+
+// A host that lags has entries that another leader replaced. It takes the new
+// leader's snapshot and crashes before its old log is put aside. The old
+// entries behind the snapshot must not come back: they contradict the log.
+t.test('a log that differs from an installed snapshot is dropped', async t => {
+	const folder = t.testdir();
+	const files = await write(folder, 6);
+	const old = await readFile(files[0]!);
+	const store = await openLogStore({folder});
+	await store.saveSnapshot({
+		index: 4, term: 3, members, state: '{}',
+	}, {term: 3, votedFor: null}, []);
+	await store.close();
+	for (const name of await readdir(folder)) {
+		if (name.startsWith('log-')) {
+			await rm(path.join(folder, name));
+		}
+	}
+
+	await writeFile(files[0]!, old);
+	t.same(await loadedIndexes(folder), []);
 });
