fix(coordination): contact only with all that is committed; bounded replication

Cause, each found in reading or by the new random schedules: - A follower that refused an append still counted as in contact, and so renewed leases on an old copy; so did one whose leader had lost its quorum. - An answer to a leader of an older term carried that leader's old stamp.

Change: contact counts from the follower's own stamp, echoed by a leader that held its lease, and only if the follower holds what the leader had committed.

Seen red with a safeguard off: the vote check, the commit check of contact, the lease check of contact, the incarnation of the echo, the own-term commit of the lease.

--- a/packages/coordination/src/consensus/create-consensus.ts
+++ b/packages/coordination/src/consensus/create-consensus.ts
@@ -10,13 +10,15 @@
 	const {
 		selfId, initialMembers, hardState, snapshot, entries, random, nowMs,
 		electionTimeoutMs = 600, heartbeatMs = 100, leaseMs = 450, maxBatchEntries = 512,
+		maxInFlightEntries = 4096, snapshotTimeoutMs = 5000,
 	} = options;
 	const state: ConsensusState = {
 		selfId,
 		options: {
-			electionTimeoutMs, heartbeatMs, leaseMs, maxBatchEntries,
+			electionTimeoutMs, heartbeatMs, leaseMs, maxBatchEntries, maxInFlightEntries, snapshotTimeoutMs,
 		},
 		random,
+		incarnation: random.between(1, 2_147_483_647),
 		initialMembers,
 		role: 'follower',
 		term: hardState.term,
@@ -29,6 +31,7 @@
 		durableIndex: (snapshot?.index ?? 0) + entries.length,
 		electionDueAtMs: nowMs + random.between(electionTimeoutMs, 2 * electionTimeoutMs),
 		leaderHeardAtMs: nowMs,
+		contactAtMs: Number.NEGATIVE_INFINITY,
 		heartbeatDueAtMs: nowMs,
 		votes: new Set(),
 		peers: new Map(),
--- a/packages/coordination/src/consensus/elect.ts
+++ b/packages/coordination/src/consensus/elect.ts
@@ -1,6 +1,6 @@
 import type {ConsensusMessage} from '@bitternpaddle/protocol';
 import {lastIndexOf, lastTermOf, quorumOf} from './log.js';
-import {appendOwn, broadcastAppend} from './replicate.js';
+import {appendOwn, broadcastAppend, createProgress} from './replicate.js';
 import type {ConsensusEffect, ConsensusRole, ConsensusState} from './types.js';
 
 type MessageOf<Type extends ConsensusMessage['type']> = Extract<ConsensusMessage, {type: Type}>;
@@ -43,7 +43,8 @@
 export const startPreVote = (state: ConsensusState, nowMs: number): ConsensusEffect[] => {
 	resetElectionTimer(state, nowMs);
 	if (!isVoter(state)) {
-		return [];
+		// A learner that the leader let go must notice, so that it asks to be taken in again.
+		return changeRole(state, 'follower', null);
 	}
 
 	const effects = changeRole(state, 'preCandidate', null);
@@ -69,7 +70,8 @@
 	}));
 
 const countVotes = (state: ConsensusState, nowMs: number): ConsensusEffect[] => {
-	if (state.votes.size < quorumOf(state.members)) {
+	const votes = state.members.voters.filter(voter => state.votes.has(voter));
+	if (votes.length < quorumOf(state.members)) {
 		return [];
 	}
 
@@ -87,12 +89,10 @@
 	state.heartbeatDueAtMs = nowMs + state.options.heartbeatMs;
 	const {effects: appended} = appendOwn(state, {type: 'command', command: {commandId: null, ifRevision: null, change: {type: 'noop'}}});
 	for (const member of [...state.members.voters, ...state.members.learners]) {
-		state.peers.set(member, {
-			matchIndex: 0, nextIndex: lastIndexOf(state), answeredSentAtMs: Number.NEGATIVE_INFINITY, lastSentAtMs: Number.NEGATIVE_INFINITY,
-		});
+		state.peers.set(member, createProgress(lastIndexOf(state)));
 	}
 
-	return [...effects, ...appended, ...broadcastAppend(state, nowMs)];
+	return [...effects, ...appended, ...broadcastAppend(state, 'heartbeat', nowMs)];
 };
 
 export const onVoteRequest = (state: ConsensusState, from: string, request: MessageOf<'voteRequest'>, nowMs: number): ConsensusEffect[] => {
@@ -115,7 +115,8 @@
 	}
 
 	const isFree = state.votedFor === null || state.votedFor === from;
-	const granted = request.term === state.term && isCurrent && isFree && isVoter(state);
+	// Granted also by a host that doesn't know yet that it was made a voter; the candidate's log names the voters.
+	const granted = request.term === state.term && isCurrent && isFree;
 	if (granted) {
 		state.votedFor = from;
 		resetElectionTimer(state, nowMs);
--- a/packages/coordination/src/consensus/index.ts
+++ b/packages/coordination/src/consensus/index.ts
@@ -1,7 +1,9 @@
 export * from './create-consensus.js';
 export * from './lease.js';
 export {
-	entriesFrom, lastIndexOf, quorumOf, termAt,
+	entriesFrom, lastIndexOf, membersAt, quorumOf, termAt,
 } from './log.js';
+export * from './member-id.js';
+export * from './plan-members.js';
 export * from './step.js';
 export type * from './types.js';
--- a/packages/coordination/src/consensus/lead.ts
+++ b/packages/coordination/src/consensus/lead.ts
@@ -1,8 +1,8 @@
 import type {ConsensusMessage} from '@bitternpaddle/protocol';
 import type {LogEntry, Members} from '@bitternpaddle/state';
 import {adoptTerm, changeRole, resetElectionTimer} from './elect.js';
-import {quorumHeardAtMs} from './lease.js';
-import {lastIndexOf, membersIndexInLog} from './log.js';
+import {commitIsOfOwnTerm, quorumHeardAtMs} from './lease.js';
+import {membersIndexInLog, snapshotIndexOf} from './log.js';
 import {
 	advanceCommit, appendOwn, broadcastAppend, sendAppend,
 } from './replicate.js';
@@ -28,13 +28,17 @@
 			type: 'proposed', token, index: entry.index, term: entry.term,
 		},
 		...effects,
-		...broadcastAppend(state, nowMs),
+		...broadcastAppend(state, 'news', nowMs),
 	];
 };
 
-/** Two voter changes at once could leave two quorums without a common voter. */
+/**
+ * Two voter changes at once could leave two quorums without a common voter.
+ * The same holds for a change of this term beside one of an older leader that
+ * may yet be committed: hence the wait for an entry of the own term.
+ */
 const refuseMembers = (state: ConsensusState, members: Members): 'membersBusy' | 'invalidMembers' | null => {
-	if (membersIndexInLog(state) > state.commitIndex) {
+	if (membersIndexInLog(state) > state.commitIndex || !commitIsOfOwnTerm(state)) {
 		return 'membersBusy';
 	}
 
@@ -54,21 +58,31 @@
 		return [];
 	}
 
-	progress.answeredSentAtMs = Math.max(progress.answeredSentAtMs, response.sentAtMs);
+	progress.answeredSentAtMs = Math.max(progress.answeredSentAtMs, response.sentAtMs ?? Number.NEGATIVE_INFINITY);
+	progress.stamp = response.stamp;
 	if (!response.success) {
-		progress.nextIndex = Math.min(progress.nextIndex, response.matchIndex + 1);
-		progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
-		return [sendAppend(state, from, nowMs)];
+		return onRefusedAppend(state, from, response.matchIndex, nowMs);
 	}
 
 	progress.matchIndex = Math.max(progress.matchIndex, response.matchIndex);
-	progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
-	const effects = advanceCommit(state);
-	if (progress.nextIndex <= lastIndexOf(state)) {
-		effects.push(sendAppend(state, from, nowMs));
+	if (progress.mode !== 'snapshot' || progress.matchIndex >= snapshotIndexOf(state)) {
+		progress.mode = 'stream';
+		progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
+	}
+
+	return [...advanceCommit(state), ...sendAppend(state, from, 'answer', nowMs)];
+};
+
+/** The logs differ before `nextIndex`, or a message on the way was lost or overtaken. */
+const onRefusedAppend = (state: ConsensusState, from: string, hintIndex: number, nowMs: number): ConsensusEffect[] => {
+	const progress = state.peers.get(from)!;
+	if (progress.mode === 'snapshot') {
+		return [];
 	}
 
-	return effects;
+	progress.nextIndex = Math.max(Math.min(progress.nextIndex, hintIndex + 1), progress.matchIndex + 1);
+	progress.mode = 'probe';
+	return sendAppend(state, from, 'answer', nowMs);
 };
 
 export const onLeaderTick = (state: ConsensusState, nowMs: number): ConsensusEffect[] => {
@@ -83,5 +97,5 @@
 	}
 
 	state.heartbeatDueAtMs = nowMs + state.options.heartbeatMs;
-	return broadcastAppend(state, nowMs);
+	return broadcastAppend(state, 'heartbeat', nowMs);
 };
--- a/packages/coordination/src/consensus/lease.ts
+++ b/packages/coordination/src/consensus/lease.ts
@@ -1,7 +1,9 @@
-import {commitIsOfOwnTerm} from './replicate.js';
-import {quorumOf} from './log.js';
+import {quorumOf, termAt} from './log.js';
 import type {ConsensusState} from './types.js';
 
+/** Whether an entry of the leader's own term is committed; before that it may not know what is. */
+export const commitIsOfOwnTerm = (state: ConsensusState): boolean => termAt(state, state.commitIndex) === state.term;
+
 /** The latest moment at which a quorum, this host included, was known to follow the leader. */
 export const quorumHeardAtMs = (state: ConsensusState, nowMs: number): number => {
 	const heard = state.members.voters
@@ -20,7 +22,12 @@
 	&& nowMs < quorumHeardAtMs(state, nowMs) + state.options.leaseMs
 	&& commitIsOfOwnTerm(state);
 
-/** Whether this host heard from a leader so lately that its copy may be served. */
+/**
+ * Whether this host's copy may be served: a short while ago it held all that
+ * was committed, and the leader that said so had a quorum. A host that hears a
+ * leader but lags, or hears one that was cut off from the rest, would renew
+ * leases on a configuration that has been replaced.
+ */
 export const isInContact = (state: ConsensusState, nowMs: number): boolean => state.role === 'leader'
 	? hasLeaderLease(state, nowMs)
-	: state.leaderId !== null && nowMs < state.leaderHeardAtMs + state.options.electionTimeoutMs;
+	: state.leaderId !== null && nowMs < state.contactAtMs + state.options.electionTimeoutMs;
--- a/packages/coordination/src/consensus/log.ts
+++ b/packages/coordination/src/consensus/log.ts
@@ -23,9 +23,23 @@
 	return state.entries.slice(start, start + limit);
 };
 
+/** The first index of the term that the entry at `index` has, as far as the log reaches back. */
+export const firstIndexOfTermAt = (state: ConsensusState, index: number): number => {
+	const term = termAt(state, index);
+	let first = index;
+	while (first - 1 > snapshotIndexOf(state) && termAt(state, first - 1) === term) {
+		first--;
+	}
+
+	return first;
+};
+
 /** The newest members in the log; they count from the moment they are appended. */
-export const membersInLog = (state: ConsensusState): Members => {
-	for (let position = state.entries.length - 1; position >= 0; position--) {
+export const membersInLog = (state: ConsensusState): Members => membersAt(state, lastIndexOf(state));
+
+/** The members that the log up to `index` names. */
+export const membersAt = (state: ConsensusState, index: number): Members => {
+	for (let position = index - snapshotIndexOf(state) - 1; position >= 0; position--) {
 		const {payload} = state.entries[position]!;
 		if (payload.type === 'members') {
 			return payload.members;
--- a/packages/coordination/src/consensus/replicate.ts
+++ b/packages/coordination/src/consensus/replicate.ts
@@ -1,55 +1,98 @@
 import type {LogEntry} from '@bitternpaddle/state';
+import {match} from 'ts-pattern';
+import {hasLeaderLease} from './lease.js';
 import {
-	entriesFrom, entryAt, lastIndexOf, membersInLog, quorumOf, snapshotIndexOf, termAt,
+	entriesFrom, entryAt, lastIndexOf, quorumOf, snapshotIndexOf, termAt,
 } from './log.js';
 import type {ConsensusEffect, ConsensusState, PeerProgress} from './types.js';
 
 export const otherMembers = (state: ConsensusState): string[] => [...state.members.voters, ...state.members.learners]
 	.filter(member => member !== state.selfId);
 
+export const createProgress = (nextIndex: number): PeerProgress => ({
+	matchIndex: 0, nextIndex, answeredSentAtMs: Number.NEGATIVE_INFINITY, mode: 'probe', snapshotSentAtMs: Number.NEGATIVE_INFINITY, stamp: null,
+});
+
 const progressOf = (state: ConsensusState, peer: string): PeerProgress => {
 	let progress = state.peers.get(peer);
 	if (progress === undefined) {
-		progress = {
-			matchIndex: 0, nextIndex: lastIndexOf(state) + 1, answeredSentAtMs: Number.NEGATIVE_INFINITY, lastSentAtMs: Number.NEGATIVE_INFINITY,
-		};
+		progress = createProgress(lastIndexOf(state) + 1);
 		state.peers.set(peer, progress);
 	}
 
 	return progress;
 };
 
-/** Sends a member what it lacks, or a heartbeat; the snapshot if the log no longer reaches back. */
-export const sendAppend = (state: ConsensusState, peer: string, nowMs: number): ConsensusEffect => {
+/** Why a member is sent something now. */
+export type SendCause = 'heartbeat' | 'answer' | 'news';
+
+/** Sends a member what it lacks, within the bounds on what may be on its way. */
+export const sendAppend = (state: ConsensusState, peer: string, cause: SendCause, nowMs: number): ConsensusEffect[] => {
+	const progress = progressOf(state, peer);
+	if (progress.mode !== 'snapshot' && progress.nextIndex <= snapshotIndexOf(state)) {
+		progress.mode = 'snapshot';
+		progress.snapshotSentAtMs = Number.NEGATIVE_INFINITY;
+	}
+
+	return match(progress.mode)
+		.with('snapshot', () => sendSnapshot(state, peer, cause, nowMs))
+		.with('probe', () => {
+			const entries = entriesFrom(state, progress.nextIndex, state.options.maxBatchEntries);
+			return cause === 'news' ? [] : [appendRequest(state, peer, {previousIndex: progress.nextIndex - 1, entries}, nowMs)];
+		})
+		.with('stream', () => {
+			const inFlight = progress.nextIndex - 1 - progress.matchIndex;
+			const {maxBatchEntries, maxInFlightEntries} = state.options;
+			const entries = entriesFrom(state, progress.nextIndex, Math.max(0, Math.min(maxBatchEntries, maxInFlightEntries - inFlight)));
+			if (entries.length === 0 && cause !== 'heartbeat') {
+				return [];
+			}
+
+			const previousIndex = progress.nextIndex - 1;
+			// Sent on without waiting for the answer; a lost message shows as a refused one, which sets `nextIndex` back.
+			progress.nextIndex += entries.length;
+			return [appendRequest(state, peer, {previousIndex, entries}, nowMs)];
+		})
+		.exhaustive();
+};
+
+/**
+ * One snapshot at a time: sent again with each heartbeat it would fill the
+ * link of the very host that is slow to take it. Meanwhile heartbeats behind
+ * index 0, where all logs agree, keep the member from standing for election.
+ */
+const sendSnapshot = (state: ConsensusState, peer: string, cause: SendCause, nowMs: number): ConsensusEffect[] => {
 	const progress = progressOf(state, peer);
-	progress.lastSentAtMs = nowMs;
-	const previousIndex = progress.nextIndex - 1;
-	const previousTerm = termAt(state, previousIndex);
-	if (previousTerm === null || previousIndex < snapshotIndexOf(state)) {
-		return {
+	if (nowMs - progress.snapshotSentAtMs >= state.options.snapshotTimeoutMs) {
+		progress.snapshotSentAtMs = nowMs;
+		return [{
 			type: 'send', to: peer, afterSync: false, message: {
 				type: 'snapshotRequest', term: state.term, snapshot: state.snapshot!, sentAtMs: nowMs,
 			},
-		};
+		}];
 	}
 
-	const entries = entriesFrom(state, progress.nextIndex, state.options.maxBatchEntries);
-	// Sent on without waiting for the answer; a lost message shows as a refused one, which sets `nextIndex` back.
-	progress.nextIndex += entries.length;
-	return {
-		type: 'send', to: peer, afterSync: false, message: {
-			type: 'appendRequest', term: state.term, previousIndex, previousTerm, entries, commitIndex: state.commitIndex, sentAtMs: nowMs,
-		},
-	};
+	return cause === 'heartbeat' ? [appendRequest(state, peer, {previousIndex: 0, entries: []}, nowMs)] : [];
 };
 
-export const broadcastAppend = (state: ConsensusState, nowMs: number): ConsensusEffect[] => otherMembers(state).map(peer => sendAppend(state, peer, nowMs));
+const appendRequest = (state: ConsensusState, to: string, {previousIndex, entries}: {previousIndex: number; entries: LogEntry[]}, nowMs: number): ConsensusEffect => ({
+	type: 'send', to, afterSync: false, message: {
+		type: 'appendRequest', term: state.term, previousIndex, previousTerm: previousIndex === 0 ? 0 : termAt(state, previousIndex)!, entries,
+		commitIndex: state.commitIndex, sentAtMs: nowMs, hasLease: hasLeaderLease(state, nowMs), echo: progressOf(state, to).stamp,
+	},
+});
+
+export const broadcastAppend = (state: ConsensusState, cause: SendCause, nowMs: number): ConsensusEffect[] => otherMembers(state)
+	.flatMap(peer => sendAppend(state, peer, cause, nowMs));
 
 /** Appends to this host's own log; the entry counts for it once `persisted` says so. */
 export const appendOwn = (state: ConsensusState, payload: LogEntry['payload']): {entry: LogEntry; effects: ConsensusEffect[]} => {
 	const entry: LogEntry = {index: lastIndexOf(state) + 1, term: state.term, payload};
 	state.entries.push(entry);
-	state.members = membersInLog(state);
+	if (payload.type === 'members') {
+		state.members = payload.members;
+	}
+
 	return {
 		entry, effects: [{
 			type: 'persist', hardState: null, truncateFrom: null, entries: [entry],
@@ -57,9 +100,6 @@
 	};
 };
 
-/** Whether an entry of the leader's own term is committed; before that it may not know what is. */
-export const commitIsOfOwnTerm = (state: ConsensusState): boolean => termAt(state, state.commitIndex) === state.term;
-
 /** Moves the commit index to what a quorum has on disk. Only entries of the own term count directly. */
 export const advanceCommit = (state: ConsensusState): ConsensusEffect[] => {
 	const matched = state.members.voters
--- a/packages/coordination/src/consensus/step.ts
+++ b/packages/coordination/src/consensus/step.ts
@@ -1,11 +1,11 @@
 import type {ConsensusMessage} from '@bitternpaddle/protocol';
-import type {Snapshot} from '@bitternpaddle/state';
+import type {Members, Snapshot} from '@bitternpaddle/state';
 import {match} from 'ts-pattern';
 import {onVoteRequest, onVoteResponse, startPreVote} from './elect.js';
 import {onAppendRequest, onSnapshotRequest} from './follow.js';
 import {onAppendResponse, onLeaderTick, onPropose} from './lead.js';
 import {
-	entriesFrom, lastIndexOf, snapshotIndexOf, termAt,
+	entriesFrom, lastIndexOf, membersInLog, snapshotIndexOf, termAt,
 } from './log.js';
 import {advanceCommit} from './replicate.js';
 import type {ConsensusEffect, ConsensusEvent, ConsensusState} from './types.js';
@@ -22,6 +22,7 @@
 	.with({type: 'message'}, ({from, message}) => onMessage(state, from, message, nowMs))
 	.with({type: 'propose'}, ({token, payload}) => onPropose(state, token, payload, nowMs))
 	.with({type: 'persisted'}, ({index, term}) => onPersisted(state, index, term))
+	.with({type: 'formed'}, ({members}) => onFormed(state, members))
 	.with({type: 'compacted'}, ({snapshot}) => onCompacted(state, snapshot))
 	.exhaustive();
 
@@ -50,6 +51,12 @@
 	return state.role === 'leader' ? advanceCommit(state) : [];
 };
 
+const onFormed = (state: ConsensusState, members: Members): ConsensusEffect[] => {
+	state.initialMembers = members;
+	state.members = membersInLog(state);
+	return [];
+};
+
 const onCompacted = (state: ConsensusState, snapshot: Snapshot): ConsensusEffect[] => {
 	if (snapshot.index > snapshotIndexOf(state) && snapshot.index <= state.commitIndex) {
 		state.entries = entriesFrom(state, snapshot.index + 1, lastIndexOf(state));
--- a/packages/coordination/src/consensus/types.ts
+++ b/packages/coordination/src/consensus/types.ts
@@ -1,4 +1,4 @@
-import type {ConsensusMessage} from '@bitternpaddle/protocol';
+import type {ConsensusMessage, ReceiverStamp} from '@bitternpaddle/protocol';
 import type {
 	HardState, LogEntry, Members, Snapshot,
 } from '@bitternpaddle/state';
@@ -27,25 +27,40 @@
 	readonly leaseMs?: number;
 	/** Entries in one message. @default 512 */
 	readonly maxBatchEntries?: number;
+	/** Entries on their way to one member without an answer. @default 4096 */
+	readonly maxInFlightEntries?: number;
+	/** A snapshot that was not confirmed for this long is sent again. @default 5000 */
+	readonly snapshotTimeoutMs?: number;
 };
 
 export type ConsensusRole = 'follower' | 'preCandidate' | 'candidate' | 'leader';
 
+/**
+ * How a member is supplied: `probe` looks for the place where the logs agree,
+ * one request at a time; `stream` sends on without waiting for answers;
+ * `snapshot` waits until the one that was sent is confirmed.
+ */
+export type ReplicationMode = 'probe' | 'stream' | 'snapshot';
+
 /** What the leader knows of one other member. */
 export type PeerProgress = {
 	matchIndex: number;
 	nextIndex: number;
 	/** Leader's clock when it sent the newest message that this member answered. */
 	answeredSentAtMs: number;
-	/** When entries were last sent, so that lost ones are sent again. */
-	lastSentAtMs: number;
+	mode: ReplicationMode;
+	snapshotSentAtMs: number;
+	/** The newest stamp in this member's answers, sent back to it. */
+	stamp: ReceiverStamp | null;
 };
 
 export type ConsensusState = {
 	readonly selfId: string;
-	readonly options: Required<Pick<ConsensusOptions, 'electionTimeoutMs' | 'heartbeatMs' | 'leaseMs' | 'maxBatchEntries'>>;
+	readonly options: Required<Pick<ConsensusOptions, 'electionTimeoutMs' | 'heartbeatMs' | 'leaseMs' | 'maxBatchEntries' | 'maxInFlightEntries' | 'snapshotTimeoutMs'>>;
 	readonly random: Random;
-	readonly initialMembers: Members;
+	/** Tells this start of the process from earlier ones, whose clock was another. */
+	readonly incarnation: number;
+	initialMembers: Members;
 	role: ConsensusRole;
 	term: number;
 	votedFor: string | null;
@@ -59,6 +74,8 @@
 	durableIndex: number;
 	electionDueAtMs: number;
 	leaderHeardAtMs: number;
+	/** Own clock when this host last held all that a leader with a lease had committed. */
+	contactAtMs: number;
 	heartbeatDueAtMs: number;
 	votes: Set<string>;
 	peers: Map<string, PeerProgress>;
@@ -70,7 +87,9 @@
 		| {readonly type: 'propose'; readonly token: number; readonly payload: LogEntry['payload']}
 	/** Everything up to `index` is on disk, as written in `term`. */
 		| {readonly type: 'persisted'; readonly index: number; readonly term: number}
-		| {readonly type: 'compacted'; readonly snapshot: Snapshot};
+		| {readonly type: 'compacted'; readonly snapshot: Snapshot}
+	/** The first voters have agreed who they are; see `formation.ts`. */
+		| {readonly type: 'formed'; readonly members: Members};
 
 export type ConsensusEffect
 	/** Must be synced before any later `send` with `afterSync` leaves. */
--- a/packages/protocol/src/rpc/methods.ts
+++ b/packages/protocol/src/rpc/methods.ts
@@ -8,6 +8,10 @@
 const index = z.number().int().nonnegative();
 const term = z.number().int().nonnegative();
 
+/** A follower's clock, and the start of its process that the clock belongs to. */
+export const receiverStampSchema = z.object({incarnation: z.number().int(), atMs: z.number()});
+export type ReceiverStamp = z.infer<typeof receiverStampSchema>;
+
 /** Messages of consensus between control hosts. All are one-way; answers are messages too. */
 export const consensusMessageSchema = z.discriminatedUnion('type', [
 	z.object({
@@ -19,9 +23,16 @@
 	z.object({
 		type: z.literal('appendRequest'), term, previousIndex: index, previousTerm: term, entries: z.array(logEntrySchema),
 		commitIndex: index, sentAtMs: z.number(),
+		/** Whether the leader held its lease when it sent this. */
+		hasLease: z.boolean(),
+		/** The newest stamp of the receiver that the leader has heard. */
+		echo: receiverStampSchema.nullable(),
 	}),
 	z.object({
-		type: z.literal('appendResponse'), term, success: z.boolean(), matchIndex: index, sentAtMs: z.number(),
+		type: z.literal('appendResponse'), term, success: z.boolean(), matchIndex: index,
+		/** From the request; `null` if that was of an older term and renews nothing. */
+		sentAtMs: z.number().nullable(),
+		stamp: receiverStampSchema,
 	}),
 	z.object({
 		type: z.literal('snapshotRequest'), term, snapshot: snapshotSchema, sentAtMs: z.number(),
