refactor(control): split the control host into small files

Cause: create-control-node.ts held watching, proposals, reconciling, folding and rpc wiring in one closure of 343 lines, and several changes are about to touch it. Change: watch-hub, proposals, reconciler, report-fold and control-rpc, each with an option object; create-control-node wires them. No behaviour changes.

--- /dev/null
+++ b/packages/daemon/src/control/control-rpc.ts
@@ -0,0 +1,80 @@
+import {
+	consensusEnvelopeSchema, foldParametersSchema, proposeParametersSchema, queryParametersSchema, rpcErrorCodes, watchParametersSchema,
+	type HostReport, type QueryResult, type Show,
+} from '@bitternpaddle/protocol';
+import {
+	callRpc, createRpcServer, RpcError, type Logger, type RpcServer,
+} from '@bitternpaddle/transport';
+import {answerQuery, type QueryView} from './answer-query.js';
+import type {ConsensusDriver} from './consensus-driver.js';
+import {proposalTimeoutMs, type Proposals} from './proposals.js';
+import type {WatchHub} from './watch-hub.js';
+
+export type ControlRpcOptions = {
+	readonly driver: ConsensusDriver;
+	readonly proposals: Proposals;
+	readonly hub: WatchHub;
+	readonly logger: Logger;
+	isLeader(): boolean;
+	/** Address of the leader; `undefined` while there is none or this host leads. */
+	leaderAddress(): string | undefined;
+	view(): QueryView;
+	/** Takes a report that another control host heard. */
+	hear(report: HostReport): void;
+};
+
+const forwardTimeoutMs = 3000 + proposalTimeoutMs;
+
+/** What other processes may ask of a control host. */
+export const createControlRpc = (options: ControlRpcOptions): RpcServer => {
+	const {
+		driver, proposals, hub, logger, isLeader, leaderAddress, view, hear,
+	} = options;
+
+	/** Calls the leader's `method`, or does it here if this host leads. */
+	const atLeader = async <Result>(method: string, parameters: Record<string, unknown>, here: () => Promise<Result> | Result): Promise<Result> => {
+		if (isLeader()) {
+			return here();
+		}
+
+		const address = leaderAddress();
+		if (address === undefined || parameters.isForwarded === true) {
+			throw new RpcError(rpcErrorCodes.noQuorum, 'no leader is in contact with a quorum');
+		}
+
+		return callRpc<Result>({
+			address, method, params: {...parameters, isForwarded: true}, timeoutMs: forwardTimeoutMs,
+		});
+	};
+
+	const query = (show: Show): QueryResult => {
+		const seen = view();
+		const {rows, unknown} = answerQuery(seen, show);
+		if (unknown.length > 0) {
+			throw new RpcError(rpcErrorCodes.invalid, `${show.subject} have no field ${unknown.join(', ')}`);
+		}
+
+		return {revision: seen.catalog.revision, rows};
+	};
+
+	const rpc = createRpcServer();
+	rpc.method('consensus.message', consensusEnvelopeSchema, envelope => {
+		driver.receive(envelope);
+	});
+	rpc.method('control.watch', watchParametersSchema, async parameters => hub.watch(parameters));
+	rpc.method('control.fold', foldParametersSchema, ({reports}) => {
+		for (const report of reports) {
+			hear(report);
+		}
+	});
+	rpc.method('control.propose', proposeParametersSchema, async ({command, isForwarded}) => atLeader('control.propose', {command, isForwarded}, async () => {
+		const result = await proposals.propose(command);
+		if (result.type === 'accepted' && command.commandId !== null) {
+			logger.event('BP1006', {change: command.change.type, revision: result.revision});
+		}
+
+		return result;
+	}));
+	rpc.method('control.query', queryParametersSchema, async ({show, isForwarded}) => atLeader('control.query', {show, isForwarded}, () => query(show)));
+	return rpc;
+};
--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -1,24 +1,21 @@
 import process from 'node:process';
+import {hasLeaderLease, isInContact, rendezvousWeight} from '@bitternpaddle/coordination';
+import type {ConsensusEnvelope} from '@bitternpaddle/protocol';
+import {openLogStore, type CommandResult, type LogEntry} from '@bitternpaddle/state';
 import {
-	gapSince, hasLeaderLease, isInContact, rendezvousWeight,
-} from '@bitternpaddle/coordination';
-import {
-	consensusEnvelopeSchema, foldParametersSchema, proposeParametersSchema, queryParametersSchema, rpcErrorCodes, watchParametersSchema,
-	type ConsensusEnvelope, type HostReport, type QueryResult, type Show, type WatchParameters, type WatchResult,
-} from '@bitternpaddle/protocol';
-import {
-	openLogStore, type Command, type CommandResult, type LogEntry,
-} from '@bitternpaddle/state';
-import {
-	callRpc, createHttpServer, createRpcServer, notifyRpc, RpcError, rpcPath, sendJson, silentLogger, type HttpServer, type Logger,
+	createHttpServer, notifyRpc, rpcPath, sendJson, silentLogger, type HttpServer, type Logger,
 } from '@bitternpaddle/transport';
 import {createRecorder} from '../recording/recorder.js';
-import {answerQuery} from './answer-query.js';
 import {createConsensusDriver, type ConsensusDriver} from './consensus-driver.js';
+import {createControlRpc} from './control-rpc.js';
 import {hearReport, planMembershipChanges, type HostRegistry} from './host-registry.js';
+import {createProposals} from './proposals.js';
+import {createReconciler, reconcileMs} from './reconciler.js';
 import {
 	applyToReplica, createReplica, serializeReplica, type Replica,
 } from './replica.js';
+import {createReportFold, foldMs} from './report-fold.js';
+import {createWatchHub} from './watch-hub.js';
 
 export type ControlNodeOptions = {
 	readonly selfId: string;
@@ -47,14 +44,8 @@
 	close(): Promise<void>;
 };
 
-const proposalTimeoutMs = 5000;
-const reconcileMs = 200;
-const foldMs = 250;
-const forwardTimeoutMs = 3000;
 const consensusTimeoutMs = 1000;
 
-type PendingProposal = {readonly term: number; resolve(result: CommandResult): void; reject(error: Error): void};
-
 /** One control host: the log, the configuration that follows from it, and the hosts that watch it. */
 export const createControlNode = async (options: ControlNodeOptions): Promise<ControlNode> => {
 	const {
@@ -66,18 +57,9 @@
 	}
 
 	let replica: Replica = createReplica(store.loaded.snapshot);
-	const registry: HostRegistry = new Map();
-	const pending = new Map<number, PendingProposal>();
-	const watchers = new Set<() => void>();
-	const folded = new Map<string, HostReport>();
 	let leadingSinceMs = 0;
-	let isReconciling = false;
-
-	const wakeWatchers = (): void => {
-		for (const wake of watchers) {
-			wake();
-		}
-	};
+	const registry: HostRegistry = new Map();
+	const proposals = createProposals({append: payload => driver.propose(payload)});
 
 	const onCommit = (entry: LogEntry): void => {
 		const before = replica.state.catalog.revision;
@@ -86,18 +68,9 @@
 		const result: CommandResult = entry.payload.type === 'command'
 			? applyToReplica(replica, entry.payload.command, entry.index)
 			: {type: 'accepted', revision: before};
-		const waiting = pending.get(entry.index);
-		if (waiting !== undefined) {
-			pending.delete(entry.index);
-			if (waiting.term === entry.term) {
-				waiting.resolve(result);
-			} else {
-				waiting.reject(new RpcError(rpcErrorCodes.notLeader, 'another leader took over; the change was not accepted'));
-			}
-		}
-
+		proposals.settle(entry, result);
 		if (replica.state.catalog.revision !== before) {
-			wakeWatchers();
+			hub.wake();
 		}
 
 		if (replica.appliedIndex - (driver.state.snapshot?.index ?? 0) >= snapshotEntries) {
@@ -132,7 +105,7 @@
 		onCommit,
 		onSnapshot(snapshot) {
 			replica = createReplica(snapshot);
-			wakeWatchers();
+			hub.wake();
 		},
 		onRoleChange({role, term, leaderId}) {
 			logger.event('BP1001', {role, term, leaderId});
@@ -140,7 +113,7 @@
 				leadingSinceMs = performance.now();
 			}
 
-			wakeWatchers();
+			hub.wake();
 		},
 		onFailure(error) {
 			logger.event('BP1007', {message: error.message});
@@ -150,155 +123,36 @@
 
 	const isLeader = (): boolean => hasLeaderLease(driver.state, performance.now());
 
-	const proposeHere = async (command: Command): Promise<CommandResult> => {
-		const outcome = driver.propose({type: 'command', command});
-		if (outcome.type === 'rejected') {
-			throw new RpcError(rpcErrorCodes.notLeader, 'this control host does not lead');
-		}
-
-		return new Promise((resolve, reject) => {
-			const timer = setTimeout(() => {
-				pending.delete(outcome.index);
-				reject(new RpcError(rpcErrorCodes.noQuorum, 'no quorum confirmed the change in time; it may still be accepted: resend it with the same command id'));
-			}, proposalTimeoutMs);
-			pending.set(outcome.index, {
-				term: outcome.term,
-				resolve(result) {
-					clearTimeout(timer);
-					resolve(result);
-				},
-				reject(error) {
-					clearTimeout(timer);
-					reject(error);
-				},
-			});
-		});
-	};
-
-	/** Calls the leader's `method`, or does it here if this host leads. */
-	const atLeader = async <Result>(method: string, parameters: Record<string, unknown>, here: () => Promise<Result> | Result): Promise<Result> => {
-		if (isLeader()) {
-			return here();
-		}
-
-		const leader = driver.state.leaderId;
-		const address = leader === null || leader === selfId ? undefined : members.get(leader);
-		if (address === undefined || parameters.isForwarded === true) {
-			throw new RpcError(rpcErrorCodes.noQuorum, 'no leader is in contact with a quorum');
-		}
-
-		return callRpc<Result>({
-			address, method, params: {...parameters, isForwarded: true}, timeoutMs: forwardTimeoutMs + proposalTimeoutMs,
-		});
-	};
-
-	const query = (show: Show): QueryResult => {
-		const {catalog} = replica.state;
-		const {rows, unknown} = answerQuery({
-			catalog, registry, nowMs: performance.now(), leaseMs,
-		}, show);
-		if (unknown.length > 0) {
-			throw new RpcError(rpcErrorCodes.invalid, `${show.subject} have no field ${unknown.join(', ')}`);
-		}
-
-		return {revision: catalog.revision, rows};
+	const leaderAddress = (): string | undefined => {
+		const {leaderId} = driver.state;
+		return leaderId === null || leaderId === selfId ? undefined : members.get(leaderId);
 	};
 
-	/** Holds the call until there is news for the host or its wait is over. */
-	const watch = async ({report, waitMs}: WatchParameters): Promise<WatchResult> => {
-		assertContact();
-		hearReport(registry, report, performance.now());
-		folded.set(report.hostId, report);
-		if (report.revision === replica.state.catalog.revision) {
-			await nextNews(waitMs);
-			assertContact();
-		}
-
-		// A host that is ahead heard a control host that this one lags behind; it waits rather than be set back.
-		if (report.revision > replica.state.catalog.revision) {
-			await nextNews(waitMs);
-			throw new RpcError(rpcErrorCodes.noQuorum, 'this control host is behind the caller');
-		}
-
-		return gapSince(replica.history, replica.state.catalog, report.revision, leaseMs);
-	};
-
-	const assertContact = (): void => {
-		if (!isInContact(driver.state, performance.now())) {
-			throw new RpcError(rpcErrorCodes.noQuorum, 'this control host is not in contact with a quorum');
-		}
-	};
-
-	const nextNews = async (waitMs: number): Promise<void> => new Promise(resolve => {
-		const finish = (): void => {
-			clearTimeout(timer);
-			watchers.delete(finish);
-			resolve();
-		};
-
-		const timer = setTimeout(finish, waitMs);
-		watchers.add(finish);
+	const fold = createReportFold({selfId, leaderAddress});
+	const hub = createWatchHub({
+		leaseMs,
+		replica: () => replica,
+		isInContact: () => isInContact(driver.state, performance.now()),
+		hear(report) {
+			hearReport(registry, report, performance.now());
+			fold.add(report);
+		},
 	});
-
-	const reconcile = async (): Promise<void> => {
-		if (isReconciling || !isLeader()) {
-			return;
-		}
-
-		isReconciling = true;
-		try {
-			const changes = planMembershipChanges({
-				catalog: replica.state.catalog, registry, nowMs: performance.now(), leadingSinceMs, hostLossMs,
-			});
-			await Promise.all(changes.map(async change => {
-				await proposeHere({commandId: null, ifRevision: null, change});
-				if (change.type === 'hostJoined') {
-					logger.event('BP1004', {hostId: change.announcement.hostId});
-				} else if (change.type === 'hostLeft') {
-					registry.delete(change.hostId);
-					logger.event('BP1005', {hostId: change.hostId});
-				}
-			}));
-		} catch {
-			// Leadership was lost on the way; the next leader plans from its own reports.
-		} finally {
-			isReconciling = false;
-		}
-	};
-
-	const fold = async (): Promise<void> => {
-		const leader = driver.state.leaderId;
-		const address = leader === null || leader === selfId ? undefined : members.get(leader);
-		if (address === undefined || folded.size === 0) {
-			return;
-		}
-
-		const reports = [...folded.values()];
-		folded.clear();
-		await notifyRpc({
-			address, method: 'control.fold', params: {from: selfId, reports}, timeoutMs: forwardTimeoutMs,
-		}).catch(() => undefined);
-	};
-
-	const rpc = createRpcServer();
-	rpc.method('consensus.message', consensusEnvelopeSchema, envelope => {
-		driver.receive(envelope);
+	const reconciler = createReconciler({
+		proposals, registry, logger, isLeader,
+		plan: () => planMembershipChanges({
+			catalog: replica.state.catalog, registry, nowMs: performance.now(), leadingSinceMs, hostLossMs,
+		}),
 	});
-	rpc.method('control.watch', watchParametersSchema, watch);
-	rpc.method('control.fold', foldParametersSchema, ({reports}) => {
-		for (const report of reports) {
+	const rpc = createControlRpc({
+		driver, proposals, hub, logger, isLeader, leaderAddress,
+		view: () => ({
+			catalog: replica.state.catalog, registry, nowMs: performance.now(), leaseMs,
+		}),
+		hear(report) {
 			hearReport(registry, report, performance.now());
-		}
+		},
 	});
-	rpc.method('control.propose', proposeParametersSchema, async ({command, isForwarded}) => atLeader('control.propose', {command, isForwarded}, async () => {
-		const result = await proposeHere(command);
-		if (result.type === 'accepted' && command.commandId !== null) {
-			logger.event('BP1006', {change: command.change.type, revision: result.revision});
-		}
-
-		return result;
-	}));
-	rpc.method('control.query', queryParametersSchema, async ({show, isForwarded}) => atLeader('control.query', {show, isForwarded}, () => query(show)));
 
 	const server: HttpServer = await createHttpServer({
 		listen,
@@ -318,10 +172,10 @@
 	members.set(selfId, server.address);
 	const timers = [
 		setInterval(() => {
-			void reconcile();
+			void reconciler.reconcile();
 		}, reconcileMs),
 		setInterval(() => {
-			void fold();
+			void fold.send();
 		}, foldMs),
 	];
 	return {
@@ -333,7 +187,7 @@
 				clearInterval(timer);
 			}
 
-			wakeWatchers();
+			hub.wake();
 			await driver.close();
 			server.destroy();
 		},
--- /dev/null
+++ b/packages/daemon/src/control/reconciler.ts
@@ -0,0 +1,49 @@
+import type {Change} from '@bitternpaddle/state';
+import type {Logger} from '@bitternpaddle/transport';
+import type {HostRegistry} from './host-registry.js';
+import type {Proposals} from './proposals.js';
+
+export type ReconcilerOptions = {
+	readonly proposals: Proposals;
+	readonly registry: HostRegistry;
+	readonly logger: Logger;
+	isLeader(): boolean;
+	/** The changes that are due now. */
+	plan(): Change[];
+};
+
+export type Reconciler = {reconcile(): Promise<void>};
+
+export const reconcileMs = 200;
+
+/** Proposes what follows from reports, while this host leads; one round at a time. */
+export const createReconciler = ({proposals, registry, logger, isLeader, plan}: ReconcilerOptions): Reconciler => {
+	let isReconciling = false;
+
+	const proposeOne = async (change: Change): Promise<void> => {
+		await proposals.propose({commandId: null, ifRevision: null, change});
+		if (change.type === 'hostJoined') {
+			logger.event('BP1004', {hostId: change.announcement.hostId});
+		} else if (change.type === 'hostLeft') {
+			registry.delete(change.hostId);
+			logger.event('BP1005', {hostId: change.hostId});
+		}
+	};
+
+	return {
+		async reconcile() {
+			if (isReconciling || !isLeader()) {
+				return;
+			}
+
+			isReconciling = true;
+			try {
+				await Promise.all(plan().map(async change => proposeOne(change)));
+			} catch {
+				// Leadership was lost on the way; the next leader plans from its own reports.
+			} finally {
+				isReconciling = false;
+			}
+		},
+	};
+};
