refactor(entry): split the entry into reading, attempts, relay and claims

Cause: create-entry-node.ts held 420 lines in one closure, so that routing and admission could not be changed without touching the relaying of answers.

Change: read-call, attempts, relay, serve-once, serve-call and the wiring are files of their own. The seam for routing is Routing (choose, noteStart, noteEnd with how the attempt ended, update); the seam for admission is Admit, asked once before the first attempt and released after the call.

--- /dev/null
+++ b/packages/daemon/src/entry/serve-call.ts
@@ -0,0 +1,135 @@
+import type http from 'node:http';
+import {errorResponseOf} from '@bitternpaddle/protocol';
+import {mayHaveRun, notRun} from '@bitternpaddle/state';
+import {BodyTooLargeError, sendJson} from '@bitternpaddle/transport';
+import type {ConfigurationClient} from '../host/configuration-client.js';
+import {attemptCall} from './attempts.js';
+import {RefusedError, type Call} from './call.js';
+import {readCall} from './read-call.js';
+import {sendRefusal, type Relay} from './relay.js';
+import type {Admit, Routing} from './routing.js';
+import {createServeOnce} from './serve-once.js';
+
+export type ServeCallOptions = {
+	readonly configuration: ConfigurationClient;
+	readonly teams: ReadonlyMap<string, string>;
+	readonly routing: Routing;
+	readonly admit: Admit;
+	readonly relay: Relay;
+	readonly maxRequests: number;
+	readonly maxAttempts: number;
+	readonly defaultDeadlineMs: number;
+	isLeaving(): boolean;
+};
+
+export type CallServer = {
+	serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void>;
+	inFlight(): number;
+	/** Resolves once no request is in flight. */
+	whenIdle(): Promise<void>;
+};
+
+/** Takes callers' requests from the gate to their answer. */
+export const createCallServer = (options: ServeCallOptions): CallServer => {
+	const {configuration, routing, admit, relay, maxRequests, isLeaving} = options;
+	const idleWaiters = new Set<() => void>();
+	let inFlight = 0;
+
+	const attempt = async (call: Call) => attemptCall(call, {routing, maxAttempts: options.maxAttempts});
+
+	const serveOnce = createServeOnce({configuration, relay, attempt});
+
+	const serveRepeatable = async (call: Call): Promise<void> => {
+		const outcome = await attempt(call);
+		if (outcome.type === 'verdict') {
+			relay.sendVerdict(call, outcome.verdict);
+			return;
+		}
+
+		if (call.isStream) {
+			await relay.stream(call, outcome.answer);
+			return;
+		}
+
+		const body = await relay.collect(call, outcome.answer);
+		if (body === null) {
+			relay.sendVerdict(call, mayHaveRun('the answer was cut'));
+		} else {
+			relay.sendCollected(call, outcome.answer, body);
+		}
+	};
+
+	/** Why no request may start here now, or `null`. */
+	const objection = (): string | null => {
+		if (isLeaving()) {
+			return 'the entry is stopping';
+		}
+
+		if (!configuration.hasLease()) {
+			return 'the entry has lost contact with control';
+		}
+
+		return inFlight >= maxRequests ? 'the entry is full' : null;
+	};
+
+	const serveAdmitted = async (call: Call): Promise<void> => {
+		const admission = await admit(call);
+		if (admission.type === 'refused') {
+			relay.sendVerdict(call, admission.verdict);
+			return;
+		}
+
+		try {
+			const {target} = call;
+			const isOnce = target.type === 'service' && configuration.catalog().services[target.serviceId]?.repeatable === false;
+			await (isOnce ? serveOnce(call, target.serviceId) : serveRepeatable(call));
+		} finally {
+			admission.release();
+		}
+	};
+
+	const sendError = (response: http.ServerResponse, error: unknown): void => {
+		if (error instanceof RefusedError) {
+			sendRefusal(response, error.refusal);
+		} else if (error instanceof BodyTooLargeError) {
+			sendRefusal(response, {status: 413, type: 'invalid_request', message: error.message});
+		} else {
+			throw error;
+		}
+	};
+
+	return {
+		async serve(request, response) {
+			const reason = objection();
+			if (reason !== null) {
+				const refused = errorResponseOf(notRun(reason), null);
+				sendJson(response, refused.status, refused.body, refused.headers);
+				return;
+			}
+
+			inFlight++;
+			try {
+				await serveAdmitted(await readCall(request, response, options));
+			} catch (error) {
+				sendError(response, error);
+			} finally {
+				inFlight--;
+				for (const check of idleWaiters) {
+					check();
+				}
+			}
+		},
+		inFlight: () => inFlight,
+		whenIdle: async () => new Promise(resolve => {
+			const check = (): void => {
+				if (inFlight === 0) {
+					idleWaiters.delete(check);
+					resolve();
+				}
+			};
+
+			idleWaiters.add(check);
+			check();
+		}),
+	};
+};
