feat(test-support): check histories against the promises

Cause: each failure test looked at one promise; a fault that breaks another one passed unseen, and random faults could not be judged at all.

Change: one history of callers, endpoints, operators, hosts and faults on one clock, and a pure check per promise (checkHistory). A TCP relay on loopback stands for a link: it holds, drops or silences bytes.

Ruled out: a linearizability checker, see docs/design/0070.

--- a/packages/test-support/src/engine/fake-engine.ts
+++ b/packages/test-support/src/engine/fake-engine.ts
@@ -6,6 +6,7 @@
 	createHttpServer, readBody, sendJson, type HttpServer,
 } from '@bitternpaddle/transport';
 import {z} from 'zod';
+import type {History} from '../history/events.js';
 
 /** What the engine does wrong until told otherwise. */
 export type EngineFaults = {
@@ -28,6 +29,8 @@
 	readonly tokenMs?: number;
 	/** How late the reported load is. @default 200 */
 	readonly loadLagMs?: number;
+	/** Where runs are recorded, and under which host. */
+	readonly recordTo?: {readonly history: History; readonly hostId: string};
 };
 
 /** One run of a request, as the engine saw it. */
@@ -59,7 +62,7 @@
  * gave an answer.
  */
 export const createFakeEngine = async (options: FakeEngineOptions = {}): Promise<FakeEngine> => {
-	const {listen = '127.0.0.1:0', checksFencing = true, tokenMs = 1, loadLagMs = 200} = options;
+	const {listen = '127.0.0.1:0', checksFencing = true, tokenMs = 1, loadLagMs = 200, recordTo} = options;
 	const faults: EngineFaults = {};
 	const runs: EngineRun[] = [];
 	let loaded: Loaded | null = null;
@@ -103,7 +106,12 @@
 
 		const requestId = String(request.headers['x-request-id'] ?? '');
 		const {digest} = loaded;
+		const {messages, max_tokens: maxTokens, stream, model} = parsed.data;
+		const ownText = `echo ${messages.at(-1)!.content}`;
 		runs.push({requestId, digest, startedAtMs: Date.now()});
+		recordTo?.history.record({
+			type: 'runStarted', hostId: recordTo.hostId, requestId, echo: ownText, key: null, digest,
+		});
 		running++;
 		response.once('close', () => {
 			running--;
@@ -112,8 +120,6 @@
 			return;
 		}
 
-		const {messages, max_tokens: maxTokens, stream, model} = parsed.data;
-		const ownText = `echo ${messages.at(-1)!.content}`;
 		const text = faults.isCrossed ? previousText : ownText;
 		previousText = ownText;
 		const answer = {
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -1,3 +1,5 @@
 export * from './engine/fake-engine.js';
+export * from './history/index.js';
 export * from './origin/fake-origin.js';
+export * from './relay/relay.js';
 export * from './service/fake-service.js';
--- a/packages/test-support/src/service/fake-service.ts
+++ b/packages/test-support/src/service/fake-service.ts
@@ -1,4 +1,5 @@
 import {createHttpServer, readBody, sendJson} from '@bitternpaddle/transport';
+import type {History} from '../history/events.js';
 
 export type ServiceFaults = {
 	/** Run, then cut the connection instead of answering. */
@@ -18,10 +19,12 @@
 export type FakeServiceOptions = {
 	/** @default '127.0.0.1:0' */
 	readonly listen?: string;
+	/** Where runs are recorded, and under which host. */
+	readonly recordTo?: {readonly history: History; readonly hostId: string};
 };
 
 /** A plain service, such as a ledger of bookings, that counts what it runs. */
-export const createFakeService = async ({listen = '127.0.0.1:0'}: FakeServiceOptions = {}): Promise<FakeService> => {
+export const createFakeService = async ({listen = '127.0.0.1:0', recordTo}: FakeServiceOptions = {}): Promise<FakeService> => {
 	const faults: ServiceFaults = {};
 	const runsPerKey = new Map<string, number>();
 	const server = await createHttpServer({
@@ -31,6 +34,9 @@
 			const key = String(request.headers['idempotency-key'] ?? '');
 			const runs = (runsPerKey.get(key) ?? 0) + 1;
 			runsPerKey.set(key, runs);
+			recordTo?.history.record({
+				type: 'runStarted', hostId: recordTo.hostId, requestId: String(request.headers['x-request-id'] ?? ''), echo: key, key: key === '' ? null : key, digest: null,
+			});
 			if (faults.isCutAfterRun) {
 				response.destroy();
 				return;
--- /dev/null
+++ b/packages/test-support/test/check-history.test.ts
@@ -0,0 +1,110 @@
+import t from 'tap';
+import {
+	checkHistory, type CallOutcome, type HistoryEvent, type HistoryRecord,
+} from '@bitternpaddle/test-support';
+
+const digest = `sha256:${'a'.repeat(64)}`;
+const otherDigest = `sha256:${'b'.repeat(64)}`;
+
+/** A record a millisecond after the last, unless it says when. */
+const historyOf = (...records: Array<HistoryRecord & {readonly atMs?: number}>): HistoryEvent[] => records.map((entry, index) => ({...entry, atMs: entry.atMs ?? index}));
+
+const published: HistoryRecord = {type: 'versionPublished', versionId: 'desk:v1', digest};
+const started: HistoryRecord = {
+	type: 'callStarted', callId: 'c1', entryId: 'e1', echo: 'echo c1', key: null,
+};
+const run: HistoryRecord = {
+	type: 'runStarted', hostId: 'h1', requestId: 'r1', echo: 'echo c1', key: null, digest,
+};
+const whole: CallOutcome = {
+	type: 'answered', requestId: 'r1', versionId: 'desk:v1', isComplete: true, echo: 'echo c1', digests: [digest, digest],
+};
+const ended = (outcome: CallOutcome): HistoryRecord => ({type: 'callEnded', callId: 'c1', outcome});
+const booked: HistoryRecord = {...started, echo: 'k1', key: 'k1'};
+const bookingRun = (requestId: string): HistoryRecord => ({
+	type: 'runStarted', hostId: 'h9', requestId, echo: 'k1', key: 'k1', digest: null,
+});
+const sample = (revision: number, atMs?: number, overrides: Partial<Extract<HistoryRecord, {type: 'hostSampled'}>> = {}) => ({
+	type: 'hostSampled' as const, hostId: 'h1', revision, digest: `d${revision}`, isInService: true, ...overrides, ...(atMs === undefined ? {} : {atMs}),
+});
+const command = (commandId: string, revision: number | null, ifRevision: number | null = null): HistoryRecord => ({
+	type: 'commandEnded', commandId, line: 'create model a', ifRevision, outcome: revision === null ? {type: 'refused', message: 'exists'} : {type: 'accepted', revision},
+});
+const drain: HistoryRecord = {type: 'leaveStarted', nodeId: 'h1', cause: 'drain'};
+const fault: HistoryRecord = {
+	type: 'faultStarted', faultId: 1, kind: 'agentKill', nodeIds: ['h1'],
+};
+
+const rightHistories: Record<string, HistoryEvent[]> = {
+	'an answer': historyOf(published, started, run, ended(whole)),
+	'a booking that was resent': historyOf(booked, {...booked, callId: 'c2'}, bookingRun('r1'), ended({
+		...whole, versionId: null, echo: 'k1', digests: [],
+	}), {type: 'callEnded', callId: 'c2', outcome: {type: 'notRun', requestId: 'r2'}}),
+	'a refusal': historyOf(published, started, ended({type: 'notRun', requestId: 'r1'})),
+	'work shortly after a drain': historyOf(published, started, drain, run, ended(whole)),
+	'work after the drain was undone': historyOf(published, drain, {type: 'leaveEnded', nodeId: 'h1', atMs: 9000}, {...started, atMs: 9001}, {...run, atMs: 9002}, {...ended(whole), atMs: 9003}),
+	'a cut by a kill during a drain': historyOf(started, run, drain, fault, ended({type: 'cut'})),
+	'a host out of service that lags': historyOf(command('o1', 5), sample(5), sample(3, 20_000, {hostId: 'h2', isInService: false})),
+	'a host that returns from nothing': historyOf(sample(5), sample(0, undefined, {isInService: false}), sample(6)),
+	'a resend and a lost race': historyOf(command('o1', 5, 4), command('o1', 5, 4), command('o2', null, 4)),
+};
+
+for (const [name, events] of Object.entries(rightHistories)) {
+	t.test(`a right history passes: ${name}`, async t => {
+		t.same(checkHistory(events), []);
+	});
+}
+
+// Each history breaks one promise on purpose. What the checker must say is the
+// type of that violation and no other, or a violation in a real run could pass
+// unseen or be taken for another.
+const brokenHistories: Record<string, HistoryEvent[]> = {
+	ranMoreThanOnce: historyOf(booked, bookingRun('r1'), bookingRun('r2'), ended({type: 'mayHaveRun', requestId: 'r1'})),
+	ranAfterNotRun: historyOf(started, ended({type: 'notRun', requestId: 'r1'}), {...run, atMs: 500}),
+	notWhole: historyOf(published, started, run, ended({...whole, isComplete: false})),
+	foreignAnswer: historyOf(published, started, run, ended({...whole, echo: 'echo c7'})),
+	mixedWeights: historyOf(published, started, run, ended({...whole, digests: [digest, otherDigest]})),
+	noAnswer: historyOf(started, run, ended({type: 'noAnswer'})),
+	workAfterLeaving: historyOf(drain, {...run, atMs: 3001}),
+	cutByPlannedStop: historyOf(started, run, {...drain, cause: 'stop'}, ended({type: 'cut'})),
+	revisionWentBack: historyOf(sample(5), sample(0, undefined, {isInService: false}), sample(4)),
+	revisionsDiffer: historyOf(sample(5), sample(5, undefined, {hostId: 'h2', digest: 'other'})),
+	notInForce: historyOf(command('o1', 5), sample(4, 10_001)),
+	resendChangedResult: historyOf(command('o1', 5), command('o1', 6)),
+	racersBothAccepted: historyOf(command('o1', 5, 4), command('o2', 6, 4)),
+};
+
+for (const [type, events] of Object.entries(brokenHistories)) {
+	t.test(`a broken history is told: ${type}`, async t => {
+		t.same(checkHistory(events).map(violation => violation.type), [type]);
+	});
+}
+
+// Further ways to break the same promises, which a narrower check would let pass.
+t.test('a refusal without a request id, and yet the key ran', async t => {
+	const events = historyOf(booked, bookingRun('r5'), ended({type: 'notRun', requestId: null}));
+	t.match(checkHistory(events), [{type: 'ranAfterNotRun'}]);
+});
+
+t.test('a refused key whose own request id ran', async t => {
+	const events = historyOf(booked, ended({type: 'notRun', requestId: 'r1'}), bookingRun('r1'));
+	t.match(checkHistory(events), [{type: 'ranAfterNotRun'}]);
+});
+
+t.test('right tokens from an engine that held other weights', async t => {
+	const events = historyOf(published, started, {...run, digest: otherDigest}, ended(whole));
+	t.match(checkHistory(events), [{type: 'mixedWeights'}]);
+});
+
+t.test('a whole answer that no run explains', async t => {
+	t.match(checkHistory(historyOf(published, started, ended(whole))), [{type: 'mixedWeights'}]);
+});
+
+t.test('a fault on another node does not excuse a cut', async t => {
+	const events = historyOf(started, run, {...drain, cause: 'stop'}, {...fault, nodeIds: ['h2']}, ended({type: 'cut'}));
+	t.match(checkHistory(events), [{type: 'cutByPlannedStop'}]);
+});
+
+t.test('a resend that is refused after it was accepted', async t => {
+	t.match(checkHistory(historyOf(command('o1', 5), command('o1', null))), [{type: 'resendChangedResult'}]);
+});
