feat(daemon): let a test see what a node acts on, and relay to an agent

Cause: whether an accepted change is in force can only be judged from what each host acts on, lease included; and a link to an agent can only be cut if the agent announces the address of a relay.

Change: inForce() on agent and entry; announcedAddress of an agent (default: where it listens, as before), which also serves hosts behind an address translation.

--- a/packages/daemon/src/agent/create-agent-node.ts
+++ b/packages/daemon/src/agent/create-agent-node.ts
@@ -11,7 +11,7 @@
 import {
 	createHttpServer, createRpcServer, rpcPath, sendJson, silentLogger, type Logger,
 } from '@bitternpaddle/transport';
-import {createConfigurationClient} from '../host/configuration-client.js';
+import {createConfigurationClient, type ConfigurationInForce} from '../host/configuration-client.js';
 import {createDoorHandler, doorPrefix} from './door-server.js';
 import {createWeights} from './weights.js';
 
@@ -30,6 +30,8 @@
 	readonly folder: string;
 	/** @default '127.0.0.1:0' */
 	readonly listen?: string;
+	/** Where others reach this agent, when that is not where it listens. @default the address it listens on */
+	readonly announcedAddress?: string;
 	/** @default 16 */
 	readonly capacity?: number;
 	readonly logger?: Logger;
@@ -40,6 +42,8 @@
 export type AgentNode = {
 	readonly hostId: string;
 	readonly address: string;
+	/** The configuration that this host acts on now. */
+	inForce(): ConfigurationInForce;
 	/** Graceful: takes no new work, finishes what runs, says goodbye, ends. */
 	stop(): Promise<void>;
 	/** At once, as a crash would. */
@@ -76,7 +80,7 @@
 	};
 
 	const announcement = (): Announcement => announcementSchema.parse({
-		hostId, zoneId, regionId, serviceId, provider, address: server.address, capacity, incarnation, kind,
+		hostId, zoneId, regionId, serviceId, provider, address: options.announcedAddress ?? server.address, capacity, incarnation, kind,
 	});
 
 	const report = (): HostReport => ({
@@ -105,7 +109,7 @@
 	});
 
 	const weights = createWeights({
-		hostId, zoneId, regionId, folder, originAddress, endpointAddress, selfAddress: () => server.address, logger,
+		hostId, zoneId, regionId, folder, originAddress, endpointAddress, selfAddress: () => options.announcedAddress ?? server.address, logger,
 		async pauseDoor(change) {
 			isPaused = true;
 			updateDoor();
@@ -182,6 +186,7 @@
 	return {
 		hostId,
 		address: server.address,
+		inForce: () => configuration.inForce(),
 		stop,
 		async kill() {
 			await close();
--- a/packages/daemon/src/entry/create-entry-node.ts
+++ b/packages/daemon/src/entry/create-entry-node.ts
@@ -15,7 +15,7 @@
 } from '@bitternpaddle/transport';
 import {match} from 'ts-pattern';
 import {z} from 'zod';
-import {createConfigurationClient} from '../host/configuration-client.js';
+import {createConfigurationClient, type ConfigurationInForce} from '../host/configuration-client.js';
 import {bearerOf, createAdminHandler, type AdminToken} from './admin-api.js';
 import {dispatch, isWholeAnswer, type AttemptOutcome} from './dispatch.js';
 
@@ -38,6 +38,8 @@
 export type EntryNode = {
 	readonly entryId: string;
 	readonly address: string;
+	/** The configuration that this entry acts on now. */
+	inForce(): ConfigurationInForce;
 	/** Graceful: refuses new work, finishes what runs, ends. */
 	stop(): Promise<void>;
 	kill(): Promise<void>;
@@ -379,6 +381,7 @@
 	return {
 		entryId,
 		address: server.address,
+		inForce: () => configuration.inForce(),
 		async stop() {
 			isLeaving = true;
 			logger.event('BP9002', {entryId});
--- a/packages/daemon/src/host/configuration-client.ts
+++ b/packages/daemon/src/host/configuration-client.ts
@@ -19,8 +19,12 @@
 	readonly waitMs?: number;
 };
 
+/** What a host acts on; without the lease it refuses new work. */
+export type ConfigurationInForce = {readonly revision: number; readonly digest: string; readonly hasLease: boolean};
+
 export type ConfigurationClient = {
 	catalog(): Catalog;
+	inForce(): ConfigurationInForce;
 	/** Whether this host may take new work. */
 	hasLease(): boolean;
 	/** Resolves once the host is at `revision` or later; `false` after `timeoutMs`. */
@@ -109,6 +113,9 @@
 	void run();
 	return {
 		catalog: () => configuration.catalog,
+		inForce: () => ({
+			revision: configuration.catalog.revision, digest: configuration.catalog.digest, hasLease: hasConfigurationLease(configuration, performance.now()),
+		}),
 		hasLease: () => hasConfigurationLease(configuration, performance.now()),
 		async reach(revision, timeoutMs) {
 			if (configuration.catalog.revision >= revision) {
