feat(daemon): a cluster in one process whose every link can fail

Cause: failure tests and random schedules need the real nodes with a way to cut, hold or silence each link and to restart a node under the same addresses.

A node that is down refuses connections, as a host does whose process died.

--- a/packages/daemon/src/dev/create-dev-cluster.ts
+++ b/packages/daemon/src/dev/create-dev-cluster.ts
@@ -98,7 +98,7 @@
 	};
 };
 
-const randomWeights = (seed: number, sizeBytes: number): Uint8Array => {
+export const randomWeights = (seed: number, sizeBytes: number): Uint8Array => {
 	const random = createRandom(seed);
 	return Uint8Array.from({length: sizeBytes}, () => random.between(0, 255));
 };
--- /dev/null
+++ b/packages/daemon/src/dev/failure/create-failure-cluster.ts
@@ -0,0 +1,174 @@
+import {mkdtemp, rm} from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import {
+	createFakeEngine, createFakeOrigin, createFakeService, createHistory, type FakeEngine, type FakeOrigin, type FakeService, type History,
+} from '@bitternpaddle/test-support';
+import type {Logger} from '@bitternpaddle/transport';
+import {createAgentNode, type AgentNode, type AgentNodeOptions} from '../../agent/create-agent-node.js';
+import {createControlNode, type ControlNode} from '../../control/create-control-node.js';
+import {createEntryNode, type EntryNode} from '../../entry/create-entry-node.js';
+import {cascadiaHalls, randomWeights, type Hall} from '../create-dev-cluster.js';
+import {anyNode, createLinks, type Links} from './links.js';
+import {createNodeHandle, type NodeHandle} from './node-handle.js';
+
+export type FailureClusterOptions = {
+	/** @default 3 */
+	readonly controls?: number;
+	/** @default 2 */
+	readonly entries?: number;
+	/** Endpoints with a model engine; one more host carries the plain service `ledger`. @default 4 */
+	readonly engines?: number;
+	/** Endpoints are spread over them in turn. @default cascadiaHalls */
+	readonly halls?: readonly Hall[];
+	/** @default 64 * 1024 */
+	readonly weightsBytes?: number;
+	/** @default 8 * 1024 */
+	readonly chunkSizeBytes?: number;
+	/** @default 1 */
+	readonly tokenMs?: number;
+	/** How long a host may act on its configuration without a word from control. @default 2500 */
+	readonly leaseMs?: number;
+	/** @default 5000 */
+	readonly hostLossMs?: number;
+	/** How long an entry works on one call. @default 3000 */
+	readonly deadlineMs?: number;
+	readonly logger?: Logger;
+};
+
+/** The real nodes in one process, with a relay on every link and a history that all record to. */
+export type FailureCluster = {
+	readonly history: History;
+	readonly controls: ReadonlyArray<NodeHandle<ControlNode>>;
+	readonly entries: ReadonlyArray<NodeHandle<EntryNode>>;
+	/** The last one stands before the ledger. */
+	readonly agents: ReadonlyArray<NodeHandle<AgentNode>>;
+	/** By host. */
+	readonly engines: ReadonlyMap<string, FakeEngine>;
+	readonly ledger: FakeService;
+	readonly origin: FakeOrigin;
+	readonly links: Links;
+	/** Two sets of weights at the origin. */
+	readonly manifests: ReadonlyArray<{readonly manifestId: string; readonly digest: string}>;
+	readonly adminToken: string;
+	/** Records what every running host acts on now. */
+	sampleHosts(): void;
+	close(): Promise<void>;
+};
+
+const adminToken = 'failure-admin';
+
+type Context = Required<Omit<FailureClusterOptions, 'logger'>> & {
+	readonly logger?: Logger;
+	readonly folder: string;
+	readonly links: Links;
+	readonly history: History;
+	readonly controlIds: readonly string[];
+	readonly originAddress: string;
+};
+
+const idsOf = (prefix: string, count: number): string[] => Array.from({length: count}, (_, index) => `${prefix}${index + 1}`);
+
+const addressesOfControls = async ({links, controlIds}: Context, from: string): Promise<string[]> => Promise.all(controlIds.map(async to => links.addressOf(from, to)));
+
+const createControlHandle = async (context: Context, selfId: string): Promise<NodeHandle<ControlNode>> => {
+	const {links, controlIds, folder, leaseMs, hostLossMs, logger} = context;
+	const others = controlIds.filter(id => id !== selfId);
+	const addresses = await Promise.all(others.map(async to => [to, await links.addressOf(selfId, to)] as const));
+	return createNodeHandle({
+		nodeId: selfId, links,
+		start: async () => createControlNode({
+			selfId, folder: path.join(folder, selfId), members: new Map(addresses), voters: controlIds, leaseMs, hostLossMs, logger,
+		}),
+		stop: async node => node.close(),
+		kill: async node => node.close(),
+	});
+};
+
+const createEntryHandle = async (context: Context, entryId: string): Promise<NodeHandle<EntryNode>> => {
+	const controls = await addressesOfControls(context, entryId);
+	return createNodeHandle({
+		nodeId: entryId, links: context.links,
+		start: async () => createEntryNode({
+			entryId, controls, adminTokens: [{role: 'administer', token: adminToken}], defaultDeadlineMs: context.deadlineMs, logger: context.logger,
+		}),
+		stop: async node => node.stop(),
+		kill: async node => node.kill(),
+	});
+};
+
+type EndpointOptions = Pick<AgentNodeOptions, 'hostId' | 'serviceId' | 'kind' | 'endpointAddress'> & {readonly hall: Hall};
+
+const createAgentHandle = async (context: Context, endpoint: EndpointOptions): Promise<NodeHandle<AgentNode>> => {
+	const {links, folder, originAddress, logger} = context;
+	const {hall, ...options} = endpoint;
+	const controls = await addressesOfControls(context, options.hostId);
+	const announcedAddress = await links.addressOf(anyNode, options.hostId);
+	return createNodeHandle({
+		nodeId: options.hostId, links,
+		start: async () => createAgentNode({
+			...options, ...hall, provider: 'new', controls, originAddress, announcedAddress, folder: path.join(folder, options.hostId), logger,
+		}),
+		stop: async node => node.stop(),
+		kill: async node => node.kill(),
+	});
+};
+
+const createEndpoints = async (context: Context): Promise<{engines: Map<string, FakeEngine>; ledger: FakeService; agents: Array<NodeHandle<AgentNode>>}> => {
+	const {history, halls, tokenMs} = context;
+	const engines = new Map<string, FakeEngine>();
+	const agents: Array<NodeHandle<AgentNode>> = [];
+	for (const [index, hostId] of idsOf('h', context.engines).entries()) {
+		const engine = await createFakeEngine({tokenMs, recordTo: {history, hostId}});
+		engines.set(hostId, engine);
+		agents.push(await createAgentHandle(context, {
+			hostId, serviceId: 'bp-writers', kind: 'engine', endpointAddress: engine.address, hall: halls[index % halls.length]!,
+		}));
+	}
+
+	const ledgerHost = `h${context.engines + 1}`;
+	const ledger = await createFakeService({recordTo: {history, hostId: ledgerHost}});
+	agents.push(await createAgentHandle(context, {
+		hostId: ledgerHost, serviceId: 'ledger', kind: 'plain', endpointAddress: ledger.address, hall: halls[0]!,
+	}));
+	return {engines, ledger, agents};
+};
+
+export const createFailureCluster = async (options: FailureClusterOptions = {}): Promise<FailureCluster> => {
+	const {controls: controlCount = 3, weightsBytes = 64 * 1024, chunkSizeBytes = 8 * 1024} = options;
+	const origin = await createFakeOrigin();
+	const published = [
+		await origin.publish(randomWeights(1, weightsBytes), chunkSizeBytes),
+		await origin.publish(randomWeights(2, weightsBytes), chunkSizeBytes),
+	];
+	const context: Context = {
+		entries: 2, engines: 4, halls: cascadiaHalls, tokenMs: 1, leaseMs: 2500, hostLossMs: 5000, deadlineMs: 3000, ...options,
+		controls: controlCount, weightsBytes, chunkSizeBytes, folder: await mkdtemp(path.join(os.tmpdir(), 'bitternpaddle-failure-')),
+		links: createLinks(), history: createHistory(), controlIds: idsOf('c', controlCount), originAddress: origin.address,
+	};
+	const {links, history, folder} = context;
+	const controls = await Promise.all(context.controlIds.map(async id => createControlHandle(context, id)));
+	const entries = await Promise.all(idsOf('e', context.entries).map(async id => createEntryHandle(context, id)));
+	const {engines, ledger, agents} = await createEndpoints(context);
+	const nodes = [...controls, ...entries, ...agents];
+	return {
+		history, controls, entries, agents, engines, ledger, origin, links, adminToken,
+		manifests: published.map(({manifestId, manifest}) => ({manifestId, digest: manifest.wholeDigest})),
+		sampleHosts() {
+			for (const handle of [...entries, ...agents]) {
+				const inForce = handle.node()?.inForce();
+				if (inForce !== undefined) {
+					history.record({
+						type: 'hostSampled', hostId: handle.nodeId, revision: inForce.revision, digest: inForce.digest, isInService: inForce.hasLease,
+					});
+				}
+			}
+		},
+		async close() {
+			await Promise.all(nodes.map(async handle => handle.kill()));
+			await Promise.all([...engines.values(), ledger, origin].map(async fake => fake.close()));
+			links.close();
+			await rm(folder, {recursive: true, force: true});
+		},
+	};
+};
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -2,6 +2,7 @@
 export * from './control/create-control-node.js';
 export * from './dev/client.js';
 export * from './dev/create-dev-cluster.js';
+export * from './dev/failure/index.js';
 export * from './dev/run-demo.js';
 export * from './entry/admin-api.js';
 export * from './entry/create-entry-node.js';
--- a/packages/test-support/src/relay/relay.ts
+++ b/packages/test-support/src/relay/relay.ts
@@ -1,4 +1,5 @@
 import net, {type AddressInfo} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import {parseAddress} from '@bitternpaddle/transport';
 
 /** What a relay does with the bytes of one direction. */
@@ -23,6 +24,10 @@
 	silenceOpenConnections(): void;
 	/** Ends all connections that have lost bytes, as their ends' own timeouts would. */
 	endSilentConnections(): void;
+	/** Refuses new connections and ends the open ones, as a host does whose process has died. */
+	goDown(): void;
+	/** Listens again on the same address. */
+	comeUp(): Promise<void>;
 	close(): void;
 };
 
@@ -116,11 +121,16 @@
 			socket.on('error', () => undefined);
 		}
 	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
+	await listen(server, 0);
 	const {address, port} = server.address() as AddressInfo;
 
+	const goDown = (): void => {
+		server.close();
+		for (const pair of pairs) {
+			end(pair);
+		}
+	};
+
 	const changeModes = (pair: Pair, changed: RelayModes): void => {
 		pair.modes = changed;
 		if (pair.hasLostBytes && !pair.isSilenced) {
@@ -160,11 +170,23 @@
 				}
 			}
 		},
-		close() {
-			server.close();
-			for (const pair of pairs) {
-				end(pair);
+		goDown,
+		async comeUp() {
+			while (!server.listening) {
+				await listen(server, port).catch(async () => delay(portRetryMs));
 			}
 		},
+		close: goDown,
 	};
 };
+
+/** A port that a process gave up may have been taken for somebody's outgoing connection. */
+const portRetryMs = 20;
+
+const listen = async (server: net.Server, port: number): Promise<void> => new Promise((resolve, reject) => {
+	server.once('error', reject);
+	server.listen(port, '127.0.0.1', () => {
+		server.off('error', reject);
+		resolve();
+	});
+});
