--- a/packages/daemon/src/entry/create-entry-node.ts
+++ b/packages/daemon/src/entry/create-entry-node.ts
@@ -3,7 +3,7 @@
 import {
 	createHttpServer, sendJson, silentLogger, type Logger, type Metrics,
 } from '@bitternpaddle/transport';
-import {createConfigurationClient} from '../host/configuration-client.js';
+import {createConfigurationClient, type ConfigurationInForce} from '../host/configuration-client.js';
 import {createAdminHandler, type AdminToken} from './admin-api.js';
 import {createRelay, sendRefusal} from './relay.js';
 import {
@@ -34,6 +34,8 @@
 export type EntryNode = {
 	readonly entryId: string;
 	readonly address: string;
+	/** The configuration that this entry acts on now. */
+	inForce(): ConfigurationInForce;
 	/** Graceful: refuses new work, finishes what runs, ends. */
 	stop(): Promise<void>;
 	kill(): Promise<void>;
@@ -92,6 +94,7 @@
 	return {
 		entryId,
 		address: server.address,
+		inForce: () => configuration.inForce(),
 		async stop() {
 			isLeaving = true;
 			logger.event('BP9002', {entryId});
