--- /dev/null
+++ b/tap-snapshots/.test-dist/packages/protocol/test/language.test.js.test.cjs
@@ -0,0 +1,205 @@
+/* IMPORTANT
+ * This snapshot file is auto-generated, but designed for humans.
+ * It should be checked into source control and tracked carefully.
+ * Re-generate by setting TAP_SNAPSHOT=1 and running tests.
+ * Make sure to inspect the output below.  Do not ignore changes!
+ */
+'use strict'
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > an error names the place and what was expected there > create model -x 1`] = `
+Object {
+  "column": 14,
+  "expected": Array [
+    "name",
+  ],
+  "message": "Expected name but \\"-\\" found.",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > an error names the place and what was expected there > drain 1`] = `
+Object {
+  "column": 6,
+  "expected": Array [
+    "space",
+  ],
+  "message": "Expected space but end of input found.",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > an error names the place and what was expected there > drain hots h1 1`] = `
+Object {
+  "column": 7,
+  "expected": Array [
+    "\\"host\\"",
+  ],
+  "message": "Expected \\"host\\" but \\"h\\" found.",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > an error names the place and what was expected there > load v2 on fleet f 1`] = `
+Object {
+  "column": 6,
+  "expected": Array [
+    "version (model:label)",
+  ],
+  "message": "Expected version (model:label) but \\"v\\" found.",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > an error names the place and what was expected there > must match snapshot 1`] = `
+Object {
+  "column": 1,
+  "expected": Array [
+    "\\"create\\"",
+    "\\"load\\"",
+    "\\"move\\"",
+    "\\"show\\"",
+    "\\"withdraw\\"",
+    "drain, undrain or stop",
+  ],
+  "message": "Expected \\"create\\", \\"load\\", \\"move\\", \\"show\\", \\"withdraw\\", or drain, undrain or stop but end of input found.",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > an error names the place and what was expected there > show replicas where zone ~ a 1`] = `
+Object {
+  "column": 26,
+  "expected": Array [
+    "=, !=, <, <=, > or >=",
+  ],
+  "message": "Expected =, !=, <, <=, > or >= but \\"~\\" found.",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > create fleet fair-mornings provider new for pitch-desk:v2 replicas 40 in tacoma-hall, salem-hall 1`] = `
+Object {
+  "change": Object {
+    "fleetId": "fair-mornings",
+    "provider": "new",
+    "replicas": 40,
+    "type": "createFleet",
+    "versionId": "pitch-desk:v2",
+    "zoneIds": Array [
+      "tacoma-hall",
+      "salem-hall",
+    ],
+  },
+  "type": "change",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > create model pitch-desk 1`] = `
+Object {
+  "change": Object {
+    "modelId": "pitch-desk",
+    "type": "createModel",
+  },
+  "type": "change",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > create team marshals key open-sesame share 3 1`] = `
+Object {
+  "change": Object {
+    "keyDigest": "sha256:d7ecdf25eaf3deba0f2628771dbdd22d4138ab6cf38f91ed02a2ca0dec7c8ab7",
+    "share": 3,
+    "teamId": "marshals",
+    "type": "createTeam",
+  },
+  "type": "change",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > create version pitch-desk:v2 from manifest sha256:0000000000000000000000000000000000000000000000000000000000000000 1`] = `
+Object {
+  "change": Object {
+    "manifestId": "sha256:0000000000000000000000000000000000000000000000000000000000000000",
+    "type": "createVersion",
+    "versionId": "pitch-desk:v2",
+  },
+  "type": "change",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > drain host h17 1`] = `
+Object {
+  "change": Object {
+    "hostId": "h17",
+    "type": "drainHost",
+  },
+  "type": "change",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > load pitch-desk:v2 on fleet fair-mornings 1`] = `
+Object {
+  "change": Object {
+    "fleetId": "fair-mornings",
+    "type": "load",
+    "versionId": "pitch-desk:v2",
+  },
+  "type": "change",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > move 20% of pitch-desk from fleet old to fleet fair-mornings 1`] = `
+Object {
+  "change": Object {
+    "fromFleetId": "old",
+    "modelId": "pitch-desk",
+    "percent": 20,
+    "toFleetId": "fair-mornings",
+    "type": "moveTraffic",
+  },
+  "type": "change",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > show hosts where revision < 812 1`] = `
+Object {
+  "show": Object {
+    "subject": "hosts",
+    "type": "show",
+    "where": Array [
+      Object {
+        "field": "revision",
+        "operator": "<",
+        "value": "812",
+      },
+    ],
+  },
+  "type": "query",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > show replicas where version = pitch-desk:v2 and zone = puget-a 1`] = `
+Object {
+  "show": Object {
+    "subject": "replicas",
+    "type": "show",
+    "where": Array [
+      Object {
+        "field": "version",
+        "operator": "=",
+        "value": "pitch-desk:v2",
+      },
+      Object {
+        "field": "zone",
+        "operator": "=",
+        "value": "puget-a",
+      },
+    ],
+  },
+  "type": "query",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > show requests in flight 1`] = `
+Object {
+  "show": Object {
+    "subject": "requests",
+    "type": "show",
+    "where": Array [],
+  },
+  "type": "query",
+}
+`
