feat(burn): count requests in buckets and work out burn rates

The entries had nothing from which a service's burn could be told.

Found on the way: Map.groupBy compiles with lib ES2024 but Node 20 lacks it; groupBy in utils.

--- /dev/null
+++ b/packages/coordination/src/burn/burn-counter.ts
@@ -0,0 +1,127 @@
+import type {BurnBucket, BurnSeries, EncodedHistogram} from '@bitternpaddle/protocol';
+import type {Histogram} from 'hdr-histogram-js';
+import {createLatencyHistogram, encodeHistogram, recordLatency} from './histogram.js';
+import {
+	floorTo, hourMs, keptHours, keptMinutes, keptTenMinutes, minuteMs, oldestStartMs, tenMinutesMs,
+} from './windows.js';
+
+/** One request that a service owed an answer. */
+export type BurnSample = {
+	readonly serviceId: string;
+	readonly teamId: string;
+	/** When the request ended. */
+	readonly atMs: number;
+	/** The caller got the whole answer. */
+	readonly isWhole: boolean;
+	/** Time to the first token; `null` where none was timed. */
+	readonly firstTokenMs: number | null;
+	/** The objective's bound for it. */
+	readonly firstTokenBoundMs: number;
+};
+
+type CountedSeries = {
+	readonly serviceId: string;
+	readonly teamId: string;
+	readonly minutes: BurnBucket[];
+	readonly tenMinutes: BurnBucket[];
+	/** Hours that are over, encoded: a closed histogram takes a tenth of an open one. */
+	readonly hours: EncodedHistogram[];
+	open: {readonly startMs: number; readonly histogram: Histogram} | null;
+};
+
+/** What one entry has counted. Memory is bounded by `maxSeries` times the kept buckets. */
+export type BurnCounter = {readonly maxSeries: number; readonly series: Map<string, CountedSeries>};
+
+export type BurnCounterOptions = {
+	/** Pairs of service and team that are counted apart. @default 256 */
+	readonly maxSeries?: number;
+};
+
+/** Stands for the teams that came after the bound was reached. */
+export const otherTeams = '(others)';
+
+export const createBurnCounter = ({maxSeries = 256}: BurnCounterOptions = {}): BurnCounter => ({maxSeries, series: new Map()});
+
+export const countSample = (counter: BurnCounter, sample: BurnSample): void => {
+	const series = seriesFor(counter, sample.serviceId, sample.teamId);
+	countInto(series.minutes, sample, minuteMs, keptMinutes);
+	countInto(series.tenMinutes, sample, tenMinutesMs, keptTenMinutes);
+	if (sample.firstTokenMs !== null) {
+		recordLatency(openHour(series, sample.atMs), sample.firstTokenMs);
+	}
+};
+
+const seriesFor = (counter: BurnCounter, serviceId: string, teamId: string): CountedSeries => {
+	const key = `${serviceId}/${teamId}`;
+	const known = counter.series.get(key);
+	if (known !== undefined) {
+		return known;
+	}
+
+	// Without the bound, an operator's script that creates teams for ever would fill the entry's memory.
+	if (counter.series.size >= counter.maxSeries && teamId !== otherTeams) {
+		return seriesFor(counter, serviceId, otherTeams);
+	}
+
+	const created: CountedSeries = {
+		serviceId, teamId, minutes: [], tenMinutes: [], hours: [], open: null,
+	};
+	counter.series.set(key, created);
+	return created;
+};
+
+const countInto = (buckets: BurnBucket[], sample: BurnSample, stepMs: number, kept: number): void => {
+	const startMs = floorTo(sample.atMs, stepMs);
+	let last = buckets.at(-1);
+	// A clock that was set back counts into the newest bucket, so that starts only ever grow.
+	if (last === undefined || last.startMs < startMs) {
+		last = {
+			startMs, total: 0, notWhole: 0, timed: 0, slow: 0,
+		};
+		buckets.push(last);
+		dropBefore(buckets, oldestStartMs(sample.atMs, stepMs, kept));
+	}
+
+	last.total++;
+	last.notWhole += sample.isWhole ? 0 : 1;
+	if (sample.firstTokenMs !== null) {
+		last.timed++;
+		last.slow += sample.firstTokenMs > sample.firstTokenBoundMs ? 1 : 0;
+	}
+};
+
+const dropBefore = (items: Array<{readonly startMs: number}>, oldestMs: number): void => {
+	while (items.length > 0 && items[0]!.startMs < oldestMs) {
+		items.shift();
+	}
+};
+
+const openHour = (series: CountedSeries, atMs: number): Histogram => {
+	const startMs = floorTo(atMs, hourMs);
+	if (series.open !== null && series.open.startMs >= startMs) {
+		return series.open.histogram;
+	}
+
+	if (series.open !== null) {
+		series.hours.push({startMs: series.open.startMs, encoded: encodeHistogram(series.open.histogram)});
+		dropBefore(series.hours, oldestStartMs(atMs, hourMs, keptHours));
+	}
+
+	series.open = {startMs, histogram: createLatencyHistogram()};
+	return series.open.histogram;
+};
+
+/** Everything that is still within the windows at `nowMs`, ready to be sent. */
+export const exportSeries = (counter: BurnCounter, nowMs: number): BurnSeries[] => [...counter.series.values()].map(series => ({
+	serviceId: series.serviceId,
+	teamId: series.teamId,
+	minutes: since(series.minutes, oldestStartMs(nowMs, minuteMs, keptMinutes)),
+	tenMinutes: since(series.tenMinutes, oldestStartMs(nowMs, tenMinutesMs, keptTenMinutes)),
+	hours: since(hoursOf(series), oldestStartMs(nowMs, hourMs, keptHours)),
+}));
+
+const since = <Item extends {readonly startMs: number}>(items: readonly Item[], oldestMs: number): Item[] => items.filter(({startMs}) => startMs >= oldestMs);
+
+const hoursOf = ({hours, open}: CountedSeries): EncodedHistogram[] => open === null
+	? [...hours]
+	: [...hours, {startMs: open.startMs, encoded: encodeHistogram(open.histogram)}];
--- /dev/null
+++ b/packages/coordination/src/burn/index.ts
@@ -0,0 +1,3 @@
+export * from './burn-counter.js';
+export * from './burn-report.js';
+export * from './windows.js';
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,3 +1,4 @@
+export * from './burn/index.js';
 export * from './configuration/index.js';
 export * from './consensus/index.js';
 export * from './door/index.js';
--- a/packages/coordination/src/utils/index.ts
+++ b/packages/coordination/src/utils/index.ts
@@ -1,2 +1,3 @@
+export * from './group-by.js';
 export * from './random.js';
 export * from './rendezvous.js';
--- a/packages/daemon/src/entry/admin-api.ts
+++ b/packages/daemon/src/entry/admin-api.ts
@@ -45,7 +45,7 @@
 	return isAdministration(statement.change) ? 'administer' : 'operate';
 };
 
-const isAdministration = ({type}: Change): boolean => type.startsWith('create');
+const isAdministration = ({type}: Change): boolean => type.startsWith('create') || type === 'setObjective';
 
 /** `POST /admin/v1/commands`: one line of the operators' language. */
 export const createAdminHandler = ({configuration, tokens}: AdminApiOptions) => async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
--- a/packages/protocol/src/language/command.peggy
+++ b/packages/protocol/src/language/command.peggy
@@ -1,7 +1,7 @@
 // The operators' language. Statements begin with a verb; every rule has a name that errors can show.
 Line = _ statement:Statement _ { return statement; }
 
-Statement = Create / Load / Withdraw / Move / HostOrder / Show
+Statement = Create / SetObjective / Load / Withdraw / Move / HostOrder / Show
 
 Create
   = "create" __ "model" __ modelId:Name { return {type: 'createModel', modelId}; }
@@ -15,6 +15,8 @@
 Share = __ "share" __ share:Integer { return share; }
 Repeatability "repeatable or not-repeatable" = "repeatable" / "not-repeatable"
 
+SetObjective = "set" __ "objective" __ "for" __ "service" __ serviceId:Name __ "whole" __ answeredWholePercent:Percent __ "first" __ "token" __ firstTokenPercent:Percent __ "within" __ firstTokenMs:Integer _ "ms" { return {type: 'setObjective', serviceId, objective: {answeredWholePercent, firstTokenPercent, firstTokenMs}}; }
+
 Load = "load" __ versionId:Version __ "on" __ "fleet" __ fleetId:Name { return {type: 'load', versionId, fleetId}; }
 Withdraw = "withdraw" __ "version" __ versionId:Version { return {type: 'withdrawVersion', versionId}; }
 Move = "move" __ percent:Percent __ "of" __ modelId:Name __ "from" __ "fleet" __ fromFleetId:Name __ "to" __ "fleet" __ toFleetId:Name { return {type: 'moveTraffic', percent, modelId, fromFleetId, toFleetId}; }
--- a/packages/protocol/src/rpc/index.ts
+++ b/packages/protocol/src/rpc/index.ts
@@ -1,1 +1,2 @@
+export * from './burn.js';
 export * from './methods.js';
--- a/packages/protocol/test/language.test.ts
+++ b/packages/protocol/test/language.test.ts
@@ -12,6 +12,7 @@
 		'drain host h17',
 		'show replicas where version = pitch-desk:v2 and zone = puget-a',
 		'show requests in flight',
+		'set objective for service bp-writers whole 99.9% first token 95% within 1000 ms',
 		'show hosts where revision < 812',
 	];
 	for (const line of lines) {
--- a/packages/state/src/catalog/apply-change.ts
+++ b/packages/state/src/catalog/apply-change.ts
@@ -2,7 +2,7 @@
 import {digestOf} from './digest.js';
 import {planAssignments} from './plan-assignments.js';
 import type {
-	Announcement, Catalog, Change, HostRecord, Readiness, RefusalCode, TrafficShare,
+	Announcement, Catalog, Change, HostRecord, Objective, Readiness, RefusalCode, TrafficShare,
 } from './types.js';
 
 /** Claims live in the ledger and are applied by `applyCommand`. */
@@ -52,6 +52,7 @@
 		: refuse('unknown', `no version ${versionId}`))
 	.with({type: 'createFleet'}, change => createFleet(catalog, change))
 	.with({type: 'createService'}, ({serviceId, repeatable}) => createUnique(catalog.services, 'service', serviceId, {repeatable}))
+	.with({type: 'setObjective'}, ({serviceId, objective}) => setObjective(catalog, serviceId, objective))
 	.with({type: 'createTeam'}, ({teamId, keyDigest, share}) => createUnique(catalog.teams, 'team', teamId, {keyDigest, share}))
 	.with({type: 'load'}, change => load(catalog, change))
 	.with({type: 'withdrawVersion'}, ({versionId}) => withdraw(catalog, versionId))
@@ -95,6 +96,16 @@
 	return createUnique(catalog.fleets, 'fleet', change.fleetId, {...fleet, previousVersionId: null, isLoaded: false});
 };
 
+const setObjective = (catalog: Catalog, serviceId: string, objective: Objective): Outcome => {
+	const service = catalog.services[serviceId];
+	if (service === undefined) {
+		return refuse('unknown', `no service ${serviceId}`);
+	}
+
+	catalog.services[serviceId] = {...service, objective};
+	return null;
+};
+
 const load = (catalog: Catalog, {versionId, fleetId}: ChangeOf<'load'>): Outcome => {
 	const version = catalog.versions[versionId];
 	if (version === undefined) {
--- a/packages/state/src/catalog/types.ts
+++ b/packages/state/src/catalog/types.ts
@@ -28,6 +28,19 @@
 });
 export type Readiness = z.infer<typeof readinessSchema>;
 
+/** What a service promises its callers; both shares are in percent of requests over three days. */
+export const objectiveSchema = z.object({
+	/** Requests answered whole. */
+	answeredWholePercent: z.number().min(1).max(99.999),
+	/** Answers whose first token comes within the bound. */
+	firstTokenPercent: z.number().min(1).max(99.999),
+	firstTokenMs: z.number().int().positive().max(600_000),
+});
+export type Objective = z.infer<typeof objectiveSchema>;
+
+/** For services whose operators have set none. */
+export const defaultObjective: Objective = {answeredWholePercent: 99.9, firstTokenPercent: 95, firstTokenMs: 1000};
+
 /**
  * The changes that the log carries. Those about claims concern the control
  * hosts alone; all others are configuration and reach every host.
@@ -46,6 +59,7 @@
 		replicas: z.number().int().nonnegative(), zoneIds: z.array(zoneIdSchema),
 	}),
 	z.object({type: z.literal('createService'), serviceId: serviceIdSchema, repeatable: z.boolean()}),
+	z.object({type: z.literal('setObjective'), serviceId: serviceIdSchema, objective: objectiveSchema}),
 	z.object({
 		type: z.literal('createTeam'), teamId: teamIdSchema, keyDigest: z.string(), share: z.number().positive(),
 	}),
@@ -135,6 +149,12 @@
 	readonly isWithdrawn: boolean;
 };
 
+export type ServiceRecord = {
+	readonly repeatable: boolean;
+	/** Missing while the default is in force. */
+	readonly objective?: Objective;
+};
+
 /** The share of a model's traffic that goes to a fleet, in percent. */
 export type TrafficShare = {readonly fleetId: string; readonly percent: number};
 
@@ -147,7 +167,7 @@
 	versions: Record<string, VersionRecord>;
 	adapters: Record<string, {readonly versionId: string; readonly manifestId: string}>;
 	fleets: Record<string, FleetRecord>;
-	services: Record<string, {readonly repeatable: boolean}>;
+	services: Record<string, ServiceRecord>;
 	teams: Record<string, {readonly keyDigest: string; readonly share: number}>;
 	hosts: Record<string, HostRecord>;
 };
--- a/tap-snapshots/.test-dist/packages/protocol/test/language.test.js.test.cjs
+++ b/tap-snapshots/.test-dist/packages/protocol/test/language.test.js.test.cjs
@@ -52,11 +52,12 @@
     "\\"create\\"",
     "\\"load\\"",
     "\\"move\\"",
+    "\\"set\\"",
     "\\"show\\"",
     "\\"withdraw\\"",
     "drain, undrain or stop",
   ],
-  "message": "Expected \\"create\\", \\"load\\", \\"move\\", \\"show\\", \\"withdraw\\", or drain, undrain or stop but end of input found.",
+  "message": "Expected \\"create\\", \\"load\\", \\"move\\", \\"set\\", \\"show\\", \\"withdraw\\", or drain, undrain or stop but end of input found.",
 }
 `
 
@@ -154,6 +155,21 @@
 }
 `
 
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > set objective for service bp-writers whole 99.9% first token 95% within 1000 ms 1`] = `
+Object {
+  "change": Object {
+    "objective": Object {
+      "answeredWholePercent": 99.9,
+      "firstTokenMs": 1000,
+      "firstTokenPercent": 95,
+    },
+    "serviceId": "bp-writers",
+    "type": "setObjective",
+  },
+  "type": "change",
+}
+`
+
 exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > show hosts where revision < 812 1`] = `
 Object {
   "show": Object {
--- a/tap-snapshots/.test-dist/test/operator-session.test.js.test.cjs
+++ b/tap-snapshots/.test-dist/test/operator-session.test.js.test.cjs
@@ -67,6 +67,6 @@
 503 unavailable: replicas have no field colour
 
 > drian host h2
-400 invalid_request: Expected "create", "load", "move", "show", "withdraw", or drain, undrain or stop but "d" found.
+400 invalid_request: Expected "create", "load", "move", "set", "show", "withdraw", or drain, undrain or stop but "d" found.
 
 `
