--- a/packages/state/src/catalog/create-catalog.ts
+++ b/packages/state/src/catalog/create-catalog.ts
@@ -10,6 +10,7 @@
 	services: {},
 	teams: {},
 	hosts: {},
+	rollouts: {},
 });
 
 export const createLedger = (): Ledger => ({claims: {}, results: {}, resultOrder: []});
--- /dev/null
+++ b/packages/state/src/catalog/traffic-changes.ts
@@ -0,0 +1,148 @@
+import {
+	modelOfVersion, refuse, type ChangeOf, type Outcome,
+} from './refusal.js';
+import type {Catalog, RolloutRecord, TrafficShare} from './types.js';
+
+type Shift = {readonly modelId: string; readonly fromFleetId: string; readonly toFleetId: string; readonly percent: number};
+
+export const moveTraffic = (catalog: Catalog, change: ChangeOf<'moveTraffic'>): Outcome => {
+	if (catalog.rollouts[change.modelId]?.state === 'running') {
+		return refuse('conflict', `a move of ${change.modelId} in steps is running; stop it first`);
+	}
+
+	const refusal = checkShift(catalog, change);
+	if (refusal === null) {
+		shift(catalog, change);
+	}
+
+	return refusal;
+};
+
+const checkShift = (catalog: Catalog, {modelId, fromFleetId, toFleetId, percent}: Shift): Outcome => {
+	const model = catalog.models[modelId];
+	if (model === undefined) {
+		return refuse('unknown', `no model ${modelId}`);
+	}
+
+	const target = catalog.fleets[toFleetId];
+	if (target === undefined) {
+		return refuse('unknown', `no fleet ${toFleetId}`);
+	}
+
+	if (!target.isLoaded || modelOfVersion(target.versionId) !== modelId) {
+		return refuse('conflict', `fleet ${toFleetId} is not loaded with ${modelId}`);
+	}
+
+	const held = model.traffic.find(share => share.fleetId === fromFleetId)?.percent ?? 0;
+	return held < percent ? refuse('conflict', `fleet ${fromFleetId} has ${held}% of ${modelId}, not ${percent}%`) : null;
+};
+
+const shift = (catalog: Catalog, {modelId, fromFleetId, toFleetId, percent}: Shift): void => {
+	const shares = new Map(catalog.models[modelId]!.traffic.map(share => [share.fleetId, share.percent]));
+	shares.set(fromFleetId, (shares.get(fromFleetId) ?? 0) - percent);
+	shares.set(toFleetId, (shares.get(toFleetId) ?? 0) + percent);
+	const traffic: TrafficShare[] = [...shares]
+		.filter(([, share]) => share > 0)
+		.map(([fleetId, share]) => ({fleetId, percent: share}));
+	catalog.models[modelId] = {traffic};
+};
+
+/** Writes down a move in steps; the leader proposes each step as the one before has proved itself. */
+export const startRollout = (catalog: Catalog, {type, ...plan}: ChangeOf<'startRollout'>): Outcome => {
+	const {modelId, fromFleetId, toFleetId} = plan;
+	if (isOpen(catalog.rollouts[modelId])) {
+		return refuse('conflict', `a move of ${modelId} is ${catalog.rollouts[modelId]!.state}; roll it back or let it end first`);
+	}
+
+	if (fromFleetId === toFleetId) {
+		return refuse('conflict', `fleet ${fromFleetId} cannot be moved to itself`);
+	}
+
+	const refusal = checkShift(catalog, plan);
+	if (refusal !== null) {
+		return refusal;
+	}
+
+	catalog.rollouts[modelId] = {
+		...plan, state: 'running', movedPercent: 0, step: 0, detail: '', trafficBefore: catalog.models[modelId]!.traffic,
+	};
+	return null;
+};
+
+/** Whether its plan may still change traffic. */
+const isOpen = (rollout: RolloutRecord | undefined): boolean => rollout?.state === 'running' || rollout?.state === 'stopped';
+
+/**
+ * The leader's next step. It names the step that it saw: a leader that was
+ * deposed, or one whose proposal is applied after an operator's stop, would
+ * otherwise move a share that nobody wants moved any more, or move it twice.
+ */
+export const advanceRollout = (catalog: Catalog, {modelId, step}: ChangeOf<'advanceRollout'>): Outcome => {
+	const rollout = catalog.rollouts[modelId];
+	if (rollout?.state !== 'running' || rollout.step !== step) {
+		return refuse('stale', `the move of ${modelId} is not at step ${step}`);
+	}
+
+	const percent = Math.min(rollout.stepPercent, rollout.percent - rollout.movedPercent);
+	const refusal = checkShift(catalog, {...rollout, percent});
+	if (refusal !== null) {
+		return refusal;
+	}
+
+	shift(catalog, {...rollout, percent});
+	const movedPercent = rollout.movedPercent + percent;
+	catalog.rollouts[modelId] = {
+		...rollout, movedPercent, step: step + 1, state: movedPercent < rollout.percent ? 'running' : 'done',
+	};
+	return null;
+};
+
+/** The leader stops a move whose target fails; `step` as in `advanceRollout`. */
+export const haltRollout = (catalog: Catalog, {modelId, step, detail}: ChangeOf<'haltRollout'>): Outcome => {
+	const rollout = catalog.rollouts[modelId];
+	if (rollout?.state !== 'running' || rollout.step !== step) {
+		return refuse('stale', `the move of ${modelId} is not at step ${step}`);
+	}
+
+	catalog.rollouts[modelId] = {...rollout, state: 'stopped', detail};
+	return null;
+};
+
+export const stopRollout = (catalog: Catalog, {modelId}: ChangeOf<'stopRollout'>): Outcome => {
+	const rollout = catalog.rollouts[modelId];
+	if (rollout?.state !== 'running') {
+		return refuse('conflict', `no move of ${modelId} is running`);
+	}
+
+	catalog.rollouts[modelId] = {...rollout, state: 'stopped', detail: 'stopped by an operator'};
+	return null;
+};
+
+export const resumeRollout = (catalog: Catalog, {modelId}: ChangeOf<'resumeRollout'>): Outcome => {
+	const rollout = catalog.rollouts[modelId];
+	if (rollout?.state !== 'stopped') {
+		return refuse('conflict', `no move of ${modelId} is stopped`);
+	}
+
+	catalog.rollouts[modelId] = {...rollout, state: 'running', detail: ''};
+	return null;
+};
+
+/** Gives all fleets the shares that they had before the move, at once. */
+export const rollBack = (catalog: Catalog, {modelId}: ChangeOf<'rollBack'>): Outcome => {
+	const rollout = catalog.rollouts[modelId];
+	if (rollout === undefined || rollout.state === 'rolledBack') {
+		return refuse('conflict', `no move of ${modelId} can be rolled back`);
+	}
+
+	const missing = rollout.trafficBefore.find(({fleetId}) => catalog.fleets[fleetId]?.isLoaded !== true);
+	if (missing !== undefined) {
+		return refuse('conflict', `fleet ${missing.fleetId} is no longer loaded`);
+	}
+
+	catalog.models[modelId] = {traffic: rollout.trafficBefore};
+	catalog.rollouts[modelId] = {
+		...rollout, state: 'rolledBack', movedPercent: 0, detail: '',
+	};
+	return null;
+};
--- a/packages/state/src/catalog/types.ts
+++ b/packages/state/src/catalog/types.ts
@@ -44,17 +44,36 @@
 	z.object({
 		type: z.literal('createFleet'), fleetId: fleetIdSchema, provider: z.string().max(64), versionId: versionIdSchema,
 		replicas: z.number().int().nonnegative(), zoneIds: z.array(zoneIdSchema),
+		/** No more hosts than this in one zone. */
+		maxPerZone: z.number().int().positive().optional(),
+		/** Only hosts that run at least this many requests side by side. */
+		minCapacity: z.number().int().positive().optional(),
 	}),
 	z.object({type: z.literal('createService'), serviceId: serviceIdSchema, repeatable: z.boolean()}),
 	z.object({
 		type: z.literal('createTeam'), teamId: teamIdSchema, keyDigest: z.string(), share: z.number().positive(),
 	}),
 	z.object({type: z.literal('load'), versionId: versionIdSchema, fleetId: fleetIdSchema}),
+	z.object({type: z.literal('setReplicas'), fleetId: fleetIdSchema, replicas: z.number().int().nonnegative()}),
 	z.object({type: z.literal('withdrawVersion'), versionId: versionIdSchema}),
+	z.object({type: z.literal('retireFleet'), fleetId: fleetIdSchema}),
+	z.object({type: z.literal('retireVersion'), versionId: versionIdSchema}),
 	z.object({
 		type: z.literal('moveTraffic'), modelId: modelIdSchema, percent: z.number().min(0).max(100),
 		fromFleetId: fleetIdSchema, toFleetId: fleetIdSchema,
 	}),
+	z.object({
+		type: z.literal('startRollout'), modelId: modelIdSchema, fromFleetId: fleetIdSchema, toFleetId: fleetIdSchema,
+		percent: z.number().positive().max(100), stepPercent: z.number().positive().max(100),
+		holdMs: z.number().int().positive(), maxErrorPercent: z.number().min(0).max(100),
+	}),
+	z.object({type: z.literal('advanceRollout'), modelId: modelIdSchema, step: z.number().int().nonnegative()}),
+	z.object({
+		type: z.literal('haltRollout'), modelId: modelIdSchema, step: z.number().int().nonnegative(), detail: z.string().max(256),
+	}),
+	z.object({type: z.literal('stopRollout'), modelId: modelIdSchema}),
+	z.object({type: z.literal('resumeRollout'), modelId: modelIdSchema}),
+	z.object({type: z.literal('rollBack'), modelId: modelIdSchema}),
 	z.object({type: z.literal('drainHost'), hostId: hostIdSchema}),
 	z.object({type: z.literal('undrainHost'), hostId: hostIdSchema}),
 	z.object({type: z.literal('stopHost'), hostId: hostIdSchema}),
@@ -125,6 +144,8 @@
 	readonly previousVersionId: string | null;
 	readonly replicas: number;
 	readonly zoneIds: readonly string[];
+	readonly maxPerZone?: number;
+	readonly minCapacity?: number;
 	/** A fleet carries weights only after its first `load`. */
 	readonly isLoaded: boolean;
 };
@@ -138,6 +159,29 @@
 /** The share of a model's traffic that goes to a fleet, in percent. */
 export type TrafficShare = {readonly fleetId: string; readonly percent: number};
 
+export type RolloutState = 'running' | 'stopped' | 'done' | 'rolledBack';
+
+/** A move of traffic between two fleets in steps; the plan and how far it has come. */
+export type RolloutRecord = {
+	readonly modelId: string;
+	readonly fromFleetId: string;
+	readonly toFleetId: string;
+	/** Of the model's whole traffic, to be moved in all. */
+	readonly percent: number;
+	readonly stepPercent: number;
+	/** How long a step must prove itself before the next. */
+	readonly holdMs: number;
+	/** Failed requests of the target fleet, in percent, above which the move stops by itself. */
+	readonly maxErrorPercent: number;
+	readonly state: RolloutState;
+	readonly movedPercent: number;
+	/** Steps done. */
+	readonly step: number;
+	/** Why it stopped. */
+	readonly detail: string;
+	readonly trafficBefore: readonly TrafficShare[];
+};
+
 /** The configuration that is in force on every host. Plain JSON with sorted keys on the wire. */
 export type Catalog = {
 	revision: number;
@@ -150,6 +194,8 @@
 	services: Record<string, {readonly repeatable: boolean}>;
 	teams: Record<string, {readonly keyDigest: string; readonly share: number}>;
 	hosts: Record<string, HostRecord>;
+	/** By model. */
+	rollouts: Record<string, RolloutRecord>;
 };
 
 /** One claim of a not-repeatable call. */
