--- a/packages/coordination/src/door/index.ts
+++ b/packages/coordination/src/door/index.ts
@@ -1,1 +1,2 @@
 export * from './door.js';
+export * from './supervise.js';
--- /dev/null
+++ b/packages/coordination/src/requests/index.ts
@@ -0,0 +1,3 @@
+export * from './attempt.js';
+export * from './event-gate.js';
+export * from './retry-budget.js';
--- a/packages/coordination/src/routing/endpoint-index.ts
+++ b/packages/coordination/src/routing/endpoint-index.ts
@@ -11,6 +11,8 @@
 	readonly zoneId: string;
 	readonly regionId: string;
 	readonly capacity: number;
+	/** Of the agent; a restarted agent has forgotten what it let through. */
+	readonly incarnation: number;
 	/** The version that an answer must carry; `null` for a plain service. */
 	readonly versionId: string | null;
 	readonly fleetId: string | null;
@@ -31,6 +33,7 @@
 	zoneId: announcement.zoneId,
 	regionId: announcement.regionId,
 	capacity: announcement.capacity,
+	incarnation: announcement.incarnation,
 	versionId: readyVersionId,
 	fleetId: assignment?.fleetId ?? null,
 });
--- a/packages/daemon/src/agent/create-agent-node.ts
+++ b/packages/daemon/src/agent/create-agent-node.ts
@@ -1,9 +1,7 @@
 import type http from 'node:http';
+import {createDoor, type DoorState, type RunLimits} from '@bitternpaddle/coordination';
 import {
-	createDoor, settleAtDoor, type DoorState,
-} from '@bitternpaddle/coordination';
-import {
-	haveParametersSchema, settleParametersSchema, type HostReport, type SettleResult,
+	haveParametersSchema, settleParametersSchema, type HostReport,
 } from '@bitternpaddle/protocol';
 import {
 	announcementSchema, versionIdSchema, type Announcement,
@@ -12,7 +10,7 @@
 	createHttpServer, createRpcServer, rpcPath, sendJson, silentLogger, type Logger,
 } from '@bitternpaddle/transport';
 import {createConfigurationClient} from '../host/configuration-client.js';
-import {createDoorHandler, doorPrefix} from './door-server.js';
+import {answersPrefix, createDoorServer, doorPrefix} from './door-server.js';
 import {createWeights} from './weights.js';
 
 export type AgentNodeOptions = {
@@ -32,6 +30,10 @@
 	readonly listen?: string;
 	/** @default 16 */
 	readonly capacity?: number;
+	/** How long the door keeps silent or forsaken runs. */
+	readonly limits?: RunLimits;
+	/** How often the door gives waiting entries a sign of life. @default 500 */
+	readonly tickMs?: number;
 	readonly logger?: Logger;
 	/** Called when the operator has stopped this host and its work is done. */
 	onStopped?(): void;
@@ -50,13 +52,13 @@
 export const createAgentNode = async (options: AgentNodeOptions): Promise<AgentNode> => {
 	const {
 		hostId, zoneId, regionId, serviceId, provider, kind, endpointAddress, controls, originAddress, folder,
-		listen = '127.0.0.1:0', capacity = 16, logger = silentLogger, onStopped,
+		listen = '127.0.0.1:0', capacity = 16, limits, tickMs, logger = silentLogger, onStopped,
 	} = options;
-	const door: DoorState = createDoor({capacity});
+	const incarnation = Date.now();
+	const door: DoorState = createDoor({capacity, incarnation});
 	const idleWaiters = new Set<() => void>();
 	let isLeaving = false;
 	let isPaused = false;
-	const incarnation = Date.now();
 
 	const whenIdle = async (): Promise<void> => new Promise(resolve => {
 		const check = (): void => {
@@ -91,7 +93,9 @@
 		async handler(request, response) {
 			const url = request.url ?? '';
 			if (url.startsWith(`${doorPrefix}/`)) {
-				await handleDoor(request, response);
+				await doorServer.handle(request, response);
+			} else if (url.startsWith(`${answersPrefix}/`)) {
+				await doorServer.resume(request, response);
 			} else if (url === rpcPath) {
 				await rpc.serve(request, response);
 			} else if (url.startsWith('/chunks/')) {
@@ -136,10 +140,13 @@
 		},
 	});
 
-	const handleDoor = createDoorHandler({
-		hostId, door, configuration, endpointAddress, kind,
-		readyVersionId: () => weights.readyVersionId(),
-		readyDigest: () => weights.readyDigest(),
+	const doorServer = createDoorServer({
+		hostId, door, configuration, endpointAddress, kind, limits, tickMs,
+		loaded() {
+			const versionId = weights.readyVersionId();
+			const digest = weights.readyDigest();
+			return versionId === null || digest === null ? null : {versionId, digest};
+		},
 		onIdle() {
 			for (const check of idleWaiters) {
 				check();
@@ -159,13 +166,14 @@
 		response.end(data);
 	};
 
-	rpc.method('agent.settle', settleParametersSchema, ({requestId}): SettleResult => ({type: settleAtDoor(door, requestId)}));
+	rpc.method('agent.settle', settleParametersSchema, parameters => doorServer.settle(parameters));
 	rpc.method('agent.have', haveParametersSchema, parameters => {
 		weights.hear(parameters);
 	});
 
 	const close = async (): Promise<void> => {
 		configuration.close();
+		doorServer.close();
 		await weights.close();
 	};
 
--- a/packages/daemon/src/agent/door-server.ts
+++ b/packages/daemon/src/agent/door-server.ts
@@ -1,17 +1,25 @@
-import {type Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type http from 'node:http';
 import {
-	admitAtDoor, finishAtDoor, type DoorState,
+	admitAtDoor, finishAtDoor, settleAtDoor, type DoorRefusal, type DoorRequest, type DoorState, type RunLimits,
 } from '@bitternpaddle/coordination';
 import {
-	endMarkerTrailer, hostHeader, idempotencyKeyHeader, requestIdHeader, revisionHeader, verdictHeader, versionHeader, type EndMarker,
+	attemptHeader, deadlineHeader, idempotencyKeyHeader, incarnationHeader, issueHeader, onceHeader, parseIssue, requestIdHeader, revisionHeader, versionHeader,
+	type SettleResult,
 } from '@bitternpaddle/protocol';
-import {
-	readBody, sendHttp, sendJson, TransportError,
-} from '@bitternpaddle/transport';
+import {mayHaveRun, notRun, type UnansweredVerdict} from '@bitternpaddle/state';
+import {readBody} from '@bitternpaddle/transport';
+import {match} from 'ts-pattern';
 import type {ConfigurationClient} from '../host/configuration-client.js';
+import {createDoorRun, type DoorRun} from './door-run.js';
+import {createRunRegistry} from './run-registry.js';
+import {createEndpointRunner, type LoadedVersion} from './run-on-endpoint.js';
+import {refuse, sendAnswer, sendFailure} from './send-answer.js';
+import {createVersionCheck} from './version-check.js';
 
 export const doorPrefix = '/door';
+/** `GET /answers/ATTEMPT?offset=N`: reads on in an answer after a lost connection. */
+export const answersPrefix = '/answers';
 
 export type DoorServerOptions = {
 	readonly hostId: string;
@@ -19,29 +27,59 @@
 	readonly configuration: ConfigurationClient;
 	readonly endpointAddress: string;
 	readonly kind: 'engine' | 'plain';
-	readonly readyVersionId: () => string | null;
-	readonly readyDigest: () => string | null;
+	/** What the agent has loaded into the engine and verified. */
+	readonly loaded: () => LoadedVersion | null;
+	/** @default {endpointIdleMs: 30000, unattendedMs: 5000} */
+	readonly limits?: RunLimits;
+	/** How often a waiting entry gets a sign of life. @default 500 */
+	readonly tickMs?: number;
+	/** Bytes of each answer that can be read again. @default 262144 */
+	readonly windowBytes?: number;
 	/** Called when a request has ended, whatever way. */
 	onIdle(): void;
 };
 
-const bodyLimitBytes = 8 * 1024 * 1024;
-const catchUpMs = 2000;
-const endpointIdleTimeoutMs = 120_000;
-
-/** Refuses in a way that proves to the entry that nothing ran. */
-const refuse = (response: http.ServerResponse, reason: string): void => {
-	sendJson(response, 503, {error: {type: 'not_run', message: reason}}, {[verdictHeader]: 'notRun'});
+export type DoorServer = {
+	/** Takes `/door/...`. */
+	handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void>;
+	/** Takes `/answers/...`. */
+	resume(request: http.IncomingMessage, response: http.ServerResponse): Promise<void>;
+	settle(request: DoorRequest & {readonly isCancel: boolean}): SettleResult;
+	close(): void;
 };
 
-/** The one way to the endpoint: every request passes here, and each at most once. */
-export const createDoorHandler = (options: DoorServerOptions) => {
-	const {hostId, door, configuration, endpointAddress, kind, readyVersionId, readyDigest, onIdle} = options;
-
-	/** Why the request may not start now, or `null`. */
+const bodyLimitBytes = 8 * 1024 * 1024;
+const catchUpMs = 2000;
+const defaultDeadlineMs = 600_000;
+
+/** The one way to the endpoint: every request passes here, and each attempt at most once. */
+export const createDoorServer = (options: DoorServerOptions): DoorServer => {
+	const {
+		hostId, door, configuration, endpointAddress, kind, loaded, onIdle,
+		limits = {endpointIdleMs: 30_000, unattendedMs: 5000}, tickMs = 500, windowBytes = 262_144,
+	} = options;
+	const waiting = new Set<http.ServerResponse>();
+	const askStatus = createVersionCheck(endpointAddress);
+	const runs = createRunRegistry({
+		tickMs, limits,
+		onTick() {
+			for (const response of waiting) {
+				response.writeProcessing();
+			}
+		},
+	});
+	const runOnEndpoint = createEndpointRunner({
+		endpointAddress, aheadBytes: windowBytes / 2, loaded: () => kind === 'engine' ? loaded() : null,
+		async isStillLoaded({versionId, digest}) {
+			const status = await askStatus();
+			return status.versionId === versionId && status.digest === digest;
+		},
+	});
+
+	/** Why no request may start now, or `null`. */
 	const objection = async (request: http.IncomingMessage): Promise<string | null> => {
 		const wantedRevision = Number(request.headers[revisionHeader] ?? 0);
-		if (!await configuration.reach(wantedRevision, catchUpMs)) {
+		if (configuration.catalog().revision < wantedRevision && !await configuration.reach(wantedRevision, catchUpMs)) {
 			return 'the host is behind the configuration';
 		}
 
@@ -54,124 +92,99 @@
 			return `the host is ${status ?? 'not known'}`;
 		}
 
-		const wantedVersionId = request.headers[versionHeader];
-		if (kind === 'engine' && wantedVersionId !== readyVersionId()) {
-			return `the host serves ${readyVersionId() ?? 'nothing'}`;
-		}
-
-		return null;
+		const held = loaded()?.versionId ?? null;
+		return kind === 'engine' && request.headers[versionHeader] !== held ? `the host serves ${held ?? 'nothing'}` : null;
 	};
 
-	const forward = async (request: http.IncomingMessage, response: http.ServerResponse, requestId: string, body: Buffer): Promise<void> => {
-		const versionId = readyVersionId();
-		const digest = readyDigest();
-		let answer: http.IncomingMessage;
-		try {
-			answer = await sendHttp({
-				address: endpointAddress, method: request.method, path: request.url!.slice(doorPrefix.length), body, idleTimeoutMs: endpointIdleTimeoutMs,
-				headers: forwardedHeaders(request, requestId),
-			});
-		} catch (error) {
-			const isUnsent = error instanceof TransportError && error.isUnsent;
-			finishAtDoor(door, requestId, isUnsent ? 'notRun' : 'ran');
-			if (isUnsent) {
-				refuse(response, 'the endpoint refuses connections');
-			} else {
-				sendJson(response, 502, {error: {type: 'may_have_run', message: `the endpoint failed: ${(error as Error).message}`}}, {[verdictHeader]: 'mayHaveRun'});
-			}
-
-			return;
-		}
-
-		const isForeign = answer.headers['x-request-id'] !== undefined && answer.headers['x-request-id'] !== requestId;
-		const isOtherVersion = kind === 'engine' && answer.statusCode === 200 && answer.headers['x-engine-digest'] !== digest;
-		if (isForeign || isOtherVersion) {
-			answer.destroy();
-			finishAtDoor(door, requestId, 'ran');
-			const message = isForeign ? 'the endpoint answered another request' : 'the endpoint answered from other weights';
-			sendJson(response, 502, {error: {type: 'may_have_run', message}}, {[verdictHeader]: 'mayHaveRun'});
-			return;
-		}
-
-		await relay({
-			answer, response, requestId, versionId,
+	const begin = (request: http.IncomingMessage, attemptId: string, requestId: string, body: Buffer): DoorRun => {
+		const nowMs = performance.now();
+		const run = createDoorRun({
+			attemptId, requestId, isRepeatable: request.headers[onceHeader] === undefined, windowBytes, nowMs,
+			deadlineAtMs: nowMs + Number(request.headers[deadlineHeader] ?? defaultDeadlineMs),
 		});
-	};
+		runs.add(run);
+		const finish = (): void => {
+			finishAtDoor(door, attemptId, run.failure?.type === 'notRun' ? 'notRun' : 'ran');
+			onIdle();
+		};
 
-	type RelayOptions = {
-		readonly answer: http.IncomingMessage;
-		readonly response: http.ServerResponse;
-		readonly requestId: string;
-		readonly versionId: string | null;
+		void runOnEndpoint(run, {
+			method: request.method!, path: request.url!.slice(doorPrefix.length), body, headers: forwardedHeaders(request, requestId),
+		}).then(finish, finish);
+		return run;
 	};
 
-	const relay = async ({answer, response, requestId, versionId}: RelayOptions): Promise<void> => {
-		response.writeHead(answer.statusCode!, {
-			'content-type': answer.headers['content-type'] ?? 'application/octet-stream',
-			[requestIdHeader]: requestId, [verdictHeader]: 'ran', [hostHeader]: hostId, ...(versionId === null ? {} : {[versionHeader]: versionId}),
-			trailer: endMarkerTrailer,
-		});
-		let sizeBytes = 0;
-		try {
-			for await (const part of answer as AsyncIterable<Buffer>) {
-				sizeBytes += part.length;
-				response.write(part);
+	return {
+		async handle(request, response) {
+			const asked = readDoorRequest(request);
+			const requestId = request.headers[requestIdHeader];
+			if (asked === null || typeof requestId !== 'string') {
+				refuse(response, 'the request lacks its attempt, incarnation or issue');
+				return;
 			}
-		} catch {
-			response.destroy();
-			finishAtDoor(door, requestId, 'ran');
-			return;
-		}
-
-		finishAtDoor(door, requestId, 'ran');
-		if (versionId !== readyVersionId()) {
-			// The weights changed under the answer; without its end marker it does not pass for whole.
-			response.destroy();
-			return;
-		}
 
-		const marker: EndMarker = {requestId, sizeBytes, versionId};
-		response.addTrailers({[endMarkerTrailer]: JSON.stringify(marker)});
-		response.end();
-	};
-
-	return async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
-		const requestId = String(request.headers[requestIdHeader] ?? '');
-		if (requestId === '') {
-			sendJson(response, 400, {error: {type: 'invalid_request', message: `${requestIdHeader} is missing`}}, {[verdictHeader]: 'notRun'});
-			return;
-		}
+			const body = await readBody(request, bodyLimitBytes);
+			const reason = await objection(request);
+			if (reason !== null) {
+				refuse(response, reason);
+				return;
+			}
 
-		const body = await readBody(request, bodyLimitBytes);
-		const reason = await objection(request);
-		if (reason !== null) {
-			refuse(response, reason);
-			return;
-		}
+			const admission = admitAtDoor(door, asked);
+			if (admission.type === 'refuse') {
+				sendFailure(response, verdictOfRefusal(admission.reason));
+				return;
+			}
 
-		const admission = admitAtDoor(door, requestId);
-		if (admission.type === 'refuse') {
-			if (admission.reason === 'duplicate') {
-				sendJson(response, 409, {error: {type: 'may_have_run', message: 'this request has been here before'}}, {[verdictHeader]: 'mayHaveRun'});
-			} else {
-				refuse(response, `the door is ${admission.reason}`);
+			await sendAnswer(begin(request, asked.attemptId, requestId, body), response, {hostId, offset: 0, waiting});
+		},
+		async resume(request, response) {
+			const url = new URL(request.url!, 'http://door');
+			const run = runs.get(decodeURIComponent(url.pathname.slice(answersPrefix.length + 1)));
+			if (run === undefined || Number(request.headers[incarnationHeader]) !== door.incarnation) {
+				sendFailure(response, mayHaveRun('the answer is no longer kept'));
+				return;
 			}
 
-			return;
-		}
+			await sendAnswer(run, response, {hostId, offset: Number(url.searchParams.get('offset')), waiting});
+		},
+		settle({isCancel, ...asked}) {
+			const type = settleAtDoor(door, asked);
+			const run = runs.get(asked.attemptId);
+			if (isCancel && type === 'running' && run?.isRepeatable) {
+				runs.end(run, 'cancelled');
+			}
 
-		try {
-			await forward(request, response, requestId, body);
-		} finally {
-			onIdle();
-		}
+			return {type};
+		},
+		close() {
+			runs.close();
+		},
 	};
 };
 
-const forwardedHeaders = (request: http.IncomingMessage, requestId: string): http.OutgoingHttpHeaders => {
-	const key = request.headers[idempotencyKeyHeader];
+const readDoorRequest = ({headers}: http.IncomingMessage): DoorRequest | null => {
+	const issue = parseIssue(String(headers[issueHeader] ?? ''));
+	const incarnation = Number(headers[incarnationHeader]);
+	const attempt = headers[attemptHeader];
+	return issue === null || !Number.isInteger(incarnation) || typeof attempt !== 'string' ? null : {attemptId: attempt, incarnation, issue};
+};
+
+/** A copy that was here before may have run; one that is only refused has not. */
+const verdictOfRefusal = (reason: DoorRefusal): UnansweredVerdict => match(reason)
+	.with('duplicate', () => mayHaveRun('this request has been here before'))
+	.with('forgotten', () => mayHaveRun('this request is older than what the door remembers'))
+	.with('barred', () => notRun('this request was settled before it arrived'))
+	.with('otherIncarnation', () => notRun('the host has been restarted'))
+	.with('closing', () => notRun('the door is closing'))
+	.with('full', () => notRun('the door is full'))
+	.exhaustive();
+
+const forwardedHeaders = ({headers}: http.IncomingMessage, requestId: string): http.OutgoingHttpHeaders => {
+	const key = headers[idempotencyKeyHeader];
 	return {
-		'content-type': request.headers['content-type'] ?? 'application/json', 'x-request-id': requestId,
+		'content-type': headers['content-type'] ?? 'application/json', 'x-request-id': requestId,
 		...(key === undefined ? {} : {[idempotencyKeyHeader]: key}),
 	};
 };
+
--- /dev/null
+++ b/packages/daemon/src/agent/send-answer.ts
@@ -0,0 +1,101 @@
+import {once} from 'node:events';
+import type http from 'node:http';
+import {
+	endMarkerTrailer, hostHeader, requestIdHeader, verdictHeader, versionHeader,
+} from '@bitternpaddle/protocol';
+import type {UnansweredVerdict} from '@bitternpaddle/state';
+import {match} from 'ts-pattern';
+import {sendJson} from '@bitternpaddle/transport';
+import type {DoorRun} from './door-run.js';
+
+/** Refuses in a way that proves to the entry that nothing ran. */
+export const refuse = (response: http.ServerResponse, reason: string): void => {
+	sendJson(response, 503, {error: {type: 'not_run', message: reason}}, {[verdictHeader]: 'notRun'});
+};
+
+export const sendFailure = (response: http.ServerResponse, verdict: UnansweredVerdict): void => {
+	match(verdict)
+		.with({type: 'notRun'}, ({reason}) => {
+			refuse(response, reason);
+		})
+		.with({type: 'mayHaveRun'}, ({reason}) => {
+			sendJson(response, 502, {error: {type: 'may_have_run', message: reason}}, {[verdictHeader]: 'mayHaveRun'});
+		})
+		.exhaustive();
+};
+
+export type SendAnswerOptions = {
+	readonly hostId: string;
+	/** The first byte that the entry has not got yet. */
+	readonly offset: number;
+	/** Responses that wait for the endpoint; each gets a sign of life at every tick. */
+	readonly waiting: Set<http.ServerResponse>;
+};
+
+/** Sends a run's answer from `offset` on, as it comes; returns when it is sent or the connection is gone. */
+export const sendAnswer = async (run: DoorRun, response: http.ServerResponse, {hostId, offset, waiting}: SendAnswerOptions): Promise<void> => {
+	run.readers++;
+	run.unattendedSinceMs = null;
+	run.readOffset = offset;
+	response.once('close', () => {
+		waiting.delete(response);
+		run.readers--;
+		if (run.readers === 0) {
+			run.unattendedSinceMs = performance.now();
+		}
+
+		run.notify();
+	});
+	waiting.add(response);
+	while (run.head === null && run.failure === null && !response.destroyed) {
+		await run.nextChange();
+	}
+
+	waiting.delete(response);
+	if (response.destroyed) {
+		return;
+	}
+
+	if (run.head === null) {
+		sendFailure(response, run.failure!);
+		return;
+	}
+
+	const {status, contentType, versionId} = run.head;
+	response.writeHead(status, {
+		'content-type': contentType, [requestIdHeader]: run.requestId, [verdictHeader]: 'ran', [hostHeader]: hostId,
+		...(versionId === null ? {} : {[versionHeader]: versionId}), trailer: endMarkerTrailer,
+	});
+	// An entry that comes back must hear at once that it has been found.
+	response.flushHeaders();
+	await sendParts(run, response, offset);
+};
+
+const sendParts = async (run: DoorRun, response: http.ServerResponse, offset: number): Promise<void> => {
+	let position = offset;
+	while (!response.destroyed) {
+		const part = run.buffer.readFrom(position);
+		if (part === 'gone') {
+			response.destroy();
+		} else if (part !== null) {
+			position += part.length;
+			run.readOffset = position;
+			if (run.isHeldBack) {
+				run.notify();
+			}
+
+			if (!response.write(part)) {
+				await Promise.race([once(response, 'drain'), once(response, 'close')]);
+			}
+		} else if (run.marker !== null) {
+			response.addTrailers({[endMarkerTrailer]: JSON.stringify(run.marker)});
+			response.end();
+			return;
+		} else if (run.failure === null) {
+			await run.nextChange();
+		} else {
+			// Without the end marker the answer does not pass for whole.
+			response.destroy();
+		}
+	}
+};
--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -1,52 +1,105 @@
-import type {Endpoint} from '@bitternpaddle/coordination';
-import {notRun, type UnansweredVerdict} from '@bitternpaddle/state';
+import {
+	noteFreshRequest, takeRetry, type Endpoint, type RetryBudget,
+} from '@bitternpaddle/coordination';
+import type {Issue} from '@bitternpaddle/protocol';
+import {
+	hostIdSchema, notRun, type ClaimPlace, type UnansweredVerdict,
+} from '@bitternpaddle/state';
 import {nameOf, RefusedError, type Call} from './call.js';
-import {dispatch, type AttemptOutcome} from './dispatch.js';
+import {dispatch, type AttemptAnswer} from './dispatch.js';
 import type {Routing} from './routing.js';
 
 export type AttemptsOptions = {
 	readonly routing: Routing;
 	readonly maxAttempts: number;
+	readonly budget: RetryBudget;
+	/** See `Attempt.suspectMs`. */
+	readonly suspectMs: number;
+	nextIssue(): Issue;
+	/** Asked before each dispatch; `false` stops without another attempt. */
+	readonly mayDispatch?: (place: ClaimPlace) => Promise<boolean>;
 };
 
-export type CallOutcome = AttemptOutcome & {readonly endpoint?: Endpoint};
+export type CallOutcome
+	= | {readonly type: 'answer'; readonly answer: AttemptAnswer; readonly place: ClaimPlace}
+		| {readonly type: 'verdict'; readonly verdict: UnansweredVerdict; readonly place: ClaimPlace | null}
+	/** `mayDispatch` said no. */
+		| {readonly type: 'stopped'};
 
 /** Tries endpoints until one answers, or until trying again could run the request twice. */
-export const attemptCall = async (call: Call, {routing, maxAttempts}: AttemptsOptions): Promise<CallOutcome> => {
+export const attemptCall = async (call: Call, options: AttemptsOptions): Promise<CallOutcome> => {
+	const deadline = armDeadline(call);
+	noteFreshRequest(options.budget);
+	const outcome = await attemptInTurn(call, options);
+	if (outcome.type === 'answer') {
+		deadline.extend();
+	} else {
+		deadline.clear();
+	}
+
+	return outcome;
+};
+
+const attemptInTurn = async (call: Call, options: AttemptsOptions): Promise<CallOutcome> => {
+	const {routing, maxAttempts, mayDispatch, nextIssue} = options;
 	const tried = new Set<string>();
-	let verdict: UnansweredVerdict = notRun('no endpoint is ready');
+	let last: {readonly verdict: UnansweredVerdict; readonly place: ClaimPlace | null} = {verdict: notRun('no endpoint is ready'), place: null};
+	let mayReturn = false;
 	for (let number = 1; number <= maxAttempts; number++) {
-		const choice = routing.choose({target: call.target, tried});
-		if (choice.type === 'unknownTarget') {
-			throw new RefusedError({status: 404, type: 'not_found', message: `nothing serves ${nameOf(call.target)}`});
-		}
-
-		if (choice.type === 'noEndpoint') {
+		const endpoint = chooseFor(call, routing, tried, mayReturn);
+		if (endpoint === null || (number > 1 && !takeRetry(options.budget, performance.now()))) {
 			break;
 		}
 
-		const {endpoint} = choice;
 		tried.add(endpoint.hostId);
+		const place = placeOf(endpoint, `${call.requestId}.${number}`, nextIssue());
+		if (mayDispatch !== undefined && !await mayDispatch(place)) {
+			return {type: 'stopped'};
+		}
+
 		routing.noteStart(endpoint.hostId);
 		const outcome = await dispatch({
-			...call, endpoint, number, revision: routing.revision(), signal: call.abort.signal,
-			idleTimeoutMs: Math.max(1, call.deadlineAtMs - performance.now()),
+			...call, ...place, endpoint, revision: routing.revision(), signal: call.abort.signal, suspectMs: options.suspectMs,
+			remainingMs: call.endAtMs - performance.now(),
 		});
 		if (outcome.type === 'answer') {
 			noteEndWithCall(call, routing, endpoint);
-			return {...outcome, endpoint};
+			return {...outcome, place};
 		}
 
 		routing.noteEnd(endpoint.hostId, outcome.verdict.type);
-		({verdict} = outcome);
-		if (verdict.type === 'mayHaveRun' || call.abort.signal.aborted) {
+		last = {verdict: outcome.verdict, place};
+		mayReturn = !outcome.isRefusal;
+		if (outcome.verdict.type === 'mayHaveRun' || call.abort.signal.aborted) {
 			break;
 		}
 	}
 
-	return {type: 'verdict', verdict};
+	return {type: 'verdict', ...last};
 };
 
+/**
+ * An endpoint that this call has not tried; if there is none and the last one
+ * did not refuse but lost the connection, one that it has.
+ */
+const chooseFor = (call: Call, routing: Routing, tried: ReadonlySet<string>, mayReturn: boolean): Endpoint | null => {
+	const choice = routing.choose({target: call.target, tried});
+	if (choice.type === 'unknownTarget') {
+		throw new RefusedError({status: 404, type: 'not_found', message: `nothing serves ${nameOf(call.target)}`});
+	}
+
+	if (choice.type === 'chosen') {
+		return choice.endpoint;
+	}
+
+	const again = mayReturn ? routing.choose({target: call.target, tried: new Set()}) : choice;
+	return again.type === 'chosen' ? again.endpoint : null;
+};
+
+const placeOf = ({hostId, address, incarnation}: Endpoint, attemptId: string, issue: Issue): ClaimPlace => ({
+	hostId: hostIdSchema.parse(hostId), address, incarnation, attemptId, issue,
+});
+
 /** An answered attempt loads its endpoint until the caller has all of it. */
 const noteEndWithCall = (call: Call, routing: Routing, endpoint: Endpoint): void => {
 	if (call.response.closed) {
@@ -58,3 +111,25 @@
 		routing.noteEnd(endpoint.hostId, 'answered');
 	});
 };
+
+/** Gives the call up at its deadline; once the answer has begun, at its end. */
+const armDeadline = ({abort, deadlineAtMs, endAtMs, response}: Call) => {
+	const giveUpAt = (atMs: number): NodeJS.Timeout => setTimeout(() => {
+		abort.abort('deadline');
+	}, Math.max(0, atMs - performance.now()));
+	let timer = giveUpAt(deadlineAtMs);
+	return {
+		extend(): void {
+			clearTimeout(timer);
+			if (!response.closed) {
+				timer = giveUpAt(endAtMs);
+				response.once('close', () => {
+					clearTimeout(timer);
+				});
+			}
+		},
+		clear(): void {
+			clearTimeout(timer);
+		},
+	};
+};
--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -15,10 +15,14 @@
 	readonly idempotencyKey: string | null;
 	readonly isStream: boolean;
 	readonly response: http.ServerResponse;
-	/** Aborted once the caller's connection closes. */
+	/** Aborted, with a `GiveUpCause` as its reason, once nobody wants the answer any more. */
 	readonly abort: AbortController;
-	/** On the clock of `performance.now()`. */
+	/** When the answer must have begun, on the clock of `performance.now()`. */
 	readonly deadlineAtMs: number;
+	/** When the answer must have ended; the same as `deadlineAtMs` if the caller gave a deadline. */
+	readonly endAtMs: number;
+	/** The service declares that its calls may not be repeated. */
+	readonly isOnce: boolean;
 };
 
 /** A request that is wrong in itself, so that no endpoint need be asked. */
--- a/packages/daemon/src/entry/create-entry-node.ts
+++ b/packages/daemon/src/entry/create-entry-node.ts
@@ -23,6 +23,8 @@
 	readonly defaultDeadlineMs?: number;
 	/** @default 3 */
 	readonly maxAttempts?: number;
+	/** A connection to an agent without a byte for this long is settled on another. @default 2000 */
+	readonly suspectMs?: number;
 	/** @default createRouting() */
 	readonly routing?: Routing;
 	/** @default admitAll */
@@ -42,7 +44,7 @@
 /** One entry host: what callers and operators talk to. */
 export const createEntryNode = async (options: EntryNodeOptions): Promise<EntryNode> => {
 	const {
-		entryId, controls, listen = '127.0.0.1:0', adminTokens = [], maxRequests = 4096, defaultDeadlineMs = 30_000, maxAttempts = 3,
+		entryId, controls, listen = '127.0.0.1:0', adminTokens = [], maxRequests = 4096, defaultDeadlineMs = 30_000, maxAttempts = 3, suspectMs = 2000,
 		routing = createRouting(), admit = admitAll, logger = silentLogger, metrics,
 	} = options;
 	const teams = new Map<string, string>();
@@ -84,7 +86,7 @@
 		},
 	});
 	const calls = createCallServer({
-		configuration, teams, routing, admit, relay: createRelay({logger, metrics}), maxRequests, maxAttempts, defaultDeadlineMs,
+		configuration, teams, routing, admit, relay: createRelay({logger, metrics}), maxRequests, maxAttempts, defaultDeadlineMs, suspectMs,
 		isLeaving: () => isLeaving,
 	});
 	const handleAdmin = createAdminHandler({configuration, tokens: adminTokens});
--- a/packages/daemon/src/entry/dispatch.ts
+++ b/packages/daemon/src/entry/dispatch.ts
@@ -1,81 +1,273 @@
-import {type Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
+import {createHash, type Hash} from 'node:crypto';
 import type http from 'node:http';
-import type {Endpoint} from '@bitternpaddle/coordination';
 import {
-	attemptHeader, endMarkerSchema, endMarkerTrailer, idempotencyKeyHeader, requestIdHeader, revisionHeader, verdictHeader, versionHeader,
-	type SettleResult,
+	createAttempt, firstEffect, stepAttempt, type AttemptEffect, type AttemptEnd, type AttemptEvent, type AttemptState, type Endpoint, type GiveUpCause,
+} from '@bitternpaddle/coordination';
+import {
+	attemptHeader, deadlineHeader, endMarkerSchema, endMarkerTrailer, formatIssue, idempotencyKeyHeader, incarnationHeader, issueHeader, onceHeader,
+	requestIdHeader, revisionHeader, verdictHeader, versionHeader, type Issue, type SettleResult,
 } from '@bitternpaddle/protocol';
-import {mayHaveRun, notRun, type UnansweredVerdict} from '@bitternpaddle/state';
+import {
+	mayHaveRun, notRun, type ClaimPlace, type UnansweredVerdict,
+} from '@bitternpaddle/state';
 import {
 	callRpc, readBody, sendHttp, TransportError,
 } from '@bitternpaddle/transport';
 
 export type Attempt = {
-	readonly endpoint: Endpoint;
+	readonly endpoint: Pick<Endpoint, 'address' | 'incarnation' | 'versionId'>;
 	readonly requestId: string;
-	readonly number: number;
+	readonly attemptId: string;
+	readonly issue: Issue;
 	readonly revision: number;
 	readonly method: string;
 	readonly path: string;
 	readonly contentType: string;
 	readonly body: Buffer;
 	readonly idempotencyKey: string | null;
-	readonly idleTimeoutMs: number;
+	/** The call may not be repeated, so its run goes on when nobody waits. */
+	readonly isOnce: boolean;
+	/** A connection without a byte for this long is settled on another. */
+	readonly suspectMs: number;
+	/** When the endpoint may stop working on it. */
+	readonly remainingMs: number;
+	/** Aborted, with a `GiveUpCause` as its reason, when nobody wants the answer any more. */
 	readonly signal: AbortSignal;
 };
 
+/** An answer whose head is here; `parts` gives the rest, over as many connections as it takes. */
+export type AttemptAnswer = {
+	readonly status: number;
+	readonly headers: http.IncomingHttpHeaders;
+	/** Ends only if the answer is whole and this request's own; throws `BrokenAnswerError` if not. */
+	parts(): AsyncGenerator<Buffer, void>;
+	/** Says whether silence counts: it does not while a slow caller holds the reading up. */
+	watch(isWatched: boolean): void;
+};
+
 export type AttemptOutcome
-	= | {readonly type: 'answer'; readonly answer: http.IncomingMessage}
-		| {readonly type: 'verdict'; readonly verdict: UnansweredVerdict};
+	= | {readonly type: 'answer'; readonly answer: AttemptAnswer}
+		| {readonly type: 'verdict'; readonly verdict: UnansweredVerdict; readonly isRefusal: boolean};
+
+export class BrokenAnswerError extends Error {
+	override readonly name = 'BrokenAnswerError';
+}
 
 const settleTimeoutMs = 2000;
+/** A request that is given up on gets its answer at once; an agent that is slow to settle does not hold it up. */
+const lastSettleTimeoutMs = 500;
+const refusalLimitBytes = 65_536;
+
+/** What a running attempt has open. */
+type Running = {
+	readonly attempt: Attempt;
+	readonly state: AttemptState;
+	readonly hash: Hash;
+	connection: http.IncomingMessage | null;
+	parts: AsyncIterator<Buffer> | null;
+	lastPart: Buffer | null;
+};
 
-/** Sends a request to one endpoint's door and says what came of it. */
+/** Sends a request to one endpoint's door; resolves with the answer's head or with what became of the request. */
 export const dispatch = async (attempt: Attempt): Promise<AttemptOutcome> => {
-	const {endpoint, requestId, body, method, path, idleTimeoutMs, signal} = attempt;
+	const running = createRunning(attempt);
+	const effect = await runUntil(running, firstEffect);
+	if (effect.type === 'passOn') {
+		return {type: 'answer', answer: createAnswer(running)};
+	}
+
+	const {end} = effect as Extract<AttemptEffect, {type: 'finish'}>;
+	return end.type === 'verdict' ? end : {type: 'verdict', verdict: mayHaveRun('the answer was not whole'), isRefusal: false};
+};
+
+export type RecoverOptions = {
+	readonly place: ClaimPlace;
+	readonly requestId: string;
+	readonly suspectMs: number;
+	readonly signal: AbortSignal;
+};
+
+export type Recovered
+	= | {readonly type: 'answer'; readonly answer: AttemptAnswer}
+		| {readonly type: 'running' | 'notRun' | 'unknown' | 'unreachable'};
+
+/** Finds out what became of an attempt that another entry, perhaps dead by now, dispatched; reads its answer if it has one. */
+export const recover = async ({place, requestId, suspectMs, signal}: RecoverOptions): Promise<Recovered> => {
+	const attempt: Attempt = {
+		requestId, suspectMs, signal, attemptId: place.attemptId, issue: place.issue, endpoint: {...place, versionId: null},
+		revision: 0, method: 'GET', path: '', contentType: '', body: Buffer.alloc(0), idempotencyKey: null, isOnce: true, remainingMs: 0,
+	};
+	const settled = await settle(attempt, false);
+	if (settled.type !== 'settled') {
+		return {type: 'unreachable'};
+	}
+
+	if (settled.result !== 'ran') {
+		return {type: settled.result};
+	}
+
+	const running = createRunning(attempt);
+	const effect = await runUntil(running, {type: 'resume', offset: 0});
+	return effect.type === 'passOn' ? {type: 'answer', answer: createAnswer(running)} : {type: 'unknown'};
+};
+
+const createRunning = (attempt: Attempt): Running => ({
+	attempt, state: createAttempt(), hash: createHash('sha256'), connection: null, parts: null, lastPart: null,
+});
+
+const createAnswer = (running: Running): AttemptAnswer => {
+	const {statusCode, headers} = running.connection!;
+	return {
+		status: statusCode!, headers,
+		parts: () => readParts(running),
+		watch(isWatched) {
+			if (running.connection?.complete === false) {
+				running.connection.socket.setTimeout(isWatched ? running.attempt.suspectMs : 0);
+			}
+		},
+	};
+};
+
+async function * readParts(running: Running): AsyncGenerator<Buffer, void> {
+	let event = await readPart(running);
+	for (;;) {
+		if (event.type === 'part') {
+			yield running.lastPart!;
+		}
+
+		const effect = await runUntil(running, stepAttempt(running.state, event));
+		if (effect.type === 'finish') {
+			assertWhole(effect.end);
+			return;
+		}
+
+		event = await readPart(running);
+	}
+}
+
+const assertWhole = (end: AttemptEnd): void => {
+	if (end.type !== 'whole') {
+		throw new BrokenAnswerError(end.type === 'broken' ? end.reason : end.verdict.reason);
+	}
+};
+
+/** Carries out effects until one needs whoever reads the answer: `passOn`, `read` or `finish`. */
+const runUntil = async (running: Running, first: AttemptEffect): Promise<AttemptEffect> => {
+	let effect = first;
+	for (;;) {
+		if (effect.type === 'passOn' || effect.type === 'read') {
+			return effect;
+		}
+
+		if (effect.type === 'finish') {
+			if (effect.end.type !== 'whole') {
+				running.connection?.destroy();
+			}
+
+			return effect;
+		}
+
+		effect = stepAttempt(running.state, await carryOut(running, effect));
+	}
+};
+
+const carryOut = async (running: Running, effect: Exclude<AttemptEffect, {type: 'passOn' | 'read' | 'finish'}>): Promise<AttemptEvent> => {
+	// Whatever still comes on the connection before is nobody's.
+	running.connection?.destroy();
+	running.connection = null;
+	const {attempt} = running;
+	if (effect.type === 'settle') {
+		return settle(attempt, effect.isCancel);
+	}
+
+	return effect.type === 'send'
+		? connect(running, {
+			method: attempt.method, path: `/door${attempt.path}`, headers: headersOf(attempt), body: attempt.body,
+		})
+		// An idle connection of the pool may be as silent as the one before.
+		: connect(running, {
+			path: `/answers/${encodeURIComponent(attempt.attemptId)}?offset=${effect.offset}`, headers: {[incarnationHeader]: attempt.endpoint.incarnation}, agent: false,
+		});
+};
+
+type Connecting = {
+	readonly method?: string;
+	readonly path: string;
+	readonly headers: http.OutgoingHttpHeaders;
+	readonly body?: Buffer;
+	readonly agent?: false;
+};
+
+const connect = async (running: Running, options: Connecting): Promise<AttemptEvent> => {
+	const {endpoint, suspectMs, signal, requestId} = running.attempt;
 	try {
-		const answer = await sendHttp({
-			address: endpoint.address, method, path: `/door${path}`, body, idleTimeoutMs, signal, headers: headersOf(attempt),
+		const connection = await sendHttp({
+			...options, address: endpoint.address, idleTimeoutMs: suspectMs, signal,
 		});
-		const verdict = answer.headers[verdictHeader];
+		running.connection = connection;
+		running.parts = (connection as AsyncIterable<Buffer>)[Symbol.asyncIterator]();
+		const verdict = connection.headers[verdictHeader];
 		if (verdict === 'ran') {
-			return {type: 'answer', answer};
+			return {type: 'head', isOwn: connection.headers[requestIdHeader] === requestId};
 		}
 
-		const reason = messageOf(await readBody(answer, 65_536));
-		return {type: 'verdict', verdict: verdict === 'notRun' ? notRun(reason) : mayHaveRun(reason)};
+		const reason = messageOf(await readBody(connection, refusalLimitBytes));
+		return {type: 'refused', verdict: verdict === 'notRun' ? notRun(reason) : mayHaveRun(reason)};
 	} catch (error) {
-		if (error instanceof TransportError && error.isUnsent) {
-			return {type: 'verdict', verdict: notRun('the host refuses connections')};
+		return lossOf(running, error as Error);
+	}
+};
+
+const readPart = async (running: Running): Promise<AttemptEvent> => {
+	try {
+		const next = await running.parts!.next();
+		if (next.done) {
+			return {type: 'end', isWhole: isWhole(running)};
 		}
 
-		return {type: 'verdict', verdict: await settle(endpoint.address, requestId)};
+		running.lastPart = next.value;
+		running.hash.update(next.value);
+		return {type: 'part', sizeBytes: next.value.length};
+	} catch (error) {
+		return lossOf(running, error as Error);
 	}
 };
 
+const lossOf = ({attempt: {signal}}: Running, error: Error): AttemptEvent => signal.aborted
+	? {type: 'gaveUp', cause: signal.reason as GiveUpCause}
+	: {type: 'connectionLost', isUnsent: error instanceof TransportError && error.isUnsent, reason: error.message};
+
 /**
  * Asks the door on a new connection what became of a request whose connection
  * failed or fell silent. If it had not started, the door bars it from now on;
  * without that, a late arrival would run after the caller was told "not run".
  */
-export const settle = async (address: string, requestId: string): Promise<UnansweredVerdict> => {
+const settle = async ({endpoint, attemptId, issue}: Attempt, isCancel: boolean): Promise<AttemptEvent> => {
 	try {
 		const {type} = await callRpc<SettleResult>({
-			address, method: 'agent.settle', params: {requestId}, timeoutMs: settleTimeoutMs, agent: false,
+			address: endpoint.address, method: 'agent.settle', timeoutMs: isCancel ? lastSettleTimeoutMs : settleTimeoutMs, agent: false,
+			params: {
+				attemptId, incarnation: endpoint.incarnation, issue, isCancel,
+			},
 		});
-		return type === 'notRun' ? notRun('the connection to the host was lost before the request started') : mayHaveRun('the connection to the host was lost after the request started');
+		return {type: 'settled', result: type};
 	} catch {
-		return mayHaveRun('the host was lost and cannot be asked');
+		return {type: 'settleFailed'};
 	}
 };
 
-const headersOf = ({endpoint, requestId, number, revision, contentType, idempotencyKey}: Attempt): http.OutgoingHttpHeaders => ({
-	'content-type': contentType,
-	[requestIdHeader]: requestId,
-	[attemptHeader]: number,
-	[revisionHeader]: revision,
-	...(endpoint.versionId === null ? {} : {[versionHeader]: endpoint.versionId}),
-	...(idempotencyKey === null ? {} : {[idempotencyKeyHeader]: idempotencyKey}),
+const headersOf = (attempt: Attempt): http.OutgoingHttpHeaders => ({
+	'content-type': attempt.contentType,
+	[requestIdHeader]: attempt.requestId,
+	[attemptHeader]: attempt.attemptId,
+	[issueHeader]: formatIssue(attempt.issue),
+	[incarnationHeader]: attempt.endpoint.incarnation,
+	[revisionHeader]: attempt.revision,
+	[deadlineHeader]: Math.max(1, Math.round(attempt.remainingMs)),
+	...(attempt.endpoint.versionId === null ? {} : {[versionHeader]: attempt.endpoint.versionId}),
+	...(attempt.idempotencyKey === null ? {} : {[idempotencyKeyHeader]: attempt.idempotencyKey}),
+	...(attempt.isOnce ? {[onceHeader]: 'true'} : {}),
 });
 
 const messageOf = (body: Buffer): string => {
@@ -87,15 +279,24 @@
 };
 
 /** Whether the answer that has just ended is whole and belongs to this request. */
-export const isWholeAnswer = (answer: http.IncomingMessage, requestId: string, sizeBytes: number): boolean => {
-	const trailer = answer.trailers[endMarkerTrailer];
-	if (!answer.complete || trailer === undefined) {
+const isWhole = ({attempt: {requestId, endpoint}, connection, state, hash}: Running): boolean => {
+	const trailer = connection!.trailers[endMarkerTrailer];
+	if (!connection!.complete || trailer === undefined) {
 		return false;
 	}
 
-	const marker = endMarkerSchema.safeParse(JSON.parse(trailer));
+	const marker = endMarkerSchema.safeParse(parseJson(trailer));
 	return marker.success
 		&& marker.data.requestId === requestId
-		&& marker.data.sizeBytes === sizeBytes
-		&& marker.data.versionId === (answer.headers[versionHeader] ?? null);
+		&& marker.data.sizeBytes === state.offset
+		&& marker.data.versionId === endpoint.versionId
+		&& marker.data.digest === hash.digest('hex');
+};
+
+const parseJson = (text: string): unknown => {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return null;
+	}
 };
--- a/packages/daemon/src/entry/read-call.ts
+++ b/packages/daemon/src/entry/read-call.ts
@@ -1,7 +1,8 @@
 import type {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import type http from 'node:http';
-import {idempotencyKeyHeader} from '@bitternpaddle/protocol';
+import type {RouteTarget} from '@bitternpaddle/coordination';
+import {deadlineHeader, idempotencyKeyHeader} from '@bitternpaddle/protocol';
 import {idempotencyKeySchema, sha256} from '@bitternpaddle/state';
 import {readBody} from '@bitternpaddle/transport';
 import {z} from 'zod';
@@ -12,30 +13,32 @@
 	/** Teams by the digest of their key. */
 	readonly teams: ReadonlyMap<string, string>;
 	readonly defaultDeadlineMs: number;
+	isOnce(target: RouteTarget): boolean;
 };
 
+/** The longest that an answer may take, also when the caller gives no deadline. */
+const maxDeadlineMs = 600_000;
 const bodyLimitBytes = 1024 * 1024;
 
 const chatBodySchema = z.looseObject({model: z.string().min(1), stream: z.boolean().default(false)});
 
 /** Reads and checks a caller's request; throws `RefusedError` for one that is wrong in itself. */
-export const readCall = async (request: http.IncomingMessage, response: http.ServerResponse, {teams, defaultDeadlineMs}: ReadCallOptions): Promise<Call> => {
+export const readCall = async (request: http.IncomingMessage, response: http.ServerResponse, {teams, defaultDeadlineMs, isOnce}: ReadCallOptions): Promise<Call> => {
+	const startedAtMs = performance.now();
 	const teamId = identifyTeam(request, teams);
+	const deadlineMs = readDeadline(request);
 	const body = await readBody(request, bodyLimitBytes);
 	const url = request.url!;
-	const key = request.headers[idempotencyKeyHeader];
-	const abort = new AbortController();
-	response.once('close', () => {
-		abort.abort();
-	});
 	const shared = {
 		requestId: randomUUID(), teamId, method: request.method!, contentType: request.headers['content-type'] ?? 'application/json', body,
-		idempotencyKey: typeof key === 'string' ? idempotencyKeySchema.parse(key) : null, response, abort, deadlineAtMs: performance.now() + defaultDeadlineMs,
+		idempotencyKey: readKey(request), response, abort: new AbortController(),
+		deadlineAtMs: startedAtMs + (deadlineMs ?? defaultDeadlineMs), endAtMs: startedAtMs + (deadlineMs ?? maxDeadlineMs),
 	};
 	const service = /^\/services\/([^\/]+)(\/.*)$/v.exec(url);
 	if (service !== null) {
+		const target: RouteTarget = {type: 'service', serviceId: service[1]!};
 		return {
-			...shared, target: {type: 'service', serviceId: service[1]!}, path: service[2]!, isStream: false,
+			...shared, target, path: service[2]!, isStream: false, isOnce: isOnce(target),
 		};
 	}
 
@@ -45,10 +48,39 @@
 	}
 
 	return {
-		...shared, target: {type: 'model', modelId: parsed.data.model}, path: url, isStream: parsed.data.stream,
+		...shared, target: {type: 'model', modelId: parsed.data.model}, path: url, isStream: parsed.data.stream, isOnce: false,
 	};
 };
 
+/** The caller's own deadline in milliseconds from now, or `null`. */
+const readDeadline = (request: http.IncomingMessage): number | null => {
+	const text = request.headers[deadlineHeader];
+	if (text === undefined) {
+		return null;
+	}
+
+	const deadlineMs = Number(text);
+	if (!Number.isInteger(deadlineMs) || deadlineMs < 1) {
+		throw new RefusedError({status: 400, type: 'invalid_request', message: `${deadlineHeader} is "${String(text)}": expected a whole number of milliseconds`});
+	}
+
+	return Math.min(deadlineMs, maxDeadlineMs);
+};
+
+const readKey = (request: http.IncomingMessage): string | null => {
+	const key = request.headers[idempotencyKeyHeader];
+	if (key === undefined) {
+		return null;
+	}
+
+	const parsed = idempotencyKeySchema.safeParse(key);
+	if (!parsed.success) {
+		throw new RefusedError({status: 400, type: 'invalid_request', message: `${idempotencyKeyHeader}: ${z.prettifyError(parsed.error)}`});
+	}
+
+	return parsed.data;
+};
+
 const identifyTeam = (request: http.IncomingMessage, teams: ReadonlyMap<string, string>): string => {
 	const key = bearerOf(request);
 	const teamId = key === null ? undefined : teams.get(sha256(key));
--- a/packages/daemon/src/entry/relay.ts
+++ b/packages/daemon/src/entry/relay.ts
@@ -1,14 +1,14 @@
-import type {Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
 import type http from 'node:http';
+import {createEventGate, passEvents} from '@bitternpaddle/coordination';
 import {
 	errorResponseOf, hostHeader, requestIdHeader, versionHeader, type ErrorBody,
 } from '@bitternpaddle/protocol';
 import type {UnansweredVerdict} from '@bitternpaddle/state';
-import {
-	readBody, sendJson, type Logger, type Metrics,
-} from '@bitternpaddle/transport';
+import {sendJson, type Logger, type Metrics} from '@bitternpaddle/transport';
 import type {Call, Refusal} from './call.js';
-import {isWholeAnswer} from './dispatch.js';
+import type {AttemptAnswer} from './dispatch.js';
 
 const answerLimitBytes = 16 * 1024 * 1024;
 
@@ -18,10 +18,10 @@
 export type Relay = {
 	sendVerdict(call: Call, verdict: UnansweredVerdict): void;
 	/** Passes the answer on as it comes; a cut one is cut for the caller too. */
-	stream(call: Call, answer: http.IncomingMessage): Promise<void>;
+	stream(call: Call, answer: AttemptAnswer): Promise<void>;
 	/** Reads the answer before anything is said to the caller, so that a broken one becomes an error: `null`. */
-	collect(call: Call, answer: http.IncomingMessage): Promise<Buffer | null>;
-	sendCollected(call: Call, answer: http.IncomingMessage, body: Buffer): void;
+	collect(requestId: string, answer: AttemptAnswer): Promise<Buffer | null>;
+	sendCollected(call: Call, answer: AttemptAnswer, body: Buffer): void;
 };
 
 export const createRelay = ({logger, metrics}: RelayOptions): Relay => ({
@@ -33,41 +33,58 @@
 	},
 	async stream(call, answer) {
 		const {response, requestId} = call;
-		let sizeBytes = 0;
-		response.writeHead(answer.statusCode!, answerHeaders(answer, requestId));
+		const isEvents = answer.headers['content-type']?.startsWith('text/event-stream') ?? false;
+		const gate = createEventGate();
+		response.writeHead(answer.status, answerHeaders(answer, requestId));
 		try {
-			for await (const part of answer as AsyncIterable<Buffer>) {
-				sizeBytes += part.length;
-				response.write(part);
+			for await (const part of answer.parts()) {
+				await writeTo(response, isEvents ? passEvents(gate, part) : part, answer);
 			}
-		} catch {
-			sizeBytes = -1;
-		}
-
-		if (isWholeAnswer(answer, requestId, sizeBytes)) {
-			response.end();
+		} catch (error) {
+			logger.event('BP2003', {requestId, reason: (error as Error).message});
+			response.destroy();
 			return;
 		}
 
-		logger.event('BP2003', {requestId});
-		response.destroy();
+		response.end(gate.held);
 	},
-	async collect(call, answer) {
-		const body = await readBody(answer, answerLimitBytes).catch(() => null);
-		if (body !== null && isWholeAnswer(answer, call.requestId, body.length)) {
-			return body;
+	async collect(requestId, answer) {
+		const parts: Buffer[] = [];
+		let sizeBytes = 0;
+		try {
+			for await (const part of answer.parts()) {
+				sizeBytes += part.length;
+				if (sizeBytes > answerLimitBytes) {
+					throw new Error('the answer is too large');
+				}
+
+				parts.push(part);
+			}
+		} catch (error) {
+			logger.event('BP2003', {requestId, reason: (error as Error).message});
+			return null;
 		}
 
-		logger.event('BP2003', {requestId: call.requestId});
-		return null;
+		return Buffer.concat(parts);
 	},
 	sendCollected(call, answer, body) {
-		call.response.writeHead(answer.statusCode!, {...answerHeaders(answer, call.requestId), 'content-length': body.length});
+		call.response.writeHead(answer.status, {...answerHeaders(answer, call.requestId), 'content-length': body.length});
 		call.response.end(body);
 	},
 });
 
-const answerHeaders = (answer: http.IncomingMessage, requestId: string): http.OutgoingHttpHeaders => ({
+/** Waits for a slow caller instead of holding what it does not take yet. */
+const writeTo = async (response: http.ServerResponse, data: Buffer, answer: AttemptAnswer): Promise<void> => {
+	if (data.length === 0 || response.write(data) || response.destroyed) {
+		return;
+	}
+
+	answer.watch(false);
+	await Promise.race([once(response, 'drain'), once(response, 'close')]);
+	answer.watch(true);
+};
+
+const answerHeaders = (answer: AttemptAnswer, requestId: string): http.OutgoingHttpHeaders => ({
 	'content-type': answer.headers['content-type'] ?? 'application/json',
 	[requestIdHeader]: requestId,
 	[hostHeader]: answer.headers[hostHeader],
--- a/packages/daemon/src/entry/serve-call.ts
+++ b/packages/daemon/src/entry/serve-call.ts
@@ -1,9 +1,11 @@
+import {randomUUID} from 'node:crypto';
 import type http from 'node:http';
+import {createRetryBudget, type RouteTarget} from '@bitternpaddle/coordination';
 import {errorResponseOf} from '@bitternpaddle/protocol';
 import {mayHaveRun, notRun} from '@bitternpaddle/state';
 import {BodyTooLargeError, sendJson} from '@bitternpaddle/transport';
 import type {ConfigurationClient} from '../host/configuration-client.js';
-import {attemptCall} from './attempts.js';
+import {attemptCall, type AttemptsOptions, type CallOutcome} from './attempts.js';
 import {RefusedError, type Call} from './call.js';
 import {readCall} from './read-call.js';
 import {sendRefusal, type Relay} from './relay.js';
@@ -19,6 +21,7 @@
 	readonly maxRequests: number;
 	readonly maxAttempts: number;
 	readonly defaultDeadlineMs: number;
+	readonly suspectMs: number;
 	isLeaving(): boolean;
 };
 
@@ -35,14 +38,23 @@
 	const idleWaiters = new Set<() => void>();
 	let inFlight = 0;
 
-	const attempt = async (call: Call) => attemptCall(call, {routing, maxAttempts: options.maxAttempts});
+	const sender = randomUUID();
+	let sequence = 0;
+	const attemptsOptions: AttemptsOptions = {
+		routing, maxAttempts: options.maxAttempts, suspectMs: options.suspectMs, budget: createRetryBudget({nowMs: performance.now()}),
+		nextIssue: () => ({sender, sequence: sequence++}),
+	};
+
+	const attempt = async (call: Call, mayDispatch?: AttemptsOptions['mayDispatch']): Promise<CallOutcome> => attemptCall(call, {...attemptsOptions, mayDispatch});
 
-	const serveOnce = createServeOnce({configuration, relay, attempt});
+	const serveOnce = createServeOnce({
+		configuration, relay, attempt, suspectMs: options.suspectMs,
+	});
 
 	const serveRepeatable = async (call: Call): Promise<void> => {
 		const outcome = await attempt(call);
-		if (outcome.type === 'verdict') {
-			relay.sendVerdict(call, outcome.verdict);
+		if (outcome.type !== 'answer') {
+			relay.sendVerdict(call, outcome.type === 'verdict' ? outcome.verdict : notRun('stopped before its first attempt'));
 			return;
 		}
 
@@ -51,7 +63,7 @@
 			return;
 		}
 
-		const body = await relay.collect(call, outcome.answer);
+		const body = await relay.collect(call.requestId, outcome.answer);
 		if (body === null) {
 			relay.sendVerdict(call, mayHaveRun('the answer was cut'));
 		} else {
@@ -73,6 +85,9 @@
 	};
 
 	const serveAdmitted = async (call: Call): Promise<void> => {
+		call.response.once('close', () => {
+			call.abort.abort('callerGone');
+		});
 		const admission = await admit(call);
 		if (admission.type === 'refused') {
 			relay.sendVerdict(call, admission.verdict);
@@ -80,14 +95,14 @@
 		}
 
 		try {
-			const {target} = call;
-			const isOnce = target.type === 'service' && configuration.catalog().services[target.serviceId]?.repeatable === false;
-			await (isOnce ? serveOnce(call, target.serviceId) : serveRepeatable(call));
+			await (call.isOnce ? serveOnce(call) : serveRepeatable(call));
 		} finally {
 			admission.release();
 		}
 	};
 
+	const isOnce = (target: RouteTarget): boolean => target.type === 'service' && configuration.catalog().services[target.serviceId]?.repeatable === false;
+
 	const sendError = (response: http.ServerResponse, error: unknown): void => {
 		if (error instanceof RefusedError) {
 			sendRefusal(response, error.refusal);
@@ -109,7 +124,7 @@
 
 			inFlight++;
 			try {
-				await serveAdmitted(await readCall(request, response, options));
+				await serveAdmitted(await readCall(request, response, {...options, isOnce}));
 			} catch (error) {
 				sendError(response, error);
 			} finally {
--- /dev/null
+++ b/packages/daemon/src/entry/settle-claim.ts
@@ -0,0 +1,49 @@
+import type {Buffer} from 'node:buffer';
+import type {Catalog, ClaimPlace} from '@bitternpaddle/state';
+import {match} from 'ts-pattern';
+import {recover, type AttemptAnswer} from './dispatch.js';
+
+export type FindOutcomeOptions = {
+	/** Where the claim says that its request went; `null`: nowhere. */
+	readonly place: ClaimPlace | null;
+	readonly requestId: string;
+	readonly suspectMs: number;
+	readonly catalog: Catalog;
+	readonly signal: AbortSignal;
+	collect(answer: AttemptAnswer): Promise<Buffer | null>;
+};
+
+/** What became of a claimed call whose entry does not say. */
+export type FoundOutcome
+	= | {readonly type: 'notRun'}
+		| {readonly type: 'running'}
+		| {readonly type: 'ran'; readonly status: number; readonly contentType: string | undefined; readonly body: Buffer}
+	/** `isForGood`: the agent that knew is gone and will not come back. */
+		| {readonly type: 'lost'; readonly isForGood: boolean};
+
+/** Asks the door that a claimed call went to; bars the call there if it has not started. */
+export const findOutcome = async (options: FindOutcomeOptions): Promise<FoundOutcome> => {
+	const {place, requestId, suspectMs, catalog, signal, collect} = options;
+	if (place === null) {
+		return {type: 'notRun'};
+	}
+
+	const announced = catalog.hosts[place.hostId]?.announcement;
+	const recovered = await recover({
+		place, requestId, suspectMs, signal,
+	});
+	return match(recovered)
+		.returnType<Promise<FoundOutcome> | FoundOutcome>()
+		.with({type: 'notRun'}, {type: 'running'}, found => found)
+		.with({type: 'unreachable'}, () => ({type: 'lost', isForGood: announced?.incarnation !== place.incarnation}))
+		.with({type: 'unknown'}, () => ({type: 'lost', isForGood: true}))
+		.with({type: 'answer'}, async ({answer}) => {
+			const body = await collect(answer);
+			return body === null
+				? {type: 'lost', isForGood: true}
+				: {
+					type: 'ran', status: answer.status, contentType: answer.headers['content-type'], body,
+				};
+		})
+		.exhaustive();
+};
--- a/packages/protocol/src/http/error-body.ts
+++ b/packages/protocol/src/http/error-body.ts
@@ -4,7 +4,7 @@
 /** The fixed shape of an error as a caller sees it. */
 export type ErrorBody = {
 	readonly error: {
-		readonly type: 'not_run' | 'may_have_run' | 'invalid_request' | 'unauthorized' | 'not_found' | 'conflict';
+		readonly type: 'not_run' | 'may_have_run' | 'invalid_request' | 'unauthorized' | 'not_found' | 'conflict' | 'already_ran';
 		readonly message: string;
 		readonly requestId: string | null;
 		readonly retryAfterMs: number | null;
--- a/packages/protocol/src/http/headers.ts
+++ b/packages/protocol/src/http/headers.ts
@@ -1,5 +1,11 @@
 /** Headers between entries and agents; callers see some of them too. */
 export const requestIdHeader = 'x-bitternpaddle-request-id';
+/** The incarnation of the agent that a request is meant for. */
+export const incarnationHeader = 'x-bitternpaddle-incarnation';
+/** Which of one sender's requests this is: `formatIssue`. */
+export const issueHeader = 'x-bitternpaddle-issue';
+/** Set on a call that may not be repeated. */
+export const onceHeader = 'x-bitternpaddle-once';
 export const attemptHeader = 'x-bitternpaddle-attempt';
 export const revisionHeader = 'x-bitternpaddle-revision';
 export const versionHeader = 'x-bitternpaddle-version';
--- a/packages/protocol/src/rpc/methods.ts
+++ b/packages/protocol/src/rpc/methods.ts
@@ -3,6 +3,7 @@
 	type Catalog, type CommandResult,
 } from '@bitternpaddle/state';
 import {z} from 'zod';
+import {issueSchema} from '../http/issue.js';
 import {showSchema} from '../language/statement.js';
 
 const index = z.number().int().nonnegative();
@@ -79,8 +80,17 @@
 export type QueryRow = Record<string, string | number | boolean | null>;
 export type QueryResult = {readonly revision: number; readonly rows: readonly QueryRow[]};
 
-export const settleParametersSchema = z.object({requestId: z.string()});
-export type SettleResult = {readonly type: 'ran' | 'running' | 'notRun'};
+export const settleParametersSchema = z.object({
+	attemptId: z.string(),
+	/** The incarnation that the request was sent to. */
+	incarnation: index,
+	issue: issueSchema,
+	/** End the request if it runs and may be ended: nobody waits for its answer. */
+	isCancel: z.boolean().default(false),
+});
+export type SettleParameters = z.input<typeof settleParametersSchema>;
+/** `unknown`: this door cannot know, because its agent was restarted or has forgotten the request. */
+export type SettleResult = {readonly type: 'ran' | 'running' | 'notRun' | 'unknown'};
 
 /** Chunks that a neighbour gained; `isReply` stops two hosts from greeting each other for ever. */
 export const haveParametersSchema = z.object({
--- a/packages/state/src/catalog/apply-change.ts
+++ b/packages/state/src/catalog/apply-change.ts
@@ -6,7 +6,7 @@
 } from './types.js';
 
 /** Claims live in the ledger and are applied by `applyCommand`. */
-export type CatalogChange = Exclude<Change, {type: 'claim' | 'concludeClaim' | 'noop'}>;
+export type CatalogChange = Exclude<Change, {type: 'claim' | 'moveClaim' | 'concludeClaim' | 'noop'}>;
 
 export type Refusal = {readonly code: RefusalCode; readonly message: string};
 
--- a/packages/state/src/catalog/apply-command.ts
+++ b/packages/state/src/catalog/apply-command.ts
@@ -1,6 +1,7 @@
 import {applyChange} from './apply-change.js';
+import {applyClaim, concludeClaim, moveClaim} from './claims.js';
 import type {
-	Catalog, Change, Claim, ClaimState, Command, CommandResult, Ledger,
+	Catalog, Command, CommandResult, Ledger,
 } from './types.js';
 
 /** Results kept for resends; older ones are forgotten, oldest first. */
@@ -8,8 +9,6 @@
 
 export type ReplicatedState = {readonly catalog: Catalog; readonly ledger: Ledger};
 
-const claimKey = ({teamId, serviceId, key}: {teamId: string; serviceId: string; key: string}): string => `${teamId}/${serviceId}/${key}`;
-
 /**
  * Applies one committed command. A command id that was applied before gives
  * its first result again: without this, an operator who lost the answer and
@@ -35,6 +34,10 @@
 		return applyClaim(ledger, change);
 	}
 
+	if (change.type === 'moveClaim') {
+		return moveClaim(ledger, change, index);
+	}
+
 	if (change.type === 'concludeClaim') {
 		return concludeClaim(ledger, change, index);
 	}
@@ -64,42 +67,3 @@
 		delete ledger.results[oldest];
 	}
 };
-
-const applyClaim = (ledger: Ledger, change: Extract<Change, {type: 'claim'}>): CommandResult => {
-	const key = claimKey(change);
-	const held = ledger.claims[key];
-	if (held === undefined) {
-		ledger.claims[key] = {
-			requestId: change.requestId, bodyDigest: change.bodyDigest, atMs: change.atMs, state: {type: 'inProgress'},
-		};
-		return {type: 'claimed'};
-	}
-
-	if (held.bodyDigest !== change.bodyDigest) {
-		return {type: 'claimHeld', state: {type: 'differentBody'}};
-	}
-
-	return held.requestId === change.requestId ? {type: 'claimed'} : {type: 'claimHeld', state: held.state};
-};
-
-const concludeClaim = (ledger: Ledger, change: Extract<Change, {type: 'concludeClaim'}>, index: number): CommandResult => {
-	const key = claimKey(change);
-	const held = ledger.claims[key];
-	const isOwn = held?.requestId === change.requestId && held.state.type === 'inProgress';
-	if (!isOwn) {
-		return {
-			type: 'refused', code: 'stale', message: 'the claim is not held by this request', revision: index,
-		};
-	}
-
-	if (change.outcome.type === 'notRun') {
-		// eslint-disable-next-line @typescript-eslint/no-dynamic-delete
-		delete ledger.claims[key];
-		return {type: 'accepted', revision: index};
-	}
-
-	const state: ClaimState = change.outcome;
-	const concluded: Claim = {...held, state};
-	ledger.claims[key] = concluded;
-	return {type: 'accepted', revision: index};
-};
--- a/packages/state/src/catalog/create-catalog.ts
+++ b/packages/state/src/catalog/create-catalog.ts
@@ -12,4 +12,6 @@
 	hosts: {},
 });
 
-export const createLedger = (): Ledger => ({claims: {}, results: {}, resultOrder: []});
+export const createLedger = (): Ledger => ({
+	claims: {}, claimOrder: [], claimBodies: [], claimBodyBytes: 0, claimClockMs: 0, results: {}, resultOrder: [],
+});
--- a/packages/state/src/catalog/types.ts
+++ b/packages/state/src/catalog/types.ts
@@ -28,6 +28,29 @@
 });
 export type Readiness = z.infer<typeof readinessSchema>;
 
+/** Where a claimed call is dispatched, with all that its door must be told to settle it. */
+export const claimPlaceSchema = z.object({
+	hostId: hostIdSchema,
+	address: z.string(),
+	incarnation: z.number().int().nonnegative(),
+	attemptId: z.string(),
+	issue: z.object({sender: z.string(), sequence: z.number().int().nonnegative()}),
+});
+export type ClaimPlace = z.infer<typeof claimPlaceSchema>;
+
+export const claimOutcomeSchema = z.discriminatedUnion('type', [
+	/** `body` in base64; `null` if it was too large to keep. */
+	z.object({
+		type: z.literal('ran'), status: z.number().int(), contentType: z.string(), body: z.string().nullable(),
+	}),
+	z.object({type: z.literal('mayHaveRun')}),
+]);
+export type ClaimOutcome = z.infer<typeof claimOutcomeSchema>;
+
+const claimNameShape = {
+	teamId: teamIdSchema, serviceId: serviceIdSchema, key: idempotencyKeySchema, requestId: requestIdSchema,
+};
+
 /**
  * The changes that the log carries. Those about claims concern the control
  * hosts alone; all others are configuration and reach every host.
@@ -62,18 +85,12 @@
 	z.object({type: z.literal('hostLeft'), hostId: hostIdSchema, incarnation: z.number().int()}),
 	z.object({type: z.literal('replicasChanged'), readiness: z.array(readinessSchema)}),
 	z.object({
-		type: z.literal('claim'), teamId: teamIdSchema, serviceId: serviceIdSchema, key: idempotencyKeySchema,
-		requestId: requestIdSchema, bodyDigest: z.string(), atMs: z.number(),
+		type: z.literal('claim'), ...claimNameShape, bodyDigest: z.string(), atMs: z.number(), place: claimPlaceSchema.nullable(),
 	}),
+	z.object({type: z.literal('moveClaim'), ...claimNameShape, place: claimPlaceSchema}),
 	z.object({
-		type: z.literal('concludeClaim'), teamId: teamIdSchema, serviceId: serviceIdSchema, key: idempotencyKeySchema,
-		requestId: requestIdSchema, outcome: z.discriminatedUnion('type', [
-			z.object({
-				type: z.literal('ran'), status: z.number().int(), contentType: z.string(), body: z.string(),
-			}),
-			z.object({type: z.literal('notRun')}),
-			z.object({type: z.literal('mayHaveRun')}),
-		]),
+		type: z.literal('concludeClaim'), ...claimNameShape, attemptId: z.string().nullable(),
+		outcome: z.discriminatedUnion('type', [...claimOutcomeSchema.options, z.object({type: z.literal('notRun')})]),
 	}),
 ]);
 export type Change = z.infer<typeof changeSchema>;
@@ -91,15 +108,11 @@
 	= | {readonly type: 'accepted'; readonly revision: number}
 		| {readonly type: 'refused'; readonly code: RefusalCode; readonly message: string; readonly revision: number}
 		| {readonly type: 'claimed'}
-		| {readonly type: 'claimHeld'; readonly state: ClaimState};
+		| {readonly type: 'claimHeld'; readonly state: ClaimState | {readonly type: 'differentBody'}; readonly requestId: string; readonly place: ClaimPlace | null};
 
 export type RefusalCode = 'exists' | 'unknown' | 'conflict' | 'invalid' | 'stale';
 
-export type ClaimState
-	= | {readonly type: 'inProgress'}
-		| {readonly type: 'ran'; readonly status: number; readonly contentType: string; readonly body: string}
-		| {readonly type: 'mayHaveRun'}
-		| {readonly type: 'differentBody'};
+export type ClaimState = {readonly type: 'inProgress'} | ClaimOutcome;
 
 export type HostStatus = 'serving' | 'draining' | 'stopped';
 
@@ -157,12 +170,21 @@
 	readonly requestId: string;
 	readonly bodyDigest: string;
 	readonly atMs: number;
+	/** Its present endpoint; `null` when none was ready. */
+	readonly place: ClaimPlace | null;
 	readonly state: ClaimState;
 };
 
 /** What only control hosts keep: claims and the results of recent commands. */
 export type Ledger = {
 	claims: Record<string, Claim>;
+	/** Claims in the order of their time, oldest first; may name claims that are gone. */
+	claimOrder: Array<{readonly key: string; readonly atMs: number}>;
+	/** Claims whose answers are kept, oldest first. */
+	claimBodies: string[];
+	claimBodyBytes: number;
+	/** The latest time that a claim has named. */
+	claimClockMs: number;
 	results: Record<string, CommandResult>;
 	/** Command ids in the order of acceptance, for bounded memory. */
 	resultOrder: string[];
--- /dev/null
+++ b/packages/transport/src/http/connection-pool.ts
@@ -0,0 +1,31 @@
+import http from 'node:http';
+import type {Socket} from 'node:net';
+
+export type PoolOptions = {
+	/** A connection of this age is closed instead of used again. @default 60000 */
+	readonly maxAgeMs?: number;
+	/** Shorter than the server keeps idle connections, so that the client is the one that closes them. @default 30000 */
+	readonly idleMs?: number;
+	/** Idle connections kept for each address. @default 256 */
+	readonly maxIdle?: number;
+};
+
+/**
+ * Keep-alive connections with a greatest age. Something between two hosts can
+ * lose track of a connection for good; the age bounds how long the pool hands
+ * out one that was forgotten while it lay idle.
+ */
+export const createPool = ({maxAgeMs = 60_000, idleMs = 30_000, maxIdle = 256}: PoolOptions = {}): http.Agent => {
+	const pool = new http.Agent({keepAlive: true, maxFreeSockets: maxIdle, timeout: idleMs});
+	const firstFreeAtMs = new WeakMap<Socket, number>();
+	// Before Node's own listener, which drops a connection that is no longer writable.
+	pool.prependListener('free', (socket: Socket) => {
+		const nowMs = performance.now();
+		const bornAtMs = firstFreeAtMs.get(socket) ?? nowMs;
+		firstFreeAtMs.set(socket, bornAtMs);
+		if (nowMs - bornAtMs > maxAgeMs) {
+			socket.destroy();
+		}
+	});
+	return pool;
+};
--- a/packages/transport/src/http/http-client.ts
+++ b/packages/transport/src/http/http-client.ts
@@ -1,12 +1,13 @@
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import {parseAddress} from './address.js';
+import {createPool} from './connection-pool.js';
 
 /** How a request failed on its way, as far as it is known whether the other side saw it. */
 export class TransportError extends Error {
 	override readonly name = 'TransportError';
 
-	constructor(message: string, /** The connection was refused, so nothing arrived. */ readonly isUnsent: boolean) {
+	constructor(message: string, /** The connection never came about, so nothing arrived. */ readonly isUnsent: boolean) {
 		super(message);
 	}
 }
@@ -24,24 +25,32 @@
 	readonly agent?: http.Agent | false;
 };
 
-const sharedAgent = new http.Agent({keepAlive: true, maxFreeSockets: 64, timeout: 60_000});
-
-const unsentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
+const sharedAgent = createPool();
 
 /** Sends one request; resolves with the response as soon as its head is there. */
 export const sendHttp = async (options: HttpRequestOptions): Promise<http.IncomingMessage> => new Promise((resolve, reject) => {
 	const {address, method = 'GET', path, headers = {}, body, idleTimeoutMs, signal, agent = sharedAgent} = options;
 	const {host, port} = parseAddress(address);
 	const data = typeof body === 'string' ? Buffer.from(body) : body;
+	let isConnected = false;
 	const request = http.request({
 		host, port, method, path, agent, signal, timeout: idleTimeoutMs,
 		headers: data === undefined ? headers : {...headers, 'content-length': data.length},
 	}, resolve);
+	request.once('socket', socket => {
+		isConnected = !socket.connecting;
+		if (socket.connecting) {
+			socket.once('connect', () => {
+				isConnected = true;
+			});
+		}
+	});
 	request.on('timeout', () => {
-		request.destroy(new TransportError(`no byte from ${address} for ${idleTimeoutMs} ms`, false));
+		request.destroy(new TransportError(`no byte from ${address} for ${idleTimeoutMs} ms`, !isConnected));
 	});
-	request.on('error', (error: NodeJS.ErrnoException) => {
-		reject(error instanceof TransportError ? error : new TransportError(error.message, unsentCodes.has(error.code ?? '')));
+	request.on('error', error => {
+		// Before the connection stands no byte of the request can have left; after it, nobody here can tell.
+		reject(error instanceof TransportError ? error : new TransportError(error.message, !isConnected));
 	});
 	request.end(data);
 });
--- a/packages/transport/src/http/http-server.ts
+++ b/packages/transport/src/http/http-server.ts
@@ -20,8 +20,17 @@
 	readonly onError?: (error: Error) => void;
 };
 
+/** Longer than clients keep idle connections, so that none is closed under a request that is being sent. */
+const keepAliveTimeoutMs = 65_000;
+const closeIdleMs = 20;
+
 export const createHttpServer = async ({listen, handler, onError}: CreateHttpServerOptions): Promise<HttpServer> => {
-	const server = http.createServer((request, response) => {
+	let isClosing = false;
+	const server = http.createServer({keepAliveTimeout: keepAliveTimeoutMs}, (request, response) => {
+		if (isClosing) {
+			response.setHeader('connection', 'close');
+		}
+
 		handler(request, response).catch((error: unknown) => {
 			onError?.(error as Error);
 			if (response.headersSent) {
@@ -41,12 +50,18 @@
 	return {
 		address: `${bound.address}:${bound.port}`,
 		async close() {
-			server.closeIdleConnections();
+			isClosing = true;
+			// A connection that carried a stream falls idle after the stream's end; unless it is closed then, it would hold up the stop until its keep-alive runs out.
+			const timer = setInterval(() => {
+				server.closeIdleConnections();
+			}, closeIdleMs);
 			await new Promise<void>(resolve => {
 				server.close(() => {
 					resolve();
 				});
+				server.closeIdleConnections();
 			});
+			clearInterval(timer);
 		},
 		destroy() {
 			server.closeAllConnections();
