--- a/packages/state/src/catalog/apply-change.ts
+++ b/packages/state/src/catalog/apply-change.ts
@@ -13,7 +13,7 @@
 import type {Catalog, Change, Objective} from './types.js';
 
 /** Claims live in the ledger and are applied by `applyCommand`. */
-export type CatalogChange = Exclude<Change, {type: 'claim' | 'concludeClaim' | 'noop'}>;
+export type CatalogChange = Exclude<Change, {type: 'claim' | 'moveClaim' | 'concludeClaim' | 'noop'}>;
 
 /**
  * Applies one change to the catalog in place. `index` is the change's log
--- a/packages/state/src/catalog/create-catalog.ts
+++ b/packages/state/src/catalog/create-catalog.ts
@@ -13,4 +13,6 @@
 	rollouts: {},
 });
 
-export const createLedger = (): Ledger => ({claims: {}, results: {}, resultOrder: []});
+export const createLedger = (): Ledger => ({
+	claims: {}, claimOrder: [], claimBodies: [], claimBodyBytes: 0, claimClockMs: 0, results: {}, resultOrder: [],
+});
