--- /dev/null
+++ b/packages/bench/src/chaos/goodput.ts
@@ -0,0 +1,44 @@
+import {eventsOf, type HistoryEvent} from '@bitternpaddle/test-support';
+
+export type Tally = {
+	requests: number;
+	/** How often each kind of fault came up. */
+	readonly faults: Record<string, number>;
+	/** Calls under way during a fault of a kind, and those of them that got a whole answer. */
+	readonly during: Record<string, {calls: number; whole: number}>;
+	/** How calls ended. */
+	readonly outcomes: Record<string, number>;
+};
+
+export const createTally = (): Tally => ({
+	requests: 0, faults: {}, during: {}, outcomes: {},
+});
+
+/** Adds one cluster's history. */
+export const addHistory = (tally: Tally, events: readonly HistoryEvent[]): void => {
+	const ends = new Map(eventsOf(events, 'callEnded').map(end => [end.callId, end]));
+	const faultEnds = new Map(eventsOf(events, 'faultEnded').map(({faultId, atMs}) => [faultId, atMs]));
+	const faults = eventsOf(events, 'faultStarted').map(fault => ({...fault, endMs: faultEnds.get(fault.faultId) ?? Number.POSITIVE_INFINITY}));
+	for (const {kind} of faults) {
+		tally.faults[kind] = (tally.faults[kind] ?? 0) + 1;
+	}
+
+	for (const call of eventsOf(events, 'callStarted')) {
+		const end = ends.get(call.callId);
+		const outcome = end?.outcome.type ?? 'unfinished';
+		tally.requests++;
+		tally.outcomes[outcome] = (tally.outcomes[outcome] ?? 0) + 1;
+		const kinds = new Set(faults.filter(fault => fault.atMs <= (end?.atMs ?? Number.POSITIVE_INFINITY) && fault.endMs >= call.atMs).map(fault => fault.kind));
+		for (const kind of kinds) {
+			const seen = tally.during[kind] ?? {calls: 0, whole: 0};
+			seen.calls++;
+			seen.whole += outcome === 'answered' ? 1 : 0;
+			tally.during[kind] = seen;
+		}
+	}
+};
+
+/** Share of calls that got a whole answer, by kind of fault. */
+export const goodputOf = ({during}: Tally): Record<string, number> => Object.fromEntries(Object.entries(during)
+	.toSorted(([a], [b]) => a.localeCompare(b))
+	.map(([kind, {calls, whole}]) => [kind, Math.round(whole / calls * 1000) / 1000]));
--- a/packages/test-support/src/history/events.ts
+++ b/packages/test-support/src/history/events.ts
@@ -41,8 +41,8 @@
 		| {readonly type: 'leaveEnded'; readonly nodeId: string}
 	/** One host's copy of the configuration as it stood at that moment. */
 		| {readonly type: 'hostSampled'; readonly hostId: string; readonly revision: number; readonly digest: string; readonly isInService: boolean}
-		| {readonly type: 'faultStarted'; readonly faultId: number; readonly kind: string; readonly nodeIds: readonly string[]}
-		| {readonly type: 'faultEnded'; readonly faultId: number};
+		| {readonly type: 'faultStarted'; readonly faultId: string; readonly kind: string; readonly nodeIds: readonly string[]}
+		| {readonly type: 'faultEnded'; readonly faultId: string};
 
 /** A record with its moment; all moments of one history come from one clock. */
 export type HistoryEvent = HistoryRecord & {readonly atMs: number};
--- a/packages/test-support/test/check-history.test.ts
+++ b/packages/test-support/test/check-history.test.ts
@@ -32,7 +32,7 @@
 });
 const drain: HistoryRecord = {type: 'leaveStarted', nodeId: 'h1', cause: 'drain'};
 const fault: HistoryRecord = {
-	type: 'faultStarted', faultId: 1, kind: 'agentKill', nodeIds: ['h1'],
+	type: 'faultStarted', faultId: 'f1', kind: 'agentKill', nodeIds: ['h1'],
 };
 
 const rightHistories: Record<string, HistoryEvent[]> = {
