--- a/packages/bench/src/chaos/faults.ts
+++ b/packages/bench/src/chaos/faults.ts
@@ -33,6 +33,12 @@
 	return {done: Promise.resolve(), undo: async () => handle.start()};
 };
 
+const lost = async ({touch}: FaultContext, handle: NodeHandle<unknown>): Promise<ActiveFault> => {
+	touch([handle.nodeId]);
+	await handle.lose();
+	return {done: Promise.resolve(), undo: async () => handle.start()};
+};
+
 /** A planned stop, and a start once the node has ended. */
 const stopped = async ({touch, cluster: {history}}: FaultContext, handle: NodeHandle<unknown>): Promise<ActiveFault> => {
 	touch([]);
@@ -209,6 +215,9 @@
 		.with('entryKill', async () => killed(context, pick(cluster.entries, draw)))
 		.with('agentKill', async () => killed(context, pick(cluster.agents, draw)))
 		.with('ledgerAgentKill', async () => killed(context, cluster.agents.at(-1)!))
+		.with('agentLost', async () => lost(context, pick(cluster.agents, draw)))
+		.with('ledgerAgentLost', async () => lost(context, cluster.agents.at(-1)!))
+		.with('controlLost', async () => lost(context, pick(cluster.controls, draw)))
 		.with('linkCut', 'linkOneWayCut', () => linkFault(context))
 		.with('connectionSilent', () => silentConnection(context))
 		.with('nodeFrozen', () => frozen(context))
--- a/packages/daemon/src/dev/failure/node-handle.ts
+++ b/packages/daemon/src/dev/failure/node-handle.ts
@@ -1,4 +1,5 @@
-import type {Links} from './links.js';
+import type {RelayModes} from '@bitternpaddle/test-support';
+import {openModes, type Links} from './links.js';
 
 /** A node that a test kills, stops and starts again under the same id, folder and addresses. */
 export type NodeHandle<Node> = {
@@ -10,6 +11,8 @@
 	stop(): Promise<void>;
 	/** At once, as a crash would. */
 	kill(): Promise<void>;
+	/** As a host does that loses power: nobody is told, connections fall silent; they end when it is back. */
+	lose(): Promise<void>;
 };
 
 export type NodeHandleOptions<Node> = {
@@ -26,6 +29,7 @@
 	const start = async (): Promise<void> => {
 		current = await options.start();
 		await links.comeUp(nodeId, current.address);
+		setModes(openModes);
 	};
 
 	const takeDown = async (end: (node: Node) => Promise<void>): Promise<void> => {
@@ -37,6 +41,12 @@
 		}
 	};
 
+	const setModes = (modes: RelayModes): void => {
+		for (const {relay} of links.touching([nodeId])) {
+			relay.setModes(modes);
+		}
+	};
+
 	await start();
 	return {
 		nodeId,
@@ -48,5 +58,13 @@
 		},
 		stop: async () => takeDown(options.stop),
 		kill: async () => takeDown(options.kill),
+		async lose() {
+			const lost = current;
+			current = undefined;
+			setModes({forward: 'dropped', backward: 'dropped'});
+			if (lost !== undefined) {
+				await options.kill(lost);
+			}
+		},
 	};
 };
--- a/packages/test-support/src/engine/fake-engine.ts
+++ b/packages/test-support/src/engine/fake-engine.ts
@@ -16,7 +16,7 @@
 	cutAfterTokens?: number;
 	/** Take the request and never answer. */
 	isSilent?: boolean;
-	/** Answer with the previous request's text. */
+	/** Answer with the previous request's answer, its request id included, as a connection that mixes up its requests does. */
 	isCrossed?: boolean;
 };
 
@@ -68,7 +68,7 @@
 	let loaded: Loaded | null = null;
 	let running = 0;
 	let reportedLoad = {running: 0, atMs: 0};
-	let previousText = '';
+	let previous = {requestId: '', text: ''};
 
 	const load = async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
 		const order = loadSchema.parse(JSON.parse((await readBody(request)).toString()));
@@ -120,12 +120,13 @@
 			return;
 		}
 
-		const text = faults.isCrossed ? previousText : ownText;
-		previousText = ownText;
+		const own = {requestId, text: ownText};
+		const {requestId: answeredId, text} = faults.isCrossed ? previous : own;
+		previous = own;
 		const answer = {
-			id: requestId, model, system_fingerprint: digest, created: 0,
+			id: answeredId, model, system_fingerprint: digest, created: 0,
 		};
-		response.setHeader('x-request-id', requestId);
+		response.setHeader('x-request-id', answeredId);
 		response.setHeader('x-engine-digest', digest);
 		await (stream ? streamAnswer(response, answer, text, maxTokens) : wholeAnswer(response, answer, text, maxTokens));
 	};
