--- /dev/null
+++ b/packages/daemon/src/entry/call.ts
@@ -0,0 +1,39 @@
+import type {Buffer} from 'node:buffer';
+import type http from 'node:http';
+import type {RouteTarget} from '@bitternpaddle/coordination';
+import type {ErrorBody} from '@bitternpaddle/protocol';
+
+/** One caller's request as it passes through the entry. */
+export type Call = {
+	readonly requestId: string;
+	readonly teamId: string;
+	readonly target: RouteTarget;
+	readonly path: string;
+	readonly method: string;
+	readonly contentType: string;
+	readonly body: Buffer;
+	readonly idempotencyKey: string | null;
+	readonly isStream: boolean;
+	readonly response: http.ServerResponse;
+	/** Aborted, with a `GiveUpCause` as its reason, once nobody wants the answer any more. */
+	readonly abort: AbortController;
+	/** When the answer must have begun, on the clock of `performance.now()`. */
+	readonly deadlineAtMs: number;
+	/** When the answer must have ended; the same as `deadlineAtMs` if the caller gave a deadline. */
+	readonly endAtMs: number;
+	/** The service declares that its calls may not be repeated. */
+	readonly isOnce: boolean;
+};
+
+/** A request that is wrong in itself, so that no endpoint need be asked. */
+export type Refusal = {readonly status: number; readonly type: ErrorBody['error']['type']; readonly message: string};
+
+export class RefusedError extends Error {
+	override readonly name = 'RefusedError';
+
+	constructor(readonly refusal: Refusal) {
+		super(refusal.message);
+	}
+}
+
+export const nameOf = (target: RouteTarget): string => target.type === 'model' ? `model ${target.modelId}` : `service ${target.serviceId}`;
--- a/packages/state/src/catalog/types.ts
+++ b/packages/state/src/catalog/types.ts
@@ -28,6 +28,42 @@
 });
 export type Readiness = z.infer<typeof readinessSchema>;
 
+/** What a service promises its callers; both shares are in percent of requests over three days. */
+export const objectiveSchema = z.object({
+	/** Requests answered whole. */
+	answeredWholePercent: z.number().min(1).max(99.999),
+	/** Answers whose first token comes within the bound. */
+	firstTokenPercent: z.number().min(1).max(99.999),
+	firstTokenMs: z.number().int().positive().max(600_000),
+});
+export type Objective = z.infer<typeof objectiveSchema>;
+
+/** For services whose operators have set none. */
+export const defaultObjective: Objective = {answeredWholePercent: 99.9, firstTokenPercent: 95, firstTokenMs: 1000};
+
+/** Where a claimed call is dispatched, with all that its door must be told to settle it. */
+export const claimPlaceSchema = z.object({
+	hostId: hostIdSchema,
+	address: z.string(),
+	incarnation: z.number().int().nonnegative(),
+	attemptId: z.string(),
+	issue: z.object({sender: z.string(), sequence: z.number().int().nonnegative()}),
+});
+export type ClaimPlace = z.infer<typeof claimPlaceSchema>;
+
+export const claimOutcomeSchema = z.discriminatedUnion('type', [
+	/** `body` in base64; `null` if it was too large to keep. */
+	z.object({
+		type: z.literal('ran'), status: z.number().int(), contentType: z.string(), body: z.string().nullable(),
+	}),
+	z.object({type: z.literal('mayHaveRun')}),
+]);
+export type ClaimOutcome = z.infer<typeof claimOutcomeSchema>;
+
+const claimNameShape = {
+	teamId: teamIdSchema, serviceId: serviceIdSchema, key: idempotencyKeySchema, requestId: requestIdSchema,
+};
+
 /**
  * The changes that the log carries. Those about claims concern the control
  * hosts alone; all others are configuration and reach every host.
@@ -44,17 +80,37 @@
 	z.object({
 		type: z.literal('createFleet'), fleetId: fleetIdSchema, provider: z.string().max(64), versionId: versionIdSchema,
 		replicas: z.number().int().nonnegative(), zoneIds: z.array(zoneIdSchema),
+		/** No more hosts than this in one zone. */
+		maxPerZone: z.number().int().positive().optional(),
+		/** Only hosts that run at least this many requests side by side. */
+		minCapacity: z.number().int().positive().optional(),
 	}),
 	z.object({type: z.literal('createService'), serviceId: serviceIdSchema, repeatable: z.boolean()}),
+	z.object({type: z.literal('setObjective'), serviceId: serviceIdSchema, objective: objectiveSchema}),
 	z.object({
 		type: z.literal('createTeam'), teamId: teamIdSchema, keyDigest: z.string(), share: z.number().positive(),
 	}),
 	z.object({type: z.literal('load'), versionId: versionIdSchema, fleetId: fleetIdSchema}),
+	z.object({type: z.literal('setReplicas'), fleetId: fleetIdSchema, replicas: z.number().int().nonnegative()}),
 	z.object({type: z.literal('withdrawVersion'), versionId: versionIdSchema}),
+	z.object({type: z.literal('retireFleet'), fleetId: fleetIdSchema}),
+	z.object({type: z.literal('retireVersion'), versionId: versionIdSchema}),
 	z.object({
 		type: z.literal('moveTraffic'), modelId: modelIdSchema, percent: z.number().min(0).max(100),
 		fromFleetId: fleetIdSchema, toFleetId: fleetIdSchema,
 	}),
+	z.object({
+		type: z.literal('startRollout'), modelId: modelIdSchema, fromFleetId: fleetIdSchema, toFleetId: fleetIdSchema,
+		percent: z.number().positive().max(100), stepPercent: z.number().positive().max(100),
+		holdMs: z.number().int().positive(), maxErrorPercent: z.number().min(0).max(100),
+	}),
+	z.object({type: z.literal('advanceRollout'), modelId: modelIdSchema, step: z.number().int().nonnegative()}),
+	z.object({
+		type: z.literal('haltRollout'), modelId: modelIdSchema, step: z.number().int().nonnegative(), detail: z.string().max(256),
+	}),
+	z.object({type: z.literal('stopRollout'), modelId: modelIdSchema}),
+	z.object({type: z.literal('resumeRollout'), modelId: modelIdSchema}),
+	z.object({type: z.literal('rollBack'), modelId: modelIdSchema}),
 	z.object({type: z.literal('drainHost'), hostId: hostIdSchema}),
 	z.object({type: z.literal('undrainHost'), hostId: hostIdSchema}),
 	z.object({type: z.literal('stopHost'), hostId: hostIdSchema}),
@@ -62,18 +118,12 @@
 	z.object({type: z.literal('hostLeft'), hostId: hostIdSchema, incarnation: z.number().int()}),
 	z.object({type: z.literal('replicasChanged'), readiness: z.array(readinessSchema)}),
 	z.object({
-		type: z.literal('claim'), teamId: teamIdSchema, serviceId: serviceIdSchema, key: idempotencyKeySchema,
-		requestId: requestIdSchema, bodyDigest: z.string(), atMs: z.number(),
+		type: z.literal('claim'), ...claimNameShape, bodyDigest: z.string(), atMs: z.number(), place: claimPlaceSchema.nullable(),
 	}),
+	z.object({type: z.literal('moveClaim'), ...claimNameShape, place: claimPlaceSchema}),
 	z.object({
-		type: z.literal('concludeClaim'), teamId: teamIdSchema, serviceId: serviceIdSchema, key: idempotencyKeySchema,
-		requestId: requestIdSchema, outcome: z.discriminatedUnion('type', [
-			z.object({
-				type: z.literal('ran'), status: z.number().int(), contentType: z.string(), body: z.string(),
-			}),
-			z.object({type: z.literal('notRun')}),
-			z.object({type: z.literal('mayHaveRun')}),
-		]),
+		type: z.literal('concludeClaim'), ...claimNameShape, attemptId: z.string().nullable(),
+		outcome: z.discriminatedUnion('type', [...claimOutcomeSchema.options, z.object({type: z.literal('notRun')})]),
 	}),
 ]);
 export type Change = z.infer<typeof changeSchema>;
@@ -91,15 +141,11 @@
 	= | {readonly type: 'accepted'; readonly revision: number}
 		| {readonly type: 'refused'; readonly code: RefusalCode; readonly message: string; readonly revision: number}
 		| {readonly type: 'claimed'}
-		| {readonly type: 'claimHeld'; readonly state: ClaimState};
+		| {readonly type: 'claimHeld'; readonly state: ClaimState | {readonly type: 'differentBody'}; readonly requestId: string; readonly place: ClaimPlace | null};
 
 export type RefusalCode = 'exists' | 'unknown' | 'conflict' | 'invalid' | 'stale';
 
-export type ClaimState
-	= | {readonly type: 'inProgress'}
-		| {readonly type: 'ran'; readonly status: number; readonly contentType: string; readonly body: string}
-		| {readonly type: 'mayHaveRun'}
-		| {readonly type: 'differentBody'};
+export type ClaimState = {readonly type: 'inProgress'} | ClaimOutcome;
 
 export type HostStatus = 'serving' | 'draining' | 'stopped';
 
@@ -125,6 +171,8 @@
 	readonly previousVersionId: string | null;
 	readonly replicas: number;
 	readonly zoneIds: readonly string[];
+	readonly maxPerZone?: number;
+	readonly minCapacity?: number;
 	/** A fleet carries weights only after its first `load`. */
 	readonly isLoaded: boolean;
 };
@@ -135,9 +183,38 @@
 	readonly isWithdrawn: boolean;
 };
 
+export type ServiceRecord = {
+	readonly repeatable: boolean;
+	/** Missing while the default is in force. */
+	readonly objective?: Objective;
+};
+
 /** The share of a model's traffic that goes to a fleet, in percent. */
 export type TrafficShare = {readonly fleetId: string; readonly percent: number};
 
+export type RolloutState = 'running' | 'stopped' | 'done' | 'rolledBack';
+
+/** A move of traffic between two fleets in steps; the plan and how far it has come. */
+export type RolloutRecord = {
+	readonly modelId: string;
+	readonly fromFleetId: string;
+	readonly toFleetId: string;
+	/** Of the model's whole traffic, to be moved in all. */
+	readonly percent: number;
+	readonly stepPercent: number;
+	/** How long a step must prove itself before the next. */
+	readonly holdMs: number;
+	/** Failed requests of the target fleet, in percent, above which the move stops by itself. */
+	readonly maxErrorPercent: number;
+	readonly state: RolloutState;
+	readonly movedPercent: number;
+	/** Steps done. */
+	readonly step: number;
+	/** Why it stopped. */
+	readonly detail: string;
+	readonly trafficBefore: readonly TrafficShare[];
+};
+
 /** The configuration that is in force on every host. Plain JSON with sorted keys on the wire. */
 export type Catalog = {
 	revision: number;
@@ -147,9 +224,11 @@
 	versions: Record<string, VersionRecord>;
 	adapters: Record<string, {readonly versionId: string; readonly manifestId: string}>;
 	fleets: Record<string, FleetRecord>;
-	services: Record<string, {readonly repeatable: boolean}>;
+	services: Record<string, ServiceRecord>;
 	teams: Record<string, {readonly keyDigest: string; readonly share: number}>;
 	hosts: Record<string, HostRecord>;
+	/** By model. */
+	rollouts: Record<string, RolloutRecord>;
 };
 
 /** One claim of a not-repeatable call. */
@@ -157,12 +236,21 @@
 	readonly requestId: string;
 	readonly bodyDigest: string;
 	readonly atMs: number;
+	/** Its present endpoint; `null` when none was ready. */
+	readonly place: ClaimPlace | null;
 	readonly state: ClaimState;
 };
 
 /** What only control hosts keep: claims and the results of recent commands. */
 export type Ledger = {
 	claims: Record<string, Claim>;
+	/** Claims in the order of their time, oldest first; may name claims that are gone. */
+	claimOrder: Array<{readonly key: string; readonly atMs: number}>;
+	/** Claims whose answers are kept, oldest first. */
+	claimBodies: string[];
+	claimBodyBytes: number;
+	/** The latest time that a claim has named. */
+	claimClockMs: number;
 	results: Record<string, CommandResult>;
 	/** Command ids in the order of acceptance, for bounded memory. */
 	resultOrder: string[];
