feat(control): form by disk, stand by as learners, replace a lost voter

Cause: a voter that came back with an empty disk under its old name could vote twice in a term; a lost voter was never replaced, so a second loss stopped control; messages to a peer overtook each other.

Change: a member of the log is `host#disk`. First voters vote only after each, by its disk, has durably noted the same set (`formation.json`); an empty disk that comes later is a replacement.

Ruled out: removing first (3->2->3). With it a second loss between the halves stops control, and the lost one's return doesn't help.

--- a/packages/daemon/src/commands/run-command.ts
+++ b/packages/daemon/src/commands/run-command.ts
@@ -38,6 +38,7 @@
 	listen = flag('listen');
 	controls = flag('controls');
 	voters = flag('voters');
+	replaceVoterAfterMs = flag('replaceVoterAfterMs');
 	dataFolder = flag('dataFolder');
 	zone = flag('zone');
 	region = flag('region');
@@ -111,7 +112,7 @@
 	if (roles.includes('control')) {
 		const members = new Map(controls.map(({id, address}) => [id, address]));
 		const node = await createControlNode({
-			selfId: hostId, listen: nextListen(), folder: path.join(dataFolder, 'control'), members, voters, recordFile: settings.record, logger,
+			selfId: hostId, listen: nextListen(), folder: path.join(dataFolder, 'control'), members, voters, recordFile: settings.record, replaceAfterMs: settings.replaceVoterAfterMs, logger,
 		});
 		nodes.push({stop: async () => node.close()});
 		logger.event('BP9001', {role: 'control', address: node.address});
--- a/packages/daemon/src/control/consensus-driver.ts
+++ b/packages/daemon/src/control/consensus-driver.ts
@@ -1,5 +1,5 @@
 import {
-	createConsensus, createRandom, stepConsensus, type ConsensusEffect, type ConsensusEvent, type ConsensusState,
+	createConsensus, createRandom, membersAt, stepConsensus, type ConsensusEffect, type ConsensusEvent, type ConsensusState,
 } from '@bitternpaddle/coordination';
 import type {ConsensusEnvelope, ConsensusMessage} from '@bitternpaddle/protocol';
 import type {
@@ -31,8 +31,10 @@
 	readonly state: ConsensusState;
 	receive(envelope: ConsensusEnvelope): void;
 	propose(payload: LogEntry['payload']): ProposalOutcome;
+	/** The first voters have agreed who they are. */
+	form(members: Members): void;
 	/** Replaces the committed log up to `snapshot.index`. */
-	compact(snapshot: Snapshot): void;
+	compact(snapshot: Omit<Snapshot, 'members'>): void;
 	close(): Promise<void>;
 };
 
@@ -185,8 +187,9 @@
 	}, tickMs);
 	return {
 		state,
-		receive({from, message}) {
-			if (!isClosed) {
+		receive({from, to, message}) {
+			// A message to the member that this host was with an earlier disk isn't for this one.
+			if (!isClosed && to === selfId) {
 				dispatch({type: 'message', from, message});
 			}
 		},
@@ -195,7 +198,12 @@
 			dispatch({type: 'propose', token: proposals, payload});
 			return lastOutcome!;
 		},
-		compact(taken) {
+		form(members) {
+			dispatch({type: 'formed', members});
+		},
+		compact(replaced) {
+			// The members as of that entry: newer ones may yet be taken back.
+			const taken: Snapshot = {...replaced, members: membersAt(state, replaced.index)};
 			dispatch({type: 'compacted', snapshot: taken});
 			disk.push({
 				type: 'snapshot', snapshot: taken, hardState: {term: state.term, votedFor: state.votedFor}, tail: [...state.entries],
--- a/packages/daemon/src/control/control-rpc.ts
+++ b/packages/daemon/src/control/control-rpc.ts
@@ -1,5 +1,6 @@
 import {
-	consensusEnvelopeSchema, foldParametersSchema, proposeParametersSchema, queryParametersSchema, rpcErrorCodes, watchParametersSchema,
+	consensusEnvelopesSchema, foldParametersSchema, formationParametersSchema, proposeParametersSchema, queryParametersSchema, rpcErrorCodes,
+	standbyParametersSchema, watchParametersSchema,
 	type HostReport, type QueryResult, type Show,
 } from '@bitternpaddle/protocol';
 import {
@@ -7,6 +8,7 @@
 } from '@bitternpaddle/transport';
 import {answerQuery, type QueryView} from './answer-query.js';
 import type {ConsensusDriver} from './consensus-driver.js';
+import type {MemberIdentity} from './member-identity.js';
 import {proposalTimeoutMs, type Proposals} from './proposals.js';
 import type {WatchHub} from './watch-hub.js';
 
@@ -15,6 +17,9 @@
 	readonly proposals: Proposals;
 	readonly hub: WatchHub;
 	readonly logger: Logger;
+	readonly identity: MemberIdentity;
+	/** Takes the word of a control host that stands by. */
+	hearStandby(memberId: string): void;
 	isLeader(): boolean;
 	/** Address of the leader; `undefined` while there is none or this host leads. */
 	leaderAddress(): string | undefined;
@@ -28,7 +33,7 @@
 /** What other processes may ask of a control host. */
 export const createControlRpc = (options: ControlRpcOptions): RpcServer => {
 	const {
-		driver, proposals, hub, logger, isLeader, leaderAddress, view, hear,
+		driver, proposals, hub, logger, identity, hearStandby, isLeader, leaderAddress, view, hear,
 	} = options;
 
 	/** Calls the leader's `method`, or does it here if this host leads. */
@@ -58,8 +63,14 @@
 	};
 
 	const rpc = createRpcServer();
-	rpc.method('consensus.message', consensusEnvelopeSchema, envelope => {
-		driver.receive(envelope);
+	rpc.method('consensus.messages', consensusEnvelopesSchema, ({envelopes}) => {
+		for (const envelope of envelopes) {
+			driver.receive(envelope);
+		}
+	});
+	rpc.method('control.formation', formationParametersSchema, () => identity.formation());
+	rpc.method('control.standby', standbyParametersSchema, ({memberId}) => {
+		hearStandby(memberId);
 	});
 	rpc.method('control.watch', watchParametersSchema, async parameters => hub.watch(parameters));
 	rpc.method('control.fold', foldParametersSchema, ({reports}) => {
--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -1,20 +1,26 @@
-import process from 'node:process';
-import {hasLeaderLease, isInContact, rendezvousWeight} from '@bitternpaddle/coordination';
-import type {ConsensusEnvelope} from '@bitternpaddle/protocol';
-import {openLogStore, type CommandResult, type LogEntry} from '@bitternpaddle/state';
+import {randomInt} from 'node:crypto';
 import {
-	createHttpServer, notifyRpc, rpcPath, sendJson, silentLogger, type HttpServer, type Logger,
+	formedVoters, hasLeaderLease, hostOfMember, isInContact,
+} from '@bitternpaddle/coordination';
+import {
+	openLogStore, type CommandResult, type LogEntry, type Members,
+} from '@bitternpaddle/state';
+import {
+	createHttpServer, rpcPath, sendJson, silentLogger, type HttpServer, type Logger,
 } from '@bitternpaddle/transport';
 import {createRecorder} from '../recording/recorder.js';
 import {createConsensusDriver, type ConsensusDriver} from './consensus-driver.js';
 import {createControlRpc} from './control-rpc.js';
 import {hearReport, planMembershipChanges, type HostRegistry} from './host-registry.js';
+import {openMemberIdentity} from './member-identity.js';
+import {createPeerSender} from './peer-sender.js';
 import {createProposals} from './proposals.js';
 import {createReconciler, reconcileMs} from './reconciler.js';
 import {
 	applyToReplica, createReplica, serializeReplica, type Replica,
 } from './replica.js';
 import {createReportFold, foldMs} from './report-fold.js';
+import {createVoterRepair, repairMs} from './voter-repair.js';
 import {createWatchHub} from './watch-hub.js';
 
 export type ControlNodeOptions = {
@@ -33,6 +39,8 @@
 	readonly hostLossMs?: number;
 	/** Entries in the log before it is replaced by a snapshot. @default 8192 */
 	readonly snapshotEntries?: number;
+	/** A voter that is silent for longer than a restart takes is replaced. @default 15000 */
+	readonly replaceAfterMs?: number;
 	readonly recordFile?: string;
 	readonly logger?: Logger;
 };
@@ -41,16 +49,22 @@
 	readonly selfId: string;
 	readonly address: string;
 	isLeader(): boolean;
+	/** Ids of the members as `host#disk`, as far as this host knows. */
+	members(): Members;
 	close(): Promise<void>;
 };
 
-const consensusTimeoutMs = 1000;
+const formMs = 100;
 
 /** One control host: the log, the configuration that follows from it, and the hosts that watch it. */
 export const createControlNode = async (options: ControlNodeOptions): Promise<ControlNode> => {
 	const {
-		selfId, listen = '127.0.0.1:0', folder, members, voters, leaseMs = 5000, hostLossMs = 10_000, snapshotEntries = 8192, logger = silentLogger,
+		selfId, listen = '127.0.0.1:0', folder, members, voters, leaseMs = 5000, hostLossMs = 10_000, snapshotEntries = 8192,
+		replaceAfterMs = 15_000, logger = silentLogger,
 	} = options;
+	const identity = await openMemberIdentity({
+		hostId: selfId, folder, voters, addressOf: hostId => members.get(hostId),
+	});
 	const store = await openLogStore({folder});
 	if (store.loaded.cutBytes > 0) {
 		logger.event('BP1002', {cutBytes: store.loaded.cutBytes});
@@ -80,28 +94,18 @@
 
 	const takeSnapshot = (): void => {
 		driver.compact({
-			index: replica.appliedIndex, term: replica.appliedTerm, members: driver.state.members, state: serializeReplica(replica),
+			index: replica.appliedIndex, term: replica.appliedTerm, state: serializeReplica(replica),
 		});
 		logger.event('BP1003', {index: replica.appliedIndex});
 	};
 
-	const sendEnvelope = (envelope: ConsensusEnvelope): void => {
-		const address = members.get(envelope.to);
-		if (address !== undefined) {
-			// A lost message is sent again by the rules of consensus.
-			notifyRpc({
-				address, method: 'consensus.message', params: envelope, timeoutMs: consensusTimeoutMs,
-			}).catch(() => undefined);
-		}
-	};
-
 	const driver: ConsensusDriver = createConsensusDriver({
-		selfId,
-		initialMembers: {voters: [...voters], learners: []},
+		selfId: identity.memberId,
+		initialMembers: {voters: formedVoters(identity.formation()), learners: []},
 		store,
-		seed: seedFrom(selfId),
+		seed: randomInt(1, 2_147_483_647),
 		recorder: options.recordFile === undefined ? undefined : createRecorder(options.recordFile),
-		send: sendEnvelope,
+		send: createPeerSender({addressOf: memberId => members.get(hostOfMember(memberId))}),
 		onCommit,
 		onSnapshot(snapshot) {
 			replica = createReplica(snapshot);
@@ -125,7 +129,7 @@
 
 	const leaderAddress = (): string | undefined => {
 		const {leaderId} = driver.state;
-		return leaderId === null || leaderId === selfId ? undefined : members.get(leaderId);
+		return leaderId === null || leaderId === identity.memberId ? undefined : members.get(hostOfMember(leaderId));
 	};
 
 	const fold = createReportFold({selfId, leaderAddress});
@@ -144,8 +148,13 @@
 			catalog: replica.state.catalog, registry, nowMs: performance.now(), leadingSinceMs, hostLossMs,
 		}),
 	});
+	const repair = createVoterRepair({
+		driver, identity, logger, replaceAfterMs, voterCount: voters.length,
+		otherAddresses: () => [...members].filter(([hostId]) => hostId !== selfId).map(([, address]) => address),
+		leadingSinceMs: () => leadingSinceMs,
+	});
 	const rpc = createControlRpc({
-		driver, proposals, hub, logger, isLeader, leaderAddress,
+		driver, proposals, hub, logger, identity, hearStandby: repair.hear, isLeader, leaderAddress,
 		view: () => ({
 			catalog: replica.state.catalog, registry, nowMs: performance.now(), leaseMs,
 		}),
@@ -162,7 +171,7 @@
 			} else if (request.url === '/readyz') {
 				const isReady = isInContact(driver.state, performance.now());
 				sendJson(response, isReady ? 200 : 503, {
-					role: driver.state.role, term: driver.state.term, leaderId: driver.state.leaderId, revision: replica.state.catalog.revision,
+					role: driver.state.role, term: driver.state.term, leaderId: driver.state.leaderId === null ? null : hostOfMember(driver.state.leaderId), revision: replica.state.catalog.revision,
 				});
 			} else {
 				sendJson(response, 404, {error: {type: 'not_found', message: `${request.method} ${request.url}`}});
@@ -170,7 +179,17 @@
 		},
 	});
 	members.set(selfId, server.address);
+	const form = async (): Promise<void> => {
+		if (await identity.form()) {
+			driver.form({voters: formedVoters(identity.formation()), learners: []});
+		}
+	};
+
 	const timers = [
+		setInterval(() => {
+			void form();
+		}, formMs),
+		setInterval(repair.run, repairMs),
 		setInterval(() => {
 			void reconciler.reconcile();
 		}, reconcileMs),
@@ -182,6 +201,7 @@
 		selfId,
 		address: server.address,
 		isLeader,
+		members: () => driver.state.members,
 		async close() {
 			for (const timer of timers) {
 				clearInterval(timer);
@@ -193,5 +213,3 @@
 		},
 	};
 };
-
-const seedFrom = (selfId: string): number => rendezvousWeight(String(process.pid), selfId) % 2_147_483_647;
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -42,6 +42,13 @@
 	listen: define('listen', addressSchema, 'Address of the first role; further roles take free ports on the same IP number.', 'ip:port', '127.0.0.1:0'),
 	controls: define('controls', listSchema(memberSchema), 'All control hosts.', 'a list of id=ip:port', null),
 	voters: define('voters', listSchema(hostIdSchema), 'The control hosts that vote at the first start; the others stand by.', 'a list of ids from --controls', ''),
+	replaceVoterAfterMs: define(
+		'replace-voter-after-ms',
+		numberSchema(1000, 3_600_000),
+		'A voter that is silent for this long is replaced by a control host that stands by (control).',
+		'milliseconds, longer than a restart takes',
+		'15000',
+	),
 	dataFolder: define('data-folder', z.string().min(1), 'Folder for what must survive (control) or may be kept (agent).', 'a path', './data'),
 	zone: define('zone', zoneIdSchema, 'Availability zone of this host.', 'a name', 'zone-1'),
 	region: define('region', regionIdSchema, 'Region of this host.', 'a name', 'region-1'),
--- /dev/null
+++ b/packages/daemon/test/control-repair.test.ts
@@ -0,0 +1,116 @@
+import {rm} from 'node:fs/promises';
+import path from 'node:path';
+import t, {type Test} from 'tap';
+import {hostOfMember} from '@bitternpaddle/coordination';
+import type {ProposeResult} from '@bitternpaddle/protocol';
+import {commandId, modelId} from '@bitternpaddle/state';
+import {callRpc} from '@bitternpaddle/transport';
+import {
+	createControlNode, waitUntil, type ControlNode, type ControlNodeOptions,
+} from '@bitternpaddle/daemon';
+
+type Group = {
+	readonly nodes: Map<string, ControlNode>;
+	start(hostId: string): Promise<void>;
+	stop(hostId: string): Promise<void>;
+	leader(): ControlNode | undefined;
+	voters(): string[];
+	folderOf(hostId: string): string;
+};
+
+const createGroup = async (t: Test, size: number, options: Partial<ControlNodeOptions> = {}): Promise<Group> => {
+	const root = t.testdir();
+	const members = new Map<string, string>();
+	const nodes = new Map<string, ControlNode>();
+	const folderOf = (hostId: string): string => path.join(root, hostId);
+	const leader = (): ControlNode | undefined => [...nodes.values()].find(node => node.isLeader());
+	const group: Group = {
+		nodes, folderOf, leader,
+		voters: () => (leader()?.members().voters ?? []).map(id => hostOfMember(id)).toSorted(),
+		async start(hostId) {
+			nodes.set(hostId, await createControlNode({
+				selfId: hostId, listen: members.get(hostId), folder: folderOf(hostId), members, voters: ['c1', 'c2', 'c3'], replaceAfterMs: 1500, ...options,
+			}));
+		},
+		async stop(hostId) {
+			await nodes.get(hostId)!.close();
+			nodes.delete(hostId);
+		},
+	};
+	t.teardown(async () => Promise.all([...nodes.values()].map(async node => node.close())));
+	await Promise.all(Array.from({length: size}, async (_, index) => group.start(`c${index + 1}`)));
+	await waitUntil('there is a leader', async () => leader() !== undefined);
+	return group;
+};
+
+const propose = async (address: string, name: string): Promise<ProposeResult> => callRpc<ProposeResult>({
+	address, method: 'control.propose', timeoutMs: 9000,
+	params: {command: {commandId: commandId(name), ifRevision: null, change: {type: 'createModel', modelId: modelId(name)}}},
+});
+
+const accept = async (address: string, name: string): Promise<ProposeResult> => {
+	let result: ProposeResult | undefined;
+	await waitUntil(`${name} is accepted`, async () => {
+		result = await propose(address, name).catch(() => undefined);
+		return result?.type === 'accepted';
+	});
+	return result!;
+};
+
+const follower = (group: Group): string => group.voters().find(hostId => hostId !== group.leader()!.selfId)!;
+
+// Five control hosts with disks, three of them voters. A voter is lost for good;
+// a host that stands by takes its place. Then the leader is lost too. The
+// operator, who talks to a host that stood by, gets the next change accepted,
+// and the resend of an earlier one gets its first result.
+t.test('a second loss just after the repair', {timeout: 60_000}, async t => {
+	const group = await createGroup(t, 5);
+	await waitUntil('two stand by as learners', async () => group.leader()?.members().learners.length === 2);
+	const first = await accept(group.nodes.get('c5')!.address, 'first');
+	const lost = follower(group);
+	await group.stop(lost);
+	await waitUntil('it is replaced', async () => group.voters().length === 3 && !group.voters().includes(lost));
+	await group.stop(group.leader()!.selfId);
+	const asked = [...group.nodes.values()].at(-1)!.address;
+	await accept(asked, 'second');
+	t.same(await accept(asked, 'first'), first, 'the resend gets the first result');
+	await group.start(lost);
+	await waitUntil('the lost one stands by or votes again', async () => {
+		const {voters = [], learners = []} = group.leader()?.members() ?? {};
+		return [...voters, ...learners].some(id => hostOfMember(id) === lost);
+	});
+});
+
+// A voter loses its disk and restarts empty under its name, with no spare. It
+// comes back as another member, in the place of what it was.
+t.test('a voter that lost its disk', {timeout: 60_000}, async t => {
+	const group = await createGroup(t, 3);
+	const lost = follower(group);
+	const before = group.nodes.get(lost)!.members().voters.find(id => hostOfMember(id) === lost)!;
+	await accept(group.leader()!.address, 'kept');
+	await group.stop(lost);
+	await rm(group.folderOf(lost), {recursive: true});
+	await group.start(lost);
+	await waitUntil('it votes as another member', async () => group.voters().join(',') === 'c1,c2,c3' && !group.leader()!.members().voters.includes(before));
+	await accept(group.nodes.get(lost)!.address, 'next');
+	t.equal((await propose(group.nodes.get(lost)!.address, 'kept')).type, 'accepted');
+});
+
+// All control hosts restart, after a snapshot. The resend of a command that was
+// accepted before, through any host, gets the first result and changes nothing.
+t.test('a resend after all control hosts restarted', {timeout: 60_000}, async t => {
+	const group = await createGroup(t, 3, {snapshotEntries: 10});
+	const first = await accept(group.leader()!.address, 'once');
+	for (let index = 0; index < 25; index++) {
+		await accept(group.leader()!.address, `other-${index}`);
+	}
+
+	for (const hostId of ['c1', 'c2', 'c3']) {
+		await group.stop(hostId);
+	}
+
+	await Promise.all(['c1', 'c2', 'c3'].map(async hostId => group.start(hostId)));
+	for (const hostId of ['c1', 'c2', 'c3']) {
+		t.same(await accept(group.nodes.get(hostId)!.address, 'once'), first, hostId);
+	}
+});
--- a/packages/protocol/src/rpc/methods.ts
+++ b/packages/protocol/src/rpc/methods.ts
@@ -42,6 +42,17 @@
 export type ConsensusMessage = z.infer<typeof consensusMessageSchema>;
 
 export const consensusEnvelopeSchema = z.object({from: z.string(), to: z.string(), message: consensusMessageSchema});
+export const consensusEnvelopesSchema = z.object({envelopes: z.array(consensusEnvelopeSchema)});
+
+/** What a control host has noted about who the first voters are; the answer of `control.formation`. */
+export const formationSchema = z.object({
+	diskId: z.string().min(1), accepted: z.record(z.string(), z.string()).nullable(), isFormed: z.boolean(),
+});
+export const formationParametersSchema = z.object({});
+
+/** A control host, as `host#disk`, that no leader supplies. */
+export const standbyParametersSchema = z.object({memberId: z.string()});
+
 export type ConsensusEnvelope = z.infer<typeof consensusEnvelopeSchema>;
 
 /** One transfer of weights on a host, as `show transfers` prints it. */
