fix(state): apply a command whose id is a property of every object

Cause: the kept results are a plain object, so the command id `constructor` (a valid id) seemed to have been applied before; the caller got a function as the result and the change was dropped.

Change: own properties only.

--- a/packages/state/src/catalog/apply-command.ts
+++ b/packages/state/src/catalog/apply-command.ts
@@ -16,9 +16,9 @@
  */
 export const applyCommand = (state: ReplicatedState, command: Command, index: number): CommandResult => {
 	const {ledger} = state;
-	const earlier = command.commandId === null ? undefined : ledger.results[command.commandId];
-	if (earlier !== undefined) {
-		return earlier;
+	// Only own properties: an id such as `constructor` would otherwise seem to have been applied before.
+	if (command.commandId !== null && Object.hasOwn(ledger.results, command.commandId)) {
+		return ledger.results[command.commandId]!;
 	}
 
 	const result = applyOnce(state, command, index);
--- /dev/null
+++ b/packages/state/test/apply-history.test.ts
@@ -0,0 +1,136 @@
+import process from 'node:process';
+import fc from 'fast-check';
+import t from 'tap';
+import {
+	applyCommand, canonicalJson, commandSchema, createCatalog, createLedger, type Command, type CommandResult, type ReplicatedState,
+} from '@bitternpaddle/state';
+
+const seed = Number(process.env.BITTERNPADDLE_SEED ?? 20_261_202);
+const historyLength = 10_000;
+
+const createState = (): ReplicatedState => ({catalog: createCatalog(), ledger: createLedger()});
+
+const oneOf = (prefix: string, count: number) => fc.nat(count - 1).map(number => `${prefix}${number}`);
+const model = oneOf('model-', 8);
+const version = fc.tuple(model, fc.nat(2)).map(([name, number]) => `${name}:v${number}`);
+const fleet = oneOf('fleet-', 6);
+const host = oneOf('h', 24);
+const zone = oneOf('zone-', 3);
+const team = oneOf('team-', 4);
+const manifest = fc.nat(3).map(number => `sha256:${String(number).repeat(64)}`);
+const announcement = fc.record({
+	hostId: host, zoneId: zone, regionId: fc.constant('puget'), serviceId: fc.constant('bp-writers'), provider: fc.constantFrom('old', 'new'),
+	address: fc.constant('127.0.0.1:1'), capacity: fc.integer({min: 1, max: 8}), incarnation: fc.nat(6), kind: fc.constant('engine'),
+});
+
+const change = fc.oneof(
+	fc.record({type: fc.constant('createModel'), modelId: model}),
+	fc.record({type: fc.constant('createVersion'), versionId: version, manifestId: manifest}),
+	fc.record({
+		type: fc.constant('createFleet'), fleetId: fleet, provider: fc.constantFrom('old', 'new'), versionId: version, replicas: fc.nat(8),
+		zoneIds: fc.uniqueArray(zone, {maxLength: 2}),
+	}),
+	fc.record({type: fc.constant('load'), versionId: version, fleetId: fleet}),
+	fc.record({type: fc.constantFrom('withdrawVersion', 'retireVersion'), versionId: version}),
+	fc.record({type: fc.constant('retireFleet'), fleetId: fleet}),
+	fc.record({type: fc.constant('setReplicas'), fleetId: fleet, replicas: fc.nat(8)}),
+	fc.record({
+		type: fc.constant('startRollout'), modelId: model, fromFleetId: fleet, toFleetId: fleet, percent: fc.constantFrom(50, 100),
+		stepPercent: fc.constantFrom(10, 50), holdMs: fc.constant(1000), maxErrorPercent: fc.constant(5),
+	}),
+	fc.record({type: fc.constant('advanceRollout'), modelId: model, step: fc.nat(3)}),
+	fc.record({type: fc.constantFrom('stopRollout', 'resumeRollout', 'rollBack'), modelId: model}),
+	fc.record({
+		type: fc.constant('moveTraffic'), modelId: model, percent: fc.constantFrom(0, 20, 100), fromFleetId: fleet, toFleetId: fleet,
+	}),
+	fc.record({type: fc.constantFrom('drainHost', 'undrainHost', 'stopHost'), hostId: host}),
+	fc.record({type: fc.constant('hostJoined'), announcement}),
+	fc.record({type: fc.constant('hostLeft'), hostId: host, incarnation: fc.nat(6)}),
+	fc.record({
+		type: fc.constant('replicasChanged'), readiness: fc.array(fc.record({hostId: host, incarnation: fc.nat(6), versionId: fc.option(version)}), {maxLength: 4}),
+	}),
+	fc.record({
+		type: fc.constant('createTeam'), teamId: team, keyDigest: fc.constant('d'), share: fc.integer({min: 1, max: 5}),
+	}),
+	fc.record({
+		type: fc.constant('claim'), teamId: team, serviceId: fc.constant('ledger'), key: oneOf('key-', 20), requestId: oneOf('r', 30), bodyDigest: oneOf('b', 2), atMs: fc.nat(100),
+		place: fc.constant(null),
+	}),
+	fc.record({
+		type: fc.constant('concludeClaim'), teamId: team, serviceId: fc.constant('ledger'), key: oneOf('key-', 20), requestId: oneOf('r', 30),
+		attemptId: fc.constant(null), outcome: fc.oneof(
+			fc.record({
+				type: fc.constant('ran'), status: fc.constant(200), contentType: fc.constant('text/plain'), body: fc.constant('booked'),
+			}),
+			fc.record({type: fc.constantFrom('notRun', 'mayHaveRun')}),
+		),
+	}),
+);
+
+/** Some commands carry an id, and of those some are resends of an earlier one under the same id. */
+const command = fc.record({
+	commandId: fc.oneof({weight: 7, arbitrary: fc.constant(null)}, {weight: 1, arbitrary: oneOf('c', 200)}),
+	ifRevision: fc.oneof({weight: 15, arbitrary: fc.constant(null)}, {weight: 1, arbitrary: fc.nat(500)}),
+	change,
+});
+
+const history = (): Command[] => fc.sample(command, {seed, numRuns: historyLength}).map(drawn => commandSchema.parse(drawn));
+
+const restarted = (state: ReplicatedState): ReplicatedState => JSON.parse(canonicalJson(state)) as ReplicatedState;
+
+// A control host restarts from its snapshot after each of 10,000 changes, resends
+// and refusals among them; another never restarts. Both give every caller the
+// same result and end in the same bytes. Were an order of keys or anything in
+// memory only to matter, two control hosts would diverge after a restart.
+t.test(`a restart after every one of ${historyLength} changes, seed ${seed}`, {timeout: 120_000}, async t => {
+	const whole = createState();
+	let often = createState();
+	const accepted = {first: 0, refused: 0};
+	for (const [position, drawn] of history().entries()) {
+		const expected = applyCommand(whole, drawn, position + 1);
+		often = restarted(often);
+		const result = applyCommand(often, drawn, position + 1);
+		accepted.first += expected.type === 'accepted' ? 1 : 0;
+		accepted.refused += expected.type === 'refused' ? 1 : 0;
+		if (canonicalJson(result) !== canonicalJson(expected) || often.catalog.digest !== whole.catalog.digest) {
+			t.fail(`the results differ at change ${position + 1}`);
+			return;
+		}
+
+		if (position % 500 === 0 && canonicalJson(often) !== canonicalJson(whole)) {
+			t.fail(`the states differ at change ${position + 1}`);
+			return;
+		}
+	}
+
+	t.equal(canonicalJson(often), canonicalJson(whole));
+	t.comment(`seed ${seed}: ${accepted.first} accepted, ${accepted.refused} refused`);
+	t.ok(accepted.first > 500 && accepted.refused > 500, 'the history holds both');
+});
+
+// Every command with an id is sent again later, after others and a restart.
+// Each resend gets the first result and changes nothing.
+t.test('resends after a restart get the first result and change nothing', async t => {
+	const state = createState();
+	const firsts = new Map<Command, CommandResult>();
+	const drawn = history().slice(0, 1500).map((one, position) => ({...one, commandId: `own-${position}` as Command['commandId']}));
+	for (const [position, one] of drawn.entries()) {
+		firsts.set(one, applyCommand(state, one, position + 1));
+	}
+
+	const after = restarted(state);
+	const before = canonicalJson(after);
+	const wrong = drawn.filter((one, position) => canonicalJson(applyCommand(after, one, 1501 + position)) !== canonicalJson(firsts.get(one)));
+	t.same(wrong, []);
+	t.equal(canonicalJson(after), before);
+});
+
+// An operator's tool names a command `constructor`, which every plain object
+// seems to hold. The change is applied like any other, and answered with a result.
+t.test('a command id that is also a property of every object', async t => {
+	const state = createState();
+	for (const [position, id] of ['constructor', 'toString', 'valueOf'].entries()) {
+		const one = commandSchema.parse({commandId: id, ifRevision: null, change: {type: 'createModel', modelId: `model-${position}`}});
+		t.match(applyCommand(state, one, position + 1), {type: 'accepted', revision: position + 1});
+	}
+});
