feat(test): proofs of whole answers and unmixed weights under failure

Cause: two promises had no failure test end to end, and the chaos relay broke connections of a node that had stopped as planned, so a stream that had been sent whole arrived cut.

A planned end lets sent bytes arrive (relay.stopListening); a relay can hold the open connections only.

--- a/packages/bench/src/chaos/chaos.ts
+++ b/packages/bench/src/chaos/chaos.ts
@@ -11,7 +11,7 @@
 
 const defaultSchedules = 200;
 const defaultSeed = 4;
-const parallelClusters = 8;
+const parallelClusters = 12;
 const sampleMs = 50;
 
 type Findings = {readonly tally: Tally; violations: number; hangs: number};
--- a/packages/daemon/src/dev/failure/create-failure-cluster.ts
+++ b/packages/daemon/src/dev/failure/create-failure-cluster.ts
@@ -1,6 +1,7 @@
 import {mkdtemp, rm} from 'node:fs/promises';
 import os from 'node:os';
 import path from 'node:path';
+import type {RunLimits} from '@bitternpaddle/coordination';
 import {
 	createFakeEngine, createFakeOrigin, createFakeService, createHistory, type FakeEngine, type FakeOrigin, type FakeService, type History,
 } from '@bitternpaddle/test-support';
@@ -31,8 +32,10 @@
 	readonly leaseMs?: number;
 	/** @default 5000 */
 	readonly hostLossMs?: number;
-	/** How long an entry works on one call. @default 3000 */
+	/** How long an entry works on one call. @default 2000 */
 	readonly deadlineMs?: number;
+	/** How long doors keep silent or forsaken runs. @default {endpointIdleMs: 1500, unattendedMs: 1000} */
+	readonly limits?: RunLimits;
 	readonly logger?: Logger;
 };
 
@@ -100,14 +103,14 @@
 type EndpointOptions = Pick<AgentNodeOptions, 'hostId' | 'serviceId' | 'kind' | 'endpointAddress'> & {readonly hall: Hall};
 
 const createAgentHandle = async (context: Context, endpoint: EndpointOptions): Promise<NodeHandle<AgentNode>> => {
-	const {links, folder, originAddress, logger} = context;
+	const {links, folder, originAddress, limits, logger} = context;
 	const {hall, ...options} = endpoint;
 	const controls = await addressesOfControls(context, options.hostId);
 	const announcedAddress = await links.addressOf(anyNode, options.hostId);
 	return createNodeHandle({
 		nodeId: options.hostId, links,
 		start: async () => createAgentNode({
-			...options, ...hall, provider: 'new', controls, originAddress, announcedAddress, folder: path.join(folder, options.hostId), logger,
+			...options, ...hall, provider: 'new', controls, originAddress, announcedAddress, folder: path.join(folder, options.hostId), limits, logger,
 		}),
 		stop: async node => node.stop(),
 		kill: async node => node.kill(),
@@ -142,7 +145,7 @@
 		await origin.publish(randomWeights(2, weightsBytes), chunkSizeBytes),
 	];
 	const context: Context = {
-		entries: 2, engines: 4, halls: cascadiaHalls, tokenMs: 1, leaseMs: 2500, hostLossMs: 5000, deadlineMs: 3000, ...options,
+		entries: 2, engines: 4, halls: cascadiaHalls, tokenMs: 1, leaseMs: 2500, hostLossMs: 5000, deadlineMs: 2000, limits: {endpointIdleMs: 1500, unattendedMs: 1000}, ...options,
 		controls: controlCount, weightsBytes, chunkSizeBytes, folder: await mkdtemp(path.join(os.tmpdir(), 'bitternpaddle-failure-')),
 		links: createLinks(), history: createHistory(), controlIds: idsOf('c', controlCount), originAddress: origin.address,
 	};
--- a/packages/daemon/src/dev/failure/links.ts
+++ b/packages/daemon/src/dev/failure/links.ts
@@ -12,8 +12,8 @@
 	addressOf(from: string, to: string): Promise<string>;
 	/** All links that end at `to` lead to `address` from now on. */
 	comeUp(to: string, address: string): Promise<void>;
-	/** All links that end at `to` refuse connections. */
-	goDown(to: string): void;
+	/** All links that end at `to` refuse connections; after a planned stop what was sent before still arrives. */
+	goDown(to: string, end: 'planned' | 'crash'): void;
 	/** Links with one end among `nodeIds`, at either side. */
 	touching(nodeIds: readonly string[]): Link[];
 	/** Everything passes again; connections that have lost bytes end. */
@@ -45,10 +45,12 @@
 				}
 			}
 		},
-		goDown(to) {
+		goDown(to, end) {
 			for (const link of links.values()) {
-				if (link.to === to) {
+				if (link.to === to && end === 'crash') {
 					link.relay.goDown();
+				} else if (link.to === to) {
+					link.relay.stopListening();
 				}
 			}
 		},
--- a/packages/daemon/src/dev/failure/node-handle.ts
+++ b/packages/daemon/src/dev/failure/node-handle.ts
@@ -32,12 +32,12 @@
 		setModes(openModes);
 	};
 
-	const takeDown = async (end: (node: Node) => Promise<void>): Promise<void> => {
+	const takeDown = async (kind: 'planned' | 'crash'): Promise<void> => {
 		const leaving = current;
 		current = undefined;
 		if (leaving !== undefined) {
-			await end(leaving);
-			links.goDown(nodeId);
+			await (kind === 'planned' ? options.stop(leaving) : options.kill(leaving));
+			links.goDown(nodeId, kind);
 		}
 	};
 
@@ -56,8 +56,8 @@
 				await start();
 			}
 		},
-		stop: async () => takeDown(options.stop),
-		kill: async () => takeDown(options.kill),
+		stop: async () => takeDown('planned'),
+		kill: async () => takeDown('crash'),
 		async lose() {
 			const lost = current;
 			current = undefined;
--- a/packages/test-support/src/engine/fake-engine.ts
+++ b/packages/test-support/src/engine/fake-engine.ts
@@ -40,6 +40,8 @@
 	readonly address: string;
 	readonly faults: EngineFaults;
 	readonly runs: readonly EngineRun[];
+	/** Files that it was ordered to load, first to last. */
+	readonly loadedFiles: readonly string[];
 	/** Digest over the bytes that it really holds. */
 	readonly heldDigest: () => string | null;
 	close(): Promise<void>;
@@ -65,6 +67,7 @@
 	const {listen = '127.0.0.1:0', checksFencing = true, tokenMs = 1, loadLagMs = 200, recordTo} = options;
 	const faults: EngineFaults = {};
 	const runs: EngineRun[] = [];
+	const loadedFiles: string[] = [];
 	let loaded: Loaded | null = null;
 	let running = 0;
 	let reportedLoad = {running: 0, atMs: 0};
@@ -78,6 +81,7 @@
 		}
 
 		const digest = await digestFile(order.filePath);
+		loadedFiles.push(order.filePath);
 		loaded = {versionId: order.versionId, digest, fencingNumber: order.fencingNumber};
 		sendJson(response, 200, status());
 	};
@@ -193,6 +197,7 @@
 		address: server.address,
 		faults,
 		runs,
+		loadedFiles,
 		heldDigest: () => loaded?.digest ?? null,
 		async close() {
 			server.destroy();
--- a/packages/test-support/src/relay/relay.ts
+++ b/packages/test-support/src/relay/relay.ts
@@ -22,10 +22,14 @@
 	setModes(modes: RelayModes): void;
 	/** The open connections go silent for good; new ones work. */
 	silenceOpenConnections(): void;
+	/** The open connections carry nothing until `setModes` is called, and then everything late; new ones work. */
+	holdOpenConnections(): void;
 	/** Ends all connections that have lost bytes, as their ends' own timeouts would. */
 	endSilentConnections(): void;
 	/** Refuses new connections and ends the open ones, as a host does whose process has died. */
 	goDown(): void;
+	/** Refuses new connections, as after a planned end; what was sent before still arrives. */
+	stopListening(): void;
 	/** Listens again on the same address. */
 	comeUp(): Promise<void>;
 	close(): void;
@@ -108,12 +112,14 @@
 		});
 		client.on('close', () => {
 			pass(pair, 'forward', () => {
-				end(pair);
+				pairs.delete(pair);
+				outgoing.destroySoon();
 			});
 		});
 		outgoing.on('close', () => {
 			pass(pair, 'backward', () => {
-				end(pair);
+				pairs.delete(pair);
+				client.destroySoon();
 			});
 		});
 		for (const socket of [client, outgoing]) {
@@ -163,6 +169,11 @@
 				pair.isSilenced = true;
 			}
 		},
+		holdOpenConnections() {
+			for (const pair of pairs) {
+				pair.modes = {forward: 'held', backward: 'held'};
+			}
+		},
 		endSilentConnections() {
 			for (const pair of pairs) {
 				if (pair.isSilenced || pair.hasLostBytes) {
@@ -171,6 +182,9 @@
 			}
 		},
 		goDown,
+		stopListening() {
+			server.close();
+		},
 		async comeUp() {
 			while (!server.listening) {
 				await listen(server, port).catch(async () => delay(portRetryMs));
--- /dev/null
+++ b/test/promises/weights.test.ts
@@ -0,0 +1,80 @@
+import {
+	createFailureCluster, failureTeamKey, loadFirstVersion, mustOperate, queryRows, waitUntil, type FailureCluster,
+} from '@bitternpaddle/daemon';
+import {
+	checkHistory, eventsOf, recordCall, type CallOutcome,
+} from '@bitternpaddle/test-support';
+import {readBody, sendHttp} from '@bitternpaddle/transport';
+import t, {type Test} from 'tap';
+
+const startCluster = async (t: Test, engines: number) => {
+	const cluster = await createFailureCluster({engines});
+	t.teardown(async () => cluster.close());
+	await loadFirstVersion(cluster);
+	return cluster;
+};
+
+const ask = async (cluster: FailureCluster, callId: string): Promise<CallOutcome> => recordCall({
+	history: cluster.history, callId, entryId: 'e1', address: cluster.entries[0]!.node()!.address, token: failureTeamKey,
+	target: {
+		type: 'model', modelId: 'pitch-desk', isStream: true, maxTokens: 4,
+	},
+});
+
+const secondVersionReady = async (cluster: FailureCluster, count: number): Promise<void> => waitUntil('all replicas of the second version ready', async () => {
+	const rows = await queryRows(cluster, 'show replicas where ready = true and version = pitch-desk:v2');
+	return rows.length === count;
+}, {timeoutMs: 60_000});
+
+/** Asks without a pause until `isOver`. */
+const askUntil = async (cluster: FailureCluster, name: string, isOver: () => boolean): Promise<void> => {
+	for (let number = 0; !isOver(); number++) {
+		await ask(cluster, `${name}-${number}`);
+	}
+};
+
+// The origin corrupts every chunk while a second version is loaded, and heals
+// later; meanwhile a host with half of the chunks is killed and comes back.
+// Callers get answers of the first version, then of the second, all from the
+// right bytes: a chunk is verified before it is stored or passed on, the whole
+// before the engine is told to load it.
+t.test('corrupted chunks and a restart in mid-transfer', {timeout: 90_000}, async t => {
+	const cluster = await startCluster(t, 3);
+	let isOver = false;
+	const callers = [1, 2].map(async number => askUntil(cluster, `caller-${number}`, () => isOver));
+	cluster.origin.faults.isCorrupting = true;
+	await mustOperate(cluster, 'load pitch-desk:v2 on fleet fair');
+	await waitUntil('a host noticed a bad chunk', async () => (await queryRows(cluster, 'show transfers where version = pitch-desk:v2')).some(row => String(row.detail).includes('digest')));
+	await cluster.agents[0]!.kill();
+	await cluster.agents[0]!.start();
+	cluster.origin.faults.isCorrupting = false;
+	await secondVersionReady(cluster, 3);
+	t.match(await ask(cluster, 'last'), {type: 'answered', versionId: 'pitch-desk:v2'});
+	isOver = true;
+	await Promise.all(callers);
+	t.same(checkHistory(cluster.history.events), []);
+});
+
+// An engine that ignores fencing numbers carries out an old order behind its
+// agent's back: it now holds other weights than its agent believes. Callers
+// see an error or another host's answer, but never one that is tagged with the
+// agent's version and computed by the other, because the door compares the
+// digest that the engine answers with.
+t.test('an engine that changed its weights behind its agent', {timeout: 60_000}, async t => {
+	const cluster = await startCluster(t, 2);
+	await mustOperate(cluster, 'load pitch-desk:v2 on fleet fair');
+	await secondVersionReady(cluster, 2);
+	const [, engine] = [...cluster.engines][0]!;
+	const earlier = engine.loadedFiles[0]!;
+	const response = await sendHttp({
+		address: engine.address, method: 'POST', path: '/engine/load', idleTimeoutMs: 5000, body: JSON.stringify({versionId: 'pitch-desk:v1', filePath: earlier, fencingNumber: 1_000_000}),
+	});
+	await readBody(response);
+	for (let number = 0; number < 20; number++) {
+		await ask(cluster, `after-${number}`);
+	}
+
+	const runs = eventsOf(cluster.history.events, 'runStarted').filter(run => run.digest === cluster.manifests[0]!.digest);
+	t.ok(runs.length > 0, 'the engine did run requests on the earlier weights');
+	t.same(checkHistory(cluster.history.events), []);
+});
