feat(bench): measure what each role costs, as slopes

The daemon package exports what the drivers call.

Ruled out: processor time from /proc/PID/stat (10 ms ticks); schedstat has nanoseconds. Memory straight after the work: V8 gives it back some 8 s later, an idle agent showed 33.0 MB private before that and 20.2 MB after. One timing of each call: the median of several is used, since other programs share the machine.

--- /dev/null
+++ b/packages/bench/src/capacity/estimate.ts
@@ -0,0 +1,169 @@
+import {
+	changesPerSecond, letter, limits, membershipEventsPerSecond, readings, type ReadingName,
+} from './letter.js';
+import type {SlopeName} from './definitions.js';
+import type {Slope} from './slope.js';
+
+/** One figure at the letter's size, worked out from slopes. */
+export type Estimate = {
+	readonly role: 'control leader' | 'control observer' | 'entry' | 'agent';
+	readonly what: string;
+	readonly unit: string;
+	/** `null` where the letter sets none for this role. */
+	readonly limit: number | null;
+	/** How it was worked out, with the names of the slopes. */
+	readonly from: string;
+	readonly values: Readonly<Record<ReadingName, number>>;
+};
+
+export type Slopes = Readonly<Record<SlopeName, Slope>>;
+
+/** Rounds a second in which the leader holds reports against the catalog. */
+const reconcilesPerSecond = 5;
+const tokensPerRequest = letter.tokensPerSecond / letter.requestsPerSecond;
+
+type Size = {
+	readonly agents: number;
+	readonly watchers: number;
+	/** Watching hosts of one control host, spread evenly over all. */
+	readonly watchersEach: number;
+	readonly changes: number;
+};
+
+const sizeOf = (name: ReadingName): Size => {
+	const {agents} = readings[name];
+	const watchers = agents + letter.nodes;
+	return {
+		agents, watchers, watchersEach: watchers / letter.controlHosts, changes: changesPerSecond(readings[name]),
+	};
+};
+
+const at = ({slope, intercept}: Slope, x: number): number => intercept + (slope * x);
+
+type Rule = Omit<Estimate, 'values'> & {readonly value: (slopes: Slopes, size: Size) => number};
+
+/** Processor time of one host for changes of the catalog, in ms/s on the average of a day. */
+const membershipMs = (slopes: Slopes, {agents}: Size): number => membershipEventsPerSecond
+	* (at(slopes['host.leave.processor'], agents) + at(slopes['host.join.processor'], agents));
+
+const controlRules: readonly Rule[] = [
+	{
+		role: 'control leader', what: 'processor, ordinary second', unit: 'ms/s', limit: null,
+		from: 'member.processor at 16 others + watch.processor × own watchers + fold.processor × all others + 5 × reconcile.processor + change.processor × changes/s',
+		value: (slopes, {agents, watchers, watchersEach, changes}) => at(slopes['control.member.processor'], letter.controlHosts - 1)
+			+ (slopes['control.watch.processor'].slope * watchersEach)
+			+ (slopes['control.fold.processor'].slope * (watchers - watchersEach))
+			+ (reconcilesPerSecond * at(slopes['control.reconcile.processor'], agents))
+			+ (changes * slopes['control.change.processor'].slope * watchersEach),
+	},
+	{
+		role: 'control leader', what: 'bytes', unit: 'KB/s', limit: null,
+		from: 'member.bytes at 16 others + watch.bytes × own watchers + fold.bytes × all others + change.bytes × own watchers × changes/s',
+		value: (slopes, {watchers, watchersEach, changes}) => (at(slopes['control.member.bytes'], letter.controlHosts - 1)
+			+ (slopes['control.watch.bytes'].slope * watchersEach)
+			+ (slopes['control.fold.bytes'].slope * (watchers - watchersEach))
+			+ (slopes['control.change.bytes'].slope * watchersEach * changes)) / 1024,
+	},
+	{
+		role: 'control leader', what: 'memory: process, watchers, catalog, kept results', unit: 'MB private', limit: null,
+		from: 'watch.memory at own watchers + 2 × host.memory × agents + result.memory × 20,000',
+		value: (slopes, {agents, watchersEach}) => (at(slopes['control.watch.memory'], watchersEach)
+			+ (2 * slopes['control.host.memory'].slope * agents) + (slopes['control.result.memory'].slope * 20_000)) / 1024 / 1024,
+	},
+	{
+		role: 'control leader', what: 'memory of a million claims', unit: 'MB of heap', limit: null, from: 'claim.memory × 1,000,000',
+		value: slopes => slopes['control.claim.memory'].slope * 1e6 / 1024 / 1024,
+	},
+	{
+		role: 'control leader', what: 'log', unit: 'MB a day', limit: null, from: 'log.size × changes a day',
+		value: (slopes, {changes}) => slopes['control.log.size'].slope * changes * 86_400 / 1024 / 1024,
+	},
+	{
+		role: 'control leader', what: 'stall by a snapshot', unit: 'ms', limit: null, from: 'snapshot.time at agents',
+		value: (slopes, {agents}) => at(slopes['control.snapshot.time'], agents),
+	},
+	{
+		role: 'control observer', what: 'processor', unit: 'ms/s', limit: null, from: 'watch.processor × own watchers + change.processor × own watchers × changes/s',
+		value: (slopes, {watchersEach, changes}) => (slopes['control.watch.processor'].slope + (slopes['control.change.processor'].slope * changes)) * watchersEach,
+	},
+	{
+		role: 'control observer', what: 'bytes', unit: 'KB/s', limit: null, from: '(watch.bytes + fold.bytes + change.bytes × changes/s) × own watchers',
+		value: (slopes, {watchersEach, changes}) => (slopes['control.watch.bytes'].slope + slopes['control.fold.bytes'].slope
+			+ (slopes['control.change.bytes'].slope * changes)) * watchersEach / 1024,
+	},
+	{
+		role: 'control observer', what: 'a change, from order to its last watcher', unit: 'ms', limit: limits.changeInForceMs, from: 'change.latency at own watchers',
+		value: (slopes, {watchersEach}) => at(slopes['control.change.latency'], watchersEach),
+	},
+];
+
+const shareOfLost = (share: number) => (slopes: Slopes, {agents}: Size): number => agents / share * at(slopes['host.leave.processor'], agents);
+
+const hostRules = (role: 'entry' | 'agent'): Rule[] => [
+	{
+		role, what: 'processor for control', unit: 'ms/s', limit: limits.processorMsPerSecond,
+		from: role === 'entry'
+			? 'entry.idle.processor + (host.leave + host.join) × lost or restarted hosts/s + entry.index.processor × changes/s'
+			: 'agent.idle.processor + (host.leave + host.join) × lost or restarted hosts/s',
+		value: (slopes, size) => slopes[`${role}.idle.processor`].slope + membershipMs(slopes, size)
+			+ (role === 'entry' ? size.changes * at(slopes['entry.index.processor'], size.agents) : 0),
+	},
+	{
+		role, what: 'bytes for control', unit: 'KB/s', limit: limits.bytesPerSecond / 1024, from: `${role}.idle.bytes + change.bytes × changes/s`,
+		value: (slopes, {changes}) => (slopes[`${role}.idle.bytes`].slope + (slopes['control.change.bytes'].slope * changes)) / 1024,
+	},
+	{
+		role, what: 'memory, whole process', unit: 'MB private', limit: limits.memoryBytes / 1024 / 1024, from: `${role}.catalog.memory at agents`,
+		value: (slopes, {agents}) => at(slopes[`${role}.catalog.memory`], agents) / 1024 / 1024,
+	},
+	{
+		role, what: 'catalog on the wire after a restart', unit: 'MB', limit: null, from: 'host.catalog.size at agents',
+		value: (slopes, {agents}) => at(slopes['host.catalog.size'], agents) / 1024 / 1024,
+	},
+	{
+		role, what: 'burst: a zone is lost', unit: 'ms of processor', limit: limits.changeInForceMs, from: 'host.leave.processor × agents / 31', value: shareOfLost(letter.zones),
+	},
+	{
+		role, what: 'burst: a region is cut off', unit: 'ms of processor', limit: limits.changeInForceMs, from: 'host.leave.processor × agents / 9', value: shareOfLost(letter.regions),
+	},
+	{
+		role, what: 'burst: first load of a fleet of all', unit: 'ms of processor', limit: limits.changeInForceMs, from: 'host.load.processor at agents²',
+		value: (slopes, {agents}) => at(slopes['host.load.processor'], (agents / 1000) ** 2),
+	},
+	{
+		role, what: 'requests: processor', unit: '% of a core', limit: 100, from: `${role}.stream.processor at ${tokensPerRequest} tokens × requests/s a process`,
+		value: (slopes, {agents}) => at(slopes[`${role}.stream.processor`], tokensPerRequest) * letter.requestsPerSecond / (role === 'entry' ? letter.nodes : agents) / 10,
+	},
+	{
+		role, what: 'requests: bytes in and out', unit: 'KB/s', limit: null, from: `${role}.stream.bytes at ${tokensPerRequest} tokens × requests/s a process`,
+		value: (slopes, {agents}) => at(slopes[`${role}.stream.bytes`], tokensPerRequest) * letter.requestsPerSecond / (role === 'entry' ? letter.nodes : agents) / 1024,
+	},
+];
+
+/** Chunks in each gigabyte of weights, at the size of chunk that manifests have. */
+const chunksPerGigabyte = 256;
+
+const swarmRules: readonly Rule[] = [
+	{
+		role: 'agent', what: 'weights: announcements sent for each GB', unit: 'messages', limit: null, from: 'swarm.have.messages at 8 neighbours × 256 chunks',
+		value: slopes => at(slopes['swarm.have.messages'], 8) * chunksPerGigabyte,
+	},
+	{
+		role: 'agent', what: 'weights: what 16 neighbours hold, for each GB', unit: 'KB of heap', limit: null, from: 'swarm.have.memory × 16 × 256',
+		value: slopes => slopes['swarm.have.memory'].slope * 16 * chunksPerGigabyte / 1024,
+	},
+	{
+		role: 'agent', what: 'weights: manifest for each GB', unit: 'KB', limit: null, from: 'swarm.manifest.size × 256',
+		value: slopes => slopes['swarm.manifest.size'].slope * chunksPerGigabyte / 1024,
+	},
+	{
+		role: 'agent', what: 'weights: each change of the catalog during a transfer of 10 GB to 1,500 hosts', unit: 'ms of processor', limit: null, from: 'swarm.peers.processor at 2,560 chunks',
+		value: slopes => at(slopes['swarm.peers.processor'], 10 * chunksPerGigabyte),
+	},
+];
+
+export const estimateAll = (slopes: Slopes): Estimate[] => [...controlRules, ...hostRules('entry'), ...hostRules('agent'), ...swarmRules]
+	.map(({value, ...rule}) => ({
+		...rule,
+		values: {'agent per host': value(slopes, sizeOf('agent per host')), 'agent per worker': value(slopes, sizeOf('agent per worker'))},
+	}));
--- /dev/null
+++ b/packages/bench/src/capacity/fake-control.ts
@@ -0,0 +1,46 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {watchParametersSchema, type HostReport, type WatchResult} from '@bitternpaddle/protocol';
+import type {Catalog} from '@bitternpaddle/state';
+import {createHttpServer, createRpcServer} from '@bitternpaddle/transport';
+
+export type FakeControl = {
+	readonly address: string;
+	/** Last report of each host that asked. */
+	readonly reports: ReadonlyMap<string, HostReport>;
+	close(): Promise<void>;
+};
+
+export type FakeControlOptions = {
+	/** What every host is given; read at each call. */
+	readonly catalog: () => Catalog;
+};
+
+/** Answers watches as a control host with an unchanging catalog does, so that one entry or agent can be measured alone. */
+export const createFakeControl = async ({catalog}: FakeControlOptions): Promise<FakeControl> => {
+	const reports = new Map<string, HostReport>();
+	const rpc = createRpcServer();
+	rpc.method('control.watch', watchParametersSchema, async ({report, waitMs}): Promise<WatchResult> => {
+		reports.set(report.hostId, report);
+		const given = catalog();
+		const shared = {revision: given.revision, digest: given.digest, leaseMs: 5000};
+		if (report.revision !== given.revision) {
+			return {type: 'snapshot', catalog: given, ...shared};
+		}
+
+		await delay(waitMs);
+		return {type: 'changes', changes: [], ...shared};
+	});
+	const server = await createHttpServer({
+		listen: '127.0.0.1:0',
+		async handler(request, response) {
+			await rpc.serve(request, response);
+		},
+	});
+	return {
+		address: server.address,
+		reports,
+		async close() {
+			server.destroy();
+		},
+	};
+};
--- /dev/null
+++ b/packages/bench/src/capacity/measure-control.ts
@@ -0,0 +1,155 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {createConfigurationClient, waitUntil, type ConfigurationClient} from '@bitternpaddle/daemon';
+import {commandSchema} from '@bitternpaddle/state';
+import {silentLogger} from '@bitternpaddle/transport';
+import type {SlopeName} from './definitions.js';
+import {withFolder, type Measured} from './measure-state.js';
+import {readMemory, usageBetween, type ProcessUsage} from './process-usage.js';
+import {startControls, type ControlProcess, type Controls} from './start-controls.js';
+import {sampleAnnouncement} from './sample-state.js';
+import type {Point} from './slope.js';
+
+const watcherCounts = [50, 100, 200, 300, 400] as const;
+const memberCounts = [3, 5, 9, 13, 17] as const;
+const idleMs = 6000;
+const changes = 40;
+const changeGapMs = 50;
+
+/** A watching host as the daemon has it, without its endpoint. */
+const startWatcher = (number: number, address: string): ConfigurationClient => {
+	const announcement = sampleAnnouncement(number);
+	const client: ConfigurationClient = createConfigurationClient({
+		controls: [address], logger: silentLogger, onChange: () => undefined,
+		report: () => ({
+			hostId: announcement.hostId, role: 'agent', address: announcement.address, revision: client.catalog().revision, requestsInFlight: 0,
+			announcement, readyVersionId: null, isLeaving: false, transfers: [],
+		}),
+	});
+	return client;
+};
+
+const measureChanges = async (clients: readonly ConfigurationClient[], firstNumber: number): Promise<number> => {
+	let latencyMs = 0;
+	for (let index = 0; index < changes; index++) {
+		const startedAtMs = performance.now();
+		const result = await clients[0]!.propose(commandSchema.parse({
+			commandId: `change-${firstNumber + index}`, ifRevision: null, change: {type: 'createModel', modelId: `model-${firstNumber + index}`},
+		}));
+		if (result.type !== 'accepted') {
+			throw new Error(`the change was ${result.type}`);
+		}
+
+		await Promise.all(clients.map(async client => client.reach(result.revision, 10_000)));
+		latencyMs += performance.now() - startedAtMs;
+		await delay(changeGapMs);
+	}
+
+	return latencyMs / changes;
+};
+
+/** Lets the watching hosts join step by step; measures at each count. */
+const withWatchers = async (address: string, measure: (clients: readonly ConfigurationClient[]) => Promise<void>): Promise<void> => {
+	const clients: ConfigurationClient[] = [];
+	try {
+		for (const count of watcherCounts) {
+			while (clients.length < count) {
+				clients.push(startWatcher(clients.length, address));
+			}
+
+			await waitUntil(`${count} hosts joined`, async () => clients.every(client => Object.keys(client.catalog().hosts).length === count));
+			await delay(1500);
+			await measure(clients);
+		}
+	} finally {
+		for (const client of clients) {
+			client.close();
+		}
+	}
+};
+
+/** Use a second while nothing changes. */
+const idleUse = async ({pid}: ControlProcess): Promise<ProcessUsage> => {
+	const {processorMs, transferBytes} = await usageBetween(pid, async () => delay(idleMs));
+	return {processorMs: processorMs / idleMs * 1000, transferBytes: transferBytes / idleMs * 1000};
+};
+
+/**
+ * More and more hosts watch at the leader. All share this process: the latency
+ * to the last of them includes the time that it needs for all. Changes come so
+ * close that no host's wait runs out between them: each change costs one
+ * renewal by each host, and nothing is taken off for idle renewals.
+ */
+const measureLeader = async ({leader}: Controls, lines: Lines): Promise<void> => {
+	await withWatchers(leader.address, async clients => {
+		const x = clients.length;
+		const idle = await idleUse(leader);
+		lines['control.watch.processor'].push({x, y: idle.processorMs});
+		lines['control.watch.bytes'].push({x, y: idle.transferBytes});
+		lines['control.watch.memory'].push({x, y: (await readMemory(leader.pid)).privateBytes});
+		let latencyMs = 0;
+		const busy = await usageBetween(leader.pid, async () => {
+			latencyMs = await measureChanges(clients, x * 100);
+		});
+		lines['control.change.processor'].push({x, y: busy.processorMs / changes});
+		lines['control.change.bytes'].push({x, y: busy.transferBytes / changes});
+		lines['control.change.latency'].push({x, y: latencyMs});
+	});
+};
+
+/** The hosts watch at a follower, which folds what they report into messages to the leader. */
+const measureFold = async ({leader, followers}: Controls, lines: Lines): Promise<void> => withWatchers(followers[0]!.address, async clients => {
+	const x = clients.length;
+	const idle = await idleUse(leader);
+	lines['control.fold.processor'].push({x, y: idle.processorMs});
+	lines['control.fold.bytes'].push({x, y: idle.transferBytes});
+});
+
+const controlSlopes = [
+	'control.member.processor',
+	'control.member.bytes',
+	'control.watch.processor',
+	'control.watch.bytes',
+	'control.watch.memory',
+	'control.change.processor',
+	'control.change.bytes',
+	'control.change.latency',
+	'control.fold.processor',
+	'control.fold.bytes',
+] as const satisfies readonly SlopeName[];
+
+type Lines = Record<typeof controlSlopes[number], Point[]>;
+
+/** What the leader spends on each further member while nothing happens: heartbeats and their answers. */
+const measureMembers = async (lines: Lines): Promise<void> => {
+	for (const count of memberCounts) {
+		await withFolder(async folder => {
+			const controls = await startControls(folder, count);
+			try {
+				await delay(2000);
+				const idle = await idleUse(controls.leader);
+				lines['control.member.processor'].push({x: count - 1, y: idle.processorMs});
+				lines['control.member.bytes'].push({x: count - 1, y: idle.transferBytes});
+			} finally {
+				await controls.end();
+			}
+		});
+	}
+};
+
+/** Slopes of real control processes, one cluster for each part. */
+export const measureControl = async (): Promise<Measured> => {
+	const lines = Object.fromEntries(controlSlopes.map(name => [name, [] as Point[]])) as Lines;
+	await measureMembers(lines);
+	for (const measure of [measureLeader, measureFold]) {
+		await withFolder(async folder => {
+			const controls = await startControls(folder);
+			try {
+				await measure(controls, lines);
+			} finally {
+				await controls.end();
+			}
+		});
+	}
+
+	return lines;
+};
--- /dev/null
+++ b/packages/bench/src/capacity/sample-state.ts
@@ -0,0 +1,50 @@
+import {
+	announcementSchema, applyCommand, changeSchema, createCatalog, createLedger, sha256, type Announcement, type Change, type ReplicatedState,
+} from '@bitternpaddle/state';
+import {z} from 'zod';
+
+/** The letter's zones: hosts are spread evenly over them. */
+export const zones = 31;
+export const regions = 9;
+export const sampleManifestId = `sha256:${'ab'.repeat(32)}`;
+export const sampleVersionId = 'pitch-desk:v1';
+export const sampleKey = 'marshals-key';
+const sampleKeyDigest = sha256(sampleKey);
+
+/** An announcement as an agent of the letter's size makes it. */
+export const sampleAnnouncement = (number: number): Announcement => announcementSchema.parse({
+	hostId: `host-${String(number).padStart(5, '0')}`, zoneId: `zone-${number % zones}`, regionId: `region-${number % regions}`, serviceId: 'pitch-desk',
+	provider: 'new', address: `10.0.${Math.floor(number / 250)}.${number % 250}:7200`, capacity: 16, incarnation: 1_796_000_000_000 + number, kind: 'engine',
+});
+
+/** Applies changes as committed commands, one log index each. */
+export const applyAll = (state: ReplicatedState, changes: readonly Change[]): void => {
+	for (const change of changes) {
+		applyCommand(state, {commandId: null, ifRevision: null, change}, state.catalog.revision + 1);
+	}
+};
+
+/**
+ * A state with `hosts` endpoints, all assigned and ready. The assignments are
+ * put in directly: to plan them takes time with the square of the hosts.
+ */
+export const createSampleState = (hosts: number): ReplicatedState => {
+	const state: ReplicatedState = {catalog: createCatalog(), ledger: createLedger()};
+	applyAll(state, Array.from({length: hosts}, (_, index) => ({type: 'hostJoined', announcement: sampleAnnouncement(index)})));
+	for (const [hostId, host] of Object.entries(state.catalog.hosts)) {
+		state.catalog.hosts[hostId] = {...host, readyVersionId: sampleVersionId, assignment: {fleetId: 'fair', versionId: sampleVersionId, fencingNumber: hosts + 5}};
+	}
+
+	applyAll(state, z.array(changeSchema).parse([
+		{type: 'createModel', modelId: 'pitch-desk'},
+		{type: 'createVersion', versionId: sampleVersionId, manifestId: sampleManifestId},
+		{
+			type: 'createFleet', fleetId: 'fair', provider: 'new', versionId: sampleVersionId, replicas: hosts, zoneIds: [],
+		},
+		{
+			type: 'createTeam', teamId: 'marshals', keyDigest: sampleKeyDigest, share: 1,
+		},
+		{type: 'load', versionId: sampleVersionId, fleetId: 'fair'},
+	]));
+	return state;
+};
