--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,5 +1,6 @@
 import {measureConfiguration} from './configuration.js';
 import {measureChaos} from './chaos/chaos.js';
+import {measureCapacity} from './capacity/index.js';
 import {measureOverhead} from './overhead.js';
 
 /** A measurement: takes its flags, prints what it likes, gives the object for the last line. */
@@ -8,5 +9,6 @@
 export const benches: Record<string, Bench> = {
 	configuration: measureConfiguration,
 	chaos: measureChaos,
+	capacity: measureCapacity,
 	overhead: measureOverhead,
 };
