--- a/packages/cli/src/commands/connected-command.ts
+++ b/packages/cli/src/commands/connected-command.ts
@@ -2,13 +2,18 @@
 import {Command, Option} from 'clipanion';
 import {exitCodes, sendCommand} from '../send-command.js';
 
+export type Connection = {readonly address: string; readonly token: string};
+
 /** What every command that talks to an entry has. */
 export abstract class ConnectedCommand extends Command {
 	address = Option.String('--address', {description: 'An entry, ip:port. Default: 127.0.0.1:7100. (BITTERNPADDLE_ADDRESS)'});
 	token = Option.String('--token', {description: 'An administration token. (BITTERNPADDLE_TOKEN)'});
 	output = Option.String('--output', 'table', {description: 'Expected: table or json. Default: table.'});
 
-	protected async send(line: string, extra: {commandId?: string; ifRevision?: number} = {}): Promise<number> {
+	protected readonly outputs: readonly string[] = ['table', 'json'];
+
+	/** Checks the flags; says what is wrong with them and gives `null`. */
+	protected connect(): Connection | null {
 		const address = this.address ?? process.env.BITTERNPADDLE_ADDRESS ?? '127.0.0.1:7100';
 		const token = this.token ?? process.env.BITTERNPADDLE_TOKEN;
 		const problems: string[] = [];
@@ -20,17 +25,34 @@
 			problems.push('--token (BITTERNPADDLE_TOKEN) is needed: expected an administration token');
 		}
 
-		if (this.output !== 'table' && this.output !== 'json') {
-			problems.push(`--output is "${this.output}": expected table or json`);
+		if (!this.outputs.includes(this.output)) {
+			problems.push(`--output is "${this.output}": expected ${this.outputs.join(' or ')}`);
 		}
 
 		if (problems.length > 0) {
 			this.context.stderr.write(`${problems.join('\n')}\n`);
-			return exitCodes.usage;
+			return null;
 		}
 
-		return sendCommand(this.context, {
-			address, token: token!, line, output: this.output === 'json' ? 'json' : 'table', ...extra,
-		});
+		return {address, token: token!};
+	}
+
+	/** What `ask` gives, or `null` after saying that the entry cannot be reached. */
+	protected async reach<Answer>(address: string, ask: () => Promise<Answer>): Promise<Answer | null> {
+		try {
+			return await ask();
+		} catch (error) {
+			this.context.stderr.write(`${address} cannot be reached: ${(error as Error).message}\n`);
+			return null;
+		}
+	}
+
+	protected async send(line: string, extra: {commandId?: string; ifRevision?: number} = {}): Promise<number> {
+		const connection = this.connect();
+		return connection === null
+			? exitCodes.usage
+			: sendCommand(this.context, {
+				...connection, line, output: this.output === 'json' ? 'json' : 'table', ...extra,
+			});
 	}
 }
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -2,11 +2,12 @@
 import {ManifestCreateCommand} from './commands/manifest-command.js';
 import {QueryCommand} from './commands/query-command.js';
 import {ReplayCommand} from './commands/replay-command.js';
+import {ReportBurnCommand} from './commands/report-burn-command.js';
 import {RunCommand} from './commands/run-command.js';
 
 export const createOperatorProgram = (): Cli => {
 	const cli = new Cli({binaryLabel: 'bitternpaddle for operators', binaryName: 'bitternpaddle', binaryVersion: '0.1.0'});
-	for (const command of [QueryCommand, RunCommand, ManifestCreateCommand, ReplayCommand, Builtins.HelpCommand, Builtins.VersionCommand]) {
+	for (const command of [QueryCommand, RunCommand, ManifestCreateCommand, ReplayCommand, ReportBurnCommand, Builtins.HelpCommand, Builtins.VersionCommand]) {
 		cli.register(command);
 	}
 
--- a/packages/cli/src/send-command.ts
+++ b/packages/cli/src/send-command.ts
@@ -35,10 +35,10 @@
 		printAnswer(context, line, answer);
 	}
 
-	return exitCodeOf(answer);
+	return exitCodeOfStatus(answer.status);
 };
 
-const exitCodeOf = ({status}: CommandAnswer): number => {
+export const exitCodeOfStatus = (status: number): number => {
 	if (status === 200) {
 		return exitCodes.done;
 	}
--- a/packages/coordination/src/burn/burn-counter.ts
+++ b/packages/coordination/src/burn/burn-counter.ts
@@ -1,4 +1,6 @@
-import type {BurnBucket, BurnSeries, EncodedHistogram} from '@bitternpaddle/protocol';
+import type {
+	BurnAnswer, BurnBucket, BurnSeries, EncodedHistogram, LatencySeries,
+} from '@bitternpaddle/protocol';
 import type {Histogram} from 'hdr-histogram-js';
 import {createLatencyHistogram, encodeHistogram, recordLatency} from './histogram.js';
 import {
@@ -24,13 +26,21 @@
 	readonly teamId: string;
 	readonly minutes: BurnBucket[];
 	readonly tenMinutes: BurnBucket[];
-	/** Hours that are over, encoded: a closed histogram takes a tenth of an open one. */
+};
+
+/** One service's times to the first token. */
+type CountedLatency = {
+	/** Hours that are over, encoded. */
 	readonly hours: EncodedHistogram[];
 	open: {readonly startMs: number; readonly histogram: Histogram} | null;
 };
 
-/** What one entry has counted. Memory is bounded by `maxSeries` times the kept buckets. */
-export type BurnCounter = {readonly maxSeries: number; readonly series: Map<string, CountedSeries>};
+/** What one entry has counted. Memory is bounded by `maxSeries` times the kept buckets, and by the services that operators made. */
+export type BurnCounter = {
+	readonly maxSeries: number;
+	readonly series: Map<string, CountedSeries>;
+	readonly latencies: Map<string, CountedLatency>;
+};
 
 export type BurnCounterOptions = {
 	/** Pairs of service and team that are counted apart. @default 256 */
@@ -40,14 +50,14 @@
 /** Stands for the teams that came after the bound was reached. */
 export const otherTeams = '(others)';
 
-export const createBurnCounter = ({maxSeries = 256}: BurnCounterOptions = {}): BurnCounter => ({maxSeries, series: new Map()});
+export const createBurnCounter = ({maxSeries = 256}: BurnCounterOptions = {}): BurnCounter => ({maxSeries, series: new Map(), latencies: new Map()});
 
 export const countSample = (counter: BurnCounter, sample: BurnSample): void => {
 	const series = seriesFor(counter, sample.serviceId, sample.teamId);
 	countInto(series.minutes, sample, minuteMs, keptMinutes);
 	countInto(series.tenMinutes, sample, tenMinutesMs, keptTenMinutes);
 	if (sample.firstTokenMs !== null) {
-		recordLatency(openHour(series, sample.atMs), sample.firstTokenMs);
+		recordLatency(openHour(latencyFor(counter, sample.serviceId), sample.atMs), sample.firstTokenMs);
 	}
 };
 
@@ -64,7 +74,7 @@
 	}
 
 	const created: CountedSeries = {
-		serviceId, teamId, minutes: [], tenMinutes: [], hours: [], open: null,
+		serviceId, teamId, minutes: [], tenMinutes: [],
 	};
 	counter.series.set(key, created);
 	return created;
@@ -96,32 +106,47 @@
 	}
 };
 
-const openHour = (series: CountedSeries, atMs: number): Histogram => {
+const latencyFor = (counter: BurnCounter, serviceId: string): CountedLatency => {
+	const known = counter.latencies.get(serviceId);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const created: CountedLatency = {hours: [], open: null};
+	counter.latencies.set(serviceId, created);
+	return created;
+};
+
+const openHour = (latency: CountedLatency, atMs: number): Histogram => {
 	const startMs = floorTo(atMs, hourMs);
-	if (series.open !== null && series.open.startMs >= startMs) {
-		return series.open.histogram;
+	if (latency.open !== null && latency.open.startMs >= startMs) {
+		return latency.open.histogram;
 	}
 
-	if (series.open !== null) {
-		series.hours.push({startMs: series.open.startMs, encoded: encodeHistogram(series.open.histogram)});
-		dropBefore(series.hours, oldestStartMs(atMs, hourMs, keptHours));
+	if (latency.open !== null) {
+		latency.hours.push({startMs: latency.open.startMs, encoded: encodeHistogram(latency.open.histogram)});
+		dropBefore(latency.hours, oldestStartMs(atMs, hourMs, keptHours));
 	}
 
-	series.open = {startMs, histogram: createLatencyHistogram()};
-	return series.open.histogram;
+	latency.open = {startMs, histogram: createLatencyHistogram()};
+	return latency.open.histogram;
 };
 
 /** Everything that is still within the windows at `nowMs`, ready to be sent. */
-export const exportSeries = (counter: BurnCounter, nowMs: number): BurnSeries[] => [...counter.series.values()].map(series => ({
-	serviceId: series.serviceId,
-	teamId: series.teamId,
-	minutes: since(series.minutes, oldestStartMs(nowMs, minuteMs, keptMinutes)),
-	tenMinutes: since(series.tenMinutes, oldestStartMs(nowMs, tenMinutesMs, keptTenMinutes)),
-	hours: since(hoursOf(series), oldestStartMs(nowMs, hourMs, keptHours)),
-}));
+export const exportCounts = (counter: BurnCounter, nowMs: number): Omit<BurnAnswer, 'entryId'> => ({
+	series: [...counter.series.values()].map((series): BurnSeries => ({
+		serviceId: series.serviceId,
+		teamId: series.teamId,
+		minutes: since(series.minutes, oldestStartMs(nowMs, minuteMs, keptMinutes)),
+		tenMinutes: since(series.tenMinutes, oldestStartMs(nowMs, tenMinutesMs, keptTenMinutes)),
+	})),
+	latencies: [...counter.latencies].map(([serviceId, latency]): LatencySeries => ({
+		serviceId, hours: since(hoursOf(latency), oldestStartMs(nowMs, hourMs, keptHours)),
+	})),
+});
 
 const since = <Item extends {readonly startMs: number}>(items: readonly Item[], oldestMs: number): Item[] => items.filter(({startMs}) => startMs >= oldestMs);
 
-const hoursOf = ({hours, open}: CountedSeries): EncodedHistogram[] => open === null
+const hoursOf = ({hours, open}: CountedLatency): EncodedHistogram[] => open === null
 	? [...hours]
 	: [...hours, {startMs: open.startMs, encoded: encodeHistogram(open.histogram)}];
--- a/packages/coordination/src/burn/burn-report.ts
+++ b/packages/coordination/src/burn/burn-report.ts
@@ -1,4 +1,4 @@
-import type {BurnSeries} from '@bitternpaddle/protocol';
+import type {BurnAnswer, BurnSeries, EncodedHistogram} from '@bitternpaddle/protocol';
 import {defaultObjective, type Objective} from '@bitternpaddle/state';
 import {groupBy} from '../utils/group-by.js';
 import {mergeHistograms} from './histogram.js';
@@ -35,6 +35,7 @@
 	readonly objective: Objective;
 	readonly answeredWhole: ObjectiveBurn;
 	readonly firstToken: ObjectiveBurn;
+	/** For a service over all teams; none for a team. */
 	readonly points: readonly BurnPoint[];
 };
 
@@ -90,7 +91,7 @@
 	return {rates, budgetLeftPercent: round(100 * (1 - rates.at(-1)!.rate)), alert: alertOf(rates)};
 };
 
-const pointsOf = ({tenMinutes, hours}: MergedSeries, nowMs: number): BurnPoint[] => {
+const pointsOf = ({tenMinutes}: MergedSeries, hours: readonly EncodedHistogram[], nowMs: number): BurnPoint[] => {
 	const oldestMs = oldestStartMs(nowMs, tenMinutesMs, 432);
 	const byHour = groupBy(tenMinutes.filter(({startMs}) => startMs >= oldestMs), ({startMs}) => startMs - (startMs % hourMs));
 	const histograms = groupBy(hours, ({startMs}) => startMs);
@@ -105,39 +106,55 @@
 	});
 };
 
-const rowOf = (series: readonly BurnSeries[], teamId: string | null, objective: Objective, nowMs: number): BurnRow => {
-	const merged = mergeSeries(series);
-	return {
-		serviceId: series[0]!.serviceId,
-		teamId,
-		objective,
-		answeredWhole: objectiveBurn(merged, nowMs, objective.answeredWholePercent, ({notWhole, total}) => ({bad: notWhole, total})),
-		firstToken: objectiveBurn(merged, nowMs, objective.firstTokenPercent, ({slow, timed}) => ({bad: slow, total: timed})),
-		points: pointsOf(merged, nowMs),
-	};
-};
+type RowOptions = {readonly serviceId: string; readonly teamId: string | null; readonly objective: Objective; readonly nowMs: number};
+
+const rowOf = (merged: MergedSeries, points: readonly BurnPoint[], {serviceId, teamId, objective, nowMs}: RowOptions): BurnRow => ({
+	serviceId,
+	teamId,
+	objective,
+	answeredWhole: objectiveBurn(merged, nowMs, objective.answeredWholePercent, ({notWhole, total}) => ({bad: notWhole, total})),
+	firstToken: objectiveBurn(merged, nowMs, objective.firstTokenPercent, ({slow, timed}) => ({bad: slow, total: timed})),
+	points,
+});
 
 export type BuildBurnReportOptions = {
 	readonly nowMs: number;
 	/** What each entry counted. */
-	readonly answers: ReadonlyArray<{readonly entryId: string; readonly series: readonly BurnSeries[]}>;
+	readonly answers: readonly BurnAnswer[];
 	readonly missingEntries: readonly string[];
 	/** Objectives that operators have set; other services have the default. */
 	readonly objectives: ReadonlyMap<string, Objective>;
 };
 
-/** Merges what the entries counted: one row for each service, then one for each of its teams. */
-export const buildBurnReport = ({nowMs, answers, missingEntries, objectives}: BuildBurnReportOptions): BurnReport => {
-	const services = groupBy(answers.flatMap(({series}) => series), ({serviceId}) => serviceId);
-	const rows = [...services].toSorted(([a], [b]) => a.localeCompare(b)).flatMap(([serviceId, series]) => {
-		const objective = objectives.get(serviceId) ?? defaultObjective;
-		const teams = [...groupBy(series, ({teamId}) => teamId)].toSorted(([a], [b]) => a.localeCompare(b));
-		return [
-			rowOf(series, null, objective, nowMs),
-			...teams.map(([teamId, ofTeam]) => rowOf(ofTeam, teamId, objective, nowMs)),
-		];
+const rowsOfService = (serviceId: string, series: readonly BurnSeries[], {nowMs, answers, objectives}: BuildBurnReportOptions): BurnRow[] => {
+	const objective = objectives.get(serviceId) ?? defaultObjective;
+	const hours = answers.flatMap(({latencies}) => latencies.filter(latency => latency.serviceId === serviceId)).flatMap(latency => latency.hours);
+	const merged = mergeSeries(series);
+	const service = rowOf(merged, pointsOf(merged, hours, nowMs), {
+		serviceId, teamId: null, objective, nowMs,
 	});
-	return {
-		nowMs, heardEntries: answers.map(({entryId}) => entryId).toSorted(), missingEntries: [...missingEntries].toSorted(), rows,
-	};
+	const teams = [...groupBy(series, ({teamId}) => teamId)].toSorted(([a], [b]) => a.localeCompare(b));
+	return [service, ...teams.map(([teamId, ofTeam]) => rowOf(mergeSeries(ofTeam), [], {
+		serviceId, teamId, objective, nowMs,
+	}))];
 };
+
+/**
+ * Merges what the entries counted, a service at a time: one row for the
+ * service, then one for each of its teams. Whoever serves requests on the same
+ * thread goes on with them between two services; the merge of all at once
+ * would hold them up for as long as it takes.
+ */
+export function * burnRowsByService(options: BuildBurnReportOptions): Generator<BurnRow[]> {
+	const services = groupBy(options.answers.flatMap(({series}) => series), ({serviceId}) => serviceId);
+	for (const [serviceId, series] of [...services].toSorted(([a], [b]) => a.localeCompare(b))) {
+		yield rowsOfService(serviceId, series, options);
+	}
+}
+
+export const burnReportOf = ({nowMs, answers, missingEntries}: BuildBurnReportOptions, rows: readonly BurnRow[]): BurnReport => ({
+	nowMs, heardEntries: answers.map(({entryId}) => entryId).toSorted(), missingEntries: [...missingEntries].toSorted(), rows,
+});
+
+/** The whole report at once. */
+export const buildBurnReport = (options: BuildBurnReportOptions): BurnReport => burnReportOf(options, [...burnRowsByService(options)].flat());
--- a/packages/coordination/src/burn/merge-series.ts
+++ b/packages/coordination/src/burn/merge-series.ts
@@ -1,18 +1,16 @@
-import type {BurnBucket, BurnSeries, EncodedHistogram} from '@bitternpaddle/protocol';
+import type {BurnBucket, BurnSeries} from '@bitternpaddle/protocol';
 import {addCounts} from './windows.js';
 
-/** Series as merged over entries, or over teams; several histograms of one hour stand side by side. */
+/** Series as merged over entries, or over teams. */
 export type MergedSeries = {
 	readonly minutes: readonly BurnBucket[];
 	readonly tenMinutes: readonly BurnBucket[];
-	readonly hours: readonly EncodedHistogram[];
 };
 
 /** Adds up buckets with the same start. */
 export const mergeSeries = (series: readonly BurnSeries[]): MergedSeries => ({
 	minutes: mergeBuckets(series.map(({minutes}) => minutes)),
 	tenMinutes: mergeBuckets(series.map(({tenMinutes}) => tenMinutes)),
-	hours: series.flatMap(({hours}) => hours),
 });
 
 const mergeBuckets = (lists: ReadonlyArray<readonly BurnBucket[]>): BurnBucket[] => {
--- a/packages/coordination/test/burn.test.ts
+++ b/packages/coordination/test/burn.test.ts
@@ -2,7 +2,7 @@
 import type {Objective} from '@bitternpaddle/state';
 import t from 'tap';
 import {
-	buildBurnReport, countSample, createBurnCounter, exportSeries, otherTeams, type BurnCounter, type BurnReport, type BurnRow,
+	buildBurnReport, countSample, createBurnCounter, exportCounts, otherTeams, type BurnCounter, type BurnReport, type BurnRow,
 } from '@bitternpaddle/coordination';
 
 const minuteMs = 60_000;
@@ -26,7 +26,7 @@
 const reportOf = (counters: readonly BurnCounter[], atMs = nowMs): BurnReport => buildBurnReport({
 	nowMs: atMs, missingEntries: [], objectives: new Map([['bp-writers', objective]]),
 	// By way of the wire's schema, as between two entries.
-	answers: counters.map((counter, index) => burnAnswerSchema.parse(structuredClone({entryId: `entry-${index + 1}`, series: exportSeries(counter, atMs)}))),
+	answers: counters.map((counter, index) => burnAnswerSchema.parse(structuredClone({entryId: `entry-${index + 1}`, ...exportCounts(counter, atMs)}))),
 });
 
 const ratesOf = (row: BurnRow, name: 'answeredWhole' | 'firstToken') => Object.fromEntries(row[name].rates.map(({window, bad, total, rate}) => [window, [bad, total, rate]]));
@@ -125,8 +125,10 @@
 	}
 
 	const lastMs = nowMs + (10 * 24 * 60 * minuteMs) - minuteMs;
-	const [first, second] = exportSeries(counter, lastMs);
-	t.match(first, {minutes: {length: 60}, tenMinutes: {length: 432}, hours: {length: 72}});
-	t.match(second, {minutes: {length: 0}, tenMinutes: {length: 0}, hours: {length: 0}}, 'what has left the windows is not sent');
+	const [first, second] = exportCounts(counter, lastMs).series;
+	t.match(first, {minutes: {length: 60}, tenMinutes: {length: 432}});
+	t.match(second, {minutes: {length: 0}, tenMinutes: {length: 0}}, 'what has left the windows is not sent');
+	t.equal(exportCounts(counter, lastMs).latencies[0]!.hours.length, 72);
+	t.ok(counter.latencies.get('s')!.hours.length <= 72);
 	t.ok(counter.series.get('s/team-0')!.minutes.length <= 61);
 });
--- a/packages/daemon/src/control/answer-query.ts
+++ b/packages/daemon/src/control/answer-query.ts
@@ -1,7 +1,7 @@
 import type {
 	Condition, HostReport, QueryRow, Show,
 } from '@bitternpaddle/protocol';
-import type {Catalog} from '@bitternpaddle/state';
+import {defaultObjective, type Catalog} from '@bitternpaddle/state';
 import {match} from 'ts-pattern';
 import type {HostRegistry} from './host-registry.js';
 
@@ -27,9 +27,12 @@
 		fleet: fleet.fleetId, provider: fleet.provider, version: fleet.versionId, replicas: fleet.replicas,
 		zones: fleet.zoneIds.join(', '), loaded: fleet.isLoaded, ready: readyReplicas(view.catalog, fleet.fleetId, fleet.versionId),
 	})))
-	.with('services', () => Object.entries(view.catalog.services).map(([service, {repeatable}]) => ({service, repeatable})))
+	.with('services', () => Object.entries(view.catalog.services).map(([service, {repeatable, objective = defaultObjective}]) => ({
+		service, repeatable, whole: objective.answeredWholePercent, firstToken: objective.firstTokenPercent, withinMs: objective.firstTokenMs,
+	})))
 	.with('teams', () => Object.entries(view.catalog.teams).map(([team, {share}]) => ({team, share})))
-	.with('requests', () => liveReports(view).map(report => ({host: report.hostId, role: report.role, inFlight: report.requestsInFlight})))
+	// Requests are known to the entries alone; the entry that was asked gathers them.
+	.with('requests', () => [])
 	.exhaustive();
 
 const isLive = (view: QueryView, hostId: string): boolean => {
@@ -61,11 +64,12 @@
 	const agents = Object.values(view.catalog.hosts).map(({announcement, status}) => ({
 		host: announcement.hostId, role: 'agent', zone: announcement.zoneId, service: announcement.serviceId, provider: announcement.provider,
 		status: isLive(view, announcement.hostId) ? status : 'silent', revision: view.registry.get(announcement.hostId)?.report.revision ?? 0,
+		address: announcement.address,
 	}));
 	const entries = liveReports(view)
 		.filter(report => report.role === 'entry')
 		.map(report => ({
-			host: report.hostId, role: 'entry', zone: null, service: null, provider: null, status: 'serving', revision: report.revision,
+			host: report.hostId, role: 'entry', zone: null, service: null, provider: null, status: 'serving', revision: report.revision, address: report.address,
 		}));
 	return [...agents, ...entries];
 };
@@ -90,21 +94,14 @@
 		.exhaustive();
 };
 
-/** Field names that no row has; asking for them is an error, not an empty answer. */
-export const unknownFields = (rows: readonly QueryRow[], where: readonly Condition[]): string[] => rows.length === 0
-	? []
-	: where.map(({field}) => field).filter(field => !(field in rows[0]!));
-
 const sortByFirstColumn = (rows: readonly QueryRow[]): QueryRow[] => rows.toSorted((a, b) => {
 	const [first = ''] = Object.values(a).map(String);
 	const [second = ''] = Object.values(b).map(String);
 	return first.localeCompare(second, 'en', {numeric: true});
 });
 
-export const answerQuery = (view: QueryView, {subject, where}: Show): {rows: QueryRow[]; unknown: string[]} => {
-	const rows = sortByFirstColumn(rowsOf(view, subject));
-	return {
-		rows: rows.filter(row => where.every(condition => compare(row[condition.field], condition))),
-		unknown: unknownFields(rows, where),
-	};
-};
+/** Rows that meet every condition, in order. */
+export const selectRows = (rows: readonly QueryRow[], where: readonly Condition[]): QueryRow[] => sortByFirstColumn(rows)
+	.filter(row => where.every(condition => compare(row[condition.field], condition)));
+
+export const answerQuery = (view: QueryView, {subject, where}: Show): QueryRow[] => selectRows(rowsOf(view, subject), where);
--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -194,13 +194,9 @@
 
 	const query = (show: Show): QueryResult => {
 		const {catalog} = replica.state;
-		const {rows, unknown} = answerQuery({
+		const rows = answerQuery({
 			catalog, registry, nowMs: performance.now(), leaseMs,
 		}, show);
-		if (unknown.length > 0) {
-			throw new RpcError(rpcErrorCodes.invalid, `${show.subject} have no field ${unknown.join(', ')}`);
-		}
-
 		return {revision: catalog.revision, rows};
 	};
 
--- a/packages/daemon/src/dev/client.ts
+++ b/packages/daemon/src/dev/client.ts
@@ -19,12 +19,21 @@
 	return {status: response.statusCode!, headers: response.headers, text: (await readBody(response)).toString()};
 };
 
+/** Gets JSON as an operator would. */
+export const fetchJson = async ({address, token, path, idleTimeoutMs = 30_000}: ClientOptions & {readonly path: string}): Promise<ClientAnswer> => {
+	const response = await sendHttp({
+		address, path, idleTimeoutMs, agent: false, headers: {authorization: `Bearer ${token}`},
+	});
+	return {status: response.statusCode!, headers: response.headers, text: (await readBody(response)).toString()};
+};
+
 export type CommandAnswer = {
 	readonly status: number;
 	readonly body: {
 		readonly type?: string;
 		readonly revision?: number;
 		readonly rows?: Array<Record<string, string | number | boolean | null>>;
+		readonly missingEntries?: string[];
 		readonly message?: string;
 		readonly error?: {readonly type: string; readonly message: string; readonly column?: number; readonly expected?: string[]};
 	};
--- a/packages/daemon/src/entry/admin-api.ts
+++ b/packages/daemon/src/entry/admin-api.ts
@@ -1,109 +1,198 @@
-import {randomUUID, timingSafeEqual} from 'node:crypto';
+import {randomUUID} from 'node:crypto';
 import type http from 'node:http';
-import {parseStatement, type Statement} from '@bitternpaddle/protocol';
-import {commandIdSchema, sha256, type Change} from '@bitternpaddle/state';
-import {readBody, sendJson} from '@bitternpaddle/transport';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {
+	burnReportOf, burnRowsByService, type BuildBurnReportOptions, type BurnRow,
+} from '@bitternpaddle/coordination';
+import {
+	parseStatement, rpcErrorCodes, type ParseError, type QueryResult, type Show, type Statement,
+} from '@bitternpaddle/protocol';
+import {commandIdSchema, type Change} from '@bitternpaddle/state';
+import {BodyTooLargeError, readBody, sendJson} from '@bitternpaddle/transport';
+import {match} from 'ts-pattern';
 import {z} from 'zod';
+import {selectRows} from '../control/answer-query.js';
 import type {ConfigurationClient} from '../host/configuration-client.js';
-
-export const adminRoles = ['read', 'operate', 'administer'] as const;
-export type AdminRole = typeof adminRoles[number];
-
-export type AdminToken = {readonly role: AdminRole; readonly token: string};
+import {
+	mayAct, roleOfToken, type AdminRole, type AdminToken,
+} from './admin-tokens.js';
+import type {EntryPeers} from './entry-peers.js';
+import {explainReplica, explainRequest, requestRow} from './explain.js';
 
 export type AdminApiOptions = {
 	readonly configuration: ConfigurationClient;
+	readonly peers: EntryPeers;
 	readonly tokens: readonly AdminToken[];
 };
 
+export const adminPrefix = '/admin/v1/';
+export const commandsPath = `${adminPrefix}commands`;
+export const burnReportPath = `${adminPrefix}reports/burn`;
+
 const bodySchema = z.object({
 	line: z.string().min(1).max(4096),
 	commandId: commandIdSchema.optional(),
 	ifRevision: z.number().int().nonnegative().optional(),
 });
+type CommandBody = z.infer<typeof bodySchema>;
 
 const bodyLimitBytes = 16_384;
 
-/** Compares digests, so that the time taken tells nothing about the token. */
-const roleOf = (tokens: readonly AdminToken[], presented: string): AdminRole | null => {
-	const digest = new TextEncoder().encode(sha256(presented));
-	let role: AdminRole | null = null;
-	for (const known of tokens) {
-		if (timingSafeEqual(new TextEncoder().encode(sha256(known.token)), digest)) {
-			({role} = known);
-		}
+/** An answer with an error, in the shape that all of the API's errors have. */
+class AdminError extends Error {
+	override readonly name = 'AdminError';
+
+	constructor(readonly status: number, readonly type: string, message: string, readonly place: Partial<ParseError> = {}) {
+		super(message);
 	}
+}
 
-	return role;
-};
+const isAdministration = ({type}: Change): boolean => type.startsWith('create') || type === 'setObjective';
 
-const neededRole = (statement: Statement): AdminRole => {
-	if (statement.type === 'query') {
-		return 'read';
-	}
+const neededRole = (statement: Statement): AdminRole => match(statement)
+	.with({type: 'query'}, {type: 'explain'}, () => 'read' as const)
+	.with({type: 'change'}, ({change}) => isAdministration(change) ? 'administer' as const : 'operate' as const)
+	.exhaustive();
+
+/** `POST /admin/v1/commands`, one line of the operators' language, and `GET /admin/v1/reports/burn`. */
+export const createAdminHandler = ({configuration, peers, tokens}: AdminApiOptions) => {
+	const runLine = async (token: string, body: CommandBody): Promise<{status: number; body: unknown}> => {
+		const statement = parseLine(body.line);
+		assertRole(tokens, token, neededRole(statement));
+		return match(statement)
+			.with({type: 'query'}, async ({show}) => ({status: 200, body: await query(token, show)}))
+			.with({type: 'explain', subject: 'request'}, async ({id}) => ({status: 200, body: await explainRequestById(token, id)}))
+			.with({type: 'explain', subject: 'replica'}, async ({id}) => ({status: 200, body: await explainHost(id)}))
+			.with({type: 'change'}, async ({change}) => {
+				const result = await configuration.propose({
+					commandId: body.commandId ?? commandIdSchema.parse(randomUUID()), ifRevision: body.ifRevision ?? null, change,
+				});
+				return {status: result.type === 'accepted' ? 200 : 409, body: result};
+			})
+			.exhaustive();
+	};
+
+	const query = async (token: string, show: Show): Promise<QueryResult> => {
+		if (show.subject !== 'requests') {
+			return configuration.query(show);
+		}
+
+		const {answers, missingEntries} = await peers.requests(token, {type: 'inFlight'});
+		const rows = answers.flatMap(({records}) => records).map(record => requestRow(record, Date.now()));
+		return {revision: configuration.catalog().revision, rows: selectRows(rows, show.where), ...notHeard(missingEntries)};
+	};
+
+	const explainRequestById = async (token: string, requestId: string): Promise<QueryResult> => {
+		const {answers, missingEntries} = await peers.requests(token, {type: 'byId', requestId});
+		const [record] = answers.flatMap(({records}) => records);
+		if (record === undefined) {
+			const where = missingEntries.length === 0 ? 'any entry' : `the entries that answered; ${missingEntries.join(', ')} did not`;
+			throw new AdminError(404, 'not_found', `request ${requestId} is not, or no longer, known to ${where}`);
+		}
 
-	return isAdministration(statement.change) ? 'administer' : 'operate';
+		return {revision: configuration.catalog().revision, rows: explainRequest(record)};
+	};
+
+	const explainHost = async (hostId: string): Promise<QueryResult> => {
+		const where = [{field: 'host', operator: '=' as const, value: hostId}];
+		const [hosts, transfers] = await Promise.all([
+			configuration.query({type: 'show', subject: 'hosts', where}),
+			configuration.query({type: 'show', subject: 'transfers', where}),
+		]);
+		return {
+			revision: configuration.catalog().revision,
+			rows: explainReplica({
+				catalog: configuration.catalog(), hostId, hostRow: hosts.rows[0], transferRows: transfers.rows,
+			}),
+		};
+	};
+
+	const burnReport = async (token: string): Promise<unknown> => {
+		assertRole(tokens, token, 'read');
+		const nowMs = Date.now();
+		const objectives = new Map(Object.entries(configuration.catalog().services)
+			.flatMap(([serviceId, {objective}]) => objective === undefined ? [] : [[serviceId, objective]]));
+		const options: BuildBurnReportOptions = {nowMs, objectives, ...await peers.burn(token, nowMs)};
+		const rows: BurnRow[] = [];
+		for (const ofService of burnRowsByService(options)) {
+			rows.push(...ofService);
+			await nextTurn();
+		}
+
+		return burnReportOf(options, rows);
+	};
+
+	return async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
+		try {
+			const token = bearerOf(request) ?? '';
+			assertRole(tokens, token, 'read');
+			if (request.method === 'POST' && request.url === commandsPath) {
+				const {status, body} = await runLine(token, await readCommand(request));
+				sendJson(response, status, body);
+			} else if (request.method === 'GET' && request.url === burnReportPath) {
+				sendJson(response, 200, await burnReport(token));
+			} else {
+				throw new AdminError(404, 'not_found', `${request.method} ${request.url}: expected POST ${commandsPath} or GET ${burnReportPath}`);
+			}
+		} catch (error) {
+			sendAdminError(response, toAdminError(error as Error));
+		}
+	};
 };
 
-const isAdministration = ({type}: Change): boolean => type.startsWith('create') || type === 'setObjective';
+/** Leaves the field out when every entry answered. */
+const notHeard = (missingEntries: readonly string[]): {missingEntries?: readonly string[]} => missingEntries.length === 0 ? {} : {missingEntries};
 
-/** `POST /admin/v1/commands`: one line of the operators' language. */
-export const createAdminHandler = ({configuration, tokens}: AdminApiOptions) => async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
-	const role = roleOf(tokens, bearerOf(request) ?? '');
-	if (role === null) {
-		sendError(response, 401, 'unauthorized', 'an administration token is needed');
-		return;
-	}
+const parseLine = (line: string): Statement => parseStatement(line).caseOf({
+	Left(error) {
+		throw new AdminError(400, 'invalid_request', error.message, {column: error.column, expected: error.expected});
+	},
+	Right: statement => statement,
+});
 
-	const body = await readCommand(request);
-	if (typeof body === 'string') {
-		sendError(response, 400, 'invalid_request', body);
-		return;
+const assertRole = (tokens: readonly AdminToken[], token: string, needed: AdminRole): void => {
+	const role = roleOfToken(tokens, token);
+	if (role === null) {
+		throw new AdminError(401, 'unauthorized', 'an administration token is needed');
 	}
 
-	const parsed = parseStatement(body.line);
-	if (parsed.isLeft()) {
-		const {message, column, expected} = parsed.extract() as {message: string; column: number; expected: string[]};
-		sendJson(response, 400, {
-			error: {
-				type: 'invalid_request', message, column, expected,
-			},
-		});
-		return;
+	if (!mayAct(role, needed)) {
+		throw new AdminError(403, 'unauthorized', `this needs a token for "${needed}", this one is for "${role}"`);
 	}
+};
 
-	const statement = parsed.unsafeCoerce();
-	if (adminRoles.indexOf(role) < adminRoles.indexOf(neededRole(statement))) {
-		sendError(response, 403, 'unauthorized', `this needs a token for "${neededRole(statement)}", this one is for "${role}"`);
-		return;
+const toAdminError = (error: Error): AdminError => {
+	if (error instanceof AdminError) {
+		return error;
 	}
 
-	try {
-		if (statement.type === 'query') {
-			sendJson(response, 200, await configuration.query(statement.show));
-			return;
-		}
+	return (error as {code?: number}).code === rpcErrorCodes.invalid
+		? new AdminError(400, 'invalid_request', error.message)
+		: new AdminError(503, 'unavailable', error.message);
+};
 
-		const result = await configuration.propose({
-			commandId: body.commandId ?? commandIdSchema.parse(randomUUID()), ifRevision: body.ifRevision ?? null, change: statement.change,
-		});
-		sendJson(response, result.type === 'accepted' ? 200 : 409, result);
-	} catch (error) {
-		sendError(response, 503, 'unavailable', (error as Error).message);
-	}
+const sendAdminError = (response: http.ServerResponse, {status, type, message, place}: AdminError): void => {
+	// The rest of a refused body is not read: the connection cannot carry another request.
+	const headers: http.OutgoingHttpHeaders = status === 413 ? {connection: 'close'} : {};
+	sendJson(response, status, {error: {type, message, ...place}}, headers);
 };
 
 export const bearerOf = (request: http.IncomingMessage): string | null => /^Bearer (\S+)$/v.exec(request.headers.authorization ?? '')?.[1] ?? null;
 
-const sendError = (response: http.ServerResponse, status: number, type: string, message: string): void => {
-	sendJson(response, status, {error: {type, message}});
-};
-
-const readCommand = async (request: http.IncomingMessage): Promise<z.infer<typeof bodySchema> | string> => {
+const readCommand = async (request: http.IncomingMessage): Promise<CommandBody> => {
+	let body: unknown;
 	try {
-		const parsed = bodySchema.safeParse(JSON.parse((await readBody(request, bodyLimitBytes)).toString()));
-		return parsed.success ? parsed.data : z.prettifyError(parsed.error);
+		body = JSON.parse((await readBody(request, bodyLimitBytes)).toString());
 	} catch (error) {
-		return (error as Error).message;
+		throw error instanceof BodyTooLargeError
+			? new AdminError(413, 'invalid_request', error.message)
+			: new AdminError(400, 'invalid_request', 'the body is not JSON');
 	}
+
+	const parsed = bodySchema.safeParse(body);
+	if (!parsed.success) {
+		throw new AdminError(400, 'invalid_request', z.prettifyError(parsed.error));
+	}
+
+	return parsed.data;
 };
--- /dev/null
+++ b/packages/daemon/src/entry/admin-tokens.ts
@@ -0,0 +1,22 @@
+import {timingSafeEqual} from 'node:crypto';
+import {sha256} from '@bitternpaddle/state';
+
+export const adminRoles = ['read', 'operate', 'administer'] as const;
+export type AdminRole = typeof adminRoles[number];
+
+export type AdminToken = {readonly role: AdminRole; readonly token: string};
+
+/** Compares digests, so that the time taken tells nothing about the token. */
+export const roleOfToken = (tokens: readonly AdminToken[], presented: string): AdminRole | null => {
+	const digest = new TextEncoder().encode(sha256(presented));
+	let role: AdminRole | null = null;
+	for (const known of tokens) {
+		if (timingSafeEqual(new TextEncoder().encode(sha256(known.token)), digest)) {
+			({role} = known);
+		}
+	}
+
+	return role;
+};
+
+export const mayAct = (role: AdminRole, needed: AdminRole): boolean => adminRoles.indexOf(role) >= adminRoles.indexOf(needed);
--- a/packages/daemon/src/entry/create-entry-node.ts
+++ b/packages/daemon/src/entry/create-entry-node.ts
@@ -2,7 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import type http from 'node:http';
 import {
-	buildEndpointIndex, chooseEndpoint, createRandom, createRouter, noteEnd, noteStart, type Endpoint, type RouteTarget,
+	buildEndpointIndex, chooseEndpoint, createBurnCounter, createRandom, createRouter, noteEnd, noteStart, type Endpoint, type RouteTarget,
 } from '@bitternpaddle/coordination';
 import {
 	errorResponseOf, hostHeader, idempotencyKeyHeader, requestIdHeader, versionHeader, type ErrorBody, type HostReport,
@@ -11,13 +11,17 @@
 	idempotencyKeySchema, mayHaveRun, notRun, requestIdSchema, serviceIdSchema, sha256, teamIdSchema, type Change, type CommandResult, type UnansweredVerdict,
 } from '@bitternpaddle/state';
 import {
-	BodyTooLargeError, createHttpServer, readBody, sendJson, silentLogger, type Logger, type Metrics,
+	BodyTooLargeError, createHttpServer, readBody, rpcPath, sendJson, silentLogger, type Logger, type Metrics,
 } from '@bitternpaddle/transport';
 import {match} from 'ts-pattern';
 import {z} from 'zod';
 import {createConfigurationClient} from '../host/configuration-client.js';
-import {bearerOf, createAdminHandler, type AdminToken} from './admin-api.js';
+import {adminPrefix, bearerOf, createAdminHandler} from './admin-api.js';
+import type {AdminToken} from './admin-tokens.js';
+import {countRequest, serviceOfTarget, servicesOfModels} from './count-burn.js';
 import {dispatch, isWholeAnswer, type AttemptOutcome} from './dispatch.js';
+import {createEntryPeers, createEntryRpc} from './entry-peers.js';
+import {createRequestLog, type RequestTrace} from './request-log.js';
 
 export type EntryNodeOptions = {
 	readonly entryId: string;
@@ -61,6 +65,7 @@
 	readonly response: http.ServerResponse;
 	readonly abort: AbortController;
 	readonly deadlineAtMs: number;
+	readonly trace: RequestTrace;
 };
 
 const chatBodySchema = z.looseObject({model: z.string().min(1), stream: z.boolean().default(false)});
@@ -83,6 +88,15 @@
 	} = options;
 	const router = createRouter({random: createRandom(Math.floor(Math.random() * 2_147_483_647))});
 	const teams = new Map<string, string>();
+	const burnCounter = createBurnCounter();
+	let modelServices = new Map<string, string>();
+	const requestLog = createRequestLog({
+		entryId,
+		serviceOf: target => serviceOfTarget(modelServices, target),
+		onEnd(record) {
+			countRequest(burnCounter, configuration.catalog(), record);
+		},
+	});
 	let inFlight = 0;
 	let isLeaving = false;
 	const idleWaiters = new Set<() => void>();
@@ -117,9 +131,9 @@
 		};
 		const service = /^\/services\/([^\/]+)(\/.*)$/v.exec(url);
 		if (service !== null) {
-			return {
+			return withTrace({
 				...shared, target: {type: 'service', serviceId: service[1]!}, path: service[2]!, isStream: false,
-			};
+			});
 		}
 
 		const parsed = chatBodySchema.safeParse(parseJson(body));
@@ -127,11 +141,13 @@
 			throw new RefusedError({status: 400, type: 'invalid_request', message: z.prettifyError(parsed.error)});
 		}
 
-		return {
+		return withTrace({
 			...shared, target: {type: 'model', modelId: parsed.data.model}, path: url, isStream: parsed.data.stream,
-		};
+		});
 	};
 
+	const withTrace = (call: Omit<Call, 'trace'>): Call => ({...call, trace: requestLog.begin(call)});
+
 	/** Tries endpoints until one answers, or until trying again could run the request twice. */
 	const attemptAll = async (call: Call): Promise<AttemptOutcome & {endpoint?: Endpoint}> => {
 		const tried = new Set<string>();
@@ -152,10 +168,10 @@
 			call.response.once('close', () => {
 				noteEnd(router, endpoint.hostId);
 			});
-			const outcome = await dispatch({
+			const outcome = await call.trace.attempt(endpoint, number, async () => dispatch({
 				...call, endpoint, number, revision: router.index.revision, signal: call.abort.signal,
 				idleTimeoutMs: Math.max(1, call.deadlineAtMs - performance.now()),
-			});
+			}));
 			if (outcome.type === 'answer') {
 				return {...outcome, endpoint};
 			}
@@ -171,6 +187,7 @@
 
 	const sendVerdict = (call: Call, verdict: UnansweredVerdict): void => {
 		logger.event(verdict.type === 'notRun' ? 'BP2001' : 'BP2002', {requestId: call.requestId, reason: verdict.reason});
+		call.trace.refused(verdict);
 		metrics?.increment('entry.verdict', {verdict: verdict.type});
 		const {status, headers, body} = errorResponseOf(verdict, call.requestId);
 		sendJson(call.response, status, body, {...headers, [requestIdHeader]: call.requestId});
@@ -183,6 +200,7 @@
 		response.writeHead(answer.statusCode!, answerHeaders(answer, requestId));
 		try {
 			for await (const part of answer as AsyncIterable<Buffer>) {
+				call.trace.firstByte();
 				sizeBytes += part.length;
 				response.write(part);
 			}
@@ -196,6 +214,7 @@
 		}
 
 		logger.event('BP2003', {requestId});
+		call.trace.cut();
 		response.destroy();
 	};
 
@@ -339,7 +358,9 @@
 			if (path === '/healthz' || path === '/readyz') {
 				const isReady = path === '/healthz' || (!isLeaving && configuration.hasLease());
 				sendJson(response, isReady ? 200 : 503, {entryId, revision: configuration.catalog().revision, inFlight});
-			} else if (request.method === 'POST' && path === '/admin/v1/commands') {
+			} else if (path === rpcPath) {
+				await entryRpc.serve(request, response);
+			} else if (path.startsWith(adminPrefix)) {
 				await handleAdmin(request, response);
 			} else if (path === '/v1/chat/completions' || path === '/v1/completions' || path.startsWith('/services/')) {
 				await serveCall(request, response);
@@ -356,13 +377,17 @@
 		controls, logger, report,
 		onChange(catalog) {
 			router.index = buildEndpointIndex(catalog);
+			modelServices = servicesOfModels(catalog);
 			teams.clear();
 			for (const [teamId, {keyDigest}] of Object.entries(catalog.teams)) {
 				teams.set(keyDigest, teamId);
 			}
 		},
 	});
-	const handleAdmin = createAdminHandler({configuration, tokens: adminTokens});
+	const handleAdmin = createAdminHandler({configuration, peers: createEntryPeers(configuration), tokens: adminTokens});
+	const entryRpc = createEntryRpc({
+		entryId, tokens: adminTokens, counter: burnCounter, requests: requestLog,
+	});
 
 	const whenIdle = async (): Promise<void> => new Promise(resolve => {
 		const check = (): void => {
--- /dev/null
+++ b/packages/daemon/src/entry/explain.ts
@@ -0,0 +1,103 @@
+import type {AttemptRecord, QueryRow, RequestRecord} from '@bitternpaddle/protocol';
+import type {Catalog, HostRecord} from '@bitternpaddle/state';
+
+const row = (afterMs: number | null, event: string, detail: string): QueryRow => ({afterMs, event, detail});
+
+const outcomeOf = ({verdict, reason, endedAfterMs, startedAfterMs}: AttemptRecord): string => {
+	if (endedAfterMs === null) {
+		return 'at work';
+	}
+
+	const tookMs = endedAfterMs - startedAfterMs;
+	return verdict === 'ran' ? `answers after ${tookMs} ms` : `${verdict} after ${tookMs} ms: ${reason}`;
+};
+
+const endOf = ({state, status, verdict, reason, versionId}: RequestRecord): string => {
+	const what = [state, status === null ? null : `status ${status}`, versionId === null ? null : `version ${versionId}`, verdict, reason];
+	return what.filter(part => part !== null).join(', ');
+};
+
+/** What an entry knows of one request, in the order of events. */
+export const explainRequest = (record: RequestRecord): QueryRow[] => [
+	row(0, 'arrived', `at ${record.entryId}, ${new Date(record.arrivedAtMs).toISOString()}, team ${record.teamId}, for ${record.target} (service ${record.serviceId})`),
+	...record.attempts.map(attempt => row(attempt.startedAfterMs, `attempt ${attempt.number}`, `host ${attempt.hostId}: ${outcomeOf(attempt)}`)),
+	...(record.firstByteAfterMs === null ? [] : [row(record.firstByteAfterMs, 'first byte', 'of the answer')]),
+	row(record.endedAfterMs, record.endedAfterMs === null ? 'in flight' : 'ended', endOf(record)),
+];
+
+export const requestRow = (record: RequestRecord, nowMs: number): QueryRow => ({
+	request: record.requestId, entry: record.entryId, team: record.teamId, target: record.target, host: record.attempts.at(-1)?.hostId ?? null,
+	attempts: record.attempts.length, ageMs: Math.max(0, nowMs - record.arrivedAtMs), answering: record.attempts.at(-1)?.verdict === 'ran',
+});
+
+export type ReplicaView = {
+	readonly catalog: Catalog;
+	readonly hostId: string;
+	/** The host's row of `show hosts`, and its rows of `show transfers`. */
+	readonly hostRow: QueryRow | undefined;
+	readonly transferRows: readonly QueryRow[];
+};
+
+type Finding = {readonly aspect: string; readonly isFine: boolean; readonly finding: string};
+
+const leaseFinding = ({hostRow}: ReplicaView): Finding => hostRow?.status === 'silent'
+	? {aspect: 'lease', isFine: false, finding: 'control has not heard from the host for longer than a lease: it refuses new work'}
+	: {aspect: 'lease', isFine: true, finding: 'renewed'};
+
+const revisionFinding = ({catalog, hostRow}: ReplicaView): Finding => {
+	const revision = Number(hostRow?.revision ?? 0);
+	return {aspect: 'configuration', isFine: revision >= catalog.revision, finding: `at revision ${revision}, ${catalog.revision} is in force`};
+};
+
+const statusFinding = ({status}: HostRecord, hostId: string): Finding => status === 'serving'
+	? {aspect: 'order', isFine: true, finding: 'may serve'}
+	: {aspect: 'order', isFine: false, finding: `${status} by an operator's order${status === 'draining' ? `; "undrain host ${hostId}" takes it back` : ''}`};
+
+const assignmentFinding = ({announcement, assignment}: HostRecord): Finding => {
+	if (announcement.kind === 'plain') {
+		return {aspect: 'assignment', isFine: true, finding: `plain service ${announcement.serviceId}, needs none`};
+	}
+
+	return assignment === null
+		? {aspect: 'assignment', isFine: false, finding: `no loaded fleet of provider ${announcement.provider} needs the host in ${announcement.zoneId}`}
+		: {aspect: 'assignment', isFine: true, finding: `${assignment.versionId} for fleet ${assignment.fleetId}, fencing number ${assignment.fencingNumber}`};
+};
+
+const weightsFinding = ({announcement, assignment, readyVersionId}: HostRecord): Finding | null => {
+	if (announcement.kind === 'plain' || assignment === null) {
+		return null;
+	}
+
+	return readyVersionId === assignment.versionId
+		? {aspect: 'weights', isFine: true, finding: `the engine holds ${readyVersionId}`}
+		: {aspect: 'weights', isFine: false, finding: `the engine holds ${readyVersionId ?? 'nothing'}, ${assignment.versionId} is assigned`};
+};
+
+const transferFinding = (transfer: QueryRow): Finding => ({
+	aspect: 'transfer', isFine: transfer.state !== 'failed',
+	finding: `${String(transfer.version)} ${String(transfer.state)}, ${String(transfer.chunks)} chunks, ${String(transfer.originBytes)} bytes from the origin, ${String(transfer.peerBytes)} from peers`
+		+ (transfer.detail === '' || transfer.detail === null ? '' : `; last: ${String(transfer.detail)}`),
+});
+
+/** Why a replica serves or does not: every condition that the path of a request checks. */
+export const explainReplica = (view: ReplicaView): QueryRow[] => {
+	const host = view.catalog.hosts[view.hostId];
+	if (host === undefined) {
+		return [{aspect: 'serving', fine: false, finding: `no host ${view.hostId} has announced itself, or it was lost and has not come back`}];
+	}
+
+	const findings = [
+		leaseFinding(view),
+		revisionFinding(view),
+		statusFinding(host, view.hostId),
+		assignmentFinding(host),
+		weightsFinding(host),
+		...view.transferRows.map(transfer => transferFinding(transfer)),
+	].filter(finding => finding !== null);
+	const wrong = findings.filter(({isFine}) => !isFine).map(({aspect}) => aspect);
+	const verdict = wrong.length === 0 ? 'yes' : `no, or not for long: look at ${wrong.join(', ')}`;
+	return [
+		{aspect: 'serving', fine: wrong.length === 0, finding: verdict},
+		...findings.map(({aspect, isFine, finding}) => ({aspect, fine: isFine, finding})),
+	];
+};
--- /dev/null
+++ b/packages/daemon/src/entry/request-log.ts
@@ -0,0 +1,125 @@
+import type http from 'node:http';
+import type {Endpoint, RouteTarget} from '@bitternpaddle/coordination';
+import {
+	versionHeader, type RequestRecord, type RequestSelection,
+} from '@bitternpaddle/protocol';
+import type {UnansweredVerdict} from '@bitternpaddle/state';
+import {match} from 'ts-pattern';
+import type {AttemptOutcome} from './dispatch.js';
+
+export type RequestLogOptions = {
+	readonly entryId: string;
+	/** Ended requests that can still be explained. @default 2000 */
+	readonly keptRecords?: number;
+	serviceOf(target: RouteTarget): string;
+	/** Called with every request that has ended. */
+	onEnd(record: RequestRecord): void;
+};
+
+export type BeginOptions = {
+	readonly requestId: string;
+	readonly teamId: string;
+	readonly target: RouteTarget;
+	readonly response: http.ServerResponse;
+};
+
+/** What the entry notes about one request on its way. */
+export type RequestTrace = {
+	attempt(endpoint: Endpoint, number: number, run: () => Promise<AttemptOutcome>): Promise<AttemptOutcome>;
+	/** The first byte of the answer's body came. */
+	firstByte(): void;
+	refused(verdict: UnansweredVerdict): void;
+	/** The endpoint's answer was not whole. */
+	cut(): void;
+};
+
+export type RequestLog = {
+	begin(options: BeginOptions): RequestTrace;
+	select(selection: RequestSelection): RequestRecord[];
+};
+
+/** Caller's text is kept short: a model name may be as long as a body. */
+const keptTextLength = 128;
+const shorten = (text: string): string => text.slice(0, keptTextLength);
+
+type MutableRecord = {-readonly [Key in keyof RequestRecord]: RequestRecord[Key]};
+
+/** Remembers requests in flight, and the last ones that ended, for `explain request`. */
+export const createRequestLog = ({entryId, keptRecords = 2000, serviceOf, onEnd}: RequestLogOptions): RequestLog => {
+	const inFlight = new Map<string, RequestRecord>();
+	// A map keeps the order of insertion, so its first key is the oldest.
+	const ended = new Map<string, RequestRecord>();
+
+	const finish = (record: MutableRecord, response: http.ServerResponse, elapsedMs: number): void => {
+		inFlight.delete(record.requestId);
+		record.endedAfterMs = elapsedMs;
+		record.status = response.headersSent ? response.statusCode : null;
+		record.versionId = textOf(response.getHeader(versionHeader));
+		if (record.state === 'inFlight') {
+			record.state = response.writableFinished ? 'answered' : 'abandoned';
+		}
+
+		ended.set(record.requestId, record);
+		if (ended.size > keptRecords) {
+			ended.delete(ended.keys().next().value!);
+		}
+
+		onEnd(record);
+	};
+
+	return {
+		begin({requestId, teamId, target, response}) {
+			const startedMs = performance.now();
+			const elapsedMs = (): number => Math.round(performance.now() - startedMs);
+			const record: MutableRecord = {
+				requestId, entryId, teamId, serviceId: serviceOf(target), target: shorten(nameOfTarget(target)), arrivedAtMs: Date.now(),
+				firstByteAfterMs: null, endedAfterMs: null, state: 'inFlight', status: null, verdict: null, reason: null, versionId: null, attempts: [],
+			};
+			inFlight.set(requestId, record);
+			response.once('close', () => {
+				finish(record, response, elapsedMs());
+			});
+			return {
+				async attempt(endpoint, number, run) {
+					const attempt: RequestRecord['attempts'][number] = {
+						number, hostId: endpoint.hostId, startedAfterMs: elapsedMs(), endedAfterMs: null, verdict: null, reason: null,
+					};
+					record.attempts.push(attempt);
+					const outcome = await run();
+					attempt.endedAfterMs = elapsedMs();
+					attempt.verdict = outcome.type === 'answer' ? 'ran' : outcome.verdict.type;
+					if (outcome.type === 'answer' && target.type === 'service') {
+						record.firstByteAfterMs = attempt.endedAfterMs;
+					}
+
+					attempt.reason = outcome.type === 'answer' ? null : shorten(outcome.verdict.reason);
+					return outcome;
+				},
+				firstByte() {
+					record.firstByteAfterMs ??= elapsedMs();
+				},
+				refused(verdict) {
+					record.state = 'refused';
+					record.verdict = verdict.type;
+					record.reason = shorten(verdict.reason);
+				},
+				cut() {
+					record.state = 'cut';
+					record.verdict = 'mayHaveRun';
+					record.reason = 'the answer was cut';
+				},
+			};
+		},
+		select: selection => match(selection)
+			.with({type: 'inFlight'}, () => [...inFlight.values()])
+			.with({type: 'byId'}, ({requestId}) => {
+				const found = inFlight.get(requestId) ?? ended.get(requestId);
+				return found === undefined ? [] : [found];
+			})
+			.exhaustive(),
+	};
+};
+
+const nameOfTarget = (target: RouteTarget): string => target.type === 'model' ? target.modelId : target.serviceId;
+
+const textOf = (header: number | string | string[] | undefined): string | null => typeof header === 'string' ? header : null;
--- /dev/null
+++ b/packages/daemon/src/report/index.ts
@@ -0,0 +1,2 @@
+export * from './burn-html.js';
+export * from './burn-text.js';
--- a/packages/protocol/src/language/command.peggy
+++ b/packages/protocol/src/language/command.peggy
@@ -1,7 +1,7 @@
 // The operators' language. Statements begin with a verb; every rule has a name that errors can show.
 Line = _ statement:Statement _ { return statement; }
 
-Statement = Create / SetObjective / Load / Withdraw / Move / HostOrder / Show
+Statement = Create / SetObjective / Load / Withdraw / Move / HostOrder / Show / Explain
 
 Create
   = "create" __ "model" __ modelId:Name { return {type: 'createModel', modelId}; }
@@ -25,9 +25,11 @@
 
 Show = "show" __ "requests" __ "in" __ "flight" where:Where? { return {type: 'show', subject: 'requests', where: where ?? []}; }
   / "show" __ subject:Subject where:Where? { return {type: 'show', subject, where: where ?? []}; }
+Explain = "explain" __ "request" __ id:Name { return {type: 'explain', subject: 'request', id}; }
+  / "explain" __ "replica" __ id:Name { return {type: 'explain', subject: 'replica', id}; }
 Subject "replicas, transfers, hosts, revision, models, versions, fleets, services or teams" = "replicas" / "transfers" / "hosts" / "revision" / "models" / "versions" / "fleets" / "services" / "teams"
 Where = __ "where" __ head:Condition tail:(__ "and" __ condition:Condition { return condition; })* { return [head, ...tail]; }
-Condition = field:Field _ operator:Operator _ value:Value { return {field, operator, value}; }
+Condition = field:Field _ operator:Operator _ value:Value { return {field, operator, value, column: location().start.column}; }
 Field "field name" = $[a-zA-Z]+
 Operator "=, !=, <, <=, > or >=" = "<=" / ">=" / "!=" / "=" / "<" / ">"
 Value "value" = Version / Name
--- a/packages/protocol/src/language/index.ts
+++ b/packages/protocol/src/language/index.ts
@@ -1,1 +1,2 @@
 export * from './statement.js';
+export * from './subject-fields.js';
--- a/packages/protocol/src/language/statement.ts
+++ b/packages/protocol/src/language/statement.ts
@@ -4,9 +4,7 @@
 import {Left, Right, type Either} from 'purify-ts';
 import {z} from 'zod';
 import {parse, SyntaxError as PeggySyntaxError} from '../../generated/command-parser.js';
-
-export const subjectSchema = z.enum(['replicas', 'transfers', 'hosts', 'revision', 'models', 'versions', 'fleets', 'services', 'teams', 'requests']);
-export type Subject = z.infer<typeof subjectSchema>;
+import {objectionTo, subjectSchema} from './subject-fields.js';
 
 export const conditionSchema = z.object({
 	field: z.string(),
@@ -21,7 +19,8 @@
 /** One line of the operators' language: a question, or a change to propose. */
 export type Statement
 	= | {readonly type: 'query'; readonly show: Show}
-		| {readonly type: 'change'; readonly change: Change};
+		| {readonly type: 'change'; readonly change: Change}
+		| {readonly type: 'explain'; readonly subject: 'request' | 'replica'; readonly id: string};
 
 export type ParseError = {
 	readonly message: string;
@@ -41,6 +40,24 @@
 	return [...new Set(names)].toSorted();
 };
 
+const explainSchema = z.object({type: z.literal('explain'), subject: z.enum(['request', 'replica']), id: z.string()});
+
+/** A condition with its place in the line, for errors. */
+const placedConditionSchema = conditionSchema.extend({column: z.number()});
+
+const checkShow = (parsed: Record<string, unknown>): Either<ParseError, Statement> => {
+	const conditions = z.array(placedConditionSchema).parse(parsed.where);
+	const {subject} = showSchema.parse(parsed);
+	for (const condition of conditions) {
+		const objection = objectionTo(subject, condition);
+		if (objection !== null) {
+			return Left({...objection, column: condition.column});
+		}
+	}
+
+	return Right({type: 'query', show: showSchema.parse(parsed)});
+};
+
 /** Keys never leave the parser in clear: the catalog reaches every host. */
 const hashTeamKey = (parsed: Record<string, unknown>): Record<string, unknown> => {
 	if (parsed.type !== 'createTeam') {
@@ -65,7 +82,11 @@
 	}
 
 	if (parsed.type === 'show') {
-		return Right({type: 'query', show: showSchema.parse(parsed)});
+		return checkShow(parsed);
+	}
+
+	if (parsed.type === 'explain') {
+		return Right(explainSchema.parse(parsed));
 	}
 
 	const change = changeSchema.safeParse(hashTeamKey(parsed));
--- /dev/null
+++ b/packages/protocol/src/language/subject-fields.ts
@@ -0,0 +1,55 @@
+import {match} from 'ts-pattern';
+import {z} from 'zod';
+import type {Condition} from './statement.js';
+
+export const subjectSchema = z.enum(['replicas', 'transfers', 'hosts', 'revision', 'models', 'versions', 'fleets', 'services', 'teams', 'requests']);
+export type Subject = z.infer<typeof subjectSchema>;
+
+export type FieldType = 'text' | 'number' | 'boolean';
+
+/** The columns of each answer. Conditions are checked against them before anybody is asked. */
+export const subjectFields = {
+	replicas: {
+		host: 'text', zone: 'text', fleet: 'text', version: 'text', ready: 'boolean', serving: 'text', status: 'text',
+	},
+	transfers: {
+		host: 'text', version: 'text', state: 'text', chunks: 'text', originBytes: 'number', peerBytes: 'number', detail: 'text',
+	},
+	hosts: {
+		host: 'text', role: 'text', zone: 'text', service: 'text', provider: 'text', status: 'text', revision: 'number', address: 'text',
+	},
+	revision: {
+		revision: 'number', inForce: 'number', hosts: 'number', missing: 'text',
+	},
+	models: {model: 'text', traffic: 'text'},
+	versions: {version: 'text', manifest: 'text', withdrawn: 'boolean'},
+	fleets: {
+		fleet: 'text', provider: 'text', version: 'text', replicas: 'number', zones: 'text', loaded: 'boolean', ready: 'number',
+	},
+	services: {
+		service: 'text', repeatable: 'boolean', whole: 'number', firstToken: 'number', withinMs: 'number',
+	},
+	teams: {team: 'text', share: 'number'},
+	requests: {
+		request: 'text', entry: 'text', team: 'text', target: 'text', host: 'text', attempts: 'number', ageMs: 'number', answering: 'boolean',
+	},
+} as const satisfies Record<Subject, Record<string, FieldType>>;
+
+export type Objection = {readonly message: string; readonly expected: readonly string[]};
+
+/** Why a condition cannot hold for any row of the subject, or `null`. */
+export const objectionTo = (subject: Subject, {field, operator, value}: Condition): Objection | null => {
+	const fields: Record<string, FieldType> = subjectFields[subject];
+	const type = fields[field];
+	if (type === undefined) {
+		return {message: `${subject} have no field "${field}".`, expected: Object.keys(fields)};
+	}
+
+	return match(type)
+		.with('text', () => null)
+		.with('number', () => /^\d+(?:\.\d+)?$/v.test(value) ? null : {message: `"${field}" is a number, "${value}" is not.`, expected: [`${field} ${operator} a number`]})
+		.with('boolean', () => (operator === '=' || operator === '!=') && (value === 'true' || value === 'false')
+			? null
+			: {message: `"${field}" is true or false.`, expected: [`${field} = true`, `${field} = false`]})
+		.exhaustive();
+};
--- a/packages/protocol/src/rpc/burn.ts
+++ b/packages/protocol/src/rpc/burn.ts
@@ -28,11 +28,14 @@
 	minutes: z.array(burnBucketSchema).max(60),
 	/** Buckets of ten minutes, for three days. */
 	tenMinutes: z.array(burnBucketSchema).max(432),
-	hours: z.array(encodedHistogramSchema).max(72),
 });
 export type BurnSeries = z.infer<typeof burnSeriesSchema>;
 
-export const burnAnswerSchema = z.object({entryId: z.string(), series: z.array(burnSeriesSchema)});
+/** Times to the first token of one service over all its teams. */
+export const latencySeriesSchema = z.object({serviceId: z.string(), hours: z.array(encodedHistogramSchema).max(72)});
+export type LatencySeries = z.infer<typeof latencySeriesSchema>;
+
+export const burnAnswerSchema = z.object({entryId: z.string(), series: z.array(burnSeriesSchema), latencies: z.array(latencySeriesSchema)});
 export type BurnAnswer = z.infer<typeof burnAnswerSchema>;
 
 /** Entries ask one another on behalf of an operator, whose token each checks for itself. */
--- a/packages/protocol/src/rpc/index.ts
+++ b/packages/protocol/src/rpc/index.ts
@@ -1,2 +1,3 @@
 export * from './burn.js';
 export * from './methods.js';
+export * from './request-record.js';
--- a/packages/protocol/src/rpc/methods.ts
+++ b/packages/protocol/src/rpc/methods.ts
@@ -77,7 +77,12 @@
 export const queryParametersSchema = z.object({show: showSchema, isForwarded: z.boolean().default(false)});
 
 export type QueryRow = Record<string, string | number | boolean | null>;
-export type QueryResult = {readonly revision: number; readonly rows: readonly QueryRow[]};
+export type QueryResult = {
+	readonly revision: number;
+	readonly rows: readonly QueryRow[];
+	/** Entries that did not answer, where entries were asked; without the field all did. */
+	readonly missingEntries?: readonly string[];
+};
 
 export const settleParametersSchema = z.object({requestId: z.string()});
 export type SettleResult = {readonly type: 'ran' | 'running' | 'notRun'};
--- /dev/null
+++ b/packages/protocol/src/rpc/request-record.ts
@@ -0,0 +1,48 @@
+import {verdictTypeSchema} from '@bitternpaddle/state';
+import {z} from 'zod';
+
+/** One try at one endpoint. Times count from the arrival of the request. */
+export const attemptRecordSchema = z.object({
+	number: z.number().int().positive(),
+	hostId: z.string(),
+	startedAfterMs: z.number(),
+	/** `null` while the endpoint is at work. */
+	endedAfterMs: z.number().nullable(),
+	verdict: verdictTypeSchema.nullable(),
+	reason: z.string().nullable(),
+});
+export type AttemptRecord = z.infer<typeof attemptRecordSchema>;
+
+/** What an entry remembers of one request. */
+export const requestRecordSchema = z.object({
+	requestId: z.string(),
+	entryId: z.string(),
+	teamId: z.string(),
+	serviceId: z.string(),
+	/** The model or service that the caller named. */
+	target: z.string(),
+	/** The entry's wall clock. */
+	arrivedAtMs: z.number(),
+	firstByteAfterMs: z.number().nullable(),
+	endedAfterMs: z.number().nullable(),
+	/** `cut`: the endpoint's answer was not whole; `abandoned`: the caller went away. */
+	state: z.enum(['inFlight', 'answered', 'refused', 'cut', 'abandoned']),
+	status: z.number().nullable(),
+	/** What the caller was told who got no answer. */
+	verdict: verdictTypeSchema.nullable(),
+	reason: z.string().nullable(),
+	versionId: z.string().nullable(),
+	attempts: z.array(attemptRecordSchema),
+});
+export type RequestRecord = z.infer<typeof requestRecordSchema>;
+
+export const requestSelectionSchema = z.discriminatedUnion('type', [
+	z.object({type: z.literal('inFlight')}),
+	z.object({type: z.literal('byId'), requestId: z.string().max(128)}),
+]);
+export type RequestSelection = z.infer<typeof requestSelectionSchema>;
+
+export const entryRequestsParametersSchema = z.object({token: z.string(), selection: requestSelectionSchema});
+
+export const requestsAnswerSchema = z.object({entryId: z.string(), records: z.array(requestRecordSchema)});
+export type RequestsAnswer = z.infer<typeof requestsAnswerSchema>;
--- a/packages/state/src/types/verdict.ts
+++ b/packages/state/src/types/verdict.ts
@@ -1,3 +1,5 @@
+import {z} from 'zod';
+
 /**
  * Says whether a request may have run on an endpoint. Retries and the text
  * that a caller is told both follow from it, so it is never guessed: whoever
@@ -12,6 +14,7 @@
 /** What a caller can be told who gets no answer. */
 export type UnansweredVerdict = NotRun | MayHaveRun;
 
+export const verdictTypeSchema = z.enum(['notRun', 'mayHaveRun', 'ran']);
 export type VerdictType = Verdict['type'];
 
 export const notRun = (reason: string, retryAfterMs?: number): NotRun => ({type: 'notRun', reason, retryAfterMs});
--- a/packages/transport/src/rpc/rpc-server.ts
+++ b/packages/transport/src/rpc/rpc-server.ts
@@ -22,10 +22,12 @@
 
 export const rpcPath = '/rpc';
 
-/** Above the largest snapshot that a control host sends. */
-const bodyLimitBytes = 64 * 1024 * 1024;
+export type RpcServerOptions = {
+	/** Longer calls are refused. @default 64 MiB, above the largest snapshot that a control host sends */
+	readonly bodyLimitBytes?: number;
+};
 
-export const createRpcServer = (): RpcServer => {
+export const createRpcServer = ({bodyLimitBytes = 64 * 1024 * 1024}: RpcServerOptions = {}): RpcServer => {
 	const server = new JSONRPCServer({errorListener: ignore});
 	return {
 		method(name, schema, handle) {
--- a/tap-snapshots/.test-dist/packages/protocol/test/language.test.js.test.cjs
+++ b/tap-snapshots/.test-dist/packages/protocol/test/language.test.js.test.cjs
@@ -50,6 +50,7 @@
   "column": 1,
   "expected": Array [
     "\\"create\\"",
+    "\\"explain\\"",
     "\\"load\\"",
     "\\"move\\"",
     "\\"set\\"",
@@ -57,7 +58,7 @@
     "\\"withdraw\\"",
     "drain, undrain or stop",
   ],
-  "message": "Expected \\"create\\", \\"load\\", \\"move\\", \\"set\\", \\"show\\", \\"withdraw\\", or drain, undrain or stop but end of input found.",
+  "message": "Expected \\"create\\", \\"explain\\", \\"load\\", \\"move\\", \\"set\\", \\"show\\", \\"withdraw\\", or drain, undrain or stop but end of input found.",
 }
 `
 
--- a/tap-snapshots/.test-dist/test/operator-session.test.js.test.cjs
+++ b/tap-snapshots/.test-dist/test/operator-session.test.js.test.cjs
@@ -59,14 +59,14 @@
 pitch-desk  fair-mornings 100%
 
 > show services
-service     repeatable
-bp-writers  true
-ledger      false
+service     repeatable  whole  firstToken  withinMs
+bp-writers  true        99.9   95          1000
+ledger      false       99.9   95          1000
 
 > show replicas where colour = red
-503 unavailable: replicas have no field colour
+400 invalid_request: replicas have no field "colour".
 
 > drian host h2
-400 invalid_request: Expected "create", "load", "move", "set", "show", "withdraw", or drain, undrain or stop but "d" found.
+400 invalid_request: Expected "create", "explain", "load", "move", "set", "show", "withdraw", or drain, undrain or stop but "d" found.
 
 `
