--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,4 +1,6 @@
 import {measureBurn} from './burn.js';
+import {measureConfiguration} from './configuration.js';
+import {measureChaos} from './chaos/chaos.js';
 import {measureOverhead} from './overhead.js';
 
 /** A measurement: takes its flags, prints what it likes, gives the object for the last line. */
@@ -6,5 +8,7 @@
 
 export const benches: Record<string, Bench> = {
 	burn: measureBurn,
+	configuration: measureConfiguration,
+	chaos: measureChaos,
 	overhead: measureOverhead,
 };
--- /dev/null
+++ b/packages/coordination/src/requests/index.ts
@@ -0,0 +1,2 @@
+export * from './attempt.js';
+export * from './event-gate.js';
--- a/packages/daemon/src/entry/request-log.ts
+++ b/packages/daemon/src/entry/request-log.ts
@@ -5,7 +5,6 @@
 } from '@bitternpaddle/protocol';
 import type {UnansweredVerdict} from '@bitternpaddle/state';
 import {match} from 'ts-pattern';
-import type {AttemptOutcome} from './dispatch.js';
 
 export type RequestLogOptions = {
 	readonly entryId: string;
@@ -23,9 +22,12 @@
 	readonly response: http.ServerResponse;
 };
 
+/** As much of an attempt's outcome as is noted. */
+export type TracedOutcome = {readonly type: 'answer'} | {readonly type: 'verdict'; readonly verdict: UnansweredVerdict};
+
 /** What the entry notes about one request on its way. */
 export type RequestTrace = {
-	attempt(endpoint: Endpoint, number: number, run: () => Promise<AttemptOutcome>): Promise<AttemptOutcome>;
+	attempt<Outcome extends TracedOutcome>(endpoint: Endpoint, number: number, run: () => Promise<Outcome>): Promise<Outcome>;
 	/** The first byte of the answer's body came. */
 	firstByte(): void;
 	refused(verdict: UnansweredVerdict): void;
@@ -99,11 +101,20 @@
 					record.firstByteAfterMs ??= elapsedMs();
 				},
 				refused(verdict) {
+					// What happens after the caller went away is not what the caller saw.
+					if (record.endedAfterMs !== null) {
+						return;
+					}
+
 					record.state = 'refused';
 					record.verdict = verdict.type;
 					record.reason = shorten(verdict.reason);
 				},
 				cut() {
+					if (record.endedAfterMs !== null) {
+						return;
+					}
+
 					record.state = 'cut';
 					record.verdict = 'mayHaveRun';
 					record.reason = 'the answer was cut';
