--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,3 +1,4 @@
+import {measureBurn} from './burn.js';
 import {measureConfiguration} from './configuration.js';
 import {measureChaos} from './chaos/chaos.js';
 import {measureCapacity} from './capacity/index.js';
@@ -7,6 +8,7 @@
 export type Bench = (flags: readonly string[]) => Promise<Record<string, unknown>>;
 
 export const benches: Record<string, Bench> = {
+	burn: measureBurn,
 	configuration: measureConfiguration,
 	chaos: measureChaos,
 	capacity: measureCapacity,
--- a/packages/daemon/src/control/control-rpc.ts
+++ b/packages/daemon/src/control/control-rpc.ts
@@ -49,12 +49,7 @@
 
 	const query = (show: Show): QueryResult => {
 		const seen = view();
-		const {rows, unknown} = answerQuery(seen, show);
-		if (unknown.length > 0) {
-			throw new RpcError(rpcErrorCodes.invalid, `${show.subject} have no field ${unknown.join(', ')}`);
-		}
-
-		return {revision: seen.catalog.revision, rows};
+		return {revision: seen.catalog.revision, rows: answerQuery(seen, show)};
 	};
 
 	const rpc = createRpcServer();
--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -2,6 +2,7 @@
 import type http from 'node:http';
 import type {RouteTarget} from '@bitternpaddle/coordination';
 import type {ErrorBody} from '@bitternpaddle/protocol';
+import type {RequestTrace} from './request-log.js';
 
 /** One caller's request as it passes through the entry. */
 export type Call = {
@@ -23,6 +24,7 @@
 	readonly endAtMs: number;
 	/** The service declares that its calls may not be repeated. */
 	readonly isOnce: boolean;
+	readonly trace: RequestTrace;
 };
 
 /** A request that is wrong in itself, so that no endpoint need be asked. */
