--- a/packages/coordination/src/requests/index.ts
+++ b/packages/coordination/src/requests/index.ts
@@ -1,3 +1,2 @@
 export * from './attempt.js';
 export * from './event-gate.js';
-export * from './retry-budget.js';
