--- a/packages/bench/src/capacity/measure-state.ts
+++ b/packages/bench/src/capacity/measure-state.ts
@@ -40,7 +40,7 @@
 	const ledger = createLedger();
 	for (let index = 0; index < claims; index++) {
 		ledger.claims[`marshals/ledger/booking-${index}`] = {
-			requestId: `request-${index}`, bodyDigest: `sha256:${index.toString(16).padStart(64, '0')}`, atMs: 1_796_000_000_000 + index,
+			requestId: `request-${index}`, bodyDigest: `sha256:${index.toString(16).padStart(64, '0')}`, atMs: 1_796_000_000_000 + index, place: null,
 			state: {
 				type: 'ran', status: 200, contentType: 'application/json', body: Buffer.from(JSON.stringify({done: true, key: `booking-${index}`})).toString('base64'),
 			},
