--- a/packages/daemon/src/entry/create-entry-node.ts
+++ b/packages/daemon/src/entry/create-entry-node.ts
@@ -1,11 +1,15 @@
-import {buildEndpointIndex} from '@bitternpaddle/coordination';
+import {buildEndpointIndex, createBurnCounter} from '@bitternpaddle/coordination';
 import type {HostReport} from '@bitternpaddle/protocol';
 import {
-	createHttpServer, sendJson, silentLogger, type Logger, type Metrics,
+	createHttpServer, rpcPath, sendJson, silentLogger, type Logger, type Metrics,
 } from '@bitternpaddle/transport';
 import {createConfigurationClient, type ConfigurationInForce} from '../host/configuration-client.js';
-import {createAdminHandler, type AdminToken} from './admin-api.js';
+import {adminPrefix, createAdminHandler} from './admin-api.js';
+import type {AdminToken} from './admin-tokens.js';
+import {countRequest, serviceOfTarget, servicesOfModels} from './count-burn.js';
+import {createEntryPeers, createEntryRpc} from './entry-peers.js';
 import {createRelay, sendRefusal} from './relay.js';
+import {createRequestLog} from './request-log.js';
 import {
 	admitAll, createRouting, type Admit, type Routing,
 } from './routing.js';
@@ -50,6 +54,15 @@
 		routing = createRouting(), admit = admitAll, logger = silentLogger, metrics,
 	} = options;
 	const teams = new Map<string, string>();
+	const burnCounter = createBurnCounter();
+	let modelServices = new Map<string, string>();
+	const requestLog = createRequestLog({
+		entryId,
+		serviceOf: target => serviceOfTarget(modelServices, target),
+		onEnd(record) {
+			countRequest(burnCounter, configuration.catalog(), record);
+		},
+	});
 	let isLeaving = false;
 
 	const report = (): HostReport => ({
@@ -64,7 +77,9 @@
 			if (path === '/healthz' || path === '/readyz') {
 				const isReady = path === '/healthz' || (!isLeaving && configuration.hasLease());
 				sendJson(response, isReady ? 200 : 503, {entryId, revision: configuration.catalog().revision, inFlight: calls.inFlight()});
-			} else if (request.method === 'POST' && path === '/admin/v1/commands') {
+			} else if (path === rpcPath) {
+				await entryRpc.serve(request, response);
+			} else if (path.startsWith(adminPrefix)) {
 				await handleAdmin(request, response);
 			} else if (path === '/v1/chat/completions' || path === '/v1/completions' || path.startsWith('/services/')) {
 				await calls.serve(request, response);
@@ -81,6 +96,7 @@
 		controls, logger, report,
 		onChange(catalog) {
 			routing.update(buildEndpointIndex(catalog));
+			modelServices = servicesOfModels(catalog);
 			teams.clear();
 			for (const [teamId, {keyDigest}] of Object.entries(catalog.teams)) {
 				teams.set(keyDigest, teamId);
@@ -88,10 +104,13 @@
 		},
 	});
 	const calls = createCallServer({
-		configuration, teams, routing, admit, relay: createRelay({logger, metrics}), maxRequests, maxAttempts, defaultDeadlineMs, suspectMs,
+		configuration, teams, requestLog, routing, admit, relay: createRelay({logger, metrics}), maxRequests, maxAttempts, defaultDeadlineMs, suspectMs,
 		isLeaving: () => isLeaving,
 	});
-	const handleAdmin = createAdminHandler({configuration, tokens: adminTokens});
+	const handleAdmin = createAdminHandler({configuration, peers: createEntryPeers(configuration), tokens: adminTokens});
+	const entryRpc = createEntryRpc({
+		entryId, tokens: adminTokens, counter: burnCounter, requests: requestLog,
+	});
 
 	return {
 		entryId,
