--- a/packages/state/src/catalog/create-catalog.ts
+++ b/packages/state/src/catalog/create-catalog.ts
@@ -10,6 +10,9 @@
 	services: {},
 	teams: {},
 	hosts: {},
+	rollouts: {},
 });
 
-export const createLedger = (): Ledger => ({claims: {}, results: {}, resultOrder: []});
+export const createLedger = (): Ledger => ({
+	claims: {}, claimOrder: [], claimBodies: [], claimBodyBytes: 0, claimClockMs: 0, results: {}, resultOrder: [],
+});
