--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,3 +1,4 @@
+import {measureDistribution} from './distribution/index.js';
 import {measureBurn} from './burn.js';
 import {measureConfiguration} from './configuration.js';
 import {measureChaos} from './chaos/chaos.js';
@@ -8,6 +9,7 @@
 export type Bench = (flags: readonly string[]) => Promise<Record<string, unknown>>;
 
 export const benches: Record<string, Bench> = {
+	distribution: measureDistribution,
 	burn: measureBurn,
 	configuration: measureConfiguration,
 	chaos: measureChaos,
