--- a/packages/bench/src/capacity/estimate.ts
+++ b/packages/bench/src/capacity/estimate.ts
@@ -40,6 +40,9 @@
 
 const at = ({slope, intercept}: Slope, x: number): number => intercept + (slope * x);
 
+/** Work is never negative: a slope below zero means that the run could not tell it from nothing. */
+const costOf = ({slope}: Slope): number => Math.max(0, slope);
+
 type Rule = Omit<Estimate, 'values'> & {readonly value: (slopes: Slopes, size: Size) => number};
 
 /** Processor time of one host for changes of the catalog, in ms/s on the average of a day. */
@@ -52,7 +55,7 @@
 		from: 'member.processor at 16 others + watch.processor × own watchers + fold.processor × all others + 5 × reconcile.processor + change.processor × changes/s',
 		value: (slopes, {agents, watchers, watchersEach, changes}) => at(slopes['control.member.processor'], letter.controlHosts - 1)
 			+ (slopes['control.watch.processor'].slope * watchersEach)
-			+ (slopes['control.fold.processor'].slope * (watchers - watchersEach))
+			+ (costOf(slopes['control.fold.processor']) * (watchers - watchersEach))
 			+ (reconcilesPerSecond * at(slopes['control.reconcile.processor'], agents))
 			+ (changes * slopes['control.change.processor'].slope * watchersEach),
 	},
@@ -156,6 +159,10 @@
 		role: 'agent', what: 'weights: manifest for each GB', unit: 'KB', limit: null, from: 'swarm.manifest.size × 256',
 		value: slopes => slopes['swarm.manifest.size'].slope * chunksPerGigabyte / 1024,
 	},
+	{
+		role: 'agent', what: 'weights: choosing the chunks of 10 GB', unit: 'ms of processor', limit: null, from: 'swarm.store.processor at 2,560 chunks × 2,560',
+		value: slopes => at(slopes['swarm.store.processor'], 10 * chunksPerGigabyte) * 10 * chunksPerGigabyte,
+	},
 	{
 		role: 'agent', what: 'weights: each change of the catalog during a transfer of 10 GB to 1,500 hosts', unit: 'ms of processor', limit: null, from: 'swarm.peers.processor at 2,560 chunks',
 		value: slopes => at(slopes['swarm.peers.processor'], 10 * chunksPerGigabyte),
--- a/packages/bench/src/capacity/measure-control.ts
+++ b/packages/bench/src/capacity/measure-control.ts
@@ -2,6 +2,7 @@
 import {createConfigurationClient, waitUntil, type ConfigurationClient} from '@bitternpaddle/daemon';
 import {commandSchema} from '@bitternpaddle/state';
 import {silentLogger} from '@bitternpaddle/transport';
+import {median} from 'simple-statistics';
 import type {SlopeName} from './definitions.js';
 import {withFolder, type Measured} from './measure-state.js';
 import {readMemory, usageBetween, type ProcessUsage} from './process-usage.js';
@@ -9,9 +10,10 @@
 import {sampleAnnouncement} from './sample-state.js';
 import type {Point} from './slope.js';
 
-const watcherCounts = [50, 100, 200, 300, 400] as const;
+const watcherCounts = [400, 300, 200, 100, 50] as const;
+const warmUpMs = 8000;
 const memberCounts = [3, 5, 9, 13, 17] as const;
-const idleMs = 6000;
+const idleMs = 10_000;
 const changes = 40;
 const changeGapMs = 50;
 
@@ -28,8 +30,9 @@
 	return client;
 };
 
+/** Orders changes one after the other; gives the time from order to the last watcher, the median of all. */
 const measureChanges = async (clients: readonly ConfigurationClient[], firstNumber: number): Promise<number> => {
-	let latencyMs = 0;
+	const latenciesMs: number[] = [];
 	for (let index = 0; index < changes; index++) {
 		const startedAtMs = performance.now();
 		const result = await clients[0]!.propose(commandSchema.parse({
@@ -40,24 +43,28 @@
 		}
 
 		await Promise.all(clients.map(async client => client.reach(result.revision, 10_000)));
-		latencyMs += performance.now() - startedAtMs;
+		latenciesMs.push(performance.now() - startedAtMs);
 		await delay(changeGapMs);
 	}
 
-	return latencyMs / changes;
+	return median(latenciesMs);
 };
 
-/** Lets the watching hosts join step by step; measures at each count. */
+/**
+ * Lets all watching hosts join, waits until the code is warm, and measures
+ * while their number falls. The other way round the later, larger counts would
+ * be measured on faster code, and the slope would come out too small.
+ */
 const withWatchers = async (address: string, measure: (clients: readonly ConfigurationClient[]) => Promise<void>): Promise<void> => {
-	const clients: ConfigurationClient[] = [];
+	const clients = Array.from({length: Math.max(...watcherCounts)}, (_, index) => startWatcher(index, address));
 	try {
 		for (const count of watcherCounts) {
-			while (clients.length < count) {
-				clients.push(startWatcher(clients.length, address));
+			for (const left of clients.splice(count)) {
+				left.close();
 			}
 
-			await waitUntil(`${count} hosts joined`, async () => clients.every(client => Object.keys(client.catalog().hosts).length === count));
-			await delay(1500);
+			await waitUntil(`${count} hosts are known`, async () => clients.every(client => Object.keys(client.catalog().hosts).length === count));
+			await delay(warmUpMs);
 			await measure(clients);
 		}
 	} finally {
@@ -74,7 +81,7 @@
 };
 
 /**
- * More and more hosts watch at the leader. All share this process: the latency
+ * Hosts watch at the leader. All share this process: the latency
  * to the last of them includes the time that it needs for all. Changes come so
  * close that no host's wait runs out between them: each change costs one
  * renewal by each host, and nothing is taken off for idle renewals.
