--- a/packages/bench/src/capacity/measure-swarm.ts
+++ b/packages/bench/src/capacity/measure-swarm.ts
@@ -57,7 +57,7 @@
 
 	let messages = 0;
 	for (const [number, state] of [...members.values()].entries()) {
-		messages += stepSwarm(state, {type: 'stored', chunk: number}, 0).reduce((sum, effect) => sum + (effect.type === 'announce' ? effect.to.length : 0), 0);
+		messages += stepSwarm(state, {type: 'stored', chunk: number, source: {type: 'origin'}}, 0).reduce((sum, effect) => sum + (effect.type === 'announce' ? effect.to.length : 0), 0);
 	}
 
 	return messages / count;
@@ -74,7 +74,7 @@
 
 	return millisecondsOf(() => {
 		const [chunk] = state.fetches.keys();
-		stepSwarm(state, {type: 'stored', chunk: chunk!}, 0);
+		stepSwarm(state, {type: 'stored', chunk: chunk!, source: {type: 'origin'}}, 0);
 	}, 20);
 };
 
