feat(routing): choose in constant time, nearest first, on the entry's own evidence

Cause: the index was rebuilt over the whole catalog at each revision, a retry copied the list of endpoints, load was the entry's own requests alone, and nothing was ever put aside: a host that fails at once is always the least loaded and drew the requests.

Change: groups are kept up to date by the changed hosts (one identity comparison a host where assignments may have moved); hosts with room lie in a dense list, so a choice draws two in one step at any size. Nearest zone first, spill at 80%; bounded-load consistent hashing on a prompt prefix; reports corrected by own requests since, fading, probed when stale; slow start as a smaller weight; subsets that each host draws by rendezvous, plus a minimum per distance; ejection by failures, failure share, latency and silence, with a cap, panic, backoff and trial.

--- /dev/null
+++ b/packages/coordination/src/routing/placement.ts
@@ -0,0 +1,210 @@
+import type {HostRecord} from '@bitternpaddle/state';
+import {rendezvousWeight} from '../utils/rendezvous.js';
+import {
+	addToRing, createHashRing, removeFromRing,
+} from './hash-ring.js';
+import {createHealth, forgetHealth} from './health.js';
+import {refreshHost} from './load.js';
+import {
+	countEntriesAhead, isDrawnBy, offerToMinimum, removeFromMinimum,
+} from './subset.js';
+import type {
+	Endpoint, Group, HostState, RouterState, Tier,
+} from './types.js';
+
+/** Where a host belongs: hosts with the same key can answer the same requests. */
+const groupKeyOf = ({status, announcement, assignment, readyVersionId}: HostRecord): string | null => {
+	if (status !== 'serving') {
+		return null;
+	}
+
+	if (announcement.kind === 'plain') {
+		return serviceKey(announcement.serviceId);
+	}
+
+	return assignment === null || readyVersionId === null ? null : fleetKey(assignment.fleetId, readyVersionId);
+};
+
+export const serviceKey = (serviceId: string): string => `service/${serviceId}`;
+export const fleetKey = (fleetId: string, versionId: string): string => `fleet/${fleetId}/${versionId}`;
+
+const toEndpoint = ({announcement, readyVersionId, assignment}: HostRecord): Endpoint => ({
+	hostId: announcement.hostId,
+	address: announcement.address,
+	zoneId: announcement.zoneId,
+	regionId: announcement.regionId,
+	capacity: announcement.capacity,
+	versionId: announcement.kind === 'plain' ? null : readyVersionId,
+	fleetId: assignment?.fleetId ?? null,
+});
+
+const createGroup = (key: string): Group => {
+	const tiers: Tier[] = [];
+	const group = {
+		key, tiers, size: 0, activeSize: 0, ejected: new Set<HostState>(), panicUntilMs: 0, awaiting: new Map<HostState, number>(),
+		failureShare: 0, latencyMs: 0, outcomes: 0,
+	} as unknown as Group;
+	for (let distance = 0; distance < 3; distance++) {
+		tiers.push({
+			group, members: new Set(), minimum: [], available: [], ring: createHashRing(), load: 0, capacity: 0,
+		});
+	}
+
+	return group;
+};
+
+const tierFor = ({options}: RouterState, {tiers: [zone, region, far]}: Group, endpoint: Endpoint): Tier => {
+	if (endpoint.zoneId === options.zoneId) {
+		return zone;
+	}
+
+	return endpoint.regionId === options.regionId ? region : far;
+};
+
+export type PlaceOptions = {
+	/** The entry has just started and knows no host yet: none of them is fresh. */
+	readonly isInitial: boolean;
+	readonly nowMs: number;
+};
+
+/** Takes a host's new record and moves it to where it belongs. */
+export const placeHost = (state: RouterState, record: HostRecord, {isInitial, nowMs}: PlaceOptions): void => {
+	const {hostId, incarnation} = record.announcement;
+	let host = state.hosts.get(hostId);
+	if (host === undefined) {
+		host = createHost(state, record);
+		state.hosts.set(hostId, host);
+	}
+
+	const isRestarted = host.record.announcement.incarnation !== incarnation;
+	const key = groupKeyOf(record);
+	host.record = record;
+	if (!isRestarted && host.tier?.group.key === key && host.endpoint.capacity === record.announcement.capacity) {
+		host.endpoint = toEndpoint(record);
+		return;
+	}
+
+	leaveGroup(state, host, nowMs);
+	host.endpoint = toEndpoint(record);
+	if (isRestarted) {
+		host.others = 0;
+		Object.assign(host.health, {...createHealth(), awaiting: host.health.awaiting});
+	}
+
+	if (key !== null) {
+		host.readySinceMs = isInitial ? Number.NEGATIVE_INFINITY : nowMs;
+		joinGroup(state, host, key, nowMs);
+	}
+};
+
+const createHost = (state: RouterState, record: HostRecord): HostState => {
+	const {hostId} = record.announcement;
+	const weight = rendezvousWeight(state.options.entryId, hostId);
+	return {...blankHost(record), weight, entriesAhead: countEntriesAhead(state, hostId, weight)};
+};
+
+const blankHost = (record: HostRecord): Omit<HostState, 'weight' | 'entriesAhead'> => ({
+	hostId: record.announcement.hostId, record, endpoint: toEndpoint(record), tier: null, isActive: false,
+	position: -1, starts: [], others: 0, reportedAtMs: Number.NEGATIVE_INFINITY, probedAtMs: Number.NEGATIVE_INFINITY, readySinceMs: Number.NEGATIVE_INFINITY,
+	countedLoad: 0, countedCapacity: 0, health: createHealth(),
+});
+
+export const removeHost = (state: RouterState, host: HostState, nowMs: number): void => {
+	leaveGroup(state, host, nowMs);
+	if (host.starts.length === 0) {
+		state.hosts.delete(host.hostId);
+	}
+};
+
+const joinGroup = (state: RouterState, host: HostState, key: string, nowMs: number): void => {
+	let group = state.groups.get(key);
+	if (group === undefined) {
+		group = createGroup(key);
+		state.groups.set(key, group);
+	}
+
+	const tier = tierFor(state, group, host.endpoint);
+	host.tier = tier;
+	tier.members.add(host);
+	group.size++;
+	const displaced = offerToMinimum(state, tier, host);
+	updateActivity(state, host, nowMs);
+	if (displaced !== null) {
+		updateActivity(state, displaced, nowMs);
+	}
+};
+
+const leaveGroup = (state: RouterState, host: HostState, nowMs: number): void => {
+	const {tier} = host;
+	if (tier === null) {
+		return;
+	}
+
+	forgetHealth(host);
+	tier.members.delete(host);
+	const promoted = removeFromMinimum(tier, host);
+	setActive(state, host, false, nowMs);
+	tier.group.size--;
+	host.tier = null;
+	if (promoted !== null) {
+		updateActivity(state, promoted, nowMs);
+	}
+
+	if (tier.group.size === 0) {
+		state.groups.delete(tier.group.key);
+	}
+};
+
+const updateActivity = (state: RouterState, host: HostState, nowMs: number): void => {
+	setActive(state, host, host.tier!.minimum.includes(host) || isDrawnBy(state, host), nowMs);
+};
+
+const setActive = (state: RouterState, host: HostState, isActive: boolean, nowMs: number): void => {
+	const tier = host.tier!;
+	if (host.isActive !== isActive) {
+		host.isActive = isActive;
+		tier.group.activeSize += isActive ? 1 : -1;
+		if (isActive) {
+			addToRing(tier.ring, host);
+		} else {
+			removeFromRing(tier.ring, host);
+		}
+	}
+
+	refreshHost(state, host, nowMs);
+};
+
+/** Each costs one hash for each host: 12,000 of them are about 3 ms. */
+const entryChangesPerStep = 4;
+
+/**
+ * Takes the names of all entries and draws the subset anew, a few entries at a
+ * time so that requests are not held up; returns whether all are taken in.
+ */
+export const setEntries = (state: RouterState, entryIds: readonly string[], nowMs: number): boolean => {
+	const wanted = new Set(entryIds.filter(id => id !== state.options.entryId));
+	const joined = [...wanted].filter(id => !state.otherEntries.has(id));
+	const left = [...state.otherEntries].filter(id => !wanted.has(id));
+	const changes = [...joined, ...left].slice(0, entryChangesPerStep);
+	for (const entryId of changes) {
+		changeEntry(state, entryId, nowMs);
+	}
+
+	return changes.length === joined.length + left.length;
+};
+
+const changeEntry = (state: RouterState, entryId: string, nowMs: number): void => {
+	const isLeaving = state.otherEntries.delete(entryId);
+	if (!isLeaving) {
+		state.otherEntries.add(entryId);
+	}
+
+	for (const host of state.hosts.values()) {
+		if (rendezvousWeight(entryId, host.hostId) > host.weight) {
+			host.entriesAhead += isLeaving ? -1 : 1;
+			if (host.tier !== null) {
+				updateActivity(state, host, nowMs);
+			}
+		}
+	}
+};
--- /dev/null
+++ b/packages/coordination/src/routing/update-router.ts
@@ -0,0 +1,111 @@
+import {modelOfVersion, type Catalog, type Change} from '@bitternpaddle/state';
+import {
+	fleetKey, placeHost, removeHost, serviceKey, type PlaceOptions,
+} from './placement.js';
+import type {Group, RouterState, TrafficGroup} from './types.js';
+
+/**
+ * Hosts whose records the changes can have replaced; `null` when a change plans
+ * assignments, after which any host may have another one.
+ */
+export const changedHostIds = (changes: readonly Change[]): ReadonlySet<string> | null => {
+	const hostIds = new Set<string>();
+	for (const change of changes) {
+		if (change.type === 'replicasChanged') {
+			for (const {hostId} of change.readiness) {
+				hostIds.add(hostId);
+			}
+		} else if (!change.type.startsWith('create') && change.type !== 'moveTraffic') {
+			return null;
+		}
+	}
+
+	return hostIds;
+};
+
+/**
+ * Follows the catalog. With the ids of the changed hosts the cost is theirs;
+ * without, each host's record is compared by identity, which is one comparison
+ * a host, and only the changed ones are placed anew.
+ */
+export const updateRouter = (state: RouterState, catalog: Catalog, hostIds: ReadonlySet<string> | null, nowMs: number): void => {
+	const place: PlaceOptions = {isInitial: state.revision === 0, nowMs};
+	if (hostIds === null) {
+		followAll(state, catalog, place);
+	} else {
+		for (const hostId of hostIds) {
+			followOne(state, catalog, hostId, place);
+		}
+	}
+
+	followTraffic(state, catalog);
+	state.revision = catalog.revision;
+};
+
+const followOne = (state: RouterState, catalog: Catalog, hostId: string, place: PlaceOptions): void => {
+	const record = catalog.hosts[hostId];
+	const host = state.hosts.get(hostId);
+	if (record === undefined) {
+		if (host !== undefined) {
+			removeHost(state, host, place.nowMs);
+		}
+	} else if (host?.record !== record) {
+		placeHost(state, record, place);
+	}
+};
+
+const followAll = (state: RouterState, catalog: Catalog, place: PlaceOptions): void => {
+	for (const hostId in catalog.hosts) { // eslint-disable-line guard-for-in -- plain JSON; an array of 12,000 keys at each change would be garbage
+		followOne(state, catalog, hostId, place);
+	}
+
+	for (const host of state.hosts.values()) {
+		if (!(host.hostId in catalog.hosts)) {
+			removeHost(state, host, place.nowMs);
+		}
+	}
+};
+
+const followTraffic = (state: RouterState, catalog: Catalog): void => {
+	state.models.clear();
+	for (const [modelId, {traffic}] of Object.entries(catalog.models)) {
+		const groups: TrafficGroup[] = [];
+		for (const {fleetId, percent} of traffic) {
+			const group = groupOfFleet(state, catalog, fleetId);
+			if (group !== null) {
+				groups.push({percent, group});
+			}
+		}
+
+		state.models.set(modelId, groups);
+	}
+
+	state.services.clear();
+	for (const serviceId of Object.keys(catalog.services)) {
+		state.services.set(serviceId, state.groups.get(serviceKey(serviceId)) ?? null);
+	}
+};
+
+/** Those with the version in force; while none has it, the largest group with another usable version. */
+const groupOfFleet = (state: RouterState, catalog: Catalog, fleetId: string): Group | null => {
+	const fleet = catalog.fleets[fleetId];
+	if (fleet === undefined) {
+		return null;
+	}
+
+	const current = state.groups.get(fleetKey(fleetId, fleet.versionId));
+	if (current !== undefined) {
+		return current;
+	}
+
+	const modelId = modelOfVersion(fleet.versionId);
+	let largest: Group | null = null;
+	for (const {versionId, isWithdrawn} of Object.values(catalog.versions)) {
+		const group = isWithdrawn || modelOfVersion(versionId) !== modelId ? undefined : state.groups.get(fleetKey(fleetId, versionId));
+		if (group !== undefined && (largest === null || group.size > largest.size)) {
+			largest = group;
+		}
+	}
+
+	return largest;
+};
--- a/packages/coordination/src/utils/rendezvous.ts
+++ b/packages/coordination/src/utils/rendezvous.ts
@@ -8,3 +8,5 @@
 	.map(member => ({member, weight: rendezvousWeight(key, member)}))
 	.toSorted((a, b) => b.weight - a.weight || (a.member < b.member ? -1 : 1))
 	.map(({member}) => member);
+
+export const hashText = (text: string): number => murmur(text).result();
--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -21,7 +21,7 @@
 			throw new RefusedError({status: 404, type: 'not_found', message: `nothing serves ${nameOf(call.target)}`});
 		}
 
-		if (choice.type === 'noEndpoint') {
+		if (choice.type !== 'chosen') {
 			break;
 		}
 
--- a/packages/daemon/src/entry/create-entry-node.ts
+++ b/packages/daemon/src/entry/create-entry-node.ts
@@ -1,4 +1,3 @@
-import {buildEndpointIndex} from '@bitternpaddle/coordination';
 import type {HostReport} from '@bitternpaddle/protocol';
 import {
 	createHttpServer, sendJson, silentLogger, type Logger, type Metrics,
@@ -23,7 +22,7 @@
 	readonly defaultDeadlineMs?: number;
 	/** @default 3 */
 	readonly maxAttempts?: number;
-	/** @default createRouting() */
+	/** @default createRouting({entryId}) */
 	readonly routing?: Routing;
 	/** @default admitAll */
 	readonly admit?: Admit;
@@ -45,7 +44,7 @@
 export const createEntryNode = async (options: EntryNodeOptions): Promise<EntryNode> => {
 	const {
 		entryId, controls, listen = '127.0.0.1:0', adminTokens = [], maxRequests = 4096, defaultDeadlineMs = 30_000, maxAttempts = 3,
-		routing = createRouting(), admit = admitAll, logger = silentLogger, metrics,
+		routing = createRouting({entryId}), admit = admitAll, logger = silentLogger, metrics,
 	} = options;
 	const teams = new Map<string, string>();
 	let isLeaving = false;
@@ -78,7 +77,7 @@
 	const configuration = createConfigurationClient({
 		controls, logger, report,
 		onChange(catalog) {
-			routing.update(buildEndpointIndex(catalog));
+			routing.update(catalog);
 			teams.clear();
 			for (const [teamId, {keyDigest}] of Object.entries(catalog.teams)) {
 				teams.set(keyDigest, teamId);
--- a/packages/daemon/src/entry/routing.ts
+++ b/packages/daemon/src/entry/routing.ts
@@ -1,7 +1,7 @@
 import {
-	chooseEndpoint, createRandom, createRouter, noteEnd, noteStart, type Choice, type ChooseOptions, type EndpointIndex,
+	chooseEndpoint, createRandom, createRouter, noteEnd, noteStart, updateRouter, type Choice, type ChooseOptions, type RequestOutcome,
 } from '@bitternpaddle/coordination';
-import type {UnansweredVerdict} from '@bitternpaddle/state';
+import type {Catalog, UnansweredVerdict} from '@bitternpaddle/state';
 import type {Call} from './call.js';
 
 /** How an attempt at an endpoint ended, for the router's view of that endpoint. */
@@ -11,30 +11,41 @@
 export type Routing = {
 	/** The revision that the choices follow from. */
 	revision(): number;
-	update(index: EndpointIndex): void;
+	update(catalog: Catalog): void;
 	choose(options: ChooseOptions): Choice;
 	noteStart(hostId: string): void;
 	noteEnd(hostId: string, end: AttemptEnd): void;
 };
 
 export type CreateRoutingOptions = {
+	readonly entryId: string;
+	/** @default 'zone-1' */
+	readonly zoneId?: string;
+	/** @default 'region-1' */
+	readonly regionId?: string;
 	/** @default drawn anew */
 	readonly seed?: number;
 };
 
-export const createRouting = ({seed = Math.floor(Math.random() * 2_147_483_647)}: CreateRoutingOptions = {}): Routing => {
-	const router = createRouter({random: createRandom(seed)});
+export const createRouting = (options: CreateRoutingOptions): Routing => {
+	const {
+		entryId, zoneId = 'zone-1', regionId = 'region-1', seed = Math.floor(Math.random() * 2_147_483_647),
+	} = options;
+	const router = createRouter({
+		entryId, zoneId, regionId, random: createRandom(seed),
+	});
+	const outcomeOf = (end: AttemptEnd): RequestOutcome => end === 'answered' ? {type: 'answered', latencyMs: 0} : {type: 'cancelled'};
 	return {
-		revision: () => router.index.revision,
-		update(index) {
-			router.index = index;
+		revision: () => router.revision,
+		update(catalog) {
+			updateRouter(router, catalog, null, performance.now());
 		},
-		choose: options => chooseEndpoint(router, options),
+		choose: options => chooseEndpoint(router, options, performance.now()),
 		noteStart(hostId) {
-			noteStart(router, hostId);
+			noteStart(router, hostId, performance.now());
 		},
-		noteEnd(hostId) {
-			noteEnd(router, hostId);
+		noteEnd(hostId, end) {
+			noteEnd(router, hostId, {outcome: outcomeOf(end), hadFirstByte: false}, performance.now());
 		},
 	};
 };
