--- a/packages/coordination/src/routing/placement.ts
+++ b/packages/coordination/src/routing/placement.ts
@@ -31,6 +31,7 @@
 const toEndpoint = ({announcement, readyVersionId, assignment}: HostRecord): Endpoint => ({
 	hostId: announcement.hostId,
 	address: announcement.address,
+	incarnation: announcement.incarnation,
 	zoneId: announcement.zoneId,
 	regionId: announcement.regionId,
 	capacity: announcement.capacity,
--- a/packages/coordination/src/routing/types.ts
+++ b/packages/coordination/src/routing/types.ts
@@ -10,6 +10,8 @@
 export type Endpoint = {
 	readonly hostId: string;
 	readonly address: string;
+	/** Of the agent; a restarted agent has forgotten what it let through. */
+	readonly incarnation: number;
 	readonly zoneId: string;
 	readonly regionId: string;
 	readonly capacity: number;
--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -2,6 +2,7 @@
 import type http from 'node:http';
 import type {RouteTarget} from '@bitternpaddle/coordination';
 import type {ErrorBody} from '@bitternpaddle/protocol';
+import type {RequestTrace} from './request-log.js';
 
 /** One caller's request as it passes through the entry. */
 export type Call = {
@@ -15,10 +16,15 @@
 	readonly idempotencyKey: string | null;
 	readonly isStream: boolean;
 	readonly response: http.ServerResponse;
-	/** Aborted once the caller's connection closes. */
+	/** Aborted, with a `GiveUpCause` as its reason, once nobody wants the answer any more. */
 	readonly abort: AbortController;
-	/** On the clock of `performance.now()`. */
+	/** When the answer must have begun, on the clock of `performance.now()`. */
 	readonly deadlineAtMs: number;
+	/** When the answer must have ended; the same as `deadlineAtMs` if the caller gave a deadline. */
+	readonly endAtMs: number;
+	/** The service declares that its calls may not be repeated. */
+	readonly isOnce: boolean;
+	readonly trace: RequestTrace;
 };
 
 /** A request that is wrong in itself, so that no endpoint need be asked. */
--- a/packages/protocol/src/rpc/methods.ts
+++ b/packages/protocol/src/rpc/methods.ts
@@ -3,11 +3,16 @@
 	type Catalog, type CommandResult,
 } from '@bitternpaddle/state';
 import {z} from 'zod';
+import {issueSchema} from '../http/issue.js';
 import {showSchema} from '../language/statement.js';
 
 const index = z.number().int().nonnegative();
 const term = z.number().int().nonnegative();
 
+/** A follower's clock, and the start of its process that the clock belongs to. */
+export const receiverStampSchema = z.object({incarnation: z.number().int(), atMs: z.number()});
+export type ReceiverStamp = z.infer<typeof receiverStampSchema>;
+
 /** Messages of consensus between control hosts. All are one-way; answers are messages too. */
 export const consensusMessageSchema = z.discriminatedUnion('type', [
 	z.object({
@@ -19,9 +24,16 @@
 	z.object({
 		type: z.literal('appendRequest'), term, previousIndex: index, previousTerm: term, entries: z.array(logEntrySchema),
 		commitIndex: index, sentAtMs: z.number(),
+		/** Whether the leader held its lease when it sent this. */
+		hasLease: z.boolean(),
+		/** The newest stamp of the receiver that the leader has heard. */
+		echo: receiverStampSchema.nullable(),
 	}),
 	z.object({
-		type: z.literal('appendResponse'), term, success: z.boolean(), matchIndex: index, sentAtMs: z.number(),
+		type: z.literal('appendResponse'), term, success: z.boolean(), matchIndex: index,
+		/** From the request; `null` if that was of an older term and renews nothing. */
+		sentAtMs: z.number().nullable(),
+		stamp: receiverStampSchema,
 	}),
 	z.object({
 		type: z.literal('snapshotRequest'), term, snapshot: snapshotSchema, sentAtMs: z.number(),
@@ -30,6 +42,17 @@
 export type ConsensusMessage = z.infer<typeof consensusMessageSchema>;
 
 export const consensusEnvelopeSchema = z.object({from: z.string(), to: z.string(), message: consensusMessageSchema});
+export const consensusEnvelopesSchema = z.object({envelopes: z.array(consensusEnvelopeSchema)});
+
+/** What a control host has noted about who the first voters are; the answer of `control.formation`. */
+export const formationSchema = z.object({
+	diskId: z.string().min(1), accepted: z.record(z.string(), z.string()).nullable(), isFormed: z.boolean(),
+});
+export const formationParametersSchema = z.object({});
+
+/** A control host, as `host#disk`, that no leader supplies. */
+export const standbyParametersSchema = z.object({memberId: z.string()});
+
 export type ConsensusEnvelope = z.infer<typeof consensusEnvelopeSchema>;
 
 /** One transfer of weights on a host, as `show transfers` prints it. */
@@ -77,14 +100,28 @@
 export const queryParametersSchema = z.object({show: showSchema, isForwarded: z.boolean().default(false)});
 
 export type QueryRow = Record<string, string | number | boolean | null>;
-export type QueryResult = {readonly revision: number; readonly rows: readonly QueryRow[]};
-
-export const settleParametersSchema = z.object({requestId: z.string()});
-export type SettleResult = {readonly type: 'ran' | 'running' | 'notRun'};
+export type QueryResult = {
+	readonly revision: number;
+	readonly rows: readonly QueryRow[];
+	/** Entries that did not answer, where entries were asked; without the field all did. */
+	readonly missingEntries?: readonly string[];
+};
+
+export const settleParametersSchema = z.object({
+	attemptId: z.string(),
+	/** The incarnation that the request was sent to. */
+	incarnation: index,
+	issue: issueSchema,
+	/** End the request if it runs and may be ended: nobody waits for its answer. */
+	isCancel: z.boolean().default(false),
+});
+export type SettleParameters = z.input<typeof settleParametersSchema>;
+/** `unknown`: this door cannot know, because its agent was restarted or has forgotten the request. */
+export type SettleResult = {readonly type: 'ran' | 'running' | 'notRun' | 'unknown'};
 
 /** Chunks that a neighbour gained; `isReply` stops two hosts from greeting each other for ever. */
 export const haveParametersSchema = z.object({
-	from: z.string(), address: z.string(), manifestId: manifestIdSchema, chunks: z.array(index), isGreeting: z.boolean(),
+	from: z.string(), address: z.string(), manifestId: manifestIdSchema, chunks: z.array(index),
 });
 export type HaveParameters = z.infer<typeof haveParametersSchema>;
 
--- a/packages/test-support/src/engine/fake-engine.ts
+++ b/packages/test-support/src/engine/fake-engine.ts
@@ -16,7 +16,7 @@
 	cutAfterTokens?: number;
 	/** Take the request and never answer. */
 	isSilent?: boolean;
-	/** Answer with the previous request's text. */
+	/** Answer with the previous request's answer, its request id included, as a connection that mixes up its requests does. */
 	isCrossed?: boolean;
 };
 
@@ -40,6 +40,8 @@
 	readonly address: string;
 	readonly faults: EngineFaults;
 	readonly runs: readonly EngineRun[];
+	/** Files that it was ordered to load, first to last. */
+	readonly loadedFiles: readonly string[];
 	/** Digest over the bytes that it really holds. */
 	readonly heldDigest: () => string | null;
 	close(): Promise<void>;
@@ -65,10 +67,11 @@
 	const {listen = '127.0.0.1:0', checksFencing = true, tokenMs = 1, loadLagMs = 200, recordTo} = options;
 	const faults: EngineFaults = {};
 	const runs: EngineRun[] = [];
+	const loadedFiles: string[] = [];
 	let loaded: Loaded | null = null;
 	let running = 0;
 	let reportedLoad = {running: 0, atMs: 0};
-	let previousText = '';
+	let previous = {requestId: '', text: ''};
 
 	const load = async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
 		const order = loadSchema.parse(JSON.parse((await readBody(request)).toString()));
@@ -78,6 +81,7 @@
 		}
 
 		const digest = await digestFile(order.filePath);
+		loadedFiles.push(order.filePath);
 		loaded = {versionId: order.versionId, digest, fencingNumber: order.fencingNumber};
 		sendJson(response, 200, status());
 	};
@@ -120,12 +124,13 @@
 			return;
 		}
 
-		const text = faults.isCrossed ? previousText : ownText;
-		previousText = ownText;
+		const own = {requestId, text: ownText};
+		const {requestId: answeredId, text} = faults.isCrossed ? previous : own;
+		previous = own;
 		const answer = {
-			id: requestId, model, system_fingerprint: digest, created: 0,
+			id: answeredId, model, system_fingerprint: digest, created: 0,
 		};
-		response.setHeader('x-request-id', requestId);
+		response.setHeader('x-request-id', answeredId);
 		response.setHeader('x-engine-digest', digest);
 		await (stream ? streamAnswer(response, answer, text, maxTokens) : wholeAnswer(response, answer, text, maxTokens));
 	};
@@ -192,6 +197,7 @@
 		address: server.address,
 		faults,
 		runs,
+		loadedFiles,
 		heldDigest: () => loaded?.digest ?? null,
 		async close() {
 			server.destroy();
