--- a/packages/bench/src/capacity/measure-state.ts
+++ b/packages/bench/src/capacity/measure-state.ts
@@ -3,7 +3,9 @@
 import os from 'node:os';
 import path from 'node:path';
 import {median} from 'simple-statistics';
-import {createRandom, createRouter, updateRouter, type RouterState} from '@bitternpaddle/coordination';
+import {
+	createRandom, createRouter, updateRouter, type RouterState,
+} from '@bitternpaddle/coordination';
 import {
 	createReplica, hearReport, planMembershipChanges, serializeReplica, type HostRegistry,
 } from '@bitternpaddle/daemon';
@@ -171,9 +173,11 @@
 		const router = routerOf(catalog);
 		lines['host.catalog.size'].push({x, y: JSON.stringify(catalog).length});
 		lines['entry.index.memory'].push({x, y: heapBytesOf(() => routerOf(catalog))});
-		lines['entry.index.processor'].push({x, y: millisecondsOf(() => {
+		lines['entry.index.processor'].push({
+			x, y: millisecondsOf(() => {
 				updateRouter(router, catalog, null, 1);
-			}, 20)});
+			}, 20),
+		});
 		const registry = registryOf(x);
 		lines['control.reconcile.processor'].push({
 			x, y: millisecondsOf(() => planMembershipChanges({
