--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -4,6 +4,7 @@
 import {measureChaos} from './chaos/chaos.js';
 import {measureCapacity} from './capacity/index.js';
 import {measureOverhead} from './overhead.js';
+import {measureRouting} from './routing.js';
 
 /** A measurement: takes its flags, prints what it likes, gives the object for the last line. */
 export type Bench = (flags: readonly string[]) => Promise<Record<string, unknown>>;
@@ -15,4 +16,5 @@
 	chaos: measureChaos,
 	capacity: measureCapacity,
 	overhead: measureOverhead,
+	routing: measureRouting,
 };
--- a/packages/daemon/src/entry/create-entry-node.ts
+++ b/packages/daemon/src/entry/create-entry-node.ts
@@ -1,4 +1,4 @@
-import {buildEndpointIndex, createBurnCounter} from '@bitternpaddle/coordination';
+import {createBurnCounter} from '@bitternpaddle/coordination';
 import type {HostReport} from '@bitternpaddle/protocol';
 import {
 	createHttpServer, rpcPath, sendJson, silentLogger, type Logger, type Metrics,
@@ -29,7 +29,7 @@
 	readonly maxAttempts?: number;
 	/** A connection to an agent without a byte for this long is settled on another. @default 2000 */
 	readonly suspectMs?: number;
-	/** @default createRouting() */
+	/** @default createRouting({entryId}) */
 	readonly routing?: Routing;
 	/** @default admitAll */
 	readonly admit?: Admit;
@@ -51,7 +51,7 @@
 export const createEntryNode = async (options: EntryNodeOptions): Promise<EntryNode> => {
 	const {
 		entryId, controls, listen = '127.0.0.1:0', adminTokens = [], maxRequests = 4096, defaultDeadlineMs = 30_000, maxAttempts = 3, suspectMs = 2000,
-		routing = createRouting(), admit = admitAll, logger = silentLogger, metrics,
+		routing = createRouting({entryId}), admit = admitAll, logger = silentLogger, metrics,
 	} = options;
 	const teams = new Map<string, string>();
 	const burnCounter = createBurnCounter();
@@ -95,7 +95,7 @@
 	const configuration = createConfigurationClient({
 		controls, logger, report,
 		onChange(catalog) {
-			routing.update(buildEndpointIndex(catalog));
+			routing.update(catalog);
 			modelServices = servicesOfModels(catalog);
 			teams.clear();
 			for (const [teamId, {keyDigest}] of Object.entries(catalog.teams)) {
