--- a/packages/cli/src/commands/connected-command.ts
+++ b/packages/cli/src/commands/connected-command.ts
@@ -1,6 +1,5 @@
 import process from 'node:process';
 import {Command, Option} from 'clipanion';
-import {exitCodes, sendCommand} from '../send-command.js';
 
 export type Connection = {readonly address: string; readonly token: string};
 
@@ -16,7 +15,7 @@
 	protected connect(): Connection | null {
 		const address = this.address ?? process.env.BITTERNPADDLE_ADDRESS ?? '127.0.0.1:7100';
 		const token = this.token ?? process.env.BITTERNPADDLE_TOKEN;
-		const problems: string[] = [];
+		const problems = this.problems();
 		if (!/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v.test(address)) {
 			problems.push(`--address is "${address}": expected ip:port`);
 		}
@@ -37,6 +36,11 @@
 		return {address, token: token!};
 	}
 
+	/** What is wrong with the flags of the command itself. */
+	protected problems(): string[] {
+		return [];
+	}
+
 	/** What `ask` gives, or `null` after saying that the entry cannot be reached. */
 	protected async reach<Answer>(address: string, ask: () => Promise<Answer>): Promise<Answer | null> {
 		try {
@@ -46,13 +50,4 @@
 			return null;
 		}
 	}
-
-	protected async send(line: string, extra: {commandId?: string; ifRevision?: number} = {}): Promise<number> {
-		const connection = this.connect();
-		return connection === null
-			? exitCodes.usage
-			: sendCommand(this.context, {
-				...connection, line, output: this.output === 'json' ? 'json' : 'table', ...extra,
-			});
-	}
 }
--- a/packages/cli/src/commands/query-command.ts
+++ b/packages/cli/src/commands/query-command.ts
@@ -1,4 +1,6 @@
 import {Command, Option} from 'clipanion';
+import {parseStatement} from '@bitternpaddle/protocol';
+import {exitCodes, sendCommand} from '../send-command.js';
 import {ConnectedCommand} from './connected-command.js';
 
 /** `bitternpaddle query LINE`: asks and changes nothing. */
@@ -13,6 +15,20 @@
 	line = Option.String({required: true});
 
 	override async execute(): Promise<number> {
-		return this.send(this.line);
+		const connection = this.connect();
+		if (connection === null) {
+			return exitCodes.usage;
+		}
+
+		if (isChange(this.line)) {
+			this.context.stderr.write('query asks and changes nothing: expected show or explain; orders go through run\n');
+			return exitCodes.usage;
+		}
+
+		const {code} = await sendCommand(this.context, {...connection, line: this.line, output: this.output === 'json' ? 'json' : 'table'});
+		return code;
 	}
 }
+
+/** A line that does not parse is left to the entry, whose error names the place. */
+const isChange = (line: string): boolean => parseStatement(line).caseOf({Left: () => false, Right: ({type}) => type === 'change'});
--- a/packages/cli/src/send-command.ts
+++ b/packages/cli/src/send-command.ts
@@ -18,15 +18,18 @@
 	unavailable: 3,
 } as const;
 
-/** Sends one line, prints the answer and gives the exit code. */
-export const sendCommand = async (context: BaseContext, options: SendOptions): Promise<number> => {
+/** `revision`: where an accepted change stands; `null` for anything else. */
+export type SendOutcome = {readonly code: number; readonly revision: number | null};
+
+/** Sends one line and prints the answer. */
+export const sendCommand = async (context: BaseContext, options: SendOptions): Promise<SendOutcome> => {
 	const {line, output} = options;
 	let answer: CommandAnswer;
 	try {
 		answer = await sendLine(options);
 	} catch (error) {
 		context.stderr.write(`${options.address} cannot be reached: ${(error as Error).message}\n`);
-		return exitCodes.unavailable;
+		return {code: exitCodes.unavailable, revision: null};
 	}
 
 	if (output === 'json') {
@@ -35,7 +38,7 @@
 		printAnswer(context, line, answer);
 	}
 
-	return exitCodeOfStatus(answer.status);
+	return {code: exitCodeOfStatus(answer.status), revision: answer.body.type === 'accepted' ? answer.body.revision ?? null : null};
 };
 
 export const exitCodeOfStatus = (status: number): number => {
@@ -53,9 +56,12 @@
 const printAnswer = ({stdout, stderr}: BaseContext, line: string, {body}: CommandAnswer): void => {
 	if (body.rows !== undefined) {
 		stdout.write(formatRows(body.rows));
+		if (body.missingEntries !== undefined) {
+			stderr.write(`not heard: ${body.missingEntries.join(', ')}\n`);
+		}
 	} else if (body.error?.column !== undefined) {
-		const expected = body.error.expected?.join(', ') ?? '';
-		stderr.write(`${line}\n${' '.repeat(body.error.column - 1)}^\nexpected ${expected}\n`);
+		const {column, expected = [], message} = body.error;
+		stderr.write(`${line}\n${' '.repeat(column - 1)}^\n${expected.length === 0 ? message : `expected ${expected.join(', ')}`}\n`);
 	} else if (body.type === 'accepted') {
 		stdout.write(`accepted at revision ${body.revision}\n`);
 	} else {
--- /dev/null
+++ b/packages/cli/src/wait-for.ts
@@ -0,0 +1,88 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {sendLine, type ClientOptions} from '@bitternpaddle/daemon';
+import {parseStatement, type QueryRow} from '@bitternpaddle/protocol';
+import type {Change} from '@bitternpaddle/state';
+import {formatProgress, loadProgress} from './progress.js';
+
+export type WaitOptions = {
+	readonly client: ClientOptions;
+	readonly line: string;
+	/** Revision at which the change was accepted. */
+	readonly revision: number;
+	readonly timeoutMs: number;
+	/** Called with a line of progress whenever it changes. */
+	onProgress(text: string): void;
+};
+
+/** `done`, or why not. */
+export type WaitOutcome = {readonly type: 'done'} | {readonly type: 'timedOut'; readonly last: string};
+
+const pollMs = 250;
+
+type Step = {readonly isDone: boolean; readonly text: string};
+
+/** Waits until an accepted change is in force everywhere, and for a load until its replicas are ready. */
+export const waitFor = async (options: WaitOptions): Promise<WaitOutcome> => {
+	const startedMs = performance.now();
+	const change = changeOf(options.line);
+	let last = '';
+	while (performance.now() - startedMs < options.timeoutMs) {
+		const step = await look(options, change, performance.now() - startedMs);
+		if (step.text !== last) {
+			last = step.text;
+			options.onProgress(step.text);
+		}
+
+		if (step.isDone) {
+			return {type: 'done'};
+		}
+
+		await delay(pollMs);
+	}
+
+	return {type: 'timedOut', last};
+};
+
+const changeOf = (line: string): Change | null => parseStatement(line).caseOf({
+	Left: () => null,
+	Right: statement => statement.type === 'change' ? statement.change : null,
+});
+
+const look = async (options: WaitOptions, change: Change | null, elapsedMs: number): Promise<Step> => {
+	const inForce = await lookAtRevision(options);
+	if (!inForce.isDone || change?.type !== 'load') {
+		return inForce;
+	}
+
+	const [fleetRow] = await rowsOf(options, `show fleets where fleet = ${change.fleetId}`);
+	if (fleetRow === undefined) {
+		return {isDone: false, text: `fleet ${change.fleetId} cannot be asked about`};
+	}
+
+	// Another order may have followed: what this one brought about is over then.
+	if (fleetRow.version !== change.versionId) {
+		return {isDone: true, text: `fleet ${change.fleetId} has been given ${String(fleetRow.version)} since`};
+	}
+
+	const progress = loadProgress({fleetRow, transferRows: await rowsOf(options, `show transfers where version = ${change.versionId}`), elapsedMs});
+	return {isDone: progress.ready >= progress.wanted, text: formatProgress(progress)};
+};
+
+const lookAtRevision = async (options: WaitOptions): Promise<Step> => {
+	const [row] = await rowsOf(options, 'show revision');
+	if (row === undefined) {
+		return {isDone: false, text: 'control cannot be asked'};
+	}
+
+	const isDone = Number(row.revision) >= options.revision && row.missing === '';
+	return {isDone, text: `in force on ${String(row.inForce)} of ${String(row.hosts)} hosts${row.missing === '' ? '' : `, missing: ${String(row.missing)}`}`};
+};
+
+/** No rows when the entry or control cannot be reached for the moment; the wait goes on. */
+const rowsOf = async ({client}: WaitOptions, line: string): Promise<readonly QueryRow[]> => {
+	try {
+		return (await sendLine({...client, line})).body.rows ?? [];
+	} catch {
+		return [];
+	}
+};
--- a/packages/daemon/src/dev/create-dev-cluster.ts
+++ b/packages/daemon/src/dev/create-dev-cluster.ts
@@ -8,6 +8,7 @@
 import type {Logger} from '@bitternpaddle/transport';
 import {createAgentNode, type AgentNode} from '../agent/create-agent-node.js';
 import {createControlNode, type ControlNode} from '../control/create-control-node.js';
+import type {AdminToken} from '../entry/admin-tokens.js';
 import {createEntryNode, type EntryNode} from '../entry/create-entry-node.js';
 
 /** A hall of the users' deployments and the region that it lies in. */
@@ -33,6 +34,10 @@
 	/** First entry's address. @default '127.0.0.1:0' */
 	readonly listen?: string;
 	readonly adminToken?: string;
+	/** Further administration tokens. @default [] */
+	readonly adminTokens?: readonly AdminToken[];
+	/** How many of the engines, from the first on, are at the provider `old`. @default 0 */
+	readonly oldEngines?: number;
 	readonly recordFile?: string;
 	readonly logger?: Logger;
 };
@@ -59,7 +64,7 @@
 export const createDevCluster = async (options: DevClusterOptions = {}): Promise<DevCluster> => {
 	const {
 		controls: controlCount = 3, entries: entryCount = 2, engines: engineCount = 7, weightsBytes = 1024 * 1024, chunkSizeBytes = 64 * 1024,
-		listen = '127.0.0.1:0', adminToken = devAdminToken, recordFile, logger,
+		listen = '127.0.0.1:0', adminToken = devAdminToken, adminTokens = [], oldEngines = 0, recordFile, logger,
 	} = options;
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'bitternpaddle-dev-'));
 	const origin = await createFakeOrigin();
@@ -74,11 +79,12 @@
 	})));
 	const controlAddresses = controls.map(control => control.address);
 	const entries = await Promise.all(Array.from({length: entryCount}, async (_, index) => createEntryNode({
-		entryId: `entry-${index + 1}`, controls: controlAddresses, listen: index === 0 ? listen : '127.0.0.1:0', adminTokens: [{role: 'administer', token: adminToken}], logger,
+		entryId: `entry-${index + 1}`, controls: controlAddresses, listen: index === 0 ? listen : '127.0.0.1:0', logger,
+		adminTokens: [{role: 'administer', token: adminToken}, ...adminTokens],
 	})));
 	const engines = await Promise.all(Array.from({length: engineCount}, async () => createFakeEngine()));
 	const agents = await Promise.all(engines.map(async (engine, index) => createAgentNode({
-		hostId: `h${index + 1}`, ...cascadiaHalls[index % cascadiaHalls.length]!, serviceId: 'bp-writers', provider: 'new', kind: 'engine',
+		hostId: `h${index + 1}`, ...cascadiaHalls[index % cascadiaHalls.length]!, serviceId: 'bp-writers', provider: index < oldEngines ? 'old' : 'new', kind: 'engine',
 		endpointAddress: engine.address, controls: controlAddresses, originAddress: origin.address, folder: path.join(folder, `h${index + 1}`), logger,
 	})));
 	const ledger = await createFakeService();
--- a/packages/daemon/src/entry/request-log.ts
+++ b/packages/daemon/src/entry/request-log.ts
@@ -1,8 +1,6 @@
 import type http from 'node:http';
 import type {Endpoint, RouteTarget} from '@bitternpaddle/coordination';
-import {
-	versionHeader, type RequestRecord, type RequestSelection,
-} from '@bitternpaddle/protocol';
+import type {RequestRecord, RequestSelection} from '@bitternpaddle/protocol';
 import type {UnansweredVerdict} from '@bitternpaddle/state';
 import {match} from 'ts-pattern';
 
@@ -56,7 +54,6 @@
 		inFlight.delete(record.requestId);
 		record.endedAfterMs = elapsedMs;
 		record.status = response.headersSent ? response.statusCode : null;
-		record.versionId = textOf(response.getHeader(versionHeader));
 		if (record.state === 'inFlight') {
 			record.state = response.writableFinished ? 'answered' : 'abandoned';
 		}
@@ -90,6 +87,10 @@
 					const outcome = await run();
 					attempt.endedAfterMs = elapsedMs();
 					attempt.verdict = outcome.type === 'answer' ? 'ran' : outcome.verdict.type;
+					if (outcome.type === 'answer') {
+						record.versionId = endpoint.versionId;
+					}
+
 					if (outcome.type === 'answer' && target.type === 'service') {
 						record.firstByteAfterMs = attempt.endedAfterMs;
 					}
@@ -132,5 +133,3 @@
 };
 
 const nameOfTarget = (target: RouteTarget): string => target.type === 'model' ? target.modelId : target.serviceId;
-
-const textOf = (header: number | string | string[] | undefined): string | null => typeof header === 'string' ? header : null;
--- a/packages/protocol/src/language/command.peggy
+++ b/packages/protocol/src/language/command.peggy
@@ -13,7 +13,7 @@
 
 InZones = __ "in" __ head:Name tail:(_ "," _ zone:Name { return zone; })* { return [head, ...tail]; }
 Share = __ "share" __ share:Integer { return share; }
-Repeatability "repeatable or not-repeatable" = "repeatable" / "not-repeatable"
+Repeatability = "repeatable" / "not-repeatable"
 
 SetObjective = "set" __ "objective" __ "for" __ "service" __ serviceId:Name __ "whole" __ answeredWholePercent:Percent __ "first" __ "token" __ firstTokenPercent:Percent __ "within" __ firstTokenMs:Integer _ "ms" { return {type: 'setObjective', serviceId, objective: {answeredWholePercent, firstTokenPercent, firstTokenMs}}; }
 
@@ -21,13 +21,13 @@
 Withdraw = "withdraw" __ "version" __ versionId:Version { return {type: 'withdrawVersion', versionId}; }
 Move = "move" __ percent:Percent __ "of" __ modelId:Name __ "from" __ "fleet" __ fromFleetId:Name __ "to" __ "fleet" __ toFleetId:Name { return {type: 'moveTraffic', percent, modelId, fromFleetId, toFleetId}; }
 HostOrder = verb:HostVerb __ "host" __ hostId:Name { return {type: verb, hostId}; }
-HostVerb "drain, undrain or stop" = "drain" { return 'drainHost'; } / "undrain" { return 'undrainHost'; } / "stop" { return 'stopHost'; }
+HostVerb = "drain" { return 'drainHost'; } / "undrain" { return 'undrainHost'; } / "stop" { return 'stopHost'; }
 
 Show = "show" __ "requests" __ "in" __ "flight" where:Where? { return {type: 'show', subject: 'requests', where: where ?? []}; }
   / "show" __ subject:Subject where:Where? { return {type: 'show', subject, where: where ?? []}; }
 Explain = "explain" __ "request" __ id:Name { return {type: 'explain', subject: 'request', id}; }
   / "explain" __ "replica" __ id:Name { return {type: 'explain', subject: 'replica', id}; }
-Subject "replicas, transfers, hosts, revision, models, versions, fleets, services or teams" = "replicas" / "transfers" / "hosts" / "revision" / "models" / "versions" / "fleets" / "services" / "teams"
+Subject = "replicas" / "transfers" / "hosts" / "revision" / "models" / "versions" / "fleets" / "services" / "teams"
 Where = __ "where" __ head:Condition tail:(__ "and" __ condition:Condition { return condition; })* { return [head, ...tail]; }
 Condition = field:Field _ operator:Operator _ value:Value { return {field, operator, value, column: location().start.column}; }
 Field "field name" = $[a-zA-Z]+
--- /dev/null
+++ b/packages/protocol/src/language/statement-forms.ts
@@ -0,0 +1,117 @@
+/** One form of statement, as help and the commands reference tell it. */
+export type StatementForm = {
+	readonly form: string;
+	readonly description: string;
+	/** The least role of a token that may send it. */
+	readonly role: 'read' | 'operate' | 'administer';
+	/** A whole line; a test parses it. */
+	readonly example: string;
+};
+
+const manifest = `sha256:${'0'.repeat(64)}`;
+
+/** Every form of the operators' language. */
+export const statementForms: readonly StatementForm[] = [
+	{
+		form: 'create model MODEL',
+		description: 'A model that callers may name.',
+		role: 'administer',
+		example: 'create model pitch-desk',
+	},
+	{
+		form: 'create version MODEL:LABEL from manifest DIGEST',
+		description: 'A version; its weights are named by the digest of their manifest.',
+		role: 'administer',
+		example: `create version pitch-desk:v1 from manifest ${manifest}`,
+	},
+	{
+		form: 'create adapter ADAPTER on MODEL:LABEL from manifest DIGEST',
+		description: 'An adapter to a version.',
+		role: 'administer',
+		example: `create adapter fair-tone on pitch-desk:v1 from manifest ${manifest}`,
+	},
+	{
+		form: 'create fleet FLEET provider PROVIDER for MODEL:LABEL replicas N [in ZONE, ...]',
+		description: 'Hosts of one provider that carry one version; it carries weights after its first load.',
+		role: 'administer',
+		example: 'create fleet fair-mornings provider new for pitch-desk:v1 replicas 40 in tacoma-hall, salem-hall',
+	},
+	{
+		form: 'create service SERVICE repeatable|not-repeatable',
+		description: 'Whether calls to a service may run twice. A plain service that announces itself first is not repeatable.',
+		role: 'administer',
+		example: 'create service gate-log repeatable',
+	},
+	{
+		form: 'create team TEAM key KEY [share N]',
+		description: 'A team of callers. Only a digest of the key is kept.',
+		role: 'administer',
+		example: 'create team marshals key open-sesame share 3',
+	},
+	{
+		form: 'set objective for service SERVICE whole P% first token P% within N ms',
+		description: 'What the burn report measures a service against. Without it: 99.9% whole, 95% within 1000 ms.',
+		role: 'administer',
+		example: 'set objective for service bp-writers whole 99.9% first token 95% within 1000 ms',
+	},
+	{
+		form: 'load MODEL:LABEL on fleet FLEET',
+		description: 'Brings a version to the hosts of a fleet, and has them serve it.',
+		role: 'operate',
+		example: 'load pitch-desk:v2 on fleet fair-mornings',
+	},
+	{
+		form: 'withdraw version MODEL:LABEL',
+		description: 'No fleet serves the version any more; each returns to the one before.',
+		role: 'operate',
+		example: 'withdraw version pitch-desk:v2',
+	},
+	{
+		form: 'move P% of MODEL from fleet FLEET to fleet FLEET',
+		description: 'Moves a share of a model\'s traffic.',
+		role: 'operate',
+		example: 'move 20% of pitch-desk from fleet old to fleet fair-mornings',
+	},
+	{
+		form: 'drain host HOST',
+		description: 'Takes work off a host; what runs is finished, and the process goes on.',
+		role: 'operate',
+		example: 'drain host h17',
+	},
+	{
+		form: 'undrain host HOST',
+		description: 'Takes a drain back.',
+		role: 'operate',
+		example: 'undrain host h17',
+	},
+	{
+		form: 'stop host HOST',
+		description: 'Ends the process on a host once what runs is finished.',
+		role: 'operate',
+		example: 'stop host h17',
+	},
+	{
+		form: 'show SUBJECT [where FIELD OPERATOR VALUE [and ...]]',
+		description: 'Rows about one subject. Text is compared in the order of the alphabet, numbers by size.',
+		role: 'read',
+		example: 'show replicas where version = pitch-desk:v2 and zone = tacoma-hall',
+	},
+	{
+		form: 'show requests in flight [where ...]',
+		description: 'Requests that any entry carries now.',
+		role: 'read',
+		example: 'show requests in flight where team = marshals',
+	},
+	{
+		form: 'explain request ID',
+		description: 'What the entries know of a request: team, attempts, hosts, verdicts, times.',
+		role: 'read',
+		example: 'explain request 1f0c9c1e-7b1e-4f7e-9a53-2f6f1f7a9d10',
+	},
+	{
+		form: 'explain replica HOST',
+		description: 'Why a host serves or does not: lease, configuration, orders, assignment, weights.',
+		role: 'read',
+		example: 'explain replica h17',
+	},
+];
--- a/packages/protocol/src/language/statement.ts
+++ b/packages/protocol/src/language/statement.ts
@@ -29,7 +29,8 @@
 	readonly expected: readonly string[];
 };
 
-const describeExpected = (error: PeggySyntaxError): string[] => {
+/** What may stand at the place of the error: words in quotes, and the names of rules such as `name`. */
+export const describeExpected = (error: PeggySyntaxError): string[] => {
 	const names = (error.expected ?? []).flatMap(item => {
 		if (item.type === 'literal') {
 			return [`"${item.text}"`];
--- a/packages/protocol/test/language.test.ts
+++ b/packages/protocol/test/language.test.ts
@@ -1,5 +1,6 @@
+import {readFile} from 'node:fs/promises';
 import t from 'tap';
-import {parseStatement} from '@bitternpaddle/protocol';
+import {completeLine, parseStatement, statementForms} from '@bitternpaddle/protocol';
 
 t.test('statements', async t => {
 	const lines = [
@@ -25,3 +26,44 @@
 		t.matchSnapshot(parseStatement(line).extract(), line);
 	}
 });
+
+t.test('an error about a condition names the place of the condition', async t => {
+	for (const line of ['show hosts where role = agent and revision < soon', 'show replicas where colour = red', 'show replicas where ready > true', 'show requests in flight where ageMs >= 10s']) {
+		t.matchSnapshot(parseStatement(line).extract(), line);
+	}
+});
+
+t.test('completion comes from the grammar', async t => {
+	const cases: Array<[string, readonly string[]]> = [
+		['', ['create', 'drain', 'explain', 'load', 'move', 'set', 'show', 'stop', 'undrain', 'withdraw']],
+		['s', ['set', 'show', 'stop']],
+		['show re', ['replicas', 'requests', 'revision']],
+		['show requests ', ['in']],
+		['show hosts w', ['where']],
+		['show hosts where r', ['revision', 'role']],
+		['show hosts where role ', ['!=', '<', '<=', '=', '>', '>=']],
+		['create service gate-log ', ['not-repeatable', 'repeatable']],
+		['drian ho', []],
+		['drain host h1', []],
+	];
+	for (const [line, candidates] of cases) {
+		t.same(completeLine(line).candidates, candidates, JSON.stringify(line));
+	}
+
+	t.equal(completeLine('show re').word, 're');
+});
+
+t.test('every form in the reference has an example that parses, and every statement has a form', async t => {
+	const types = new Set(statementForms.map(({example, form}) => {
+		const statement = parseStatement(example).caseOf({
+			Left(error) {
+				throw new Error(`${form}: ${error.message}`);
+			},
+			Right: parsed => parsed,
+		});
+		return statement.type === 'change' ? statement.change.type : statement.type;
+	}));
+	const grammar = await readFile('packages/protocol/src/language/command.peggy', 'utf8');
+	const inGrammar = new Set([...grammar.matchAll(/type: '(\w+)'|return '(\w+)'/gv)].map(found => found[1] ?? found[2]!));
+	t.same([...types].toSorted(), [...inGrammar].map(type => type === 'show' ? 'query' : type).toSorted());
+});
--- a/tap-snapshots/.test-dist/packages/protocol/test/language.test.js.test.cjs
+++ b/tap-snapshots/.test-dist/packages/protocol/test/language.test.js.test.cjs
@@ -5,6 +5,53 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > an error about a condition names the place of the condition > show hosts where role = agent and revision < soon 1`] = `
+Object {
+  "column": 35,
+  "expected": Array [
+    "revision < a number",
+  ],
+  "message": "\\"revision\\" is a number, \\"soon\\" is not.",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > an error about a condition names the place of the condition > show replicas where colour = red 1`] = `
+Object {
+  "column": 21,
+  "expected": Array [
+    "host",
+    "zone",
+    "fleet",
+    "version",
+    "ready",
+    "serving",
+    "status",
+  ],
+  "message": "replicas have no field \\"colour\\".",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > an error about a condition names the place of the condition > show replicas where ready > true 1`] = `
+Object {
+  "column": 21,
+  "expected": Array [
+    "ready = true",
+    "ready = false",
+  ],
+  "message": "\\"ready\\" is true or false.",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > an error about a condition names the place of the condition > show requests in flight where ageMs >= 10s 1`] = `
+Object {
+  "column": 31,
+  "expected": Array [
+    "ageMs >= a number",
+  ],
+  "message": "\\"ageMs\\" is a number, \\"10s\\" is not.",
+}
+`
+
 exports[`.test-dist/packages/protocol/test/language.test.js > TAP > an error names the place and what was expected there > create model -x 1`] = `
 Object {
   "column": 14,
@@ -50,15 +97,17 @@
   "column": 1,
   "expected": Array [
     "\\"create\\"",
+    "\\"drain\\"",
     "\\"explain\\"",
     "\\"load\\"",
     "\\"move\\"",
     "\\"set\\"",
     "\\"show\\"",
+    "\\"stop\\"",
+    "\\"undrain\\"",
     "\\"withdraw\\"",
-    "drain, undrain or stop",
   ],
-  "message": "Expected \\"create\\", \\"explain\\", \\"load\\", \\"move\\", \\"set\\", \\"show\\", \\"withdraw\\", or drain, undrain or stop but end of input found.",
+  "message": "Expected \\"create\\", \\"drain\\", \\"explain\\", \\"load\\", \\"move\\", \\"set\\", \\"show\\", \\"stop\\", \\"undrain\\", or \\"withdraw\\" but end of input found.",
 }
 `
 
--- a/test/burn-report.test.ts
+++ b/test/burn-report.test.ts
@@ -1,22 +1,11 @@
 import {readFile} from 'node:fs/promises';
 import path from 'node:path';
-import {PassThrough} from 'node:stream';
 import t from 'tap';
-import {createOperatorProgram} from '@bitternpaddle/cli';
 import type {BurnReport} from '@bitternpaddle/coordination';
 import {
 	createDevCluster, postJson, sendLine, waitUntil,
 } from '@bitternpaddle/daemon';
-
-const runProgram = async (words: readonly string[]): Promise<{code: number; text: string}> => {
-	const parts: string[] = [];
-	const output = new PassThrough();
-	output.on('data', (part: Uint8Array) => {
-		parts.push(new TextDecoder().decode(part));
-	});
-	const code = await createOperatorProgram().run([...words], {stdout: output, stderr: output});
-	return {code, text: parts.join('')};
-};
+import {runProgram} from './support/run-program.js';
 
 // Callers ask through two entries; two bookings go to a ledger whose answers
 // are cut. One report, asked of one entry, must count what both saw: without
