--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,5 +1,8 @@
 export * from './agent/create-agent-node.js';
+export * from './control/consensus-driver.js';
 export * from './control/create-control-node.js';
+export * from './control/host-registry.js';
+export * from './control/replica.js';
 export * from './dev/client.js';
 export * from './dev/create-dev-cluster.js';
 export * from './dev/failure/index.js';
@@ -7,6 +10,7 @@
 export * from './entry/admin-api.js';
 export * from './entry/admin-tokens.js';
 export * from './entry/create-entry-node.js';
+export * from './host/configuration-client.js';
 export * from './program.js';
 export * from './recording/recorder.js';
 export * from './report/index.js';
--- a/packages/protocol/src/rpc/methods.ts
+++ b/packages/protocol/src/rpc/methods.ts
@@ -9,6 +9,10 @@
 const index = z.number().int().nonnegative();
 const term = z.number().int().nonnegative();
 
+/** A follower's clock, and the start of its process that the clock belongs to. */
+export const receiverStampSchema = z.object({incarnation: z.number().int(), atMs: z.number()});
+export type ReceiverStamp = z.infer<typeof receiverStampSchema>;
+
 /** Messages of consensus between control hosts. All are one-way; answers are messages too. */
 export const consensusMessageSchema = z.discriminatedUnion('type', [
 	z.object({
@@ -20,9 +24,16 @@
 	z.object({
 		type: z.literal('appendRequest'), term, previousIndex: index, previousTerm: term, entries: z.array(logEntrySchema),
 		commitIndex: index, sentAtMs: z.number(),
+		/** Whether the leader held its lease when it sent this. */
+		hasLease: z.boolean(),
+		/** The newest stamp of the receiver that the leader has heard. */
+		echo: receiverStampSchema.nullable(),
 	}),
 	z.object({
-		type: z.literal('appendResponse'), term, success: z.boolean(), matchIndex: index, sentAtMs: z.number(),
+		type: z.literal('appendResponse'), term, success: z.boolean(), matchIndex: index,
+		/** From the request; `null` if that was of an older term and renews nothing. */
+		sentAtMs: z.number().nullable(),
+		stamp: receiverStampSchema,
 	}),
 	z.object({
 		type: z.literal('snapshotRequest'), term, snapshot: snapshotSchema, sentAtMs: z.number(),
@@ -31,6 +42,17 @@
 export type ConsensusMessage = z.infer<typeof consensusMessageSchema>;
 
 export const consensusEnvelopeSchema = z.object({from: z.string(), to: z.string(), message: consensusMessageSchema});
+export const consensusEnvelopesSchema = z.object({envelopes: z.array(consensusEnvelopeSchema)});
+
+/** What a control host has noted about who the first voters are; the answer of `control.formation`. */
+export const formationSchema = z.object({
+	diskId: z.string().min(1), accepted: z.record(z.string(), z.string()).nullable(), isFormed: z.boolean(),
+});
+export const formationParametersSchema = z.object({});
+
+/** A control host, as `host#disk`, that no leader supplies. */
+export const standbyParametersSchema = z.object({memberId: z.string()});
+
 export type ConsensusEnvelope = z.infer<typeof consensusEnvelopeSchema>;
 
 /** One transfer of weights on a host, as `show transfers` prints it. */
@@ -99,7 +121,7 @@
 
 /** Chunks that a neighbour gained; `isReply` stops two hosts from greeting each other for ever. */
 export const haveParametersSchema = z.object({
-	from: z.string(), address: z.string(), manifestId: manifestIdSchema, chunks: z.array(index), isGreeting: z.boolean(),
+	from: z.string(), address: z.string(), manifestId: manifestIdSchema, chunks: z.array(index),
 });
 export type HaveParameters = z.infer<typeof haveParametersSchema>;
 
