feat(bench): let faults of chaos meet on one node, and outlast a lease

Cause: victims were drawn apart, so two faults seldom met, and no fault lasted longer than a host's lease, so hosts that stop serving were never seen.

Change: in half of the schedules all faults share their draw; in one of ten they last 4 s (the lease is 2.5 s). A cluster that does not even come up is a finding with what an operator would see, no crash of the bench.

--- a/packages/bench/src/chaos/run-clusters.ts
+++ b/packages/bench/src/chaos/run-clusters.ts
@@ -1,4 +1,6 @@
-import {createFailureCluster, loadFirstVersion, type FailureCluster} from '@bitternpaddle/daemon';
+import {
+	createFailureCluster, loadFirstVersion, queryRows, type FailureCluster,
+} from '@bitternpaddle/daemon';
 import {checkHistory} from '@bitternpaddle/test-support';
 import {addHistory, createTally, type Tally} from './goodput.js';
 import {runSchedule, type ScheduleRun} from './run-schedule.js';
@@ -30,6 +32,12 @@
 	}
 };
 
+/** What an operator would look at first. */
+const describe = async (cluster: FailureCluster): Promise<string[]> => Promise.all(['show revision', 'show hosts', 'show replicas', 'show transfers'].map(async line => {
+	const rows = await queryRows(cluster, line);
+	return `  ${line}: ${JSON.stringify(rows)}`;
+}));
+
 /** One cluster takes schedules until there are none left; one that does not recover is replaced. */
 const runCluster = async (left: Schedule[], findings: Findings): Promise<void> => {
 	while (left.length > 0) {
@@ -40,6 +48,15 @@
 		const runs: ScheduleRun[] = [];
 		try {
 			await loadFirstVersion(cluster);
+		} catch (error) {
+			findings.hangs++;
+			findings.lines.push(`hang before any fault: ${(error as Error).message}`, ...await describe(cluster));
+			clearInterval(sampling);
+			await cluster.close();
+			continue;
+		}
+
+		try {
 			let isBroken = false;
 			while (left.length > 0 && !isBroken) {
 				const run = await runSchedule(cluster, left.shift()!);
--- a/packages/bench/src/chaos/schedule.ts
+++ b/packages/bench/src/chaos/schedule.ts
@@ -40,10 +40,14 @@
 const lastStartMs = 300;
 const shortestMs = 200;
 const longestMs = 800;
+/** Beyond the lease of a host, so that what was cut off stops serving. */
+const longFaultMs = 4000;
+const longShare = 10;
 const largestDraw = 1_000_000;
 
 /**
- * Draws schedules of one to three faults that overlap. Kinds are dealt like
+ * Draws schedules of one to three faults that overlap, in half of them with
+ * the same draw, so that they often meet on one node. Kinds are dealt like
  * cards, so that each one comes up about equally often in any run.
  */
 export const drawSchedules = (random: Random, count: number): Schedule[] => {
@@ -53,10 +57,14 @@
 		return deck.splice(random.between(0, deck.length - 1), 1)[0]!;
 	};
 
-	return Array.from({length: count}, (_, number) => ({
-		number,
-		faults: Array.from({length: random.between(1, 3)}, () => ({
-			kind: deal(), startMs: random.between(0, lastStartMs), durationMs: random.between(shortestMs, longestMs), draw: random.between(0, largestDraw),
-		})),
-	}));
+	const drawFaults = (): PlannedFault[] => {
+		const isLong = random.between(1, longShare) === 1;
+		const sameVictim = random.between(0, 1) === 1 ? random.between(0, largestDraw) : null;
+		return Array.from({length: random.between(1, 3)}, () => ({
+			kind: deal(), startMs: random.between(0, lastStartMs), draw: sameVictim ?? random.between(0, largestDraw),
+			durationMs: isLong ? longFaultMs : random.between(shortestMs, longestMs),
+		}));
+	};
+
+	return Array.from({length: count}, (_, number) => ({number, faults: drawFaults()}));
 };
