--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,12 +1,20 @@
+import {measureDistribution} from './distribution/index.js';
+import {measureBurn} from './burn.js';
 import {measureConfiguration} from './configuration.js';
 import {measureChaos} from './chaos/chaos.js';
+import {measureCapacity} from './capacity/index.js';
 import {measureOverhead} from './overhead.js';
+import {measureRouting} from './routing.js';
 
 /** A measurement: takes its flags, prints what it likes, gives the object for the last line. */
 export type Bench = (flags: readonly string[]) => Promise<Record<string, unknown>>;
 
 export const benches: Record<string, Bench> = {
+	distribution: measureDistribution,
+	burn: measureBurn,
 	configuration: measureConfiguration,
 	chaos: measureChaos,
+	capacity: measureCapacity,
 	overhead: measureOverhead,
+	routing: measureRouting,
 };
--- a/packages/daemon/src/entry/read-call.ts
+++ b/packages/daemon/src/entry/read-call.ts
@@ -23,7 +23,7 @@
 const chatBodySchema = z.looseObject({model: z.string().min(1), stream: z.boolean().default(false)});
 
 /** Reads and checks a caller's request; throws `RefusedError` for one that is wrong in itself. */
-export const readCall = async (request: http.IncomingMessage, response: http.ServerResponse, {teams, defaultDeadlineMs, isOnce}: ReadCallOptions): Promise<Call> => {
+export const readCall = async (request: http.IncomingMessage, response: http.ServerResponse, {teams, defaultDeadlineMs, isOnce}: ReadCallOptions): Promise<Omit<Call, 'trace'>> => {
 	const startedAtMs = performance.now();
 	const teamId = identifyTeam(request, teams);
 	const deadlineMs = readDeadline(request);
--- a/packages/protocol/src/rpc/methods.ts
+++ b/packages/protocol/src/rpc/methods.ts
@@ -100,7 +100,12 @@
 export const queryParametersSchema = z.object({show: showSchema, isForwarded: z.boolean().default(false)});
 
 export type QueryRow = Record<string, string | number | boolean | null>;
-export type QueryResult = {readonly revision: number; readonly rows: readonly QueryRow[]};
+export type QueryResult = {
+	readonly revision: number;
+	readonly rows: readonly QueryRow[];
+	/** Entries that did not answer, where entries were asked; without the field all did. */
+	readonly missingEntries?: readonly string[];
+};
 
 export const settleParametersSchema = z.object({
 	attemptId: z.string(),
@@ -116,7 +121,7 @@
 
 /** Chunks that a neighbour gained; `isReply` stops two hosts from greeting each other for ever. */
 export const haveParametersSchema = z.object({
-	from: z.string(), address: z.string(), manifestId: manifestIdSchema, chunks: z.array(index), isGreeting: z.boolean(),
+	from: z.string(), address: z.string(), manifestId: manifestIdSchema, chunks: z.array(index),
 });
 export type HaveParameters = z.infer<typeof haveParametersSchema>;
 
