--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -3,6 +3,7 @@
 import {measureConfiguration} from './configuration.js';
 import {measureChaos} from './chaos/chaos.js';
 import {measureCapacity} from './capacity/index.js';
+import {measureControl} from './control/control.js';
 import {measureOverhead} from './overhead.js';
 import {measureRouting} from './routing.js';
 
@@ -15,6 +16,7 @@
 	configuration: measureConfiguration,
 	chaos: measureChaos,
 	capacity: measureCapacity,
+	control: measureControl,
 	overhead: measureOverhead,
 	routing: measureRouting,
 };
--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -51,6 +51,8 @@
 	isLeader(): boolean;
 	/** Ids of the members as `host#disk`, as far as this host knows. */
 	members(): Members;
+	/** Syncs of the log since the start. */
+	syncCount(): number;
 	close(): Promise<void>;
 };
 
@@ -202,6 +204,7 @@
 		address: server.address,
 		isLeader,
 		members: () => driver.state.members,
+		syncCount: store.syncCount,
 		async close() {
 			for (const timer of timers) {
 				clearInterval(timer);
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -3,6 +3,7 @@
 export * from './control/create-control-node.js';
 export * from './control/host-registry.js';
 export * from './control/replica.js';
+export {createConfigurationClient, type ConfigurationClient} from './host/configuration-client.js';
 export * from './dev/client.js';
 export * from './dev/create-dev-cluster.js';
 export * from './dev/failure/index.js';
