perf(coordination): tell followers at once what is committed

Cause: hosts that watch at a follower or learner waited for the next heartbeat (100 ms) before a change reached them.

Change: when the commit index moves, the leader sends it to members in stream.

--- a/packages/coordination/src/consensus/lead.ts
+++ b/packages/coordination/src/consensus/lead.ts
@@ -70,7 +70,7 @@
 		progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
 	}
 
-	return [...advanceCommit(state), ...sendAppend(state, from, 'answer', nowMs)];
+	return [...advanceCommit(state, nowMs), ...sendAppend(state, from, 'answer', nowMs)];
 };
 
 /** The logs differ before `nextIndex`, or a message on the way was lost or overtaken. */
--- a/packages/coordination/src/consensus/replicate.ts
+++ b/packages/coordination/src/consensus/replicate.ts
@@ -24,7 +24,7 @@
 };
 
 /** Why a member is sent something now. */
-export type SendCause = 'heartbeat' | 'answer' | 'news';
+export type SendCause = 'heartbeat' | 'answer' | 'news' | 'committed';
 
 /** Sends a member what it lacks, within the bounds on what may be on its way. */
 export const sendAppend = (state: ConsensusState, peer: string, cause: SendCause, nowMs: number): ConsensusEffect[] => {
@@ -38,13 +38,13 @@
 		.with('snapshot', () => sendSnapshot(state, peer, cause, nowMs))
 		.with('probe', () => {
 			const entries = entriesFrom(state, progress.nextIndex, state.options.maxBatchEntries);
-			return cause === 'news' ? [] : [appendRequest(state, peer, {previousIndex: progress.nextIndex - 1, entries}, nowMs)];
+			return cause === 'news' || cause === 'committed' ? [] : [appendRequest(state, peer, {previousIndex: progress.nextIndex - 1, entries}, nowMs)];
 		})
 		.with('stream', () => {
 			const inFlight = progress.nextIndex - 1 - progress.matchIndex;
 			const {maxBatchEntries, maxInFlightEntries} = state.options;
 			const entries = entriesFrom(state, progress.nextIndex, Math.max(0, Math.min(maxBatchEntries, maxInFlightEntries - inFlight)));
-			if (entries.length === 0 && cause !== 'heartbeat') {
+			if (entries.length === 0 && cause !== 'heartbeat' && cause !== 'committed') {
 				return [];
 			}
 
@@ -100,13 +100,19 @@
 	};
 };
 
-/** Moves the commit index to what a quorum has on disk. Only entries of the own term count directly. */
-export const advanceCommit = (state: ConsensusState): ConsensusEffect[] => {
+/**
+ * Moves the commit index to what a quorum has on disk, and tells the others at
+ * once: hosts that watch there would otherwise wait for the next heartbeat.
+ * Only entries of the own term count directly.
+ */
+export const advanceCommit = (state: ConsensusState, nowMs: number): ConsensusEffect[] => {
 	const matched = state.members.voters
 		.map(voter => voter === state.selfId ? state.durableIndex : state.peers.get(voter)?.matchIndex ?? 0)
 		.toSorted((a, b) => b - a);
 	const index = matched[quorumOf(state.members) - 1] ?? 0;
-	return index > state.commitIndex && termAt(state, index) === state.term ? commitTo(state, index) : [];
+	return index > state.commitIndex && termAt(state, index) === state.term
+		? [...commitTo(state, index), ...broadcastAppend(state, 'committed', nowMs)]
+		: [];
 };
 
 export const commitTo = (state: ConsensusState, index: number): ConsensusEffect[] => {
--- a/packages/coordination/src/consensus/step.ts
+++ b/packages/coordination/src/consensus/step.ts
@@ -21,7 +21,7 @@
 	.with({type: 'tick'}, () => onTick(state, nowMs))
 	.with({type: 'message'}, ({from, message}) => onMessage(state, from, message, nowMs))
 	.with({type: 'propose'}, ({token, payload}) => onPropose(state, token, payload, nowMs))
-	.with({type: 'persisted'}, ({index, term}) => onPersisted(state, index, term))
+	.with({type: 'persisted'}, ({index, term}) => onPersisted(state, index, term, nowMs))
 	.with({type: 'formed'}, ({members}) => onFormed(state, members))
 	.with({type: 'compacted'}, ({snapshot}) => onCompacted(state, snapshot))
 	.exhaustive();
@@ -42,13 +42,13 @@
 	.with({type: 'snapshotRequest'}, request => onSnapshotRequest(state, from, request, nowMs))
 	.exhaustive();
 
-const onPersisted = (state: ConsensusState, index: number, term: number): ConsensusEffect[] => {
+const onPersisted = (state: ConsensusState, index: number, term: number, nowMs: number): ConsensusEffect[] => {
 	// An entry that was overwritten while it was being synced must not count.
 	if (termAt(state, index) === term) {
 		state.durableIndex = Math.max(state.durableIndex, index);
 	}
 
-	return state.role === 'leader' ? advanceCommit(state) : [];
+	return state.role === 'leader' ? advanceCommit(state, nowMs) : [];
 };
 
 const onFormed = (state: ConsensusState, members: Members): ConsensusEffect[] => {
