--- a/packages/bench/src/capacity/measure-swarm.ts
+++ b/packages/bench/src/capacity/measure-swarm.ts
@@ -23,7 +23,7 @@
 	return heapBytesOf(() => {
 		const {state} = createMember(peers[0]!, peers, chunks);
 		const all = Array.from({length: chunks}, (_, index) => index);
-		for (const hostId of state.neighbours) {
+		for (const hostId of state.neighbours.keys()) {
 			stepSwarm(state, {type: 'peerHas', hostId, chunks: all}, 0);
 		}
 
@@ -47,15 +47,18 @@
 		mail = [];
 		for (const {from, effect} of delivered) {
 			if (effect.type === 'announce') {
-				const answers = stepSwarm(members.get(effect.to)!, {type: 'peerHas', hostId: from, chunks: effect.chunks}, 0);
-				mail.push(...answers.map(answer => ({from: effect.to, effect: answer})));
+				for (const to of effect.to) {
+					const answers = stepSwarm(members.get(to)!, {type: 'peerHas', hostId: from, chunks: effect.chunks}, 0);
+					mail.push(...answers.map(answer => ({from: to, effect: answer})));
+				}
 			}
 		}
 	}
 
 	let messages = 0;
 	for (const [number, state] of [...members.values()].entries()) {
-		messages += stepSwarm(state, {type: 'stored', chunk: number}, 0).filter(effect => effect.type === 'announce').length;
+		messages += stepSwarm(state, {type: 'stored', chunk: number, source: {type: 'origin'}}, 0)
+			.reduce((sum, effect) => sum + (effect.type === 'announce' ? effect.to.length : 0), 0);
 	}
 
 	return messages / count;
@@ -66,13 +69,13 @@
 	const peers = peersOf(9);
 	const {state} = createMember(peers[0]!, peers, chunks);
 	const all = Array.from({length: chunks}, (_, index) => index);
-	for (const hostId of state.neighbours) {
+	for (const hostId of state.neighbours.keys()) {
 		stepSwarm(state, {type: 'peerHas', hostId, chunks: all}, 0);
 	}
 
 	return millisecondsOf(() => {
 		const [chunk] = state.fetches.keys();
-		stepSwarm(state, {type: 'stored', chunk: chunk!}, 0);
+		stepSwarm(state, {type: 'stored', chunk: chunk!, source: state.fetches.get(chunk!)![0]!.source}, 0);
 	}, 20);
 };
 
