test(requests): prove verdicts and whole answers against a door that misbehaves

A door written by the test sends another request's answer, cuts, falls silent, changes a byte, leaves bytes or the end marker out, dies, or settles in each way.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -6,6 +6,7 @@
 export * from './dev/run-demo.js';
 export * from './entry/admin-api.js';
 export * from './entry/create-entry-node.js';
+export * from './entry/dispatch.js';
 export * from './program.js';
 export * from './recording/recorder.js';
 export * from './settings/settings.js';
--- a/packages/test-support/src/engine/fake-engine.ts
+++ b/packages/test-support/src/engine/fake-engine.ts
@@ -16,8 +16,14 @@
 	cutAfterTokens?: number;
 	/** Take the request and never answer. */
 	isSilent?: boolean;
+	/** Say nothing more after this many tokens, and keep the connection. */
+	silentAfterTokens?: number;
+	/** Hold other weights from this token on, as if somebody else had ordered a load. */
+	swapAfterTokens?: number;
 	/** Answer with the previous request's text. */
 	isCrossed?: boolean;
+	/** Answer with the previous request's id and text. */
+	isMisaddressed?: boolean;
 };
 
 export type FakeEngineOptions = {
@@ -42,6 +48,8 @@
 	readonly runs: readonly EngineRun[];
 	/** Digest over the bytes that it really holds. */
 	readonly heldDigest: () => string | null;
+	/** Requests that it works on now. */
+	readonly running: () => number;
 	close(): Promise<void>;
 };
 
@@ -69,6 +77,7 @@
 	let running = 0;
 	let reportedLoad = {running: 0, atMs: 0};
 	let previousText = '';
+	let previousId = '';
 
 	const load = async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
 		const order = loadSchema.parse(JSON.parse((await readBody(request)).toString()));
@@ -120,16 +129,24 @@
 			return;
 		}
 
-		const text = faults.isCrossed ? previousText : ownText;
+		const isOther = [faults.isCrossed, faults.isMisaddressed].includes(true);
+		const text = isOther ? previousText : ownText;
 		previousText = ownText;
 		const answer = {
 			id: requestId, model, system_fingerprint: digest, created: 0,
 		};
-		response.setHeader('x-request-id', requestId);
+		response.setHeader('x-request-id', faults.isMisaddressed ? previousId : requestId);
+		previousId = requestId;
 		response.setHeader('x-engine-digest', digest);
 		await (stream ? streamAnswer(response, answer, text, maxTokens) : wholeAnswer(response, answer, text, maxTokens));
 	};
 
+	const swapWeights = (): void => {
+		if (loaded !== null) {
+			loaded = {...loaded, digest: `sha256:${'0'.repeat(64)}`};
+		}
+	};
+
 	const wholeAnswer = async (response: http.ServerResponse, answer: Record<string, unknown>, text: string, maxTokens: number): Promise<void> => {
 		await delay((tokenMs * maxTokens) + (faults.stallMs ?? 0));
 		if (faults.cutAfterTokens !== undefined) {
@@ -137,6 +154,10 @@
 			return;
 		}
 
+		if (faults.swapAfterTokens !== undefined) {
+			swapWeights();
+		}
+
 		sendJson(response, 200, {
 			...answer, object: 'chat.completion', choices: [{index: 0, message: {role: 'assistant', content: text}, finish_reason: 'stop'}],
 			usage: {completion_tokens: maxTokens},
@@ -152,6 +173,14 @@
 				return;
 			}
 
+			if (index === faults.silentAfterTokens) {
+				return;
+			}
+
+			if (index === faults.swapAfterTokens) {
+				swapWeights();
+			}
+
 			const content = index === 0 ? text : ` t${index}`;
 			response.write(`data: ${JSON.stringify({...answer, object: 'chat.completion.chunk', choices: [{index: 0, delta: {content}, finish_reason: null}]})}\n\n`);
 		}
@@ -193,6 +222,7 @@
 		faults,
 		runs,
 		heldDigest: () => loaded?.digest ?? null,
+		running: () => running,
 		async close() {
 			server.destroy();
 		},
--- a/packages/test-support/src/history/index.ts
+++ b/packages/test-support/src/history/index.ts
@@ -1,4 +1,4 @@
 export * from './check-history.js';
 export * from './events.js';
 export * from './record-call.js';
-export * from './violation.js';
+export type * from './violation.js';
--- a/packages/test-support/src/service/fake-service.ts
+++ b/packages/test-support/src/service/fake-service.ts
@@ -1,3 +1,4 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import {createHttpServer, readBody, sendJson} from '@bitternpaddle/transport';
 import type {History} from '../history/events.js';
 
@@ -6,6 +7,8 @@
 	isCutAfterRun?: boolean;
 	/** Run, then never answer. */
 	isSilent?: boolean;
+	/** Run, and answer so much later. */
+	stallMs?: number;
 };
 
 export type FakeService = {
@@ -42,6 +45,7 @@
 				return;
 			}
 
+			await delay(faults.stallMs ?? 0);
 			if (!faults.isSilent) {
 				sendJson(response, 200, {
 					done: true, path: request.url, key, runs, bodyBytes: body.length,
--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -96,6 +96,8 @@
 	t.pass('the next order is accepted');
 	await waitUntil('three replicas ready', async () => (await query('show replicas where ready = true')).length === 3);
 	t.pass('the load completes');
+	// Ready replicas are known to the leader first; the caller's entry learns of them within its push.
+	await waitUntil('the replicas are in force on every host', async () => (await query('show revision'))[0]?.missing === '');
 
 	const answer = await postJson({
 		address: entryAddress, token: 'marshals-key', path: '/v1/chat/completions', body: {model: 'pitch-desk', stream: true, messages: [{role: 'user', content: 'hello'}]},
