test(requests): drive failing links, engines, entries and agents end to end

Relays between entries and agents cut connections and let them fall silent; engines swap weights, answer others' requests, break off and hang; entries die between claim, dispatch and outcome; agents are restarted; control fails over.

Found by it: after all pooled connections to an address fell silent, a request was lost on three of them in turn and ended as not run. A connection found silent now closes the idle ones beside it.

--- a/packages/daemon/src/agent/create-agent-node.ts
+++ b/packages/daemon/src/agent/create-agent-node.ts
@@ -44,6 +44,8 @@
 export type AgentNode = {
 	readonly hostId: string;
 	readonly address: string;
+	/** Grows with every start. */
+	readonly incarnation: number;
 	/** The configuration that this host acts on now. */
 	inForce(): ConfigurationInForce;
 	/** Graceful: takes no new work, finishes what runs, says goodbye, ends. */
@@ -194,6 +196,7 @@
 	return {
 		hostId,
 		address: server.address,
+		incarnation,
 		inForce: () => configuration.inForce(),
 		stop,
 		async kill() {
--- a/packages/transport/src/http/connection-pool.ts
+++ b/packages/transport/src/http/connection-pool.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
+import type {Address} from './address.js';
 
 export type PoolOptions = {
 	/** A connection of this age is closed instead of used again. @default 60000 */
@@ -29,3 +30,10 @@
 	});
 	return pool;
 };
+
+/** Closes the idle connections to an address, when one of them was found silent: what lay beside it may be as silent. */
+export const closeIdleConnections = (pool: http.Agent, {host, port}: Address): void => {
+	for (const socket of pool.freeSockets[pool.getName({host, port})] ?? []) {
+		socket.destroy();
+	}
+};
--- a/packages/transport/src/http/http-client.ts
+++ b/packages/transport/src/http/http-client.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import {parseAddress} from './address.js';
-import {createPool} from './connection-pool.js';
+import {closeIdleConnections, createPool} from './connection-pool.js';
 
 /** How a request failed on its way, as far as it is known whether the other side saw it. */
 export class TransportError extends Error {
@@ -46,6 +46,11 @@
 		}
 	});
 	request.on('timeout', () => {
+		// Without this, each retry would be lost on the next connection that went silent at the same time.
+		if (agent !== false) {
+			closeIdleConnections(agent, {host, port});
+		}
+
 		request.destroy(new TransportError(`no byte from ${address} for ${idleTimeoutMs} ms`, !isConnected));
 	});
 	request.on('error', error => {
--- /dev/null
+++ b/test/support/request-cluster.ts
@@ -0,0 +1,164 @@
+import {mkdtemp, rm} from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import {
+	createAgentNode, createControlNode, createEntryNode, postJson, sendLine, waitUntil, type AgentNode, type ClientAnswer, type ControlNode, type EntryNode,
+} from '@bitternpaddle/daemon';
+import {
+	createFakeEngine, createFakeOrigin, createFakeService, createRelay, type FakeEngine, type FakeOrigin, type FakeService, type Relay,
+} from '@bitternpaddle/test-support';
+import type {Test} from 'tap';
+
+/** Bounds that are short enough for a test and far above a step's own time. */
+export const suspectMs = 300;
+const tickMs = 50;
+const limits = {endpointIdleMs: 1500, unattendedMs: 600};
+
+export type RequestClusterOptions = {
+	/** @default 0 */
+	readonly engines?: number;
+	/** Plain services whose calls may not be repeated. @default 0 */
+	readonly ledgers?: number;
+	/** @default 1 */
+	readonly entries?: number;
+	/** @default 1 */
+	readonly controls?: number;
+};
+
+/** One endpoint with its agent behind a relay that can fail. */
+export type Place<Endpoint> = {
+	readonly endpoint: Endpoint;
+	readonly relay: Relay;
+	agent: AgentNode;
+	/** Kills the agent and starts it anew, without what it knew. */
+	restart(): Promise<void>;
+};
+
+export type RequestCluster = {
+	readonly controls: ControlNode[];
+	readonly entries: EntryNode[];
+	/** Between the first entry and control. */
+	readonly controlRelay: Relay;
+	readonly engines: Array<Place<FakeEngine>>;
+	readonly ledgers: Array<Place<FakeService>>;
+	readonly origin: FakeOrigin;
+	run(line: string): Promise<void>;
+	query(line: string): Promise<Array<Record<string, unknown>>>;
+	/** Loads the version of that number on all engines. */
+	load(version: 1 | 2): Promise<void>;
+	chat(options: {content: string; entry?: number; stream?: boolean; maxTokens?: number; headers?: Record<string, string>}): Promise<ClientAnswer>;
+	book(key: string, options?: {entry?: number; body?: unknown; headers?: Record<string, string>}): Promise<ClientAnswer>;
+};
+
+const adminToken = 'test-admin';
+const teamKey = 'test-key';
+
+/** A small system whose links between entries and agents can be made to fail. */
+export const createRequestCluster = async (t: Test, options: RequestClusterOptions = {}): Promise<RequestCluster> => {
+	const {engines: engineCount = 0, ledgers: ledgerCount = 0, entries: entryCount = 1, controls: controlCount = 1} = options;
+	const folder = await mkdtemp(path.join(os.tmpdir(), 'bitternpaddle-test-'));
+	const closers: Array<() => unknown> = [];
+	t.teardown(async () => {
+		for (const close of closers.toReversed()) {
+			await close();
+		}
+
+		await rm(folder, {recursive: true, force: true});
+	});
+	const origin = await createFakeOrigin();
+	closers.push(async () => origin.close());
+	const manifests = [
+		await origin.publish(new Uint8Array(100_000).fill(1), 65_536),
+		await origin.publish(new Uint8Array(100_000).fill(2), 65_536),
+	];
+	const members = new Map<string, string>();
+	const voters = Array.from({length: controlCount}, (_, index) => `control-${index + 1}`);
+	const controls = await Promise.all(voters.map(async selfId => createControlNode({
+		selfId, folder: path.join(folder, selfId), members, voters,
+	})));
+	closers.push(async () => Promise.all(controls.map(async control => control.close())));
+	const controlAddresses = controls.map(control => control.address);
+	const controlRelay = await createRelay({target: controlAddresses[0]!});
+	closers.push(() => {
+		controlRelay.close();
+	});
+	const entries = await Promise.all(Array.from({length: entryCount}, async (_, index) => createEntryNode({
+		entryId: `entry-${index + 1}`, controls: index === 0 && controlCount === 1 ? [controlRelay.address] : controlAddresses,
+		adminTokens: [{role: 'administer', token: adminToken}], suspectMs,
+	})));
+	closers.push(async () => Promise.all(entries.map(async entry => entry.kill())));
+
+	const createPlace = async <Endpoint extends {address: string; close(): Promise<void>}>(hostId: string, kind: 'engine' | 'plain', endpoint: Endpoint): Promise<Place<Endpoint>> => {
+		const relay = await createRelay();
+		const start = async (): Promise<AgentNode> => {
+			const agent = await createAgentNode({
+				hostId, zoneId: 'tacoma-hall', regionId: 'puget', serviceId: kind === 'plain' ? 'ledger' : 'bp-writers', provider: 'new', kind, endpointAddress: endpoint.address,
+				controls: controlAddresses, originAddress: origin.address, folder: path.join(folder, hostId), announcedAddress: relay.address, limits, tickMs,
+			});
+			relay.setTarget(agent.address);
+			return agent;
+		};
+
+		const place: Place<Endpoint> = {
+			endpoint, relay, agent: await start(),
+			async restart() {
+				await place.agent.kill();
+				place.agent = await start();
+			},
+		};
+		closers.push(async () => {
+			await place.agent.kill();
+			relay.close();
+			await endpoint.close();
+		});
+		return place;
+	};
+
+	const engines = await Promise.all(Array.from({length: engineCount}, async (_, index) => createPlace(`h${index + 1}`, 'engine', await createFakeEngine())));
+	const ledgers = await Promise.all(Array.from({length: ledgerCount}, async (_, index) => createPlace(`ledger-${index + 1}`, 'plain', await createFakeService())));
+
+	const admin = {address: entries.at(-1)!.address, token: adminToken};
+	let commands = 0;
+	const run = async (line: string): Promise<void> => {
+		const commandId = `${commands++} ${line}`;
+		await waitUntil(line, async () => (await sendLine({...admin, line, commandId})).body.type === 'accepted');
+	};
+
+	const query = async (line: string): Promise<Array<Record<string, unknown>>> => (await sendLine({...admin, line})).body.rows ?? [];
+	const inForce = async (): Promise<void> => waitUntil('in force everywhere', async () => (await query('show revision'))[0]?.missing === '');
+
+	await waitUntil('the agents joined', async () => (await query('show hosts where role = agent')).length === engineCount + ledgerCount);
+	await run(`create team marshals key ${teamKey}`);
+	if (engineCount > 0) {
+		for (const line of [
+			'create model pitch-desk',
+			`create version pitch-desk:v1 from manifest ${manifests[0]!.manifestId}`,
+			`create version pitch-desk:v2 from manifest ${manifests[1]!.manifestId}`,
+			`create fleet fair provider new for pitch-desk:v1 replicas ${engineCount}`,
+		]) {
+			await run(line);
+		}
+	}
+
+	await inForce();
+	return {
+		controls, entries, controlRelay, engines, ledgers, origin, run, query,
+		async load(version) {
+			await run(`load pitch-desk:v${version} on fleet fair`);
+			await waitUntil('the replicas are ready', async () => (await query(`show replicas where ready = true and version = pitch-desk:v${version}`)).length === engineCount);
+			await inForce();
+		},
+		chat: async ({content, entry = 0, stream = true, maxTokens = 10, headers}) => postJson({
+			address: entries[entry]!.address, token: teamKey, path: '/v1/chat/completions', headers,
+			body: {
+				model: 'pitch-desk', stream, max_tokens: maxTokens, messages: [{role: 'user', content}],
+			},
+		}),
+		book: async (key, {entry = 0, body = {pitch: 12}, headers} = {}) => postJson({
+			address: entries[entry]!.address, token: teamKey, path: '/services/ledger/bookings', body, headers: {'idempotency-key': key, ...headers},
+		}),
+	};
+};
+
+/** How the fakes see that a stream is whole for its caller. */
+export const isWholeStream = ({status, text}: ClientAnswer): boolean => status === 200 && text.endsWith('data: [DONE]\n\n');
