--- a/packages/daemon/src/control/control-rpc.ts
+++ b/packages/daemon/src/control/control-rpc.ts
@@ -4,7 +4,7 @@
 	type HostReport, type QueryResult, type Show,
 } from '@bitternpaddle/protocol';
 import {
-	callRpc, createRpcServer, RpcError, type Logger, type RpcServer,
+	callRpc, createRpcServer, RpcError, TransportError, type Logger, type RpcServer,
 } from '@bitternpaddle/transport';
 import {answerQuery, type QueryView} from './answer-query.js';
 import type {ConsensusDriver} from './consensus-driver.js';
@@ -49,6 +49,10 @@
 
 		return callRpc<Result>({
 			address, method, params: {...parameters, isForwarded: true}, timeoutMs: forwardTimeoutMs,
+		}).catch((error: unknown) => {
+			throw error instanceof TransportError
+				? new RpcError(rpcErrorCodes.noQuorum, `the leader cannot be reached (${error.message}); an order may still be accepted: resend it with the same command id`)
+				: error;
 		});
 	};
 
--- a/packages/daemon/src/entry/admin-api.ts
+++ b/packages/daemon/src/entry/admin-api.ts
@@ -30,7 +30,7 @@
 export const burnReportPath = `${adminPrefix}reports/burn`;
 
 const bodySchema = z.object({
-	line: z.string().min(1).max(4096),
+	line: z.string().min(1).max(4096, 'expected at most 4096 characters'),
 	commandId: commandIdSchema.optional(),
 	ifRevision: z.number().int().nonnegative().optional(),
 });
--- a/packages/daemon/src/entry/explain.ts
+++ b/packages/daemon/src/entry/explain.ts
@@ -46,7 +46,7 @@
 
 const revisionFinding = ({catalog, hostRow}: ReplicaView): Finding => {
 	const revision = Number(hostRow?.revision ?? 0);
-	return {aspect: 'configuration', isFine: revision >= catalog.revision, finding: `at revision ${revision}, ${catalog.revision} is in force`};
+	return {aspect: 'configuration', isFine: revision >= catalog.revision, finding: revision >= catalog.revision ? `at revision ${revision}, which is in force` : `at revision ${revision}, behind revision ${catalog.revision}`};
 };
 
 const statusFinding = ({status}: HostRecord, hostId: string): Finding => status === 'serving'
--- a/packages/daemon/src/host/configuration-client.ts
+++ b/packages/daemon/src/host/configuration-client.ts
@@ -100,7 +100,7 @@
 					address, method, params: parameters, timeoutMs,
 				});
 			} catch (error) {
-				lastError = error;
+				lastError = moreTelling(lastError, error);
 				if (isFinalError(error)) {
 					throw error;
 				}
@@ -152,6 +152,9 @@
 	};
 };
 
+/** What a control host said tells more than that another cannot be reached. */
+const moreTelling = (earlier: unknown, later: unknown): unknown => (earlier as {code?: number}).code === undefined ? later : earlier;
+
 const invalidParametersCode = 1003;
 
 const isFinalError = (error: unknown): boolean => (error as {code?: number}).code === invalidParametersCode;
--- a/packages/protocol/src/language/command.peggy
+++ b/packages/protocol/src/language/command.peggy
@@ -15,7 +15,7 @@
 Share = __ "share" __ share:Integer { return share; }
 Repeatability = "repeatable" / "not-repeatable"
 
-SetObjective = "set" __ "objective" __ "for" __ "service" __ serviceId:Name __ "whole" __ answeredWholePercent:Percent __ "first" __ "token" __ firstTokenPercent:Percent __ "within" __ firstTokenMs:Integer _ "ms" { return {type: 'setObjective', serviceId, objective: {answeredWholePercent, firstTokenPercent, firstTokenMs}}; }
+SetObjective = "set" __ "objective" __ "for" __ "service" __ serviceId:Name __ "whole" __ answeredWholePercent:ObjectivePercent __ "first" __ "token" __ firstTokenPercent:ObjectivePercent __ "within" __ firstTokenMs:BoundMs _ "ms" { return {type: 'setObjective', serviceId, objective: {answeredWholePercent, firstTokenPercent, firstTokenMs}}; }
 
 Load = "load" __ versionId:Version __ "on" __ "fleet" __ fleetId:Name { return {type: 'load', versionId, fleetId}; }
 Withdraw = "withdraw" __ "version" __ versionId:Version { return {type: 'withdrawVersion', versionId}; }
@@ -35,11 +35,14 @@
 Value "value" = Version / Name
 
 Version "version (model:label)" = $(NameText ":" NameText)
-Name "name" = NameText
-NameText = $([a-zA-Z0-9] [a-zA-Z0-9_.-]*)
-Digest "manifest digest (sha256:...)" = $("sha256:" [0-9a-f]+)
-Integer "whole number" = digits:$[0-9]+ { return Number(digits); }
-Percent "percentage" = digits:$([0-9]+ ("." [0-9]+)?) "%" { return Number(digits); }
+Name "name (letters, digits, \".\", \"-\" or \"_\", at most 64 characters)" = text:NameText { return text[0]; }
+NameText = $([a-zA-Z0-9] [a-zA-Z0-9_.-]|0..63|) ![a-zA-Z0-9_.-]
+Digest "manifest digest (sha256: and 64 hexadecimal digits)" = $("sha256:" [0-9a-f]|64| ![0-9a-zA-Z])
+Integer "whole number" = digits:$[0-9]|1..9| ![0-9] { return Number(digits); }
+Percent "percentage up to 100%" = share:Ratio &{ return share <= 100; } { return share; }
+ObjectivePercent "percentage from 1% to 99.999%" = share:Ratio &{ return share >= 1 && share <= 99.999; } { return share; }
+Ratio = digits:$([0-9]+ ("." [0-9]+)?) "%" { return Number(digits); }
+BoundMs "milliseconds from 1 to 600000" = digits:$[0-9]+ &{ return digits >= 1 && digits <= 600000; } { return Number(digits); }
 
 _ "space" = [ \t]*
 __ "space" = [ \t]+
--- a/packages/protocol/src/language/complete-line.ts
+++ b/packages/protocol/src/language/complete-line.ts
@@ -39,7 +39,7 @@
 		return fieldsFor(before);
 	}
 
-	return rule.startsWith('=') ? ['=', '!=', '<', '<=', '>', '>='] : [];
+	return rule.startsWith('=, ') ? ['=', '!=', '<', '<=', '>', '>='] : [];
 };
 
 const fieldsFor = (before: string): string[] => {
--- a/packages/protocol/src/language/statement.ts
+++ b/packages/protocol/src/language/statement.ts
@@ -59,6 +59,22 @@
 	return Right({type: 'query', show: showSchema.parse(parsed)});
 };
 
+/** Where only a space is missing, what should come after it says more. */
+const describeError = (line: string, error: PeggySyntaxError): ParseError => {
+	const {offset, column} = error.location.start;
+	const expected = describeExpected(error);
+	return {message: error.message, column, expected: expected.length === 1 && expected[0] === 'space' ? expectedAt(`${line.slice(0, offset)} `) : expected};
+};
+
+const expectedAt = (line: string): string[] => {
+	try {
+		parse(line);
+		return ['space'];
+	} catch (error) {
+		return error instanceof PeggySyntaxError ? describeExpected(error).map(name => `space, then ${name}`) : ['space'];
+	}
+};
+
 /** Keys never leave the parser in clear: the catalog reaches every host. */
 const hashTeamKey = (parsed: Record<string, unknown>): Record<string, unknown> => {
 	if (parsed.type !== 'createTeam') {
@@ -76,7 +92,7 @@
 		parsed = parse(line) as Record<string, unknown>;
 	} catch (error) {
 		if (error instanceof PeggySyntaxError) {
-			return Left({message: error.message, column: error.location.start.column, expected: describeExpected(error)});
+			return Left(describeError(line, error));
 		}
 
 		throw error;
--- a/tap-snapshots/.test-dist/packages/protocol/test/language.test.js.test.cjs
+++ b/tap-snapshots/.test-dist/packages/protocol/test/language.test.js.test.cjs
@@ -56,9 +56,9 @@
 Object {
   "column": 14,
   "expected": Array [
-    "name",
+    "name (letters, digits, \\".\\", \\"-\\" or \\"_\\", at most 64 characters)",
   ],
-  "message": "Expected name but \\"-\\" found.",
+  "message": "Expected name (letters, digits, \\".\\", \\"-\\" or \\"_\\", at most 64 characters) but \\"-\\" found.",
 }
 `
 
@@ -66,7 +66,7 @@
 Object {
   "column": 6,
   "expected": Array [
-    "space",
+    "space, then \\"host\\"",
   ],
   "message": "Expected space but end of input found.",
 }
