--- a/packages/test-support/src/engine/fake-engine.ts
+++ b/packages/test-support/src/engine/fake-engine.ts
@@ -16,6 +16,10 @@
 	cutAfterTokens?: number;
 	/** Take the request and never answer. */
 	isSilent?: boolean;
+	/** Say nothing more after this many tokens, and keep the connection. */
+	silentAfterTokens?: number;
+	/** Hold other weights from this token on, as if somebody else had ordered a load. */
+	swapAfterTokens?: number;
 	/** Answer with the previous request's answer, its request id included, as a connection that mixes up its requests does. */
 	isCrossed?: boolean;
 };
@@ -44,6 +48,8 @@
 	readonly loadedFiles: readonly string[];
 	/** Digest over the bytes that it really holds. */
 	readonly heldDigest: () => string | null;
+	/** Requests that it works on now. */
+	readonly running: () => number;
 	close(): Promise<void>;
 };
 
@@ -135,6 +141,12 @@
 		await (stream ? streamAnswer(response, answer, text, maxTokens) : wholeAnswer(response, answer, text, maxTokens));
 	};
 
+	const swapWeights = (): void => {
+		if (loaded !== null) {
+			loaded = {...loaded, digest: `sha256:${'0'.repeat(64)}`};
+		}
+	};
+
 	const wholeAnswer = async (response: http.ServerResponse, answer: Record<string, unknown>, text: string, maxTokens: number): Promise<void> => {
 		await delay((tokenMs * maxTokens) + (faults.stallMs ?? 0));
 		if (faults.cutAfterTokens !== undefined) {
@@ -142,6 +154,10 @@
 			return;
 		}
 
+		if (faults.swapAfterTokens !== undefined) {
+			swapWeights();
+		}
+
 		sendJson(response, 200, {
 			...answer, object: 'chat.completion', choices: [{index: 0, message: {role: 'assistant', content: text}, finish_reason: 'stop'}],
 			usage: {completion_tokens: maxTokens},
@@ -157,6 +173,14 @@
 				return;
 			}
 
+			if (index === faults.silentAfterTokens) {
+				return;
+			}
+
+			if (index === faults.swapAfterTokens) {
+				swapWeights();
+			}
+
 			const content = index === 0 ? text : ` t${index}`;
 			response.write(`data: ${JSON.stringify({...answer, object: 'chat.completion.chunk', choices: [{index: 0, delta: {content}, finish_reason: null}]})}\n\n`);
 		}
@@ -199,6 +223,7 @@
 		runs,
 		loadedFiles,
 		heldDigest: () => loaded?.digest ?? null,
+		running: () => running,
 		async close() {
 			server.destroy();
 		},
