feat(agent): link budgets, bounded uploads, a second source, and an engine watch

Cause: transfers took all of the link and any number of uploads; a refusal of the origin was retried by each agent alone; the agent believed in what it had once loaded, so an engine that restarted empty or obeyed an old agent stayed in the routing tables and refused one request after the other; a withdrawn version went on being fetched; an agent without contact to control could still order.

Change: `--transfer-in/out-bytes-per-second` as token buckets that shrink while the door's loop runs late or its places fill up; four places for uploads, one chunk after the other, a quick 503 beyond; `--store` as the second source, with a rest after 429 or a failure that travels with the announcements; `--origin-copies`; announcements gathered for 10 ms; whole and chunk digests in pieces of 256 KiB with the loop free in between; withdrawal stops fetching and removes the files, a replaced version is kept for ten minutes; an order only with a lease and under the newest number, and only if the engine does not hold the version under that number already; the engine is asked every second what it holds, readiness is withdrawn and the version loaded again (BP3007); readiness is reported after the door is open again instead of just before.

--- a/packages/bench/src/distribution/random-policy.ts
+++ b/packages/bench/src/distribution/random-policy.ts
@@ -4,6 +4,8 @@
 
 const neighbourCount = 8;
 const maxFetches = 5;
+/** Chunks drawn at random before all are looked through. */
+const samples = 100;
 const timeoutMs = 5000;
 
 /**
@@ -22,6 +24,14 @@
 	};
 
 	const findChunk = (isFit: (chunk: number) => boolean): number | null => {
+		for (let sample = 0; sample < samples; sample++) {
+			const chunk = random.between(0, totalChunks - 1);
+			if (!held.has(chunk) && !fetches.has(chunk) && isFit(chunk)) {
+				return chunk;
+			}
+		}
+
+		// Few are left; the first after a random place.
 		const first = random.between(0, totalChunks - 1);
 		for (let offset = 0; offset < totalChunks; offset++) {
 			const chunk = (first + offset) % totalChunks;
--- a/packages/coordination/src/swarm/index.ts
+++ b/packages/coordination/src/swarm/index.ts
@@ -1,3 +1,5 @@
+export * from './link-budget.js';
+export * from './source-rests.js';
 export * from './swarm.js';
 export * from './uploads.js';
 export type * from './types.js';
--- a/packages/daemon/src/agent/create-agent-node.ts
+++ b/packages/daemon/src/agent/create-agent-node.ts
@@ -11,6 +11,8 @@
 } from '@bitternpaddle/transport';
 import {createConfigurationClient, type ConfigurationInForce} from '../host/configuration-client.js';
 import {answersPrefix, createDoorServer, doorPrefix} from './door-server.js';
+import {createTransferLinks} from './transfer-links.js';
+import {chunksPrefix, createUploadServer} from './upload-server.js';
 import {createWeights} from './weights.js';
 
 export type AgentNodeOptions = {
@@ -24,6 +26,16 @@
 	readonly endpointAddress: string;
 	readonly controls: readonly string[];
 	readonly originAddress: string;
+	/** The rate-limited weight store, asked while the origin fails or refuses. */
+	readonly storeAddress?: string;
+	/** Copies of a version that may leave the origin, 1 to 4. @default 1 */
+	readonly originCopies?: number;
+	/** What transfers may take of the link at most, each way; not limited by default. */
+	readonly transferLimits?: {readonly inBytesPerSecond?: number; readonly outBytesPerSecond?: number};
+	/** Chunks of a version that is no longer assigned are kept this long. */
+	readonly keepMs?: number;
+	/** How often the engine is asked what it holds. */
+	readonly engineCheckMs?: number;
 	/** Chunks lie here; it need not survive. */
 	readonly folder: string;
 	/** @default '127.0.0.1:0' */
@@ -55,11 +67,16 @@
 /** The process beside one endpoint. */
 export const createAgentNode = async (options: AgentNodeOptions): Promise<AgentNode> => {
 	const {
-		hostId, zoneId, regionId, serviceId, provider, kind, endpointAddress, controls, originAddress, folder,
+		hostId, zoneId, regionId, serviceId, provider, kind, endpointAddress, controls, originAddress, storeAddress, folder,
+		originCopies = 1, transferLimits = {}, keepMs, engineCheckMs,
 		listen = '127.0.0.1:0', capacity = 16, limits, tickMs, logger = silentLogger, onStopped,
 	} = options;
 	const incarnation = Date.now();
 	const door: DoorState = createDoor({capacity, incarnation});
+	const links = createTransferLinks({
+		inBytesPerSecond: transferLimits.inBytesPerSecond ?? null, outBytesPerSecond: transferLimits.outBytesPerSecond ?? null,
+		hasStore: storeAddress !== undefined, door: () => ({running: door.running, capacity: door.capacity}),
+	});
 	const idleWaiters = new Set<() => void>();
 	let isLeaving = false;
 	let isPaused = false;
@@ -88,7 +105,7 @@
 	const report = (): HostReport => ({
 		hostId, role: 'agent', address: server.address, revision: configuration.catalog().revision, requestsInFlight: door.running,
 		announcement: announcement(), isLeaving, transfers: weights.statuses(),
-		readyVersionId: weights.readyVersionId() === null ? null : versionIdSchema.parse(weights.readyVersionId()),
+		readyVersionId: versionIdSchema.nullable().parse(weights.loaded()?.versionId ?? null),
 	});
 
 	const rpc = createRpcServer();
@@ -102,10 +119,10 @@
 				await doorServer.resume(request, response);
 			} else if (url === rpcPath) {
 				await rpc.serve(request, response);
-			} else if (url.startsWith('/chunks/')) {
-				await sendChunk(url, response);
+			} else if (url.startsWith(`${chunksPrefix}/`)) {
+				await sendChunk(request, response);
 			} else if (url === '/readyz') {
-				sendJson(response, door.isClosing ? 503 : 200, {readyVersionId: weights.readyVersionId(), revision: configuration.catalog().revision});
+				sendJson(response, door.isClosing ? 503 : 200, {readyVersionId: weights.loaded()?.versionId ?? null, revision: configuration.catalog().revision});
 			} else {
 				sendJson(response, 404, {error: {type: 'not_found', message: `${request.method} ${url}`}});
 			}
@@ -113,7 +130,8 @@
 	});
 
 	const weights = createWeights({
-		hostId, zoneId, regionId, folder, originAddress, endpointAddress, selfAddress: () => options.announcedAddress ?? server.address, logger,
+		hostId, zoneId, regionId, folder, sources: {origin: originAddress, store: storeAddress ?? null}, originCopies, links, keepMs, engineCheckMs,
+		endpointAddress, selfAddress: () => options.announcedAddress ?? server.address, logger,
 		async pauseDoor(change) {
 			isPaused = true;
 			updateDoor();
@@ -125,6 +143,7 @@
 				updateDoor();
 			}
 		},
+		hasLease: () => configuration.hasLease(),
 		onReady() {
 			configuration.reportNow().catch(() => undefined);
 		},
@@ -146,11 +165,7 @@
 
 	const doorServer = createDoorServer({
 		hostId, door, configuration, endpointAddress, kind, limits, tickMs,
-		loaded() {
-			const versionId = weights.readyVersionId();
-			const digest = weights.readyDigest();
-			return versionId === null || digest === null ? null : {versionId, digest};
-		},
+		loaded: () => weights.loaded(),
 		onIdle() {
 			for (const check of idleWaiters) {
 				check();
@@ -158,17 +173,7 @@
 		},
 	});
 
-	const sendChunk = async (url: string, response: http.ServerResponse): Promise<void> => {
-		const [manifestId, chunk] = url.split('/').slice(2);
-		const data = await weights.readChunk(manifestId ?? '', Number(chunk));
-		if (data === null) {
-			sendJson(response, 404, {error: {type: 'not_found', message: `chunk ${chunk} is not held`}});
-			return;
-		}
-
-		response.writeHead(200, {'content-type': 'application/octet-stream', 'content-length': data.length});
-		response.end(data);
-	};
+	const sendChunk = createUploadServer({links, readChunk: async (manifestId, chunk) => weights.readChunk(manifestId, chunk)});
 
 	rpc.method('agent.settle', settleParametersSchema, parameters => doorServer.settle(parameters));
 	rpc.method('agent.have', haveParametersSchema, parameters => {
@@ -178,6 +183,7 @@
 	const close = async (): Promise<void> => {
 		configuration.close();
 		doorServer.close();
+		links.close();
 		await weights.close();
 	};
 
--- a/packages/daemon/src/agent/fetch-chunk.ts
+++ b/packages/daemon/src/agent/fetch-chunk.ts
@@ -1,49 +1,130 @@
-import type {ChunkSource, FailureReason} from '@bitternpaddle/coordination';
+import type http from 'node:http';
+import {
+	chooseSource, restSource, type ChunkSource, type FailureReason, type WeightSource,
+} from '@bitternpaddle/coordination';
+import {hostHeader} from '@bitternpaddle/protocol';
 import {chunkRange, type Manifest, type ManifestId} from '@bitternpaddle/state';
 import {readBody, sendHttp} from '@bitternpaddle/transport';
+import type {TransferLinks} from './transfer-links.js';
+
+/** How long a busy peer wants to be left alone. */
+export const retryAfterMsHeader = 'x-bitternpaddle-retry-after-ms';
+
+export type WeightSources = Record<WeightSource, string | null>;
 
 export type FetchChunkOptions = {
+	readonly selfId: string;
 	readonly manifestId: ManifestId;
 	readonly manifest: Manifest;
 	readonly chunk: number;
 	readonly source: ChunkSource;
-	readonly originAddress: string;
+	/** Addresses of the origin and, if there is one, the weight store. */
+	readonly sources: WeightSources;
 	/** Address of the peer, when the source is one. */
 	readonly peerAddress: string | undefined;
+	readonly links: TransferLinks;
 	readonly idleTimeoutMs: number;
 	readonly signal: AbortSignal;
 };
 
 export type FetchOutcome
 	= | {readonly type: 'data'; readonly data: Uint8Array}
-		| {readonly type: 'failed'; readonly reason: FailureReason; readonly detail: string};
+		| {readonly type: 'failed'; readonly reason: FailureReason; readonly detail: string; readonly retryAfterMs?: number};
 
 export const chunkPath = (manifestId: ManifestId, chunk: number): string => `/chunks/${manifestId}/${chunk}`;
 
+const unreachableRestMs = 500;
+const defaultLimitedRestMs = 1000;
+
 /** Fetches one chunk; the caller verifies it. */
-export const fetchChunk = async (options: FetchChunkOptions): Promise<FetchOutcome> => {
-	const {manifestId, manifest, chunk, source, originAddress, peerAddress, idleTimeoutMs, signal} = options;
-	const {startByte, sizeBytes} = chunkRange(manifest, chunk);
-	const address = source.type === 'origin' ? originAddress : peerAddress;
-	if (address === undefined) {
+export const fetchChunk = async (options: FetchChunkOptions): Promise<FetchOutcome> => options.source.type === 'origin'
+	? fetchFromSources(options)
+	: fetchFromPeer(options);
+
+const fetchFromPeer = async (options: FetchChunkOptions): Promise<FetchOutcome> => {
+	const {selfId, manifestId, chunk, peerAddress, idleTimeoutMs, signal} = options;
+	if (peerAddress === undefined) {
 		return {type: 'failed', reason: 'unreachable', detail: 'the peer has left'};
 	}
 
 	try {
 		const response = await sendHttp({
-			address,
-			path: source.type === 'origin' ? `/weights/${manifestId}` : chunkPath(manifestId, chunk),
-			headers: source.type === 'origin' ? {range: `bytes=${startByte}-${startByte + sizeBytes - 1}`} : {},
-			idleTimeoutMs,
-			signal,
+			address: peerAddress, path: chunkPath(manifestId, chunk), headers: {[hostHeader]: selfId}, idleTimeoutMs, signal,
+		});
+		if (response.statusCode === 200) {
+			return {type: 'data', data: await readPaced(response, options)};
+		}
+
+		await readBody(response);
+		return response.statusCode === 503
+			? {
+				type: 'failed', reason: 'busy', detail: 'the peer is busy', retryAfterMs: Number(response.headers[retryAfterMsHeader] ?? 0),
+			}
+			: {type: 'failed', reason: response.statusCode === 404 ? 'missing' : 'unreachable', detail: `status ${response.statusCode}`};
+	} catch (error) {
+		return {type: 'failed', reason: 'unreachable', detail: (error as Error).message};
+	}
+};
+
+/** Takes the body in no faster than the link's budget allows; the sender is slowed by its full window. */
+const readPaced = async (response: http.IncomingMessage, {manifest, chunk, links, signal}: FetchChunkOptions): Promise<Uint8Array> => {
+	const {sizeBytes} = chunkRange(manifest, chunk);
+	const data = new Uint8Array(sizeBytes);
+	let offset = 0;
+	for await (const part of response as AsyncIterable<Uint8Array>) {
+		if (offset + part.length > sizeBytes) {
+			throw new Error(`more than the ${sizeBytes} bytes of the chunk`);
+		}
+
+		data.set(part, offset);
+		offset += part.length;
+		await links.takeIn(part.length, signal);
+	}
+
+	return data.subarray(0, offset);
+};
+
+const fetchFromSources = async (options: FetchChunkOptions): Promise<FetchOutcome> => {
+	const {links, sources} = options;
+	const choice = chooseSource(links.rests, performance.now());
+	if (choice.type === 'wait') {
+		return {
+			type: 'failed', reason: 'busy', detail: 'the origin and the store want to be left alone', retryAfterMs: choice.waitMs,
+		};
+	}
+
+	const outcome = await fetchRange(options, sources[choice.source]!);
+	if (outcome.type === 'failed') {
+		restSource(links.rests, choice.source, outcome.retryAfterMs ?? unreachableRestMs, performance.now());
+	}
+
+	return outcome;
+};
+
+const fetchRange = async (options: FetchChunkOptions, address: string): Promise<FetchOutcome> => {
+	const {manifestId, manifest, chunk, idleTimeoutMs, signal} = options;
+	const {startByte, sizeBytes} = chunkRange(manifest, chunk);
+	try {
+		const response = await sendHttp({
+			address, path: `/weights/${manifestId}`, headers: {range: `bytes=${startByte}-${startByte + sizeBytes - 1}`}, idleTimeoutMs, signal,
 		});
-		const data = await readBody(response, sizeBytes + 1024);
 		if (response.statusCode === 200 || response.statusCode === 206) {
-			return {type: 'data', data};
+			return {type: 'data', data: await readPaced(response, options)};
 		}
 
-		return {type: 'failed', reason: response.statusCode === 404 ? 'missing' : 'unreachable', detail: `status ${response.statusCode}`};
+		await readBody(response);
+		return response.statusCode === 429
+			? {
+				type: 'failed', reason: 'busy', detail: 'too many requests', retryAfterMs: retryAfterMs(response),
+			}
+			: {type: 'failed', reason: response.statusCode === 404 ? 'missing' : 'unreachable', detail: `status ${response.statusCode}`};
 	} catch (error) {
 		return {type: 'failed', reason: 'unreachable', detail: (error as Error).message};
 	}
 };
+
+/** `Retry-After` in seconds, as HTTP has it. */
+const retryAfterMs = ({headers}: http.IncomingMessage): number => {
+	const seconds = Number(headers['retry-after']);
+	return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1000 : defaultLimitedRestMs;
+};
--- a/packages/daemon/src/agent/transfer.ts
+++ b/packages/daemon/src/agent/transfer.ts
@@ -1,43 +1,51 @@
 import {
-	createRandom, createSwarm, stepSwarm, type SwarmEffect, type SwarmEvent, type SwarmPeer, type SwarmState,
+	createRandom, createSwarm, stepSwarm, type ChunkSource, type SwarmEffect, type SwarmEvent, type SwarmPeer, type SwarmState,
 } from '@bitternpaddle/coordination';
 import type {HaveParameters} from '@bitternpaddle/protocol';
-import type {ChunkStore, ManifestId} from '@bitternpaddle/state';
-import {notifyRpc, type Logger} from '@bitternpaddle/transport';
+import type {ChunkStore} from '@bitternpaddle/state';
+import type {Logger} from '@bitternpaddle/transport';
 import {match} from 'ts-pattern';
-import {fetchChunk} from './fetch-chunk.js';
+import {createAnnouncer, hearAnnouncement} from './announcer.js';
+import {fetchChunk, type WeightSources} from './fetch-chunk.js';
+import type {TransferLinks} from './transfer-links.js';
 
 export type TransferPeer = SwarmPeer & {readonly address: string};
 
+export type TransferCounters = {originBytes: number; peerBytes: number; lastFailure: string};
+
 export type TransferOptions = {
 	readonly store: ChunkStore;
 	readonly self: SwarmPeer;
 	readonly selfAddress: () => string;
-	readonly originAddress: string;
+	readonly sources: WeightSources;
+	readonly originCopies: number;
 	readonly peers: readonly TransferPeer[];
+	readonly links: TransferLinks;
+	readonly counters: TransferCounters;
 	readonly logger: Logger;
 	onComplete(): void;
 };
 
-/** The exchange of one manifest's chunks on this host. It goes on serving after it is complete. */
+/** The exchange of one manifest's chunks on this host. It goes on announcing after it is complete. */
 export type Transfer = {
-	readonly store: ChunkStore;
-	readonly counters: {originBytes: number; peerBytes: number; lastFailure: string};
 	hear(parameters: HaveParameters): void;
 	changePeers(peers: readonly TransferPeer[]): void;
+	/** Stops fetching; the store stays open. */
 	close(): void;
 };
 
 const tickMs = 100;
 const chunkIdleTimeoutMs = 5000;
-const announceTimeoutMs = 2000;
+const randomSeeds = 2_147_483_647;
 
 export const createTransfer = (options: TransferOptions): Transfer => {
-	const {store, self, selfAddress, originAddress, logger, onComplete} = options;
+	const {store, self, selfAddress, sources, originCopies, links, counters, logger, onComplete} = options;
 	const {manifestId, manifest} = store;
-	const counters = {originBytes: 0, peerBytes: 0, lastFailure: ''};
 	const addresses = new Map<string, string>(options.peers.map(peer => [peer.hostId, peer.address]));
-	const aborts = new Map<number, AbortController>();
+	const aborts = new Map<string, AbortController>();
+	const announcer = createAnnouncer({
+		selfId: self.hostId, selfAddress, manifestId, links, addressOf: hostId => addresses.get(hostId),
+	});
 	let isClosed = false;
 
 	const dispatch = (event: SwarmEvent): void => {
@@ -49,16 +57,14 @@
 	const perform = (effects: readonly SwarmEffect[]): void => {
 		for (const effect of effects) {
 			match(effect)
-				.with({type: 'fetch'}, fetching => {
-					void fetchAndStore(fetching);
+				.with({type: 'fetch'}, ({chunk, source}) => {
+					void fetchAndStore(chunk, source);
 				})
-				.with({type: 'cancel'}, ({chunk}) => {
-					aborts.get(chunk)?.abort();
+				.with({type: 'cancel'}, ({chunk, source}) => {
+					aborts.get(fetchKey(chunk, source))?.abort();
 				})
 				.with({type: 'announce'}, ({to, chunks}) => {
-					for (const hostId of to) {
-						announce(hostId, chunks);
-					}
+					announcer.announce(to, chunks);
 				})
 				.with({type: 'setAside'}, ({hostId}) => {
 					logger.event('BP3004', {peer: hostId, manifestId});
@@ -70,15 +76,16 @@
 		}
 	};
 
-	const fetchAndStore = async ({chunk, source}: Extract<SwarmEffect, {type: 'fetch'}>): Promise<void> => {
+	const fetchAndStore = async (chunk: number, source: ChunkSource): Promise<void> => {
 		const abort = new AbortController();
-		aborts.set(chunk, abort);
+		const key = fetchKey(chunk, source);
+		aborts.set(key, abort);
 		const outcome = await fetchChunk({
-			manifestId, manifest, chunk, source, originAddress, idleTimeoutMs: chunkIdleTimeoutMs, signal: abort.signal,
+			selfId: self.hostId, manifestId, manifest, chunk, source, sources, links, idleTimeoutMs: chunkIdleTimeoutMs, signal: abort.signal,
 			peerAddress: source.type === 'peer' ? addresses.get(source.hostId) : undefined,
 		});
-		if (aborts.get(chunk) === abort) {
-			aborts.delete(chunk);
+		if (aborts.get(key) === abort) {
+			aborts.delete(key);
 		}
 
 		if (abort.signal.aborted || isClosed) {
@@ -86,9 +93,12 @@
 		}
 
 		if (outcome.type === 'failed') {
-			counters.lastFailure = `chunk ${chunk}: ${outcome.detail}`;
+			if (outcome.reason !== 'busy') {
+				counters.lastFailure = `chunk ${chunk}: ${outcome.detail}`;
+			}
+
 			dispatch({
-				type: 'failed', chunk, source, reason: outcome.reason,
+				type: 'failed', chunk, source, reason: outcome.reason, retryAfterMs: outcome.retryAfterMs,
 			});
 			return;
 		}
@@ -106,38 +116,25 @@
 			});
 	};
 
-	const announce = (to: string, chunks: readonly number[]): void => {
-		const address = addresses.get(to);
-		if (address === undefined) {
-			return;
-		}
-
-		const parameters: HaveParameters = {
-			from: self.hostId, address: selfAddress(), manifestId, chunks: [...chunks],
-		};
-		notifyRpc({
-			address, method: 'agent.have', params: parameters, timeoutMs: announceTimeoutMs,
-		}).catch(() => undefined);
-	};
-
 	const {state, effects}: {state: SwarmState; effects: SwarmEffect[]} = createSwarm({
-		self, manifestId, totalChunks: manifest.chunkDigests.length, held: store.heldChunks(), peers: options.peers,
-		random: createRandom(Math.floor(Math.random() * 2_147_483_647)), nowMs: performance.now(),
+		self, manifestId, originCopies, totalChunks: manifest.chunkDigests.length, held: store.heldChunks(), peers: options.peers,
+		random: createRandom(Math.floor(Math.random() * randomSeeds)), nowMs: performance.now(),
 	});
 	// The caller gets the transfer before its first effects run.
 	setImmediate(() => {
-		perform(effects);
-		dispatch({type: 'tick'});
+		if (!isClosed) {
+			perform(effects);
+			dispatch({type: 'tick'});
+		}
 	});
 	const timer = setInterval(() => {
 		dispatch({type: 'tick'});
 	}, tickMs);
 	return {
-		store,
-		counters,
-		hear({from, address, chunks}) {
-			addresses.set(from, address);
-			dispatch({type: 'peerHas', hostId: from, chunks});
+		hear(parameters) {
+			addresses.set(parameters.from, parameters.address);
+			hearAnnouncement(links, parameters);
+			dispatch({type: 'peerHas', hostId: parameters.from, chunks: parameters.chunks});
 		},
 		changePeers(peers) {
 			for (const peer of peers) {
@@ -149,9 +146,12 @@
 		close() {
 			isClosed = true;
 			clearInterval(timer);
+			announcer.close();
 			for (const abort of aborts.values()) {
 				abort.abort();
 			}
 		},
 	};
 };
+
+const fetchKey = (chunk: number, source: ChunkSource): string => `${chunk}/${source.type === 'peer' ? source.hostId : ''}`;
--- a/packages/daemon/src/commands/run-command.ts
+++ b/packages/daemon/src/commands/run-command.ts
@@ -46,6 +46,10 @@
 	endpoint = flag('endpoint');
 	endpointKind = flag('endpointKind');
 	origin = flag('origin');
+	store = flag('store');
+	originCopies = flag('originCopies');
+	transferIn = flag('transferIn');
+	transferOut = flag('transferOut');
 	capacity = flag('capacity');
 	adminTokens = flag('adminTokens');
 	statsd = flag('statsd');
@@ -128,7 +132,8 @@
 	if (roles.includes('agent')) {
 		const node = await createAgentNode({
 			hostId, zoneId: settings.zone, regionId: settings.region, serviceId: settings.service, provider: settings.provider, kind: settings.endpointKind,
-			endpointAddress: settings.endpoint!, controls: controlAddresses, originAddress: settings.origin ?? '', folder: path.join(dataFolder, 'weights'),
+			endpointAddress: settings.endpoint!, controls: controlAddresses, originAddress: settings.origin ?? '', storeAddress: settings.store,
+			originCopies: settings.originCopies, transferLimits: {inBytesPerSecond: settings.transferIn, outBytesPerSecond: settings.transferOut}, folder: path.join(dataFolder, 'weights'),
 			listen: nextListen(), capacity: settings.capacity, logger,
 			onStopped() {
 				process.kill(process.pid, 'SIGTERM');
--- a/packages/daemon/src/dev/failure/create-failure-cluster.ts
+++ b/packages/daemon/src/dev/failure/create-failure-cluster.ts
@@ -36,6 +36,10 @@
 	readonly deadlineMs?: number;
 	/** How long doors keep silent or forsaken runs. @default {endpointIdleMs: 1500, unattendedMs: 1000} */
 	readonly limits?: RunLimits;
+	/** What agents do otherwise than by default about weights. */
+	readonly weights?: Pick<AgentNodeOptions, 'engineCheckMs' | 'keepMs' | 'originCopies' | 'storeAddress' | 'transferLimits'>;
+	/** Whether engines refuse orders with an old fencing number. @default true */
+	readonly checksFencing?: boolean;
 	readonly logger?: Logger;
 };
 
@@ -103,14 +107,14 @@
 type EndpointOptions = Pick<AgentNodeOptions, 'hostId' | 'serviceId' | 'kind' | 'endpointAddress'> & {readonly hall: Hall};
 
 const createAgentHandle = async (context: Context, endpoint: EndpointOptions): Promise<NodeHandle<AgentNode>> => {
-	const {links, folder, originAddress, limits, logger} = context;
+	const {links, folder, originAddress, limits, weights, logger} = context;
 	const {hall, ...options} = endpoint;
 	const controls = await addressesOfControls(context, options.hostId);
 	const announcedAddress = await links.addressOf(anyNode, options.hostId);
 	return createNodeHandle({
 		nodeId: options.hostId, links,
 		start: async () => createAgentNode({
-			...options, ...hall, provider: 'new', controls, originAddress, announcedAddress, folder: path.join(folder, options.hostId), limits, logger,
+			...options, ...hall, ...weights, provider: 'new', controls, originAddress, announcedAddress, folder: path.join(folder, options.hostId), limits, logger,
 		}),
 		stop: async node => node.stop(),
 		kill: async node => node.kill(),
@@ -118,11 +122,11 @@
 };
 
 const createEndpoints = async (context: Context): Promise<{engines: Map<string, FakeEngine>; ledger: FakeService; agents: Array<NodeHandle<AgentNode>>}> => {
-	const {history, halls, tokenMs} = context;
+	const {history, halls, tokenMs, checksFencing} = context;
 	const engines = new Map<string, FakeEngine>();
 	const agents: Array<NodeHandle<AgentNode>> = [];
 	for (const [index, hostId] of idsOf('h', context.engines).entries()) {
-		const engine = await createFakeEngine({tokenMs, recordTo: {history, hostId}});
+		const engine = await createFakeEngine({tokenMs, checksFencing, recordTo: {history, hostId}});
 		engines.set(hostId, engine);
 		agents.push(await createAgentHandle(context, {
 			hostId, serviceId: 'bp-writers', kind: 'engine', endpointAddress: engine.address, hall: halls[index % halls.length]!,
@@ -145,7 +149,8 @@
 		await origin.publish(randomWeights(2, weightsBytes), chunkSizeBytes),
 	];
 	const context: Context = {
-		entries: 2, engines: 4, halls: cascadiaHalls, tokenMs: 1, leaseMs: 2500, hostLossMs: 5000, deadlineMs: 2000, limits: {endpointIdleMs: 1500, unattendedMs: 1000}, ...options,
+		entries: 2, engines: 4, halls: cascadiaHalls, tokenMs: 1, leaseMs: 2500, hostLossMs: 5000, deadlineMs: 2000, limits: {endpointIdleMs: 1500, unattendedMs: 1000},
+		weights: {}, checksFencing: true, ...options,
 		controls: controlCount, weightsBytes, chunkSizeBytes, folder: await mkdtemp(path.join(os.tmpdir(), 'bitternpaddle-failure-')),
 		links: createLinks(), history: createHistory(), controlIds: idsOf('c', controlCount), originAddress: origin.address,
 	};
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -50,6 +50,10 @@
 	endpoint: define('endpoint', addressSchema, 'Where the endpoint listens (agent).', 'ip:port', ''),
 	endpointKind: define('endpoint-kind', z.enum(['engine', 'plain']), 'A model engine or a plain service (agent).', 'engine or plain', 'engine'),
 	origin: define('origin', addressSchema, 'The origin of weights (agent).', 'ip:port', ''),
+	store: define('store', addressSchema, 'The weight store, asked while the origin fails or refuses (agent).', 'ip:port', ''),
+	originCopies: define('origin-copies', numberSchema(1, 4), 'Copies of a version that may leave the origin: fewer save its bytes, more save time (agent).', 'a whole number from 1 to 4', '1'),
+	transferIn: define('transfer-in-bytes-per-second', numberSchema(1024, 1_000_000_000_000), 'What transfers may take of the link inwards (agent).', 'a whole number from 1024', ''),
+	transferOut: define('transfer-out-bytes-per-second', numberSchema(1024, 1_000_000_000_000), 'What transfers may take of the link outwards (agent).', 'a whole number from 1024', ''),
 	capacity: define('capacity', numberSchema(1, 100_000), 'Requests that the endpoint runs side by side (agent).', 'a whole number from 1 to 100000', '16'),
 	adminTokens: define('admin-tokens', listSchema(tokenSchema), 'Tokens of operators (entry).', 'a list of read|operate|administer:TOKEN, each TOKEN of 8 characters or more', ''),
 	statsd: define('statsd', addressSchema, 'Where metrics go.', 'ip:port', ''),
@@ -61,7 +65,7 @@
 
 type Values = {[Key in SettingKey]: z.output<typeof settingDefinitions[Key]['schema']>};
 
-type OptionalKey = 'voters' | 'endpoint' | 'origin' | 'adminTokens' | 'statsd' | 'record';
+type OptionalKey = 'voters' | 'endpoint' | 'origin' | 'store' | 'transferIn' | 'transferOut' | 'adminTokens' | 'statsd' | 'record';
 
 export type Settings = Omit<Values, OptionalKey> & {[Key in OptionalKey]: Values[Key] | undefined};
 
--- a/packages/protocol/src/rpc/methods.ts
+++ b/packages/protocol/src/rpc/methods.ts
@@ -108,9 +108,10 @@
 /** `unknown`: this door cannot know, because its agent was restarted or has forgotten the request. */
 export type SettleResult = {readonly type: 'ran' | 'running' | 'notRun' | 'unknown'};
 
-/** Chunks that a neighbour gained; `isReply` stops two hosts from greeting each other for ever. */
+/** Chunks that a neighbour gained, and how long the sources of weights want to be left alone. */
 export const haveParametersSchema = z.object({
 	from: z.string(), address: z.string(), manifestId: manifestIdSchema, chunks: z.array(index),
+	restsMs: z.object({origin: index, store: index}),
 });
 export type HaveParameters = z.infer<typeof haveParametersSchema>;
 
--- a/packages/state/src/chunks/chunk-store.ts
+++ b/packages/state/src/chunks/chunk-store.ts
@@ -1,8 +1,10 @@
-import {createHash} from 'node:crypto';
-import {mkdir, open, rm} from 'node:fs/promises';
+import {
+	mkdir, open, readdir, rm,
+} from 'node:fs/promises';
 import path from 'node:path';
-import {chunkRange, sha256, type Manifest} from '../manifest/manifest.js';
+import {chunkRange, type Manifest} from '../manifest/manifest.js';
 import type {ManifestId} from '../types/ids.js';
+import {createPacedDigest, digestPaced} from './paced-digest.js';
 
 /** The chunks of one manifest on this host: one file, each chunk at its place. */
 export type ChunkStore = {
@@ -28,6 +30,20 @@
 	readonly manifest: Manifest;
 };
 
+const fileSuffix = '.weights';
+
+const fileNameOf = (manifestId: ManifestId): string => `${manifestId.slice('sha256:'.length)}${fileSuffix}`;
+
+/** Removes what earlier processes left of versions that are not among `kept`. */
+export const removeOtherStores = async (folder: string, kept: readonly ManifestId[]): Promise<void> => {
+	const keptNames = new Set(kept.map(manifestId => fileNameOf(manifestId)));
+	for (const name of await readdir(folder)) {
+		if (name.endsWith(fileSuffix) && !keptNames.has(name)) {
+			await rm(path.join(folder, name), {force: true});
+		}
+	}
+};
+
 /**
  * Opens or resumes a store. What an earlier process left is verified chunk by
  * chunk: a crash may leave a chunk half written, and such a chunk must be
@@ -35,12 +51,13 @@
  */
 export const openChunkStore = async ({folder, manifestId, manifest}: OpenChunkStoreOptions): Promise<ChunkStore> => {
 	await mkdir(folder, {recursive: true});
-	const filePath = path.join(folder, `${manifestId.slice('sha256:'.length)}.weights`);
+	const filePath = path.join(folder, fileNameOf(manifestId));
 	const file = await open(filePath, 'a+').then(async created => {
 		await created.close();
 		return open(filePath, 'r+');
 	});
 	const held = new Set<number>();
+	let isClosed = false;
 	const {size: foundBytes} = await file.stat();
 	if (foundBytes > manifest.sizeBytes) {
 		await file.truncate(manifest.sizeBytes);
@@ -55,7 +72,7 @@
 
 	const foundChunks = Math.ceil(Math.min(foundBytes, manifest.sizeBytes) / manifest.chunkSizeBytes);
 	for (let index = 0; index < foundChunks; index++) {
-		if (sha256(await readRange(index)) === manifest.chunkDigests[index]) {
+		if (await digestPaced(await readRange(index)) === manifest.chunkDigests[index]) {
 			held.add(index);
 		}
 	}
@@ -68,7 +85,7 @@
 		heldChunks: () => [...held],
 		isComplete: () => held.size === manifest.chunkDigests.length,
 		async put(index, data) {
-			if (sha256(data) !== manifest.chunkDigests[index]) {
+			if (await digestPaced(data) !== manifest.chunkDigests[index] || isClosed) {
 				return false;
 			}
 
@@ -84,17 +101,19 @@
 			return readRange(index);
 		},
 		async verifyWhole() {
-			const whole = createHash('sha256');
+			const whole = createPacedDigest();
 			for (let index = 0; index < manifest.chunkDigests.length; index++) {
-				whole.update(await readRange(index));
+				await whole.update(await readRange(index));
 			}
 
-			return `sha256:${whole.digest('hex')}` === manifest.wholeDigest;
+			return whole.end() === manifest.wholeDigest;
 		},
 		async close() {
+			isClosed = true;
 			await file.close();
 		},
 		async remove() {
+			isClosed = true;
 			await file.close();
 			await rm(filePath, {force: true});
 		},
--- a/test/promises/weights.test.ts
+++ b/test/promises/weights.test.ts
@@ -1,5 +1,5 @@
 import {
-	createFailureCluster, failureTeamKey, loadFirstVersion, mustOperate, queryRows, waitUntil, type FailureCluster,
+	createFailureCluster, failureTeamKey, loadFirstVersion, mustOperate, queryRows, waitUntil, type FailureCluster, type FailureClusterOptions,
 } from '@bitternpaddle/daemon';
 import {
 	checkHistory, eventsOf, recordCall, type CallOutcome,
@@ -7,8 +7,8 @@
 import {readBody, sendHttp} from '@bitternpaddle/transport';
 import t, {type Test} from 'tap';
 
-const startCluster = async (t: Test, engines: number) => {
-	const cluster = await createFailureCluster({engines});
+const startCluster = async (t: Test, engines: number, options: FailureClusterOptions = {}) => {
+	const cluster = await createFailureCluster({engines, ...options});
 	t.teardown(async () => cluster.close());
 	await loadFirstVersion(cluster);
 	return cluster;
@@ -61,7 +61,8 @@
 // agent's version and computed by the other, because the door compares the
 // digest that the engine answers with.
 t.test('an engine that changed its weights behind its agent', {timeout: 60_000}, async t => {
-	const cluster = await startCluster(t, 2);
+	// The agent's own check would have the engine loaded anew at some moment; the door must hold without it.
+	const cluster = await startCluster(t, 2, {weights: {engineCheckMs: 600_000}});
 	await mustOperate(cluster, 'load pitch-desk:v2 on fleet fair');
 	await secondVersionReady(cluster, 2);
 	const [, engine] = [...cluster.engines][0]!;
