perf(daemon): load only the code of the command and role that runs

Cause: the binary imported the package's index, and with it the embedded cluster, the fakes and every role, whatever was asked for.

--- a/packages/daemon/src/commands/demo-command.ts
+++ b/packages/daemon/src/commands/demo-command.ts
@@ -1,5 +1,4 @@
 import {Command, Option} from 'clipanion';
-import {runDemo} from '../dev/run-demo.js';
 
 /** `bitternpaddled demo`: a whole session against the embedded system, checked. */
 export class DemoCommand extends Command {
@@ -10,6 +9,7 @@
 	record = Option.String('--record', {description: 'File for the trace of one control host\'s decisions.'});
 
 	override async execute(): Promise<number> {
+		const {runDemo} = await import('../dev/run-demo.js');
 		const {failures} = await runDemo({
 			print: line => {
 				this.context.stdout.write(`${line}\n`);
--- a/packages/daemon/src/commands/dev-command.ts
+++ b/packages/daemon/src/commands/dev-command.ts
@@ -1,6 +1,5 @@
 import process from 'node:process';
 import {Command, Option} from 'clipanion';
-import {createDevCluster} from '../dev/create-dev-cluster.js';
 
 /** `bitternpaddled dev`: the embedded default that a newcomer starts first. */
 export class DevCommand extends Command {
@@ -14,6 +13,7 @@
 	listen = Option.String('--listen', '127.0.0.1:7100', {description: 'Address of the first entry.'});
 
 	override async execute(): Promise<number> {
+		const {createDevCluster} = await import('../dev/create-dev-cluster.js');
 		const cluster = await createDevCluster({listen: this.listen});
 		const print = (line: string): void => {
 			this.context.stdout.write(`${line}\n`);
--- a/packages/daemon/src/commands/fake-command.ts
+++ b/packages/daemon/src/commands/fake-command.ts
@@ -1,6 +1,5 @@
 import process from 'node:process';
 import {readFile} from 'node:fs/promises';
-import {createFakeEngine, createFakeOrigin, createFakeService} from '@bitternpaddle/test-support';
 import {Command, Option} from 'clipanion';
 
 /** `bitternpaddled fake KIND`: one stand-in as a process of its own, for trying things out. */
@@ -37,6 +36,7 @@
 	}
 
 	async #create(): Promise<{address: string; close(): Promise<void>} | null> {
+		const {createFakeEngine, createFakeService} = await import('@bitternpaddle/test-support');
 		const {listen} = this;
 		if (this.kind === 'engine') {
 			return createFakeEngine({listen});
@@ -50,6 +50,7 @@
 	}
 
 	async #createOrigin(): Promise<{address: string; close(): Promise<void>}> {
+		const {createFakeOrigin} = await import('@bitternpaddle/test-support');
 		const origin = await createFakeOrigin({listen: this.listen});
 		for (const file of this.files) {
 			const {manifestId} = await origin.publish(await readFile(file), Number(this.chunkSizeBytes));
--- a/packages/daemon/src/commands/run-command.ts
+++ b/packages/daemon/src/commands/run-command.ts
@@ -2,9 +2,6 @@
 import process from 'node:process';
 import {createLogger, createMetrics, type Logger} from '@bitternpaddle/transport';
 import {Command, Option} from 'clipanion';
-import {createAgentNode} from '../agent/create-agent-node.js';
-import {createControlNode} from '../control/create-control-node.js';
-import {createEntryNode} from '../entry/create-entry-node.js';
 import {
 	environmentName, resolveSettings, settingDefinitions, type SettingKey, type Settings,
 } from '../settings/settings.js';
@@ -96,6 +93,7 @@
 	return finished;
 };
 
+/** A role's code is loaded only where the role is taken: an agent holds no entry. */
 const startRoles = async (settings: Settings, nodes: Stoppable[], logger: Logger): Promise<void> => {
 	const {roles, hostId, controls, dataFolder} = settings;
 	const voters = settings.voters ?? controls.map(control => control.id);
@@ -110,6 +108,7 @@
 
 	const controlAddresses = controls.map(control => control.address);
 	if (roles.includes('control')) {
+		const {createControlNode} = await import('../control/create-control-node.js');
 		const members = new Map(controls.map(({id, address}) => [id, address]));
 		const node = await createControlNode({
 			selfId: hostId, listen: nextListen(), folder: path.join(dataFolder, 'control'), members, voters, recordFile: settings.record, replaceAfterMs: settings.replaceVoterAfterMs, logger,
@@ -119,6 +118,7 @@
 	}
 
 	if (roles.includes('entry')) {
+		const {createEntryNode} = await import('../entry/create-entry-node.js');
 		const node = await createEntryNode({
 			entryId: hostId, listen: nextListen(), controls: controlAddresses, adminTokens: settings.adminTokens, logger, metrics,
 		});
@@ -127,6 +127,7 @@
 	}
 
 	if (roles.includes('agent')) {
+		const {createAgentNode} = await import('../agent/create-agent-node.js');
 		const node = await createAgentNode({
 			hostId, zoneId: settings.zone, regionId: settings.region, serviceId: settings.service, provider: settings.provider, kind: settings.endpointKind,
 			endpointAddress: settings.endpoint!, controls: controlAddresses, originAddress: settings.origin ?? '', folder: path.join(dataFolder, 'weights'),
