--- a/packages/cli/src/wait-for.ts
+++ b/packages/cli/src/wait-for.ts
@@ -69,13 +69,15 @@
 };
 
 const lookAtRevision = async (options: WaitOptions): Promise<Step> => {
-	const [row] = await rowsOf(options, 'show revision');
-	if (row === undefined) {
+	const hosts = await rowsOf(options, 'show hosts');
+	if (hosts.length === 0) {
 		return {isDone: false, text: 'control cannot be asked'};
 	}
 
-	const isDone = Number(row.revision) >= options.revision && row.missing === '';
-	return {isDone, text: `in force on ${String(row.inForce)} of ${String(row.hosts)} hosts${row.missing === '' ? '' : `, missing: ${String(row.missing)}`}`};
+	// Against the order's own revision: later changes must not make a wait that was over go on.
+	const missing = hosts.filter(({revision}) => Number(revision) < options.revision).map(({host}) => String(host));
+	const isDone = missing.length === 0;
+	return {isDone, text: `in force on ${hosts.length - missing.length} of ${hosts.length} hosts${isDone ? '' : `, missing: ${missing.join(', ')}`}`};
 };
 
 /** No rows when the entry or control cannot be reached for the moment; the wait goes on. */
