test(processes): wait for the entry before asking it

Cause: the test asks as soon as the leader lists three ready replicas; the entry hears of them from the control host that it watches, some moments later, and answers rightly "no endpoint is ready". The test now waits until the entry is at the leader's revision; what it asserts is the same.

--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -96,6 +96,12 @@
 	t.pass('the next order is accepted');
 	await waitUntil('three replicas ready', async () => (await query('show replicas where ready = true')).length === 3);
 	t.pass('the load completes');
+	// The leader knows it first; the entry hears it some moments later from the control host that it watches.
+	const {revision} = (await sendLine({...client, line: 'show replicas'})).body;
+	await waitUntil('the entry is at that revision', async () => {
+		const answer = await sendHttp({address: entryAddress, path: '/readyz', idleTimeoutMs: 2000});
+		return (JSON.parse((await readBody(answer)).toString()) as {revision: number}).revision >= revision!;
+	});
 
 	const answer = await postJson({
 		address: entryAddress, token: 'marshals-key', path: '/v1/chat/completions', body: {model: 'pitch-desk', stream: true, messages: [{role: 'user', content: 'hello'}]},
