feat(entry): run admission and routing on live requests

Cause: the entry admitted whatever came and chose by its own requests alone.

Change: one module turns calls, ticks and reports into events of admission and router: a call waits in the fair queue until an endpoint has room, which is taken for it at its turn; the door's running count rides on answers, hosts with an old count are asked; every attempt's end goes to the ejection rules; callers' priority (header, 0 to 3), the limit (429) and the queues' bounds are settings; entries sharing the limit are counted from control every 10 s. The catalog's changes reach the router, so a named replica costs its own host.

Failure tests end to end: a burst of 300 with a small team's ten behind it; a silent engine. Seen to fail: in order of arrival, some of the small team's ten were refused; without the rule of silence nothing was put aside in 400 requests.

--- a/packages/coordination/src/admission/admission.ts
+++ b/packages/coordination/src/admission/admission.ts
@@ -2,7 +2,7 @@
 	createFairQueue, dropRequest, popRequest, pushRequest, returnRequest, teamQueueOf, waitingInOrder, type FairQueue, type TeamQueue,
 } from './fair-queue.js';
 import {
-	advanceRate, createServiceRate, expectedServiceMs, expectedWaitMs, noteServed, type ServiceRate,
+	advanceRate, createServiceRate, expectedWaitMs, noteServed, slackMsOf, type ServiceRate,
 } from './service-rate.js';
 import {
 	createTokenBucket, returnTokens, setBucketRate, takeTokens, type TokenBucket,
@@ -125,7 +125,7 @@
 	}
 
 	const item: QueuedRequest = {
-		request, rank: nowMs + (request.priority * state.options.priorityStepMs), state: 'waiting', takenAtMs: 0,
+		request, rank: nowMs + (request.priority * state.options.priorityStepMs), state: 'waiting', offeredAtMs: nowMs, takenAtMs: 0,
 	};
 	state.requests.set(request.requestId, item);
 	pushRequest(target.queue, team, item);
@@ -158,7 +158,7 @@
 		return refuse(request.requestId, 'teamQueueFull', waitMs);
 	}
 
-	const slackMs = request.deadlineAtMs - nowMs - expectedServiceMs(rate, request.cost);
+	const slackMs = slackMsOf(rate, request, nowMs);
 	return waitMs > slackMs ? refuse(request.requestId, 'deadline', waitMs - slackMs) : null;
 };
 
@@ -179,7 +179,7 @@
 		}
 
 		const {request} = item;
-		if (nowMs + expectedServiceMs(target!.rate, request.cost) <= request.deadlineAtMs || target!.rate.costPerSecond === null) {
+		if (slackMsOf(target!.rate, request, nowMs) >= 0 || nowMs === item.offeredAtMs) {
 			item.takenAtMs = nowMs;
 			return {request, refused};
 		}
@@ -266,8 +266,8 @@
 	for (const item of waitingInOrder(team)) {
 		const {request} = item;
 		const waitMs = waitMsFor(target, team, costAhead);
-		const slackMs = request.deadlineAtMs - nowMs - expectedServiceMs(target.rate, request.cost);
-		if (target.rate.costPerSecond !== null && waitMs > slackMs) {
+		const slackMs = slackMsOf(target.rate, request, nowMs);
+		if (waitMs > slackMs) {
 			cancelRequest(state, request.requestId);
 			refused.push(refuse(request.requestId, 'deadline', waitMs - slackMs));
 		} else {
--- a/packages/coordination/src/admission/service-rate.ts
+++ b/packages/coordination/src/admission/service-rate.ts
@@ -1,3 +1,5 @@
+import type {AdmissionRequest} from './types.js';
+
 /**
  * How fast a target serves, learnt from what ended: cost a second while
  * requests waited, and milliseconds per cost of one request.
@@ -45,7 +47,11 @@
 	rate.msPerCost = blend(rate.msPerCost, ranMs / cost, weightOfNewSpeed);
 };
 
-export const expectedServiceMs = (rate: ServiceRate, cost: number): number => (rate.msPerCost ?? 0) * cost;
+/** Time left for waiting before a request must start. */
+export const slackMsOf = (rate: ServiceRate, {deadlineAtMs, deadlineFor = 'end', cost}: AdmissionRequest, nowMs: number): number => {
+	const serviceMs = deadlineFor === 'end' ? (rate.msPerCost ?? 0) * cost : 0;
+	return deadlineAtMs - nowMs - serviceMs;
+};
 
 /** Time to serve `cost` at a share of the target's rate; 0 while the rate is not known. */
 export const expectedWaitMs = (rate: ServiceRate, cost: number, share: number): number => rate.costPerSecond === null
--- a/packages/coordination/src/admission/types.ts
+++ b/packages/coordination/src/admission/types.ts
@@ -9,6 +9,8 @@
 	/** 0 is the most urgent. Orders a team's own requests; it never goes before another team's share. */
 	readonly priority: number;
 	readonly deadlineAtMs: number;
+	/** What must have happened by the deadline: a stream need only begin. @default 'end' */
+	readonly deadlineFor?: 'begin' | 'end';
 };
 
 export type RefusalReason = 'teamLimit' | 'teamQueueFull' | 'targetQueueFull' | 'deadline';
@@ -30,5 +32,6 @@
 	/** Place within the team: arrival, later by a step for each level of priority. */
 	readonly rank: number;
 	state: 'waiting' | 'taken' | 'gone';
+	readonly offeredAtMs: number;
 	takenAtMs: number;
 };
--- a/packages/daemon/src/agent/create-agent-node.ts
+++ b/packages/daemon/src/agent/create-agent-node.ts
@@ -1,7 +1,7 @@
 import type http from 'node:http';
 import {createDoor, type DoorState, type RunLimits} from '@bitternpaddle/coordination';
 import {
-	haveParametersSchema, settleParametersSchema, type HostReport,
+	haveParametersSchema, loadParametersSchema, settleParametersSchema, type HostReport, type LoadResult,
 } from '@bitternpaddle/protocol';
 import {
 	announcementSchema, versionIdSchema, type Announcement,
@@ -171,6 +171,7 @@
 	};
 
 	rpc.method('agent.settle', settleParametersSchema, parameters => doorServer.settle(parameters));
+	rpc.method('agent.load', loadParametersSchema, (): LoadResult => ({running: door.running}));
 	rpc.method('agent.have', haveParametersSchema, parameters => {
 		weights.hear(parameters);
 	});
--- a/packages/daemon/src/agent/door-server.ts
+++ b/packages/daemon/src/agent/door-server.ts
@@ -59,6 +59,7 @@
 		limits = {endpointIdleMs: 30_000, unattendedMs: 5000}, tickMs = 500, windowBytes = 262_144,
 	} = options;
 	const waiting = new Set<http.ServerResponse>();
+	const running = (): number => door.running;
 	const askStatus = createVersionCheck(endpointAddress);
 	const runs = createRunRegistry({
 		tickMs, limits,
@@ -136,7 +137,9 @@
 				return;
 			}
 
-			await sendAnswer(begin(request, asked.attemptId, requestId, body), response, {hostId, offset: 0, waiting});
+			await sendAnswer(begin(request, asked.attemptId, requestId, body), response, {
+				hostId, offset: 0, waiting, running,
+			});
 		},
 		async resume(request, response) {
 			const url = new URL(request.url!, 'http://door');
@@ -146,7 +149,9 @@
 				return;
 			}
 
-			await sendAnswer(run, response, {hostId, offset: Number(url.searchParams.get('offset')), waiting});
+			await sendAnswer(run, response, {
+				hostId, offset: Number(url.searchParams.get('offset')), waiting, running,
+			});
 		},
 		settle({isCancel, ...asked}) {
 			const type = settleAtDoor(door, asked);
--- a/packages/daemon/src/agent/send-answer.ts
+++ b/packages/daemon/src/agent/send-answer.ts
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import type http from 'node:http';
 import {
-	endMarkerTrailer, hostHeader, requestIdHeader, verdictHeader, versionHeader,
+	endMarkerTrailer, hostHeader, loadHeader, requestIdHeader, verdictHeader, versionHeader,
 } from '@bitternpaddle/protocol';
 import type {UnansweredVerdict} from '@bitternpaddle/state';
 import {match} from 'ts-pattern';
@@ -30,10 +30,12 @@
 	readonly offset: number;
 	/** Responses that wait for the endpoint; each gets a sign of life at every tick. */
 	readonly waiting: Set<http.ServerResponse>;
+	/** Requests that run at this host, of all entries. */
+	running(): number;
 };
 
 /** Sends a run's answer from `offset` on, as it comes; returns when it is sent or the connection is gone. */
-export const sendAnswer = async (run: DoorRun, response: http.ServerResponse, {hostId, offset, waiting}: SendAnswerOptions): Promise<void> => {
+export const sendAnswer = async (run: DoorRun, response: http.ServerResponse, {hostId, offset, waiting, running}: SendAnswerOptions): Promise<void> => {
 	run.readers++;
 	run.unattendedSinceMs = null;
 	run.readOffset = offset;
@@ -63,7 +65,7 @@
 
 	const {status, contentType, versionId} = run.head;
 	response.writeHead(status, {
-		'content-type': contentType, [requestIdHeader]: run.requestId, [verdictHeader]: 'ran', [hostHeader]: hostId,
+		'content-type': contentType, [requestIdHeader]: run.requestId, [verdictHeader]: 'ran', [hostHeader]: hostId, [loadHeader]: running(),
 		...(versionId === null ? {} : {[versionHeader]: versionId}), trailer: endMarkerTrailer,
 	});
 	// An entry that comes back must hear at once that it has been found.
--- a/packages/daemon/src/commands/run-command.ts
+++ b/packages/daemon/src/commands/run-command.ts
@@ -1,5 +1,6 @@
 import path from 'node:path';
 import process from 'node:process';
+import type {AdmissionOptions} from '@bitternpaddle/coordination';
 import {createLogger, createMetrics, type Logger} from '@bitternpaddle/transport';
 import {Command, Option} from 'clipanion';
 import {createAgentNode} from '../agent/create-agent-node.js';
@@ -49,6 +50,10 @@
 	origin = flag('origin');
 	capacity = flag('capacity');
 	adminTokens = flag('adminTokens');
+	limitTokens = flag('limitTokens');
+	limitBurstSeconds = flag('limitBurstSeconds');
+	maxQueuedPerTeam = flag('maxQueuedPerTeam');
+	maxQueuedPerService = flag('maxQueuedPerService');
 	statsd = flag('statsd');
 	logLevel = flag('logLevel');
 	record = flag('record');
@@ -66,6 +71,10 @@
 	}
 }
 
+const limitsOf = ({limitTokens, limitBurstSeconds, maxQueuedPerTeam, maxQueuedPerService}: Settings): AdmissionOptions => ({
+	fleetTokensPerSecond: limitTokens ?? null, burstSeconds: limitBurstSeconds, maxQueuedPerTeam, maxQueuedPerTarget: maxQueuedPerService,
+});
+
 /** Runs until a signal or an operator stops the host; resolves with the exit code. */
 const runHost = async (settings: Settings): Promise<number> => {
 	const logger = createLogger({level: settings.logLevel, labels: {host: settings.hostId}});
@@ -120,7 +129,8 @@
 
 	if (roles.includes('entry')) {
 		const node = await createEntryNode({
-			entryId: hostId, listen: nextListen(), controls: controlAddresses, adminTokens: settings.adminTokens, logger, metrics,
+			entryId: hostId, listen: nextListen(), controls: controlAddresses, adminTokens: settings.adminTokens,
+			zoneId: settings.zone, regionId: settings.region, limits: limitsOf(settings), logger, metrics,
 		});
 		nodes.push(node);
 		logger.event('BP9001', {role: 'entry', address: node.address});
--- a/packages/daemon/src/dev/create-dev-cluster.ts
+++ b/packages/daemon/src/dev/create-dev-cluster.ts
@@ -1,7 +1,7 @@
 import {mkdtemp, rm} from 'node:fs/promises';
 import os from 'node:os';
 import path from 'node:path';
-import {createRandom} from '@bitternpaddle/coordination';
+import {createRandom, type AdmissionOptions} from '@bitternpaddle/coordination';
 import {
 	createFakeEngine, createFakeOrigin, createFakeService, type FakeEngine, type FakeOrigin, type FakeService,
 } from '@bitternpaddle/test-support';
@@ -33,6 +33,8 @@
 	/** First entry's address. @default '127.0.0.1:0' */
 	readonly listen?: string;
 	readonly adminToken?: string;
+	/** Limits and bounds of the entries' queues. @default {} */
+	readonly limits?: AdmissionOptions;
 	readonly recordFile?: string;
 	readonly logger?: Logger;
 };
@@ -59,7 +61,7 @@
 export const createDevCluster = async (options: DevClusterOptions = {}): Promise<DevCluster> => {
 	const {
 		controls: controlCount = 3, entries: entryCount = 2, engines: engineCount = 7, weightsBytes = 1024 * 1024, chunkSizeBytes = 64 * 1024,
-		listen = '127.0.0.1:0', adminToken = devAdminToken, recordFile, logger,
+		listen = '127.0.0.1:0', adminToken = devAdminToken, recordFile, limits, logger,
 	} = options;
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'bitternpaddle-dev-'));
 	const origin = await createFakeOrigin();
@@ -74,7 +76,8 @@
 	})));
 	const controlAddresses = controls.map(control => control.address);
 	const entries = await Promise.all(Array.from({length: entryCount}, async (_, index) => createEntryNode({
-		entryId: `entry-${index + 1}`, controls: controlAddresses, listen: index === 0 ? listen : '127.0.0.1:0', adminTokens: [{role: 'administer', token: adminToken}], logger,
+		entryId: `entry-${index + 1}`, ...cascadiaHalls[index % cascadiaHalls.length]!, controls: controlAddresses,
+		listen: index === 0 ? listen : '127.0.0.1:0', adminTokens: [{role: 'administer', token: adminToken}], limits, logger,
 	})));
 	const engines = await Promise.all(Array.from({length: engineCount}, async () => createFakeEngine()));
 	const agents = await Promise.all(engines.map(async (engine, index) => createAgentNode({
--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -7,7 +7,7 @@
 } from '@bitternpaddle/state';
 import {nameOf, RefusedError, type Call} from './call.js';
 import {dispatch, type AttemptAnswer} from './dispatch.js';
-import type {Routing} from './routing.js';
+import type {RoutedAttempt, Routing} from './routing.js';
 
 export type AttemptsOptions = {
 	readonly routing: Routing;
@@ -46,7 +46,7 @@
 	let last: {readonly verdict: UnansweredVerdict; readonly place: ClaimPlace | null} = {verdict: notRun('no endpoint is ready'), place: null};
 	let mayReturn = false;
 	for (let number = 1; number <= maxAttempts; number++) {
-		const endpoint = chooseFor(call, routing, tried, mayReturn);
+		const endpoint = await chooseFor(call, routing, tried, mayReturn);
 		if (endpoint === null || (number > 1 && !takeRetry(options.budget, performance.now()))) {
 			break;
 		}
@@ -57,17 +57,18 @@
 			return {type: 'stopped'};
 		}
 
-		routing.noteStart(endpoint.hostId);
+		const routed = routing.start(call, endpoint);
 		const outcome = await call.trace.attempt(endpoint, number, async () => dispatch({
 			...call, ...place, endpoint, revision: routing.revision(), signal: call.abort.signal, suspectMs: options.suspectMs,
 			remainingMs: call.endAtMs - performance.now(),
 		}));
 		if (outcome.type === 'answer') {
-			noteEndWithCall(call, routing, endpoint);
+			routed.begin(outcome.answer.headers);
+			endWithCall(call, routed);
 			return {...outcome, place};
 		}
 
-		routing.noteEnd(endpoint.hostId, outcome.verdict.type);
+		routed.end(call.abort.signal.aborted ? 'abandoned' : (outcome.isRefusal ? 'refused' : 'failed'));
 		last = {verdict: outcome.verdict, place};
 		mayReturn = !outcome.isRefusal;
 		if (outcome.verdict.type === 'mayHaveRun' || call.abort.signal.aborted) {
@@ -82,8 +83,8 @@
  * An endpoint that this call has not tried; if there is none and the last one
  * did not refuse but lost the connection, one that it has.
  */
-const chooseFor = (call: Call, routing: Routing, tried: ReadonlySet<string>, mayReturn: boolean): Endpoint | null => {
-	const choice = routing.choose({target: call.target, tried});
+const chooseFor = async (call: Call, routing: Routing, tried: ReadonlySet<string>, mayReturn: boolean): Promise<Endpoint | null> => {
+	const choice = await routing.choose(call, tried);
 	if (choice.type === 'unknownTarget') {
 		throw new RefusedError({status: 404, type: 'not_found', message: `nothing serves ${nameOf(call.target)}`});
 	}
@@ -92,7 +93,7 @@
 		return choice.endpoint;
 	}
 
-	const again = mayReturn ? routing.choose({target: call.target, tried: new Set()}) : choice;
+	const again = mayReturn ? await routing.choose(call, new Set()) : choice;
 	return again.type === 'chosen' ? again.endpoint : null;
 };
 
@@ -101,14 +102,14 @@
 });
 
 /** An answered attempt loads its endpoint until the caller has all of it. */
-const noteEndWithCall = (call: Call, routing: Routing, endpoint: Endpoint): void => {
+const endWithCall = (call: Call, routed: RoutedAttempt): void => {
 	if (call.response.closed) {
-		routing.noteEnd(endpoint.hostId, 'answered');
+		routed.end('answered');
 		return;
 	}
 
 	call.response.once('close', () => {
-		routing.noteEnd(endpoint.hostId, 'answered');
+		routed.end('answered');
 	});
 };
 
--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -24,6 +24,12 @@
 	readonly endAtMs: number;
 	/** The service declares that its calls may not be repeated. */
 	readonly isOnce: boolean;
+	/** Expected tokens of prompt and answer; 1 for a plain service. */
+	readonly cost: number;
+	/** 0 to 3; 0 is the most urgent. */
+	readonly priority: number;
+	/** Start of a long prompt, so that requests that share it go to the same endpoint; `null` for others. */
+	readonly prefixKey: string | null;
 	readonly trace: RequestTrace;
 };
 
--- a/packages/daemon/src/entry/create-entry-node.ts
+++ b/packages/daemon/src/entry/create-entry-node.ts
@@ -1,7 +1,7 @@
-import {createBurnCounter} from '@bitternpaddle/coordination';
-import type {HostReport} from '@bitternpaddle/protocol';
+import {createBurnCounter, type AdmissionOptions} from '@bitternpaddle/coordination';
+import {loadResultSchema, type HostReport} from '@bitternpaddle/protocol';
 import {
-	createHttpServer, rpcPath, sendJson, silentLogger, type Logger, type Metrics,
+	callRpc, createHttpServer, rpcPath, sendJson, silentLogger, type Logger, type Metrics,
 } from '@bitternpaddle/transport';
 import {createConfigurationClient, type ConfigurationInForce} from '../host/configuration-client.js';
 import {adminPrefix, createAdminHandler} from './admin-api.js';
@@ -10,10 +10,8 @@
 import {createEntryPeers, createEntryRpc} from './entry-peers.js';
 import {createRelay, sendRefusal} from './relay.js';
 import {createRequestLog} from './request-log.js';
-import {
-	admitAll, createRouting, type Admit, type Routing,
-} from './routing.js';
 import {createCallServer} from './serve-call.js';
+import {createTraffic} from './traffic.js';
 
 export type EntryNodeOptions = {
 	readonly entryId: string;
@@ -29,10 +27,12 @@
 	readonly maxAttempts?: number;
 	/** A connection to an agent without a byte for this long is settled on another. @default 2000 */
 	readonly suspectMs?: number;
-	/** @default createRouting({entryId}) */
-	readonly routing?: Routing;
-	/** @default admitAll */
-	readonly admit?: Admit;
+	/** @default 'zone-1' */
+	readonly zoneId?: string;
+	/** @default 'region-1' */
+	readonly regionId?: string;
+	/** Limits and bounds of the queues. @default {} */
+	readonly limits?: AdmissionOptions;
 	readonly logger?: Logger;
 	readonly metrics?: Metrics;
 };
@@ -47,11 +47,13 @@
 	kill(): Promise<void>;
 };
 
+const probeTimeoutMs = 500;
+
 /** One entry host: what callers and operators talk to. */
 export const createEntryNode = async (options: EntryNodeOptions): Promise<EntryNode> => {
 	const {
 		entryId, controls, listen = '127.0.0.1:0', adminTokens = [], maxRequests = 4096, defaultDeadlineMs = 30_000, maxAttempts = 3, suspectMs = 2000,
-		routing = createRouting({entryId}), admit = admitAll, logger = silentLogger, metrics,
+		zoneId = 'zone-1', regionId = 'region-1', limits = {}, logger = silentLogger, metrics,
 	} = options;
 	const teams = new Map<string, string>();
 	const burnCounter = createBurnCounter();
@@ -94,8 +96,8 @@
 
 	const configuration = createConfigurationClient({
 		controls, logger, report,
-		onChange(catalog) {
-			routing.update(catalog);
+		onChange(catalog, changes) {
+			traffic.update(catalog, changes);
 			modelServices = servicesOfModels(catalog);
 			teams.clear();
 			for (const [teamId, {keyDigest}] of Object.entries(catalog.teams)) {
@@ -103,8 +105,21 @@
 			}
 		},
 	});
+	const traffic = createTraffic({
+		entryId, zoneId, regionId, limits, logger, metrics,
+		async listEntries() {
+			const {rows} = await configuration.query({type: 'show', subject: 'hosts', where: [{field: 'role', operator: '=', value: 'entry'}]});
+			return rows.map(({host}) => String(host));
+		},
+		async askLoad(address) {
+			const answer = await callRpc<unknown>({
+				address, method: 'agent.load', params: {}, timeoutMs: probeTimeoutMs,
+			});
+			return loadResultSchema.parse(answer).running;
+		},
+	});
 	const calls = createCallServer({
-		configuration, teams, requestLog, routing, admit, relay: createRelay({logger, metrics}), maxRequests, maxAttempts, defaultDeadlineMs, suspectMs,
+		configuration, teams, requestLog, routing: traffic, admit: async call => traffic.admit(call), relay: createRelay({logger, metrics}), maxRequests, maxAttempts, defaultDeadlineMs, suspectMs,
 		isLeaving: () => isLeaving,
 	});
 	const handleAdmin = createAdminHandler({configuration, peers: createEntryPeers(configuration), tokens: adminTokens});
@@ -120,10 +135,12 @@
 			isLeaving = true;
 			logger.event('BP9002', {entryId});
 			await calls.whenIdle();
+			traffic.close();
 			configuration.close();
 			await server.close();
 		},
 		async kill() {
+			traffic.close();
 			configuration.close();
 			server.destroy();
 		},
--- a/packages/daemon/src/entry/read-call.ts
+++ b/packages/daemon/src/entry/read-call.ts
@@ -2,7 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import type http from 'node:http';
 import type {RouteTarget} from '@bitternpaddle/coordination';
-import {deadlineHeader, idempotencyKeyHeader} from '@bitternpaddle/protocol';
+import {deadlineHeader, idempotencyKeyHeader, priorityHeader} from '@bitternpaddle/protocol';
 import {idempotencyKeySchema, sha256} from '@bitternpaddle/state';
 import {readBody} from '@bitternpaddle/transport';
 import {z} from 'zod';
@@ -20,7 +20,15 @@
 const maxDeadlineMs = 600_000;
 const bodyLimitBytes = 1024 * 1024;
 
-const chatBodySchema = z.looseObject({model: z.string().min(1), stream: z.boolean().default(false)});
+const chatBodySchema = z.looseObject({model: z.string().min(1), stream: z.boolean().default(false), max_tokens: z.number().int().positive().nullish()});
+
+const defaultAnswerTokens = 256;
+const bytesPerToken = 4;
+/** Reading a token of the prompt costs an engine about as much less than writing one. */
+const promptDiscount = 10;
+const defaultPriority = 1;
+/** A shorter prompt is computed anew sooner than it is worth the better choice. */
+const prefixLength = 1024;
 
 /** Reads and checks a caller's request; throws `RefusedError` for one that is wrong in itself. */
 export const readCall = async (request: http.IncomingMessage, response: http.ServerResponse, {teams, defaultDeadlineMs, isOnce}: ReadCallOptions): Promise<Omit<Call, 'trace'>> => {
@@ -31,14 +39,14 @@
 	const url = request.url!;
 	const shared = {
 		requestId: randomUUID(), teamId, method: request.method!, contentType: request.headers['content-type'] ?? 'application/json', body,
-		idempotencyKey: readKey(request), response, abort: new AbortController(),
+		idempotencyKey: readKey(request), priority: readPriority(request), response, abort: new AbortController(),
 		deadlineAtMs: startedAtMs + (deadlineMs ?? defaultDeadlineMs), endAtMs: startedAtMs + (deadlineMs ?? maxDeadlineMs),
 	};
 	const service = /^\/services\/([^\/]+)(\/.*)$/v.exec(url);
 	if (service !== null) {
 		const target: RouteTarget = {type: 'service', serviceId: service[1]!};
 		return {
-			...shared, target, path: service[2]!, isStream: false, isOnce: isOnce(target),
+			...shared, target, path: service[2]!, isStream: false, isOnce: isOnce(target), cost: 1, prefixKey: null,
 		};
 	}
 
@@ -49,9 +57,24 @@
 
 	return {
 		...shared, target: {type: 'model', modelId: parsed.data.model}, path: url, isStream: parsed.data.stream, isOnce: false,
+		cost: (parsed.data.max_tokens ?? defaultAnswerTokens) + Math.ceil(body.length / bytesPerToken / promptDiscount), prefixKey: prefixOf(parsed.data),
 	};
 };
 
+const prefixOf = ({messages, prompt}: z.output<typeof chatBodySchema>): string | null => {
+	const text = typeof prompt === 'string' ? prompt : JSON.stringify(messages ?? null);
+	return text.length < prefixLength ? null : text.slice(0, prefixLength);
+};
+
+const readPriority = (request: http.IncomingMessage): number => {
+	const text = request.headers[priorityHeader] ?? String(defaultPriority);
+	if (!/^[0-3]$/v.test(String(text))) {
+		throw new RefusedError({status: 400, type: 'invalid_request', message: `${priorityHeader} is "${String(text)}": expected 0 to 3`});
+	}
+
+	return Number(text);
+};
+
 /** The caller's own deadline in milliseconds from now, or `null`. */
 const readDeadline = (request: http.IncomingMessage): number | null => {
 	const text = request.headers[deadlineHeader];
--- /dev/null
+++ b/packages/daemon/src/entry/routed-attempt.ts
@@ -0,0 +1,49 @@
+import {
+	noteEnd, noteFirstByte, noteLoadReport, noteStart, type Endpoint, type RequestOutcome, type RouterState,
+} from '@bitternpaddle/coordination';
+import {loadHeader} from '@bitternpaddle/protocol';
+import {match} from 'ts-pattern';
+import type {RoutedAttempt, RoutedEnd} from './routing.js';
+
+export type RoutedAttemptOptions = {
+	readonly router: RouterState;
+	readonly endpoint: Endpoint;
+	onEnd(end: RoutedEnd): void;
+};
+
+/** Tells the router of one attempt: its start now, its first byte, its end. */
+export const createRoutedAttempt = ({router, endpoint: {hostId}, onEnd}: RoutedAttemptOptions): RoutedAttempt => {
+	const startedAtMs = performance.now();
+	let latencyMs: number | null = null;
+	let hasEnded = false;
+	noteStart(router, hostId, startedAtMs);
+
+	const outcomeOf = (end: RoutedEnd): RequestOutcome => match(end)
+		.returnType<RequestOutcome>()
+		.with('answered', () => ({type: 'answered', latencyMs: latencyMs ?? performance.now() - startedAtMs}))
+		.with('refused', () => ({type: 'full'}))
+		.with('failed', () => ({type: 'failed'}))
+		.with('abandoned', () => ({type: 'cancelled'}))
+		.exhaustive();
+
+	return {
+		begin(headers) {
+			const nowMs = performance.now();
+			latencyMs = nowMs - startedAtMs;
+			noteFirstByte(router, hostId, nowMs);
+			const running = Number(headers[loadHeader]);
+			if (Number.isInteger(running)) {
+				noteLoadReport(router, hostId, {running, ageMs: 0}, nowMs);
+			}
+		},
+		end(end) {
+			if (hasEnded) {
+				return;
+			}
+
+			hasEnded = true;
+			noteEnd(router, hostId, {outcome: outcomeOf(end), hadFirstByte: latencyMs !== null}, performance.now());
+			onEnd(end);
+		},
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/entry/traffic.ts
@@ -0,0 +1,281 @@
+import {
+	cancelRequest, changedHostIds, chooseEndpoint, createAdmission, createRandom, createRouter, finishRequest, hasEndpoint, hasRoom, noteLoadReport, offerRequest, returnToQueue,
+	setEntries, setShares, takeRequest, tickAdmission, tickRouter, updateRouter, waitingFor,
+	type AdmissionOptions, type AdmissionRefusal, type Choice, type Endpoint, type RouterNotice, type RouteTarget,
+} from '@bitternpaddle/coordination';
+import {notRun, type NotRun} from '@bitternpaddle/state';
+import type {Logger, Metrics} from '@bitternpaddle/transport';
+import {match} from 'ts-pattern';
+import {nameOf, type Call} from './call.js';
+import {createRoutedAttempt} from './routed-attempt.js';
+import type {Admission, RoutedAttempt, Routing} from './routing.js';
+
+export type TrafficOptions = {
+	readonly entryId: string;
+	readonly zoneId: string;
+	readonly regionId: string;
+	readonly limits: AdmissionOptions;
+	readonly logger: Logger;
+	readonly metrics?: Metrics;
+	/** Names of all entries that control knows. */
+	listEntries(): Promise<readonly string[]>;
+	/** Asks a host how many requests run there. */
+	askLoad(address: string): Promise<number>;
+};
+
+/** Admission and routing of one entry. */
+export type Traffic = Routing & {
+	admit(call: Call): Promise<Admission>;
+	close(): void;
+};
+
+/** What a call that waits is told when its turn comes, or that it will not come. */
+type Turn = {readonly type: 'placed'; readonly choice: Choice} | {readonly type: 'refused'; readonly verdict: NotRun};
+
+type Waiter = {readonly call: Call; readonly tried: ReadonlySet<string>; resolve(turn: Turn): void};
+
+/** A call between its admission and its end. */
+type Admitted = {
+	/** Taken for the call at its turn, until the call comes for it. */
+	reserved: {readonly choice: Choice; readonly attempt: RoutedAttempt} | null;
+	hasRun: boolean;
+};
+
+const tickMs = 100;
+const entriesEveryMs = 10_000;
+
+/** Turns the entry's calls, ticks and reports into events of admission and router, and their decisions into waiting and starting. */
+export const createTraffic = (options: TrafficOptions): Traffic => {
+	const {entryId, zoneId, regionId, limits, logger, metrics, listEntries, askLoad} = options;
+	const router = createRouter({
+		entryId, zoneId, regionId, random: createRandom(Math.floor(Math.random() * 2_147_483_647)),
+	});
+	const admission = createAdmission(limits);
+	const waiters = new Map<string, Waiter>();
+	const admitted = new Map<string, Admitted>();
+	const targets = new Map<string, RouteTarget>();
+	let teams: ReadonlyMap<string, number> = new Map();
+	let entryIds: readonly string[] = [entryId];
+	let entriesDueAtMs = 0;
+
+	const probe = async ({hostId, address}: Endpoint): Promise<void> => {
+		const askedAtMs = performance.now();
+		try {
+			const running = await askLoad(address);
+			const nowMs = performance.now();
+			noteLoadReport(router, hostId, {running, ageMs: nowMs - askedAtMs}, nowMs);
+		} catch {
+			// A host that cannot be asked shows it at the next request.
+		}
+	};
+
+	const chooseNow = ({target, prefixKey}: Call, tried: ReadonlySet<string>): Choice => {
+		const choice = chooseEndpoint(router, {target, tried, prefixKey}, performance.now());
+		for (const endpoint of choice.type === 'chosen' ? choice.probes : []) {
+			void probe(endpoint);
+		}
+
+		return choice;
+	};
+
+	const startAttempt = (call: Call, endpoint: Endpoint): RoutedAttempt => createRoutedAttempt({
+		router, endpoint,
+		onEnd(end) {
+			const record = admitted.get(call.requestId);
+			if (record !== undefined && end === 'answered') {
+				record.hasRun = true;
+			}
+
+			pump(nameOf(call.target));
+		},
+	});
+
+	/** Lets calls start while their target has room, in fair order. */
+	const pump = (key: string): void => {
+		const target = targets.get(key);
+		if (target === undefined) {
+			return;
+		}
+
+		const canGoOn = (): boolean => hasRoom(router, target) || !hasEndpoint(router, target);
+		// At most one pass over what waits: a call that finds no place goes back.
+		for (let left = waitingFor(admission, key); left > 0 && canGoOn(); left--) {
+			const {request, refused} = takeRequest(admission, key, performance.now());
+			refuseAll(refused);
+			if (request === null) {
+				return;
+			}
+
+			placeWaiter(request.requestId);
+		}
+	};
+
+	const placeWaiter = (requestId: string): void => {
+		const {call, tried, resolve} = waiters.get(requestId)!;
+		const choice = chooseNow(call, tried);
+		if (choice.type === 'busy') {
+			returnToQueue(admission, requestId);
+			return;
+		}
+
+		// The endpoint is taken here and now: the call itself goes on a little
+		// later, and until then the others of this pass would take the same room.
+		const reserved = choice.type === 'chosen' ? {choice, attempt: startAttempt(call, choice.endpoint)} : null;
+		admitted.set(requestId, {reserved, hasRun: admitted.get(requestId)?.hasRun ?? false});
+		waiters.delete(requestId);
+		resolve({type: 'placed', choice});
+	};
+
+	const refuseAll = (refusals: readonly AdmissionRefusal[]): void => {
+		for (const refusal of refusals) {
+			waiters.get(refusal.requestId)?.resolve({type: 'refused', verdict: verdictOf(refusal)});
+			waiters.delete(refusal.requestId);
+		}
+	};
+
+	const waitForTurn = async (call: Call, tried: ReadonlySet<string>): Promise<Turn> => new Promise(resolve => {
+		const {requestId, abort: {signal}} = call;
+		const leave = (): void => {
+			if (waiters.delete(requestId)) {
+				cancelRequest(admission, requestId);
+				resolve({type: 'refused', verdict: notRun('nobody waits for the answer any more')});
+			}
+		};
+
+		waiters.set(requestId, {
+			call, tried,
+			resolve(turn) {
+				signal.removeEventListener('abort', leave);
+				resolve(turn);
+			},
+		});
+		signal.addEventListener('abort', leave);
+		if (signal.aborted) {
+			leave();
+		}
+
+		pump(nameOf(call.target));
+	});
+
+	const release = (requestId: string): void => {
+		const record = admitted.get(requestId);
+		admitted.delete(requestId);
+		record?.reserved?.attempt.end('abandoned');
+		finishRequest(admission, requestId, {hasRun: record?.hasRun ?? false}, performance.now());
+	};
+
+	const tick = (): void => {
+		const nowMs = performance.now();
+		for (const notice of tickRouter(router, nowMs)) {
+			tell(notice);
+		}
+
+		refuseAll(tickAdmission(admission, nowMs));
+		setEntries(router, entryIds, nowMs);
+		for (const key of targets.keys()) {
+			pump(key);
+			metrics?.gauge('entry.waiting', waitingFor(admission, key), {target: key});
+		}
+
+		if (nowMs >= entriesDueAtMs) {
+			entriesDueAtMs = nowMs + entriesEveryMs;
+			void refreshEntries();
+		}
+	};
+
+	const refreshEntries = async (): Promise<void> => {
+		try {
+			entryIds = await listEntries();
+			setShares(admission, {teams, entries: entryIds.length}, performance.now());
+		} catch {
+			// Without control the last known entries share the limit on.
+		}
+	};
+
+	const tell = (notice: RouterNotice): void => {
+		match(notice)
+			.with({type: 'ejected'}, ({hostId, reason}) => {
+				logger.event('BP2101', {hostId, reason});
+				metrics?.increment('entry.ejected', {reason});
+			})
+			.with({type: 'returned'}, ({hostId}) => {
+				logger.event('BP2102', {hostId});
+			})
+			.with({type: 'panicked'}, ({group}) => {
+				logger.event('BP2103', {group});
+			})
+			.exhaustive();
+	};
+
+	const timer = setInterval(tick, tickMs);
+	timer.unref();
+	return {
+		revision: () => router.revision,
+		update(catalog, changes) {
+			const nowMs = performance.now();
+			updateRouter(router, catalog, changes === null ? null : changedHostIds(changes), nowMs);
+			teams = new Map(Object.entries(catalog.teams).map(([teamId, {share}]) => [teamId, share]));
+			setShares(admission, {teams, entries: entryIds.length}, nowMs);
+		},
+		async choose(call, tried) {
+			const reserved = admitted.get(call.requestId)?.reserved;
+			if (reserved !== null && reserved !== undefined) {
+				return reserved.choice;
+			}
+
+			const choice = chooseNow(call, tried);
+			if (choice.type !== 'busy' || !admitted.has(call.requestId)) {
+				return choice;
+			}
+
+			returnToQueue(admission, call.requestId);
+			const turn = await waitForTurn(call, tried);
+			return turn.type === 'placed' ? turn.choice : {type: 'noEndpoint'};
+		},
+		start(call, endpoint) {
+			const record = admitted.get(call.requestId);
+			const attempt = record?.reserved?.attempt;
+			if (record === undefined || attempt === undefined) {
+				return startAttempt(call, endpoint);
+			}
+
+			record.reserved = null;
+			return attempt;
+		},
+		async admit(call) {
+			const {requestId, target, teamId, cost, priority, deadlineAtMs, isStream} = call;
+			if (!hasEndpoint(router, target)) {
+				// The attempt itself tells an unknown target from one that is not ready.
+				return {type: 'admitted', release: () => undefined};
+			}
+
+			const key = nameOf(target);
+			targets.set(key, target);
+			const offered = offerRequest(admission, {
+				requestId, teamId, target: key, cost, priority, deadlineAtMs, deadlineFor: isStream ? 'begin' : 'end',
+			}, performance.now());
+			const turn: Turn = offered.type === 'refused' ? {type: 'refused', verdict: verdictOf(offered)} : await waitForTurn(call, new Set());
+			if (turn.type === 'refused') {
+				release(requestId);
+				metrics?.increment('entry.refused', {teamId});
+				return turn;
+			}
+
+			return {
+				type: 'admitted', release() {
+					release(requestId);
+				},
+			};
+		},
+		close() {
+			clearInterval(timer);
+		},
+	};
+};
+
+const verdictOf = ({reason, retryAfterMs}: AdmissionRefusal): NotRun => match(reason)
+	.with('teamLimit', () => ({...notRun('the team has used up its share of the limit', retryAfterMs), isOverLimit: true}))
+	.with('teamQueueFull', () => notRun('too many requests of this team wait', retryAfterMs))
+	.with('targetQueueFull', () => notRun('too many requests wait', retryAfterMs))
+	.with('deadline', () => notRun('the request cannot be answered by its deadline', retryAfterMs))
+	.exhaustive();
--- a/packages/daemon/src/host/configuration-client.ts
+++ b/packages/daemon/src/host/configuration-client.ts
@@ -5,7 +5,7 @@
 import type {
 	HostReport, ProposeResult, QueryResult, Show, WatchResult,
 } from '@bitternpaddle/protocol';
-import type {Catalog, Command} from '@bitternpaddle/state';
+import type {Catalog, Change, Command} from '@bitternpaddle/state';
 import {callRpc, type Logger} from '@bitternpaddle/transport';
 
 export type ConfigurationClientOptions = {
@@ -14,7 +14,8 @@
 	readonly logger: Logger;
 	/** What this host says with each renewal. */
 	report(): HostReport;
-	onChange(catalog: Catalog): void;
+	/** `changes` led to the catalog; `null` when it came as a whole. */
+	onChange(catalog: Catalog, changes: readonly Change[] | null): void;
 	/** How long control may hold a call. @default 1000 */
 	readonly waitMs?: number;
 };
@@ -59,7 +60,7 @@
 		if (outcome === 'diverged') {
 			logger.event('BP3006', {revision: result.revision});
 		} else if (outcome === 'advanced') {
-			onChange(configuration.catalog);
+			onChange(configuration.catalog, result.type === 'changes' ? result.changes.map(({change}) => change) : null);
 			for (const check of reached) {
 				check();
 			}
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -59,6 +59,10 @@
 	origin: define('origin', addressSchema, 'The origin of weights (agent).', 'ip:port', ''),
 	capacity: define('capacity', numberSchema(1, 100_000), 'Requests that the endpoint runs side by side (agent).', 'a whole number from 1 to 100000', '16'),
 	adminTokens: define('admin-tokens', listSchema(tokenSchema), 'Tokens of operators (entry).', 'a list of read|operate|administer:TOKEN, each TOKEN of 8 characters or more', ''),
+	limitTokens: define('limit-tokens-per-second', numberSchema(1, 1_000_000_000), 'Tokens a second over all teams and entries, split by the teams\' shares (entry); none if left out.', 'a whole number from 1 to 1000000000', ''),
+	limitBurstSeconds: define('limit-burst-seconds', numberSchema(1, 3600), 'Seconds of its share of the limit that a team can save up (entry).', 'a whole number from 1 to 3600', '10'),
+	maxQueuedPerTeam: define('max-queued-per-team', numberSchema(1, 1_000_000), 'Requests of one team that wait for one model or service (entry).', 'a whole number from 1 to 1000000', '512'),
+	maxQueuedPerService: define('max-queued-per-service', numberSchema(1, 1_000_000), 'Requests that wait for one model or service (entry).', 'a whole number from 1 to 1000000', '2048'),
 	statsd: define('statsd', addressSchema, 'Where metrics go.', 'ip:port', ''),
 	logLevel: define('log-level', z.enum(['error', 'warn', 'info', 'debug', 'silent']), 'Least severity of logged events.', 'error, warn, info, debug or silent', 'info'),
 	record: define('record', z.string().min(1), 'File for the trace of decisions, for `bitternpaddle replay` (control).', 'a path', ''),
@@ -68,7 +72,7 @@
 
 type Values = {[Key in SettingKey]: z.output<typeof settingDefinitions[Key]['schema']>};
 
-type OptionalKey = 'voters' | 'endpoint' | 'origin' | 'adminTokens' | 'statsd' | 'record';
+type OptionalKey = 'voters' | 'endpoint' | 'origin' | 'adminTokens' | 'statsd' | 'record' | 'limitTokens';
 
 export type Settings = Omit<Values, OptionalKey> & {[Key in OptionalKey]: Values[Key] | undefined};
 
@@ -105,7 +109,8 @@
 };
 
 /** Values that are right alone but wrong together. */
-const contradictions = ({roles, endpoint, origin, endpointKind, controls, voters = [], hostId}: Settings): string[] => {
+const contradictions = (settings: Settings): string[] => {
+	const {roles, endpoint, origin, endpointKind, controls, voters = [], hostId, maxQueuedPerTeam, maxQueuedPerService} = settings;
 	const problems: string[] = [];
 	const ids = new Set(controls.map(control => control.id));
 	if (roles.includes('agent') && endpoint === undefined) {
@@ -124,5 +129,9 @@
 		problems.push(`--voters names "${voter}": expected ids from --controls`);
 	}
 
+	if (maxQueuedPerTeam > maxQueuedPerService) {
+		problems.push(`--max-queued-per-team is ${maxQueuedPerTeam}: expected at most --max-queued-per-service (${maxQueuedPerService})`);
+	}
+
 	return problems;
 };
--- a/packages/protocol/src/http/error-body.ts
+++ b/packages/protocol/src/http/error-body.ts
@@ -17,8 +17,8 @@
 
 /** What a caller is told when no answer can be given. */
 export const errorResponseOf = (verdict: UnansweredVerdict, requestId: string | null): ErrorResponse => match(verdict)
-	.with({type: 'notRun'}, ({reason, retryAfterMs = defaultRetryAfterMs}) => ({
-		status: 503,
+	.with({type: 'notRun'}, ({reason, isOverLimit = false, retryAfterMs = defaultRetryAfterMs}) => ({
+		status: isOverLimit ? 429 : 503,
 		headers: {'retry-after': String(Math.ceil(retryAfterMs / 1000))},
 		body: {
 			error: {
--- a/packages/protocol/src/http/headers.ts
+++ b/packages/protocol/src/http/headers.ts
@@ -12,6 +12,10 @@
 export const fleetHeader = 'x-bitternpaddle-fleet';
 export const deadlineHeader = 'x-bitternpaddle-deadline-ms';
 export const verdictHeader = 'x-bitternpaddle-verdict';
+/** Requests that run at the host, of all entries. */
+export const loadHeader = 'x-bitternpaddle-load';
+/** A caller's own order among its team's requests: 0 (most urgent) to 3. */
+export const priorityHeader = 'x-bitternpaddle-priority';
 export const hostHeader = 'x-bitternpaddle-host';
 /** Trailer that ends a whole answer: `JSON.stringify(EndMarker)`. */
 export const endMarkerTrailer = 'x-bitternpaddle-end';
--- a/packages/protocol/src/rpc/methods.ts
+++ b/packages/protocol/src/rpc/methods.ts
@@ -119,6 +119,11 @@
 /** `unknown`: this door cannot know, because its agent was restarted or has forgotten the request. */
 export type SettleResult = {readonly type: 'ran' | 'running' | 'notRun' | 'unknown'};
 
+export const loadParametersSchema = z.object({});
+/** Requests that run at a host, of all entries. */
+export const loadResultSchema = z.object({running: index});
+export type LoadResult = z.infer<typeof loadResultSchema>;
+
 /** Chunks that a neighbour gained; `isReply` stops two hosts from greeting each other for ever. */
 export const haveParametersSchema = z.object({
 	from: z.string(), address: z.string(), manifestId: manifestIdSchema, chunks: z.array(index),
--- a/packages/state/src/types/verdict.ts
+++ b/packages/state/src/types/verdict.ts
@@ -7,7 +7,13 @@
  */
 export type Verdict = NotRun | MayHaveRun | Ran;
 
-export type NotRun = {readonly type: 'notRun'; readonly reason: string; readonly retryAfterMs?: number};
+export type NotRun = {
+	readonly type: 'notRun';
+	readonly reason: string;
+	readonly retryAfterMs?: number;
+	/** The team has used up its share of the limit. */
+	readonly isOverLimit?: boolean;
+};
 export type MayHaveRun = {readonly type: 'mayHaveRun'; readonly reason: string};
 export type Ran = {readonly type: 'ran'};
 
--- /dev/null
+++ b/test/limits-and-routing.test.ts
@@ -0,0 +1,103 @@
+import {
+	createDevCluster, postJson, sendLine, waitUntil, type DevCluster,
+} from '@bitternpaddle/daemon';
+import {silentLogger, type Logger} from '@bitternpaddle/transport';
+import t from 'tap';
+
+const setUp = async (cluster: DevCluster): Promise<void> => {
+	const client = {address: cluster.entries[0]!.address, token: cluster.adminToken};
+	const count = async (line: string): Promise<number | undefined> => (await sendLine({...client, line})).body.rows?.length;
+	await waitUntil('all agents joined', async () => await count('show hosts where role = agent') === cluster.agents.length);
+	for (const line of [
+		'create team large key large-key',
+		'create team small key small-key',
+		'create model pitch-desk',
+		`create version pitch-desk:v1 from manifest ${cluster.manifestIds[0]}`,
+		`create fleet all provider new for pitch-desk:v1 replicas ${cluster.engines.length}`,
+		'load pitch-desk:v1 on fleet all',
+	]) {
+		await sendLine({...client, line});
+	}
+
+	await waitUntil('all replicas are ready', async () => await count('show replicas where ready = true') === cluster.engines.length);
+	// Control knows it some moments before the entry does.
+	await waitUntil('the entry knows it', async () => (await ask(cluster, 'small-key', 1)).status === 200);
+};
+
+const ask = async (cluster: DevCluster, token: string, tokens = 20) => postJson({
+	address: cluster.entries[0]!.address, token, path: '/v1/chat/completions', body: {model: 'pitch-desk', max_tokens: tokens, messages: [{role: 'user', content: 'where?'}]},
+});
+
+const countRuns = ({engines}: DevCluster): number => {
+	let runs = 0;
+	for (const engine of engines) {
+		runs += engine.runs.length;
+	}
+
+	return runs;
+};
+
+// A large team sends 300 requests at once to two endpoints that run 32; a small
+// team's ten come last. In order of arrival they would be answered after all
+// 300. They must be answered while most of the burst still waits, and what the
+// burst has too much must be told "not run", with the time to come back.
+t.test('a large team bursts and a small one is still served', async t => {
+	const cluster = await createDevCluster({engines: 2, entries: 1, limits: {maxQueuedPerTeam: 200, maxQueuedPerTarget: 400}});
+	t.teardown(async () => cluster.close());
+	await setUp(cluster);
+	const runsBefore = countRuns(cluster);
+	let answeredLarge = 0;
+	const burst = Promise.all(Array.from({length: 300}, async () => {
+		const answer = await ask(cluster, 'large-key', 300);
+		answeredLarge += answer.status === 200 ? 1 : 0;
+		return answer;
+	}));
+	await waitUntil('the burst has begun', () => answeredLarge > 0);
+	const small = await Promise.all(Array.from({length: 10}, async () => ask(cluster, 'small-key')));
+	const answeredBefore = answeredLarge;
+	t.ok(small.every(({status}) => status === 200), 'all of the small team are answered');
+	const answers = await burst;
+	const refused = answers.filter(({status}) => status !== 200);
+	t.ok(answeredBefore < answeredLarge, `${answeredBefore} of the burst's ${answeredLarge} were answered before the small team's ten`);
+	t.ok(refused.length > 0 && refused.every(({status, headers, text}) => status === 503 && headers['retry-after'] !== undefined && text.includes('not_run')), `${refused.length} refused`);
+	const runs = countRuns(cluster) - runsBefore;
+	t.equal(runs, answeredLarge + 10, 'what was refused did not run');
+});
+
+// An engine takes requests and never answers. Each request sent there is lost
+// to its caller until the deadline; the entry must notice the silence, say so
+// in its log, and send no more there.
+t.test('a silent endpoint is put aside', async t => {
+	const ejected: string[] = [];
+	const logger: Logger = {
+		...silentLogger,
+		event(id, fields) {
+			if (id === 'BP2101') {
+				ejected.push(`${String(fields?.hostId)} ${String(fields?.reason)}`);
+			}
+		},
+	};
+	const cluster = await createDevCluster({engines: 3, entries: 1, logger});
+	t.teardown(async () => cluster.close());
+	await setUp(cluster);
+	for (let index = 0; index < 30; index++) {
+		t.equal((await ask(cluster, 'small-key', 1)).status, 200);
+	}
+
+	const silent = cluster.engines.find(engine => engine.runs.length > 0)!;
+	const {hostId} = (cluster.agents[cluster.engines.indexOf(silent)]!);
+	silent.faults.isSilent = true;
+	const lost: Array<Promise<unknown>> = [];
+	while (!ejected.includes(`${hostId} silent`) && lost.length < 400) {
+		lost.push(ask(cluster, 'small-key', 1).catch(() => null));
+		await new Promise(resolve => {
+			setTimeout(resolve, 25);
+		});
+	}
+
+	t.ok(ejected.includes(`${hostId} silent`), `put aside: ${ejected.join(', ')}`);
+	const runsBefore = silent.runs.length;
+	const answers = await Promise.all(Array.from({length: 30}, async () => ask(cluster, 'small-key', 1)));
+	t.ok(answers.every(({status}) => status === 200));
+	t.equal(silent.runs.length, runsBefore, 'nothing more is sent there');
+});
