feat(transport): answer bad input with an error, and bound slow senders

What a sender of broken HTTP got was Node's bare status line, after up to a minute for a head and five for a body. Now each port answers in the errors' own shape (400, 408, 413, 431) and closes; a head has 10 s, a request 60 s; a declared length over the limit is refused unread; an oversized body is 413 everywhere, not 500.

Found by the tests: '[null]' as a JSON-RPC batch threw inside the library and gave 500 (fast-check, shrunk); a slow body was cut without a word. Rubbish right behind a whole request must not be answered on its connection: the caller would take the error for the answer of a request that runs. Ruled out: keeping the connection when a body is given up, 413 arrives without it.

--- a/packages/transport/src/http/http-client.ts
+++ b/packages/transport/src/http/http-client.ts
@@ -62,6 +62,15 @@
 
 /** Reads a body whole; a body that is cut or exceeds `limitBytes` is an error. */
 export const readBody = async (message: http.IncomingMessage, limitBytes = Number.POSITIVE_INFINITY): Promise<Buffer> => {
+	if (Number(message.headers['content-length'] ?? 0) > limitBytes) {
+		// An answer that is left unread would keep its connection from the pool.
+		if (typeof message.statusCode === 'number') {
+			message.destroy();
+		}
+
+		throw new BodyTooLargeError(limitBytes);
+	}
+
 	const parts: Buffer[] = [];
 	let sizeBytes = 0;
 	for await (const part of message as AsyncIterable<Buffer>) {
--- a/packages/transport/src/http/http-server.ts
+++ b/packages/transport/src/http/http-server.ts
@@ -1,6 +1,9 @@
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
+import type {Duplex} from 'node:stream';
 import {parseAddress} from './address.js';
+import {refuseConnection, type Exchange} from './refuse-connection.js';
+import {BodyTooLargeError} from './http-client.js';
 
 export type HttpHandler = (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>;
 
@@ -18,29 +21,55 @@
 	readonly listen: string;
 	readonly handler: HttpHandler;
 	readonly onError?: (error: Error) => void;
+	/** How long a sender may take over a request's head. @default 10000 */
+	readonly headersTimeoutMs?: number;
+	/** How long a sender may take over a whole request. @default 60000 */
+	readonly requestTimeoutMs?: number;
 };
 
 /** Longer than clients keep idle connections, so that none is closed under a request that is being sent. */
 const keepAliveTimeoutMs = 65_000;
 const closeIdleMs = 20;
 
-export const createHttpServer = async ({listen, handler, onError}: CreateHttpServerOptions): Promise<HttpServer> => {
+/** How often slow senders are looked for. */
+const connectionsCheckingIntervalMs = 500;
+
+export const createHttpServer = async (options: CreateHttpServerOptions): Promise<HttpServer> => {
+	const {listen, handler, onError, headersTimeoutMs = 10_000, requestTimeoutMs = 60_000} = options;
+	const exchanges = new WeakMap<Duplex, Exchange>();
 	let isClosing = false;
-	const server = http.createServer({keepAliveTimeout: keepAliveTimeoutMs}, (request, response) => {
+	const server = http.createServer({
+		keepAliveTimeout: keepAliveTimeoutMs, headersTimeout: headersTimeoutMs, requestTimeout: requestTimeoutMs, connectionsCheckingInterval: connectionsCheckingIntervalMs,
+	}, (request, response) => {
+		const {socket} = request;
+		exchanges.set(socket, {request, response});
+		response.once('close', () => {
+			exchanges.delete(socket);
+		});
 		if (isClosing) {
 			response.setHeader('connection', 'close');
 		}
 
 		handler(request, response).catch((error: unknown) => {
-			onError?.(error as Error);
+			const isTooLarge = error instanceof BodyTooLargeError;
+			if (!isTooLarge) {
+				onError?.(error as Error);
+			}
+
 			if (response.headersSent) {
 				// The other side must see a cut, not an answer that looks whole.
 				response.destroy();
+			} else if (isTooLarge) {
+				// What is left of the body is not read, so the connection cannot carry another request.
+				sendJson(response, 413, {error: {type: 'invalid_request', message: error.message}}, {connection: 'close'});
 			} else {
 				sendJson(response, 500, {error: {type: 'internal', message: (error as Error).message}});
 			}
 		});
 	});
+	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+		refuseConnection(socket, error, exchanges.get(socket));
+	});
 	const {host, port} = parseAddress(listen);
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
--- a/packages/transport/src/rpc/rpc-server.ts
+++ b/packages/transport/src/rpc/rpc-server.ts
@@ -1,6 +1,8 @@
 import type http from 'node:http';
 import {rpcErrorCodes} from '@bitternpaddle/protocol';
-import {JSONRPCErrorException, JSONRPCServer, type JSONRPCParams} from 'json-rpc-2.0';
+import {
+	JSONRPCErrorCode, JSONRPCErrorException, JSONRPCServer, type JSONRPCParams, type JSONRPCResponse,
+} from 'json-rpc-2.0';
 import {z} from 'zod';
 import {ignore} from '../utils.js';
 import {readBody} from '../http/http-client.js';
@@ -22,6 +24,9 @@
 
 export const rpcPath = '/rpc';
 
+/** The library throws on a batch with something else than calls in it. */
+const notACall: JSONRPCResponse = {jsonrpc: '2.0', id: null, error: {code: JSONRPCErrorCode.InvalidRequest, message: 'this is not a JSON-RPC call'}};
+
 export type RpcServerOptions = {
 	/** Longer calls are refused. @default 64 MiB, above the largest snapshot that a control host sends */
 	readonly bodyLimitBytes?: number;
@@ -29,6 +34,14 @@
 
 export const createRpcServer = ({bodyLimitBytes = 64 * 1024 * 1024}: RpcServerOptions = {}): RpcServer => {
 	const server = new JSONRPCServer({errorListener: ignore});
+	const receive = async (text: string): Promise<JSONRPCResponse | JSONRPCResponse[] | null> => {
+		try {
+			return await server.receiveJSON(text);
+		} catch {
+			return notACall;
+		}
+	};
+
 	return {
 		method(name, schema, handle) {
 			server.addMethod(name, async (parameters: JSONRPCParams | undefined): Promise<unknown> => {
@@ -42,7 +55,7 @@
 		},
 		async serve(request, response) {
 			const text = (await readBody(request, bodyLimitBytes)).toString();
-			const answer = await server.receiveJSON(text);
+			const answer = await receive(text);
 			if (answer === null) {
 				response.writeHead(204).end();
 			} else {
