--- a/packages/coordination/src/consensus/plan-members.ts
+++ b/packages/coordination/src/consensus/plan-members.ts
@@ -97,9 +97,13 @@
 
 /** Takes in who stands by, and lets go of learners that are gone. */
 const changeLearners = (view: View): Members | null => {
-	const {members, liveStandbys, replaceAfterMs} = view;
+	const {
+		members, liveStandbys, replaceAfterMs, standbys, nowMs,
+	} = view;
 	const added = liveStandbys.filter(id => !members.learners.includes(id));
-	const kept = members.learners.filter(learner => silentMs(view, learner) <= learnerLossFactor * replaceAfterMs && !hasLostDisk(view, learner));
+	// Counted from its last announcement if that is newer: a host that was taken in a moment ago has had no time to answer.
+	const isInTime = (learner: string): boolean => Math.min(silentMs(view, learner), nowMs - (standbys.get(learner) ?? Number.NEGATIVE_INFINITY)) <= learnerLossFactor * replaceAfterMs;
+	const kept = members.learners.filter(learner => isInTime(learner) && !hasLostDisk(view, learner));
 	return added.length === 0 && kept.length === members.learners.length
 		? null
 		: {voters: members.voters, learners: [...kept, ...added]};
--- a/packages/coordination/test/repair.test.ts
+++ b/packages/coordination/test/repair.test.ts
@@ -138,3 +138,23 @@
 	t.same(voterHosts(simulation), ['a', 'b', 'c']);
 	t.ok(accepts(simulation));
 });
+
+// A host stands by under a leader that has led for long. It is heard, but what
+// the leader sends doesn't reach it yet. It is taken in once and kept for the
+// bound; were its silence counted from before it came, it would be let go and
+// taken in again at each turn, and never get the log.
+t.test('a host that was taken in late is given time to answer', async t => {
+	const {simulation, leader} = createGroup();
+	const spare = nodeOf(simulation, simulation.hosts.map(({id}) => hostOfMember(id)).find(id => !voterHosts(simulation).includes(id))!);
+	simulation.crash(spare, 0);
+	simulation.run(20_000, true);
+	t.notOk(simulation.leader()!.state.members.learners.includes(spare.id), 'let go');
+	const before = simulation.committed.length;
+	simulation.cuts.add(`${leader}>${hostOfMember(spare.id)}`);
+	simulation.restart(spare);
+	simulation.run(2000, true);
+	t.equal(simulation.committed.length, before + 1);
+	simulation.cuts.clear();
+	simulation.run(2000, true);
+	t.equal(nodeOf(simulation, hostOfMember(spare.id)).applied.length, simulation.committed.length);
+});
