bench(overhead): measure separate processes over keep-alive connections

Cause: one process carried callers, entry, agent and engine, over new connections, so the ratio was mostly that process's own load.

--- a/packages/bench/src/overhead.ts
+++ b/packages/bench/src/overhead.ts
@@ -1,76 +1,102 @@
-import {
-	createDevCluster, postJson, sendLine, waitUntil, type ClientOptions, type DevCluster,
-} from '@bitternpaddle/daemon';
-import {build as buildHistogram} from 'hdr-histogram-js';
+import http from 'node:http';
+import process from 'node:process';
+import {readBody, sendHttp} from '@bitternpaddle/transport';
+import {build as buildHistogram, type Histogram} from 'hdr-histogram-js';
+import {benchTeamKey, createProcessCluster} from './processes.js';
 
-const warmUpRequests = 100;
-const requests = 1000;
+const rounds = 5;
+const warmUpRequests = 1000;
+const requestsPerRound = 2000;
 const concurrency = 8;
+const requestTimeoutMs = 10_000;
+
+type Path = {
+	readonly address: string;
+	readonly histogram: Histogram;
+	readonly pool: http.Agent;
+	/** Time spent in counted rounds. */
+	tookMs: number;
+};
 
 type Latencies = {readonly p50Ms: number; readonly p99Ms: number; readonly requestsPerSecond: number};
 
-const chatBody = {model: 'pitch-desk', max_tokens: 1, messages: [{role: 'user', content: 'hello'}]};
+const body = JSON.stringify({model: 'pitch-desk', max_tokens: 1, messages: [{role: 'user', content: 'hello'}]});
 
-const measure = async (client: ClientOptions): Promise<Latencies> => {
-	const histogram = buildHistogram({numberOfSignificantValueDigits: 3});
-	const sendMany = async (count: number, isCounted: boolean): Promise<void> => {
-		let left = count;
-		await Promise.all(Array.from({length: concurrency}, async () => {
-			while (left > 0) {
-				left--;
-				const startedAtMs = performance.now();
-				const {status} = await postJson({...client, path: '/v1/chat/completions', body: chatBody});
-				if (status !== 200) {
-					throw new Error(`status ${status} in the measurement`);
-				}
+const createPath = (address: string): Path => ({
+	address, histogram: buildHistogram({numberOfSignificantValueDigits: 3}), pool: new http.Agent({keepAlive: true, maxFreeSockets: concurrency}), tookMs: 0,
+});
 
-				if (isCounted) {
-					histogram.recordValue(Math.round((performance.now() - startedAtMs) * 1000));
-				}
-			}
-		}));
-	};
+const sendOne = async ({address, pool}: Path): Promise<void> => {
+	const response = await sendHttp({
+		address, method: 'POST', path: '/v1/chat/completions', agent: pool, body, idleTimeoutMs: requestTimeoutMs,
+		headers: {'content-type': 'application/json', authorization: `Bearer ${benchTeamKey}`},
+	});
+	const text = await readBody(response);
+	if (response.statusCode !== 200) {
+		throw new Error(`status ${response.statusCode} in the measurement: ${text.toString()}`);
+	}
+};
 
-	await sendMany(warmUpRequests, false);
+/** A closed loop: each of the callers sends its next request when it has its answer. */
+const sendMany = async (path: Path, count: number, isCounted: boolean): Promise<void> => {
+	let left = count;
 	const startedAtMs = performance.now();
-	await sendMany(requests, true);
-	const tookMs = performance.now() - startedAtMs;
-	return {
-		p50Ms: histogram.getValueAtPercentile(50) / 1000,
-		p99Ms: histogram.getValueAtPercentile(99) / 1000,
-		requestsPerSecond: Math.round(requests / tookMs * 1000),
-	};
+	await Promise.all(Array.from({length: concurrency}, async () => {
+		while (left > 0) {
+			left--;
+			const sentAtMs = performance.now();
+			await sendOne(path);
+			if (isCounted) {
+				path.histogram.recordValue(Math.round((performance.now() - sentAtMs) * 1000));
+			}
+		}
+	}));
+	if (isCounted) {
+		path.tookMs += performance.now() - startedAtMs;
+	}
 };
 
-const loadOne = async (cluster: DevCluster): Promise<void> => {
-	const client = {address: cluster.entries[0]!.address, token: cluster.adminToken};
-	await waitUntil('the agents joined', async () => (await sendLine({...client, line: 'show hosts where role = agent'})).body.rows?.length === cluster.agents.length);
-	const lines = [
-		'create team bench key bench-key',
-		'create model pitch-desk',
-		`create version pitch-desk:v1 from manifest ${cluster.manifestIds[0]}`,
-		'create fleet bench provider new for pitch-desk:v1 replicas 1',
-		'load pitch-desk:v1 on fleet bench',
-	];
-	for (const line of lines) {
-		await sendLine({...client, line});
-	}
+const latenciesOf = ({histogram, tookMs}: Path): Latencies => ({
+	p50Ms: histogram.getValueAtPercentile(50) / 1000,
+	p99Ms: histogram.getValueAtPercentile(99) / 1000,
+	requestsPerSecond: Math.round(rounds * requestsPerRound / tookMs * 1000),
+});
 
-	await waitUntil('the replica is ready', async () => (await sendLine({...client, line: 'show replicas where ready = true'})).body.rows?.length === 1);
-};
+const ratio = (one: number, other: number): number => Math.round(one / other * 100) / 100;
 
-/** Caller -> entry -> agent -> engine, over caller -> engine, in one run and one process. */
-export const measureOverhead = async (): Promise<Record<string, unknown>> => {
-	const cluster = await createDevCluster({engines: 1, entries: 1});
+/**
+ * Caller -> entry -> agent -> engine, over caller -> engine, each a process of
+ * its own and all over keep-alive connections. The two take turns, so that
+ * other load on the machine falls on both. `--profile FOLDER` writes CPU profiles.
+ */
+export const measureOverhead = async (flags: readonly string[]): Promise<Record<string, unknown>> => {
+	const profileAt = flags.indexOf('--profile');
+	const cluster = await createProcessCluster({profileFolder: profileAt === -1 ? undefined : flags[profileAt + 1]});
+	const directPath = createPath(cluster.engineAddress);
+	const throughPath = createPath(cluster.entryAddress);
 	try {
-		await loadOne(cluster);
-		const direct = await measure({address: cluster.engines[0]!.address, token: 'none'});
-		const through = await measure({address: cluster.entries[0]!.address, token: 'bench-key'});
+		for (const path of [directPath, throughPath]) {
+			await sendMany(path, warmUpRequests, false);
+		}
+
+		for (let round = 1; round <= rounds; round++) {
+			for (const path of [directPath, throughPath]) {
+				await sendMany(path, requestsPerRound, true);
+			}
+
+			process.stdout.write(`round ${round}: direct ${latenciesOf(directPath).p50Ms} ms, through ${latenciesOf(throughPath).p50Ms} ms at p50\n`);
+		}
+
+		const direct = latenciesOf(directPath);
+		const through = latenciesOf(throughPath);
 		return {
-			bench: 'overhead', requests, concurrency, direct, through,
-			ratios: {p50: through.p50Ms / direct.p50Ms, p99: through.p99Ms / direct.p99Ms, requestsPerSecond: through.requestsPerSecond / direct.requestsPerSecond},
+			bench: 'overhead', requests: rounds * requestsPerRound, concurrency, direct, through,
+			addedMs: {p50: ratio(through.p50Ms - direct.p50Ms, 1), p99: ratio(through.p99Ms - direct.p99Ms, 1)},
+			ratios: {p50: ratio(through.p50Ms, direct.p50Ms), p99: ratio(through.p99Ms, direct.p99Ms), requestsPerSecond: ratio(through.requestsPerSecond, direct.requestsPerSecond)},
 		};
 	} finally {
+		directPath.pool.destroy();
+		throughPath.pool.destroy();
 		await cluster.close();
 	}
 };
--- /dev/null
+++ b/packages/bench/src/processes.ts
@@ -0,0 +1,129 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {createServer, type AddressInfo} from 'node:net';
+import os from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import {fileURLToPath} from 'node:url';
+import {sendLine, waitUntil} from '@bitternpaddle/daemon';
+
+/** The smallest whole system as production has it: each role a process of its own. */
+export type ProcessCluster = {
+	readonly entryAddress: string;
+	readonly engineAddress: string;
+	close(): Promise<void>;
+};
+
+export type ProcessClusterOptions = {
+	/** Where entry and agent write their `--cpu-prof`; without it none is written. */
+	readonly profileFolder?: string;
+};
+
+const daemonFile = fileURLToPath(new URL('../../daemon/bin/bitternpaddled.js', import.meta.url));
+const adminToken = 'bench-token';
+export const benchTeamKey = 'bench-key';
+const weightsBytes = 100_000;
+
+/** Started processes, so that all are ended by their id. */
+type Started = {readonly child: ChildProcess; readonly lines: string[]};
+
+const start = (flags: readonly string[], nodeFlags: readonly string[] = []): Started => {
+	const child = spawn(process.execPath, [...nodeFlags, daemonFile, ...flags], {stdio: ['ignore', 'pipe', 'pipe']});
+	const lines: string[] = [];
+	for (const stream of [child.stdout, child.stderr]) {
+		createInterface({input: stream}).on('line', line => {
+			lines.push(line);
+		});
+	}
+
+	return {child, lines};
+};
+
+const lineOf = async ({lines}: Started, pattern: RegExp): Promise<string> => {
+	let found: string | undefined;
+	await waitUntil(String(pattern), () => {
+		found = lines.map(line => pattern.exec(line)?.[1]).find(match => match !== undefined);
+		return found !== undefined;
+	});
+	return found!;
+};
+
+const freePort = async (): Promise<number> => new Promise(resolve => {
+	const server = createServer().listen(0, '127.0.0.1', () => {
+		const {port} = server.address() as AddressInfo;
+		server.close(() => {
+			resolve(port);
+		});
+	});
+});
+
+const stop = async ({child}: Started): Promise<void> => {
+	if (child.exitCode !== null) {
+		return;
+	}
+
+	const ended = new Promise(resolve => {
+		child.once('exit', resolve);
+	});
+	child.kill('SIGTERM');
+	await ended;
+};
+
+export const createProcessCluster = async ({profileFolder}: ProcessClusterOptions = {}): Promise<ProcessCluster> => {
+	const folder = await mkdtemp(path.join(os.tmpdir(), 'bitternpaddle-bench-'));
+	const weightsFile = path.join(folder, 'weights.bin');
+	await writeFile(weightsFile, new Uint8Array(weightsBytes).fill(7));
+	const controls = `c1=127.0.0.1:${await freePort()}`;
+	const profile = profileFolder === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${profileFolder}`];
+	const engine = start(['fake', 'engine']);
+	const origin = start(['fake', 'origin', weightsFile]);
+	const engineAddress = await lineOf(engine, /listens on (\S+)/v);
+	const originAddress = await lineOf(origin, /listens on (\S+)/v);
+	const manifestId = await lineOf(origin, /(sha256:\w+)/v);
+	const control = start(['run', '--roles', 'control', '--host-id', 'c1', '--listen', controls.slice(3), '--controls', controls, '--data-folder', path.join(folder, 'c1')]);
+	const entry = start(['run', '--roles', 'entry', '--host-id', 'e1', '--controls', controls, '--admin-tokens', `administer:${adminToken}`], profile);
+	const agent = start([
+		'run',
+		'--roles',
+		'agent',
+		'--host-id',
+		'h1',
+		'--controls',
+		controls,
+		'--endpoint',
+		engineAddress,
+		'--origin',
+		originAddress,
+		'--data-folder',
+		path.join(folder, 'h1'),
+		'--capacity',
+		'256',
+	], profile);
+	const entryAddress = await lineOf(entry, /"address":"([^"]+)"/v);
+	const admin = {address: entryAddress, token: adminToken};
+	const rowCount = async (line: string): Promise<number> => (await sendLine({...admin, line})).body.rows?.length ?? 0;
+	await waitUntil('the agent joined', async () => await rowCount('show hosts where role = agent') === 1);
+	for (const line of [
+		`create team bench key ${benchTeamKey}`,
+		'create model pitch-desk',
+		`create version pitch-desk:v1 from manifest ${manifestId}`,
+		'create fleet bench provider default for pitch-desk:v1 replicas 1',
+		'load pitch-desk:v1 on fleet bench',
+	]) {
+		await sendLine({...admin, line});
+	}
+
+	await waitUntil('the replica is ready', async () => await rowCount('show replicas where ready = true') === 1);
+	return {
+		entryAddress, engineAddress,
+		async close() {
+			// An agent says goodbye to control, so control is the last of them.
+			for (const started of [entry, agent, control, engine, origin]) {
+				await stop(started);
+			}
+
+			await rm(folder, {recursive: true, force: true});
+		},
+	};
+};
