--- a/packages/daemon/src/dev/create-dev-cluster.ts
+++ b/packages/daemon/src/dev/create-dev-cluster.ts
@@ -1,7 +1,7 @@
 import {mkdtemp, rm} from 'node:fs/promises';
 import os from 'node:os';
 import path from 'node:path';
-import {createRandom} from '@bitternpaddle/coordination';
+import {createRandom, type AdmissionOptions} from '@bitternpaddle/coordination';
 import {
 	createFakeEngine, createFakeOrigin, createFakeService, type FakeEngine, type FakeOrigin, type FakeService,
 } from '@bitternpaddle/test-support';
@@ -38,6 +38,8 @@
 	readonly adminTokens?: readonly AdminToken[];
 	/** How many of the engines, from the first on, are at the provider `old`. @default 0 */
 	readonly oldEngines?: number;
+	/** Limits and bounds of the entries' queues. @default {} */
+	readonly limits?: AdmissionOptions;
 	readonly recordFile?: string;
 	readonly logger?: Logger;
 };
@@ -64,7 +66,7 @@
 export const createDevCluster = async (options: DevClusterOptions = {}): Promise<DevCluster> => {
 	const {
 		controls: controlCount = 3, entries: entryCount = 2, engines: engineCount = 7, weightsBytes = 1024 * 1024, chunkSizeBytes = 64 * 1024,
-		listen = '127.0.0.1:0', adminToken = devAdminToken, adminTokens = [], oldEngines = 0, recordFile, logger,
+		listen = '127.0.0.1:0', adminToken = devAdminToken, adminTokens = [], oldEngines = 0, recordFile, limits, logger,
 	} = options;
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'bitternpaddle-dev-'));
 	const origin = await createFakeOrigin();
@@ -79,8 +81,8 @@
 	})));
 	const controlAddresses = controls.map(control => control.address);
 	const entries = await Promise.all(Array.from({length: entryCount}, async (_, index) => createEntryNode({
-		entryId: `entry-${index + 1}`, controls: controlAddresses, listen: index === 0 ? listen : '127.0.0.1:0', logger,
-		adminTokens: [{role: 'administer', token: adminToken}, ...adminTokens],
+		entryId: `entry-${index + 1}`, ...cascadiaHalls[index % cascadiaHalls.length]!, controls: controlAddresses,
+		listen: index === 0 ? listen : '127.0.0.1:0', adminTokens: [{role: 'administer', token: adminToken}, ...adminTokens], limits, logger,
 	})));
 	const engines = await Promise.all(Array.from({length: engineCount}, async () => createFakeEngine()));
 	const agents = await Promise.all(engines.map(async (engine, index) => createAgentNode({
