fix(state): refuse a command id that comes again with another change

Cause: a kept result was found by the command id alone. Two orders that were named alike by mistake both got the first one's result: the second seemed accepted and was never carried out.

Another change under the id is refused (`conflict`); the message names the id, what became of the first, and the change that was not carried out. The expected revision isn't part of the digest: who lost an answer may read a newer revision before the resend, and must still learn the first result. Nothing else in the ledger changes on a refusal.

--- a/packages/bench/src/capacity/measure-state.ts
+++ b/packages/bench/src/capacity/measure-state.ts
@@ -63,6 +63,7 @@
 	for (let index = 0; index < results; index++) {
 		const commandId = `command-${index}-${'x'.repeat(20)}`;
 		ledger.results[commandId] = {type: 'accepted', revision: index};
+		ledger.resultDigests![commandId] = index.toString(16).padStart(32, '0');
 		ledger.resultOrder.push(commandId);
 	}
 
--- a/packages/state/src/catalog/apply-command.ts
+++ b/packages/state/src/catalog/apply-command.ts
@@ -1,7 +1,8 @@
 import {applyChange} from './apply-change.js';
 import {applyClaim, concludeClaim, moveClaim} from './claims.js';
+import {digestOf} from './digest.js';
 import type {
-	Catalog, Command, CommandResult, Ledger,
+	Catalog, Change, Command, CommandResult, Ledger,
 } from './types.js';
 
 /** Results kept for resends; older ones are forgotten, oldest first. */
@@ -12,23 +13,43 @@
 /**
  * Applies one committed command. A command id that was applied before gives
  * its first result again: without this, an operator who lost the answer and
- * resends would run the order twice.
+ * resends would run the order twice. Under the id of another change it is
+ * refused: without this, its sender would take the other's result for its own.
  */
 export const applyCommand = (state: ReplicatedState, command: Command, index: number): CommandResult => {
-	const {ledger} = state;
+	const {catalog, ledger} = state;
 	// Only own properties: an id such as `constructor` would otherwise seem to have been applied before.
 	if (command.commandId !== null && Object.hasOwn(ledger.results, command.commandId)) {
-		return ledger.results[command.commandId]!;
+		const first = ledger.results[command.commandId]!;
+		return isOfChange(ledger, command.commandId, command.change) ? first : refuseClash(catalog, command, first);
 	}
 
 	const result = applyOnce(state, command, index);
 	if (command.commandId !== null) {
-		rememberResult(ledger, command.commandId, result);
+		rememberResult(ledger, command.commandId, command.change, result);
 	}
 
 	return result;
 };
 
+/**
+ * Half a SHA-256 over the change alone, in hexadecimal. The expected revision
+ * isn't part of it: who lost the answer may read a newer one before the resend.
+ */
+const changeDigest = (change: Change): string => digestOf(change).slice(0, 32);
+
+/** A result from a snapshot without digests is taken to be of the same change, as it was when it was kept. */
+const isOfChange = ({resultDigests = {}}: Ledger, commandId: string, change: Change): boolean =>
+	!Object.hasOwn(resultDigests, commandId) || resultDigests[commandId] === changeDigest(change);
+
+const refuseClash = (catalog: Catalog, {commandId, change}: Command, first: CommandResult): CommandResult => {
+	const outcome = 'revision' in first ? `${first.type} at revision ${first.revision}` : first.type;
+	return {
+		type: 'refused', code: 'conflict', revision: catalog.revision,
+		message: `command id ${commandId} already stands for another change (${outcome}); this ${change.type} was not carried out: give it an id of its own`,
+	};
+};
+
 const applyOnce = ({catalog, ledger}: ReplicatedState, {change, ifRevision}: Command, index: number): CommandResult => {
 	if (change.type === 'claim') {
 		return applyClaim(ledger, change);
@@ -58,12 +79,16 @@
 		: {type: 'refused', ...refusal, revision: catalog.revision};
 };
 
-const rememberResult = (ledger: Ledger, commandId: string, result: CommandResult): void => {
+const rememberResult = (ledger: Ledger, commandId: string, change: Change, result: CommandResult): void => {
+	ledger.resultDigests ??= {};
 	ledger.results[commandId] = result;
+	ledger.resultDigests[commandId] = changeDigest(change);
 	ledger.resultOrder.push(commandId);
 	if (ledger.resultOrder.length > keptResults) {
 		const oldest = ledger.resultOrder.shift()!;
 		// eslint-disable-next-line @typescript-eslint/no-dynamic-delete
 		delete ledger.results[oldest];
+		// eslint-disable-next-line @typescript-eslint/no-dynamic-delete
+		delete ledger.resultDigests[oldest];
 	}
 };
--- a/packages/state/src/catalog/create-catalog.ts
+++ b/packages/state/src/catalog/create-catalog.ts
@@ -14,5 +14,5 @@
 });
 
 export const createLedger = (): Ledger => ({
-	claims: {}, claimOrder: [], claimBodies: [], claimBodyBytes: 0, claimClockMs: 0, results: {}, resultOrder: [],
+	claims: {}, claimOrder: [], claimBodies: [], claimBodyBytes: 0, claimClockMs: 0, results: {}, resultDigests: {}, resultOrder: [],
 });
--- a/packages/state/src/catalog/types.ts
+++ b/packages/state/src/catalog/types.ts
@@ -252,6 +252,8 @@
 	/** The latest time that a claim has named. */
 	claimClockMs: number;
 	results: Record<string, CommandResult>;
+	/** What change each kept result is about, as `changeDigest` gives it. Older snapshots have none, or not for all results. */
+	resultDigests?: Record<string, string>;
 	/** Command ids in the order of acceptance, for bounded memory. */
 	resultOrder: string[];
 };
--- a/packages/state/test/apply-command.test.ts
+++ b/packages/state/test/apply-command.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import {
-	applyCommand, canonicalJson, commandId, createCatalog, createLedger, fleetId, hostId, manifestId, modelId, regionId, serviceId, versionId, zoneId,
+	applyCommand, canonicalJson, commandId, createCatalog, createLedger, fleetId, hostId, keptResults, manifestId, modelId, regionId, serviceId, versionId, zoneId,
 	type Change, type ReplicatedState,
 } from '@bitternpaddle/state';
 
@@ -51,6 +51,48 @@
 	t.equal(state.catalog.revision, 2);
 });
 
+// A script names two orders alike by mistake. What its operator must see: the
+// second is refused, and told why. Without the digest that is kept with the
+// first result the second seemed accepted, and was never carried out.
+t.test('a command id that comes again with another change is refused', async t => {
+	const state = createState();
+	const command = (change: Change) => ({commandId: commandId('nightly'), ifRevision: null, change});
+	const first = applyCommand(state, command(session[0]!), 1);
+	const restarted = JSON.parse(canonicalJson(state)) as ReplicatedState;
+	for (const one of [state, restarted]) {
+		const before = canonicalJson(one);
+		t.same(applyCommand(one, command({type: 'createModel', modelId: modelId('other')}), 2), {
+			type: 'refused', code: 'conflict', revision: 1,
+			message: 'command id nightly already stands for another change (accepted at revision 1); this createModel was not carried out: give it an id of its own',
+		});
+		t.same(applyCommand(one, {...command(session[0]!), ifRevision: 1}, 3), first, 'the same change still gets its first result');
+		t.equal(canonicalJson(one), before, 'and nothing is changed');
+	}
+});
+
+t.test('the digest of a change is forgotten together with its result', async t => {
+	const state = createState();
+	for (let index = 1; index <= keptResults + 1; index++) {
+		applyCommand(state, {commandId: commandId(`c${index}`), ifRevision: null, change: {type: 'noop'}}, index);
+	}
+
+	t.equal(Object.keys(state.ledger.results).length, keptResults);
+	t.same(Object.keys(state.ledger.resultDigests!), Object.keys(state.ledger.results));
+	t.match(applyCommand(state, {commandId: commandId('c1'), ifRevision: null, change: session[0]!}, keptResults + 2), {type: 'accepted'});
+});
+
+// A control host starts from a snapshot of an older version, which kept no
+// digests. Its results answer resends as before; new ones are held to their change.
+t.test('a snapshot without digests is read', async t => {
+	const state = createState();
+	const first = applyCommand(state, {commandId: commandId('old'), ifRevision: null, change: session[0]!}, 1);
+	const {resultDigests: _, ...ledger} = state.ledger;
+	const older = JSON.parse(canonicalJson({...state, ledger})) as ReplicatedState;
+	t.same(applyCommand(older, {commandId: commandId('old'), ifRevision: null, change: session[1]!}, 2), first);
+	applyCommand(older, {commandId: commandId('new'), ifRevision: null, change: session[1]!}, 3);
+	t.match(applyCommand(older, {commandId: commandId('new'), ifRevision: null, change: session[0]!}, 4), {type: 'refused', code: 'conflict'});
+});
+
 // Two operators read revision 1 and both order under it. One wins; the other
 // is told which revision won and its order changes nothing.
 t.test('of two operators under equal revisions one wins', async t => {
