fix(coordination): remove a voter whose disk is lost before adding another

Cause: a lost voter's replacement was added first, always. If the voter's disk is gone and the chosen spare loses its disk before the entry that adds it is committed, that entry needs three of four of which two never come back: nothing is accepted any more.

Change: `planMembers` removes a voter whose host is heard under another id (it never votes again, so the others can lose no less without it) and adds the replacement next. A voter that is only silent is replaced by adding first, as before. One voter a change and the guards on changes of members are as they were.

Ruled out: promoting only after a fresh answer (shorter window, still open), joint quorums. Price and what stays open: docs/design/0011.

--- a/packages/coordination/src/consensus/plan-members.ts
+++ b/packages/coordination/src/consensus/plan-members.ts
@@ -28,9 +28,10 @@
 const learnerLossFactor = 4;
 
 /**
- * The next change of members, or `null`. One at a time: a lost voter's
- * replacement is added first, and the lost one removed next, so that while
- * there are four, a lost voter that returns still counts (see
+ * The next change of members, or `null`. One at a time: a silent voter's
+ * replacement is added first, and the silent one removed next, so that while
+ * there are four, a voter that returns still counts. One that can't return,
+ * since its disk is lost, is removed first (see
  * docs/design/0011-replace-a-voter.md).
  */
 export const planMembers = (options: PlanMembersOptions): Members | null => {
@@ -47,7 +48,7 @@
 	const view: View = {
 		...options, replaceAfterMs, members, liveStandbys,
 	};
-	return removeSurplus(view) ?? promoteLearner(view) ?? changeLearners(view);
+	return removeSurplus(view) ?? removeGone(view) ?? promoteLearner(view) ?? changeLearners(view);
 };
 
 const answeredAtMs = ({state}: View, member: string): number => state.peers.get(member)?.answeredSentAtMs ?? Number.NEGATIVE_INFINITY;
@@ -80,6 +81,18 @@
 	return {voters: members.voters.filter(voter => voter !== removed), learners};
 };
 
+/**
+ * Removes a voter that is gone for good before another is added. It never
+ * votes again, so the others can lose no less without it than with it. Were its
+ * replacement added first and lost before that is committed, two of four would
+ * be gone and nothing accepted any more.
+ */
+const removeGone = (view: View): Members | null => {
+	const {members, state} = view;
+	const gone = members.voters.find(voter => voter !== state.selfId && hasLostDisk(view, voter));
+	return gone === undefined ? null : {voters: members.voters.filter(voter => voter !== gone), learners: members.learners};
+};
+
 const promoteLearner = (view: View): Members | null => {
 	const {members, voterCount, state, nowMs} = view;
 	const isNeeded = members.voters.length < voterCount || members.voters.some(voter => isLost(view, voter));
--- a/packages/coordination/test/repair.test.ts
+++ b/packages/coordination/test/repair.test.ts
@@ -130,6 +130,34 @@
 	t.ok(accepts(simulation));
 });
 
+// A voter's disk is lost, and then the disk of the spare that is taken for it,
+// at any moment of the repair. The operator's next change is accepted all the
+// same. Were the spare added while the voter that is gone for good still
+// counts, three of four would be needed and two of them never come back.
+t.test('a spare that loses its disk while it replaces a lost disk', async t => {
+	for (let momentMs = 0; momentMs <= 4000; momentMs += 50) {
+		const {simulation, lost} = createGroup();
+		const spare = simulation.hosts.map(({id}) => hostOfMember(id)).find(id => !voterHosts(simulation).includes(id))!;
+		simulation.loseDisk(nodeOf(simulation, lost));
+		for (let passedMs = 0; passedMs < momentMs; passedMs += 50) {
+			simulation.settle();
+			simulation.run(50, false);
+		}
+
+		const isVoter = simulation.leader()?.state.members.voters.includes(nodeOf(simulation, spare).id);
+		const isCommitted = simulation.leader()?.state.commitIndex === simulation.leader()?.state.entries.at(-1)?.index;
+		if (isVoter && isCommitted) {
+			t.ok(momentMs > 1000, 'the repair was met at each step before');
+			break;
+		}
+
+		simulation.loseDisk(nodeOf(simulation, spare));
+		simulation.run(8000, true);
+		t.ok(accepts(simulation), `${momentMs} ms after the first loss`);
+		t.equal(simulation.leader()?.state.members.voters.length, 3);
+	}
+});
+
 // Nobody stands by. The lost voter stays a voter, so that it counts when it returns.
 t.test('without a spare nothing changes', async t => {
 	const {simulation, lost} = createGroup(['a', 'b', 'c']);
