fix(swarm): liars, restarted neighbours and a cut origin no longer mislead drawers

Change: a chunk that no neighbour has any more, or only one whose last fetch failed, goes back to its owner; a neighbour that failed four times in a row is left out for 30 s with all that it announced; a greeting is marked as such, replaces what was known and is answered; a drawer is suspected only by the time in which others had progress; the origin's rest stays below the takeover time; the store is asked at once when the origin fails; limits (429) travel with the announcements, unreachability does not.

--- a/packages/bench/src/capacity/measure-swarm.ts
+++ b/packages/bench/src/capacity/measure-swarm.ts
@@ -24,7 +24,9 @@
 		const {state} = createMember(peers[0]!, peers, chunks);
 		const all = Array.from({length: chunks}, (_, index) => index);
 		for (const hostId of state.neighbours.keys()) {
-			stepSwarm(state, {type: 'peerHas', hostId, chunks: all}, 0);
+			stepSwarm(state, {
+				type: 'peerHas', hostId, chunks: all, isGreeting: false,
+			}, 0);
 		}
 
 		return state;
@@ -48,7 +50,9 @@
 		for (const {from, effect} of delivered) {
 			if (effect.type === 'announce') {
 				for (const to of effect.to) {
-					const answers = stepSwarm(members.get(to)!, {type: 'peerHas', hostId: from, chunks: effect.chunks}, 0);
+					const answers = stepSwarm(members.get(to)!, {
+						type: 'peerHas', hostId: from, chunks: effect.chunks, isGreeting: effect.isGreeting,
+					}, 0);
 					mail.push(...answers.map(answer => ({from: to, effect: answer})));
 				}
 			}
@@ -70,7 +74,9 @@
 	const {state} = createMember(peers[0]!, peers, chunks);
 	const all = Array.from({length: chunks}, (_, index) => index);
 	for (const hostId of state.neighbours.keys()) {
-		stepSwarm(state, {type: 'peerHas', hostId, chunks: all}, 0);
+		stepSwarm(state, {
+			type: 'peerHas', hostId, chunks: all, isGreeting: false,
+		}, 0);
 	}
 
 	return millisecondsOf(() => {
--- a/packages/bench/src/distribution/random-policy.ts
+++ b/packages/bench/src/distribution/random-policy.ts
@@ -77,7 +77,9 @@
 		fetches.delete(chunk);
 		held.add(chunk);
 		holders.delete(chunk);
-		const effects: SwarmEffect[] = [{type: 'announce', to: neighbours, chunks: [chunk]}];
+		const effects: SwarmEffect[] = [{
+			type: 'announce', to: neighbours, chunks: [chunk], isGreeting: false,
+		}];
 		if (held.size === totalChunks) {
 			effects.push({type: 'complete'});
 		}
--- a/packages/bench/src/distribution/static-policies.ts
+++ b/packages/bench/src/distribution/static-policies.ts
@@ -42,7 +42,11 @@
 			case 'stored': {
 				running--;
 				held++;
-				const effects: SwarmEffect[] = children.length === 0 ? [] : [{type: 'announce', to: children, chunks: [event.chunk]}];
+				const effects: SwarmEffect[] = children.length === 0
+					? []
+					: [{
+						type: 'announce', to: children, chunks: [event.chunk], isGreeting: false,
+					}];
 				if (held === totalChunks) {
 					effects.push({type: 'complete'});
 				}
--- a/packages/bench/src/distribution/swarm-run.ts
+++ b/packages/bench/src/distribution/swarm-run.ts
@@ -152,7 +152,7 @@
 			}
 
 			case 'announce': {
-				announce(world, host, effect.to, effect.chunks);
+				announce(world, host, effect);
 				break;
 			}
 
@@ -179,8 +179,10 @@
 	}
 };
 
+type Announce = Extract<SwarmEffect, {type: 'announce'}>;
+
 /** One action for all targets at the same distance. */
-const announce = (world: World, host: Host, to: readonly string[], chunks: readonly number[]): void => {
+const announce = (world: World, host: Host, {to, chunks, isGreeting}: Announce): void => {
 	const {time, model, hosts} = world;
 	const targetsByLatency = new Map<number, Host[]>();
 	for (const hostId of to) {
@@ -199,7 +201,9 @@
 	for (const [latencyMs, targets] of targetsByLatency) {
 		time.at(time.nowMs + latencyMs, () => {
 			for (const target of targets) {
-				dispatch(world, target, {type: 'peerHas', hostId: host.peer.hostId, chunks});
+				dispatch(world, target, {
+					type: 'peerHas', hostId: host.peer.hostId, chunks, isGreeting,
+				});
 			}
 		});
 	}
--- a/packages/coordination/src/swarm/exchange.ts
+++ b/packages/coordination/src/swarm/exchange.ts
@@ -1,14 +1,16 @@
 import {addHolder, removeHolder} from './chunk-picker.js';
 import {chooseNeighbours} from './neighbours.js';
-import {noteSeen} from './origin-tickets.js';
+import {noteLost, noteSeen, reclaim} from './origin-tickets.js';
 import type {
-	FailureReason, Neighbour, SwarmEffect, SwarmState,
+	FailureReason, Neighbour, SwarmEffect, SwarmEvent, SwarmState,
 } from './types.js';
 
 /** A neighbour that failed this often in a row gives its place to another. */
 const replaceAfterFailures = 4;
 const restMs = 200;
 const maxRestMs = 10_000;
+/** A neighbour that was replaced is not taken back before this time. */
+const avoidMs = 30_000;
 const defaultBusyMs = 50;
 /** A busy neighbour is asked again after this share of a usual fetch; sooner costs messages and gains nothing. */
 const busyRestFactor = 0.5;
@@ -21,27 +23,36 @@
 	return neighbour;
 };
 
+const loseHolder = (state: SwarmState, chunk: number): void => {
+	removeHolder(state.picker, chunk);
+	if (state.picker.holders[chunk] === 0 && !state.held.has(chunk)) {
+		noteLost(state.tickets, chunk);
+	}
+};
+
 const dropNeighbour = (state: SwarmState, neighbour: Neighbour): void => {
 	for (const [chunk, has] of neighbour.have.entries()) {
 		if (has === 1) {
-			removeHolder(state.picker, chunk);
+			loseHolder(state, chunk);
 		}
 	}
 
 	state.neighbours.delete(neighbour.hostId);
 };
 
+const isLeftOut = ({setAside, avoidedUntilMs}: SwarmState, hostId: string, nowMs: number): boolean => setAside.has(hostId)
+	|| (avoidedUntilMs.get(hostId) ?? 0) > nowMs;
+
 /** Chooses neighbours anew among the living and greets those that are new. */
-export const greetNewNeighbours = (state: SwarmState): SwarmEffect[] => {
+export const greetNewNeighbours = (state: SwarmState, nowMs: number): SwarmEffect[] => {
 	const {self, manifestId, maxNeighbours} = state.options;
 	for (const neighbour of state.neighbours.values()) {
-		if (!state.peers.has(neighbour.hostId) || state.setAside.has(neighbour.hostId)) {
+		if (!state.peers.has(neighbour.hostId) || isLeftOut(state, neighbour.hostId, nowMs)) {
 			dropNeighbour(state, neighbour);
 		}
 	}
 
-	const usable = [...state.peers.values()].filter(({hostId}) => !state.setAside.has(hostId)
-		&& (state.neighbours.get(hostId)?.failures ?? 0) < replaceAfterFailures);
+	const usable = [...state.peers.values()].filter(({hostId}) => !isLeftOut(state, hostId, nowMs));
 	const chosen = new Set(chooseNeighbours({
 		self, manifestId, peers: usable, count: maxNeighbours,
 	}));
@@ -57,12 +68,18 @@
 		neighbour.isChosen = chosen.has(neighbour.hostId);
 	}
 
-	return greeted.length === 0 ? [] : [{type: 'announce', to: greeted, chunks: [...state.held]}];
+	return greeted.length === 0
+		? []
+		: [{
+			type: 'announce', to: greeted, chunks: [...state.held], isGreeting: true,
+		}];
 };
 
+type PeerHas = Extract<SwarmEvent, {type: 'peerHas'}>;
+
 /** A peer told what it has; one that this host did not choose becomes a neighbour while there is room. */
-export const hearPeer = (state: SwarmState, hostId: string, chunks: readonly number[], nowMs: number): SwarmEffect[] => {
-	if (!state.peers.has(hostId) || state.setAside.has(hostId)) {
+export const hearPeer = (state: SwarmState, {hostId, chunks, isGreeting}: PeerHas, nowMs: number): SwarmEffect[] => {
+	if (!state.peers.has(hostId) || isLeftOut(state, hostId, nowMs)) {
 		return [];
 	}
 
@@ -73,6 +90,10 @@
 
 	const neighbour = known ?? addNeighbour(state, hostId, false);
 	neighbour.isHeard = true;
+	if (isGreeting) {
+		restart(state, neighbour, chunks);
+	}
+
 	for (const chunk of chunks) {
 		if (neighbour.have[chunk] === 0) {
 			neighbour.have[chunk] = 1;
@@ -81,7 +102,27 @@
 		}
 	}
 
-	return known === undefined ? [{type: 'announce', to: [hostId], chunks: [...state.held]}] : [];
+	return known === undefined || isGreeting
+		? [{
+			type: 'announce', to: [hostId], chunks: [...state.held], isGreeting: false,
+		}]
+		: [];
+};
+
+/**
+ * A neighbour whose agent was restarted may have lost chunks that it announced
+ * before, and knows nothing of what this host has.
+ */
+const restart = (state: SwarmState, neighbour: Neighbour, chunks: readonly number[]): void => {
+	const kept = new Set(chunks);
+	neighbour.failures = 0;
+	neighbour.restUntilMs = 0;
+	for (const [chunk, has] of neighbour.have.entries()) {
+		if (has === 1 && !kept.has(chunk)) {
+			neighbour.have[chunk] = 0;
+			loseHolder(state, chunk);
+		}
+	}
 };
 
 export type PeerFailure = {
@@ -108,21 +149,54 @@
 	neighbour.restUntilMs = nowMs + Math.min(maxRestMs, restMs * (2 ** neighbour.failures));
 	if (reason === 'missing' && neighbour.have[chunk] === 1) {
 		neighbour.have[chunk] = 0;
-		removeHolder(state.picker, chunk);
+		loseHolder(state, chunk);
+	}
+
+	if (neighbour.failures === 1) {
+		reclaimDoubtful(state, neighbour);
 	}
 
 	if (reason === 'corrupt' || reason === 'missing') {
-		return countBadChunk(state, hostId);
+		return countBadChunk(state, hostId, nowMs);
+	}
+
+	if (neighbour.failures < replaceAfterFailures) {
+		return [];
+	}
+
+	state.avoidedUntilMs.set(hostId, nowMs + avoidMs);
+	return greetNewNeighbours(state, nowMs);
+};
+
+/**
+ * A peer that announces everything and delivers nothing would keep the owners
+ * of those chunks from the origin. From its first failure on its word alone
+ * does not count.
+ */
+const reclaimDoubtful = (state: SwarmState, neighbour: Neighbour): void => {
+	for (const [chunk, has] of neighbour.have.entries()) {
+		if (has === 1 && !isAvailable(state, chunk)) {
+			reclaim(state.tickets, chunk);
+		}
+	}
+};
+
+/** Whether a neighbour has the chunk that did not fail when last asked. */
+export const isAvailable = ({neighbours}: SwarmState, chunk: number): boolean => {
+	for (const {have, failures} of neighbours.values()) {
+		if (have[chunk] === 1 && failures === 0) {
+			return true;
+		}
 	}
 
-	return neighbour.failures >= replaceAfterFailures && neighbour.isChosen ? greetNewNeighbours(state) : [];
+	return false;
 };
 
 /**
  * Bad memory or a lie shows as wrong bytes again and again. Each such chunk
  * costs a whole transfer, so after a few the peer is not asked any more.
  */
-const countBadChunk = (state: SwarmState, hostId: string): SwarmEffect[] => {
+const countBadChunk = (state: SwarmState, hostId: string, nowMs: number): SwarmEffect[] => {
 	const bad = (state.badChunks.get(hostId) ?? 0) + 1;
 	state.badChunks.set(hostId, bad);
 	if (bad < state.options.maxBadChunks) {
@@ -130,5 +204,5 @@
 	}
 
 	state.setAside.add(hostId);
-	return [{type: 'setAside', hostId}, ...greetNewNeighbours(state)];
+	return [{type: 'setAside', hostId}, ...greetNewNeighbours(state, nowMs)];
 };
--- a/packages/coordination/src/swarm/origin-tickets.ts
+++ b/packages/coordination/src/swarm/origin-tickets.ts
@@ -12,8 +12,14 @@
 	readonly drawers: readonly string[];
 	/** Drawers without progress while others had some; their chunks are taken over. */
 	readonly suspects: Set<string>;
-	/** Chunks of each drawer that no neighbour has announced, and when that last changed. */
-	readonly unseen: Map<string, {count: number; progressAtMs: number}>;
+	/** Chunks of each drawer that no neighbour has announced, and the last change of that: when, and at which `activeMs`. */
+	readonly unseen: Map<string, {count: number; progressAtMs: number; progressAtActiveMs: number}>;
+	/** How long, all in all, some drawer had progress. */
+	activeMs: number;
+	/** When any drawer last had progress. */
+	progressAtMs: number;
+	/** A longer silence of all drawers is not counted as time in which there was progress. */
+	readonly gapMs: number;
 	/** 1 for each chunk that was once seen at a neighbour or here. */
 	readonly seen: Uint8Array;
 	/** Owner of each chunk when no drawer is suspected. */
@@ -31,14 +37,15 @@
 	readonly totalChunks: number;
 	readonly drawers: number;
 	readonly seen: Uint8Array;
+	readonly gapMs: number;
 	readonly nowMs: number;
 };
 
 export const createOriginTickets = (options: CreateOriginTicketsOptions): OriginTickets => {
-	const {selfId, hostIds, manifestId, totalChunks, seen, nowMs} = options;
+	const {selfId, hostIds, manifestId, totalChunks, seen, gapMs, nowMs} = options;
 	const drawers = rendezvousOrder(`${manifestId}/origin`, hostIds).slice(0, options.drawers);
 	const owners: string[] = [];
-	const unseen = new Map(drawers.map(hostId => [hostId, {count: 0, progressAtMs: nowMs}]));
+	const unseen = new Map(drawers.map(hostId => [hostId, {count: 0, progressAtMs: nowMs, progressAtActiveMs: 0}]));
 	for (let chunk = 0; chunk < totalChunks; chunk++) {
 		const owner = ownerOrder(manifestId, chunk, drawers)[0]!;
 		owners.push(owner);
@@ -48,7 +55,7 @@
 	}
 
 	const tickets: OriginTickets = {
-		drawers, suspects: new Set(), unseen, seen, owners, ownChunks: [], ranks: new Int16Array(totalChunks).fill(-1),
+		drawers, suspects: new Set(), unseen, activeMs: 0, progressAtMs: nowMs, gapMs, seen, owners, ownChunks: [], ranks: new Int16Array(totalChunks).fill(-1),
 	};
 	rankChunks(tickets, manifestId, selfId);
 	return tickets;
@@ -74,8 +81,28 @@
 
 	tickets.seen[chunk] = 1;
 	const record = tickets.unseen.get(tickets.owners[chunk]!)!;
+	tickets.activeMs += Math.min(tickets.gapMs, nowMs - tickets.progressAtMs);
+	tickets.progressAtMs = nowMs;
 	record.count--;
 	record.progressAtMs = nowMs;
+	record.progressAtActiveMs = tickets.activeMs;
+};
+
+/** Nobody around has the chunk any more; its owner draws it again. */
+export const noteLost = (tickets: OriginTickets, chunk: number): void => {
+	if (tickets.seen[chunk] === 1) {
+		tickets.seen[chunk] = 0;
+		tickets.unseen.get(tickets.owners[chunk]!)!.count++;
+	}
+
+	reclaim(tickets, chunk);
+};
+
+/** Puts a chunk that this host owns back among those to draw. */
+export const reclaim = ({ranks, ownChunks}: OriginTickets, chunk: number): void => {
+	if (ranks[chunk] === 0) {
+		ownChunks.push(chunk);
+	}
 };
 
 export type SuspectOptions = {
@@ -89,18 +116,19 @@
 
 /**
  * Takes over from drawers that died or stalled. A drawer without progress
- * while others have some is at fault itself. When nobody has progress, the
- * origin may be cut, and taking over then would make several drawers ask for
- * each chunk once it is back: so only a single drawer is suspected, after a
- * longer wait, and only by a host that has no trouble with the origin.
+ * while others had some is at fault itself. Time in which nobody had progress
+ * does not count: the origin may have been cut, and if the drawers suspected
+ * each other for it, several would ask for each chunk once it is back. When
+ * only one is left, there is nobody to compare it with: it is given longer,
+ * and no host that has trouble with the origin itself takes over.
  */
 export const suspectDrawers = (tickets: OriginTickets, options: SuspectOptions): void => {
 	const {selfId, manifestId, takeoverMs, isOriginFailing, nowMs} = options;
 	const unfinished = [...tickets.unseen].filter(([hostId, {count}]) => count > 0 && !tickets.suspects.has(hostId));
-	const hasProgress = unfinished.some(([, {progressAtMs}]) => nowMs - progressAtMs < takeoverMs / 2);
-	const patienceMs = hasProgress ? takeoverMs : takeoverMs * lonePatienceFactor;
-	const stalled = unfinished.filter(([hostId, {progressAtMs}]) => hostId !== selfId && nowMs - progressAtMs > patienceMs);
-	if (stalled.length === 0 || (!hasProgress && (isOriginFailing || unfinished.length > 1))) {
+	const isAlone = unfinished.length === 1 && !isOriginFailing;
+	const stalled = unfinished.filter(([hostId, {progressAtMs, progressAtActiveMs}]) => hostId !== selfId
+		&& (tickets.activeMs - progressAtActiveMs > takeoverMs || (isAlone && nowMs - progressAtMs > takeoverMs * lonePatienceFactor)));
+	if (stalled.length === 0) {
 		return;
 	}
 
--- a/packages/coordination/src/swarm/schedule.ts
+++ b/packages/coordination/src/swarm/schedule.ts
@@ -1,4 +1,5 @@
 import {rendezvousOrder} from '../utils/rendezvous.js';
+import {isAvailable} from './exchange.js';
 import {pickChunk, setWanted} from './chunk-picker.js';
 import type {
 	ChunkSource, Neighbour, SwarmEffect, SwarmState,
@@ -52,12 +53,10 @@
 	// What a neighbour has comes from there; the ticket is for the first copy alone.
 	const {ownChunks} = state.tickets;
 	while (ownChunks.length > 0 && state.originFetches < maxOriginFetches) {
-		const chunk = ownChunks.at(-1)!;
-		if (isAbsent(state, chunk)) {
+		const chunk = ownChunks.pop()!;
+		if (state.picker.wanted[chunk] === 1 && !isAvailable(state, chunk)) {
 			start(state, effects, chunk, origin, nowMs);
 		}
-
-		ownChunks.pop();
 	}
 };
 
--- a/packages/coordination/src/swarm/swarm.ts
+++ b/packages/coordination/src/swarm/swarm.ts
@@ -11,9 +11,12 @@
 const minStallMs = 500;
 /** A fetch that takes this many times as long as usual has stalled. */
 const stallFactor = 6;
+/** Of the takeover time: a longer silence of all drawers is the origin's. */
+const activeGapShare = 1 / 4;
 const typicalWeight = 0.1;
 const originRestMs = 250;
-const maxOriginRestMs = 4000;
+/** Well below the takeover time: a drawer that rests longer than the others would seem dead to them. */
+const maxOriginRestMs = 800;
 
 export const createSwarm = (options: SwarmOptions): {state: SwarmState; effects: SwarmEffect[]} => {
 	const {
@@ -36,12 +39,13 @@
 		originFailures: 0,
 		originRestUntilMs: nowMs,
 		tickets: createOriginTickets({
-			selfId: self.hostId, hostIds: [self.hostId], manifestId, totalChunks, drawers, seen, nowMs,
+			selfId: self.hostId, hostIds: [self.hostId], manifestId, totalChunks, drawers, seen, nowMs, gapMs: takeoverMs * activeGapShare,
 		}),
 		typicalFetchMs: 0,
 		progressAtMs: nowMs,
 		badChunks: new Map(),
 		setAside: new Set(),
+		avoidedUntilMs: new Map(),
 		startedAtMs: nowMs,
 	};
 	for (const chunk of held) {
@@ -65,7 +69,7 @@
 export const stepSwarm = (state: SwarmState, event: SwarmEvent, nowMs: number): SwarmEffect[] => {
 	switch (event.type) {
 		case 'peerHas': {
-			return schedule(state, hearPeer(state, event.hostId, event.chunks, nowMs), nowMs);
+			return schedule(state, hearPeer(state, event, nowMs), nowMs);
 		}
 
 		case 'stored': {
@@ -87,12 +91,12 @@
 };
 
 const changePeers = (state: SwarmState, peers: readonly SwarmPeer[], nowMs: number): SwarmEffect[] => {
-	const {self, manifestId, totalChunks, drawers} = state.options;
+	const {self, manifestId, totalChunks, drawers, takeoverMs} = state.options;
 	state.peers = new Map(peers.filter(peer => peer.hostId !== self.hostId).map(peer => [peer.hostId, peer]));
 	state.tickets = createOriginTickets({
-		selfId: self.hostId, hostIds: [self.hostId, ...state.peers.keys()], manifestId, totalChunks, drawers, seen: state.tickets.seen, nowMs,
+		selfId: self.hostId, hostIds: [self.hostId, ...state.peers.keys()], manifestId, totalChunks, drawers, seen: state.tickets.seen, nowMs, gapMs: takeoverMs * activeGapShare,
 	});
-	return greetNewNeighbours(state);
+	return greetNewNeighbours(state, nowMs);
 };
 
 /** Ends the bookkeeping of one fetch; `null` when it was given up before. */
@@ -156,7 +160,9 @@
 	noteSeen(state.tickets, chunk, nowMs);
 	const to = [...state.neighbours.keys()];
 	if (to.length > 0) {
-		effects.push({type: 'announce', to, chunks: [chunk]});
+		effects.push({
+			type: 'announce', to, chunks: [chunk], isGreeting: false,
+		});
 	}
 
 	if (state.held.size === state.options.totalChunks) {
--- a/packages/coordination/src/swarm/types.ts
+++ b/packages/coordination/src/swarm/types.ts
@@ -77,13 +77,19 @@
 	progressAtMs: number;
 	readonly badChunks: Map<string, number>;
 	readonly setAside: Set<string>;
+	/** Peers that did not answer, and until when they are left out. */
+	readonly avoidedUntilMs: Map<string, number>;
 	readonly startedAtMs: number;
 };
 
 export type SwarmEvent
 	= | {readonly type: 'tick'}
 		| {readonly type: 'peersChanged'; readonly peers: readonly SwarmPeer[]}
-		| {readonly type: 'peerHas'; readonly hostId: string; readonly chunks: readonly number[]}
+		| {
+			readonly type: 'peerHas'; readonly hostId: string; readonly chunks: readonly number[];
+			/** The peer has just begun: `chunks` is all that it has, and it wants to know what this host has. */
+			readonly isGreeting: boolean;
+		}
 		| {readonly type: 'stored'; readonly chunk: number; readonly source: ChunkSource}
 		| {
 			readonly type: 'failed'; readonly chunk: number; readonly source: ChunkSource; readonly reason: FailureReason;
@@ -94,6 +100,6 @@
 export type SwarmEffect
 	= | {readonly type: 'fetch'; readonly chunk: number; readonly source: ChunkSource}
 		| {readonly type: 'cancel'; readonly chunk: number; readonly source: ChunkSource}
-		| {readonly type: 'announce'; readonly to: readonly string[]; readonly chunks: readonly number[]}
+		| {readonly type: 'announce'; readonly to: readonly string[]; readonly chunks: readonly number[]; readonly isGreeting: boolean}
 		| {readonly type: 'setAside'; readonly hostId: string}
 		| {readonly type: 'complete'};
--- a/packages/coordination/test/swarm.test.ts
+++ b/packages/coordination/test/swarm.test.ts
@@ -31,7 +31,9 @@
 		for (let nowMs = 0; nowMs <= 3000; nowMs += 500) {
 			const chunk = nowMs / 500;
 			if (!dead.includes(chunk)) {
-				stepSwarm(state, {type: 'peerHas', hostId: hostIds.find(hostId => hostId !== state.options.self.hostId)!, chunks: [chunk]}, nowMs);
+				stepSwarm(state, {
+					type: 'peerHas', hostId: hostIds.find(hostId => hostId !== state.options.self.hostId)!, chunks: [chunk], isGreeting: false,
+				}, nowMs);
 			}
 
 			const drawn = fetchesOf(stepSwarm(state, {type: 'tick'}, nowMs));
@@ -64,10 +66,16 @@
 
 t.test('the rarest chunk is fetched first', async t => {
 	const {state} = create('a', ['a', 'b', 'c', 'd'], {maxFetches: 1, maxOriginFetches: 0});
-	stepSwarm(state, {type: 'peerHas', hostId: 'b', chunks: []}, 0);
+	stepSwarm(state, {
+		type: 'peerHas', hostId: 'b', chunks: [], isGreeting: false,
+	}, 0);
 	state.peerFetches = 1;
-	stepSwarm(state, {type: 'peerHas', hostId: 'b', chunks: [1, 2]}, 1);
-	stepSwarm(state, {type: 'peerHas', hostId: 'c', chunks: [1, 2, 3]}, 1);
+	stepSwarm(state, {
+		type: 'peerHas', hostId: 'b', chunks: [1, 2], isGreeting: false,
+	}, 1);
+	stepSwarm(state, {
+		type: 'peerHas', hostId: 'c', chunks: [1, 2, 3], isGreeting: false,
+	}, 1);
 	state.peerFetches = 0;
 	t.match(fetchesOf(stepSwarm(state, {type: 'tick'}, 2)), [{chunk: 3, source: {type: 'peer', hostId: 'c'}}]);
 });
@@ -76,7 +84,9 @@
 // after three the host is put aside and never asked again.
 t.test('a peer that lies about its chunks is put aside', async t => {
 	const {state} = create('a', ['a', 'b'], {maxOriginFetches: 0, maxFetchesPerPeer: 1});
-	const pending = [...stepSwarm(state, {type: 'peerHas', hostId: 'b', chunks: [0, 1, 2, 3, 4]}, 0)];
+	const pending = [...stepSwarm(state, {
+		type: 'peerHas', hostId: 'b', chunks: [0, 1, 2, 3, 4], isGreeting: false,
+	}, 0)];
 	let asked = 0;
 	for (let nowMs = 0; nowMs < 60_000; nowMs += 1000) {
 		for (let effect = pending.shift(); effect !== undefined; effect = pending.shift()) {
@@ -99,9 +109,13 @@
 // the usual time, and the chunk comes from the next host that has it.
 t.test('a stalled fetch goes to another neighbour', async t => {
 	const {state} = create('a', ['a', 'b', 'c'], {maxFetches: 1, maxOriginFetches: 0});
-	const [first] = fetchesOf(stepSwarm(state, {type: 'peerHas', hostId: 'b', chunks: [0]}, 0));
+	const [first] = fetchesOf(stepSwarm(state, {
+		type: 'peerHas', hostId: 'b', chunks: [0], isGreeting: false,
+	}, 0));
 	t.match(first, {source: {hostId: 'b'}});
-	stepSwarm(state, {type: 'peerHas', hostId: 'c', chunks: [0]}, 0);
+	stepSwarm(state, {
+		type: 'peerHas', hostId: 'c', chunks: [0], isGreeting: false,
+	}, 0);
 	const effects = stepSwarm(state, {type: 'tick'}, 6000);
 	t.match(effects, [{type: 'cancel', source: {hostId: 'b'}}, {type: 'fetch', source: {hostId: 'c'}}]);
 });
--- a/packages/daemon/src/agent/announcer.ts
+++ b/packages/daemon/src/agent/announcer.ts
@@ -1,4 +1,4 @@
-import {hearRests, remainingRests} from '@bitternpaddle/coordination';
+import {hearLimits, remainingLimits} from '@bitternpaddle/coordination';
 import type {HaveParameters} from '@bitternpaddle/protocol';
 import type {ManifestId} from '@bitternpaddle/state';
 import {notifyRpc} from '@bitternpaddle/transport';
@@ -14,7 +14,7 @@
 
 /** Tells neighbours what this host has; what comes within a moment goes in one message to each. */
 export type Announcer = {
-	announce(to: readonly string[], chunks: readonly number[]): void;
+	announce(to: readonly string[], chunks: readonly number[], isGreeting: boolean): void;
 	close(): void;
 };
 
@@ -22,17 +22,17 @@
 const timeoutMs = 2000;
 
 export const createAnnouncer = ({selfId, selfAddress, manifestId, links, addressOf}: AnnouncerOptions): Announcer => {
-	const pending = new Map<string, number[]>();
+	const pending = new Map<string, {readonly chunks: number[]; readonly isGreeting: boolean}>();
 	let timer: NodeJS.Timeout | null = null;
 
 	const flush = (): void => {
 		timer = null;
-		const restsMs = remainingRests(links.rests, performance.now());
-		for (const [hostId, chunks] of pending) {
+		const limitsMs = remainingLimits(links.rests, performance.now());
+		for (const [hostId, {chunks, isGreeting}] of pending) {
 			const address = addressOf(hostId);
 			if (address !== undefined) {
 				const parameters: HaveParameters = {
-					from: selfId, address: selfAddress(), manifestId, chunks, restsMs,
+					from: selfId, address: selfAddress(), manifestId, chunks, isGreeting, limitsMs,
 				};
 				notifyRpc({
 					address, method: 'agent.have', params: parameters, timeoutMs,
@@ -44,9 +44,10 @@
 	};
 
 	return {
-		announce(to, chunks) {
+		announce(to, chunks, isGreeting) {
 			for (const hostId of to) {
-				pending.set(hostId, [...pending.get(hostId) ?? [], ...chunks]);
+				const before = pending.get(hostId);
+				pending.set(hostId, {chunks: [...before?.chunks ?? [], ...chunks], isGreeting: isGreeting || before?.isGreeting === true});
 			}
 
 			timer ??= setTimeout(flush, gatherMs);
@@ -58,6 +59,6 @@
 	};
 };
 
-export const hearAnnouncement = (links: TransferLinks, {restsMs}: HaveParameters): void => {
-	hearRests(links.rests, restsMs, performance.now());
+export const hearAnnouncement = (links: TransferLinks, {limitsMs}: HaveParameters): void => {
+	hearLimits(links.rests, limitsMs, performance.now());
 };
--- a/packages/daemon/src/agent/fetch-chunk.ts
+++ b/packages/daemon/src/agent/fetch-chunk.ts
@@ -1,6 +1,6 @@
 import type http from 'node:http';
 import {
-	chooseSource, restSource, type ChunkSource, type FailureReason, type WeightSource,
+	chooseSource, noteLimited, noteReached, noteUnreachable, type ChunkSource, type FailureReason, type WeightSource,
 } from '@bitternpaddle/coordination';
 import {hostHeader} from '@bitternpaddle/protocol';
 import {chunkRange, type Manifest, type ManifestId} from '@bitternpaddle/state';
@@ -33,7 +33,6 @@
 
 export const chunkPath = (manifestId: ManifestId, chunk: number): string => `/chunks/${manifestId}/${chunk}`;
 
-const unreachableRestMs = 500;
 const defaultLimitedRestMs = 1000;
 
 /** Fetches one chunk; the caller verifies it. */
@@ -84,21 +83,30 @@
 	return data.subarray(0, offset);
 };
 
+/** Asks the origin, and the store at once if the origin fails. */
 const fetchFromSources = async (options: FetchChunkOptions): Promise<FetchOutcome> => {
-	const {links, sources} = options;
-	const choice = chooseSource(links.rests, performance.now());
-	if (choice.type === 'wait') {
-		return {
-			type: 'failed', reason: 'busy', detail: 'the origin and the store want to be left alone', retryAfterMs: choice.waitMs,
-		};
-	}
+	const {links: {rests}, sources} = options;
+	let outcome: FetchOutcome = {type: 'failed', reason: 'busy', detail: 'the origin and the store want to be left alone'};
+	for (let choice = chooseSource(rests, performance.now()); choice.type === 'ask'; choice = chooseSource(rests, performance.now())) {
+		outcome = await fetchRange(options, sources[choice.source]!);
+		if (outcome.type === 'data') {
+			noteReached(rests, choice.source);
+			return outcome;
+		}
 
-	const outcome = await fetchRange(options, sources[choice.source]!);
-	if (outcome.type === 'failed') {
-		restSource(links.rests, choice.source, outcome.retryAfterMs ?? unreachableRestMs, performance.now());
+		if (options.signal.aborted) {
+			return outcome;
+		}
+
+		if (outcome.retryAfterMs === undefined) {
+			noteUnreachable(rests, choice.source, performance.now());
+		} else {
+			noteLimited(rests, choice.source, outcome.retryAfterMs, performance.now());
+		}
 	}
 
-	return outcome;
+	const choice = chooseSource(rests, performance.now());
+	return {...outcome, retryAfterMs: choice.type === 'wait' ? choice.waitMs : 0};
 };
 
 const fetchRange = async (options: FetchChunkOptions, address: string): Promise<FetchOutcome> => {
--- a/packages/daemon/src/agent/transfer.ts
+++ b/packages/daemon/src/agent/transfer.ts
@@ -63,8 +63,8 @@
 				.with({type: 'cancel'}, ({chunk, source}) => {
 					aborts.get(fetchKey(chunk, source))?.abort();
 				})
-				.with({type: 'announce'}, ({to, chunks}) => {
-					announcer.announce(to, chunks);
+				.with({type: 'announce'}, ({to, chunks, isGreeting}) => {
+					announcer.announce(to, chunks, isGreeting);
 				})
 				.with({type: 'setAside'}, ({hostId}) => {
 					logger.event('BP3004', {peer: hostId, manifestId});
@@ -134,7 +134,9 @@
 		hear(parameters) {
 			addresses.set(parameters.from, parameters.address);
 			hearAnnouncement(links, parameters);
-			dispatch({type: 'peerHas', hostId: parameters.from, chunks: parameters.chunks});
+			dispatch({
+				type: 'peerHas', hostId: parameters.from, chunks: parameters.chunks, isGreeting: parameters.isGreeting,
+			});
 		},
 		changePeers(peers) {
 			for (const peer of peers) {
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -7,6 +7,7 @@
 export * from './dev/create-dev-cluster.js';
 export * from './dev/failure/index.js';
 export * from './dev/run-demo.js';
+export * from './dev/transfer-mesh.js';
 export * from './entry/admin-api.js';
 export * from './entry/admin-tokens.js';
 export * from './entry/create-entry-node.js';
--- a/packages/protocol/src/rpc/methods.ts
+++ b/packages/protocol/src/rpc/methods.ts
@@ -111,7 +111,9 @@
 /** Chunks that a neighbour gained, and how long the sources of weights want to be left alone. */
 export const haveParametersSchema = z.object({
 	from: z.string(), address: z.string(), manifestId: manifestIdSchema, chunks: z.array(index),
-	restsMs: z.object({origin: index, store: index}),
+	/** The sender has just begun: `chunks` is all that it has, and it wants to be told the same. */
+	isGreeting: z.boolean(),
+	limitsMs: z.object({origin: index, store: index}),
 });
 export type HaveParameters = z.infer<typeof haveParametersSchema>;
 
--- a/packages/state/src/chunks/chunk-store.ts
+++ b/packages/state/src/chunks/chunk-store.ts
@@ -89,7 +89,17 @@
 				return false;
 			}
 
-			await file.write(data, 0, data.length, chunkRange(manifest, index).startByte);
+			try {
+				await file.write(data, 0, data.length, chunkRange(manifest, index).startByte);
+			} catch (error) {
+				// Closed while the chunk was on its way to the disk.
+				if (isClosed) {
+					return false;
+				}
+
+				throw error;
+			}
+
 			held.add(index);
 			return true;
 		},
--- a/packages/test-support/src/origin/fake-origin.ts
+++ b/packages/test-support/src/origin/fake-origin.ts
@@ -26,6 +26,8 @@
 	readonly faults: OriginFaults;
 	/** Weight bytes sent so far. */
 	readonly sentBytes: () => number;
+	/** Requests answered with 429 so far. */
+	readonly refusedRequests: () => number;
 	/** Puts weights behind the origin and gives the id of their manifest. */
 	publish(weights: Uint8Array, chunkSizeBytes: number): Promise<{manifestId: ManifestId; manifest: Manifest}>;
 	close(): Promise<void>;
@@ -43,6 +45,7 @@
 	const faults: OriginFaults = {};
 	const published = new Map<string, Published>();
 	let sentBytes = 0;
+	let refusedRequests = 0;
 	let linkFreeAtMs = 0;
 	let windowStartMs = 0;
 	let windowRequests = 0;
@@ -95,6 +98,7 @@
 			if (faults.isDown) {
 				response.destroy();
 			} else if (isOverRate()) {
+				refusedRequests++;
 				sendJson(response, 429, {error: 'too many requests'}, {'retry-after': '1'});
 			} else if (found === undefined) {
 				sendJson(response, 404, {error: `nothing at ${request.url}`});
@@ -109,6 +113,7 @@
 		address: server.address,
 		faults,
 		sentBytes: () => sentBytes,
+		refusedRequests: () => refusedRequests,
 		async publish(weights, chunkSizeBytes) {
 			const manifest = await createManifest([weights], {chunkSizeBytes});
 			const manifestId = manifestIdOf(manifest);
