--- a/packages/daemon/src/agent/send-answer.ts
+++ b/packages/daemon/src/agent/send-answer.ts
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import type http from 'node:http';
 import {
-	endMarkerTrailer, hostHeader, requestIdHeader, verdictHeader, versionHeader,
+	endMarkerTrailer, hostHeader, loadHeader, requestIdHeader, verdictHeader, versionHeader,
 } from '@bitternpaddle/protocol';
 import type {UnansweredVerdict} from '@bitternpaddle/state';
 import {match} from 'ts-pattern';
@@ -24,16 +24,20 @@
 		.exhaustive();
 };
 
+const pieceBytes = 32_768;
+
 export type SendAnswerOptions = {
 	readonly hostId: string;
 	/** The first byte that the entry has not got yet. */
 	readonly offset: number;
 	/** Responses that wait for the endpoint; each gets a sign of life at every tick. */
 	readonly waiting: Set<http.ServerResponse>;
+	/** Requests that run at this host, of all entries. */
+	running(): number;
 };
 
 /** Sends a run's answer from `offset` on, as it comes; returns when it is sent or the connection is gone. */
-export const sendAnswer = async (run: DoorRun, response: http.ServerResponse, {hostId, offset, waiting}: SendAnswerOptions): Promise<void> => {
+export const sendAnswer = async (run: DoorRun, response: http.ServerResponse, {hostId, offset, waiting, running}: SendAnswerOptions): Promise<void> => {
 	run.readers++;
 	run.unattendedSinceMs = null;
 	run.readOffset = offset;
@@ -47,7 +51,7 @@
 		run.notify();
 	});
 	waiting.add(response);
-	while (run.head === null && run.failure === null && !response.destroyed) {
+	while (!isReadyToSend(run, offset) && !response.destroyed) {
 		await run.nextChange();
 	}
 
@@ -56,21 +60,28 @@
 		return;
 	}
 
-	if (run.head === null) {
-		sendFailure(response, run.failure!);
+	if (run.failure !== null && (run.head === null || offset === 0)) {
+		sendFailure(response, run.failure);
 		return;
 	}
 
-	const {status, contentType, versionId} = run.head;
+	const {status, contentType, versionId} = run.head!;
 	response.writeHead(status, {
-		'content-type': contentType, [requestIdHeader]: run.requestId, [verdictHeader]: 'ran', [hostHeader]: hostId,
+		'content-type': contentType, [requestIdHeader]: run.requestId, [verdictHeader]: 'ran', [hostHeader]: hostId, [loadHeader]: running(),
 		...(versionId === null ? {} : {[versionHeader]: versionId}), trailer: endMarkerTrailer,
 	});
-	// An entry that comes back must hear at once that it has been found.
-	response.flushHeaders();
+	if (run.buffer.readFrom(offset) === null && run.marker === null) {
+		// An entry that comes back must hear at once that it has been found.
+		response.flushHeaders();
+	}
+
 	await sendParts(run, response, offset);
 };
 
+/** A stream is sent as it comes. Nobody reads any other answer before its end, so it goes out in one piece, unless it is large. */
+const isReadyToSend = ({head, marker, failure, buffer}: DoorRun, offset: number): boolean => marker !== null || failure !== null
+	|| (head !== null && (head.contentType.startsWith('text/event-stream') || buffer.endOffset() - offset >= pieceBytes));
+
 const sendParts = async (run: DoorRun, response: http.ServerResponse, offset: number): Promise<void> => {
 	let position = offset;
 	while (!response.destroyed) {
--- a/packages/daemon/src/entry/routing.ts
+++ b/packages/daemon/src/entry/routing.ts
@@ -1,42 +1,33 @@
-import {
-	chooseEndpoint, createRandom, createRouter, noteEnd, noteStart, type Choice, type ChooseOptions, type EndpointIndex,
-} from '@bitternpaddle/coordination';
-import type {UnansweredVerdict} from '@bitternpaddle/state';
+import type http from 'node:http';
+import type {Choice, Endpoint} from '@bitternpaddle/coordination';
+import type {Catalog, Change, UnansweredVerdict} from '@bitternpaddle/state';
 import type {Call} from './call.js';
 
 /** How an attempt at an endpoint ended, for the router's view of that endpoint. */
-export type AttemptEnd = 'answered' | UnansweredVerdict['type'];
+export type RoutedEnd
+	= | 'answered'
+	/** The door refused: it is full, closing or behind. */
+		| 'refused'
+		| 'failed'
+	/** Nobody waited any more, which says nothing about the endpoint. */
+		| 'abandoned';
+
+/** One attempt as the router counts it. */
+export type RoutedAttempt = {
+	/** The answer's head is here. */
+	begin(headers: http.IncomingHttpHeaders): void;
+	end(end: RoutedEnd): void;
+};
 
 /** The entry's seam to the routing decisions. */
 export type Routing = {
 	/** The revision that the choices follow from. */
 	revision(): number;
-	update(index: EndpointIndex): void;
-	choose(options: ChooseOptions): Choice;
-	noteStart(hostId: string): void;
-	noteEnd(hostId: string, end: AttemptEnd): void;
-};
-
-export type CreateRoutingOptions = {
-	/** @default drawn anew */
-	readonly seed?: number;
-};
-
-export const createRouting = ({seed = Math.floor(Math.random() * 2_147_483_647)}: CreateRoutingOptions = {}): Routing => {
-	const router = createRouter({random: createRandom(seed)});
-	return {
-		revision: () => router.index.revision,
-		update(index) {
-			router.index = index;
-		},
-		choose: options => chooseEndpoint(router, options),
-		noteStart(hostId) {
-			noteStart(router, hostId);
-		},
-		noteEnd(hostId) {
-			noteEnd(router, hostId);
-		},
-	};
+	/** `changes` led to the catalog; `null` when it came as a whole. */
+	update(catalog: Catalog, changes: readonly Change[] | null): void;
+	/** Waits in the queue while all that serves the target is full. */
+	choose(call: Call, tried: ReadonlySet<string>): Promise<Choice>;
+	start(call: Call, endpoint: Endpoint): RoutedAttempt;
 };
 
 /**
@@ -48,10 +39,3 @@
 		| {readonly type: 'refused'; readonly verdict: UnansweredVerdict};
 
 export type Admit = (call: Call) => Admission | Promise<Admission>;
-
-/** Admits every call. */
-export const admitAll: Admit = () => ({
-	type: 'admitted', release() {
-	// Nothing is counted.
-	},
-});
