--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,3 +1,4 @@
+import {measureBurst} from './burst.js';
 import {measureDistribution} from './distribution/index.js';
 import {measureBurn} from './burn.js';
 import {measureConfiguration} from './configuration.js';
@@ -11,6 +12,7 @@
 export type Bench = (flags: readonly string[]) => Promise<Record<string, unknown>>;
 
 export const benches: Record<string, Bench> = {
+	burst: measureBurst,
 	distribution: measureDistribution,
 	burn: measureBurn,
 	configuration: measureConfiguration,
