--- a/packages/daemon/src/entry/dispatch.ts
+++ b/packages/daemon/src/entry/dispatch.ts
@@ -5,8 +5,7 @@
 	createAttempt, firstEffect, stepAttempt, type AttemptEffect, type AttemptEnd, type AttemptEvent, type AttemptState, type Endpoint, type GiveUpCause,
 } from '@bitternpaddle/coordination';
 import {
-	attemptHeader, deadlineHeader, endMarkerSchema, endMarkerTrailer, formatIssue, idempotencyKeyHeader, incarnationHeader, issueHeader, onceHeader,
-	requestIdHeader, revisionHeader, verdictHeader, versionHeader, type Issue, type SettleResult,
+	endMarkerSchema, endMarkerTrailer, incarnationHeader, requestIdHeader, verdictHeader, type Issue, type SettleResult,
 } from '@bitternpaddle/protocol';
 import {
 	mayHaveRun, notRun, type ClaimPlace, type UnansweredVerdict,
@@ -14,6 +13,7 @@
 import {
 	callRpc, readBody, sendHttp, TransportError,
 } from '@bitternpaddle/transport';
+import {doorHeadersOf} from './door-headers.js';
 
 export type Attempt = {
 	readonly endpoint: Pick<Endpoint, 'address' | 'incarnation' | 'versionId'>;
@@ -183,7 +183,7 @@
 
 	return effect.type === 'send'
 		? connect(running, {
-			method: attempt.method, path: `/door${attempt.path}`, headers: headersOf(attempt), body: attempt.body,
+			method: attempt.method, path: `/door${attempt.path}`, headers: doorHeadersOf(attempt), body: attempt.body,
 		})
 		// An idle connection of the pool may be as silent as the one before.
 		: connect(running, {
@@ -257,19 +257,6 @@
 	}
 };
 
-const headersOf = (attempt: Attempt): http.OutgoingHttpHeaders => ({
-	'content-type': attempt.contentType,
-	[requestIdHeader]: attempt.requestId,
-	[attemptHeader]: attempt.attemptId,
-	[issueHeader]: formatIssue(attempt.issue),
-	[incarnationHeader]: attempt.endpoint.incarnation,
-	[revisionHeader]: attempt.revision,
-	[deadlineHeader]: Math.max(1, Math.round(attempt.remainingMs)),
-	...(attempt.endpoint.versionId === null ? {} : {[versionHeader]: attempt.endpoint.versionId}),
-	...(attempt.idempotencyKey === null ? {} : {[idempotencyKeyHeader]: attempt.idempotencyKey}),
-	...(attempt.isOnce ? {[onceHeader]: 'true'} : {}),
-});
-
 const messageOf = (body: Buffer): string => {
 	try {
 		return String((JSON.parse(body.toString()) as {error: {message: string}}).error.message);
--- /dev/null
+++ b/packages/daemon/src/entry/door-headers.ts
@@ -0,0 +1,19 @@
+import type http from 'node:http';
+import {
+	attemptHeader, deadlineHeader, formatIssue, idempotencyKeyHeader, incarnationHeader, issueHeader, onceHeader, requestIdHeader, revisionHeader, versionHeader,
+} from '@bitternpaddle/protocol';
+import type {Attempt} from './dispatch.js';
+
+/** What a door must know of a request before it may start it. */
+export const doorHeadersOf = (attempt: Attempt): http.OutgoingHttpHeaders => ({
+	'content-type': attempt.contentType,
+	[requestIdHeader]: attempt.requestId,
+	[attemptHeader]: attempt.attemptId,
+	[issueHeader]: formatIssue(attempt.issue),
+	[incarnationHeader]: attempt.endpoint.incarnation,
+	[revisionHeader]: attempt.revision,
+	[deadlineHeader]: Math.max(1, Math.round(attempt.remainingMs)),
+	...(attempt.endpoint.versionId === null ? {} : {[versionHeader]: attempt.endpoint.versionId}),
+	...(attempt.idempotencyKey === null ? {} : {[idempotencyKeyHeader]: attempt.idempotencyKey}),
+	...(attempt.isOnce ? {[onceHeader]: 'true'} : {}),
+});
