feat(control): fold renewals to differences; leases on the leader's word

Cause: every renewal of every host went to the leader, load included, four times a second; a control host renewed leases as long as it heard any leader, also one cut off with it, and from a copy that lagged; a host that restarted without memory could be given an older configuration than it had served. Change: hosts spread over control hosts by rendezvous hash and send their report only when it changed; a control host tells the leader differences once a second (Fold); the leader answers with its revision under its quorum lease, which lets the control host renew leases for 3 s from a copy that reached it (decideWatch); a host without a copy waits for a word asked for after its call. A host's lease ends on either clock. 'show revision' counts hosts in service, names those missing, and apart from them those whose lease has run out.

--- a/packages/coordination/src/configuration/change-history.ts
+++ b/packages/coordination/src/configuration/change-history.ts
@@ -1,5 +1,4 @@
-import type {RevisedChange, WatchResult} from '@bitternpaddle/protocol';
-import type {Catalog} from '@bitternpaddle/state';
+import type {RevisedChange} from '@bitternpaddle/protocol';
 
 /** Accepted changes kept for hosts that were away; further back they get a snapshot. */
 export type ChangeHistory = {
@@ -20,21 +19,12 @@
 	}
 };
 
-/** What a host at `revision` lacks. */
-export const gapSince = (history: ChangeHistory, catalog: Catalog, revision: number, leaseMs: number): WatchResult => {
-	const {digest} = catalog;
-	if (revision < history.baseRevision || revision > catalog.revision) {
-		return {
-			type: 'snapshot', catalog, revision: catalog.revision, digest, leaseMs,
-		};
+/** Changes after `revision`, or `null` if some of them are no longer kept. */
+export const changesSince = ({baseRevision, changes}: ChangeHistory, revision: number): readonly RevisedChange[] | null => {
+	if (revision < baseRevision) {
+		return null;
 	}
 
-	return {
-		type: 'changes', changes: changesAfter(history.changes, revision), revision: catalog.revision, digest, leaseMs,
-	};
-};
-
-const changesAfter = (changes: readonly RevisedChange[], revision: number): RevisedChange[] => {
 	let start = changes.length;
 	while (start > 0 && changes[start - 1]!.index > revision) {
 		start--;
--- /dev/null
+++ b/packages/coordination/src/configuration/report-fold.ts
@@ -0,0 +1,126 @@
+import type {Fold, HostReport} from '@bitternpaddle/protocol';
+
+type Watcher = {
+	session: number;
+	revision: number;
+	report: HostReport;
+	/** What of the report the leader acts on, as text. */
+	essence: string;
+	heardAtMs: number;
+	/** The leader has yet to be told. */
+	isNews: boolean;
+};
+
+/** The hosts that watch at one control host, and what its leader has been told of them. */
+export type ReportFold = {
+	readonly memberId: string;
+	/** A host that is not heard for this long has no lease any more. */
+	readonly silentMs: number;
+	readonly watchers: Map<string, Watcher>;
+	readonly lost: Fold['silent'];
+	epoch: number;
+	/** Number of the next message; 0 when the leader must be told everything. */
+	sequence: number;
+	sentAtMs: number;
+};
+
+/** Hosts below the common revision that one message names. */
+const maxBehind = 32;
+export const foldIntervalMs = 1000;
+
+export type ReportFoldOptions = {
+	readonly memberId: string;
+	readonly silentMs: number;
+	/** Above that of any earlier start of this control host; the wall clock will do. */
+	readonly epoch: number;
+};
+
+export const createReportFold = ({memberId, silentMs, epoch}: ReportFoldOptions): ReportFold => ({
+	memberId, silentMs, epoch, watchers: new Map(), lost: [], sequence: 0, sentAtMs: Number.NEGATIVE_INFINITY,
+});
+
+/** Load and progress change all the time and decide nothing at the leader, so they stay here until asked for. */
+const essenceOf = ({requestsInFlight, revision, transfers, ...rest}: HostReport): string => JSON.stringify(rest);
+
+export type HeardWatch = {
+	readonly hostId: string;
+	readonly session: number;
+	readonly revision: number;
+	readonly report: HostReport | null;
+};
+
+/** Notes a call of a host. `false` if its report is needed and was not sent. */
+export const hearWatch = (fold: ReportFold, {hostId, session, revision, report}: HeardWatch, nowMs: number): boolean => {
+	const known = fold.watchers.get(hostId);
+	if (report === null) {
+		if (known?.session !== session) {
+			return false;
+		}
+
+		known.revision = revision;
+		known.heardAtMs = nowMs;
+		return true;
+	}
+
+	const essence = essenceOf(report);
+	fold.watchers.set(hostId, {
+		session, revision, report, essence, heardAtMs: nowMs,
+		isNews: known === undefined || known.isNews || known.session !== session || known.essence !== essence,
+	});
+	return true;
+};
+
+/** Everything has to be told again: another leader, or a message whose fate is not known. */
+export const restartFold = (fold: ReportFold): void => {
+	fold.epoch++;
+	fold.sequence = 0;
+	fold.lost.length = 0;
+};
+
+const dropSilent = (fold: ReportFold, nowMs: number): void => {
+	for (const [hostId, {session, heardAtMs}] of fold.watchers) {
+		if (nowMs - heardAtMs > fold.silentMs) {
+			fold.watchers.delete(hostId);
+			fold.lost.push({hostId, session, silentMs: nowMs - heardAtMs});
+		}
+	}
+};
+
+const commonRevision = (watchers: readonly Watcher[]): number => {
+	const revisions = watchers.map(({revision}) => revision).toSorted((a, b) => a - b);
+	return revisions[Math.min(maxBehind, revisions.length - 1)] ?? 0;
+};
+
+/**
+ * The next message to the leader, or `null` while there is nothing to say.
+ * Whoever takes it sends it, and calls `restartFold` if that fails.
+ */
+export const takeFold = (fold: ReportFold, nowMs: number): Fold | null => {
+	dropSilent(fold, nowMs);
+	const isAll = fold.sequence === 0;
+	const watchers = [...fold.watchers];
+	const news = watchers.filter(([, watcher]) => isAll || watcher.isNews);
+	const isDue = nowMs - fold.sentAtMs >= foldIntervalMs;
+	if (!isDue && news.length === 0 && fold.lost.length === 0) {
+		return null;
+	}
+
+	const revision = commonRevision(watchers.map(([, watcher]) => watcher));
+	const message: Fold = {
+		from: fold.memberId,
+		epoch: fold.epoch,
+		sequence: fold.sequence,
+		revision,
+		hosts: news.map(([, {session, report}]) => ({session, report})),
+		silent: [...fold.lost],
+		behind: watchers.filter(([, watcher]) => watcher.revision < revision).map(([hostId, watcher]) => ({hostId, revision: watcher.revision})),
+	};
+	for (const [, watcher] of news) {
+		watcher.isNews = false;
+	}
+
+	fold.lost.length = 0;
+	fold.sequence++;
+	fold.sentAtMs = nowMs;
+	return message;
+};
--- a/packages/daemon/src/control/answer-query.ts
+++ b/packages/daemon/src/control/answer-query.ts
@@ -1,13 +1,15 @@
 import type {
-	Condition, HostReport, QueryRow, Show,
+	Condition, HostReport, InForceResult, QueryRow, Show,
 } from '@bitternpaddle/protocol';
 import type {Catalog} from '@bitternpaddle/state';
 import {match} from 'ts-pattern';
-import type {HostRegistry} from './host-registry.js';
+import type {HostRegistry} from './host-view.js';
 
 export type QueryView = {
 	readonly catalog: Catalog;
 	readonly registry: HostRegistry;
+	/** How far the newest revision has come. */
+	readonly inForce: InForceResult;
 	readonly nowMs: number;
 	/** A host that has not renewed for this long is out of service. */
 	readonly leaseMs: number;
@@ -70,13 +72,9 @@
 	return [...agents, ...entries];
 };
 
-const revisionRow = (view: QueryView): QueryRow => {
-	const known = new Set([...Object.keys(view.catalog.hosts), ...liveReports(view).map(report => report.hostId)]);
-	const missing = [...known].filter(hostId => !isLive(view, hostId) || view.registry.get(hostId)!.report.revision < view.catalog.revision);
-	return {
-		revision: view.catalog.revision, inForce: known.size - missing.length, hosts: known.size, missing: missing.toSorted().join(', '),
-	};
-};
+const revisionRow = ({inForce}: QueryView): QueryRow => ({
+	revision: inForce.revision, inForce: inForce.inForce, hosts: inForce.hosts, missing: inForce.missing.join(', '), outOfService: inForce.outOfService.join(', '),
+});
 
 const compare = (left: QueryRow[string] | undefined, {operator, value}: Condition): boolean => {
 	const order = typeof left === 'number' ? left - Number(value) : String(left).localeCompare(value);
--- a/packages/daemon/src/control/control-rpc.ts
+++ b/packages/daemon/src/control/control-rpc.ts
@@ -1,6 +1,6 @@
 import {
-	consensusEnvelopeSchema, foldParametersSchema, proposeParametersSchema, queryParametersSchema, rpcErrorCodes, watchParametersSchema,
-	type HostReport, type QueryResult, type Show,
+	consensusEnvelopeSchema, foldSchema, inForceParametersSchema, proposeParametersSchema, queryParametersSchema, reportsParametersSchema, rpcErrorCodes, watchParametersSchema,
+	type Fold, type FoldResult, type HostReport, type InForceResult, type QueryResult, type Show,
 } from '@bitternpaddle/protocol';
 import {
 	callRpc, createRpcServer, RpcError, type Logger, type RpcServer,
@@ -18,9 +18,13 @@
 	isLeader(): boolean;
 	/** Address of the leader; `undefined` while there is none or this host leads. */
 	leaderAddress(): string | undefined;
-	view(): QueryView;
-	/** Takes a report that another control host heard. */
-	hear(report: HostReport): void;
+	/** What the leader answers questions from. */
+	view(subject: Show['subject']): Promise<QueryView>;
+	/** What the hosts that watch here said last. */
+	ownReports(): HostReport[];
+	/** Takes another control host's message about its hosts, as leader. */
+	hearFold(fold: Fold): FoldResult;
+	inForce(revision: number): InForceResult;
 };
 
 const forwardTimeoutMs = 3000 + proposalTimeoutMs;
@@ -28,7 +32,7 @@
 /** What other processes may ask of a control host. */
 export const createControlRpc = (options: ControlRpcOptions): RpcServer => {
 	const {
-		driver, proposals, hub, logger, isLeader, leaderAddress, view, hear,
+		driver, proposals, hub, logger, isLeader, leaderAddress, view, ownReports, hearFold, inForce,
 	} = options;
 
 	/** Calls the leader's `method`, or does it here if this host leads. */
@@ -47,8 +51,8 @@
 		});
 	};
 
-	const query = (show: Show): QueryResult => {
-		const seen = view();
+	const query = async (show: Show): Promise<QueryResult> => {
+		const seen = await view(show.subject);
 		const {rows, unknown} = answerQuery(seen, show);
 		if (unknown.length > 0) {
 			throw new RpcError(rpcErrorCodes.invalid, `${show.subject} have no field ${unknown.join(', ')}`);
@@ -62,11 +66,15 @@
 		driver.receive(envelope);
 	});
 	rpc.method('control.watch', watchParametersSchema, async parameters => hub.watch(parameters));
-	rpc.method('control.fold', foldParametersSchema, ({reports}) => {
-		for (const report of reports) {
-			hear(report);
+	rpc.method('control.fold', foldSchema, fold => {
+		if (!isLeader()) {
+			throw new RpcError(rpcErrorCodes.notLeader, 'this control host does not lead');
 		}
+
+		return hearFold(fold);
 	});
+	rpc.method('control.reports', reportsParametersSchema, () => ownReports());
+	rpc.method('control.inForce', inForceParametersSchema, async ({revision, isForwarded}) => atLeader('control.inForce', {revision, isForwarded}, () => inForce(revision)));
 	rpc.method('control.propose', proposeParametersSchema, async ({command, isForwarded}) => atLeader('control.propose', {command, isForwarded}, async () => {
 		const result = await proposals.propose(command);
 		if (result.type === 'accepted' && command.commandId !== null) {
@@ -75,6 +83,6 @@
 
 		return result;
 	}));
-	rpc.method('control.query', queryParametersSchema, async ({show, isForwarded}) => atLeader('control.query', {show, isForwarded}, () => query(show)));
+	rpc.method('control.query', queryParametersSchema, async ({show, isForwarded}) => atLeader('control.query', {show, isForwarded}, async () => query(show)));
 	return rpc;
 };
--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -1,6 +1,9 @@
 import process from 'node:process';
-import {hasLeaderLease, isInContact, rendezvousWeight} from '@bitternpaddle/coordination';
-import type {ConsensusEnvelope} from '@bitternpaddle/protocol';
+import {
+	createLossBudget, createPresence, createReportFold, forgetHost, hasLeaderLease, hearFold, inForceOf, isInContact, noteSilentMembers, planMembership,
+	rendezvousWeight, resetPresence, type LeaderWord,
+} from '@bitternpaddle/coordination';
+import type {ConsensusEnvelope, HostReport, Show} from '@bitternpaddle/protocol';
 import {openLogStore, type CommandResult, type LogEntry} from '@bitternpaddle/state';
 import {
 	createHttpServer, notifyRpc, rpcPath, sendJson, silentLogger, type HttpServer, type Logger,
@@ -8,13 +11,13 @@
 import {createRecorder} from '../recording/recorder.js';
 import {createConsensusDriver, type ConsensusDriver} from './consensus-driver.js';
 import {createControlRpc} from './control-rpc.js';
-import {hearReport, planMembershipChanges, type HostRegistry} from './host-registry.js';
+import {createFoldSender, foldMs} from './fold-sender.js';
+import {gatherReports, viewHosts} from './host-view.js';
 import {createProposals} from './proposals.js';
 import {createReconciler, reconcileMs} from './reconciler.js';
 import {
 	applyToReplica, createReplica, serializeReplica, type Replica,
 } from './replica.js';
-import {createReportFold, foldMs} from './report-fold.js';
 import {createWatchHub} from './watch-hub.js';
 
 export type ControlNodeOptions = {
@@ -45,6 +48,10 @@
 };
 
 const consensusTimeoutMs = 1000;
+/** How long a control host renews the leases of hosts on the leader's last word. */
+const memberLeaseMs = 3000;
+/** Questions whose answers change too often for the leader to be told without being asked. */
+const detailedSubjects: ReadonlySet<Show['subject']> = new Set(['transfers', 'requests']);
 
 /** One control host: the log, the configuration that follows from it, and the hosts that watch it. */
 export const createControlNode = async (options: ControlNodeOptions): Promise<ControlNode> => {
@@ -57,8 +64,10 @@
 	}
 
 	let replica: Replica = createReplica(store.loaded.snapshot);
-	let leadingSinceMs = 0;
-	const registry: HostRegistry = new Map();
+	let word: LeaderWord | null = null;
+	let lossBudget = createLossBudget();
+	const presence = createPresence({hostLeaseMs: leaseMs, memberLeaseMs});
+	const fold = createReportFold({memberId: selfId, silentMs: leaseMs, epoch: Date.now()});
 	const proposals = createProposals({append: payload => driver.propose(payload)});
 
 	const onCommit = (entry: LogEntry): void => {
@@ -110,9 +119,11 @@
 		onRoleChange({role, term, leaderId}) {
 			logger.event('BP1001', {role, term, leaderId});
 			if (role === 'leader') {
-				leadingSinceMs = performance.now();
+				resetPresence(presence, Object.keys(replica.state.catalog.hosts), performance.now());
+				lossBudget = createLossBudget();
 			}
 
+			foldSender.restart();
 			hub.wake();
 		},
 		onFailure(error) {
@@ -128,30 +139,49 @@
 		return leaderId === null || leaderId === selfId ? undefined : members.get(leaderId);
 	};
 
-	const fold = createReportFold({selfId, leaderAddress});
+	const foldSender = createFoldSender({
+		fold, isLeader, leaderAddress,
+		hearOwn: message => hearFold(presence, message, performance.now()),
+		onWord(given) {
+			word = given;
+			hub.wake();
+		},
+	});
 	const hub = createWatchHub({
-		leaseMs,
+		leaseMs, fold,
 		replica: () => replica,
-		isInContact: () => isInContact(driver.state, performance.now()),
-		hear(report) {
-			hearReport(registry, report, performance.now());
-			fold.add(report);
-		},
+		// A leader with its lease asks itself, at this moment.
+		word: () => isLeader() ? {askedAtMs: Number.POSITIVE_INFINITY, untilMs: Number.POSITIVE_INFINITY, revision: replica.state.catalog.revision} : word,
 	});
 	const reconciler = createReconciler({
-		proposals, registry, logger, isLeader,
-		plan: () => planMembershipChanges({
-			catalog: replica.state.catalog, registry, nowMs: performance.now(), leadingSinceMs, hostLossMs,
-		}),
+		proposals, logger, isLeader,
+		plan() {
+			const nowMs = performance.now();
+			noteSilentMembers(presence, nowMs);
+			return planMembership({
+				catalog: replica.state.catalog, presence, budget: lossBudget, nowMs, hostLossMs,
+			});
+		},
+		onLeft(hostId) {
+			forgetHost(presence, hostId);
+		},
 	});
+	const ownReports = (): HostReport[] => [...fold.watchers.values()].map(({report}) => report);
 	const rpc = createControlRpc({
-		driver, proposals, hub, logger, isLeader, leaderAddress,
-		view: () => ({
-			catalog: replica.state.catalog, registry, nowMs: performance.now(), leaseMs,
-		}),
-		hear(report) {
-			hearReport(registry, report, performance.now());
+		driver, proposals, hub, logger, isLeader, leaderAddress, ownReports,
+		async view(subject) {
+			const others = [...members].filter(([id]) => id !== selfId).map(([, address]) => address);
+			const gathered = detailedSubjects.has(subject) ? await gatherReports(others, ownReports()) : [];
+			const nowMs = performance.now();
+			const {catalog} = replica.state;
+			return {
+				catalog, registry: viewHosts(presence, gathered, nowMs), inForce: inForceOf(presence, catalog.revision, nowMs), nowMs, leaseMs,
+			};
 		},
+		hearFold: message => hearFold(presence, message, performance.now())
+			? {type: 'taken', revision: replica.state.catalog.revision, leaseMs: memberLeaseMs}
+			: {type: 'wantsAll'},
+		inForce: revision => inForceOf(presence, revision, performance.now()),
 	});
 
 	const server: HttpServer = await createHttpServer({
@@ -175,7 +205,7 @@
 			void reconciler.reconcile();
 		}, reconcileMs),
 		setInterval(() => {
-			void fold.send();
+			void foldSender.send();
 		}, foldMs),
 	];
 	return {
--- a/packages/daemon/src/control/reconciler.ts
+++ b/packages/daemon/src/control/reconciler.ts
@@ -1,15 +1,15 @@
 import type {Change} from '@bitternpaddle/state';
 import type {Logger} from '@bitternpaddle/transport';
-import type {HostRegistry} from './host-registry.js';
 import type {Proposals} from './proposals.js';
 
 export type ReconcilerOptions = {
 	readonly proposals: Proposals;
-	readonly registry: HostRegistry;
 	readonly logger: Logger;
 	isLeader(): boolean;
 	/** The changes that are due now. */
 	plan(): Change[];
+	/** A host is out of the configuration. */
+	onLeft(hostId: string): void;
 };
 
 export type Reconciler = {reconcile(): Promise<void>};
@@ -17,7 +17,7 @@
 export const reconcileMs = 200;
 
 /** Proposes what follows from reports, while this host leads; one round at a time. */
-export const createReconciler = ({proposals, registry, logger, isLeader, plan}: ReconcilerOptions): Reconciler => {
+export const createReconciler = ({proposals, logger, isLeader, plan, onLeft}: ReconcilerOptions): Reconciler => {
 	let isReconciling = false;
 
 	const proposeOne = async (change: Change): Promise<void> => {
@@ -25,7 +25,7 @@
 		if (change.type === 'hostJoined') {
 			logger.event('BP1004', {hostId: change.announcement.hostId});
 		} else if (change.type === 'hostLeft') {
-			registry.delete(change.hostId);
+			onLeft(change.hostId);
 			logger.event('BP1005', {hostId: change.hostId});
 		}
 	};
--- a/packages/daemon/src/control/watch-hub.ts
+++ b/packages/daemon/src/control/watch-hub.ts
@@ -1,68 +1,135 @@
-import {gapSince} from '@bitternpaddle/coordination';
 import {
-	rpcErrorCodes, type HostReport, type WatchParameters, type WatchResult,
-} from '@bitternpaddle/protocol';
+	changesSince, decideWatch, encodeCatalog, hearWatch, type LeaderWord, type ReportFold, type WatchDecision,
+} from '@bitternpaddle/coordination';
+import {rpcErrorCodes, type WatchParameters, type WatchResult} from '@bitternpaddle/protocol';
 import {RpcError} from '@bitternpaddle/transport';
 import type {Replica} from './replica.js';
 
 export type WatchHubOptions = {
 	readonly leaseMs: number;
+	readonly fold: ReportFold;
 	replica(): Replica;
-	/** Whether this control host is in contact with a quorum. */
-	isInContact(): boolean;
-	hear(report: HostReport): void;
+	/** The leader's last word to this host; while it leads, its own. */
+	word(): LeaderWord | null;
 };
 
 export type WatchHub = {
 	/** Holds the call until there is news for the host or its wait is over. */
 	watch(parameters: WatchParameters): Promise<WatchResult>;
-	/** Lets all waiting calls look again. */
+	/** Lets all waiting calls look again, shortly. */
 	wake(): void;
 };
 
-/** The hosts that wait at this control host for the next change. */
-export const createWatchHub = ({leaseMs, replica, isInContact, hear}: WatchHubOptions): WatchHub => {
-	const watchers = new Set<() => void>();
+/** Changes that come this close together go out in one answer. */
+const gatherMs = 10;
+/** A written snapshot serves until this many changes have come after it. */
+const maxChangesAfterSnapshot = 256;
 
-	const assertContact = (): void => {
-		if (!isInContact()) {
-			throw new RpcError(rpcErrorCodes.noQuorum, 'this control host is not in contact with a quorum');
-		}
-	};
+type WrittenSnapshot = {readonly revision: number; readonly catalog: Promise<string>};
+
+/** The hosts that wait at this control host for the next change. */
+export const createWatchHub = ({leaseMs, fold, replica, word}: WatchHubOptions): WatchHub => {
+	const waiting = new Set<() => void>();
+	let written: WrittenSnapshot | null = null;
+	let isWaking = false;
 
 	const nextNews = async (waitMs: number): Promise<void> => new Promise(resolve => {
 		const finish = (): void => {
 			clearTimeout(timer);
-			watchers.delete(finish);
+			waiting.delete(finish);
 			resolve();
 		};
 
 		const timer = setTimeout(finish, waitMs);
-		watchers.add(finish);
+		waiting.add(finish);
+	});
+
+	/** Writing a snapshot costs the whole catalog, so many hosts that need one share it. */
+	const sharedSnapshot = (): WrittenSnapshot => {
+		const {history, state} = replica();
+		const after = written === null ? null : changesSince(history, written.revision);
+		if (written === null || after === null || after.length > maxChangesAfterSnapshot) {
+			written = {revision: state.catalog.revision, catalog: encodeCatalog(state.catalog)};
+		}
+
+		return written;
+	};
+
+	const answerFrom = (revision: number): WatchResult | null => {
+		const {history, state: {catalog}} = replica();
+		const changes = changesSince(history, revision);
+		return changes === null
+			? null
+			: {
+				type: 'changes', changes, revision: catalog.revision, digest: catalog.digest, leaseMs,
+			};
+	};
+
+	const snapshotAnswer = async (): Promise<WatchResult> => {
+		const {revision, catalog} = sharedSnapshot();
+		const text = await catalog;
+		const after = answerFrom(revision);
+		if (after?.type !== 'changes') {
+			throw new RpcError(rpcErrorCodes.noQuorum, 'this control host took over a snapshot meanwhile');
+		}
+
+		return {...after, type: 'snapshot', catalog: text};
+	};
+
+	const decide = ({revision}: WatchParameters, arrivedAtMs: number): WatchDecision => decideWatch({
+		word: word(), ownRevision: replica().state.catalog.revision, hostRevision: revision, arrivedAtMs, nowMs: performance.now(),
 	});
 
+	const assertContact = (decision: WatchDecision): void => {
+		if (decision === 'noContact') {
+			throw new RpcError(rpcErrorCodes.noQuorum, 'this control host is not in contact with a quorum');
+		}
+	};
+
+	const answer = async (parameters: WatchParameters, arrivedAtMs: number): Promise<WatchResult> => {
+		const {catalog} = replica().state;
+		const {revision, digest} = parameters;
+		const isDiverged = revision === catalog.revision && digest !== catalog.digest;
+		const result = (isDiverged ? null : answerFrom(revision)) ?? await snapshotAnswer();
+		assertContact(decide(parameters, arrivedAtMs));
+		return result;
+	};
+
 	return {
-		async watch({report, waitMs}) {
-			assertContact();
-			hear(report);
-			if (report.revision === replica().state.catalog.revision) {
-				await nextNews(waitMs);
-				assertContact();
+		async watch(parameters) {
+			const arrivedAtMs = performance.now();
+			if (!hearWatch(fold, parameters, arrivedAtMs)) {
+				return {type: 'unknownHost'};
 			}
 
-			// A host that is ahead heard a control host that this one lags behind; it waits rather than be set back.
-			if (report.revision > replica().state.catalog.revision) {
-				await nextNews(waitMs);
-				throw new RpcError(rpcErrorCodes.noQuorum, 'this control host is behind the caller');
-			}
+			for (;;) {
+				const decision = decide(parameters, arrivedAtMs);
+				assertContact(decision);
+				const {catalog} = replica().state;
+				const isOver = performance.now() >= arrivedAtMs + parameters.waitMs;
+				if (decision === 'answer' || (decision === 'hold' && (isOver || parameters.digest !== catalog.digest))) {
+					return answer(parameters, arrivedAtMs);
+				}
 
-			const {history, state} = replica();
-			return gapSince(history, state.catalog, report.revision, leaseMs);
+				if (isOver) {
+					throw new RpcError(rpcErrorCodes.noQuorum, 'this control host lags behind its leader or the caller');
+				}
+
+				await nextNews(arrivedAtMs + parameters.waitMs - performance.now());
+			}
 		},
 		wake() {
-			for (const wake of watchers) {
-				wake();
+			if (isWaking) {
+				return;
 			}
+
+			isWaking = true;
+			setTimeout(() => {
+				isWaking = false;
+				for (const finish of waiting) {
+					finish();
+				}
+			}, gatherMs);
 		},
 	};
 };
--- a/packages/daemon/src/host/configuration-client.ts
+++ b/packages/daemon/src/host/configuration-client.ts
@@ -1,12 +1,13 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	createHostConfiguration, hasConfigurationLease, takeWatchResult, type HostConfiguration,
+	createHostConfiguration, hasConfigurationLease, takeWatchResult, type HostConfiguration, type HostTime,
 } from '@bitternpaddle/coordination';
 import type {
-	HostReport, ProposeResult, QueryResult, Show, WatchResult,
+	HostReport, InForceResult, ProposeResult, QueryResult, Show, WatchResult,
 } from '@bitternpaddle/protocol';
 import type {Catalog, Command} from '@bitternpaddle/state';
 import {callRpc, type Logger} from '@bitternpaddle/transport';
+import {createWatchPlace} from './watch-place.js';
 
 export type ConfigurationClientOptions = {
 	/** Addresses of control hosts; read at each call. */
@@ -31,11 +32,15 @@
 	reach(revision: number, timeoutMs: number): Promise<boolean>;
 	propose(command: Command): Promise<ProposeResult>;
 	query(show: Show): Promise<QueryResult>;
+	/** On how many hosts a revision is in force. */
+	spread(revision: number): Promise<InForceResult>;
 	/** Reports at once instead of with the next renewal. */
 	reportNow(): Promise<void>;
 	close(): void;
 };
 
+const hostTime = (): HostTime => ({monotonicMs: performance.now(), wallMs: Date.now()});
+
 const retryMs = 100;
 const callMarginMs = 1500;
 
@@ -44,20 +49,25 @@
 	const {controls, logger, report, onChange, waitMs = 1000} = options;
 	const configuration: HostConfiguration = createHostConfiguration();
 	const reached = new Set<() => void>();
-	let position = Math.floor(Math.random() * controls.length);
+	const place = createWatchPlace(controls, () => report().hostId);
 	let isClosed = false;
 	let hadLease = false;
 
-	const currentControl = (): string => controls[position % controls.length]!;
-
 	const renewOnce = async (holdMs: number): Promise<void> => {
-		const sentAtMs = performance.now();
+		const said = report();
+		const sentAt = hostTime();
+		const {address, session, agent, isTold, tell} = place.at(said);
 		const result = await callRpc<WatchResult>({
-			address: currentControl(), method: 'control.watch', params: {report: report(), waitMs: holdMs}, timeoutMs: holdMs + callMarginMs,
+			address, method: 'control.watch', timeoutMs: holdMs + callMarginMs, agent,
+			params: {
+				hostId: said.hostId, session, revision: configuration.catalog.revision, digest: configuration.catalog.digest,
+				report: isTold ? null : said, waitMs: holdMs,
+			},
 		});
-		const outcome = takeWatchResult(configuration, result, sentAtMs);
+		tell(result.type !== 'unknownHost');
+		const outcome = takeWatchResult(configuration, result, sentAt);
 		if (outcome === 'diverged') {
-			logger.event('BP3006', {revision: result.revision});
+			logger.event('BP3006', {revision: result.type === 'unknownHost' ? 0 : result.revision});
 		} else if (outcome === 'advanced') {
 			onChange(configuration.catalog);
 			for (const check of reached) {
@@ -66,13 +76,15 @@
 		}
 	};
 
+	const hasLease = (): boolean => hasConfigurationLease(configuration, hostTime());
+
 	const noteLease = (): void => {
-		const hasLease = hasConfigurationLease(configuration, performance.now());
-		if (hadLease && !hasLease) {
+		const holdsLease = hasLease();
+		if (hadLease && !holdsLease) {
 			logger.event('BP3005', {revision: configuration.catalog.revision});
 		}
 
-		hadLease = hasLease;
+		hadLease = holdsLease;
 	};
 
 	const isOpen = (): boolean => !isClosed;
@@ -82,7 +94,7 @@
 			try {
 				await renewOnce(waitMs);
 			} catch {
-				position++;
+				place.leave();
 				await delay(retryMs);
 			}
 
@@ -93,8 +105,7 @@
 	/** Tries each control host once; an answer with an error code from the leader is final. */
 	const callAny = async <Result>(method: string, parameters: Record<string, unknown>, timeoutMs: number): Promise<Result> => {
 		let lastError: unknown = new Error('no control host is known');
-		for (const offset of controls.keys()) {
-			const address = controls[(position + offset) % controls.length]!;
+		for (const address of place.all()) {
 			try {
 				return await callRpc<Result>({
 					address, method, params: parameters, timeoutMs,
@@ -114,9 +125,9 @@
 	return {
 		catalog: () => configuration.catalog,
 		inForce: () => ({
-			revision: configuration.catalog.revision, digest: configuration.catalog.digest, hasLease: hasConfigurationLease(configuration, performance.now()),
+			revision: configuration.catalog.revision, digest: configuration.catalog.digest, hasLease: hasLease(),
 		}),
-		hasLease: () => hasConfigurationLease(configuration, performance.now()),
+		hasLease,
 		async reach(revision, timeoutMs) {
 			if (configuration.catalog.revision >= revision) {
 				return true;
@@ -142,6 +153,7 @@
 			});
 		},
 		propose: async command => callAny('control.propose', {command}, 9000),
+		spread: async revision => callAny('control.inForce', {revision}, 5000),
 		query: async show => callAny('control.query', {show}, 5000),
 		async reportNow() {
 			await renewOnce(0);
--- a/packages/protocol/src/rpc/methods.ts
+++ b/packages/protocol/src/rpc/methods.ts
@@ -52,11 +52,20 @@
 	/** The host has begun its graceful stop. */
 	isLeaving: z.boolean(),
 	transfers: z.array(transferStatusSchema),
+	/** Hosts that this entry cannot get answers from at present. */
+	failingHostIds: z.array(z.string()).optional(),
 });
 export type HostReport = z.infer<typeof hostReportSchema>;
 
 export const watchParametersSchema = z.object({
-	report: hostReportSchema,
+	hostId: z.string(),
+	/** Grows whenever the host turns to another control host, so that the newest place is known whatever order reports come in. */
+	session: index,
+	revision: index,
+	/** Digest of the configuration at `revision`. */
+	digest: z.string(),
+	/** `null` while it is as this control host was told before in this session. */
+	report: hostReportSchema.nullable(),
 	/** How long control may hold the call when nothing changes. */
 	waitMs: index,
 });
@@ -65,12 +74,71 @@
 export const revisedChangeSchema = z.object({index, change: changeSchema});
 export type RevisedChange = z.infer<typeof revisedChangeSchema>;
 
-/** Answer to a watch: the gap since the host's revision, or everything. */
+/**
+ * Answer to a watch: the gap since the host's revision, or everything.
+ * `unknownHost` asks for the call again, with the report in it.
+ */
 export type WatchResult
 	= | {readonly type: 'changes'; readonly changes: readonly RevisedChange[]; readonly revision: number; readonly digest: string; readonly leaseMs: number}
-		| {readonly type: 'snapshot'; readonly catalog: Catalog; readonly revision: number; readonly digest: string; readonly leaseMs: number};
-
-export const foldParametersSchema = z.object({from: z.string(), reports: z.array(hostReportSchema)});
+		| {
+			readonly type: 'snapshot';
+			/** A catalog as JSON, gzip, base64. */
+			readonly catalog: string;
+			/** What was accepted since the catalog was written. */
+			readonly changes: readonly RevisedChange[];
+			readonly revision: number;
+			readonly digest: string;
+			readonly leaseMs: number;
+		}
+		| {readonly type: 'unknownHost'};
+
+/**
+ * What a control host tells the leader about the hosts that watch at it, once
+ * a second or when it changes. Hosts that are not named go on as they were, so
+ * that the size does not follow from the number of hosts.
+ */
+export const foldSchema = z.object({
+	from: z.string(),
+	/** Grows whenever the sender starts anew with everything. */
+	epoch: index,
+	/** 0: this is everything, forget what was said before. Otherwise one more than the last of the same epoch. */
+	sequence: index,
+	/** All hosts are at this revision or later, except those in `behind`. */
+	revision: index,
+	/** Hosts that are new here, or whose report changed. */
+	hosts: z.array(z.object({session: index, report: hostReportSchema})),
+	/** Hosts that are no longer heard here. */
+	silent: z.array(z.object({hostId: z.string(), session: index, silentMs: z.number().nonnegative()})),
+	behind: z.array(z.object({hostId: z.string(), revision: index})),
+});
+export type Fold = z.infer<typeof foldSchema>;
+
+export type FoldResult
+	= | {
+		readonly type: 'taken';
+		/** The leader's revision, read while a quorum followed it. */
+		readonly revision: number;
+		/** How long the sender may renew leases on this word. */
+		readonly leaseMs: number;
+	}
+	| {readonly type: 'wantsAll'};
+
+/** What a control host heard last from the hosts that watch at it. */
+export const reportsParametersSchema = z.object({});
+
+export const inForceParametersSchema = z.object({revision: index, isForwarded: z.boolean().default(false)});
+
+/** How far a revision has come. */
+export type InForceResult = {
+	readonly revision: number;
+	/** Hosts that are in service, or may still be. */
+	readonly hosts: number;
+	readonly inForce: number;
+	/** Hosts in service that have not confirmed the revision; the first hundred. */
+	readonly missing: readonly string[];
+	/** Hosts whose lease has run out: they take no work, so they count on neither side. */
+	readonly outOfService: readonly string[];
+};
 
 export const proposeParametersSchema = z.object({command: commandSchema, isForwarded: z.boolean().default(false)});
 export type ProposeParameters = z.input<typeof proposeParametersSchema>;
