--- a/packages/daemon/src/control/control-rpc.ts
+++ b/packages/daemon/src/control/control-rpc.ts
@@ -53,12 +53,7 @@
 
 	const query = async (show: Show): Promise<QueryResult> => {
 		const seen = await view(show.subject);
-		const {rows, unknown} = answerQuery(seen, show);
-		if (unknown.length > 0) {
-			throw new RpcError(rpcErrorCodes.invalid, `${show.subject} have no field ${unknown.join(', ')}`);
-		}
-
-		return {revision: seen.catalog.revision, rows};
+		return {revision: seen.catalog.revision, rows: answerQuery(seen, show)};
 	};
 
 	const rpc = createRpcServer();
--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -58,10 +58,10 @@
 		}
 
 		routing.noteStart(endpoint.hostId);
-		const outcome = await dispatch({
+		const outcome = await call.trace.attempt(endpoint, number, async () => dispatch({
 			...call, ...place, endpoint, revision: routing.revision(), signal: call.abort.signal, suspectMs: options.suspectMs,
 			remainingMs: call.endAtMs - performance.now(),
-		});
+		}));
 		if (outcome.type === 'answer') {
 			noteEndWithCall(call, routing, endpoint);
 			return {...outcome, place};
--- a/packages/daemon/src/entry/relay.ts
+++ b/packages/daemon/src/entry/relay.ts
@@ -27,6 +27,7 @@
 export const createRelay = ({logger, metrics}: RelayOptions): Relay => ({
 	sendVerdict(call, verdict) {
 		logger.event(verdict.type === 'notRun' ? 'BP2001' : 'BP2002', {requestId: call.requestId, reason: verdict.reason});
+		call.trace.refused(verdict);
 		metrics?.increment('entry.verdict', {verdict: verdict.type});
 		const {status, headers, body} = errorResponseOf(verdict, call.requestId);
 		sendJson(call.response, status, body, {...headers, [requestIdHeader]: call.requestId});
@@ -38,10 +39,12 @@
 		response.writeHead(answer.status, answerHeaders(answer, requestId));
 		try {
 			for await (const part of answer.parts()) {
+				call.trace.firstByte();
 				await writeTo(response, isEvents ? passEvents(gate, part) : part, answer);
 			}
 		} catch (error) {
 			logger.event('BP2003', {requestId, reason: (error as Error).message});
+			call.trace.cut();
 			response.destroy();
 			return;
 		}
--- a/packages/daemon/src/entry/serve-call.ts
+++ b/packages/daemon/src/entry/serve-call.ts
@@ -9,12 +9,14 @@
 import {RefusedError, type Call} from './call.js';
 import {readCall} from './read-call.js';
 import {sendRefusal, type Relay} from './relay.js';
+import type {RequestLog} from './request-log.js';
 import type {Admit, Routing} from './routing.js';
 import {createServeOnce} from './serve-once.js';
 
 export type ServeCallOptions = {
 	readonly configuration: ConfigurationClient;
 	readonly teams: ReadonlyMap<string, string>;
+	readonly requestLog: RequestLog;
 	readonly routing: Routing;
 	readonly admit: Admit;
 	readonly relay: Relay;
@@ -124,7 +126,8 @@
 
 			inFlight++;
 			try {
-				await serveAdmitted(await readCall(request, response, {...options, isOnce}));
+				const call = await readCall(request, response, {...options, isOnce});
+				await serveAdmitted({...call, trace: options.requestLog.begin(call)});
 			} catch (error) {
 				sendError(response, error);
 			} finally {
