feat(daemon): compare configurations on the way of requests

Cause: only the revision rode on a request; a copy that is wrong under a right revision was served, and a host whose watch had gone silent waited for it to time out (2.5 s) while its door waits 2 s. Entries report the hosts that they cannot reach. The watch starts after its owner holds the client: before, the first report threw, and no host began at its first choice.

--- a/packages/daemon/src/agent/door-server.ts
+++ b/packages/daemon/src/agent/door-server.ts
@@ -4,13 +4,14 @@
 	admitAtDoor, finishAtDoor, settleAtDoor, type DoorRefusal, type DoorRequest, type DoorState, type RunLimits,
 } from '@bitternpaddle/coordination';
 import {
-	attemptHeader, deadlineHeader, idempotencyKeyHeader, incarnationHeader, issueHeader, onceHeader, parseIssue, requestIdHeader, revisionHeader, versionHeader,
+	attemptHeader, deadlineHeader, idempotencyKeyHeader, incarnationHeader, issueHeader, onceHeader, parseIssue, requestIdHeader, versionHeader,
 	type SettleResult,
 } from '@bitternpaddle/protocol';
 import {mayHaveRun, notRun, type UnansweredVerdict} from '@bitternpaddle/state';
 import {readBody} from '@bitternpaddle/transport';
 import {match} from 'ts-pattern';
 import type {ConfigurationClient} from '../host/configuration-client.js';
+import {createPeers} from '../host/peers.js';
 import {createDoorRun, type DoorRun} from './door-run.js';
 import {createRunRegistry} from './run-registry.js';
 import {createEndpointRunner, type LoadedVersion} from './run-on-endpoint.js';
@@ -58,6 +59,7 @@
 		hostId, door, configuration, endpointAddress, kind, loaded, onIdle,
 		limits = {endpointIdleMs: 30_000, unattendedMs: 5000}, tickMs = 500, windowBytes = 262_144,
 	} = options;
+	const peers = createPeers(configuration);
 	const waiting = new Set<http.ServerResponse>();
 	const askStatus = createVersionCheck(endpointAddress);
 	const runs = createRunRegistry({
@@ -78,9 +80,9 @@
 
 	/** Why no request may start now, or `null`. */
 	const objection = async (request: http.IncomingMessage): Promise<string | null> => {
-		const wantedRevision = Number(request.headers[revisionHeader] ?? 0);
-		if (configuration.catalog().revision < wantedRevision && !await configuration.reach(wantedRevision, catchUpMs)) {
-			return 'the host is behind the configuration';
+		const behind = await peers.meet(request.headers, catchUpMs);
+		if (behind !== null) {
+			return behind;
 		}
 
 		if (!configuration.hasLease()) {
@@ -124,6 +126,10 @@
 			}
 
 			const body = await readBody(request, bodyLimitBytes);
+			for (const [name, value] of Object.entries(peers.headers())) {
+				response.setHeader(name, value);
+			}
+
 			const reason = await objection(request);
 			if (reason !== null) {
 				refuse(response, reason);
--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -5,6 +5,8 @@
 import {
 	hostIdSchema, notRun, type ClaimPlace, type UnansweredVerdict,
 } from '@bitternpaddle/state';
+import type {FailingHosts} from '../host/failing-hosts.js';
+import type {Peers} from '../host/peers.js';
 import {nameOf, RefusedError, type Call} from './call.js';
 import {dispatch, type AttemptAnswer} from './dispatch.js';
 import type {Routing} from './routing.js';
@@ -16,6 +18,8 @@
 	/** See `Attempt.suspectMs`. */
 	readonly suspectMs: number;
 	nextIssue(): Issue;
+	readonly peers?: Peers;
+	readonly failing?: FailingHosts;
 	/** Asked before each dispatch; `false` stops without another attempt. */
 	readonly mayDispatch?: (place: ClaimPlace) => Promise<boolean>;
 };
@@ -59,9 +63,10 @@
 
 		routing.noteStart(endpoint.hostId);
 		const outcome = await call.trace.attempt(endpoint, number, async () => dispatch({
-			...call, ...place, endpoint, revision: routing.revision(), signal: call.abort.signal, suspectMs: options.suspectMs,
+			...call, ...place, endpoint, revision: routing.revision(), signal: call.abort.signal, suspectMs: options.suspectMs, peers: options.peers,
 			remainingMs: call.endAtMs - performance.now(),
 		}));
+		options.failing?.note(endpoint.hostId, outcome.type === 'answer' || outcome.isRefusal);
 		if (outcome.type === 'answer') {
 			noteEndWithCall(call, routing, endpoint);
 			return {...outcome, place};
--- a/packages/daemon/src/entry/create-entry-node.ts
+++ b/packages/daemon/src/entry/create-entry-node.ts
@@ -4,6 +4,7 @@
 	createHttpServer, rpcPath, sendJson, silentLogger, type Logger, type Metrics,
 } from '@bitternpaddle/transport';
 import {createConfigurationClient, type ConfigurationInForce} from '../host/configuration-client.js';
+import {createFailingHosts} from '../host/failing-hosts.js';
 import {adminPrefix, createAdminHandler} from './admin-api.js';
 import type {AdminToken} from './admin-tokens.js';
 import {countRequest, serviceOfTarget, servicesOfModels} from './count-burn.js';
@@ -64,10 +65,11 @@
 		},
 	});
 	let isLeaving = false;
+	const failing = createFailingHosts();
 
 	const report = (): HostReport => ({
 		hostId: entryId, role: 'entry', address: server.address, revision: configuration.catalog().revision, requestsInFlight: calls.inFlight(),
-		announcement: null, readyVersionId: null, isLeaving, transfers: [],
+		announcement: null, readyVersionId: null, isLeaving, transfers: [], failingHostIds: failing.list(),
 	});
 
 	const server = await createHttpServer({
@@ -104,7 +106,7 @@
 		},
 	});
 	const calls = createCallServer({
-		configuration, teams, requestLog, routing, admit, relay: createRelay({logger, metrics}), maxRequests, maxAttempts, defaultDeadlineMs, suspectMs,
+		configuration, teams, requestLog, routing, admit, relay: createRelay({logger, metrics}), maxRequests, maxAttempts, defaultDeadlineMs, suspectMs, failing,
 		isLeaving: () => isLeaving,
 	});
 	const handleAdmin = createAdminHandler({configuration, peers: createEntryPeers(configuration), tokens: adminTokens});
--- a/packages/daemon/src/entry/dispatch.ts
+++ b/packages/daemon/src/entry/dispatch.ts
@@ -14,6 +14,7 @@
 import {
 	callRpc, readBody, sendHttp, TransportError,
 } from '@bitternpaddle/transport';
+import type {Peers} from '../host/peers.js';
 
 export type Attempt = {
 	readonly endpoint: Pick<Endpoint, 'address' | 'incarnation' | 'versionId'>;
@@ -21,6 +22,8 @@
 	readonly attemptId: string;
 	readonly issue: Issue;
 	readonly revision: number;
+	/** What the two ends tell each other about their configuration. */
+	readonly peers?: Pick<Peers, 'headers' | 'note'>;
 	readonly method: string;
 	readonly path: string;
 	readonly contentType: string;
@@ -206,6 +209,7 @@
 			...options, address: endpoint.address, idleTimeoutMs: suspectMs, signal,
 		});
 		running.connection = connection;
+		running.attempt.peers?.note(connection.headers);
 		running.parts = (connection as AsyncIterable<Buffer>)[Symbol.asyncIterator]();
 		const verdict = connection.headers[verdictHeader];
 		if (verdict === 'ran') {
@@ -264,6 +268,7 @@
 	[issueHeader]: formatIssue(attempt.issue),
 	[incarnationHeader]: attempt.endpoint.incarnation,
 	[revisionHeader]: attempt.revision,
+	...attempt.peers?.headers(),
 	[deadlineHeader]: Math.max(1, Math.round(attempt.remainingMs)),
 	...(attempt.endpoint.versionId === null ? {} : {[versionHeader]: attempt.endpoint.versionId}),
 	...(attempt.idempotencyKey === null ? {} : {[idempotencyKeyHeader]: attempt.idempotencyKey}),
--- a/packages/daemon/src/entry/serve-call.ts
+++ b/packages/daemon/src/entry/serve-call.ts
@@ -5,6 +5,8 @@
 import {mayHaveRun, notRun} from '@bitternpaddle/state';
 import {BodyTooLargeError, sendJson} from '@bitternpaddle/transport';
 import type {ConfigurationClient} from '../host/configuration-client.js';
+import type {FailingHosts} from '../host/failing-hosts.js';
+import {createPeers} from '../host/peers.js';
 import {attemptCall, type AttemptsOptions, type CallOutcome} from './attempts.js';
 import {RefusedError, type Call} from './call.js';
 import {readCall} from './read-call.js';
@@ -24,6 +26,8 @@
 	readonly maxAttempts: number;
 	readonly defaultDeadlineMs: number;
 	readonly suspectMs: number;
+	/** Told of each endpoint that does or does not answer. */
+	readonly failing?: FailingHosts;
 	isLeaving(): boolean;
 };
 
@@ -45,6 +49,7 @@
 	const attemptsOptions: AttemptsOptions = {
 		routing, maxAttempts: options.maxAttempts, suspectMs: options.suspectMs, budget: createRetryBudget({nowMs: performance.now()}),
 		nextIssue: () => ({sender, sequence: sequence++}),
+		peers: createPeers(configuration), failing: options.failing,
 	};
 
 	const attempt = async (call: Call, mayDispatch?: AttemptsOptions['mayDispatch']): Promise<CallOutcome> => attemptCall(call, {...attemptsOptions, mayDispatch});
--- a/packages/daemon/src/host/configuration-client.ts
+++ b/packages/daemon/src/host/configuration-client.ts
@@ -1,6 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	createHostConfiguration, hasConfigurationLease, takeWatchResult, type HostConfiguration, type HostTime,
+	compareWithPeer, createHostConfiguration, discardCopy, hasConfigurationLease, takeWatchResult, type HostConfiguration, type HostTime, type PeerComparison,
 } from '@bitternpaddle/coordination';
 import type {
 	HostReport, InForceResult, ProposeResult, QueryResult, Show, WatchResult,
@@ -28,6 +28,12 @@
 	inForce(): ConfigurationInForce;
 	/** Whether this host may take new work. */
 	hasLease(): boolean;
+	/** How this host's configuration stands to another's. */
+	compare(peer: {readonly revision: number; readonly digest: string | null}): PeerComparison;
+	/** Asks another control host at once, since the present one may have gone silent. */
+	catchUp(): void;
+	/** Drops the copy and fetches another; no work is taken until it is here. */
+	resync(): void;
 	/** Resolves once the host is at `revision` or later; `false` after `timeoutMs`. */
 	reach(revision: number, timeoutMs: number): Promise<boolean>;
 	propose(command: Command): Promise<ProposeResult>;
@@ -42,6 +48,8 @@
 const hostTime = (): HostTime => ({monotonicMs: performance.now(), wallMs: Date.now()});
 
 const retryMs = 100;
+/** Longer than a control host takes to hear its leader, which a host without a copy has to wait for. */
+const catchUpHoldMs = 600;
 const callMarginMs = 1500;
 
 /** Keeps a host's configuration current: one call waits at a control host all the time. */
@@ -102,6 +110,23 @@
 		}
 	};
 
+	let isCatchingUp = false;
+	const catchUp = async (): Promise<void> => {
+		if (isCatchingUp) {
+			return;
+		}
+
+		isCatchingUp = true;
+		try {
+			place.leave();
+			await renewOnce(catchUpHoldMs);
+		} catch {
+			// The watch goes on and tries the next control host.
+		} finally {
+			isCatchingUp = false;
+		}
+	};
+
 	/** Tries each control host once; an answer with an error code from the leader is final. */
 	const callAny = async <Result>(method: string, parameters: Record<string, unknown>, timeoutMs: number): Promise<Result> => {
 		let lastError: unknown = new Error('no control host is known');
@@ -121,13 +146,27 @@
 		throw lastError;
 	};
 
-	void run();
+	// Not before the caller holds this client: its report asks for the revision.
+	setImmediate(() => {
+		void run();
+	});
 	return {
 		catalog: () => configuration.catalog,
 		inForce: () => ({
 			revision: configuration.catalog.revision, digest: configuration.catalog.digest, hasLease: hasLease(),
 		}),
 		hasLease,
+		compare: peer => compareWithPeer(configuration, peer),
+		catchUp() {
+			void catchUp();
+		},
+		resync() {
+			if (configuration.catalog.revision > 0) {
+				logger.event('BP3006', {revision: configuration.catalog.revision});
+				discardCopy(configuration);
+				void catchUp();
+			}
+		},
 		async reach(revision, timeoutMs) {
 			if (configuration.catalog.revision >= revision) {
 				return true;
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -15,3 +15,4 @@
 export * from './recording/recorder.js';
 export * from './report/index.js';
 export * from './settings/settings.js';
+export * from './host/peers.js';
--- a/packages/protocol/src/http/headers.ts
+++ b/packages/protocol/src/http/headers.ts
@@ -8,6 +8,8 @@
 export const onceHeader = 'x-bitternpaddle-once';
 export const attemptHeader = 'x-bitternpaddle-attempt';
 export const revisionHeader = 'x-bitternpaddle-revision';
+/** Digest of the configuration at that revision. */
+export const configurationDigestHeader = 'x-bitternpaddle-configuration-digest';
 export const versionHeader = 'x-bitternpaddle-version';
 export const fleetHeader = 'x-bitternpaddle-fleet';
 export const deadlineHeader = 'x-bitternpaddle-deadline-ms';
