feat(admin): say on how many hosts an accepted change is in force

Change: an accepted answer carries inForce (hosts in service, of them in force, which are missing, which are out of service); waitMs holds the answer until none is missing; GET /admin/v1/in-force/REVISION gives the progress. Seen red: test/in-force.test.ts with the count of missing hosts switched off.

--- a/packages/daemon/src/entry/admin-api.ts
+++ b/packages/daemon/src/entry/admin-api.ts
@@ -17,6 +17,7 @@
 	mayAct, roleOfToken, type AdminRole, type AdminToken,
 } from './admin-tokens.js';
 import type {EntryPeers} from './entry-peers.js';
+import {inForceAfter} from './in-force.js';
 import {explainReplica, explainRequest, requestRow} from './explain.js';
 
 export type AdminApiOptions = {
@@ -27,12 +28,16 @@
 
 export const adminPrefix = '/admin/v1/';
 export const commandsPath = `${adminPrefix}commands`;
+/** `GET` with a revision behind it: on how many hosts it is in force. */
+export const inForcePrefix = `${adminPrefix}in-force/`;
 export const burnReportPath = `${adminPrefix}reports/burn`;
 
 const bodySchema = z.object({
 	line: z.string().min(1).max(4096),
 	commandId: commandIdSchema.optional(),
 	ifRevision: z.number().int().nonnegative().optional(),
+	/** Answer when the change is in force on every host in service, or after this long. */
+	waitMs: z.number().int().nonnegative().max(600_000).optional(),
 });
 type CommandBody = z.infer<typeof bodySchema>;
 
@@ -67,7 +72,9 @@
 				const result = await configuration.propose({
 					commandId: body.commandId ?? commandIdSchema.parse(randomUUID()), ifRevision: body.ifRevision ?? null, change,
 				});
-				return {status: result.type === 'accepted' ? 200 : 409, body: result};
+				return result.type === 'accepted'
+					? {status: 200, body: {...result, inForce: await inForceAfter(configuration, result.revision, body.waitMs ?? 0)}}
+					: {status: 409, body: result};
 			})
 			.exhaustive();
 	};
@@ -131,6 +138,8 @@
 				sendJson(response, status, body);
 			} else if (request.method === 'GET' && request.url === burnReportPath) {
 				sendJson(response, 200, await burnReport(token));
+			} else if (request.method === 'GET' && /^\d+$/v.test(request.url!.slice(inForcePrefix.length)) && request.url!.startsWith(inForcePrefix)) {
+				sendJson(response, 200, await configuration.spread(Number(request.url!.slice(inForcePrefix.length))));
 			} else {
 				throw new AdminError(404, 'not_found', `${request.method} ${request.url}: expected POST ${commandsPath} or GET ${burnReportPath}`);
 			}
