--- a/packages/coordination/src/configuration/report-fold.ts
+++ b/packages/coordination/src/configuration/report-fold.ts
@@ -22,6 +22,9 @@
 	/** Number of the next message; 0 when the leader must be told everything. */
 	sequence: number;
 	sentAtMs: number;
+	/** Common revision and hosts behind it, as told last. */
+	toldRevision: number;
+	toldBehind: number;
 };
 
 /** Hosts below the common revision that one message names. */
@@ -36,7 +39,7 @@
 };
 
 export const createReportFold = ({memberId, silentMs, epoch}: ReportFoldOptions): ReportFold => ({
-	memberId, silentMs, epoch, watchers: new Map(), lost: [], sequence: 0, sentAtMs: Number.NEGATIVE_INFINITY,
+	memberId, silentMs, epoch, watchers: new Map(), lost: [], sequence: 0, sentAtMs: Number.NEGATIVE_INFINITY, toldRevision: 0, toldBehind: 0,
 });
 
 /** Load and progress change all the time and decide nothing at the leader, so they stay here until asked for. */
@@ -100,12 +103,15 @@
 	const isAll = fold.sequence === 0;
 	const watchers = [...fold.watchers];
 	const news = watchers.filter(([, watcher]) => isAll || watcher.isNews);
+	const revision = commonRevision(watchers.map(([, watcher]) => watcher));
+	const behind = watchers.filter(([, watcher]) => watcher.revision < revision).map(([hostId, watcher]) => ({hostId, revision: watcher.revision}));
 	const isDue = nowMs - fold.sentAtMs >= foldIntervalMs;
-	if (!isDue && news.length === 0 && fold.lost.length === 0) {
+	// An operator waits for a change to be in force, so its arrival is told at once.
+	const isFurther = revision !== fold.toldRevision || behind.length < fold.toldBehind;
+	if (!isDue && !isFurther && news.length === 0 && fold.lost.length === 0) {
 		return null;
 	}
 
-	const revision = commonRevision(watchers.map(([, watcher]) => watcher));
 	const message: Fold = {
 		from: fold.memberId,
 		epoch: fold.epoch,
@@ -113,7 +119,7 @@
 		revision,
 		hosts: news.map(([, {session, report}]) => ({session, report})),
 		silent: [...fold.lost],
-		behind: watchers.filter(([, watcher]) => watcher.revision < revision).map(([hostId, watcher]) => ({hostId, revision: watcher.revision})),
+		behind,
 	};
 	for (const [, watcher] of news) {
 		watcher.isNews = false;
@@ -122,5 +128,7 @@
 	fold.lost.length = 0;
 	fold.sequence++;
 	fold.sentAtMs = nowMs;
+	fold.toldRevision = revision;
+	fold.toldBehind = behind.length;
 	return message;
 };
--- a/packages/daemon/src/agent/door-server.ts
+++ b/packages/daemon/src/agent/door-server.ts
@@ -61,6 +61,7 @@
 	} = options;
 	const peers = createPeers(configuration);
 	const waiting = new Set<http.ServerResponse>();
+	const running = (): number => door.running;
 	const askStatus = createVersionCheck(endpointAddress);
 	const runs = createRunRegistry({
 		tickMs, limits,
@@ -142,7 +143,9 @@
 				return;
 			}
 
-			await sendAnswer(begin(request, asked.attemptId, requestId, body), response, {hostId, offset: 0, waiting});
+			await sendAnswer(begin(request, asked.attemptId, requestId, body), response, {
+				hostId, offset: 0, waiting, running,
+			});
 		},
 		async resume(request, response) {
 			const url = new URL(request.url!, 'http://door');
@@ -152,7 +155,9 @@
 				return;
 			}
 
-			await sendAnswer(run, response, {hostId, offset: Number(url.searchParams.get('offset')), waiting});
+			await sendAnswer(run, response, {
+				hostId, offset: Number(url.searchParams.get('offset')), waiting, running,
+			});
 		},
 		settle({isCancel, ...asked}) {
 			const type = settleAtDoor(door, asked);
--- a/packages/daemon/src/control/control-rpc.ts
+++ b/packages/daemon/src/control/control-rpc.ts
@@ -1,12 +1,15 @@
 import {
-	consensusEnvelopeSchema, foldSchema, inForceParametersSchema, proposeParametersSchema, queryParametersSchema, reportsParametersSchema, rpcErrorCodes, watchParametersSchema,
-	type Fold, type FoldResult, type HostReport, type InForceResult, type QueryResult, type Show,
+	consensusEnvelopesSchema, foldSchema, formationParametersSchema, inForceParametersSchema, proposeParametersSchema, queryParametersSchema,
+	reportsParametersSchema, rpcErrorCodes, standbyParametersSchema, watchParametersSchema,
+	type Fold, type FoldResult, type InForceResult, type QueryResult, type Show,
 } from '@bitternpaddle/protocol';
 import {
-	callRpc, createRpcServer, RpcError, type Logger, type RpcServer,
+	callRpc, createRpcServer, RpcError, TransportError, type Logger, type RpcServer,
 } from '@bitternpaddle/transport';
 import {answerQuery, type QueryView} from './answer-query.js';
 import type {ConsensusDriver} from './consensus-driver.js';
+import type {MemberIdentity} from './member-identity.js';
+import type {PlacedReport} from './host-view.js';
 import {proposalTimeoutMs, type Proposals} from './proposals.js';
 import type {WatchHub} from './watch-hub.js';
 
@@ -15,13 +18,16 @@
 	readonly proposals: Proposals;
 	readonly hub: WatchHub;
 	readonly logger: Logger;
+	readonly identity: MemberIdentity;
+	/** Takes the word of a control host that stands by. */
+	hearStandby(memberId: string): void;
 	isLeader(): boolean;
 	/** Address of the leader; `undefined` while there is none or this host leads. */
 	leaderAddress(): string | undefined;
 	/** What the leader answers questions from. */
 	view(subject: Show['subject']): Promise<QueryView>;
 	/** What the hosts that watch here said last. */
-	ownReports(): HostReport[];
+	ownReports(): PlacedReport[];
 	/** Takes another control host's message about its hosts, as leader. */
 	hearFold(fold: Fold): FoldResult;
 	inForce(revision: number): InForceResult;
@@ -32,7 +38,7 @@
 /** What other processes may ask of a control host. */
 export const createControlRpc = (options: ControlRpcOptions): RpcServer => {
 	const {
-		driver, proposals, hub, logger, isLeader, leaderAddress, view, ownReports, hearFold, inForce,
+		driver, proposals, hub, logger, identity, hearStandby, isLeader, leaderAddress, view, ownReports, hearFold, inForce,
 	} = options;
 
 	/** Calls the leader's `method`, or does it here if this host leads. */
@@ -48,6 +54,10 @@
 
 		return callRpc<Result>({
 			address, method, params: {...parameters, isForwarded: true}, timeoutMs: forwardTimeoutMs,
+		}).catch((error: unknown) => {
+			throw error instanceof TransportError
+				? new RpcError(rpcErrorCodes.noQuorum, `the leader cannot be reached (${error.message}); an order may still be accepted: resend it with the same command id`)
+				: error;
 		});
 	};
 
@@ -57,8 +67,14 @@
 	};
 
 	const rpc = createRpcServer();
-	rpc.method('consensus.message', consensusEnvelopeSchema, envelope => {
-		driver.receive(envelope);
+	rpc.method('consensus.messages', consensusEnvelopesSchema, ({envelopes}) => {
+		for (const envelope of envelopes) {
+			driver.receive(envelope);
+		}
+	});
+	rpc.method('control.formation', formationParametersSchema, () => identity.formation());
+	rpc.method('control.standby', standbyParametersSchema, ({memberId}) => {
+		hearStandby(memberId);
 	});
 	rpc.method('control.watch', watchParametersSchema, async parameters => hub.watch(parameters));
 	rpc.method('control.fold', foldSchema, fold => {
--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -1,24 +1,29 @@
-import process from 'node:process';
+import {randomInt} from 'node:crypto';
 import {
-	createLossBudget, createPresence, createReportFold, forgetHost, hasLeaderLease, hearFold, inForceOf, isInContact, noteSilentMembers, planMembership,
-	rendezvousWeight, resetPresence, type LeaderWord,
+	createLossBudget, createPresence, createReportFold, forgetHost, formedVoters, hasLeaderLease, hearFold, hostOfMember, inForceOf, isInContact,
+	noteSilentMembers, planMembership, resetPresence, type LeaderWord,
 } from '@bitternpaddle/coordination';
-import type {ConsensusEnvelope, HostReport, Show} from '@bitternpaddle/protocol';
-import {openLogStore, type CommandResult, type LogEntry} from '@bitternpaddle/state';
+import type {HostReport, Show} from '@bitternpaddle/protocol';
 import {
-	createHttpServer, notifyRpc, rpcPath, sendJson, silentLogger, type HttpServer, type Logger,
+	openLogStore, type CommandResult, type LogEntry, type Members,
+} from '@bitternpaddle/state';
+import {
+	createHttpServer, rpcPath, sendJson, silentLogger, type HttpServer, type Logger,
 } from '@bitternpaddle/transport';
 import {createRecorder} from '../recording/recorder.js';
 import {createConsensusDriver, type ConsensusDriver} from './consensus-driver.js';
 import {createControlRpc} from './control-rpc.js';
 import {createFoldSender, foldMs} from './fold-sender.js';
-import {gatherReports, viewHosts} from './host-view.js';
+import {gatherReports, viewHosts, type PlacedReport} from './host-view.js';
+import {openMemberIdentity} from './member-identity.js';
+import {createPeerSender} from './peer-sender.js';
 import {createProposals} from './proposals.js';
 import {createReconciler, reconcileMs} from './reconciler.js';
 import {
 	applyToReplica, createReplica, serializeReplica, type Replica,
 } from './replica.js';
 import {createRolloutDriver, rolloutMs} from './rollout-driver.js';
+import {createVoterRepair, repairMs} from './voter-repair.js';
 import {createWatchHub} from './watch-hub.js';
 
 export type ControlNodeOptions = {
@@ -37,6 +42,8 @@
 	readonly hostLossMs?: number;
 	/** Entries in the log before it is replaced by a snapshot. @default 8192 */
 	readonly snapshotEntries?: number;
+	/** A voter that is silent for longer than a restart takes is replaced. @default 15000 */
+	readonly replaceAfterMs?: number;
 	readonly recordFile?: string;
 	readonly logger?: Logger;
 };
@@ -45,10 +52,14 @@
 	readonly selfId: string;
 	readonly address: string;
 	isLeader(): boolean;
+	/** Ids of the members as `host#disk`, as far as this host knows. */
+	members(): Members;
+	/** Syncs of the log since the start. */
+	syncCount(): number;
 	close(): Promise<void>;
 };
 
-const consensusTimeoutMs = 1000;
+const formMs = 100;
 /** How long a control host renews the leases of hosts on the leader's last word. */
 const memberLeaseMs = 3000;
 /** Questions whose answers change too often for the leader to be told without being asked. */
@@ -57,14 +68,19 @@
 /** One control host: the log, the configuration that follows from it, and the hosts that watch it. */
 export const createControlNode = async (options: ControlNodeOptions): Promise<ControlNode> => {
 	const {
-		selfId, listen = '127.0.0.1:0', folder, members, voters, leaseMs = 5000, hostLossMs = 10_000, snapshotEntries = 8192, logger = silentLogger,
+		selfId, listen = '127.0.0.1:0', folder, members, voters, leaseMs = 5000, hostLossMs = 10_000, snapshotEntries = 8192,
+		replaceAfterMs = 15_000, logger = silentLogger,
 	} = options;
+	const identity = await openMemberIdentity({
+		hostId: selfId, folder, voters, addressOf: hostId => members.get(hostId),
+	});
 	const store = await openLogStore({folder});
 	if (store.loaded.cutBytes > 0) {
 		logger.event('BP1002', {cutBytes: store.loaded.cutBytes});
 	}
 
 	let replica: Replica = createReplica(store.loaded.snapshot);
+	let leadingSinceMs = 0;
 	let word: LeaderWord | null = null;
 	let lossBudget = createLossBudget();
 	const presence = createPresence({hostLeaseMs: leaseMs, memberLeaseMs});
@@ -90,28 +106,18 @@
 
 	const takeSnapshot = (): void => {
 		driver.compact({
-			index: replica.appliedIndex, term: replica.appliedTerm, members: driver.state.members, state: serializeReplica(replica),
+			index: replica.appliedIndex, term: replica.appliedTerm, state: serializeReplica(replica),
 		});
 		logger.event('BP1003', {index: replica.appliedIndex});
 	};
 
-	const sendEnvelope = (envelope: ConsensusEnvelope): void => {
-		const address = members.get(envelope.to);
-		if (address !== undefined) {
-			// A lost message is sent again by the rules of consensus.
-			notifyRpc({
-				address, method: 'consensus.message', params: envelope, timeoutMs: consensusTimeoutMs,
-			}).catch(() => undefined);
-		}
-	};
-
 	const driver: ConsensusDriver = createConsensusDriver({
-		selfId,
-		initialMembers: {voters: [...voters], learners: []},
+		selfId: identity.memberId,
+		initialMembers: {voters: formedVoters(identity.formation()), learners: []},
 		store,
-		seed: seedFrom(selfId),
+		seed: randomInt(1, 2_147_483_647),
 		recorder: options.recordFile === undefined ? undefined : createRecorder(options.recordFile),
-		send: sendEnvelope,
+		send: createPeerSender({addressOf: memberId => members.get(hostOfMember(memberId))}),
 		onCommit,
 		onSnapshot(snapshot) {
 			replica = createReplica(snapshot);
@@ -120,6 +126,7 @@
 		onRoleChange({role, term, leaderId}) {
 			logger.event('BP1001', {role, term, leaderId});
 			if (role === 'leader') {
+				leadingSinceMs = performance.now();
 				resetPresence(presence, Object.keys(replica.state.catalog.hosts), performance.now());
 				lossBudget = createLossBudget();
 			}
@@ -137,7 +144,7 @@
 
 	const leaderAddress = (): string | undefined => {
 		const {leaderId} = driver.state;
-		return leaderId === null || leaderId === selfId ? undefined : members.get(leaderId);
+		return leaderId === null || leaderId === identity.memberId ? undefined : members.get(hostOfMember(leaderId));
 	};
 
 	const foldSender = createFoldSender({
@@ -167,14 +174,19 @@
 			forgetHost(presence, hostId);
 		},
 	});
-	const ownReports = (): HostReport[] => [...fold.watchers.values()].map(({report}) => report);
+	const ownReports = (): PlacedReport[] => [...fold.watchers.values()].map(({session, report}) => ({session, report}));
 	const gather = async (): Promise<HostReport[]> => gatherReports([...members].filter(([id]) => id !== selfId).map(([, address]) => address), ownReports());
 	const rollouts = createRolloutDriver({
 		proposals, presence, logger, isLeader, gather,
 		catalog: () => replica.state.catalog,
 	});
+	const repair = createVoterRepair({
+		driver, identity, logger, replaceAfterMs, voterCount: voters.length,
+		otherAddresses: () => [...members].filter(([hostId]) => hostId !== selfId).map(([, address]) => address),
+		leadingSinceMs: () => leadingSinceMs,
+	});
 	const rpc = createControlRpc({
-		driver, proposals, hub, logger, isLeader, leaderAddress, ownReports,
+		driver, proposals, hub, logger, identity, hearStandby: repair.hear, isLeader, leaderAddress, ownReports,
 		async view(subject) {
 			const gathered = detailedSubjects.has(subject) ? await gather() : [];
 			const nowMs = performance.now();
@@ -197,7 +209,7 @@
 			} else if (request.url === '/readyz') {
 				const isReady = isInContact(driver.state, performance.now());
 				sendJson(response, isReady ? 200 : 503, {
-					role: driver.state.role, term: driver.state.term, leaderId: driver.state.leaderId, revision: replica.state.catalog.revision,
+					role: driver.state.role, term: driver.state.term, leaderId: driver.state.leaderId === null ? null : hostOfMember(driver.state.leaderId), revision: replica.state.catalog.revision,
 				});
 			} else {
 				sendJson(response, 404, {error: {type: 'not_found', message: `${request.method} ${request.url}`}});
@@ -205,7 +217,17 @@
 		},
 	});
 	members.set(selfId, server.address);
+	const form = async (): Promise<void> => {
+		if (await identity.form()) {
+			driver.form({voters: formedVoters(identity.formation()), learners: []});
+		}
+	};
+
 	const timers = [
+		setInterval(() => {
+			void form();
+		}, formMs),
+		setInterval(repair.run, repairMs),
 		setInterval(() => {
 			void reconciler.reconcile();
 		}, reconcileMs),
@@ -220,6 +242,8 @@
 		selfId,
 		address: server.address,
 		isLeader,
+		members: () => driver.state.members,
+		syncCount: store.syncCount,
 		async close() {
 			for (const timer of timers) {
 				clearInterval(timer);
@@ -231,5 +255,3 @@
 		},
 	};
 };
-
-const seedFrom = (selfId: string): number => rendezvousWeight(String(process.pid), selfId) % 2_147_483_647;
--- a/packages/daemon/src/control/host-view.ts
+++ b/packages/daemon/src/control/host-view.ts
@@ -6,6 +6,9 @@
 export type SeenHost = {readonly report: HostReport; readonly heardAtMs: number};
 export type HostRegistry = ReadonlyMap<string, SeenHost>;
 
+/** A report as one control host heard it; the greatest session is the host's last place. */
+export type PlacedReport = {readonly session: number; readonly report: HostReport};
+
 const reportsTimeoutMs = 1500;
 
 /**
@@ -13,11 +16,19 @@
  * watches; they are fetched when somebody asks, so that they cost the leader
  * nothing while nobody does.
  */
-export const gatherReports = async (addresses: readonly string[], own: readonly HostReport[]): Promise<HostReport[]> => {
-	const gathered = await Promise.all(addresses.map(async address => callRpc<HostReport[]>({
+export const gatherReports = async (addresses: readonly string[], own: readonly PlacedReport[]): Promise<HostReport[]> => {
+	const gathered = await Promise.all(addresses.map(async address => callRpc<PlacedReport[]>({
 		address, method: 'control.reports', params: {}, timeoutMs: reportsTimeoutMs,
 	}).catch(() => [])));
-	return [...own, ...gathered.flat()];
+	const latest = new Map<string, PlacedReport>();
+	for (const placed of [...own, ...gathered.flat()]) {
+		// A host that turned elsewhere is still known for a while where it was.
+		if (placed.session >= (latest.get(placed.report.hostId)?.session ?? 0)) {
+			latest.set(placed.report.hostId, placed);
+		}
+	}
+
+	return [...latest.values()].map(({report}) => report);
 };
 
 /** What is known of each host, with the fresher report where one was gathered. */
--- a/packages/daemon/src/entry/admin-api.ts
+++ b/packages/daemon/src/entry/admin-api.ts
@@ -33,7 +33,7 @@
 export const burnReportPath = `${adminPrefix}reports/burn`;
 
 const bodySchema = z.object({
-	line: z.string().min(1).max(4096),
+	line: z.string().min(1).max(4096, 'expected at most 4096 characters'),
 	commandId: commandIdSchema.optional(),
 	ifRevision: z.number().int().nonnegative().optional(),
 	/** Answer when the change is in force on every host in service, or after this long. */
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -42,6 +42,13 @@
 	listen: define('listen', addressSchema, 'Address of the first role; further roles take free ports on the same IP number.', 'ip:port', '127.0.0.1:0'),
 	controls: define('controls', listSchema(memberSchema), 'All control hosts.', 'a list of id=ip:port', null),
 	voters: define('voters', listSchema(hostIdSchema), 'The control hosts that vote at the first start; the others stand by.', 'a list of ids from --controls', ''),
+	replaceVoterAfterMs: define(
+		'replace-voter-after-ms',
+		numberSchema(1000, 3_600_000),
+		'A voter that is silent for this long is replaced by a control host that stands by (control).',
+		'milliseconds, longer than a restart takes',
+		'15000',
+	),
 	dataFolder: define('data-folder', z.string().min(1), 'Folder for what must survive (control) or may be kept (agent).', 'a path', './data'),
 	zone: define('zone', zoneIdSchema, 'Availability zone of this host.', 'a name', 'zone-1'),
 	region: define('region', regionIdSchema, 'Region of this host.', 'a name', 'region-1'),
@@ -50,8 +57,16 @@
 	endpoint: define('endpoint', addressSchema, 'Where the endpoint listens (agent).', 'ip:port', ''),
 	endpointKind: define('endpoint-kind', z.enum(['engine', 'plain']), 'A model engine or a plain service (agent).', 'engine or plain', 'engine'),
 	origin: define('origin', addressSchema, 'The origin of weights (agent).', 'ip:port', ''),
+	store: define('store', addressSchema, 'The weight store, asked while the origin fails or refuses (agent).', 'ip:port', ''),
+	originCopies: define('origin-copies', numberSchema(1, 4), 'Copies of a version that may leave the origin: fewer save its bytes, more save time (agent).', 'a whole number from 1 to 4', '1'),
+	transferIn: define('transfer-in-bytes-per-second', numberSchema(1024, 1_000_000_000_000), 'What transfers may take of the link inwards (agent).', 'a whole number from 1024', ''),
+	transferOut: define('transfer-out-bytes-per-second', numberSchema(1024, 1_000_000_000_000), 'What transfers may take of the link outwards (agent).', 'a whole number from 1024', ''),
 	capacity: define('capacity', numberSchema(1, 100_000), 'Requests that the endpoint runs side by side (agent).', 'a whole number from 1 to 100000', '16'),
 	adminTokens: define('admin-tokens', listSchema(tokenSchema), 'Tokens of operators (entry).', 'a list of read|operate|administer:TOKEN, each TOKEN of 8 characters or more', ''),
+	limitTokens: define('limit-tokens-per-second', numberSchema(1, 1_000_000_000), 'Tokens a second over all teams and entries, split by the teams\' shares (entry); none if left out.', 'a whole number from 1 to 1000000000', ''),
+	limitBurstSeconds: define('limit-burst-seconds', numberSchema(1, 3600), 'Seconds of its share of the limit that a team can save up (entry).', 'a whole number from 1 to 3600', '10'),
+	maxQueuedPerTeam: define('max-queued-per-team', numberSchema(1, 1_000_000), 'Requests of one team that wait for one model or service (entry).', 'a whole number from 1 to 1000000', '512'),
+	maxQueuedPerService: define('max-queued-per-service', numberSchema(1, 1_000_000), 'Requests that wait for one model or service (entry).', 'a whole number from 1 to 1000000', '2048'),
 	statsd: define('statsd', addressSchema, 'Where metrics go.', 'ip:port', ''),
 	logLevel: define('log-level', z.enum(['error', 'warn', 'info', 'debug', 'silent']), 'Least severity of logged events.', 'error, warn, info, debug or silent', 'info'),
 	record: define('record', z.string().min(1), 'File for the trace of decisions, for `bitternpaddle replay` (control).', 'a path', ''),
@@ -61,7 +76,7 @@
 
 type Values = {[Key in SettingKey]: z.output<typeof settingDefinitions[Key]['schema']>};
 
-type OptionalKey = 'voters' | 'endpoint' | 'origin' | 'adminTokens' | 'statsd' | 'record';
+type OptionalKey = 'voters' | 'endpoint' | 'origin' | 'store' | 'transferIn' | 'transferOut' | 'adminTokens' | 'limitTokens' | 'statsd' | 'record';
 
 export type Settings = Omit<Values, OptionalKey> & {[Key in OptionalKey]: Values[Key] | undefined};
 
@@ -98,7 +113,8 @@
 };
 
 /** Values that are right alone but wrong together. */
-const contradictions = ({roles, endpoint, origin, endpointKind, controls, voters = [], hostId}: Settings): string[] => {
+const contradictions = (settings: Settings): string[] => {
+	const {roles, endpoint, origin, endpointKind, controls, voters = [], hostId, maxQueuedPerTeam, maxQueuedPerService} = settings;
 	const problems: string[] = [];
 	const ids = new Set(controls.map(control => control.id));
 	if (roles.includes('agent') && endpoint === undefined) {
@@ -117,5 +133,9 @@
 		problems.push(`--voters names "${voter}": expected ids from --controls`);
 	}
 
+	if (maxQueuedPerTeam > maxQueuedPerService) {
+		problems.push(`--max-queued-per-team is ${maxQueuedPerTeam}: expected at most --max-queued-per-service (${maxQueuedPerService})`);
+	}
+
 	return problems;
 };
