--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -5,8 +5,11 @@
 import {
 	hostIdSchema, notRun, type ClaimPlace, type UnansweredVerdict,
 } from '@bitternpaddle/state';
+import type {FailingHosts} from '../host/failing-hosts.js';
+import type {Peers} from '../host/peers.js';
 import {nameOf, RefusedError, type Call} from './call.js';
 import {dispatch, type AttemptAnswer} from './dispatch.js';
+import type {FleetOutcomes} from './fleet-outcomes.js';
 import type {RoutedAttempt, Routing} from './routing.js';
 
 export type AttemptsOptions = {
@@ -16,6 +19,9 @@
 	/** See `Attempt.suspectMs`. */
 	readonly suspectMs: number;
 	nextIssue(): Issue;
+	readonly peers?: Peers;
+	readonly failing?: FailingHosts;
+	readonly outcomes?: FleetOutcomes;
 	/** Asked before each dispatch; `false` stops without another attempt. */
 	readonly mayDispatch?: (place: ClaimPlace) => Promise<boolean>;
 };
@@ -58,10 +64,12 @@
 		}
 
 		const routed = routing.start(call, endpoint);
-		const outcome = await call.trace.attempt(endpoint, number, async () => dispatch({
-			...call, ...place, endpoint, revision: routing.revision(), signal: call.abort.signal, suspectMs: options.suspectMs,
+		const attempted = await call.trace.attempt(endpoint, number, async () => dispatch({
+			...call, ...place, endpoint, revision: routing.revision(), signal: call.abort.signal, suspectMs: options.suspectMs, peers: options.peers,
 			remainingMs: call.endAtMs - performance.now(),
 		}));
+		const outcome = options.outcomes?.watch(endpoint.fleetId, attempted) ?? attempted;
+		options.failing?.note(endpoint.hostId, outcome.type === 'answer' || outcome.isRefusal);
 		if (outcome.type === 'answer') {
 			routed.begin(outcome.answer.headers);
 			endWithCall(call, routed);
--- a/packages/daemon/src/entry/dispatch.ts
+++ b/packages/daemon/src/entry/dispatch.ts
@@ -13,6 +13,7 @@
 import {
 	callRpc, readBody, sendHttp, TransportError,
 } from '@bitternpaddle/transport';
+import type {Peers} from '../host/peers.js';
 import {doorHeadersOf} from './door-headers.js';
 
 export type Attempt = {
@@ -21,6 +22,8 @@
 	readonly attemptId: string;
 	readonly issue: Issue;
 	readonly revision: number;
+	/** What the two ends tell each other about their configuration. */
+	readonly peers?: Pick<Peers, 'headers' | 'note'>;
 	readonly method: string;
 	readonly path: string;
 	readonly contentType: string;
@@ -206,6 +209,7 @@
 			...options, address: endpoint.address, idleTimeoutMs: suspectMs, signal,
 		});
 		running.connection = connection;
+		running.attempt.peers?.note(connection.headers);
 		running.parts = (connection as AsyncIterable<Buffer>)[Symbol.asyncIterator]();
 		const verdict = connection.headers[verdictHeader];
 		if (verdict === 'ran') {
--- a/packages/daemon/src/entry/door-headers.ts
+++ b/packages/daemon/src/entry/door-headers.ts
@@ -12,6 +12,7 @@
 	[issueHeader]: formatIssue(attempt.issue),
 	[incarnationHeader]: attempt.endpoint.incarnation,
 	[revisionHeader]: attempt.revision,
+	...attempt.peers?.headers(),
 	[deadlineHeader]: Math.max(1, Math.round(attempt.remainingMs)),
 	...(attempt.endpoint.versionId === null ? {} : {[versionHeader]: attempt.endpoint.versionId}),
 	...(attempt.idempotencyKey === null ? {} : {[idempotencyKeyHeader]: attempt.idempotencyKey}),
--- a/packages/daemon/src/entry/serve-call.ts
+++ b/packages/daemon/src/entry/serve-call.ts
@@ -5,12 +5,15 @@
 import {mayHaveRun, notRun} from '@bitternpaddle/state';
 import {BodyTooLargeError, sendJson} from '@bitternpaddle/transport';
 import type {ConfigurationClient} from '../host/configuration-client.js';
+import type {FailingHosts} from '../host/failing-hosts.js';
+import {createPeers} from '../host/peers.js';
 import {attemptCall, type AttemptsOptions, type CallOutcome} from './attempts.js';
 import {RefusedError, type Call} from './call.js';
 import {readCall} from './read-call.js';
 import {sendRefusal, type Relay} from './relay.js';
 import type {RequestLog} from './request-log.js';
 import type {Admit, Routing} from './routing.js';
+import type {FleetOutcomes} from './fleet-outcomes.js';
 import {createServeOnce} from './serve-once.js';
 
 export type ServeCallOptions = {
@@ -24,6 +27,10 @@
 	readonly maxAttempts: number;
 	readonly defaultDeadlineMs: number;
 	readonly suspectMs: number;
+	/** Told of each endpoint that does or does not answer. */
+	readonly failing?: FailingHosts;
+	/** Counts what attempts came to, by fleet. */
+	readonly outcomes?: FleetOutcomes;
 	isLeaving(): boolean;
 };
 
@@ -45,6 +52,7 @@
 	const attemptsOptions: AttemptsOptions = {
 		routing, maxAttempts: options.maxAttempts, suspectMs: options.suspectMs, budget: createRetryBudget({nowMs: performance.now()}),
 		nextIssue: () => ({sender, sequence: sequence++}),
+		peers: createPeers(configuration), failing: options.failing, outcomes: options.outcomes,
 	};
 
 	const attempt = async (call: Call, mayDispatch?: AttemptsOptions['mayDispatch']): Promise<CallOutcome> => attemptCall(call, {...attemptsOptions, mayDispatch});
--- a/packages/protocol/src/language/statement-forms.ts
+++ b/packages/protocol/src/language/statement-forms.ts
@@ -31,7 +31,7 @@
 		example: `create adapter fair-tone on pitch-desk:v1 from manifest ${manifest}`,
 	},
 	{
-		form: 'create fleet FLEET provider PROVIDER for MODEL:LABEL replicas N [in ZONE, ...]',
+		form: 'create fleet FLEET provider PROVIDER for MODEL:LABEL replicas N [in ZONE, ...] [at most N per zone] [capacity N]',
 		description: 'Hosts of one provider that carry one version; it carries weights after its first load.',
 		role: 'administer',
 		example: 'create fleet fair-mornings provider new for pitch-desk:v1 replicas 40 in tacoma-hall, salem-hall',
@@ -72,6 +72,48 @@
 		role: 'operate',
 		example: 'move 20% of pitch-desk from fleet old to fleet fair-mornings',
 	},
+	{
+		form: 'move P% of MODEL from fleet FLEET to fleet FLEET in steps of P% [every N s] [stopping above P%]',
+		description: 'Moves it step by step; stops by itself when requests to the new fleet fail. Without more: every 60 s, above 1%.',
+		role: 'operate',
+		example: 'move 100% of pitch-desk from fleet old to fleet fair-mornings in steps of 10% every 60 s stopping above 1%',
+	},
+	{
+		form: 'stop move of MODEL',
+		description: 'Stops a move in steps where it is.',
+		role: 'operate',
+		example: 'stop move of pitch-desk',
+	},
+	{
+		form: 'resume move of MODEL',
+		description: 'Goes on with a move that stopped.',
+		role: 'operate',
+		example: 'resume move of pitch-desk',
+	},
+	{
+		form: 'roll back move of MODEL',
+		description: 'Gives all fleets their shares from before the move, at once.',
+		role: 'operate',
+		example: 'roll back move of pitch-desk',
+	},
+	{
+		form: 'set replicas of fleet FLEET to N',
+		description: 'Changes how many hosts a fleet has.',
+		role: 'operate',
+		example: 'set replicas of fleet fair-mornings to 12',
+	},
+	{
+		form: 'retire fleet FLEET',
+		description: 'Ends a fleet without traffic; its hosts are free for others.',
+		role: 'operate',
+		example: 'retire fleet old',
+	},
+	{
+		form: 'retire version MODEL:LABEL',
+		description: 'Forgets a version that no fleet names.',
+		role: 'operate',
+		example: 'retire version pitch-desk:v1',
+	},
 	{
 		form: 'drain host HOST',
 		description: 'Takes work off a host; what runs is finished, and the process goes on.',
