--- a/packages/daemon/src/dev/failure/operate.ts
+++ b/packages/daemon/src/dev/failure/operate.ts
@@ -93,4 +93,6 @@
 	await mustOperate(cluster, `create fleet fair provider new for pitch-desk:v1 replicas ${cluster.engines.size}`);
 	await mustOperate(cluster, 'load pitch-desk:v1 on fleet fair');
 	await waitUntil('all replicas ready', async () => (await queryRows(cluster, 'show replicas where ready = true')).length === cluster.engines.size);
+	// Entries hear of the last replicas a moment after control does.
+	await waitUntil('in force everywhere', async () => (await queryRows(cluster, 'show revision'))[0]?.missing === '');
 };
