feat(test-support): replay traces of both deployments

Change: midwayPitchDesk and stationCleaningRouterFleet as data (halls, regions, latencies, services, workers, ten teams); traces as JSON lines of operators, callers, bookings and faults with stated outcomes; replayTrace compares them exactly. The failure cluster takes services and a latency for its links.

--- /dev/null
+++ b/packages/daemon/src/dev/deployments.ts
@@ -0,0 +1,65 @@
+import {cascadiaHalls, type Hall} from './create-dev-cluster.js';
+
+export type DeploymentService = {
+	readonly serviceId: string;
+	readonly kind: 'engine' | 'plain';
+	readonly workers: number;
+	/** Fleets take hosts by provider, so each service of engines has one of its own. */
+	readonly provider: string;
+};
+
+export type DeploymentTeam = {readonly teamId: string; readonly share: number};
+
+/** One of the users' deployments, as their brief gives its sizes. */
+export type Deployment = {
+	readonly name: string;
+	readonly halls: readonly Hall[];
+	/** One way. */
+	readonly latencyMs: {readonly betweenZones: number; readonly betweenRegions: number; readonly toClients: number};
+	/** The last one is the service whose calls may not be repeated. */
+	readonly services: readonly DeploymentService[];
+	readonly teams: readonly DeploymentTeam[];
+};
+
+/** Ten teams, a few of them large. */
+const teams = (prefix: string): DeploymentTeam[] => Array.from({length: 10}, (_, index) => ({teamId: `${prefix}-${index + 1}`, share: index < 3 ? 10 : 1}));
+
+export const midwayPitchDesk: Deployment = {
+	name: 'Midway Pitch Desk of Cascadia',
+	halls: cascadiaHalls,
+	latencyMs: {betweenZones: 1, betweenRegions: 2, toClients: 1},
+	services: [
+		{
+			serviceId: 'bp-writers', kind: 'engine', workers: 10, provider: 'writers',
+		},
+		{
+			serviceId: 'marshal-desk', kind: 'engine', workers: 3, provider: 'desk',
+		},
+		{
+			serviceId: 'ledger', kind: 'plain', workers: 1, provider: 'plain',
+		},
+	],
+	teams: teams('vendors'),
+};
+
+export const stationCleaningRouterFleet: Deployment = {
+	name: 'Station Cleaning Router Fleet of Isuku',
+	halls: [
+		{zoneId: 'nyabugogo-hall', regionId: 'kigali'},
+		{zoneId: 'musanze-hall', regionId: 'musanze'},
+		{zoneId: 'huye-hall', regionId: 'huye'},
+	],
+	latencyMs: {betweenZones: 1.5, betweenRegions: 3, toClients: 3},
+	services: [
+		{
+			serviceId: 'bitternpaddle-pool', kind: 'engine', workers: 8, provider: 'pool',
+		},
+		{
+			serviceId: 'rounds-log', kind: 'engine', workers: 3, provider: 'log',
+		},
+		{
+			serviceId: 'crew-roster', kind: 'plain', workers: 1, provider: 'plain',
+		},
+	],
+	teams: teams('crew'),
+};
--- a/packages/daemon/src/dev/failure/create-failure-cluster.ts
+++ b/packages/daemon/src/dev/failure/create-failure-cluster.ts
@@ -10,6 +10,7 @@
 import {createControlNode, type ControlNode} from '../../control/create-control-node.js';
 import {createEntryNode, type EntryNode} from '../../entry/create-entry-node.js';
 import {cascadiaHalls, randomWeights, type Hall} from '../create-dev-cluster.js';
+import type {DeploymentService} from '../deployments.js';
 import {anyNode, createLinks, type Links} from './links.js';
 import {createNodeHandle, type NodeHandle} from './node-handle.js';
 
@@ -18,8 +19,12 @@
 	readonly controls?: number;
 	/** @default 2 */
 	readonly entries?: number;
-	/** Endpoints with a model engine; one more host carries the plain service `ledger`. @default 4 */
+	/** Endpoints with a model engine. @default 4 */
 	readonly engines?: number;
+	/** Hosts are numbered through them. @default `engines` workers of bp-writers, and the ledger */
+	readonly services?: readonly DeploymentService[];
+	/** Of every link between nodes, one way. @default 0 */
+	readonly latencyMs?: number;
 	/** Endpoints are spread over them in turn. @default cascadiaHalls */
 	readonly halls?: readonly Hall[];
 	/** @default 64 * 1024 */
@@ -100,7 +105,7 @@
 	});
 };
 
-type EndpointOptions = Pick<AgentNodeOptions, 'hostId' | 'serviceId' | 'kind' | 'endpointAddress'> & {readonly hall: Hall};
+type EndpointOptions = Pick<AgentNodeOptions, 'hostId' | 'serviceId' | 'provider' | 'kind' | 'endpointAddress'> & {readonly hall: Hall};
 
 const createAgentHandle = async (context: Context, endpoint: EndpointOptions): Promise<NodeHandle<AgentNode>> => {
 	const {links, folder, originAddress, limits, logger} = context;
@@ -110,33 +115,54 @@
 	return createNodeHandle({
 		nodeId: options.hostId, links,
 		start: async () => createAgentNode({
-			...options, ...hall, provider: 'new', controls, originAddress, announcedAddress, folder: path.join(folder, options.hostId), limits, logger,
+			...options, ...hall, controls, originAddress, announcedAddress, folder: path.join(folder, options.hostId), limits, logger,
 		}),
 		stop: async node => node.stop(),
 		kill: async node => node.kill(),
 	});
 };
 
-const createEndpoints = async (context: Context): Promise<{engines: Map<string, FakeEngine>; ledger: FakeService; agents: Array<NodeHandle<AgentNode>>}> => {
+type Endpoints = {readonly engines: Map<string, FakeEngine>; readonly ledger: FakeService; readonly agents: Array<NodeHandle<AgentNode>>};
+
+const createEndpoints = async (context: Context): Promise<Endpoints> => {
 	const {history, halls, tokenMs} = context;
 	const engines = new Map<string, FakeEngine>();
 	const agents: Array<NodeHandle<AgentNode>> = [];
-	for (const [index, hostId] of idsOf('h', context.engines).entries()) {
-		const engine = await createFakeEngine({tokenMs, recordTo: {history, hostId}});
-		engines.set(hostId, engine);
+	let ledger: FakeService | undefined;
+	const workers = context.services.flatMap(service => Array.from({length: service.workers}, () => service));
+	for (const [index, {serviceId, kind, provider}] of workers.entries()) {
+		const hostId = `h${index + 1}`;
+		const recordTo = {history, hostId};
+		let endpoint: FakeEngine | FakeService;
+		if (kind === 'engine') {
+			endpoint = await createFakeEngine({tokenMs, recordTo});
+			engines.set(hostId, endpoint);
+		} else {
+			endpoint = await createFakeService({recordTo});
+			ledger = endpoint;
+		}
+
 		agents.push(await createAgentHandle(context, {
-			hostId, serviceId: 'bp-writers', kind: 'engine', endpointAddress: engine.address, hall: halls[index % halls.length]!,
+			hostId, serviceId, kind, provider, endpointAddress: endpoint.address, hall: halls[index % halls.length]!,
 		}));
 	}
 
-	const ledgerHost = `h${context.engines + 1}`;
-	const ledger = await createFakeService({recordTo: {history, hostId: ledgerHost}});
-	agents.push(await createAgentHandle(context, {
-		hostId: ledgerHost, serviceId: 'ledger', kind: 'plain', endpointAddress: ledger.address, hall: halls[0]!,
-	}));
+	if (ledger === undefined) {
+		throw new Error('a failure cluster needs a plain service');
+	}
+
 	return {engines, ledger, agents};
 };
 
+const defaultServices = (engines: number): DeploymentService[] => [
+	{
+		serviceId: 'bp-writers', kind: 'engine', workers: engines, provider: 'new',
+	},
+	{
+		serviceId: 'ledger', kind: 'plain', workers: 1, provider: 'new',
+	},
+];
+
 export const createFailureCluster = async (options: FailureClusterOptions = {}): Promise<FailureCluster> => {
 	const {controls: controlCount = 3, weightsBytes = 64 * 1024, chunkSizeBytes = 8 * 1024} = options;
 	const origin = await createFakeOrigin();
@@ -145,9 +171,12 @@
 		await origin.publish(randomWeights(2, weightsBytes), chunkSizeBytes),
 	];
 	const context: Context = {
-		entries: 2, engines: 4, halls: cascadiaHalls, tokenMs: 1, leaseMs: 2500, hostLossMs: 5000, deadlineMs: 2000, limits: {endpointIdleMs: 1500, unattendedMs: 1000}, ...options,
+		entries: 2, engines: 4, latencyMs: 0, halls: cascadiaHalls, tokenMs: 1, leaseMs: 2500, hostLossMs: 5000, deadlineMs: 2000, limits: {endpointIdleMs: 1500, unattendedMs: 1000},
+		...options,
 		controls: controlCount, weightsBytes, chunkSizeBytes, folder: await mkdtemp(path.join(os.tmpdir(), 'bitternpaddle-failure-')),
-		links: createLinks(), history: createHistory(), controlIds: idsOf('c', controlCount), originAddress: origin.address,
+		services: options.services ?? defaultServices(options.engines ?? 4),
+		links: createLinks({latencyMs: options.latencyMs}), history: createHistory(),
+		controlIds: idsOf('c', controlCount), originAddress: origin.address,
 	};
 	const {links, history, folder} = context;
 	const controls = await Promise.all(context.controlIds.map(async id => createControlHandle(context, id)));
--- a/packages/daemon/src/dev/failure/links.ts
+++ b/packages/daemon/src/dev/failure/links.ts
@@ -26,13 +26,18 @@
 
 export const openModes: RelayModes = {forward: 'open', backward: 'open'};
 
-export const createLinks = (): Links => {
+export type LinksOptions = {
+	/** Of every link, one way. @default 0 */
+	readonly latencyMs?: number;
+};
+
+export const createLinks = ({latencyMs = 0}: LinksOptions = {}): Links => {
 	const links = new Map<string, Link>();
 	const targets = new Map<string, string>();
 	return {
 		async addressOf(from, to) {
 			const key = `${from}>${to}`;
-			const link = links.get(key) ?? {from, to, relay: await createRelay({target: targets.get(to)})};
+			const link = links.get(key) ?? {from, to, relay: await createRelay({target: targets.get(to), latencyMs})};
 			links.set(key, link);
 			return link.relay.address;
 		},
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -5,6 +5,7 @@
 export * from './control/replica.js';
 export * from './dev/client.js';
 export * from './dev/create-dev-cluster.js';
+export * from './dev/deployments.js';
 export * from './dev/failure/index.js';
 export * from './dev/run-demo.js';
 export * from './entry/admin-api.js';
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -3,3 +3,4 @@
 export * from './origin/fake-origin.js';
 export * from './relay/relay.js';
 export * from './service/fake-service.js';
+export * from './trace/index.js';
--- a/packages/test-support/src/relay/relay.ts
+++ b/packages/test-support/src/relay/relay.ts
@@ -38,6 +38,8 @@
 export type RelayOptions = {
 	/** Without it connections are ended until `setTarget` is called. */
 	readonly target?: string;
+	/** One way. @default 0 */
+	readonly latencyMs?: number;
 };
 
 type Direction = keyof RelayModes;
@@ -54,7 +56,7 @@
 
 const openModes: RelayModes = {forward: 'open', backward: 'open'};
 
-export const createRelay = async ({target}: RelayOptions = {}): Promise<Relay> => {
+export const createRelay = async ({target, latencyMs = 0}: RelayOptions = {}): Promise<Relay> => {
 	const pairs = new Set<Pair>();
 	let currentTarget = target;
 	let modes = openModes;
@@ -66,6 +68,18 @@
 	};
 
 	const pass = (pair: Pair, direction: Direction, action: () => void): void => {
+		if (latencyMs === 0) {
+			passNow(pair, direction, action);
+			return;
+		}
+
+		// Timers of one length fire in the order in which they were set.
+		setTimeout(() => {
+			passNow(pair, direction, action);
+		}, latencyMs);
+	};
+
+	const passNow = (pair: Pair, direction: Direction, action: () => void): void => {
 		const mode = pair.modes[direction];
 		if (pair.isSilenced || mode === 'dropped') {
 			pair.hasLostBytes = true;
--- /dev/null
+++ b/packages/test-support/src/trace/index.ts
@@ -0,0 +1,2 @@
+export * from './replay-trace.js';
+export * from './trace.js';
