fix(agent): stay at the door until entries know that the host leaves

Cause: a planned stop closed the agent's port as soon as nothing ran. Entries that had not yet heard of it still sent requests, found the port closed, could not settle, and told callers 'may have run' of requests that never began. For a booking that is final.

Change: stop waits until the host is gone from its own configuration (at most 2 s) and half a second more; meanwhile the door refuses as 'not run', which is tried elsewhere.

Ruled out: treating a refused connection in a settle as 'not run' (the process may have run the request before it ended).

--- a/packages/daemon/src/agent/create-agent-node.ts
+++ b/packages/daemon/src/agent/create-agent-node.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 import {createDoor, type DoorState, type RunLimits} from '@bitternpaddle/coordination';
 import {
 	haveParametersSchema, loadParametersSchema, settleParametersSchema, type HostReport, type LoadResult,
@@ -66,6 +67,12 @@
 	kill(): Promise<void>;
 };
 
+/** Longest wait for control to take a leaving host out of the configuration. */
+const leaveMs = 2000;
+const leavePollMs = 20;
+/** What entries may need longer than this host to hear of it. */
+const lingerMs = 500;
+
 /** The process beside one endpoint. */
 export const createAgentNode = async (options: AgentNodeOptions): Promise<AgentNode> => {
 	const {
@@ -196,10 +203,25 @@
 		logger.event('BP9002', {hostId});
 		await configuration.reportNow().catch(() => undefined);
 		await whenIdle();
+		await whenEntriesKnow();
 		await close();
 		await server.close();
 	};
 
+	/**
+	 * An entry that has not yet heard of the leave still sends requests here.
+	 * If the port were closed already, their callers would be told "may have
+	 * run"; as long as the door is there it refuses them as "not run".
+	 */
+	const whenEntriesKnow = async (): Promise<void> => {
+		const endAtMs = performance.now() + leaveMs;
+		while (configuration.catalog().hosts[hostId] !== undefined && performance.now() < endAtMs) {
+			await delay(leavePollMs);
+		}
+
+		await delay(lingerMs);
+	};
+
 	return {
 		hostId,
 		address: server.address,
