--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -6,6 +6,7 @@
 export {createConfigurationClient, type ConfigurationClient} from './host/configuration-client.js';
 export * from './dev/client.js';
 export * from './dev/create-dev-cluster.js';
+export * from './dev/deployments.js';
 export * from './dev/failure/index.js';
 export * from './dev/run-demo.js';
 export * from './dev/transfer-mesh.js';
