--- a/packages/bench/src/capacity/fake-control.ts
+++ b/packages/bench/src/capacity/fake-control.ts
@@ -1,4 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
+import {encodeCatalog} from '@bitternpaddle/coordination';
 import {watchParametersSchema, type HostReport, type WatchResult} from '@bitternpaddle/protocol';
 import type {Catalog} from '@bitternpaddle/state';
 import {createHttpServer, createRpcServer} from '@bitternpaddle/transport';
@@ -19,12 +20,19 @@
 export const createFakeControl = async ({catalog}: FakeControlOptions): Promise<FakeControl> => {
 	const reports = new Map<string, HostReport>();
 	const rpc = createRpcServer();
-	rpc.method('control.watch', watchParametersSchema, async ({report, waitMs}): Promise<WatchResult> => {
-		reports.set(report.hostId, report);
+	rpc.method('control.watch', watchParametersSchema, async ({hostId, revision, report, waitMs}): Promise<WatchResult> => {
+		const last = report ?? reports.get(hostId);
+		if (last === undefined) {
+			return {type: 'unknownHost'};
+		}
+
+		reports.set(hostId, {...last, revision});
 		const given = catalog();
 		const shared = {revision: given.revision, digest: given.digest, leaseMs: 5000};
-		if (report.revision !== given.revision) {
-			return {type: 'snapshot', catalog: given, ...shared};
+		if (revision !== given.revision) {
+			return {
+				type: 'snapshot', catalog: await encodeCatalog(given), changes: [], ...shared,
+			};
 		}
 
 		await delay(waitMs);
--- a/packages/daemon/src/control/answer-query.ts
+++ b/packages/daemon/src/control/answer-query.ts
@@ -1,13 +1,15 @@
 import type {
-	Condition, HostReport, QueryRow, Show,
+	Condition, HostReport, InForceResult, QueryRow, Show,
 } from '@bitternpaddle/protocol';
 import {defaultObjective, type Catalog} from '@bitternpaddle/state';
 import {match} from 'ts-pattern';
-import type {HostRegistry} from './host-registry.js';
+import type {HostRegistry} from './host-view.js';
 
 export type QueryView = {
 	readonly catalog: Catalog;
 	readonly registry: HostRegistry;
+	/** How far the newest revision has come. */
+	readonly inForce: InForceResult;
 	readonly nowMs: number;
 	/** A host that has not renewed for this long is out of service. */
 	readonly leaseMs: number;
@@ -31,6 +33,10 @@
 		service, repeatable, whole: objective.answeredWholePercent, firstToken: objective.firstTokenPercent, withinMs: objective.firstTokenMs,
 	})))
 	.with('teams', () => Object.entries(view.catalog.teams).map(([team, {share}]) => ({team, share})))
+	.with('moves', () => Object.values(view.catalog.rollouts).map(rollout => ({
+		model: rollout.modelId, from: rollout.fromFleetId, to: rollout.toFleetId, state: rollout.state, moved: rollout.movedPercent, of: rollout.percent,
+		step: rollout.step, detail: rollout.detail,
+	})))
 	// Requests are known to the entries alone; the entry that was asked gathers them.
 	.with('requests', () => [])
 	.exhaustive();
@@ -74,13 +80,9 @@
 	return [...agents, ...entries];
 };
 
-const revisionRow = (view: QueryView): QueryRow => {
-	const known = new Set([...Object.keys(view.catalog.hosts), ...liveReports(view).map(report => report.hostId)]);
-	const missing = [...known].filter(hostId => !isLive(view, hostId) || view.registry.get(hostId)!.report.revision < view.catalog.revision);
-	return {
-		revision: view.catalog.revision, inForce: known.size - missing.length, hosts: known.size, missing: missing.toSorted().join(', '),
-	};
-};
+const revisionRow = ({inForce}: QueryView): QueryRow => ({
+	revision: inForce.revision, inForce: inForce.inForce, hosts: inForce.hosts, missing: inForce.missing.join(', '), outOfService: inForce.outOfService.join(', '),
+});
 
 const compare = (left: QueryRow[string] | undefined, {operator, value}: Condition): boolean => {
 	const order = typeof left === 'number' ? left - Number(value) : String(left).localeCompare(value);
--- a/packages/daemon/src/control/control-rpc.ts
+++ b/packages/daemon/src/control/control-rpc.ts
@@ -1,7 +1,7 @@
 import {
-	consensusEnvelopesSchema, foldParametersSchema, formationParametersSchema, proposeParametersSchema, queryParametersSchema, rpcErrorCodes,
-	standbyParametersSchema, watchParametersSchema,
-	type HostReport, type QueryResult, type Show,
+	consensusEnvelopesSchema, foldSchema, formationParametersSchema, inForceParametersSchema, proposeParametersSchema, queryParametersSchema,
+	reportsParametersSchema, rpcErrorCodes, standbyParametersSchema, watchParametersSchema,
+	type Fold, type FoldResult, type InForceResult, type QueryResult, type Show,
 } from '@bitternpaddle/protocol';
 import {
 	callRpc, createRpcServer, RpcError, TransportError, type Logger, type RpcServer,
@@ -9,6 +9,7 @@
 import {answerQuery, type QueryView} from './answer-query.js';
 import type {ConsensusDriver} from './consensus-driver.js';
 import type {MemberIdentity} from './member-identity.js';
+import type {PlacedReport} from './host-view.js';
 import {proposalTimeoutMs, type Proposals} from './proposals.js';
 import type {WatchHub} from './watch-hub.js';
 
@@ -23,9 +24,13 @@
 	isLeader(): boolean;
 	/** Address of the leader; `undefined` while there is none or this host leads. */
 	leaderAddress(): string | undefined;
-	view(): QueryView;
-	/** Takes a report that another control host heard. */
-	hear(report: HostReport): void;
+	/** What the leader answers questions from. */
+	view(subject: Show['subject']): Promise<QueryView>;
+	/** What the hosts that watch here said last. */
+	ownReports(): PlacedReport[];
+	/** Takes another control host's message about its hosts, as leader. */
+	hearFold(fold: Fold): FoldResult;
+	inForce(revision: number): InForceResult;
 };
 
 const forwardTimeoutMs = 3000 + proposalTimeoutMs;
@@ -33,7 +38,7 @@
 /** What other processes may ask of a control host. */
 export const createControlRpc = (options: ControlRpcOptions): RpcServer => {
 	const {
-		driver, proposals, hub, logger, identity, hearStandby, isLeader, leaderAddress, view, hear,
+		driver, proposals, hub, logger, identity, hearStandby, isLeader, leaderAddress, view, ownReports, hearFold, inForce,
 	} = options;
 
 	/** Calls the leader's `method`, or does it here if this host leads. */
@@ -56,8 +61,8 @@
 		});
 	};
 
-	const query = (show: Show): QueryResult => {
-		const seen = view();
+	const query = async (show: Show): Promise<QueryResult> => {
+		const seen = await view(show.subject);
 		return {revision: seen.catalog.revision, rows: answerQuery(seen, show)};
 	};
 
@@ -72,11 +77,15 @@
 		hearStandby(memberId);
 	});
 	rpc.method('control.watch', watchParametersSchema, async parameters => hub.watch(parameters));
-	rpc.method('control.fold', foldParametersSchema, ({reports}) => {
-		for (const report of reports) {
-			hear(report);
+	rpc.method('control.fold', foldSchema, fold => {
+		if (!isLeader()) {
+			throw new RpcError(rpcErrorCodes.notLeader, 'this control host does not lead');
 		}
+
+		return hearFold(fold);
 	});
+	rpc.method('control.reports', reportsParametersSchema, () => ownReports());
+	rpc.method('control.inForce', inForceParametersSchema, async ({revision, isForwarded}) => atLeader('control.inForce', {revision, isForwarded}, () => inForce(revision)));
 	rpc.method('control.propose', proposeParametersSchema, async ({command, isForwarded}) => atLeader('control.propose', {command, isForwarded}, async () => {
 		const result = await proposals.propose(command);
 		if (result.type === 'accepted' && command.commandId !== null) {
@@ -85,6 +94,6 @@
 
 		return result;
 	}));
-	rpc.method('control.query', queryParametersSchema, async ({show, isForwarded}) => atLeader('control.query', {show, isForwarded}, () => query(show)));
+	rpc.method('control.query', queryParametersSchema, async ({show, isForwarded}) => atLeader('control.query', {show, isForwarded}, async () => query(show)));
 	return rpc;
 };
--- a/packages/daemon/src/entry/create-entry-node.ts
+++ b/packages/daemon/src/entry/create-entry-node.ts
@@ -4,6 +4,8 @@
 	callRpc, createHttpServer, rpcPath, sendJson, silentLogger, type Logger, type Metrics,
 } from '@bitternpaddle/transport';
 import {createConfigurationClient, type ConfigurationInForce} from '../host/configuration-client.js';
+import {createFailingHosts} from '../host/failing-hosts.js';
+import {createFleetOutcomes} from './fleet-outcomes.js';
 import {adminPrefix, createAdminHandler} from './admin-api.js';
 import type {AdminToken} from './admin-tokens.js';
 import {countRequest, serviceOfTarget, servicesOfModels} from './count-burn.js';
@@ -66,10 +68,12 @@
 		},
 	});
 	let isLeaving = false;
+	const failing = createFailingHosts();
+	const outcomes = createFleetOutcomes();
 
 	const report = (): HostReport => ({
 		hostId: entryId, role: 'entry', address: server.address, revision: configuration.catalog().revision, requestsInFlight: calls.inFlight(),
-		announcement: null, readyVersionId: null, isLeaving, transfers: [],
+		announcement: null, readyVersionId: null, isLeaving, transfers: [], failingHostIds: failing.list(), fleetOutcomes: outcomes.list(),
 	});
 
 	const server = await createHttpServer({
@@ -120,6 +124,7 @@
 	});
 	const calls = createCallServer({
 		configuration, teams, requestLog, routing: traffic, admit: async call => traffic.admit(call), relay: createRelay({logger, metrics}), maxRequests, maxAttempts, defaultDeadlineMs, suspectMs,
+		failing, outcomes,
 		isLeaving: () => isLeaving,
 	});
 	const handleAdmin = createAdminHandler({configuration, peers: createEntryPeers(configuration), tokens: adminTokens});
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,11 +1,12 @@
 export * from './agent/create-agent-node.js';
 export * from './control/consensus-driver.js';
 export * from './control/create-control-node.js';
-export * from './control/host-registry.js';
+export * from './control/host-view.js';
 export * from './control/replica.js';
 export {createConfigurationClient, type ConfigurationClient} from './host/configuration-client.js';
 export * from './dev/client.js';
 export * from './dev/create-dev-cluster.js';
+export * from './dev/deployments.js';
 export * from './dev/failure/index.js';
 export * from './dev/run-demo.js';
 export * from './dev/transfer-mesh.js';
@@ -18,3 +19,4 @@
 export * from './recording/recorder.js';
 export * from './report/index.js';
 export * from './settings/settings.js';
+export * from './host/peers.js';
--- a/packages/protocol/test/language.test.ts
+++ b/packages/protocol/test/language.test.ts
@@ -10,6 +10,16 @@
 		'create team marshals key open-sesame share 3',
 		'load pitch-desk:v2 on fleet fair-mornings',
 		'move 20% of pitch-desk from fleet old to fleet fair-mornings',
+		'move 50% of pitch-desk from fleet old to fleet fair-mornings in steps of 10% every 30 s stopping above 2.5%',
+		'move 50% of pitch-desk from fleet old to fleet fair-mornings in steps of 10%',
+		'stop move of pitch-desk',
+		'resume move of pitch-desk',
+		'roll back move of pitch-desk',
+		'set replicas of fleet fair-mornings to 12',
+		'retire fleet old',
+		'retire version pitch-desk:v1',
+		'create fleet wide provider new for pitch-desk:v2 replicas 9 in tacoma-hall at most 3 per zone capacity 4',
+		'show moves where state = running',
 		'drain host h17',
 		'show replicas where version = pitch-desk:v2 and zone = puget-a',
 		'show requests in flight',
@@ -35,7 +45,7 @@
 
 t.test('completion comes from the grammar', async t => {
 	const cases: Array<[string, readonly string[]]> = [
-		['', ['create', 'drain', 'explain', 'load', 'move', 'set', 'show', 'stop', 'undrain', 'withdraw']],
+		['', ['create', 'drain', 'explain', 'load', 'move', 'resume', 'retire', 'roll', 'set', 'show', 'stop', 'undrain', 'withdraw']],
 		['s', ['set', 'show', 'stop']],
 		['show re', ['replicas', 'requests', 'revision']],
 		['show requests ', ['in']],
