--- a/packages/bench/src/capacity/measure-state.ts
+++ b/packages/bench/src/capacity/measure-state.ts
@@ -4,11 +4,9 @@
 import path from 'node:path';
 import {median} from 'simple-statistics';
 import {
-	createRandom, createRouter, updateRouter, type RouterState,
+	createLossBudget, createPresence, createRandom, createRouter, hearFold, planMembership, updateRouter, type Presence, type RouterState,
 } from '@bitternpaddle/coordination';
-import {
-	createReplica, hearReport, planMembershipChanges, serializeReplica, type HostRegistry,
-} from '@bitternpaddle/daemon';
+import {createReplica, serializeReplica} from '@bitternpaddle/daemon';
 import {
 	applyChange, changeSchema, commandSchema, createLedger, openLogStore, type Catalog, type Command, type LogStore, type ReplicatedState,
 } from '@bitternpaddle/state';
@@ -71,17 +69,20 @@
 	return ledger;
 });
 
-const registryOf = (hosts: number): HostRegistry => {
-	const registry: HostRegistry = new Map();
-	for (let index = 0; index < hosts; index++) {
+/** What a leader knows after a control host has told it everything. */
+const presenceOf = (hosts: number): Presence => {
+	const presence = createPresence({hostLeaseMs: 5000, memberLeaseMs: 3000});
+	const reports = Array.from({length: hosts}, (_, index) => {
 		const announcement = sampleAnnouncement(index);
-		hearReport(registry, {
-			hostId: announcement.hostId, role: 'agent', address: announcement.address, revision: 1, requestsInFlight: 0, announcement,
+		return {
+			hostId: announcement.hostId, role: 'agent' as const, address: announcement.address, revision: 1, requestsInFlight: 0, announcement,
 			readyVersionId: changedVersion, isLeaving: false, transfers: [],
-		}, 0);
-	}
-
-	return registry;
+		};
+	});
+	hearFold(presence, {
+		from: 'c1', epoch: 1, sequence: 0, revision: 1, hosts: reports.map(report => ({session: 1, report})), silent: [], behind: [],
+	}, 0);
+	return presence;
 };
 
 const {change: readinessChange} = commandSchema.parse({
@@ -179,10 +180,10 @@
 				updateRouter(router, catalog, null, 1);
 			}, 20),
 		});
-		const registry = registryOf(x);
+		const presence = presenceOf(x);
 		lines['control.reconcile.processor'].push({
-			x, y: millisecondsOf(() => planMembershipChanges({
-				catalog, registry, nowMs: 1, leadingSinceMs: 0, hostLossMs: 10_000,
+			x, y: millisecondsOf(() => planMembership({
+				catalog, presence, budget: createLossBudget(), nowMs: 1, hostLossMs: 10_000,
 			}), 20),
 		});
 		const snapshot = await measureSnapshot(state);
--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -1,7 +1,9 @@
 import {randomInt} from 'node:crypto';
 import {
-	formedVoters, hasLeaderLease, hostOfMember, isInContact,
+	createLossBudget, createPresence, createReportFold, forgetHost, formedVoters, hasLeaderLease, hearFold, hostOfMember, inForceOf, isInContact,
+	noteSilentMembers, planMembership, resetPresence, type LeaderWord,
 } from '@bitternpaddle/coordination';
+import type {HostReport, Show} from '@bitternpaddle/protocol';
 import {
 	openLogStore, type CommandResult, type LogEntry, type Members,
 } from '@bitternpaddle/state';
@@ -11,7 +13,8 @@
 import {createRecorder} from '../recording/recorder.js';
 import {createConsensusDriver, type ConsensusDriver} from './consensus-driver.js';
 import {createControlRpc} from './control-rpc.js';
-import {hearReport, planMembershipChanges, type HostRegistry} from './host-registry.js';
+import {createFoldSender, foldMs} from './fold-sender.js';
+import {gatherReports, viewHosts, type PlacedReport} from './host-view.js';
 import {openMemberIdentity} from './member-identity.js';
 import {createPeerSender} from './peer-sender.js';
 import {createProposals} from './proposals.js';
@@ -19,7 +22,7 @@
 import {
 	applyToReplica, createReplica, serializeReplica, type Replica,
 } from './replica.js';
-import {createReportFold, foldMs} from './report-fold.js';
+import {createRolloutDriver, rolloutMs} from './rollout-driver.js';
 import {createVoterRepair, repairMs} from './voter-repair.js';
 import {createWatchHub} from './watch-hub.js';
 
@@ -57,6 +60,10 @@
 };
 
 const formMs = 100;
+/** How long a control host renews the leases of hosts on the leader's last word. */
+const memberLeaseMs = 3000;
+/** Questions whose answers change too often for the leader to be told without being asked. */
+const detailedSubjects: ReadonlySet<Show['subject']> = new Set(['transfers', 'requests']);
 
 /** One control host: the log, the configuration that follows from it, and the hosts that watch it. */
 export const createControlNode = async (options: ControlNodeOptions): Promise<ControlNode> => {
@@ -74,7 +81,10 @@
 
 	let replica: Replica = createReplica(store.loaded.snapshot);
 	let leadingSinceMs = 0;
-	const registry: HostRegistry = new Map();
+	let word: LeaderWord | null = null;
+	let lossBudget = createLossBudget();
+	const presence = createPresence({hostLeaseMs: leaseMs, memberLeaseMs});
+	const fold = createReportFold({memberId: selfId, silentMs: leaseMs, epoch: Date.now()});
 	const proposals = createProposals({append: payload => driver.propose(payload)});
 
 	const onCommit = (entry: LogEntry): void => {
@@ -117,8 +127,11 @@
 			logger.event('BP1001', {role, term, leaderId});
 			if (role === 'leader') {
 				leadingSinceMs = performance.now();
+				resetPresence(presence, Object.keys(replica.state.catalog.hosts), performance.now());
+				lossBudget = createLossBudget();
 			}
 
+			foldSender.restart();
 			hub.wake();
 		},
 		onFailure(error) {
@@ -134,21 +147,38 @@
 		return leaderId === null || leaderId === identity.memberId ? undefined : members.get(hostOfMember(leaderId));
 	};
 
-	const fold = createReportFold({selfId, leaderAddress});
+	const foldSender = createFoldSender({
+		fold, isLeader, leaderAddress,
+		hearOwn: message => hearFold(presence, message, performance.now()),
+		onWord(given) {
+			word = given;
+			hub.wake();
+		},
+	});
 	const hub = createWatchHub({
-		leaseMs,
+		leaseMs, fold,
 		replica: () => replica,
-		isInContact: () => isInContact(driver.state, performance.now()),
-		hear(report) {
-			hearReport(registry, report, performance.now());
-			fold.add(report);
-		},
+		// A leader with its lease asks itself, at this moment.
+		word: () => isLeader() ? {askedAtMs: Number.POSITIVE_INFINITY, untilMs: Number.POSITIVE_INFINITY, revision: replica.state.catalog.revision} : word,
 	});
 	const reconciler = createReconciler({
-		proposals, registry, logger, isLeader,
-		plan: () => planMembershipChanges({
-			catalog: replica.state.catalog, registry, nowMs: performance.now(), leadingSinceMs, hostLossMs,
-		}),
+		proposals, logger, isLeader,
+		plan() {
+			const nowMs = performance.now();
+			noteSilentMembers(presence, nowMs);
+			return planMembership({
+				catalog: replica.state.catalog, presence, budget: lossBudget, nowMs, hostLossMs,
+			});
+		},
+		onLeft(hostId) {
+			forgetHost(presence, hostId);
+		},
+	});
+	const ownReports = (): PlacedReport[] => [...fold.watchers.values()].map(({session, report}) => ({session, report}));
+	const gather = async (): Promise<HostReport[]> => gatherReports([...members].filter(([id]) => id !== selfId).map(([, address]) => address), ownReports());
+	const rollouts = createRolloutDriver({
+		proposals, presence, logger, isLeader, gather,
+		catalog: () => replica.state.catalog,
 	});
 	const repair = createVoterRepair({
 		driver, identity, logger, replaceAfterMs, voterCount: voters.length,
@@ -156,13 +186,19 @@
 		leadingSinceMs: () => leadingSinceMs,
 	});
 	const rpc = createControlRpc({
-		driver, proposals, hub, logger, identity, hearStandby: repair.hear, isLeader, leaderAddress,
-		view: () => ({
-			catalog: replica.state.catalog, registry, nowMs: performance.now(), leaseMs,
-		}),
-		hear(report) {
-			hearReport(registry, report, performance.now());
+		driver, proposals, hub, logger, identity, hearStandby: repair.hear, isLeader, leaderAddress, ownReports,
+		async view(subject) {
+			const gathered = detailedSubjects.has(subject) ? await gather() : [];
+			const nowMs = performance.now();
+			const {catalog} = replica.state;
+			return {
+				catalog, registry: viewHosts(presence, gathered, nowMs), inForce: inForceOf(presence, catalog.revision, nowMs), nowMs, leaseMs,
+			};
 		},
+		hearFold: message => hearFold(presence, message, performance.now())
+			? {type: 'taken', revision: replica.state.catalog.revision, leaseMs: memberLeaseMs}
+			: {type: 'wantsAll'},
+		inForce: revision => inForceOf(presence, revision, performance.now()),
 	});
 
 	const server: HttpServer = await createHttpServer({
@@ -196,8 +232,11 @@
 			void reconciler.reconcile();
 		}, reconcileMs),
 		setInterval(() => {
-			void fold.send();
+			void foldSender.send();
 		}, foldMs),
+		setInterval(() => {
+			void rollouts.advance();
+		}, rolloutMs),
 	];
 	return {
 		selfId,
--- a/packages/daemon/src/host/configuration-client.ts
+++ b/packages/daemon/src/host/configuration-client.ts
@@ -1,12 +1,13 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	createHostConfiguration, hasConfigurationLease, takeWatchResult, type HostConfiguration,
+	compareWithPeer, createHostConfiguration, discardCopy, hasConfigurationLease, takeWatchResult, type HostConfiguration, type HostTime, type PeerComparison,
 } from '@bitternpaddle/coordination';
 import type {
-	HostReport, ProposeResult, QueryResult, Show, WatchResult,
+	HostReport, InForceResult, ProposeResult, QueryResult, Show, WatchResult,
 } from '@bitternpaddle/protocol';
 import type {Catalog, Change, Command} from '@bitternpaddle/state';
 import {callRpc, type Logger} from '@bitternpaddle/transport';
+import {createWatchPlace} from './watch-place.js';
 
 export type ConfigurationClientOptions = {
 	/** Addresses of control hosts; read at each call. */
@@ -28,16 +29,28 @@
 	inForce(): ConfigurationInForce;
 	/** Whether this host may take new work. */
 	hasLease(): boolean;
+	/** How this host's configuration stands to another's. */
+	compare(peer: {readonly revision: number; readonly digest: string | null}): PeerComparison;
+	/** Asks another control host at once, since the present one may have gone silent. */
+	catchUp(): void;
+	/** Drops the copy and fetches another; no work is taken until it is here. */
+	resync(): void;
 	/** Resolves once the host is at `revision` or later; `false` after `timeoutMs`. */
 	reach(revision: number, timeoutMs: number): Promise<boolean>;
 	propose(command: Command): Promise<ProposeResult>;
 	query(show: Show): Promise<QueryResult>;
+	/** On how many hosts a revision is in force. */
+	spread(revision: number): Promise<InForceResult>;
 	/** Reports at once instead of with the next renewal. */
 	reportNow(): Promise<void>;
 	close(): void;
 };
 
+const hostTime = (): HostTime => ({monotonicMs: performance.now(), wallMs: Date.now()});
+
 const retryMs = 100;
+/** Longer than a control host takes to hear its leader, which a host without a copy has to wait for. */
+const catchUpHoldMs = 600;
 const callMarginMs = 1500;
 
 /** Keeps a host's configuration current: one call waits at a control host all the time. */
@@ -45,20 +58,25 @@
 	const {controls, logger, report, onChange, waitMs = 1000} = options;
 	const configuration: HostConfiguration = createHostConfiguration();
 	const reached = new Set<() => void>();
-	let position = Math.floor(Math.random() * controls.length);
+	const place = createWatchPlace(controls, () => report().hostId);
 	let isClosed = false;
 	let hadLease = false;
 
-	const currentControl = (): string => controls[position % controls.length]!;
-
 	const renewOnce = async (holdMs: number): Promise<void> => {
-		const sentAtMs = performance.now();
+		const said = report();
+		const sentAt = hostTime();
+		const {address, session, agent, isTold, tell} = place.at(said);
 		const result = await callRpc<WatchResult>({
-			address: currentControl(), method: 'control.watch', params: {report: report(), waitMs: holdMs}, timeoutMs: holdMs + callMarginMs,
+			address, method: 'control.watch', timeoutMs: holdMs + callMarginMs, agent,
+			params: {
+				hostId: said.hostId, session, revision: configuration.catalog.revision, digest: configuration.catalog.digest,
+				report: isTold ? null : said, waitMs: holdMs,
+			},
 		});
-		const outcome = takeWatchResult(configuration, result, sentAtMs);
+		tell(result.type !== 'unknownHost');
+		const outcome = takeWatchResult(configuration, result, sentAt);
 		if (outcome === 'diverged') {
-			logger.event('BP3006', {revision: result.revision});
+			logger.event('BP3006', {revision: result.type === 'unknownHost' ? 0 : result.revision});
 		} else if (outcome === 'advanced') {
 			onChange(configuration.catalog, result.type === 'changes' ? result.changes.map(({change}) => change) : null);
 			for (const check of reached) {
@@ -67,13 +85,15 @@
 		}
 	};
 
+	const hasLease = (): boolean => hasConfigurationLease(configuration, hostTime());
+
 	const noteLease = (): void => {
-		const hasLease = hasConfigurationLease(configuration, performance.now());
-		if (hadLease && !hasLease) {
+		const holdsLease = hasLease();
+		if (hadLease && !holdsLease) {
 			logger.event('BP3005', {revision: configuration.catalog.revision});
 		}
 
-		hadLease = hasLease;
+		hadLease = holdsLease;
 	};
 
 	const isOpen = (): boolean => !isClosed;
@@ -83,7 +103,7 @@
 			try {
 				await renewOnce(waitMs);
 			} catch {
-				position++;
+				place.leave();
 				await delay(retryMs);
 			}
 
@@ -91,11 +111,27 @@
 		}
 	};
 
+	let isCatchingUp = false;
+	const catchUp = async (): Promise<void> => {
+		if (isCatchingUp) {
+			return;
+		}
+
+		isCatchingUp = true;
+		try {
+			place.leave();
+			await renewOnce(catchUpHoldMs);
+		} catch {
+			// The watch goes on and tries the next control host.
+		} finally {
+			isCatchingUp = false;
+		}
+	};
+
 	/** Tries each control host once; an answer with an error code from the leader is final. */
 	const callAny = async <Result>(method: string, parameters: Record<string, unknown>, timeoutMs: number): Promise<Result> => {
 		let lastError: unknown = new Error('no control host is known');
-		for (const offset of controls.keys()) {
-			const address = controls[(position + offset) % controls.length]!;
+		for (const address of place.all()) {
 			try {
 				return await callRpc<Result>({
 					address, method, params: parameters, timeoutMs,
@@ -111,13 +147,27 @@
 		throw lastError;
 	};
 
-	void run();
+	// Not before the caller holds this client: its report asks for the revision.
+	setImmediate(() => {
+		void run();
+	});
 	return {
 		catalog: () => configuration.catalog,
 		inForce: () => ({
-			revision: configuration.catalog.revision, digest: configuration.catalog.digest, hasLease: hasConfigurationLease(configuration, performance.now()),
+			revision: configuration.catalog.revision, digest: configuration.catalog.digest, hasLease: hasLease(),
 		}),
-		hasLease: () => hasConfigurationLease(configuration, performance.now()),
+		hasLease,
+		compare: peer => compareWithPeer(configuration, peer),
+		catchUp() {
+			void catchUp();
+		},
+		resync() {
+			if (configuration.catalog.revision > 0) {
+				logger.event('BP3006', {revision: configuration.catalog.revision});
+				discardCopy(configuration);
+				void catchUp();
+			}
+		},
 		async reach(revision, timeoutMs) {
 			if (configuration.catalog.revision >= revision) {
 				return true;
@@ -143,6 +193,7 @@
 			});
 		},
 		propose: async command => callAny('control.propose', {command}, 9000),
+		spread: async revision => callAny('control.inForce', {revision}, 5000),
 		query: async show => callAny('control.query', {show}, 5000),
 		async reportNow() {
 			await renewOnce(0);
--- a/tap-snapshots/.test-dist/test/sessions/errors.test.js.test.cjs
+++ b/tap-snapshots/.test-dist/test/sessions/errors.test.js.test.cjs
@@ -24,7 +24,7 @@
 $ bitternpaddle run "drian host h1"
 drian host h1
 ^
-expected "create", "drain", "explain", "load", "move", "set", "show", "stop", "undrain", "withdraw"
+expected "create", "drain", "explain", "load", "move", "resume", "retire", "roll", "set", "show", "stop", "undrain", "withdraw"
 (exit code 2)
 
 $ bitternpaddle run "drain hots h1"
