--- a/packages/bench/src/capacity/measure-state.ts
+++ b/packages/bench/src/capacity/measure-state.ts
@@ -49,6 +49,7 @@
 
 const ledgerBytes = (claims: number, results: number): number => heapBytesOf(() => {
 	const ledger = createLedger();
+	ledger.claimCount = claims;
 	for (let index = 0; index < claims; index++) {
 		ledger.claims[`marshals/ledger/booking-${index}`] = {
 			requestId: `request-${index}`, bodyDigest: `sha256:${index.toString(16).padStart(64, '0')}`, atMs: 1_796_000_000_000 + index, place: null,
@@ -61,6 +62,7 @@
 	for (let index = 0; index < results; index++) {
 		const commandId = `command-${index}-${'x'.repeat(20)}`;
 		ledger.results[commandId] = {type: 'accepted', revision: index};
+		ledger.resultDigests![commandId] = index.toString(16).padStart(32, '0');
 		ledger.resultOrder.push(commandId);
 	}
 
--- a/packages/coordination/src/consensus/plan-members.ts
+++ b/packages/coordination/src/consensus/plan-members.ts
@@ -28,9 +28,10 @@
 const learnerLossFactor = 4;
 
 /**
- * The next change of members, or `null`. One at a time: a lost voter's
- * replacement is added first, and the lost one removed next, so that while
- * there are four, a lost voter that returns still counts (see
+ * The next change of members, or `null`. One at a time: a silent voter's
+ * replacement is added first, and the silent one removed next, so that while
+ * there are four, a voter that returns still counts. One that can't return,
+ * since its disk is lost, is removed first (see
  * docs/design/0011-replace-a-voter.md).
  */
 export const planMembers = (options: PlanMembersOptions): Members | null => {
@@ -47,7 +48,7 @@
 	const view: View = {
 		...options, replaceAfterMs, members, liveStandbys,
 	};
-	return removeSurplus(view) ?? promoteLearner(view) ?? changeLearners(view);
+	return removeSurplus(view) ?? removeGone(view) ?? promoteLearner(view) ?? changeLearners(view);
 };
 
 const answeredAtMs = ({state}: View, member: string): number => state.peers.get(member)?.answeredSentAtMs ?? Number.NEGATIVE_INFINITY;
@@ -80,6 +81,18 @@
 	return {voters: members.voters.filter(voter => voter !== removed), learners};
 };
 
+/**
+ * Removes a voter that is gone for good before another is added. It never
+ * votes again, so the others can lose no less without it than with it. Were its
+ * replacement added first and lost before that is committed, two of four would
+ * be gone and nothing accepted any more.
+ */
+const removeGone = (view: View): Members | null => {
+	const {members, state} = view;
+	const gone = members.voters.find(voter => voter !== state.selfId && hasLostDisk(view, voter));
+	return gone === undefined ? null : {voters: members.voters.filter(voter => voter !== gone), learners: members.learners};
+};
+
 const promoteLearner = (view: View): Members | null => {
 	const {members, voterCount, state, nowMs} = view;
 	const isNeeded = members.voters.length < voterCount || members.voters.some(voter => isLost(view, voter));
@@ -97,9 +110,13 @@
 
 /** Takes in who stands by, and lets go of learners that are gone. */
 const changeLearners = (view: View): Members | null => {
-	const {members, liveStandbys, replaceAfterMs} = view;
+	const {
+		members, liveStandbys, replaceAfterMs, standbys, nowMs,
+	} = view;
 	const added = liveStandbys.filter(id => !members.learners.includes(id));
-	const kept = members.learners.filter(learner => silentMs(view, learner) <= learnerLossFactor * replaceAfterMs && !hasLostDisk(view, learner));
+	// Counted from its last announcement if that is newer: a host that was taken in a moment ago has had no time to answer.
+	const isInTime = (learner: string): boolean => Math.min(silentMs(view, learner), nowMs - (standbys.get(learner) ?? Number.NEGATIVE_INFINITY)) <= learnerLossFactor * replaceAfterMs;
+	const kept = members.learners.filter(learner => isInTime(learner) && !hasLostDisk(view, learner));
 	return added.length === 0 && kept.length === members.learners.length
 		? null
 		: {voters: members.voters, learners: [...kept, ...added]};
