fix(configuration): no lease outlasts the word that it rests on

Cause: a control host that was cut off answered watches for 3 s on the leader's last word, and each answer granted a whole lease of 5 s: a drained endpoint and an entry that were both cut off could go on for 8 s (5 s without such a control host). The bound is 3 s.

Change: an answer grants min(lease, end of the word - arrival of the call), and the defaults are now a lease and a word of 2.5 s each, a question to the leader every 250 ms, given up after 750 ms, watches held for 600 ms at most (half of what is left of the lease, if that is less), calls given up 500 ms later. Worst case by construction: 2.5 s.

Seen red: with 5 s, 3 s and whole leases leaving.test.ts (both drains), lease-times.test.ts and configuration-schedules.test.ts fail; with only the whole leases back, the two pure files fail and leaving.test.ts stays green; with the old hold and time-out a lost call, and with one question a second a failover, takes a healthy host out. Before the hold depended on the lease that is left, the failover schedule failed too. Green: 5,000 schedules each.

The failure cluster and the traces no longer set a lease of their own, so they run with the defaults; the lease bound in configuration-schedules.test.ts falls from 8 s to 2.5 s.

Cost of an idle host, one run of 15 s before and after: entry 0.69 and 0.68% of a core, agent 0.99 and 1.01%; 1,674 to 1,912 and 1,649 to 2,013 bytes a second. Not measured: the control host's side.

--- a/packages/bench/src/capacity/fake-control.ts
+++ b/packages/bench/src/capacity/fake-control.ts
@@ -1,5 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {encodeCatalog} from '@bitternpaddle/coordination';
+import {encodeCatalog, leaseTimes} from '@bitternpaddle/coordination';
 import {watchParametersSchema, type HostReport, type WatchResult} from '@bitternpaddle/protocol';
 import type {Catalog} from '@bitternpaddle/state';
 import {createHttpServer, createRpcServer} from '@bitternpaddle/transport';
@@ -28,7 +28,7 @@
 
 		reports.set(hostId, {...last, revision});
 		const given = catalog();
-		const shared = {revision: given.revision, digest: given.digest, leaseMs: 5000};
+		const shared = {revision: given.revision, digest: given.digest, leaseMs: leaseTimes.hostLeaseMs};
 		if (revision !== given.revision) {
 			return {
 				type: 'snapshot', catalog: await encodeCatalog(given), changes: [], ...shared,
--- a/packages/bench/src/capacity/measure-state.ts
+++ b/packages/bench/src/capacity/measure-state.ts
@@ -4,7 +4,7 @@
 import path from 'node:path';
 import {median} from 'simple-statistics';
 import {
-	createLossBudget, createPresence, createRandom, createRouter, hearFold, planMembership, updateRouter, type Presence, type RouterState,
+	createLossBudget, createPresence, createRandom, createRouter, hearFold, leaseTimes, planMembership, updateRouter, type Presence, type RouterState,
 } from '@bitternpaddle/coordination';
 import {createReplica, serializeReplica} from '@bitternpaddle/daemon';
 import {
@@ -69,7 +69,7 @@
 
 /** What a leader knows after a control host has told it everything. */
 const presenceOf = (hosts: number): Presence => {
-	const presence = createPresence({hostLeaseMs: 5000, memberLeaseMs: 3000});
+	const presence = createPresence({hostLeaseMs: leaseTimes.hostLeaseMs, memberLeaseMs: leaseTimes.wordMs});
 	const reports = Array.from({length: hosts}, (_, index) => {
 		const announcement = sampleAnnouncement(index);
 		return {
--- a/packages/coordination/src/configuration/host-configuration.ts
+++ b/packages/coordination/src/configuration/host-configuration.ts
@@ -81,8 +81,10 @@
  * process that was stopped or a machine that was suspended wakes with requests
  * already in its sockets, before any timer of it has run.
  */
-export const hasConfigurationLease = ({leaseUntil}: HostConfiguration, now: HostTime): boolean => now.monotonicMs < leaseUntil.monotonicMs
-	&& now.wallMs < leaseUntil.wallMs;
+export const hasConfigurationLease = (configuration: HostConfiguration, now: HostTime): boolean => leaseLeftMs(configuration, now) > 0;
+
+/** What is left of the lease, by the clock that gives it less; not above 0 once it is over. */
+export const leaseLeftMs = ({leaseUntil}: HostConfiguration, now: HostTime): number => Math.min(leaseUntil.monotonicMs - now.monotonicMs, leaseUntil.wallMs - now.wallMs);
 
 export type PeerComparison = 'equal' | 'behind' | 'ahead' | 'diverged';
 
--- a/packages/coordination/src/configuration/index.ts
+++ b/packages/coordination/src/configuration/index.ts
@@ -1,5 +1,6 @@
 export * from './change-history.js';
 export * from './host-configuration.js';
+export * from './lease-times.js';
 export * from './plan-membership.js';
 export * from './plan-rollouts.js';
 export * from './presence.js';
--- a/packages/coordination/src/configuration/report-fold.ts
+++ b/packages/coordination/src/configuration/report-fold.ts
@@ -1,4 +1,5 @@
 import type {Fold, HostReport} from '@bitternpaddle/protocol';
+import {leaseTimes} from './lease-times.js';
 
 type Watcher = {
 	session: number;
@@ -29,7 +30,8 @@
 
 /** Hosts below the common revision that one message names. */
 const maxBehind = 32;
-export const foldIntervalMs = 1000;
+/** Each question at the leader is such a message. A timer that fires a little early must not skip one. */
+export const foldIntervalMs = 0.8 * leaseTimes.askMs;
 
 export type ReportFoldOptions = {
 	readonly memberId: string;
--- a/packages/coordination/src/configuration/watch-grant.ts
+++ b/packages/coordination/src/configuration/watch-grant.ts
@@ -52,3 +52,19 @@
 
 	return ownRevision === hostRevision ? 'hold' : 'answer';
 };
+
+export type LeaseQuestion = {
+	readonly word: LeaderWord;
+	readonly hostLeaseMs: number;
+	/** When the call arrived here. */
+	readonly arrivedAtMs: number;
+};
+
+/**
+ * The lease that the answer to a watch grants. It ends with the word that it
+ * rests on: else a host whose control host was cut off would go on for a whole
+ * lease after the word's end, and a drained endpoint got work for the sum of
+ * both. The host counts from its sending, which is not after the arrival, so
+ * no common clock is needed. 0 if the word ended before.
+ */
+export const grantedLeaseMs = ({word, hostLeaseMs, arrivedAtMs}: LeaseQuestion): number => Math.max(0, Math.min(hostLeaseMs, word.untilMs - arrivedAtMs));
--- a/packages/coordination/test/configuration-schedules.test.ts
+++ b/packages/coordination/test/configuration-schedules.test.ts
@@ -5,13 +5,14 @@
 	applyChange, createCatalog, modelId, type Catalog,
 } from '@bitternpaddle/state';
 import {
-	changesSince, createChangeHistory, createHostConfiguration, decideWatch, hasConfigurationLease, recordChange, takeWatchResult,
+	changesSince, createChangeHistory, createHostConfiguration, decideWatch, grantedLeaseMs, hasConfigurationLease, leaseTimes, recordChange, takeWatchResult,
 	type HostConfiguration, type HostTime, type LeaderWord,
 } from '@bitternpaddle/coordination';
 
 const seed = 41_203;
-const hostLeaseMs = 5000;
-const memberLeaseMs = 3000;
+const {hostLeaseMs, wordMs} = leaseTimes;
+/** From a change's acceptance until no host acts on what it replaced. */
+const replacedBoundMs = Math.max(hostLeaseMs, wordMs);
 
 type Member = {catalog: Catalog; word: LeaderWord | null; isCut: boolean};
 
@@ -49,7 +50,7 @@
 	ask(member: Member): void {
 		this.nowMs += 0.01;
 		if (!member.isCut) {
-			member.word = {askedAtMs: this.nowMs, untilMs: this.nowMs + memberLeaseMs, revision: this.leader.revision};
+			member.word = {askedAtMs: this.nowMs, untilMs: this.nowMs + wordMs, revision: this.leader.revision};
 		}
 	}
 
@@ -73,7 +74,7 @@
 			return;
 		}
 
-		const {catalog} = this.members[call.member]!;
+		const {catalog, word} = this.members[call.member]!;
 		const history = createChangeHistory(0);
 		for (const change of this.log.slice(0, catalog.revision)) {
 			recordChange(history, change);
@@ -81,7 +82,8 @@
 
 		this.answers.push({
 			call, result: {
-				type: 'changes', changes: changesSince(history, call.revision)!, revision: catalog.revision, digest: catalog.digest, leaseMs: hostLeaseMs,
+				type: 'changes', changes: changesSince(history, call.revision)!, revision: catalog.revision, digest: catalog.digest,
+				leaseMs: grantedLeaseMs({word: word!, hostLeaseMs, arrivedAtMs: call.arrivedAtMs}),
 			},
 		});
 	}
@@ -114,7 +116,7 @@
 
 		this.servedRevision = revision;
 		const replacedAtMs = this.acceptedAtMs[revision + 1];
-		if (replacedAtMs !== undefined && this.nowMs - replacedAtMs > hostLeaseMs + memberLeaseMs) {
+		if (replacedAtMs !== undefined && this.nowMs - replacedAtMs > replacedBoundMs) {
 			throw new Error(`the host serves revision ${revision}, which was replaced ${this.nowMs - replacedAtMs} ms ago`);
 		}
 	}
@@ -196,7 +198,7 @@
 // with no memory. What a caller would see if a safeguard failed: a drained host
 // takes work again, or a withdrawn version answers. At every step, if the host
 // has a lease, its revision is at least what it ever served, restarts included,
-// and it was not replaced longer ago than both leases last.
+// and it was not replaced longer ago than the longer of both leases lasts.
 t.test(`under any schedule a host never serves an older configuration than before (seed ${seed})`, async t => {
 	let served = 0;
 	fc.assert(fc.property(fc.array(step, {minLength: 20, maxLength: 120}), steps => {
@@ -220,9 +222,9 @@
 		type: 'changes', changes: [], revision: 0, digest: '', leaseMs: hostLeaseMs,
 	};
 	t.equal(takeWatchResult(host, granted, {monotonicMs: 100, wallMs: 50_000}), 'current');
-	t.ok(hasConfigurationLease(host, {monotonicMs: 5099, wallMs: 54_999}));
-	t.notOk(hasConfigurationLease(host, {monotonicMs: 5100, wallMs: 50_001}));
-	t.notOk(hasConfigurationLease(host, {monotonicMs: 101, wallMs: 55_000}));
+	t.ok(hasConfigurationLease(host, {monotonicMs: 99 + hostLeaseMs, wallMs: 49_999 + hostLeaseMs}));
+	t.notOk(hasConfigurationLease(host, {monotonicMs: 100 + hostLeaseMs, wallMs: 50_001}));
+	t.notOk(hasConfigurationLease(host, {monotonicMs: 101, wallMs: 50_000 + hostLeaseMs}));
 });
 
 // An answer lay in a connection that had gone silent, and comes after the host
--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -1,6 +1,6 @@
 import {randomInt} from 'node:crypto';
 import {
-	createLossBudget, createPresence, createReportFold, forgetHost, formedVoters, hasLeaderLease, hearFold, hostOfMember, inForceOf, isInContact,
+	createLossBudget, createPresence, createReportFold, forgetHost, formedVoters, hasLeaderLease, hearFold, hostOfMember, inForceOf, isInContact, leaseTimes,
 	noteSilentMembers, planMembership, resetPresence, type LeaderWord,
 } from '@bitternpaddle/coordination';
 import type {HostReport, Show} from '@bitternpaddle/protocol';
@@ -13,7 +13,7 @@
 import {createRecorder} from '../recording/recorder.js';
 import {createConsensusDriver, type ConsensusDriver} from './consensus-driver.js';
 import {createControlRpc} from './control-rpc.js';
-import {createFoldSender, foldMs} from './fold-sender.js';
+import {createFoldSender} from './fold-sender.js';
 import {gatherReports, viewHosts, type PlacedReport} from './host-view.js';
 import {openMemberIdentity} from './member-identity.js';
 import {createPeerSender} from './peer-sender.js';
@@ -36,7 +36,7 @@
 	readonly members: Map<string, string>;
 	/** Ids of the first voters. */
 	readonly voters: readonly string[];
-	/** @default 5000 */
+	/** @default 2500 */
 	readonly leaseMs?: number;
 	/** A host that is silent for this long leaves the configuration. @default 10000 */
 	readonly hostLossMs?: number;
@@ -60,15 +60,13 @@
 };
 
 const formMs = 100;
-/** How long a control host renews the leases of hosts on the leader's last word. */
-const memberLeaseMs = 3000;
 /** Questions whose answers change too often for the leader to be told without being asked. */
 const detailedSubjects: ReadonlySet<Show['subject']> = new Set(['transfers', 'requests']);
 
 /** One control host: the log, the configuration that follows from it, and the hosts that watch it. */
 export const createControlNode = async (options: ControlNodeOptions): Promise<ControlNode> => {
 	const {
-		selfId, listen = '127.0.0.1:0', folder, members, voters, leaseMs = 5000, hostLossMs = 10_000, snapshotEntries = 8192,
+		selfId, listen = '127.0.0.1:0', folder, members, voters, leaseMs = leaseTimes.hostLeaseMs, hostLossMs = 10_000, snapshotEntries = 8192,
 		replaceAfterMs = 15_000, logger = silentLogger,
 	} = options;
 	const identity = await openMemberIdentity({
@@ -83,7 +81,7 @@
 	let leadingSinceMs = 0;
 	let word: LeaderWord | null = null;
 	let lossBudget = createLossBudget();
-	const presence = createPresence({hostLeaseMs: leaseMs, memberLeaseMs});
+	const presence = createPresence({hostLeaseMs: leaseMs, memberLeaseMs: leaseTimes.wordMs});
 	const fold = createReportFold({memberId: selfId, silentMs: leaseMs, epoch: Date.now()});
 	const proposals = createProposals({append: payload => driver.propose(payload)});
 
@@ -196,7 +194,7 @@
 			};
 		},
 		hearFold: message => hearFold(presence, message, performance.now())
-			? {type: 'taken', revision: replica.state.catalog.revision, leaseMs: memberLeaseMs}
+			? {type: 'taken', revision: replica.state.catalog.revision, leaseMs: leaseTimes.wordMs}
 			: {type: 'wantsAll'},
 		inForce: revision => inForceOf(presence, revision, performance.now()),
 	});
@@ -233,7 +231,7 @@
 		}, reconcileMs),
 		setInterval(() => {
 			void foldSender.send();
-		}, foldMs),
+		}, leaseTimes.askMs),
 		setInterval(() => {
 			void rollouts.advance();
 		}, rolloutMs),
--- a/packages/daemon/src/control/fold-sender.ts
+++ b/packages/daemon/src/control/fold-sender.ts
@@ -1,5 +1,5 @@
 import {
-	restartFold, takeFold, type LeaderWord, type ReportFold,
+	leaseTimes, restartFold, takeFold, type LeaderWord, type ReportFold,
 } from '@bitternpaddle/coordination';
 import type {Fold, FoldResult} from '@bitternpaddle/protocol';
 import {callRpc} from '@bitternpaddle/transport';
@@ -22,9 +22,6 @@
 	restart(): void;
 };
 
-export const foldMs = 250;
-const foldTimeoutMs = 1500;
-
 /** Carries one control host's messages about its hosts to the leader, one at a time. */
 export const createFoldSender = (options: FoldSenderOptions): FoldSender => {
 	const {fold, isLeader, leaderAddress, hearOwn, onWord} = options;
@@ -33,7 +30,7 @@
 	const sendTo = async (address: string, message: Fold): Promise<void> => {
 		const askedAtMs = performance.now();
 		const result = await callRpc<FoldResult>({
-			address, method: 'control.fold', params: message, timeoutMs: foldTimeoutMs,
+			address, method: 'control.fold', params: message, timeoutMs: leaseTimes.askTimeoutMs,
 		});
 		if (result.type === 'wantsAll') {
 			restartFold(fold);
--- a/packages/daemon/src/control/watch-hub.ts
+++ b/packages/daemon/src/control/watch-hub.ts
@@ -1,5 +1,5 @@
 import {
-	changesSince, decideWatch, encodeCatalog, hearWatch, type LeaderWord, type ReportFold, type WatchDecision,
+	changesSince, decideWatch, encodeCatalog, grantedLeaseMs, hearWatch, type LeaderWord, type ReportFold, type WatchDecision,
 } from '@bitternpaddle/coordination';
 import {rpcErrorCodes, type WatchParameters, type WatchResult} from '@bitternpaddle/protocol';
 import {RpcError} from '@bitternpaddle/transport';
@@ -55,20 +55,21 @@
 		return written;
 	};
 
-	const answerFrom = (revision: number): WatchResult | null => {
+	const answerFrom = (revision: number, arrivedAtMs: number): WatchResult | null => {
 		const {history, state: {catalog}} = replica();
 		const changes = changesSince(history, revision);
-		return changes === null
+		const given = word();
+		return changes === null || given === null
 			? null
 			: {
-				type: 'changes', changes, revision: catalog.revision, digest: catalog.digest, leaseMs,
+				type: 'changes', changes, revision: catalog.revision, digest: catalog.digest, leaseMs: grantedLeaseMs({word: given, hostLeaseMs: leaseMs, arrivedAtMs}),
 			};
 	};
 
-	const snapshotAnswer = async (): Promise<WatchResult> => {
+	const snapshotAnswer = async (arrivedAtMs: number): Promise<WatchResult> => {
 		const {revision, catalog} = sharedSnapshot();
 		const text = await catalog;
-		const after = answerFrom(revision);
+		const after = answerFrom(revision, arrivedAtMs);
 		if (after?.type !== 'changes') {
 			throw new RpcError(rpcErrorCodes.noQuorum, 'this control host took over a snapshot meanwhile');
 		}
@@ -90,7 +91,7 @@
 		const {catalog} = replica().state;
 		const {revision, digest} = parameters;
 		const isDiverged = revision === catalog.revision && digest !== catalog.digest;
-		const result = (isDiverged ? null : answerFrom(revision)) ?? await snapshotAnswer();
+		const result = (isDiverged ? null : answerFrom(revision, arrivedAtMs)) ?? await snapshotAnswer(arrivedAtMs);
 		assertContact(decide(parameters, arrivedAtMs));
 		return result;
 	};
--- a/packages/daemon/src/dev/failure/create-failure-cluster.ts
+++ b/packages/daemon/src/dev/failure/create-failure-cluster.ts
@@ -33,7 +33,7 @@
 	readonly chunkSizeBytes?: number;
 	/** @default 1 */
 	readonly tokenMs?: number;
-	/** How long a host may act on its configuration without a word from control. @default 2500 */
+	/** How long a host may act on its configuration without a word from control; by default as control hosts have it. */
 	readonly leaseMs?: number;
 	/** @default 5000 */
 	readonly hostLossMs?: number;
@@ -70,7 +70,8 @@
 
 const adminToken = 'failure-admin';
 
-type Context = Required<Omit<FailureClusterOptions, 'logger'>> & {
+type Context = Required<Omit<FailureClusterOptions, 'leaseMs' | 'logger'>> & {
+	readonly leaseMs?: number;
 	readonly logger?: Logger;
 	readonly folder: string;
 	readonly links: Links;
@@ -175,7 +176,7 @@
 		await origin.publish(randomWeights(2, weightsBytes), chunkSizeBytes),
 	];
 	const context: Context = {
-		entries: 2, engines: 4, latencyMs: 0, halls: cascadiaHalls, tokenMs: 1, leaseMs: 2500, hostLossMs: 5000, deadlineMs: 2000, limits: {endpointIdleMs: 1500, unattendedMs: 1000},
+		entries: 2, engines: 4, latencyMs: 0, halls: cascadiaHalls, tokenMs: 1, hostLossMs: 5000, deadlineMs: 2000, limits: {endpointIdleMs: 1500, unattendedMs: 1000},
 		weights: {}, checksFencing: true, ...options,
 		controls: controlCount, weightsBytes, chunkSizeBytes, folder: await mkdtemp(path.join(os.tmpdir(), 'bitternpaddle-failure-')),
 		services: options.services ?? defaultServices(options.engines ?? 4),
--- a/packages/daemon/src/host/configuration-client.ts
+++ b/packages/daemon/src/host/configuration-client.ts
@@ -1,6 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	compareWithPeer, createHostConfiguration, discardCopy, hasConfigurationLease, takeWatchResult, type HostConfiguration, type HostTime, type PeerComparison,
+	compareWithPeer, createHostConfiguration, discardCopy, hasConfigurationLease, leaseLeftMs, leaseTimes, takeWatchResult, watchCallTimes,
+	type HostConfiguration, type HostTime, type PeerComparison, type WatchCallTimes,
 } from '@bitternpaddle/coordination';
 import type {
 	HostReport, InForceResult, ProposeResult, QueryResult, Show, WatchResult,
@@ -17,7 +18,7 @@
 	report(): HostReport;
 	/** `changes` led to the catalog; `null` when it came as a whole. */
 	onChange(catalog: Catalog, changes: readonly Change[] | null): void;
-	/** How long control may hold a call. @default 1000 */
+	/** How long control may hold a call. @default 600 */
 	readonly waitMs?: number;
 };
 
@@ -48,26 +49,25 @@
 
 const hostTime = (): HostTime => ({monotonicMs: performance.now(), wallMs: Date.now()});
 
-const retryMs = 100;
 /** Longer than a control host takes to hear its leader, which a host without a copy has to wait for. */
 const catchUpHoldMs = 600;
-const callMarginMs = 1500;
 
 /** Keeps a host's configuration current: one call waits at a control host all the time. */
 export const createConfigurationClient = (options: ConfigurationClientOptions): ConfigurationClient => {
-	const {controls, logger, report, onChange, waitMs = 1000} = options;
+	const {controls, logger, report, onChange, waitMs = leaseTimes.holdMs} = options;
 	const configuration: HostConfiguration = createHostConfiguration();
 	const reached = new Set<() => void>();
 	const place = createWatchPlace(controls, () => report().hostId);
 	let isClosed = false;
 	let hadLease = false;
+	let failuresInARow = 0;
 
-	const renewOnce = async (holdMs: number): Promise<void> => {
+	const renewOnce = async ({holdMs, timeoutMs}: WatchCallTimes): Promise<void> => {
 		const said = report();
 		const sentAt = hostTime();
 		const {address, session, agent, isTold, tell} = place.at(said);
 		const result = await callRpc<WatchResult>({
-			address, method: 'control.watch', timeoutMs: holdMs + callMarginMs, agent,
+			address, method: 'control.watch', timeoutMs, agent,
 			params: {
 				hostId: said.hostId, session, revision: configuration.catalog.revision, digest: configuration.catalog.digest,
 				report: isTold ? null : said, waitMs: holdMs,
@@ -101,10 +101,14 @@
 	const run = async (): Promise<void> => {
 		while (isOpen()) {
 			try {
-				await renewOnce(waitMs);
+				await renewOnce(watchCallTimes({
+					hasCopy: configuration.catalog.revision > 0, leaseLeftMs: leaseLeftMs(configuration, hostTime()), failuresInARow, holdMs: waitMs,
+				}));
+				failuresInARow = 0;
 			} catch {
+				failuresInARow++;
 				place.leave();
-				await delay(retryMs);
+				await delay(leaseTimes.retryMs);
 			}
 
 			noteLease();
@@ -120,7 +124,7 @@
 		isCatchingUp = true;
 		try {
 			place.leave();
-			await renewOnce(catchUpHoldMs);
+			await renewOnce({holdMs: catchUpHoldMs, timeoutMs: catchUpHoldMs + leaseTimes.patientAnswerMs});
 		} catch {
 			// The watch goes on and tries the next control host.
 		} finally {
@@ -196,7 +200,7 @@
 		spread: async revision => callAny('control.inForce', {revision}, 5000),
 		query: async show => callAny('control.query', {show}, 5000),
 		async reportNow() {
-			await renewOnce(0);
+			await renewOnce({holdMs: 0, timeoutMs: leaseTimes.patientAnswerMs});
 		},
 		close() {
 			isClosed = true;
--- a/test/promises/leaving.test.ts
+++ b/test/promises/leaving.test.ts
@@ -21,20 +21,19 @@
 	},
 });
 
-// A host and an entry lose control; neither can hear of the drain that an
-// operator orders through the other entry. Callers of the cut entry go on, and
-// until the leases run out they may still reach the host. Three seconds after
-// the drain it gets no new work: without its lease the entry refuses as "not
-// run", and so does the host.
-t.test('a drain that neither the host nor an entry can hear of', {timeout: 60_000}, async t => {
-	const cluster = await startCluster(t, 1);
-	const {history, links} = cluster;
-	for (const {from, relay} of links.touching(['c1', 'c2', 'c3'])) {
-		if (from === 'h1' || from === 'e1') {
+const isCutNode = (nodeId: string): boolean => nodeId === 'h1' || nodeId === 'e1';
+
+const cutLinks = ({links}: FailureCluster, isCut: (from: string, to: string) => boolean): void => {
+	for (const {from, to, relay} of links.touching(['c1', 'c2', 'c3'])) {
+		if (isCut(from, to)) {
 			relay.setModes({forward: 'dropped', backward: 'dropped'});
 		}
 	}
+};
 
+/** Drains the first host through the second entry and calls through both. The lease is the default one. */
+const drainAndCall = async (t: Test, cluster: FailureCluster): Promise<void> => {
+	const {history} = cluster;
 	t.match(await operate(cluster, 'drain host h1', {entry: 1}), {type: 'accepted'});
 	history.record({type: 'leaveStarted', nodeId: 'h1', cause: 'drain'});
 	const endAtMs = performance.now() + 6000;
@@ -45,6 +44,29 @@
 
 	t.ok(eventsOf(history.events, 'callEnded').some(({outcome}) => outcome.type === 'notRun'), 'the cut entry refuses in the end');
 	t.same(checkHistory(history.events), []);
+};
+
+// A host and an entry lose control; neither can hear of the drain that an
+// operator orders through the other entry. Callers of the cut entry go on, and
+// until the leases run out they may still reach the host. Three seconds after
+// the drain it gets no new work: without its lease the entry refuses as "not
+// run", and so does the host.
+t.test('a drain that neither the host nor an entry can hear of', {timeout: 60_000}, async t => {
+	const cluster = await startCluster(t, 1);
+	cutLinks(cluster, (from, to) => isCutNode(from) && to.startsWith('c'));
+	await drainAndCall(t, cluster);
+});
+
+// The same, but the host and the entry still reach one control host, which has
+// lost the others and cannot hear of the drain either. It answers their watches
+// for as long as the leader's last word lasts. If each answer granted a whole
+// lease, the host would get work for the sum of both.
+t.test('a drain that the only control host in reach cannot hear of', {timeout: 60_000}, async t => {
+	const cluster = await startCluster(t, 1);
+	const {nodeId} = cluster.controls.find(control => !control.node()!.isLeader())!;
+	const isBetweenControls = (from: string, to: string): boolean => from.startsWith('c') && (from === nodeId || to === nodeId);
+	cutLinks(cluster, (from, to) => to.startsWith('c') && (isBetweenControls(from, to) || (isCutNode(from) && to !== nodeId)));
+	await drainAndCall(t, cluster);
 });
 
 // Long streams run through every entry and agent. Then, one after another, an
