--- a/packages/daemon/src/agent/send-answer.ts
+++ b/packages/daemon/src/agent/send-answer.ts
@@ -24,6 +24,8 @@
 		.exhaustive();
 };
 
+const pieceBytes = 32_768;
+
 export type SendAnswerOptions = {
 	readonly hostId: string;
 	/** The first byte that the entry has not got yet. */
@@ -49,7 +51,7 @@
 		run.notify();
 	});
 	waiting.add(response);
-	while (run.head === null && run.failure === null && !response.destroyed) {
+	while (!isReadyToSend(run, offset) && !response.destroyed) {
 		await run.nextChange();
 	}
 
@@ -58,21 +60,28 @@
 		return;
 	}
 
-	if (run.head === null) {
-		sendFailure(response, run.failure!);
+	if (run.failure !== null && (run.head === null || offset === 0)) {
+		sendFailure(response, run.failure);
 		return;
 	}
 
-	const {status, contentType, versionId} = run.head;
+	const {status, contentType, versionId} = run.head!;
 	response.writeHead(status, {
 		'content-type': contentType, [requestIdHeader]: run.requestId, [verdictHeader]: 'ran', [hostHeader]: hostId, [loadHeader]: running(),
 		...(versionId === null ? {} : {[versionHeader]: versionId}), trailer: endMarkerTrailer,
 	});
-	// An entry that comes back must hear at once that it has been found.
-	response.flushHeaders();
+	if (run.buffer.readFrom(offset) === null && run.marker === null) {
+		// An entry that comes back must hear at once that it has been found.
+		response.flushHeaders();
+	}
+
 	await sendParts(run, response, offset);
 };
 
+/** A stream is sent as it comes. Nobody reads any other answer before its end, so it goes out in one piece, unless it is large. */
+const isReadyToSend = ({head, marker, failure, buffer}: DoorRun, offset: number): boolean => marker !== null || failure !== null
+	|| (head !== null && (head.contentType.startsWith('text/event-stream') || buffer.endOffset() - offset >= pieceBytes));
+
 const sendParts = async (run: DoorRun, response: http.ServerResponse, offset: number): Promise<void> => {
 	let position = offset;
 	while (!response.destroyed) {
--- a/packages/daemon/src/control/voter-repair.ts
+++ b/packages/daemon/src/control/voter-repair.ts
@@ -31,9 +31,8 @@
 	let announcedAtMs = Number.NEGATIVE_INFINITY;
 
 	const announce = (nowMs: number): void => {
-		const {state} = driver;
-		const isSupplied = state.role !== 'follower' || state.leaderId !== null;
-		if (isSupplied || nowMs - announcedAtMs < announceMs) {
+		// A removed voter that doesn't know it stands for election in vain; it announces itself too.
+		if (driver.state.leaderId !== null || nowMs - announcedAtMs < announceMs) {
 			return;
 		}
 
