--- a/packages/bench/src/burn.ts
+++ b/packages/bench/src/burn.ts
@@ -56,7 +56,9 @@
 			pairs,
 			countMicroseconds: 1000 * countedMs / (pairs * hours * samplesPerHour),
 			memoryBytesPerPair: Math.round(memoryBytes / pairs),
-			wireBytesPerPair: Math.round(wireBytes / pairs), exportMs: Math.round(reportedMs - exportedMs), mergeThreeEntriesMs: Math.round(performance.now() - reportedMs), longestMergeStepMs: Math.round(longestStepMs),
+			wireBytesPerPair: Math.round(wireBytes / pairs),
+			exportMs: Math.round(reportedMs - exportedMs),
+			mergeThreeEntriesMs: Math.round(performance.now() - reportedMs), longestMergeStepMs: Math.round(longestStepMs),
 		};
 	});
 	for (const point of points) {
--- a/test/bad-input.test.ts
+++ b/test/bad-input.test.ts
@@ -117,7 +117,8 @@
 	});
 	t.match(await sendRaw(server.address, ['GET / HTTP/1.1\r\nhost:'], 10_000), {status: 408, body: /did not arrive in time/v}, 'the head');
 	t.match(await sendRaw(server.address, ['POST / HTTP/1.1\r\nhost: test\r\ncontent-length: 100\r\n\r\nabc'], 10_000), {status: 408, body: /did not arrive in time/v}, 'the body');
-	t.match(await sendRaw(server.address, ['POST / HTTP/1.1\r\nhost: test\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n7d0\r\n', 'a'.repeat(2000), '\r\n']), {status: 413}, 'chunks without end');
+	const chunked = 'POST / HTTP/1.1\r\nhost: test\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n';
+	t.match(await sendRaw(server.address, [chunked, '7d0\r\n', 'a'.repeat(2000), '\r\n']), {status: 413}, 'chunks without end');
 });
 
 // A caller sends a whole request and rubbish right behind it. The answer that
--- a/test/docs.test.ts
+++ b/test/docs.test.ts
@@ -57,6 +57,28 @@
 	t.ok(count >= 10, 'lines were found');
 });
 
+t.test('the page of errors has every type of error, and no other', async t => {
+	const source = await readFile('packages/protocol/src/http/error-body.ts', 'utf8');
+	const types = /readonly type: (?<types>[^;]+);/v.exec(source)!.groups!.types!.match(/\w+/gv)!;
+	const page = await readFile(`${folder}/errors.md`, 'utf8');
+	const rows = [...page.matchAll(/^\| `(?<type>[a-z_]+)` \| \d{3}/gmv)].map(found => found.groups!.type!);
+	t.same(rows.toSorted(), types.toSorted());
+});
+
+/** Statements in tables and blocks: code that begins with a verb of the language and has no placeholder in capitals. */
+t.test('statements in the pages parse', async t => {
+	let count = 0;
+	for (const name of ['migration.md', 'burn.md', 'host-replacement.md', 'errors.md']) {
+		const text = await readFile(path.join(folder, name), 'utf8');
+		for (const {groups} of text.matchAll(/(?:`|^)(?<line>(?:create|load|move|drain|undrain|stop|withdraw|set|show|explain) [a-z][^`\n]*)(?:`|$)/gmv)) {
+			t.ok(parseStatement(groups!.line!).isRight(), `${name}: ${groups!.line}`);
+			count++;
+		}
+	}
+
+	t.ok(count >= 15, 'statements were found');
+});
+
 t.test('links between pages lead somewhere', async t => {
 	for (const [file, text] of await readPages()) {
 		for (const {groups} of text.matchAll(/\]\((?<target>[^\)#:]+)\)/gv)) {
