test(sessions): a provider migration and a stopped one with moves in steps

Cause: the golden session of a migration moved by hand only; the statements for moves in steps had no session. Change: the migration moves in steps of 50%, waits for a missing host, is stopped, resumed and ends with the old fleet's retirement, after which rolling back is refused. A second session: the new fleet breaks off its answers, the move stops by itself and is rolled back; its fleet is retired. Moves by hand, and the refusal of more than there is, are kept in it.

--- a/test/support/session.ts
+++ b/test/support/session.ts
@@ -19,6 +19,8 @@
 	inForceEverywhere(): Promise<void>;
 	/** `count` callers through all entries in turn; shows how many got a whole answer. */
 	callers(count: number): Promise<void>;
+	/** Callers go on asking, whatever they get, until a question has so many rows. */
+	callersUntil(line: string, count: number): Promise<void>;
 	note(text: string): void;
 	transcript(): string;
 };
@@ -39,9 +41,15 @@
 	.replaceAll(/revision \d+/gv, 'revision N')
 	.replaceAll(/it is \d+$/gmv, 'it is N')
 	.replaceAll(/127\.0\.0\.1:\d+/gv, 'IP:PORT')
+	.replaceAll(/\d+ of \d+ requests/gv, 'N of N requests')
 	.replaceAll(/fencing number \d+/gv, 'fencing number N')
 	.replaceAll(/\d+ bytes from the origin, \d+ from peers/gv, 'N bytes from the origin, N from peers');
 
+/** `count` callers at the same time, through all entries in turn; `null` for one who got no answer at all. */
+const askOnce = async (cluster: DevCluster, count: number): Promise<Array<ClientAnswer | null>> => Promise.all(Array.from({length: count}, async (_, index) => postJson({
+	address: cluster.entries[index % cluster.entries.length]!.address, token: teamKey, path: '/v1/chat/completions', body: streamBody(`question ${index}`),
+}).catch(() => null)));
+
 export const startSession = async (t: Test, options: DevClusterOptions): Promise<Session> => {
 	const cluster = await createDevCluster(options);
 	t.teardown(async () => cluster.close());
@@ -64,12 +72,17 @@
 			await waitUntil('in force everywhere', async () => (await ask('show revision'))[0]?.missing === '');
 		},
 		async callers(count) {
-			const answers = await Promise.all(Array.from({length: count}, async (_, index) => postJson({
-				address: cluster.entries[index % cluster.entries.length]!.address, token: teamKey, path: '/v1/chat/completions', body: streamBody(`question ${index}`),
-			}).catch(() => null)));
+			const answers = await askOnce(cluster, count);
 			const whole = answers.filter(answer => answer !== null && isWhole(answer)).length;
 			shown.push(`(${count} callers: ${whole === count ? 'all' : (whole === 0 ? 'none' : 'some')} got a whole answer)\n`);
 		},
+		async callersUntil(line, count) {
+			await waitUntil(`callers asked until ${count} rows of: ${line}`, async () => {
+				await askOnce(cluster, 8);
+				return (await ask(line)).length === count;
+			});
+			shown.push(`(callers ask until \`${line}\` has ${count === 1 ? 'a row' : `${count} rows`})\n`);
+		},
 		note(text) {
 			shown.push(`(${text})\n`);
 		},
