feat(coordination): a move in steps stops when the burn of its service rises

Late answers, and requests refused before any host was asked, went unseen. Seen: the two stops of the new unit test red before the planner had it; its other cases red without the comparison with before and without the restart rule, the late entry red without the baseline; the end-to-end test red (did not stop within 30 s) with the check off. Ruled out: the report's five-minute buckets (clocks, and what was before the step).

--- a/packages/coordination/src/burn/burn-counter.ts
+++ b/packages/coordination/src/burn/burn-counter.ts
@@ -4,7 +4,7 @@
 import type {Histogram} from 'hdr-histogram-js';
 import {createLatencyHistogram, encodeHistogram, recordLatency} from './histogram.js';
 import {
-	floorTo, hourMs, keptHours, keptMinutes, keptTenMinutes, minuteMs, oldestStartMs, tenMinutesMs,
+	addCounts, floorTo, hourMs, keptHours, keptMinutes, keptTenMinutes, minuteMs, noCounts, oldestStartMs, tenMinutesMs, type BurnCounts,
 } from './windows.js';
 
 /** One request that a service owed an answer. */
@@ -40,6 +40,8 @@
 	readonly maxSeries: number;
 	readonly series: Map<string, CountedSeries>;
 	readonly latencies: Map<string, CountedLatency>;
+	/** By service, since the entry started. */
+	readonly totals: Map<string, BurnCounts>;
 };
 
 export type BurnCounterOptions = {
@@ -50,12 +52,15 @@
 /** Stands for the teams that came after the bound was reached. */
 export const otherTeams = '(others)';
 
-export const createBurnCounter = ({maxSeries = 256}: BurnCounterOptions = {}): BurnCounter => ({maxSeries, series: new Map(), latencies: new Map()});
+export const createBurnCounter = ({maxSeries = 256}: BurnCounterOptions = {}): BurnCounter => ({
+	maxSeries, series: new Map(), latencies: new Map(), totals: new Map(),
+});
 
 export const countSample = (counter: BurnCounter, sample: BurnSample): void => {
 	const series = seriesFor(counter, sample.serviceId, sample.teamId);
 	countInto(series.minutes, sample, minuteMs, keptMinutes);
 	countInto(series.tenMinutes, sample, tenMinutesMs, keptTenMinutes);
+	counter.totals.set(sample.serviceId, addCounts(counter.totals.get(sample.serviceId) ?? noCounts, countsOfSample(sample)));
 	if (sample.firstTokenMs !== null) {
 		recordLatency(openHour(latencyFor(counter, sample.serviceId), sample.atMs), sample.firstTokenMs);
 	}
@@ -92,14 +97,16 @@
 		dropBefore(buckets, oldestStartMs(sample.atMs, stepMs, kept));
 	}
 
-	last.total++;
-	last.notWhole += sample.isWhole ? 0 : 1;
-	if (sample.firstTokenMs !== null) {
-		last.timed++;
-		last.slow += sample.firstTokenMs > sample.firstTokenBoundMs ? 1 : 0;
-	}
+	Object.assign(last, addCounts(last, countsOfSample(sample)));
 };
 
+const countsOfSample = ({isWhole, firstTokenMs, firstTokenBoundMs}: BurnSample): BurnCounts => ({
+	total: 1,
+	notWhole: isWhole ? 0 : 1,
+	timed: firstTokenMs === null ? 0 : 1,
+	slow: firstTokenMs !== null && firstTokenMs > firstTokenBoundMs ? 1 : 0,
+});
+
 const dropBefore = (items: Array<{readonly startMs: number}>, oldestMs: number): void => {
 	while (items.length > 0 && items[0]!.startMs < oldestMs) {
 		items.shift();
--- a/packages/coordination/src/configuration/plan-rollouts.ts
+++ b/packages/coordination/src/configuration/plan-rollouts.ts
@@ -2,11 +2,12 @@
 import {
 	modelIdSchema, type Catalog, type Change, type RolloutRecord,
 } from '@bitternpaddle/state';
+import {findRolloutBurn, type BurnBaseline} from './rollout-burn.js';
 
 type Counts = {readonly answered: number; readonly failed: number};
 
 /** Since when a step is watched, and what entries had counted before it. */
-type StepWatch = {readonly step: number; readonly sinceMs: number; readonly before: ReadonlyMap<string, Counts>};
+type StepWatch = {readonly step: number; readonly sinceMs: number; readonly before: ReadonlyMap<string, Counts>; readonly burnBefore: BurnBaseline};
 
 /** The leader's memory of running moves, by model. It is lost with the leader; the next one watches the step anew. */
 export type RolloutWatch = Map<string, StepWatch>;
@@ -26,7 +27,7 @@
 
 /**
  * The next steps of moves that are due, and a stop for those whose target
- * fails. The plan and its progress are in the catalog, so a leader that takes
+ * fails or whose service's burn rises. The plan and its progress are in the catalog, so a leader that takes
  * over goes on from there; each change names the step that it saw, so a step
  * is done once whoever proposes it, and not at all after an operator's stop.
  */
@@ -53,7 +54,11 @@
 	const modelId = modelIdSchema.parse(rollout.modelId);
 	const watched = watch.get(modelId);
 	if (watched?.step !== step) {
-		watch.set(modelId, {step, sinceMs: nowMs, before: countsOf(options, rollout)});
+		const burnBefore: BurnBaseline = new Map();
+		watch.set(modelId, {
+			step, sinceMs: nowMs, before: countsOf(options, rollout), burnBefore,
+		});
+		findBurn(options, rollout, burnBefore);
 		return null;
 	}
 
@@ -65,10 +70,21 @@
 		};
 	}
 
+	const burn = findBurn(options, rollout, watched.burnBefore);
+	if (burn !== null) {
+		return {
+			type: 'haltRollout', modelId, step, detail: burn,
+		};
+	}
+
 	const hasHeld = step === 0 || nowMs - watched.sinceMs >= holdMs;
 	return hasHeld && isComplete && hasRoom(catalog, rollout) ? {type: 'advanceRollout', modelId, step} : null;
 };
 
+const findBurn = ({catalog, entryReports}: PlanRolloutsOptions, rollout: RolloutRecord, baseline: BurnBaseline): string | null => findRolloutBurn({
+	catalog, entryReports, rollout, baseline, minBad: minFailures,
+});
+
 const countsOf = ({entryReports}: PlanRolloutsOptions, {toFleetId}: RolloutRecord): Map<string, Counts> => new Map(entryReports.flatMap(({hostId, fleetOutcomes = []}) => {
 	const counts = fleetOutcomes.find(({fleetId}) => fleetId === toFleetId);
 	return counts === undefined ? [] : [[hostId, counts]];
--- a/packages/coordination/src/configuration/report-fold.ts
+++ b/packages/coordination/src/configuration/report-fold.ts
@@ -43,7 +43,7 @@
 });
 
 /** Load and progress change all the time and decide nothing at the leader, so they stay here until asked for. */
-const essenceOf = ({requestsInFlight, revision, transfers, fleetOutcomes, ...rest}: HostReport): string => JSON.stringify(rest);
+const essenceOf = ({requestsInFlight, revision, transfers, fleetOutcomes, serviceOutcomes, ...rest}: HostReport): string => JSON.stringify(rest);
 
 export type HeardWatch = {
 	readonly hostId: string;
--- a/packages/coordination/test/rollouts.test.ts
+++ b/packages/coordination/test/rollouts.test.ts
@@ -76,6 +76,54 @@
 	t.same(catalog.models.m!.traffic, [{fleetId: 'old', percent: 100}]);
 });
 
+type ServiceCounts = {readonly total: number; readonly notWhole?: number; readonly slow?: number};
+
+const serviceReport = ({total, notWhole = 0, slow = 0}: ServiceCounts): HostReport => hostReportSchema.parse({
+	...report(total, 0), serviceOutcomes: [
+		{
+			serviceId: 's', total, notWhole, timed: total, slow,
+		},
+		{
+			serviceId: 'other', total, notWhole: total, timed: total, slow: total,
+		},
+	],
+});
+
+const planAfterStep = (before: ServiceCounts, after: ServiceCounts): CatalogChange[] => {
+	const catalog = createMoving();
+	const watch: RolloutWatch = new Map();
+	planAt(catalog, watch, 0);
+	apply(catalog, planAt(catalog, watch, 1)[0]);
+	planAt(catalog, watch, 100, serviceReport(before));
+	return planAt(catalog, watch, 500, serviceReport(after));
+};
+
+// The new provider answers every request whole, but late; and in the second case
+// callers are refused before any host is asked. No request to the new fleet fails,
+// so its error share says nothing, while the service's budget burns at a page's rate.
+t.test('a move stops by itself when the burn of its service rises', async t => {
+	t.match(planAfterStep({total: 1000, slow: 10}, {total: 1100, slow: 90}), [{type: 'haltRollout', step: 1, detail: /first token.*burns.*16/v}]);
+	t.match(planAfterStep({total: 1000}, {total: 1100, notWhole: 3}), [{type: 'haltRollout', step: 1, detail: /whole.*burns.*30/v}]);
+	t.same(planAfterStep({total: 1000, slow: 10}, {total: 1100, slow: 80}), [], 'a rate of 14 is below a page');
+	t.same(planAfterStep({total: 1000}, {total: 1010, notWhole: 2, slow: 2}), [], 'two requests say nothing');
+	t.same(planAfterStep({total: 1000, notWhole: 30}, {total: 1100, notWhole: 33}), [], 'it burned as fast before');
+	t.match(planAfterStep({total: 1000}, {total: 10, notWhole: 10}), [{type: 'haltRollout'}], 'an entry that restarted counts from 0');
+});
+
+// An entry cannot be asked when a step begins, and is heard later with failures
+// from long before the step. They are over, and must not stop the move.
+t.test('a move is not stopped for what an entry counted before it was heard', async t => {
+	const catalog = createMoving();
+	const watch: RolloutWatch = new Map();
+	planAt(catalog, watch, 0);
+	apply(catalog, planAt(catalog, watch, 1)[0]);
+	planRollouts({
+		catalog, watch, entryReports: [], isComplete: false, nowMs: 100,
+	});
+	t.same(planAt(catalog, watch, 500, serviceReport({total: 1000, notWhole: 100})), []);
+	t.match(planAt(catalog, watch, 600, serviceReport({total: 1020, notWhole: 120})), [{type: 'haltRollout', detail: /20 of 20/v}]);
+});
+
 // One entry of two cannot be asked; its callers may be the ones that fail.
 // The move waits rather than go on without knowing.
 t.test('a move waits for the word of every entry, and for ready hosts', async t => {
--- a/packages/daemon/src/commands/dev-command.ts
+++ b/packages/daemon/src/commands/dev-command.ts
@@ -29,7 +29,7 @@
 		print(`  ${program} run ${flags} "create model pitch-desk"`);
 		print(`  ${program} run ${flags} "create version pitch-desk:v1 from manifest ${cluster.manifestIds[0]}"`);
 		print(`  ${program} run ${flags} "create fleet fair-mornings provider new for pitch-desk:v1 replicas 6"`);
-		print(`  ${program} run ${flags} "load pitch-desk:v1 on fleet fair-mornings"`);
+		print(`  ${program} run --wait ${flags} "load pitch-desk:v1 on fleet fair-mornings"`);
 		print(`  ${program} query ${flags} "show replicas"`);
 		print(`  curl -N http://${entry!.address}/v1/chat/completions -H "Authorization: Bearer marshals-key" -H "Content-Type: application/json" -d '{"model":"pitch-desk","stream":true,"messages":[{"role":"user","content":"hello"}]}'`);
 		print('');
--- a/packages/daemon/src/entry/create-entry-node.ts
+++ b/packages/daemon/src/entry/create-entry-node.ts
@@ -74,6 +74,7 @@
 	const report = (): HostReport => ({
 		hostId: entryId, role: 'entry', address: server.address, revision: configuration.catalog().revision, requestsInFlight: calls.inFlight(),
 		announcement: null, readyVersionId: null, isLeaving, transfers: [], failingHostIds: failing.list(), fleetOutcomes: outcomes.list(),
+		serviceOutcomes: [...burnCounter.totals].map(([serviceId, counts]) => ({serviceId, ...counts})),
 	});
 
 	const server = await createHttpServer({
--- a/packages/protocol/src/language/statement-forms.ts
+++ b/packages/protocol/src/language/statement-forms.ts
@@ -74,7 +74,7 @@
 	},
 	{
 		form: 'move P% of MODEL from fleet FLEET to fleet FLEET in steps of P% [every N s] [stopping above P%]',
-		description: 'Moves it step by step; stops by itself when requests to the new fleet fail. Without more: every 60 s, above 1%.',
+		description: 'Moves it step by step; stops by itself when requests to the new fleet fail, or the burn of the service rises to a page. Without more: every 60 s, above 1%.',
 		role: 'operate',
 		example: 'move 100% of pitch-desk from fleet old to fleet fair-mornings in steps of 10% every 60 s stopping above 1%',
 	},
--- a/packages/protocol/src/rpc/methods.ts
+++ b/packages/protocol/src/rpc/methods.ts
@@ -78,6 +78,10 @@
 	failingHostIds: z.array(z.string()).optional(),
 	/** Outcomes of this entry's attempts since it started, by fleet. */
 	fleetOutcomes: z.array(z.object({fleetId: z.string(), answered: index, failed: index})).optional(),
+	/** What this entry counted towards each service's objectives since it started. */
+	serviceOutcomes: z.array(z.object({
+		serviceId: z.string(), total: index, notWhole: index, timed: index, slow: index,
+	})).optional(),
 });
 export type HostReport = z.infer<typeof hostReportSchema>;
 
--- a/test/provider-migration.test.ts
+++ b/test/provider-migration.test.ts
@@ -34,13 +34,16 @@
 });
 
 /** Asks without end until told to stop; counts what callers got. */
-const startCallers = (t: Test, cluster: DevCluster): {counts: {whole: number; failed: number; answers: Set<string>}; stop(): Promise<void>} => {
+const startCallers = (t: Test, cluster: DevCluster, isStreaming = false): {counts: {whole: number; failed: number; answers: Set<string>}; stop(): Promise<void>} => {
 	const counts = {whole: 0, failed: 0, answers: new Set<string>()};
 	const stopping = new AbortController();
+	const body = {
+		model: 'pitch-desk', stream: isStreaming, max_tokens: 2, messages: [{role: 'user', content: 'hello'}],
+	};
 	const call = async (entry: number): Promise<void> => {
 		while (!stopping.signal.aborted) {
 			const {status, text} = await postJson({
-				address: cluster.entries[entry]!.address, token: 'marshals-key', path: '/v1/chat/completions', body: {model: 'pitch-desk', max_tokens: 2, messages: [{role: 'user', content: 'hello'}]},
+				address: cluster.entries[entry]!.address, token: 'marshals-key', path: '/v1/chat/completions', body,
 			}).catch((error: unknown) => ({status: 0, text: (error as Error).message}));
 			counts[status === 200 ? 'whole' : 'failed']++;
 			if (status !== 200) {
@@ -107,3 +110,28 @@
 	await after.stop();
 	t.equal(after.counts.failed, 0, `${before.failed} failed before`);
 });
+
+// The engines of the other fleet answer everything whole, but late. No request
+// fails, so the error share stays 0; the service's budget for the first token
+// burns at the rate of a page, and the move stops by that.
+t.test('a move stops when the burn of its service rises, without an error', {timeout: 90_000}, async t => {
+	const cluster = await startTwoFleets(t);
+	const order = orderTo(cluster);
+	await order('set objective for service bp-writers whole 99.9% first token 99% within 500 ms');
+	await everywhere(cluster);
+	const fresh = new Set((await order('show replicas where fleet = fresh')).rows!.map(row => row.host));
+	const callers = startCallers(t, cluster, true);
+	await waitUntil('callers asked', () => callers.counts.whole > 20);
+	await order('move 100% of pitch-desk from fleet old to fleet fresh in steps of 50% every 600 s stopping above 5%');
+	await waitUntil('the first step', async () => (await order('show moves where moved = 50')).rows?.length === 1);
+	for (const [position, engine] of cluster.engines.entries()) {
+		if (fresh.has(`h${position + 1}`)) {
+			engine.faults.stallMs = 800;
+		}
+	}
+
+	await waitUntil('it stops', async () => (await order('show moves where state = stopped')).rows?.length === 1);
+	t.match((await order('show moves')).rows, [{moved: 50, state: 'stopped', detail: /first token in time.*bp-writers.*burns/v}]);
+	await callers.stop();
+	t.equal(callers.counts.failed, 0, [...callers.counts.answers].join(', '));
+});
--- a/test/sessions/migration.test.ts
+++ b/test/sessions/migration.test.ts
@@ -57,9 +57,10 @@
 	t.matchSnapshot(session.transcript());
 });
 
-// An operator tries a fifth by hand and takes it back, then moves in steps. The new
-// fleet has half of the traffic when its answers begin to break off. The move stops by itself, long before its next step is due, and keeps the share
-// that it has; the operator rolls it back, and every caller is whole again.
+// An operator tries a fifth by hand and takes it back, then moves in steps. The
+// new fleet has half of the traffic when its answers begin to break off. The move
+// stops by itself, long before its next step is due, and keeps the share that it
+// has; the operator rolls it back, and every caller is whole again.
 t.test('a move that errors of the new fleet stop is rolled back', {timeout: 120_000}, async t => {
 	const session = await startSession(t, {engines: 4, oldEngines: 2, entries: 2});
 	const {cluster, type, callers, inForceEverywhere, until, note} = session;
