fix(routing): keep the ejection cap when healthy hosts leave, prove it without panic

Cause: the cap was compared only when a host was put aside. If the healthy hosts of a group then left, all that remained could be aside, and callers waited until the first ejection ended. And the test of a bad signal could not tell the cap from the panic, which takes all hosts back.

Change: the tick takes back those put aside first until the cap holds again; `panicMs` is an option of the router, 0 turns the panic off for the proof.

--- a/packages/coordination/src/routing/health.ts
+++ b/packages/coordination/src/routing/health.ts
@@ -25,7 +25,6 @@
 const latencyFloorMs = 200;
 const penaltyShare = 0.25;
 const longestEjectionMs = 120_000;
-const panicMs = 10_000;
 const silentFactor = 6;
 const zoneFailureShare = 0.6;
 
@@ -133,7 +132,8 @@
  * come back; penalties still steer between them.
  */
 const panic = (state: RouterState, group: Group, nowMs: number): void => {
-	if (group.activeSize < 2) {
+	const {panicMs} = state.options;
+	if (group.activeSize < 2 || panicMs === 0) {
 		return;
 	}
 
@@ -211,15 +211,30 @@
 	}
 };
 
+const returnDue = (state: RouterState, group: Group, nowMs: number): void => {
+	for (const host of group.ejected) {
+		if (host.health.ejectedUntilMs <= nowMs) {
+			returnHost(state, host, nowMs);
+		}
+	}
+
+	// Healthy hosts that leave can make those aside too many, at worst all that
+	// remain: callers would wait though hosts are there. The first aside come back first.
+	const most = mostEjected(group, state.options.maxEjectedShare);
+	for (const host of group.ejected) {
+		if (group.ejected.size <= most) {
+			return;
+		}
+
+		returnHost(state, host, nowMs);
+	}
+};
+
 /** Called a few times a second. */
 export const tickRouter = (state: RouterState, nowMs: number): RouterNotice[] => {
 	for (const group of state.groups.values()) {
 		ejectSilent(state, group, nowMs);
-		for (const host of group.ejected) {
-			if (host.health.ejectedUntilMs <= nowMs) {
-				returnHost(state, host, nowMs);
-			}
-		}
+		returnDue(state, group, nowMs);
 	}
 
 	for (const host of state.full) {
--- a/packages/coordination/src/routing/router.ts
+++ b/packages/coordination/src/routing/router.ts
@@ -10,7 +10,7 @@
 export const createRouter = (options: RouterOptions): RouterState => ({
 	options: {
 		entriesPerEndpoint: 4, minimumPerTier: 12, spillShare: 0.8, affinityFactor: 1.25, affinityFloor: 0.5, staleMs: 1000, reportHalfLifeMs: 2000,
-		slowStartMs: 30_000, maxEjectedShare: 0.5, failuresToEject: 3, ejectionMs: 5000, silentMs: 2000, ...options,
+		slowStartMs: 30_000, maxEjectedShare: 0.5, panicMs: 10_000, failuresToEject: 3, ejectionMs: 5000, silentMs: 2000, ...options,
 	},
 	revision: 0, hosts: new Map(), groups: new Map(), models: new Map(), services: new Map(), otherEntries: new Set(),
 	full: new Set(), zoneFailureShares: new Map(), notices: [],
--- a/packages/coordination/src/routing/types.ts
+++ b/packages/coordination/src/routing/types.ts
@@ -120,6 +120,8 @@
 	readonly slowStartMs?: number;
 	/** Largest share of a group that is ejected at once. @default 0.5 */
 	readonly maxEjectedShare?: number;
+	/** How long nothing is ejected after more looked bad than may be ejected; 0 only keeps to the share. @default 10000 */
+	readonly panicMs?: number;
 	/** Failures in a row that eject a host. @default 3 */
 	readonly failuresToEject?: number;
 	/** First time of ejection; doubles each time. @default 5000 */
