test(entry): hold the four limit settings to what they say

Cause: no test read the settings of limits and queues, and none saw a 429 end to end.

End to end, a team above its share gets 429 with Retry-After and nothing of that runs, while another is answered.

--- a/packages/daemon/src/commands/run-command.ts
+++ b/packages/daemon/src/commands/run-command.ts
@@ -1,11 +1,11 @@
 import path from 'node:path';
 import process from 'node:process';
-import type {AdmissionOptions} from '@bitternpaddle/coordination';
 import {createLogger, createMetrics, type Logger} from '@bitternpaddle/transport';
 import {Command, Option} from 'clipanion';
 import {
 	environmentName, resolveSettings, settingDefinitions, type SettingKey, type Settings,
 } from '../settings/settings.js';
+import {limitsOf} from '../settings/limits.js';
 
 /** Exit code for settings that are wrong. */
 export const usageExitCode = 2;
@@ -72,10 +72,6 @@
 	}
 }
 
-const limitsOf = ({limitTokens, limitBurstSeconds, maxQueuedPerTeam, maxQueuedPerService}: Settings): AdmissionOptions => ({
-	fleetTokensPerSecond: limitTokens ?? null, burstSeconds: limitBurstSeconds, maxQueuedPerTeam, maxQueuedPerTarget: maxQueuedPerService,
-});
-
 /** Runs until a signal or an operator stops the host; resolves with the exit code. */
 const runHost = async (settings: Settings): Promise<number> => {
 	const logger = createLogger({level: settings.logLevel, labels: {host: settings.hostId}});
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -18,5 +18,6 @@
 export * from './program.js';
 export * from './recording/recorder.js';
 export * from './report/index.js';
+export * from './settings/limits.js';
 export * from './settings/settings.js';
 export * from './host/peers.js';
--- a/test/limits-and-routing.test.ts
+++ b/test/limits-and-routing.test.ts
@@ -64,6 +64,23 @@
 	t.equal(runs, answeredLarge + 10, 'what was refused did not run');
 });
 
+// A team has used up its share of the limit and sends on. It must be told so
+// (429, with the time to come back) and nothing of that may run, while another
+// team's requests are answered. A request costs 20 and a little for its prompt.
+t.test('a team above its share of the limit is refused, another is not', async t => {
+	const cluster = await createDevCluster({engines: 2, entries: 1, limits: {fleetTokensPerSecond: 2, burstSeconds: 200}});
+	t.teardown(async () => cluster.close());
+	await setUp(cluster);
+	const runsBefore = countRuns(cluster);
+	const large = await Promise.all(Array.from({length: 30}, async () => ask(cluster, 'large-key')));
+	const answered = large.filter(({status}) => status === 200);
+	const refused = large.filter(({status}) => status !== 200);
+	t.ok(answered.length > 0 && answered.length <= 10, `${answered.length} answered of a share of 1 a second with 200 seconds saved up`);
+	t.ok(refused.length > 0 && refused.every(({status, headers, text}) => status === 429 && headers['retry-after'] !== undefined && text.includes('not_run')), `${refused.length} refused`);
+	t.equal((await ask(cluster, 'small-key')).status, 200);
+	t.equal(countRuns(cluster) - runsBefore, answered.length + 1, 'what was refused did not run');
+});
+
 // An engine takes requests and never answers. Each request sent there is lost
 // to its caller until the deadline; the entry must notice the silence, say so
 // in its log, and send no more there.
