--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -6,7 +6,7 @@
 import {measureCapacity} from './capacity/index.js';
 import {measureControl} from './control/control.js';
 import {measureOverhead} from './overhead.js';
-import {measureRouting} from './routing.js';
+import {measureLimits, measureRouting} from './routing.js';
 
 /** A measurement: takes its flags, prints what it likes, gives the object for the last line. */
 export type Bench = (flags: readonly string[]) => Promise<Record<string, unknown>>;
@@ -19,6 +19,7 @@
 	chaos: measureChaos,
 	capacity: measureCapacity,
 	control: measureControl,
+	limits: measureLimits,
 	overhead: measureOverhead,
 	routing: measureRouting,
 };
