refactor(bench): one heap library, tinyqueue, instead of two

Cause: flatqueue was there for the virtual time of the distribution bench alone, beside tinyqueue in admission and the routing bench.

Change: the virtual time uses tinyqueue, with the order of adding for equal times, which flatqueue does not promise. Weighed: flatqueue everywhere. It would change the fair queue, which takes cancelled requests out of the heap's own array, for no measured need.

--- a/packages/bench/src/distribution/virtual-time.ts
+++ b/packages/bench/src/distribution/virtual-time.ts
@@ -1,6 +1,6 @@
-import FlatQueue from 'flatqueue';
+import TinyQueue from 'tinyqueue';
 
-/** Runs actions in the order of their virtual time; equal times in a fixed order. */
+/** Runs actions in the order of their virtual time; those of equal times in the order in which they were added. */
 export type VirtualTime = {
 	nowMs: number;
 	at(atMs: number, action: () => void): void;
@@ -8,22 +8,26 @@
 	run(isDone: () => boolean, limitMs: number): void;
 };
 
+type Scheduled = {readonly atMs: number; readonly order: number; readonly action: () => void};
+
 export const createVirtualTime = (): VirtualTime => {
-	const queue = new FlatQueue<() => void>();
+	const queue = new TinyQueue<Scheduled>([], (a, b) => a.atMs - b.atMs || a.order - b.order);
+	let order = 0;
 	const time: VirtualTime = {
 		nowMs: 0,
 		at(atMs, action) {
-			queue.push(action, Math.max(atMs, time.nowMs));
+			queue.push({atMs: Math.max(atMs, time.nowMs), order: order++, action});
 		},
 		run(isDone, limitMs) {
 			while (!isDone()) {
-				const atMs = queue.peekValue();
-				if (atMs === undefined || atMs > limitMs) {
+				const next = queue.peek();
+				if (next === undefined || next.atMs > limitMs) {
 					return;
 				}
 
-				time.nowMs = atMs;
-				queue.pop()!();
+				queue.pop();
+				time.nowMs = next.atMs;
+				next.action();
 			}
 		},
 	};
