--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -7,7 +7,7 @@
 import {measureControl} from './control/control.js';
 import {measureClaims} from './control/claims.js';
 import {measureOverhead} from './overhead.js';
-import {measureRouting} from './routing.js';
+import {measureLimits, measureRouting} from './routing.js';
 
 /** A measurement: takes its flags, prints what it likes, gives the object for the last line. */
 export type Bench = (flags: readonly string[]) => Promise<Record<string, unknown>>;
@@ -21,6 +21,7 @@
 	capacity: measureCapacity,
 	control: measureControl,
 	claims: measureClaims,
+	limits: measureLimits,
 	overhead: measureOverhead,
 	routing: measureRouting,
 };
--- a/packages/coordination/src/routing/router.ts
+++ b/packages/coordination/src/routing/router.ts
@@ -10,7 +10,7 @@
 export const createRouter = (options: RouterOptions): RouterState => ({
 	options: {
 		entriesPerEndpoint: 4, minimumPerTier: 12, spillShare: 0.8, affinityFactor: 1.25, affinityFloor: 0.5, staleMs: 1000, reportHalfLifeMs: 2000,
-		slowStartMs: 30_000, maxEjectedShare: 0.5, failuresToEject: 3, ejectionMs: 5000, silentMs: 2000, ...options,
+		slowStartMs: 30_000, maxEjectedShare: 0.5, panicMs: 10_000, failuresToEject: 3, ejectionMs: 5000, silentMs: 2000, ...options,
 	},
 	revision: 0, hosts: new Map(), groups: new Map(), models: new Map(), services: new Map(), otherEntries: new Set(),
 	full: new Set(), zoneFailureShares: new Map(), notices: [],
@@ -250,6 +250,11 @@
 		// What the door has just proved goes before any earlier report.
 		host.others = Math.max(host.others, host.endpoint.capacity - host.starts.length);
 		host.reportedAtMs = nowMs;
+	} else if (outcome.type === 'answered') {
+		// It left a place free. A report from before this entry's last starts counts
+		// that place as another's still; by it the host would stay full, and idle,
+		// until the report has faded.
+		host.others = Math.min(host.others, Math.max(0, host.endpoint.capacity - 1 - host.starts.length));
 	}
 
 	noteOutcome(state, host, outcome, nowMs);
