fix(agent): set no timer for a version after the host has closed

Cause: a change that arrives while an agent closes set the ten-minute timer after which a replaced version is removed; the process (and provider-migration.test) lived on for as long. Found by listing live timers. Change: a closed host follows nothing. Ruled out: the promises of closing (all settle), leaked intervals.

--- a/packages/daemon/src/agent/weights.ts
+++ b/packages/daemon/src/agent/weights.ts
@@ -270,6 +270,11 @@
 	return {
 		loaded: () => ready,
 		follow(followed) {
+			// A change may arrive while the host stops; a timer set after the closing would keep the process from ending.
+			if (isClosed) {
+				return;
+			}
+
 			const isFirst = catalog === null;
 			catalog = followed;
 			dropUnwanted(followed);
--- a/packages/daemon/src/dev/failure/operate.ts
+++ b/packages/daemon/src/dev/failure/operate.ts
@@ -62,11 +62,11 @@
 };
 
 /** Sends the line again, under the same id, until it has an answer; throws when it is refused. */
-export const mustOperate = async (cluster: FailureCluster, line: string): Promise<number> => {
+export const mustOperate = async (cluster: FailureCluster, line: string, options: {readonly entry?: number} = {}): Promise<number> => {
 	const commandId = randomUUID();
 	let revision = 0;
 	await waitUntil(line, async () => {
-		const outcome = await operate(cluster, line, {commandId});
+		const outcome = await operate(cluster, line, {...options, commandId});
 		if (outcome.type === 'refused') {
 			throw new Error(`${line}: ${outcome.message}`);
 		}
