revert(routing): an answer frees its place at once

Cause: with it an entry chooses a place before the door has freed it; the door refuses and the refusal counts as an attempt, so in limits-and-routing.test three of ten requests of the small team were refused (red in 2 runs on a busy machine; green in 8 of 8 on a quiet one). Ruled out: keeping it with a flaky promise to callers.

--- a/packages/coordination/src/routing/router.ts
+++ b/packages/coordination/src/routing/router.ts
@@ -250,11 +250,6 @@
 		// What the door has just proved goes before any earlier report.
 		host.others = Math.max(host.others, host.endpoint.capacity - host.starts.length);
 		host.reportedAtMs = nowMs;
-	} else if (outcome.type === 'answered') {
-		// It left a place free. A report from before this entry's last starts counts
-		// that place as another's still; by it the host would stay full, and idle,
-		// until the report has faded.
-		host.others = Math.min(host.others, Math.max(0, host.endpoint.capacity - 1 - host.starts.length));
 	}
 
 	noteOutcome(state, host, outcome, nowMs);
