--- a/packages/daemon/src/entry/explain.ts
+++ b/packages/daemon/src/entry/explain.ts
@@ -46,7 +46,9 @@
 
 const revisionFinding = ({catalog, hostRow}: ReplicaView): Finding => {
 	const revision = Number(hostRow?.revision ?? 0);
-	return {aspect: 'configuration', isFine: revision >= catalog.revision, finding: revision >= catalog.revision ? `at revision ${revision}, which is in force` : `at revision ${revision}, behind revision ${catalog.revision}`};
+	const isFine = revision >= catalog.revision;
+	const finding = isFine ? `at revision ${revision}, which is in force` : `at revision ${revision}, behind revision ${catalog.revision}`;
+	return {aspect: 'configuration', isFine, finding};
 };
 
 const statusFinding = ({status}: HostRecord, hostId: string): Finding => status === 'serving'
--- a/packages/daemon/test/transfer.test.ts
+++ b/packages/daemon/test/transfer.test.ts
@@ -88,7 +88,8 @@
 	for (const host of hosts) {
 		await notifyRpc({
 			address: host.peer.address, method: 'agent.have', timeoutMs: 2000, params: {
-				from: 'rogue', address: server.address, manifestId: version.manifestId, chunks: version.manifest.chunkDigests.map((_, index) => index), isGreeting: false, limitsMs: {origin: 0, store: 0},
+				from: 'rogue', address: server.address, manifestId: version.manifestId,
+				chunks: version.manifest.chunkDigests.map((_, index) => index), isGreeting: false, limitsMs: {origin: 0, store: 0},
 			},
 		});
 	}
