--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -64,8 +64,11 @@
 	capacity: define('capacity', numberSchema(1, 100_000), 'Requests that the endpoint runs side by side (agent).', 'a whole number from 1 to 100000', '16'),
 	adminTokens: define('admin-tokens', listSchema(tokenSchema), 'Tokens of operators (entry).', 'a list of read|operate|administer:TOKEN, each TOKEN of 8 characters or more', ''),
 	limitTokens: define(
-		'limit-tokens-per-second', numberSchema(1, 1_000_000_000),
-		'Tokens a second over all teams and entries, split by the teams\' shares (entry); none if left out.', 'a whole number from 1 to 1000000000', '',
+		'limit-tokens-per-second',
+		numberSchema(1, 1_000_000_000),
+		'Tokens a second over all teams and entries, split by the teams\' shares (entry); none if left out.',
+		'a whole number from 1 to 1000000000',
+		'',
 	),
 	limitBurstSeconds: define('limit-burst-seconds', numberSchema(1, 3600), 'Seconds of its share of the limit that a team can save up (entry).', 'a whole number from 1 to 3600', '10'),
 	maxQueuedPerTeam: define('max-queued-per-team', numberSchema(1, 1_000_000), 'Requests of one team that wait for one model or service (entry).', 'a whole number from 1 to 1000000', '512'),
