fix(tests): give each process of tests its own loopback address

Cause: ports were picked on 127.0.0.1, given up and handed to a daemon that binds them a moment later. Meanwhile another test's server or an outgoing connection may take one; the daemon then ends at once and its peers wait.

Change: freeAddresses in test-support picks ports by the system on an IP number of loopback that follows from the process id, each once. It is in test-support and not in test/support, since bench must not import from test. startDaemon in test/support keeps the outputs; a test that failed shows each process's end and its last lines.

Ruled out: retrying the daemon's bind (the port may stay taken); ports from a fixed range (collide between worktrees).

--- a/packages/bench/src/burst.ts
+++ b/packages/bench/src/burst.ts
@@ -1,6 +1,5 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {mkdtemp, rm} from 'node:fs/promises';
-import {createServer, type AddressInfo} from 'node:net';
 import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -8,7 +7,9 @@
 import {
 	cascadiaHalls, postJson, randomWeights, sendLine, waitUntil,
 } from '@bitternpaddle/daemon';
-import {createFakeEngine, createFakeOrigin, type FakeEngine} from '@bitternpaddle/test-support';
+import {
+	createFakeEngine, createFakeOrigin, freeAddresses, type FakeEngine,
+} from '@bitternpaddle/test-support';
 import {build as buildHistogram} from 'hdr-histogram-js';
 
 const agents = 64;
@@ -31,20 +32,6 @@
 	close(): Promise<void>;
 };
 
-const freePorts = async (count: number): Promise<number[]> => {
-	const servers = await Promise.all(Array.from({length: count}, async () => new Promise<ReturnType<typeof createServer>>(resolve => {
-		const server = createServer();
-		server.listen(0, '127.0.0.1', () => {
-			resolve(server);
-		});
-	})));
-	const ports = servers.map(server => (server.address() as AddressInfo).port);
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
-	return ports;
-};
-
 const startDaemon = (flags: Record<string, string>): ChildProcess => spawn(
 	process.execPath,
 	[daemonFile, 'run', ...Object.entries(flags).flatMap(([name, value]) => [`--${name}`, value])],
@@ -54,15 +41,14 @@
 /** One control host, one entry and 64 agents, each a process; engines and the origin are fakes in this one. */
 const createBed = async (): Promise<Bed> => {
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'bitternpaddle-burst-'));
-	const [controlPort, entryPort] = await freePorts(2);
-	const controls = `c1=127.0.0.1:${controlPort}`;
-	const entryAddress = `127.0.0.1:${entryPort}`;
+	const [controlAddress, entryAddress] = await freeAddresses(2) as [string, string];
+	const controls = `c1=${controlAddress}`;
 	const origin = await createFakeOrigin({bytesPerSecond: 2 * linkBytesPerSecond});
 	const published = [await origin.publish(randomWeights(1, sizeBytes), chunkSizeBytes), await origin.publish(randomWeights(2, sizeBytes), chunkSizeBytes)];
 	const engines = await Promise.all(Array.from({length: agents}, async () => createFakeEngine()));
 	const children = [
 		startDaemon({
-			roles: 'control', 'host-id': 'c1', listen: `127.0.0.1:${controlPort}`, controls, 'data-folder': path.join(folder, 'c1'),
+			roles: 'control', 'host-id': 'c1', listen: controlAddress, controls, 'data-folder': path.join(folder, 'c1'),
 		}),
 		startDaemon({
 			roles: 'entry', 'host-id': 'e1', listen: entryAddress, controls, 'admin-tokens': `administer:${adminToken}`,
--- a/packages/bench/src/capacity/measure-stream.ts
+++ b/packages/bench/src/capacity/measure-stream.ts
@@ -1,10 +1,10 @@
 import path from 'node:path';
 import {sendLine, waitUntil} from '@bitternpaddle/daemon';
-import {createFakeEngine, createFakeOrigin} from '@bitternpaddle/test-support';
+import {createFakeEngine, createFakeOrigin, freeAddresses} from '@bitternpaddle/test-support';
 import {readBody, sendHttp} from '@bitternpaddle/transport';
 import {withFolder, type Measured} from './measure-state.js';
 import {usageBetween, type ProcessUsage} from './process-usage.js';
-import {freeAddresses, startDaemon, type DaemonProcess} from './processes.js';
+import {startDaemon, type DaemonProcess} from './processes.js';
 import type {Point} from './slope.js';
 
 const tokenCounts = [1, 32, 64, 128, 256] as const;
--- a/packages/bench/src/capacity/processes.ts
+++ b/packages/bench/src/capacity/processes.ts
@@ -1,5 +1,4 @@
 import {spawn, type ChildProcess} from 'node:child_process';
-import {createServer, type AddressInfo} from 'node:net';
 import path from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
@@ -37,18 +36,3 @@
 
 /** A Node process that loads nothing of ours: what the runtime alone takes. */
 export const startEmptyNode = (): DaemonProcess => startNode(['-e', 'setInterval(() => {}, 1000)']);
-
-/** Ports that were free a moment ago: control hosts must know each other's before they start. */
-export const freeAddresses = async (count: number): Promise<string[]> => {
-	const servers = await Promise.all(Array.from({length: count}, async () => new Promise<ReturnType<typeof createServer>>(resolve => {
-		const server = createServer();
-		server.listen(0, '127.0.0.1', () => {
-			resolve(server);
-		});
-	})));
-	const addresses = servers.map(server => `127.0.0.1:${(server.address() as AddressInfo).port}`);
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
-	return addresses;
-};
--- a/packages/bench/src/capacity/start-controls.ts
+++ b/packages/bench/src/capacity/start-controls.ts
@@ -1,7 +1,8 @@
 import path from 'node:path';
 import {waitUntil} from '@bitternpaddle/daemon';
+import {freeAddresses} from '@bitternpaddle/test-support';
 import {readBody, sendHttp} from '@bitternpaddle/transport';
-import {freeAddresses, startDaemon, type DaemonProcess} from './processes.js';
+import {startDaemon, type DaemonProcess} from './processes.js';
 
 export type ControlProcess = DaemonProcess & {readonly address: string};
 
--- a/packages/bench/src/control/control-processes.ts
+++ b/packages/bench/src/control/control-processes.ts
@@ -1,12 +1,12 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {mkdtemp, rm} from 'node:fs/promises';
-import {createServer, type AddressInfo} from 'node:net';
 import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {waitUntil} from '@bitternpaddle/daemon';
+import {freeAddresses} from '@bitternpaddle/test-support';
 import {readBody, sendHttp} from '@bitternpaddle/transport';
 
 const daemonFile = fileURLToPath(new URL('../../../daemon/bin/bitternpaddled.js', import.meta.url));
@@ -23,20 +23,6 @@
 	close(): Promise<void>;
 };
 
-const freeAddresses = async (count: number): Promise<string[]> => {
-	const servers = await Promise.all(Array.from({length: count}, async () => new Promise<ReturnType<typeof createServer>>(resolve => {
-		const server = createServer();
-		server.listen(0, '127.0.0.1', () => {
-			resolve(server);
-		});
-	})));
-	const addresses = servers.map(server => `127.0.0.1:${(server.address() as AddressInfo).port}`);
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
-	return addresses;
-};
-
 export const startControlProcesses = async (count: number): Promise<ControlProcesses> => {
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'bitternpaddle-bench-'));
 	const addresses = new Map((await freeAddresses(count)).map((address, index) => [`c${index + 1}`, address]));
--- a/packages/bench/src/processes.ts
+++ b/packages/bench/src/processes.ts
@@ -1,12 +1,12 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
-import {createServer, type AddressInfo} from 'node:net';
 import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
 import {sendLine, waitUntil} from '@bitternpaddle/daemon';
+import {freeAddresses} from '@bitternpaddle/test-support';
 
 /** The smallest whole system as production has it: each role a process of its own. */
 export type ProcessCluster = {
@@ -49,15 +49,6 @@
 	return found!;
 };
 
-const freePort = async (): Promise<number> => new Promise(resolve => {
-	const server = createServer().listen(0, '127.0.0.1', () => {
-		const {port} = server.address() as AddressInfo;
-		server.close(() => {
-			resolve(port);
-		});
-	});
-});
-
 const stop = async ({child}: Started): Promise<void> => {
 	if (child.exitCode !== null) {
 		return;
@@ -74,7 +65,7 @@
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'bitternpaddle-bench-'));
 	const weightsFile = path.join(folder, 'weights.bin');
 	await writeFile(weightsFile, new Uint8Array(weightsBytes).fill(7));
-	const controls = `c1=127.0.0.1:${await freePort()}`;
+	const controls = `c1=${(await freeAddresses(1))[0]}`;
 	const profile = profileFolder === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${profileFolder}`];
 	const engine = start(['fake', 'engine']);
 	const origin = start(['fake', 'origin', weightsFile]);
--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -1,40 +1,9 @@
-import {spawn, type ChildProcess} from 'node:child_process';
-import {createServer} from 'node:net';
 import path from 'node:path';
-import process from 'node:process';
 import {postJson, sendLine, waitUntil} from '@bitternpaddle/daemon';
-import {createFakeEngine, createFakeOrigin} from '@bitternpaddle/test-support';
+import {createFakeEngine, createFakeOrigin, freeAddresses} from '@bitternpaddle/test-support';
 import {readBody, sendHttp} from '@bitternpaddle/transport';
-import t, {type Test} from 'tap';
-
-const daemonFile = path.resolve('packages/daemon/bin/bitternpaddled.js');
-
-/** Ports that were free a moment ago; control hosts must know each other's before they start. */
-const freePorts = async (count: number): Promise<number[]> => {
-	const servers = await Promise.all(Array.from({length: count}, async () => new Promise<ReturnType<typeof createServer>>(resolve => {
-		const server = createServer();
-		server.listen(0, '127.0.0.1', () => {
-			resolve(server);
-		});
-	})));
-	const ports = servers.map(server => (server.address() as {port: number}).port);
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
-	return ports;
-};
-
-const startDaemon = (t: Test, flags: Record<string, string>): ChildProcess => {
-	const child = spawn(process.execPath, [daemonFile, 'run', ...Object.entries(flags).flatMap(([name, value]) => [`--${name}`, value])], {stdio: 'ignore'});
-	t.teardown(() => {
-		child.kill('SIGKILL');
-	});
-	return child;
-};
-
-const exitOf = async (child: ChildProcess): Promise<number | null> => child.exitCode ?? new Promise(resolve => {
-	child.once('exit', resolve);
-});
+import t from 'tap';
+import {startDaemon, type DaemonProcess} from './support/daemon-process.js';
 
 // Separate processes. The leader is killed while a load is under way. What the
 // operator sees: the load completes all the same, the next order is accepted,
@@ -42,19 +11,20 @@
 // end by themselves with code 0.
 t.test('the control leader is killed while a load is under way', {timeout: 90_000}, async t => {
 	const folder = t.testdir();
-	const ports = await freePorts(4);
-	const controls = ports.slice(0, 3).map((port, index) => `c${index + 1}=127.0.0.1:${port}`).join(',');
-	const entryAddress = `127.0.0.1:${ports[3]}`;
+	const addresses = await freeAddresses(4);
+	const controlAddresses = addresses.slice(0, 3);
+	const controls = controlAddresses.map((address, index) => `c${index + 1}=${address}`).join(',');
+	const entryAddress = addresses[3]!;
 	const origin = await createFakeOrigin({bytesPerSecond: 1_000_000});
 	t.teardown(async () => origin.close());
 	const {manifestId} = await origin.publish(new Uint8Array(2_000_000).fill(7), 65_536);
-	const controlProcesses = new Map(ports.slice(0, 3).map((port, index) => [`c${index + 1}`, startDaemon(t, {
-		roles: 'control', 'host-id': `c${index + 1}`, listen: `127.0.0.1:${port}`, controls, 'data-folder': path.join(folder, `c${index + 1}`),
+	const controlProcesses = new Map(controlAddresses.map((address, index) => [`c${index + 1}`, startDaemon(t, {
+		roles: 'control', 'host-id': `c${index + 1}`, listen: address, controls, 'data-folder': path.join(folder, `c${index + 1}`),
 	})]));
 	const entryProcess = startDaemon(t, {
 		roles: 'entry', 'host-id': 'e1', listen: entryAddress, controls, 'admin-tokens': 'administer:test-token',
 	});
-	const agentProcesses: ChildProcess[] = [];
+	const agentProcesses: DaemonProcess[] = [];
 	for (let index = 1; index <= 3; index++) {
 		const engine = await createFakeEngine();
 		t.teardown(async () => engine.close());
@@ -87,11 +57,9 @@
 	}
 
 	await waitUntil('the transfers began', async () => (await query('show transfers')).length === 3);
-	const ready = await sendHttp({address: `127.0.0.1:${ports[0]}`, path: '/readyz', idleTimeoutMs: 2000});
+	const ready = await sendHttp({address: controlAddresses[0]!, path: '/readyz', idleTimeoutMs: 2000});
 	const {leaderId} = JSON.parse((await readBody(ready)).toString()) as {leaderId: string};
-	const leader = controlProcesses.get(leaderId)!;
-	leader.kill('SIGKILL');
-	await exitOf(leader);
+	await controlProcesses.get(leaderId)!.end('SIGKILL');
 	await order('create model next-desk');
 	t.pass('the next order is accepted');
 	await waitUntil('three replicas ready', async () => (await query('show replicas where ready = true')).length === 3);
@@ -109,8 +77,7 @@
 	t.equal(answer.status, 200);
 	t.ok(answer.text.endsWith('data: [DONE]\n\n'), 'the answer is whole');
 
-	for (const child of [agentProcesses[0]!, entryProcess]) {
-		child.kill('SIGTERM');
-		t.equal(await exitOf(child), 0, 'SIGTERM ends it with code 0');
+	for (const daemon of [agentProcesses[0]!, entryProcess]) {
+		t.strictSame(await daemon.end('SIGTERM'), {code: 0, signal: null}, 'SIGTERM ends it with code 0');
 	}
 });
