fix(tests): end daemons of a test file that runs out of time

Cause: tap ends such a file by SIGALRM and SIGKILL, no teardown runs, and the daemons stay (seen: one left after a file timeout of 4 s). 'exit' does not come either (tried).

--- a/test/support/daemon-process.ts
+++ b/test/support/daemon-process.ts
@@ -47,6 +47,15 @@
 	return [`${hostId} (process ${pid}) ${state}; its last lines:`, ...lines.slice(-shownLines).map(line => `    ${line}`)].join('\n');
 };
 
+const running = new Set<ChildProcess>();
+
+// A test file that runs out of time gets SIGALRM from tap and then SIGKILL: no teardown runs, and its daemons would stay behind.
+process.once('SIGALRM', () => {
+	for (const child of running) {
+		child.kill('SIGKILL');
+	}
+});
+
 /**
  * Starts a daemon that ends with the test at the latest. A test that failed
  * shows how its processes ended and what they said last: from the test's side a
@@ -54,9 +63,11 @@
  */
 export const startDaemon = (t: Test, flags: DaemonFlags): DaemonProcess => {
 	const child = spawn(process.execPath, [daemonFile, 'run', ...flagWords(flags)], {stdio: ['ignore', 'pipe', 'pipe']});
+	running.add(child);
 	let end: ProcessEnd | null = null;
 	const ended = new Promise<ProcessEnd>(resolve => {
 		child.once('exit', (code, signal) => {
+			running.delete(child);
 			end = {code, signal};
 			resolve(end);
 		});
