fix(cli): a wait says nothing of an election that is over in a moment

Three golden sessions differed by one line, "control cannot be asked", which a wait prints at the first unanswered poll.

--- a/packages/cli/src/wait-for.ts
+++ b/packages/cli/src/wait-for.ts
@@ -18,17 +18,22 @@
 export type WaitOutcome = {readonly type: 'done'} | {readonly type: 'timedOut'; readonly last: string};
 
 const pollMs = 250;
+/** An election takes about this many polls; a wait that goes on as if nothing was says nothing of it. */
+const silentPolls = 6;
 
-type Step = {readonly isDone: boolean; readonly text: string};
+type Step = {readonly isDone: boolean; readonly isAnswered: boolean; readonly text: string};
 
 /** Waits until an accepted change is in force everywhere, and for a load until its replicas are ready. */
 export const waitFor = async (options: WaitOptions): Promise<WaitOutcome> => {
 	const startedMs = performance.now();
 	const change = changeOf(options.line);
 	let last = '';
+	let unanswered = 0;
 	while (performance.now() - startedMs < options.timeoutMs) {
 		const step = await look(options, change, performance.now() - startedMs);
-		if (step.text !== last) {
+		unanswered = step.isAnswered ? 0 : unanswered + 1;
+		const isNews = step.isAnswered || unanswered > silentPolls;
+		if (isNews && step.text !== last) {
 			last = step.text;
 			options.onProgress(step.text);
 		}
@@ -56,28 +61,28 @@
 
 	const [fleetRow] = await rowsOf(options, `show fleets where fleet = ${change.fleetId}`);
 	if (fleetRow === undefined) {
-		return {isDone: false, text: `fleet ${change.fleetId} cannot be asked about`};
+		return {isDone: false, isAnswered: false, text: `fleet ${change.fleetId} cannot be asked about`};
 	}
 
 	// Another order may have followed: what this one brought about is over then.
 	if (fleetRow.version !== change.versionId) {
-		return {isDone: true, text: `fleet ${change.fleetId} has been given ${String(fleetRow.version)} since`};
+		return {isDone: true, isAnswered: true, text: `fleet ${change.fleetId} has been given ${String(fleetRow.version)} since`};
 	}
 
 	const progress = loadProgress({fleetRow, transferRows: await rowsOf(options, `show transfers where version = ${change.versionId}`), elapsedMs});
-	return {isDone: progress.ready >= progress.wanted, text: formatProgress(progress)};
+	return {isDone: progress.ready >= progress.wanted, isAnswered: true, text: formatProgress(progress)};
 };
 
 const lookAtRevision = async (options: WaitOptions): Promise<Step> => {
 	const hosts = await rowsOf(options, 'show hosts');
 	if (hosts.length === 0) {
-		return {isDone: false, text: 'control cannot be asked'};
+		return {isDone: false, isAnswered: false, text: 'control cannot be asked'};
 	}
 
 	// Against the order's own revision: later changes must not make a wait that was over go on.
 	const missing = hosts.filter(({revision}) => Number(revision) < options.revision).map(({host}) => String(host));
 	const isDone = missing.length === 0;
-	return {isDone, text: `in force on ${hosts.length - missing.length} of ${hosts.length} hosts${isDone ? '' : `, missing: ${missing.join(', ')}`}`};
+	return {isDone, isAnswered: true, text: `in force on ${hosts.length - missing.length} of ${hosts.length} hosts${isDone ? '' : `, missing: ${missing.join(', ')}`}`};
 };
 
 /** No rows when the entry or control cannot be reached for the moment; the wait goes on. */
