fix(configuration): a host belongs to one system, whoever answers at an address

Cause: hosts know control hosts by address alone. In a red run of processes.test.ts the agents of an earlier run, whose group had never formed, joined the next run's control group at the same ports and were ordered to load its weights.

Change: the first leader draws an id for the system, which goes into the log and the catalog; a host holds on to the id that it has seen and names it with each watch, question and order; a control host of another system refuses (BP3008).

Ruled out: a name in the settings (guards only who sets it), the disks of the first voters (a replacement does not know them); docs/design/0026.

Left: a host without a disk that restarts among foreign addresses only.

--- a/packages/coordination/src/configuration/host-configuration.ts
+++ b/packages/coordination/src/configuration/host-configuration.ts
@@ -17,11 +17,15 @@
 	leaseUntil: HostTime;
 	/** The latest revision that was in force here; none before it is taken again. */
 	floorRevision: number;
+	/** The system that this host belongs to, from the first copy that names one; a discarded copy does not change it. */
+	systemId: string | null;
 };
 
 const noLease: HostTime = {monotonicMs: 0, wallMs: 0};
 
-export const createHostConfiguration = (): HostConfiguration => ({catalog: createCatalog(), leaseUntil: noLease, floorRevision: 0});
+export const createHostConfiguration = (): HostConfiguration => ({
+	catalog: createCatalog(), leaseUntil: noLease, floorRevision: 0, systemId: null,
+});
 
 export type WatchOutcome = 'current' | 'advanced' | 'refusedOlder' | 'diverged' | 'unknownHost';
 
@@ -55,6 +59,7 @@
 	}
 
 	configuration.floorRevision = catalog.revision;
+	configuration.systemId ??= catalog.systemId ?? null;
 	configuration.leaseUntil = {
 		monotonicMs: Math.max(configuration.leaseUntil.monotonicMs, sentAt.monotonicMs + result.leaseMs),
 		wallMs: sentAt.wallMs + result.leaseMs,
--- a/packages/daemon/src/control/control-rpc.ts
+++ b/packages/daemon/src/control/control-rpc.ts
@@ -19,6 +19,8 @@
 	readonly hub: WatchHub;
 	readonly logger: Logger;
 	readonly identity: MemberIdentity;
+	/** `null` until this host has heard what its system is called. */
+	systemId(): string | null;
 	/** Takes the word of a control host that stands by. */
 	hearStandby(memberId: string): void;
 	isLeader(): boolean;
@@ -33,22 +35,38 @@
 	inForce(revision: number): InForceResult;
 };
 
+type LeaderCall = Readonly<Record<string, unknown>> & {readonly systemId: string | null; readonly isForwarded: boolean};
+
 const forwardTimeoutMs = 3000 + proposalTimeoutMs;
 
 /** What other processes may ask of a control host. */
 export const createControlRpc = (options: ControlRpcOptions): RpcServer => {
 	const {
-		driver, proposals, hub, logger, identity, hearStandby, isLeader, leaderAddress, view, ownReports, hearFold, inForce,
+		driver, proposals, hub, logger, identity, systemId, hearStandby, isLeader, leaderAddress, view, ownReports, hearFold, inForce,
 	} = options;
 
+	// A host whose control host is gone may find another system's at the same address. Without the check it would be
+	// counted there and take that system's configuration, a state that nobody accepted for it; refused, it asks its other control hosts.
+	const assertSameSystem = (callerSystemId: string | null): void => {
+		const ownSystemId = systemId();
+		if (callerSystemId === null || callerSystemId === ownSystemId) {
+			return;
+		}
+
+		throw ownSystemId === null
+			? new RpcError(rpcErrorCodes.noQuorum, 'this control host has not yet heard which system it belongs to')
+			: new RpcError(rpcErrorCodes.foreignSystem, `this control host belongs to system ${ownSystemId}, the caller to ${callerSystemId}`);
+	};
+
 	/** Calls the leader's `method`, or does it here if this host leads. */
-	const atLeader = async <Result>(method: string, parameters: Record<string, unknown>, here: () => Promise<Result> | Result): Promise<Result> => {
+	const atLeader = async <Result>(method: string, parameters: LeaderCall, here: () => Promise<Result> | Result): Promise<Result> => {
+		assertSameSystem(parameters.systemId);
 		if (isLeader()) {
 			return here();
 		}
 
 		const address = leaderAddress();
-		if (address === undefined || parameters.isForwarded === true) {
+		if (address === undefined || parameters.isForwarded) {
 			throw new RpcError(rpcErrorCodes.noQuorum, 'no leader is in contact with a quorum');
 		}
 
@@ -76,7 +94,10 @@
 	rpc.method('control.standby', standbyParametersSchema, ({memberId}) => {
 		hearStandby(memberId);
 	});
-	rpc.method('control.watch', watchParametersSchema, async parameters => hub.watch(parameters));
+	rpc.method('control.watch', watchParametersSchema, async parameters => {
+		assertSameSystem(parameters.systemId);
+		return hub.watch(parameters);
+	});
 	rpc.method('control.fold', foldSchema, fold => {
 		if (!isLeader()) {
 			throw new RpcError(rpcErrorCodes.notLeader, 'this control host does not lead');
@@ -85,8 +106,9 @@
 		return hearFold(fold);
 	});
 	rpc.method('control.reports', reportsParametersSchema, () => ownReports());
-	rpc.method('control.inForce', inForceParametersSchema, async ({revision, isForwarded}) => atLeader('control.inForce', {revision, isForwarded}, () => inForce(revision)));
-	rpc.method('control.propose', proposeParametersSchema, async ({command, isForwarded}) => atLeader('control.propose', {command, isForwarded}, async () => {
+	rpc.method('control.inForce', inForceParametersSchema, async parameters => atLeader('control.inForce', parameters, () => inForce(parameters.revision)));
+	rpc.method('control.propose', proposeParametersSchema, async parameters => atLeader('control.propose', parameters, async () => {
+		const {command} = parameters;
 		const result = await proposals.propose(command);
 		if (result.type === 'accepted' && command.commandId !== null) {
 			logger.event('BP1006', {change: command.change.type, revision: result.revision});
@@ -94,6 +116,6 @@
 
 		return result;
 	}));
-	rpc.method('control.query', queryParametersSchema, async ({show, isForwarded}) => atLeader('control.query', {show, isForwarded}, async () => query(show)));
+	rpc.method('control.query', queryParametersSchema, async parameters => atLeader('control.query', parameters, async () => query(parameters.show)));
 	return rpc;
 };
--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -1,11 +1,11 @@
-import {randomInt} from 'node:crypto';
+import {randomInt, randomUUID} from 'node:crypto';
 import {
 	createLossBudget, createPresence, createReportFold, forgetHost, formedVoters, hasLeaderLease, hearFold, hostOfMember, inForceOf, isInContact, leaseTimes,
 	noteSilentMembers, planMembership, resetPresence, type LeaderWord,
 } from '@bitternpaddle/coordination';
 import type {HostReport, Show} from '@bitternpaddle/protocol';
 import {
-	openLogStore, type CommandResult, type LogEntry, type Members,
+	openLogStore, systemId, type Catalog, type Change, type CommandResult, type LogEntry, type Members,
 } from '@bitternpaddle/state';
 import {
 	createHttpServer, rpcPath, sendJson, silentLogger, type HttpServer, type Logger,
@@ -63,6 +63,9 @@
 /** Questions whose answers change too often for the leader to be told without being asked. */
 const detailedSubjects: ReadonlySet<Show['subject']> = new Set(['transfers', 'requests']);
 
+/** A system without a name gets one; of two leaders who each drew one, the first to be committed counts. */
+const planSystemName = ({systemId: known}: Catalog): Change[] => known === undefined ? [{type: 'nameSystem', systemId: systemId(randomUUID())}] : [];
+
 /** One control host: the log, the configuration that follows from it, and the hosts that watch it. */
 export const createControlNode = async (options: ControlNodeOptions): Promise<ControlNode> => {
 	const {
@@ -164,9 +167,10 @@
 		plan() {
 			const nowMs = performance.now();
 			noteSilentMembers(presence, nowMs);
-			return planMembership({
-				catalog: replica.state.catalog, presence, budget: lossBudget, nowMs, hostLossMs,
-			});
+			const {catalog} = replica.state;
+			return [...planSystemName(catalog), ...planMembership({
+				catalog, presence, budget: lossBudget, nowMs, hostLossMs,
+			})];
 		},
 		onLeft(hostId) {
 			forgetHost(presence, hostId);
@@ -184,7 +188,7 @@
 		leadingSinceMs: () => leadingSinceMs,
 	});
 	const rpc = createControlRpc({
-		driver, proposals, hub, logger, identity, hearStandby: repair.hear, isLeader, leaderAddress, ownReports,
+		driver, proposals, hub, logger, identity, systemId: () => replica.state.catalog.systemId ?? null, hearStandby: repair.hear, isLeader, leaderAddress, ownReports,
 		async view(subject) {
 			const gathered = detailedSubjects.has(subject) ? await gather() : [];
 			const nowMs = performance.now();
--- a/packages/daemon/src/host/configuration-client.ts
+++ b/packages/daemon/src/host/configuration-client.ts
@@ -3,8 +3,8 @@
 	compareWithPeer, createHostConfiguration, discardCopy, hasConfigurationLease, leaseLeftMs, leaseTimes, takeWatchResult, watchCallTimes,
 	type HostConfiguration, type HostTime, type PeerComparison, type WatchCallTimes,
 } from '@bitternpaddle/coordination';
-import type {
-	HostReport, InForceResult, ProposeResult, QueryResult, Show, WatchResult,
+import {
+	rpcErrorCodes, type HostReport, type InForceResult, type ProposeResult, type QueryResult, type Show, type WatchResult,
 } from '@bitternpaddle/protocol';
 import type {Catalog, Change, Command} from '@bitternpaddle/state';
 import {callRpc, type Logger} from '@bitternpaddle/transport';
@@ -69,7 +69,7 @@
 		const result = await callRpc<WatchResult>({
 			address, method: 'control.watch', timeoutMs, agent,
 			params: {
-				hostId: said.hostId, session, revision: configuration.catalog.revision, digest: configuration.catalog.digest,
+				systemId: configuration.systemId, hostId: said.hostId, session, revision: configuration.catalog.revision, digest: configuration.catalog.digest,
 				report: isTold ? null : said, waitMs: holdMs,
 			},
 		});
@@ -96,6 +96,12 @@
 		hadLease = holdsLease;
 	};
 
+	const noteForeign = (error: unknown): void => {
+		if ((error as {code?: number}).code === rpcErrorCodes.foreignSystem) {
+			logger.event('BP3008', {message: (error as Error).message});
+		}
+	};
+
 	const isOpen = (): boolean => !isClosed;
 
 	const run = async (): Promise<void> => {
@@ -105,7 +111,8 @@
 					hasCopy: configuration.catalog.revision > 0, leaseLeftMs: leaseLeftMs(configuration, hostTime()), failuresInARow, holdMs: waitMs,
 				}));
 				failuresInARow = 0;
-			} catch {
+			} catch (error) {
+				noteForeign(error);
 				failuresInARow++;
 				place.leave();
 				await delay(leaseTimes.retryMs);
@@ -138,7 +145,7 @@
 		for (const address of place.all()) {
 			try {
 				return await callRpc<Result>({
-					address, method, params: parameters, timeoutMs,
+					address, method, params: {...parameters, systemId: configuration.systemId}, timeoutMs,
 				});
 			} catch (error) {
 				lastError = moreTelling(lastError, error);
@@ -211,6 +218,4 @@
 /** What a control host said tells more than that another cannot be reached. */
 const moreTelling = (earlier: unknown, later: unknown): unknown => (earlier as {code?: number}).code === undefined ? later : earlier;
 
-const invalidParametersCode = 1003;
-
-const isFinalError = (error: unknown): boolean => (error as {code?: number}).code === invalidParametersCode;
+const isFinalError = (error: unknown): boolean => (error as {code?: number}).code === rpcErrorCodes.invalid;
--- a/packages/protocol/src/rpc/methods.ts
+++ b/packages/protocol/src/rpc/methods.ts
@@ -1,5 +1,5 @@
 import {
-	announcementSchema, changeSchema, commandSchema, logEntrySchema, manifestIdSchema, snapshotSchema, versionIdSchema,
+	announcementSchema, changeSchema, commandSchema, logEntrySchema, manifestIdSchema, snapshotSchema, systemIdSchema, versionIdSchema,
 	type Catalog, type CommandResult,
 } from '@bitternpaddle/state';
 import {z} from 'zod';
@@ -8,6 +8,8 @@
 
 const index = z.number().int().nonnegative();
 const term = z.number().int().nonnegative();
+/** The system that the sender belongs to; `null` until it has heard. */
+const sender = {systemId: systemIdSchema.nullable().default(null)};
 
 /** A follower's clock, and the start of its process that the clock belongs to. */
 export const receiverStampSchema = z.object({incarnation: z.number().int(), atMs: z.number()});
@@ -92,6 +94,7 @@
 	revision: index,
 	/** Digest of the configuration at `revision`. */
 	digest: z.string(),
+	...sender,
 	/** `null` while it is as this control host was told before in this session. */
 	report: hostReportSchema.nullable(),
 	/** How long control may hold the call when nothing changes. */
@@ -154,7 +157,7 @@
 /** What a control host heard last from the hosts that watch at it. */
 export const reportsParametersSchema = z.object({});
 
-export const inForceParametersSchema = z.object({revision: index, isForwarded: z.boolean().default(false)});
+export const inForceParametersSchema = z.object({...sender, revision: index, isForwarded: z.boolean().default(false)});
 
 /** How far a revision has come. */
 export type InForceResult = {
@@ -168,10 +171,10 @@
 	readonly outOfService: readonly string[];
 };
 
-export const proposeParametersSchema = z.object({command: commandSchema, isForwarded: z.boolean().default(false)});
+export const proposeParametersSchema = z.object({...sender, command: commandSchema, isForwarded: z.boolean().default(false)});
 export type ProposeParameters = z.input<typeof proposeParametersSchema>;
 
-export const queryParametersSchema = z.object({show: showSchema, isForwarded: z.boolean().default(false)});
+export const queryParametersSchema = z.object({...sender, show: showSchema, isForwarded: z.boolean().default(false)});
 
 export type QueryRow = Record<string, string | number | boolean | null>;
 export type QueryResult = {
@@ -213,6 +216,7 @@
 	noQuorum: 1002,
 	invalid: 1003,
 	unauthorized: 1004,
+	foreignSystem: 1005,
 } as const;
 
 export type ProposeResult = CommandResult;
--- a/packages/state/src/catalog/apply-change.ts
+++ b/packages/state/src/catalog/apply-change.ts
@@ -34,6 +34,7 @@
 };
 
 const applyByType = (catalog: Catalog, change: CatalogChange, index: number): Outcome => match(change)
+	.with({type: 'nameSystem'}, ({systemId}) => nameSystem(catalog, systemId))
 	.with({type: 'createModel'}, ({modelId}) => createUnique(catalog.models, 'model', modelId, {traffic: []}))
 	.with({type: 'createVersion'}, change => createVersion(catalog, change))
 	.with({type: 'createAdapter'}, ({adapterId, versionId, manifestId}) => versionId in catalog.versions
@@ -63,6 +64,16 @@
 	.with({type: 'replicasChanged'}, ({readiness}) => changeReplicas(catalog, readiness))
 	.exhaustive();
 
+/** Once and for all: hosts hold on to the id that they have seen. */
+const nameSystem = (catalog: Catalog, systemId: string): Outcome => {
+	if (catalog.systemId !== undefined) {
+		return refuse('exists', `the system is ${catalog.systemId}`);
+	}
+
+	catalog.systemId = systemId;
+	return null;
+};
+
 const setObjective = (catalog: Catalog, serviceId: string, objective: Objective): Outcome => {
 	const service = catalog.services[serviceId];
 	if (service === undefined) {
--- a/packages/state/src/catalog/types.ts
+++ b/packages/state/src/catalog/types.ts
@@ -1,7 +1,7 @@
 import {z} from 'zod';
 import {
 	adapterIdSchema, commandIdSchema, fleetIdSchema, hostIdSchema, idempotencyKeySchema, manifestIdSchema, modelIdSchema,
-	regionIdSchema, requestIdSchema, serviceIdSchema, teamIdSchema, versionIdSchema, zoneIdSchema, type ManifestId,
+	regionIdSchema, requestIdSchema, serviceIdSchema, systemIdSchema, teamIdSchema, versionIdSchema, zoneIdSchema, type ManifestId,
 } from '../types/ids.js';
 
 /** How an endpoint announces itself. `incarnation` grows with every start of its agent. */
@@ -70,6 +70,7 @@
  */
 export const changeSchema = z.discriminatedUnion('type', [
 	z.object({type: z.literal('noop')}),
+	z.object({type: z.literal('nameSystem'), systemId: systemIdSchema}),
 	z.object({type: z.literal('createModel'), modelId: modelIdSchema}),
 	z.object({
 		type: z.literal('createVersion'), versionId: versionIdSchema, manifestId: manifestIdSchema,
@@ -220,6 +221,8 @@
 	revision: number;
 	/** Digest over all accepted changes in order; equal revisions with unequal digests mean a diverged host. */
 	digest: string;
+	/** Given once, by the first leader; missing until then. */
+	systemId?: string;
 	models: Record<string, {readonly traffic: readonly TrafficShare[]}>;
 	versions: Record<string, VersionRecord>;
 	adapters: Record<string, {readonly versionId: string; readonly manifestId: string}>;
--- a/packages/state/src/types/ids.ts
+++ b/packages/state/src/types/ids.ts
@@ -45,6 +45,10 @@
 	.brand<'VersionId'>();
 export type VersionId = z.infer<typeof versionIdSchema>;
 
+/** Drawn at random by the first leader of a group of control hosts; tells one system from another that runs at addresses it once had. */
+export const systemIdSchema = z.uuid().brand<'SystemId'>();
+export type SystemId = z.infer<typeof systemIdSchema>;
+
 /** The digest of a manifest; it names exactly one set of weights. */
 export const manifestIdSchema = z.string().regex(digestPattern, 'expected sha256: and 64 hexadecimal digits').brand<'ManifestId'>();
 export type ManifestId = z.infer<typeof manifestIdSchema>;
@@ -70,6 +74,7 @@
 export const fleetId = (value: string): FleetId => fleetIdSchema.parse(value);
 export const versionId = (value: string): VersionId => versionIdSchema.parse(value);
 export const manifestId = (value: string): ManifestId => manifestIdSchema.parse(value);
+export const systemId = (value: string): SystemId => systemIdSchema.parse(value);
 export const commandId = (value: string): CommandId => commandIdSchema.parse(value);
 export const requestId = (value: string): RequestId => requestIdSchema.parse(value);
 export const idempotencyKey = (value: string): IdempotencyKey => idempotencyKeySchema.parse(value);
--- a/packages/transport/src/logging/events.ts
+++ b/packages/transport/src/logging/events.ts
@@ -30,6 +30,7 @@
 	BP3005: {level: 'warn', text: 'the configuration lease ran out', advice: 'The host refuses new work until control is reached.'},
 	BP3006: {level: 'error', text: 'the copy of the configuration diverged', advice: 'It is fetched anew; report this.'},
 	BP3007: {level: 'warn', text: 'the engine lost its weights', advice: 'They are loaded again; look whether the engine was restarted or got an order from elsewhere.'},
+	BP3008: {level: 'error', text: 'a control host belongs to another system', advice: 'Correct the addresses of control hosts in the settings; this host asks the others meanwhile.'},
 	BP9001: {level: 'info', text: 'the process is ready', advice: 'None.'},
 	BP9002: {level: 'info', text: 'the process is stopping', advice: 'None.'},
 	BP9003: {level: 'error', text: 'the process failed', advice: 'Look at the message.'},
--- a/test/configuration-peers.test.ts
+++ b/test/configuration-peers.test.ts
@@ -1,16 +1,21 @@
+import path from 'node:path';
 import {createServer, type Server, type AddressInfo} from 'node:net';
 import {rendezvousOrder} from '@bitternpaddle/coordination';
 import {
-	createConfigurationClient, createControlNode, createPeers, waitUntil, type ConfigurationClient,
+	createConfigurationClient, createControlNode, createPeers, waitUntil, type ConfigurationClient, type ControlNode,
 } from '@bitternpaddle/daemon';
+import type {Show} from '@bitternpaddle/protocol';
 import {modelId} from '@bitternpaddle/state';
-import {silentLogger} from '@bitternpaddle/transport';
+import {freeAddresses} from '@bitternpaddle/test-support';
+import {silentLogger, type Logger} from '@bitternpaddle/transport';
 import t, {type Test} from 'tap';
 
+const startControlAt = async (listen: string, folder: string): Promise<ControlNode> => createControlNode({
+	selfId: 'c1', listen, folder, members: new Map(), voters: ['c1'],
+});
+
 const startControl = async (t: Test): Promise<string> => {
-	const node = await createControlNode({
-		selfId: 'c1', folder: t.testdir(), members: new Map(), voters: ['c1'],
-	});
+	const node = await startControlAt('127.0.0.1:0', t.testdir());
 	t.teardown(async () => node.close());
 	return node.address;
 };
@@ -27,9 +32,9 @@
 	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 };
 
-const startHost = (t: Test, hostId: string, controls: readonly string[]): ConfigurationClient => {
+const startHost = (t: Test, hostId: string, controls: readonly string[], logger: Logger = silentLogger): ConfigurationClient => {
 	const client = createConfigurationClient({
-		controls, logger: silentLogger,
+		controls, logger,
 		report: () => ({
 			hostId, role: 'entry', address: '127.0.0.1:1', revision: client.catalog().revision, requestsInFlight: 0, announcement: null, readyVersionId: null,
 			isLeaving: false, transfers: [],
@@ -83,4 +88,45 @@
 	t.equal(host.catalog().revision, entry.catalog().revision);
 });
 
+// A host's control host is gone, and another system's control host comes up at
+// the same address, at a higher revision. The host must not act on that
+// system's configuration, nor be counted in it, nor send it an order: its
+// callers would be answered by a state that nobody accepted for it. It goes on
+// with its own once its own control host is back.
+t.test('another system at the address of a control host is refused', async t => {
+	const folder = t.testdir({own: {}, other: {}});
+	const [address] = await freeAddresses(1);
+	const own = await startControlAt(address!, path.join(folder, 'own'));
+	const events: string[] = [];
+	const host = startHost(t, 'host', [address!], {
+		...silentLogger, event(id) {
+			events.push(id);
+		},
+	});
+	await create(host, 'one');
+	await waitUntil('the host holds it', () => 'one' in host.catalog().models && host.catalog().systemId !== undefined);
+	await own.close();
+
+	const other = await startControlAt(address!, path.join(folder, 'other'));
+	const stranger = startHost(t, 'stranger', [address!]);
+	for (const id of ['two', 'three', 'four']) {
+		await create(stranger, id);
+	}
+
+	await waitUntil('the host was refused', () => events.includes('BP3008'));
+	await t.rejects(host.propose({commandId: null, ifRevision: null, change: {type: 'createModel', modelId: modelId('five')}}), /belongs to system/v);
+	await waitUntil('its lease is over', () => !host.hasLease());
+	t.strictSame(Object.keys(host.catalog().models), ['one']);
+	const {rows} = await stranger.query(everyHost);
+	t.strictSame(rows.map(row => row.host), ['stranger']);
+	await other.close();
+
+	const again = await startControlAt(address!, path.join(folder, 'own'));
+	t.teardown(async () => again.close());
+	await waitUntil('the host serves its own configuration', () => host.hasLease());
+	t.strictSame(Object.keys(host.catalog().models), ['one']);
+});
+
+const everyHost: Show = {type: 'show', subject: 'hosts', where: []};
+
 const headersOf = (client: ConfigurationClient): Record<string, string> => Object.fromEntries(Object.entries(createPeers(client).headers()).map(([name, value]) => [name, String(value)]));
