perf(routing): keep the numbers of all hosts in one array

The profile has the time where a host is first read and written (choosing of two, scoring, refreshing, starting), not in the ring or the lists. Each fraction of a host's record was a box of its own on the heap, its health another object, and its start times an array that the engine frees when it becomes empty and makes anew.

Change: a host's numbers lie next to each other in one array of numbers; HostState names them. Start times of all hosts are in one list whose places are used again.

Test: ejection-cap.test.ts reads isEjected from the host itself, where it now is.

--- a/packages/bench/src/routing/decision.ts
+++ b/packages/bench/src/routing/decision.ts
@@ -1,9 +1,9 @@
 import {
-	chooseEndpoint, createRandom, createRouter, noteEnd, noteFirstByte, noteStart, setEntries, updateRouter,
+	chooseEndpoint, createRandom, createRouter, noteEnd, noteFirstByte, noteStart, setEntries, updateRouter, type RouterState,
 } from '@bitternpaddle/coordination';
 import {createBenchCatalog, createBenchRecord} from './catalog.js';
 
-const rounds = 7;
+const rounds = 12;
 const decisions = 40_000;
 const heldRequests = 64;
 
@@ -32,12 +32,11 @@
 	readonly known: number;
 };
 
-/** Cost of a whole decision (choice, start, first byte, end), half of them with a prefix, at one of `entries`. */
-export const measureDecision = (count: number, seed: number, entries: number): DecisionCost => {
-	const {router} = createLoadedRouter(count, seed, entries);
+/** A whole decision (choice, start, first byte, end), every second one with a prefix. */
+const createDecider = (router: RouterState): ((index: number) => void) => {
 	const held: string[] = [];
 	const tried = new Set<string>();
-	const decide = (index: number): void => {
+	return index => {
 		const nowMs = index / 10;
 		const choice = chooseEndpoint(router, {target: {type: 'model', modelId: 'm'}, tried, prefixKey: index % 2 === 0 ? `prefix-${index % 97}` : null}, nowMs);
 		if (choice.type !== 'chosen') {
@@ -52,18 +51,32 @@
 			noteEnd(router, ended, {outcome: {type: 'answered', latencyMs: 10}, hadFirstByte: true}, nowMs);
 		}
 	};
+};
 
-	const took: number[] = [];
+/**
+ * Cost of a decision at each number of endpoints, at one of `entriesFor` entries.
+ * The sizes take turns, so that what else runs on the machine, and code that is
+ * compiled again for the next size, does not fall on one of them alone.
+ */
+export const measureDecisions = (counts: readonly number[], seed: number, entriesFor: (count: number) => number): DecisionCost[] => {
+	const runs = counts.map(count => {
+		const {router} = createLoadedRouter(count, seed, entriesFor(count));
+		return {router, decide: createDecider(router), took: [] as number[]};
+	});
 	for (let round = 0; round < rounds; round++) {
-		const startedAtMs = performance.now();
-		for (let index = 0; index < decisions; index++) {
-			decide((round * decisions) + index);
-		}
+		for (const {decide, took} of runs) {
+			const startedAtMs = performance.now();
+			for (let index = 0; index < decisions; index++) {
+				decide((round * decisions) + index);
+			}
 
-		took.push((performance.now() - startedAtMs) * 1000 / decisions);
+			took.push((performance.now() - startedAtMs) * 1000 / decisions);
+		}
 	}
 
-	return {micros: median(took.slice(2)), known: [...router.hosts.values()].filter(({isActive}) => isActive).length};
+	return runs.map(({router, took}) => ({
+		micros: median(took.slice(2)), known: [...router.hosts.values()].filter(({isActive}) => isActive).length,
+	}));
 };
 
 /** Microseconds to follow a change: of one replica that is named, and of one host found by comparing all. */
--- a/packages/bench/src/routing/measure-routing.ts
+++ b/packages/bench/src/routing/measure-routing.ts
@@ -1,5 +1,5 @@
 import process from 'node:process';
-import {measureDecision, measureUpdate} from './decision.js';
+import {measureDecisions, measureUpdate, type DecisionCost} from './decision.js';
 import type {PolicyName} from './policies.js';
 import {
 	capacityPerSecond, endpointCount, goodputOf, goodShareOf, percentileMs, runScenario, type Scenario, type TeamLoad,
@@ -95,6 +95,8 @@
 	affinity: measureAffinity(name, {seed, load: evenLoad(0.5), prefixes: 400}),
 });
 
+const microsBySize = (costs: readonly DecisionCost[]): Record<string, number> => Object.fromEntries(costs.map(({micros}, index) => [endpointCounts[index]!, round(micros)]));
+
 const seedOf = (flags: readonly string[]): number => {
 	const position = flags.indexOf('--seed');
 	return position === -1 ? 20_261 : Number(flags[position + 1]);
@@ -110,12 +112,13 @@
 		return [name, result] as const;
 	});
 	const {bitternpaddle, ...baselines} = Object.fromEntries(results) as Record<PolicyName, typeof results[number][1]>;
-	const decisions = endpointCounts.map(count => [count, measureDecision(count, seed, entriesFor(count))] as const);
+	const decisions = measureDecisions(endpointCounts, seed, entriesFor);
+	const loneDecisions = measureDecisions(endpointCounts, seed, () => 1);
 	return {
 		bench: 'routing', seed,
-		decisionMicros: Object.fromEntries(decisions.map(([count, {micros}]) => [count, round(micros)])),
-		knownEndpoints: Object.fromEntries(decisions.map(([count, {known}]) => [count, known])),
-		loneEntryDecisionMicros: Object.fromEntries(endpointCounts.map(count => [count, round(measureDecision(count, seed, 1).micros)])),
+		decisionMicros: microsBySize(decisions),
+		knownEndpoints: Object.fromEntries(decisions.map(({known}, index) => [endpointCounts[index]!, known])),
+		loneEntryDecisionMicros: microsBySize(loneDecisions),
 		updateMicros: Object.fromEntries(endpointCounts.map(count => [count, measureUpdate(count, seed)])),
 		...bitternpaddle,
 		baselines,
--- a/packages/coordination/src/routing/health.ts
+++ b/packages/coordination/src/routing/health.ts
@@ -1,12 +1,22 @@
 import {match} from 'ts-pattern';
+import type {HostState} from './host-state.js';
 import {penaltyOf, refreshHost} from './load.js';
 import type {
-	EjectionReason, Group, HealthState, HostState, RouterNotice, RouterState,
+	EjectionReason, Group, RouterNotice, RouterState,
 } from './types.js';
 
-export const createHealth = (): HealthState => ({
-	consecutiveFailures: 0, failureShare: 0, latencyMs: 0, outcomes: 0, penalty: 0, penaltyAtMs: 0, awaiting: 0, isEjected: false, ejectedUntilMs: 0, ejections: 0,
-});
+/** What was known of a host before it restarted says nothing about it now. */
+export const resetHealth = (host: HostState): void => {
+	host.consecutiveFailures = 0;
+	host.failureShare = 0;
+	host.latencyMs = 0;
+	host.outcomes = 0;
+	host.penalty = 0;
+	host.penaltyAtMs = 0;
+	host.isEjected = false;
+	host.ejectedUntilMs = 0;
+	host.ejections = 0;
+};
 
 /** How a request ended at a host. */
 export type RequestOutcome
@@ -44,10 +54,9 @@
 };
 
 const noteAnswer = (state: RouterState, host: HostState, latencyMs: number, nowMs: number): void => {
-	const {health} = host;
 	const group = host.tier?.group;
-	health.latencyMs = health.outcomes === 0 ? latencyMs : average(health.latencyMs, latencyMs);
-	health.consecutiveFailures = 0;
+	host.latencyMs = host.outcomes === 0 ? latencyMs : average(host.latencyMs, latencyMs);
+	host.consecutiveFailures = 0;
 	countOutcome(state, host, false);
 	if (group === undefined) {
 		return;
@@ -56,36 +65,35 @@
 	group.latencyMs = group.outcomes === 0 ? latencyMs : average(group.latencyMs, latencyMs);
 	group.outcomes++;
 	const limitMs = Math.max(latencyFloorMs, latencyFactor * group.latencyMs);
-	if (health.outcomes >= outcomesToJudge && health.latencyMs > limitMs) {
+	if (host.outcomes >= outcomesToJudge && host.latencyMs > limitMs) {
 		eject(state, host, 'latency', nowMs);
 	}
 };
 
 const noteFailure = (state: RouterState, host: HostState, nowMs: number): void => {
-	const {health} = host;
 	const group = host.tier?.group;
-	health.consecutiveFailures++;
+	host.consecutiveFailures++;
 	// A host that fails at once is always idle, and so the least loaded of all.
 	// Its failures count as load for a while, or it would draw every request.
-	health.penalty = penaltyOf(host, nowMs) + Math.max(1, host.endpoint.capacity * penaltyShare);
-	health.penaltyAtMs = nowMs;
+	host.penalty = penaltyOf(host, nowMs) + Math.max(1, host.capacity * penaltyShare);
+	host.penaltyAtMs = nowMs;
 	countOutcome(state, host, true);
 	if (group === undefined) {
 		return;
 	}
 
 	const needed = isZoneFailing(state, host.endpoint.zoneId) ? 1 : state.options.failuresToEject;
-	if (health.consecutiveFailures >= needed) {
+	if (host.consecutiveFailures >= needed) {
 		eject(state, host, 'failures', nowMs);
-	} else if (health.outcomes >= outcomesToJudge && health.failureShare > Math.max(failureShareFloor, 3 * group.failureShare)) {
+	} else if (host.outcomes >= outcomesToJudge && host.failureShare > Math.max(failureShareFloor, 3 * group.failureShare)) {
 		eject(state, host, 'failureShare', nowMs);
 	}
 };
 
 const countOutcome = (state: RouterState, host: HostState, hasFailed: boolean): void => {
-	const {health, tier} = host;
-	health.outcomes++;
-	health.failureShare = average(health.failureShare, hasFailed ? 1 : 0);
+	const {tier} = host;
+	host.outcomes++;
+	host.failureShare = average(host.failureShare, hasFailed ? 1 : 0);
 	if (tier !== null) {
 		tier.group.failureShare = average(tier.group.failureShare, hasFailed ? 1 : 0);
 	}
@@ -106,8 +114,7 @@
 
 const eject = (state: RouterState, host: HostState, reason: EjectionReason, nowMs: number): void => {
 	const {group} = host.tier!;
-	const {health} = host;
-	if (health.isEjected || nowMs < group.panicUntilMs) {
+	if (host.isEjected || nowMs < group.panicUntilMs) {
 		return;
 	}
 
@@ -116,13 +123,13 @@
 		return;
 	}
 
-	health.ejections++;
-	health.isEjected = true;
-	health.ejectedUntilMs = nowMs + Math.min(longestEjectionMs, state.options.ejectionMs * (2 ** (health.ejections - 1)));
+	host.ejections++;
+	host.isEjected = true;
+	host.ejectedUntilMs = nowMs + Math.min(longestEjectionMs, state.options.ejectionMs * (2 ** (host.ejections - 1)));
 	group.ejected.add(host);
 	refreshHost(state, host, nowMs);
 	state.notices.push({
-		type: 'ejected', hostId: host.hostId, reason, untilMs: health.ejectedUntilMs,
+		type: 'ejected', hostId: host.hostId, reason, untilMs: host.ejectedUntilMs,
 	});
 };
 
@@ -146,11 +153,10 @@
 };
 
 const readmit = (state: RouterState, host: HostState, nowMs: number): void => {
-	const {health} = host;
-	health.isEjected = false;
-	health.consecutiveFailures = 0;
-	health.outcomes = 0;
-	health.failureShare = 0;
+	host.isEjected = false;
+	host.consecutiveFailures = 0;
+	host.outcomes = 0;
+	host.failureShare = 0;
 	host.tier!.group.ejected.delete(host);
 	refreshHost(state, host, nowMs);
 };
@@ -158,7 +164,7 @@
 /** A host that comes back from ejection starts slowly, and one failure sends it away again. */
 const returnHost = (state: RouterState, host: HostState, nowMs: number): void => {
 	readmit(state, host, nowMs);
-	host.health.consecutiveFailures = state.options.failuresToEject - 1;
+	host.consecutiveFailures = state.options.failuresToEject - 1;
 	host.readySinceMs = nowMs;
 	state.notices.push({type: 'returned', hostId: host.hostId});
 };
@@ -168,11 +174,11 @@
 	const {group} = (host.tier!);
 	group.ejected.delete(host);
 	group.awaiting.delete(host);
-	host.health.isEjected = false;
+	host.isEjected = false;
 };
 
 export const noteAwaiting = (host: HostState, nowMs: number): void => {
-	host.health.awaiting++;
+	host.awaiting++;
 	const awaiting = host.tier?.group.awaiting;
 	if (awaiting !== undefined && !awaiting.has(host)) {
 		awaiting.set(host, nowMs);
@@ -181,10 +187,10 @@
 
 /** A first byte came, or the request ended without one. */
 export const noteAnswering = (host: HostState, nowMs: number): void => {
-	host.health.awaiting--;
+	host.awaiting--;
 	const awaiting = host.tier?.group.awaiting;
 	awaiting?.delete(host);
-	if (host.health.awaiting > 0) {
+	if (host.awaiting > 0) {
 		awaiting?.set(host, nowMs);
 	}
 };
@@ -213,7 +219,7 @@
 
 const returnDue = (state: RouterState, group: Group, nowMs: number): void => {
 	for (const host of group.ejected) {
-		if (host.health.ejectedUntilMs <= nowMs) {
+		if (host.ejectedUntilMs <= nowMs) {
 			returnHost(state, host, nowMs);
 		}
 	}
--- a/packages/coordination/src/routing/load.ts
+++ b/packages/coordination/src/routing/load.ts
@@ -1,4 +1,6 @@
-import type {HostState, ResolvedRouterOptions, RouterState} from './types.js';
+import type {HostState} from './host-state.js';
+import {countStartedBy} from './start-times.js';
+import type {ResolvedRouterOptions, RouterState} from './types.js';
 
 /**
  * Requests of other entries, as far as the last report still counts. A report
@@ -10,7 +12,7 @@
 	: others * (2 ** (-(nowMs - reportedAtMs) / reportHalfLifeMs));
 
 /** Requests that run on a host, by this entry's reckoning. */
-export const loadOf = (host: HostState, options: ResolvedRouterOptions, nowMs: number): number => host.starts.length + Math.round(othersOn(host, options, nowMs));
+export const loadOf = (host: HostState, options: ResolvedRouterOptions, nowMs: number): number => host.running + Math.round(othersOn(host, options, nowMs));
 
 const leastRamp = 0.1;
 
@@ -22,14 +24,14 @@
 
 const penaltyHalfLifeMs = 2000;
 
-export const penaltyOf = ({health}: HostState, nowMs: number): number => health.penalty === 0
+export const penaltyOf = ({penalty, penaltyAtMs}: HostState, nowMs: number): number => penalty === 0
 	? 0
-	: health.penalty * (2 ** (-(nowMs - health.penaltyAtMs) / penaltyHalfLifeMs));
+	: penalty * (2 ** (-(nowMs - penaltyAtMs) / penaltyHalfLifeMs));
 
 /** Which of two hosts is the better choice: the lower, by the load that one request more would make. */
 export const scoreOf = (host: HostState, options: ResolvedRouterOptions, nowMs: number): number => {
-	const load = host.starts.length + othersOn(host, options, nowMs) + penaltyOf(host, nowMs) + 1;
-	return load / (host.endpoint.capacity * rampOf(host, options, nowMs));
+	const load = host.running + othersOn(host, options, nowMs) + penaltyOf(host, nowMs) + 1;
+	return load / (host.capacity * rampOf(host, options, nowMs));
 };
 
 export type LoadReport = {
@@ -50,7 +52,7 @@
 		return;
 	}
 
-	const included = host.starts.filter(startedAtMs => startedAtMs <= reportedAtMs).length;
+	const included = countStartedBy(state.starts, host, reportedAtMs);
 	host.others = Math.max(0, running - included);
 	host.reportedAtMs = reportedAtMs;
 	refreshHost(state, host, nowMs);
@@ -63,9 +65,9 @@
 		return;
 	}
 
-	const isCounted = host.isActive && !host.health.isEjected;
+	const isCounted = host.isActive && !host.isEjected;
 	const load = loadOf(host, state.options, nowMs);
-	const {capacity} = host.endpoint;
+	const {capacity} = host;
 	const countedLoad = isCounted ? Math.min(load, capacity) : 0;
 	const countedCapacity = isCounted ? capacity : 0;
 	tier.load += countedLoad - host.countedLoad;
--- a/packages/coordination/src/routing/placement.ts
+++ b/packages/coordination/src/routing/placement.ts
@@ -3,13 +3,14 @@
 import {
 	addToRing, createHashRing, removeFromRing,
 } from './hash-ring.js';
-import {createHealth, forgetHealth} from './health.js';
+import {forgetHealth, resetHealth} from './health.js';
+import {freeNumbers, HostState} from './host-state.js';
 import {refreshHost} from './load.js';
 import {
 	countEntriesAhead, isDrawnBy, offerToMinimum, removeFromMinimum,
 } from './subset.js';
 import type {
-	Endpoint, Group, HostState, RouterState, Tier,
+	Endpoint, Group, RouterState, Tier,
 } from './types.js';
 
 /** Where a host belongs: hosts with the same key can answer the same requests. */
@@ -80,16 +81,17 @@
 	const isRestarted = host.record.announcement.incarnation !== incarnation;
 	const key = groupKeyOf(record);
 	host.record = record;
-	if (!isRestarted && host.tier?.group.key === key && host.endpoint.capacity === record.announcement.capacity) {
+	if (!isRestarted && host.tier?.group.key === key && host.capacity === record.announcement.capacity) {
 		host.endpoint = toEndpoint(record);
 		return;
 	}
 
 	leaveGroup(state, host, nowMs);
 	host.endpoint = toEndpoint(record);
+	host.capacity = host.endpoint.capacity;
 	if (isRestarted) {
 		host.others = 0;
-		Object.assign(host.health, {...createHealth(), awaiting: host.health.awaiting});
+		resetHealth(host);
 	}
 
 	if (key !== null) {
@@ -101,19 +103,16 @@
 const createHost = (state: RouterState, record: HostRecord): HostState => {
 	const {hostId} = record.announcement;
 	const weight = rendezvousWeight(state.options.entryId, hostId);
-	return {...blankHost(record), weight, entriesAhead: countEntriesAhead(state, hostId, weight)};
+	return new HostState(state.numbers, {
+		record, endpoint: toEndpoint(record), weight, entriesAhead: countEntriesAhead(state, hostId, weight),
+	});
 };
 
-const blankHost = (record: HostRecord): Omit<HostState, 'weight' | 'entriesAhead'> => ({
-	hostId: record.announcement.hostId, record, endpoint: toEndpoint(record), tier: null, isActive: false,
-	position: -1, starts: [], others: 0, reportedAtMs: Number.NEGATIVE_INFINITY, probedAtMs: Number.NEGATIVE_INFINITY, readySinceMs: Number.NEGATIVE_INFINITY,
-	countedLoad: 0, countedCapacity: 0, health: createHealth(),
-});
-
 export const removeHost = (state: RouterState, host: HostState, nowMs: number): void => {
 	leaveGroup(state, host, nowMs);
-	if (host.starts.length === 0) {
+	if (host.running === 0) {
 		state.hosts.delete(host.hostId);
+		freeNumbers(host);
 	}
 };
 
--- a/packages/coordination/src/routing/router.ts
+++ b/packages/coordination/src/routing/router.ts
@@ -1,10 +1,12 @@
 import {findOnRing} from './hash-ring.js';
+import {createHostNumbers, freeNumbers, type HostState} from './host-state.js';
 import {
 	noteAnswering, noteAwaiting, noteOutcome, type RequestOutcome,
 } from './health.js';
 import {loadOf, refreshHost, scoreOf} from './load.js';
+import {createStartTimes, dropOldestStart, pushStart} from './start-times.js';
 import type {
-	Endpoint, Group, HostState, RouterOptions, RouterState, RouteTarget, Tier, TrafficGroup,
+	Endpoint, Group, RouterOptions, RouterState, RouteTarget, Tier, TrafficGroup,
 } from './types.js';
 
 export const createRouter = (options: RouterOptions): RouterState => ({
@@ -12,7 +14,7 @@
 		entriesPerEndpoint: 4, minimumPerTier: 12, spillShare: 0.8, affinityFactor: 1.25, affinityFloor: 0.5, staleMs: 1000, reportHalfLifeMs: 2000,
 		slowStartMs: 30_000, maxEjectedShare: 0.5, panicMs: 10_000, failuresToEject: 3, ejectionMs: 5000, silentMs: 2000, ...options,
 	},
-	revision: 0, hosts: new Map(), groups: new Map(), models: new Map(), services: new Map(), otherEntries: new Set(),
+	revision: 0, hosts: new Map(), numbers: createHostNumbers(), starts: createStartTimes(), groups: new Map(), models: new Map(), services: new Map(), otherEntries: new Set(),
 	full: new Set(), zoneFailureShares: new Map(), notices: [],
 });
 
@@ -152,7 +154,7 @@
 	const {options} = state;
 	const share = Math.max(options.affinityFloor, options.affinityFactor * utilisation(tier));
 	return findOnRing(tier.ring, prefixKey, affinityTries, host => host.position >= 0
-		&& scoreOf(host, options, nowMs) <= Math.max(share, 1 / host.endpoint.capacity)
+		&& scoreOf(host, options, nowMs) <= Math.max(share, 1 / host.capacity)
 		&& !tried.has(host.hostId));
 };
 
@@ -216,7 +218,7 @@
 		return;
 	}
 
-	host.starts.push(nowMs);
+	pushStart(state.starts, host, nowMs);
 	noteAwaiting(host, nowMs);
 	refreshHost(state, host, nowMs);
 };
@@ -241,26 +243,27 @@
 		return;
 	}
 
-	host.starts.shift();
+	dropOldestStart(state.starts, host);
 	if (!hadFirstByte) {
 		noteAnswering(host, nowMs);
 	}
 
 	if (outcome.type === 'full') {
 		// What the door has just proved goes before any earlier report.
-		host.others = Math.max(host.others, host.endpoint.capacity - host.starts.length);
+		host.others = Math.max(host.others, host.capacity - host.running);
 		host.reportedAtMs = nowMs;
 	}
 
 	noteOutcome(state, host, outcome, nowMs);
 	refreshHost(state, host, nowMs);
-	if (host.tier === null && host.starts.length === 0) {
+	if (host.tier === null && host.running === 0) {
 		state.hosts.delete(hostId);
+		freeNumbers(host);
 	}
 };
 
 /** This entry's requests in flight on a host. */
-export const inFlightOn = (state: RouterState, hostId: string): number => state.hosts.get(hostId)?.starts.length ?? 0;
+export const inFlightOn = (state: RouterState, hostId: string): number => state.hosts.get(hostId)?.running ?? 0;
 
 /** Load of a host as this entry reckons it. */
 export const knownLoad = (state: RouterState, hostId: string, nowMs: number): number => {
--- a/packages/coordination/src/routing/subset.ts
+++ b/packages/coordination/src/routing/subset.ts
@@ -1,5 +1,6 @@
 import {rendezvousWeight} from '../utils/rendezvous.js';
-import type {HostState, RouterState, Tier} from './types.js';
+import type {HostState} from './host-state.js';
+import type {RouterState, Tier} from './types.js';
 
 /**
  * Whether this entry is among the `entriesPerEndpoint` that the host draws by
--- a/packages/coordination/src/routing/types.ts
+++ b/packages/coordination/src/routing/types.ts
@@ -1,6 +1,7 @@
-import type {HostRecord} from '@bitternpaddle/state';
 import type {Random} from '../utils/random.js';
 import type {HashRing} from './hash-ring.js';
+import type {HostNumbers, HostState} from './host-state.js';
+import type {StartTimes} from './start-times.js';
 
 /** What a request asks for. */
 export type RouteTarget
@@ -20,51 +21,6 @@
 	readonly fleetId: string | null;
 };
 
-/** What this entry knows of one host. */
-export type HostState = {
-	readonly hostId: string;
-	/** Rendezvous weight of this entry for the host. */
-	readonly weight: number;
-	/** Other entries with a greater weight for the host. */
-	entriesAhead: number;
-	/** The record that `endpoint` was made from; another object means a change. */
-	record: HostRecord;
-	endpoint: Endpoint;
-	/** Where it serves now; `null` while it serves nothing. */
-	tier: Tier | null;
-	/** This entry keeps connections to it. */
-	isActive: boolean;
-	/** Place in `tier.available`, or -1. */
-	position: number;
-	/** Start times of this entry's requests in flight, oldest first. */
-	readonly starts: number[];
-	/** Requests of other entries, as last reported and as counted then. */
-	others: number;
-	reportedAtMs: number;
-	probedAtMs: number;
-	readySinceMs: number;
-	/** What the tier's totals hold of this host. */
-	countedLoad: number;
-	countedCapacity: number;
-	readonly health: HealthState;
-};
-
-export type HealthState = {
-	consecutiveFailures: number;
-	/** Moving averages over outcomes. */
-	failureShare: number;
-	latencyMs: number;
-	outcomes: number;
-	/** Recent failures as extra load; halves with time. */
-	penalty: number;
-	penaltyAtMs: number;
-	/** Requests without a first byte. */
-	awaiting: number;
-	isEjected: boolean;
-	ejectedUntilMs: number;
-	ejections: number;
-};
-
 /** The hosts of a group at one distance from this entry. */
 export type Tier = {
 	readonly group: Group;
@@ -137,6 +93,8 @@
 	readonly options: ResolvedRouterOptions;
 	revision: number;
 	readonly hosts: Map<string, HostState>;
+	readonly numbers: HostNumbers;
+	readonly starts: StartTimes;
 	readonly groups: Map<string, Group>;
 	readonly models: Map<string, TrafficGroup[]>;
 	readonly services: Map<string, Group | null>;
--- a/packages/coordination/test/ejection-cap.test.ts
+++ b/packages/coordination/test/ejection-cap.test.ts
@@ -36,7 +36,7 @@
 	return choice.type === 'chosen' ? choice.endpoint.hostId : null;
 };
 
-const asideOf = (router: RouterState): string[] => [...router.hosts.values()].filter(({health}) => health.isEjected).map(({hostId}) => hostId);
+const asideOf = (router: RouterState): string[] => [...router.hosts.values()].filter(({isEjected}) => isEjected).map(({hostId}) => hostId);
 
 /** One failed request at the host that is chosen. */
 const fail = (router: RouterState, nowMs: number): void => {
