--- a/packages/daemon/src/control/control-rpc.ts
+++ b/packages/daemon/src/control/control-rpc.ts
@@ -4,13 +4,15 @@
 	type Fold, type FoldResult, type InForceResult, type QueryResult, type Show,
 } from '@bitternpaddle/protocol';
 import {
-	callRpc, createRpcServer, RpcError, TransportError, type Logger, type RpcServer,
+	createRpcServer, RpcError, type Logger, type RpcServer,
 } from '@bitternpaddle/transport';
 import {answerQuery, type QueryView} from './answer-query.js';
 import type {ConsensusDriver} from './consensus-driver.js';
+import {createLeaderCalls} from './leader-calls.js';
 import type {MemberIdentity} from './member-identity.js';
 import type {PlacedReport} from './host-view.js';
-import {proposalTimeoutMs, type Proposals} from './proposals.js';
+import type {Proposals} from './proposals.js';
+import {createSystemCheck} from './system-check.js';
 import type {WatchHub} from './watch-hub.js';
 
 export type ControlRpcOptions = {
@@ -26,6 +28,8 @@
 	isLeader(): boolean;
 	/** Address of the leader; `undefined` while there is none or this host leads. */
 	leaderAddress(): string | undefined;
+	/** Resolves once this host has passed its leadership on; at once while it isn't about to. */
+	handedOver(): Promise<unknown>;
 	/** What the leader answers questions from. */
 	view(subject: Show['subject']): Promise<QueryView>;
 	/** What the hosts that watch here said last. */
@@ -35,49 +39,13 @@
 	inForce(revision: number): InForceResult;
 };
 
-type LeaderCall = Readonly<Record<string, unknown>> & {readonly systemId: string | null; readonly isForwarded: boolean};
-
-const forwardTimeoutMs = 3000 + proposalTimeoutMs;
-
 /** What other processes may ask of a control host. */
 export const createControlRpc = (options: ControlRpcOptions): RpcServer => {
 	const {
-		driver, proposals, hub, logger, identity, systemId, hearStandby, isLeader, leaderAddress, view, ownReports, hearFold, inForce,
+		driver, proposals, hub, logger, identity, hearStandby, view, ownReports, isLeader, hearFold, inForce,
 	} = options;
-
-	// A host whose control host is gone may find another system's at the same address. Without the check it would be
-	// counted there and take that system's configuration, a state that nobody accepted for it; refused, it asks its other control hosts.
-	const assertSameSystem = (callerSystemId: string | null): void => {
-		const ownSystemId = systemId();
-		if (callerSystemId === null || callerSystemId === ownSystemId) {
-			return;
-		}
-
-		throw ownSystemId === null
-			? new RpcError(rpcErrorCodes.noQuorum, 'this control host has not yet heard which system it belongs to')
-			: new RpcError(rpcErrorCodes.foreignSystem, `this control host belongs to system ${ownSystemId}, the caller to ${callerSystemId}`);
-	};
-
-	/** Calls the leader's `method`, or does it here if this host leads. */
-	const atLeader = async <Result>(method: string, parameters: LeaderCall, here: () => Promise<Result> | Result): Promise<Result> => {
-		assertSameSystem(parameters.systemId);
-		if (isLeader()) {
-			return here();
-		}
-
-		const address = leaderAddress();
-		if (address === undefined || parameters.isForwarded) {
-			throw new RpcError(rpcErrorCodes.noQuorum, 'no leader is in contact with a quorum');
-		}
-
-		return callRpc<Result>({
-			address, method, params: {...parameters, isForwarded: true}, timeoutMs: forwardTimeoutMs,
-		}).catch((error: unknown) => {
-			throw error instanceof TransportError
-				? new RpcError(rpcErrorCodes.noQuorum, `the leader cannot be reached (${error.message}); an order may still be accepted: resend it with the same command id`)
-				: error;
-		});
-	};
+	const assertSameSystem = createSystemCheck(options.systemId);
+	const atLeader = createLeaderCalls({...options, assertSameSystem});
 
 	const query = async (show: Show): Promise<QueryResult> => {
 		const seen = await view(show.subject);
