--- a/packages/coordination/src/burn/burn-counter.ts
+++ b/packages/coordination/src/burn/burn-counter.ts
@@ -2,7 +2,9 @@
 	BurnAnswer, BurnBucket, BurnSeries, EncodedHistogram, LatencySeries,
 } from '@bitternpaddle/protocol';
 import type {Histogram} from 'hdr-histogram-js';
-import {createLatencyHistogram, encodeHistogram, recordLatency} from './histogram.js';
+import {
+	createLatencyHistogram, encodeHistogram, loadHistograms, recordLatency,
+} from './histogram.js';
 import {
 	addCounts, floorTo, hourMs, keptHours, keptMinutes, keptTenMinutes, minuteMs, noCounts, oldestStartMs, tenMinutesMs, type BurnCounts,
 } from './windows.js';
@@ -52,9 +54,13 @@
 /** Stands for the teams that came after the bound was reached. */
 export const otherTeams = '(others)';
 
-export const createBurnCounter = ({maxSeries = 256}: BurnCounterOptions = {}): BurnCounter => ({
-	maxSeries, series: new Map(), latencies: new Map(), totals: new Map(),
-});
+export const createBurnCounter = ({maxSeries = 256}: BurnCounterOptions = {}): BurnCounter => {
+	// Not in the middle of the first request, which would wait for the library.
+	loadHistograms();
+	return {
+		maxSeries, series: new Map(), latencies: new Map(), totals: new Map(),
+	};
+};
 
 export const countSample = (counter: BurnCounter, sample: BurnSample): void => {
 	const series = seriesFor(counter, sample.serviceId, sample.teamId);
--- a/packages/coordination/src/burn/histogram.ts
+++ b/packages/coordination/src/burn/histogram.ts
@@ -1,12 +1,18 @@
-import {
-	build, decodeFromCompressedBase64, encodeIntoCompressedBase64, type Histogram,
-} from 'hdr-histogram-js';
+import {createRequire} from 'node:module';
+import type * as HdrHistogram from 'hdr-histogram-js';
+
+type Histogram = HdrHistogram.Histogram;
+
+const require = createRequire(import.meta.url);
+
+/** Only entries and reports keep histograms, and the library takes 2 MB of every process that loads it. */
+export const loadHistograms = (): typeof HdrHistogram => require('hdr-histogram-js') as typeof HdrHistogram;
 
 /** Longer waits count as this long. */
 const highestMs = 600_000;
 
 /** Two digits keep the error of a quantile under one percent in a few kilobytes. */
-export const createLatencyHistogram = (): Histogram => build({
+export const createLatencyHistogram = (): Histogram => loadHistograms().build({
 	bitBucketSize: 'packed', autoResize: false, lowestDiscernibleValue: 1, highestTrackableValue: highestMs, numberOfSignificantValueDigits: 2, useWebAssembly: false,
 });
 
@@ -14,12 +20,12 @@
 	histogram.recordValue(Math.min(Math.max(1, Math.round(latencyMs)), highestMs));
 };
 
-export const encodeHistogram = (histogram: Histogram): string => encodeIntoCompressedBase64(histogram);
+export const encodeHistogram = (histogram: Histogram): string => loadHistograms().encodeIntoCompressedBase64(histogram);
 
 /** `null` for text that is no histogram; a neighbour's mistake must not spoil the whole report. */
 export const decodeHistogram = (encoded: string): Histogram | null => {
 	try {
-		return decodeFromCompressedBase64(encoded, 32, false);
+		return loadHistograms().decodeFromCompressedBase64(encoded, 32, false);
 	} catch {
 		return null;
 	}
--- a/packages/daemon/src/commands/run-command.ts
+++ b/packages/daemon/src/commands/run-command.ts
@@ -6,6 +6,7 @@
 	environmentName, resolveSettings, settingDefinitions, type SettingKey, type Settings,
 } from '../settings/settings.js';
 import {limitsOf} from '../settings/limits.js';
+import {letYoungGenerationGrow} from '../young-generation.js';
 
 /** Exit code for settings that are wrong. */
 export const usageExitCode = 2;
@@ -106,7 +107,6 @@
 const startRoles = async (settings: Settings, nodes: Stoppable[], logger: Logger): Promise<void> => {
 	const {roles, hostId, controls, dataFolder} = settings;
 	const voters = settings.voters ?? controls.map(control => control.id);
-	const metrics = createMetrics({address: settings.statsd, labels: {host: hostId}});
 	const [ip] = settings.listen.split(':') as [string];
 	let {listen} = settings;
 	const nextListen = (): string => {
@@ -117,6 +117,7 @@
 
 	const controlAddresses = controls.map(control => control.address);
 	if (roles.includes('control')) {
+		letYoungGenerationGrow();
 		const {createControlNode} = await import('../control/create-control-node.js');
 		const members = new Map(controls.map(({id, address}) => [id, address]));
 		const node = await createControlNode({
@@ -128,6 +129,7 @@
 
 	if (roles.includes('entry')) {
 		const {createEntryNode} = await import('../entry/create-entry-node.js');
+		const metrics = createMetrics({address: settings.statsd, labels: {host: hostId}});
 		const node = await createEntryNode({
 			entryId: hostId, listen: nextListen(), controls: controlAddresses, adminTokens: settings.adminTokens,
 			zoneId: settings.zone, regionId: settings.region, limits: limitsOf(settings), logger, metrics,
--- a/packages/transport/src/metrics/create-metrics.ts
+++ b/packages/transport/src/metrics/create-metrics.ts
@@ -1,4 +1,5 @@
-import {StatsD} from 'hot-shots';
+import {createRequire} from 'node:module';
+import type * as HotShots from 'hot-shots';
 import {ignore} from '../utils.js';
 
 export type Metrics = {
@@ -8,6 +9,15 @@
 	close(): Promise<void>;
 };
 
+const require = createRequire(import.meta.url);
+
+const silentMetrics: Metrics = {
+	increment: ignore,
+	timing: ignore,
+	gauge: ignore,
+	close: async () => undefined,
+};
+
 export type CreateMetricsOptions = {
 	/** `ip:port` of a StatsD listener; without it nothing is sent. */
 	readonly address?: string;
@@ -15,9 +25,15 @@
 };
 
 export const createMetrics = ({address, labels = {}}: CreateMetricsOptions = {}): Metrics => {
-	const [host, port] = address === undefined ? [] : address.split(':');
+	if (address === undefined) {
+		return silentMetrics;
+	}
+
+	// Loaded only where metrics are sent: an idle process holds no library that it does not use.
+	const {StatsD} = require('hot-shots') as typeof HotShots;
+	const [host, port] = address.split(':');
 	const client = new StatsD({
-		host, port: port === undefined ? undefined : Number(port), prefix: 'bitternpaddle.', globalTags: labels, mock: address === undefined,
+		host, port: Number(port), prefix: 'bitternpaddle.', globalTags: labels,
 		// Metrics are best effort: a listener that is away must not stop the process.
 		errorHandler: ignore,
 	});
