--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -20,9 +20,10 @@
 import {createProposals} from './proposals.js';
 import {createReconciler, reconcileMs} from './reconciler.js';
 import {
-	applyToReplica, createReplica, serializeReplica, type Replica,
+	applyToReplica, createReplica, type Replica,
 } from './replica.js';
 import {createRolloutDriver, rolloutMs} from './rollout-driver.js';
+import {createSnapshotTaker} from './snapshot-taker.js';
 import {createVoterRepair, repairMs} from './voter-repair.js';
 import {createWatchHub} from './watch-hub.js';
 
@@ -84,6 +85,9 @@
 	const presence = createPresence({hostLeaseMs: leaseMs, memberLeaseMs: leaseTimes.wordMs});
 	const fold = createReportFold({memberId: selfId, silentMs: leaseMs, epoch: Date.now()});
 	const proposals = createProposals({append: payload => driver.propose(payload)});
+	const snapshots = createSnapshotTaker({
+		logger, snapshotEntries, replica: () => replica, driver: () => driver,
+	});
 
 	const onCommit = (entry: LogEntry): void => {
 		const before = replica.state.catalog.revision;
@@ -97,16 +101,7 @@
 			hub.wake();
 		}
 
-		if (replica.appliedIndex - (driver.state.snapshot?.index ?? 0) >= snapshotEntries) {
-			takeSnapshot();
-		}
-	};
-
-	const takeSnapshot = (): void => {
-		driver.compact({
-			index: replica.appliedIndex, term: replica.appliedTerm, state: serializeReplica(replica),
-		});
-		logger.event('BP1003', {index: replica.appliedIndex});
+		snapshots.afterEntry();
 	};
 
 	const driver: ConsensusDriver = createConsensusDriver({
@@ -248,6 +243,7 @@
 			}
 
 			hub.wake();
+			snapshots.close();
 			await driver.close();
 			server.destroy();
 		},
--- a/packages/daemon/src/control/replica.ts
+++ b/packages/daemon/src/control/replica.ts
@@ -1,6 +1,6 @@
 import {createChangeHistory, recordChange, type ChangeHistory} from '@bitternpaddle/coordination';
 import {
-	applyCommand, canonicalJson, createCatalog, createLedger, type CatalogChange, type Command, type CommandResult, type ReplicatedState, type Snapshot,
+	applyCommand, createCatalog, createLedger, type CatalogChange, type Command, type CommandResult, type ReplicatedState, type Snapshot,
 } from '@bitternpaddle/state';
 
 /** This control host's copy of what the log says so far. */
@@ -34,5 +34,3 @@
 
 	return result;
 };
-
-export const serializeReplica = (replica: Replica): string => canonicalJson(replica.state);
--- a/packages/state/src/catalog/index.ts
+++ b/packages/state/src/catalog/index.ts
@@ -1,6 +1,7 @@
 export * from './apply-change.js';
 export * from './apply-command.js';
 export * from './canonical-json.js';
+export * from './canonical-steps.js';
 export * from './claims.js';
 export * from './create-catalog.js';
 export * from './digest.js';
--- a/packages/state/src/log/files.ts
+++ b/packages/state/src/log/files.ts
@@ -1,5 +1,7 @@
 import type {Buffer} from 'node:buffer';
-import {open, readFile, rename} from 'node:fs/promises';
+import {
+	open, readFile, rename, writeFile,
+} from 'node:fs/promises';
 import path from 'node:path';
 
 export const readIfPresent = async (filePath: string): Promise<Buffer | null> => {
@@ -24,10 +26,10 @@
 };
 
 /** Puts `data` at `filePath` whole or not at all, whenever a crash comes. */
-export const replaceFile = async (filePath: string, data: Buffer | string): Promise<void> => {
+export const replaceFile = async (filePath: string, data: Buffer | string | AsyncIterable<string>): Promise<void> => {
 	const handle = await open(`${filePath}.new`, 'w');
 	try {
-		await handle.writeFile(data);
+		await writeFile(handle, data);
 		await handle.sync();
 	} finally {
 		await handle.close();
--- a/packages/state/src/log/log-store.ts
+++ b/packages/state/src/log/log-store.ts
@@ -1,15 +1,12 @@
-import type {Buffer} from 'node:buffer';
 import {mkdir, open, type FileHandle} from 'node:fs/promises';
 import path from 'node:path';
-import {crc32} from 'node:zlib';
-import {Either, Left} from 'purify-ts';
-import {z} from 'zod';
 import {readIfPresent, replaceFile, syncFolder} from './files.js';
 import {DamagedLogError, encodeFrame, type SegmentStart} from './frames.js';
-import {
-	snapshotSchema, type HardState, type LogEntry, type LogRecord, type Snapshot,
+import type {
+	HardState, LogEntry, LogRecord, Snapshot,
 } from './records.js';
 import {readSegments, removeSegmentsBefore, segmentPath} from './segments.js';
+import {readSnapshot, snapshotFileParts} from './snapshot-file.js';
 
 export type LoadedLog = {
 	readonly hardState: HardState;
@@ -78,15 +75,26 @@
 	readonly folder: string;
 	/** A new segment begins behind this size. @default 16777216 */
 	readonly segmentBytes?: number;
+	/** Awaited between the parts of a snapshot. @default nothing more than the write itself, which leaves the loop to others */
+	pause?(): Promise<void>;
 };
 
+const noPause = async (): Promise<void> => undefined;
+
+async function * withPauses(parts: Iterable<string>, pause: () => Promise<void>): AsyncGenerator<string> {
+	for (const part of parts) {
+		yield part;
+		await pause();
+	}
+}
+
 /**
  * Opens the log in `folder`: a snapshot and the segments behind it. A torn
  * tail, as a crash in mid-write leaves it, is cut: nothing in it was ever
  * acknowledged. Damage before the tail throws `DamagedLogError`, because
  * acknowledged entries are gone.
  */
-export const openLogStore = async ({folder, segmentBytes = 16 * 1024 * 1024}: OpenLogStoreOptions): Promise<LogStore> => {
+export const openLogStore = async ({folder, segmentBytes = 16 * 1024 * 1024, pause = noPause}: OpenLogStoreOptions): Promise<LogStore> => {
 	await mkdir(folder, {recursive: true});
 	const snapshotPath = path.join(folder, 'snapshot.json');
 	const snapshotData = await readIfPresent(snapshotPath);
@@ -153,9 +161,8 @@
 			syncs++;
 		}),
 		saveSnapshot: async (saved, promise, tail) => guard(async () => {
-			const body = JSON.stringify(saved);
-			// The old segments stay until the snapshot is durable; replay skips the entries that both hold.
-			await replaceFile(snapshotPath, JSON.stringify({crc: crc32(body), body}));
+			// The old snapshot and segments stay until the new one is durable; replay skips the entries that both hold.
+			await replaceFile(snapshotPath, withPauses(snapshotFileParts(saved), pause));
 			await startSegment({previousBytes: null, snapshotIndex: saved.index}, [{type: 'hardState', hardState: promise}, ...tail.map(entry => ({type: 'entry', entry}) as const)]);
 			await removeSegmentsBefore(folder, sequence);
 		}),
@@ -165,11 +172,3 @@
 		},
 	};
 };
-
-const snapshotFileSchema = z.object({crc: z.number(), body: z.string()});
-
-const readSnapshot = (data: Buffer): Snapshot => Either
-	.encase(() => snapshotFileSchema.parse(JSON.parse(data.toString())))
-	.chain(({crc, body}) => crc32(body) === crc ? Either.encase(() => snapshotSchema.parse(JSON.parse(body))) : Left(new Error('wrong checksum')))
-	.mapLeft(({message}) => new DamagedLogError(`snapshot.json is damaged (${message}); restore this host from its peers`))
-	.unsafeCoerce();
--- a/packages/state/test/apply-history.test.ts
+++ b/packages/state/test/apply-history.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import t from 'tap';
 import {
-	applyCommand, canonicalJson, commandSchema, createCatalog, createLedger, type Command, type CommandResult, type ReplicatedState,
+	applyCommand, canonicalJson, canonicalJsonInSteps, commandSchema, createCatalog, createLedger, freezeState, type Command, type CommandResult, type ReplicatedState,
 } from '@bitternpaddle/state';
 
 const seed = Number(process.env.BITTERNPADDLE_SEED ?? 20_261_202);
@@ -135,3 +135,38 @@
 		t.match(applyCommand(state, one, position + 1), {type: 'accepted', revision: position + 1});
 	}
 });
+
+// A control host writes a snapshot in steps, and five commands are applied between
+// any two of them: hosts join and leave, claims are taken and ended. The text must
+// be the state at the start, of which the log says that it ends there. Were it
+// read as it changes, a restart would apply those commands to a state that has them.
+t.test(`a snapshot in steps is the state at its start, seed ${seed}`, async t => {
+	const state = createState();
+	const commands = history();
+	let applied = 0;
+	let pauses = 0;
+	const apply = (count: number): void => {
+		for (const next of commands.slice(applied, applied + count)) {
+			applied++;
+			applyCommand(state, next, applied);
+		}
+	};
+
+	const pause = async (): Promise<void> => {
+		pauses++;
+		apply(5);
+	};
+
+	for (let round = 0; round < 8; round++) {
+		apply(100);
+		const expected = canonicalJson(state);
+		const written = await canonicalJsonInSteps(freezeState(state), {pause, stepCharacters: 200});
+		if (written !== expected) {
+			t.fail(`the snapshot differs after ${applied} commands`);
+			return;
+		}
+	}
+
+	t.ok(pauses > 200, `${pauses} pauses`);
+	t.ok(applied < commands.length, `${applied} commands`);
+});
--- a/packages/state/test/log-store.test.ts
+++ b/packages/state/test/log-store.test.ts
@@ -154,3 +154,44 @@
 	await writeFile(files[0]!, old);
 	t.same(await loadedIndexes(folder), []);
 });
+
+// The host loses power in the middle of writing a snapshot, after any part of
+// it. The old snapshot and the log behind it are still in force; were the new
+// one written in place, the host would start with neither.
+t.test('a crash in the middle of a snapshot leaves the old one in force', async t => {
+	const folder = t.testdir({log: {}, crashes: {}});
+	const crashes: string[] = [];
+	const log = path.join(folder, 'log');
+	const store = await openLogStore({
+		folder: log,
+		async pause() {
+			const crash = path.join(folder, 'crashes', String(crashes.length));
+			crashes.push(crash);
+			await cp(log, crash, {recursive: true});
+		},
+	});
+	await store.append([record(1), record(2)]);
+	await store.saveSnapshot({
+		index: 2, term: 1, members, state: 'old',
+	}, {term: 1, votedFor: 'a'}, []);
+	await store.append([record(3), record(4)]);
+	const olderCrashes = crashes.length;
+	// Quotes, a pair of surrogates at the end of a part, and one half alone.
+	const state = `"\\${'x'.repeat(65_533)}😀${'y'.repeat(200_000)}\uD83D`;
+	await store.saveSnapshot({
+		index: 4, term: 1, members, state,
+	}, {term: 1, votedFor: 'a'}, []);
+	await store.close();
+	t.ok(crashes.length - olderCrashes >= 5, 'many parts');
+	for (const crash of crashes.slice(olderCrashes)) {
+		const {loaded, close} = await openLogStore({folder: crash});
+		await close();
+		t.equal(loaded.snapshot?.state, 'old', crash);
+		t.same(loaded.entries.map(({index}) => index), [3, 4], crash);
+	}
+
+	const whole = await openLogStore({folder: log});
+	await whole.close();
+	t.equal(whole.loaded.snapshot?.state, state);
+	t.same(whole.loaded.entries, []);
+});
