feat(transport): bound connections, request bodies and unread answers

Cause: a process held as many connections as the system gave, up to 4 GB of bodies, and answers that nobody read for as long as the connection stood; a slow reader gained two listeners at every wait. An RPC that met a refusal waited for ever.

Ruled out: server.maxConnections (drops without a word), refusing without making room, counting what a head claims: docs/design/0084.

--- a/packages/daemon/src/agent/create-agent-node.ts
+++ b/packages/daemon/src/agent/create-agent-node.ts
@@ -8,7 +8,7 @@
 	announcementSchema, versionIdSchema, type Announcement,
 } from '@bitternpaddle/state';
 import {
-	createHttpServer, createRpcServer, rpcPath, sendJson, silentLogger, type Logger,
+	createHttpServer, createRpcServer, rpcPath, sendJson, silentLogger, type Logger, type ServerLimits,
 } from '@bitternpaddle/transport';
 import {createConfigurationClient, type ConfigurationInForce} from '../host/configuration-client.js';
 import {answersPrefix, createDoorServer, doorPrefix} from './door-server.js';
@@ -49,6 +49,8 @@
 	readonly limits?: RunLimits;
 	/** How often the door gives waiting entries a sign of life. @default 500 */
 	readonly tickMs?: number;
+	/** What this host holds for its callers at most. @default {} */
+	readonly serverLimits?: ServerLimits;
 	readonly logger?: Logger;
 	/** Called when the operator has stopped this host and its work is done. */
 	onStopped?(): void;
@@ -78,7 +80,7 @@
 	const {
 		hostId, zoneId, regionId, serviceId, provider, kind, endpointAddress, controls, originAddress, storeAddress, folder,
 		originCopies = 1, transferLimits = {}, keepMs, engineCheckMs,
-		listen = '127.0.0.1:0', capacity = 16, limits, tickMs, logger = silentLogger, onStopped,
+		listen = '127.0.0.1:0', capacity = 16, limits, tickMs, serverLimits, logger = silentLogger, onStopped,
 	} = options;
 	const incarnation = Date.now();
 	const door: DoorState = createDoor({capacity, incarnation});
@@ -119,7 +121,7 @@
 
 	const rpc = createRpcServer();
 	const server = await createHttpServer({
-		listen,
+		listen, limits: serverLimits,
 		async handler(request, response) {
 			const url = request.url ?? '';
 			if (url.startsWith(`${doorPrefix}/`)) {
--- a/packages/daemon/src/agent/send-answer.ts
+++ b/packages/daemon/src/agent/send-answer.ts
@@ -1,11 +1,10 @@
-import {once} from 'node:events';
 import type http from 'node:http';
 import {
 	endMarkerTrailer, hostHeader, loadHeader, requestIdHeader, verdictHeader, versionHeader,
 } from '@bitternpaddle/protocol';
 import type {UnansweredVerdict} from '@bitternpaddle/state';
 import {match} from 'ts-pattern';
-import {sendJson} from '@bitternpaddle/transport';
+import {sendJson, whenDrained} from '@bitternpaddle/transport';
 import type {DoorRun} from './door-run.js';
 
 /** Refuses in a way that proves to the entry that nothing ran. */
@@ -96,7 +95,7 @@
 			}
 
 			if (!response.write(part)) {
-				await Promise.race([once(response, 'drain'), once(response, 'close')]);
+				await whenDrained(response);
 			}
 		} else if (run.marker !== null) {
 			response.addTrailers({[endMarkerTrailer]: JSON.stringify(run.marker)});
--- a/packages/daemon/src/commands/run-command.ts
+++ b/packages/daemon/src/commands/run-command.ts
@@ -5,7 +5,7 @@
 import {
 	environmentName, resolveSettings, settingDefinitions, type SettingKey, type Settings,
 } from '../settings/settings.js';
-import {limitsOf} from '../settings/limits.js';
+import {limitsOf, serverLimitsOf} from '../settings/limits.js';
 
 /** Exit code for settings that are wrong. */
 export const usageExitCode = 2;
@@ -55,6 +55,11 @@
 	limitBurstSeconds = flag('limitBurstSeconds');
 	maxQueuedPerTeam = flag('maxQueuedPerTeam');
 	maxQueuedPerService = flag('maxQueuedPerService');
+	maxConnections = flag('maxConnections');
+	maxBufferedBytes = flag('maxBufferedBytes');
+	headTimeoutMs = flag('headTimeoutMs');
+	requestTimeoutMs = flag('requestTimeoutMs');
+	unreadTimeoutMs = flag('unreadTimeoutMs');
 	statsd = flag('statsd');
 	logLevel = flag('logLevel');
 	record = flag('record');
@@ -115,12 +120,14 @@
 		return taken;
 	};
 
+	const serverLimits = serverLimitsOf(settings);
 	const controlAddresses = controls.map(control => control.address);
 	if (roles.includes('control')) {
 		const {createControlNode} = await import('../control/create-control-node.js');
 		const members = new Map(controls.map(({id, address}) => [id, address]));
 		const node = await createControlNode({
-			selfId: hostId, listen: nextListen(), folder: path.join(dataFolder, 'control'), members, voters, recordFile: settings.record, replaceAfterMs: settings.replaceVoterAfterMs, logger,
+			selfId: hostId, listen: nextListen(), folder: path.join(dataFolder, 'control'), members, voters, recordFile: settings.record,
+			replaceAfterMs: settings.replaceVoterAfterMs, serverLimits, logger,
 		});
 		nodes.push({stop: async () => node.close()});
 		logger.event('BP9001', {role: 'control', address: node.address});
@@ -130,7 +137,7 @@
 		const {createEntryNode} = await import('../entry/create-entry-node.js');
 		const node = await createEntryNode({
 			entryId: hostId, listen: nextListen(), controls: controlAddresses, adminTokens: settings.adminTokens,
-			zoneId: settings.zone, regionId: settings.region, limits: limitsOf(settings), logger, metrics,
+			zoneId: settings.zone, regionId: settings.region, limits: limitsOf(settings), serverLimits, logger, metrics,
 		});
 		nodes.push(node);
 		logger.event('BP9001', {role: 'entry', address: node.address});
@@ -142,7 +149,7 @@
 			hostId, zoneId: settings.zone, regionId: settings.region, serviceId: settings.service, provider: settings.provider, kind: settings.endpointKind,
 			endpointAddress: settings.endpoint!, controls: controlAddresses, originAddress: settings.origin ?? '', storeAddress: settings.store,
 			originCopies: settings.originCopies, transferLimits: {inBytesPerSecond: settings.transferIn, outBytesPerSecond: settings.transferOut}, folder: path.join(dataFolder, 'weights'),
-			listen: nextListen(), capacity: settings.capacity, logger,
+			listen: nextListen(), capacity: settings.capacity, serverLimits, logger,
 			onStopped() {
 				process.kill(process.pid, 'SIGTERM');
 			},
--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -8,7 +8,7 @@
 	openLogStore, type CommandResult, type LogEntry, type Members,
 } from '@bitternpaddle/state';
 import {
-	createHttpServer, rpcPath, sendJson, silentLogger, type HttpServer, type Logger,
+	createHttpServer, rpcPath, sendJson, silentLogger, type HttpServer, type Logger, type ServerLimits,
 } from '@bitternpaddle/transport';
 import {createRecorder} from '../recording/recorder.js';
 import {createConsensusDriver, type ConsensusDriver} from './consensus-driver.js';
@@ -45,6 +45,8 @@
 	/** A voter that is silent for longer than a restart takes is replaced. @default 15000 */
 	readonly replaceAfterMs?: number;
 	readonly recordFile?: string;
+	/** What this host holds for its callers at most. @default {} */
+	readonly serverLimits?: ServerLimits;
 	readonly logger?: Logger;
 };
 
@@ -67,7 +69,7 @@
 export const createControlNode = async (options: ControlNodeOptions): Promise<ControlNode> => {
 	const {
 		selfId, listen = '127.0.0.1:0', folder, members, voters, leaseMs = leaseTimes.hostLeaseMs, hostLossMs = 10_000, snapshotEntries = 8192,
-		replaceAfterMs = 15_000, logger = silentLogger,
+		replaceAfterMs = 15_000, serverLimits, logger = silentLogger,
 	} = options;
 	const identity = await openMemberIdentity({
 		hostId: selfId, folder, voters, addressOf: hostId => members.get(hostId),
@@ -200,7 +202,7 @@
 	});
 
 	const server: HttpServer = await createHttpServer({
-		listen,
+		listen, limits: serverLimits,
 		async handler(request, response) {
 			if (request.method === 'POST' && request.url === rpcPath) {
 				await rpc.serve(request, response);
--- a/packages/daemon/src/entry/create-entry-node.ts
+++ b/packages/daemon/src/entry/create-entry-node.ts
@@ -1,7 +1,7 @@
 import {createBurnCounter, type AdmissionOptions} from '@bitternpaddle/coordination';
 import {loadResultSchema, type HostReport} from '@bitternpaddle/protocol';
 import {
-	callRpc, createHttpServer, rpcPath, sendJson, silentLogger, type Logger, type Metrics,
+	callRpc, createHttpServer, rpcPath, sendJson, silentLogger, type Logger, type Metrics, type ServerLimits,
 } from '@bitternpaddle/transport';
 import {createConfigurationClient, type ConfigurationInForce} from '../host/configuration-client.js';
 import {createFailingHosts} from '../host/failing-hosts.js';
@@ -35,6 +35,8 @@
 	readonly regionId?: string;
 	/** Limits and bounds of the queues. @default {} */
 	readonly limits?: AdmissionOptions;
+	/** What this host holds for its callers at most. @default {} */
+	readonly serverLimits?: ServerLimits;
 	readonly logger?: Logger;
 	readonly metrics?: Metrics;
 };
@@ -55,7 +57,7 @@
 export const createEntryNode = async (options: EntryNodeOptions): Promise<EntryNode> => {
 	const {
 		entryId, controls, listen = '127.0.0.1:0', adminTokens = [], maxRequests = 4096, defaultDeadlineMs = 30_000, maxAttempts = 3, suspectMs = 2000,
-		zoneId = 'zone-1', regionId = 'region-1', limits = {}, logger = silentLogger, metrics,
+		zoneId = 'zone-1', regionId = 'region-1', limits = {}, serverLimits, logger = silentLogger, metrics,
 	} = options;
 	const teams = new Map<string, string>();
 	const burnCounter = createBurnCounter();
@@ -78,7 +80,7 @@
 	});
 
 	const server = await createHttpServer({
-		listen,
+		listen, limits: serverLimits,
 		async handler(request, response) {
 			const path = request.url ?? '';
 			if (path === '/healthz' || path === '/readyz') {
--- a/packages/daemon/src/entry/relay.ts
+++ b/packages/daemon/src/entry/relay.ts
@@ -1,12 +1,13 @@
 import {Buffer} from 'node:buffer';
-import {once} from 'node:events';
 import type http from 'node:http';
 import {createEventGate, passEvents} from '@bitternpaddle/coordination';
 import {
 	errorResponseOf, hostHeader, requestIdHeader, versionHeader, type ErrorBody,
 } from '@bitternpaddle/protocol';
 import type {UnansweredVerdict} from '@bitternpaddle/state';
-import {sendJson, type Logger, type Metrics} from '@bitternpaddle/transport';
+import {
+	sendJson, whenDrained, type Logger, type Metrics,
+} from '@bitternpaddle/transport';
 import type {Call, Refusal} from './call.js';
 import type {AttemptAnswer} from './dispatch.js';
 
@@ -83,7 +84,7 @@
 	}
 
 	answer.watch(false);
-	await Promise.race([once(response, 'drain'), once(response, 'close')]);
+	await whenDrained(response);
 	answer.watch(true);
 };
 
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -15,6 +15,7 @@
 export * from './entry/create-entry-node.js';
 export * from './host/configuration-client.js';
 export * from './entry/dispatch.js';
+export {createRelay, type Relay} from './entry/relay.js';
 export * from './program.js';
 export * from './recording/recorder.js';
 export * from './report/index.js';
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -73,6 +73,23 @@
 	limitBurstSeconds: define('limit-burst-seconds', numberSchema(1, 3600), 'Seconds of its share of the limit that a team can save up (entry).', 'a whole number from 1 to 3600', '10'),
 	maxQueuedPerTeam: define('max-queued-per-team', numberSchema(1, 1_000_000), 'Requests of one team that wait for one model or service (entry).', 'a whole number from 1 to 1000000', '512'),
 	maxQueuedPerService: define('max-queued-per-service', numberSchema(1, 1_000_000), 'Requests that wait for one model or service (entry).', 'a whole number from 1 to 1000000', '2048'),
+	maxConnections: define('max-connections', numberSchema(16, 1_000_000), 'Connections that others hold open to each role of this process.', 'a whole number from 16 to 1000000', '8192'),
+	maxBufferedBytes: define(
+		'max-buffered-bytes',
+		numberSchema(1_048_576, 1_000_000_000_000),
+		'Bytes of request bodies that each role of this process holds; with the role agent at least 8388608, with the role control at least 67108864.',
+		'a whole number from 1048576',
+		'134217728',
+	),
+	headTimeoutMs: define('head-timeout-ms', numberSchema(100, 600_000), 'How long a sender may take over the head of a request.', 'milliseconds from 100 to 600000', '10000'),
+	requestTimeoutMs: define(
+		'request-timeout-ms',
+		numberSchema(100, 600_000),
+		'How long a sender may take over a whole request, at least --head-timeout-ms.',
+		'milliseconds from 100 to 600000',
+		'60000',
+	),
+	unreadTimeoutMs: define('unread-timeout-ms', numberSchema(1000, 3_600_000), 'How long a caller may leave its answer unread.', 'milliseconds from 1000 to 3600000', '60000'),
 	statsd: define('statsd', addressSchema, 'Where metrics go.', 'ip:port', ''),
 	logLevel: define('log-level', z.enum(['error', 'warn', 'info', 'debug', 'silent']), 'Least severity of logged events.', 'error, warn, info, debug or silent', 'info'),
 	record: define('record', z.string().min(1), 'File for the trace of decisions, for `bitternpaddle replay` (control).', 'a path', ''),
@@ -143,5 +160,18 @@
 		problems.push(`--max-queued-per-team is ${maxQueuedPerTeam}: expected at most --max-queued-per-service (${maxQueuedPerService})`);
 	}
 
+	return [...problems, ...contradictingServerLimits(settings)];
+};
+
+/** The largest request that each role must be able to take. */
+const largestRequestBytes: Record<Role, number> = {entry: 1_048_576, agent: 8_388_608, control: 67_108_864};
+
+const contradictingServerLimits = ({roles, maxBufferedBytes, headTimeoutMs, requestTimeoutMs}: Settings): string[] => {
+	const problems = roles.filter(role => maxBufferedBytes < largestRequestBytes[role])
+		.map(role => `--max-buffered-bytes is ${maxBufferedBytes}: expected at least ${largestRequestBytes[role]} with the role ${role}`);
+	if (headTimeoutMs > requestTimeoutMs) {
+		problems.push(`--head-timeout-ms is ${headTimeoutMs}: expected at most --request-timeout-ms (${requestTimeoutMs})`);
+	}
+
 	return problems;
 };
--- a/packages/transport/src/http/http-client.ts
+++ b/packages/transport/src/http/http-client.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import {parseAddress} from './address.js';
+import {meterOf} from './body-budget.js';
 import {closeIdleConnections, createPool} from './connection-pool.js';
 
 /** How a request failed on its way, as far as it is known whether the other side saw it. */
@@ -71,6 +72,7 @@
 		throw new BodyTooLargeError(limitBytes);
 	}
 
+	const meter = meterOf(message);
 	const parts: Buffer[] = [];
 	let sizeBytes = 0;
 	for await (const part of message as AsyncIterable<Buffer>) {
@@ -79,6 +81,7 @@
 			throw new BodyTooLargeError(limitBytes);
 		}
 
+		meter?.add(part.length);
 		parts.push(part);
 	}
 
--- a/packages/transport/src/http/http-server.ts
+++ b/packages/transport/src/http/http-server.ts
@@ -1,7 +1,10 @@
 import http from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {parseAddress} from './address.js';
+import {createBodyBudget} from './body-budget.js';
+import {createConnectionLimit} from './connection-limit.js';
+import type {ServerLimits} from './overload.js';
 import {refuseConnection, type Exchange} from './refuse-connection.js';
 import {BodyTooLargeError} from './http-client.js';
 
@@ -21,10 +24,8 @@
 	readonly listen: string;
 	readonly handler: HttpHandler;
 	readonly onError?: (error: Error) => void;
-	/** How long a sender may take over a request's head. @default 10000 */
-	readonly headersTimeoutMs?: number;
-	/** How long a sender may take over a whole request. @default 60000 */
-	readonly requestTimeoutMs?: number;
+	/** @default {} */
+	readonly limits?: ServerLimits;
 };
 
 /** Longer than clients keep idle connections, so that none is closed under a request that is being sent. */
@@ -35,24 +36,41 @@
 const connectionsCheckingIntervalMs = 500;
 
 export const createHttpServer = async (options: CreateHttpServerOptions): Promise<HttpServer> => {
-	const {listen, handler, onError, headersTimeoutMs = 10_000, requestTimeoutMs = 60_000} = options;
+	const {listen, handler, onError, limits = {}} = options;
+	const {
+		maxConnections = 8192, maxBufferedBytes = 134_217_728, headersTimeoutMs = 10_000, requestTimeoutMs = 60_000, unreadTimeoutMs = 60_000,
+	} = limits;
+	const bodies = createBodyBudget(maxBufferedBytes);
+	const connections = createConnectionLimit({maxConnections, endUnfinished: reason => bodies.refuseOldest(reason)});
 	const exchanges = new WeakMap<Duplex, Exchange>();
 	let isClosing = false;
 	const server = http.createServer({
 		keepAliveTimeout: keepAliveTimeoutMs, headersTimeout: headersTimeoutMs, requestTimeout: requestTimeoutMs, connectionsCheckingInterval: connectionsCheckingIntervalMs,
 	}, (request, response) => {
 		const {socket} = request;
+		if (!connections.begin(socket)) {
+			return;
+		}
+
+		const meter = bodies.open(request, response);
 		exchanges.set(socket, {request, response});
 		response.once('close', () => {
 			exchanges.delete(socket);
+			connections.end(socket);
 		});
 		if (isClosing) {
 			response.setHeader('connection', 'close');
 		}
 
 		handler(request, response).catch((error: unknown) => {
+			// Its sender has its answer, whatever the handler made of the end of the body.
+			if (meter.isRefused()) {
+				return;
+			}
+
 			const isTooLarge = error instanceof BodyTooLargeError;
-			if (!isTooLarge) {
+			const isSenderGone = request.destroyed && !request.complete;
+			if (!isTooLarge && !isSenderGone) {
 				onError?.(error as Error);
 			}
 
@@ -70,6 +88,16 @@
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 		refuseConnection(socket, error, exchanges.get(socket));
 	});
+	server.prependListener('connection', (socket: Socket) => {
+		connections.open(socket);
+	});
+	// Callers that never read would hold their answers in memory for ever. An answer that has no next byte yet may take longer.
+	server.timeout = unreadTimeoutMs;
+	server.on('timeout', (socket: Socket) => {
+		if (socket.writableLength > 0 || !exchanges.has(socket)) {
+			socket.destroy();
+		}
+	});
 	const {host, port} = parseAddress(listen);
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
--- a/packages/transport/src/http/index.ts
+++ b/packages/transport/src/http/index.ts
@@ -2,3 +2,5 @@
 export * from './connection-pool.js';
 export * from './http-client.js';
 export * from './http-server.js';
+export type * from './overload.js';
+export * from './when-drained.js';
--- a/packages/transport/src/rpc/rpc-client.ts
+++ b/packages/transport/src/rpc/rpc-client.ts
@@ -1,6 +1,6 @@
 import type http from 'node:http';
 import {JSONRPCClient, type JSONRPCResponse} from 'json-rpc-2.0';
-import {readBody, sendHttp} from '../http/http-client.js';
+import {readBody, sendHttp, TransportError} from '../http/http-client.js';
 import {rpcPath} from './rpc-server.js';
 
 export type RpcCallOptions = {
@@ -10,16 +10,27 @@
 	readonly timeoutMs: number;
 	/** `false` opens a new connection, for when the old ones may have gone silent. */
 	readonly agent?: http.Agent | false;
+	/** @default none */
+	readonly signal?: AbortSignal;
 };
 
 /** Calls a method; rejects with `TransportError` or with the other side's error. */
 export const callRpc = async <Result>(options: RpcCallOptions): Promise<Result> => {
+	let failure: unknown;
 	const client: JSONRPCClient = new JSONRPCClient(async (payload: unknown) => {
-		const answer = await post(options, payload);
+		const answer = await post(options, payload).catch((error: unknown) => {
+			failure = error;
+			throw error;
+		});
 		client.receive(JSON.parse(answer) as JSONRPCResponse);
 	});
-	const result: unknown = await client.request(options.method, options.params);
-	return result as Result;
+	try {
+		const result: unknown = await client.request(options.method, options.params);
+		return result as Result;
+	} catch (error) {
+		// The library puts an error of its own in the place of the transport's.
+		throw failure ?? error;
+	}
 };
 
 /** Sends a message that has no answer. */
@@ -27,10 +38,16 @@
 	await post(options, {jsonrpc: '2.0', method: options.method, params: options.params});
 };
 
-const post = async ({address, timeoutMs, agent}: RpcCallOptions, payload: unknown): Promise<string> => {
+const post = async ({address, timeoutMs, agent, signal}: RpcCallOptions, payload: unknown): Promise<string> => {
 	const response = await sendHttp({
 		address, method: 'POST', path: rpcPath, headers: {'content-type': 'application/json'},
-		body: JSON.stringify(payload), idleTimeoutMs: timeoutMs, agent,
+		body: JSON.stringify(payload), idleTimeoutMs: timeoutMs, agent, signal,
 	});
-	return (await readBody(response)).toString();
+	const text = (await readBody(response)).toString();
+	// A server that is full or stopping answers in another shape, which has no call's id in it: the library would wait for ever.
+	if (response.statusCode !== 200 && response.statusCode !== 204) {
+		throw new TransportError(`${address} answered ${response.statusCode}: ${text.slice(0, 200)}`, false);
+	}
+
+	return text;
 };
--- a/test/bad-input.test.ts
+++ b/test/bad-input.test.ts
@@ -106,7 +106,7 @@
 // It is told that it took too long, and its connection is closed.
 t.test('slow senders', async t => {
 	const server = await createHttpServer({
-		listen: '127.0.0.1:0', headersTimeoutMs: 200, requestTimeoutMs: 400,
+		listen: '127.0.0.1:0', limits: {headersTimeoutMs: 200, requestTimeoutMs: 400},
 		async handler(request, response) {
 			await readBody(request, 1000);
 			sendJson(response, 200, {});
