--- a/packages/bench/src/capacity/measure-stream.ts
+++ b/packages/bench/src/capacity/measure-stream.ts
@@ -15,10 +15,10 @@
 const adminToken = 'bench-token';
 const teamKey = 'bench-key';
 
-type Path = {readonly entry: DaemonProcess; readonly agent: DaemonProcess; readonly entryAddress: string};
+export type StreamPath = {readonly entry: DaemonProcess; readonly agent: DaemonProcess; readonly entryAddress: string};
 
 /** Control, entry and agent as processes, with engine and origin in this one; runs `work` when a replica serves. */
-const withPath = async (work: (path: Path) => Promise<void>): Promise<void> => withFolder(async folder => {
+export const withStreamPath = async (work: (path: StreamPath) => Promise<void>, entryFlags: Record<string, string> = {}): Promise<void> => withFolder(async folder => {
 	const [controlAddress, entryAddress] = await freeAddresses(2) as [string, string];
 	const engine = await createFakeEngine({tokenMs});
 	const origin = await createFakeOrigin();
@@ -28,7 +28,7 @@
 		roles: 'control', 'host-id': 'c1', listen: controlAddress, controls, 'data-folder': path.join(folder, 'c1'),
 	});
 	const entry = startDaemon({
-		roles: 'entry', 'host-id': 'e1', listen: entryAddress, controls, 'admin-tokens': `administer:${adminToken}`,
+		roles: 'entry', 'host-id': 'e1', listen: entryAddress, controls, 'admin-tokens': `administer:${adminToken}`, ...entryFlags,
 	});
 	const agent = startDaemon({
 		roles: 'agent', 'host-id': 'h1', controls, endpoint: engine.address, origin: origin.address, provider: 'new', capacity: '64',
@@ -62,7 +62,8 @@
 	await waitUntil('the replica is ready', async () => (await send('show replicas where ready = true'))?.body.rows?.length === 1);
 };
 
-const streamOne = async (address: string, tokens: number): Promise<void> => {
+/** One whole streamed answer; throws when it is anything else. */
+export const streamOne = async (address: string, tokens: number): Promise<void> => {
 	const response = await sendHttp({
 		address, method: 'POST', path: '/v1/chat/completions', idleTimeoutMs: 10_000,
 		headers: {authorization: `Bearer ${teamKey}`, 'content-type': 'application/json'},
@@ -92,7 +93,7 @@
 	const entryBytes: Point[] = [];
 	const agentProcessor: Point[] = [];
 	const agentBytes: Point[] = [];
-	await withPath(async ({entry, agent, entryAddress}) => {
+	await withStreamPath(async ({entry, agent, entryAddress}) => {
 		// The first requests also compile the code; they are not counted.
 		await streamMany(entryAddress, 32);
 		await streamMany(entryAddress, 32);
