feat(coordination): retries as a pure machine, and a full door costs no attempt

Cause: the retry decision was a loop in the entry, and a door that refused for want of room used up an attempt: with one endpoint and two entries, one lost race ended a call as 'not run'. Change: stepRetry decides choose, requeue, claim, dispatch or finish; the entry carries it out, in place of the loop. The door marks its refusal 'full'; the call goes back to its place in the queue, within its deadline. A retry is taken from the budget before an endpoint is looked for, given back if there is none, and without budget the caller hears when to come back. A claim that outlasts the deadline is not dispatched. Ruled out: trying the next endpoint at once (all are full at full load: a loop), a fixed wait, a queue at the door (docs/design/0044).

--- a/packages/coordination/src/admission/retry-budget.ts
+++ b/packages/coordination/src/admission/retry-budget.ts
@@ -28,6 +28,16 @@
 	budget.level = Math.min(budget.most, budget.level + budget.share);
 };
 
+/** Milliseconds until the reserve alone allows a retry; `undefined` if it never does. */
+export const msUntilRetry = ({level, reservePerSecond}: RetryBudget): number | undefined => reservePerSecond > 0
+	? Math.ceil(Math.max(0, 1 - level) / reservePerSecond * 1000)
+	: undefined;
+
+/** Gives back a retry that was taken and not sent. */
+export const returnRetry = (budget: RetryBudget): void => {
+	budget.level = Math.min(budget.most, budget.level + 1);
+};
+
 /** Whether one more retry may be sent; takes it from the budget if so. */
 export const takeRetry = (budget: RetryBudget, nowMs: number): boolean => {
 	const reserve = budget.reservePerSecond * Math.max(0, nowMs - budget.refilledAtMs) / 1000;
--- a/packages/coordination/src/requests/attempt.ts
+++ b/packages/coordination/src/requests/attempt.ts
@@ -22,7 +22,7 @@
 
 export type AttemptEvent
 	/** The door refused, or the run failed before its first byte. */
-	= | {readonly type: 'refused'; readonly verdict: UnansweredVerdict}
+	= | {readonly type: 'refused'; readonly verdict: UnansweredVerdict; readonly isFull: boolean}
 	/** An answer begins; `isOwn` says whether it carries this request's id. */
 		| {readonly type: 'head'; readonly isOwn: boolean}
 		| {readonly type: 'part'; readonly sizeBytes: number}
@@ -46,11 +46,20 @@
 
 export type AttemptEnd
 	= | {readonly type: 'whole'}
-	/** `isRefusal`: the door was reached and said no, so asking it again at once is useless. */
-		| {readonly type: 'verdict'; readonly verdict: UnansweredVerdict; readonly isRefusal: boolean}
+		| {readonly type: 'verdict'; readonly verdict: UnansweredVerdict; readonly cause: UnansweredCause}
 	/** A part was handed on, and the rest will not come. */
 		| {readonly type: 'broken'; readonly reason: string};
 
+/** Why an attempt brought no answer. */
+export type UnansweredCause
+	/** The door has no room now. */
+	= | 'doorFull'
+	/** The door was reached and said no, so asking it again at once is useless. */
+		| 'refused'
+		| 'lost'
+	/** Nobody wants the answer any more. */
+		| 'givenUp';
+
 export type AttemptOptions = {
 	/** Connections lost in a row, without a byte, before the attempt ends. @default 4 */
 	readonly maxLosses?: number;
@@ -64,7 +73,7 @@
 
 export const stepAttempt = (state: AttemptState, event: AttemptEvent): AttemptEffect => match(event)
 	.returnType<AttemptEffect>()
-	.with({type: 'refused'}, ({verdict}) => finish(state, verdict, true))
+	.with({type: 'refused'}, ({verdict, isFull}) => finish(state, verdict, isFull ? 'doorFull' : 'refused'))
 	.with({type: 'head', isOwn: true}, () => takeHead(state))
 	// An answer to someone else: late on a connection used before, or crossed.
 	// Nothing on this connection can be trusted; the door is asked on another.
@@ -78,13 +87,13 @@
 		state.phase = 'ended';
 		return {type: 'finish', end: {type: 'whole'}};
 	})
-	.with({type: 'end', isWhole: false}, () => finish(state, mayHaveRun('the answer was not whole'), false))
+	.with({type: 'end', isWhole: false}, () => finish(state, mayHaveRun('the answer was not whole'), 'lost'))
 	.with({type: 'connectionLost', isUnsent: true}, ({reason}) => state.phase === 'sending'
-		? finish(state, notRun(`the host cannot be reached: ${reason}`), false)
+		? finish(state, notRun(`the host cannot be reached: ${reason}`), 'lost')
 		: lose(state, reason))
 	.with({type: 'connectionLost', isUnsent: false}, ({reason}) => lose(state, reason))
 	.with({type: 'settled'}, ({result}) => takeSettled(state, result))
-	.with({type: 'settleFailed'}, () => finish(state, mayHaveRun('the host was lost and cannot be asked'), false))
+	.with({type: 'settleFailed'}, () => finish(state, mayHaveRun('the host was lost and cannot be asked'), 'lost'))
 	.with({type: 'gaveUp'}, ({cause}) => {
 		state.givenUp = cause;
 		return settle(state);
@@ -104,7 +113,7 @@
 const lose = (state: AttemptState, reason: string): AttemptEffect => {
 	state.losses++;
 	if (state.losses > state.maxLosses) {
-		return finish(state, mayHaveRun(`connections to the host are lost again and again: ${reason}`), false);
+		return finish(state, mayHaveRun(`connections to the host are lost again and again: ${reason}`), 'lost');
 	}
 
 	// Once a byte of the answer is here it is known that the request runs.
@@ -122,9 +131,9 @@
 };
 
 const takeSettled = (state: AttemptState, result: 'ran' | 'running' | 'notRun' | 'unknown'): AttemptEffect => match(result)
-	.with('notRun', () => finish(state, notRun(state.givenUp === null ? 'the connection to the host was lost before the request started' : reasonOf(state.givenUp)), false))
-	.with('unknown', () => finish(state, mayHaveRun('the host was restarted, or has forgotten the request'), false))
-	.with(P.union('ran', 'running'), () => state.givenUp === null ? resume(state) : finish(state, mayHaveRun(reasonOf(state.givenUp)), false))
+	.with('notRun', () => finish(state, notRun(state.givenUp === null ? 'the connection to the host was lost before the request started' : reasonOf(state.givenUp)), 'lost'))
+	.with('unknown', () => finish(state, mayHaveRun('the host was restarted, or has forgotten the request'), 'lost'))
+	.with(P.union('ran', 'running'), () => state.givenUp === null ? resume(state) : finish(state, mayHaveRun(reasonOf(state.givenUp)), 'lost'))
 	.exhaustive();
 
 const reasonOf = (cause: GiveUpCause): string => match(cause)
@@ -132,7 +141,10 @@
 	.with('callerGone', () => 'the caller hung up')
 	.exhaustive();
 
-const finish = (state: AttemptState, verdict: UnansweredVerdict, isRefusal: boolean): AttemptEffect => {
+const finish = (state: AttemptState, verdict: UnansweredVerdict, cause: UnansweredCause): AttemptEffect => {
 	state.phase = 'ended';
-	return {type: 'finish', end: state.isPassedOn ? {type: 'broken', reason: verdict.reason} : {type: 'verdict', verdict, isRefusal}};
+	return {
+		type: 'finish',
+		end: state.isPassedOn ? {type: 'broken', reason: verdict.reason} : {type: 'verdict', verdict, cause: state.givenUp === null ? cause : 'givenUp'},
+	};
 };
--- a/packages/coordination/src/requests/index.ts
+++ b/packages/coordination/src/requests/index.ts
@@ -1,2 +1,3 @@
 export * from './attempt.js';
 export * from './event-gate.js';
+export * from './retry.js';
--- a/packages/daemon/src/agent/door-server.ts
+++ b/packages/daemon/src/agent/door-server.ts
@@ -4,7 +4,7 @@
 	admitAtDoor, finishAtDoor, settleAtDoor, type DoorRefusal, type DoorRequest, type DoorState, type RunLimits,
 } from '@bitternpaddle/coordination';
 import {
-	attemptHeader, deadlineHeader, idempotencyKeyHeader, incarnationHeader, issueHeader, onceHeader, parseIssue, requestIdHeader, versionHeader,
+	attemptHeader, deadlineHeader, fullRefusal, idempotencyKeyHeader, incarnationHeader, issueHeader, onceHeader, parseIssue, refusalHeader, requestIdHeader, versionHeader,
 	type SettleResult,
 } from '@bitternpaddle/protocol';
 import {mayHaveRun, notRun, type UnansweredVerdict} from '@bitternpaddle/state';
@@ -139,6 +139,10 @@
 
 			const admission = admitAtDoor(door, asked);
 			if (admission.type === 'refuse') {
+				if (admission.reason === 'full') {
+					response.setHeader(refusalHeader, fullRefusal);
+				}
+
 				sendFailure(response, verdictOfRefusal(admission.reason));
 				return;
 			}
--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -1,16 +1,19 @@
 import {
-	noteFreshRequest, takeRetry, type Endpoint, type RetryBudget,
+	beginRetry, createRetry, stepRetry, type Endpoint, type RetryBudget, type RetryEffect, type RetryEvent, type UnansweredCause,
 } from '@bitternpaddle/coordination';
 import type {Issue} from '@bitternpaddle/protocol';
 import {
 	hostIdSchema, notRun, type ClaimPlace, type UnansweredVerdict,
 } from '@bitternpaddle/state';
+import {match} from 'ts-pattern';
 import type {FailingHosts} from '../host/failing-hosts.js';
 import type {Peers} from '../host/peers.js';
 import {nameOf, RefusedError, type Call} from './call.js';
 import {dispatch, type AttemptAnswer} from './dispatch.js';
 import type {FleetOutcomes} from './fleet-outcomes.js';
-import type {RoutedAttempt, Routing} from './routing.js';
+import type {
+	RoutedAttempt, RoutedEnd, Routing, Turn,
+} from './routing.js';
 
 export type AttemptsOptions = {
 	readonly routing: Routing;
@@ -35,7 +38,6 @@
 /** Tries endpoints until one answers, or until trying again could run the request twice. */
 export const attemptCall = async (call: Call, options: AttemptsOptions): Promise<CallOutcome> => {
 	const deadline = armDeadline(call);
-	noteFreshRequest(options.budget);
 	const outcome = await attemptInTurn(call, options);
 	if (outcome.type === 'answer') {
 		deadline.extend();
@@ -46,65 +48,102 @@
 	return outcome;
 };
 
+/** Carries out the effects of the call's retry decisions. */
 const attemptInTurn = async (call: Call, options: AttemptsOptions): Promise<CallOutcome> => {
-	const {routing, maxAttempts, mayDispatch, nextIssue} = options;
-	const tried = new Set<string>();
-	let last: {readonly verdict: UnansweredVerdict; readonly place: ClaimPlace | null} = {verdict: notRun('no endpoint is ready'), place: null};
-	let mayReturn = false;
-	for (let number = 1; number <= maxAttempts; number++) {
-		const endpoint = await chooseFor(call, routing, tried, mayReturn);
-		if (endpoint === null || (number > 1 && !takeRetry(options.budget, performance.now()))) {
-			break;
-		}
-
-		tried.add(endpoint.hostId);
-		const place = placeOf(endpoint, `${call.requestId}.${number}`, nextIssue());
-		if (mayDispatch !== undefined && !await mayDispatch(place)) {
-			return {type: 'stopped'};
-		}
-
-		const routed = routing.start(call, endpoint);
-		const attempted = await call.trace.attempt(endpoint, number, async () => dispatch({
-			...call, ...place, endpoint, revision: routing.revision(), signal: call.abort.signal, suspectMs: options.suspectMs, peers: options.peers,
-			remainingMs: call.endAtMs - performance.now(),
-		}));
-		const outcome = options.outcomes?.watch(endpoint.fleetId, attempted) ?? attempted;
-		options.failing?.note(endpoint.hostId, outcome.type === 'answer' || outcome.isRefusal);
-		if (outcome.type === 'answer') {
-			routed.begin(outcome.answer.headers);
-			endWithCall(call, routed);
-			return {...outcome, place};
-		}
-
-		routed.end(call.abort.signal.aborted ? 'abandoned' : (outcome.isRefusal ? 'refused' : 'failed'));
-		last = {verdict: outcome.verdict, place};
-		mayReturn = !outcome.isRefusal;
-		if (outcome.verdict.type === 'mayHaveRun' || call.abort.signal.aborted) {
-			break;
-		}
+	const state = createRetry({budget: options.budget, maxAttempts: options.maxAttempts, deadlineAtMs: call.deadlineAtMs});
+	const tries: Tries = {
+		call, options, endpoint: null, place: null, answer: null,
+	};
+	let effect = beginRetry(state);
+	while (effect.type !== 'finish') {
+		effect = stepRetry(state, await carryOut(tries, effect), performance.now());
 	}
 
-	return {type: 'verdict', ...last};
+	return match(effect.end)
+		.returnType<CallOutcome>()
+		.with({type: 'answered'}, () => ({type: 'answer', answer: tries.answer!, place: tries.place!}))
+		.with({type: 'verdict'}, ({verdict}) => ({type: 'verdict', verdict, place: tries.place}))
+		.with({type: 'stopped'}, end => end)
+		.exhaustive();
+};
+
+/** What has come of the effects so far. */
+type Tries = {
+	readonly call: Call;
+	readonly options: AttemptsOptions;
+	endpoint: Endpoint | null;
+	/** Where the last attempt goes, or went. */
+	place: ClaimPlace | null;
+	answer: AttemptAnswer | null;
+};
+
+const carryOut = async (tries: Tries, effect: Exclude<RetryEffect, {type: 'finish'}>): Promise<RetryEvent> => {
+	const {call, options: {routing}} = tries;
+	return match(effect)
+		.with({type: 'choose'}, async ({tried}) => takeTurn(tries, await routing.choose(call, tried)))
+		.with({type: 'requeue'}, async ({tried}) => takeTurn(tries, await routing.requeue(call, tried)))
+		.with({type: 'claim'}, async ({number}) => claim(tries, number))
+		.with({type: 'dispatch'}, async ({number}) => dispatchTo(tries, number))
+		.exhaustive();
 };
 
-/**
- * An endpoint that this call has not tried; if there is none and the last one
- * did not refuse but lost the connection, one that it has.
- */
-const chooseFor = async (call: Call, routing: Routing, tried: ReadonlySet<string>, mayReturn: boolean): Promise<Endpoint | null> => {
-	const choice = await routing.choose(call, tried);
-	if (choice.type === 'unknownTarget') {
-		throw new RefusedError({status: 404, type: 'not_found', message: `nothing serves ${nameOf(call.target)}`});
+const takeTurn = (tries: Tries, turn: Turn): RetryEvent => match(turn)
+	.returnType<RetryEvent>()
+	.with({type: 'chosen'}, ({endpoint}) => {
+		tries.endpoint = endpoint;
+		return {type: 'chosen', hostId: endpoint.hostId};
+	})
+	.with({type: 'noEndpoint'}, () => ({type: 'noEndpoint'}))
+	.with({type: 'busy'}, () => ({type: 'turnRefused', verdict: notRun('all that serves the target is full')}))
+	.with({type: 'refused'}, ({verdict}) => ({type: 'turnRefused', verdict}))
+	.with({type: 'unknownTarget'}, () => {
+		throw new RefusedError({status: 404, type: 'not_found', message: `nothing serves ${nameOf(tries.call.target)}`});
+	})
+	.exhaustive();
+
+const claim = async (tries: Tries, number: number): Promise<RetryEvent> => {
+	const {call, options: {mayDispatch, nextIssue}, endpoint} = tries;
+	const place = placeOf(endpoint!, `${call.requestId}.${number}`, nextIssue());
+	if (mayDispatch !== undefined && !await mayDispatch(place)) {
+		return {type: 'claimRefused'};
 	}
 
-	if (choice.type === 'chosen') {
-		return choice.endpoint;
+	tries.place = place;
+	return {type: 'claimed'};
+};
+
+const dispatchTo = async (tries: Tries, number: number): Promise<RetryEvent> => {
+	const {call, options} = tries;
+	const endpoint = tries.endpoint!;
+	const routed = options.routing.start(call, endpoint);
+	const attempted = await call.trace.attempt(endpoint, number, async () => dispatch({
+		...call, ...tries.place!, endpoint, revision: options.routing.revision(), signal: call.abort.signal, suspectMs: options.suspectMs, peers: options.peers,
+		remainingMs: call.endAtMs - performance.now(),
+	}));
+	const outcome = options.outcomes?.watch(endpoint.fleetId, attempted) ?? attempted;
+	if (outcome.type === 'answer') {
+		options.failing?.note(endpoint.hostId, true);
+		routed.begin(outcome.answer.headers);
+		endWithCall(call, routed);
+		tries.answer = outcome.answer;
+		return {type: 'answered'};
 	}
 
-	const again = mayReturn ? await routing.choose(call, new Set()) : choice;
-	return again.type === 'chosen' ? again.endpoint : null;
+	const {cause, verdict} = outcome;
+	options.failing?.note(endpoint.hostId, isRefusal(cause));
+	routed.end(endOf(cause));
+	return {type: 'unanswered', cause, verdict};
 };
 
+const isRefusal = (cause: UnansweredCause): boolean => cause === 'doorFull' || cause === 'refused';
+
+const endOf = (cause: UnansweredCause): RoutedEnd => match(cause)
+	.returnType<RoutedEnd>()
+	.with('doorFull', 'refused', () => 'refused')
+	.with('lost', () => 'failed')
+	.with('givenUp', () => 'abandoned')
+	.exhaustive();
+
 const placeOf = ({hostId, address, incarnation}: Endpoint, attemptId: string, issue: Issue): ClaimPlace => ({
 	hostId: hostIdSchema.parse(hostId), address, incarnation, attemptId, issue,
 });
--- a/packages/daemon/src/entry/request-log.ts
+++ b/packages/daemon/src/entry/request-log.ts
@@ -40,6 +40,7 @@
 
 /** Caller's text is kept short: a model name may be as long as a body. */
 const keptTextLength = 128;
+const keptAttempts = 32;
 const shorten = (text: string): string => text.slice(0, keptTextLength);
 
 type MutableRecord = {-readonly [Key in keyof RequestRecord]: RequestRecord[Key]};
@@ -84,6 +85,11 @@
 						number, hostId: endpoint.hostId, startedAfterMs: elapsedMs(), endedAfterMs: null, verdict: null, reason: null,
 					};
 					record.attempts.push(attempt);
+					// A target whose doors are full refuses a call each time until it has room.
+					if (record.attempts.length > keptAttempts) {
+						record.attempts.shift();
+					}
+
 					const outcome = await run();
 					attempt.endedAfterMs = elapsedMs();
 					attempt.verdict = outcome.type === 'answer' ? 'ran' : outcome.verdict.type;
--- a/packages/daemon/src/entry/routing.ts
+++ b/packages/daemon/src/entry/routing.ts
@@ -1,6 +1,8 @@
 import type http from 'node:http';
 import type {Choice, Endpoint} from '@bitternpaddle/coordination';
-import type {Catalog, Change, UnansweredVerdict} from '@bitternpaddle/state';
+import type {
+	Catalog, Change, NotRun, UnansweredVerdict,
+} from '@bitternpaddle/state';
 import type {Call} from './call.js';
 
 /** How an attempt at an endpoint ended, for the router's view of that endpoint. */
@@ -19,6 +21,9 @@
 	end(end: RoutedEnd): void;
 };
 
+/** What a call is told that asked for an endpoint; `busy` only if it has no place in the queue. */
+export type Turn = Choice | {readonly type: 'refused'; readonly verdict: NotRun};
+
 /** The entry's seam to the routing decisions. */
 export type Routing = {
 	/** The revision that the choices follow from. */
@@ -26,7 +31,9 @@
 	/** `changes` led to the catalog; `null` when it came as a whole. */
 	update(catalog: Catalog, changes: readonly Change[] | null): void;
 	/** Waits in the queue while all that serves the target is full. */
-	choose(call: Call, tried: ReadonlySet<string>): Promise<Choice>;
+	choose(call: Call, tried: ReadonlySet<string>): Promise<Turn>;
+	/** Puts a call that has started back in its place in the queue, and waits for its turn. */
+	requeue(call: Call, tried: ReadonlySet<string>): Promise<Turn>;
 	start(call: Call, endpoint: Endpoint): RoutedAttempt;
 };
 
--- a/packages/daemon/src/entry/traffic.ts
+++ b/packages/daemon/src/entry/traffic.ts
@@ -1,14 +1,17 @@
 import {
 	cancelRequest, changedHostIds, chooseEndpoint, createAdmission, createRandom, createRouter, finishRequest, hasEndpoint, hasRoom, noteLoadReport, offerRequest, returnToQueue,
 	setEntries, setShares, takeRequest, tickAdmission, tickRouter, updateRouter, waitingFor,
-	type AdmissionOptions, type AdmissionRefusal, type Choice, type Endpoint, type RouterNotice, type RouteTarget,
+	type AdmissionOptions, type AdmissionRefusal, type Choice, type Endpoint, type RouteTarget,
 } from '@bitternpaddle/coordination';
-import {notRun, type NotRun} from '@bitternpaddle/state';
+import {notRun} from '@bitternpaddle/state';
 import type {Logger, Metrics} from '@bitternpaddle/transport';
-import {match} from 'ts-pattern';
+import {verdictOf} from './admission-verdict.js';
 import {nameOf, type Call} from './call.js';
 import {createRoutedAttempt} from './routed-attempt.js';
-import type {Admission, RoutedAttempt, Routing} from './routing.js';
+import type {
+	Admission, RoutedAttempt, Routing, Turn,
+} from './routing.js';
+import {tellNotice} from './tell-notice.js';
 
 export type TrafficOptions = {
 	readonly entryId: string;
@@ -29,9 +32,6 @@
 	close(): void;
 };
 
-/** What a call that waits is told when its turn comes, or that it will not come. */
-type Turn = {readonly type: 'placed'; readonly choice: Choice} | {readonly type: 'refused'; readonly verdict: NotRun};
-
 type Waiter = {readonly call: Call; readonly tried: ReadonlySet<string>; resolve(turn: Turn): void};
 
 /** A call between its admission and its end. */
@@ -126,7 +126,7 @@
 		const reserved = choice.type === 'chosen' ? {choice, attempt: startAttempt(call, choice.endpoint)} : null;
 		admitted.set(requestId, {reserved, hasRun: admitted.get(requestId)?.hasRun ?? false});
 		waiters.delete(requestId);
-		resolve({type: 'placed', choice});
+		resolve(choice);
 	};
 
 	const refuseAll = (refusals: readonly AdmissionRefusal[]): void => {
@@ -141,7 +141,7 @@
 		const leave = (): void => {
 			if (waiters.delete(requestId)) {
 				cancelRequest(admission, requestId);
-				resolve({type: 'refused', verdict: notRun('nobody waits for the answer any more')});
+				resolve({type: 'refused', verdict: notRun(signal.reason === 'deadline' ? 'the deadline passed' : 'nobody waits for the answer any more')});
 			}
 		};
 
@@ -160,6 +160,15 @@
 		pump(nameOf(call.target));
 	});
 
+	const requeue = async (call: Call, tried: ReadonlySet<string>): Promise<Turn> => {
+		if (!admitted.has(call.requestId)) {
+			return {type: 'busy'};
+		}
+
+		returnToQueue(admission, call.requestId);
+		return waitForTurn(call, tried);
+	};
+
 	const release = (requestId: string): void => {
 		const record = admitted.get(requestId);
 		admitted.delete(requestId);
@@ -170,7 +179,7 @@
 	const tick = (): void => {
 		const nowMs = performance.now();
 		for (const notice of tickRouter(router, nowMs)) {
-			tell(notice);
+			tellNotice(notice, {logger, metrics});
 		}
 
 		refuseAll(tickAdmission(admission, nowMs));
@@ -195,21 +204,6 @@
 		}
 	};
 
-	const tell = (notice: RouterNotice): void => {
-		match(notice)
-			.with({type: 'ejected'}, ({hostId, reason}) => {
-				logger.event('BP2101', {hostId, reason});
-				metrics?.increment('entry.ejected', {reason});
-			})
-			.with({type: 'returned'}, ({hostId}) => {
-				logger.event('BP2102', {hostId});
-			})
-			.with({type: 'panicked'}, ({group}) => {
-				logger.event('BP2103', {group});
-			})
-			.exhaustive();
-	};
-
 	const timer = setInterval(tick, tickMs);
 	timer.unref();
 	return {
@@ -227,14 +221,9 @@
 			}
 
 			const choice = chooseNow(call, tried);
-			if (choice.type !== 'busy' || !admitted.has(call.requestId)) {
-				return choice;
-			}
-
-			returnToQueue(admission, call.requestId);
-			const turn = await waitForTurn(call, tried);
-			return turn.type === 'placed' ? turn.choice : {type: 'noEndpoint'};
+			return choice.type === 'busy' ? requeue(call, tried) : choice;
 		},
+		requeue,
 		start(call, endpoint) {
 			const record = admitted.get(call.requestId);
 			const attempt = record?.reserved?.attempt;
@@ -275,10 +264,3 @@
 		},
 	};
 };
-
-const verdictOf = ({reason, retryAfterMs}: AdmissionRefusal): NotRun => match(reason)
-	.with('teamLimit', () => ({...notRun('the team has used up its share of the limit', retryAfterMs), isOverLimit: true}))
-	.with('teamQueueFull', () => notRun('too many requests of this team wait', retryAfterMs))
-	.with('targetQueueFull', () => notRun('too many requests wait', retryAfterMs))
-	.with('deadline', () => notRun('the request cannot be answered by its deadline', retryAfterMs))
-	.exhaustive();
--- a/packages/protocol/src/http/headers.ts
+++ b/packages/protocol/src/http/headers.ts
@@ -14,6 +14,10 @@
 export const fleetHeader = 'x-bitternpaddle-fleet';
 export const deadlineHeader = 'x-bitternpaddle-deadline-ms';
 export const verdictHeader = 'x-bitternpaddle-verdict';
+/** Why a door refused, where the entry acts on it: `fullRefusal`. */
+export const refusalHeader = 'x-bitternpaddle-refusal';
+/** The door has no room now. */
+export const fullRefusal = 'full';
 /** Requests that run at the host, of all entries. */
 export const loadHeader = 'x-bitternpaddle-load';
 /** A caller's own order among its team's requests: 0 (most urgent) to 3. */
--- a/test/limits-and-routing.test.ts
+++ b/test/limits-and-routing.test.ts
@@ -26,8 +26,8 @@
 	await waitUntil('the entry knows it', async () => (await ask(cluster, 'small-key', 1)).status === 200);
 };
 
-const ask = async (cluster: DevCluster, token: string, tokens = 20) => postJson({
-	address: cluster.entries[0]!.address, token, path: '/v1/chat/completions', headers: {[deadlineHeader]: '120000'}, idleTimeoutMs: 120_000,
+const ask = async (cluster: DevCluster, token: string, tokens = 20, entry = 0) => postJson({
+	address: cluster.entries[entry]!.address, token, path: '/v1/chat/completions', headers: {[deadlineHeader]: '120000'}, idleTimeoutMs: 120_000,
 	body: {model: 'pitch-desk', max_tokens: tokens, messages: [{role: 'user', content: 'where?'}]},
 });
 
@@ -121,6 +121,21 @@
 	t.ok(toldMs > leastMs, `told to come back after ${toldMs} ms`);
 });
 
+// Two entries send to one endpoint that runs 16, and neither knows what the
+// other has just sent. The door refuses what is too much. Nothing has run, there
+// is no other endpoint, and the callers have two minutes: they must wait for a
+// place in their entry's queue, and not be told "not run" for a lost race.
+t.test('who loses the race for a place waits for the next', async t => {
+	const cluster = await createDevCluster({engines: 1, entries: 2});
+	t.teardown(async () => cluster.close());
+	await setUp(cluster);
+	await waitUntil('the other entry knows it', async () => (await ask(cluster, 'small-key', 1, 1)).status === 200);
+	const runsBefore = countRuns(cluster);
+	const answers = await Promise.all(Array.from({length: 200}, async (_, index) => ask(cluster, 'large-key', 50, index % 2)));
+	t.same(answers.filter(({status}) => status !== 200).map(({text}) => text), []);
+	t.equal(countRuns(cluster) - runsBefore, 200, 'each ran once');
+});
+
 // A team has used up its share of the limit and sends on. It must be told so
 // (429, with the time to come back) and nothing of that may run, while another
 // team's requests are answered. A request costs 20 and a little for its prompt.
