--- a/packages/coordination/src/routing/router.ts
+++ b/packages/coordination/src/routing/router.ts
@@ -252,6 +252,11 @@
 		// What the door has just proved goes before any earlier report.
 		host.others = Math.max(host.others, host.capacity - host.running);
 		host.reportedAtMs = nowMs;
+	} else if (outcome.type === 'answered') {
+		// It left a place free. A report from before this entry's last starts counts
+		// that place as another's still; by it the host would stay full, and idle,
+		// until the report has faded.
+		host.others = Math.min(host.others, Math.max(0, host.capacity - 1 - host.running));
 	}
 
 	noteOutcome(state, host, outcome, nowMs);
--- a/packages/coordination/test/router.test.ts
+++ b/packages/coordination/test/router.test.ts
@@ -263,6 +263,23 @@
 	t.ok(new Set(Array.from({length: 20}, () => choose(router, 9000))).has('h1'), 'it is asked again');
 });
 
+// Others' four requests end, this entry starts four, and then a report from
+// before all that comes in. By sum the host runs eight of four. When one of the
+// four ends, its place stays empty while callers wait, until the report fades.
+t.test('an answer frees its place, whatever an old report says', async t => {
+	const {router} = setUp(manyHosts(1));
+	for (let index = 0; index < 4; index++) {
+		noteStart(router, 'h0', 300);
+	}
+
+	noteLoadReport(router, 'h0', {running: 4, ageMs: 200}, 400);
+	t.equal(chooseEndpoint(router, ask, 450).type, 'busy');
+	end(router, 'h0', answered, 500);
+	t.equal(choose(router, 500), 'h0');
+	noteStart(router, 'h0', 500);
+	t.equal(chooseEndpoint(router, ask, 501).type, 'busy', 'one place, not more');
+});
+
 t.test('hosts whose load is not known are probed, not more than once a second', async t => {
 	const {router} = setUp(manyHosts(2));
 	t.match(chooseEndpoint(router, ask, 100), {type: 'chosen', probes: []}, 'a lone entry knows all there is');
