feat(coordination): the steps of a claimed call as a pure machine

Cause: claim, move, settle and conclude were plain code in the entry; the model test held a copy of them, not the code itself. Change: stepClaimedCall decides, serve-once carries out, in place of the old code.

--- a/packages/coordination/src/requests/index.ts
+++ b/packages/coordination/src/requests/index.ts
@@ -1,3 +1,4 @@
 export * from './attempt.js';
+export * from './claimed-call.js';
 export * from './event-gate.js';
 export * from './retry.js';
--- a/packages/daemon/src/entry/serve-once.ts
+++ b/packages/daemon/src/entry/serve-once.ts
@@ -1,15 +1,16 @@
-import type {Buffer} from 'node:buffer';
+import {
+	createClaimedCall, firstClaimedCallEffect, stepClaimedCall, type AttemptedEnd, type ClaimedCallEffect, type ClaimedCallEvent, type ClaimedCallReply, type ClaimedCallState,
+} from '@bitternpaddle/coordination';
 import {idempotencyKeyHeader, requestIdHeader} from '@bitternpaddle/protocol';
 import {
-	idempotencyKeySchema, mayHaveRun, notRun, requestIdSchema, serviceIdSchema, sha256, teamIdSchema,
-	type Change, type ClaimPlace, type ClaimState, type CommandResult,
+	idempotencyKeySchema, mayHaveRun, requestIdSchema, serviceIdSchema, sha256, teamIdSchema, type Change, type ClaimPlace, type CommandResult,
 } from '@bitternpaddle/state';
 import {match} from 'ts-pattern';
 import type {ConfigurationClient} from '../host/configuration-client.js';
 import {RefusedError, type Call} from './call.js';
 import type {AttemptsOptions, CallOutcome} from './attempts.js';
 import {sendRefusal, type Relay} from './relay.js';
-import {findOutcome} from './settle-claim.js';
+import {answerOf, findOutcome} from './settle-claim.js';
 
 export type ServeOnceOptions = {
 	readonly configuration: ConfigurationClient;
@@ -19,52 +20,109 @@
 	attempt(call: Call, mayDispatch: AttemptsOptions['mayDispatch']): Promise<CallOutcome>;
 };
 
-type Outcome = Extract<Change, {type: 'concludeClaim'}>['outcome'];
+const concludeTries = 3;
 
-type HeldClaim = Extract<CommandResult, {type: 'claimHeld'}>;
+/** One call on its way, and the answer of its own attempt once that is here. */
+type Serving = {
+	readonly call: Call;
+	readonly state: ClaimedCallState;
+	sendAnswer: (() => void) | null;
+};
 
-/** Larger answers are passed on but not kept for resends. */
-const storedAnswerLimitBytes = 65_536;
-const concludeTries = 3;
-/** A resend that finds the claim barred takes it anew; another resend may be faster each time. */
-const maxRounds = 3;
+type StepEffect = Exclude<ClaimedCallEffect, {type: 'finish' | 'dispatch' | 'stop'}>;
 
 /** Runs calls that may not be repeated: first the claim, then the call, then its outcome. */
 export const createServeOnce = ({configuration, relay, suspectMs, attempt}: ServeOnceOptions) => {
-	const propose = async (change: Change): Promise<CommandResult> => configuration.propose({commandId: null, ifRevision: null, change});
+	const write = async (change: Change): Promise<CommandResult> => configuration.propose({commandId: null, ifRevision: null, change});
+
+	const propose = async (change: Change): Promise<ClaimedCallEvent> => {
+		try {
+			return {type: 'proposed', result: await write(change)};
+		} catch (error) {
+			return {type: 'proposalFailed', reason: (error as Error).message};
+		}
+	};
 
 	const nameOf = (call: Call) => ({
 		teamId: teamIdSchema.parse(call.teamId), serviceId: serviceIdSchema.parse(call.target.type === 'service' ? call.target.serviceId : ''),
 		key: idempotencyKeySchema.parse(call.idempotencyKey), requestId: requestIdSchema.parse(call.requestId),
 	});
 
-	const claim = async (call: Call, place: ClaimPlace | null): Promise<CommandResult> => propose({
-		type: 'claim', ...nameOf(call), place, atMs: Date.now(), bodyDigest: sha256(`${call.method} ${call.path}\n${call.body.toString('base64')}`),
-	});
-
-	/**
-	 * Writes the outcome down. If control cannot be reached the claim stays as
-	 * it is: a resend finds the outcome at the endpoint's door, so the caller is
-	 * told the truth either way.
-	 */
-	const conclude = async (call: Call, requestId: string, attemptId: string | null, outcome: Outcome): Promise<void> => {
+	const conclude = async (call: Call, {requestId, attemptId, outcome}: Extract<ClaimedCallEffect, {type: 'conclude'}>): Promise<ClaimedCallEvent> => {
 		for (let number = 1; number <= concludeTries; number++) {
 			try {
-				await propose({
+				await write({
 					type: 'concludeClaim', ...nameOf(call), requestId: requestIdSchema.parse(requestId), attemptId, outcome,
 				});
-				return;
+				break;
 			} catch {
 				// Tried again; a second conclusion of the same attempt changes nothing.
 			}
 		}
+
+		return {type: 'concluded'};
 	};
 
-	const outcomeOf = (status: number, contentType: string | undefined, body: Buffer): Outcome => ({
-		type: 'ran', status, contentType: contentType ?? 'application/json', body: body.length > storedAnswerLimitBytes ? null : body.toString('base64'),
-	});
+	const carryOut = async (serving: Serving, effect: StepEffect): Promise<ClaimedCallEvent> => {
+		const {call} = serving;
+		return match(effect)
+			.returnType<Promise<ClaimedCallEvent>>()
+			.with({type: 'attempt'}, async () => ({
+				type: 'attempted', end: await endOf(serving, await attempt(call, async place => mayDispatch(serving, place))),
+			}))
+			.with({type: 'claim'}, async ({place}) => propose({
+				type: 'claim', ...nameOf(call), place, atMs: Date.now(), bodyDigest: sha256(`${call.method} ${call.path}\n${call.body.toString('base64')}`),
+			}))
+			.with({type: 'move'}, async ({place}) => propose({type: 'moveClaim', ...nameOf(call), place}))
+			.with({type: 'settle'}, async ({place, requestId}) => ({
+				type: 'found', found: await findOutcome({
+					place, requestId, suspectMs, catalog: configuration.catalog(), signal: call.abort.signal,
+					collect: async answer => relay.collect(requestId, answer),
+				}),
+			}))
+			.with({type: 'conclude'}, async conclusion => conclude(call, conclusion))
+			.exhaustive();
+	};
+
+	const mayDispatch = async (serving: Serving, place: ClaimPlace): Promise<boolean> => {
+		const effect = stepClaimedCall(serving.state, {type: 'placed', place}) as StepEffect;
+		return stepClaimedCall(serving.state, await carryOut(serving, effect)).type === 'dispatch';
+	};
+
+	const endOf = async (serving: Serving, outcome: CallOutcome): Promise<AttemptedEnd> => {
+		if (outcome.type !== 'answer') {
+			return outcome;
+		}
 
-	const sendState = (call: Call, state: ClaimState | {readonly type: 'differentBody'}): void => {
+		const {call} = serving;
+		const {answer, place} = outcome;
+		const body = await relay.collect(call.requestId, answer);
+		if (body === null) {
+			return {type: 'answered', place, answer: null};
+		}
+
+		serving.sendAnswer = () => {
+			relay.sendCollected(call, answer, body);
+		};
+
+		return {type: 'answered', place, answer: answerOf(answer, body)};
+	};
+
+	const reply = ({call, sendAnswer}: Serving, end: ClaimedCallReply): void => {
+		match(end)
+			.with({type: 'verdict'}, ({verdict}) => {
+				relay.sendVerdict(call, verdict);
+			})
+			.with({type: 'answer'}, () => {
+				sendAnswer!();
+			})
+			.with({type: 'held'}, ({state}) => {
+				sendHeld(call, state);
+			})
+			.exhaustive();
+	};
+
+	const sendHeld = (call: Call, state: Extract<ClaimedCallReply, {type: 'held'}>['state']): void => {
 		match(state)
 			.with({type: 'ran', body: null}, () => {
 				sendRefusal(call.response, {status: 409, type: 'already_ran', message: 'the call with this key has run; its answer is no longer kept'});
@@ -85,117 +143,6 @@
 			.exhaustive();
 	};
 
-	/**
-	 * Another request holds the key. If it is still in progress, its entry may
-	 * be dead, so the door that it went to is asked. `true`: it provably never
-	 * ran, the claim is gone, and this call may take it.
-	 */
-	const serveHeld = async (call: Call, held: HeldClaim): Promise<boolean> => {
-		const {state, place, requestId} = held;
-		if (state.type !== 'inProgress') {
-			sendState(call, state);
-			return false;
-		}
-
-		const found = await findOutcome({
-			place, requestId, suspectMs, catalog: configuration.catalog(), signal: call.abort.signal,
-			collect: async answer => relay.collect(requestId, answer),
-		});
-		return match(found)
-			.with({type: 'notRun'}, async () => {
-				await conclude(call, requestId, place?.attemptId ?? null, {type: 'notRun'});
-				return true;
-			})
-			.with({type: 'running'}, () => {
-				sendState(call, {type: 'inProgress'});
-				return false;
-			})
-			.with({type: 'ran'}, async ({status, contentType, body}) => {
-				const outcome = outcomeOf(status, contentType, body);
-				await conclude(call, requestId, place!.attemptId, outcome);
-				sendState(call, {
-					type: 'ran', status, contentType: contentType ?? 'application/json', body: body.toString('base64'),
-				});
-				return false;
-			})
-			.with({type: 'lost'}, async ({isForGood}) => {
-				if (isForGood) {
-					await conclude(call, requestId, place!.attemptId, {type: 'mayHaveRun'});
-				}
-
-				sendState(call, {type: 'mayHaveRun'});
-				return false;
-			})
-			.exhaustive();
-	};
-
-	/** One try to claim and run; gives the claim that was in the way, if any. */
-	const runClaimed = async (call: Call): Promise<HeldClaim | null> => {
-		let held: HeldClaim | null = null;
-		let refusal: string | null = null;
-		let isClaimed = false;
-		const mayDispatch = async (place: ClaimPlace): Promise<boolean> => {
-			const result = await (isClaimed ? propose({type: 'moveClaim', ...nameOf(call), place}) : claim(call, place)).catch((error: unknown) => error as Error);
-			if (result instanceof Error) {
-				refusal = `the call could not be claimed: ${result.message}`;
-			} else if (result.type === 'claimHeld') {
-				held = result;
-			} else if (result.type === 'refused') {
-				refusal = result.message;
-			} else {
-				isClaimed = true;
-				return true;
-			}
-
-			return false;
-		};
-
-		const outcome = await attempt(call, mayDispatch);
-		if (outcome.type === 'stopped') {
-			if (held === null) {
-				relay.sendVerdict(call, notRun(refusal ?? 'the call could not be claimed'));
-			}
-
-			return held;
-		}
-
-		if (outcome.type === 'verdict') {
-			return endUnanswered(call, outcome);
-		}
-
-		await finishAnswered(call, outcome);
-		return null;
-	};
-
-	const endUnanswered = async (call: Call, {verdict, place}: Extract<CallOutcome, {type: 'verdict'}>): Promise<HeldClaim | null> => {
-		if (place === null) {
-			// No endpoint is ready, but an earlier call with this key may have an outcome.
-			const result = await claim(call, null).catch(() => null);
-			if (result?.type === 'claimHeld') {
-				return result;
-			}
-
-			await conclude(call, call.requestId, null, {type: 'notRun'});
-		} else if (verdict.type === 'notRun') {
-			await conclude(call, call.requestId, place.attemptId, {type: 'notRun'});
-		}
-
-		// A claim that may have run stays in progress: a resend asks the door, which may know more by then.
-		relay.sendVerdict(call, verdict);
-		return null;
-	};
-
-	const finishAnswered = async (call: Call, {answer, place}: Extract<CallOutcome, {type: 'answer'}>): Promise<void> => {
-		const body = await relay.collect(call.requestId, answer);
-		if (body === null) {
-			relay.sendVerdict(call, mayHaveRun('the answer was not whole'));
-			return;
-		}
-
-		await conclude(call, call.requestId, place.attemptId, outcomeOf(answer.status, answer.headers['content-type'], body));
-		relay.sendCollected(call, answer, body);
-	};
-
 	return async (caller: Call): Promise<void> => {
 		if (caller.idempotencyKey === null) {
 			throw new RefusedError({status: 400, type: 'invalid_request', message: `a service whose calls may not be repeated needs an ${idempotencyKeyHeader} header`});
@@ -203,13 +150,12 @@
 
 		// The caller's hanging up does not end the run: its outcome is kept for the resend.
 		const call: Call = {...caller, abort: new AbortController()};
-		for (let round = 1; round <= maxRounds; round++) {
-			const held = await runClaimed(call);
-			if (held === null || !await serveHeld(call, held)) {
-				return;
-			}
+		const serving: Serving = {call, state: createClaimedCall({requestId: call.requestId}), sendAnswer: null};
+		let effect = firstClaimedCallEffect;
+		while (effect.type !== 'finish') {
+			effect = stepClaimedCall(serving.state, await carryOut(serving, effect as StepEffect));
 		}
 
-		sendState(call, {type: 'inProgress'});
+		reply(serving, effect.reply);
 	};
 };
--- a/packages/daemon/src/entry/settle-claim.ts
+++ b/packages/daemon/src/entry/settle-claim.ts
@@ -1,4 +1,5 @@
 import type {Buffer} from 'node:buffer';
+import type {ClaimAnswer, FoundOutcome} from '@bitternpaddle/coordination';
 import type {Catalog, ClaimPlace} from '@bitternpaddle/state';
 import {match} from 'ts-pattern';
 import {recover, type AttemptAnswer} from './dispatch.js';
@@ -13,13 +14,10 @@
 	collect(answer: AttemptAnswer): Promise<Buffer | null>;
 };
 
-/** What became of a claimed call whose entry does not say. */
-export type FoundOutcome
-	= | {readonly type: 'notRun'}
-		| {readonly type: 'running'}
-		| {readonly type: 'ran'; readonly status: number; readonly contentType: string | undefined; readonly body: Buffer}
-	/** `isForGood`: the agent that knew is gone and will not come back. */
-		| {readonly type: 'lost'; readonly isForGood: boolean};
+/** An answer as the log keeps it. */
+export const answerOf = ({status, headers}: AttemptAnswer, body: Buffer): ClaimAnswer => ({
+	status, contentType: headers['content-type'] ?? 'application/json', body: body.toString('base64'), sizeBytes: body.length,
+});
 
 /** Asks the door that a claimed call went to; bars the call there if it has not started. */
 export const findOutcome = async (options: FindOutcomeOptions): Promise<FoundOutcome> => {
@@ -39,11 +37,7 @@
 		.with({type: 'unknown'}, () => ({type: 'lost', isForGood: true}))
 		.with({type: 'answer'}, async ({answer}) => {
 			const body = await collect(answer);
-			return body === null
-				? {type: 'lost', isForGood: true}
-				: {
-					type: 'ran', status: answer.status, contentType: answer.headers['content-type'], body,
-				};
+			return body === null ? {type: 'lost', isForGood: true} : {type: 'ran', answer: answerOf(answer, body)};
 		})
 		.exhaustive();
 };
