feat(admission): lend what one entry does not need of the fleet-wide limit

Change: an entry lends what it does not need for 3 s to one that asks; it counts the loan from its answer and half a second longer than the borrower, which counts from its asking, so no common clock is needed. Each entry knows for itself that what it spends and lends is its part, whoever is silent, late or restarted. A joining entry takes its part when the others have left it; one that control has not named for 12 s gives it up, and the others take it 3.5 s after that at the earliest.

--- a/packages/coordination/src/admission/admission.ts
+++ b/packages/coordination/src/admission/admission.ts
@@ -26,7 +26,7 @@
 
 type Target = {readonly queue: FairQueue; readonly rate: ServiceRate};
 
-type Team = {readonly weight: number; bucket: TokenBucket | null};
+type Team = {readonly weight: number; bucket: TokenBucket | null; offered: number};
 
 /** One entry's queues and limits. */
 export type AdmissionState = {
@@ -51,10 +51,15 @@
 	readonly teams: ReadonlyMap<string, number>;
 	/** Entries that share the fleet-wide limit. */
 	readonly entries: number;
+	/** What this entry may let through a second, by team. @default an equal part */
+	readonly rates?: ReadonlyMap<string, number>;
+	/** New buckets are empty: other entries may have let through what would be in them. @default false */
+	readonly startsEmpty?: boolean;
 };
 
 /** Takes the teams' shares and the number of entries; called when either changes. */
-export const setShares = (state: AdmissionState, {teams, entries}: Shares, nowMs: number): void => {
+export const setShares = (state: AdmissionState, shares: Shares, nowMs: number): void => {
+	const {teams, entries} = shares;
 	state.entries = Math.max(1, entries);
 	state.totalWeight = 0;
 	for (const weight of teams.values()) {
@@ -68,21 +73,25 @@
 	}
 
 	for (const [teamId, weight] of teams) {
-		state.teams.set(teamId, {weight, bucket: bucketFor(state, teamId, weight, nowMs)});
+		state.teams.set(teamId, {weight, bucket: bucketFor(state, teamId, shares, nowMs), offered: state.teams.get(teamId)?.offered ?? 0});
 	}
 };
 
-const bucketFor = (state: AdmissionState, teamId: string, weight: number, nowMs: number): TokenBucket | null => {
+const bucketFor = (state: AdmissionState, teamId: string, {teams, rates, startsEmpty = false}: Shares, nowMs: number): TokenBucket | null => {
 	const {fleetTokensPerSecond, burstSeconds} = state.options;
 	if (fleetTokensPerSecond === null) {
 		return null;
 	}
 
-	const ratePerSecond = fleetTokensPerSecond * weight / state.totalWeight / state.entries;
-	const burst = ratePerSecond * burstSeconds;
+	const equalRate = fleetTokensPerSecond * teams.get(teamId)! / state.totalWeight / state.entries;
+	const ratePerSecond = rates?.get(teamId) ?? equalRate;
+	// Lent and borrowed rates move nothing that was saved up, so that what all entries saved up stays the same.
+	const burst = equalRate * burstSeconds;
 	const known = state.teams.get(teamId)?.bucket ?? null;
 	if (known === null) {
-		return createTokenBucket({ratePerSecond, burst, nowMs});
+		const bucket = createTokenBucket({ratePerSecond, burst, nowMs});
+		bucket.level = startsEmpty ? 0 : burst;
+		return bucket;
 	}
 
 	setBucketRate(known, ratePerSecond, burst, nowMs);
@@ -133,8 +142,14 @@
 };
 
 const takeFromBucket = (state: AdmissionState, {requestId, teamId, cost}: AdmissionRequest, nowMs: number): AdmissionRefusal | null => {
-	const bucket = state.teams.get(teamId)?.bucket ?? null;
-	const waitMs = bucket === null ? 0 : takeTokens(bucket, cost, nowMs);
+	const team = state.teams.get(teamId);
+	const bucket = team?.bucket ?? null;
+	if (team === undefined || bucket === null) {
+		return null;
+	}
+
+	team.offered += cost;
+	const waitMs = takeTokens(bucket, cost, nowMs);
 	return waitMs === 0 ? null : refuse(requestId, 'teamLimit', waitMs);
 };
 
--- a/packages/coordination/src/admission/index.ts
+++ b/packages/coordination/src/admission/index.ts
@@ -1,3 +1,9 @@
 export * from './admission.js';
+export {
+	answerShareRequest, countEntries, createEntryShares, setTeamRates, shareOf, takeEntries, takeShareAnswer, tickShares,
+	type EntryShares, type EntrySharesOptions, type ShareAnswer, type ShareAsk, type ShareRequest,
+} from './entry-shares.js';
 export * from './retry-budget.js';
+export type {TeamUse} from './share-needs.js';
+export * from './team-limits.js';
 export type * from './types.js';
--- a/packages/daemon/src/entry/admin-tokens.ts
+++ b/packages/daemon/src/entry/admin-tokens.ts
@@ -20,3 +20,9 @@
 };
 
 export const mayAct = (role: AdminRole, needed: AdminRole): boolean => adminRoles.indexOf(role) >= adminRoles.indexOf(needed);
+
+/** The token that entries show each other: the one of them that may do least. */
+export const exchangeToken = (tokens: readonly AdminToken[]): string => tokens.toSorted((a, b) => adminRoles.indexOf(a.role) - adminRoles.indexOf(b.role))[0]?.token ?? '';
+
+/** Entries without any token trust whoever reaches them. */
+export const isExchangeToken = (tokens: readonly AdminToken[], presented: string): boolean => tokens.length === 0 || roleOfToken(tokens, presented) !== null;
--- a/packages/daemon/src/entry/create-entry-node.ts
+++ b/packages/daemon/src/entry/create-entry-node.ts
@@ -1,5 +1,5 @@
 import {createBurnCounter, type AdmissionOptions} from '@bitternpaddle/coordination';
-import {loadResultSchema, type HostReport} from '@bitternpaddle/protocol';
+import {entrySharesAnswerSchema, loadResultSchema, type HostReport} from '@bitternpaddle/protocol';
 import {
 	callRpc, createHttpServer, rpcPath, sendJson, silentLogger, type Logger, type Metrics,
 } from '@bitternpaddle/transport';
@@ -7,7 +7,7 @@
 import {createFailingHosts} from '../host/failing-hosts.js';
 import {createFleetOutcomes} from './fleet-outcomes.js';
 import {adminPrefix, createAdminHandler} from './admin-api.js';
-import type {AdminToken} from './admin-tokens.js';
+import {exchangeToken, type AdminToken} from './admin-tokens.js';
 import {countRequest, serviceOfTarget, servicesOfModels} from './count-burn.js';
 import {createEntryPeers, createEntryRpc} from './entry-peers.js';
 import {createRelay, sendRefusal} from './relay.js';
@@ -50,6 +50,7 @@
 };
 
 const probeTimeoutMs = 500;
+const sharesTimeoutMs = 900;
 
 /** One entry host: what callers and operators talk to. */
 export const createEntryNode = async (options: EntryNodeOptions): Promise<EntryNode> => {
@@ -114,7 +115,13 @@
 		entryId, zoneId, regionId, limits, logger, metrics,
 		async listEntries() {
 			const {rows} = await configuration.query({type: 'show', subject: 'hosts', where: [{field: 'role', operator: '=', value: 'entry'}]});
-			return rows.map(({host}) => String(host));
+			return new Map(rows.map(({host, address}) => [String(host), String(address)]));
+		},
+		async askShares(address, request) {
+			const answer = await callRpc<unknown>({
+				address, method: 'entry.shares', params: {token: exchangeToken(adminTokens), request}, timeoutMs: sharesTimeoutMs,
+			});
+			return entrySharesAnswerSchema.parse(answer);
 		},
 		async askLoad(address) {
 			const answer = await callRpc<unknown>({
@@ -130,7 +137,7 @@
 	});
 	const handleAdmin = createAdminHandler({configuration, peers: createEntryPeers(configuration), tokens: adminTokens});
 	const entryRpc = createEntryRpc({
-		entryId, tokens: adminTokens, counter: burnCounter, requests: requestLog,
+		entryId, tokens: adminTokens, counter: burnCounter, requests: requestLog, answerShares: request => traffic.answerShares(request),
 	});
 
 	return {
--- a/packages/daemon/src/entry/entry-peers.ts
+++ b/packages/daemon/src/entry/entry-peers.ts
@@ -1,6 +1,8 @@
-import {exportCounts, type BurnCounter} from '@bitternpaddle/coordination';
 import {
-	burnAnswerSchema, entryBurnParametersSchema, entryRequestsParametersSchema, requestsAnswerSchema, rpcErrorCodes, type BurnAnswer, type RequestsAnswer,
+	exportCounts, type BurnCounter, type ShareAnswer, type ShareRequest,
+} from '@bitternpaddle/coordination';
+import {
+	burnAnswerSchema, entryBurnParametersSchema, entryRequestsParametersSchema, entrySharesParametersSchema, requestsAnswerSchema, rpcErrorCodes, type BurnAnswer, type RequestsAnswer,
 	type RequestSelection,
 } from '@bitternpaddle/protocol';
 import {
@@ -8,7 +10,7 @@
 } from '@bitternpaddle/transport';
 import type {z} from 'zod';
 import type {ConfigurationClient} from '../host/configuration-client.js';
-import {roleOfToken, type AdminToken} from './admin-tokens.js';
+import {isExchangeToken, roleOfToken, type AdminToken} from './admin-tokens.js';
 import type {RequestLog} from './request-log.js';
 
 export type EntryRpcOptions = {
@@ -16,12 +18,13 @@
 	readonly tokens: readonly AdminToken[];
 	readonly counter: BurnCounter;
 	readonly requests: RequestLog;
+	answerShares(request: ShareRequest): ShareAnswer;
 };
 
 const parameterLimitBytes = 16_384;
 
 /** What one entry answers to the others. */
-export const createEntryRpc = ({entryId, tokens, counter, requests}: EntryRpcOptions): RpcServer => {
+export const createEntryRpc = ({entryId, tokens, counter, requests, answerShares}: EntryRpcOptions): RpcServer => {
 	// Callers reach this port too: without the operator's token, anybody could read who calls what.
 	const assertOperator = (token: string): void => {
 		if (roleOfToken(tokens, token) === null) {
@@ -38,6 +41,13 @@
 		assertOperator(token);
 		return {entryId, records: requests.select(selection)};
 	});
+	rpc.method('entry.shares', entrySharesParametersSchema, ({token, request}): ShareAnswer => {
+		if (!isExchangeToken(tokens, token)) {
+			throw new RpcError(rpcErrorCodes.unauthorized, 'this entry does not know the token');
+		}
+
+		return answerShares(request);
+	});
 	return rpc;
 };
 
--- a/packages/daemon/src/entry/traffic.ts
+++ b/packages/daemon/src/entry/traffic.ts
@@ -1,12 +1,13 @@
 import {
 	cancelRequest, changedHostIds, chooseEndpoint, createAdmission, createRandom, createRouter, finishRequest, hasEndpoint, hasRoom, noteLoadReport, offerRequest, returnToQueue,
-	setEntries, setShares, takeRequest, tickAdmission, tickRouter, updateRouter, waitingFor,
-	type AdmissionOptions, type AdmissionRefusal, type Choice, type Endpoint, type RouterNotice, type RouteTarget,
+	setEntries, takeRequest, tickAdmission, tickRouter, updateRouter, waitingFor,
+	type AdmissionOptions, type AdmissionRefusal, type Choice, type Endpoint, type RouterNotice, type RouteTarget, type ShareAnswer, type ShareRequest,
 } from '@bitternpaddle/coordination';
 import {notRun, type NotRun} from '@bitternpaddle/state';
 import type {Logger, Metrics} from '@bitternpaddle/transport';
 import {match} from 'ts-pattern';
 import {nameOf, type Call} from './call.js';
+import {createLimitShares, type EntryAddresses} from './limit-shares.js';
 import {createRoutedAttempt} from './routed-attempt.js';
 import type {Admission, RoutedAttempt, Routing} from './routing.js';
 
@@ -17,8 +18,10 @@
 	readonly limits: AdmissionOptions;
 	readonly logger: Logger;
 	readonly metrics?: Metrics;
-	/** Names of all entries that control knows. */
-	listEntries(): Promise<readonly string[]>;
+	/** All entries that control knows. */
+	listEntries(): Promise<EntryAddresses>;
+	/** Asks another entry for a part of its share of the limit. */
+	askShares(address: string, request: ShareRequest): Promise<ShareAnswer>;
 	/** Asks a host how many requests run there. */
 	askLoad(address: string): Promise<number>;
 };
@@ -26,6 +29,8 @@
 /** Admission and routing of one entry. */
 export type Traffic = Routing & {
 	admit(call: Call): Promise<Admission>;
+	/** Answers another entry that needs more of the limit. */
+	answerShares(request: ShareRequest): ShareAnswer;
 	close(): void;
 };
 
@@ -42,21 +47,20 @@
 };
 
 const tickMs = 100;
-const entriesEveryMs = 10_000;
 
 /** Turns the entry's calls, ticks and reports into events of admission and router, and their decisions into waiting and starting. */
 export const createTraffic = (options: TrafficOptions): Traffic => {
-	const {entryId, zoneId, regionId, limits, logger, metrics, listEntries, askLoad} = options;
+	const {entryId, zoneId, regionId, limits, logger, metrics, listEntries, askShares, askLoad} = options;
 	const router = createRouter({
 		entryId, zoneId, regionId, random: createRandom(Math.floor(Math.random() * 2_147_483_647)),
 	});
 	const admission = createAdmission(limits);
+	const shares = createLimitShares({
+		entryId, admission, listEntries, askShares,
+	});
 	const waiters = new Map<string, Waiter>();
 	const admitted = new Map<string, Admitted>();
 	const targets = new Map<string, RouteTarget>();
-	let teams: ReadonlyMap<string, number> = new Map();
-	let entryIds: readonly string[] = [entryId];
-	let entriesDueAtMs = 0;
 
 	const probe = async ({hostId, address}: Endpoint): Promise<void> => {
 		const askedAtMs = performance.now();
@@ -171,25 +175,12 @@
 		}
 
 		refuseAll(tickAdmission(admission, nowMs));
-		setEntries(router, entryIds, nowMs);
+		shares.tick(nowMs);
+		setEntries(router, shares.entryIds(), nowMs);
 		for (const key of targets.keys()) {
 			pump(key);
 			metrics?.gauge('entry.waiting', waitingFor(admission, key), {target: key});
 		}
-
-		if (nowMs >= entriesDueAtMs) {
-			entriesDueAtMs = nowMs + entriesEveryMs;
-			void refreshEntries();
-		}
-	};
-
-	const refreshEntries = async (): Promise<void> => {
-		try {
-			entryIds = await listEntries();
-			setShares(admission, {teams, entries: entryIds.length}, performance.now());
-		} catch {
-			// Without control the last known entries share the limit on.
-		}
 	};
 
 	const tell = (notice: RouterNotice): void => {
@@ -214,8 +205,7 @@
 		update(catalog, changes) {
 			const nowMs = performance.now();
 			updateRouter(router, catalog, changes === null ? null : changedHostIds(changes), nowMs);
-			teams = new Map(Object.entries(catalog.teams).map(([teamId, {share}]) => [teamId, share]));
-			setShares(admission, {teams, entries: entryIds.length}, nowMs);
+			shares.setTeams(new Map(Object.entries(catalog.teams).map(([teamId, {share}]) => [teamId, share])), nowMs);
 		},
 		async choose(call, tried) {
 			const reserved = admitted.get(call.requestId)?.reserved;
@@ -267,6 +257,7 @@
 				},
 			};
 		},
+		answerShares: request => shares.answer(request),
 		close() {
 			clearInterval(timer);
 		},
--- a/packages/protocol/src/rpc/index.ts
+++ b/packages/protocol/src/rpc/index.ts
@@ -1,3 +1,4 @@
 export * from './burn.js';
 export * from './methods.js';
 export * from './request-record.js';
+export * from './shares.js';
