--- a/packages/bench/src/control/control-processes.ts
+++ b/packages/bench/src/control/control-processes.ts
@@ -19,6 +19,8 @@
 	readiness(hostId: string): Promise<Readiness | null>;
 	leader(): Promise<string>;
 	kill(hostId: string): Promise<void>;
+	/** Sends the signal and waits for the end. */
+	end(hostId: string, signal: 'SIGTERM' | 'SIGKILL'): Promise<void>;
 	start(hostId: string): void;
 	close(): Promise<void>;
 };
@@ -49,7 +51,7 @@
 		}
 	};
 
-	const kill = async (hostId: string): Promise<void> => {
+	const end = async (hostId: string, signal: 'SIGTERM' | 'SIGKILL'): Promise<void> => {
 		const child = children.get(hostId);
 		children.delete(hostId);
 		if (child === undefined) {
@@ -59,10 +61,12 @@
 		const exited = new Promise(resolve => {
 			child.once('exit', resolve);
 		});
-		child.kill('SIGKILL');
+		child.kill(signal);
 		await exited;
 	};
 
+	const kill = async (hostId: string): Promise<void> => end(hostId, 'SIGKILL');
+
 	for (const hostId of addresses.keys()) {
 		start(hostId);
 	}
@@ -72,7 +76,7 @@
 		return all.every(one => one?.isReady);
 	});
 	return {
-		addresses, readiness, kill, start,
+		addresses, readiness, kill, end, start,
 		async leader() {
 			for (;;) {
 				for (const hostId of children.keys()) {
--- a/packages/bench/src/control/control.ts
+++ b/packages/bench/src/control/control.ts
@@ -14,6 +14,9 @@
 import {createCountingProxy} from './counting-proxy.js';
 
 const kills = 20;
+/** Commands that are under way around a stop, and for how long before and after it. */
+const gapProposers = 4;
+const gapMarginMs = 300;
 const hosts = 200;
 const changes = 40;
 const commitSeconds = 4;
@@ -182,6 +185,42 @@
 	};
 };
 
+/** Commands go on without a pause; gives the longest time without an accepted one around the signal to the leader. */
+const measureGap = async (group: ControlProcesses, signal: 'SIGTERM' | 'SIGKILL'): Promise<number> => {
+	const leader = await group.leader();
+	const others = [...group.addresses].filter(([hostId]) => hostId !== leader).map(([, address]) => address);
+	const acceptedAtMs: number[] = [];
+	let isOver = false;
+	const proposeOn = async (): Promise<void> => {
+		await propose(others);
+		acceptedAtMs.push(performance.now());
+		return isOver ? undefined : proposeOn();
+	};
+
+	const proposers = Promise.all(Array.from({length: gapProposers}, proposeOn));
+	await delay(gapMarginMs);
+	await group.end(leader, signal);
+	await propose(others);
+	await delay(gapMarginMs);
+	isOver = true;
+	await proposers;
+	group.start(leader);
+	await waitUntil('it is back', async () => (await group.readiness(leader))?.isReady ?? false);
+	return Math.round(Math.max(...acceptedAtMs.slice(1).map((atMs, position) => atMs - acceptedAtMs[position]!)));
+};
+
+/** Each signal in turn, so that both see the same machine. */
+const measureStops = async (group: ControlProcesses): Promise<{SIGTERM: number[]; SIGKILL: number[]}> => {
+	const gaps: {SIGTERM: number[]; SIGKILL: number[]} = {SIGTERM: [], SIGKILL: []};
+	for (let round = 0; round < kills; round++) {
+		for (const signal of ['SIGTERM', 'SIGKILL'] as const) {
+			gaps[signal].push(await measureGap(group, signal));
+		}
+	}
+
+	return gaps;
+};
+
 type Part = (group: ControlProcesses) => Promise<Record<string, unknown>>;
 
 const parts: Record<string, Part> = {
@@ -190,6 +229,14 @@
 		console.log('failover', all);
 		return {kills, failoverMs: {p50, worst}};
 	},
+	async stop(group) {
+		const gaps = await measureStops(group);
+		console.log('without an accepted command', gaps);
+		return {
+			stops: kills,
+			withoutAcceptedMs: Object.fromEntries(Object.entries(gaps).map(([signal, all]) => [signal, {p50: percentile(all, 0.5), worst: Math.max(...all)}])),
+		};
+	},
 	async inForce(group) {
 		const {histogram, bytesPerHostPerChange} = await measureInForce(group);
 		return {
@@ -205,7 +252,7 @@
 };
 
 /**
- * Control alone: losing the leader, a change's way to all hosts, a restart
+ * Control alone: losing the leader, stopping it, a change's way to all hosts, a restart
  * after many changes, and group commit. `--parts` picks some of them.
  */
 export const measureControl = async (flags: readonly string[]): Promise<Record<string, unknown>> => {
--- /dev/null
+++ b/test/processes-claims.test.ts
@@ -0,0 +1,111 @@
+import {waitUntil} from '@bitternpaddle/daemon';
+import {checkHistory, eventsOf, type CallOutcome} from '@bitternpaddle/test-support';
+import t, {type Test} from 'tap';
+import {createHoldingProxy, type HoldingProxy} from './support/holding-proxy.js';
+import {createProcessCluster, patientMs, type ProcessCluster} from './support/process-cluster.js';
+
+const key = 'gate-7';
+
+type Held = {readonly cluster: ProcessCluster; readonly proxies: readonly HoldingProxy[]};
+
+/** Two entries and a ledger; the first entry reaches control only through proxies that hold one step of a claim. */
+const startCluster = async (t: Test, step: {readonly pattern: RegExp; readonly hold: 'request' | 'answer'}): Promise<Held> => {
+	const proxies: HoldingProxy[] = [];
+	const cluster = await createProcessCluster(t, {
+		ledgers: 1,
+		async firstEntryControls(addresses) {
+			for (const target of addresses) {
+				proxies.push(await createHoldingProxy(t, {target, ...step}));
+			}
+
+			return proxies.map(({address}) => address);
+		},
+	});
+	return {cluster, proxies};
+};
+
+const runsOf = ({history}: ProcessCluster): number => eventsOf(history.events, 'runStarted').filter(run => run.key === key).length;
+
+/** Resends through the entry that is left until the outcome is final; gives every outcome. */
+const resend = async (cluster: ProcessCluster): Promise<CallOutcome[]> => {
+	const outcomes: CallOutcome[] = [];
+	await waitUntil('a final outcome', async () => {
+		outcomes.push(await cluster.book(`resend-${outcomes.length}`, {entry: 1, key}));
+		return outcomes.at(-1)!.type === 'answered' || outcomes.at(-1)!.type === 'mayHaveRun';
+	}, {timeoutMs: patientMs});
+	return outcomes;
+};
+
+/** What a resend may get before the end: the key is in progress, or it did not run. */
+const isOpen = ({type}: CallOutcome): boolean => type === 'refused' || type === 'notRun';
+
+const assertOneRun = (t: Test, cluster: ProcessCluster, outcomes: readonly CallOutcome[]): void => {
+	t.ok(outcomes.slice(0, -1).every(outcome => isOpen(outcome)), 'before it at most "in progress"');
+	t.equal(runsOf(cluster), 1, 'one run');
+	t.same(checkHistory(cluster.history.events), []);
+};
+
+const assertEnd = (t: Test, cluster: ProcessCluster, outcomes: readonly CallOutcome[]): void => {
+	t.match(outcomes.at(-1), {type: 'answered', isComplete: true, echo: key}, 'the resend gets the outcome');
+	assertOneRun(t, cluster, outcomes);
+};
+
+// An entry is killed while its claim of a booking is on its way to control, and
+// the claim arrives late, when nobody is left to act on it. The resend through
+// another entry finds the claim, has the door bar the request that was never
+// sent, and books itself.
+t.test('an entry is killed before its claim is written', {timeout: 120_000}, async t => {
+	const {cluster, proxies} = await startCluster(t, {pattern: /"type":"claim"/v, hold: 'request'});
+	const first = cluster.book('first', {entry: 0, key});
+	await Promise.race(proxies.map(async proxy => proxy.caught));
+	await cluster.entries[0]!.end('SIGKILL');
+	t.match(await first, {type: 'cut'});
+	for (const proxy of proxies) {
+		proxy.release();
+	}
+
+	assertEnd(t, cluster, await resend(cluster));
+});
+
+// The claim is written, but the entry is killed before it hears so: it sends
+// nothing to the ledger. The resend may not wait for it for ever, nor run beside
+// a request that is still on its way: the door bars that one first.
+t.test('an entry is killed after its claim and before the dispatch', {timeout: 120_000}, async t => {
+	const {cluster, proxies} = await startCluster(t, {pattern: /"type":"claim"/v, hold: 'answer'});
+	const first = cluster.book('first', {entry: 0, key});
+	await Promise.race(proxies.map(async proxy => proxy.caught));
+	await cluster.entries[0]!.end('SIGKILL');
+	t.match(await first, {type: 'cut'});
+	t.equal(runsOf(cluster), 0, 'nothing has run yet');
+	assertEnd(t, cluster, await resend(cluster));
+});
+
+// The ledger has the booking and has not answered when the entry is killed. A
+// resend is told "in progress"; the ledger answers, and the next resend gets
+// that answer, read back from the door. Only if the answer takes more than five
+// seconds the door has given the run up by then: it may have run.
+t.test('an entry is killed after the dispatch and before the answer', {timeout: 120_000}, async t => {
+	const {cluster} = await startCluster(t, {pattern: /never/v, hold: 'request'});
+	const {relay} = cluster.ledgers[0]!;
+	relay.setModes({forward: 'open', backward: 'held'});
+	const first = cluster.book('first', {entry: 0, key});
+	await waitUntil('the ledger has the booking', () => runsOf(cluster) === 1, {timeoutMs: patientMs});
+	await cluster.entries[0]!.end('SIGKILL');
+	t.match(await first, {type: 'cut'});
+	t.match(await cluster.book('early', {entry: 1, key}), {type: 'refused', status: 409}, 'in progress');
+	relay.setModes({forward: 'open', backward: 'open'});
+	assertOneRun(t, cluster, await resend(cluster));
+});
+
+// The ledger has answered, and the entry is killed while it writes the outcome
+// down; the caller has heard nothing. The outcome never arrives. The resend gets
+// the ledger's answer from the door.
+t.test('an entry is killed after the answer and before the outcome is recorded', {timeout: 120_000}, async t => {
+	const {cluster, proxies} = await startCluster(t, {pattern: /"type":"concludeClaim"/v, hold: 'request'});
+	const first = cluster.book('first', {entry: 0, key});
+	await Promise.race(proxies.map(async proxy => proxy.caught));
+	t.equal(runsOf(cluster), 1);
+	await cluster.entries[0]!.end('SIGKILL');
+	t.match(await first, {type: 'cut'});
+	assertEnd(t, cluster, await resend(cluster));
+});
