fix(control): a new leader takes no report that the host has replaced elsewhere

Found by processes-stop.test.ts (2 runs of about 9 red on a busy machine): right after the leader was handed over, callers were refused for about 130 ms with 'no endpoint is ready' although a replica served.

Cause: each control host keeps a host's last report for a lease (2.5 s) after the host turned to another. The leader knows the newer session and ignores it; a new leader knows nobody, took the old report (not ready yet) for what holds, proposed that the replica is not ready, and the next report put it right. After a death the same can happen, but an election takes a second of those 2.5 s.

Change: after a change of the leader a control host names a host to it only once the host has called again (a held call lasts 0.6 s at most); so an old report is never told.

Ruled out: planning no readiness for 2.5 s after an election (loads would stand still after each failover); leaving out hosts by the age of their last call (narrows the window only).

Cost: after a change of the leader a host counts as not heard for up to 0.6 s, so 'in force' names it as missing that long; out of service begins at 2.5 s.

--- a/packages/coordination/src/configuration/report-fold.ts
+++ b/packages/coordination/src/configuration/report-fold.ts
@@ -10,6 +10,8 @@
 	heardAtMs: number;
 	/** The leader has yet to be told. */
 	isNews: boolean;
+	/** Heard since the present leader was. */
+	isCurrent: boolean;
 };
 
 /** The hosts that watch at one control host, and what its leader has been told of them. */
@@ -64,24 +66,42 @@
 
 		known.revision = revision;
 		known.heardAtMs = nowMs;
+		known.isNews ||= !known.isCurrent;
+		known.isCurrent = true;
 		return true;
 	}
 
 	const essence = essenceOf(report);
 	fold.watchers.set(hostId, {
 		session, revision, report, essence, heardAtMs: nowMs,
-		isNews: known === undefined || known.isNews || known.session !== session || known.essence !== essence,
+		isNews: !known?.isCurrent || known.isNews || known.session !== session || known.essence !== essence,
+		isCurrent: true,
 	});
 	return true;
 };
 
-/** Everything has to be told again: another leader, or a message whose fate is not known. */
+/** Everything has to be told again: the fate of a message is not known. */
 export const restartFold = (fold: ReportFold): void => {
 	fold.epoch++;
 	fold.sequence = 0;
 	fold.lost.length = 0;
 };
 
+/**
+ * Another leader is to be told everything, but of each host only once it calls
+ * again. One that turned to another control host a moment ago is still among
+ * the watchers here. The leader before knew its newer session; the next one
+ * would take the old report for what holds, and call the host's replica not
+ * ready while it serves, until the newer report arrives. A host that watches
+ * here calls again within the time that a call is held.
+ */
+export const startFoldForLeader = (fold: ReportFold): void => {
+	restartFold(fold);
+	for (const watcher of fold.watchers.values()) {
+		watcher.isCurrent = false;
+	}
+};
+
 const dropSilent = (fold: ReportFold, nowMs: number): void => {
 	for (const [hostId, {session, heardAtMs}] of fold.watchers) {
 		if (nowMs - heardAtMs > fold.silentMs) {
@@ -103,7 +123,7 @@
 export const takeFold = (fold: ReportFold, nowMs: number): Fold | null => {
 	dropSilent(fold, nowMs);
 	const isAll = fold.sequence === 0;
-	const watchers = [...fold.watchers];
+	const watchers = [...fold.watchers].filter(([, {isCurrent}]) => isCurrent);
 	const news = watchers.filter(([, watcher]) => isAll || watcher.isNews);
 	const revision = commonRevision(watchers.map(([, watcher]) => watcher));
 	const behind = watchers.filter(([, watcher]) => watcher.revision < revision).map(([hostId, watcher]) => ({hostId, revision: watcher.revision}));
--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -135,7 +135,7 @@
 				lossBudget = createLossBudget();
 			}
 
-			foldSender.restart();
+			foldSender.startForLeader();
 			hub.wake();
 		},
 		onFailure(error) {
--- a/packages/daemon/src/control/fold-sender.ts
+++ b/packages/daemon/src/control/fold-sender.ts
@@ -1,5 +1,5 @@
 import {
-	leaseTimes, restartFold, takeFold, type LeaderWord, type ReportFold,
+	leaseTimes, restartFold, startFoldForLeader, takeFold, type LeaderWord, type ReportFold,
 } from '@bitternpaddle/coordination';
 import type {Fold, FoldResult} from '@bitternpaddle/protocol';
 import {callRpc} from '@bitternpaddle/transport';
@@ -18,8 +18,8 @@
 export type FoldSender = {
 	/** Sends what there is to say to the leader. */
 	send(): Promise<void>;
-	/** The leader changed: tell the next one everything. */
-	restart(): void;
+	/** The leader changed: tell the next one of each host as it calls. */
+	startForLeader(): void;
 };
 
 /** Carries one control host's messages about its hosts to the leader, one at a time. */
@@ -67,8 +67,8 @@
 				isSending = false;
 			}
 		},
-		restart() {
-			restartFold(fold);
+		startForLeader() {
+			startFoldForLeader(fold);
 		},
 	};
 };
