--- a/packages/bench/src/capacity/measure-state.ts
+++ b/packages/bench/src/capacity/measure-state.ts
@@ -6,9 +6,9 @@
 import {
 	createLossBudget, createPresence, createRandom, createRouter, hearFold, leaseTimes, planMembership, updateRouter, type Presence, type RouterState,
 } from '@bitternpaddle/coordination';
-import {createReplica, serializeReplica} from '@bitternpaddle/daemon';
+import {createReplica} from '@bitternpaddle/daemon';
 import {
-	applyChange, changeSchema, commandSchema, createLedger, openLogStore, type Catalog, type Command, type LogStore, type ReplicatedState,
+	applyChange, canonicalJson, changeSchema, commandSchema, createLedger, openLogStore, type Catalog, type Command, type LogStore, type ReplicatedState,
 } from '@bitternpaddle/state';
 import type {SlopeName} from './definitions.js';
 import {heapBytesOf, millisecondsOf} from './heap.js';
@@ -126,7 +126,7 @@
 	for (let round = 0; round < 5; round++) {
 		const startedAtMs = performance.now();
 		await store.saveSnapshot({
-			index: state.catalog.revision, term: 1, members: {voters: ['c1'], learners: []}, state: serializeReplica(replica),
+			index: state.catalog.revision, term: 1, members: {voters: ['c1'], learners: []}, state: canonicalJson(replica.state),
 		}, {term: 1, votedFor: 'c1'}, []);
 		tookMs.push(performance.now() - startedAtMs);
 	}
--- a/packages/daemon/src/control/control-rpc.ts
+++ b/packages/daemon/src/control/control-rpc.ts
@@ -1,17 +1,18 @@
-import {setTimeout as delay} from 'node:timers/promises';
 import {
 	consensusEnvelopesSchema, foldSchema, formationParametersSchema, inForceParametersSchema, proposeParametersSchema, queryParametersSchema,
 	reportsParametersSchema, rpcErrorCodes, standbyParametersSchema, watchParametersSchema,
 	type Fold, type FoldResult, type InForceResult, type QueryResult, type Show,
 } from '@bitternpaddle/protocol';
 import {
-	callRpc, createRpcServer, RpcError, TransportError, type Logger, type RpcServer,
+	createRpcServer, RpcError, type Logger, type RpcServer,
 } from '@bitternpaddle/transport';
 import {answerQuery, type QueryView} from './answer-query.js';
 import type {ConsensusDriver} from './consensus-driver.js';
+import {createLeaderCalls} from './leader-calls.js';
 import type {MemberIdentity} from './member-identity.js';
 import type {PlacedReport} from './host-view.js';
-import {proposalTimeoutMs, type Proposals} from './proposals.js';
+import type {Proposals} from './proposals.js';
+import {createSystemCheck} from './system-check.js';
 import type {WatchHub} from './watch-hub.js';
 
 export type ControlRpcOptions = {
@@ -20,6 +21,8 @@
 	readonly hub: WatchHub;
 	readonly logger: Logger;
 	readonly identity: MemberIdentity;
+	/** `null` until this host has heard what its system is called. */
+	systemId(): string | null;
 	/** Takes the word of a control host that stands by. */
 	hearStandby(memberId: string): void;
 	isLeader(): boolean;
@@ -36,60 +39,13 @@
 	inForce(revision: number): InForceResult;
 };
 
-/** How long to look for the next leader once the one before has said that it no longer leads. */
-const nextLeaderMs = 500;
-const nextLeaderPollMs = 10;
-const forwardTimeoutMs = 3000 + proposalTimeoutMs;
-
 /** What other processes may ask of a control host. */
 export const createControlRpc = (options: ControlRpcOptions): RpcServer => {
 	const {
-		driver, proposals, hub, logger, identity, hearStandby, isLeader, leaderAddress, handedOver, view, ownReports, hearFold, inForce,
+		driver, proposals, hub, logger, identity, hearStandby, view, ownReports, isLeader, hearFold, inForce,
 	} = options;
-
-	/**
-	 * Calls the leader's `method`, or does it here if this host leads. A leader
-	 * that says that it no longer leads has appended nothing: the next one is
-	 * asked as soon as it is known, so that nobody is refused for a planned stop.
-	 */
-	const atLeader = async <Result>(method: string, parameters: Record<string, unknown>, here: () => Promise<Result> | Result): Promise<Result> => {
-		await handedOver();
-		const giveUpAtMs = performance.now() + nextLeaderMs;
-		for (let tries = 0; ; tries++) {
-			if (isLeader()) {
-				return here();
-			}
-
-			const address = leaderAddress();
-			if (parameters.isForwarded === true || (address === undefined && tries === 0)) {
-				throw new RpcError(rpcErrorCodes.notLeader, 'no leader is in contact with a quorum');
-			}
-
-			try {
-				return await forward<Result>(address, method, parameters);
-			} catch (error) {
-				if ((error as {code?: number}).code !== rpcErrorCodes.notLeader || performance.now() >= giveUpAtMs) {
-					throw error;
-				}
-			}
-
-			await delay(nextLeaderPollMs);
-		}
-	};
-
-	const forward = async <Result>(address: string | undefined, method: string, parameters: Record<string, unknown>): Promise<Result> => {
-		if (address === undefined) {
-			throw new RpcError(rpcErrorCodes.notLeader, 'no leader is in contact with a quorum');
-		}
-
-		return callRpc<Result>({
-			address, method, params: {...parameters, isForwarded: true}, timeoutMs: forwardTimeoutMs,
-		}).catch((error: unknown) => {
-			throw error instanceof TransportError
-				? new RpcError(rpcErrorCodes.noQuorum, `the leader cannot be reached (${error.message}); an order may still be accepted: resend it with the same command id`)
-				: error;
-		});
-	};
+	const assertSameSystem = createSystemCheck(options.systemId);
+	const atLeader = createLeaderCalls({...options, assertSameSystem});
 
 	const query = async (show: Show): Promise<QueryResult> => {
 		const seen = await view(show.subject);
@@ -106,7 +62,10 @@
 	rpc.method('control.standby', standbyParametersSchema, ({memberId}) => {
 		hearStandby(memberId);
 	});
-	rpc.method('control.watch', watchParametersSchema, async parameters => hub.watch(parameters));
+	rpc.method('control.watch', watchParametersSchema, async parameters => {
+		assertSameSystem(parameters.systemId);
+		return hub.watch(parameters);
+	});
 	rpc.method('control.fold', foldSchema, fold => {
 		if (!isLeader()) {
 			throw new RpcError(rpcErrorCodes.notLeader, 'this control host does not lead');
@@ -115,8 +74,9 @@
 		return hearFold(fold);
 	});
 	rpc.method('control.reports', reportsParametersSchema, () => ownReports());
-	rpc.method('control.inForce', inForceParametersSchema, async ({revision, isForwarded}) => atLeader('control.inForce', {revision, isForwarded}, () => inForce(revision)));
-	rpc.method('control.propose', proposeParametersSchema, async ({command, isForwarded}) => atLeader('control.propose', {command, isForwarded}, async () => {
+	rpc.method('control.inForce', inForceParametersSchema, async parameters => atLeader('control.inForce', parameters, () => inForce(parameters.revision)));
+	rpc.method('control.propose', proposeParametersSchema, async parameters => atLeader('control.propose', parameters, async () => {
+		const {command} = parameters;
 		const result = await proposals.propose(command);
 		if (result.type === 'accepted' && command.commandId !== null) {
 			logger.event('BP1006', {change: command.change.type, revision: result.revision});
@@ -124,6 +84,6 @@
 
 		return result;
 	}));
-	rpc.method('control.query', queryParametersSchema, async ({show, isForwarded}) => atLeader('control.query', {show, isForwarded}, async () => query(show)));
+	rpc.method('control.query', queryParametersSchema, async parameters => atLeader('control.query', parameters, async () => query(parameters.show)));
 	return rpc;
 };
--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -1,14 +1,14 @@
-import {randomInt} from 'node:crypto';
+import {randomInt, randomUUID} from 'node:crypto';
 import {
 	createLossBudget, createPresence, createReportFold, forgetHost, formedVoters, hasLeaderLease, hearFold, hostOfMember, inForceOf, isInContact, leaseTimes,
 	noteSilentMembers, planMembership, resetPresence, type LeaderWord,
 } from '@bitternpaddle/coordination';
 import type {HostReport, Show} from '@bitternpaddle/protocol';
 import {
-	openLogStore, type CommandResult, type LogEntry, type Members,
+	openLogStore, systemId, type Catalog, type Change, type CommandResult, type LogEntry, type Members,
 } from '@bitternpaddle/state';
 import {
-	createHttpServer, rpcPath, sendJson, silentLogger, type HttpServer, type Logger,
+	createHttpServer, rpcPath, sendJson, silentLogger, type HttpServer, type Logger, type ServerLimits,
 } from '@bitternpaddle/transport';
 import {createRecorder} from '../recording/recorder.js';
 import {createConsensusDriver, type ConsensusDriver} from './consensus-driver.js';
@@ -21,9 +21,10 @@
 import {createProposals} from './proposals.js';
 import {createReconciler, reconcileMs} from './reconciler.js';
 import {
-	applyToReplica, createReplica, serializeReplica, type Replica,
+	applyToReplica, createReplica, type Replica,
 } from './replica.js';
 import {createRolloutDriver, rolloutMs} from './rollout-driver.js';
+import {createSnapshotTaker} from './snapshot-taker.js';
 import {createVoterRepair, repairMs} from './voter-repair.js';
 import {createWatchHub} from './watch-hub.js';
 
@@ -46,6 +47,8 @@
 	/** A voter that is silent for longer than a restart takes is replaced. @default 15000 */
 	readonly replaceAfterMs?: number;
 	readonly recordFile?: string;
+	/** What this host holds for its callers at most. @default {} */
+	readonly serverLimits?: ServerLimits;
 	readonly logger?: Logger;
 };
 
@@ -67,11 +70,14 @@
 /** Questions whose answers change too often for the leader to be told without being asked. */
 const detailedSubjects: ReadonlySet<Show['subject']> = new Set(['transfers', 'requests']);
 
+/** A system without a name gets one; of two leaders who each drew one, the first to be committed counts. */
+const planSystemName = ({systemId: known}: Catalog): Change[] => known === undefined ? [{type: 'nameSystem', systemId: systemId(randomUUID())}] : [];
+
 /** One control host: the log, the configuration that follows from it, and the hosts that watch it. */
 export const createControlNode = async (options: ControlNodeOptions): Promise<ControlNode> => {
 	const {
 		selfId, listen = '127.0.0.1:0', folder, members, voters, leaseMs = leaseTimes.hostLeaseMs, hostLossMs = 10_000, snapshotEntries = 8192,
-		replaceAfterMs = 15_000, logger = silentLogger,
+		replaceAfterMs = 15_000, serverLimits, logger = silentLogger,
 	} = options;
 	const identity = await openMemberIdentity({
 		hostId: selfId, folder, voters, addressOf: hostId => members.get(hostId),
@@ -90,6 +96,9 @@
 	const presence = createPresence({hostLeaseMs: leaseMs, memberLeaseMs: leaseTimes.wordMs});
 	const fold = createReportFold({memberId: selfId, silentMs: leaseMs, epoch: Date.now()});
 	const proposals = createProposals({append: payload => driver.propose(payload)});
+	const snapshots = createSnapshotTaker({
+		logger, snapshotEntries, replica: () => replica, driver: () => driver,
+	});
 
 	const onCommit = (entry: LogEntry): void => {
 		const before = replica.state.catalog.revision;
@@ -103,16 +112,7 @@
 			hub.wake();
 		}
 
-		if (replica.appliedIndex - (driver.state.snapshot?.index ?? 0) >= snapshotEntries) {
-			takeSnapshot();
-		}
-	};
-
-	const takeSnapshot = (): void => {
-		driver.compact({
-			index: replica.appliedIndex, term: replica.appliedTerm, state: serializeReplica(replica),
-		});
-		logger.event('BP1003', {index: replica.appliedIndex});
+		snapshots.afterEntry();
 	};
 
 	const driver: ConsensusDriver = createConsensusDriver({
@@ -170,9 +170,10 @@
 		plan() {
 			const nowMs = performance.now();
 			noteSilentMembers(presence, nowMs);
-			return planMembership({
-				catalog: replica.state.catalog, presence, budget: lossBudget, nowMs, hostLossMs,
-			});
+			const {catalog} = replica.state;
+			return [...planSystemName(catalog), ...planMembership({
+				catalog, presence, budget: lossBudget, nowMs, hostLossMs,
+			})];
 		},
 		onLeft(hostId) {
 			forgetHost(presence, hostId);
@@ -190,7 +191,7 @@
 		leadingSinceMs: () => leadingSinceMs,
 	});
 	const rpc = createControlRpc({
-		driver, proposals, hub, logger, identity, hearStandby: repair.hear, isLeader, leaderAddress, ownReports,
+		driver, proposals, hub, logger, identity, systemId: () => replica.state.catalog.systemId ?? null, hearStandby: repair.hear, isLeader, leaderAddress, ownReports,
 		handedOver: async () => handedOver,
 		async view(subject) {
 			const gathered = detailedSubjects.has(subject) ? await gather() : [];
@@ -207,7 +208,7 @@
 	});
 
 	const server: HttpServer = await createHttpServer({
-		listen,
+		listen, limits: serverLimits,
 		async handler(request, response) {
 			if (request.method === 'POST' && request.url === rpcPath) {
 				await rpc.serve(request, response);
@@ -277,6 +278,7 @@
 		async close() {
 			stopTimers();
 			hub.wake();
+			snapshots.close();
 			await driver.close();
 			server.destroy();
 		},
