fix(bench): burst's engines and origin are processes of their own

Cause: the callers, the origin and all 64 fake engines shared one loop. That part of the live p99 was the bench's own.

Change: each fake is forked; messages tell what it holds and what the origin sent. The result shows the p99 while chunks flow apart from that while versions switch; liveP99Ratio stays over the whole burst.

--- a/packages/bench/src/burst.ts
+++ b/packages/bench/src/burst.ts
@@ -6,10 +6,11 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	cascadiaHalls, postJson, randomWeights, sendLine, waitUntil,
+	cascadiaHalls, postJson, sendLine, waitUntil,
 } from '@bitternpaddle/daemon';
-import {createFakeEngine, createFakeOrigin, type FakeEngine} from '@bitternpaddle/test-support';
 import {build as buildHistogram} from 'hdr-histogram-js';
+import type {PublishedVersion} from './burst-fake.js';
+import {startFake, type FakeProcess} from './burst-fakes.js';
 
 const agents = 64;
 const sizeBytes = 16 * 1024 * 1024;
@@ -25,9 +26,9 @@
 
 type Bed = {
 	readonly entryAddress: string;
-	readonly engines: FakeEngine[];
-	readonly origin: Awaited<ReturnType<typeof createFakeOrigin>>;
-	readonly versions: ReadonlyArray<{readonly manifestId: string; readonly digest: string}>;
+	readonly engines: readonly FakeProcess[];
+	readonly origin: FakeProcess;
+	readonly versions: readonly PublishedVersion[];
 	close(): Promise<void>;
 };
 
@@ -51,15 +52,17 @@
 	{stdio: 'ignore'},
 );
 
-/** One control host, one entry and 64 agents, each a process; engines and the origin are fakes in this one. */
+/** One control host, one entry, 64 agents, their fake engines and the fake origin, each a process; this one holds the callers alone. */
 const createBed = async (): Promise<Bed> => {
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'bitternpaddle-burst-'));
+	const origin = await startFake({
+		type: 'origin', bytesPerSecond: 2 * linkBytesPerSecond, sizeBytes, chunkSizeBytes, seeds: [1, 2],
+	});
+	const engines = await Promise.all(Array.from({length: agents}, async () => startFake({type: 'engine'})));
+	// After the fakes listen: one of them could be given a port that is only free so far.
 	const [controlPort, entryPort] = await freePorts(2);
 	const controls = `c1=127.0.0.1:${controlPort}`;
 	const entryAddress = `127.0.0.1:${entryPort}`;
-	const origin = await createFakeOrigin({bytesPerSecond: 2 * linkBytesPerSecond});
-	const published = [await origin.publish(randomWeights(1, sizeBytes), chunkSizeBytes), await origin.publish(randomWeights(2, sizeBytes), chunkSizeBytes)];
-	const engines = await Promise.all(Array.from({length: agents}, async () => createFakeEngine()));
 	const children = [
 		startDaemon({
 			roles: 'control', 'host-id': 'c1', listen: `127.0.0.1:${controlPort}`, controls, 'data-folder': path.join(folder, 'c1'),
@@ -78,26 +81,39 @@
 	}
 
 	return {
-		entryAddress, engines, origin, versions: published.map(({manifestId, manifest}) => ({manifestId, digest: manifest.wholeDigest})),
+		entryAddress, engines, origin, versions: origin.versions,
 		async close() {
 			for (const child of children) {
 				child.kill('SIGKILL');
 			}
 
-			await Promise.all([...engines, origin].map(async fake => fake.close()));
+			for (const fake of [...engines, origin]) {
+				fake.close();
+			}
+
 			await rm(folder, {recursive: true, force: true});
 		},
 	};
 };
 
-type Calls = {readonly latencies: ReturnType<typeof buildHistogram>; answered: number; refused: number; wrong: number};
+/** `flowing`: no engine has changed its version yet; `switching`: from the first engine's change to the last one's. */
+type Phase = 'idle' | 'flowing' | 'switching';
+
+type Histogram = ReturnType<typeof buildHistogram>;
+
+type Calls = {readonly latencies: Histogram; readonly latenciesOf: Record<Phase, Histogram>; answered: number; refused: number; wrong: number};
+
+const createLatencies = (): Histogram => buildHistogram({numberOfSignificantValueDigits: 3});
 
 const createCalls = (): Calls => ({
-	latencies: buildHistogram({numberOfSignificantValueDigits: 3}), answered: 0, refused: 0, wrong: 0,
+	latencies: createLatencies(), latenciesOf: {idle: createLatencies(), flowing: createLatencies(), switching: createLatencies()},
+	answered: 0, refused: 0, wrong: 0,
 });
 
+type PhaseOf = () => Phase;
+
 /** An answer is wrong unless it is whole, the caller's own, and from exactly one of the two versions as tagged. */
-const callOnce = async ({entryAddress, versions}: Bed, calls: Calls, text: string): Promise<void> => {
+const callOnce = async ({entryAddress, versions}: Bed, calls: Calls, phase: Phase, text: string): Promise<void> => {
 	const startedAtMs = performance.now();
 	const {status, text: body, headers} = await postJson({
 		address: entryAddress, token: teamKey, path: '/v1/chat/completions', body: {model: 'pitch-desk', max_tokens: 8, messages: [{role: 'user', content: text}]},
@@ -108,7 +124,9 @@
 	}
 
 	calls.answered++;
-	calls.latencies.recordValue(Math.round((performance.now() - startedAtMs) * 1000));
+	const latencyUs = Math.round((performance.now() - startedAtMs) * 1000);
+	calls.latencies.recordValue(latencyUs);
+	calls.latenciesOf[phase].recordValue(latencyUs);
 	const answer = JSON.parse(body) as {system_fingerprint: string; choices: Array<{message: {content: string}}>};
 	const tagged = headers['x-bitternpaddle-version'] === 'pitch-desk:v2' ? versions[1]! : versions[0]!;
 	if (answer.system_fingerprint !== tagged.digest || answer.choices[0]!.message.content !== `echo ${text}`) {
@@ -116,10 +134,10 @@
 	}
 };
 
-const callUntil = async (bed: Bed, calls: Calls, isOver: () => boolean): Promise<void> => {
+const callUntil = async (bed: Bed, calls: Calls, phaseOf: PhaseOf, isOver: () => boolean): Promise<void> => {
 	await Promise.all(Array.from({length: callers}, async (_, caller) => {
 		for (let number = 0; !isOver(); number++) {
-			await callOnce(bed, calls, `${caller}-${number}`).catch(() => {
+			await callOnce(bed, calls, phaseOf(), `${caller}-${number}`).catch(() => {
 				calls.refused++;
 			});
 			await delay(callerPauseMs);
@@ -162,18 +180,21 @@
 		await delay(3000);
 		const idle = createCalls();
 		const idleUntilMs = performance.now() + idleMs;
-		await callUntil(bed, idle, () => performance.now() > idleUntilMs);
+		await callUntil(bed, idle, () => 'idle', () => performance.now() > idleUntilMs);
 		const during = createCalls();
 		let isOver = false;
-		const calling = callUntil(bed, during, () => isOver);
+		const hasSwitched = (): boolean => bed.engines.some(engine => engine.heldDigest() === bed.versions[1]!.digest);
+		const calling = callUntil(bed, during, () => hasSwitched() ? 'switching' : 'flowing', () => isOver);
 		const second = await load(bed, 1);
 		isOver = true;
 		await calling;
 		const floorSeconds = sizeBytes / linkBytesPerSecond;
-		const p99Ms = ({latencies}: Calls): number => latencies.getValueAtPercentile(99) / 1000;
+		const p99Ms = (latencies: Histogram): number => latencies.getValueAtPercentile(99) / 1000;
+		const phaseResult = (phase: Phase) => ({answered: during.latenciesOf[phase].totalCount, p99Ms: p99Ms(during.latenciesOf[phase])});
 		return {
 			bench: 'burst', agents, sizeBytes, linkBytesPerSecond, floorSeconds, allSeconds: second.seconds, allOverFloor: second.seconds / floorSeconds, originCopies: second.copies,
-			idleP99Ms: p99Ms(idle), duringP99Ms: p99Ms(during), liveP99Ratio: p99Ms(during) / p99Ms(idle), wrongAnswers: idle.wrong + during.wrong,
+			idleP99Ms: p99Ms(idle.latencies), duringP99Ms: p99Ms(during.latencies), liveP99Ratio: p99Ms(during.latencies) / p99Ms(idle.latencies),
+			flowing: phaseResult('flowing'), switching: phaseResult('switching'), wrongAnswers: idle.wrong + during.wrong,
 			answered: during.answered, refused: during.refused, refusedIdle: idle.refused, firstVersion: first,
 		};
 	} finally {
