fix(swarm): a drawer's silence is measured against those that drawers came back from

Cause: the origin serves its eight drawers in turn, two chunks each.

Change: a drawer is suspected once it was silent for longer than the takeover time and than one and a half times the longest silence that any unsuspected drawer came back from.

The new test was seen to fail with the limit at the takeover time and with none.

--- a/packages/coordination/src/swarm/origin-tickets.ts
+++ b/packages/coordination/src/swarm/origin-tickets.ts
@@ -1,6 +1,8 @@
 import {rendezvousOrder} from '../utils/rendezvous.js';
 
 const lonePatienceFactor = 3;
+/** A silence this many times as long as one that a drawer came back from is a fault. */
+const silenceFactor = 1.5;
 
 /**
  * Who may draw which chunk from the origin. A few hosts, the drawers, share
@@ -14,6 +16,8 @@
 	readonly suspects: Set<string>;
 	/** Chunks of each drawer that no neighbour has announced, and the last change of that: when, and at which `activeMs`. */
 	readonly unseen: Map<string, {count: number; progressAtMs: number; progressAtActiveMs: number}>;
+	/** Longest silence, in `activeMs`, after which a drawer had progress again. */
+	longestSilenceMs: number;
 	/** How long, all in all, some drawer had progress. */
 	activeMs: number;
 	/** When any drawer last had progress. */
@@ -55,7 +59,7 @@
 	}
 
 	const tickets: OriginTickets = {
-		drawers, suspects: new Set(), unseen, activeMs: 0, progressAtMs: nowMs, gapMs, seen, owners, ownChunks: [], ranks: new Int16Array(totalChunks).fill(-1),
+		drawers, suspects: new Set(), unseen, longestSilenceMs: 0, activeMs: 0, progressAtMs: nowMs, gapMs, seen, owners, ownChunks: [], ranks: new Int16Array(totalChunks).fill(-1),
 	};
 	rankChunks(tickets, manifestId, selfId);
 	return tickets;
@@ -80,9 +84,14 @@
 	}
 
 	tickets.seen[chunk] = 1;
-	const record = tickets.unseen.get(tickets.owners[chunk]!)!;
+	const owner = tickets.owners[chunk]!;
+	const record = tickets.unseen.get(owner)!;
 	tickets.activeMs += Math.min(tickets.gapMs, nowMs - tickets.progressAtMs);
 	tickets.progressAtMs = nowMs;
+	if (!tickets.suspects.has(owner)) {
+		tickets.longestSilenceMs = Math.max(tickets.longestSilenceMs, tickets.activeMs - record.progressAtActiveMs);
+	}
+
 	record.count--;
 	record.progressAtMs = nowMs;
 	record.progressAtActiveMs = tickets.activeMs;
@@ -124,10 +133,12 @@
  */
 export const suspectDrawers = (tickets: OriginTickets, options: SuspectOptions): void => {
 	const {selfId, manifestId, takeoverMs, isOriginFailing, nowMs} = options;
+	// The origin serves the drawers in turn, so on slow links each is silent for a whole round; a limit below that makes every drawer a suspect and each chunk leave the origin twice.
+	const silenceLimitMs = Math.max(takeoverMs, silenceFactor * tickets.longestSilenceMs);
 	const unfinished = [...tickets.unseen].filter(([hostId, {count}]) => count > 0 && !tickets.suspects.has(hostId));
 	const isAlone = unfinished.length === 1 && !isOriginFailing;
 	const stalled = unfinished.filter(([hostId, {progressAtMs, progressAtActiveMs}]) => hostId !== selfId
-		&& (tickets.activeMs - progressAtActiveMs > takeoverMs || (isAlone && nowMs - progressAtMs > takeoverMs * lonePatienceFactor)));
+		&& (tickets.activeMs - progressAtActiveMs > silenceLimitMs || (isAlone && nowMs - progressAtMs > takeoverMs * lonePatienceFactor)));
 	if (stalled.length === 0) {
 		return;
 	}
--- a/packages/coordination/test/swarm.test.ts
+++ b/packages/coordination/test/swarm.test.ts
@@ -205,3 +205,30 @@
 	}]);
 	t.same(announcesOf(stepSwarm(state, {type: 'tick'}, 2000)), []);
 });
+
+// Links are slow, so the origin needs 300 ms for a chunk and serves its eight
+// drawers in turn: each is silent for 2.4 s at a time, longer than the takeover
+// time, while the others have progress. If they suspected each other for it,
+// chunks that are on their way would be drawn a second time. A drawer that
+// stays silent for far longer than any came back from is still taken over.
+t.test('drawers that a slow origin serves in turn are not suspected', async t => {
+	const hostIds = Array.from({length: 9}, (_, index) => `h${index}`);
+	const selfId = hostIds.find(hostId => !create('h0', hostIds).state.tickets.drawers.includes(hostId))!;
+	const {state} = create(selfId, hostIds, {totalChunks: 128});
+	const {drawers, owners, suspects} = state.tickets;
+	const teller = hostIds.find(hostId => hostId !== selfId)!;
+	const chunksOf = new Map(drawers.map(drawer => [drawer, [...owners.keys()].filter(chunk => owners[chunk] === drawer)]));
+	let nowMs = 0;
+	const serveInTurn = (served: readonly string[], rounds: number): void => {
+		for (let turn = 0; turn < rounds * served.length; turn++) {
+			nowMs += 300;
+			tellOf(state, teller, [chunksOf.get(served[turn % served.length]!)!.pop()!], nowMs);
+			stepSwarm(state, {type: 'tick'}, nowMs);
+		}
+	};
+
+	serveInTurn(drawers, 4);
+	t.same([...suspects], []);
+	serveInTurn(drawers.slice(1), 3);
+	t.same([...suspects], [drawers[0]]);
+});
