--- a/packages/bench/src/capacity/measure-swarm.ts
+++ b/packages/bench/src/capacity/measure-swarm.ts
@@ -114,11 +114,15 @@
 	}, 20);
 };
 
-/** A change of peers in the middle of a transfer among the letter's 1,500 hosts. */
+/** A host that leaves or joins in the middle of a transfer among the letter's 1,500 hosts. */
 const peersMs = (chunks: number): number => {
 	const peers = peersOf(letterHosts);
 	const {state} = createMember(peers[0]!, peers, chunks);
-	return millisecondsOf(() => stepSwarm(state, {type: 'peersChanged', peers}, 0), 3);
+	let isOneAway = false;
+	return millisecondsOf(() => {
+		isOneAway = !isOneAway;
+		stepSwarm(state, {type: 'peersChanged', peers: isOneAway ? peers.slice(0, -1) : peers}, 0);
+	}, 3);
 };
 
 const manifestBytes = (chunks: number): number => JSON.stringify({
