--- a/packages/coordination/src/swarm/swarm.ts
+++ b/packages/coordination/src/swarm/swarm.ts
@@ -1,3 +1,4 @@
+import {announceDue, announceStored} from './announcements.js';
 import {createChunkPicker, setWanted} from './chunk-picker.js';
 import {greetNewNeighbours, hearPeer, onPeerFailure} from './exchange.js';
 import {createOriginTickets, noteSeen, suspectDrawers} from './origin-tickets.js';
@@ -43,6 +44,7 @@
 		}),
 		typicalFetchMs: 0,
 		progressAtMs: nowMs,
+		announceAtMs: null,
 		badChunks: new Map(),
 		setAside: new Set(),
 		avoidedUntilMs: new Map(),
@@ -90,13 +92,30 @@
 	}
 };
 
+const isSamePeer = (a: SwarmPeer, b: SwarmPeer | undefined): boolean => a.zoneId === b?.zoneId && a.regionId === b.regionId;
+
+const isSamePeers = (a: ReadonlyMap<string, SwarmPeer>, b: ReadonlyMap<string, SwarmPeer>): boolean => a.size === b.size
+	&& [...a].every(([hostId, peer]) => isSamePeer(peer, b.get(hostId)));
+
+/**
+ * Every change of the catalog comes here, also one that says only that some
+ * host is ready. Ranking the chunks anew for each would take all agents'
+ * processor time at the same moment, while versions switch, and would forget
+ * which drawers are suspected.
+ */
 const changePeers = (state: SwarmState, peers: readonly SwarmPeer[], nowMs: number): SwarmEffect[] => {
 	const {self, manifestId, totalChunks, drawers, takeoverMs} = state.options;
-	state.peers = new Map(peers.filter(peer => peer.hostId !== self.hostId).map(peer => [peer.hostId, peer]));
-	state.tickets = createOriginTickets({
-		selfId: self.hostId, hostIds: [self.hostId, ...state.peers.keys()], manifestId, totalChunks, drawers, seen: state.tickets.seen, nowMs, gapMs: takeoverMs * activeGapShare,
-	});
-	return greetNewNeighbours(state, nowMs);
+	const next = new Map(peers.filter(peer => peer.hostId !== self.hostId).map(peer => [peer.hostId, peer]));
+	if (!isSamePeers(state.peers, next)) {
+		state.peers = next;
+		state.tickets = createOriginTickets({
+			selfId: self.hostId, hostIds: [self.hostId, ...next.keys()], manifestId, totalChunks, drawers, seen: state.tickets.seen, nowMs, gapMs: takeoverMs * activeGapShare,
+		});
+		return greetNewNeighbours(state, nowMs);
+	}
+
+	// A peer that was left out for a while may come back.
+	return state.avoidedUntilMs.size === 0 ? [] : greetNewNeighbours(state, nowMs);
 };
 
 /** Ends the bookkeeping of one fetch; `null` when it was given up before. */
@@ -158,13 +177,7 @@
 	state.progressAtMs = nowMs;
 	setWanted(state.picker, chunk, false);
 	noteSeen(state.tickets, chunk, nowMs);
-	const to = [...state.neighbours.keys()];
-	if (to.length > 0) {
-		effects.push({
-			type: 'announce', to, chunks: [chunk], isGreeting: false,
-		});
-	}
-
+	effects.push(...announceStored(state, chunk, nowMs));
 	if (state.held.size === state.options.totalChunks) {
 		effects.push({type: 'complete'});
 	}
@@ -197,12 +210,12 @@
 };
 
 const onTick = (state: SwarmState, nowMs: number): SwarmEffect[] => {
+	const effects = announceDue(state, nowMs);
 	if (state.held.size === state.options.totalChunks) {
-		return [];
+		return effects;
 	}
 
 	const {self, manifestId, takeoverMs, fetchTimeoutMs} = state.options;
-	const effects: SwarmEffect[] = [];
 	const stallMs = state.typicalFetchMs === 0 ? fetchTimeoutMs : Math.max(minStallMs, stallFactor * state.typicalFetchMs);
 	const stalled: Array<{chunk: number; source: ChunkSource}> = [];
 	for (const [chunk, fetches] of state.fetches) {
