--- a/packages/bench/src/capacity/measure-control.ts
+++ b/packages/bench/src/capacity/measure-control.ts
@@ -6,7 +6,9 @@
 import type {SlopeName} from './definitions.js';
 import {withFolder, type Measured} from './measure-state.js';
 import {readMemory, usageBetween, type ProcessUsage} from './process-usage.js';
-import {patienceMs, startControls, type ControlProcess, type Controls} from './start-controls.js';
+import {
+	patienceMs, startControls, type ControlProcess, type Controls,
+} from './start-controls.js';
 import {sampleAnnouncement} from './sample-state.js';
 import type {Point} from './slope.js';
 
