fix(daemon): refuse a bad data folder with its path and what to do

Cause: a folder of another host, of a newer format or of another kind was used, or refused in the system's own words. A control process whose disk was full stayed without a port. On an agent a chunk that could not be written was an unhandled rejection and ended the process with what ran there.

Change: owner.json claims a folder; errors of the file system say what to do; a control process ends with code 1 when its log cannot be written; a transfer waits for its disk. A short write is written on.

Ruled out: a fake file system through all layers; links to /dev/full do it.

Tests: test/data-folders.test.ts, 38 pass.

--- a/packages/daemon/src/agent/create-agent-node.ts
+++ b/packages/daemon/src/agent/create-agent-node.ts
@@ -11,6 +11,7 @@
 	createHttpServer, createRpcServer, rpcPath, sendJson, silentLogger, type Logger, type ServerLimits,
 } from '@bitternpaddle/transport';
 import {createConfigurationClient, type ConfigurationInForce} from '../host/configuration-client.js';
+import {claimDataFolder} from '../host/data-folder.js';
 import {answersPrefix, createDoorServer, doorPrefix} from './door-server.js';
 import {createTransferLinks} from './transfer-links.js';
 import {chunksPrefix, createUploadServer} from './upload-server.js';
@@ -82,6 +83,7 @@
 		originCopies = 1, transferLimits = {}, keepMs, engineCheckMs,
 		listen = '127.0.0.1:0', capacity = 16, limits, tickMs, serverLimits, logger = silentLogger, onStopped,
 	} = options;
+	await claimDataFolder(folder, {role: 'agent', hostId});
 	const incarnation = Date.now();
 	const door: DoorState = createDoor({capacity, incarnation});
 	const links = createTransferLinks({
--- a/packages/daemon/src/agent/transfer.ts
+++ b/packages/daemon/src/agent/transfer.ts
@@ -36,6 +36,8 @@
 
 const tickMs = 100;
 const chunkIdleTimeoutMs = 5000;
+/** How long a source is left alone after this host's own disk took no chunk. */
+const storeRetryMs = 1000;
 const randomSeeds = 2_147_483_647;
 
 export const createTransfer = (options: TransferOptions): Transfer => {
@@ -104,7 +106,17 @@
 		}
 
 		counters[source.type === 'origin' ? 'originBytes' : 'peerBytes'] += outcome.data.length;
-		const isStored = await store.put(chunk, outcome.data);
+		const isStored = await store.put(chunk, outcome.data).catch((error: unknown) => error as Error);
+		if (isStored instanceof Error) {
+			// The disk is full or fails: no fault of the source. Thrown, it would end the process, and with it the requests that run here.
+			counters.lastFailure = `chunk ${chunk} cannot be stored: ${isStored.message}`;
+			logger.event('BP3003', {manifestId, detail: counters.lastFailure});
+			dispatch({
+				type: 'failed', chunk, source, reason: 'busy', retryAfterMs: storeRetryMs,
+			});
+			return;
+		}
+
 		if (!isStored) {
 			counters.lastFailure = `chunk ${chunk}: wrong digest from ${source.type === 'peer' ? source.hostId : 'origin'}`;
 		}
--- a/packages/daemon/src/commands/run-command.ts
+++ b/packages/daemon/src/commands/run-command.ts
@@ -9,6 +9,8 @@
 
 /** Exit code for settings that are wrong. */
 export const usageExitCode = 2;
+/** Exit code for a host that cannot start or go on. */
+const failureExitCode = 1;
 
 const flag = (key: SettingKey) => {
 	const {name, description, expected, defaultText} = settingDefinitions[key];
@@ -81,14 +83,19 @@
 const runHost = async (settings: Settings): Promise<number> => {
 	const logger = createLogger({level: settings.logLevel, labels: {host: settings.hostId}});
 	const nodes: Stoppable[] = [];
+	let onFailed = (): void => undefined;
 	const finished = new Promise<number>(resolve => {
-		const stopAll = async (): Promise<void> => {
+		const stopAll = async (exitCode = 0): Promise<void> => {
 			logger.event('BP9002', {});
 			for (const node of nodes.toReversed()) {
 				await node.stop();
 			}
 
-			resolve(0);
+			resolve(exitCode);
+		};
+
+		onFailed = (): void => {
+			void stopAll(failureExitCode);
 		};
 
 		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
@@ -98,17 +105,27 @@
 		}
 	});
 	try {
-		await startRoles(settings, nodes, logger);
+		await startRoles({
+			settings, nodes, logger, onFailed,
+		});
 	} catch (error) {
 		logger.event('BP9003', {message: (error as Error).message});
-		return 1;
+		return failureExitCode;
 	}
 
 	return finished;
 };
 
+type StartRolesOptions = {
+	readonly settings: Settings;
+	readonly nodes: Stoppable[];
+	readonly logger: Logger;
+	/** A role cannot go on. */
+	onFailed(): void;
+};
+
 /** A role's code is loaded only where the role is taken: an agent holds no entry. */
-const startRoles = async (settings: Settings, nodes: Stoppable[], logger: Logger): Promise<void> => {
+const startRoles = async ({settings, nodes, logger, onFailed}: StartRolesOptions): Promise<void> => {
 	const {roles, hostId, controls, dataFolder} = settings;
 	const voters = settings.voters ?? controls.map(control => control.id);
 	const metrics = createMetrics({address: settings.statsd, labels: {host: hostId}});
@@ -127,7 +144,7 @@
 		const members = new Map(controls.map(({id, address}) => [id, address]));
 		const node = await createControlNode({
 			selfId: hostId, listen: nextListen(), folder: path.join(dataFolder, 'control'), members, voters, recordFile: settings.record,
-			replaceAfterMs: settings.replaceVoterAfterMs, serverLimits, logger,
+			replaceAfterMs: settings.replaceVoterAfterMs, serverLimits, logger, onFailed,
 		});
 		nodes.push({stop: async () => node.close()});
 		logger.event('BP9001', {role: 'control', address: node.address});
--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -10,6 +10,7 @@
 import {
 	createHttpServer, rpcPath, sendJson, silentLogger, type HttpServer, type Logger, type ServerLimits,
 } from '@bitternpaddle/transport';
+import {claimDataFolder, explainFolderError, withFolder} from '../host/data-folder.js';
 import {createRecorder} from '../recording/recorder.js';
 import {createConsensusDriver, type ConsensusDriver} from './consensus-driver.js';
 import {createControlRpc} from './control-rpc.js';
@@ -48,6 +49,8 @@
 	/** What this host holds for its callers at most. @default {} */
 	readonly serverLimits?: ServerLimits;
 	readonly logger?: Logger;
+	/** Called when the log can no longer be written; this host has stopped serving. */
+	onFailed?(error: Error): void;
 };
 
 export type ControlNode = {
@@ -69,12 +72,13 @@
 export const createControlNode = async (options: ControlNodeOptions): Promise<ControlNode> => {
 	const {
 		selfId, listen = '127.0.0.1:0', folder, members, voters, leaseMs = leaseTimes.hostLeaseMs, hostLossMs = 10_000, snapshotEntries = 8192,
-		replaceAfterMs = 15_000, serverLimits, logger = silentLogger,
+		replaceAfterMs = 15_000, serverLimits, logger = silentLogger, onFailed,
 	} = options;
-	const identity = await openMemberIdentity({
+	await claimDataFolder(folder, {role: 'control', hostId: selfId});
+	const identity = await withFolder(folder, async () => openMemberIdentity({
 		hostId: selfId, folder, voters, addressOf: hostId => members.get(hostId),
-	});
-	const store = await openLogStore({folder});
+	}));
+	const store = await withFolder(folder, async () => openLogStore({folder}));
 	if (store.loaded.cutBytes > 0) {
 		logger.event('BP1002', {cutBytes: store.loaded.cutBytes});
 	}
@@ -135,8 +139,10 @@
 			hub.wake();
 		},
 		onFailure(error) {
-			logger.event('BP1007', {message: error.message});
+			const explained = explainFolderError(error, folder);
+			logger.event('BP1007', {message: explained.message});
 			server.destroy();
+			onFailed?.(explained);
 		},
 	});
 
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -14,6 +14,7 @@
 export * from './entry/admin-tokens.js';
 export * from './entry/create-entry-node.js';
 export * from './host/configuration-client.js';
+export * from './host/data-folder.js';
 export * from './entry/dispatch.js';
 export {createRelay, type Relay} from './entry/relay.js';
 export * from './program.js';
--- a/packages/state/src/chunks/chunk-store.ts
+++ b/packages/state/src/chunks/chunk-store.ts
@@ -70,6 +70,15 @@
 		return buffer.subarray(0, bytesRead);
 	};
 
+	/** A disk that is nearly full takes a part without an error. */
+	const writeWhole = async (data: Uint8Array, startByte: number): Promise<void> => {
+		let written = 0;
+		while (written < data.length) {
+			const {bytesWritten} = await file.write(data, written, data.length - written, startByte + written);
+			written += bytesWritten;
+		}
+	};
+
 	const foundChunks = Math.ceil(Math.min(foundBytes, manifest.sizeBytes) / manifest.chunkSizeBytes);
 	for (let index = 0; index < foundChunks; index++) {
 		if (await digestPaced(await readRange(index)) === manifest.chunkDigests[index]) {
@@ -90,7 +99,7 @@
 			}
 
 			try {
-				await file.write(data, 0, data.length, chunkRange(manifest, index).startByte);
+				await writeWhole(data, chunkRange(manifest, index).startByte);
 			} catch (error) {
 				// Closed while the chunk was on its way to the disk.
 				if (isClosed) {
--- a/packages/state/src/log/frames.ts
+++ b/packages/state/src/log/frames.ts
@@ -91,7 +91,12 @@
 			break;
 		}
 
-		records.push(...bodySchema.parse(JSON.parse(body.toString())));
+		const parsed = bodySchema.safeParse(JSON.parse(body.toString()));
+		if (!parsed.success) {
+			throw new DamagedLogError(`${fileName}: the frame at byte ${offset} is whole but has records that this program does not know; start the newer program that wrote it`);
+		}
+
+		records.push(...parsed.data);
 		offset += headerBytes + body.length;
 	}
 
--- a/packages/state/src/log/index.ts
+++ b/packages/state/src/log/index.ts
@@ -1,4 +1,4 @@
-export {DamagedLogError} from './frames.js';
+export {DamagedLogError, encodeFrame} from './frames.js';
 export {replaceFile} from './files.js';
 export * from './log-store.js';
 export * from './records.js';
--- a/packages/state/src/log/log-store.ts
+++ b/packages/state/src/log/log-store.ts
@@ -90,7 +90,7 @@
 	await mkdir(folder, {recursive: true});
 	const snapshotPath = path.join(folder, 'snapshot.json');
 	const snapshotData = await readIfPresent(snapshotPath);
-	const snapshot = snapshotData === null ? null : readSnapshot(snapshotData);
+	const snapshot = snapshotData === null ? null : readSnapshot(snapshotData, snapshotPath);
 	const {records, lastSequence, lastBytes, snapshotIndex, cutBytes} = await readSegments(folder);
 	const {hardState, entries} = replay(records, snapshotIndex);
 	const loaded: LoadedLog = {
@@ -168,8 +168,8 @@
 
 const snapshotFileSchema = z.object({crc: z.number(), body: z.string()});
 
-const readSnapshot = (data: Buffer): Snapshot => Either
+const readSnapshot = (data: Buffer, filePath: string): Snapshot => Either
 	.encase(() => snapshotFileSchema.parse(JSON.parse(data.toString())))
 	.chain(({crc, body}) => crc32(body) === crc ? Either.encase(() => snapshotSchema.parse(JSON.parse(body))) : Left(new Error('wrong checksum')))
-	.mapLeft(({message}) => new DamagedLogError(`snapshot.json is damaged (${message}); restore this host from its peers`))
+	.mapLeft(({message}) => new DamagedLogError(`${filePath} is damaged (${message}); restore this host from its peers`))
 	.unsafeCoerce();
