fix(report): merge the burn of hundreds of entries as their answers come

Cause: all entries were asked at once and their answers, up to 9 MB each, kept until the last; an entry that sent a byte now and then was waited for without end, and the operator's program gave up first.

Change: eight lanes, one merge in short steps, 3 s of silence, 8 s an answer, 20 s in all; who was not heard is named. callRpc takes a signal and a limit.

--- a/packages/bench/src/burn.ts
+++ b/packages/bench/src/burn.ts
@@ -1,7 +1,8 @@
 import process from 'node:process';
 import {
-	burnRowsByService, countSample, createBurnCounter, createRandom, exportCounts, type BurnCounter,
+	addBurnAnswer, burnReportOf, burnRowsByService, countSample, createBurnCounter, createBurnMerge, createRandom, exportCounts, type BurnCounter,
 } from '@bitternpaddle/coordination';
+import {burnAnswerSchema, type BurnAnswer} from '@bitternpaddle/protocol';
 
 const hourMs = 3_600_000;
 const hours = 72;
@@ -31,6 +32,75 @@
 	return counter;
 };
 
+type Counts = Omit<BurnAnswer, 'entryId'>;
+
+type Merged = {readonly mergeMs: number; readonly longestStepMs: number; readonly mergeBytes: number; readonly rows: number};
+
+/** Merges answers as an entry does, but for the time that others get between two steps. */
+const mergeAll = (answers: readonly Counts[]): Merged => {
+	const before = heapBytes();
+	const merge = createBurnMerge();
+	const options = {nowMs: endMs, missingEntries: [], objectives: new Map<string, never>()};
+	let longestStepMs = 0;
+	let mergeMs = 0;
+	let stepStartedMs = performance.now();
+	const endStep = (): void => {
+		const stepMs = performance.now() - stepStartedMs;
+		longestStepMs = Math.max(longestStepMs, stepMs);
+		mergeMs += stepMs;
+		stepStartedMs = performance.now();
+	};
+
+	for (const [index, counts] of answers.entries()) {
+		for (const _step of addBurnAnswer(merge, {entryId: `e${index}`, ...counts})) {
+			endStep();
+		}
+	}
+
+	let rows = 0;
+	for (const ofService of burnRowsByService(merge, options)) {
+		rows += ofService.length;
+		endStep();
+	}
+
+	return {
+		mergeMs, longestStepMs, mergeBytes: heapBytes() - before, rows,
+	};
+};
+
+const fleetEntries = 330;
+
+/** The report over a large fleet: each answer is parsed and checked as it comes from the wire, then merged, then dropped. */
+const measureFleet = (pairs: number): Record<string, unknown> => {
+	const text = JSON.stringify({entryId: 'e', ...exportCounts(fill(pairs), endMs)});
+	const before = heapBytes();
+	const startedMs = performance.now();
+	const merge = createBurnMerge();
+	let parseMs = 0;
+	let longestParseMs = 0;
+	let longestStepMs = 0;
+	for (let entry = 0; entry < fleetEntries; entry++) {
+		const parsedFromMs = performance.now();
+		const answer = burnAnswerSchema.parse(JSON.parse(text));
+		const lastParseMs = performance.now() - parsedFromMs;
+		parseMs += lastParseMs;
+		longestParseMs = Math.max(longestParseMs, lastParseMs);
+		let stepStartedMs = performance.now();
+		for (const _step of addBurnAnswer(merge, {...answer, entryId: `e${entry}`})) {
+			longestStepMs = Math.max(longestStepMs, performance.now() - stepStartedMs);
+			stepStartedMs = performance.now();
+		}
+	}
+
+	const options = {nowMs: endMs, missingEntries: [], objectives: new Map<string, never>()};
+	const report = burnReportOf(merge, options, [...burnRowsByService(merge, options)].flat());
+	return {
+		entries: fleetEntries, pairs, rows: report.rows.length, heardEntries: report.heardEntries.length, answerBytes: text.length, totalMs: Math.round(performance.now() - startedMs),
+		parseMs: Math.round(parseMs), longestParseMs: Math.round(longestParseMs), longestStepMs: Math.round(longestStepMs), mergeBytes: heapBytes() - before,
+		residentBytes: process.memoryUsage().rss,
+	};
+};
+
 /** What counting costs an entry: processor time a request, memory and bytes on the wire for each pair of service and team. */
 export const measureBurn = async (): Promise<Record<string, unknown>> => {
 	const points = [4, 16, 64, 256].map(pairs => {
@@ -43,14 +113,7 @@
 		const counts = exportCounts(counter, endMs);
 		const wireBytes = JSON.stringify(counts).length;
 		const reportedMs = performance.now();
-		let longestStepMs = 0;
-		let stepStartedMs = performance.now();
-		for (const rows of burnRowsByService({
-			nowMs: endMs, missingEntries: [], objectives: new Map(), answers: ['e1', 'e2', 'e3'].map(entryId => ({entryId, ...counts})),
-		})) {
-			longestStepMs = Math.max(longestStepMs, rows.length === 0 ? 0 : performance.now() - stepStartedMs);
-			stepStartedMs = performance.now();
-		}
+		const three = mergeAll(Array.from({length: 3}, () => counts));
 
 		return {
 			pairs,
@@ -58,12 +121,19 @@
 			memoryBytesPerPair: Math.round(memoryBytes / pairs),
 			wireBytesPerPair: Math.round(wireBytes / pairs),
 			exportMs: Math.round(reportedMs - exportedMs),
-			mergeThreeEntriesMs: Math.round(performance.now() - reportedMs), longestMergeStepMs: Math.round(longestStepMs),
+			mergeThreeEntriesMs: Math.round(three.mergeMs), longestMergeStepMs: Math.round(three.longestStepMs),
 		};
 	});
 	for (const point of points) {
 		process.stdout.write(`${JSON.stringify(point)}\n`);
 	}
 
-	return {bench: 'burn', isHeapCollected: globalThis.gc !== undefined, points};
+	const fleet = [16, 64, 256].map(pairs => measureFleet(pairs));
+	for (const point of fleet) {
+		process.stdout.write(`${JSON.stringify(point)}\n`);
+	}
+
+	return {
+		bench: 'burn', isHeapCollected: globalThis.gc !== undefined, points, fleet,
+	};
 };
--- a/packages/coordination/src/burn/burn-report.ts
+++ b/packages/coordination/src/burn/burn-report.ts
@@ -1,10 +1,12 @@
-import type {BurnAnswer, BurnSeries, EncodedHistogram} from '@bitternpaddle/protocol';
+import type {BurnAnswer} from '@bitternpaddle/protocol';
 import {defaultObjective, type Objective} from '@bitternpaddle/state';
+import type {Histogram} from 'hdr-histogram-js';
 import {groupBy} from '../utils/group-by.js';
-import {mergeHistograms} from './histogram.js';
-import {mergeSeries, type MergedSeries} from './merge-series.js';
 import {
-	burnWindows, hourMs, oldestStartMs, sumSince, tenMinutesMs, type BurnCounts, type BurnWindowName,
+	addBurnAnswer, addToSeries, createBurnMerge, createMergedSeries, type BurnMerge, type MergedSeries, type MergedService,
+} from './burn-merge.js';
+import {
+	burnWindows, floorTo, hourMs, keptTenMinutes, oldestStartMs, sumSince, tenMinutesMs, type BurnCounts, type BurnWindowName,
 } from './windows.js';
 
 /** How fast one objective's budget burns in one window; 1 uses it up in exactly the three days. */
@@ -91,19 +93,16 @@
 	return {rates, budgetLeftPercent: round(100 * (1 - rates.at(-1)!.rate)), alert: alertOf(rates)};
 };
 
-const pointsOf = ({tenMinutes}: MergedSeries, hours: readonly EncodedHistogram[], nowMs: number): BurnPoint[] => {
-	const oldestMs = oldestStartMs(nowMs, tenMinutesMs, 432);
-	const byHour = groupBy(tenMinutes.filter(({startMs}) => startMs >= oldestMs), ({startMs}) => startMs - (startMs % hourMs));
-	const histograms = groupBy(hours, ({startMs}) => startMs);
-	return [...byHour].map(([startMs, buckets]) => {
-		const merged = mergeHistograms((histograms.get(startMs) ?? []).map(({encoded}) => encoded));
-		return {
-			startMs,
-			counts: sumSince(buckets, 0),
-			firstTokenP50Ms: merged?.getValueAtPercentile(50) ?? null,
-			firstTokenP95Ms: merged?.getValueAtPercentile(95) ?? null,
-		};
-	});
+const pointsOf = ({tenMinutes}: MergedSeries, histograms: ReadonlyMap<number, Histogram>, nowMs: number): BurnPoint[] => {
+	const oldestMs = oldestStartMs(nowMs, tenMinutesMs, keptTenMinutes);
+	const kept = [...tenMinutes].filter(([startMs]) => startMs >= oldestMs).toSorted(([a], [b]) => a - b);
+	const byHour = groupBy(kept, ([startMs]) => floorTo(startMs, hourMs));
+	return [...byHour].map(([startMs, buckets]) => ({
+		startMs,
+		counts: sumSince(new Map(buckets), 0),
+		firstTokenP50Ms: histograms.get(startMs)?.getValueAtPercentile(50) ?? null,
+		firstTokenP95Ms: histograms.get(startMs)?.getValueAtPercentile(95) ?? null,
+	}));
 };
 
 type RowOptions = {readonly serviceId: string; readonly teamId: string | null; readonly objective: Objective; readonly nowMs: number};
@@ -117,44 +116,49 @@
 	points,
 });
 
-export type BuildBurnReportOptions = {
+export type BurnReportOptions = {
 	readonly nowMs: number;
-	/** What each entry counted. */
-	readonly answers: readonly BurnAnswer[];
 	readonly missingEntries: readonly string[];
 	/** Objectives that operators have set; other services have the default. */
 	readonly objectives: ReadonlyMap<string, Objective>;
 };
 
-const rowsOfService = (serviceId: string, series: readonly BurnSeries[], {nowMs, answers, objectives}: BuildBurnReportOptions): BurnRow[] => {
+const rowsOfService = (serviceId: string, {teams, hours}: MergedService, {nowMs, objectives}: BurnReportOptions): BurnRow[] => {
 	const objective = objectives.get(serviceId) ?? defaultObjective;
-	const hours = answers.flatMap(({latencies}) => latencies.filter(latency => latency.serviceId === serviceId)).flatMap(latency => latency.hours);
-	const merged = mergeSeries(series);
-	const service = rowOf(merged, pointsOf(merged, hours, nowMs), {
+	const all = createMergedSeries();
+	for (const team of teams.values()) {
+		addToSeries(all, team);
+	}
+
+	const service = rowOf(all, pointsOf(all, hours, nowMs), {
 		serviceId, teamId: null, objective, nowMs,
 	});
-	const teams = [...groupBy(series, ({teamId}) => teamId)].toSorted(([a], [b]) => a.localeCompare(b));
-	return [service, ...teams.map(([teamId, ofTeam]) => rowOf(mergeSeries(ofTeam), [], {
+	return [service, ...[...teams].toSorted(([a], [b]) => a.localeCompare(b)).map(([teamId, ofTeam]) => rowOf(ofTeam, [], {
 		serviceId, teamId, objective, nowMs,
 	}))];
 };
 
-/**
- * Merges what the entries counted, a service at a time: one row for the
- * service, then one for each of its teams. Whoever serves requests on the same
- * thread goes on with them between two services; the merge of all at once
- * would hold them up for as long as it takes.
- */
-export function * burnRowsByService(options: BuildBurnReportOptions): Generator<BurnRow[]> {
-	const services = groupBy(options.answers.flatMap(({series}) => series), ({serviceId}) => serviceId);
-	for (const [serviceId, series] of [...services].toSorted(([a], [b]) => a.localeCompare(b))) {
-		yield rowsOfService(serviceId, series, options);
+/** The rows, a service at a time: one for the service, then one for each of its teams. */
+export function * burnRowsByService({services}: BurnMerge, options: BurnReportOptions): Generator<BurnRow[]> {
+	for (const [serviceId, service] of [...services].toSorted(([a], [b]) => a.localeCompare(b))) {
+		if (service.teams.size > 0) {
+			yield rowsOfService(serviceId, service, options);
+		}
 	}
 }
 
-export const burnReportOf = ({nowMs, answers, missingEntries}: BuildBurnReportOptions, rows: readonly BurnRow[]): BurnReport => ({
-	nowMs, heardEntries: answers.map(({entryId}) => entryId).toSorted(), missingEntries: [...missingEntries].toSorted(), rows,
+export const burnReportOf = ({entryIds}: BurnMerge, {nowMs, missingEntries}: BurnReportOptions, rows: readonly BurnRow[]): BurnReport => ({
+	nowMs, heardEntries: entryIds.toSorted(), missingEntries: [...missingEntries].toSorted(), rows,
 });
 
 /** The whole report at once. */
-export const buildBurnReport = (options: BuildBurnReportOptions): BurnReport => burnReportOf(options, [...burnRowsByService(options)].flat());
+export const buildBurnReport = ({answers, ...options}: BurnReportOptions & {readonly answers: readonly BurnAnswer[]}): BurnReport => {
+	const merge = createBurnMerge();
+	for (const answer of answers) {
+		for (const _step of addBurnAnswer(merge, answer)) {
+			// Nothing else waits here.
+		}
+	}
+
+	return burnReportOf(merge, options, [...burnRowsByService(merge, options)].flat());
+};
--- a/packages/coordination/src/burn/histogram.ts
+++ b/packages/coordination/src/burn/histogram.ts
@@ -24,18 +24,3 @@
 		return null;
 	}
 };
-
-/** One histogram of all, or `null` when there is none. */
-export const mergeHistograms = (encoded: readonly string[]): Histogram | null => {
-	let merged: Histogram | null = null;
-	for (const text of encoded) {
-		const histogram = decodeHistogram(text);
-		if (histogram !== null && merged === null) {
-			merged = histogram;
-		} else if (histogram !== null) {
-			merged!.add(histogram);
-		}
-	}
-
-	return merged;
-};
--- a/packages/coordination/src/burn/windows.ts
+++ b/packages/coordination/src/burn/windows.ts
@@ -56,11 +56,11 @@
 };
 
 /** Sum over the buckets from `fromMs` on; later ones than `nowMs` come from a clock that runs ahead and count too. */
-export const sumSince = (buckets: readonly BurnBucket[], fromMs: number): BurnCounts => {
+export const sumSince = (buckets: ReadonlyMap<number, BurnCounts>, fromMs: number): BurnCounts => {
 	let sum = noCounts;
-	for (const bucket of buckets) {
-		if (bucket.startMs >= fromMs) {
-			sum = addCounts(sum, bucket);
+	for (const [startMs, counts] of buckets) {
+		if (startMs >= fromMs) {
+			sum = addCounts(sum, counts);
 		}
 	}
 
--- a/packages/daemon/src/entry/admin-api.ts
+++ b/packages/daemon/src/entry/admin-api.ts
@@ -2,7 +2,7 @@
 import type http from 'node:http';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {
-	burnReportOf, burnRowsByService, type BuildBurnReportOptions, type BurnRow,
+	addBurnAnswer, burnReportOf, burnRowsByService, createBurnMerge, type BurnReportOptions, type BurnRow,
 } from '@bitternpaddle/coordination';
 import {
 	parseStatement, rpcErrorCodes, type ParseError, type QueryResult, type Show, type Statement,
@@ -119,14 +119,20 @@
 		const nowMs = Date.now();
 		const objectives = new Map(Object.entries(configuration.catalog().services)
 			.flatMap(([serviceId, {objective}]) => objective === undefined ? [] : [[serviceId, objective]]));
-		const options: BuildBurnReportOptions = {nowMs, objectives, ...await peers.burn(token, nowMs)};
+		const merge = createBurnMerge();
+		const missingEntries = await peers.burn(token, nowMs, async answer => {
+			for (const _step of addBurnAnswer(merge, answer)) {
+				await nextTurn();
+			}
+		});
+		const options: BurnReportOptions = {nowMs, objectives, missingEntries};
 		const rows: BurnRow[] = [];
-		for (const ofService of burnRowsByService(options)) {
+		for (const ofService of burnRowsByService(merge, options)) {
 			rows.push(...ofService);
 			await nextTurn();
 		}
 
-		return burnReportOf(options, rows);
+		return burnReportOf(merge, options, rows);
 	};
 
 	return async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
--- a/packages/daemon/src/entry/entry-peers.ts
+++ b/packages/daemon/src/entry/entry-peers.ts
@@ -45,33 +45,77 @@
 export type Gathered<Answer> = {readonly answers: Answer[]; readonly missingEntries: string[]};
 
 export type EntryPeers = {
-	burn(token: string, nowMs: number): Promise<Gathered<BurnAnswer>>;
+	/** Hands over each answer as it comes, and the next one of the same lane only when it was taken; resolves with the entries that gave none. */
+	burn(token: string, nowMs: number, take: (answer: BurnAnswer) => Promise<void>): Promise<string[]>;
 	requests(token: string, selection: RequestSelection): Promise<Gathered<RequestsAnswer>>;
 };
 
-const peerTimeoutMs = 3000;
+export type EntryPeersOptions = {
+	/** How long an entry may be silent. @default 3000 */
+	readonly silentMs?: number;
+	/** How long an entry's whole answer may take. @default 8000 */
+	readonly answerMs?: number;
+	/** After this no further entry is asked; an operator's program waits for 30 s. @default 20000 */
+	readonly totalMs?: number;
+	/** Entries that are asked side by side. @default 8 */
+	readonly lanes?: number;
+};
+
+/** Above what an entry with the most pairs of service and team sends. */
+const answerLimitBytes = 32 * 1024 * 1024;
 
-/** Asks every entry that control has heard of lately, this one included. */
-export const createEntryPeers = (configuration: ConfigurationClient): EntryPeers => {
-	const gather = async <Schema extends z.ZodType>(method: string, schema: Schema, parameters: object): Promise<Gathered<z.output<Schema>>> => {
+/**
+ * Asks every entry that control has heard of lately, this one included. All
+ * at once, hundreds of answers would lie in memory together. An entry that
+ * sends a byte now and then is no more use to the report than a silent one.
+ */
+export const createEntryPeers = (configuration: Pick<ConfigurationClient, 'query'>, options: EntryPeersOptions = {}): EntryPeers => {
+	const {
+		silentMs = 3000, answerMs = 8000, totalMs = 20_000, lanes = 8,
+	} = options;
+
+	const gather = async <Schema extends z.ZodType>(method: string, schema: Schema, parameters: object, take: (answer: z.output<Schema>) => Promise<void>): Promise<string[]> => {
 		const {rows} = await configuration.query({type: 'show', subject: 'hosts', where: [{field: 'role', operator: '=', value: 'entry'}]});
-		const answers: Array<z.output<Schema>> = [];
+		const untilMs = performance.now() + totalMs;
 		const missingEntries: string[] = [];
-		await Promise.all(rows.map(async ({host, address}) => {
+		const waiting = rows.values();
+
+		const ask = async (address: string): Promise<z.output<Schema> | null> => {
+			const leftMs = Math.ceil(Math.min(answerMs, untilMs - performance.now()));
+			if (leftMs <= 0) {
+				return null;
+			}
+
 			try {
-				const answer = await callRpc<unknown>({
-					address: String(address), method, params: parameters, timeoutMs: peerTimeoutMs,
-				});
-				answers.push(schema.parse(answer));
+				return schema.parse(await callRpc<unknown>({
+					address, method, params: parameters, timeoutMs: silentMs, signal: AbortSignal.timeout(leftMs), answerLimitBytes,
+				}));
 			} catch {
-				missingEntries.push(String(host));
+				return null;
+			}
+		};
+
+		await Promise.all(Array.from({length: lanes}, async () => {
+			for (const {host, address} of waiting) {
+				const answer = await ask(String(address));
+				if (answer === null) {
+					missingEntries.push(String(host));
+				} else {
+					await take(answer);
+				}
 			}
 		}));
-		return {answers, missingEntries: missingEntries.toSorted()};
+		return missingEntries.toSorted();
 	};
 
 	return {
-		burn: async (token, nowMs) => gather('entry.burn', burnAnswerSchema, {token, nowMs}),
-		requests: async (token, selection) => gather('entry.requests', requestsAnswerSchema, {token, selection}),
+		burn: async (token, nowMs, take) => gather('entry.burn', burnAnswerSchema, {token, nowMs}, take),
+		async requests(token, selection) {
+			const answers: RequestsAnswer[] = [];
+			const missingEntries = await gather('entry.requests', requestsAnswerSchema, {token, selection}, async answer => {
+				answers.push(answer);
+			});
+			return {answers, missingEntries};
+		},
 	};
 };
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -16,6 +16,7 @@
 export * from './host/configuration-client.js';
 export * from './host/data-folder.js';
 export * from './entry/dispatch.js';
+export * from './entry/entry-peers.js';
 export {createRelay, type Relay} from './entry/relay.js';
 export * from './program.js';
 export * from './recording/recorder.js';
--- a/packages/transport/src/rpc/rpc-client.ts
+++ b/packages/transport/src/rpc/rpc-client.ts
@@ -10,6 +10,8 @@
 	readonly timeoutMs: number;
 	/** `false` opens a new connection, for when the old ones may have gone silent. */
 	readonly agent?: http.Agent | false;
+	/** A longer answer is an error. @default none */
+	readonly answerLimitBytes?: number;
 	/** @default none */
 	readonly signal?: AbortSignal;
 };
@@ -38,12 +40,14 @@
 	await post(options, {jsonrpc: '2.0', method: options.method, params: options.params});
 };
 
-const post = async ({address, timeoutMs, agent, signal}: RpcCallOptions, payload: unknown): Promise<string> => {
+const post = async ({
+	address, timeoutMs, agent, signal, answerLimitBytes,
+}: RpcCallOptions, payload: unknown): Promise<string> => {
 	const response = await sendHttp({
 		address, method: 'POST', path: rpcPath, headers: {'content-type': 'application/json'},
 		body: JSON.stringify(payload), idleTimeoutMs: timeoutMs, agent, signal,
 	});
-	const text = (await readBody(response)).toString();
+	const text = (await readBody(response, answerLimitBytes)).toString();
 	// A server that is full or stopping answers in another shape, which has no call's id in it: the library would wait for ever.
 	if (response.statusCode !== 200 && response.statusCode !== 204) {
 		throw new TransportError(`${address} answered ${response.statusCode}: ${text.slice(0, 200)}`, false);
--- /dev/null
+++ b/test/burn-fleet.test.ts
@@ -0,0 +1,199 @@
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import t, {type Test} from 'tap';
+import {
+	addBurnAnswer, buildBurnReport, countSample, createBurnCounter, createBurnMerge, exportCounts, type BurnReport,
+} from '@bitternpaddle/coordination';
+import {createEntryPeers, renderBurnText} from '@bitternpaddle/daemon';
+import type {BurnAnswer, QueryResult} from '@bitternpaddle/protocol';
+import {createHttpServer, createRpcServer} from '@bitternpaddle/transport';
+import {z} from 'zod';
+
+const nowMs = Date.UTC(2026, 5, 4, 12, 0, 30);
+const entryCount = 330;
+
+type Sample = {readonly atMs: number; readonly isWhole?: boolean};
+
+const answerOf = (entryId: string, samples: readonly Sample[]): BurnAnswer => {
+	const counter = createBurnCounter();
+	for (const {atMs, isWhole = true} of samples) {
+		countSample(counter, {
+			serviceId: 'bp-writers', teamId: 'marshals', atMs, isWhole, firstTokenMs: 100, firstTokenBoundMs: 1000,
+		});
+	}
+
+	return {entryId, ...exportCounts(counter, nowMs)};
+};
+
+const answers = Array.from({length: entryCount}, (_, index) => answerOf(`entry-${index}`, [
+	{atMs: nowMs - (60_000 * (index % 50))}, {atMs: nowMs - (60_000 * (index % 50)), isWhole: index % 10 > 0}, {atMs: nowMs - (3_600_000 * (index % 70))},
+]));
+
+const totalsOf = (report: BurnReport) => report.rows[0]!.answeredWhole.rates.map(({window, bad, total}) => [window, bad, total]);
+
+const serve = async (t: Test, answer: BurnAnswer): Promise<string> => {
+	const rpc = createRpcServer();
+	rpc.method('entry.burn', z.object({token: z.string(), nowMs: z.number()}), () => answer);
+	const server = await createHttpServer({
+		listen: '127.0.0.1:0',
+		async handler(request, response) {
+			await rpc.serve(request, response);
+		},
+	});
+	t.teardown(() => {
+		server.destroy();
+	});
+	return server.address;
+};
+
+const serveOddly = async (t: Test, handler: http.RequestListener): Promise<string> => {
+	const server = http.createServer(handler);
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	t.teardown(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+};
+
+const peersOf = (addresses: ReadonlyMap<string, string>, options: Parameters<typeof createEntryPeers>[1] = {}) => createEntryPeers({
+	query: async (): Promise<QueryResult> => ({revision: 1, rows: [...addresses].map(([host, address]) => ({host, address}))}),
+}, options);
+
+const collect = async (peers: ReturnType<typeof createEntryPeers>): Promise<BurnReport> => {
+	const heard: BurnAnswer[] = [];
+	const missingEntries = await peers.burn('token', nowMs, async answer => {
+		heard.push(answer);
+	});
+	return buildBurnReport({
+		nowMs, answers: heard, missingEntries, objectives: new Map(),
+	});
+};
+
+// 330 entries on loopback. In mid-report some are gone, one never answers, one
+// sends a byte now and then for ever, one is cut, one sends nonsense. The report
+// counts all that answered and names the others: it neither fails nor leaves
+// anybody out without a word.
+t.test('a report over 330 entries of which some are lost', {timeout: 120_000}, async t => {
+	const addresses = new Map<string, string>();
+	for (const answer of answers) {
+		addresses.set(answer.entryId, await serve(t, answer));
+	}
+
+	const gone = await createHttpServer({listen: '127.0.0.1:0', handler: async () => undefined});
+	gone.destroy();
+	addresses.set('entry-7', gone.address);
+	addresses.set('entry-8', gone.address);
+	addresses.set('entry-100', await serveOddly(t, () => undefined));
+	addresses.set('entry-101', await serveOddly(t, (_request, response) => {
+		response.writeHead(200);
+		const timer = setInterval(() => {
+			response.write(' ');
+		}, 50);
+		response.once('close', () => {
+			clearInterval(timer);
+		});
+	}));
+	addresses.set('entry-102', await serveOddly(t, (_request, response) => {
+		response.writeHead(200, {'content-length': 1000});
+		response.write('{');
+		setTimeout(() => {
+			response.destroy();
+		}, 50);
+	}));
+	addresses.set('entry-103', await serveOddly(t, (_request, response) => {
+		response.end('{"jsonrpc":"2.0","id":1,"result":{"entryId":"entry-103","series":7}}');
+	}));
+	const lost = [7, 8, 100, 101, 102, 103];
+	const report = await collect(peersOf(addresses, {silentMs: 1500, answerMs: 2500, totalMs: 110_000}));
+	t.same(report.missingEntries, lost.map(index => `entry-${index}`).toSorted());
+	t.equal(report.heardEntries.length, entryCount - lost.length);
+	const expected = buildBurnReport({
+		nowMs, answers: answers.filter((_, index) => !lost.includes(index)), missingEntries: [], objectives: new Map(),
+	});
+	t.same(totalsOf(report), totalsOf(expected));
+	t.equal(totalsOf(report)[3]![2], 3 * (entryCount - lost.length), 'every request of the others is counted once');
+	t.match(renderBurnText(report), /NOT HEARD, so not counted: entry-100, entry-101, /v);
+});
+
+// All entries are slow. The operator's program gives up after 30 s; the report
+// ends before, with what there is, and names the entries that it did not reach.
+t.test('a report ends in time and names whom it did not reach', async t => {
+	const silent = await serveOddly(t, () => undefined);
+	const addresses = new Map(Array.from({length: 60}, (_, index) => [`entry-${index}`, silent]));
+	addresses.set('entry-0', await serve(t, answers[0]!));
+	const report = await collect(peersOf(addresses, {
+		silentMs: 60_000, answerMs: 60_000, totalMs: 500, lanes: 4,
+	}));
+	t.same(report.heardEntries, ['entry-0']);
+	t.equal(report.missingEntries.length, 59);
+});
+
+// The answers of hundreds of entries never lie in memory together: a lane asks
+// the next entry when its last answer has been taken.
+t.test('no more answers are held than there are lanes', async t => {
+	const addresses = new Map<string, string>();
+	for (const answer of answers.slice(0, 40)) {
+		addresses.set(answer.entryId, await serve(t, answer));
+	}
+
+	let held = 0;
+	let mostHeld = 0;
+	await peersOf(addresses, {lanes: 4}).burn('token', nowMs, async () => {
+		held++;
+		mostHeld = Math.max(mostHeld, held);
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+		held--;
+	});
+	t.ok(mostHeld <= 4, `${mostHeld} at once`);
+});
+
+// Entries' clocks differ by seconds, around the turn of a minute, of ten minutes
+// and of an hour. No request is lost or counted twice; one may stand in the
+// bucket beside its own, which only the edge of a window can show.
+t.test('clocks that differ by seconds', async t => {
+	const offsetsMs = [-7000, -1000, 0, 1000, 7000];
+	const turnMs = Date.UTC(2026, 5, 4, 12);
+	for (const askedAtMs of [turnMs + 500, turnMs + 30_000, turnMs - 500]) {
+		const skewed = offsetsMs.map((offsetMs, index) => {
+			const counter = createBurnCounter();
+			for (let second = 240; second >= 1; second--) {
+				countSample(counter, {
+					serviceId: 's', teamId: 't', atMs: askedAtMs - (1000 * second) + offsetMs, isWhole: second % 10 > 0, firstTokenMs: 100, firstTokenBoundMs: 1000,
+				});
+			}
+
+			return {entryId: `e${index}`, ...exportCounts(counter, askedAtMs)};
+		});
+		const {rows: [row]} = buildBurnReport({
+			nowMs: askedAtMs, answers: skewed, missingEntries: [], objectives: new Map(),
+		});
+		for (const {window, bad, total} of row!.answeredWhole.rates) {
+			const lostAtEdge = window === '5m' ? offsetsMs.reduce((sum, offsetMs) => sum + Math.max(0, -offsetMs / 1000), 0) : 0;
+			t.ok(total <= 1200 && total >= 1200 - lostAtEdge, `${window}: ${total}`);
+			t.ok(bad <= 120 && bad >= 120 - lostAtEdge, `${window}: ${bad} bad`);
+		}
+
+		t.equal(row!.points.reduce((sum, {counts}) => sum + counts.total, 0), 1200, 'the plots show each request once');
+	}
+});
+
+t.test('a merge grows with services and teams and not with entries', async t => {
+	const merge = createBurnMerge();
+	for (const answer of answers) {
+		for (const _step of addBurnAnswer(merge, answer)) {
+			// Nothing else waits here.
+		}
+	}
+
+	t.equal(merge.entryIds.length, entryCount);
+	const service = merge.services.get('bp-writers')!;
+	t.equal(merge.services.size, 1);
+	t.equal(service.teams.size, 1);
+	t.ok(service.teams.get('marshals')!.minutes.size <= 60);
+	t.ok(service.hours.size <= 72);
+});
