--- a/packages/state/src/log/log-store.ts
+++ b/packages/state/src/log/log-store.ts
@@ -98,7 +98,7 @@
 	await mkdir(folder, {recursive: true});
 	const snapshotPath = path.join(folder, 'snapshot.json');
 	const snapshotData = await readIfPresent(snapshotPath);
-	const snapshot = snapshotData === null ? null : readSnapshot(snapshotData);
+	const snapshot = snapshotData === null ? null : readSnapshot(snapshotData, snapshotPath);
 	const {records, lastSequence, lastBytes, snapshotIndex, cutBytes} = await readSegments(folder);
 	const {hardState, entries} = replay(records, snapshotIndex);
 	const loaded: LoadedLog = {
--- a/packages/state/src/log/snapshot-file.ts
+++ b/packages/state/src/log/snapshot-file.ts
@@ -46,8 +46,8 @@
 	yield `${part('"}')}","crc":${crc}}`;
 }
 
-export const readSnapshot = (data: Buffer): Snapshot => Either
+export const readSnapshot = (data: Buffer, filePath: string): Snapshot => Either
 	.encase(() => snapshotFileSchema.parse(JSON.parse(data.toString())))
 	.chain(({crc, body}) => crc32(body) === crc ? Either.encase(() => snapshotSchema.parse(JSON.parse(body))) : Left(new Error('wrong checksum')))
-	.mapLeft(({message}) => new DamagedLogError(`snapshot.json is damaged (${message}); restore this host from its peers`))
+	.mapLeft(({message}) => new DamagedLogError(`${filePath} is damaged (${message}); restore this host from its peers`))
 	.unsafeCoerce();
