--- a/packages/bench/src/burst.ts
+++ b/packages/bench/src/burst.ts
@@ -1,6 +1,5 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {mkdtemp, rm} from 'node:fs/promises';
-import {createServer, type AddressInfo} from 'node:net';
 import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -8,6 +7,7 @@
 import {
 	cascadiaHalls, postJson, sendLine, waitUntil,
 } from '@bitternpaddle/daemon';
+import {freeAddresses} from '@bitternpaddle/test-support';
 import {build as buildHistogram} from 'hdr-histogram-js';
 import type {PublishedVersion} from './burst-fake.js';
 import {startFake, type FakeProcess} from './burst-fakes.js';
@@ -32,20 +32,6 @@
 	close(): Promise<void>;
 };
 
-const freePorts = async (count: number): Promise<number[]> => {
-	const servers = await Promise.all(Array.from({length: count}, async () => new Promise<ReturnType<typeof createServer>>(resolve => {
-		const server = createServer();
-		server.listen(0, '127.0.0.1', () => {
-			resolve(server);
-		});
-	})));
-	const ports = servers.map(server => (server.address() as AddressInfo).port);
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
-	return ports;
-};
-
 const startDaemon = (flags: Record<string, string>): ChildProcess => spawn(
 	process.execPath,
 	[daemonFile, 'run', ...Object.entries(flags).flatMap(([name, value]) => [`--${name}`, value])],
@@ -59,13 +45,11 @@
 		type: 'origin', bytesPerSecond: 2 * linkBytesPerSecond, sizeBytes, chunkSizeBytes, seeds: [1, 2],
 	});
 	const engines = await Promise.all(Array.from({length: agents}, async () => startFake({type: 'engine'})));
-	// After the fakes listen: one of them could be given a port that is only free so far.
-	const [controlPort, entryPort] = await freePorts(2);
-	const controls = `c1=127.0.0.1:${controlPort}`;
-	const entryAddress = `127.0.0.1:${entryPort}`;
+	const [controlAddress, entryAddress] = await freeAddresses(2) as [string, string];
+	const controls = `c1=${controlAddress}`;
 	const children = [
 		startDaemon({
-			roles: 'control', 'host-id': 'c1', listen: `127.0.0.1:${controlPort}`, controls, 'data-folder': path.join(folder, 'c1'),
+			roles: 'control', 'host-id': 'c1', listen: controlAddress, controls, 'data-folder': path.join(folder, 'c1'),
 		}),
 		startDaemon({
 			roles: 'entry', 'host-id': 'e1', listen: entryAddress, controls, 'admin-tokens': `administer:${adminToken}`,
--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -1,28 +1,30 @@
-import {randomInt} from 'node:crypto';
+import {randomInt, randomUUID} from 'node:crypto';
 import {
 	createLossBudget, createPresence, createReportFold, forgetHost, formedVoters, hasLeaderLease, hearFold, hostOfMember, inForceOf, isInContact, leaseTimes,
 	noteSilentMembers, planMembership, resetPresence, type LeaderWord,
 } from '@bitternpaddle/coordination';
 import type {HostReport, Show} from '@bitternpaddle/protocol';
 import {
-	openLogStore, type CommandResult, type LogEntry, type Members,
+	openLogStore, systemId, type Catalog, type Change, type CommandResult, type LogEntry, type Members,
 } from '@bitternpaddle/state';
 import {
-	createHttpServer, rpcPath, sendJson, silentLogger, type HttpServer, type Logger,
+	createHttpServer, rpcPath, sendJson, silentLogger, type HttpServer, type Logger, type ServerLimits,
 } from '@bitternpaddle/transport';
 import {createRecorder} from '../recording/recorder.js';
 import {createConsensusDriver, type ConsensusDriver} from './consensus-driver.js';
 import {createControlRpc} from './control-rpc.js';
 import {createFoldSender} from './fold-sender.js';
+import {handOver} from './hand-over.js';
 import {gatherReports, viewHosts, type PlacedReport} from './host-view.js';
 import {openMemberIdentity} from './member-identity.js';
 import {createPeerSender} from './peer-sender.js';
 import {createProposals} from './proposals.js';
 import {createReconciler, reconcileMs} from './reconciler.js';
 import {
-	applyToReplica, createReplica, serializeReplica, type Replica,
+	applyToReplica, createReplica, type Replica,
 } from './replica.js';
 import {createRolloutDriver, rolloutMs} from './rollout-driver.js';
+import {createSnapshotTaker} from './snapshot-taker.js';
 import {createVoterRepair, repairMs} from './voter-repair.js';
 import {createWatchHub} from './watch-hub.js';
 
@@ -45,6 +47,8 @@
 	/** A voter that is silent for longer than a restart takes is replaced. @default 15000 */
 	readonly replaceAfterMs?: number;
 	readonly recordFile?: string;
+	/** What this host holds for its callers at most. @default {} */
+	readonly serverLimits?: ServerLimits;
 	readonly logger?: Logger;
 };
 
@@ -56,6 +60,9 @@
 	members(): Members;
 	/** Syncs of the log since the start. */
 	syncCount(): number;
+	/** Graceful: hands the leadership over, sends watching hosts elsewhere, answers what was asked, ends. */
+	stop(): Promise<void>;
+	/** Ends at once. */
 	close(): Promise<void>;
 };
 
@@ -63,11 +70,14 @@
 /** Questions whose answers change too often for the leader to be told without being asked. */
 const detailedSubjects: ReadonlySet<Show['subject']> = new Set(['transfers', 'requests']);
 
+/** A system without a name gets one; of two leaders who each drew one, the first to be committed counts. */
+const planSystemName = ({systemId: known}: Catalog): Change[] => known === undefined ? [{type: 'nameSystem', systemId: systemId(randomUUID())}] : [];
+
 /** One control host: the log, the configuration that follows from it, and the hosts that watch it. */
 export const createControlNode = async (options: ControlNodeOptions): Promise<ControlNode> => {
 	const {
 		selfId, listen = '127.0.0.1:0', folder, members, voters, leaseMs = leaseTimes.hostLeaseMs, hostLossMs = 10_000, snapshotEntries = 8192,
-		replaceAfterMs = 15_000, logger = silentLogger,
+		replaceAfterMs = 15_000, serverLimits, logger = silentLogger,
 	} = options;
 	const identity = await openMemberIdentity({
 		hostId: selfId, folder, voters, addressOf: hostId => members.get(hostId),
@@ -79,11 +89,16 @@
 
 	let replica: Replica = createReplica(store.loaded.snapshot);
 	let leadingSinceMs = 0;
+	let isLeaving = false;
+	let handedOver: Promise<unknown> = Promise.resolve();
 	let word: LeaderWord | null = null;
 	let lossBudget = createLossBudget();
 	const presence = createPresence({hostLeaseMs: leaseMs, memberLeaseMs: leaseTimes.wordMs});
 	const fold = createReportFold({memberId: selfId, silentMs: leaseMs, epoch: Date.now()});
 	const proposals = createProposals({append: payload => driver.propose(payload)});
+	const snapshots = createSnapshotTaker({
+		logger, snapshotEntries, replica: () => replica, driver: () => driver,
+	});
 
 	const onCommit = (entry: LogEntry): void => {
 		const before = replica.state.catalog.revision;
@@ -97,16 +112,7 @@
 			hub.wake();
 		}
 
-		if (replica.appliedIndex - (driver.state.snapshot?.index ?? 0) >= snapshotEntries) {
-			takeSnapshot();
-		}
-	};
-
-	const takeSnapshot = (): void => {
-		driver.compact({
-			index: replica.appliedIndex, term: replica.appliedTerm, state: serializeReplica(replica),
-		});
-		logger.event('BP1003', {index: replica.appliedIndex});
+		snapshots.afterEntry();
 	};
 
 	const driver: ConsensusDriver = createConsensusDriver({
@@ -164,9 +170,10 @@
 		plan() {
 			const nowMs = performance.now();
 			noteSilentMembers(presence, nowMs);
-			return planMembership({
-				catalog: replica.state.catalog, presence, budget: lossBudget, nowMs, hostLossMs,
-			});
+			const {catalog} = replica.state;
+			return [...planSystemName(catalog), ...planMembership({
+				catalog, presence, budget: lossBudget, nowMs, hostLossMs,
+			})];
 		},
 		onLeft(hostId) {
 			forgetHost(presence, hostId);
@@ -184,7 +191,8 @@
 		leadingSinceMs: () => leadingSinceMs,
 	});
 	const rpc = createControlRpc({
-		driver, proposals, hub, logger, identity, hearStandby: repair.hear, isLeader, leaderAddress, ownReports,
+		driver, proposals, hub, logger, identity, systemId: () => replica.state.catalog.systemId ?? null, hearStandby: repair.hear, isLeader, leaderAddress, ownReports,
+		handedOver: async () => handedOver,
 		async view(subject) {
 			const gathered = detailedSubjects.has(subject) ? await gather() : [];
 			const nowMs = performance.now();
@@ -200,12 +208,12 @@
 	});
 
 	const server: HttpServer = await createHttpServer({
-		listen,
+		listen, limits: serverLimits,
 		async handler(request, response) {
 			if (request.method === 'POST' && request.url === rpcPath) {
 				await rpc.serve(request, response);
 			} else if (request.url === '/readyz') {
-				const isReady = isInContact(driver.state, performance.now());
+				const isReady = !isLeaving && isInContact(driver.state, performance.now());
 				sendJson(response, isReady ? 200 : 503, {
 					role: driver.state.role, term: driver.state.term, leaderId: driver.state.leaderId === null ? null : hostOfMember(driver.state.leaderId), revision: replica.state.catalog.revision,
 				});
@@ -236,18 +244,41 @@
 			void rollouts.advance();
 		}, rolloutMs),
 	];
+	const stopTimers = (): void => {
+		for (const timer of timers) {
+			clearInterval(timer);
+		}
+	};
+
+	const passLeadershipOn = async (): Promise<void> => {
+		const result = await handOver({driver});
+		if (result.type === 'handedOver') {
+			logger.event('BP1011', {leaderId: hostOfMember(result.leaderId), tookMs: result.tookMs});
+		} else if (result.type === 'failed') {
+			logger.event('BP1012', {});
+		}
+	};
+
 	return {
 		selfId,
 		address: server.address,
 		isLeader,
 		members: () => driver.state.members,
 		syncCount: store.syncCount,
+		async stop() {
+			isLeaving = true;
+			handedOver = passLeadershipOn();
+			await handedOver;
+			hub.leave();
+			stopTimers();
+			// Consensus goes on meanwhile, so that orders that were asked here and passed on get their answer.
+			await server.close();
+			await driver.close();
+		},
 		async close() {
-			for (const timer of timers) {
-				clearInterval(timer);
-			}
-
+			stopTimers();
 			hub.wake();
+			snapshots.close();
 			await driver.close();
 			server.destroy();
 		},
