--- a/packages/bench/src/capacity/start-controls.ts
+++ b/packages/bench/src/capacity/start-controls.ts
@@ -33,18 +33,24 @@
 			roles: 'control', 'host-id': ids[index]!, listen: address, controls, 'data-folder': path.join(folder, ids[index]!),
 		}),
 	}]));
+	const end = async (): Promise<void> => {
+		await Promise.all([...processes.values()].map(async control => control.end()));
+	};
+
 	let leaderId: string | null = null;
 	await waitUntil('a control host leads', async () => {
 		leaderId = await leaderOf(addresses);
 		return leaderId !== null;
-	}, {timeoutMs: patienceMs});
+	}, {timeoutMs: patienceMs}).catch(async (error: unknown) => {
+		// Nobody else knows of them yet.
+		await end();
+		throw error;
+	});
 	const leader = processes.get(leaderId!)!;
 	return {
 		leader,
 		followers: [...processes.values()].filter(follower => follower !== leader),
-		async end() {
-			await Promise.all([...processes.values()].map(async control => control.end()));
-		},
+		end,
 	};
 };
 
