fix(cli): send a line again while nobody leads

Change: while the entry answers 503 a line is sent again for up to 5 s under one command id, which makes the resend safe whether or not the first was accepted. An entry that cannot be reached is told at once as before.

--- a/packages/cli/src/send-command.ts
+++ b/packages/cli/src/send-command.ts
@@ -1,3 +1,5 @@
+import {randomUUID} from 'node:crypto';
+import {setTimeout as delay} from 'node:timers/promises';
 import {sendLine, type CommandAnswer} from '@bitternpaddle/daemon';
 import type {BaseContext} from 'clipanion';
 import {formatRows} from './format-rows.js';
@@ -7,6 +9,7 @@
 	readonly token: string;
 	readonly line: string;
 	readonly output: 'table' | 'json';
+	/** @default a new one */
 	readonly commandId?: string;
 	readonly ifRevision?: number;
 };
@@ -21,12 +24,35 @@
 /** `revision`: where an accepted change stands; `null` for anything else. */
 export type SendOutcome = {readonly code: number; readonly revision: number | null};
 
+const unavailableStatus = 503;
+/** Several elections; whoever has waited so long wants to know. */
+const patienceMs = 5000;
+const pauseMs = 250;
+
+/**
+ * Sends a line again while nobody leads. Without this an order that meets an
+ * election fails, though the next second would take it. The command id makes
+ * the resend safe, also if the first was accepted and only its answer is lost.
+ */
+const sendPatiently = async (options: SendOptions): Promise<CommandAnswer> => {
+	const {commandId = randomUUID()} = options;
+	const giveUpAtMs = performance.now() + patienceMs;
+	for (;;) {
+		const answer = await sendLine({...options, commandId});
+		if (answer.status !== unavailableStatus || performance.now() >= giveUpAtMs) {
+			return answer;
+		}
+
+		await delay(pauseMs);
+	}
+};
+
 /** Sends one line and prints the answer. */
 export const sendCommand = async (context: BaseContext, options: SendOptions): Promise<SendOutcome> => {
 	const {line, output} = options;
 	let answer: CommandAnswer;
 	try {
-		answer = await sendLine(options);
+		answer = await sendPatiently(options);
 	} catch (error) {
 		context.stderr.write(`${options.address} cannot be reached: ${(error as Error).message}\n`);
 		return {code: exitCodes.unavailable, revision: null};
@@ -50,7 +76,7 @@
 		return exitCodes.usage;
 	}
 
-	return status === 503 ? exitCodes.unavailable : exitCodes.refused;
+	return status === unavailableStatus ? exitCodes.unavailable : exitCodes.refused;
 };
 
 const printAnswer = ({stdout, stderr}: BaseContext, line: string, {body}: CommandAnswer): void => {
