--- a/packages/cli/src/commands/manifest-command.ts
+++ b/packages/cli/src/commands/manifest-command.ts
@@ -2,7 +2,7 @@
 import {readdir, stat, writeFile} from 'node:fs/promises';
 import path from 'node:path';
 import {
-	canonicalJson, createManifest, defaultChunkSizeBytes, manifestIdOf,
+	canonicalJson, createManifest, defaultChunkSizeBytes, manifestIdOf, manifestIdSchema,
 } from '@bitternpaddle/state';
 import {Command, Option} from 'clipanion';
 import {exitCodes} from '../send-command.js';
@@ -18,6 +18,7 @@
 
 	folder = Option.String({required: true});
 	out = Option.String('--out', {description: 'File for the manifest. Default: manifest.json beside the folder.'});
+	base = Option.String('--base', {description: 'For an adapter: the id of the manifest of the version that it belongs to.'});
 	chunkSizeBytes = Option.String('--chunk-size-bytes', String(defaultChunkSizeBytes), {description: `Expected: a whole number. Default: ${defaultChunkSizeBytes}.`});
 
 	override async execute(): Promise<number> {
@@ -27,6 +28,12 @@
 			return exitCodes.usage;
 		}
 
+		const base = this.base === undefined ? undefined : manifestIdSchema.safeParse(this.base);
+		if (base?.success === false) {
+			this.context.stderr.write(`--base is "${this.base}": expected sha256: and 64 hexadecimal digits\n`);
+			return exitCodes.usage;
+		}
+
 		let files: string[];
 		try {
 			files = await listFiles(this.folder);
@@ -43,7 +50,7 @@
 		const sizes = await Promise.all(files.map(async file => (await stat(file)).size));
 		const totalBytes = sizes.reduce((sum, size) => sum + size, 0);
 		const manifest = await createManifest(readAll(files), {
-			chunkSizeBytes,
+			chunkSizeBytes, baseManifestId: base?.data,
 			onProgress: doneBytes => {
 				this.context.stderr.write(`\r${Math.floor(100 * doneBytes / totalBytes)}% of ${totalBytes} bytes`);
 			},
--- a/packages/cli/src/wait-for.ts
+++ b/packages/cli/src/wait-for.ts
@@ -1,7 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {sendLine, type ClientOptions} from '@bitternpaddle/daemon';
 import {parseStatement, type QueryRow} from '@bitternpaddle/protocol';
-import type {Change} from '@bitternpaddle/state';
+import {adapterKeyOf, type Change} from '@bitternpaddle/state';
 import {formatProgress, loadProgress} from './progress.js';
 
 export type WaitOptions = {
@@ -21,7 +21,7 @@
 
 type Step = {readonly isDone: boolean; readonly text: string};
 
-/** Waits until an accepted change is in force everywhere, and for a load until its replicas are ready. */
+/** Waits until an accepted change is in force everywhere, and for a load of a version or adapter until its replicas are ready. */
 export const waitFor = async (options: WaitOptions): Promise<WaitOutcome> => {
 	const startedMs = performance.now();
 	const change = changeOf(options.line);
@@ -50,6 +50,10 @@
 
 const look = async (options: WaitOptions, change: Change | null, elapsedMs: number): Promise<Step> => {
 	const inForce = await lookAtRevision(options);
+	if (inForce.isDone && change?.type === 'loadAdapter') {
+		return lookAtAdapter(options, change);
+	}
+
 	if (!inForce.isDone || change?.type !== 'load') {
 		return inForce;
 	}
@@ -68,6 +72,27 @@
 	return {isDone: progress.ready >= progress.wanted, text: formatProgress(progress)};
 };
 
+const lookAtAdapter = async (options: WaitOptions, {versionId, adapterId, fleetId}: Extract<Change, {type: 'loadAdapter'}>): Promise<Step> => {
+	const key = adapterKeyOf(versionId, adapterId);
+	const [adapterRow] = await rowsOf(options, `show adapters where adapter = ${key}`);
+	const [fleetRow] = await rowsOf(options, `show fleets where fleet = ${fleetId}`);
+	if (adapterRow === undefined || fleetRow === undefined) {
+		return {isDone: false, text: `adapter ${key} cannot be asked about`};
+	}
+
+	if (!String(adapterRow.fleets).split(', ').includes(fleetId)) {
+		return {isDone: true, text: `adapter ${key} has been taken off fleet ${fleetId} since`};
+	}
+
+	if (fleetRow.version !== versionId) {
+		return {isDone: true, text: `adapter ${key} waits for ${versionId}: fleet ${fleetId} has ${String(fleetRow.version)}`};
+	}
+
+	const replicas = await rowsOf(options, `show replicas where fleet = ${fleetId} and version = ${versionId}`);
+	const ready = replicas.filter(row => row.ready && String(row.adapters).split(', ').includes(adapterId)).length;
+	return {isDone: ready >= replicas.length && replicas.length > 0, text: `${ready}/${replicas.length} replicas ready with adapter ${adapterId}`};
+};
+
 const lookAtRevision = async (options: WaitOptions): Promise<Step> => {
 	const hosts = await rowsOf(options, 'show hosts');
 	if (hosts.length === 0) {
--- a/packages/coordination/src/configuration/plan-membership.ts
+++ b/packages/coordination/src/configuration/plan-membership.ts
@@ -49,7 +49,7 @@
 	return [...changes, ...planLosses(options)];
 };
 
-const planHost = (catalog: Catalog, {announcement, readyVersionId, isLeaving}: HostReport): Change | {readonly type: 'readiness'; readonly readiness: Readiness} | null => {
+const planHost = (catalog: Catalog, {announcement, readyVersionId, readyAdapterIds = [], isLeaving}: HostReport): Change | {readonly type: 'readiness'; readonly readiness: Readiness} | null => {
 	if (announcement === null) {
 		return null;
 	}
@@ -64,10 +64,19 @@
 		return {type: 'hostJoined', announcement};
 	}
 
-	const isNewlyReady = known.announcement.incarnation === incarnation && known.readyVersionId !== readyVersionId;
-	return isNewlyReady ? {type: 'readiness', readiness: {hostId, incarnation, versionId: readyVersionId}} : null;
+	const isNewlyReady = known.announcement.incarnation === incarnation
+		&& (known.readyVersionId !== readyVersionId || !isSameList(known.readyAdapterIds ?? [], readyAdapterIds));
+	return isNewlyReady
+		? {
+			type: 'readiness', readiness: {
+				hostId, incarnation, versionId: readyVersionId, ...(readyAdapterIds.length > 0 && {adapterIds: readyAdapterIds}),
+			},
+		}
+		: null;
 };
 
+const isSameList = (a: readonly string[], b: readonly string[]): boolean => a.length === b.length && a.every((item, position) => item === b[position]);
+
 /**
  * Takes lost hosts out, a bounded number a minute. A silent host has no lease
  * and gets no work, so keeping it costs its replica; taking it out moves its
--- a/packages/coordination/src/configuration/snapshot-codec.ts
+++ b/packages/coordination/src/configuration/snapshot-codec.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {promisify} from 'node:util';
 import {gunzipSync, gzip} from 'node:zlib';
-import type {Catalog} from '@bitternpaddle/state';
+import {upgradeAdapters, type Catalog} from '@bitternpaddle/state';
 
 const compress = promisify(gzip);
 
@@ -16,5 +16,7 @@
 
 export const decodeCatalog = (text: string): Catalog => {
 	const unpacked = gunzipSync(Buffer.from(text, 'base64'), {maxOutputLength: decodedLimitBytes});
-	return JSON.parse(unpacked.toString()) as Catalog;
+	const catalog = JSON.parse(unpacked.toString()) as Catalog;
+	upgradeAdapters(catalog);
+	return catalog;
 };
--- a/packages/coordination/src/routing/router.ts
+++ b/packages/coordination/src/routing/router.ts
@@ -1,3 +1,6 @@
+import {
+	adapterNameOf, isUsable, isWorthWaiting, type HostFilter,
+} from './adapter-hosts.js';
 import {findOnRing} from './hash-ring.js';
 import {
 	noteAnswering, noteAwaiting, noteOutcome, type RequestOutcome,
@@ -12,7 +15,7 @@
 		entriesPerEndpoint: 4, minimumPerTier: 12, spillShare: 0.8, affinityFactor: 1.25, affinityFloor: 0.5, staleMs: 1000, reportHalfLifeMs: 2000,
 		slowStartMs: 30_000, maxEjectedShare: 0.5, panicMs: 10_000, failuresToEject: 3, ejectionMs: 5000, silentMs: 2000, ...options,
 	},
-	revision: 0, hosts: new Map(), groups: new Map(), models: new Map(), services: new Map(), otherEntries: new Set(),
+	revision: 0, hosts: new Map(), groups: new Map(), models: new Map(), services: new Map(), adapters: new Set(), otherEntries: new Set(),
 	full: new Set(), zoneFailureShares: new Map(), notices: [],
 });
 
@@ -57,12 +60,14 @@
 	}
 
 	const tier = pickTier(state, group);
-	const owner = ownerOf(state, tier, options, nowMs);
+	const {target, tried} = options;
+	const filter: HostFilter = {tried, adapterId: target.type === 'model' ? target.adapterId : undefined};
+	const owner = ownerOf(state, tier, {prefixKey: options.prefixKey ?? null, filter}, nowMs);
 	if (owner !== null) {
 		return {type: 'chosen', endpoint: owner.endpoint, probes: noProbes};
 	}
 
-	return chooseOfTwo(state, group, {tier, tried: options.tried, nowMs});
+	return chooseOfTwo(state, group, {tier, filter, nowMs});
 };
 
 /** Whether a request for the target could start now. */
@@ -77,7 +82,8 @@
 
 const groupsFor = (state: RouterState, target: RouteTarget): readonly TrafficGroup[] | null => {
 	if (target.type === 'model') {
-		return state.models.get(target.modelId) ?? null;
+		const groups = state.models.get(target.modelId) ?? null;
+		return target.adapterId === undefined ? groups : groupsWithAdapter(state, groups, adapterNameOf(target.modelId, target.adapterId), target.adapterId);
 	}
 
 	const group = state.services.get(target.serviceId);
@@ -88,6 +94,9 @@
 	return group === null ? [] : [{percent: 100, group}];
 };
 
+const groupsWithAdapter = ({adapters}: RouterState, groups: readonly TrafficGroup[] | null, name: string, adapterId: string): readonly TrafficGroup[] | null =>
+	adapters.has(name) ? groups?.filter(({adapterIds}) => adapterIds?.includes(adapterId)) ?? null : null;
+
 /** A full fleet's share goes to the others: the operator's percentages hold while there is room. */
 const pickGroup = (state: RouterState, groups: readonly TrafficGroup[]): Group | null => {
 	let total = 0;
@@ -144,7 +153,7 @@
  * agree on the owner without telling each other, and cache events, which come
  * late and with gaps, are not needed.
  */
-const ownerOf = (state: RouterState, tier: Tier, {prefixKey = null, tried}: ChooseOptions, nowMs: number): HostState | null => {
+const ownerOf = (state: RouterState, tier: Tier, {prefixKey, filter}: {readonly prefixKey: string | null; readonly filter: HostFilter}, nowMs: number): HostState | null => {
 	if (prefixKey === null) {
 		return null;
 	}
@@ -153,26 +162,26 @@
 	const share = Math.max(options.affinityFloor, options.affinityFactor * utilisation(tier));
 	return findOnRing(tier.ring, prefixKey, affinityTries, host => host.position >= 0
 		&& scoreOf(host, options, nowMs) <= Math.max(share, 1 / host.endpoint.capacity)
-		&& !tried.has(host.hostId));
+		&& isUsable(host, filter));
 };
 
-type Drawing = {readonly tier: Tier; readonly tried: ReadonlySet<string>; readonly nowMs: number};
+type Drawing = {readonly tier: Tier; readonly filter: HostFilter; readonly nowMs: number};
 
-const chooseOfTwo = (state: RouterState, group: Group, {tier, tried, nowMs}: Drawing): Choice => {
-	const first = drawUntried(state, tier, tried) ?? drawAnywhere(state, group, tried);
+const chooseOfTwo = (state: RouterState, group: Group, {tier, filter, nowMs}: Drawing): Choice => {
+	const first = drawUntried(state, tier, filter) ?? drawAnywhere(state, group, filter);
 	if (first === null) {
-		return {type: 'noEndpoint'};
+		return {type: isWorthWaiting(group, filter) ? 'busy' : 'noEndpoint'};
 	}
 
-	const second = drawUntried(state, first.tier!, tried) ?? first;
+	const second = drawUntried(state, first.tier!, filter) ?? first;
 	const best = scoreOf(second, state.options, nowMs) < scoreOf(first, state.options, nowMs) ? second : first;
 	const probes = first === second ? noProbes : [first, second].filter(host => isProbeDue(state, host, nowMs)).map(host => host.endpoint);
 	return {type: 'chosen', endpoint: best.endpoint, probes};
 };
 
-const drawAnywhere = (state: RouterState, {tiers}: Group, tried: ReadonlySet<string>): HostState | null => {
+const drawAnywhere = (state: RouterState, {tiers}: Group, filter: HostFilter): HostState | null => {
 	for (const tier of tiers) {
-		const host = drawUntried(state, tier, tried);
+		const host = drawUntried(state, tier, filter);
 		if (host !== null) {
 			return host;
 		}
@@ -181,17 +190,17 @@
 	return null;
 };
 
-/** A random host with room that was not tried: of any run of `tried.size + 1` hosts one is untried. */
-const drawUntried = ({options}: RouterState, {available}: Tier, tried: ReadonlySet<string>): HostState | null => {
+/** A random host with room that may be chosen: of any run of `tried.size + 1` hosts one is untried; holders of an adapter may be few while it is loaded. */
+const drawUntried = ({options}: RouterState, {available}: Tier, filter: HostFilter): HostState | null => {
 	if (available.length === 0) {
 		return null;
 	}
 
 	const start = options.random.between(0, available.length - 1);
-	const looks = Math.min(available.length, tried.size + 1);
+	const looks = filter.adapterId === undefined ? Math.min(available.length, filter.tried.size + 1) : available.length;
 	for (let step = 0; step < looks; step++) {
 		const host = available[(start + step) % available.length]!;
-		if (tried.size === 0 || !tried.has(host.hostId)) {
+		if (isUsable(host, filter)) {
 			return host;
 		}
 	}
--- a/packages/coordination/src/routing/types.ts
+++ b/packages/coordination/src/routing/types.ts
@@ -4,7 +4,7 @@
 
 /** What a request asks for. */
 export type RouteTarget
-	= | {readonly type: 'model'; readonly modelId: string}
+	= | {readonly type: 'model'; readonly modelId: string; readonly adapterId?: string}
 		| {readonly type: 'service'; readonly serviceId: string};
 
 export type Endpoint = {
@@ -95,7 +95,12 @@
 	outcomes: number;
 };
 
-export type TrafficGroup = {readonly percent: number; readonly group: Group};
+export type TrafficGroup = {
+	readonly percent: number;
+	readonly group: Group;
+	/** Adapters of the group's version that its hosts are to hold; a host may not yet. */
+	readonly adapterIds?: readonly string[];
+};
 
 export type RouterOptions = {
 	readonly entryId: string;
@@ -140,6 +145,8 @@
 	readonly groups: Map<string, Group>;
 	readonly models: Map<string, TrafficGroup[]>;
 	readonly services: Map<string, Group | null>;
+	/** Adapters of any version, as callers name them: `adapterNameOf`. */
+	readonly adapters: Set<string>;
 	/** All other entries, as far as they are taken in. */
 	readonly otherEntries: Set<string>;
 	/** Hosts that are full by what others were reported to run. */
--- a/packages/coordination/src/routing/update-router.ts
+++ b/packages/coordination/src/routing/update-router.ts
@@ -2,6 +2,7 @@
 import {
 	fleetKey, placeHost, removeHost, serviceKey, type PlaceOptions,
 } from './placement.js';
+import {adapterNameOf} from './adapter-hosts.js';
 import type {Group, RouterState, TrafficGroup} from './types.js';
 
 /**
@@ -79,19 +80,32 @@
 		for (const {fleetId, percent} of traffic) {
 			const group = groupOfFleet(state, catalog, fleetId);
 			if (group !== null) {
-				groups.push({percent, group});
+				groups.push({percent, group, adapterIds: adaptersOfGroup(catalog, fleetId, group)});
 			}
 		}
 
 		state.models.set(modelId, groups);
 	}
 
+	state.adapters.clear();
+	for (const {versionId, adapterId, isWithdrawn} of Object.values(catalog.adapters)) {
+		if (!isWithdrawn) {
+			state.adapters.add(adapterNameOf(modelOfVersion(versionId), adapterId));
+		}
+	}
+
 	state.services.clear();
 	for (const serviceId of Object.keys(catalog.services)) {
 		state.services.set(serviceId, state.groups.get(serviceKey(serviceId)) ?? null);
 	}
 };
 
+/** Only of the version that the group serves: another version's adapter of the same name is other weights. */
+const adaptersOfGroup = (catalog: Catalog, fleetId: string, {key}: Group): string[] => (catalog.fleets[fleetId]!.adapters?.keys ?? [])
+	.map(adapterKey => catalog.adapters[adapterKey])
+	.filter(adapter => adapter !== undefined && fleetKey(fleetId, adapter.versionId) === key)
+	.map(adapter => adapter!.adapterId);
+
 /** Those with the version in force; while none has it, the largest group with another usable version. */
 const groupOfFleet = (state: RouterState, catalog: Catalog, fleetId: string): Group | null => {
 	const fleet = catalog.fleets[fleetId];
--- a/packages/daemon/src/agent/activation.ts
+++ b/packages/daemon/src/agent/activation.ts
@@ -8,6 +8,8 @@
 	readonly digest: string;
 	readonly filePath: string;
 	readonly fencingNumber: number;
+	/** Number of the order about the version alone; an engine that holds it since then is not loaded again for an order about adapters. */
+	readonly versionFencingNumber: number;
 };
 
 export type ActivationOutcome
@@ -38,7 +40,7 @@
 	}
 
 	const before = await askEngine(endpointAddress);
-	if (before.fencingNumber === order.fencingNumber && holds(before, order)) {
+	if (before.fencingNumber >= order.versionFencingNumber && before.fencingNumber <= order.fencingNumber && holds(before, order)) {
 		return {type: 'active'};
 	}
 
--- a/packages/daemon/src/agent/create-agent-node.ts
+++ b/packages/daemon/src/agent/create-agent-node.ts
@@ -11,6 +11,7 @@
 	createHttpServer, createRpcServer, rpcPath, sendJson, silentLogger, type Logger,
 } from '@bitternpaddle/transport';
 import {createConfigurationClient, type ConfigurationInForce} from '../host/configuration-client.js';
+import {createAdapters} from './adapters.js';
 import {answersPrefix, createDoorServer, doorPrefix} from './door-server.js';
 import {createTransferLinks} from './transfer-links.js';
 import {chunksPrefix, createUploadServer} from './upload-server.js';
@@ -113,10 +114,15 @@
 
 	const report = (): HostReport => ({
 		hostId, role: 'agent', address: server.address, revision: configuration.catalog().revision, requestsInFlight: door.running,
-		announcement: announcement(), isLeaving, transfers: weights.statuses(),
-		readyVersionId: versionIdSchema.nullable().parse(weights.loaded()?.versionId ?? null),
+		announcement: announcement(), isLeaving, transfers: [...weights.statuses(), ...adapters.statuses()],
+		readyVersionId: versionIdSchema.nullable().parse(weights.loaded()?.versionId ?? null), ...readyAdapters(),
 	});
 
+	const readyAdapters = (): Pick<HostReport, 'readyAdapterIds'> => {
+		const readyAdapterIds = adapters.readyIds();
+		return readyAdapterIds.length === 0 ? {} : {readyAdapterIds};
+	};
+
 	const rpc = createRpcServer();
 	const server = await createHttpServer({
 		listen,
@@ -138,25 +144,29 @@
 		},
 	});
 
-	const weights = createWeights({
+	const weightsOptions = {
 		hostId, zoneId, regionId, folder, sources: {origin: originAddress, store: storeAddress ?? null}, originCopies, links, keepMs, engineCheckMs,
 		endpointAddress, selfAddress: () => options.announcedAddress ?? server.address, logger,
+		hasLease: () => configuration.hasLease(),
+		onReady() {
+			configuration.reportNow().catch(() => undefined);
+		},
+	};
+	const weights = createWeights({
+		...weightsOptions,
 		async pauseDoor(change) {
 			isPaused = true;
 			updateDoor();
 			await whenIdle();
 			try {
-				await change();
+				await adapters.aroundBaseOrder(change);
 			} finally {
 				isPaused = false;
 				updateDoor();
 			}
 		},
-		hasLease: () => configuration.hasLease(),
-		onReady() {
-			configuration.reportNow().catch(() => undefined);
-		},
 	});
+	const adapters = createAdapters({...weightsOptions, loaded: () => weights.loaded()});
 
 	const configuration = createConfigurationClient({
 		controls, logger, report,
@@ -164,6 +174,7 @@
 			updateDoor();
 			if (kind === 'engine') {
 				weights.follow(catalog);
+				adapters.follow(catalog);
 			}
 
 			if (catalog.hosts[hostId]?.status === 'stopped' && !isLeaving) {
@@ -175,6 +186,7 @@
 	const doorServer = createDoorServer({
 		hostId, door, configuration, endpointAddress, kind, limits, tickMs,
 		loaded: () => weights.loaded(),
+		enterAdapter: tag => adapters.enter(tag),
 		onIdle() {
 			for (const check of idleWaiters) {
 				check();
@@ -182,18 +194,20 @@
 		},
 	});
 
-	const sendChunk = createUploadServer({links, readChunk: async (manifestId, chunk) => weights.readChunk(manifestId, chunk)});
+	const sendChunk = createUploadServer({links, readChunk: async (manifestId, chunk) => await weights.readChunk(manifestId, chunk) ?? adapters.readChunk(manifestId, chunk)});
 
 	rpc.method('agent.settle', settleParametersSchema, parameters => doorServer.settle(parameters));
 	rpc.method('agent.load', loadParametersSchema, (): LoadResult => ({running: door.running}));
 	rpc.method('agent.have', haveParametersSchema, parameters => {
 		weights.hear(parameters);
+		adapters.hear(parameters);
 	});
 
 	const close = async (): Promise<void> => {
 		configuration.close();
 		doorServer.close();
 		links.close();
+		await adapters.close();
 		await weights.close();
 	};
 
--- a/packages/daemon/src/agent/door-run.ts
+++ b/packages/daemon/src/agent/door-run.ts
@@ -4,7 +4,7 @@
 import type {UnansweredVerdict} from '@bitternpaddle/state';
 import {createAnswerBuffer, type AnswerBuffer} from './answer-buffer.js';
 
-export type AnswerHead = {readonly status: number; readonly contentType: string; readonly versionId: string | null};
+export type AnswerHead = {readonly status: number; readonly contentType: string; readonly versionId: string | null; readonly adapterTag?: string};
 
 export type DoorRunOptions = {
 	readonly attemptId: string;
@@ -67,6 +67,7 @@
 		complete(atMs) {
 			run.marker = {
 				requestId, sizeBytes: run.buffer.endOffset(), digest: hash.digest('hex'), versionId: run.head!.versionId,
+				...(run.head!.adapterTag !== undefined && {adapterTag: run.head!.adapterTag}),
 			};
 			run.endedAtMs = atMs;
 			run.notify();
--- a/packages/daemon/src/agent/door-server.ts
+++ b/packages/daemon/src/agent/door-server.ts
@@ -4,7 +4,7 @@
 	admitAtDoor, finishAtDoor, settleAtDoor, type DoorRefusal, type DoorRequest, type DoorState, type RunLimits,
 } from '@bitternpaddle/coordination';
 import {
-	attemptHeader, deadlineHeader, idempotencyKeyHeader, incarnationHeader, issueHeader, onceHeader, parseIssue, requestIdHeader, versionHeader,
+	adapterHeader, attemptHeader, deadlineHeader, idempotencyKeyHeader, incarnationHeader, issueHeader, onceHeader, parseIssue, requestIdHeader, versionHeader,
 	type SettleResult,
 } from '@bitternpaddle/protocol';
 import {mayHaveRun, notRun, type UnansweredVerdict} from '@bitternpaddle/state';
@@ -12,6 +12,7 @@
 import {match} from 'ts-pattern';
 import type {ConfigurationClient} from '../host/configuration-client.js';
 import {createPeers} from '../host/peers.js';
+import type {AdapterUse} from './adapters.js';
 import {createDoorRun, type DoorRun} from './door-run.js';
 import {createRunRegistry} from './run-registry.js';
 import {createEndpointRunner, type LoadedVersion} from './run-on-endpoint.js';
@@ -30,6 +31,8 @@
 	readonly kind: 'engine' | 'plain';
 	/** What the agent has loaded into the engine and verified. */
 	readonly loaded: () => LoadedVersion | null;
+	/** Holds the adapter of a tag for a request; `null` if the engine does not hold exactly that one. By default there are none. */
+	readonly enterAdapter?: (tag: string) => AdapterUse | null;
 	/** @default {endpointIdleMs: 30000, unattendedMs: 5000} */
 	readonly limits?: RunLimits;
 	/** How often a waiting entry gets a sign of life. @default 500 */
@@ -56,7 +59,7 @@
 /** The one way to the endpoint: every request passes here, and each attempt at most once. */
 export const createDoorServer = (options: DoorServerOptions): DoorServer => {
 	const {
-		hostId, door, configuration, endpointAddress, kind, loaded, onIdle,
+		hostId, door, configuration, endpointAddress, kind, loaded, onIdle, enterAdapter = () => null,
 		limits = {endpointIdleMs: 30_000, unattendedMs: 5000}, tickMs = 500, windowBytes = 262_144,
 	} = options;
 	const peers = createPeers(configuration);
@@ -73,9 +76,10 @@
 	});
 	const runOnEndpoint = createEndpointRunner({
 		endpointAddress, aheadBytes: windowBytes / 2, loaded: () => kind === 'engine' ? loaded() : null,
-		async isStillLoaded({versionId, digest}) {
+		async isStillLoaded({versionId, digest}, adapter) {
 			const status = await askStatus();
-			return status.versionId === versionId && status.digest === digest;
+			return status.versionId === versionId && status.digest === digest
+				&& (adapter === null || status.adapters.some(held => held.name === adapter.name && held.digest === adapter.digest));
 		},
 	});
 
@@ -99,7 +103,7 @@
 		return kind === 'engine' && request.headers[versionHeader] !== held ? `the host serves ${held ?? 'nothing'}` : null;
 	};
 
-	const begin = (request: http.IncomingMessage, attemptId: string, requestId: string, body: Buffer): DoorRun => {
+	const begin = (request: http.IncomingMessage, {attemptId, requestId, body, adapterUse}: Beginning): DoorRun => {
 		const nowMs = performance.now();
 		const run = createDoorRun({
 			attemptId, requestId, isRepeatable: request.headers[onceHeader] === undefined, windowBytes, nowMs,
@@ -107,12 +111,13 @@
 		});
 		runs.add(run);
 		const finish = (): void => {
+			adapterUse?.leave();
 			finishAtDoor(door, attemptId, run.failure?.type === 'notRun' ? 'notRun' : 'ran');
 			onIdle();
 		};
 
 		void runOnEndpoint(run, {
-			method: request.method!, path: request.url!.slice(doorPrefix.length), body, headers: forwardedHeaders(request, requestId),
+			method: request.method!, path: request.url!.slice(doorPrefix.length), body, headers: forwardedHeaders(request, requestId), adapter: adapterUse?.adapter ?? null,
 		}).then(finish, finish);
 		return run;
 	};
@@ -137,13 +142,23 @@
 				return;
 			}
 
+			const tag = request.headers[adapterHeader];
+			const adapterUse = typeof tag === 'string' ? enterAdapter(tag) : null;
+			if (tag !== undefined && adapterUse === null) {
+				refuse(response, `the host does not serve adapter ${String(tag)}`);
+				return;
+			}
+
 			const admission = admitAtDoor(door, asked);
 			if (admission.type === 'refuse') {
+				adapterUse?.leave();
 				sendFailure(response, verdictOfRefusal(admission.reason));
 				return;
 			}
 
-			await sendAnswer(begin(request, asked.attemptId, requestId, body), response, {
+			await sendAnswer(begin(request, {
+				attemptId: asked.attemptId, requestId, body, adapterUse,
+			}), response, {
 				hostId, offset: 0, waiting, running,
 			});
 		},
@@ -174,6 +189,9 @@
 	};
 };
 
+/** What has been checked of a request that is about to start. */
+type Beginning = {readonly attemptId: string; readonly requestId: string; readonly body: Buffer; readonly adapterUse: AdapterUse | null};
+
 const readDoorRequest = ({headers}: http.IncomingMessage): DoorRequest | null => {
 	const issue = parseIssue(String(headers[issueHeader] ?? ''));
 	const incarnation = Number(headers[incarnationHeader]);
--- a/packages/daemon/src/agent/run-on-endpoint.ts
+++ b/packages/daemon/src/agent/run-on-endpoint.ts
@@ -9,6 +9,8 @@
 	readonly path: string;
 	readonly headers: http.OutgoingHttpHeaders;
 	readonly body: Buffer;
+	/** The adapter that must give the answer; `null` for the base alone. */
+	readonly adapter: LoadedAdapter | null;
 };
 
 export type EndpointRunnerOptions = {
@@ -18,22 +20,39 @@
 	/** What the endpoint serves, as known before the call; `null` for a plain service. */
 	loaded(): LoadedVersion | null;
 	/** Asks the endpoint, after the answer has ended, whether it still serves `loaded`. */
-	isStillLoaded(loaded: LoadedVersion): Promise<boolean>;
+	isStillLoaded(loaded: LoadedVersion, adapter: LoadedAdapter | null): Promise<boolean>;
 };
 
 export type LoadedVersion = {readonly versionId: string; readonly digest: string};
 
+/** An adapter that the engine holds beside its base, as far as verified. */
+export type LoadedAdapter = {
+	/** `formatAdapterTag` of what was verified. */
+	readonly tag: string;
+	/** What callers write as the model, and engines know it by. */
+	readonly name: string;
+	readonly digest: string;
+};
+
 /** Runs an admitted request on the endpoint and fills the run's answer; never throws. */
 export const createEndpointRunner = ({endpointAddress, aheadBytes, loaded, isStillLoaded}: EndpointRunnerOptions) => {
 	/** Why an answer is not this request's, or `null`. */
-	const faultOf = (answer: http.IncomingMessage, run: DoorRun, version: LoadedVersion | null): string | null => {
+	const faultOf = (answer: http.IncomingMessage, run: DoorRun, version: LoadedVersion | null, adapter: LoadedAdapter | null): string | null => {
 		const answeredId = answer.headers['x-request-id'];
 		if (answeredId !== undefined && answeredId !== run.requestId) {
 			return 'the endpoint answered another request';
 		}
 
-		const isOtherVersion = version !== null && answer.statusCode === 200 && answer.headers['x-engine-digest'] !== version.digest;
-		return isOtherVersion ? 'the endpoint answered from other weights' : null;
+		if (version === null || answer.statusCode !== 200) {
+			return null;
+		}
+
+		if (answer.headers['x-engine-digest'] !== version.digest) {
+			return 'the endpoint answered from other weights';
+		}
+
+		// An engine that lost its adapter may answer from the base alone, and look well doing it.
+		return answer.headers['x-engine-adapter-digest'] === adapter?.digest ? null : 'the endpoint answered from another adapter, or without it';
 	};
 
 	const holdBack = async (run: DoorRun): Promise<void> => {
@@ -48,9 +67,10 @@
 		}
 	};
 
-	const read = async (answer: http.IncomingMessage, run: DoorRun, version: LoadedVersion | null): Promise<void> => {
+	const read = async (answer: http.IncomingMessage, run: DoorRun, version: LoadedVersion | null, adapter: LoadedAdapter | null): Promise<void> => {
 		run.setHead({
 			status: answer.statusCode!, contentType: answer.headers['content-type'] ?? 'application/octet-stream', versionId: version?.versionId ?? null,
+			...(adapter !== null && {adapterTag: adapter.tag}),
 		});
 		for await (const part of answer as AsyncIterable<Buffer>) {
 			run.push(part, performance.now());
@@ -58,7 +78,7 @@
 		}
 
 		// The weights may have changed under the answer; then it is of two versions and gets no end marker.
-		if (version !== null && !(loaded()?.versionId === version.versionId && await isStillLoaded(version))) {
+		if (version !== null && !(loaded()?.versionId === version.versionId && await isStillLoaded(version, adapter))) {
 			run.fail(mayHaveRun('the weights changed under the answer'), performance.now());
 			return;
 		}
@@ -66,13 +86,20 @@
 		run.complete(performance.now());
 	};
 
-	return async (run: DoorRun, {method, path, headers, body}: EndpointCall): Promise<void> => {
+	return async (run: DoorRun, {method, path, headers, body, adapter}: EndpointCall): Promise<void> => {
 		const version = loaded();
 		try {
 			const answer = await sendHttp({
 				address: endpointAddress, method, path, body, headers, idleTimeoutMs: 0, signal: run.abort.signal,
 			});
-			const fault = faultOf(answer, run, version);
+			if (adapter !== null && answer.statusCode === 404) {
+				// It has no such model: nothing ran, and another host may have it.
+				answer.destroy();
+				run.fail(notRun('the engine does not hold the adapter'), performance.now());
+				return;
+			}
+
+			const fault = faultOf(answer, run, version, adapter);
 			if (fault !== null) {
 				// What else comes on this connection cannot be told apart either.
 				answer.destroy();
@@ -80,7 +107,7 @@
 				return;
 			}
 
-			await read(answer, run, version);
+			await read(answer, run, version, adapter);
 		} catch (error) {
 			const isUnsent = error instanceof TransportError && error.isUnsent;
 			run.fail(isUnsent ? notRun('the endpoint refuses connections') : mayHaveRun(`the endpoint failed: ${reasonOf(run, error as Error)}`), performance.now());
--- a/packages/daemon/src/agent/send-answer.ts
+++ b/packages/daemon/src/agent/send-answer.ts
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import type http from 'node:http';
 import {
-	endMarkerTrailer, hostHeader, loadHeader, requestIdHeader, verdictHeader, versionHeader,
+	adapterHeader, endMarkerTrailer, hostHeader, loadHeader, requestIdHeader, verdictHeader, versionHeader,
 } from '@bitternpaddle/protocol';
 import type {UnansweredVerdict} from '@bitternpaddle/state';
 import {match} from 'ts-pattern';
@@ -65,10 +65,10 @@
 		return;
 	}
 
-	const {status, contentType, versionId} = run.head!;
+	const {status, contentType, versionId, adapterTag} = run.head!;
 	response.writeHead(status, {
 		'content-type': contentType, [requestIdHeader]: run.requestId, [verdictHeader]: 'ran', [hostHeader]: hostId, [loadHeader]: running(),
-		...(versionId === null ? {} : {[versionHeader]: versionId}), trailer: endMarkerTrailer,
+		...(versionId === null ? {} : {[versionHeader]: versionId}), ...(adapterTag !== undefined && {[adapterHeader]: adapterTag}), trailer: endMarkerTrailer,
 	});
 	if (run.buffer.readFrom(offset) === null && run.marker === null) {
 		// An entry that comes back must hear at once that it has been found.
--- a/packages/daemon/src/agent/weights.ts
+++ b/packages/daemon/src/agent/weights.ts
@@ -1,6 +1,6 @@
 import type {HaveParameters, TransferStatus} from '@bitternpaddle/protocol';
 import {
-	manifestIdSchema, openChunkStore, removeOtherStores, versionIdSchema, type Assignment, type Catalog, type ChunkStore, type ManifestId,
+	adapterOrderOf, manifestIdSchema, openChunkStore, removeOtherStores, versionIdSchema, type Assignment, type Catalog, type ChunkStore, type ManifestId,
 } from '@bitternpaddle/state';
 import type {Logger} from '@bitternpaddle/transport';
 import {activate, watchEngine, type ActivationOrder} from './activation.js';
@@ -187,7 +187,7 @@
 	const order = async (job: Job, store: ChunkStore): Promise<void> => {
 		const {versionId, fencingNumber} = job.assignment;
 		const wanted: ActivationOrder = {
-			versionId, fencingNumber, manifestId: job.manifestId, digest: store.manifest.wholeDigest, filePath: store.filePath,
+			versionId, versionFencingNumber: fencingNumber, fencingNumber: adapterOrderOf(catalog!, hostId)?.fencingNumber ?? fencingNumber, manifestId: job.manifestId, digest: store.manifest.wholeDigest, filePath: store.filePath,
 		};
 		ready = null;
 		const outcome = await activate({
@@ -281,7 +281,7 @@
 			const assignment = assigned();
 			const version = assignment === null ? undefined : followed.versions[assignment.versionId];
 			if (isFirst) {
-				const kept = Object.values(followed.versions).filter(({isWithdrawn}) => !isWithdrawn).map(({manifestId}) => manifestId);
+				const kept = [...Object.values(followed.versions), ...Object.values(followed.adapters)].filter(({isWithdrawn}) => !isWithdrawn).map(({manifestId}) => manifestId);
 				removeOtherStores(folder, kept).catch(() => undefined);
 			}
 
--- a/packages/daemon/src/control/answer-query.ts
+++ b/packages/daemon/src/control/answer-query.ts
@@ -1,7 +1,9 @@
 import type {
 	Condition, HostReport, InForceResult, QueryRow, Show,
 } from '@bitternpaddle/protocol';
-import {defaultObjective, type Catalog} from '@bitternpaddle/state';
+import {
+	adapterKeyOf, defaultObjective, fleetsWithAdapter, type AdapterRecord, type Catalog,
+} from '@bitternpaddle/state';
 import {match} from 'ts-pattern';
 import type {HostRegistry} from './host-view.js';
 
@@ -25,6 +27,7 @@
 		model, traffic: traffic.map(share => `${share.fleetId} ${share.percent}%`).join(', '),
 	})))
 	.with('versions', () => Object.values(view.catalog.versions).map(({versionId, manifestId, isWithdrawn}) => ({version: versionId, manifest: manifestId, withdrawn: isWithdrawn})))
+	.with('adapters', () => Object.entries(view.catalog.adapters).map(([key, adapter]) => adapterRow(view.catalog, key, adapter)))
 	.with('fleets', () => Object.values(view.catalog.fleets).map(fleet => ({
 		fleet: fleet.fleetId, provider: fleet.provider, version: fleet.versionId, replicas: fleet.replicas,
 		zones: fleet.zoneIds.join(', '), loaded: fleet.isLoaded, ready: readyReplicas(view.catalog, fleet.fleetId, fleet.versionId),
@@ -54,15 +57,20 @@
 	.filter(host => host.assignment?.fleetId === fleetId && host.readyVersionId === versionId)
 	.length;
 
+const adapterRow = (catalog: Catalog, key: string, {adapterId, versionId, manifestId, isWithdrawn}: AdapterRecord): QueryRow => ({
+	adapter: key, version: versionId, manifest: manifestId, withdrawn: isWithdrawn, fleets: fleetsWithAdapter(catalog, key).map(({fleetId}) => fleetId).join(', '),
+	ready: Object.values(catalog.hosts).filter(host => host.readyVersionId === versionId && host.readyAdapterIds?.includes(adapterId)).length,
+});
+
 const replicaRows = ({catalog}: QueryView): QueryRow[] => Object.values(catalog.hosts)
 	.filter(host => host.assignment !== null)
-	.map(({announcement, assignment, readyVersionId, status}) => ({
+	.map(({announcement, assignment, readyVersionId, readyAdapterIds = [], status}) => ({
 		host: announcement.hostId, zone: announcement.zoneId, fleet: assignment!.fleetId, version: assignment!.versionId,
-		ready: readyVersionId === assignment!.versionId, serving: readyVersionId, status,
+		ready: readyVersionId === assignment!.versionId, serving: readyVersionId, adapters: readyAdapterIds.join(', '), status,
 	}));
 
 const transferRows = ({hostId, transfers}: HostReport): QueryRow[] => transfers.map(transfer => ({
-	host: hostId, version: transfer.versionId, state: transfer.state, chunks: `${transfer.heldChunks}/${transfer.totalChunks}`,
+	host: hostId, version: transfer.adapterId === undefined ? transfer.versionId : adapterKeyOf(transfer.versionId, transfer.adapterId), state: transfer.state, chunks: `${transfer.heldChunks}/${transfer.totalChunks}`,
 	originBytes: transfer.originBytes, peerBytes: transfer.peerBytes, detail: transfer.detail,
 }));
 
--- a/packages/daemon/src/control/replica.ts
+++ b/packages/daemon/src/control/replica.ts
@@ -1,6 +1,6 @@
 import {createChangeHistory, recordChange, type ChangeHistory} from '@bitternpaddle/coordination';
 import {
-	applyCommand, canonicalJson, createCatalog, createLedger, type CatalogChange, type Command, type CommandResult, type ReplicatedState, type Snapshot,
+	applyCommand, canonicalJson, createCatalog, createLedger, upgradeAdapters, type CatalogChange, type Command, type CommandResult, type ReplicatedState, type Snapshot,
 } from '@bitternpaddle/state';
 
 /** This control host's copy of what the log says so far. */
@@ -19,6 +19,7 @@
 	}
 
 	const state = JSON.parse(snapshot.state) as ReplicatedState;
+	upgradeAdapters(state.catalog);
 	return {
 		state, history: createChangeHistory(state.catalog.revision), appliedIndex: snapshot.index, appliedTerm: snapshot.term,
 	};
--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -19,6 +19,8 @@
 	/** See `Attempt.suspectMs`. */
 	readonly suspectMs: number;
 	nextIssue(): Issue;
+	/** What an answer to the call must be tagged with beside the version; `null` for the base alone. */
+	readonly adapterTagOf?: (call: Call, endpoint: Endpoint) => string | null;
 	readonly peers?: Peers;
 	readonly failing?: FailingHosts;
 	readonly outcomes?: FleetOutcomes;
@@ -65,7 +67,7 @@
 
 		const routed = routing.start(call, endpoint);
 		const attempted = await call.trace.attempt(endpoint, number, async () => dispatch({
-			...call, ...place, endpoint, revision: routing.revision(), signal: call.abort.signal, suspectMs: options.suspectMs, peers: options.peers,
+			...call, ...place, endpoint, adapterTag: options.adapterTagOf?.(call, endpoint) ?? null, revision: routing.revision(), signal: call.abort.signal, suspectMs: options.suspectMs, peers: options.peers,
 			remainingMs: call.endAtMs - performance.now(),
 		}));
 		const outcome = options.outcomes?.watch(endpoint.fleetId, attempted) ?? attempted;
--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -44,4 +44,7 @@
 	}
 }
 
-export const nameOf = (target: RouteTarget): string => target.type === 'model' ? `model ${target.modelId}` : `service ${target.serviceId}`;
+export const nameOf = (target: RouteTarget): string => target.type === 'model' ? `model ${modelNameOf(target)}` : `service ${target.serviceId}`;
+
+/** What the caller writes as the model. */
+export const modelNameOf = ({modelId, adapterId}: Extract<RouteTarget, {type: 'model'}>): string => adapterId === undefined ? modelId : `${modelId}/${adapterId}`;
--- a/packages/daemon/src/entry/dispatch.ts
+++ b/packages/daemon/src/entry/dispatch.ts
@@ -5,7 +5,7 @@
 	createAttempt, firstEffect, stepAttempt, type AttemptEffect, type AttemptEnd, type AttemptEvent, type AttemptState, type Endpoint, type GiveUpCause,
 } from '@bitternpaddle/coordination';
 import {
-	endMarkerSchema, endMarkerTrailer, incarnationHeader, requestIdHeader, verdictHeader, type Issue, type SettleResult,
+	adapterHeader, endMarkerSchema, endMarkerTrailer, incarnationHeader, requestIdHeader, verdictHeader, type Issue, type SettleResult,
 } from '@bitternpaddle/protocol';
 import {
 	mayHaveRun, notRun, type ClaimPlace, type UnansweredVerdict,
@@ -18,6 +18,8 @@
 
 export type Attempt = {
 	readonly endpoint: Pick<Endpoint, 'address' | 'incarnation' | 'versionId'>;
+	/** `formatAdapterTag` of the adapter that must answer. @default null, the base alone */
+	readonly adapterTag?: string | null;
 	readonly requestId: string;
 	readonly attemptId: string;
 	readonly issue: Issue;
@@ -213,7 +215,7 @@
 		running.parts = (connection as AsyncIterable<Buffer>)[Symbol.asyncIterator]();
 		const verdict = connection.headers[verdictHeader];
 		if (verdict === 'ran') {
-			return {type: 'head', isOwn: connection.headers[requestIdHeader] === requestId};
+			return {type: 'head', isOwn: connection.headers[requestIdHeader] === requestId && isFromAdapter(running.attempt, connection.headers[adapterHeader])};
 		}
 
 		const reason = messageOf(await readBody(connection, refusalLimitBytes));
@@ -270,7 +272,8 @@
 };
 
 /** Whether the answer that has just ended is whole and belongs to this request. */
-const isWhole = ({attempt: {requestId, endpoint}, connection, state, hash}: Running): boolean => {
+const isWhole = ({attempt, connection, state, hash}: Running): boolean => {
+	const {requestId, endpoint} = attempt;
 	const trailer = connection!.trailers[endMarkerTrailer];
 	if (!connection!.complete || trailer === undefined) {
 		return false;
@@ -281,9 +284,13 @@
 		&& marker.data.requestId === requestId
 		&& marker.data.sizeBytes === state.offset
 		&& marker.data.versionId === endpoint.versionId
+		&& isFromAdapter(attempt, marker.data.adapterTag)
 		&& marker.data.digest === hash.digest('hex');
 };
 
+/** A base that answers in place of an adapter looks like a whole answer; only its tag tells. */
+const isFromAdapter = ({adapterTag = null}: Attempt, answeredTag: unknown): boolean => (answeredTag ?? null) === adapterTag;
+
 const parseJson = (text: string): unknown => {
 	try {
 		return JSON.parse(text);
--- a/packages/daemon/src/entry/door-headers.ts
+++ b/packages/daemon/src/entry/door-headers.ts
@@ -1,6 +1,6 @@
 import type http from 'node:http';
 import {
-	attemptHeader, deadlineHeader, formatIssue, idempotencyKeyHeader, incarnationHeader, issueHeader, onceHeader, requestIdHeader, revisionHeader, versionHeader,
+	adapterHeader, attemptHeader, deadlineHeader, formatIssue, idempotencyKeyHeader, incarnationHeader, issueHeader, onceHeader, requestIdHeader, revisionHeader, versionHeader,
 } from '@bitternpaddle/protocol';
 import type {Attempt} from './dispatch.js';
 
@@ -15,6 +15,7 @@
 	...attempt.peers?.headers(),
 	[deadlineHeader]: Math.max(1, Math.round(attempt.remainingMs)),
 	...(attempt.endpoint.versionId === null ? {} : {[versionHeader]: attempt.endpoint.versionId}),
+	...(typeof attempt.adapterTag === 'string' && {[adapterHeader]: attempt.adapterTag}),
 	...(attempt.idempotencyKey === null ? {} : {[idempotencyKeyHeader]: attempt.idempotencyKey}),
 	...(attempt.isOnce ? {[onceHeader]: 'true'} : {}),
 });
--- a/packages/daemon/src/entry/explain.ts
+++ b/packages/daemon/src/entry/explain.ts
@@ -1,5 +1,5 @@
 import type {AttemptRecord, QueryRow, RequestRecord} from '@bitternpaddle/protocol';
-import type {Catalog, HostRecord} from '@bitternpaddle/state';
+import {adapterOrderOf, type Catalog, type HostRecord} from '@bitternpaddle/state';
 
 const row = (afterMs: number | null, event: string, detail: string): QueryRow => ({afterMs, event, detail});
 
@@ -75,6 +75,24 @@
 		: {aspect: 'weights', isFine: false, finding: `the engine holds ${readyVersionId ?? 'nothing'}, ${assignment.versionId} is assigned`};
 };
 
+const adaptersFinding = (catalog: Catalog, {announcement, assignment, readyVersionId, readyAdapterIds = []}: HostRecord): Finding | null => {
+	const ordered = adapterOrderOf(catalog, announcement.hostId)?.adapters.map(({adapterId}) => adapterId) ?? [];
+	if (ordered.length === 0 && readyAdapterIds.length === 0) {
+		return null;
+	}
+
+	const missing = ordered.filter(adapterId => readyVersionId !== assignment!.versionId || !readyAdapterIds.includes(adapterId));
+	const surplus = readyAdapterIds.filter(adapterId => !ordered.includes(adapterId));
+	return {
+		aspect: 'adapters', isFine: missing.length === 0 && surplus.length === 0,
+		finding: [
+			`the engine holds ${readyAdapterIds.join(', ') || 'none'} beside ${readyVersionId ?? 'no version'}`,
+			...(missing.length === 0 ? [] : [`${missing.join(', ')} ordered for ${assignment!.versionId} and not there`]),
+			...(surplus.length === 0 ? [] : [`${surplus.join(', ')} not ordered`]),
+		].join('; '),
+	};
+};
+
 const transferFinding = (transfer: QueryRow): Finding => ({
 	aspect: 'transfer', isFine: transfer.state !== 'failed',
 	finding: `${String(transfer.version)} ${String(transfer.state)}, ${String(transfer.chunks)} chunks, ${String(transfer.originBytes)} bytes from the origin, ${String(transfer.peerBytes)} from peers`
@@ -94,6 +112,7 @@
 		statusFinding(host, view.hostId),
 		assignmentFinding(host),
 		weightsFinding(host),
+		adaptersFinding(view.catalog, host),
 		...view.transferRows.map(transfer => transferFinding(transfer)),
 	].filter(finding => finding !== null);
 	const wrong = findings.filter(({isFine}) => !isFine).map(({aspect}) => aspect);
--- a/packages/daemon/src/entry/read-call.ts
+++ b/packages/daemon/src/entry/read-call.ts
@@ -56,11 +56,17 @@
 	}
 
 	return {
-		...shared, target: {type: 'model', modelId: parsed.data.model}, path: url, isStream: parsed.data.stream, isOnce: false,
+		...shared, target: targetOf(parsed.data.model), path: url, isStream: parsed.data.stream, isOnce: false,
 		cost: (parsed.data.max_tokens ?? defaultAnswerTokens) + Math.ceil(body.length / bytesPerToken / promptDiscount), prefixKey: prefixOf(parsed.data),
 	};
 };
 
+/** `model/adapter` asks for an adapter to whichever version of the model is in force. */
+const targetOf = (model: string): RouteTarget => {
+	const slash = model.indexOf('/');
+	return slash < 0 ? {type: 'model', modelId: model} : {type: 'model', modelId: model.slice(0, slash), adapterId: model.slice(slash + 1)};
+};
+
 const prefixOf = ({messages, prompt}: z.output<typeof chatBodySchema>): string | null => {
 	const text = typeof prompt === 'string' ? prompt : JSON.stringify(messages ?? null);
 	return text.length < prefixLength ? null : text.slice(0, prefixLength);
--- a/packages/daemon/src/entry/relay.ts
+++ b/packages/daemon/src/entry/relay.ts
@@ -3,7 +3,7 @@
 import type http from 'node:http';
 import {createEventGate, passEvents} from '@bitternpaddle/coordination';
 import {
-	errorResponseOf, hostHeader, requestIdHeader, versionHeader, type ErrorBody,
+	adapterHeader, errorResponseOf, hostHeader, requestIdHeader, versionHeader, type ErrorBody,
 } from '@bitternpaddle/protocol';
 import type {UnansweredVerdict} from '@bitternpaddle/state';
 import {sendJson, type Logger, type Metrics} from '@bitternpaddle/transport';
@@ -92,6 +92,7 @@
 	[requestIdHeader]: requestId,
 	[hostHeader]: answer.headers[hostHeader],
 	...(answer.headers[versionHeader] === undefined ? {} : {[versionHeader]: answer.headers[versionHeader]}),
+	...(answer.headers[adapterHeader] === undefined ? {} : {[adapterHeader]: answer.headers[adapterHeader]}),
 });
 
 export const sendRefusal = (response: http.ServerResponse, {status, type, message}: Refusal, headers: http.OutgoingHttpHeaders = {}): void => {
--- a/packages/daemon/src/entry/request-log.ts
+++ b/packages/daemon/src/entry/request-log.ts
@@ -3,6 +3,7 @@
 import type {RequestRecord, RequestSelection} from '@bitternpaddle/protocol';
 import type {UnansweredVerdict} from '@bitternpaddle/state';
 import {match} from 'ts-pattern';
+import {modelNameOf} from './call.js';
 
 export type RequestLogOptions = {
 	readonly entryId: string;
@@ -132,4 +133,4 @@
 	};
 };
 
-const nameOfTarget = (target: RouteTarget): string => target.type === 'model' ? target.modelId : target.serviceId;
+const nameOfTarget = (target: RouteTarget): string => target.type === 'model' ? modelNameOf(target) : target.serviceId;
--- a/packages/daemon/src/entry/serve-call.ts
+++ b/packages/daemon/src/entry/serve-call.ts
@@ -9,6 +9,7 @@
 import {createPeers} from '../host/peers.js';
 import {attemptCall, type AttemptsOptions, type CallOutcome} from './attempts.js';
 import {RefusedError, type Call} from './call.js';
+import {expectedAdapterTag} from './expected-adapter.js';
 import {readCall} from './read-call.js';
 import {sendRefusal, type Relay} from './relay.js';
 import type {RequestLog} from './request-log.js';
@@ -51,6 +52,7 @@
 	let sequence = 0;
 	const attemptsOptions: AttemptsOptions = {
 		routing, maxAttempts: options.maxAttempts, suspectMs: options.suspectMs, budget: createRetryBudget({nowMs: performance.now()}),
+		adapterTagOf: ({target}, endpoint) => expectedAdapterTag(configuration.catalog(), target, endpoint),
 		nextIssue: () => ({sender, sequence: sequence++}),
 		peers: createPeers(configuration), failing: options.failing, outcomes: options.outcomes,
 	};
--- a/packages/protocol/src/http/end-marker.ts
+++ b/packages/protocol/src/http/end-marker.ts
@@ -12,5 +12,7 @@
 	/** SHA-256 over the answer's bytes, in hexadecimal. */
 	digest: z.string(),
 	versionId: z.string().nullable(),
+	/** The tag of base and adapter; missing if no adapter gave the answer. */
+	adapterTag: z.string().optional(),
 });
 export type EndMarker = z.infer<typeof endMarkerSchema>;
--- a/packages/protocol/src/http/headers.ts
+++ b/packages/protocol/src/http/headers.ts
@@ -11,6 +11,8 @@
 /** Digest of the configuration at that revision. */
 export const configurationDigestHeader = 'x-bitternpaddle-configuration-digest';
 export const versionHeader = 'x-bitternpaddle-version';
+/** Base and adapter that an answer must come from, or does: `formatAdapterTag`. Missing when no adapter is asked for. */
+export const adapterHeader = 'x-bitternpaddle-adapter';
 export const fleetHeader = 'x-bitternpaddle-fleet';
 export const deadlineHeader = 'x-bitternpaddle-deadline-ms';
 export const verdictHeader = 'x-bitternpaddle-verdict';
--- a/packages/protocol/src/language/statement-forms.ts
+++ b/packages/protocol/src/language/statement-forms.ts
@@ -25,10 +25,10 @@
 		example: `create version pitch-desk:v1 from manifest ${manifest}`,
 	},
 	{
-		form: 'create adapter ADAPTER on MODEL:LABEL from manifest DIGEST',
-		description: 'An adapter to a version.',
+		form: 'create adapter MODEL:LABEL/ADAPTER from manifest DIGEST',
+		description: 'An adapter to one version, whose manifest names the version\'s own. Callers ask for it as model "MODEL/ADAPTER".',
 		role: 'administer',
-		example: `create adapter fair-tone on pitch-desk:v1 from manifest ${manifest}`,
+		example: `create adapter pitch-desk:v1/menu-tone from manifest ${manifest}`,
 	},
 	{
 		form: 'create fleet FLEET provider PROVIDER for MODEL:LABEL replicas N [in ZONE, ...] [at most N per zone] [capacity N]',
@@ -60,12 +60,30 @@
 		role: 'operate',
 		example: 'load pitch-desk:v2 on fleet fair-mornings',
 	},
+	{
+		form: 'load adapter MODEL:LABEL/ADAPTER on fleet FLEET',
+		description: 'Has the hosts of a fleet serve an adapter beside its version, at most 8 to a version; one to a version that the fleet does not serve yet waits for it.',
+		role: 'operate',
+		example: 'load adapter pitch-desk:v2/menu-tone on fleet fair-mornings',
+	},
+	{
+		form: 'unload adapter MODEL:LABEL/ADAPTER from fleet FLEET',
+		description: 'Takes an adapter off a fleet; what runs is finished.',
+		role: 'operate',
+		example: 'unload adapter pitch-desk:v2/menu-tone from fleet fair-mornings',
+	},
 	{
 		form: 'withdraw version MODEL:LABEL',
 		description: 'No fleet serves the version any more; each returns to the one before.',
 		role: 'operate',
 		example: 'withdraw version pitch-desk:v2',
 	},
+	{
+		form: 'withdraw adapter MODEL:LABEL/ADAPTER',
+		description: 'Takes an adapter off all fleets, for good; what runs is finished.',
+		role: 'operate',
+		example: 'withdraw adapter pitch-desk:v2/menu-tone',
+	},
 	{
 		form: 'move P% of MODEL from fleet FLEET to fleet FLEET',
 		description: 'Moves a share of a model\'s traffic.',
@@ -114,6 +132,12 @@
 		role: 'operate',
 		example: 'retire version pitch-desk:v1',
 	},
+	{
+		form: 'retire adapter MODEL:LABEL/ADAPTER',
+		description: 'Forgets an adapter that no fleet carries; its version can be retired once it has none.',
+		role: 'operate',
+		example: 'retire adapter pitch-desk:v1/menu-tone',
+	},
 	{
 		form: 'drain host HOST',
 		description: 'Takes work off a host; what runs is finished, and the process goes on.',
--- a/packages/protocol/src/language/subject-fields.ts
+++ b/packages/protocol/src/language/subject-fields.ts
@@ -2,7 +2,7 @@
 import {z} from 'zod';
 import type {Condition} from './statement.js';
 
-export const subjectSchema = z.enum(['replicas', 'transfers', 'hosts', 'revision', 'models', 'versions', 'fleets', 'services', 'teams', 'moves', 'requests']);
+export const subjectSchema = z.enum(['replicas', 'transfers', 'hosts', 'revision', 'models', 'versions', 'adapters', 'fleets', 'services', 'teams', 'moves', 'requests']);
 export type Subject = z.infer<typeof subjectSchema>;
 
 export type FieldType = 'text' | 'number' | 'boolean';
@@ -10,7 +10,7 @@
 /** The columns of each answer. Conditions are checked against them before anybody is asked. */
 export const subjectFields = {
 	replicas: {
-		host: 'text', zone: 'text', fleet: 'text', version: 'text', ready: 'boolean', serving: 'text', status: 'text',
+		host: 'text', zone: 'text', fleet: 'text', version: 'text', ready: 'boolean', serving: 'text', adapters: 'text', status: 'text',
 	},
 	transfers: {
 		host: 'text', version: 'text', state: 'text', chunks: 'text', originBytes: 'number', peerBytes: 'number', detail: 'text',
@@ -23,6 +23,9 @@
 	},
 	models: {model: 'text', traffic: 'text'},
 	versions: {version: 'text', manifest: 'text', withdrawn: 'boolean'},
+	adapters: {
+		adapter: 'text', version: 'text', manifest: 'text', withdrawn: 'boolean', fleets: 'text', ready: 'number',
+	},
 	fleets: {
 		fleet: 'text', provider: 'text', version: 'text', replicas: 'number', zones: 'text', loaded: 'boolean', ready: 'number',
 	},
--- a/packages/protocol/src/rpc/methods.ts
+++ b/packages/protocol/src/rpc/methods.ts
@@ -1,5 +1,5 @@
 import {
-	announcementSchema, changeSchema, commandSchema, logEntrySchema, manifestIdSchema, snapshotSchema, versionIdSchema,
+	adapterIdSchema, announcementSchema, changeSchema, commandSchema, logEntrySchema, manifestIdSchema, snapshotSchema, versionIdSchema,
 	type Catalog, type CommandResult,
 } from '@bitternpaddle/state';
 import {z} from 'zod';
@@ -57,7 +57,10 @@
 
 /** One transfer of weights on a host, as `show transfers` prints it. */
 export const transferStatusSchema = z.object({
-	versionId: versionIdSchema, manifestId: manifestIdSchema, heldChunks: index, totalChunks: index,
+	versionId: versionIdSchema,
+	/** Set when the weights are an adapter to that version. */
+	adapterId: adapterIdSchema.optional(),
+	manifestId: manifestIdSchema, heldChunks: index, totalChunks: index,
 	originBytes: index, peerBytes: index, state: z.enum(['fetching', 'verifying', 'activating', 'ready', 'failed']), detail: z.string(),
 });
 export type TransferStatus = z.infer<typeof transferStatusSchema>;
@@ -71,6 +74,8 @@
 	requestsInFlight: index,
 	announcement: announcementSchema.nullable(),
 	readyVersionId: versionIdSchema.nullable(),
+	/** Adapters of the ready version that the engine holds; missing if none. */
+	readyAdapterIds: z.array(adapterIdSchema).optional(),
 	/** The host has begun its graceful stop. */
 	isLeaving: z.boolean(),
 	transfers: z.array(transferStatusSchema),
--- a/packages/protocol/test/language.test.ts
+++ b/packages/protocol/test/language.test.ts
@@ -9,6 +9,12 @@
 		'create fleet fair-mornings provider new for pitch-desk:v2 replicas 40 in tacoma-hall, salem-hall',
 		'create team marshals key open-sesame share 3',
 		'load pitch-desk:v2 on fleet fair-mornings',
+		`create adapter pitch-desk:v2/menu-tone from manifest sha256:${'0'.repeat(64)}`,
+		'load adapter pitch-desk:v2/menu-tone on fleet fair-mornings',
+		'unload adapter pitch-desk:v2/menu-tone from fleet fair-mornings',
+		'withdraw adapter pitch-desk:v2/menu-tone',
+		'retire adapter pitch-desk:v2/menu-tone',
+		'show adapters where adapter = pitch-desk:v2/menu-tone',
 		'move 20% of pitch-desk from fleet old to fleet fair-mornings',
 		'move 50% of pitch-desk from fleet old to fleet fair-mornings in steps of 10% every 30 s stopping above 2.5%',
 		'move 50% of pitch-desk from fleet old to fleet fair-mornings in steps of 10%',
@@ -32,7 +38,7 @@
 });
 
 t.test('an error names the place and what was expected there', async t => {
-	for (const line of ['', 'drain', 'drain hots h1', 'load v2 on fleet f', 'show replicas where zone ~ a', 'create model -x']) {
+	for (const line of ['', 'drain', 'drain hots h1', 'load v2 on fleet f', 'load adapter menu-tone on fleet f', 'load adapter pitch-desk:v2 on fleet f', 'show replicas where zone ~ a', 'create model -x']) {
 		t.matchSnapshot(parseStatement(line).extract(), line);
 	}
 });
@@ -45,8 +51,13 @@
 
 t.test('completion comes from the grammar', async t => {
 	const cases: Array<[string, readonly string[]]> = [
-		['', ['create', 'drain', 'explain', 'load', 'move', 'resume', 'retire', 'roll', 'set', 'show', 'stop', 'undrain', 'withdraw']],
+		['', ['create', 'drain', 'explain', 'load', 'move', 'resume', 'retire', 'roll', 'set', 'show', 'stop', 'undrain', 'unload', 'withdraw']],
 		['s', ['set', 'show', 'stop']],
+		['load ', ['adapter']],
+		['unload ', ['adapter']],
+		['withdraw ', ['adapter', 'version']],
+		['show ad', ['adapters']],
+		['show adapters where r', ['ready']],
 		['show re', ['replicas', 'requests', 'revision']],
 		['show requests ', ['in']],
 		['show hosts w', ['where']],
--- a/packages/state/src/catalog/apply-change.ts
+++ b/packages/state/src/catalog/apply-change.ts
@@ -1,4 +1,7 @@
 import {match} from 'ts-pattern';
+import {
+	createAdapter, loadAdapter, retireAdapter, unloadAdapter, withdrawAdapter,
+} from './adapter-changes.js';
 import {digestOf} from './digest.js';
 import {
 	createFleet, createVersion, load, retireFleet, retireVersion, setReplicas, withdraw,
@@ -36,9 +39,11 @@
 const applyByType = (catalog: Catalog, change: CatalogChange, index: number): Outcome => match(change)
 	.with({type: 'createModel'}, ({modelId}) => createUnique(catalog.models, 'model', modelId, {traffic: []}))
 	.with({type: 'createVersion'}, change => createVersion(catalog, change))
-	.with({type: 'createAdapter'}, ({adapterId, versionId, manifestId}) => versionId in catalog.versions
-		? createUnique(catalog.adapters, 'adapter', adapterId, {versionId, manifestId})
-		: refuse('unknown', `no version ${versionId}`))
+	.with({type: 'createAdapter'}, change => createAdapter(catalog, change))
+	.with({type: 'loadAdapter'}, change => loadAdapter(catalog, change, index))
+	.with({type: 'unloadAdapter'}, change => unloadAdapter(catalog, change, index))
+	.with({type: 'withdrawAdapter'}, change => withdrawAdapter(catalog, change, index))
+	.with({type: 'retireAdapter'}, change => retireAdapter(catalog, change))
 	.with({type: 'createFleet'}, change => createFleet(catalog, change))
 	.with({type: 'createService'}, ({serviceId, repeatable}) => createUnique(catalog.services, 'service', serviceId, {repeatable}))
 	.with({type: 'setObjective'}, ({serviceId, objective}) => setObjective(catalog, serviceId, objective))
--- a/packages/state/src/catalog/fleet-changes.ts
+++ b/packages/state/src/catalog/fleet-changes.ts
@@ -1,3 +1,5 @@
+import {dropAdaptersOfVersion} from './adapter-changes.js';
+import {fleetsWithAdapter} from './adapters.js';
 import {hostIndexOf} from './host-index.js';
 import {fillFleets, orderFleet} from './plan-assignments.js';
 import {
@@ -93,7 +95,9 @@
 	}
 
 	catalog.versions[versionId] = {...version, isWithdrawn: true};
-	for (const fleet of users) {
+	dropAdaptersOfVersion(catalog, versionId, index);
+	for (const {fleetId} of users) {
+		const fleet = catalog.fleets[fleetId]!;
 		if (canReturn(catalog, fleet)) {
 			changeFleet(catalog, {...fleet, versionId: fleet.previousVersionId!, previousVersionId: null}, index);
 		} else {
@@ -164,9 +168,10 @@
 		return refuse('conflict', `fleet ${user.fleetId} still names ${versionId}`);
 	}
 
-	const adapter = Object.entries(catalog.adapters).find(([, record]) => record.versionId === versionId);
+	const adapter = Object.keys(catalog.adapters).find(key => catalog.adapters[key]!.versionId === versionId);
 	if (adapter !== undefined) {
-		return refuse('conflict', `adapter ${adapter[0]} stands on ${versionId}`);
+		const [fleet] = fleetsWithAdapter(catalog, adapter);
+		return refuse('conflict', `adapter ${adapter} stands on ${versionId}${fleet === undefined ? '' : ` and is loaded on fleet ${fleet.fleetId}`}; retire it first`);
 	}
 
 	// eslint-disable-next-line @typescript-eslint/no-dynamic-delete
--- a/packages/state/src/catalog/host-changes.ts
+++ b/packages/state/src/catalog/host-changes.ts
@@ -55,10 +55,11 @@
 };
 
 export const changeReplicas = (catalog: Catalog, readiness: readonly Readiness[]): Outcome => {
-	for (const {hostId, incarnation, versionId} of readiness) {
+	for (const {hostId, incarnation, versionId, adapterIds = []} of readiness) {
 		const host = catalog.hosts[hostId];
 		if (host?.announcement.incarnation === incarnation) {
-			putHost(catalog, {...host, readyVersionId: versionId});
+			const {readyAdapterIds, ...rest} = host;
+			putHost(catalog, {...rest, readyVersionId: versionId, ...(adapterIds.length > 0 && {readyAdapterIds: adapterIds})});
 		}
 	}
 
--- a/packages/state/src/catalog/index.ts
+++ b/packages/state/src/catalog/index.ts
@@ -1,3 +1,4 @@
+export * from './adapters.js';
 export * from './apply-change.js';
 export * from './apply-command.js';
 export * from './canonical-json.js';
--- a/packages/state/src/catalog/types.ts
+++ b/packages/state/src/catalog/types.ts
@@ -25,6 +25,8 @@
 	hostId: hostIdSchema,
 	incarnation: z.number().int().nonnegative(),
 	versionId: versionIdSchema.nullable(),
+	/** Adapters of that version that the engine holds too, in order of their names; missing if it holds none. */
+	adapterIds: z.array(adapterIdSchema).optional(),
 });
 export type Readiness = z.infer<typeof readinessSchema>;
 
@@ -64,6 +66,8 @@
 	teamId: teamIdSchema, serviceId: serviceIdSchema, key: idempotencyKeySchema, requestId: requestIdSchema,
 };
 
+const adapterNameShape = {adapterId: adapterIdSchema, versionId: versionIdSchema};
+
 /**
  * The changes that the log carries. Those about claims concern the control
  * hosts alone; all others are configuration and reach every host.
@@ -74,9 +78,7 @@
 	z.object({
 		type: z.literal('createVersion'), versionId: versionIdSchema, manifestId: manifestIdSchema,
 	}),
-	z.object({
-		type: z.literal('createAdapter'), adapterId: adapterIdSchema, versionId: versionIdSchema, manifestId: manifestIdSchema,
-	}),
+	z.object({type: z.literal('createAdapter'), ...adapterNameShape, manifestId: manifestIdSchema}),
 	z.object({
 		type: z.literal('createFleet'), fleetId: fleetIdSchema, provider: z.string().max(64), versionId: versionIdSchema,
 		replicas: z.number().int().nonnegative(), zoneIds: z.array(zoneIdSchema),
@@ -91,6 +93,10 @@
 		type: z.literal('createTeam'), teamId: teamIdSchema, keyDigest: z.string(), share: z.number().positive(),
 	}),
 	z.object({type: z.literal('load'), versionId: versionIdSchema, fleetId: fleetIdSchema}),
+	z.object({type: z.literal('loadAdapter'), ...adapterNameShape, fleetId: fleetIdSchema}),
+	z.object({type: z.literal('unloadAdapter'), ...adapterNameShape, fleetId: fleetIdSchema}),
+	z.object({type: z.literal('withdrawAdapter'), ...adapterNameShape}),
+	z.object({type: z.literal('retireAdapter'), ...adapterNameShape}),
 	z.object({type: z.literal('setReplicas'), fleetId: fleetIdSchema, replicas: z.number().int().nonnegative()}),
 	z.object({type: z.literal('withdrawVersion'), versionId: versionIdSchema}),
 	z.object({type: z.literal('retireFleet'), fleetId: fleetIdSchema}),
@@ -161,6 +167,8 @@
 	readonly announcement: Announcement;
 	readonly status: HostStatus;
 	readonly readyVersionId: string | null;
+	/** Adapters of the ready version that the engine holds; missing if none. */
+	readonly readyAdapterIds?: readonly string[];
 	readonly assignment: Assignment | null;
 };
 
@@ -175,6 +183,22 @@
 	readonly minCapacity?: number;
 	/** A fleet carries weights only after its first `load`. */
 	readonly isLoaded: boolean;
+	/** Adapters, of this version or another, that its hosts hold while they hold the adapter's version; missing if none ever was. */
+	readonly adapters?: FleetAdapters;
+};
+
+export type FleetAdapters = {
+	/** `adapterKeyOf` each, sorted. */
+	readonly keys: readonly string[];
+	/** Log index of the last order about them; fences engines as an assignment's number does. */
+	readonly fencingNumber: number;
+};
+
+export type AdapterRecord = {
+	readonly adapterId: string;
+	readonly versionId: string;
+	readonly manifestId: ManifestId;
+	readonly isWithdrawn: boolean;
 };
 
 export type VersionRecord = {
@@ -222,7 +246,8 @@
 	digest: string;
 	models: Record<string, {readonly traffic: readonly TrafficShare[]}>;
 	versions: Record<string, VersionRecord>;
-	adapters: Record<string, {readonly versionId: string; readonly manifestId: string}>;
+	/** By `adapterKeyOf`. */
+	adapters: Record<string, AdapterRecord>;
 	fleets: Record<string, FleetRecord>;
 	services: Record<string, ServiceRecord>;
 	teams: Record<string, {readonly keyDigest: string; readonly share: number}>;
--- a/packages/state/src/types/ids.ts
+++ b/packages/state/src/types/ids.ts
@@ -39,6 +39,9 @@
 export const adapterIdSchema = name.brand<'AdapterId'>();
 export type AdapterId = z.infer<typeof adapterIdSchema>;
 
+/** An adapter of one version, written `model:label/adapter`. */
+export const adapterKeyOf = (versionId: string, adapterId: string): string => `${versionId}/${adapterId}`;
+
 /** A version of a model, written `model:label`. */
 export const versionIdSchema = z.string()
 	.regex(/^[a-zA-Z\d][\w.\-]{0,63}:[a-zA-Z\d][\w.\-]{0,63}$/v, 'expected model:label')
--- a/packages/state/test/apply-history.test.ts
+++ b/packages/state/test/apply-history.test.ts
@@ -14,6 +14,7 @@
 const model = oneOf('model-', 8);
 const version = fc.tuple(model, fc.nat(2)).map(([name, number]) => `${name}:v${number}`);
 const fleet = oneOf('fleet-', 6);
+const adapter = oneOf('adapter-', 3);
 const host = oneOf('h', 24);
 const zone = oneOf('zone-', 3);
 const team = oneOf('team-', 4);
@@ -32,6 +33,13 @@
 	}),
 	fc.record({type: fc.constant('load'), versionId: version, fleetId: fleet}),
 	fc.record({type: fc.constantFrom('withdrawVersion', 'retireVersion'), versionId: version}),
+	fc.record({
+		type: fc.constant('createAdapter'), versionId: version, adapterId: adapter, manifestId: manifest,
+	}),
+	fc.record({
+		type: fc.constantFrom('loadAdapter', 'unloadAdapter'), versionId: version, adapterId: adapter, fleetId: fleet,
+	}),
+	fc.record({type: fc.constantFrom('withdrawAdapter', 'retireAdapter'), versionId: version, adapterId: adapter}),
 	fc.record({type: fc.constant('retireFleet'), fleetId: fleet}),
 	fc.record({type: fc.constant('setReplicas'), fleetId: fleet, replicas: fc.nat(8)}),
 	fc.record({
@@ -47,7 +55,9 @@
 	fc.record({type: fc.constant('hostJoined'), announcement}),
 	fc.record({type: fc.constant('hostLeft'), hostId: host, incarnation: fc.nat(6)}),
 	fc.record({
-		type: fc.constant('replicasChanged'), readiness: fc.array(fc.record({hostId: host, incarnation: fc.nat(6), versionId: fc.option(version)}), {maxLength: 4}),
+		type: fc.constant('replicasChanged'), readiness: fc.array(fc.record({
+			hostId: host, incarnation: fc.nat(6), versionId: fc.option(version), adapterIds: fc.uniqueArray(adapter, {maxLength: 2}),
+		}), {maxLength: 4}),
 	}),
 	fc.record({
 		type: fc.constant('createTeam'), teamId: team, keyDigest: fc.constant('d'), share: fc.integer({min: 1, max: 5}),
--- a/packages/test-support/src/engine/fake-engine.ts
+++ b/packages/test-support/src/engine/fake-engine.ts
@@ -7,6 +7,9 @@
 } from '@bitternpaddle/transport';
 import {z} from 'zod';
 import type {History} from '../history/events.js';
+import {
+	adapterOrderSchema, fingerprintOf, isAdapterName, type AdapterEngineOrder, type HeldAdapters,
+} from './engine-adapters.js';
 
 /** What the engine does wrong until told otherwise. */
 export type EngineFaults = {
@@ -22,6 +25,12 @@
 	swapAfterTokens?: number;
 	/** Answer with the previous request's answer, its request id included, as a connection that mixes up its requests does. */
 	isCrossed?: boolean;
+	/** Answer from the base alone when an adapter is asked for that it does not hold, instead of refusing. */
+	fallsBackToBase?: boolean;
+	/** Keep adapters when another base is loaded. */
+	keepsAdapters?: boolean;
+	/** Wait this long before an order about an adapter is carried out. */
+	adapterOrderMs?: number;
 };
 
 export type FakeEngineOptions = {
@@ -38,7 +47,7 @@
 };
 
 /** One run of a request, as the engine saw it. */
-export type EngineRun = {readonly requestId: string; readonly digest: string; readonly startedAtMs: number};
+export type EngineRun = {readonly requestId: string; readonly digest: string; readonly adapterDigest: string | null; readonly startedAtMs: number};
 
 export type FakeEngine = {
 	readonly address: string;
@@ -48,6 +57,14 @@
 	readonly loadedFiles: readonly string[];
 	/** Digest over the bytes that it really holds. */
 	readonly heldDigest: () => string | null;
+	/** Adapters that it really holds, by the name that callers give, with the digest over their bytes. */
+	readonly heldAdapters: () => ReadonlyMap<string, {readonly digest: string}>;
+	/** Orders about adapters that it carried out, first to last. */
+	readonly adapterOrders: readonly AdapterEngineOrder[];
+	/** Forgets everything, as a restart does. */
+	restart(): void;
+	/** Loses one adapter. */
+	dropAdapter(name: string): void;
 	/** Requests that it works on now. */
 	readonly running: () => number;
 	close(): Promise<void>;
@@ -75,6 +92,8 @@
 	const runs: EngineRun[] = [];
 	const loadedFiles: string[] = [];
 	let loaded: Loaded | null = null;
+	const adapters: HeldAdapters = new Map();
+	const adapterOrders: AdapterEngineOrder[] = [];
 	let running = 0;
 	let reportedLoad = {running: 0, atMs: 0};
 	let previous = {requestId: '', text: ''};
@@ -89,6 +108,35 @@
 		const digest = await digestFile(order.filePath);
 		loadedFiles.push(order.filePath);
 		loaded = {versionId: order.versionId, digest, fencingNumber: order.fencingNumber};
+		if (!faults.keepsAdapters) {
+			adapters.clear();
+		}
+
+		sendJson(response, 200, status());
+	};
+
+	/** A checking engine takes an adapter only onto the base that it was made for. */
+	const changeAdapters = async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
+		const order = adapterOrderSchema.parse(JSON.parse((await readBody(request)).toString()));
+		await delay(faults.adapterOrderMs ?? 0);
+		if (loaded === null || (checksFencing && order.fencingNumber < loaded.fencingNumber)) {
+			sendJson(response, 409, {error: 'old fencing number', fencingNumber: loaded?.fencingNumber ?? 0});
+			return;
+		}
+
+		if (checksFencing && order.type === 'load' && (order.versionId !== loaded.versionId || order.baseDigest !== loaded.digest)) {
+			sendJson(response, 422, {error: `the base is ${loaded.versionId}`});
+			return;
+		}
+
+		loaded = {...loaded, fencingNumber: Math.max(loaded.fencingNumber, order.fencingNumber)};
+		if (order.type === 'load') {
+			adapters.set(order.name, {digest: await digestFile(order.filePath)});
+		} else {
+			adapters.delete(order.name);
+		}
+
+		adapterOrders.push(order);
 		sendJson(response, 200, status());
 	};
 
@@ -99,6 +147,7 @@
 
 		return {
 			versionId: loaded?.versionId ?? null, digest: loaded?.digest ?? null, fencingNumber: loaded?.fencingNumber ?? 0, running: reportedLoad.running,
+			adapters: [...adapters].map(([name, {digest}]) => ({name, digest})),
 		};
 	};
 
@@ -117,10 +166,19 @@
 		const requestId = String(request.headers['x-request-id'] ?? '');
 		const {digest} = loaded;
 		const {messages, max_tokens: maxTokens, stream, model} = parsed.data;
+		const adapterDigest = adapters.get(model)?.digest ?? null;
+		if (adapterDigest === null && isAdapterName(model) && !faults.fallsBackToBase) {
+			sendJson(response, 404, {error: {type: 'not_found', message: `no adapter ${model}`}});
+			return;
+		}
+
 		const ownText = `echo ${messages.at(-1)!.content}`;
-		runs.push({requestId, digest, startedAtMs: Date.now()});
+		const fingerprint = fingerprintOf(digest, adapterDigest);
+		runs.push({
+			requestId, digest, adapterDigest, startedAtMs: Date.now(),
+		});
 		recordTo?.history.record({
-			type: 'runStarted', hostId: recordTo.hostId, requestId, echo: ownText, key: null, digest,
+			type: 'runStarted', hostId: recordTo.hostId, requestId, echo: ownText, key: null, digest: fingerprint,
 		});
 		running++;
 		response.once('close', () => {
@@ -134,10 +192,14 @@
 		const {requestId: answeredId, text} = faults.isCrossed ? previous : own;
 		previous = own;
 		const answer = {
-			id: answeredId, model, system_fingerprint: digest, created: 0,
+			id: answeredId, model, system_fingerprint: fingerprint, created: 0,
 		};
 		response.setHeader('x-request-id', answeredId);
 		response.setHeader('x-engine-digest', digest);
+		if (adapterDigest !== null) {
+			response.setHeader('x-engine-adapter-digest', adapterDigest);
+		}
+
 		await (stream ? streamAnswer(response, answer, text, maxTokens) : wholeAnswer(response, answer, text, maxTokens));
 	};
 
@@ -199,6 +261,12 @@
 					break;
 				}
 
+				case 'POST /engine/adapters': {
+					await changeAdapters(request, response);
+
+					break;
+				}
+
 				case 'GET /engine/status': {
 					sendJson(response, 200, status());
 
@@ -223,6 +291,15 @@
 		runs,
 		loadedFiles,
 		heldDigest: () => loaded?.digest ?? null,
+		heldAdapters: () => adapters,
+		adapterOrders,
+		restart() {
+			loaded = null;
+			adapters.clear();
+		},
+		dropAdapter(name) {
+			adapters.delete(name);
+		},
 		running: () => running,
 		async close() {
 			server.destroy();
--- a/packages/test-support/src/history/record-call.ts
+++ b/packages/test-support/src/history/record-call.ts
@@ -1,4 +1,5 @@
-import {requestIdHeader, versionHeader} from '@bitternpaddle/protocol';
+import type http from 'node:http';
+import {adapterHeader, requestIdHeader, versionHeader} from '@bitternpaddle/protocol';
 import {readBody, sendHttp} from '@bitternpaddle/transport';
 import {z} from 'zod';
 import type {CallOutcome, History} from './events.js';
@@ -70,10 +71,16 @@
 	const text = (await readBody(response)).toString();
 	return {
 		status: response.statusCode!, text, requestId: String(response.headers[requestIdHeader] ?? ''),
-		versionId: response.headers[versionHeader] === undefined ? null : String(response.headers[versionHeader]),
+		versionId: tagOf(response.headers),
 	};
 };
 
+/** What the answer claims to come from: the adapter with its base, or the version. */
+const tagOf = (headers: http.IncomingHttpHeaders): string | null => {
+	const tag = headers[adapterHeader] ?? headers[versionHeader];
+	return tag === undefined ? null : String(tag);
+};
+
 const classify = (raw: RawAnswer, target: CallTarget): CallOutcome => {
 	if (raw.status !== 200) {
 		return classifyError(raw);
@@ -97,7 +104,7 @@
 	return type === 'may_have_run' ? {type: 'mayHaveRun', requestId} : {type: 'refused', status};
 };
 
-const digestsIn = (text: string): string[] => [...text.matchAll(/"system_fingerprint":"(sha256:[\da-f]+)"/gv)].map(found => found[1]!);
+const digestsIn = (text: string): string[] => [...text.matchAll(/"system_fingerprint":"(sha256:[\da-f]+(?:\+sha256:[\da-f]+)?)"/gv)].map(found => found[1]!);
 
 const classifyBooking = ({text, requestId}: RawAnswer): CallOutcome => {
 	const parsed = bookingSchema.safeParse(parseJson(text));
--- a/packages/test-support/src/origin/fake-origin.ts
+++ b/packages/test-support/src/origin/fake-origin.ts
@@ -8,6 +8,8 @@
 export type OriginFaults = {
 	/** Flip a byte in every answer. */
 	isCorrupting?: boolean;
+	/** Flip a byte in every answer about this manifest's weights. */
+	corruptedManifestId?: string;
 	/** Refuse every request. */
 	isDown?: boolean;
 };
@@ -29,7 +31,7 @@
 	/** Requests answered with 429 so far. */
 	readonly refusedRequests: () => number;
 	/** Puts weights behind the origin and gives the id of their manifest. */
-	publish(weights: Uint8Array, chunkSizeBytes: number): Promise<{manifestId: ManifestId; manifest: Manifest}>;
+	publish(weights: Uint8Array, chunkSizeBytes: number, baseManifestId?: ManifestId): Promise<{manifestId: ManifestId; manifest: Manifest}>;
 	close(): Promise<void>;
 };
 
@@ -70,7 +72,7 @@
 		await delay(linkFreeAtMs - Date.now());
 	};
 
-	const sendWeights = async (request: http.IncomingMessage, response: http.ServerResponse, {weights}: Published): Promise<void> => {
+	const sendWeights = async (request: http.IncomingMessage, response: http.ServerResponse, {weights, manifest}: Published): Promise<void> => {
 		const range = /^bytes=(\d+)-(\d+)$/v.exec(String(request.headers.range ?? ''));
 		if (range === null) {
 			sendJson(response, 416, {error: 'a byte range is needed'});
@@ -81,7 +83,7 @@
 		const end = Math.min(Number(range[2]) + 1, weights.length);
 		const data = weights.slice(start, end);
 		await waitForLink(data.length);
-		if (faults.isCorrupting) {
+		if (faults.isCorrupting || faults.corruptedManifestId === manifestIdOf(manifest)) {
 			data[0] = 255 - data[0]!;
 		}
 
@@ -114,8 +116,8 @@
 		faults,
 		sentBytes: () => sentBytes,
 		refusedRequests: () => refusedRequests,
-		async publish(weights, chunkSizeBytes) {
-			const manifest = await createManifest([weights], {chunkSizeBytes});
+		async publish(weights, chunkSizeBytes, baseManifestId) {
+			const manifest = await createManifest([weights], {chunkSizeBytes, baseManifestId});
 			const manifestId = manifestIdOf(manifest);
 			// Stored as parsed canonical JSON, so that what is served gives the same id.
 			published.set(manifestId, {manifest: JSON.parse(canonicalJson(manifest)) as Manifest, weights});
--- a/packages/transport/src/logging/events.ts
+++ b/packages/transport/src/logging/events.ts
@@ -30,6 +30,8 @@
 	BP3005: {level: 'warn', text: 'the configuration lease ran out', advice: 'The host refuses new work until control is reached.'},
 	BP3006: {level: 'error', text: 'the copy of the configuration diverged', advice: 'It is fetched anew; report this.'},
 	BP3007: {level: 'warn', text: 'the engine lost its weights', advice: 'They are loaded again; look whether the engine was restarted or got an order from elsewhere.'},
+	BP3008: {level: 'info', text: 'an adapter is ready', advice: 'None.'},
+	BP3009: {level: 'warn', text: 'an order about an adapter failed', advice: 'It is tried again; look at the detail.'},
 	BP9001: {level: 'info', text: 'the process is ready', advice: 'None.'},
 	BP9002: {level: 'info', text: 'the process is stopping', advice: 'None.'},
 	BP9003: {level: 'error', text: 'the process failed', advice: 'Look at the message.'},
--- a/tap-snapshots/.test-dist/packages/protocol/test/language.test.js.test.cjs
+++ b/tap-snapshots/.test-dist/packages/protocol/test/language.test.js.test.cjs
@@ -25,6 +25,7 @@
     "version",
     "ready",
     "serving",
+    "adapters",
     "status",
   ],
   "message": "replicas have no field \\"colour\\".",
@@ -82,13 +83,34 @@
 }
 `
 
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > an error names the place and what was expected there > load adapter menu-tone on fleet f 1`] = `
+Object {
+  "column": 14,
+  "expected": Array [
+    "adapter (model:label/adapter)",
+  ],
+  "message": "Expected adapter (model:label/adapter) but \\"m\\" found.",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > an error names the place and what was expected there > load adapter pitch-desk:v2 on fleet f 1`] = `
+Object {
+  "column": 14,
+  "expected": Array [
+    "adapter (model:label/adapter)",
+  ],
+  "message": "Expected adapter (model:label/adapter) but \\"p\\" found.",
+}
+`
+
 exports[`.test-dist/packages/protocol/test/language.test.js > TAP > an error names the place and what was expected there > load v2 on fleet f 1`] = `
 Object {
   "column": 6,
   "expected": Array [
+    "\\"adapter\\"",
     "version (model:label)",
   ],
-  "message": "Expected version (model:label) but \\"v\\" found.",
+  "message": "Expected \\"adapter\\" or version (model:label) but \\"v\\" found.",
 }
 `
 
@@ -108,9 +130,10 @@
     "\\"show\\"",
     "\\"stop\\"",
     "\\"undrain\\"",
+    "\\"unload\\"",
     "\\"withdraw\\"",
   ],
-  "message": "Expected \\"create\\", \\"drain\\", \\"explain\\", \\"load\\", \\"move\\", \\"resume\\", \\"retire\\", \\"roll\\", \\"set\\", \\"show\\", \\"stop\\", \\"undrain\\", or \\"withdraw\\" but end of input found.",
+  "message": "Expected \\"create\\", \\"drain\\", \\"explain\\", \\"load\\", \\"move\\", \\"resume\\", \\"retire\\", \\"roll\\", \\"set\\", \\"show\\", \\"stop\\", \\"undrain\\", \\"unload\\", or \\"withdraw\\" but end of input found.",
 }
 `
 
@@ -124,6 +147,18 @@
 }
 `
 
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > create adapter pitch-desk:v2/menu-tone from manifest sha256:0000000000000000000000000000000000000000000000000000000000000000 1`] = `
+Object {
+  "change": Object {
+    "adapterId": "menu-tone",
+    "manifestId": "sha256:0000000000000000000000000000000000000000000000000000000000000000",
+    "type": "createAdapter",
+    "versionId": "pitch-desk:v2",
+  },
+  "type": "change",
+}
+`
+
 exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > create fleet fair-mornings provider new for pitch-desk:v2 replicas 40 in tacoma-hall, salem-hall 1`] = `
 Object {
   "change": Object {
@@ -202,6 +237,18 @@
 }
 `
 
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > load adapter pitch-desk:v2/menu-tone on fleet fair-mornings 1`] = `
+Object {
+  "change": Object {
+    "adapterId": "menu-tone",
+    "fleetId": "fair-mornings",
+    "type": "loadAdapter",
+    "versionId": "pitch-desk:v2",
+  },
+  "type": "change",
+}
+`
+
 exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > load pitch-desk:v2 on fleet fair-mornings 1`] = `
 Object {
   "change": Object {
@@ -268,6 +315,17 @@
 }
 `
 
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > retire adapter pitch-desk:v2/menu-tone 1`] = `
+Object {
+  "change": Object {
+    "adapterId": "menu-tone",
+    "type": "retireAdapter",
+    "versionId": "pitch-desk:v2",
+  },
+  "type": "change",
+}
+`
+
 exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > retire fleet old 1`] = `
 Object {
   "change": Object {
@@ -324,6 +382,23 @@
 }
 `
 
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > show adapters where adapter = pitch-desk:v2/menu-tone 1`] = `
+Object {
+  "show": Object {
+    "subject": "adapters",
+    "type": "show",
+    "where": Array [
+      Object {
+        "field": "adapter",
+        "operator": "=",
+        "value": "pitch-desk:v2/menu-tone",
+      },
+    ],
+  },
+  "type": "query",
+}
+`
+
 exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > show hosts where revision < 812 1`] = `
 Object {
   "show": Object {
@@ -400,3 +475,26 @@
   "type": "change",
 }
 `
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > unload adapter pitch-desk:v2/menu-tone from fleet fair-mornings 1`] = `
+Object {
+  "change": Object {
+    "adapterId": "menu-tone",
+    "fleetId": "fair-mornings",
+    "type": "unloadAdapter",
+    "versionId": "pitch-desk:v2",
+  },
+  "type": "change",
+}
+`
+
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > withdraw adapter pitch-desk:v2/menu-tone 1`] = `
+Object {
+  "change": Object {
+    "adapterId": "menu-tone",
+    "type": "withdrawAdapter",
+    "versionId": "pitch-desk:v2",
+  },
+  "type": "change",
+}
+`
--- a/tap-snapshots/.test-dist/test/operator-session.test.js.test.cjs
+++ b/tap-snapshots/.test-dist/test/operator-session.test.js.test.cjs
@@ -28,19 +28,19 @@
 200 accepted: 
 
 > show replicas
-host  zone          fleet          version        ready  serving        status
-h1    tacoma-hall   fair-mornings  pitch-desk:v1  true   pitch-desk:v1  serving
-h2    salem-hall    fair-mornings  pitch-desk:v1  true   pitch-desk:v1  serving
-h3    spokane-hall  fair-mornings  pitch-desk:v1  true   pitch-desk:v1  serving
+host  zone          fleet          version        ready  serving        adapters  status
+h1    tacoma-hall   fair-mornings  pitch-desk:v1  true   pitch-desk:v1            serving
+h2    salem-hall    fair-mornings  pitch-desk:v1  true   pitch-desk:v1            serving
+h3    spokane-hall  fair-mornings  pitch-desk:v1  true   pitch-desk:v1            serving
 
 > load pitch-desk:v2 on fleet fair-mornings
 200 accepted: 
 
 > show replicas
-host  zone          fleet          version        ready  serving        status
-h1    tacoma-hall   fair-mornings  pitch-desk:v2  true   pitch-desk:v2  serving
-h2    salem-hall    fair-mornings  pitch-desk:v2  true   pitch-desk:v2  serving
-h3    spokane-hall  fair-mornings  pitch-desk:v2  true   pitch-desk:v2  serving
+host  zone          fleet          version        ready  serving        adapters  status
+h1    tacoma-hall   fair-mornings  pitch-desk:v2  true   pitch-desk:v2            serving
+h2    salem-hall    fair-mornings  pitch-desk:v2  true   pitch-desk:v2            serving
+h3    spokane-hall  fair-mornings  pitch-desk:v2  true   pitch-desk:v2            serving
 
 > show fleets
 fleet          provider  version        replicas  zones  loaded  ready
@@ -50,9 +50,9 @@
 200 accepted: 
 
 > show replicas
-host  zone          fleet          version        ready  serving        status
-h1    tacoma-hall   fair-mornings  pitch-desk:v2  true   pitch-desk:v2  serving
-h3    spokane-hall  fair-mornings  pitch-desk:v2  true   pitch-desk:v2  serving
+host  zone          fleet          version        ready  serving        adapters  status
+h1    tacoma-hall   fair-mornings  pitch-desk:v2  true   pitch-desk:v2            serving
+h3    spokane-hall  fair-mornings  pitch-desk:v2  true   pitch-desk:v2            serving
 
 > show models
 model       traffic
@@ -67,6 +67,6 @@
 400 invalid_request: replicas have no field "colour".
 
 > drian host h2
-400 invalid_request: Expected "create", "drain", "explain", "load", "move", "resume", "retire", "roll", "set", "show", "stop", "undrain", or "withdraw" but "d" found.
+400 invalid_request: Expected "create", "drain", "explain", "load", "move", "resume", "retire", "roll", "set", "show", "stop", "undrain", "unload", or "withdraw" but "d" found.
 
 `
--- a/tap-snapshots/.test-dist/test/sessions/drain.test.js.test.cjs
+++ b/tap-snapshots/.test-dist/test/sessions/drain.test.js.test.cjs
@@ -43,18 +43,18 @@
 accepted at revision N
 
 $ bitternpaddle query "show replicas"
-host  zone          fleet          version        ready  serving        status
-h1    tacoma-hall   fair-mornings  pitch-desk:v1  true   pitch-desk:v1  serving
-h2    salem-hall    fair-mornings  pitch-desk:v1  true   pitch-desk:v1  serving
-h3    spokane-hall  fair-mornings  pitch-desk:v1  true   pitch-desk:v1  serving
+host  zone          fleet          version        ready  serving        adapters  status
+h1    tacoma-hall   fair-mornings  pitch-desk:v1  true   pitch-desk:v1            serving
+h2    salem-hall    fair-mornings  pitch-desk:v1  true   pitch-desk:v1            serving
+h3    spokane-hall  fair-mornings  pitch-desk:v1  true   pitch-desk:v1            serving
 
 $ bitternpaddle run "stop host h2"
 accepted at revision N
 
 $ bitternpaddle query "show replicas"
-host  zone          fleet          version        ready  serving        status
-h1    tacoma-hall   fair-mornings  pitch-desk:v1  true   pitch-desk:v1  serving
-h3    spokane-hall  fair-mornings  pitch-desk:v1  true   pitch-desk:v1  serving
+host  zone          fleet          version        ready  serving        adapters  status
+h1    tacoma-hall   fair-mornings  pitch-desk:v1  true   pitch-desk:v1            serving
+h3    spokane-hall  fair-mornings  pitch-desk:v1  true   pitch-desk:v1            serving
 
 $ bitternpaddle query "explain replica h2"
 aspect   fine   finding
--- a/tap-snapshots/.test-dist/test/sessions/errors.test.js.test.cjs
+++ b/tap-snapshots/.test-dist/test/sessions/errors.test.js.test.cjs
@@ -24,7 +24,7 @@
 $ bitternpaddle run "drian host h1"
 drian host h1
 ^
-expected "create", "drain", "explain", "load", "move", "resume", "retire", "roll", "set", "show", "stop", "undrain", "withdraw"
+expected "create", "drain", "explain", "load", "move", "resume", "retire", "roll", "set", "show", "stop", "undrain", "unload", "withdraw"
 (exit code 2)
 
 $ bitternpaddle run "drain hots h1"
@@ -42,7 +42,7 @@
 $ bitternpaddle run "load v2 on fleet f"
 load v2 on fleet f
      ^
-expected version (model:label)
+expected "adapter", version (model:label)
 (exit code 2)
 
 $ bitternpaddle run "create version pitch-desk:v2 from manifest md5:1"
@@ -96,7 +96,7 @@
 $ bitternpaddle run "show replicas where colour = red"
 show replicas where colour = red
                     ^
-expected host, zone, fleet, version, ready, serving, status
+expected host, zone, fleet, version, ready, serving, adapters, status
 (exit code 2)
 
 $ bitternpaddle run "show hosts where revision < soon"
