--- a/packages/cli/src/wait-for.ts
+++ b/packages/cli/src/wait-for.ts
@@ -82,20 +82,20 @@
 	const [adapterRow] = await rowsOf(options, `show adapters where adapter = ${key}`);
 	const [fleetRow] = await rowsOf(options, `show fleets where fleet = ${fleetId}`);
 	if (adapterRow === undefined || fleetRow === undefined) {
-		return {isDone: false, text: `adapter ${key} cannot be asked about`};
+		return {isDone: false, isAnswered: false, text: `adapter ${key} cannot be asked about`};
 	}
 
 	if (!String(adapterRow.fleets).split(', ').includes(fleetId)) {
-		return {isDone: true, text: `adapter ${key} has been taken off fleet ${fleetId} since`};
+		return {isDone: true, isAnswered: true, text: `adapter ${key} has been taken off fleet ${fleetId} since`};
 	}
 
 	if (fleetRow.version !== versionId) {
-		return {isDone: true, text: `adapter ${key} waits for ${versionId}: fleet ${fleetId} has ${String(fleetRow.version)}`};
+		return {isDone: true, isAnswered: true, text: `adapter ${key} waits for ${versionId}: fleet ${fleetId} has ${String(fleetRow.version)}`};
 	}
 
 	const replicas = await rowsOf(options, `show replicas where fleet = ${fleetId} and version = ${versionId}`);
 	const ready = replicas.filter(row => row.ready && String(row.adapters).split(', ').includes(adapterId)).length;
-	return {isDone: ready >= replicas.length && replicas.length > 0, text: `${ready}/${replicas.length} replicas ready with adapter ${adapterId}`};
+	return {isDone: ready >= replicas.length && replicas.length > 0, isAnswered: true, text: `${ready}/${replicas.length} replicas ready with adapter ${adapterId}`};
 };
 
 const lookAtRevision = async (options: WaitOptions): Promise<Step> => {
