fix(entry): a refused call leaves no deadline behind

Cause: a call to a model that nothing serves throws out of its attempts, and its deadline's timer was never cleared: it held the call, and a process that was to end, until the deadline (30 s). Seen as a test process that ended 27 s after its last test. Change: the timer goes with the call.

--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -38,7 +38,14 @@
 export const attemptCall = async (call: Call, options: AttemptsOptions): Promise<CallOutcome> => {
 	const deadline = armDeadline(call);
 	noteFreshRequest(options.budget);
-	const outcome = await attemptInTurn(call, options);
+	let outcome: CallOutcome;
+	try {
+		outcome = await attemptInTurn(call, options);
+	} catch (error) {
+		deadline.clear();
+		throw error;
+	}
+
 	if (outcome.type === 'answer') {
 		deadline.extend();
 	} else {
