--- a/packages/daemon/src/agent/adapter-transfers.ts
+++ b/packages/daemon/src/agent/adapter-transfers.ts
@@ -56,8 +56,8 @@
 	const peersOf = ({adapterId, versionId}: AdapterRecord): TransferPeer[] => {
 		const key = adapterKeyOf(versionId, adapterId);
 		return Object.values(catalog?.hosts ?? {})
-			.filter(({assignment, readyVersionId, readyAdapterIds}) => (readyVersionId === versionId && readyAdapterIds?.includes(adapterId))
-				|| (assignment?.versionId === versionId && catalog!.fleets[assignment.fleetId]?.adapters?.keys.includes(key)))
+			.filter(({assignment, readyVersionId, readyAdapterIds}) => (readyVersionId === versionId && readyAdapterIds?.includes(adapterId) === true)
+				|| (assignment?.versionId === versionId && catalog!.fleets[assignment.fleetId]?.adapters?.keys.includes(key) === true))
 			.map(({announcement}) => ({
 				hostId: announcement.hostId, zoneId: announcement.zoneId, regionId: announcement.regionId, address: announcement.address,
 			}));
--- a/packages/daemon/src/agent/adapters.ts
+++ b/packages/daemon/src/agent/adapters.ts
@@ -69,13 +69,13 @@
 	const fencingNumber = (): number => (catalog === null ? null : adapterOrderOf(catalog, hostId))?.fencingNumber ?? 0;
 
 	const setHeld = (next: readonly HeldAdapter[]): void => {
-		const before = held.map(({tag}) => tag).join();
+		const before = held.map(({tag}) => tag).join(' ');
 		for (const adapter of next.filter(({tag}) => !held.some(earlier => earlier.tag === tag))) {
 			logger.event('BP3008', {adapter: adapter.tag});
 		}
 
 		held = next;
-		if (held.map(({tag}) => tag).join() !== before && !isClosed) {
+		if (held.map(({tag}) => tag).join(' ') !== before && !isClosed) {
 			onReady();
 		}
 	};
--- a/packages/daemon/src/agent/weights.ts
+++ b/packages/daemon/src/agent/weights.ts
@@ -187,7 +187,8 @@
 	const order = async (job: Job, store: ChunkStore): Promise<void> => {
 		const {versionId, fencingNumber} = job.assignment;
 		const wanted: ActivationOrder = {
-			versionId, versionFencingNumber: fencingNumber, fencingNumber: adapterOrderOf(catalog!, hostId)?.fencingNumber ?? fencingNumber, manifestId: job.manifestId, digest: store.manifest.wholeDigest, filePath: store.filePath,
+			versionId, versionFencingNumber: fencingNumber, fencingNumber: adapterOrderOf(catalog!, hostId)?.fencingNumber ?? fencingNumber,
+			manifestId: job.manifestId, digest: store.manifest.wholeDigest, filePath: store.filePath,
 		};
 		ready = null;
 		const outcome = await activate({
--- a/packages/daemon/src/control/answer-query.ts
+++ b/packages/daemon/src/control/answer-query.ts
@@ -58,7 +58,8 @@
 	.length;
 
 const adapterRow = (catalog: Catalog, key: string, {adapterId, versionId, manifestId, isWithdrawn}: AdapterRecord): QueryRow => ({
-	adapter: key, version: versionId, manifest: manifestId, withdrawn: isWithdrawn, fleets: fleetsWithAdapter(catalog, key).map(({fleetId}) => fleetId).join(', '),
+	adapter: key, version: versionId, manifest: manifestId, withdrawn: isWithdrawn,
+	fleets: fleetsWithAdapter(catalog, key).map(({fleetId}) => fleetId).join(', '),
 	ready: Object.values(catalog.hosts).filter(host => host.readyVersionId === versionId && host.readyAdapterIds?.includes(adapterId)).length,
 });
 
--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -74,7 +74,8 @@
 
 		const routed = routing.start(call, endpoint);
 		const attempted = await call.trace.attempt(endpoint, number, async () => dispatch({
-			...call, ...place, endpoint, adapterTag: options.adapterTagOf?.(call, endpoint) ?? null, revision: routing.revision(), signal: call.abort.signal, suspectMs: options.suspectMs, peers: options.peers,
+			...call, ...place, endpoint, adapterTag: options.adapterTagOf?.(call, endpoint) ?? null,
+			revision: routing.revision(), signal: call.abort.signal, suspectMs: options.suspectMs, peers: options.peers,
 			remainingMs: call.endAtMs - performance.now(),
 		}));
 		const outcome = options.outcomes?.watch(endpoint.fleetId, attempted) ?? attempted;
--- a/packages/daemon/src/entry/read-call.ts
+++ b/packages/daemon/src/entry/read-call.ts
@@ -64,7 +64,7 @@
 /** `model/adapter` asks for an adapter to whichever version of the model is in force. */
 const targetOf = (model: string): RouteTarget => {
 	const slash = model.indexOf('/');
-	return slash < 0 ? {type: 'model', modelId: model} : {type: 'model', modelId: model.slice(0, slash), adapterId: model.slice(slash + 1)};
+	return slash === -1 ? {type: 'model', modelId: model} : {type: 'model', modelId: model.slice(0, slash), adapterId: model.slice(slash + 1)};
 };
 
 const prefixOf = ({messages, prompt}: z.output<typeof chatBodySchema>): string | null => {
--- a/packages/protocol/test/language.test.ts
+++ b/packages/protocol/test/language.test.ts
@@ -38,7 +38,16 @@
 });
 
 t.test('an error names the place and what was expected there', async t => {
-	for (const line of ['', 'drain', 'drain hots h1', 'load v2 on fleet f', 'load adapter menu-tone on fleet f', 'load adapter pitch-desk:v2 on fleet f', 'show replicas where zone ~ a', 'create model -x']) {
+	for (const line of [
+		'',
+		'drain',
+		'drain hots h1',
+		'load v2 on fleet f',
+		'load adapter menu-tone on fleet f',
+		'load adapter pitch-desk:v2 on fleet f',
+		'show replicas where zone ~ a',
+		'create model -x',
+	]) {
 		t.matchSnapshot(parseStatement(line).extract(), line);
 	}
 });
--- a/packages/state/src/catalog/adapters.ts
+++ b/packages/state/src/catalog/adapters.ts
@@ -39,7 +39,7 @@
 	const adapter = catalog.adapters[adapterKeyOf(versionId, adapterId)];
 	return version === undefined || adapter === undefined
 		? null
-		: formatAdapterTag({versionId, adapterId, baseManifestId: version.manifestId, manifestId: adapter.manifestId});
+		: formatAdapterTag({...adapter, baseManifestId: version.manifestId});
 };
 
 export type AdapterTagParts = {
--- a/packages/state/test/adapters.test.ts
+++ b/packages/state/test/adapters.test.ts
@@ -59,10 +59,11 @@
 
 t.test('a base version that adapters stand on is not retired', async t => {
 	const catalog = createFleet();
-	apply(catalog, {type: 'createAdapter', versionId: 'pitch-desk:v2', adapterId: 'menu-tone', manifestId: manifest('a')});
-	apply(catalog, {type: 'loadAdapter', versionId: 'pitch-desk:v2', adapterId: 'menu-tone', fleetId: 'fair'});
+	const laterTone = {versionId: 'pitch-desk:v2', adapterId: 'menu-tone'};
+	apply(catalog, {type: 'createAdapter', ...laterTone, manifestId: manifest('a')});
+	apply(catalog, {type: 'loadAdapter', ...laterTone, fleetId: 'fair'});
 	t.equal(apply(catalog, {type: 'retireVersion', versionId: 'pitch-desk:v2'}), 'adapter pitch-desk:v2/menu-tone stands on pitch-desk:v2 and is loaded on fleet fair; retire it first');
-	apply(catalog, {type: 'unloadAdapter', versionId: 'pitch-desk:v2', adapterId: 'menu-tone', fleetId: 'fair'});
+	apply(catalog, {type: 'unloadAdapter', ...laterTone, fleetId: 'fair'});
 	t.equal(apply(catalog, {type: 'retireVersion', versionId: 'pitch-desk:v2'}), 'adapter pitch-desk:v2/menu-tone stands on pitch-desk:v2; retire it first');
 });
 
--- a/packages/test-support/src/origin/fake-origin.ts
+++ b/packages/test-support/src/origin/fake-origin.ts
@@ -83,7 +83,7 @@
 		const end = Math.min(Number(range[2]) + 1, weights.length);
 		const data = weights.slice(start, end);
 		await waitForLink(data.length);
-		if (faults.isCorrupting || faults.corruptedManifestId === manifestIdOf(manifest)) {
+		if (faults.isCorrupting === true || faults.corruptedManifestId === manifestIdOf(manifest)) {
 			data[0] = 255 - data[0]!;
 		}
 
--- a/test/promises/adapters.test.ts
+++ b/test/promises/adapters.test.ts
@@ -57,6 +57,16 @@
 	},
 });
 
+/** Asks for the adapter without a pause until `isOver`. */
+const askUntil = async (cluster: FailureCluster, name: string, isOver: () => boolean): Promise<CallOutcome[]> => {
+	const outcomes: CallOutcome[] = [];
+	for (let number = 0; !isOver(); number++) {
+		outcomes.push(await ask(cluster, `${name}-${number}`));
+	}
+
+	return outcomes;
+};
+
 /** Every answer given is from one of these adapters, and none from a base alone. */
 const onlyFrom = (t: Test, outcomes: readonly CallOutcome[], adapters: readonly Adapter[]): void => {
 	const tags = outcomes.flatMap(outcome => outcome.type === 'answered' ? [outcome.versionId] : []);
@@ -144,16 +154,11 @@
 
 	await mustOperate(cluster, `load adapter ${second.key} on fleet fair`);
 	let isOver = false;
-	const outcomes: CallOutcome[] = [];
-	const asking = (async () => {
-		for (let number = 0; !isOver; number++) {
-			outcomes.push(await ask(cluster, `caller-${number}`));
-		}
-	})();
+	const asking = askUntil(cluster, 'caller', () => isOver);
 	await mustOperate(cluster, 'load pitch-desk:v2 on fleet fair');
 	await adapterReady(cluster, second);
 	isOver = true;
-	await asking;
+	const outcomes = await asking;
 	for (const engine of cluster.engines.values()) {
 		t.same(engine.adapterOrders.map(({type}) => type), ['load', 'unload', 'load'], 'unloaded in between');
 		t.equal(heldOf(engine), second.digest);
@@ -175,10 +180,7 @@
 	engine.faults.fallsBackToBase = true;
 	const ordersBefore = engine.adapterOrders.length;
 	engine.restart();
-	const outcomes: CallOutcome[] = [];
-	for (let number = 0; heldOf(engine) !== adapter.digest; number++) {
-		outcomes.push(await ask(cluster, `during-${number}`));
-	}
+	const outcomes = await askUntil(cluster, 'during', () => heldOf(engine) === adapter.digest);
 
 	await adapterReady(cluster, adapter);
 	t.equal(engine.adapterOrders.length, ordersBefore + 1, 'ordered once more');
