--- a/packages/test-support/src/engine/engine-adapters.ts
+++ b/packages/test-support/src/engine/engine-adapters.ts
@@ -8,6 +8,9 @@
 ]);
 export type AdapterEngineOrder = z.infer<typeof adapterOrderSchema>;
 
+/** An order that was carried out, with the base that the engine held then. */
+export type DoneAdapterOrder = AdapterEngineOrder & {readonly onVersionId: string};
+
 /** Adapters by the model name that callers give, with the digest of the bytes that were read. */
 export type HeldAdapters = Map<string, {readonly digest: string}>;
 
--- a/packages/test-support/src/engine/fake-engine.ts
+++ b/packages/test-support/src/engine/fake-engine.ts
@@ -8,7 +8,7 @@
 import {z} from 'zod';
 import type {History} from '../history/events.js';
 import {
-	adapterOrderSchema, fingerprintOf, isAdapterName, type AdapterEngineOrder, type HeldAdapters,
+	adapterOrderSchema, fingerprintOf, isAdapterName, type DoneAdapterOrder, type HeldAdapters,
 } from './engine-adapters.js';
 
 /** What the engine does wrong until told otherwise. */
@@ -60,7 +60,7 @@
 	/** Adapters that it really holds, by the name that callers give, with the digest over their bytes. */
 	readonly heldAdapters: () => ReadonlyMap<string, {readonly digest: string}>;
 	/** Orders about adapters that it carried out, first to last. */
-	readonly adapterOrders: readonly AdapterEngineOrder[];
+	readonly adapterOrders: readonly DoneAdapterOrder[];
 	/** Forgets everything, as a restart does. */
 	restart(): void;
 	/** Loses one adapter. */
@@ -93,7 +93,7 @@
 	const loadedFiles: string[] = [];
 	let loaded: Loaded | null = null;
 	const adapters: HeldAdapters = new Map();
-	const adapterOrders: AdapterEngineOrder[] = [];
+	const adapterOrders: DoneAdapterOrder[] = [];
 	let running = 0;
 	let reportedLoad = {running: 0, atMs: 0};
 	let previous = {requestId: '', text: ''};
@@ -136,7 +136,7 @@
 			adapters.delete(order.name);
 		}
 
-		adapterOrders.push(order);
+		adapterOrders.push({...order, onVersionId: loaded.versionId});
 		sendJson(response, 200, status());
 	};
 
--- a/test/promises/adapters.test.ts
+++ b/test/promises/adapters.test.ts
@@ -73,8 +73,6 @@
 	t.same(tags.filter(tag => !adapters.some(adapter => adapter.tag === tag)), [], 'no answer from anything else');
 };
 
-const engineOf = (cluster: FailureCluster, hostId: string): FakeEngine => cluster.engines.get(hostId)!;
-
 const heldOf = (engine: FakeEngine): string | null => engine.heldAdapters().get(adapterName)?.digest ?? null;
 
 const orderDirectly = async (engine: FakeEngine, path: string, order: Record<string, unknown>): Promise<void> => {
@@ -160,7 +158,7 @@
 	isOver = true;
 	const outcomes = await asking;
 	for (const engine of cluster.engines.values()) {
-		t.same(engine.adapterOrders.map(({type}) => type), ['load', 'unload', 'load'], 'unloaded in between');
+		t.same(engine.adapterOrders.map(({type, onVersionId}) => `${type} on ${onVersionId}`), ['load on pitch-desk:v1', 'unload on pitch-desk:v1', 'load on pitch-desk:v2']);
 		t.equal(heldOf(engine), second.digest);
 	}
 
@@ -169,21 +167,24 @@
 	t.same(checkHistory(cluster.history.events), []);
 });
 
-// An engine restarts and holds nothing; its agent loads base and adapter again.
-// In between a caller may be told "not run", but never gets the base's answer
-// in place of the adapter's.
+// Engines restart and hold nothing; their agents load base and adapter again.
+// In between a caller may be refused, but no request for the adapter reaches an
+// engine that holds the base alone: the door opens when both are there.
 t.test('an engine that lost its adapter on restart', {timeout: 60_000}, async t => {
 	const cluster = await startCluster(t, {checksFencing: false, weights: {engineCheckMs: 200}});
 	const adapter = await createAdapter(cluster, 1);
 	await loadAdapter(cluster, adapter);
-	const engine = engineOf(cluster, 'h1');
-	engine.faults.fallsBackToBase = true;
-	const ordersBefore = engine.adapterOrders.length;
-	engine.restart();
-	const outcomes = await askUntil(cluster, 'during', () => heldOf(engine) === adapter.digest);
+	const engines = [...cluster.engines.values()];
+	for (const engine of engines) {
+		engine.faults.fallsBackToBase = true;
+		engine.restart();
+	}
+
+	const outcomes = await askUntil(cluster, 'during', () => engines.every(engine => heldOf(engine) === adapter.digest));
 
 	await adapterReady(cluster, adapter);
-	t.equal(engine.adapterOrders.length, ordersBefore + 1, 'ordered once more');
+	t.ok(engines.every(engine => engine.adapterOrders.length === 2), 'each was ordered once more');
+	t.ok(engines.every(engine => engine.runs.every(run => run.adapterDigest === adapter.digest)), 'nothing ran on the base alone');
 	onlyFrom(t, outcomes, [adapter]);
 	t.same(checkHistory(cluster.history.events), []);
 });
