--- a/test/promises/adapters.test.ts
+++ b/test/promises/adapters.test.ts
@@ -182,6 +182,7 @@
 	const engines = [...cluster.engines.values()];
 	for (const engine of engines) {
 		engine.faults.fallsBackToBase = true;
+		engine.faults.adapterOrderMs = 1500;
 		engine.restart();
 	}
 
