--- a/packages/bench/src/routing/decision.ts
+++ b/packages/bench/src/routing/decision.ts
@@ -1,6 +1,7 @@
 import {
-	chooseEndpoint, createRandom, createRouter, noteEnd, noteFirstByte, noteStart, setEntries, updateRouter,
+	chooseEndpoint, createRandom, createRouter, noteEnd, noteFirstByte, noteStart, setEntries, updateRouter, type RouteTarget,
 } from '@bitternpaddle/coordination';
+import {manifestId, type Catalog} from '@bitternpaddle/state';
 import {createBenchCatalog, createBenchRecord} from './catalog.js';
 
 const rounds = 7;
@@ -11,8 +12,22 @@
 
 const createHosts = (count: number) => Array.from({length: count}, (_, index) => ({hostId: `h${index}`, zoneId: ['tacoma-hall', 'salem-hall', 'spokane-hall'][index % 3]!, capacity: 16}));
 
-const createLoadedRouter = (count: number, seed: number, entries: number) => {
+/** An adapter that a share of the hosts holds, as while it is being loaded. */
+const addAdapter = (catalog: Catalog, holdersPercent: number): void => {
+	catalog.adapters['m:v1/tone'] = {
+		versionId: 'm:v1', adapterId: 'tone', manifestId: manifestId(`sha256:${'0'.repeat(64)}`), isWithdrawn: false,
+	};
+	catalog.fleets.f = {...catalog.fleets.f!, adapters: {keys: ['m:v1/tone'], fencingNumber: 1}};
+	for (const [index, [hostId, host]] of Object.entries(catalog.hosts).entries()) {
+		if (index % 100 < holdersPercent) {
+			catalog.hosts[hostId] = {...host, readyAdapterIds: ['tone']};
+		}
+	}
+};
+
+const createLoadedRouter = (count: number, seed: number, entries: number, holdersPercent = 0) => {
 	const catalog = createBenchCatalog(createHosts(count));
+	addAdapter(catalog, holdersPercent);
 	const router = createRouter({
 		entryId: 'e1', zoneId: 'tacoma-hall', regionId: 'puget', random: createRandom(seed),
 	});
@@ -32,14 +47,19 @@
 	readonly known: number;
 };
 
-/** Cost of a whole decision (choice, start, first byte, end), half of them with a prefix, at one of `entries`. */
-export const measureDecision = (count: number, seed: number, entries: number): DecisionCost => {
-	const {router} = createLoadedRouter(count, seed, entries);
+/**
+ * Cost of a whole decision (choice, start, first byte, end), half of them with
+ * a prefix, at one of `entries`; with `holdersPercent`, for an adapter that so
+ * many hosts hold.
+ */
+export const measureDecision = (count: number, seed: number, entries: number, holdersPercent = 0): DecisionCost => {
+	const {router} = createLoadedRouter(count, seed, entries, holdersPercent);
+	const target: RouteTarget = {type: 'model', modelId: 'm', ...(holdersPercent > 0 && {adapterId: 'tone'})};
 	const held: string[] = [];
 	const tried = new Set<string>();
 	const decide = (index: number): void => {
 		const nowMs = index / 10;
-		const choice = chooseEndpoint(router, {target: {type: 'model', modelId: 'm'}, tried, prefixKey: index % 2 === 0 ? `prefix-${index % 97}` : null}, nowMs);
+		const choice = chooseEndpoint(router, {target, tried, prefixKey: index % 2 === 0 ? `prefix-${index % 97}` : null}, nowMs);
 		if (choice.type !== 'chosen') {
 			throw new Error(choice.type);
 		}
--- a/packages/bench/src/routing/measure-routing.ts
+++ b/packages/bench/src/routing/measure-routing.ts
@@ -11,6 +11,8 @@
 const endpointCounts = [120, 1200, 12_000];
 /** As many entries for an endpoint as in the users' target of 330 before 12,000; four at least. */
 const entriesFor = (endpoints: number): number => Math.max(4, Math.round(endpoints * 330 / 12_000));
+/** In percent of the hosts: an adapter whose load has just begun, is half done, is over. */
+const holderShares = [10, 50, 100];
 const faultAtMs = 20_000;
 
 const round = (value: number, digits = 3): number => Number(value.toFixed(digits));
@@ -100,6 +102,10 @@
 	return position === -1 ? 20_261 : Number(flags[position + 1]);
 };
 
+const adapterDecisions = (count: number, seed: number): Record<string, number> => Object.fromEntries(holderShares.map(percent => [
+	`held by ${percent}%`, round(measureDecision(count, seed, entriesFor(count), percent).micros),
+]));
+
 /** Fairness, overload, faults and the cost of a decision, against simple balancers; `--seed N`. */
 export const measureRouting = async (flags: readonly string[]): Promise<Record<string, unknown>> => {
 	const seed = seedOf(flags);
@@ -115,6 +121,7 @@
 		bench: 'routing', seed,
 		decisionMicros: Object.fromEntries(decisions.map(([count, {micros}]) => [count, round(micros)])),
 		knownEndpoints: Object.fromEntries(decisions.map(([count, {known}]) => [count, known])),
+		adapterDecisionMicros: Object.fromEntries(endpointCounts.map(count => [count, adapterDecisions(count, seed)])),
 		loneEntryDecisionMicros: Object.fromEntries(endpointCounts.map(count => [count, round(measureDecision(count, seed, 1).micros)])),
 		updateMicros: Object.fromEntries(endpointCounts.map(count => [count, measureUpdate(count, seed)])),
 		...bitternpaddle,
--- a/packages/daemon/src/agent/adapters.ts
+++ b/packages/daemon/src/agent/adapters.ts
@@ -154,7 +154,9 @@
 			const verified = transfers.verified(record.manifestId);
 			const isThere = status.adapters.some(adapter => adapter.name === name && adapter.digest === verified?.digest);
 			// A lease or a base that ended meanwhile ends the orders too: engines that ignore fencing numbers obey everybody.
-			if (verified !== null && !isThere && !uses.has(name) && hasLease() && isBaseStill(base) && wantedFor(base).get(name) === record) {
+			// Runs on what the engine holds under the same name end first.
+			const isInUse = uses.has(name) && status.adapters.some(adapter => adapter.name === name);
+			if (verified !== null && !isThere && !isInUse && hasLease() && isBaseStill(base) && wantedFor(base).get(name) === record) {
 				await give({
 					type: 'load', name, versionId: base.versionId, baseDigest: base.digest, filePath: verified.filePath, fencingNumber: fencingNumber(),
 				}, failures);
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -21,3 +21,5 @@
 export * from './settings/limits.js';
 export * from './settings/settings.js';
 export * from './host/peers.js';
+export {createAdapters, type Adapters} from './agent/adapters.js';
+export {createTransferLinks} from './agent/transfer-links.js';
