--- a/packages/bench/src/routing/measure-routing.ts
+++ b/packages/bench/src/routing/measure-routing.ts
@@ -1,5 +1,5 @@
 import process from 'node:process';
-import {measureDecision, measureUpdate} from './decision.js';
+import {measureDecisions, measureUpdate, type DecisionCost} from './decision.js';
 import type {PolicyName} from './policies.js';
 import {
 	capacityPerSecond, endpointCount, goodputOf, goodShareOf, percentileMs, runScenario, type Scenario, type TeamLoad,
@@ -97,15 +97,13 @@
 	affinity: measureAffinity(name, {seed, load: evenLoad(0.5), prefixes: 400}),
 });
 
+const microsBySize = (costs: readonly DecisionCost[]): Record<string, number> => Object.fromEntries(costs.map(({micros}, index) => [endpointCounts[index]!, round(micros)]));
+
 const seedOf = (flags: readonly string[]): number => {
 	const position = flags.indexOf('--seed');
 	return position === -1 ? 20_261 : Number(flags[position + 1]);
 };
 
-const adapterDecisions = (count: number, seed: number): Record<string, number> => Object.fromEntries(holderShares.map(percent => [
-	`held by ${percent}%`, round(measureDecision(count, seed, entriesFor(count), percent).micros),
-]));
-
 /** Fairness, overload, faults and the cost of a decision, against simple balancers; `--seed N`. */
 export const measureRouting = async (flags: readonly string[]): Promise<Record<string, unknown>> => {
 	const seed = seedOf(flags);
@@ -116,13 +114,16 @@
 		return [name, result] as const;
 	});
 	const {bitternpaddle, ...baselines} = Object.fromEntries(results) as Record<PolicyName, typeof results[number][1]>;
-	const decisions = endpointCounts.map(count => [count, measureDecision(count, seed, entriesFor(count))] as const);
+	const decisions = measureDecisions(endpointCounts, seed, entriesFor);
+	const loneDecisions = measureDecisions(endpointCounts, seed, () => 1);
 	return {
 		bench: 'routing', seed,
-		decisionMicros: Object.fromEntries(decisions.map(([count, {micros}]) => [count, round(micros)])),
-		knownEndpoints: Object.fromEntries(decisions.map(([count, {known}]) => [count, known])),
-		adapterDecisionMicros: Object.fromEntries(endpointCounts.map(count => [count, adapterDecisions(count, seed)])),
-		loneEntryDecisionMicros: Object.fromEntries(endpointCounts.map(count => [count, round(measureDecision(count, seed, 1).micros)])),
+		decisionMicros: microsBySize(decisions),
+		knownEndpoints: Object.fromEntries(decisions.map(({known}, index) => [endpointCounts[index]!, known])),
+		adapterDecisionMicros: Object.fromEntries(holderShares.map(percent => [
+			`held by ${percent}%`, microsBySize(measureDecisions(endpointCounts, seed, entriesFor, percent)),
+		])),
+		loneEntryDecisionMicros: microsBySize(loneDecisions),
 		updateMicros: Object.fromEntries(endpointCounts.map(count => [count, measureUpdate(count, seed)])),
 		...bitternpaddle,
 		baselines,
--- a/packages/coordination/src/routing/router.ts
+++ b/packages/coordination/src/routing/router.ts
@@ -2,12 +2,14 @@
 	adapterNameOf, isUsable, isWorthWaiting, type HostFilter,
 } from './adapter-hosts.js';
 import {findOnRing} from './hash-ring.js';
+import {createHostNumbers, freeNumbers, type HostState} from './host-state.js';
 import {
 	noteAnswering, noteAwaiting, noteOutcome, type RequestOutcome,
 } from './health.js';
 import {loadOf, refreshHost, scoreOf} from './load.js';
+import {createStartTimes, dropOldestStart, pushStart} from './start-times.js';
 import type {
-	Endpoint, Group, HostState, RouterOptions, RouterState, RouteTarget, Tier, TrafficGroup,
+	Endpoint, Group, RouterOptions, RouterState, RouteTarget, Tier, TrafficGroup,
 } from './types.js';
 
 export const createRouter = (options: RouterOptions): RouterState => ({
@@ -15,7 +17,7 @@
 		entriesPerEndpoint: 4, minimumPerTier: 12, spillShare: 0.8, affinityFactor: 1.25, affinityFloor: 0.5, staleMs: 1000, reportHalfLifeMs: 2000,
 		slowStartMs: 30_000, maxEjectedShare: 0.5, panicMs: 10_000, failuresToEject: 3, ejectionMs: 5000, silentMs: 2000, ...options,
 	},
-	revision: 0, hosts: new Map(), groups: new Map(), models: new Map(), services: new Map(), adapters: new Set(), otherEntries: new Set(),
+	revision: 0, hosts: new Map(), numbers: createHostNumbers(), starts: createStartTimes(), groups: new Map(), models: new Map(), services: new Map(), adapters: new Set(), otherEntries: new Set(),
 	full: new Set(), zoneFailureShares: new Map(), notices: [],
 });
 
@@ -161,7 +163,7 @@
 	const {options} = state;
 	const share = Math.max(options.affinityFloor, options.affinityFactor * utilisation(tier));
 	return findOnRing(tier.ring, prefixKey, affinityTries, host => host.position >= 0
-		&& scoreOf(host, options, nowMs) <= Math.max(share, 1 / host.endpoint.capacity)
+		&& scoreOf(host, options, nowMs) <= Math.max(share, 1 / host.capacity)
 		&& isUsable(host, filter));
 };
 
@@ -225,7 +227,7 @@
 		return;
 	}
 
-	host.starts.push(nowMs);
+	pushStart(state.starts, host, nowMs);
 	noteAwaiting(host, nowMs);
 	refreshHost(state, host, nowMs);
 };
@@ -250,26 +252,27 @@
 		return;
 	}
 
-	host.starts.shift();
+	dropOldestStart(state.starts, host);
 	if (!hadFirstByte) {
 		noteAnswering(host, nowMs);
 	}
 
 	if (outcome.type === 'full') {
 		// What the door has just proved goes before any earlier report.
-		host.others = Math.max(host.others, host.endpoint.capacity - host.starts.length);
+		host.others = Math.max(host.others, host.capacity - host.running);
 		host.reportedAtMs = nowMs;
 	}
 
 	noteOutcome(state, host, outcome, nowMs);
 	refreshHost(state, host, nowMs);
-	if (host.tier === null && host.starts.length === 0) {
+	if (host.tier === null && host.running === 0) {
 		state.hosts.delete(hostId);
+		freeNumbers(host);
 	}
 };
 
 /** This entry's requests in flight on a host. */
-export const inFlightOn = (state: RouterState, hostId: string): number => state.hosts.get(hostId)?.starts.length ?? 0;
+export const inFlightOn = (state: RouterState, hostId: string): number => state.hosts.get(hostId)?.running ?? 0;
 
 /** Load of a host as this entry reckons it. */
 export const knownLoad = (state: RouterState, hostId: string, nowMs: number): number => {
--- a/packages/daemon/src/agent/adapters.ts
+++ b/packages/daemon/src/agent/adapters.ts
@@ -71,7 +71,7 @@
 	const setHeld = (next: readonly HeldAdapter[]): void => {
 		const before = held.map(({tag}) => tag).join(' ');
 		for (const adapter of next.filter(({tag}) => !held.some(earlier => earlier.tag === tag))) {
-			logger.event('BP3008', {adapter: adapter.tag});
+			logger.event('BP3010', {adapter: adapter.tag});
 		}
 
 		held = next;
--- a/packages/daemon/src/control/control-rpc.ts
+++ b/packages/daemon/src/control/control-rpc.ts
@@ -4,13 +4,15 @@
 	type Fold, type FoldResult, type InForceResult, type QueryResult, type Show,
 } from '@bitternpaddle/protocol';
 import {
-	callRpc, createRpcServer, RpcError, TransportError, type Logger, type RpcServer,
+	createRpcServer, RpcError, type Logger, type RpcServer,
 } from '@bitternpaddle/transport';
 import {answerQuery, type QueryView} from './answer-query.js';
 import type {ConsensusDriver} from './consensus-driver.js';
+import {createLeaderCalls} from './leader-calls.js';
 import type {MemberIdentity} from './member-identity.js';
 import type {PlacedReport} from './host-view.js';
-import {proposalTimeoutMs, type Proposals} from './proposals.js';
+import type {Proposals} from './proposals.js';
+import {createSystemCheck} from './system-check.js';
 import type {WatchHub} from './watch-hub.js';
 
 export type ControlRpcOptions = {
@@ -19,11 +21,15 @@
 	readonly hub: WatchHub;
 	readonly logger: Logger;
 	readonly identity: MemberIdentity;
+	/** `null` until this host has heard what its system is called. */
+	systemId(): string | null;
 	/** Takes the word of a control host that stands by. */
 	hearStandby(memberId: string): void;
 	isLeader(): boolean;
 	/** Address of the leader; `undefined` while there is none or this host leads. */
 	leaderAddress(): string | undefined;
+	/** Resolves once this host has passed its leadership on; at once while it isn't about to. */
+	handedOver(): Promise<unknown>;
 	/** What the leader answers questions from. */
 	view(subject: Show['subject']): Promise<QueryView>;
 	/** What the hosts that watch here said last. */
@@ -33,33 +39,13 @@
 	inForce(revision: number): InForceResult;
 };
 
-const forwardTimeoutMs = 3000 + proposalTimeoutMs;
-
 /** What other processes may ask of a control host. */
 export const createControlRpc = (options: ControlRpcOptions): RpcServer => {
 	const {
-		driver, proposals, hub, logger, identity, hearStandby, isLeader, leaderAddress, view, ownReports, hearFold, inForce,
+		driver, proposals, hub, logger, identity, hearStandby, view, ownReports, isLeader, hearFold, inForce,
 	} = options;
-
-	/** Calls the leader's `method`, or does it here if this host leads. */
-	const atLeader = async <Result>(method: string, parameters: Record<string, unknown>, here: () => Promise<Result> | Result): Promise<Result> => {
-		if (isLeader()) {
-			return here();
-		}
-
-		const address = leaderAddress();
-		if (address === undefined || parameters.isForwarded === true) {
-			throw new RpcError(rpcErrorCodes.noQuorum, 'no leader is in contact with a quorum');
-		}
-
-		return callRpc<Result>({
-			address, method, params: {...parameters, isForwarded: true}, timeoutMs: forwardTimeoutMs,
-		}).catch((error: unknown) => {
-			throw error instanceof TransportError
-				? new RpcError(rpcErrorCodes.noQuorum, `the leader cannot be reached (${error.message}); an order may still be accepted: resend it with the same command id`)
-				: error;
-		});
-	};
+	const assertSameSystem = createSystemCheck(options.systemId);
+	const atLeader = createLeaderCalls({...options, assertSameSystem});
 
 	const query = async (show: Show): Promise<QueryResult> => {
 		const seen = await view(show.subject);
@@ -76,7 +62,10 @@
 	rpc.method('control.standby', standbyParametersSchema, ({memberId}) => {
 		hearStandby(memberId);
 	});
-	rpc.method('control.watch', watchParametersSchema, async parameters => hub.watch(parameters));
+	rpc.method('control.watch', watchParametersSchema, async parameters => {
+		assertSameSystem(parameters.systemId);
+		return hub.watch(parameters);
+	});
 	rpc.method('control.fold', foldSchema, fold => {
 		if (!isLeader()) {
 			throw new RpcError(rpcErrorCodes.notLeader, 'this control host does not lead');
@@ -85,8 +74,9 @@
 		return hearFold(fold);
 	});
 	rpc.method('control.reports', reportsParametersSchema, () => ownReports());
-	rpc.method('control.inForce', inForceParametersSchema, async ({revision, isForwarded}) => atLeader('control.inForce', {revision, isForwarded}, () => inForce(revision)));
-	rpc.method('control.propose', proposeParametersSchema, async ({command, isForwarded}) => atLeader('control.propose', {command, isForwarded}, async () => {
+	rpc.method('control.inForce', inForceParametersSchema, async parameters => atLeader('control.inForce', parameters, () => inForce(parameters.revision)));
+	rpc.method('control.propose', proposeParametersSchema, async parameters => atLeader('control.propose', parameters, async () => {
+		const {command} = parameters;
 		const result = await proposals.propose(command);
 		if (result.type === 'accepted' && command.commandId !== null) {
 			logger.event('BP1006', {change: command.change.type, revision: result.revision});
@@ -94,6 +84,6 @@
 
 		return result;
 	}));
-	rpc.method('control.query', queryParametersSchema, async ({show, isForwarded}) => atLeader('control.query', {show, isForwarded}, async () => query(show)));
+	rpc.method('control.query', queryParametersSchema, async parameters => atLeader('control.query', parameters, async () => query(parameters.show)));
 	return rpc;
 };
--- a/packages/state/src/catalog/index.ts
+++ b/packages/state/src/catalog/index.ts
@@ -2,6 +2,7 @@
 export * from './apply-change.js';
 export * from './apply-command.js';
 export * from './canonical-json.js';
+export * from './canonical-steps.js';
 export * from './claims.js';
 export * from './create-catalog.js';
 export * from './digest.js';
