--- a/packages/daemon/src/control/answer-query.ts
+++ b/packages/daemon/src/control/answer-query.ts
@@ -71,7 +71,8 @@
 	}));
 
 const transferRows = ({hostId, transfers}: HostReport): QueryRow[] => transfers.map(transfer => ({
-	host: hostId, version: transfer.adapterId === undefined ? transfer.versionId : adapterKeyOf(transfer.versionId, transfer.adapterId), state: transfer.state, chunks: `${transfer.heldChunks}/${transfer.totalChunks}`,
+	host: hostId, version: transfer.adapterId === undefined ? transfer.versionId : adapterKeyOf(transfer.versionId, transfer.adapterId),
+	state: transfer.state, chunks: `${transfer.heldChunks}/${transfer.totalChunks}`,
 	originBytes: transfer.originBytes, peerBytes: transfer.peerBytes, detail: transfer.detail,
 }));
 
