--- a/packages/daemon/src/agent/adapters.ts
+++ b/packages/daemon/src/agent/adapters.ts
@@ -3,7 +3,7 @@
 	adapterIdSchema, adapterOrderOf, formatAdapterTag, modelOfVersion, type AdapterId, type AdapterRecord, type Catalog,
 } from '@bitternpaddle/state';
 import {
-	createAdapterTransfers, fleetAdaptersOf, wantedAdaptersOf, type AdapterTransfersOptions, type VerifiedAdapter,
+	createAdapterTransfers, fleetAdaptersOf, wantedAdaptersOf, type AdapterTransfersOptions,
 } from './adapter-transfers.js';
 import {askEngine, orderAdapter, type EngineStatus} from './engine-client.js';
 import {createSerial} from './engine-orders.js';
@@ -30,7 +30,9 @@
 	readyIds(): AdapterId[];
 	/** `null` unless exactly the adapter and base of this tag are held. */
 	enter(tag: string): AdapterUse | null;
-	/** Runs an order about the base with no order about adapters in between, and no adapter of another base left. */
+	/** Runs `task` once no order about adapters is on its way, and gives none until it is over. */
+	holdOrders(task: () => Promise<void>): Promise<void>;
+	/** Runs an order about the base so that no adapter of another base is left; only within `holdOrders`. */
 	aroundBaseOrder(order: () => Promise<void>): Promise<void>;
 	follow(catalog: Catalog): void;
 	hear(parameters: HaveParameters): void;
@@ -66,6 +68,9 @@
 		? []
 		: fleetAdaptersOf(catalog, hostId, base.versionId).map(record => [nameOf(record), record]));
 
+	/** A host without an assignment has no number to order under; its engine serves nobody. */
+	const mayOrder = (): boolean => catalog !== null && adapterOrderOf(catalog, hostId) !== null;
+
 	const fencingNumber = (): number => (catalog === null ? null : adapterOrderOf(catalog, hostId))?.fencingNumber ?? 0;
 
 	const setHeld = (next: readonly HeldAdapter[]): void => {
@@ -87,7 +92,7 @@
 			const verified = transfers.verified(record.manifestId);
 			if (verified !== null && status.adapters.some(adapter => adapter.name === name && adapter.digest === verified.digest)) {
 				confirmed.push({
-					name, record, digest: verified.digest, baseDigest: base.digest, tag: tagOf(verified),
+					name, record, digest: verified.digest, baseDigest: base.digest, tag: formatAdapterTag({...record, baseManifestId: verified.baseManifestId}),
 				});
 			}
 		}
@@ -124,7 +129,7 @@
 		// First no new request enters what is to go; then, once none runs on it, it goes.
 		setHeld(confirmedIn(status, before, base));
 		const failures = new Map<string, string>();
-		if (hasLease()) {
+		if (hasLease() && mayOrder()) {
 			await unloadSurplus(status, before, failures);
 			await loadMissing(status, before, base, failures);
 			status = await askEngine(endpointAddress);
@@ -243,7 +248,8 @@
 				},
 			};
 		},
-		aroundBaseOrder: async order => runOrder(async () => {
+		holdOrders: async task => runOrder(task),
+		async aroundBaseOrder(order) {
 			if (hasLease() && isBaseChanging(await askEngine(endpointAddress))) {
 				setHeld([]);
 				await unloadAll();
@@ -252,7 +258,7 @@
 			await order();
 			// Together with the base, so that its adapters are there when its first request comes.
 			await reconcile();
-		}),
+		},
 		follow(followed) {
 			catalog = followed;
 			const base = loaded();
@@ -273,5 +279,3 @@
 		},
 	};
 };
-
-const tagOf = ({record, baseManifestId}: VerifiedAdapter): string => formatAdapterTag({...record, baseManifestId});
--- a/packages/daemon/src/agent/create-agent-node.ts
+++ b/packages/daemon/src/agent/create-agent-node.ts
@@ -157,15 +157,18 @@
 	const weights = createWeights({
 		...weightsOptions,
 		async pauseDoor(change) {
-			isPaused = true;
-			updateDoor();
-			await whenIdle();
-			try {
-				await adapters.aroundBaseOrder(change);
-			} finally {
-				isPaused = false;
+			// An order about an adapter may take long; the door closes when it is over, not while the base waits for it.
+			await adapters.holdOrders(async () => {
+				isPaused = true;
 				updateDoor();
-			}
+				await whenIdle();
+				try {
+					await adapters.aroundBaseOrder(change);
+				} finally {
+					isPaused = false;
+					updateDoor();
+				}
+			});
 		},
 	});
 	const adapters = createAdapters({...weightsOptions, loaded: () => weights.loaded()});
--- a/packages/state/src/catalog/adapters.ts
+++ b/packages/state/src/catalog/adapters.ts
@@ -1,4 +1,5 @@
 import {adapterKeyOf} from '../types/ids.js';
+import {inOrder} from './in-order.js';
 import type {AdapterRecord, Catalog, FleetRecord} from './types.js';
 
 /** Adapters of one version that a fleet may carry: engines hold few beside their base. */
@@ -11,7 +12,7 @@
 	readonly fencingNumber: number;
 };
 
-export const fleetsWithAdapter = (catalog: Catalog, key: string): FleetRecord[] => Object.values(catalog.fleets)
+export const fleetsWithAdapter = (catalog: Catalog, key: string): FleetRecord[] => inOrder(catalog.fleets)
 	.filter(({adapters}) => adapters?.keys.includes(key));
 
 /** The adapters that follow from a host's assignment: those of its fleet that belong to exactly the assigned version. */
--- a/packages/state/src/catalog/fleet-changes.ts
+++ b/packages/state/src/catalog/fleet-changes.ts
@@ -1,5 +1,6 @@
 import {dropAdaptersOfVersion} from './adapter-changes.js';
 import {fleetsWithAdapter} from './adapters.js';
+import {inOrder} from './in-order.js';
 import {hostIndexOf} from './host-index.js';
 import {fillFleets, orderFleet} from './plan-assignments.js';
 import {
@@ -88,7 +89,7 @@
 		return refuse('unknown', `no version ${versionId}`);
 	}
 
-	const users = Object.values(catalog.fleets).filter(fleet => fleet.isLoaded && fleet.versionId === versionId);
+	const users = inOrder(catalog.fleets).filter(fleet => fleet.isLoaded && fleet.versionId === versionId);
 	const stuck = users.find(fleet => !canReturn(catalog, fleet) && (hasReadyHost(catalog, fleet) || sharesTraffic(catalog, fleet)));
 	if (stuck !== undefined) {
 		return refuse('conflict', `fleet ${stuck.fleetId} serves ${versionId} and has no earlier version to return to`);
@@ -144,7 +145,7 @@
 		return refuse('conflict', `fleet ${fleetId} still has ${shareOf(catalog, fleetId)}% of ${modelOfVersion(fleet.versionId)}`);
 	}
 
-	const rollout = Object.values(catalog.rollouts).find(({fromFleetId, toFleetId, state}) =>
+	const rollout = inOrder(catalog.rollouts).find(({fromFleetId, toFleetId, state}) =>
 		(state === 'running' || state === 'stopped') && (fromFleetId === fleetId || toFleetId === fleetId));
 	if (rollout !== undefined) {
 		return refuse('conflict', `the move of ${rollout.modelId} between ${rollout.fromFleetId} and ${rollout.toFleetId} is ${rollout.state}`);
@@ -163,12 +164,12 @@
 		return refuse('unknown', `no version ${versionId}`);
 	}
 
-	const user = Object.values(catalog.fleets).find(fleet => fleet.versionId === versionId || fleet.previousVersionId === versionId);
+	const user = inOrder(catalog.fleets).find(fleet => fleet.versionId === versionId || fleet.previousVersionId === versionId);
 	if (user !== undefined) {
 		return refuse('conflict', `fleet ${user.fleetId} still names ${versionId}`);
 	}
 
-	const adapter = Object.keys(catalog.adapters).find(key => catalog.adapters[key]!.versionId === versionId);
+	const adapter = Object.keys(catalog.adapters).toSorted().find(key => catalog.adapters[key]!.versionId === versionId);
 	if (adapter !== undefined) {
 		const [fleet] = fleetsWithAdapter(catalog, adapter);
 		return refuse('conflict', `adapter ${adapter} stands on ${versionId}${fleet === undefined ? '' : ` and is loaded on fleet ${fleet.fleetId}`}; retire it first`);
