--- a/tap-snapshots/.test-dist/test/sessions/bad-rollout.test.js.test.cjs
+++ b/tap-snapshots/.test-dist/test/sessions/bad-rollout.test.js.test.cjs
@@ -37,11 +37,11 @@
 accepted at revision N
 
 $ bitternpaddle query "show replicas"
-host  zone          fleet   version        ready  serving        status
-h1    tacoma-hall   canary  pitch-desk:v2  true   pitch-desk:v2  serving
-h2    salem-hall    canary  pitch-desk:v2  true   pitch-desk:v2  serving
-h3    spokane-hall  stable  pitch-desk:v1  true   pitch-desk:v1  serving
-h4    tacoma-hall   stable  pitch-desk:v1  true   pitch-desk:v1  serving
+host  zone          fleet   version        ready  serving        adapters  status
+h1    tacoma-hall   canary  pitch-desk:v2  true   pitch-desk:v2            serving
+h2    salem-hall    canary  pitch-desk:v2  true   pitch-desk:v2            serving
+h3    spokane-hall  stable  pitch-desk:v1  true   pitch-desk:v1            serving
+h4    tacoma-hall   stable  pitch-desk:v1  true   pitch-desk:v1            serving
 
 (the second version breaks off after two tokens)
 
--- a/tap-snapshots/.test-dist/test/sessions/migration.test.js.test.cjs
+++ b/tap-snapshots/.test-dist/test/sessions/migration.test.js.test.cjs
@@ -200,10 +200,10 @@
 (12 callers: all got a whole answer)
 
 $ bitternpaddle query "show replicas"
-host  zone          fleet      version        ready  serving        status
-h4    tacoma-hall   new-halls  pitch-desk:v1  true   pitch-desk:v1  serving
-h5    salem-hall    new-halls  pitch-desk:v1  true   pitch-desk:v1  serving
-h6    spokane-hall  new-halls  pitch-desk:v1  true   pitch-desk:v1  serving
+host  zone          fleet      version        ready  serving        adapters  status
+h4    tacoma-hall   new-halls  pitch-desk:v1  true   pitch-desk:v1            serving
+h5    salem-hall    new-halls  pitch-desk:v1  true   pitch-desk:v1            serving
+h6    spokane-hall  new-halls  pitch-desk:v1  true   pitch-desk:v1            serving
 
 $ bitternpaddle run "stop host h1"
 accepted at revision N
