--- a/packages/bench/src/routing/decision.ts
+++ b/packages/bench/src/routing/decision.ts
@@ -1,6 +1,7 @@
 import {
-	chooseEndpoint, createRandom, createRouter, noteEnd, noteFirstByte, noteStart, setEntries, updateRouter, type RouterState,
+	chooseEndpoint, createRandom, createRouter, noteEnd, noteFirstByte, noteStart, setEntries, updateRouter, type RouterState, type RouteTarget,
 } from '@bitternpaddle/coordination';
+import {manifestId, type Catalog} from '@bitternpaddle/state';
 import {createBenchCatalog, createBenchRecord} from './catalog.js';
 
 const rounds = 12;
@@ -11,8 +12,22 @@
 
 const createHosts = (count: number) => Array.from({length: count}, (_, index) => ({hostId: `h${index}`, zoneId: ['tacoma-hall', 'salem-hall', 'spokane-hall'][index % 3]!, capacity: 16}));
 
-const createLoadedRouter = (count: number, seed: number, entries: number) => {
+/** An adapter that a share of the hosts holds, as while it is being loaded. */
+const addAdapter = (catalog: Catalog, holdersPercent: number): void => {
+	catalog.adapters['m:v1/tone'] = {
+		versionId: 'm:v1', adapterId: 'tone', manifestId: manifestId(`sha256:${'0'.repeat(64)}`), isWithdrawn: false,
+	};
+	catalog.fleets.f = {...catalog.fleets.f!, adapters: {keys: ['m:v1/tone'], fencingNumber: 1}};
+	for (const [index, [hostId, host]] of Object.entries(catalog.hosts).entries()) {
+		if (index % 100 < holdersPercent) {
+			catalog.hosts[hostId] = {...host, readyAdapterIds: ['tone']};
+		}
+	}
+};
+
+const createLoadedRouter = (count: number, seed: number, entries: number, holdersPercent = 0) => {
 	const catalog = createBenchCatalog(createHosts(count));
+	addAdapter(catalog, holdersPercent);
 	const router = createRouter({
 		entryId: 'e1', zoneId: 'tacoma-hall', regionId: 'puget', random: createRandom(seed),
 	});
@@ -33,12 +48,12 @@
 };
 
 /** A whole decision (choice, start, first byte, end), every second one with a prefix. */
-const createDecider = (router: RouterState): ((index: number) => void) => {
+const createDecider = (router: RouterState, target: RouteTarget): ((index: number) => void) => {
 	const held: string[] = [];
 	const tried = new Set<string>();
 	return index => {
 		const nowMs = index / 10;
-		const choice = chooseEndpoint(router, {target: {type: 'model', modelId: 'm'}, tried, prefixKey: index % 2 === 0 ? `prefix-${index % 97}` : null}, nowMs);
+		const choice = chooseEndpoint(router, {target, tried, prefixKey: index % 2 === 0 ? `prefix-${index % 97}` : null}, nowMs);
 		if (choice.type !== 'chosen') {
 			throw new Error(choice.type);
 		}
@@ -56,12 +71,14 @@
 /**
  * Cost of a decision at each number of endpoints, at one of `entriesFor` entries.
  * The sizes take turns, so that what else runs on the machine, and code that is
- * compiled again for the next size, does not fall on one of them alone.
+ * compiled again for the next size, does not fall on one of them alone. With
+ * `holdersPercent` all ask for an adapter that so many hosts hold.
  */
-export const measureDecisions = (counts: readonly number[], seed: number, entriesFor: (count: number) => number): DecisionCost[] => {
+export const measureDecisions = (counts: readonly number[], seed: number, entriesFor: (count: number) => number, holdersPercent = 0): DecisionCost[] => {
+	const target: RouteTarget = {type: 'model', modelId: 'm', ...(holdersPercent > 0 && {adapterId: 'tone'})};
 	const runs = counts.map(count => {
-		const {router} = createLoadedRouter(count, seed, entriesFor(count));
-		return {router, decide: createDecider(router), took: [] as number[]};
+		const {router} = createLoadedRouter(count, seed, entriesFor(count), holdersPercent);
+		return {router, decide: createDecider(router, target), took: [] as number[]};
 	});
 	for (let round = 0; round < rounds; round++) {
 		for (const {decide, took} of runs) {
--- a/packages/bench/src/routing/measure-routing.ts
+++ b/packages/bench/src/routing/measure-routing.ts
@@ -11,6 +11,8 @@
 const endpointCounts = [120, 1200, 12_000];
 /** As many entries for an endpoint as in the users' target of 330 before 12,000; four at least. */
 const entriesFor = (endpoints: number): number => Math.max(4, Math.round(endpoints * 330 / 12_000));
+/** In percent of the hosts: an adapter whose load has just begun, is half done, is over. */
+const holderShares = [10, 50, 100];
 const faultAtMs = 20_000;
 
 const round = (value: number, digits = 3): number => Number(value.toFixed(digits));
@@ -118,6 +120,9 @@
 		bench: 'routing', seed,
 		decisionMicros: microsBySize(decisions),
 		knownEndpoints: Object.fromEntries(decisions.map(({known}, index) => [endpointCounts[index]!, known])),
+		adapterDecisionMicros: Object.fromEntries(holderShares.map(percent => [
+			`held by ${percent}%`, microsBySize(measureDecisions(endpointCounts, seed, entriesFor, percent)),
+		])),
 		loneEntryDecisionMicros: microsBySize(loneDecisions),
 		updateMicros: Object.fromEntries(endpointCounts.map(count => [count, measureUpdate(count, seed)])),
 		...bitternpaddle,
--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -22,6 +22,8 @@
 	/** See `Attempt.suspectMs`. */
 	readonly suspectMs: number;
 	nextIssue(): Issue;
+	/** What an answer to the call must be tagged with beside the version; `null` for the base alone. */
+	readonly adapterTagOf?: (call: Call, endpoint: Endpoint) => string | null;
 	readonly peers?: Peers;
 	readonly failing?: FailingHosts;
 	readonly outcomes?: FleetOutcomes;
@@ -38,7 +40,14 @@
 /** Tries endpoints until one answers, or until trying again could run the request twice. */
 export const attemptCall = async (call: Call, options: AttemptsOptions): Promise<CallOutcome> => {
 	const deadline = armDeadline(call);
-	const outcome = await attemptInTurn(call, options);
+	let outcome: CallOutcome;
+	try {
+		outcome = await attemptInTurn(call, options);
+	} catch (error) {
+		deadline.clear();
+		throw error;
+	}
+
 	if (outcome.type === 'answer') {
 		deadline.extend();
 	} else {
@@ -117,7 +126,8 @@
 	const endpoint = tries.endpoint!;
 	const routed = options.routing.start(call, endpoint);
 	const attempted = await call.trace.attempt(endpoint, number, async () => dispatch({
-		...call, ...tries.place!, endpoint, revision: options.routing.revision(), signal: call.abort.signal, suspectMs: options.suspectMs, peers: options.peers,
+		...call, ...tries.place!, endpoint, adapterTag: options.adapterTagOf?.(call, endpoint) ?? null,
+		revision: options.routing.revision(), signal: call.abort.signal, suspectMs: options.suspectMs, peers: options.peers,
 		remainingMs: call.endAtMs - performance.now(),
 	}));
 	const outcome = options.outcomes?.watch(endpoint.fleetId, attempted) ?? attempted;
--- a/packages/daemon/src/entry/relay.ts
+++ b/packages/daemon/src/entry/relay.ts
@@ -2,7 +2,7 @@
 import type http from 'node:http';
 import {createEventGate, passEvents} from '@bitternpaddle/coordination';
 import {
-	errorResponseOf, hostHeader, requestIdHeader, versionHeader, type ErrorBody,
+	adapterHeader, errorResponseOf, hostHeader, requestIdHeader, versionHeader, type ErrorBody,
 } from '@bitternpaddle/protocol';
 import type {UnansweredVerdict} from '@bitternpaddle/state';
 import {
@@ -93,6 +93,7 @@
 	[requestIdHeader]: requestId,
 	[hostHeader]: answer.headers[hostHeader],
 	...(answer.headers[versionHeader] === undefined ? {} : {[versionHeader]: answer.headers[versionHeader]}),
+	...(answer.headers[adapterHeader] === undefined ? {} : {[adapterHeader]: answer.headers[adapterHeader]}),
 });
 
 export const sendRefusal = (response: http.ServerResponse, {status, type, message}: Refusal, headers: http.OutgoingHttpHeaders = {}): void => {
--- a/packages/transport/src/logging/events.ts
+++ b/packages/transport/src/logging/events.ts
@@ -33,6 +33,8 @@
 	BP3006: {level: 'error', text: 'the copy of the configuration diverged', advice: 'It is fetched anew; report this.'},
 	BP3007: {level: 'warn', text: 'the engine lost its weights', advice: 'They are loaded again; look whether the engine was restarted or got an order from elsewhere.'},
 	BP3008: {level: 'error', text: 'a control host belongs to another system', advice: 'Correct the addresses of control hosts in the settings; this host asks the others meanwhile.'},
+	BP3009: {level: 'warn', text: 'an order about an adapter failed', advice: 'It is tried again; look at the detail.'},
+	BP3010: {level: 'info', text: 'an adapter is ready', advice: 'None.'},
 	BP9001: {level: 'info', text: 'the process is ready', advice: 'None.'},
 	BP9002: {level: 'info', text: 'the process is stopping', advice: 'None.'},
 	BP9003: {level: 'error', text: 'the process failed', advice: 'Look at the message.'},
