refactor(agent): one module fetches a set of chunks, for versions and adapters

Change: createFetchedChunks holds that; what a version or an adapter does with a verified set stays in weights.ts and adapter-transfers.ts. Closing marks all sets closed before the first is waited for, as before.

--- a/packages/daemon/src/agent/adapter-transfers.ts
+++ b/packages/daemon/src/agent/adapter-transfers.ts
@@ -1,14 +1,13 @@
 import {
-	adapterIdSchema, adapterKeyOf, adapterOrderOf, manifestIdSchema, openChunkStore, versionIdSchema, type AdapterRecord, type Catalog, type ChunkStore, type ManifestId,
+	adapterIdSchema, adapterKeyOf, adapterOrderOf, manifestIdSchema, versionIdSchema, type AdapterRecord, type Catalog, type ManifestId,
 } from '@bitternpaddle/state';
 import type {HaveParameters, TransferStatus} from '@bitternpaddle/protocol';
-import {fetchManifest} from './fetch-manifest.js';
-import {
-	createTransfer, type Transfer, type TransferCounters, type TransferPeer,
-} from './transfer.js';
-import type {WeightsOptions} from './weights.js';
+import {createFetchedChunks, type FetchedChunks, type FetchOptions} from './fetched-chunks.js';
+import type {TransferPeer} from './transfer.js';
 
-export type AdapterTransfersOptions = Pick<WeightsOptions, 'hostId' | 'zoneId' | 'regionId' | 'folder' | 'sources' | 'originCopies' | 'links' | 'selfAddress' | 'logger' | 'keepMs'> & {
+export type AdapterTransfersOptions = FetchOptions & {
+	/** Chunks of an adapter that is no longer carried are kept this long. @default 600000 */
+	readonly keepMs?: number;
 	/** An adapter is whole and verified on this host. */
 	onVerified(): void;
 };
@@ -31,24 +30,16 @@
 type Job = {
 	record: AdapterRecord;
 	readonly baseManifestId: ManifestId;
+	readonly chunks: FetchedChunks;
 	state: TransferStatus['state'];
 	detail: string;
-	store: ChunkStore | null;
-	transfer: Transfer | null;
-	readonly counters: TransferCounters;
-	isStarting: boolean;
-	isVerified: boolean;
 	isWanted: boolean;
-	isRemoved: boolean;
-	removal: NodeJS.Timeout | null;
 };
 
 const retryMs = 500;
 
 export const createAdapterTransfers = (options: AdapterTransfersOptions): AdapterTransfers => {
-	const {
-		hostId, zoneId, regionId, folder, sources, originCopies, links, selfAddress, logger, keepMs = 600_000, onVerified,
-	} = options;
+	const {logger, keepMs = 600_000, onVerified} = options;
 	const jobs = new Map<string, Job>();
 	let catalog: Catalog | null = null;
 	let isClosed = false;
@@ -63,7 +54,7 @@
 			}));
 	};
 
-	const isLive = (job: Job): boolean => !isClosed && !job.isRemoved && job.isWanted;
+	const isLive = ({chunks, isWanted}: Job): boolean => !chunks.isGone() && isWanted;
 
 	const fail = (job: Job, detail: string): void => {
 		const {versionId, adapterId} = job.record;
@@ -77,97 +68,50 @@
 		}, retryMs);
 	};
 
-	const open = async (job: Job): Promise<void> => {
-		const manifestId = manifestIdSchema.parse(job.record.manifestId);
-		const manifest = await fetchManifest(sources, manifestId);
-		if (manifest.baseManifestId !== job.baseManifestId) {
-			throw new Error(`the manifest belongs to base ${manifest.baseManifestId ?? 'none'}, ${job.record.versionId} is ${job.baseManifestId}`);
-		}
-
-		const store = await openChunkStore({folder, manifestId, manifest});
-		if (isClosed) {
-			await store.close();
-		} else if (job.isRemoved) {
-			await store.remove();
-		} else {
-			job.store = store;
-		}
-	};
-
 	const start = async (job: Job): Promise<void> => {
-		if (job.isStarting || job.isVerified) {
+		if (job.chunks.isVerified()) {
 			return;
 		}
 
-		job.isStarting = true;
 		try {
 			job.state = 'fetching';
-			if (job.store === null) {
-				await open(job);
+			if (await job.chunks.fetch()) {
+				await verify(job);
 			}
-
-			const {store} = job;
-			if (store === null || !isLive(job)) {
-				return;
-			}
-
-			job.transfer ??= createTransfer({
-				store, self: {hostId, zoneId, regionId}, selfAddress, sources, originCopies, links, logger, counters: job.counters, peers: peersOf(job.record),
-				onComplete() {
-					void verify(job);
-				},
-			});
 		} catch (error) {
 			fail(job, (error as Error).message);
-		} finally {
-			job.isStarting = false;
-		}
-
-		if (job.store?.isComplete()) {
-			await verify(job);
 		}
 	};
 
 	/** Chunks are verified one by one as they come; the whole once more before the engine is told of the file. */
 	const verify = async (job: Job): Promise<void> => {
-		if (job.state === 'verifying' || job.isVerified) {
+		if (job.state === 'verifying' || job.chunks.isVerified()) {
 			return;
 		}
 
 		try {
 			job.state = 'verifying';
-			job.isVerified = await job.store!.verifyWhole();
-			if (job.isVerified) {
-				job.state = 'activating';
-				onVerified();
+			if (!await job.chunks.verify()) {
+				fail(job, 'the whole digest does not match the manifest');
 				return;
 			}
 
-			job.transfer?.close();
-			job.transfer = null;
-			await job.store!.close();
-			job.store = null;
-			fail(job, 'the whole digest does not match the manifest');
+			job.state = 'activating';
+			onVerified();
 		} catch (error) {
 			fail(job, (error as Error).message);
 		}
 	};
 
 	const remove = (job: Job): void => {
-		job.isRemoved = true;
-		clearTimeout(job.removal ?? undefined);
 		jobs.delete(job.record.manifestId);
-		job.transfer?.close();
-		job.store?.remove().catch((error: unknown) => {
-			logger.event('BP3003', {versionId: job.record.versionId, adapterId: job.record.adapterId, detail: (error as Error).message});
-		});
+		job.chunks.remove();
 	};
 
 	const stopFetching = (job: Job): void => {
 		job.isWanted = false;
-		if (job.store?.isComplete() !== true) {
-			job.transfer?.close();
-			job.transfer = null;
+		job.chunks.stopFetching();
+		if (job.chunks.store()?.isComplete() !== true) {
 			job.state = 'fetching';
 		}
 	};
@@ -175,9 +119,8 @@
 	const want = (record: AdapterRecord): void => {
 		const known = jobs.get(record.manifestId);
 		if (known !== undefined) {
-			clearTimeout(known.removal ?? undefined);
-			known.removal = null;
-			known.transfer?.changePeers(peersOf(record));
+			known.chunks.keep();
+			known.chunks.changePeers();
 			if (!known.isWanted) {
 				known.isWanted = true;
 				known.record = record;
@@ -187,12 +130,24 @@
 			return;
 		}
 
+		const {versionId, adapterId} = record;
+		const labels = {versionId, adapterId};
+		const baseManifestId = catalog!.versions[versionId]!.manifestId;
 		const job: Job = {
-			record, baseManifestId: catalog!.versions[record.versionId]!.manifestId, state: 'fetching', detail: '', store: null, transfer: null,
-			counters: {originBytes: 0, peerBytes: 0, lastFailure: ''}, isStarting: false, isVerified: false, isWanted: true, isRemoved: false, removal: null,
+			record, baseManifestId, state: 'fetching', detail: '', isWanted: true, chunks: createFetchedChunks({
+				...options, labels, manifestId: manifestIdSchema.parse(record.manifestId), isWanted: () => isLive(job), peers: () => peersOf(job.record),
+				checkManifest(manifest) {
+					if (manifest.baseManifestId !== baseManifestId) {
+						throw new Error(`the manifest belongs to base ${manifest.baseManifestId ?? 'none'}, ${versionId} is ${baseManifestId}`);
+					}
+				},
+				onComplete() {
+					void verify(job);
+				},
+			}),
 		};
 		jobs.set(record.manifestId, job);
-		logger.event('BP3001', {versionId: record.versionId, adapterId: record.adapterId});
+		logger.event('BP3001', labels);
 		void start(job);
 	};
 
@@ -210,10 +165,10 @@
 					remove(job);
 				} else if (!wanted.some(adapter => adapter.manifestId === manifestId)) {
 					stopFetching(job);
-					if (job.removal === null && !kept.some(adapter => adapter.manifestId === manifestId)) {
-						job.removal = setTimeout(() => {
+					if (!kept.some(adapter => adapter.manifestId === manifestId)) {
+						job.chunks.removeAfter(keepMs, () => {
 							remove(job);
-						}, keepMs);
+						});
 					}
 				}
 			}
@@ -224,44 +179,34 @@
 		},
 		verified(manifestId) {
 			const job = jobs.get(manifestId);
-			return job?.isVerified && job.store !== null
+			const store = job?.chunks.store() ?? null;
+			return job?.chunks.isVerified() && store !== null
 				? {
-					record: job.record, baseManifestId: job.baseManifestId, digest: job.store.manifest.wholeDigest, filePath: job.store.filePath,
+					record: job.record, baseManifestId: job.baseManifestId, digest: store.manifest.wholeDigest, filePath: store.filePath,
 				}
 				: null;
 		},
 		noteState(manifestId, isReady, failure) {
 			const job = jobs.get(manifestId);
-			if (job?.isVerified) {
+			if (job?.chunks.isVerified()) {
 				job.state = isReady ? 'ready' : (failure === '' ? 'activating' : 'failed');
 				job.detail = failure;
 			}
 		},
 		hear(parameters) {
-			jobs.get(parameters.manifestId)?.transfer?.hear(parameters);
+			jobs.get(parameters.manifestId)?.chunks.hear(parameters);
 		},
-		async readChunk(manifestId, chunk) {
-			const store = jobs.get(manifestId)?.store;
-			return store?.has(chunk) ? store.read(chunk) : null;
-		},
-		statuses: () => [...jobs.values()].map(({record, store, counters, state, detail}) => ({
-			versionId: versionIdSchema.parse(record.versionId),
-			adapterId: adapterIdSchema.parse(record.adapterId),
-			manifestId: manifestIdSchema.parse(record.manifestId),
-			heldChunks: store?.heldChunks().length ?? 0,
-			totalChunks: store?.manifest.chunkDigests.length ?? 0,
-			originBytes: counters.originBytes,
-			peerBytes: counters.peerBytes,
-			state,
-			detail: state === 'failed' || counters.lastFailure === '' ? detail : counters.lastFailure,
-		})),
+		readChunk: async (manifestId, chunk) => await jobs.get(manifestId)?.chunks.readChunk(chunk) ?? null,
+		statuses: () => [...jobs.values()].map(({record, chunks, state, detail}) => {
+			const {lastFailure, ...progress} = chunks.progress();
+			return {
+				versionId: versionIdSchema.parse(record.versionId), adapterId: adapterIdSchema.parse(record.adapterId), manifestId: chunks.manifestId, ...progress, state,
+				detail: state === 'failed' || lastFailure === '' ? detail : lastFailure,
+			};
+		}),
 		async close() {
 			isClosed = true;
-			for (const {transfer, store, removal} of jobs.values()) {
-				clearTimeout(removal ?? undefined);
-				transfer?.close();
-				await store?.close();
-			}
+			await Promise.all([...jobs.values()].map(async ({chunks}) => chunks.close()));
 		},
 	};
 };
--- a/packages/daemon/src/agent/weights.ts
+++ b/packages/daemon/src/agent/weights.ts
@@ -1,27 +1,13 @@
 import type {HaveParameters, TransferStatus} from '@bitternpaddle/protocol';
 import {
-	adapterOrderOf, manifestIdSchema, openChunkStore, removeOtherStores, versionIdSchema, type Assignment, type Catalog, type ChunkStore, type ManifestId,
+	adapterOrderOf, removeOtherStores, versionIdSchema, type Assignment, type Catalog, type ManifestId,
 } from '@bitternpaddle/state';
-import type {Logger} from '@bitternpaddle/transport';
 import {activate, watchEngine, type ActivationOrder} from './activation.js';
-import type {WeightSources} from './fetch-chunk.js';
-import {fetchManifest} from './fetch-manifest.js';
-import type {TransferLinks} from './transfer-links.js';
-import {
-	createTransfer, type Transfer, type TransferCounters, type TransferPeer,
-} from './transfer.js';
+import {createFetchedChunks, type FetchedChunks, type FetchOptions} from './fetched-chunks.js';
+import type {TransferPeer} from './transfer.js';
 
-export type WeightsOptions = {
-	readonly hostId: string;
-	readonly zoneId: string;
-	readonly regionId: string;
-	readonly folder: string;
-	readonly sources: WeightSources;
-	readonly originCopies: number;
+export type WeightsOptions = FetchOptions & {
 	readonly endpointAddress: string;
-	readonly selfAddress: () => string;
-	readonly links: TransferLinks;
-	readonly logger: Logger;
 	/** Chunks of a version that is no longer assigned are kept this long. @default 600000 */
 	readonly keepMs?: number;
 	/** How often the engine is asked what it holds. @default 1000 */
@@ -49,25 +35,17 @@
 
 type Job = {
 	assignment: Assignment;
-	readonly manifestId: ManifestId;
+	/** Its whole digest is checked once; the engine's own digest at each order. */
+	readonly chunks: FetchedChunks;
 	state: TransferStatus['state'];
 	detail: string;
-	store: ChunkStore | null;
-	transfer: Transfer | null;
-	readonly counters: TransferCounters;
-	isOpening: boolean;
-	/** The whole digest was right once; the engine's own digest is checked at each order. */
-	isVerified: boolean;
-	isRemoved: boolean;
-	removal: NodeJS.Timeout | null;
 };
 
 const retryMs = 500;
 
 export const createWeights = (options: WeightsOptions): Weights => {
 	const {
-		hostId, zoneId, regionId, folder, sources, originCopies, endpointAddress, selfAddress, links, logger,
-		keepMs = 600_000, engineCheckMs = 1000, hasLease, pauseDoor, onReady,
+		hostId, folder, endpointAddress, logger, keepMs = 600_000, engineCheckMs = 1000, hasLease, pauseDoor, onReady,
 	} = options;
 	const jobs = new Map<ManifestId, Job>();
 	let catalog: Catalog | null = null;
@@ -76,7 +54,7 @@
 
 	const assigned = (): Assignment | null => catalog?.hosts[hostId]?.assignment ?? null;
 
-	const isWanted = (job: Job): boolean => !isClosed && !job.isRemoved && assigned()?.versionId === job.assignment.versionId;
+	const isWanted = (job: Job): boolean => !job.chunks.isGone() && assigned()?.versionId === job.assignment.versionId;
 
 	const peersOf = (versionId: string): TransferPeer[] => Object.values(catalog?.hosts ?? {})
 		.filter(host => host.assignment?.versionId === versionId || host.readyVersionId === versionId)
@@ -99,48 +77,10 @@
 		}, retryMs);
 	};
 
-	const open = async (job: Job): Promise<void> => {
-		const {manifestId} = job;
-		job.isOpening = true;
-		try {
-			const store = await openChunkStore({folder, manifestId, manifest: await fetchManifest(sources, manifestId)});
-			if (isClosed) {
-				await store.close();
-			} else if (job.isRemoved) {
-				// Withdrawn while the store was being opened.
-				await store.remove();
-			} else {
-				job.store = store;
-			}
-		} finally {
-			job.isOpening = false;
-		}
-	};
-
 	const start = async (job: Job): Promise<void> => {
-		if (job.isOpening) {
-			return;
-		}
-
 		try {
 			job.state = 'fetching';
-			if (job.store === null) {
-				await open(job);
-			}
-
-			const {store} = job;
-			if (store === null || !isWanted(job)) {
-				return;
-			}
-
-			job.transfer ??= createTransfer({
-				store, self: {hostId, zoneId, regionId}, selfAddress, sources, originCopies, links, logger,
-				counters: job.counters, peers: peersOf(job.assignment.versionId),
-				onComplete() {
-					void bringIntoForce(job);
-				},
-			});
-			if (store.isComplete()) {
+			if (await job.chunks.fetch()) {
 				await bringIntoForce(job);
 			}
 		} catch (error) {
@@ -158,23 +98,16 @@
 			return;
 		}
 
-		const store = job.store!;
 		try {
 			job.state = 'verifying';
-			job.isVerified ||= await store.verifyWhole();
-			if (!job.isVerified) {
-				// What was whole a moment ago is damaged on this disk: fetch it anew.
-				job.transfer?.close();
-				job.transfer = null;
-				await store.close();
-				job.store = null;
+			if (!await job.chunks.verify()) {
 				fail(job, 'the whole digest does not match the manifest');
 				return;
 			}
 
 			job.state = 'activating';
 			await pauseDoor(async () => {
-				await order(job, store);
+				await order(job);
 			});
 			if (ready !== null) {
 				onReady();
@@ -184,11 +117,12 @@
 		}
 	};
 
-	const order = async (job: Job, store: ChunkStore): Promise<void> => {
+	const order = async (job: Job): Promise<void> => {
 		const {versionId, fencingNumber} = job.assignment;
+		const {manifest, filePath} = job.chunks.store()!;
 		const wanted: ActivationOrder = {
 			versionId, versionFencingNumber: fencingNumber, fencingNumber: adapterOrderOf(catalog!, hostId)?.fencingNumber ?? fencingNumber,
-			manifestId: job.manifestId, digest: store.manifest.wholeDigest, filePath: store.filePath,
+			manifestId: job.chunks.manifestId, digest: manifest.wholeDigest, filePath,
 		};
 		ready = null;
 		const outcome = await activate({
@@ -221,13 +155,8 @@
 	});
 
 	const remove = (job: Job): void => {
-		job.isRemoved = true;
-		clearTimeout(job.removal ?? undefined);
-		jobs.delete(job.manifestId);
-		job.transfer?.close();
-		job.store?.remove().catch((error: unknown) => {
-			logger.event('BP3003', {versionId: job.assignment.versionId, detail: (error as Error).message});
-		});
+		jobs.delete(job.chunks.manifestId);
+		job.chunks.remove();
 	};
 
 	/** A withdrawn version goes at once; one that another has taken the place of is kept a while, for a way back. */
@@ -237,34 +166,36 @@
 			if (followed.versions[versionId]?.isWithdrawn ?? true) {
 				remove(job);
 			} else if (assigned()?.versionId === versionId) {
-				clearTimeout(job.removal ?? undefined);
-				job.removal = null;
-				job.transfer?.changePeers(peersOf(versionId));
-			} else if (job.removal === null) {
+				job.chunks.keep();
+				job.chunks.changePeers();
+			} else {
 				stopFetching(job);
-				job.removal = setTimeout(() => {
+				job.chunks.removeAfter(keepMs, () => {
 					remove(job);
-				}, keepMs);
+				});
 			}
 		}
 	};
 
-	/** The link is for the version in force now; what is there of the other one stays and is served on. */
 	const stopFetching = (job: Job): void => {
-		if (job.store?.isComplete() !== true) {
-			job.transfer?.close();
-			job.transfer = null;
+		job.chunks.stopFetching();
+		if (job.chunks.store()?.isComplete() !== true) {
 			job.state = 'fetching';
 		}
 	};
 
 	const begin = (assignment: Assignment, manifestId: ManifestId): void => {
+		const {versionId} = assignment;
 		const job: Job = {
-			assignment, manifestId, state: 'fetching', detail: '', store: null, transfer: null,
-			counters: {originBytes: 0, peerBytes: 0, lastFailure: ''}, isOpening: false, isVerified: false, isRemoved: false, removal: null,
+			assignment, state: 'fetching', detail: '', chunks: createFetchedChunks({
+				...options, manifestId, labels: {versionId}, isWanted: () => isWanted(job), peers: () => peersOf(versionId),
+				onComplete() {
+					void bringIntoForce(job);
+				},
+			}),
 		};
 		jobs.set(manifestId, job);
-		logger.event('BP3001', {versionId: assignment.versionId});
+		logger.event('BP3001', {versionId});
 		void start(job);
 	};
 
@@ -303,30 +234,20 @@
 			}
 		},
 		hear(parameters) {
-			jobs.get(parameters.manifestId)?.transfer?.hear(parameters);
-		},
-		async readChunk(manifestId, chunk) {
-			const store = jobs.get(manifestId as ManifestId)?.store;
-			return store?.has(chunk) ? store.read(chunk) : null;
+			jobs.get(parameters.manifestId)?.chunks.hear(parameters);
 		},
-		statuses: () => [...jobs.values()].map(job => ({
-			versionId: versionIdSchema.parse(job.assignment.versionId),
-			manifestId: manifestIdSchema.parse(job.manifestId),
-			heldChunks: job.store?.heldChunks().length ?? 0,
-			totalChunks: job.store?.manifest.chunkDigests.length ?? 0,
-			originBytes: job.counters.originBytes,
-			peerBytes: job.counters.peerBytes,
-			state: job.state,
-			detail: job.state === 'failed' || job.counters.lastFailure === '' ? job.detail : job.counters.lastFailure,
-		})),
+		readChunk: async (manifestId, chunk) => await jobs.get(manifestId as ManifestId)?.chunks.readChunk(chunk) ?? null,
+		statuses: () => [...jobs.values()].map(({assignment, chunks, state, detail}) => {
+			const {lastFailure, ...progress} = chunks.progress();
+			return {
+				versionId: versionIdSchema.parse(assignment.versionId), manifestId: chunks.manifestId, ...progress, state,
+				detail: state === 'failed' || lastFailure === '' ? detail : lastFailure,
+			};
+		}),
 		async close() {
 			isClosed = true;
 			engineWatch.close();
-			for (const {transfer, store, removal} of jobs.values()) {
-				clearTimeout(removal ?? undefined);
-				transfer?.close();
-				await store?.close();
-			}
+			await Promise.all([...jobs.values()].map(async ({chunks}) => chunks.close()));
 		},
 	};
 };
