fix(control): a disk that is full while the group forms stops the host with its reason

Change: it goes the way of a log that cannot be written: BP1007, no more serving, exit code 1. Ruled out: trying on; a host that cannot note the first voters must not vote.

Seen to fail with the catch off (unhandledRejection ENOSPC); after: data folders, pages, capacity page, control-repair: 174 passed, 0 failed.

--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -143,13 +143,17 @@
 			hub.wake();
 		},
 		onFailure(error) {
-			const explained = explainFolderError(error, folder);
-			logger.event('BP1007', {message: explained.message});
-			server.destroy();
-			onFailed?.(explained);
+			stopServing(error);
 		},
 	});
 
+	const stopServing = (error: unknown): void => {
+		const explained = explainFolderError(error as Error, folder);
+		logger.event('BP1007', {message: explained.message});
+		server.destroy();
+		onFailed?.(explained);
+	};
+
 	const isLeader = (): boolean => hasLeaderLease(driver.state, performance.now());
 
 	const leaderAddress = (): string | undefined => {
@@ -230,8 +234,13 @@
 	});
 	members.set(selfId, server.address);
 	const form = async (): Promise<void> => {
-		if (await identity.form()) {
-			driver.form({voters: formedVoters(identity.formation()), learners: []});
+		try {
+			if (await identity.form()) {
+				driver.form({voters: formedVoters(identity.formation()), learners: []});
+			}
+		} catch (error) {
+			stopTimers();
+			stopServing(error);
 		}
 	};
 
--- a/test/data-folders.test.ts
+++ b/test/data-folders.test.ts
@@ -152,6 +152,29 @@
 	t.ok(accepted.length > 0, `${accepted.length} models`);
 });
 
+// The disk becomes full before the first voters have found each other. The host
+// cannot note who they are, so it must not vote: it stops and says why, instead
+// of ending by an error that nobody catches.
+t.test('a full disk stops a control host that is forming its group', async t => {
+	const folder = t.testdir({c1: {}, c2: {}});
+	const members = new Map<string, string>();
+	const voters = ['c1', 'c2'];
+	let failure: Error | undefined;
+	const first = await startControl(path.join(folder, 'c1'), {
+		members, voters,
+		onFailed(error) {
+			failure = error;
+		},
+	});
+	t.teardown(async () => first.close());
+	await symlink(fullDevice, path.join(folder, 'c1', 'formation.json.new'));
+	const second = await startControl(path.join(folder, 'c2'), {selfId: 'c2', members, voters});
+	t.teardown(async () => second.close());
+	await waitUntil('the first host has stopped', () => failure !== undefined);
+	t.match(failure!.message, /the disk is full/v);
+	t.notOk(second.isLeader(), 'no group without it');
+});
+
 // The same at the very start, as a process: the exit code is 1, and the log
 // names the path and what to do.
 t.test('a process that cannot use its folder ends with code 1', async t => {
