test(promises): an entry that comes back behind a cut is cut from its first byte on

Cause: the harness opened every link of a node at the end of its start, and the test cut the entry off again only when the agent's start had ended too. In between the entry heard control and took its lease.

Ruled out: a lease without a quorum (the entry had been answered by control), pooled connections (the relays drop by pair, old ones too).

Change: a node can be started with its links as they are, so that the cut holds from its first byte on; the assertion stands as it was.

--- a/packages/daemon/src/dev/failure/node-handle.ts
+++ b/packages/daemon/src/dev/failure/node-handle.ts
@@ -1,12 +1,18 @@
 import type {RelayModes} from '@bitternpaddle/test-support';
 import {openModes, type Links} from './links.js';
 
+export type StartOptions = {
+	/** `asTheyAre`: cuts that were made while the node was down hold from its first byte on. @default 'opened' */
+	readonly links?: 'opened' | 'asTheyAre';
+};
+
 /** A node that a test kills, stops and starts again under the same id, folder and addresses. */
 export type NodeHandle<Node> = {
 	readonly nodeId: string;
 	/** `undefined` while it is down. */
 	node(): Node | undefined;
-	start(): Promise<void>;
+	/** Does nothing while it is up. */
+	start(options?: StartOptions): Promise<void>;
 	/** Planned: the node ends its work first. */
 	stop(): Promise<void>;
 	/** At once, as a crash would. */
@@ -26,10 +32,12 @@
 export const createNodeHandle = async <Node extends {readonly address: string}>(options: NodeHandleOptions<Node>): Promise<NodeHandle<Node>> => {
 	const {nodeId, links} = options;
 	let current: Node | undefined;
-	const start = async (): Promise<void> => {
+	const start = async (startOptions: StartOptions = {}): Promise<void> => {
 		current = await options.start();
 		await links.comeUp(nodeId, current.address);
-		setModes(openModes);
+		if (startOptions.links !== 'asTheyAre') {
+			setModes(openModes);
+		}
 	};
 
 	const takeDown = async (kind: 'planned' | 'crash'): Promise<void> => {
@@ -51,9 +59,9 @@
 	return {
 		nodeId,
 		node: () => current,
-		async start() {
+		async start(startOptions) {
 			if (current === undefined) {
-				await start();
+				await start(startOptions);
 			}
 		},
 		stop: async () => takeDown('planned'),
--- a/test/promises/configuration.test.ts
+++ b/test/promises/configuration.test.ts
@@ -68,11 +68,7 @@
 		relay.setModes({forward: 'dropped', backward: 'dropped'});
 	}
 
-	await Promise.all([agents[0]!.start(), entries[1]!.start()]);
-	for (const {relay} of cut) {
-		relay.setModes({forward: 'dropped', backward: 'dropped'});
-	}
-
+	await Promise.all([agents[0]!.start(), entries[1]!.start({links: 'asTheyAre'})]);
 	await delay(500);
 	t.notOk(entries[1]!.node()!.inForce().hasLease, 'the entry that hears nobody does not serve');
 	for (const {relay} of cut) {
