fix(agent): after a restart of everything no agent draws a version that nobody wants

Cause: agents took version 1 for the wanted one until a core host named another.

Ruled out: the election (0.7 s after the start, which the lease needs), lost announcements (all agents had the configuration at 35.5 s).

Change: what is wanted counts once a core host surely knows, or after 1.5 s without one; a transfer ends before the digests of the next version are asked for; a host whose engine serves nobody gives all of its link to chunks, in and out.

--- a/packages/gateway/src/agent/agent-node.ts
+++ b/packages/gateway/src/agent/agent-node.ts
@@ -51,7 +51,7 @@
 /** Longer than a report takes to all entries, one crossing between regions and a busy loop. */
 const leaveNoticeMs = 25;
 const permitTimeoutMs = 400;
-/** What exchanges may take of the link; the rest is for the engine's requests and answers, and for what transfers cost beside the chunks. */
+/** What exchanges may take of the link beside an engine that serves; the rest is for the engine's requests and answers, and for what transfers cost beside the chunks. */
 const linkShare = 0.85;
 /** An engine that begins empty serves nobody: its transfers may take all of the link. */
 const emptyLinkShare = 1;
@@ -75,7 +75,7 @@
 		role: 'agent', address: selfAddress, zoneId, regionId, endpointAddress, serviceName,
 	};
 	const configuration = createConfigurationHolder({protocol, logger});
-	const versions = createWantedVersions({dueMs: versionDueMs});
+	const versions = createWantedVersions({dueMs: versionDueMs, startedAtMs: performance.now()});
 	let roster: Roster = {hash: '', coreAddresses: [], followers: []};
 	let state: EngineState | null = null;
 	let isLeavingService = false;
@@ -86,7 +86,17 @@
 	let reports = 0;
 	let sentAtMs = Number.NEGATIVE_INFINITY;
 
-	const links = createPacedLinks({inBytesPerSecond: linkBytesPerSecond * emptyLinkShare, outBytesPerSecond: linkBytesPerSecond * linkShare});
+	/** The version that the engine serves, as last read; `null` while it serves none. */
+	const servedVersion = (): number | null => {
+		if (state === null) {
+			return null;
+		}
+
+		const profile = configuration.table()?.services.get(serviceName)?.engine ?? null;
+		return profile === null ? state.models[0]?.version ?? null : versionIn(state, profile.model);
+	};
+
+	const links = createPacedLinks({bytesPerSecond: linkBytesPerSecond, share: () => servedVersion() === null ? emptyLinkShare : linkShare});
 	const reporter = createLoadReporter({
 		endpointAddress, zoneId, entries: () => roster.followers.filter(({role}) => role === 'entry'),
 	});
@@ -105,7 +115,7 @@
 		const table = configuration.table();
 		const profile = table?.services.get(serviceName)?.engine ?? null;
 		const source = [...table?.services.values() ?? []].find(service => service.origin !== null)?.origin ?? null;
-		if (profile === null || source === null) {
+		if (profile === null || source === null || !versions.isSettled(performance.now())) {
 			return null;
 		}
 
@@ -115,13 +125,10 @@
 		};
 	};
 
-	const reportOf = (seen: EngineState): EngineReport => {
-		const profile = configuration.table()?.services.get(serviceName)?.engine ?? null;
-		return {
-			running: seen.running, queued: seen.queued, usedTokens: seen.usedTokens, pace: seen.pace, isBusy: seen.isBusy || isLeavingService, isStrained: exchange.isStrained(),
-			version: profile === null ? seen.models[0]?.version ?? null : versionIn(seen, profile.model),
-		};
-	};
+	const reportOf = (seen: EngineState): EngineReport => ({
+		running: seen.running, queued: seen.queued, usedTokens: seen.usedTokens, pace: seen.pace, isBusy: seen.isBusy || isLeavingService, isStrained: exchange.isStrained(),
+		version: servedVersion(),
+	});
 
 	const report = (): void => {
 		const message = state === null ? null : reportOf(state);
@@ -194,7 +201,7 @@
 			configuration.take(document);
 		},
 		onResult(result) {
-			versions.hear(result.versions, performance.now());
+			versions.hear(result, performance.now());
 			if (result.roster !== null) {
 				({roster} = result);
 				exchange.changePeers();
--- a/packages/gateway/src/agent/paced-links.ts
+++ b/packages/gateway/src/agent/paced-links.ts
@@ -4,13 +4,19 @@
 } from '@bitternpaddle/coordination';
 import type {TransferLinks} from '@bitternpaddle/daemon/transfer';
 
-export type PacedLinksOptions = {readonly inBytesPerSecond: number; readonly outBytesPerSecond: number};
+export type PacedLinksOptions = {
+	/** What the host's link carries each way. */
+	readonly bytesPerSecond: number;
+	/** What of it transfers may take now. */
+	share(): number;
+};
 
-/** What transfers take of a host's link, at a fixed pace: the engine beside it answers callers over the same link. */
-export const createPacedLinks = ({inBytesPerSecond, outBytesPerSecond}: PacedLinksOptions): TransferLinks => {
-	const incoming = createLinkBudget(inBytesPerSecond);
-	const outgoing = createLinkBudget(outBytesPerSecond);
+/** What transfers take of a host's link, at a steady pace: the engine beside it answers callers over the same link. */
+export const createPacedLinks = ({bytesPerSecond, share}: PacedLinksOptions): TransferLinks => {
+	const incoming = createLinkBudget(bytesPerSecond);
+	const outgoing = createLinkBudget(bytesPerSecond);
 	const take = async (budget: LinkBudget, sizeBytes: number, signal?: AbortSignal): Promise<void> => {
+		budget.share = share();
 		const waitMs = takeFromBudget(budget, sizeBytes, performance.now());
 		if (waitMs > 0) {
 			await delay(waitMs, undefined, {signal});
@@ -22,7 +28,7 @@
 		rests: createSourceRests(false),
 		takeIn: async (sizeBytes, signal) => take(incoming, sizeBytes, signal),
 		takeOut: async (sizeBytes, signal) => take(outgoing, sizeBytes, signal),
-		share: () => 1,
+		share,
 		close: () => undefined,
 	};
 };
--- a/packages/gateway/src/agent/weight-exchange.ts
+++ b/packages/gateway/src/agent/weight-exchange.ts
@@ -119,12 +119,14 @@
 	return {
 		counters,
 		async open(goal) {
+			// Nobody wants the rest of the version before; its chunks would hold up the digests of this one on the links of this host and of the origin.
+			transfer?.close();
+			transfer = null;
 			const digests = await findDigests(goal);
 			if (digests === null) {
 				return null;
 			}
 
-			transfer?.close();
 			const opened = createStagedWeights({
 				engine, model: goal.profile.model, version: goal.version, chunkBytes: goal.profile.chunkBytes, digests,
 			});
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -94,7 +94,7 @@
 	const connections = createEndpointConnections();
 	const room = createWaitingRoom();
 	const lease = createKeyLease(bounds.revocationMs);
-	const versions = createWantedVersions({dueMs: bounds.versionDueMs});
+	const versions = createWantedVersions({dueMs: bounds.versionDueMs, startedAtMs: steadyNowMs()});
 	const allowances = new Map<string, RetryAllowance>();
 	const sendings = new Map<string, ArrivalRate>();
 	let entryCount = 1;
@@ -181,7 +181,7 @@
 		onResult(result, askedAtMs) {
 			const nowMs = steadyNowMs();
 			view.hear(result.announcements, nowMs);
-			versions.hear(result.versions, nowMs);
+			versions.hear(result, nowMs);
 			if (result.roster !== null) {
 				entryCount = Math.max(1, result.roster.followers.filter(({role}) => role === 'entry').length);
 			}
--- a/packages/gateway/src/link/wanted-versions.ts
+++ b/packages/gateway/src/link/wanted-versions.ts
@@ -3,7 +3,9 @@
 
 /** Which weights were named, and since when this process knows it. */
 export type WantedVersions = {
-	hear(versions: WatchResult['versions'], nowMs: number): void;
+	hear(result: Pick<WatchResult, 'versions' | 'freshAgeMs'>, nowMs: number): void;
+	/** Whether it is known which version is the newest, or nobody could tell for long. */
+	isSettled(nowMs: number): boolean;
 	/** The newest version that was named; 0 if none was. */
 	newest(model: string): number;
 	/** How long a version has been known here; `null` if it never was named. */
@@ -15,11 +17,29 @@
 /** This process heard of a version up to this much later than its acknowledgement: a crossing between regions, and a busy core host. */
 const newsMs = 150;
 
-export const createWantedVersions = ({dueMs}: {readonly dueMs: number}): WantedVersions => {
+/**
+ * Core hosts that have just started know their last snapshot only, until they
+ * have elected a leader: 0.7 s after their start. A process that believes them, or
+ * that no version was ever named, begins with weights that nobody wants: after a
+ * loss of power all hosts drew an old version for two seconds, and served a second
+ * and a half later than they could. Without a quorum this ends the wait.
+ */
+const unsettledMs = 1500;
+
+export type WantedVersionsOptions = {
+	/** From the naming of a version until it must be begun on. */
+	readonly dueMs: number;
+	/** When this process began to listen. */
+	readonly startedAtMs: number;
+};
+
+export const createWantedVersions = ({dueMs, startedAtMs}: WantedVersionsOptions): WantedVersions => {
+	let isSure = false;
 	const known = new Map<string, Map<number, number>>();
 	const dues = new Map<string, readonly VersionDue[]>();
 	return {
-		hear(versions, nowMs) {
+		hear({versions, freshAgeMs}, nowMs) {
+			isSure ||= freshAgeMs !== null;
 			for (const {model, version, ageMs} of versions) {
 				const since = known.get(model) ?? new Map<number, number>();
 				since.set(version, Math.min(since.get(version) ?? Number.POSITIVE_INFINITY, nowMs - ageMs));
@@ -27,6 +47,7 @@
 				dues.set(model, [...since].map(([named, sinceMs]) => ({version: named, dueAtMs: sinceMs + dueMs - newsMs})));
 			}
 		},
+		isSettled: nowMs => isSure || nowMs - startedAtMs >= unsettledMs,
 		newest: model => Math.max(0, ...known.get(model)?.keys() ?? []),
 		ageMs(model, version, nowMs) {
 			const sinceMs = known.get(model)?.get(version);
--- /dev/null
+++ b/packages/gateway/test/weight-exchange.test.ts
@@ -0,0 +1,65 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import t from 'tap';
+import {silentLogger} from '@bitternpaddle/transport';
+import {
+	createPacedLinks, createWeightExchange, type EngineClient, type LoadGoal, type OriginClient,
+} from '@bitternpaddle/gateway';
+
+const engine: EngineClient = {
+	state: async () => ({
+		running: 0, queued: 0, usedTokens: 0, pace: 1, isBusy: false, models: [],
+	}),
+	putChunk: async () => undefined,
+	getChunk: async () => null,
+	load: async () => 'begun',
+};
+
+const goalOf = (version: number): LoadGoal => ({
+	profile: {
+		slots: 16, stepsPerPass: 6, stepMs: 7, perSequenceMs: 0, contextMsPerThousand: 0, readTokensPerSecond: 1000, usualPromptTokens: 1, usualAnswerTokens: 1,
+		kvCapacityTokens: 1, model: 'm', chunks: 4, chunkBytes: 64, loadMs: 0,
+	},
+	origin: {address: '127.0.0.1:1', maxConnections: 1, linkMbps: 100},
+	version,
+	namedAgeMs: 0,
+});
+
+// A newer version is named while an older one is on its way. The origin's link is
+// full of the older one's chunks, and the digests of the newer one lay behind them
+// for two seconds: nothing of it could be fetched meanwhile.
+t.test('chunks of the version before are given up before the digests of the next are asked for', async t => {
+	const fetching: AbortSignal[] = [];
+	let fetchingAtDigests: AbortSignal[] = [];
+	const origin: OriginClient = {
+		async digests(_, __, version) {
+			if (version === 2) {
+				fetchingAtDigests = fetching.filter(({aborted}) => !aborted);
+			}
+
+			return Array.from({length: 4}, () => '0'.repeat(64));
+		},
+		async chunk(_, {signal}) {
+			fetching.push(signal);
+			return new Promise((resolve, reject) => {
+				signal.addEventListener('abort', () => {
+					reject(new Error('given up'));
+				});
+			});
+		},
+	};
+	const links = createPacedLinks({bytesPerSecond: 1_000_000, share: () => 1});
+	const exchange = createWeightExchange({
+		selfAddress: '127.0.0.1:2', zoneId: 'z', regionId: 'r', engine, origin, links, linkBytesPerSecond: 1_000_000, logger: silentLogger, peers: () => [],
+	});
+	t.teardown(() => {
+		exchange.close();
+		links.close();
+	});
+	await exchange.open(goalOf(1));
+	while (fetching.length === 0) {
+		await delay(5);
+	}
+
+	await exchange.open(goalOf(2));
+	t.same(fetchingAtDigests, []);
+});
