fix(entry): an entry that starts with the whole system sends callers away for as long as that takes

Cause: after a loss of power entries are up 0.9 s before the core has a leader and 3 to 4 s before the first engine serves.

Change: until the lease was held once, come back after 2 s, which is also the most that a caller with 6 s waits. The log line of such a refusal now tells the time. The test failed before.

--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -73,6 +73,13 @@
 const cutOffRetryMs = 100;
 /** Core hosts that answer and do not know the newest state elect a leader: that takes a second or so, and elsewhere it is no better. */
 const coreRetryMs = 1200;
+/**
+ * An entry that has not held the lease since its start most likely starts with
+ * the whole system, after a loss of power: a leader takes a second, the weights of
+ * empty engines three. Callers that came back after half a second were sent away
+ * for good; those that come back now find engines.
+ */
+const startRetryMs = 2000;
 /** How often the core is asked out of turn while the lease on keys is not held: after a suspension one answer renews it. */
 const refreshMs = 250;
 /** Answers of core hosts that wait for a configuration; more than a handful come only while none can be fetched. */
@@ -100,6 +107,8 @@
 	let entryCount = 1;
 	let isLeaving = false;
 	let hadLease = false;
+	/** Whether the lease was ever held. */
+	let hasServed = false;
 	let renewals: Array<{readonly number: number; readonly freshAtMs: number}> = [];
 	let refreshedAtMs = Number.NEGATIVE_INFINITY;
 	let wasReady = false;
@@ -115,6 +124,7 @@
 		const holds = holdsKeyLease(lease, clock.nowMs());
 		if (holds !== hadLease) {
 			hadLease = holds;
+			hasServed ||= holds;
 			logger.event(holds ? 'BP4006' : 'BP4005', {ageMs: Math.round(clock.nowMs() - lease.freshAtMs)});
 		}
 
@@ -126,7 +136,13 @@
 		return holds;
 	};
 
-	const lostCoreRetryMs = (): number => client.liveAddresses().length === 0 ? cutOffRetryMs : coreRetryMs + random.between(0, coreRetryMs / 2);
+	const lostCoreRetryMs = (): number => {
+		if (!hasServed) {
+			return startRetryMs;
+		}
+
+		return client.liveAddresses().length === 0 ? cutOffRetryMs : coreRetryMs + random.between(0, coreRetryMs / 2);
+	};
 
 	/**
 	 * What a core host held counts once this entry holds it too: a configuration
--- a/packages/gateway/src/entry/serve-request.ts
+++ b/packages/gateway/src/entry/serve-request.ts
@@ -26,7 +26,7 @@
 	nowMs(): number;
 };
 
-/** While there is no configuration, or it may be out of date: the core is asked twice a second. */
+/** A route's service comes with the same configuration as the route: if it is missing, the next one will have it. */
 const unknownRetryMs = 500;
 const bearer = /^bearer\s+(?<key>\S+)\s*$/iv;
 
@@ -37,7 +37,7 @@
 	const {table, holdsLease} = context;
 	const known = table();
 	if (known === null) {
-		return {status: 503, message: 'no configuration is known here yet', retryAfterMs: unknownRetryMs};
+		return {status: 503, message: 'no configuration is known here yet', retryAfterMs: context.lostCoreRetryMs()};
 	}
 
 	/** What looks forbidden may have been allowed meanwhile, where this entry has lost the core. */
@@ -135,7 +135,7 @@
 const refuse = ({logger, metrics, protocol}: ServeContext, request: http.IncomingMessage, response: http.ServerResponse, answer: OwnAnswer): void => {
 	metrics.request('none', String(answer.status));
 	logger.event('BP4021', {
-		requestId: request.headers[protocol.headers.requestId], status: answer.status, reason: answer.message, sent: 0,
+		requestId: request.headers[protocol.headers.requestId], status: answer.status, reason: answer.message, sent: 0, retryAfterMs: answer.retryAfterMs,
 	});
 	// What is left of a body would be taken for the next request's head, so it is read and dropped.
 	request.resume();
--- a/packages/gateway/test/entry-node.test.ts
+++ b/packages/gateway/test/entry-node.test.ts
@@ -188,3 +188,27 @@
 
 	t.equal((await call('framed')).headers['transfer-encoding'], 'chunked');
 });
+
+// Everything lost power and starts again; the entry is up a second before the core
+// has a leader and three before the first engine. A caller that is told to come back
+// after half a second finds nobody either, and has no further try.
+t.test('an entry that has not found the core since its start sends callers away for as long as a start takes', async t => {
+	const [nobody, entry, front, readiness] = await freeAddresses(4);
+	const clock = createSuspendAwareClock({steadyNowMs: () => performance.now(), wallNowMs: () => Date.now()});
+	const entryNode = await createEntryNode({
+		selfAddress: entry!, zoneId: 'z', regionId: 'r', listen: front!, readinessListen: readiness!, seeds: () => [nobody!], protocol, clock, logger: silentLogger, randomSeed: 7,
+		metrics: createGatewayMetrics(),
+		bounds: {
+			revocationMs: 5000, versionDueMs: 8000, retryShare: 0.2, retryWindowMs: 10_000, retryReserve: 10, graceMs: 2000,
+		},
+	});
+	t.teardown(() => {
+		entryNode.close();
+	});
+	const response = await sendHttp({
+		address: front!, method: 'POST', path: '/x', headers: {host: 'a.example', 'x-id': 'a', 'x-deadline': '6000'}, body: 'hello', idleTimeoutMs: 5000,
+	});
+	await readBody(response);
+	t.equal(response.statusCode, 503);
+	t.ok(Number(response.headers['retry-after']) >= 2, `come back after ${response.headers['retry-after']} s`);
+});
