--- a/packages/gateway/src/agent/agent-node.ts
+++ b/packages/gateway/src/agent/agent-node.ts
@@ -60,6 +60,8 @@
 const fetchFactor = 1.2;
 /** News come at once; without any, an agent is heard of this often. */
 const followMs = 1500;
+/** How often core hosts are asked out of turn while it is not known which weights are wanted. */
+const refreshMs = 250;
 /** How often an agent takes a newer configuration. */
 const configurationMs = 5000;
 /** Reports to other zones: every second, and at once what ends or begins service. */
@@ -253,6 +255,16 @@
 		},
 	});
 
+	let refreshedAtMs = Number.NEGATIVE_INFINITY;
+	/** That a core host has become sure is no news that it tells by itself. */
+	const askUntilSettled = (): void => {
+		const nowMs = performance.now();
+		if (!versions.isSettled(nowMs) && nowMs - refreshedAtMs > refreshMs) {
+			refreshedAtMs = nowMs;
+			client.refresh();
+		}
+	};
+
 	const isOpen = (): boolean => !isClosed;
 	const run = async (pauseMs: number, work: () => Promise<void>): Promise<void> => {
 		while (isOpen()) {
@@ -263,6 +275,7 @@
 
 	void run(reportMs, async () => {
 		await look();
+		askUntilSettled();
 		void loader.step();
 	});
 	metrics.gauge('origin_bytes', 'Bytes of weights drawn from the origin.', () => exchange.counters.originBytes);
--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -105,6 +105,8 @@
 
 	const answer = (parameters: WatchParameters): WatchResult => {
 		const nowMs = steadyNowMs();
+		// Also those that were named before this process started, which no change tells of.
+		noteVersions();
 		followers.note(parameters.follower, nowMs);
 		const roster = followers.roster([selfAddress, ...log.memberAddresses().filter(address => address !== selfAddress)], nowMs);
 		return {
@@ -206,6 +208,7 @@
 			}
 
 			if (isNews) {
+				noteVersions();
 				desk.wake();
 			}
 		},
--- a/packages/gateway/src/link/wanted-versions.ts
+++ b/packages/gateway/src/link/wanted-versions.ts
@@ -22,9 +22,11 @@
  * have elected a leader: 0.7 s after their start. A process that believes them, or
  * that no version was ever named, begins with weights that nobody wants: after a
  * loss of power all hosts drew an old version for two seconds, and served a second
- * and a half later than they could. Without a quorum this ends the wait.
+ * and a half later than they could; what they drew took the place of chunks that
+ * had outlived the loss. An election takes up to 1.2 s behind the start of the second
+ * core host; without a quorum this ends the wait.
  */
-const unsettledMs = 1500;
+const unsettledMs = 4000;
 
 export type WantedVersionsOptions = {
 	/** From the naming of a version until it must be begun on. */
--- a/packages/gateway/test/core-node.test.ts
+++ b/packages/gateway/test/core-node.test.ts
@@ -100,3 +100,25 @@
 	nodes[0]!.announce(endpoint({sequence: 9}));
 	t.equal(await stateAt(0), 'gone', 'an id stands for one start');
 });
+
+// A core host starts again from a snapshot in which a version is named. If it told of
+// the version only once a later change was committed, agents would learn of it a
+// second and a half after the core is well again, and draw another one meanwhile.
+t.test('a version that is named in the snapshot is told from the start', async t => {
+	const [address] = await freeAddresses(1);
+	const options = {
+		selfAddress: address!, zoneId: 'z1', regionId: 'r1', folder: path.join(t.testdir(), 'core'), seeds: () => [address!], lossesBorne: 0, clock, logger: silentLogger,
+	};
+	const before = await createCoreNode({...options, isFirstStart: true});
+	await until(async () => await before.submit({kind: 'version', model: 'm', version: 2}) === 'stored');
+	for (let number = 1; number <= 70; number++) {
+		await submitted(before, number);
+	}
+
+	await before.close();
+	const after = await createCoreNode({...options, isFirstStart: false});
+	t.teardown(async () => after.close());
+	const {versions, freshAgeMs} = await watch(address!);
+	t.match(versions, [{model: 'm', version: 2}]);
+	t.equal(freshAgeMs, null, 'though it cannot be sure yet that it is the newest');
+});
