feat(entry): a caller that came back is held until engines that are being filled are ready

Cause: after a loss of power callers whose answers were cut, and those that were told to come back, have one try left.

Ways weighed: a longer time to come back (callers wait for a third of what is left at most, 2 s); holding everybody (first-comers would fill the engines with late answers); holding those that came back, as many as the engines have places, and only while the engines' own hosts expect them in time. The last is taken. Who cannot be served in time gets the final answer at once, also when the outlook turns bad while it waits.

--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -36,7 +36,11 @@
 				return giveUp(context, call, progress, next.reason, next.retryAfterMs);
 			}
 
-			leave ??= verdict === 'held' ? context.room.hold(call.service.name) : null;
+			if (verdict === 'held' && leave === null) {
+				leave = context.room.hold(call.service.name);
+				context.logger.event('BP4028', {requestId: call.requestId, remainingMs: Math.round(call.deadlineAtMs - context.nowMs()), heldCount: context.room.heldFor(call.service.name)});
+			}
+
 			await context.room.nextLook();
 		}
 	} finally {
--- a/packages/gateway/src/entry/finish-call.ts
+++ b/packages/gateway/src/entry/finish-call.ts
@@ -95,6 +95,7 @@
 	metrics.request(service.name, String(answer.status));
 	logger.event(progress.mayHaveRun ? 'BP4022' : 'BP4021', {
 		requestId, status: answer.status, reason: message, sent: progress.sent, unreachable: progress.unreachable, retryAfterMs: answer.retryAfterMs, hasEvents: progress.hasEvents,
+		elapsedMs: Math.round(call.elapsedMs), heldMs: Math.round(nowMs() - call.receivedAtMs),
 	});
 	if (response.headersSent) {
 		response.destroy();
--- a/packages/gateway/test/entry-node.test.ts
+++ b/packages/gateway/test/entry-node.test.ts
@@ -50,6 +50,7 @@
 
 /** A core host, an entry and one engine, all in this process; `stepClockMs` moves the entry's time of day. */
 const deploy = async (t: Test, serve: Serve) => {
+	const engineState: {version: number | null; readyInMs: number | null} = {version: 1, readyInMs: null};
 	const [core, entry, front, readiness] = await freeAddresses(4);
 	const engine = createServer(serve);
 	await new Promise<void>(resolve => {
@@ -72,7 +73,7 @@
 	let sequence = 0;
 	const timer = setInterval(() => {
 		reporter.send({
-			running: 0, queued: 0, usedTokens: 0, pace: 1, isBusy: false, isStrained: false, version: 1, readyInMs: null,
+			running: 0, queued: 0, usedTokens: 0, pace: 1, isBusy: false, isStrained: false, ...engineState,
 		}, 'all');
 		sequence++;
 		coreNode.announce({
@@ -87,9 +88,9 @@
 		engine.closeAllConnections();
 		engine.close();
 	});
-	const call = async (id: string, signal?: AbortSignal): Promise<{status: number; text: string; headers: IncomingHttpHeaders}> => {
+	const call = async (id: string, signal?: AbortSignal, deadlineMs = 2000): Promise<{status: number; text: string; headers: IncomingHttpHeaders}> => {
 		const response = await sendHttp({
-			address: front!, method: 'POST', path: '/x', headers: {host: 'a.example', 'x-id': id, 'x-deadline': '2000'}, body: 'hello', idleTimeoutMs: 5000, signal,
+			address: front!, method: 'POST', path: '/x', headers: {host: 'a.example', 'x-id': id, 'x-deadline': String(deadlineMs)}, body: 'hello', idleTimeoutMs: 5000, signal,
 		});
 		return {status: response.statusCode!, text: (await readBody(response)).toString(), headers: response.headers};
 	};
@@ -103,7 +104,7 @@
 	}
 
 	return {
-		call, stepClockMs(stepMs: number) {
+		engineState, call, stepClockMs(stepMs: number) {
 			addedMs += stepMs;
 		},
 	};
@@ -212,3 +213,30 @@
 	t.equal(response.statusCode, 503);
 	t.ok(Number(response.headers['retry-after']) >= 2, `come back after ${response.headers['retry-after']} s`);
 });
+
+// The engine has lost its weights and is being filled. A caller that comes for the
+// first time is told when to come back; one that has come back, with a second and a
+// half left and no further try, waits for the engine and is answered.
+t.test('a caller that came back is answered by the engine that gets ready in time', async t => {
+	const {call, engineState} = await deploy(t, stream);
+	engineState.version = null;
+	engineState.readyInMs = 300;
+	await delay(150);
+	const first = await call('first-time');
+	t.equal(first.status, 503);
+	t.ok(Number(first.headers['retry-after']) > 1);
+	const cameBack = call('came-back', undefined, 1500);
+	await delay(400);
+	engineState.version = 1;
+	engineState.readyInMs = null;
+	t.equal((await cameBack).status, 200);
+});
+
+t.test('a caller that came back is not kept waiting for an engine that will be too late', async t => {
+	const {call, engineState} = await deploy(t, stream);
+	engineState.version = null;
+	engineState.readyInMs = 5000;
+	await delay(150);
+	const answer = await call('came-back', undefined, 1500);
+	t.equal(answer.status, 503);
+});
