fix(entry): a request whose answer cannot be whole in time is not begun

Cause: admission asked only whether the first token comes before the deadline.

Change: the time that a usual answer takes is kept free. The test failed before.

--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -48,17 +48,21 @@
 	}
 };
 
+/** What a begun answer needs to be whole: one that is cut by its caller's deadline is worth nothing, and takes as much of an engine. */
+const answerTimeMs = ({service: {engine}}: Call): number => engine === null ? 0 : answerMs(engine);
+
 const isNoPlace = (found: Placement | NoPlace): found is NoPlace => 'type' in found;
 
 type Waiting = {readonly noPlace: NoPlace; readonly sinceMs: number; readonly isHeld: boolean};
 
-const waitVerdict = ({view, room, entryCount, nowMs}: CallContext, {service, route, elapsedMs, deadlineAtMs}: Call, {noPlace, sinceMs, isHeld}: Waiting): WaitVerdict => {
+const waitVerdict = ({view, room, entryCount, nowMs}: CallContext, call: Call, {noPlace, sinceMs, isHeld}: Waiting): WaitVerdict => {
+	const {service, route, elapsedMs, deadlineAtMs} = call;
 	const now = nowMs();
 	const remainingMs = deadlineAtMs - now;
 	const {engine: profile} = service;
 	if (noPlace.type === 'busy') {
 		// Engines are back, and those that were held go in as there is room.
-		return isHeld && profile !== null && remainingMs > answerMs(profile) ? 'held' : 'leave';
+		return isHeld && remainingMs > answerTimeMs(call) ? 'held' : 'leave';
 	}
 
 	if (noPlace.type === 'starting') {
@@ -103,7 +107,7 @@
 
 	const admission = admitRequest({
 		retryClass: call.route.retryClass, expectedMs: choice.expectedMs, objectiveMs: call.route.objectiveMs,
-		elapsedMs: call.elapsedMs + (now - call.receivedAtMs), remainingMs, isHeld, random,
+		elapsedMs: call.elapsedMs + (now - call.receivedAtMs), remainingMs: remainingMs - answerTimeMs(call), isHeld, random,
 	});
 	return admission.type === 'admitted'
 		? choice
--- a/packages/gateway/test/entry-node.test.ts
+++ b/packages/gateway/test/entry-node.test.ts
@@ -240,3 +240,17 @@
 	const answer = await call('came-back', undefined, 1500);
 	t.equal(answer.status, 503);
 });
+
+// A caller comes back with less time left than an answer takes. The engine would
+// begin it, and the caller would be gone before the last event.
+t.test('a request whose answer cannot be whole in time is not begun', async t => {
+	const begun: string[] = [];
+	const {call} = await deploy(t, (request, response) => {
+		begun.push(String(request.headers['x-id']));
+		stream(request, response);
+	});
+	const answer = await call('too-late', undefined, 60);
+	t.equal(answer.status, 503);
+	t.notOk(begun.includes('too-late'));
+	t.equal((await call('in-time', undefined, 600)).status, 200);
+});
