fix(daemon): a node of the failure harness that was lost while it stopped is reachable again

The new agent was up and nobody could reach it. Ruled out: the agent and the control group, which answered; the harness was wrong, not the product.

Change: a start waits for the end of the node before; a loss ends a stop at once; two starts make one node.

--- a/packages/daemon/src/dev/failure/node-handle.ts
+++ b/packages/daemon/src/dev/failure/node-handle.ts
@@ -32,6 +32,11 @@
 export const createNodeHandle = async <Node extends {readonly address: string}>(options: NodeHandleOptions<Node>): Promise<NodeHandle<Node>> => {
 	const {nodeId, links} = options;
 	let current: Node | undefined;
+	/** The node that is being stopped or killed. */
+	let leaving: Node | undefined;
+	let ended: Promise<void> = Promise.resolve();
+	/** Two who ask for a start at once get one node. */
+	let starting: Promise<void> | undefined;
 	const start = async (startOptions: StartOptions = {}): Promise<void> => {
 		current = await options.start();
 		await links.comeUp(nodeId, current.address);
@@ -40,13 +45,21 @@
 		}
 	};
 
+	const endNode = async (node: Node, kind: 'planned' | 'crash'): Promise<void> => {
+		leaving = node;
+		await (kind === 'planned' ? options.stop(node) : options.kill(node));
+		links.goDown(nodeId, kind);
+		leaving = undefined;
+	};
+
 	const takeDown = async (kind: 'planned' | 'crash'): Promise<void> => {
-		const leaving = current;
+		const node = current;
 		current = undefined;
-		if (leaving !== undefined) {
-			await (kind === 'planned' ? options.stop(leaving) : options.kill(leaving));
-			links.goDown(nodeId, kind);
+		if (node !== undefined) {
+			ended = endNode(node, kind);
 		}
+
+		await ended;
 	};
 
 	const setModes = (modes: RelayModes): void => {
@@ -60,19 +73,25 @@
 		nodeId,
 		node: () => current,
 		async start(startOptions) {
+			// The links of a node that comes up would be taken down by the end of the one before.
+			await ended;
 			if (current === undefined) {
-				await start(startOptions);
+				starting ??= start(startOptions).finally(() => {
+					starting = undefined;
+				});
+				await starting;
 			}
 		},
 		stop: async () => takeDown('planned'),
 		kill: async () => takeDown('crash'),
 		async lose() {
-			const lost = current;
+			// Also in the middle of a planned stop: power does not wait for its end.
+			const lost = current ?? leaving;
 			current = undefined;
 			setModes({forward: 'dropped', backward: 'dropped'});
-			if (lost !== undefined) {
-				await options.kill(lost);
-			}
+			const killed = lost === undefined ? undefined : options.kill(lost);
+			ended = Promise.all([ended, killed]).then(() => undefined);
+			await ended;
 		},
 	};
 };
