fix(entry): a key is looked up anew after a request has waited

Cause: a caller that came back waited at an entry that had just started until the lease was there.

Ruled out: the lease (it came only with the newest configuration).

Change: at a start the wait comes before the key is looked up; and whenever a request is placed, its key must still belong to its team. The first test failed before (200, and it ran).

--- a/packages/gateway/src/entry/call-context.ts
+++ b/packages/gateway/src/entry/call-context.ts
@@ -28,8 +28,6 @@
 	/** From when on which version of a model's weights must be begun on. */
 	dues(model: string): readonly VersionDue[];
 	holdsLease(): boolean;
-	/** The lease was never held since the start of this entry. */
-	isStarting(): boolean;
 	/** When a caller should come back while the lease is not held. */
 	lostCoreRetryMs(): number;
 	nowMs(): number;
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -82,6 +82,8 @@
 const startRetryMs = 2000;
 /** The first configuration is here this long after the start, where any core host is up. */
 const configurationWaitMs = 600;
+/** An entry that starts with the whole system gets the lease once the core has a leader: a second after its own start. */
+const leaseWaitMs = 1500;
 /** How often the core is asked out of turn while the lease on keys is not held: after a suspension one answer renews it. */
 const refreshMs = 250;
 /** Answers of core hosts that wait for a configuration; more than a handful come only while none can be fetched. */
@@ -176,14 +178,13 @@
 	const context: CallContext = {
 		protocol, connections, view, room, zoneId, random, logger, metrics, allowance, sending, holdsLease, lostCoreRetryMs,
 		entryCount: () => entryCount,
-		isStarting: () => !hasServed,
 		nowMs: steadyNowMs,
 		retryReserve: () => bounds.retryReserve / entryCount,
 		dues: versions.dues,
 	};
-	const awaitConfiguration = async (): Promise<void> => {
-		const untilMs = steadyNowMs() + configurationWaitMs;
-		while (configuration.table() === null && steadyNowMs() < untilMs) {
+	const waitWhile = async (isMissing: () => boolean, mostMs: number): Promise<void> => {
+		const untilMs = steadyNowMs() + mostMs;
+		while (isMissing() && steadyNowMs() < untilMs) {
 			await room.nextLook();
 		}
 	};
@@ -191,8 +192,10 @@
 	const front = await createFrontServer({
 		listen: options.listen,
 		serve: async (request, response) => serveRequest({
-			protocol, random, logger, metrics, holdsLease, lostCoreRetryMs, table: configuration.table, awaitConfiguration, isLeaving: () => isLeaving, nowMs: steadyNowMs,
+			protocol, random, logger, metrics, holdsLease, lostCoreRetryMs, table: configuration.table, isLeaving: () => isLeaving, nowMs: steadyNowMs,
 			run: async call => runCall(context, call),
+			awaitConfiguration: async () => waitWhile(() => configuration.table() === null, configurationWaitMs),
+			awaitLease: async () => waitWhile(() => !hasServed && !holdsLease(), leaseWaitMs),
 		}, request, response),
 		onError(error) {
 			logger.event('BP9003', {message: error.stack ?? error.message});
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -10,11 +10,9 @@
 /** A caller that found no endpoint comes back once engines that load or restart have had the time. */
 const noEndpointRetryMs = 1500;
 const noEndpointSpreadMs = 500;
-/** An entry that starts with the whole system gets the lease once the core has a leader: a second after its own start. */
-const leaseWaitMs = 1500;
 
 /** Why a request was not placed now. `busy`: endpoints serve, and have more than they can begin in time. */
-type NoPlace = {readonly type: 'noEndpoint' | 'busy' | 'starting'; readonly reason: string; readonly retryAfterMs: number};
+type NoPlace = {readonly type: 'noEndpoint' | 'busy'; readonly reason: string; readonly retryAfterMs: number};
 
 /**
  * The next endpoint to send to; `null` if the caller has its final answer.
@@ -65,10 +63,6 @@
 		return isHeld && remainingMs > answerTimeMs(call) ? 'held' : 'leave';
 	}
 
-	if (noPlace.type === 'starting') {
-		return profile !== null && elapsedMs >= route.objectiveMs && now - sinceMs < leaseWaitMs ? 'brief' : 'leave';
-	}
-
 	return decideWait({
 		profile, outlook: engineOutlook(view.candidates(service.name, now), now), elapsedMs, objectiveMs: route.objectiveMs, remainingMs,
 		waitedMs: now - sinceMs, isHeld, heldCount: room.heldFor(service.name), entryCount: entryCount(),
@@ -84,10 +78,12 @@
 	}
 
 	if (call.isKeyed && !context.holdsLease()) {
-		const reason = 'the keys in force are not surely known';
-		return context.isStarting()
-			? {type: 'starting', reason, retryAfterMs: context.lostCoreRetryMs()}
-			: giveUp(context, call, progress, reason, context.lostCoreRetryMs());
+		return giveUp(context, call, progress, 'the keys in force are not surely known', context.lostCoreRetryMs());
+	}
+
+	// It may have been taken away while the request waited.
+	if (!call.isKeyInForce()) {
+		return giveUp(context, call, progress, 'the key is no longer in force', noEndpointRetryMs);
 	}
 
 	const choice = placeRequest({
--- a/packages/gateway/src/entry/gateway-call.ts
+++ b/packages/gateway/src/entry/gateway-call.ts
@@ -21,6 +21,8 @@
 	readonly ended: AbortController;
 	/** Key needed: the lease must be held when the request is sent on. */
 	readonly isKeyed: boolean;
+	/** Whether the newest configuration that is known here still gives its key to its team; `true` without a key. */
+	isKeyInForce(): boolean;
 };
 
 /** Whether a request may run more than once. */
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -3,3 +3,5 @@
 export * from './entry-node.js';
 export * from './event-splitter.js';
 
+export * from './front-server.js';
+export * from './serve-request.js';
--- a/packages/gateway/src/entry/serve-request.ts
+++ b/packages/gateway/src/entry/serve-request.ts
@@ -18,6 +18,8 @@
 	table(): RouteTable | null;
 	/** Resolves once a configuration is known, or none came for a while. */
 	awaitConfiguration(): Promise<void>;
+	/** At an entry that has just started: resolves once it holds the lease, or could not get it for a while. */
+	awaitLease(): Promise<void>;
 	/** Whether this entry surely knows what is in force. */
 	holdsLease(): boolean;
 	/** When a caller should come back while the lease is not held. */
@@ -32,7 +34,7 @@
 const unknownRetryMs = 500;
 const bearer = /^bearer\s+(?<key>\S+)\s*$/iv;
 
-type Place = {readonly route: Route; readonly team: Team | null; readonly isKeyed: boolean};
+type Place = {readonly route: Route; readonly team: Team | null; /** `null`: none is needed. */ readonly key: string | null};
 
 /** Finds a request's route and team; an answer of the entry's own if it may not pass. */
 const findPlace = (context: ServeContext, {headers, url = '/'}: http.IncomingMessage): Place | OwnAnswer => {
@@ -53,12 +55,12 @@
 	}
 
 	if (known.configuration.teams === null || route.isPublic) {
-		return {route, team: null, isKeyed: false};
+		return {route, team: null, key: null};
 	}
 
 	const key = bearer.exec(headers.authorization ?? '')?.groups?.key;
 	const team = key === undefined ? undefined : known.teamsByKey.get(key);
-	return team === undefined ? forbid(401, 'the key is not known') : {route, team, isKeyed: true};
+	return key === undefined || team === undefined ? forbid(401, 'the key is not known') : {route, team, key};
 };
 
 const isOwnAnswer = (placed: Place | OwnAnswer): placed is OwnAnswer => 'status' in placed;
@@ -89,6 +91,30 @@
  */
 const elapsedBefore = ({timeoutMs}: Route, deadlineMs: number | null): number => deadlineMs === null ? 0 : Math.max(0, timeoutMs - deadlineMs);
 
+const callerDeadlineMs = ({protocol}: ServeContext, {headers}: http.IncomingMessage): number | null => positive(headers[protocol.headers.deadlineMs]);
+
+/**
+ * As `findPlace`. At an entry that has just started, a caller that came back waits
+ * for the lease: it has no further try. Its place is looked up anew then. What was
+ * known before may be a snapshot's: a key that was taken away since would be served
+ * once the lease, which says that all is known, is there.
+ */
+const awaitPlace = async (context: ServeContext, request: http.IncomingMessage): Promise<Place | OwnAnswer> => {
+	await context.awaitConfiguration();
+	const placed = findPlace(context, request);
+	if (isOwnAnswer(placed) || placed.key === null || context.holdsLease()) {
+		return placed;
+	}
+
+	const hasComeBack = elapsedBefore(placed.route, callerDeadlineMs(context, request)) >= placed.route.objectiveMs;
+	if (!hasComeBack) {
+		return placed;
+	}
+
+	await context.awaitLease();
+	return findPlace(context, request);
+};
+
 /** Answers one request of a caller. */
 export const serveRequest = async (context: ServeContext, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
 	const {protocol, random, nowMs} = context;
@@ -97,8 +123,7 @@
 		response.setHeader('connection', 'close');
 	}
 
-	await context.awaitConfiguration();
-	const placed = findPlace(context, request);
+	const placed = await awaitPlace(context, request);
 	if (isOwnAnswer(placed)) {
 		refuse(context, request, response, placed);
 		return;
@@ -109,8 +134,8 @@
 		return;
 	}
 
-	const {route, team, isKeyed} = placed;
-	const deadlineMs = positive(request.headers[protocol.headers.deadlineMs]);
+	const {route, team, key} = placed;
+	const deadlineMs = callerDeadlineMs(context, request);
 	const deadlineAtMs = receivedAtMs + Math.min(route.timeoutMs, deadlineMs ?? Number.POSITIVE_INFINITY);
 	const ended = new AbortController();
 	const deadline = setTimeout(() => {
@@ -130,8 +155,9 @@
 	}
 
 	await context.run({
-		requestId: String(request.headers[protocol.headers.requestId] ?? ''), request, response, route, service, team, body, isKeyed, receivedAtMs, deadlineAtMs, ended,
+		requestId: String(request.headers[protocol.headers.requestId] ?? ''), request, response, route, service, team, body, isKeyed: key !== null, receivedAtMs, deadlineAtMs, ended,
 		promptTokens: protocol.readPromptTokens(request.headers), elapsedMs: elapsedBefore(route, deadlineMs),
+		isKeyInForce: () => key === null || context.table()?.teamsByKey.get(key)?.name === team?.name,
 	});
 };
 
--- /dev/null
+++ b/packages/gateway/test/serve-request.test.ts
@@ -0,0 +1,89 @@
+import {createRouteTable, type RouteTable, type RoutingConfiguration} from '@bitternpaddle/state';
+import {createRandom} from '@bitternpaddle/coordination';
+import {freeAddresses} from '@bitternpaddle/test-support';
+import {readBody, sendHttp, silentLogger} from '@bitternpaddle/transport';
+import t, {type Test} from 'tap';
+import {
+	createFrontServer, createGatewayMetrics, serveRequest, type RequestProtocol, type ServeContext,
+} from '@bitternpaddle/gateway';
+
+const tableWith = (number: number, keys: readonly string[]): RouteTable => createRouteTable({
+	number,
+	routes: [{
+		name: 'r', host: 'a.example', prefix: '/', retryClass: 'streaming', timeoutMs: 6000, objectiveMs: 400, pauseObjectiveMs: 300, priority: 1,
+		targets: [{serviceName: 's', weight: 1}], maxAttempts: 2, isPublic: false, isResumable: true,
+	}],
+	services: [{
+		name: 's', maxConnections: 10, origin: null, engine: null,
+	}],
+	limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+	},
+	teams: [{name: 'marshals', keys, priority: null}],
+} satisfies RoutingConfiguration);
+
+const protocol: RequestProtocol = {
+	headers: {
+		requestId: 'x-id', deadlineMs: 'x-deadline', expectedEndpoint: 'x-expect', expectedVersion: 'x-version', team: 'x-team', notRun: 'x-not-run', signature: 'x-signature',
+		urgency: 'x-urgency', load: 'x-load', lastEventId: 'last-event-id',
+	},
+	decodeConfiguration: () => ({type: 'invalid', problems: []}),
+	readPromptTokens: () => 100,
+	readActive: () => null,
+};
+
+/** An entry that has just started, with a snapshot's configuration; `learn` is what the core then tells it. */
+const start = async (t: Test, learn: RouteTable) => {
+	const state = {table: tableWith(1, ['k']), holdsLease: false};
+	const keysInForce: boolean[] = [];
+	const context: ServeContext = {
+		protocol, random: createRandom(1), logger: silentLogger, metrics: createGatewayMetrics(), nowMs: () => performance.now(),
+		table: () => state.table, holdsLease: () => state.holdsLease, lostCoreRetryMs: () => 2000, isLeaving: () => false,
+		awaitConfiguration: async () => undefined,
+		async awaitLease() {
+			state.table = learn;
+			state.holdsLease = true;
+		},
+		async run(call) {
+			keysInForce.push(call.isKeyInForce());
+			state.table = tableWith(3, []);
+			keysInForce.push(call.isKeyInForce());
+			call.response.end('ran');
+		},
+	};
+	const [listen] = await freeAddresses(1);
+	const front = await createFrontServer({
+		listen: listen!, serve: async (request, response) => serveRequest(context, request, response), onError(error) {
+			t.fail(error.message);
+		},
+	});
+	t.teardown(() => {
+		front.destroy();
+	});
+	const call = async (deadlineMs: number): Promise<number> => {
+		const response = await sendHttp({
+			address: listen!, path: '/x', headers: {
+				host: 'a.example', authorization: 'Bearer k', 'x-id': 'a', 'x-deadline': String(deadlineMs),
+			}, idleTimeoutMs: 5000,
+		});
+		await readBody(response);
+		return response.statusCode!;
+	};
+
+	return {call, keysInForce};
+};
+
+// Everything lost power. The entry is up with a snapshot's configuration, and a
+// caller comes back with a key that was taken away after that snapshot. It waits
+// until the entry surely knows what is in force: then its key must not be served.
+t.test('a key that was taken away is not served by what was known before the lease', async t => {
+	const {call, keysInForce} = await start(t, tableWith(2, ['other']));
+	t.equal(await call(3000), 401);
+	t.same(keysInForce, [], 'nothing ran');
+});
+
+t.test('a caller that came back waits for the lease, and is served', async t => {
+	const {call, keysInForce} = await start(t, tableWith(2, ['k']));
+	t.equal(await call(3000), 200);
+	t.same(keysInForce, [true, false], 'and a key that is taken away later is seen to be');
+});
