fix(entry): a caller that came back waits a moment longer where nobody can tell when engines are ready

An agent also told that all chunks were missing while it still read what was staged.

Change: where the outlook is not known, a caller that came back waits up to 1.5 s and a third of what it has left; what is missing is told once it is known.

--- a/packages/coordination/src/placement/wait-for-engine.ts
+++ b/packages/coordination/src/placement/wait-for-engine.ts
@@ -39,10 +39,10 @@
 /** `brief`: for a moment, as engines switch. `held`: until engines that are being filled are ready. `leave`: it gets its final answer. */
 export type WaitVerdict = 'brief' | 'held' | 'leave';
 
-/** Engines that switch or restart are out for less than this. */
-const briefWaitMs = 700;
-/** Of what a caller has left: the rest is for its next try. */
-const briefWaitShare = 0.15;
+/** Engines that switch or restart are out for less than this; of what a caller has left, the rest is for its next try. */
+const firstWait = {mostMs: 700, share: 0.15} as const;
+/** A caller that has come back has no next try: it may wait for engines whose hosts cannot tell yet, as in the first second after a loss of power. */
+const lastWait = {mostMs: 1500, share: 0.35} as const;
 /** An engine that is filled reads back what is staged and is told; the engines after it follow within this. */
 const readySlackMs = 400;
 /** Of the engines' places; the rest is for those who come first when the engines are back. */
@@ -69,5 +69,6 @@
 		return 'held';
 	}
 
-	return waitedMs < Math.min(briefWaitMs, (remainingMs + waitedMs) * briefWaitShare) ? 'brief' : 'leave';
+	const {mostMs, share} = hasComeBack && readyInMs === null ? lastWait : firstWait;
+	return waitedMs < Math.min(mostMs, (remainingMs + waitedMs) * share) ? 'brief' : 'leave';
 };
--- a/packages/gateway/src/agent/weight-exchange.ts
+++ b/packages/gateway/src/agent/weight-exchange.ts
@@ -135,9 +135,10 @@
 			const opened = createStagedWeights({
 				engine, model: goal.profile.model, version: goal.version, chunkBytes: goal.profile.chunkBytes, digests,
 			});
+			// Only then is it known what is missing.
+			await opened.adopt();
 			weights = opened;
 			progressAtMs = performance.now();
-			await opened.adopt();
 			logger.event('BP4030', {version: goal.version, heldChunks: opened.heldChunks().length, totalChunks: digests.length});
 			transfer = createTransfer({
 				store: opened, self: {hostId: selfAddress, zoneId, regionId}, selfAddress: () => selfAddress,
