--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -1,6 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	createArrivalRate, createKeyLease, createRandom, createRetryAllowance, holdsKeyLease, renewKeyLease, type ArrivalRate, type Clock, type RetryAllowance,
+	createArrivalRate, createRandom, createRetryAllowance, type ArrivalRate, type Clock, type RetryAllowance,
 } from '@bitternpaddle/coordination';
 import {createHttpServer, type Logger} from '@bitternpaddle/transport';
 import {createCoreClient} from '../link/core-client.js';
@@ -11,6 +11,7 @@
 import {createWantedVersions} from '../link/wanted-versions.js';
 import {createEndpointConnections} from './endpoint-connections.js';
 import {createEndpointView} from './endpoint-view.js';
+import {createEntryLease} from './entry-lease.js';
 import {createFrontServer} from './front-server.js';
 import {createLoadListener} from './load-listener.js';
 import {createWaitingRoom} from './waiting-room.js';
@@ -69,26 +70,10 @@
 /** Before the end of the grace whatever still runs is cut, so that the process ends by itself. */
 const lastMomentsMs = 250;
 const idlePollMs = 50;
-/** An entry that reaches no core host is cut off by itself: its callers find another one at once. */
-const cutOffRetryMs = 100;
-/** Core hosts that answer and do not know the newest state elect a leader: that takes a second or so, and elsewhere it is no better. */
-const coreRetryMs = 1200;
-/**
- * An entry that has not held the lease since its start most likely starts with
- * the whole system, after a loss of power: a leader takes a second, the weights of
- * empty engines three. Callers that came back after half a second were sent away
- * for good; those that come back now find engines.
- */
-const startRetryMs = 2000;
 /** The first configuration is here this long after the start, where any core host is up. */
 const configurationWaitMs = 600;
 /** An entry that starts with the whole system gets the lease once the core has a leader: a second after its own start. */
 const leaseWaitMs = 1500;
-/** How often the core is asked out of turn while the lease on keys is not held: after a suspension one answer renews it. */
-const refreshMs = 250;
-/** Answers of core hosts that wait for a configuration; more than a handful come only while none can be fetched. */
-const maxRenewals = 32;
-
 /** For all but the lease: the time of day may step, and everything would look late or overdue. */
 const steadyNowMs = (): number => performance.now();
 
@@ -104,17 +89,11 @@
 	const view = createEndpointView();
 	const connections = createEndpointConnections();
 	const room = createWaitingRoom();
-	const lease = createKeyLease(bounds.revocationMs);
 	const versions = createWantedVersions({dueMs: bounds.versionDueMs, startedAtMs: steadyNowMs()});
 	const allowances = new Map<string, RetryAllowance>();
 	const sendings = new Map<string, ArrivalRate>();
 	let entryCount = 1;
 	let isLeaving = false;
-	let hadLease = false;
-	/** Whether the lease was ever held. */
-	let hasServed = false;
-	let renewals: Array<{readonly number: number; readonly freshAtMs: number}> = [];
-	let refreshedAtMs = Number.NEGATIVE_INFINITY;
 	let wasReady = false;
 
 	const configuration = createConfigurationHolder({
@@ -124,44 +103,13 @@
 		},
 	});
 
-	const holdsLease = (): boolean => {
-		const holds = holdsKeyLease(lease, clock.nowMs());
-		if (holds !== hadLease) {
-			hadLease = holds;
-			hasServed ||= holds;
-			logger.event(holds ? 'BP4006' : 'BP4005', {ageMs: Math.round(clock.nowMs() - lease.freshAtMs)});
-		}
-
-		if (!holds && clock.nowMs() - refreshedAtMs > refreshMs) {
-			refreshedAtMs = clock.nowMs();
+	const lease = createEntryLease({
+		revocationMs: bounds.revocationMs, clock, random, logger, configurationNumber: configuration.number,
+		reachesCore: () => client.liveAddresses().length > 0,
+		askCore() {
 			client.refresh();
-		}
-
-		return holds;
-	};
-
-	const lostCoreRetryMs = (): number => {
-		if (!hasServed) {
-			return startRetryMs;
-		}
-
-		return client.liveAddresses().length === 0 ? cutOffRetryMs : coreRetryMs + random.between(0, coreRetryMs / 2);
-	};
-
-	/**
-	 * What a core host held counts once this entry holds it too: a configuration
-	 * that it could not read or has not got yet must not renew the lease.
-	 */
-	const renewLease = (): void => {
-		for (const {number, freshAtMs} of renewals) {
-			if (number <= configuration.number()) {
-				renewKeyLease(lease, freshAtMs);
-			}
-		}
-
-		renewals = renewals.filter(({number}) => number > configuration.number()).slice(-maxRenewals);
-		holdsLease();
-	};
+		},
+	});
 
 	const allowance = (serviceName: string): RetryAllowance => {
 		const known = allowances.get(serviceName) ?? createRetryAllowance({windowMs: bounds.retryWindowMs, share: bounds.retryShare});
@@ -176,7 +124,7 @@
 	};
 
 	const context: CallContext = {
-		protocol, connections, view, room, zoneId, random, logger, metrics, allowance, sending, holdsLease, lostCoreRetryMs,
+		protocol, connections, view, room, zoneId, random, logger, metrics, allowance, sending, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs,
 		entryCount: () => entryCount,
 		nowMs: steadyNowMs,
 		retryReserve: () => bounds.retryReserve / entryCount,
@@ -192,10 +140,10 @@
 	const front = await createFrontServer({
 		listen: options.listen,
 		serve: async (request, response) => serveRequest({
-			protocol, random, logger, metrics, holdsLease, lostCoreRetryMs, table: configuration.table, isLeaving: () => isLeaving, nowMs: steadyNowMs,
+			protocol, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs, table: configuration.table, isLeaving: () => isLeaving, nowMs: steadyNowMs,
 			run: async call => runCall(context, call),
 			awaitConfiguration: async () => waitWhile(() => configuration.table() === null, configurationWaitMs),
-			awaitLease: async () => waitWhile(() => !hasServed && !holdsLease(), leaseWaitMs),
+			awaitLease: async () => waitWhile(() => !lease.hasHeld() && !lease.holds(), leaseWaitMs),
 		}, request, response),
 		onError(error) {
 			logger.event('BP9003', {message: error.stack ?? error.message});
@@ -205,7 +153,7 @@
 		self, seeds, clock, logger, configurationNumber: configuration.number, wantsConfiguration: () => true,
 		onConfiguration(document) {
 			configuration.take(document);
-			renewLease();
+			lease.settle();
 		},
 		onResult(result, askedAtMs) {
 			const nowMs = steadyNowMs();
@@ -216,8 +164,7 @@
 			}
 
 			if (result.freshAgeMs !== null) {
-				renewals.push({number: result.configurationNumber, freshAtMs: askedAtMs - result.freshAgeMs});
-				renewLease();
+				lease.hear({number: result.configurationNumber, freshAtMs: askedAtMs - result.freshAgeMs});
 			}
 		},
 	});
@@ -232,7 +179,7 @@
 	});
 
 	const isReady = (): boolean => {
-		const ready = !isLeaving && configuration.table() !== null && holdsLease();
+		const ready = !isLeaving && configuration.table() !== null && lease.holds();
 		if (ready !== wasReady) {
 			wasReady = ready;
 			logger.event('BP4027', {isReady: ready, isLeaving, configurationNumber: configuration.number()});
@@ -255,7 +202,7 @@
 	metrics.gauge('waiting_requests', 'Requests that wait for an endpoint.', room.count);
 	metrics.gauge('open_connections', 'Connections of callers.', front.openConnections);
 	metrics.gauge('configuration_number', 'Number of the configuration in force here.', configuration.number);
-	metrics.gauge('key_lease_age_ms', 'Since when the keys in force are surely known.', () => clock.nowMs() - lease.freshAtMs);
+	metrics.gauge('key_lease_age_ms', 'Since when the keys in force are surely known.', lease.ageMs);
 
 	const close = (): void => {
 		clearInterval(pruning);
