fix(entry): at a start a caller waits no longer than a third of what it has left

Cause: the waits for the first configuration and for the lease had fixed lengths, 600 and 1,500 ms; a caller of a plain service has 600 ms in all and heard nothing before its deadline. Found in reading.

--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -70,10 +70,6 @@
 /** Before the end of the grace whatever still runs is cut, so that the process ends by itself. */
 const lastMomentsMs = 250;
 const idlePollMs = 50;
-/** The first configuration is here this long after the start, where any core host is up. */
-const configurationWaitMs = 600;
-/** An entry that starts with the whole system gets the lease once the core has a leader: a second after its own start. */
-const leaseWaitMs = 1500;
 /** For all but the lease: the time of day may step, and everything would look late or overdue. */
 const steadyNowMs = (): number => performance.now();
 
@@ -142,8 +138,8 @@
 		serve: async (request, response) => serveRequest({
 			protocol, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs, table: configuration.table, isLeaving: () => isLeaving, nowMs: steadyNowMs,
 			run: async call => runCall(context, call),
-			awaitConfiguration: async () => waitWhile(() => configuration.table() === null, configurationWaitMs),
-			awaitLease: async () => waitWhile(() => !lease.hasHeld() && !lease.holds(), leaseWaitMs),
+			awaitConfiguration: async mostMs => waitWhile(() => configuration.table() === null, mostMs),
+			awaitLease: async mostMs => waitWhile(() => !lease.hasHeld() && !lease.holds(), mostMs),
 		}, request, response),
 		onError(error) {
 			logger.event('BP9003', {message: error.stack ?? error.message});
--- a/packages/gateway/src/entry/serve-request.ts
+++ b/packages/gateway/src/entry/serve-request.ts
@@ -16,10 +16,10 @@
 	readonly metrics: GatewayMetrics;
 	/** `null` until a configuration is known. */
 	table(): RouteTable | null;
-	/** Resolves once a configuration is known, or none came for a while. */
-	awaitConfiguration(): Promise<void>;
-	/** At an entry that has just started: resolves once it holds the lease, or could not get it for a while. */
-	awaitLease(): Promise<void>;
+	/** Resolves once a configuration is known, after `mostMs` at the latest. */
+	awaitConfiguration(mostMs: number): Promise<void>;
+	/** At an entry that has just started: resolves once it holds the lease, after `mostMs` at the latest. */
+	awaitLease(mostMs: number): Promise<void>;
 	/** Whether this entry surely knows what is in force. */
 	holdsLease(): boolean;
 	/** When a caller should come back while the lease is not held. */
@@ -32,6 +32,12 @@
 
 /** A route's service comes with the same configuration as the route: if it is missing, the next one will have it. */
 const unknownRetryMs = 500;
+/** The first configuration is here this long after the start, where any core host is up. */
+const configurationWaitMs = 600;
+/** An entry that starts with the whole system gets the lease once the core has a leader: a second after its own start. */
+const leaseWaitMs = 1500;
+/** Of what a caller has left; the rest is for its answer, or its next try. */
+const startWaitShare = 0.35;
 const bearer = /^bearer\s+(?<key>\S+)\s*$/iv;
 
 type Place = {readonly route: Route; readonly team: Team | null; /** `null`: none is needed. */ readonly key: string | null};
@@ -89,9 +95,10 @@
  * begin with a little more than the route's timeout, so what is missing has
  * passed in earlier attempts.
  */
-const elapsedBefore = ({timeoutMs}: Route, deadlineMs: number | null): number => deadlineMs === null ? 0 : Math.max(0, timeoutMs - deadlineMs);
+const elapsedBefore = ({timeoutMs}: Route, deadlineMs: number): number => Math.max(0, timeoutMs - deadlineMs);
 
-const callerDeadlineMs = ({protocol}: ServeContext, {headers}: http.IncomingMessage): number | null => positive(headers[protocol.headers.deadlineMs]);
+/** How long the caller will wait; infinite if it does not say. */
+const callerDeadlineMs = ({protocol}: ServeContext, {headers}: http.IncomingMessage): number => positive(headers[protocol.headers.deadlineMs]) ?? Number.POSITIVE_INFINITY;
 
 /**
  * As `findPlace`. At an entry that has just started, a caller that came back waits
@@ -100,18 +107,20 @@
  * once the lease, which says that all is known, is there.
  */
 const awaitPlace = async (context: ServeContext, request: http.IncomingMessage): Promise<Place | OwnAnswer> => {
-	await context.awaitConfiguration();
+	const deadlineMs = callerDeadlineMs(context, request);
+	await context.awaitConfiguration(Math.min(configurationWaitMs, deadlineMs * startWaitShare));
 	const placed = findPlace(context, request);
 	if (isOwnAnswer(placed) || placed.key === null || context.holdsLease()) {
 		return placed;
 	}
 
-	const hasComeBack = elapsedBefore(placed.route, callerDeadlineMs(context, request)) >= placed.route.objectiveMs;
+	const {route} = placed;
+	const hasComeBack = elapsedBefore(route, deadlineMs) >= route.objectiveMs;
 	if (!hasComeBack) {
 		return placed;
 	}
 
-	await context.awaitLease();
+	await context.awaitLease(Math.min(leaseWaitMs, deadlineMs * startWaitShare));
 	return findPlace(context, request);
 };
 
@@ -136,7 +145,7 @@
 
 	const {route, team, key} = placed;
 	const deadlineMs = callerDeadlineMs(context, request);
-	const deadlineAtMs = receivedAtMs + Math.min(route.timeoutMs, deadlineMs ?? Number.POSITIVE_INFINITY);
+	const deadlineAtMs = receivedAtMs + Math.min(route.timeoutMs, deadlineMs);
 	const ended = new AbortController();
 	const deadline = setTimeout(() => {
 		ended.abort();
--- a/packages/gateway/test/serve-request.test.ts
+++ b/packages/gateway/test/serve-request.test.ts
@@ -36,11 +36,13 @@
 const start = async (t: Test, learn: RouteTable) => {
 	const state = {table: tableWith(1, ['k']), holdsLease: false};
 	const keysInForce: boolean[] = [];
+	const waits: number[] = [];
 	const context: ServeContext = {
 		protocol, random: createRandom(1), logger: silentLogger, metrics: createGatewayMetrics(), nowMs: () => performance.now(),
 		table: () => state.table, holdsLease: () => state.holdsLease, lostCoreRetryMs: () => 2000, isLeaving: () => false,
 		awaitConfiguration: async () => undefined,
-		async awaitLease() {
+		async awaitLease(mostMs) {
+			waits.push(mostMs);
 			state.table = learn;
 			state.holdsLease = true;
 		},
@@ -70,7 +72,7 @@
 		return response.statusCode!;
 	};
 
-	return {call, keysInForce};
+	return {call, keysInForce, waits};
 };
 
 // Everything lost power. The entry is up with a snapshot's configuration, and a
@@ -87,3 +89,12 @@
 	t.equal(await call(3000), 200);
 	t.same(keysInForce, [true, false], 'and a key that is taken away later is seen to be');
 });
+
+// A caller with a third of a second left must not wait for a lease that takes a
+// second: it would hear nothing before its deadline.
+t.test('nobody waits for the lease longer than a third of what is left', async t => {
+	const {call, waits} = await start(t, tableWith(2, ['k']));
+	await call(300);
+	t.equal(waits.length, 1);
+	t.ok(waits[0]! < 110, `${waits[0]} ms`);
+});
