fix(entry): who waits for engines nobody can tell of yet goes in with the first batch

Cause: callers that came back and waited while the outlook was not known counted as waiting briefly, so all but the first few were refused for good the moment an engine was ready, since the others before them filled its queue.

Change: they are held like those for whom a time is known, up to 1.5 s and a third of what they have left.

--- a/packages/coordination/src/placement/wait-for-engine.ts
+++ b/packages/coordination/src/placement/wait-for-engine.ts
@@ -36,13 +36,15 @@
 	readonly entryCount: number;
 };
 
-/** `brief`: for a moment, as engines switch. `held`: until engines that are being filled are ready. `leave`: it gets its final answer. */
+/** `brief`: for a moment, as engines switch. `held`: until engines that are being filled are ready; then it goes in with the first batch. `leave`: it gets its final answer. */
 export type WaitVerdict = 'brief' | 'held' | 'leave';
 
+type WaitLimit = {readonly mostMs: number; /** Of what the caller had left when it came. */ readonly share: number};
+
 /** Engines that switch or restart are out for less than this; of what a caller has left, the rest is for its next try. */
-const firstWait = {mostMs: 700, share: 0.15} as const;
+const firstWait: WaitLimit = {mostMs: 700, share: 0.15};
 /** A caller that has come back has no next try: it may wait for engines whose hosts cannot tell yet, as in the first second after a loss of power. */
-const lastWait = {mostMs: 1500, share: 0.35} as const;
+const lastWait: WaitLimit = {mostMs: 1500, share: 0.35};
 /** An engine that is filled reads back what is staged and is told; the engines after it follow within this. */
 const readySlackMs = 400;
 /** Of the engines' places; the rest is for those who come first when the engines are back. */
@@ -63,12 +65,16 @@
  */
 export const decideWait = (options: WaitOptions): WaitVerdict => {
 	const {profile, outlook: {readyInMs, slots}, elapsedMs, objectiveMs, remainingMs, waitedMs, isHeld, heldCount, entryCount} = options;
-	const hasComeBack = elapsedMs >= objectiveMs;
-	const hasPlace = isHeld || heldCount < slots * heldShare / entryCount;
-	if (profile !== null && hasComeBack && hasPlace && readyInMs !== null && readyInMs + readySlackMs < remainingMs - answerMs(profile)) {
-		return 'held';
+	const isWithin = ({mostMs, share}: WaitLimit): boolean => waitedMs < Math.min(mostMs, (remainingMs + waitedMs) * share);
+	const isLastTry = profile !== null && elapsedMs >= objectiveMs;
+	// Right after a start no engine is known, and few have come back yet.
+	const hasPlace = isHeld || slots === 0 || heldCount < slots * heldShare / entryCount;
+	if (isLastTry && hasPlace) {
+		const isInTime = readyInMs === null ? isWithin(lastWait) : readyInMs + readySlackMs < remainingMs - answerMs(profile);
+		if (isInTime) {
+			return 'held';
+		}
 	}
 
-	const {mostMs, share} = hasComeBack && readyInMs === null ? lastWait : firstWait;
-	return waitedMs < Math.min(mostMs, (remainingMs + waitedMs) * share) ? 'brief' : 'leave';
+	return isWithin(firstWait) ? 'brief' : 'leave';
 };
