--- a/packages/coordination/test/placement-world.ts
+++ b/packages/coordination/test/placement-world.ts
@@ -21,7 +21,15 @@
 	readonly isCrowdKnown: boolean;
 };
 
-type ModelRequest = {readonly arrivedAtMs: number; readonly promptTokens: number; unreadTokens: number; tokensLeft: number; hasBegun: boolean};
+type ModelRequest = {
+	readonly arrivedAtMs: number;
+	unreadTokens: number;
+	tokensLeft: number;
+	hasBegun: boolean;
+	/** What its entry knows of the engine, and its key there. */
+	readonly load: EndpointLoad;
+	readonly key: number;
+};
 
 type ModelEngine = {
 	readonly id: string;
@@ -154,25 +162,12 @@
 	load.outstanding++;
 	load.awaiting.set(key, {promptTokens: profile.usualPromptTokens, sentAtMs: nowMs, expectedMs: choice.expectedMs});
 	const request: ModelRequest = {
-		arrivedAtMs: nowMs, promptTokens: profile.usualPromptTokens, unreadTokens: profile.usualPromptTokens, hasBegun: false,
-		tokensLeft: profile.usualAnswerTokens,
+		arrivedAtMs: nowMs, unreadTokens: profile.usualPromptTokens, tokensLeft: profile.usualAnswerTokens, hasBegun: false, load, key,
 	};
 	onTheWay.push({
 		atMs: nowMs + wayMs,
 		act() {
-			engines.find(({id}) => id === announcement.id)!.waiting.push(new Proxy(request, {
-				set(target, name, value) {
-					if (name === 'hasBegun') {
-						load.awaiting.delete(key);
-					}
-
-					if (name === 'tokensLeft' && Number(value) <= 0 && target.tokensLeft > 0) {
-						load.outstanding--;
-					}
-
-					return Reflect.set(target, name, value);
-				},
-			}));
+			engines.find(({id}) => id === announcement.id)!.waiting.push(request);
 		},
 	});
 };
@@ -214,6 +209,7 @@
 	for (const request of engine.running.filter(({unreadTokens}) => unreadTokens === 0)) {
 		if (!request.hasBegun) {
 			request.hasBegun = true;
+			request.load.awaiting.delete(request.key);
 			const isInTime = nowMs + wayMs - request.arrivedAtMs <= objectiveMs;
 			tally[isInTime ? 'inTime' : 'late']++;
 		}
@@ -221,5 +217,10 @@
 		request.tokensLeft -= profile.stepsPerPass;
 	}
 
-	engine.running.splice(0, engine.running.length, ...engine.running.filter(({tokensLeft}) => tokensLeft > 0));
+	const ended = engine.running.filter(({tokensLeft}) => tokensLeft <= 0);
+	for (const {load} of ended) {
+		load.outstanding--;
+	}
+
+	engine.running.splice(0, engine.running.length, ...engine.running.filter(request => !ended.includes(request)));
 };
