test(data-folders): the full disk comes after the agent has removed what it does not know

The test put its full device in place when the agent had joined; an agent removes files of no version when it has its first configuration, which may be later, and removed the device too. The transfer then ended well.

Ruled out: the transfer, which reports ENOSPC within a second.

Change: the test waits until a left-over file is gone. All assertions stand.

--- a/test/data-folders.test.ts
+++ b/test/data-folders.test.ts
@@ -227,6 +227,9 @@
 	const engine = await createFakeEngine();
 	const {manifestId} = await origin.publish(new Uint8Array(200_000).fill(7), 65_536);
 	const folder = path.join(root, 'h1');
+	const leftOver = path.join(folder, `${'0'.repeat(64)}.weights`);
+	await mkdir(folder, {recursive: true});
+	await writeFile(leftOver, 'of no version');
 	const members = new Map<string, string>();
 	const control = await startControl(path.join(root, 'c1'), {members});
 	const agent = await createAgentNode({
@@ -242,7 +245,8 @@
 		address: control.address, method: 'control.query', params: {show: {type: 'show', subject, where: []}}, timeoutMs: 5000,
 	}).then(({rows}) => rows, () => []);
 	await waitUntil('the agent joined', async () => (await ask('hosts')).some(({host}) => host === 'h1'));
-	// Not before: an agent that starts removes what belongs to no version.
+	// Not before: an agent that starts removes what belongs to no version, some time after it has joined.
+	await waitUntil('what belongs to no version is removed', async () => !(await readdir(folder)).includes(path.basename(leftOver)));
 	await symlink(fullDevice, path.join(folder, `${manifestId.slice('sha256:'.length)}.weights`));
 	for (const line of [
 		'create model m',
