--- a/packages/coordination/src/placement/place-request.ts
+++ b/packages/coordination/src/placement/place-request.ts
@@ -152,8 +152,8 @@
 /**
  * Places the request as one of all those that have come to the entries since the
  * engines were read. All entries see the same engine as the best, and until it is
- * read again each sends there: an engine that comes back empty got a dozen prompts
- * within a tenth of a second and began the last of them half a second late. So the
+ * read again each sends there: one that comes back empty gets a dozen prompts
+ * within a tenth of a second and begins the last of them half a second late. So the
  * others' requests are spread over the engines first, and this one is drawn in
  * proportion to what each engine was given. In a modelled deployment of eight
  * entries whose engines take turns to reload at nine tenths of the load, this
--- a/packages/coordination/src/placement/wait-for-engine.ts
+++ b/packages/coordination/src/placement/wait-for-engine.ts
@@ -58,10 +58,10 @@
 /**
  * Whether a request for which there is no engine may wait. A caller that comes for
  * the first time is sent away soon, with a time to come back. One that has come
- * back has no further try: after a loss of power all of those were sent away for
- * good, six in a hundred of a day's callers, though engines were ready two seconds
- * later. It is held if they are expected in time, and as many are held as the
- * engines have places; the others get their final answer at once.
+ * back has no further try: sent away, all of those are lost after a loss of power,
+ * six in a hundred of the callers of a minute with one, though engines are ready two
+ * seconds later. It is held if they are expected in time, and as many are held as
+ * the engines have places; the others get their final answer at once.
  */
 export const decideWait = (options: WaitOptions): WaitVerdict => {
 	const {profile, outlook: {readyInMs, slots}, elapsedMs, objectiveMs, remainingMs, waitedMs, isHeld, heldCount, entryCount} = options;
--- a/packages/gateway/src/entry/entry-lease.ts
+++ b/packages/gateway/src/entry/entry-lease.ts
@@ -42,8 +42,8 @@
 /**
  * An entry that has not held the lease since its start most likely starts with
  * the whole system, after a loss of power: a leader takes a second, the weights of
- * empty engines three. Callers that came back after half a second were sent away
- * for good; those that come back now find engines.
+ * empty engines three. Callers that come back after half a second find nobody
+ * either, and have no further try; after this they find engines.
  */
 const startRetryMs = 2000;
 /** How often the core is asked out of turn while the lease is not held: after a suspension one answer renews it. */
--- a/packages/gateway/src/link/wanted-versions.ts
+++ b/packages/gateway/src/link/wanted-versions.ts
@@ -21,9 +21,9 @@
  * Core hosts that have just started know their last snapshot only, until they
  * have elected a leader: 0.7 s after their start. A process that believes them, or
  * that no version was ever named, begins with weights that nobody wants: after a
- * loss of power all hosts drew an old version for two seconds, and served a second
- * and a half later than they could; what they drew took the place of chunks that
- * had outlived the loss. An election takes up to 1.2 s behind the start of the second
+ * loss of power all hosts draw an old version for two seconds, and what they draw
+ * takes the place of chunks that have outlived the loss; the last engine serves two
+ * seconds later. An election takes up to 1.2 s behind the start of the second
  * core host; without a quorum this ends the wait.
  */
 const unsettledMs = 4000;
