test: folders of tests are removed after everything in the test is torn down

The test runner removes a folder before the teardowns that are registered after it, so a node that still wrote there could make the removal fail. A script that prints whether the folder is there at a teardown shows it: not there when the folder is taken first, there when a teardown is registered first.

Ruled out: the closing of the control host (it was not reached); load (the machine was at 2 to 9).

No assertion changed.

--- a/packages/daemon/test/control-repair.test.ts
+++ b/packages/daemon/test/control-repair.test.ts
@@ -5,6 +5,7 @@
 import type {ProposeResult} from '@bitternpaddle/protocol';
 import {commandId, modelId} from '@bitternpaddle/state';
 import {callRpc} from '@bitternpaddle/transport';
+import {testFolder} from '@bitternpaddle/test-support';
 import {
 	createControlNode, waitUntil, type ControlNode, type ControlNodeOptions,
 } from '@bitternpaddle/daemon';
@@ -19,7 +20,7 @@
 };
 
 const createGroup = async (t: Test, size: number, options: Partial<ControlNodeOptions> = {}): Promise<Group> => {
-	const root = t.testdir();
+	const root = testFolder(t);
 	const members = new Map<string, string>();
 	const nodes = new Map<string, ControlNode>();
 	const folderOf = (hostId: string): string => path.join(root, hostId);
--- a/packages/daemon/test/transfer.test.ts
+++ b/packages/daemon/test/transfer.test.ts
@@ -1,6 +1,8 @@
 import {randomBytes} from 'node:crypto';
 import {open} from 'node:fs/promises';
-import {createFakeOrigin, type FakeOrigin, type FakeOriginOptions} from '@bitternpaddle/test-support';
+import {
+	createFakeOrigin, testFolder, type FakeOrigin, type FakeOriginOptions,
+} from '@bitternpaddle/test-support';
 import {createHttpServer, notifyRpc, sendJson} from '@bitternpaddle/transport';
 import t, {type Test} from 'tap';
 import {
@@ -26,7 +28,7 @@
 const createBurst = async (t: Test, {count = 6, origin: originOptions, ...options}: BurstOptions = {}): Promise<Burst> => {
 	const origin = await createFakeOrigin(originOptions);
 	const version = await origin.publish(randomWeights(5, sizeBytes), chunkSizeBytes);
-	const mesh = createTransferMesh({folder: t.testdir(), originAddress: origin.address, ...options});
+	const mesh = createTransferMesh({folder: testFolder(t), originAddress: origin.address, ...options});
 	t.teardown(async () => {
 		await mesh.close();
 		await origin.close();
--- a/packages/gateway/test/core-node.test.ts
+++ b/packages/gateway/test/core-node.test.ts
@@ -1,7 +1,7 @@
 import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import {createSuspendAwareClock, type Announcement} from '@bitternpaddle/coordination';
-import {freeAddresses} from '@bitternpaddle/test-support';
+import {freeAddresses, testFolder} from '@bitternpaddle/test-support';
 import {callRpc, silentLogger} from '@bitternpaddle/transport';
 import t, {type Test} from 'tap';
 import {
@@ -55,7 +55,7 @@
 // the settings name never comes up. The other two must accept the first document.
 t.test('a group forms without one of its first members', async t => {
 	const seeds = await freeAddresses(3);
-	const folder = t.testdir();
+	const folder = testFolder(t);
 	const [first, second] = await Promise.all([0, 1].map(async index => start(t, seeds[index]!, seeds, path.join(folder, `c${index}`))));
 	t.equal(await submitted(first!, 5), 'stored');
 	t.equal(await textOf(second!), 'text 5');
@@ -67,7 +67,7 @@
 // It must not help to elect a leader that lacks what was acknowledged.
 t.test('a host with an empty disk does not count as the one that it was', async t => {
 	const seeds = await freeAddresses(3);
-	const folder = t.testdir();
+	const folder = testFolder(t);
 	const nodes = await Promise.all(seeds.map(async (seed, index) => start(t, seed, seeds, path.join(folder, `c${index}`))));
 	t.equal(await submitted(nodes[0]!, 5), 'stored');
 	await Promise.all(nodes.map(async node => node.close()));
@@ -84,7 +84,7 @@
 // drains. Whoever follows any other core host must hear of it as well.
 t.test('what an endpoint tells one core host, all of them tell', async t => {
 	const seeds = await freeAddresses(3);
-	const folder = t.testdir();
+	const folder = testFolder(t);
 	const nodes = await Promise.all(seeds.map(async (seed, index) => start(t, seed, seeds, path.join(folder, `c${index}`))));
 	const stateAt = async (index: number): Promise<string | undefined> => {
 		const {announcements} = await watch(seeds[index]!);
@@ -107,7 +107,7 @@
 t.test('a version that is named in the snapshot is told from the start', async t => {
 	const [address] = await freeAddresses(1);
 	const options = {
-		selfAddress: address!, zoneId: 'z1', regionId: 'r1', folder: path.join(t.testdir(), 'core'), seeds: () => [address!], lossesBorne: 0, clock, logger: silentLogger,
+		selfAddress: address!, zoneId: 'z1', regionId: 'r1', folder: path.join(testFolder(t), 'core'), seeds: () => [address!], lossesBorne: 0, clock, logger: silentLogger,
 	};
 	const before = await createCoreNode({...options, isFirstStart: true});
 	await until(async () => await before.submit({kind: 'version', model: 'm', version: 2}) === 'stored');
--- a/packages/gateway/test/entry-node.test.ts
+++ b/packages/gateway/test/entry-node.test.ts
@@ -6,7 +6,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {createSuspendAwareClock} from '@bitternpaddle/coordination';
 import type {RoutingConfiguration} from '@bitternpaddle/state';
-import {freeAddresses} from '@bitternpaddle/test-support';
+import {freeAddresses, testFolder} from '@bitternpaddle/test-support';
 import {readBody, sendHttp, silentLogger} from '@bitternpaddle/transport';
 import t, {type Test} from 'tap';
 import {
@@ -60,7 +60,7 @@
 	let addedMs = 0;
 	const clock = createSuspendAwareClock({steadyNowMs: () => performance.now(), wallNowMs: () => Date.now() + addedMs});
 	const coreNode = await createCoreNode({
-		selfAddress: core!, zoneId: 'z', regionId: 'r', folder: path.join(t.testdir(), 'core'), isFirstStart: true, seeds: () => [core!], lossesBorne: 0, clock, logger: silentLogger,
+		selfAddress: core!, zoneId: 'z', regionId: 'r', folder: path.join(testFolder(t), 'core'), isFirstStart: true, seeds: () => [core!], lossesBorne: 0, clock, logger: silentLogger,
 	});
 	const entryNode = await createEntryNode({
 		selfAddress: entry!, zoneId: 'z', regionId: 'r', listen: front!, readinessListen: readiness!, seeds: () => [core!], protocol, clock, logger: silentLogger, randomSeed: 7,
--- a/packages/gateway/test/line-logger.test.ts
+++ b/packages/gateway/test/line-logger.test.ts
@@ -2,6 +2,7 @@
 import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import t from 'tap';
+import {testFolder} from '@bitternpaddle/test-support';
 import {createLineLogger} from '@bitternpaddle/gateway';
 
 type Line = {event: string; requestId?: number; omitted?: Record<string, number>};
@@ -11,7 +12,7 @@
 // Each of thousands of refused requests would write a line. The output is bounded,
 // and what was left out is counted, so that nobody takes the lines for all there was.
 t.test('an event that comes too often is counted instead of written', async t => {
-	const folder = t.testdir();
+	const folder = testFolder(t);
 	mkdirSync(folder, {recursive: true});
 	const filePath = path.join(folder, 'log');
 	const logger = createLineLogger({labels: {host: 'h1'}, linesPerSecond: 5, fileDescriptor: openSync(filePath, 'w')});
--- a/packages/state/test/log-store.test.ts
+++ b/packages/state/test/log-store.test.ts
@@ -4,6 +4,7 @@
 } from 'node:fs/promises';
 import path from 'node:path';
 import t from 'tap';
+import {testFolder} from '@bitternpaddle/test-support';
 import {
 	DamagedLogError, openLogStore, type LogEntry, type LogRecord,
 } from '@bitternpaddle/state';
@@ -45,7 +46,7 @@
 // the file grew but before the data reached the disk, so that it ends in zeros.
 // The frame was never acknowledged: the host starts without it and goes on.
 t.test('a torn or zero-filled tail is cut at every length', async t => {
-	const folder = t.testdir();
+	const folder = testFolder(t);
 	const [file] = await write(folder, 3) as [string];
 	const data = await readFile(file);
 	const last = frameStarts(data).at(-1)!;
@@ -69,7 +70,7 @@
 // size. Entries that were acknowledged are gone, so the host must not start as
 // if they had never been: it could elect a leader that lacks them.
 t.test('damage before the last frame refuses to start, at every byte', async t => {
-	const folder = t.testdir();
+	const folder = testFolder(t);
 	const [file] = await write(folder, 3) as [string];
 	const data = await readFile(file);
 	const last = frameStarts(data).at(-1)!;
@@ -95,7 +96,7 @@
 // The log has rolled over several segments and one is cut short, emptied or
 // gone: the host refuses, for only the last segment may have a torn end.
 t.test('a shortened or missing segment before the last refuses to start', async t => {
-	const folder = t.testdir();
+	const folder = testFolder(t);
 	const files = await write(folder, 6, 1);
 	t.equal(files.length, 7, 'the first one holds no entry');
 	t.same(await loadedIndexes(folder), [1, 2, 3, 4, 5, 6]);
@@ -111,7 +112,7 @@
 });
 
 t.test('a snapshot and a tail are read back, and old segments are removed', async t => {
-	const folder = t.testdir();
+	const folder = testFolder(t);
 	await write(folder, 4, 1);
 	const before = path.join(t.testdirName, '..', `${path.basename(t.testdirName)}-old`);
 	await cp(folder, before, {recursive: true});
@@ -137,7 +138,7 @@
 // leader's snapshot and crashes before its old log is put aside. The old
 // entries behind the snapshot must not come back: they contradict the log.
 t.test('a log that differs from an installed snapshot is dropped', async t => {
-	const folder = t.testdir();
+	const folder = testFolder(t);
 	const files = await write(folder, 6);
 	const old = await readFile(files[0]!);
 	const store = await openLogStore({folder});
--- /dev/null
+++ b/packages/test-support/src/folder/index.ts
@@ -0,0 +1,1 @@
+export * from './test-folder.js';
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -1,4 +1,5 @@
 export * from './engine/fake-engine.js';
+export * from './folder/index.js';
 export * from './history/index.js';
 export * from './origin/fake-origin.js';
 export * from './ports/free-addresses.js';
--- a/test/burn-report.test.ts
+++ b/test/burn-report.test.ts
@@ -5,6 +5,7 @@
 import {
 	createDevCluster, postJson, sendLine, waitUntil,
 } from '@bitternpaddle/daemon';
+import {testFolder} from '@bitternpaddle/test-support';
 import {runProgram} from './support/run-program.js';
 
 // Callers ask through two entries; two bookings go to a ledger whose answers
@@ -71,7 +72,7 @@
 		},
 	], 'and a request for a model that does not exist counts nowhere');
 
-	const file = path.join(t.testdir(), 'burn.html');
+	const file = path.join(testFolder(t), 'burn.html');
 	t.equal((await runProgram(['report', 'burn', ...flags, '--output', 'html', '--out', file])).code, 0);
 	t.match(await readFile(file, 'utf8'), /<td>2 of 2<\/td>/v);
 	t.match((await runProgram(['report', 'burn', ...flags])).text, /ledger +\(all\) +99.9% whole +1000/v);
--- a/test/configuration-peers.test.ts
+++ b/test/configuration-peers.test.ts
@@ -6,7 +6,7 @@
 } from '@bitternpaddle/daemon';
 import type {Show} from '@bitternpaddle/protocol';
 import {modelId} from '@bitternpaddle/state';
-import {freeAddresses} from '@bitternpaddle/test-support';
+import {freeAddresses, testFolder} from '@bitternpaddle/test-support';
 import {silentLogger, type Logger} from '@bitternpaddle/transport';
 import t, {type Test} from 'tap';
 
@@ -15,7 +15,7 @@
 });
 
 const startControl = async (t: Test): Promise<string> => {
-	const node = await startControlAt('127.0.0.1:0', t.testdir());
+	const node = await startControlAt('127.0.0.1:0', testFolder(t));
 	t.teardown(async () => node.close());
 	return node.address;
 };
--- a/test/data-folders.test.ts
+++ b/test/data-folders.test.ts
@@ -12,7 +12,7 @@
 import {
 	commandId, createManifest, encodeFrame, manifestIdOf, modelId, openChunkStore, type LogRecord,
 } from '@bitternpaddle/state';
-import {createFakeEngine, createFakeOrigin} from '@bitternpaddle/test-support';
+import {createFakeEngine, createFakeOrigin, testFolder} from '@bitternpaddle/test-support';
 import {callRpc} from '@bitternpaddle/transport';
 
 const startControl = async (folder: string, options: Partial<ControlNodeOptions> = {}): Promise<ControlNode> => createControlNode({
@@ -54,7 +54,7 @@
 // to start, says which path and what to do, and leaves the folder as it was:
 // with the cause mended it starts and has everything.
 t.test('a control host refuses a folder that it must not use', async t => {
-	const folder = path.join(t.testdir(), 'control');
+	const folder = path.join(testFolder(t), 'control');
 	await fillFolder(folder, ['a', 'b', 'c'], {snapshotEntries: 2});
 	const owner = path.join(folder, 'owner.json');
 	const snapshot = path.join(folder, 'snapshot.json');
@@ -83,7 +83,7 @@
 });
 
 t.test('files of others in the folder are left alone', async t => {
-	const folder = path.join(t.testdir(), 'control');
+	const folder = path.join(testFolder(t), 'control');
 	await fillFolder(folder, ['a']);
 	await writeFile(path.join(folder, 'notes.txt'), 'mine');
 	await rm(path.join(folder, 'owner.json'));
@@ -93,7 +93,7 @@
 });
 
 t.test('something of another kind lies in the way', async t => {
-	const root = t.testdir();
+	const root = testFolder(t);
 	await writeFile(path.join(root, 'file'), '');
 	await t.rejects(startControl(path.join(root, 'file')), {message: /file: a file lies where a folder must be; move it away or give another --data-folder/v});
 	await t.rejects(startControl(path.join(root, 'file', 'control')), {message: /a file lies where a folder must be/v});
@@ -117,7 +117,7 @@
 // and says why. What it had accepted is on the disk: with room again it starts
 // and has all of it.
 t.test('a full disk stops a control host and loses nothing', async t => {
-	const folder = path.join(t.testdir(), 'control');
+	const folder = path.join(testFolder(t), 'control');
 	await mkdir(folder);
 	const trap = path.join(folder, 'snapshot.json.new');
 	await symlink(fullDevice, trap);
@@ -178,7 +178,7 @@
 // The same at the very start, as a process: the exit code is 1, and the log
 // names the path and what to do.
 t.test('a process that cannot use its folder ends with code 1', async t => {
-	const root = t.testdir();
+	const root = testFolder(t);
 	await mkdir(path.join(root, 'full', 'control'), {recursive: true});
 	await symlink(fullDevice, path.join(root, 'full', 'control', 'log-0000000001.new'));
 	await mkdir(path.join(root, 'other', 'weights'), {recursive: true});
@@ -222,7 +222,7 @@
 // for requests run there; the operator sees what is wrong, and the host does
 // not pass for ready.
 t.test('a full disk fails a transfer and not the agent', async t => {
-	const root = t.testdir();
+	const root = testFolder(t);
 	const origin = await createFakeOrigin();
 	const engine = await createFakeEngine();
 	const {manifestId} = await origin.publish(new Uint8Array(200_000).fill(7), 65_536);
@@ -266,7 +266,7 @@
 });
 
 t.test('a chunk that does not fit is not held', async t => {
-	const folder = t.testdir();
+	const folder = testFolder(t);
 	const data = new Uint8Array(1000).fill(7);
 	const manifest = await createManifest([data], {chunkSizeBytes: 1000});
 	const manifestId = manifestIdOf(manifest);
--- a/test/flood.test.ts
+++ b/test/flood.test.ts
@@ -11,6 +11,7 @@
 import {
 	callRpc, createHttpServer, readBody, sendJson, silentLogger, TransportError, type HttpServer, type ServerLimits,
 } from '@bitternpaddle/transport';
+import {testFolder} from '@bitternpaddle/test-support';
 import {rawPost, sendRaw} from './support/raw-http.js';
 
 const get = 'GET /ready HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n';
@@ -285,7 +286,7 @@
 
 // The bound holds in every role, for each has the same server.
 t.test('entry, agent and control host keep to their setting', async t => {
-	const folder = t.testdir();
+	const folder = testFolder(t);
 	const serverLimits = {maxConnections: 16};
 	const members = new Map<string, string>();
 	const control = await createControlNode({
--- a/test/operator-tools.test.ts
+++ b/test/operator-tools.test.ts
@@ -4,6 +4,7 @@
 import {
 	createDevCluster, postJson, sendLine, waitUntil, type DevCluster, type DevClusterOptions,
 } from '@bitternpaddle/daemon';
+import {testFolder} from '@bitternpaddle/test-support';
 import {runProgram} from './support/run-program.js';
 
 const startCluster = async (t: Test, options: DevClusterOptions) => {
@@ -26,7 +27,7 @@
 
 t.test('a script waits for each step, and stops at the first error with its line', async t => {
 	const {cluster, client, flags} = await startCluster(t, {engines: 2, entries: 1});
-	const file = path.join(t.testdir(), 'set-up.txt');
+	const file = path.join(testFolder(t), 'set-up.txt');
 	await writeFile(file, setUp(cluster, 2));
 	const done = await runProgram(['script', file, ...flags, '--wait']);
 	t.equal(done.code, 0, done.text);
@@ -48,7 +49,7 @@
 
 t.test('the shell answers, helps, and keeps a history without keys', async t => {
 	const {flags} = await startCluster(t, {engines: 0, entries: 1});
-	const history = path.join(t.testdir(), 'history');
+	const history = path.join(testFolder(t), 'history');
 	const run = await runProgram(['shell', ...flags, '--history', history], 'create model pitch-desk\ncreate team marshals key marshals-key\nshow models\nhelp\nshow modles\nexit\nshow teams\n');
 	t.equal(run.code, 0);
 	t.match(run.text, /accepted at revision \d+/v);
@@ -65,7 +66,7 @@
 // does not serve.
 t.test('requests and replicas are explained, through whichever entry', async t => {
 	const {cluster, client, flags} = await startCluster(t, {engines: 2, entries: 2});
-	const file = path.join(t.testdir(), 'set-up.txt');
+	const file = path.join(testFolder(t), 'set-up.txt');
 	await writeFile(file, setUp(cluster, 1));
 	t.equal((await runProgram(['script', file, ...flags, '--wait'])).code, 0);
 	for (const engine of cluster.engines) {
--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -1,6 +1,8 @@
 import path from 'node:path';
 import {postJson, sendLine, waitUntil} from '@bitternpaddle/daemon';
-import {createFakeEngine, createFakeOrigin, freeAddresses} from '@bitternpaddle/test-support';
+import {
+	createFakeEngine, createFakeOrigin, freeAddresses, testFolder,
+} from '@bitternpaddle/test-support';
 import {readBody, sendHttp} from '@bitternpaddle/transport';
 import t from 'tap';
 import {startDaemon, type DaemonProcess} from './support/daemon-process.js';
@@ -10,7 +12,7 @@
 // and a caller gets a whole answer. Then an entry and an agent get SIGTERM and
 // end by themselves with code 0.
 t.test('the control leader is killed while a load is under way', {timeout: 90_000}, async t => {
-	const folder = t.testdir();
+	const folder = testFolder(t);
 	const addresses = await freeAddresses(4);
 	const controlAddresses = addresses.slice(0, 3);
 	const controls = controlAddresses.map((address, index) => `c${index + 1}=${address}`).join(',');
--- a/test/replay.test.ts
+++ b/test/replay.test.ts
@@ -3,6 +3,7 @@
 import {
 	createDevCluster, replayRecording, sendLine, waitUntil,
 } from '@bitternpaddle/daemon';
+import {testFolder} from '@bitternpaddle/test-support';
 import t from 'tap';
 
 t.test('the recorded trace of a session gives the same decisions', async t => {
@@ -18,7 +19,7 @@
 });
 
 t.test('a fresh recording replays', async t => {
-	const recordFile = path.join(t.testdir(), 'trace.jsonl');
+	const recordFile = path.join(testFolder(t), 'trace.jsonl');
 	const cluster = await createDevCluster({
 		engines: 0, entries: 1, controls: 1, recordFile,
 	});
--- a/test/support/process-cluster.ts
+++ b/test/support/process-cluster.ts
@@ -1,7 +1,7 @@
 import path from 'node:path';
 import {sendLine, waitUntil, type CommandAnswer} from '@bitternpaddle/daemon';
 import {
-	createFakeEngine, createFakeOrigin, createFakeService, createHistory, createRelay, freeAddresses, recordCall,
+	createFakeEngine, createFakeOrigin, createFakeService, createHistory, createRelay, freeAddresses, recordCall, testFolder,
 	type CallOutcome, type FakeEngine, type FakeService, type History, type Relay,
 } from '@bitternpaddle/test-support';
 import {readBody, sendHttp} from '@bitternpaddle/transport';
@@ -60,7 +60,7 @@
 
 export const createProcessCluster = async (t: Test, options: ProcessClusterOptions = {}): Promise<ProcessCluster> => {
 	const {controls: controlCount = 3, entries: entryCount = 2, engines: engineCount = 0, ledgers: ledgerCount = 0, tokenMs = 1} = options;
-	const folder = t.testdir();
+	const folder = testFolder(t);
 	const history = createHistory();
 	const origin = await createFakeOrigin();
 	t.teardown(async () => origin.close());
