feat(registry): an endpoint may start again under its id

Cause: announcements were ordered by their count alone. An endpoint that starts again under its id counts from 1: it got no work until its count had passed the old one, and never if its first start had left. Ruled out: forgetting ended endpoints sooner, since late words of the first start would bring it back. Change: announcements carry the start; a later start replaces all that the one before said, an earlier one is never heard again, whoever brings it. An entry drops load and failures of the start before.

--- a/packages/coordination/src/registry/registry.ts
+++ b/packages/coordination/src/registry/registry.ts
@@ -38,14 +38,22 @@
 	|| known.models.length !== heard.models.length
 	|| known.models.some((held, index) => held.model !== heard.models[index]!.model || held.version !== heard.models[index]!.version);
 
+/** Whether `heard` is of a later start than `known`. */
+export const isLaterStart = (known: Announcement, heard: Announcement): boolean => heard.startedAtMs > known.startedAtMs;
+
 /**
  * Takes an announcement; `false` if a later one is known. One that was delayed
- * must not bring back an endpoint that has since left or begun to drain.
+ * must not bring back an endpoint that has since left or begun to drain. An
+ * endpoint that starts again under its id counts from anew: its later start
+ * replaces all that the one before said, also that it is gone, and what the one
+ * before said is never heard again, by whichever host it comes. By the sequence
+ * alone the restarted endpoint would get no work until its count had passed the
+ * old one, and never if the old start had left.
  */
 export const hearAnnounced = (registry: Registry, heard: AgedAnnouncement, nowMs: number, source: AnnouncementSource = 'endpoint'): boolean => {
 	const {ageMs, ...announcement} = heard;
 	const known = registry.entries.get(heard.id);
-	if (known === undefined) {
+	if (known === undefined || isLaterStart(known.announcement, announcement)) {
 		registry.position++;
 		registry.entries.set(heard.id, {
 			announcement, heardAtMs: nowMs - ageMs, position: registry.position, positionedAtMs: nowMs,
@@ -54,6 +62,10 @@
 		return true;
 	}
 
+	if (isLaterStart(announcement, known.announcement)) {
+		return false;
+	}
+
 	const isEnd = rank[heard.state] === 2 && known.announcement.state !== 'gone';
 	if (known.announcement.state === 'gone' || (heard.sequence <= known.announcement.sequence && !isEnd)) {
 		return false;
@@ -83,10 +95,10 @@
 	registry.urgentPosition = registry.position;
 };
 
-/** The endpoint has left; `false` if it is not known. */
-export const withdraw = (registry: Registry, id: string): boolean => {
+/** The endpoint has left; `false` if it is not known, or another start of it is. `startedAtMs`: the start that left; `null` if that was not told. */
+export const withdraw = (registry: Registry, id: string, startedAtMs: number | null = null): boolean => {
 	const entry = registry.entries.get(id);
-	if (entry === undefined) {
+	if (entry === undefined || (startedAtMs !== null && startedAtMs !== entry.announcement.startedAtMs)) {
 		return false;
 	}
 
--- a/packages/coordination/src/registry/types.ts
+++ b/packages/coordination/src/registry/types.ts
@@ -1,12 +1,12 @@
 /** A version of a model's weights that an endpoint holds whole. */
 export type HeldModel = {readonly model: string; readonly version: number};
 
-/** `gone` is final: an id stands for one start of an endpoint. */
+/** `gone` is final for the start that said it; a later start of the same id is `ready` anew. */
 export type EndpointState = 'ready' | 'draining' | 'gone';
 
 /** What an endpoint says of itself. */
 export type Announcement = {
-	/** One start of the endpoint; the next start has another. */
+	/** Name of the endpoint; where its starts tell `startedAtMs`, the next start may have the same. */
 	readonly id: string;
 	readonly serviceName: string;
 	readonly address: string;
@@ -14,7 +14,9 @@
 	readonly slots: number;
 	readonly state: EndpointState;
 	readonly models: readonly HeldModel[];
-	/** Grows with each announcement of the same id. */
+	/** When this start of the endpoint began, in ms since 1970 by its own clock; 0 if it does not tell. */
+	readonly startedAtMs: number;
+	/** Grows with each announcement of the same start. */
 	readonly sequence: number;
 };
 
--- a/packages/coordination/test/wait-for-engine.test.ts
+++ b/packages/coordination/test/wait-for-engine.test.ts
@@ -10,7 +10,7 @@
 };
 
 const wait = (options: Partial<WaitOptions> = {}) => decideWait({
-	profile, outlook: {readyInMs: 1500, slots: 160}, elapsedMs: 2000, objectiveMs: 400, remainingMs: 4000, waitedMs: 0, isHeld: false, heldCount: 0, entryCount: 8, ...options,
+	profile, outlook: {readyInMs: 1500, slots: 160}, hasComeBack: true, remainingMs: 4000, waitedMs: 0, isHeld: false, heldCount: 0, entryCount: 8, ...options,
 });
 
 // Everything lost power. Entries are up, engines draw their weights for three
@@ -22,8 +22,8 @@
 	t.equal(wait({
 		waitedMs: 1200, remainingMs: 2800, isHeld: true, outlook: {readyInMs: 300, slots: 160},
 	}), 'held');
-	t.equal(wait({elapsedMs: 0}), 'brief', 'one that comes for the first time is told when to come back');
-	t.equal(wait({elapsedMs: 0, waitedMs: 800}), 'leave');
+	t.equal(wait({hasComeBack: false}), 'brief', 'one that comes for the first time is told when to come back');
+	t.equal(wait({hasComeBack: false, waitedMs: 800}), 'leave');
 });
 
 t.test('nobody is held long who cannot be served in time, or for whom there is no place', async t => {
@@ -45,7 +45,7 @@
 t.test('the outlook is that of the engine that is ready first, by fresh reports', async t => {
 	const filling = (readyInMs: number | null, reportedAtMs: number): Candidate => ({
 		announcement: {
-			id: `${readyInMs}`, serviceName: 's', address: 'a', zoneId: 'z', slots: 16, state: 'ready', models: [], sequence: 1,
+			id: `${readyInMs}`, serviceName: 's', address: 'a', zoneId: 'z', slots: 16, state: 'ready', models: [], startedAtMs: 0, sequence: 1,
 		},
 		load: {
 			...createEndpointLoad(), reportedAtMs, report: {
--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -1,6 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {
-	announcedSince, createRegistry, createSwitchPermits, hearAnnounced, pruneRegistry, returnPermit, takePermit, withdraw, type Announcement, type Clock,
+	announcedSince, createRegistry, createSwitchPermits, hearAnnounced, isLaterStart, pruneRegistry, returnPermit, takePermit, withdraw, type Announcement, type Clock,
 } from '@bitternpaddle/coordination';
 import {consensusEnvelopesSchema, rpcErrorCodes, standbyParametersSchema} from '@bitternpaddle/protocol';
 import type {Document} from '@bitternpaddle/state';
@@ -42,8 +42,8 @@
 	read(): Promise<ReadConfiguration>;
 	/** `true` if it was taken, or a later one was. */
 	announce(announcement: Announcement): void;
-	/** An endpoint has left. */
-	withdraw(id: string): void;
+	/** An endpoint has left; `startedAtMs` tells which start of it, `null` if it did not say. */
+	withdraw(id: string, startedAtMs: number | null): void;
 	isLeader(): boolean;
 	/** Graceful: hands the leadership over first. */
 	stop(): Promise<void>;
@@ -255,18 +255,18 @@
 			}
 		},
 		announce(announcement) {
-			const known = registry.entries.get(announcement.id)?.announcement.state;
+			const known = registry.entries.get(announcement.id)?.announcement;
 			const isTaken = hearAnnounced(registry, {...announcement, ageMs: 0}, steadyNowMs());
-			if (isTaken && known !== announcement.state) {
+			if (isTaken && (known?.state !== announcement.state || isLaterStart(known, announcement))) {
 				logger.event('BP4009', {
-					endpointId: announcement.id, address: announcement.address, state: announcement.state, sequence: announcement.sequence,
+					endpointId: announcement.id, address: announcement.address, state: announcement.state, startedAtMs: announcement.startedAtMs, sequence: announcement.sequence,
 				});
 			}
 
 			desk.wake();
 		},
-		withdraw(id) {
-			if (withdraw(registry, id)) {
+		withdraw(id, startedAtMs) {
+			if (withdraw(registry, id, startedAtMs)) {
 				logger.event('BP4009', {endpointId: id, state: 'gone'});
 			}
 
--- a/packages/gateway/src/entry/endpoint-view.ts
+++ b/packages/gateway/src/entry/endpoint-view.ts
@@ -1,5 +1,5 @@
 import {
-	createEndpointHealth, createEndpointLoad, createRegistry, hasFreshReport, hearAnnounced, notePath, pruneRegistry, withdraw,
+	createEndpointHealth, createEndpointLoad, createRegistry, hasFreshReport, hearAnnounced, isLaterStart, notePath, pruneRegistry, withdraw,
 	type AgedAnnouncement, type Candidate, type EngineReport,
 } from '@bitternpaddle/coordination';
 
@@ -8,7 +8,7 @@
 	hear(announcements: readonly AgedAnnouncement[], nowMs: number): void;
 	/** An agent told of the engine at `address`; `null`: it cannot be reached there. */
 	hearReport(address: string, heard: {readonly report: EngineReport | null; readonly sentAtMs: number}, nowMs: number): void;
-	/** An endpoint answered that another one runs at its address. */
+	/** An endpoint answered that another one runs at its address, not the start that is known here. */
 	end(id: string): void;
 	/** Those that may be sent something. */
 	candidates(serviceName: string, nowMs: number): Candidate[];
@@ -34,12 +34,15 @@
 			return;
 		}
 
-		const known = seen.get(id);
 		if (entry.announcement.state === 'gone') {
 			seen.delete(id);
 			return;
 		}
 
+		const before = seen.get(id);
+		// A later start of the endpoint has nothing of what was known of the one before: neither its load nor its failures.
+		const known = before !== undefined && isLaterStart(before.announcement, entry.announcement) ? undefined : before;
+
 		seen.set(id, {
 			announcement: entry.announcement, load: known?.load ?? createEndpointLoad(), health: known?.health ?? createEndpointHealth(),
 			heardAtMs: entry.heardAtMs, isUnreachable: known?.isUnreachable ?? false,
--- a/packages/gateway/src/link/methods.ts
+++ b/packages/gateway/src/link/methods.ts
@@ -6,7 +6,7 @@
 /** An endpoint's announcement on its way between hosts. */
 export const agedAnnouncementSchema = z.object({
 	id: z.string(), serviceName: z.string(), address: z.string(), zoneId: z.string(), slots: z.number(), state: z.enum(['ready', 'draining', 'gone']),
-	models: z.array(heldModelSchema).readonly(), sequence: z.number(), ageMs: z.number(),
+	models: z.array(heldModelSchema).readonly(), startedAtMs: z.number(), sequence: z.number(), ageMs: z.number(),
 });
 
 /** A process that follows the core; `address` is where other processes reach it. */
--- a/packages/gateway/test/core-node.test.ts
+++ b/packages/gateway/test/core-node.test.ts
@@ -40,7 +40,7 @@
 });
 
 const endpoint = (fields: Partial<Announcement> = {}): Announcement => ({
-	id: 'e1', serviceName: 's', address: '10.0.0.1:80', zoneId: 'z1', slots: 4, state: 'ready', models: [], sequence: 1, ...fields,
+	id: 'e1', serviceName: 's', address: '10.0.0.1:80', zoneId: 'z1', slots: 4, state: 'ready', models: [], startedAtMs: 0, sequence: 1, ...fields,
 });
 
 const watch = async (address: string): Promise<WatchResult> => callRpc<WatchResult>({
@@ -95,7 +95,7 @@
 	await until(async () => await stateAt(2) === 'ready');
 	nodes[1]!.announce(endpoint({state: 'draining', sequence: 2}));
 	await until(async () => await stateAt(0) === 'draining' && await stateAt(2) === 'draining');
-	nodes[2]!.withdraw('e1');
+	nodes[2]!.withdraw('e1', null);
 	await until(async () => await stateAt(0) === 'gone');
 	nodes[0]!.announce(endpoint({sequence: 9}));
 	t.equal(await stateAt(0), 'gone', 'an id stands for one start');
