fix(entry): an entry that ends begins nothing that it would cut

Cause: a caller goes on with its connection for seconds after the entry was told to end. Ruled out: a shorter time in which connections are kept, which would cut callers' next requests; a longer grace, which is set by the deployment. Change: what may be begun follows from the time that is left, what is expected of the begin, and the longest answer that the request allows; the rest is refused as not run, to come back at once. Found by the second test: an entry that was told to end while no connection was open stopped listening at once, though the balancer sends callers for two more seconds; it listens on.

--- a/packages/coordination/src/placement/index.ts
+++ b/packages/coordination/src/placement/index.ts
@@ -11,3 +11,5 @@
 export * from './arrival-rate.js';
 export * from './crowd.js';
 export * from './wait-for-engine.js';
+export * from './leaving.js';
+export * from './caller-patience.js';
--- a/packages/gateway/src/entry/call-context.ts
+++ b/packages/gateway/src/entry/call-context.ts
@@ -27,6 +27,8 @@
 	retryReserve(): number;
 	/** From when on which version of a model's weights must be begun on. */
 	dues(model: string): readonly VersionDue[];
+	/** Until this process cuts what still runs; infinite while it does not leave. */
+	leftMs(): number;
 	holdsLease(): boolean;
 	/** When a caller should come back while the lease is not held. */
 	lostCoreRetryMs(): number;
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -68,6 +68,12 @@
  */
 const servingShare = 0.42;
 /** Before the end of the grace whatever still runs is cut, so that the process ends by itself. */
+/**
+ * New callers still come for as long as a balancer takes to notice: it asks every
+ * second, and goes by two answers. Until then they must find the entry listening,
+ * also where no connection is open when it is told to end.
+ */
+const noticeMs = 2500;
 const lastMomentsMs = 250;
 const idlePollMs = 50;
 /** For all but the lease: the time of day may step, and everything would look late or overdue. */
@@ -92,6 +98,8 @@
 	let isLeaving = false;
 	let wasReady = false;
 
+	let isClosed = false;
+	let endsAtMs = Number.POSITIVE_INFINITY;
 	const configuration = createConfigurationHolder({
 		protocol, logger,
 		onChange(table) {
@@ -141,6 +149,7 @@
 			awaitConfiguration: async mostMs => waitWhile(() => configuration.table() === null, mostMs),
 			awaitLease: async mostMs => waitWhile(() => !lease.hasHeld() && !lease.holds(), mostMs),
 		}, request, response),
+		leftMs: () => endsAtMs - lastMomentsMs - steadyNowMs(),
 		onError(error) {
 			logger.event('BP9003', {message: error.stack ?? error.message});
 		},
@@ -217,9 +226,15 @@
 			isLeaving = true;
 			isReady();
 			const startedAtMs = performance.now();
-			const endsAtMs = startedAtMs + bounds.graceMs;
+			endsAtMs = startedAtMs + bounds.graceMs;
+			const servingMs = bounds.graceMs * servingShare;
 			// Callers go on with the connections they have, and learn with each answer that they must not: closing one under a request would lose it.
-			while (performance.now() < startedAtMs + (bounds.graceMs * servingShare) && front.openConnections() > 0) {
+			while (performance.now() < startedAtMs + servingMs && (front.openConnections() > 0 || performance.now() < startedAtMs + Math.min(noticeMs, servingMs))) {
+		if (isClosed) {
+			return;
+		}
+
+		isClosed = true;
 				await delay(idlePollMs);
 			}
 
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -1,5 +1,5 @@
 import {
-	admitRequest, answerMs, arrivalsPerSecond, decideWait, engineOutlook, placeRequest, readMs, type Placement, type WaitVerdict,
+	admitRequest, answerBoundMs, answerMs, arrivalsPerSecond, canEndInTime, decideWait, engineOutlook, placeRequest, readMs, type Placement, type WaitVerdict,
 } from '@bitternpaddle/coordination';
 import type {CallContext} from './call-context.js';
 import {duesOf} from './call-headers.js';
@@ -10,6 +10,8 @@
 /** A caller that found no endpoint comes back once engines that load or restart have had the time. */
 const noEndpointRetryMs = 1500;
 const noEndpointSpreadMs = 500;
+/** Behind an entry that ends, a caller's next connection leads to another one: two crossings between regions. */
+const leavingRetryMs = 10;
 
 /** Why a request was not placed now. `busy`: endpoints serve, and have more than they can begin in time. */
 type NoPlace = {readonly type: 'noEndpoint' | 'busy'; readonly reason: string; readonly retryAfterMs: number};
@@ -46,6 +48,11 @@
 	}
 };
 
+/** Whether the answer surely ends before this entry does. */
+const canEndHere = ({leftMs}: CallContext, {service: {engine}, route, mostAnswerTokens}: Call, {expectedMs}: Placement): boolean => canEndInTime({
+	expectedMs, leftMs: leftMs(), answerBoundMs: answerBoundMs({profile: engine, mostAnswerTokens, timeoutMs: route.timeoutMs}),
+});
+
 /** What a begun answer needs to be whole: one that is cut by its caller's deadline is worth nothing, and takes as much of an engine. */
 const answerTimeMs = ({service: {engine}}: Call): number => engine === null ? 0 : answerMs(engine);
 
@@ -99,6 +106,10 @@
 		};
 	}
 
+	if (!canEndHere(context, call, choice)) {
+		return giveUp(context, call, progress, 'this entry ends before the answer would', leavingRetryMs);
+	}
+
 	if (progress.sent > 0) {
 		return choice;
 	}
--- a/packages/gateway/src/entry/gateway-call.ts
+++ b/packages/gateway/src/entry/gateway-call.ts
@@ -12,6 +12,8 @@
 	readonly team: Team | null;
 	readonly body: Buffer | null;
 	readonly promptTokens: number;
+	/** The most tokens that the answer may have; 0 if the caller does not tell. */
+	readonly mostAnswerTokens: number;
 	readonly receivedAtMs: number;
 	/** The final answer is due, by the caller's deadline or the route's timeout. */
 	readonly deadlineAtMs: number;
--- a/packages/gateway/src/entry/serve-request.ts
+++ b/packages/gateway/src/entry/serve-request.ts
@@ -164,8 +164,9 @@
 	}
 
 	await context.run({
+	const tokens = protocol.readTokens(request.headers);
 		requestId: String(request.headers[protocol.headers.requestId] ?? ''), request, response, route, service, team, body, isKeyed: key !== null, receivedAtMs, deadlineAtMs, ended,
-		promptTokens: protocol.readPromptTokens(request.headers), elapsedMs: elapsedBefore(route, deadlineMs),
+		promptTokens: tokens.prompt, mostAnswerTokens: tokens.mostAnswer, hasComeBack: !isReused && hasComeBefore(patience, {deadlineMs, timeoutMs: route.timeoutMs}),
 		isKeyInForce: () => key === null || context.table()?.teamsByKey.get(key)?.name === team?.name,
 	});
 };
--- a/packages/gateway/src/link/request-protocol.ts
+++ b/packages/gateway/src/link/request-protocol.ts
@@ -30,12 +30,15 @@
 	= | {readonly type: 'configuration'; readonly configuration: RoutingConfiguration}
 		| {readonly type: 'invalid'; readonly problems: readonly string[]};
 
+/** Tokens of the prompt, and the most that the answer may have; 0 for what a request does not tell. */
+export type RequestTokens = {readonly prompt: number; readonly mostAnswer: number};
+
 /** What an entry must know of the protocol that its callers and endpoints speak. */
 export type RequestProtocol = {
 	readonly headers: HeaderNames;
 	decodeConfiguration(text: string): DecodedConfiguration;
-	/** Tokens of the prompt that a request brings; 0 if it tells none. */
-	readPromptTokens(headers: http.IncomingHttpHeaders): number;
+	/** What a request tells of its size in tokens. */
+	readTokens(headers: http.IncomingHttpHeaders): RequestTokens;
 	/** Running and waiting requests in the load header; `null` if it cannot be read. */
 	readActive(text: string): number | null;
 };
--- a/packages/gateway/test/entry-node.test.ts
+++ b/packages/gateway/test/entry-node.test.ts
@@ -7,7 +7,9 @@
 import {createSuspendAwareClock} from '@bitternpaddle/coordination';
 import type {RoutingConfiguration} from '@bitternpaddle/state';
 import {freeAddresses, testFolder} from '@bitternpaddle/test-support';
-import {readBody, sendHttp, silentLogger} from '@bitternpaddle/transport';
+import {
+	parseAddress, readBody, sendHttp, silentLogger,
+} from '@bitternpaddle/transport';
 import t, {type Test} from 'tap';
 import {
 	createCoreNode, createEntryNode, createGatewayMetrics, createLoadReporter, type RequestProtocol,
@@ -37,7 +39,7 @@
 		urgency: 'x-urgency', load: 'x-load', lastEventId: 'last-event-id',
 	},
 	decodeConfiguration: () => ({type: 'configuration', configuration}),
-	readPromptTokens: () => 100,
+	readTokens: headers => ({prompt: 100, mostAnswer: Number(headers['x-tokens'] ?? 10)}),
 	readActive: () => null,
 };
 
@@ -104,7 +106,7 @@
 	}
 
 	return {
-		engineState, call, stepClockMs(stepMs: number) {
+		engineState, call, entryNode, front: front!, stepClockMs(stepMs: number) {
 			addedMs += stepMs;
 		},
 	};
@@ -254,3 +256,45 @@
 	t.notOk(begun.includes('too-late'));
 	t.equal((await call('in-time', undefined, 600)).status, 200);
 });
+
+// An entry is told to end. Its caller goes on with the connection that it has, and
+// sends a stream that takes longer than the entry has left. Begun, it would be cut
+// with the entry after it ran; refused as not run, it goes to another entry at once.
+t.test('an entry that ends begins nothing that it would cut', async t => {
+	const begun: string[] = [];
+	const {front, entryNode} = await deploy(t, (request, response) => {
+		begun.push(String(request.headers['x-id']));
+		stream(request, response);
+	});
+	const agent = new http.Agent({keepAlive: true, maxSockets: 1});
+	t.teardown(() => {
+		agent.destroy();
+	});
+	const ask = async (id: string, mostTokens: number): Promise<http.IncomingMessage> => {
+		const {host, port} = parseAddress(front);
+		const response = await new Promise<http.IncomingMessage>((resolve, reject) => {
+			http.request({
+				host, port, agent, method: 'POST', path: '/x', headers: {host: 'a.example', 'x-id': id, 'x-deadline': '6000', 'x-tokens': String(mostTokens)},
+			}, resolve).on('error', reject).end('hello');
+		});
+		await readBody(response);
+		return response;
+	};
+
+	t.equal((await ask('before', 10_000)).statusCode, 200);
+	const stopped = entryNode.stop();
+	const long = await ask('long', 10_000);
+	t.equal(long.statusCode, 503);
+	t.ok(Number(long.headers['retry-after']) < 0.1, 'another entry takes it at once');
+	t.equal(long.headers.connection, 'close');
+	t.notOk(begun.includes('long'));
+	await stopped;
+});
+
+// The same entry with the time that a short answer needs: it must not be refused.
+t.test('an entry that ends still begins what surely ends before', async t => {
+	const {call, entryNode} = await deploy(t, stream);
+	const stopped = entryNode.stop();
+	t.equal((await call('short')).status, 200);
+	await stopped;
+});
--- a/packages/gateway/test/serve-request.test.ts
+++ b/packages/gateway/test/serve-request.test.ts
@@ -28,7 +28,7 @@
 		urgency: 'x-urgency', load: 'x-load', lastEventId: 'last-event-id',
 	},
 	decodeConfiguration: () => ({type: 'invalid', problems: []}),
-	readPromptTokens: () => 100,
+	readTokens: () => ({prompt: 100, mostAnswer: 10}),
 	readActive: () => null,
 };
 
