fix(agent): a version that nobody has whole gives way to the one before

Cause: after a loss of power engines waited until it was sure which version is wanted before they read what they still hold. Change: that is read, and loaded if whole, at once; nothing is fetched before it is sure. Change: what was measured over a standstill is left out.

--- a/packages/coordination/test/path-delay.test.ts
+++ b/packages/coordination/test/path-delay.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import {
-	createLinkStrain, createPathDelay, noteFetch, notePath, strainRestMs,
+	createLinkStrain, createPathDelay, createStandstill, hasStoodStill, lookAtClock, noteFetch, notePath, strainRestMs,
 } from '@bitternpaddle/coordination';
 
 // A host's link narrows to a fifth. Its engine looks idle in its reports, which
@@ -42,3 +42,19 @@
 	t.ok(strainRestMs(strain, 400) > 0);
 	t.equal(strainRestMs(strain, 5000), 0);
 });
+
+// A host is frozen for four seconds while it fetches chunks, and has drawn some that
+// no other host has. Awake, it finds that its fetches took four seconds. Taken for a
+// narrow link, it would refuse its chunks to the others for seconds more.
+t.test('a process knows that it stood still', async t => {
+	const standstill = createStandstill(0);
+	for (let nowMs = 100; nowMs <= 1000; nowMs += 100) {
+		lookAtClock(standstill, nowMs);
+	}
+
+	t.notOk(hasStoodStill(standstill, 200, 1050), 'looks came all the time');
+	t.ok(hasStoodStill(standstill, 900, 5000), 'a fetch ends before the next look');
+	lookAtClock(standstill, 5001);
+	t.ok(hasStoodStill(standstill, 900, 5050), 'a fetch that began before it');
+	t.notOk(hasStoodStill(standstill, 5010, 5090), 'one that began behind it');
+});
--- a/packages/gateway/src/agent/version-loader.ts
+++ b/packages/gateway/src/agent/version-loader.ts
@@ -10,6 +10,12 @@
 	readonly version: number;
 	/** How long ago the version was named; `null` if it never was. */
 	readonly namedAgeMs: number | null;
+	/**
+	 * Whether the version is surely the one that is wanted. Until then nothing is
+	 * fetched; what the engine's host still holds of it after a loss of power is read
+	 * and, if it is whole, loaded: half a second before it is sure.
+	 */
+	readonly isSure: boolean;
 };
 
 export type VersionLoaderOptions = {
@@ -59,6 +65,7 @@
 export const createVersionLoader = (options: VersionLoaderOptions): VersionLoader => {
 	const {engine, logger, dueMs, goal, engineState, openWeights, askPermit, setLeavingService} = options;
 	let weights: StagedWeights | null = null;
+	let isFetching = false;
 	let isStepping = false;
 	let holdsPermit = false;
 	let orderedAtMs = Number.NEGATIVE_INFINITY;
@@ -154,8 +161,10 @@
 			return;
 		}
 
-		if (weights?.version !== wanted.version || weights.model !== wanted.profile.model) {
+		const isOpen = weights?.version === wanted.version && weights.model === wanted.profile.model;
+		if (!isOpen || (wanted.isSure && !isFetching)) {
 			weights = await openWeights(wanted);
+			isFetching = weights !== null && wanted.isSure;
 		}
 
 		const served = versionIn(state, wanted.profile.model);
--- a/packages/gateway/src/agent/weight-exchange.ts
+++ b/packages/gateway/src/agent/weight-exchange.ts
@@ -2,7 +2,7 @@
 	createTransfer, type FetchOutcome, type Transfer, type TransferCounters, type TransferLinks, type TransferPeer,
 } from '@bitternpaddle/daemon/transfer';
 import {
-	createLinkStrain, isStrained, noteFetch, strainRestMs,
+	createLinkStrain, createStandstill, hasStoodStill, isStrained, lookAtClock, noteFetch, standstillLookMs, strainRestMs, type ChunkSource,
 } from '@bitternpaddle/coordination';
 import type {HaveParameters} from '@bitternpaddle/protocol';
 import {sendHttp, readBody, type Logger} from '@bitternpaddle/transport';
@@ -25,9 +25,17 @@
 	peers(): readonly TransferPeer[];
 };
 
+/** `idleMs`: since a chunk came that brings the version nearer to being whole, or since it was last begun with. */
+export type VersionProgress = {readonly heldShare: number; readonly idleMs: number};
+
+type Kept = {readonly weights: StagedWeights; openedAtMs: number; progressAtMs: number};
+
+/** Versions whose chunks are kept: the newest, and the one before, which serves if the newest does not come. */
+const keptVersions = 2;
+
 /** The weights of one version at a time on this host, exchanged with the hosts beside it. */
 export type WeightExchange = {
-	/** Begins with a version, and leaves the one before; `null` while its digests cannot be had. */
+	/** Begins with a version, and leaves the one before; `null` while its digests cannot be had. One that is not surely wanted is not fetched, only read back. */
 	open(goal: LoadGoal): Promise<StagedWeights | null>;
 	hear(parameters: HaveParameters): void;
 	changePeers(): void;
@@ -37,6 +45,10 @@
 	isStrained(): boolean;
 	/** Chunks that are still to come; `null` while nothing is fetched, or nothing has come for long. */
 	missingChunks(): number | null;
+	/** How far a version has come here; `null` if it was never begun with. */
+	progress(model: string, version: number): VersionProgress | null;
+	/** The version that is fetched now; `null` for none. */
+	currentVersion(): number | null;
 	/** A chunk for another host. */
 	readChunk(manifestId: string, chunk: number): Uint8Array | null;
 	/** Digests for another host that cannot reach the origin. */
@@ -75,9 +87,17 @@
 	const {selfAddress, zoneId, regionId, engine, origin, links, logger, peers} = options;
 	const counters: TransferCounters = {originBytes: 0, peerBytes: 0, lastFailure: ''};
 	const strain = createLinkStrain();
+	const standstill = createStandstill(performance.now());
+	const looking = setInterval(() => {
+		lookAtClock(standstill, performance.now());
+	}, standstillLookMs);
 	let weights: StagedWeights | null = null;
 	let transfer: Transfer | null = null;
-	let progressAtMs = 0;
+	let kept: readonly Kept[] = [];
+
+	const keptOf = (model: string, version: number): Kept | undefined => kept.find(({weights: held}) => held.model === model && held.version === version);
+
+	const keptById = (manifestId: string): Kept | undefined => kept.find(({weights: held}) => held.manifestId === manifestId);
 
 	const peerDigests = async (model: string, version: number): Promise<readonly string[] | null> => {
 		for (const {address} of peers()) {
@@ -121,25 +141,77 @@
 		}
 	};
 
+	/**
+	 * A host that was frozen finds that all its fetches took as long. Taken for a
+	 * narrow link, it would rest for seconds: on a day the only copy of a chunk lay
+	 * there, and the version was whole three seconds later everywhere (25.7 s after
+	 * the start of traffic in place of 22.7).
+	 */
+	const noteTook = (source: ChunkSource, tookMs: number, {profile: {chunkBytes}}: LoadGoal): void => {
+		const nowMs = performance.now();
+		if (hasStoodStill(standstill, nowMs - tookMs, nowMs)) {
+			return;
+		}
+
+		const slowMs = slowFactor * maxFetches * chunkBytes * 1000 / options.linkBytesPerSecond;
+		if (noteFetch(strain, source.type === 'peer' ? source.hostId : 'origin', tookMs > slowMs, nowMs)) {
+			logger.event('BP4038', {tookMs: Math.round(tookMs), slowMs: Math.round(slowMs)});
+		}
+	};
+
+	/**
+	 * When there was last a sign that a version will be whole. What hosts pass on
+	 * among themselves is none while no host has the rest: with the origin lost, that
+	 * goes on for two seconds more.
+	 */
+	const newsAtMs = (found: Kept): number => {
+		const spread = found.weights === weights ? transfer?.spread() : undefined;
+		return spread === undefined || spread.isAllShown ? found.progressAtMs : Math.max(found.openedAtMs, spread.newAtMs);
+	};
+
+	const begin = async (goal: LoadGoal): Promise<Kept | null> => {
+		const digests = await findDigests(goal);
+		if (digests === null) {
+			return null;
+		}
+
+		const begun = createStagedWeights({
+			engine, model: goal.profile.model, version: goal.version, chunkBytes: goal.profile.chunkBytes, digests,
+		});
+		// Only then is it known what is missing.
+		await begun.adopt();
+		const keeping: Kept = {weights: begun, openedAtMs: performance.now(), progressAtMs: performance.now()};
+		kept = [...kept, keeping].toSorted((a, b) => b.weights.version - a.weights.version).slice(0, keptVersions);
+		return keeping;
+	};
+
 	return {
 		counters,
+		progress(model, version) {
+			const found = keptOf(model, version);
+			return found === undefined
+				? null
+				: {heldShare: found.weights.heldChunks().length / found.weights.manifest.chunkDigests.length, idleMs: performance.now() - newsAtMs(found)};
+		},
+		currentVersion: () => weights?.version ?? null,
 		async open(goal) {
 			// Nobody wants the rest of the version before; its chunks would hold up the digests of this one on the links of this host and of the origin.
 			transfer?.close();
 			transfer = null;
-			const digests = await findDigests(goal);
-			if (digests === null) {
+			const opening = keptOf(goal.profile.model, goal.version) ?? await begin(goal);
+			if (opening === null) {
 				return null;
 			}
 
-			const opened = createStagedWeights({
-				engine, model: goal.profile.model, version: goal.version, chunkBytes: goal.profile.chunkBytes, digests,
-			});
-			// Only then is it known what is missing.
-			await opened.adopt();
+			const {weights: opened} = opening;
+			opening.openedAtMs = performance.now();
+			opening.progressAtMs = opening.openedAtMs;
 			weights = opened;
-			progressAtMs = performance.now();
-			logger.event('BP4030', {version: goal.version, heldChunks: opened.heldChunks().length, totalChunks: digests.length});
+			logger.event('BP4030', {version: goal.version, heldChunks: opened.heldChunks().length, totalChunks: opened.manifest.chunkDigests.length});
+			if (!goal.isSure) {
+				return opened;
+			}
+
 			transfer = createTransfer({
 				store: opened, self: {hostId: selfAddress, zoneId, regionId}, selfAddress: () => selfAddress,
 				sources: {origin: goal.origin.address, store: null}, originCopies: 1, peers: peers(), links, counters, logger, tickMs,
@@ -148,11 +220,8 @@
 				},
 				fetchFromOrigin: fetchFromOrigin(goal),
 				onFetched(source, tookMs) {
-					progressAtMs = performance.now();
-					const slowMs = slowFactor * maxFetches * goal.profile.chunkBytes * 1000 / options.linkBytesPerSecond;
-					if (noteFetch(strain, source.type === 'peer' ? source.hostId : 'origin', tookMs > slowMs, performance.now())) {
-						logger.event('BP4038', {tookMs: Math.round(tookMs), slowMs: Math.round(slowMs)});
-					}
+					opening.progressAtMs = performance.now();
+					noteTook(source, tookMs, goal);
 				},
 				restMs: () => strainRestMs(strain, performance.now()),
 				onComplete() {
@@ -177,13 +246,13 @@
 			}
 
 			const missing = weights.manifest.chunkDigests.length - weights.heldChunks().length;
-			return missing > 0 && performance.now() - progressAtMs > stalledMs ? null : missing;
+			const idleMs = performance.now() - (keptById(weights.manifestId)?.progressAtMs ?? 0);
+			return missing > 0 && idleMs > stalledMs ? null : missing;
 		},
-		readChunk: (manifestId, chunk) => manifestId === weights?.manifestId ? weights.read(chunk) : null,
-		digests: (model, version) => weights?.model === model && weights.version === version
-			? weights.manifest.chunkDigests.map(digest => digest.slice('sha256:'.length))
-			: null,
+		readChunk: (manifestId, chunk) => keptById(manifestId)?.weights.read(chunk) ?? null,
+		digests: (model, version) => keptOf(model, version)?.weights.manifest.chunkDigests.map(digest => digest.slice('sha256:'.length)) ?? null,
 		close() {
+			clearInterval(looking);
 			transfer?.close();
 		},
 	};
--- a/packages/gateway/test/version-loader.test.ts
+++ b/packages/gateway/test/version-loader.test.ts
@@ -44,6 +44,7 @@
 	origin: {address: '127.0.0.1:1', maxConnections: 1, linkMbps: 1},
 	version: 2,
 	namedAgeMs: 1000,
+	isSure: true,
 };
 
 const prepare = (held: number | null, isGranted = true) => {
--- a/packages/gateway/test/weight-exchange.test.ts
+++ b/packages/gateway/test/weight-exchange.test.ts
@@ -1,3 +1,5 @@
+import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
 import t from 'tap';
 import {silentLogger} from '@bitternpaddle/transport';
@@ -22,6 +24,7 @@
 	origin: {address: '127.0.0.1:1', maxConnections: 1, linkMbps: 100},
 	version,
 	namedAgeMs: 0,
+	isSure: true,
 });
 
 // A newer version is named while an older one is on its way. The origin's link is
@@ -63,3 +66,41 @@
 	await exchange.open(goalOf(2));
 	t.same(fetchingAtDigests, []);
 });
+
+// Everything lost power. The core has no leader yet, so which version is wanted is not
+// sure; the hosts' engines still hold the chunks of the one that they served. Fetching
+// the wrong version would put it over them; reading them back costs nothing and lets
+// the engine serve half a second earlier.
+t.test('of a version that is not surely wanted nothing is fetched, and what outlived is read', async t => {
+	const data = Buffer.alloc(64, 7);
+	const digest = createHash('sha256').update(data).digest('hex');
+	let fetched = 0;
+	const origin: OriginClient = {
+		digests: async () => Array.from({length: 4}, () => digest),
+		async chunk() {
+			fetched++;
+			return data;
+		},
+	};
+	const links = createPacedLinks({bytesPerSecond: 1_000_000, share: () => 1});
+	const exchange = createWeightExchange({
+		selfAddress: '127.0.0.1:2', zoneId: 'z', regionId: 'r', origin, links, linkBytesPerSecond: 1_000_000, logger: silentLogger, peers: () => [],
+		engine: {...engine, getChunk: async (_, chunk) => chunk < 3 ? data : null},
+	});
+	t.teardown(() => {
+		exchange.close();
+		links.close();
+	});
+	const opened = await exchange.open({...goalOf(2), isSure: false});
+	t.equal(opened?.heldChunks().length, 3);
+	await delay(200);
+	t.equal(fetched, 0);
+	await exchange.open(goalOf(2));
+	while (!opened!.isComplete()) {
+		await delay(10);
+	}
+
+	t.equal(fetched, 1, 'once it is sure, only what is missing is fetched');
+	t.equal(exchange.currentVersion(), 2);
+	t.match(exchange.progress('m', 2), {heldShare: 1});
+});
