perf(swarm): hosts beside the origin draw its chunks

Ruled out: fewer drawers anywhere, which leaves the same crossings. Change: where the links of the hosts in the origin's zone carry what the origin sends, these draw first, and the others come behind them if they fail. The test fails before (chunks are owned in all zones).

--- a/packages/coordination/src/swarm/origin-tickets.ts
+++ b/packages/coordination/src/swarm/origin-tickets.ts
@@ -12,6 +12,8 @@
  */
 export type OriginTickets = {
 	readonly drawers: readonly string[];
+	/** Hosts beside the origin. */
+	readonly nearIds: ReadonlySet<string>;
 	/** Drawers without progress while others had some; their chunks are taken over. */
 	readonly suspects: Set<string>;
 	/** Chunks of each drawer that no neighbour has announced, and the last change of that: when, and at which `activeMs`. */
@@ -37,6 +39,8 @@
 export type CreateOriginTicketsOptions = {
 	readonly selfId: string;
 	readonly hostIds: readonly string[];
+	/** Hosts beside the origin, which draw before all others. @default none */
+	readonly nearIds?: ReadonlySet<string>;
 	readonly manifestId: string;
 	readonly totalChunks: number;
 	readonly drawers: number;
@@ -46,12 +50,12 @@
 };
 
 export const createOriginTickets = (options: CreateOriginTicketsOptions): OriginTickets => {
-	const {selfId, hostIds, manifestId, totalChunks, seen, gapMs, nowMs} = options;
-	const drawers = rendezvousOrder(`${manifestId}/origin`, hostIds).slice(0, options.drawers);
+	const {selfId, hostIds, nearIds = noHosts, manifestId, totalChunks, seen, gapMs, nowMs} = options;
+	const drawers = nearFirst(rendezvousOrder(`${manifestId}/origin`, hostIds), nearIds).slice(0, options.drawers);
 	const owners: string[] = [];
 	const unseen = new Map(drawers.map(hostId => [hostId, {count: 0, progressAtMs: nowMs, progressAtActiveMs: 0}]));
 	for (let chunk = 0; chunk < totalChunks; chunk++) {
-		const owner = ownerOrder(manifestId, chunk, drawers)[0]!;
+		const owner = ownerOrder({manifestId, nearIds}, chunk, drawers)[0]!;
 		owners.push(owner);
 		if (seen[chunk] === 0) {
 			unseen.get(owner)!.count++;
@@ -59,13 +63,23 @@
 	}
 
 	const tickets: OriginTickets = {
-		drawers, suspects: new Set(), unseen, longestSilenceMs: 0, activeMs: 0, progressAtMs: nowMs, gapMs, seen, owners, ownChunks: [], ranks: new Int16Array(totalChunks).fill(-1),
+		drawers, nearIds, suspects: new Set(), unseen, longestSilenceMs: 0, activeMs: 0, progressAtMs: nowMs, gapMs, seen, owners, ownChunks: [], ranks: new Int16Array(totalChunks).fill(-1),
 	};
 	rankChunks(tickets, manifestId, selfId);
 	return tickets;
 };
 
-const ownerOrder = (manifestId: string, chunk: number, drawers: readonly string[]): string[] => rendezvousOrder(`${manifestId}/${chunk}`, drawers);
+const noHosts: ReadonlySet<string> = new Set();
+
+const nearFirst = (hostIds: readonly string[], nearIds: ReadonlySet<string>): string[] => [
+	...hostIds.filter(hostId => nearIds.has(hostId)),
+	...hostIds.filter(hostId => !nearIds.has(hostId)),
+];
+
+type OwnerOptions = {readonly manifestId: string; readonly nearIds: ReadonlySet<string>};
+
+/** Who draws a chunk, and who after that. */
+const ownerOrder = ({manifestId, nearIds}: OwnerOptions, chunk: number, drawers: readonly string[]): string[] => nearFirst(rendezvousOrder(`${manifestId}/${chunk}`, drawers), nearIds);
 
 const rankChunks = (tickets: OriginTickets, manifestId: string, selfId: string): void => {
 	if (!tickets.drawers.includes(selfId)) {
@@ -73,7 +87,7 @@
 	}
 
 	const living = tickets.drawers.filter(hostId => !tickets.suspects.has(hostId));
-	tickets.ranks = Int16Array.from(tickets.owners, (_, chunk) => ownerOrder(manifestId, chunk, living).indexOf(selfId));
+	tickets.ranks = Int16Array.from(tickets.owners, (_, chunk) => ownerOrder({manifestId, nearIds: tickets.nearIds}, chunk, living).indexOf(selfId));
 	tickets.ownChunks = [...tickets.ranks.keys()].filter(chunk => tickets.ranks[chunk] === 0);
 };
 
--- a/packages/coordination/src/swarm/swarm.ts
+++ b/packages/coordination/src/swarm/swarm.ts
@@ -23,13 +23,13 @@
 export const createSwarm = (options: SwarmOptions): {state: SwarmState; effects: SwarmEffect[]} => {
 	const {
 		held, peers, maxFetches = 5, maxFetchesPerPeer = 2, maxOriginFetches = 2, originCopies = 1, drawers = 8,
-		takeoverMs = 2000, fetchTimeoutMs = 5000, maxNeighbours = 10, maxBadChunks = 3, importWaitMs = 0, greetingWaitMs = 500, redrawMs = Number.POSITIVE_INFINITY, ...rest
+		takeoverMs = 2000, fetchTimeoutMs = 5000, maxNeighbours = 10, maxBadChunks = 3, importWaitMs = 0, greetingWaitMs = 500, redrawMs = Number.POSITIVE_INFINITY, nearDrawers = null, ...rest
 	} = options;
 	const {self, manifestId, totalChunks, nowMs} = rest;
 	const seen = new Uint8Array(totalChunks);
 	const state: SwarmState = {
 		options: {
-			...rest, maxFetches, maxFetchesPerPeer, maxOriginFetches, originCopies, drawers, takeoverMs, fetchTimeoutMs, maxNeighbours, maxBadChunks, importWaitMs, greetingWaitMs, redrawMs,
+			...rest, maxFetches, maxFetchesPerPeer, maxOriginFetches, originCopies, drawers, takeoverMs, fetchTimeoutMs, maxNeighbours, maxBadChunks, importWaitMs, greetingWaitMs, redrawMs, nearDrawers,
 		},
 		peers: new Map(),
 		neighbours: new Map(),
@@ -111,7 +111,7 @@
 	if (!isSamePeers(state.peers, next)) {
 		state.peers = next;
 		state.tickets = createOriginTickets({
-			selfId: self.hostId, hostIds: [self.hostId, ...next.keys()], manifestId, totalChunks, drawers, seen: state.tickets.seen, nowMs, gapMs: takeoverMs * activeGapShare,
+			selfId: self.hostId, hostIds: [self.hostId, ...next.keys()], nearIds: nearHosts(state, next), manifestId, totalChunks, drawers, seen: state.tickets.seen, nowMs, gapMs: takeoverMs * activeGapShare,
 		});
 		rankZoneImports(state.imports, {self, manifestId, peers: next.values()});
 		return greetNewNeighbours(state, nowMs);
@@ -121,6 +121,16 @@
 	return state.avoidedUntilMs.size === 0 ? [] : greetNewNeighbours(state, nowMs);
 };
 
+/** The hosts that should draw before the others. */
+const nearHosts = ({options: {self, nearDrawers}}: SwarmState, peers: ReadonlyMap<string, SwarmPeer>): ReadonlySet<string> => {
+	if (nearDrawers === null) {
+		return new Set();
+	}
+
+	const near = [self, ...peers.values()].filter(({zoneId}) => zoneId === nearDrawers.zoneId);
+	return new Set(near.length < nearDrawers.least ? [] : near.map(({hostId}) => hostId));
+};
+
 /** Ends the bookkeeping of one fetch; `null` when it was given up before. */
 const endFetch = (state: SwarmState, chunk: number, source: ChunkSource): {startedAtMs: number} | null => {
 	const running = state.fetches.get(chunk) ?? [];
--- a/packages/coordination/src/swarm/types.ts
+++ b/packages/coordination/src/swarm/types.ts
@@ -12,6 +12,9 @@
 /** `busy`: the source is alive and refuses for now; `missing`: a peer announced what it does not have. */
 export type FailureReason = 'corrupt' | 'missing' | 'unreachable' | 'stalled' | 'busy';
 
+/** `least`: hosts whose links together carry what the origin sends. */
+export type NearDrawers = {readonly zoneId: string; readonly least: number};
+
 export type SwarmOptions = {
 	readonly self: SwarmPeer;
 	readonly manifestId: string;
@@ -30,6 +33,12 @@
 	readonly originCopies?: number;
 	/** Hosts that draw from the origin, for each copy. @default 8 */
 	readonly drawers?: number;
+	/**
+	 * Hosts of the origin's zone draw its chunks, where there are enough of them for
+	 * its link; the others do if these fail. A chunk that is drawn from another zone
+	 * crosses once more on its way back. @default null, any host draws
+	 */
+	readonly nearDrawers?: NearDrawers | null;
 	/** Without a new chunk from a drawer for this long the others take its chunks over. @default 2000 */
 	readonly takeoverMs?: number;
 	/** A fetch without an end for this long is given up, whatever fetches took so far. @default 5000 */
--- a/packages/coordination/test/swarm.test.ts
+++ b/packages/coordination/test/swarm.test.ts
@@ -293,3 +293,21 @@
 	t.same(importers(10).toSorted((a, b) => a - b), [0, 1, 2, 3, 4, 5, 6, 7]);
 	t.equal(importers(310).length, 16, 'the second in turn no longer waits');
 });
+
+// The origin stands in one zone; hosts of three zones share its chunks. A chunk drawn
+// from another zone crosses into it, out of it to the third, and back to the origin's
+// own: a copy crosses nearly three times where two would do, and those are paid for.
+t.test('hosts beside the origin draw its chunks, and the others if they fail', async t => {
+	const peers = ['a', 'b', 'c', 'd', 'e', 'f'].map(hostId => ({hostId, zoneId: hostId < 'd' ? 'near' : 'far', regionId: 'r'}));
+	const createIn = (hostId: string, least: number): SwarmState => createSwarm({
+		self: peers.find(candidate => candidate.hostId === hostId)!, manifestId: 'm', totalChunks: 24, held: [], peers, random: createRandom(3), nowMs: 0,
+		nearDrawers: {zoneId: 'near', least},
+	}).state;
+	const owned = (least: number): number[] => peers.map(({hostId}) => createIn(hostId, least).tickets.ownChunks.length);
+	t.same(owned(3).slice(3), [0, 0, 0], 'nothing is drawn from another zone');
+	t.equal(owned(3).reduce((sum, count) => sum + count, 0), 24, 'every chunk has one owner');
+	t.ok(owned(4).slice(3).every(count => count > 0), 'three links do not carry what the origin sends: all draw');
+	const far = createIn('d', 3);
+	t.ok(far.tickets.drawers.includes('d'));
+	t.ok(far.tickets.ranks.every(rank => rank >= 3), 'it comes behind all that are near');
+});
--- a/packages/daemon/src/agent/transfer.ts
+++ b/packages/daemon/src/agent/transfer.ts
@@ -31,7 +31,7 @@
 	/** How long this host should fetch nothing; 0: it may. @default 0 */
 	restMs?(): number;
 	/** Bounds of the exchange. @default the swarm's own */
-	readonly swarm?: Pick<SwarmOptions, 'takeoverMs' | 'maxFetches' | 'maxFetchesPerPeer' | 'maxOriginFetches' | 'importWaitMs' | 'greetingWaitMs' | 'redrawMs'>;
+	readonly swarm?: Pick<SwarmOptions, 'takeoverMs' | 'maxFetches' | 'maxFetchesPerPeer' | 'maxOriginFetches' | 'importWaitMs' | 'greetingWaitMs' | 'redrawMs' | 'nearDrawers'>;
 	/** How often the exchange looks at its clock. @default 100 */
 	readonly tickMs?: number;
 	onComplete(): void;
--- a/packages/gateway/src/agent/weight-exchange.ts
+++ b/packages/gateway/src/agent/weight-exchange.ts
@@ -2,7 +2,7 @@
 	createTransfer, type FetchOutcome, type Transfer, type TransferCounters, type TransferLinks, type TransferPeer,
 } from '@bitternpaddle/daemon/transfer';
 import {
-	createLinkStrain, createStandstill, hasStoodStill, isStrained, lookAtClock, noteFetch, standstillLookMs, strainRestMs, type ChunkSource,
+	createLinkStrain, createStandstill, hasStoodStill, isStrained, lookAtClock, noteFetch, standstillLookMs, strainRestMs, type ChunkSource, type NearDrawers,
 } from '@bitternpaddle/coordination';
 import type {HaveParameters} from '@bitternpaddle/protocol';
 import {sendHttp, readBody, type Logger} from '@bitternpaddle/transport';
@@ -77,6 +77,10 @@
 
 const redrawMs = ({profile: {chunks, chunkBytes}, origin: {linkMbps}}: LoadGoal): number => Math.max(leastRedrawMs, drawFactor * chunks * chunkBytes * bitsPerByte / (linkMbps * 1000));
 
+const nearDrawers = ({origin: {zoneId, linkMbps}}: LoadGoal, linkBytesPerSecond: number): NearDrawers | null => zoneId === null
+	? null
+	: {zoneId, least: Math.ceil(linkMbps * 1_000_000 / (linkBytesPerSecond * bitsPerByte))};
+
 const digestTimeoutMs = 700;
 const originRestMs = 150;
 const digestsSchema = z.array(z.string());
@@ -216,7 +220,7 @@
 				store: opened, self: {hostId: selfAddress, zoneId, regionId}, selfAddress: () => selfAddress,
 				sources: {origin: goal.origin.address, store: null}, originCopies: 1, peers: peers(), links, counters, logger, tickMs,
 				swarm: {
-					takeoverMs, importWaitMs, maxFetches, maxFetchesPerPeer: 1, greetingWaitMs, redrawMs: redrawMs(goal),
+					takeoverMs, importWaitMs, maxFetches, maxFetchesPerPeer: 1, greetingWaitMs, redrawMs: redrawMs(goal), nearDrawers: nearDrawers(goal, options.linkBytesPerSecond),
 				},
 				fetchFromOrigin: fetchFromOrigin(goal),
 				onFetched(source, tookMs) {
--- a/packages/gateway/test/weight-exchange.test.ts
+++ b/packages/gateway/test/weight-exchange.test.ts
@@ -21,7 +21,7 @@
 		slots: 16, stepsPerPass: 6, stepMs: 7, perSequenceMs: 0, contextMsPerThousand: 0, readTokensPerSecond: 1000, usualPromptTokens: 1, usualAnswerTokens: 1,
 		kvCapacityTokens: 1, model: 'm', chunks: 4, chunkBytes: 64, loadMs: 0,
 	},
-	origin: {address: '127.0.0.1:1', maxConnections: 1, linkMbps: 100},
+	origin: {address: '127.0.0.1:1', zoneId: null, maxConnections: 1, linkMbps: 100},
 	version,
 	namedAgeMs: 0,
 	isSure: true,
--- a/packages/state/src/routing/types.ts
+++ b/packages/state/src/routing/types.ts
@@ -50,8 +50,8 @@
 	readonly loadMs: number;
 };
 
-/** Where weights come from. */
-export type OriginProfile = {readonly address: string; readonly maxConnections: number; readonly linkMbps: number};
+/** Where weights come from; its zone is `null` if it is not told. */
+export type OriginProfile = {readonly address: string; readonly zoneId: string | null; readonly maxConnections: number; readonly linkMbps: number};
 
 export type Service = {
 	readonly name: string;
