fix(swarm): a host that was frozen is a neighbour again as soon as it wakes

Change: a process that stood still opens its exchange anew, which greets all; a greeting ends the time for which a host is left out. Both tests fail before.

--- a/packages/coordination/src/swarm/exchange.ts
+++ b/packages/coordination/src/swarm/exchange.ts
@@ -80,6 +80,11 @@
 
 /** A peer told what it has; one that this host did not choose becomes a neighbour while there is room. */
 export const hearPeer = (state: SwarmState, {hostId, chunks, isGreeting}: PeerHas, nowMs: number): SwarmEffect[] => {
+	if (isGreeting) {
+		// It was frozen or cut off, and is not any more: it may have drawn what nobody else has.
+		state.avoidedUntilMs.delete(hostId);
+	}
+
 	if (!state.peers.has(hostId) || isLeftOut(state, hostId, nowMs)) {
 		return [];
 	}
--- a/packages/coordination/src/swarm/standstill.ts
+++ b/packages/coordination/src/swarm/standstill.ts
@@ -11,12 +11,15 @@
 
 export const createStandstill = (nowMs: number): Standstill => ({lookedAtMs: nowMs, endedAtMs: Number.NEGATIVE_INFINITY});
 
-export const lookAtClock = (standstill: Standstill, nowMs: number): void => {
-	if (nowMs - standstill.lookedAtMs > leastMs) {
+/** `true` if the process has stood still since the last look. */
+export const lookAtClock = (standstill: Standstill, nowMs: number): boolean => {
+	const stoodStill = nowMs - standstill.lookedAtMs > leastMs;
+	if (stoodStill) {
 		standstill.endedAtMs = nowMs;
 	}
 
 	standstill.lookedAtMs = nowMs;
+	return stoodStill;
 };
 
 /** Whether it stood still at any time since; also where the first event behind the standstill comes before the next look. */
--- a/packages/coordination/test/swarm.test.ts
+++ b/packages/coordination/test/swarm.test.ts
@@ -311,3 +311,31 @@
 	t.ok(far.tickets.drawers.includes('d'));
 	t.ok(far.tickets.ranks.every(rank => rank >= 3), 'it comes behind all that are near');
 });
+
+// A host draws chunks from the origin and freezes for four seconds. Its neighbours ask
+// it in vain, four times in a row, and leave it out for half a minute; the origin is
+// lost meanwhile. It wakes and greets them: what it alone has drawn must be had again.
+t.test('a neighbour that was given up is one again as soon as it greets', async t => {
+	const {state} = create('a', ['b'], {totalChunks: 2, maxNeighbours: 2});
+	stepSwarm(state, {
+		type: 'peerHas', hostId: 'b', chunks: [0, 1], isGreeting: true,
+	}, 10);
+	let nowMs = 10;
+	while (state.neighbours.has('b')) {
+		nowMs += 5000;
+		for (const {chunk, source} of fetchesOf(stepSwarm(state, {type: 'tick'}, nowMs)).filter(({source: {type}}) => type === 'peer')) {
+			stepSwarm(state, {
+				type: 'failed', chunk, source, reason: 'unreachable',
+			}, nowMs);
+		}
+	}
+
+	stepSwarm(state, {
+		type: 'peerHas', hostId: 'b', chunks: [0], isGreeting: false,
+	}, nowMs);
+	t.notOk(state.neighbours.has('b'), 'its word alone does not count');
+	const effects = stepSwarm(state, {
+		type: 'peerHas', hostId: 'b', chunks: [0, 1], isGreeting: true,
+	}, nowMs + 10);
+	t.match(fetchesOf(effects).map(({source}) => source), [{type: 'peer', hostId: 'b'}], 'it is asked at once');
+});
--- a/packages/gateway/src/agent/weight-exchange.ts
+++ b/packages/gateway/src/agent/weight-exchange.ts
@@ -30,6 +30,8 @@
 
 type Kept = {readonly weights: StagedWeights; openedAtMs: number; progressAtMs: number};
 
+type Fetching = {readonly goal: LoadGoal; readonly opening: Kept};
+
 /** Versions whose chunks are kept: the newest, and the one before, which serves if the newest does not come. */
 const keptVersions = 2;
 
@@ -93,10 +95,13 @@
 	const strain = createLinkStrain();
 	const standstill = createStandstill(performance.now());
 	const looking = setInterval(() => {
-		lookAtClock(standstill, performance.now());
+		if (lookAtClock(standstill, performance.now())) {
+			resume();
+		}
 	}, standstillLookMs);
 	let weights: StagedWeights | null = null;
 	let transfer: Transfer | null = null;
+	let fetching: Fetching | null = null;
 	let kept: readonly Kept[] = [];
 
 	const keptOf = (model: string, version: number): Kept | undefined => kept.find(({weights: held}) => held.model === model && held.version === version);
@@ -189,6 +194,34 @@
 		return keeping;
 	};
 
+	/**
+	 * The others have given this host up while it stood still, for up to half a minute,
+	 * and with it chunks that it alone had drawn. A new exchange greets them all.
+	 */
+	const resume = (): void => {
+		if (fetching !== null && transfer !== null) {
+			transfer.close();
+			transfer = startTransfer(fetching);
+		}
+	};
+
+	const startTransfer = ({goal, opening}: Fetching): Transfer => createTransfer({
+		store: opening.weights, self: {hostId: selfAddress, zoneId, regionId}, selfAddress: () => selfAddress,
+		sources: {origin: goal.origin.address, store: null}, originCopies: 1, peers: peers(), links, counters, logger, tickMs,
+		swarm: {
+			takeoverMs, importWaitMs, maxFetches, maxFetchesPerPeer: 1, greetingWaitMs, redrawMs: redrawMs(goal), nearDrawers: nearDrawers(goal, options.linkBytesPerSecond),
+		},
+		fetchFromOrigin: fetchFromOrigin(goal),
+		onFetched(source, tookMs) {
+			opening.progressAtMs = performance.now();
+			noteTook(source, tookMs, goal);
+		},
+		restMs: () => strainRestMs(strain, performance.now()),
+		onComplete() {
+			logger.event('BP4031', {version: goal.version, originBytes: counters.originBytes, peerBytes: counters.peerBytes});
+		},
+	});
+
 	return {
 		counters,
 		progress(model, version) {
@@ -216,22 +249,8 @@
 				return opened;
 			}
 
-			transfer = createTransfer({
-				store: opened, self: {hostId: selfAddress, zoneId, regionId}, selfAddress: () => selfAddress,
-				sources: {origin: goal.origin.address, store: null}, originCopies: 1, peers: peers(), links, counters, logger, tickMs,
-				swarm: {
-					takeoverMs, importWaitMs, maxFetches, maxFetchesPerPeer: 1, greetingWaitMs, redrawMs: redrawMs(goal), nearDrawers: nearDrawers(goal, options.linkBytesPerSecond),
-				},
-				fetchFromOrigin: fetchFromOrigin(goal),
-				onFetched(source, tookMs) {
-					opening.progressAtMs = performance.now();
-					noteTook(source, tookMs, goal);
-				},
-				restMs: () => strainRestMs(strain, performance.now()),
-				onComplete() {
-					logger.event('BP4031', {version: goal.version, originBytes: counters.originBytes, peerBytes: counters.peerBytes});
-				},
-			});
+			fetching = {goal, opening};
+			transfer = startTransfer(fetching);
 			return opened;
 		},
 		hear(parameters) {
--- a/packages/gateway/test/version-loader.test.ts
+++ b/packages/gateway/test/version-loader.test.ts
@@ -41,7 +41,9 @@
 		slots: 16, stepsPerPass: 6, stepMs: 7, perSequenceMs: 0, contextMsPerThousand: 0, readTokensPerSecond: 1000, usualPromptTokens: 1, usualAnswerTokens: 1,
 		kvCapacityTokens: 1, model: 'm', chunks: digests.length, chunkBytes, loadMs: 0,
 	},
-	origin: {address: '127.0.0.1:1', zoneId: null, maxConnections: 1, linkMbps: 1},
+	origin: {
+		address: '127.0.0.1:1', zoneId: null, maxConnections: 1, linkMbps: 1,
+	},
 	version: 2,
 	namedAgeMs: 1000,
 	isSure: true,
--- a/packages/gateway/test/weight-exchange.test.ts
+++ b/packages/gateway/test/weight-exchange.test.ts
@@ -2,7 +2,8 @@
 import {createHash} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
 import t from 'tap';
-import {silentLogger} from '@bitternpaddle/transport';
+import {haveParametersSchema} from '@bitternpaddle/protocol';
+import {createHttpServer, createRpcServer, silentLogger} from '@bitternpaddle/transport';
 import {
 	createPacedLinks, createWeightExchange, type EngineClient, type LoadGoal, type OriginClient,
 } from '@bitternpaddle/gateway';
@@ -21,7 +22,9 @@
 		slots: 16, stepsPerPass: 6, stepMs: 7, perSequenceMs: 0, contextMsPerThousand: 0, readTokensPerSecond: 1000, usualPromptTokens: 1, usualAnswerTokens: 1,
 		kvCapacityTokens: 1, model: 'm', chunks: 4, chunkBytes: 64, loadMs: 0,
 	},
-	origin: {address: '127.0.0.1:1', zoneId: null, maxConnections: 1, linkMbps: 100},
+	origin: {
+		address: '127.0.0.1:1', zoneId: null, maxConnections: 1, linkMbps: 100,
+	},
 	version,
 	namedAgeMs: 0,
 	isSure: true,
@@ -104,3 +107,50 @@
 	t.equal(exchange.currentVersion(), 2);
 	t.match(exchange.progress('m', 2), {heldShare: 1});
 });
+
+/** Keeps this process from doing anything else. */
+const standStill = (forMs: number): void => {
+	const untilMs = performance.now() + forMs;
+	while (performance.now() < untilMs) {
+		// Nothing else runs meanwhile.
+	}
+};
+
+// The process stands still while it exchanges chunks; the others have given it up
+// meanwhile. Awake, it greets them anew, and its own slow fetches are no narrow link.
+t.test('a process that stood still greets its neighbours again', async t => {
+	const greetings: boolean[] = [];
+	const rpc = createRpcServer();
+	rpc.method('agent.have', haveParametersSchema, ({isGreeting}) => {
+		greetings.push(isGreeting);
+	});
+	const neighbour = await createHttpServer({listen: '127.0.0.1:0', handler: async (request, response) => rpc.serve(request, response)});
+	const links = createPacedLinks({bytesPerSecond: 1_000_000, share: () => 1});
+	const exchange = createWeightExchange({
+		selfAddress: '127.0.0.1:2', zoneId: 'z', regionId: 'r', engine, links, linkBytesPerSecond: 1_000_000, logger: silentLogger,
+		peers: () => [{
+			hostId: 'n', address: neighbour.address, zoneId: 'z', regionId: 'r',
+		}],
+		origin: {
+			digests: async () => Array.from({length: 4}, () => '0'.repeat(64)),
+			chunk: async () => delay(60_000, Buffer.alloc(64), {ref: false}),
+		},
+	});
+	t.teardown(() => {
+		exchange.close();
+		links.close();
+		neighbour.destroy();
+	});
+	const greeted = async (count: number): Promise<void> => {
+		while (greetings.filter(Boolean).length < count) {
+			await delay(10);
+		}
+	};
+
+	await exchange.open(goalOf(2));
+	await greeted(1);
+	standStill(700);
+	await greeted(2);
+	t.equal(greetings.filter(Boolean).length, 2);
+	t.notOk(exchange.isStrained());
+});
