fix(entry): who can surely not be served in its wait is sent away at once

Change: agents tell when the wanted version will be ready also while their engine still serves an older one; a first-comer waits only if that is within its wait, and is told to come back when engines are ready.

--- a/packages/coordination/src/placement/endpoint-load.ts
+++ b/packages/coordination/src/placement/endpoint-load.ts
@@ -15,7 +15,7 @@
 	readonly isStrained: boolean;
 	/** The version of the weights that it serves; `null` while it holds none whole. */
 	readonly version: number | null;
-	/** When an engine that holds none whole will most likely serve; `null` if it serves, or nobody can tell. */
+	/** When it will most likely serve the version that is wanted; `null` if it does, or nobody can tell. */
 	readonly readyInMs: number | null;
 };
 
--- a/packages/coordination/src/placement/wait-for-engine.ts
+++ b/packages/coordination/src/placement/wait-for-engine.ts
@@ -2,6 +2,7 @@
 import {hasFreshReport} from './endpoint-load.js';
 import {holdingMs} from './engine-model.js';
 import type {Candidate} from './place-request.js';
+import type {Random} from '../utils/random.js';
 
 /** What is to come of a service whose engines serve nobody now. */
 export type EngineOutlook = {
@@ -20,6 +21,14 @@
 	};
 };
 
+/** A caller that found no engine comes back once engines that load or restart have had the time. */
+const unknownReturnMs = 1500;
+/** Callers come back spread over this behind the first engine that is ready: the others follow within it. */
+const returnSpreadMs = 500;
+
+/** When a caller for whom there is no engine should come back. */
+export const noEngineReturnMs = ({readyInMs}: EngineOutlook, random: Random): number => (readyInMs ?? unknownReturnMs) + random.between(0, returnSpreadMs);
+
 export type WaitOptions = {
 	readonly profile: EngineProfile | null;
 	readonly outlook: EngineOutlook;
@@ -75,5 +84,7 @@
 		}
 	}
 
-	return isWithin(firstWait) ? 'brief' : 'leave';
+	// Told at once it comes back when engines are ready; told after a wait in vain, later.
+	const isTooLate = readyInMs !== null && readyInMs > firstWait.mostMs - waitedMs;
+	return isWithin(firstWait) && !isTooLate ? 'brief' : 'leave';
 };
--- a/packages/gateway/src/agent/agent-node.ts
+++ b/packages/gateway/src/agent/agent-node.ts
@@ -145,11 +145,11 @@
 		};
 	};
 
-	/** When the engine will most likely serve, by what is missing and the host's link; `null` if it serves or nobody can tell. */
+	/** When the engine will most likely serve the wanted version, by what is missing and the host's link; `null` if it does or nobody can tell. */
 	const readyInMs = (): number | null => {
 		const wanted = goal();
 		const missing = exchange.missingChunks();
-		if (wanted === null || missing === null || servedVersion() !== null) {
+		if (wanted === null || missing === null || (servedVersion() ?? 0) >= wanted.version) {
 			return null;
 		}
 
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -1,5 +1,5 @@
 import {
-	admitRequest, answerBoundMs, answerMs, arrivalsPerSecond, canEndInTime, decideWait, engineOutlook, placeRequest, readMs, spareFirstTokenMs, strictestObjectiveMs, type Placement, type WaitVerdict,
+	admitRequest, answerBoundMs, answerMs, arrivalsPerSecond, canEndInTime, decideWait, engineOutlook, noEngineReturnMs, placeRequest, readMs, spareFirstTokenMs, strictestObjectiveMs, type Placement, type WaitVerdict,
 } from '@bitternpaddle/coordination';
 import type {CallContext} from './call-context.js';
 import {duesOf} from './call-headers.js';
@@ -7,9 +7,8 @@
 import {giveUp, leastRemainingMs} from './finish-call.js';
 import type {Call} from './gateway-call.js';
 
-/** A caller that found no endpoint comes back once engines that load or restart have had the time. */
-const noEndpointRetryMs = 1500;
-const noEndpointSpreadMs = 500;
+/** Whose key was taken away finds no better answer before its operator has acted. */
+const revokedRetryMs = 1500;
 /** Behind an entry that ends, a caller's next connection leads to another one: two crossings between regions. */
 const leavingRetryMs = 10;
 
@@ -94,17 +93,18 @@
 
 	// It may have been taken away while the request waited.
 	if (!call.isKeyInForce()) {
-		return giveUp(context, call, progress, 'the key is no longer in force', noEndpointRetryMs);
+		return giveUp(context, call, progress, 'the key is no longer in force', revokedRetryMs);
 	}
 
+	const candidates = view.candidates(call.service.name, now);
 	const choice = placeRequest({
 		othersPerSecond: arrivalsPerSecond(context.sending(call.service.name), now) * (context.entryCount() - 1),
-		candidates: view.candidates(call.service.name, now), profile: call.service.engine, zoneId, promptTokens: call.promptTokens, objectiveMs: call.route.objectiveMs,
+		candidates, profile: call.service.engine, zoneId, promptTokens: call.promptTokens, objectiveMs: call.route.objectiveMs,
 		dues: duesOf(context, call), isBegun: progress.hasEvents, excludedIds: progress.triedIds, random, nowMs: now,
 	});
 	if (choice === null) {
 		return {
-			type: 'noEndpoint', reason: 'no endpoint can take it', retryAfterMs: noEndpointRetryMs + random.between(0, noEndpointSpreadMs),
+			type: 'noEndpoint', reason: 'no endpoint can take it', retryAfterMs: noEngineReturnMs(engineOutlook(candidates, now), random),
 		};
 	}
 
