refactor(agent): one version at a time again

It can gain no more than the time between the two names, less a wave of switching: nothing in sum, so it goes, with its tests. Reading early and greeting again stay.

--- a/packages/coordination/src/placement/index.ts
+++ b/packages/coordination/src/placement/index.ts
@@ -15,4 +15,3 @@
 export * from './caller-patience.js';
 export * from './objective-mix.js';
 export * from './urgency.js';
-export * from './pursued-version.js';
--- a/packages/daemon/src/agent/transfer.ts
+++ b/packages/daemon/src/agent/transfer.ts
@@ -41,8 +41,6 @@
 export type Transfer = {
 	hear(parameters: HaveParameters): void;
 	changePeers(peers: readonly TransferPeer[]): void;
-	/** Of the chunks that this host lacks. `newAtMs`: when one was last shown that nobody had shown before. */
-	spread(): {readonly isAllShown: boolean; readonly newAtMs: number};
 	/** Stops fetching; the store stays open. */
 	close(): void;
 };
@@ -187,7 +185,6 @@
 
 			dispatch({type: 'peersChanged', peers});
 		},
-		spread: () => ({isAllShown: state.tickets.seen.every(seen => seen === 1), newAtMs: state.tickets.progressAtMs}),
 		close() {
 			isClosed = true;
 			clearInterval(timer);
--- a/packages/gateway/src/agent/agent-node.ts
+++ b/packages/gateway/src/agent/agent-node.ts
@@ -1,5 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {pursuedVersion, type Clock, type EngineReport} from '@bitternpaddle/coordination';
+import type {Clock, EngineReport} from '@bitternpaddle/coordination';
 import {
 	chunksPrefix, createUploadServer, retryAfterMsHeader, type TransferPeer,
 } from '@bitternpaddle/daemon/transfer';
@@ -115,31 +115,17 @@
 		selfAddress, zoneId, regionId, engine, origin, links, linkBytesPerSecond, logger, peers,
 	});
 
-	/** From when on a version may no longer be begun on, as ms from now. */
-	const usableForMs = (model: string, version: number): number => Math.min(...versions.dues(model).filter(due => due.version > version).map(({dueAtMs}) => dueAtMs - performance.now()));
-
-	const wantedVersion = (model: string): number => {
-		const served = servedVersion() ?? 0;
-		const wanted = [firstVersion, ...versions.named(model)].filter(version => version > served).map(version => {
-			const progress = exchange.progress(model, version);
-			return {
-				version, heldShare: progress?.heldShare ?? 0, idleMs: progress?.idleMs ?? null, usableForMs: usableForMs(model, version),
-			};
-		});
-		return pursuedVersion({wanted, current: exchange.currentVersion()}) ?? Math.max(firstVersion, versions.newest(model));
-	};
-
 	const goal = (): LoadGoal | null => {
 		const table = configuration.table();
 		const profile = table?.services.get(serviceName)?.engine ?? null;
 		const source = [...table?.services.values() ?? []].find(service => service.origin !== null)?.origin ?? null;
 		const isSure = versions.isSettled(performance.now());
 		// An engine that serves goes on as it is until the wanted version is sure.
-		if (profile === null || source === null || (!isSure && (servedVersion() !== null || versions.named(profile.model).length === 0))) {
+		if (profile === null || source === null || (!isSure && (servedVersion() !== null || versions.newest(profile.model) === 0))) {
 			return null;
 		}
 
-		const version = wantedVersion(profile.model);
+		const version = Math.max(firstVersion, versions.newest(profile.model));
 		return {
 			profile, origin: source, version, namedAgeMs: versions.ageMs(profile.model, version, performance.now()), isSure,
 		};
--- a/packages/gateway/src/agent/weight-exchange.ts
+++ b/packages/gateway/src/agent/weight-exchange.ts
@@ -25,12 +25,10 @@
 	peers(): readonly TransferPeer[];
 };
 
-/** `idleMs`: since a chunk came that brings the version nearer to being whole, or since it was last begun with. */
-export type VersionProgress = {readonly heldShare: number; readonly idleMs: number};
+/** `progressAtMs`: when a chunk came, or the exchange began. */
+type Opened = {readonly weights: StagedWeights; progressAtMs: number};
 
-type Kept = {readonly weights: StagedWeights; openedAtMs: number; progressAtMs: number};
-
-type Fetching = {readonly goal: LoadGoal; readonly opening: Kept};
+type Fetching = {readonly goal: LoadGoal; readonly opened: Opened};
 
 /** Versions whose chunks are kept: the newest, and the one before, which serves if the newest does not come. */
 const keptVersions = 2;
@@ -47,10 +45,6 @@
 	isStrained(): boolean;
 	/** Chunks that are still to come; `null` while nothing is fetched, or nothing has come for long. */
 	missingChunks(): number | null;
-	/** How far a version has come here; `null` if it was never begun with. */
-	progress(model: string, version: number): VersionProgress | null;
-	/** The version that is fetched now; `null` for none. */
-	currentVersion(): number | null;
 	/** A chunk for another host. */
 	readChunk(manifestId: string, chunk: number): Uint8Array | null;
 	/** Digests for another host that cannot reach the origin. */
@@ -99,14 +93,11 @@
 			resume();
 		}
 	}, standstillLookMs);
-	let weights: StagedWeights | null = null;
+	let current: Opened | null = null;
 	let transfer: Transfer | null = null;
 	let fetching: Fetching | null = null;
-	let kept: readonly Kept[] = [];
-
-	const keptOf = (model: string, version: number): Kept | undefined => kept.find(({weights: held}) => held.model === model && held.version === version);
 
-	const keptById = (manifestId: string): Kept | undefined => kept.find(({weights: held}) => held.manifestId === manifestId);
+	const currentOf = (model: string, version: number): Opened | null => current?.weights.model === model && current.weights.version === version ? current : null;
 
 	const peerDigests = async (model: string, version: number): Promise<readonly string[] | null> => {
 		for (const {address} of peers()) {
@@ -168,17 +159,7 @@
 		}
 	};
 
-	/**
-	 * When there was last a sign that a version will be whole. What hosts pass on
-	 * among themselves is none while no host has the rest: with the origin lost, that
-	 * goes on for two seconds more.
-	 */
-	const newsAtMs = (found: Kept): number => {
-		const spread = found.weights === weights ? transfer?.spread() : undefined;
-		return spread === undefined || spread.isAllShown ? found.progressAtMs : Math.max(found.openedAtMs, spread.newAtMs);
-	};
-
-	const begin = async (goal: LoadGoal): Promise<Kept | null> => {
+	const begin = async (goal: LoadGoal): Promise<Opened | null> => {
 		const digests = await findDigests(goal);
 		if (digests === null) {
 			return null;
@@ -189,9 +170,7 @@
 		});
 		// Only then is it known what is missing.
 		await begun.adopt();
-		const keeping: Kept = {weights: begun, openedAtMs: performance.now(), progressAtMs: performance.now()};
-		kept = [...kept, keeping].toSorted((a, b) => b.weights.version - a.weights.version).slice(0, keptVersions);
-		return keeping;
+		return {weights: begun, progressAtMs: performance.now()};
 	};
 
 	/**
@@ -205,15 +184,15 @@
 		}
 	};
 
-	const startTransfer = ({goal, opening}: Fetching): Transfer => createTransfer({
-		store: opening.weights, self: {hostId: selfAddress, zoneId, regionId}, selfAddress: () => selfAddress,
+	const startTransfer = ({goal, opened}: Fetching): Transfer => createTransfer({
+		store: opened.weights, self: {hostId: selfAddress, zoneId, regionId}, selfAddress: () => selfAddress,
 		sources: {origin: goal.origin.address, store: null}, originCopies: 1, peers: peers(), links, counters, logger, tickMs,
 		swarm: {
 			takeoverMs, importWaitMs, maxFetches, maxFetchesPerPeer: 1, greetingWaitMs, redrawMs: redrawMs(goal), nearDrawers: nearDrawers(goal, options.linkBytesPerSecond),
 		},
 		fetchFromOrigin: fetchFromOrigin(goal),
 		onFetched(source, tookMs) {
-			opening.progressAtMs = performance.now();
+			opened.progressAtMs = performance.now();
 			noteTook(source, tookMs, goal);
 		},
 		restMs: () => strainRestMs(strain, performance.now()),
@@ -224,37 +203,27 @@
 
 	return {
 		counters,
-		progress(model, version) {
-			const found = keptOf(model, version);
-			return found === undefined
-				? null
-				: {heldShare: found.weights.heldChunks().length / found.weights.manifest.chunkDigests.length, idleMs: performance.now() - newsAtMs(found)};
-		},
-		currentVersion: () => weights?.version ?? null,
 		async open(goal) {
 			// Nobody wants the rest of the version before; its chunks would hold up the digests of this one on the links of this host and of the origin.
 			transfer?.close();
 			transfer = null;
-			const opening = keptOf(goal.profile.model, goal.version) ?? await begin(goal);
-			if (opening === null) {
+			const opened = currentOf(goal.profile.model, goal.version) ?? await begin(goal);
+			if (opened === null) {
 				return null;
 			}
 
-			const {weights: opened} = opening;
-			opening.openedAtMs = performance.now();
-			opening.progressAtMs = opening.openedAtMs;
-			weights = opened;
-			logger.event('BP4030', {version: goal.version, heldChunks: opened.heldChunks().length, totalChunks: opened.manifest.chunkDigests.length});
-			if (!goal.isSure) {
-				return opened;
+			current = opened;
+			const {weights} = opened;
+			logger.event('BP4030', {version: goal.version, heldChunks: weights.heldChunks().length, totalChunks: weights.manifest.chunkDigests.length});
+			if (goal.isSure) {
+				fetching = {goal, opened};
+				transfer = startTransfer(fetching);
 			}
 
-			fetching = {goal, opening};
-			transfer = startTransfer(fetching);
-			return opened;
+			return weights;
 		},
 		hear(parameters) {
-			if (parameters.manifestId === weights?.manifestId) {
+			if (parameters.manifestId === current?.weights.manifestId) {
 				transfer?.hear(parameters);
 			}
 		},
@@ -264,16 +233,16 @@
 		isResting: () => strainRestMs(strain, performance.now()) > 0,
 		isStrained: () => isStrained(strain, performance.now()),
 		missingChunks() {
-			if (weights === null) {
+			if (current === null) {
 				return null;
 			}
 
+			const {weights, progressAtMs} = current;
 			const missing = weights.manifest.chunkDigests.length - weights.heldChunks().length;
-			const idleMs = performance.now() - (keptById(weights.manifestId)?.progressAtMs ?? 0);
-			return missing > 0 && idleMs > stalledMs ? null : missing;
+			return missing > 0 && performance.now() - progressAtMs > stalledMs ? null : missing;
 		},
-		readChunk: (manifestId, chunk) => keptById(manifestId)?.weights.read(chunk) ?? null,
-		digests: (model, version) => keptOf(model, version)?.weights.manifest.chunkDigests.map(digest => digest.slice('sha256:'.length)) ?? null,
+		readChunk: (manifestId, chunk) => manifestId === current?.weights.manifestId ? current.weights.read(chunk) : null,
+		digests: (model, version) => currentOf(model, version)?.weights.manifest.chunkDigests.map(digest => digest.slice('sha256:'.length)) ?? null,
 		close() {
 			clearInterval(looking);
 			transfer?.close();
--- a/packages/gateway/src/link/wanted-versions.ts
+++ b/packages/gateway/src/link/wanted-versions.ts
@@ -8,8 +8,6 @@
 	isSettled(nowMs: number): boolean;
 	/** The newest version that was named; 0 if none was. */
 	newest(model: string): number;
-	/** Versions that were named, in no order. */
-	named(model: string): readonly number[];
 	/** How long a version has been known here; `null` if it never was named. */
 	ageMs(model: string, version: number, nowMs: number): number | null;
 	/** From when on each version must be begun on. */
@@ -53,7 +51,6 @@
 		},
 		isSettled: nowMs => isSure || nowMs - startedAtMs >= unsettledMs,
 		newest: model => Math.max(0, ...known.get(model)?.keys() ?? []),
-		named: model => [...known.get(model)?.keys() ?? []],
 		ageMs(model, version, nowMs) {
 			const sinceMs = known.get(model)?.get(version);
 			return sinceMs === undefined ? null : nowMs - sinceMs;
