fix(agent): when an engine will be ready is not told while the origin is lost

Cause: what hosts pass on among themselves goes on for two seconds after the origin is lost. Ruled out: not telling it while an engine serves, which makes first-comers wait in vain again. Change: the rest counts as in reach while hosts have shown all chunks or a new one was shown within half a second.

--- a/packages/coordination/src/swarm/swarm.ts
+++ b/packages/coordination/src/swarm/swarm.ts
@@ -131,6 +131,16 @@
 	return new Set(near.length < nearDrawers.least ? [] : near.map(({hostId}) => hostId));
 };
 
+/** Chunks come from the origin every few tens of ms; without a new one anywhere for this long it is lost, or cut off. */
+const originSilenceMs = 500;
+
+/**
+ * Whether the rest of the chunks can be had: hosts have shown them all, or the origin
+ * still sends. What hosts pass on among themselves goes on for seconds after the
+ * origin is lost, and tells nothing of when the last chunk comes.
+ */
+export const isRestInReach = ({tickets: {seen, progressAtMs}}: SwarmState, nowMs: number): boolean => nowMs - progressAtMs < originSilenceMs || seen.every(shown => shown === 1);
+
 /** Ends the bookkeeping of one fetch; `null` when it was given up before. */
 const endFetch = (state: SwarmState, chunk: number, source: ChunkSource): {startedAtMs: number} | null => {
 	const running = state.fetches.get(chunk) ?? [];
--- a/packages/daemon/src/agent/transfer.ts
+++ b/packages/daemon/src/agent/transfer.ts
@@ -1,6 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	createRandom, createSwarm, stepSwarm, type ChunkSource, type SwarmEffect, type SwarmEvent, type SwarmOptions, type SwarmPeer, type SwarmState,
+	createRandom, createSwarm, isRestInReach, stepSwarm, type ChunkSource, type SwarmEffect, type SwarmEvent, type SwarmOptions, type SwarmPeer, type SwarmState,
 } from '@bitternpaddle/coordination';
 import type {HaveParameters} from '@bitternpaddle/protocol';
 import type {ChunkStore} from '@bitternpaddle/state';
@@ -41,6 +41,8 @@
 export type Transfer = {
 	hear(parameters: HaveParameters): void;
 	changePeers(peers: readonly TransferPeer[]): void;
+	/** Whether hosts have shown all chunks, or the origin still sends. */
+	isRestInReach(): boolean;
 	/** Stops fetching; the store stays open. */
 	close(): void;
 };
@@ -185,6 +187,7 @@
 
 			dispatch({type: 'peersChanged', peers});
 		},
+		isRestInReach: () => isRestInReach(state, performance.now()),
 		close() {
 			isClosed = true;
 			clearInterval(timer);
--- a/packages/gateway/src/agent/weight-exchange.ts
+++ b/packages/gateway/src/agent/weight-exchange.ts
@@ -239,7 +239,8 @@
 
 			const {weights, progressAtMs} = current;
 			const missing = weights.manifest.chunkDigests.length - weights.heldChunks().length;
-			return missing > 0 && performance.now() - progressAtMs > stalledMs ? null : missing;
+			const isStalled = performance.now() - progressAtMs > stalledMs || transfer?.isRestInReach() === false;
+			return missing > 0 && isStalled ? null : missing;
 		},
 		readChunk: (manifestId, chunk) => manifestId === current?.weights.manifestId ? current.weights.read(chunk) : null,
 		digests: (model, version) => currentOf(model, version)?.weights.manifest.chunkDigests.map(digest => digest.slice('sha256:'.length)) ?? null,
