--- a/packages/coordination/test/swarm.test.ts
+++ b/packages/coordination/test/swarm.test.ts
@@ -344,10 +344,14 @@
 // Callers that came back would be held for engines that nothing can make ready.
 t.test('the rest is in reach while hosts have it or the origin sends', async t => {
 	const {state} = create('a', ['b'], {totalChunks: 3});
-	stepSwarm(state, {type: 'peerHas', hostId: 'b', chunks: [0, 1], isGreeting: true}, 100);
+	stepSwarm(state, {
+		type: 'peerHas', hostId: 'b', chunks: [0, 1], isGreeting: true,
+	}, 100);
 	t.ok(isRestInReach(state, 400), 'a chunk that nobody had was shown a moment ago');
 	stepSwarm(state, {type: 'stored', chunk: 0, source: {type: 'peer', hostId: 'b'}}, 900);
 	t.notOk(isRestInReach(state, 1000), 'what is passed on says nothing of the third');
-	stepSwarm(state, {type: 'peerHas', hostId: 'b', chunks: [2], isGreeting: false}, 1100);
+	stepSwarm(state, {
+		type: 'peerHas', hostId: 'b', chunks: [2], isGreeting: false,
+	}, 1100);
 	t.ok(isRestInReach(state, 5000), 'all chunks are at some host');
 });
--- a/packages/gateway/src/agent/weight-exchange.ts
+++ b/packages/gateway/src/agent/weight-exchange.ts
@@ -5,8 +5,8 @@
 	createLinkStrain, createStandstill, hasStoodStill, isStrained, lookAtClock, noteFetch, standstillLookMs, strainRestMs, type ChunkSource, type NearDrawers,
 } from '@bitternpaddle/coordination';
 import type {HaveParameters} from '@bitternpaddle/protocol';
-import {sendHttp, readBody, type Logger} from '@bitternpaddle/transport';
-import {z} from 'zod';
+import type {Logger} from '@bitternpaddle/transport';
+import {createDigestSource} from './digest-source.js';
 import type {EngineClient, OriginClient} from './engine-client.js';
 import {createStagedWeights, type StagedWeights} from './staged-weights.js';
 import type {LoadGoal} from './version-loader.js';
@@ -77,12 +77,7 @@
 	? null
 	: {zoneId, least: Math.ceil(linkMbps * 1_000_000 / (linkBytesPerSecond * bitsPerByte))};
 
-const digestTimeoutMs = 700;
 const originRestMs = 150;
-const digestsSchema = z.array(z.string());
-
-export const digestsPath = (model: string, version: number): string => `/digests/${encodeURIComponent(model)}/${version}`;
-
 export const createWeightExchange = (options: WeightExchangeOptions): WeightExchange => {
 	const {selfAddress, zoneId, regionId, engine, origin, links, logger, peers} = options;
 	const counters: TransferCounters = {originBytes: 0, peerBytes: 0, lastFailure: ''};
@@ -99,34 +94,7 @@
 
 	const currentOf = (model: string, version: number): Opened | null => current?.weights.model === model && current.weights.version === version ? current : null;
 
-	const peerDigests = async (model: string, version: number): Promise<readonly string[] | null> => {
-		for (const {address} of peers()) {
-			try {
-				const response = await sendHttp({address, path: digestsPath(model, version), idleTimeoutMs: digestTimeoutMs});
-				const text = (await readBody(response)).toString();
-				if (response.statusCode === 200) {
-					return digestsSchema.parse(JSON.parse(text));
-				}
-			} catch {
-				// The next peer is asked; the failure shows as digests that cannot be had.
-			}
-		}
-
-		return null;
-	};
-
-	const findDigests = async ({profile: {model}, origin: {address}, version}: LoadGoal): Promise<readonly string[] | null> => {
-		try {
-			const found = await origin.digests(address, model, version);
-			if (found !== null) {
-				return found;
-			}
-		} catch (error) {
-			logger.event('BP4037', {version, reason: (error as Error).message});
-		}
-
-		return peerDigests(model, version);
-	};
+	const findDigests = createDigestSource({origin, peers, logger});
 
 	const fetchFromOrigin = (goal: LoadGoal) => async (chunk: number, signal: AbortSignal): Promise<FetchOutcome> => {
 		try {
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -1,8 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	createArrivalRate, createCallerPatience, createObjectiveMix, createRandom, createRetryAllowance, type CallerPatience, type Clock,
+	createArrivalRate, createCallerPatience, createObjectiveMix, createRandom, createRetryAllowance, type Clock,
 } from '@bitternpaddle/coordination';
-import type {RouteTable} from '@bitternpaddle/state';
 import {createHttpServer, type Logger} from '@bitternpaddle/transport';
 import {createCoreClient} from '../link/core-client.js';
 import type {Follower} from '../link/methods.js';
@@ -10,6 +9,7 @@
 import {createConfigurationHolder} from '../link/configuration-holder.js';
 import type {RequestProtocol} from '../link/request-protocol.js';
 import {createWantedVersions} from '../link/wanted-versions.js';
+import {createByName} from './by-name.js';
 import {createEndpointConnections} from './endpoint-connections.js';
 import {createEndpointView} from './endpoint-view.js';
 import {createEntryLease} from './entry-lease.js';
@@ -80,16 +80,6 @@
 /** For all but the lease: the time of day may step, and everything would look late or overdue. */
 const steadyNowMs = (): number => performance.now();
 
-/** What is kept for each name, made when it is first asked for. */
-const createByName = <Value>(create: () => Value): ((name: string) => Value) => {
-	const known = new Map<string, Value>();
-	return name => {
-		const value = known.get(name) ?? create();
-		known.set(name, value);
-		return value;
-	};
-};
-
 /** One entry: callers on one side, endpoints on the other. */
 export const createEntryNode = async (options: EntryNodeOptions): Promise<EntryNode> => {
 	const {
@@ -103,7 +93,7 @@
 	const connections = createEndpointConnections();
 	const room = createWaitingRoom();
 	const versions = createWantedVersions({dueMs: bounds.versionDueMs, startedAtMs: steadyNowMs()});
-	const patiences = new Map<string, CallerPatience>();
+	const patience = createByName(createCallerPatience);
 	const sending = createByName(createArrivalRate);
 	const objectives = createByName(createObjectiveMix);
 	const allowance = createByName(() => createRetryAllowance({windowMs: bounds.retryWindowMs, share: bounds.retryShare}));
@@ -117,7 +107,8 @@
 		protocol, logger,
 		onChange(table) {
 			front.setIdleTimeout(table.configuration.limits.idleTimeoutMs);
-			forgetRoutes(table);
+			// Routes come and go with each configuration.
+			patience.keepOnly(table.configuration.routes.map(({name}) => name));
 		},
 	});
 
@@ -129,24 +120,8 @@
 		},
 	});
 
-	const patience = (routeName: string): CallerPatience => {
-		const known = patiences.get(routeName) ?? createCallerPatience();
-		patiences.set(routeName, known);
-		return known;
-	};
-
-	/** Routes come and go with each configuration. */
-	const forgetRoutes = ({configuration: {routes}}: RouteTable): void => {
-		const names = new Set(routes.map(({name}) => name));
-		for (const name of patiences.keys()) {
-			if (!names.has(name)) {
-				patiences.delete(name);
-			}
-		}
-	};
-
 	const context: CallContext = {
-		protocol, connections, view, room, zoneId, random, logger, metrics, allowance, sending, objectives, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs,
+		protocol, connections, view, room, zoneId, random, logger, metrics, allowance: allowance.of, sending: sending.of, objectives: objectives.of, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs,
 		entryCount: () => entryCount,
 		leftMs: () => endsAtMs - lastMomentsMs - steadyNowMs(),
 		nowMs: steadyNowMs,
@@ -163,7 +138,7 @@
 	const front = await createFrontServer({
 		listen: options.listen,
 		serve: async (request, response, connection) => serveRequest({
-			patience, protocol, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs, table: configuration.table, isLeaving: () => isLeaving, nowMs: steadyNowMs,
+			patience: patience.of, protocol, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs, table: configuration.table, isLeaving: () => isLeaving, nowMs: steadyNowMs,
 			run: async call => runCall(context, call),
 			awaitConfiguration: async mostMs => waitWhile(() => configuration.table() === null, mostMs),
 			awaitLease: async mostMs => waitWhile(() => !lease.hasHeld() && !lease.holds(), mostMs),
--- a/packages/gateway/test/version-loader.test.ts
+++ b/packages/gateway/test/version-loader.test.ts
@@ -121,3 +121,35 @@
 	await loader.step();
 	t.same([leaving, engine.orders], [[], []]);
 });
+
+// Everything lost power, and which version is wanted is not sure yet. The engine still
+// has all chunks of the version that a core host names: loaded now, it serves half a
+// second before it is sure. Once that is known the version is opened again, to be fetched.
+t.test('what is staged whole is loaded before the version is sure', async t => {
+	const engine = createEngine(null);
+	const weights = createStagedWeights({
+		engine: engine.client, model: 'm', version: 2, chunkBytes, digests,
+	});
+	const opened: boolean[] = [];
+	let isSure = false;
+	const loader = createVersionLoader({
+		engine: engine.client, logger: silentLogger, dueMs: 8000, goal: () => ({...goal, isSure}), engineState: engine.stateOf, askPermit: async () => true,
+		async openWeights(wanted) {
+			opened.push(wanted.isSure);
+			return weights;
+		},
+		setLeavingService: async () => undefined,
+	});
+	await loader.step();
+	t.same(engine.orders, [], 'nothing is staged yet');
+	for (const chunk of [0, 1, 2, 3]) {
+		await weights.put(chunk, chunkOf(chunk));
+	}
+
+	await loader.step();
+	t.same(engine.orders, [{version: 2, mode: 'afterRunning'}]);
+	isSure = true;
+	await loader.step();
+	await loader.step();
+	t.same(opened, [false, true]);
+});
