fix(placement): one bound only where a stricter kind is wronged; who came back waits for room

Change: a kind is bound by a stricter one only while that is refused more often, by what the entry saw in the last two seconds; an engine with a free place and two prompts before the next has room; a caller that came back waits for room, 1.5 s at most, where some was seen lately, and gets its final answer at once where none was. Two tests of what callers get.

--- a/packages/coordination/src/placement/admit.ts
+++ b/packages/coordination/src/placement/admit.ts
@@ -5,9 +5,8 @@
 	readonly retryClass: RetryClass;
 	/** When the request would be answered, or begin to be, if it were sent now. */
 	readonly expectedMs: number;
-	readonly objectiveMs: number;
-	/** The strictest objective of the kinds that share the engines. */
-	readonly strictestMs: number;
+	/** The objective that it is admitted by: its own, or a stricter one that would be wronged by it. */
+	readonly boundMs: number;
 	/** What its own prompt takes beyond a usual one. */
 	readonly excessMs: number;
 	/** When a usual request would begin at an engine with a free place. */
@@ -58,17 +57,11 @@
 const hasSpareRoom = ({expectedMs, excessMs, spareMs}: AdmitOptions): boolean => expectedMs - excessMs <= spareMs;
 
 /**
- * All kinds are measured by the wait of a usual prompt against the strictest
- * objective. Each measured by its own, the kind that tolerates 500 ms took the
- * engines under lasting overload, and those with 400 ms were refused four times as often.
  * Long prompts are measured by what a usual one would find, too: by what they take
  * themselves they would be refused first, and one of four times the usual length
  * for ever. They make up for it by going first in the engines' queues.
  */
-const canBeInTime = ({expectedMs, objectiveMs, strictestMs, excessMs, waitedMs}: AdmitOptions): boolean => {
-	const commonMs = Math.min(objectiveMs, strictestMs);
-	return expectedMs - excessMs <= sureShare * (commonMs - waitedMs);
-};
+const canBeInTime = ({expectedMs, boundMs, excessMs, waitedMs}: AdmitOptions): boolean => expectedMs - excessMs <= sureShare * (boundMs - waitedMs);
 
 const refuse = ({random}: AdmitOptions, reason: string): AdmitVerdict => ({
 	type: 'refused', reason, retryAfterMs: soonestReturnMs + random.between(0, returnSpreadMs),
--- a/packages/coordination/src/placement/engine-model.ts
+++ b/packages/coordination/src/placement/engine-model.ts
@@ -67,11 +67,11 @@
 	return ahead <= 0 ? 0 : ahead * holdingMs(profile) / profile.slots;
 };
 
-/** What begins behind a few other prompts: a place is free, and at most a quarter of the time is for them. */
-const spareFactor = 1.25;
+/** Usual prompts that an engine with a free place reads before a further one begins, its own included: it is never quite idle. */
+const sparePrompts = 3;
 
 /** When a usual request begins at an engine that has a place free. */
-export const spareFirstTokenMs = (profile: EngineProfile): number => spareFactor * ((1.5 * passMs(profile, profile.slots)) + readMs(profile, profile.usualPromptTokens));
+export const spareFirstTokenMs = (profile: EngineProfile): number => (1.5 * passMs(profile, profile.slots)) + readMs(profile, sparePrompts * profile.usualPromptTokens);
 
 /**
  * When a further request would get its first token: it waits for a slot, for
--- a/packages/coordination/src/placement/index.ts
+++ b/packages/coordination/src/placement/index.ts
@@ -15,3 +15,4 @@
 export * from './caller-patience.js';
 export * from './objective-mix.js';
 export * from './urgency.js';
+export * from './spare-room.js';
--- a/packages/coordination/src/placement/objective-mix.ts
+++ b/packages/coordination/src/placement/objective-mix.ts
@@ -2,23 +2,56 @@
 	arrivalsPerSecond, createArrivalRate, noteArrival, type ArrivalRate,
 } from './arrival-rate.js';
 
-/** How often requests of each objective come for one service. */
-export type ObjectiveMix = {readonly rates: Map<number, ArrivalRate>};
+type Kind = {readonly arrivals: ArrivalRate; readonly refusals: ArrivalRate};
+
+/** How often requests of each objective come for one service, and are refused for load. */
+export type ObjectiveMix = {readonly kinds: Map<number, Kind>};
 
 /** A kind that comes less often than this share of all decides nothing for the others: what a few must have does not bind the rest. */
 const leastShare = 0.05;
+/** Kinds whose refused shares differ by less are treated alike; in two seconds of a dozen requests each, one refusal makes as much. */
+const fairMargin = 0.05;
+
+export const createObjectiveMix = (): ObjectiveMix => ({kinds: new Map()});
 
-export const createObjectiveMix = (): ObjectiveMix => ({rates: new Map()});
+const kindOf = ({kinds}: ObjectiveMix, objectiveMs: number): Kind => {
+	const kind = kinds.get(objectiveMs) ?? {arrivals: createArrivalRate(), refusals: createArrivalRate()};
+	kinds.set(objectiveMs, kind);
+	return kind;
+};
+
+export const noteObjective = (mix: ObjectiveMix, objectiveMs: number, nowMs: number): void => {
+	noteArrival(kindOf(mix, objectiveMs).arrivals, nowMs);
+};
 
-export const noteObjective = ({rates}: ObjectiveMix, objectiveMs: number, nowMs: number): void => {
-	const rate = rates.get(objectiveMs) ?? createArrivalRate();
-	rates.set(objectiveMs, rate);
-	noteArrival(rate, nowMs);
+export const noteRefused = (mix: ObjectiveMix, objectiveMs: number, nowMs: number): void => {
+	noteArrival(kindOf(mix, objectiveMs).refusals, nowMs);
+};
+
+type Seen = {readonly objectiveMs: number; readonly perSecond: number; readonly refusedShare: number};
+
+const seenKinds = ({kinds}: ObjectiveMix, nowMs: number): Seen[] => {
+	const all = [...kinds].map(([objectiveMs, {arrivals, refusals}]) => {
+		const perSecond = arrivalsPerSecond(arrivals, nowMs);
+		return {objectiveMs, perSecond, refusedShare: perSecond === 0 ? 0 : arrivalsPerSecond(refusals, nowMs) / perSecond};
+	});
+	const total = all.reduce((sum, {perSecond}) => sum + perSecond, 0);
+	return all.filter(({perSecond}) => perSecond > total * leastShare);
 };
 
 /** The strictest objective of those that come often; infinite while none has come. */
-export const strictestObjectiveMs = ({rates}: ObjectiveMix, nowMs: number): number => {
-	const perSecond = [...rates].map(([objectiveMs, rate]) => ({objectiveMs, rate: arrivalsPerSecond(rate, nowMs)}));
-	const all = perSecond.reduce((sum, {rate}) => sum + rate, 0);
-	return Math.min(...perSecond.filter(({rate}) => rate > all * leastShare).map(({objectiveMs}) => objectiveMs));
+export const strictestObjectiveMs = (mix: ObjectiveMix, nowMs: number): number => Math.min(...seenKinds(mix, nowMs).map(({objectiveMs}) => objectiveMs));
+
+/**
+ * The objective that a request is admitted by. Its own, unless stricter kinds are
+ * refused more often than its kind: then theirs. By its own alone, the kind that
+ * tolerates 500 ms took the engines under lasting overload, and those with 400 ms
+ * were refused four times as often; by the strictest alone, kinds with 402 ms beside
+ * one with 302 were refused in calm seconds for what was in time for them.
+ */
+export const boundObjectiveMs = (mix: ObjectiveMix, objectiveMs: number, nowMs: number): number => {
+	const kinds = seenKinds(mix, nowMs);
+	const ownShare = kinds.find(kind => kind.objectiveMs === objectiveMs)?.refusedShare ?? 0;
+	const wronged = kinds.filter(kind => kind.objectiveMs < objectiveMs && kind.refusedShare > ownShare + fairMargin);
+	return Math.min(objectiveMs, ...wronged.map(kind => kind.objectiveMs));
 };
--- a/packages/coordination/src/placement/wait-for-engine.ts
+++ b/packages/coordination/src/placement/wait-for-engine.ts
@@ -1,8 +1,8 @@
 import type {EngineProfile} from '@bitternpaddle/state';
+import type {Random} from '../utils/random.js';
 import {hasFreshReport} from './endpoint-load.js';
 import {holdingMs} from './engine-model.js';
 import type {Candidate} from './place-request.js';
-import type {Random} from '../utils/random.js';
 
 /** What is to come of a service whose engines serve nobody now. */
 export type EngineOutlook = {
--- a/packages/coordination/test/placement-world.ts
+++ b/packages/coordination/test/placement-world.ts
@@ -149,7 +149,7 @@
 	const admission = choice === null
 		? null
 		: admitRequest({
-			retryClass: 'streaming', expectedMs: choice.expectedMs, objectiveMs, strictestMs: objectiveMs, spareMs: spareFirstTokenMs(profile), hasComeBack: false, waitedMs: 0, remainingMs: 6000, excessMs: 0, random,
+			retryClass: 'streaming', expectedMs: choice.expectedMs, boundMs: objectiveMs, spareMs: spareFirstTokenMs(profile), hasComeBack: false, waitedMs: 0, remainingMs: 6000, excessMs: 0, random,
 		});
 	if (choice === null || admission?.type !== 'admitted') {
 		tally.refused++;
--- a/packages/coordination/test/placement.test.ts
+++ b/packages/coordination/test/placement.test.ts
@@ -1,7 +1,8 @@
 import type {EngineProfile} from '@bitternpaddle/state';
 import t from 'tap';
 import {
-	createCallerPatience, hasComeBefore, noteFirstDeadline,
+	boundObjectiveMs, createCallerPatience, createObjectiveMix, createSpareRoom, hasComeBefore, mayWaitForRoom, noteFirstDeadline, noteObjective, noteRefused, noteSpareRoom,
+	strictestObjectiveMs,
 	admitRequest, createEndpointHealth, createEndpointLoad, createRandom, createRetryAllowance, createSwitchPermits, demandOf, firstTokenMs, holdingMs, isResting,
 	noteFailure, noteLag, noteRequest, noteSuccess, placeRequest, returnPermit, takeAttempt, takePermit, type Candidate, type EngineReport, type PlaceOptions,
 } from '@bitternpaddle/coordination';
@@ -148,7 +149,7 @@
 });
 
 const admit = (fields: {expectedMs: number; hasComeBack?: boolean; excessMs?: number; retryClass?: 'streaming' | 'unsafe'}) => admitRequest({
-	retryClass: 'streaming', objectiveMs: 400, strictestMs: 400, spareMs: 220, hasComeBack: false, waitedMs: 0, remainingMs: 6000, excessMs: 0, random: createRandom(1), ...fields,
+	retryClass: 'streaming', boundMs: 400, spareMs: 220, hasComeBack: false, waitedMs: 0, remainingMs: 6000, excessMs: 0, random: createRandom(1), ...fields,
 });
 
 // A prompt of seven thousand tokens is late even on an idle engine. By what it takes
@@ -206,3 +207,46 @@
 
 	t.notOk(hasComeBefore(patience, {deadlineMs: 3200, timeoutMs}), 'callers that have changed are known anew');
 });
+
+// Two kinds share the engines; one tolerates 500 ms, the other 400. Under lasting
+// overload each admitted by its own objective, the first takes the engines, and the
+// callers of the second are refused four times as often for wanting their answer sooner.
+t.test('a kind is held to the objective of a stricter one that is refused more often', async t => {
+	const mix = createObjectiveMix();
+	const play = (objectiveMs: number, refusedOfTen: number, nowMs: number): void => {
+		for (let index = 0; index < 10; index++) {
+			noteObjective(mix, objectiveMs, nowMs);
+			if (index < refusedOfTen) {
+				noteRefused(mix, objectiveMs, nowMs);
+			}
+		}
+	};
+
+	t.equal(boundObjectiveMs(mix, 500, 0), 500, 'nothing is known yet');
+	play(500, 0, 1000);
+	play(400, 0, 1000);
+	t.equal(boundObjectiveMs(mix, 500, 1000), 500, 'nobody is refused: what is in time for it is in time');
+	play(400, 4, 1100);
+	t.equal(boundObjectiveMs(mix, 500, 1100), 400);
+	t.equal(boundObjectiveMs(mix, 400, 1100), 400, 'the strict kind keeps its own');
+	play(500, 5, 1200);
+	t.equal(boundObjectiveMs(mix, 500, 1200), 500, 'both are refused alike');
+	for (let count = 0; count < 200; count++) {
+		noteObjective(mix, 500, 1300);
+	}
+
+	noteRefused(mix, 400, 1300);
+	t.equal(strictestObjectiveMs(mix, 60_000 + 1300), 400, 'shares do not change as all are forgotten');
+});
+
+// A load comes and goes. A caller that came back finds the engines full for a moment
+// and has no further try: sent away, it is lost though there is room a second later.
+// Under lasting overload there is none, and it is told so at once.
+t.test('a caller that came back waits for room only where some was seen lately', async t => {
+	const room = createSpareRoom();
+	t.notOk(mayWaitForRoom(room, 0, 1000), 'none was ever seen');
+	noteSpareRoom(room, 1000);
+	t.ok(mayWaitForRoom(room, 0, 2000));
+	t.notOk(mayWaitForRoom(room, 0, 3000), 'not for long');
+	t.notOk(mayWaitForRoom(room, 1600, 2000), 'nor does it wait for ever');
+});
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -1,5 +1,5 @@
 import {
-	admitRequest, answerBoundMs, answerMs, arrivalsPerSecond, canEndInTime, decideWait, engineOutlook, noEngineReturnMs, placeRequest, readMs, spareFirstTokenMs, strictestObjectiveMs, type Placement, type WaitVerdict,
+	admitRequest, answerBoundMs, answerMs, arrivalsPerSecond, boundObjectiveMs, canEndInTime, decideWait, engineOutlook, mayWaitForRoom, noEngineReturnMs, noteRefused, noteSpareRoom, placeRequest, readMs, spareFirstTokenMs, type Placement, type WaitVerdict,
 } from '@bitternpaddle/coordination';
 import type {CallContext} from './call-context.js';
 import {duesOf} from './call-headers.js';
@@ -32,6 +32,7 @@
 
 			const verdict = waitVerdict(context, call, {noPlace: next, sinceMs, isHeld: leave !== null});
 			if (verdict === 'leave') {
+				noteGivenUp(context, call, next);
 				return giveUp(context, call, progress, next.reason, next.retryAfterMs);
 			}
 
@@ -52,6 +53,13 @@
 	expectedMs, leftMs: leftMs(), answerBoundMs: answerBoundMs({profile: engine, mostAnswerTokens, timeoutMs: route.timeoutMs}),
 });
 
+/** A first-comer that is refused for load tells how its kind fares beside the others. */
+const noteGivenUp = ({objectives, nowMs}: CallContext, {service, route, hasComeBack}: Call, {type}: NoPlace): void => {
+	if (type === 'busy' && !hasComeBack) {
+		noteRefused(objectives(service.name), route.objectiveMs, nowMs());
+	}
+};
+
 /** What a begun answer needs to be whole: one that is cut by its caller's deadline is worth nothing, and takes as much of an engine. */
 const answerTimeMs = ({service: {engine}}: Call): number => engine === null ? 0 : answerMs(engine);
 
@@ -63,11 +71,15 @@
 
 type Waiting = {readonly noPlace: NoPlace; readonly sinceMs: number; readonly isHeld: boolean};
 
-const waitVerdict = ({view, room, entryCount, nowMs}: CallContext, call: Call, {noPlace, sinceMs, isHeld}: Waiting): WaitVerdict => {
+const waitVerdict = ({view, room, spareRoom, entryCount, nowMs}: CallContext, call: Call, {noPlace, sinceMs, isHeld}: Waiting): WaitVerdict => {
 	const {service, hasComeBack, deadlineAtMs} = call;
 	const now = nowMs();
 	const remainingMs = deadlineAtMs - now;
 	const {engine: profile} = service;
+	if (noPlace.type === 'busy' && !isHeld && hasComeBack && remainingMs > answerTimeMs(call) && mayWaitForRoom(spareRoom(service.name), now - sinceMs, now)) {
+		return 'brief';
+	}
+
 	if (noPlace.type === 'busy') {
 		// Engines are back, and those that were held go in as there is room: all entries see the first one empty at once, and would fill its queue for seconds.
 		return isHeld && remainingMs > answerTimeMs(call) ? 'held' : 'leave';
@@ -116,10 +128,15 @@
 		return choice;
 	}
 
+	const excessMs = excessOf(call);
+	const spareMs = spareOf(call);
+	if (choice.expectedMs - excessMs <= spareMs) {
+		noteSpareRoom(context.spareRoom(call.service.name), now);
+	}
+
 	const admission = admitRequest({
-		retryClass: call.route.retryClass, expectedMs: choice.expectedMs, objectiveMs: call.route.objectiveMs,
-		strictestMs: strictestObjectiveMs(context.objectives(call.service.name), now), spareMs: spareOf(call),
-		hasComeBack: call.hasComeBack, waitedMs: now - call.receivedAtMs, remainingMs: remainingMs - answerTimeMs(call), excessMs: excessOf(call), random,
+		retryClass: call.route.retryClass, expectedMs: choice.expectedMs, boundMs: boundObjectiveMs(context.objectives(call.service.name), call.route.objectiveMs, now), spareMs,
+		hasComeBack: call.hasComeBack, waitedMs: now - call.receivedAtMs, remainingMs: remainingMs - answerTimeMs(call), excessMs, random,
 	});
 	return admission.type === 'admitted'
 		? choice
