--- a/packages/coordination/src/placement/objective-mix.ts
+++ b/packages/coordination/src/placement/objective-mix.ts
@@ -9,8 +9,8 @@
 
 /** A kind that comes less often than this share of all decides nothing for the others: what a few must have does not bind the rest. */
 const leastShare = 0.05;
-/** Kinds whose refused shares differ by less are treated alike; in two seconds of a dozen requests each, one refusal makes as much. */
-const fairMargin = 0.05;
+/** Of a kind's requests; below this engines carry the load but for moments, in two seconds of a dozen requests one refusal makes as much. */
+const overloadShare = 0.05;
 
 export const createObjectiveMix = (): ObjectiveMix => ({kinds: new Map()});
 
@@ -44,14 +44,13 @@
 
 /**
  * The objective that a request is admitted by. Its own, unless stricter kinds are
- * refused more often than its kind: then theirs. By its own alone, the kind that
- * tolerates 500 ms took the engines under lasting overload, and those with 400 ms
- * were refused four times as often; by the strictest alone, kinds with 402 ms beside
- * one with 302 were refused in calm seconds for what was in time for them.
+ * refused for load: then theirs. By its own alone, the kind that tolerates 500 ms took
+ * the engines under lasting overload, and those with 400 ms were refused four times as
+ * often; by the strictest alone, kinds with 402 ms beside one with 302 were refused in
+ * calm seconds for what was in time for them, three in a hundred.
  */
 export const boundObjectiveMs = (mix: ObjectiveMix, objectiveMs: number, nowMs: number): number => {
 	const kinds = seenKinds(mix, nowMs);
-	const ownShare = kinds.find(kind => kind.objectiveMs === objectiveMs)?.refusedShare ?? 0;
-	const wronged = kinds.filter(kind => kind.objectiveMs < objectiveMs && kind.refusedShare > ownShare + fairMargin);
+	const wronged = kinds.filter(kind => kind.objectiveMs < objectiveMs && kind.refusedShare > overloadShare);
 	return Math.min(objectiveMs, ...wronged.map(kind => kind.objectiveMs));
 };
