--- a/packages/coordination/src/placement/admit.ts
+++ b/packages/coordination/src/placement/admit.ts
@@ -52,7 +52,7 @@
 /**
  * A caller that came back is late, worth a quarter of one that is not, and takes as
  * much of an engine. It gets what first-comers leave over: under lasting overload,
- * admitted nearly like these, a third of all answers was late. In a model at 1.35 times
+ * admitted nearly like these, a third of all answers was late. In a model at 1.5 times
  * what engines carry 430 callers in a thousand are answered in time, 279 without this.
  */
 const hasSpareRoom = ({expectedMs, excessMs, spareMs}: AdmitOptions): boolean => expectedMs - excessMs <= spareMs;
--- a/packages/coordination/test/placement-crowd.test.ts
+++ b/packages/coordination/test/placement-crowd.test.ts
@@ -56,7 +56,7 @@
 	t.ok(arrivalsPerSecond(rate, 40_000) < 0.01);
 });
 
-// A quarter more comes than engines carry, and who is refused comes back once, a
+// Half as much again comes as engines carry, and who is refused comes back once, a
 // second later. Admitted like first-comers these are late all the same, and take the
 // places of first-comers, who are refused, come back and are late in turn.
 t.test('under lasting overload first-comers are not refused for those that came back', async t => {
