--- a/packages/coordination/src/swarm/swarm.ts
+++ b/packages/coordination/src/swarm/swarm.ts
@@ -23,7 +23,8 @@
 export const createSwarm = (options: SwarmOptions): {state: SwarmState; effects: SwarmEffect[]} => {
 	const {
 		held, peers, maxFetches = 5, maxFetchesPerPeer = 2, maxOriginFetches = 2, originCopies = 1, drawers = 8,
-		takeoverMs = 2000, fetchTimeoutMs = 5000, maxNeighbours = 10, maxBadChunks = 3, importWaitMs = 0, greetingWaitMs = 500, redrawMs = Number.POSITIVE_INFINITY, nearDrawers = null, ...rest
+		takeoverMs = 2000, fetchTimeoutMs = 5000, maxNeighbours = 10, maxBadChunks = 3, importWaitMs = 0, greetingWaitMs = 500,
+		redrawMs = Number.POSITIVE_INFINITY, nearDrawers = null, ...rest
 	} = options;
 	const {self, manifestId, totalChunks, nowMs} = rest;
 	const seen = new Uint8Array(totalChunks);
@@ -111,7 +112,8 @@
 	if (!isSamePeers(state.peers, next)) {
 		state.peers = next;
 		state.tickets = createOriginTickets({
-			selfId: self.hostId, hostIds: [self.hostId, ...next.keys()], nearIds: nearHosts(state, next), manifestId, totalChunks, drawers, seen: state.tickets.seen, nowMs, gapMs: takeoverMs * activeGapShare,
+			selfId: self.hostId, hostIds: [self.hostId, ...next.keys()], nearIds: nearHosts(state, next), manifestId, totalChunks, drawers,
+			seen: state.tickets.seen, nowMs, gapMs: takeoverMs * activeGapShare,
 		});
 		rankZoneImports(state.imports, {self, manifestId, peers: next.values()});
 		return greetNewNeighbours(state, nowMs);
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -122,7 +122,8 @@
 	});
 
 	const context: CallContext = {
-		protocol, connections, view, room, zoneId, random, logger, metrics, allowance: allowance.of, sending: sending.of, objectives: objectives.of, spareRoom: spareRoom.of, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs,
+		protocol, connections, view, room, zoneId, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs,
+		allowance: allowance.of, sending: sending.of, objectives: objectives.of, spareRoom: spareRoom.of,
 		entryCount: () => entryCount,
 		leftMs: () => endsAtMs - lastMomentsMs - steadyNowMs(),
 		nowMs: steadyNowMs,
@@ -139,7 +140,8 @@
 	const front = await createFrontServer({
 		listen: options.listen,
 		serve: async (request, response, connection) => serveRequest({
-			patience: patience.of, protocol, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs, table: configuration.table, isLeaving: () => isLeaving, nowMs: steadyNowMs,
+			patience: patience.of,
+			protocol, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs, table: configuration.table, isLeaving: () => isLeaving, nowMs: steadyNowMs,
 			run: async call => runCall(context, call),
 			awaitConfiguration: async mostMs => waitWhile(() => configuration.table() === null, mostMs),
 			awaitLease: async mostMs => waitWhile(() => !lease.hasHeld() && !lease.holds(), mostMs),
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -1,5 +1,6 @@
 import {
-	admitRequest, answerBoundMs, answerMs, arrivalsPerSecond, boundObjectiveMs, canEndInTime, decideWait, engineOutlook, mayWaitForRoom, noEngineReturnMs, noteRefused, noteSpareRoom, placeRequest, readMs, spareFirstTokenMs, type Placement, type WaitVerdict,
+	admitRequest, answerBoundMs, answerMs, arrivalsPerSecond, boundObjectiveMs, canEndInTime, decideWait, engineOutlook,
+	mayWaitForRoom, noEngineReturnMs, noteRefused, noteSpareRoom, placeRequest, readMs, spareFirstTokenMs, type Placement, type WaitVerdict,
 } from '@bitternpaddle/coordination';
 import type {CallContext} from './call-context.js';
 import {duesOf} from './call-headers.js';
