--- a/packages/gateway/src/agent/weight-exchange.ts
+++ b/packages/gateway/src/agent/weight-exchange.ts
@@ -30,9 +30,6 @@
 
 type Fetching = {readonly goal: LoadGoal; readonly opened: Opened};
 
-/** Versions whose chunks are kept: the newest, and the one before, which serves if the newest does not come. */
-const keptVersions = 2;
-
 /** The weights of one version at a time on this host, exchanged with the hosts beside it. */
 export type WeightExchange = {
 	/** Begins with a version, and leaves the one before; `null` while its digests cannot be had. One that is not surely wanted is not fetched, only read back. */
@@ -65,6 +62,7 @@
 const drawFactor = 1.2;
 const leastRedrawMs = 400;
 const bitsPerByte = 8;
+const bitsPerMegabit = 1_000_000;
 /** A fetch is slow behind this many times what the link needs for all that run at once. */
 const slowFactor = 3;
 const tickMs = 60;
@@ -73,9 +71,10 @@
 
 const redrawMs = ({profile: {chunks, chunkBytes}, origin: {linkMbps}}: LoadGoal): number => Math.max(leastRedrawMs, drawFactor * chunks * chunkBytes * bitsPerByte / (linkMbps * 1000));
 
+/** The hosts of the origin's zone draw, if their links carry what it sends. */
 const nearDrawers = ({origin: {zoneId, linkMbps}}: LoadGoal, linkBytesPerSecond: number): NearDrawers | null => zoneId === null
 	? null
-	: {zoneId, least: Math.ceil(linkMbps * 1_000_000 / (linkBytesPerSecond * bitsPerByte))};
+	: {zoneId, least: Math.ceil(linkMbps * bitsPerMegabit / (linkBytesPerSecond * bitsPerByte))};
 
 const originRestMs = 150;
 export const createWeightExchange = (options: WeightExchangeOptions): WeightExchange => {
