--- a/packages/coordination/src/placement/caller-patience.ts
+++ b/packages/coordination/src/placement/caller-patience.ts
@@ -1,9 +1,9 @@
 /**
  * How long callers of a route wait when they come for the first time. A caller
  * tells only how long it still waits, and some wait longer than others: by the
- * route's timeout alone, nearly half of those that come for the first time looked
- * as if they had been trying for up to a seventh of it, were put behind the others
- * at the engines and refused first.
+ * route's timeout alone, two in three of those that come for the first time looked
+ * as if they had been trying for up to a seventh of it (477 of 741 in eight calm
+ * seconds); one in three was put behind the others at the engines and refused first.
  */
 export type CallerPatience = {readonly deadlinesMs: number[]};
 
