--- a/packages/bench/src/capacity/sample-state.ts
+++ b/packages/bench/src/capacity/sample-state.ts
@@ -1,7 +1,7 @@
 import {
 	announcementSchema, applyCommand, changeSchema, createCatalog, createLedger, sha256, type Announcement, type Change, type HostRecord, type ReplicatedState,
 } from '@bitternpaddle/state';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** The letter's zones: hosts are spread evenly over them. */
 export const zones = 31;
--- a/packages/daemon/src/agent/engine-client.ts
+++ b/packages/daemon/src/agent/engine-client.ts
@@ -1,5 +1,5 @@
 import {readBody, sendHttp} from '@bitternpaddle/transport';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const statusSchema = z.object({
 	versionId: z.string().nullable(), digest: z.string().nullable(), fencingNumber: z.number(), running: z.number(),
--- a/packages/daemon/src/entry/admin-api.ts
+++ b/packages/daemon/src/entry/admin-api.ts
@@ -10,7 +10,7 @@
 import {commandIdSchema, type Change} from '@bitternpaddle/state';
 import {BodyTooLargeError, readBody, sendJson} from '@bitternpaddle/transport';
 import {match} from 'ts-pattern';
-import {z} from 'zod';
+import * as z from 'zod';
 import {selectRows} from '../control/answer-query.js';
 import type {ConfigurationClient} from '../host/configuration-client.js';
 import {
--- a/packages/daemon/src/entry/read-call.ts
+++ b/packages/daemon/src/entry/read-call.ts
@@ -5,7 +5,7 @@
 import {deadlineHeader, idempotencyKeyHeader, priorityHeader} from '@bitternpaddle/protocol';
 import {idempotencyKeySchema, sha256} from '@bitternpaddle/state';
 import {readBody} from '@bitternpaddle/transport';
-import {z} from 'zod';
+import * as z from 'zod';
 import {bearerOf} from './admin-api.js';
 import {RefusedError, type Call} from './call.js';
 
--- a/packages/daemon/src/host/data-folder.ts
+++ b/packages/daemon/src/host/data-folder.ts
@@ -1,7 +1,7 @@
 import {mkdir, readFile} from 'node:fs/promises';
 import path from 'node:path';
 import {DamagedLogError, replaceFile} from '@bitternpaddle/state';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** The data folder cannot or must not be used; the message names the path and what to do. */
 export class DataFolderError extends Error {
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -1,7 +1,7 @@
 import {
 	hostIdSchema, regionIdSchema, serviceIdSchema, zoneIdSchema,
 } from '@bitternpaddle/state';
-import {z} from 'zod';
+import * as z from 'zod';
 import {adminRoles} from '../entry/admin-tokens.js';
 
 /** One setting: a flag and the environment variable of the same name. */
--- a/packages/daemon/test/dispatch.test.ts
+++ b/packages/daemon/test/dispatch.test.ts
@@ -9,7 +9,7 @@
 	createHttpServer, createRpcServer, readBody, rpcPath,
 } from '@bitternpaddle/transport';
 import t, {type Test} from 'tap';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	BrokenAnswerError, dispatch, type Attempt, type AttemptAnswer,
 } from '@bitternpaddle/daemon';
--- a/packages/daemon/test/rpc-packing.test.ts
+++ b/packages/daemon/test/rpc-packing.test.ts
@@ -4,7 +4,7 @@
 	callRpc, createHttpServer, createRpcServer, readBody, rpcPath, sendHttp,
 } from '@bitternpaddle/transport';
 import t, {type Test} from 'tap';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const start = async (t: Test) => {
 	const lengths: number[] = [];
--- a/packages/gateway/src/agent/digest-source.ts
+++ b/packages/gateway/src/agent/digest-source.ts
@@ -1,6 +1,6 @@
 import type {TransferPeer} from '@bitternpaddle/daemon/transfer';
 import {readBody, sendHttp, type Logger} from '@bitternpaddle/transport';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {OriginClient} from './engine-client.js';
 import type {LoadGoal} from './version-loader.js';
 
--- a/packages/gateway/src/core/core-identity.ts
+++ b/packages/gateway/src/core/core-identity.ts
@@ -3,7 +3,7 @@
 import path from 'node:path';
 import {memberIdOf} from '@bitternpaddle/coordination';
 import {DamagedLogError, replaceFile, type Members} from '@bitternpaddle/state';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const identitySchema = z.object({
 	diskId: z.string(),
--- a/packages/protocol/src/http/end-marker.ts
+++ b/packages/protocol/src/http/end-marker.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /**
  * Closes every answer on its way from agent to entry. An answer without it,
--- a/packages/protocol/src/http/issue.ts
+++ b/packages/protocol/src/http/issue.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /**
  * Numbers the requests of one sending process. A door that has forgotten a
--- a/packages/protocol/src/language/statement.ts
+++ b/packages/protocol/src/language/statement.ts
@@ -2,7 +2,7 @@
 	changeSchema, sha256, type Change,
 } from '@bitternpaddle/state';
 import {Left, Right, type Either} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {parse, SyntaxError as PeggySyntaxError} from '../../generated/command-parser.js';
 import {objectionTo, subjectSchema} from './subject-fields.js';
 
--- a/packages/protocol/src/language/subject-fields.ts
+++ b/packages/protocol/src/language/subject-fields.ts
@@ -1,5 +1,5 @@
 import {match} from 'ts-pattern';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Condition} from './statement.js';
 
 export const subjectSchema = z.enum(['replicas', 'transfers', 'hosts', 'revision', 'models', 'versions', 'adapters', 'fleets', 'services', 'teams', 'moves', 'requests']);
--- a/packages/protocol/src/rpc/methods.ts
+++ b/packages/protocol/src/rpc/methods.ts
@@ -2,7 +2,7 @@
 	adapterIdSchema, announcementSchema, changeSchema, commandSchema, logEntrySchema, manifestIdSchema, snapshotSchema, systemIdSchema, versionIdSchema,
 	type Catalog, type CommandResult,
 } from '@bitternpaddle/state';
-import {z} from 'zod';
+import * as z from 'zod';
 import {issueSchema} from '../http/issue.js';
 import {showSchema} from '../language/statement.js';
 
--- a/packages/protocol/src/rpc/request-record.ts
+++ b/packages/protocol/src/rpc/request-record.ts
@@ -1,5 +1,5 @@
 import {verdictTypeSchema} from '@bitternpaddle/state';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** One try at one endpoint. Times count from the arrival of the request. */
 export const attemptRecordSchema = z.object({
--- a/packages/protocol/src/rpc/shares.ts
+++ b/packages/protocol/src/rpc/shares.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const count = z.number().int().nonnegative();
 const rates = z.record(z.string(), z.number().nonnegative());
--- a/packages/state/src/catalog/types.ts
+++ b/packages/state/src/catalog/types.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	adapterIdSchema, commandIdSchema, fleetIdSchema, hostIdSchema, idempotencyKeySchema, manifestIdSchema, modelIdSchema,
 	regionIdSchema, requestIdSchema, serviceIdSchema, systemIdSchema, teamIdSchema, versionIdSchema, zoneIdSchema, type ManifestId,
--- a/packages/state/src/documents/document-state.ts
+++ b/packages/state/src/documents/document-state.ts
@@ -1,5 +1,5 @@
 import {match} from 'ts-pattern';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Document} from './document.js';
 
 const documentStateSchema = z.object({
--- a/packages/state/src/documents/document.ts
+++ b/packages/state/src/documents/document.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** What operators hand in whole and the log puts in order. */
 export const documentSchema = z.discriminatedUnion('kind', [
--- a/packages/state/src/log/frames.ts
+++ b/packages/state/src/log/frames.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {crc32} from 'node:zlib';
-import {z} from 'zod';
+import * as z from 'zod';
 import {recordSchema, type LogRecord} from './records.js';
 
 export class DamagedLogError extends Error {
--- a/packages/state/src/log/records.ts
+++ b/packages/state/src/log/records.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {commandSchema} from '../catalog/types.js';
 import {documentSchema} from '../documents/document.js';
 
--- a/packages/state/src/log/snapshot-file.ts
+++ b/packages/state/src/log/snapshot-file.ts
@@ -1,7 +1,7 @@
 import type {Buffer} from 'node:buffer';
 import {crc32} from 'node:zlib';
 import {Either, Left} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {DamagedLogError} from './frames.js';
 import {snapshotSchema, type Snapshot} from './records.js';
 
--- a/packages/state/src/manifest/manifest.ts
+++ b/packages/state/src/manifest/manifest.ts
@@ -1,6 +1,6 @@
 import {createHash} from 'node:crypto';
 import {Either, Left, Right} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {canonicalJson} from '../catalog/canonical-json.js';
 import {digestPattern, manifestIdSchema, type ManifestId} from '../types/ids.js';
 
--- a/packages/state/src/types/ids.ts
+++ b/packages/state/src/types/ids.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /**
  * Names that operators type: letters, digits, dot, dash and underscore, at
--- a/packages/state/src/types/verdict.ts
+++ b/packages/state/src/types/verdict.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /**
  * Says whether a request may have run on an endpoint. Retries and the text
--- a/packages/test-support/src/engine/engine-adapters.ts
+++ b/packages/test-support/src/engine/engine-adapters.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 export const adapterOrderSchema = z.discriminatedUnion('type', [
 	z.object({
--- a/packages/test-support/src/engine/fake-engine.ts
+++ b/packages/test-support/src/engine/fake-engine.ts
@@ -5,7 +5,7 @@
 import {
 	createHttpServer, readBody, sendJson, type HttpServer,
 } from '@bitternpaddle/transport';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {History} from '../history/events.js';
 import {
 	adapterOrderSchema, fingerprintOf, isAdapterName, type DoneAdapterOrder, type HeldAdapters,
--- a/packages/test-support/src/history/record-call.ts
+++ b/packages/test-support/src/history/record-call.ts
@@ -1,7 +1,7 @@
 import type http from 'node:http';
 import {adapterHeader, requestIdHeader, versionHeader} from '@bitternpaddle/protocol';
 import {readBody, sendHttp} from '@bitternpaddle/transport';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {CallOutcome, History} from './events.js';
 
 export type CallTarget
--- a/packages/test-support/src/trace/trace.ts
+++ b/packages/test-support/src/trace/trace.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const callOutcomeSchema = z.enum(['answered', 'notRun', 'mayHaveRun', 'refused', 'cut']);
 
--- a/packages/transport/src/rpc/rpc-server.ts
+++ b/packages/transport/src/rpc/rpc-server.ts
@@ -3,7 +3,7 @@
 import {
 	JSONRPCErrorCode, JSONRPCErrorException, JSONRPCServer, type JSONRPCParams, type JSONRPCResponse,
 } from 'json-rpc-2.0';
-import {z} from 'zod';
+import * as z from 'zod';
 import {ignore} from '../utils.js';
 import {readBody} from '../http/http-client.js';
 import {sendJson} from '../http/http-server.js';
--- /dev/null
+++ b/scripts/bundle-program.js
@@ -0,0 +1,31 @@
+import {execFileSync} from 'node:child_process';
+import {copyFileSync} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+import {build} from 'esbuild';
+
+const here = import.meta.dirname;
+
+/**
+ * Bundles a module that exports `runProgram` into one file, with a launcher and
+ * compiled code for each heap limit beside it: NAME.cjs is what is run.
+ */
+export const bundleProgram = async ({entry, folder, name, heapLimitsMb, isMinified = true}) => {
+	await build({
+		entryPoints: [entry],
+		outfile: path.join(folder, `${name}.code.cjs`),
+		bundle: true,
+		platform: 'node',
+		target: 'node20',
+		format: 'cjs',
+		minify: isMinified,
+		define: {'import.meta.url': 'bundleUrl'},
+		banner: {js: 'const bundleUrl = require("node:url").pathToFileURL(__filename).href;'},
+		logLevel: 'warning',
+	});
+	const launcher = path.join(folder, `${name}.cjs`);
+	copyFileSync(path.join(here, 'launch-program.cjs'), launcher);
+	for (const heapLimitMb of heapLimitsMb) {
+		execFileSync(process.execPath, [`--max-old-space-size=${heapLimitMb}`, path.join(here, 'write-code-cache.cjs'), launcher]);
+	}
+};
--- a/test/burn-fleet.test.ts
+++ b/test/burn-fleet.test.ts
@@ -7,7 +7,7 @@
 import {createEntryPeers, renderBurnText} from '@bitternpaddle/daemon';
 import type {BurnAnswer, QueryResult} from '@bitternpaddle/protocol';
 import {createHttpServer, createRpcServer} from '@bitternpaddle/transport';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const nowMs = Date.UTC(2026, 5, 4, 12, 0, 30);
 const entryCount = 330;
