--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -9,6 +9,7 @@
 import {measureFleetCost} from './fleet-cost/index.js';
 import {measureFlood} from './flood.js';
 import {measureOverhead} from './overhead.js';
+import {measurePlacement} from './placement/index.js';
 import {measureLimits, measureRouting} from './routing.js';
 
 /** A measurement: takes its flags, prints what it likes, gives the object for the last line. */
@@ -27,5 +28,6 @@
 	flood: measureFlood,
 	limits: measureLimits,
 	overhead: measureOverhead,
+	placement: measurePlacement,
 	routing: measureRouting,
 };
--- /dev/null
+++ b/packages/bench/src/placement/index.ts
@@ -0,0 +1,1 @@
+export * from './placement.js';
--- /dev/null
+++ b/packages/bench/src/placement/play-worker.ts
@@ -0,0 +1,31 @@
+import {parentPort} from 'node:worker_threads';
+import {playScenario, productPolicy, resolveScenario, type Counts, type EntryPolicy, type ProfileName, type Result, type ScenarioName} from '@bitternpaddle/model';
+import {ablations, baselines} from './policies.js';
+
+/** One play of a scenario under a policy. */
+export type PlayJob = {
+	readonly scenario: ScenarioName;
+	/** `product`, a baseline's name, or an ablation's. */
+	readonly policy: string;
+	readonly seed: number;
+	readonly engineCount: number;
+	readonly entryCount: number;
+	readonly profile: ProfileName;
+};
+
+export type PlayDone = {readonly job: PlayJob; readonly result: Result; readonly bySecond: readonly Counts[]};
+
+const policyOf = (name: string): EntryPolicy => {
+	if (name === 'product') {
+		return productPolicy;
+	}
+
+	return ablations[name] ?? baselines[name]!();
+};
+
+parentPort!.on('message', (job: PlayJob) => {
+	const {scenario, policy, seed, ...size} = job;
+	const {result, tally: {bySecond}} = playScenario({scenario: resolveScenario(scenario, size), seed, policy: policyOf(policy)});
+	const done: PlayDone = {job, result, bySecond};
+	parentPort!.postMessage(done);
+});
--- a/packages/model/src/entry.ts
+++ b/packages/model/src/entry.ts
@@ -1,5 +1,6 @@
 import {
-	createArrivalRate, createEndpointHealth, createEndpointLoad, createLateLane, createObjectiveMix, joinLane, leaveLane, type nextStep, noteArrival, noteObjective, readMs, strictestObjectiveMs, urgencyOf,
+	createArrivalRate, createEndpointHealth, createEndpointLoad, createLateLane, createObjectiveMix, joinLane, leaveLane, nextStep, noteArrival, noteObjective,
+	readMs, strictestObjectiveMs, urgencyOf,
 	type Candidate, type NextStep, type Random, type SeekingRequest, type ServiceDemand, type WaitReason,
 } from '@bitternpaddle/coordination';
 import type {EngineProfile} from '@bitternpaddle/state';
@@ -38,8 +39,15 @@
 	readonly policy: EntryPolicy;
 };
 
-/** Decides what becomes of a request; the product's own is the default. */
-export type EntryPolicy = typeof nextStep;
+/** What decides about requests. */
+export type EntryPolicy = {
+	readonly step: typeof nextStep;
+	/** The place of a request in an engine's queue. */
+	readonly urgency: typeof urgencyOf;
+};
+
+/** The product's own. */
+export const productPolicy: EntryPolicy = {step: nextStep, urgency: urgencyOf};
 
 type Waiting = {readonly seeking: SeekingRequest; readonly request: EntryRequest};
 
@@ -86,7 +94,7 @@
 
 		const work: EngineWork = {
 			promptTokens: request.promptTokens, answerTokens: request.answerTokens,
-			urgency: urgencyOf({
+			urgency: policy.urgency({
 				priority: 1, hasComeBack: request.hasComeBack, objectiveMs: request.objectiveMs, ownReadMs: readMs(profile, request.promptTokens),
 				usualSlackMs: strictestObjectiveMs(objectives, nowMs) - readMs(profile, profile.usualPromptTokens),
 			}),
@@ -138,7 +146,7 @@
 	const look = (waits: Waiting): void => {
 		const {seeking, request} = waits;
 		const nowMs = timeline.nowMs();
-		const step = policy(demand(), {
+		const step = policy.step(demand(), {
 			candidates: candidateList, profile, zoneId, entryCount, dues: [], leftMs: Number.POSITIVE_INFINITY, random, nowMs,
 		}, seeking);
 		if (step.type === 'wait' && step.reason === seeking.waitsFor) {
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -4,4 +4,5 @@
 export * from './scenarios.js';
 export * from './tally.js';
 export * from './timeline.js';
+export * from './upper-bound.js';
 export * from './world.js';
--- a/packages/model/src/world.ts
+++ b/packages/model/src/world.ts
@@ -1,8 +1,8 @@
 import {
-	createRandom, drawShare, nextStep, type Candidate, type Random,
+	createRandom, drawShare, type Candidate, type Random,
 } from '@bitternpaddle/coordination';
 import {createModelEngine, type ModelEngine} from './engine.js';
-import {createModelEntry, type EntryPolicy, type ModelEntry} from './entry.js';
+import {createModelEntry, productPolicy, type EntryPolicy, type ModelEntry} from './entry.js';
 import {
 	carriedPerSecond, type EngineEvent, type ModelKind, type Scenario,
 } from './scenario.js';
@@ -197,7 +197,7 @@
 };
 
 /** Plays a scenario from beginning to end in virtual time; the same seed gives the same play. */
-export const playScenario = ({scenario, seed, policy = nextStep}: PlayOptions): Play => {
+export const playScenario = ({scenario, seed, policy = productPolicy}: PlayOptions): Play => {
 	const timeline = createTimeline();
 	const random = createRandom(seed);
 	const engines = Array.from({length: scenario.engineCount}, (_, index) => createModelEngine({
--- a/packages/model/test/placing.test.ts
+++ b/packages/model/test/placing.test.ts
@@ -1,7 +1,7 @@
 import {nextStep} from '@bitternpaddle/coordination';
 import t from 'tap';
 import {
-	playScenario, resolveScenario, type EntryPolicy, type Result, type Scenario, type ScenarioName,
+	playScenario, productPolicy, resolveScenario, type EntryPolicy, type Result, type Scenario, type ScenarioName,
 } from '@bitternpaddle/model';
 
 const seeds = [1, 2, 3];
@@ -22,13 +22,15 @@
 const tell = (results: Record<string, object>): string => JSON.stringify(results, (_, value: unknown) => typeof value === 'number' ? Number(value.toFixed(3)) : value);
 
 /** Each entry reckons as if it were the only one. */
-const alone: EntryPolicy = (demand, surroundings, request) => nextStep(demand, {...surroundings, entryCount: 1}, request);
+const alone: EntryPolicy = {...productPolicy, step: (demand, surroundings, request) => nextStep(demand, {...surroundings, entryCount: 1}, request)};
 /** Who came back is taken like one that comes for the first time. */
-const likeFirst: EntryPolicy = (demand, surroundings, request) => nextStep(demand, surroundings, {...request, isLastTry: false});
+const likeFirst: EntryPolicy = {...productPolicy, step: (demand, surroundings, request) => nextStep(demand, surroundings, {...request, isLastTry: false})};
 /** Nobody waits: who cannot be in time is sent away at once. */
-const withoutLane: EntryPolicy = (demand, surroundings, request) => {
-	const step = nextStep(demand, surroundings, request);
-	return step.type === 'wait' && step.reason === 'lane' ? {type: 'refuse', reason: 'busy', retryAfterMs: 1300} : step;
+const withoutLane: EntryPolicy = {
+	...productPolicy, step(demand, surroundings, request) {
+		const step = nextStep(demand, surroundings, request);
+		return step.type === 'wait' && step.reason === 'lane' ? {type: 'refuse', reason: 'busy', retryAfterMs: 1300} : step;
+	},
 };
 
 t.test('a seed gives the same play, to the last request', async t => {
