perf(platform): V8 runs without helping threads

Cause: of 1,271 system calls of an idle agent in 4 s, 454 were futex calls of V8's helping threads, which on a host of one processor only take turns with the one that serves.

--- a/packages/bench/src/fleet-cost/fleet-cost.ts
+++ b/packages/bench/src/fleet-cost/fleet-cost.ts
@@ -31,7 +31,8 @@
 const steadyMs = 8000;
 const msPerSecond = 1000;
 const bytesPerMegabyte = 1_048_576;
-const heapLimitMb = 160;
+/** As the deployed roles have them. */
+const nodeFlags = ['--single-threaded', '--max-old-space-size=160'];
 /** Of one entry among 39, where engines have 8 places each. */
 const requestsPerSecond = 24;
 const bundler = fileURLToPath(new URL('../../../../scripts/bundle-role.js', import.meta.url));
@@ -92,7 +93,7 @@
 		selfAddress, listen, engineAddress, others,
 	});
 	try {
-		const {start, end, residentMb} = await sample([`--max-old-space-size=${heapLimitMb}`, program, JSON.stringify(settings)], profileFolder);
+		const {start, end, residentMb} = await sample([...nodeFlags, program, JSON.stringify(settings)], profileFolder);
 		const cores = (end.processorMs - start.processorMs) / steadyMs;
 		return {
 			engineCount, cores: round(cores, 4), bytesPerSecond: Math.round((end.transferBytes - start.transferBytes) * msPerSecond / steadyMs),
@@ -112,14 +113,14 @@
  * process, speaks for all the others; so the slope over the number of engines is
  * that of the measured process alone.
  */
-export const measureFleetCost = async (flags: readonly string[]): Promise<Record<string, unknown>> => {
+export const measureFleetCost = async (options: readonly string[]): Promise<Record<string, unknown>> => {
 	const {values} = parseArgs({
-		args: [...flags], options: {
+		args: [...options], options: {
 			engines: {type: 'string', default: '15,60,170'}, roles: {type: 'string', default: roles.join(',')}, profile: {type: 'string'},
 		},
 	});
 	return withFolder(async folder => {
-		execFileSync(process.execPath, [bundler, roleModule, folder, String(heapLimitMb), values.profile === undefined ? '' : 'plain']);
+		execFileSync(process.execPath, [bundler, roleModule, folder, values.profile === undefined ? 'minified' : 'plain', ...nodeFlags]);
 		const empty = await sample(['-e', 'setInterval(() => {}, 1000)'], null);
 		const result: Record<string, RoleCost[]> = {};
 		for (const role of roles.filter(name => values.roles.split(',').includes(name))) {
--- a/packages/bench/src/placement/play-worker.ts
+++ b/packages/bench/src/placement/play-worker.ts
@@ -1,5 +1,7 @@
 import {parentPort} from 'node:worker_threads';
-import {playScenario, productPolicy, resolveScenario, type Counts, type EntryPolicy, type ProfileName, type Result, type ScenarioName} from '@bitternpaddle/model';
+import {
+	playScenario, productPolicy, resolveScenario, type Counts, type EntryPolicy, type ProfileName, type Result, type ScenarioName,
+} from '@bitternpaddle/model';
 import {ablations, baselines} from './policies.js';
 
 /** One play of a scenario under a policy. */
--- a/scripts/bundle-platform.js
+++ b/scripts/bundle-platform.js
@@ -7,5 +7,5 @@
 	folder: process.argv[2] ?? 'target',
 	name: 'bitternpaddle-host',
 	// As deploy/system.toml starts the roles.
-	heapLimitsMb: [110, 160],
+	flagSets: [['--single-threaded', '--max-old-space-size=110'], ['--single-threaded', '--max-old-space-size=160']],
 });
--- a/scripts/bundle-program.js
+++ b/scripts/bundle-program.js
@@ -8,9 +8,9 @@
 
 /**
  * Bundles a module that exports `runProgram` into one file, with a launcher and
- * compiled code for each heap limit beside it: NAME.cjs is what is run.
+ * compiled code for each set of Node's flags beside it: NAME.cjs is what is run.
  */
-export const bundleProgram = async ({entry, folder, name, heapLimitsMb, isMinified = true}) => {
+export const bundleProgram = async ({entry, folder, name, flagSets, isMinified = true}) => {
 	await build({
 		entryPoints: [entry],
 		outfile: path.join(folder, `${name}.code.cjs`),
@@ -25,7 +25,7 @@
 	});
 	const launcher = path.join(folder, `${name}.cjs`);
 	copyFileSync(path.join(here, 'launch-program.cjs'), launcher);
-	for (const heapLimitMb of heapLimitsMb) {
-		execFileSync(process.execPath, [`--max-old-space-size=${heapLimitMb}`, path.join(here, 'write-code-cache.cjs'), launcher]);
+	for (const flags of flagSets) {
+		execFileSync(process.execPath, [...flags, path.join(here, 'write-code-cache.cjs'), launcher]);
 	}
 };
