--- a/packages/bench/src/placement/placement.ts
+++ b/packages/bench/src/placement/placement.ts
@@ -31,6 +31,9 @@
 	return found;
 });
 
+/** As `among`; nothing where no name is given. */
+const someOf = (kind: string, text: string, known: readonly string[]): string[] => text === '' ? [] : among(kind, text, known);
+
 const count = (name: string, text: string): number => {
 	const value = Number(text);
 	if (!Number.isInteger(value) || value < 1) {
@@ -50,7 +53,7 @@
 	});
 	return {
 		scenarios: among('scenario', values.scenario, scenarioNames), seeds: count('seeds', values.seeds), engineCount: count('engines', values.engines), entryCount: count('entries', values.entries),
-		policies: [product, ...values.policy === '' ? [] : among('policy', values.policy, Object.keys(baselines)), ...values.without === '' ? [] : among('mechanism', values.without, Object.keys(ablations))],
+		policies: [product, ...someOf('policy', values.policy, Object.keys(baselines)), ...someOf('mechanism', values.without, Object.keys(ablations))],
 		profile: among('profile', values.profile, profileNames)[0]!, plotFile: values.plot ?? null,
 	};
 };
--- a/packages/bench/src/placement/plot.ts
+++ b/packages/bench/src/placement/plot.ts
@@ -23,7 +23,10 @@
 			return `<rect x="${(margin + (index * barWidth)).toFixed(1)}" y="${top.toFixed(1)}" width="${(barWidth - 1).toFixed(1)}" height="${size.toFixed(1)}" fill="${fill}"/>`;
 		});
 	});
-	const legend = parts.map(({fill, label}, index) => `<rect x="${margin + (index * 150)}" y="${height - 22}" width="12" height="12" fill="${fill}"/><text x="${margin + 18 + (index * 150)}" y="${height - 12}">${label}</text>`);
+	const legend = parts.map(({fill, label}, index) => {
+		const left = margin + (index * 150);
+		return `<rect x="${left}" y="${height - 22}" width="12" height="12" fill="${fill}"/><text x="${left + 18}" y="${height - 12}">${label}</text>`;
+	});
 	return `<svg xmlns="http://www.w3.org/2000/svg" width="${width}" height="${height}" font-family="sans-serif" font-size="12">
 <text x="${margin}" y="20">${title}: callers by the second in which they asked, at most ${most.toFixed(0)}</text>
 ${[...bars, ...legend].join('\n')}
--- a/packages/coordination/src/placement/late-lane.ts
+++ b/packages/coordination/src/placement/late-lane.ts
@@ -34,6 +34,12 @@
 const sureShare = 0.8;
 /** Whoever waits is given up on only once the lane has slowed this much. */
 const patienceFactor = 2;
+/**
+ * After this only what the lane was seen to serve counts: places that look free may
+ * be beyond reach. Counted on, a caller waits to its deadline beside engines with
+ * places, and has lost its next try: one in twenty of a calm day.
+ */
+const trustMs = 1000;
 const msPerSecond = 1000;
 
 export const createLateLane = (): LateLane => ({
@@ -80,16 +86,27 @@
 	return true;
 };
 
+/** What a request may expect of a lane. */
+export type LaneOutlook = {
+	/** Members that go in before it. */
+	readonly ahead: number;
+	/** In which it can still be answered whole. */
+	readonly leftMs: number;
+	/** In the lane; 0 for one that has not joined. */
+	readonly waitedMs: number;
+};
+
 /**
  * Whether a request with `ahead` others before it will most likely be sent on in
  * the `leftMs` in which it can still be answered whole. Whoever will not be is told
  * at once: held to its deadline it would have lost its next try as well.
  */
-export const willBeSent = (lane: LateLane, {ahead, leftMs, isMember}: {ahead: number; leftMs: number; isMember: boolean}, nowMs: number): boolean => {
+export const willBeSent = (lane: LateLane, {ahead, leftMs, waitedMs}: LaneOutlook, nowMs: number): boolean => {
 	if (leftMs <= 0) {
 		return false;
 	}
 
 	const promised = arrivalsPerSecond(lane.sent, nowMs) * sureShare * leftMs / msPerSecond;
-	return ahead < Math.max(leastMembers, lane.part, promised) * (isMember ? patienceFactor : 1);
+	const trusted = waitedMs < trustMs ? Math.max(leastMembers, lane.part) : 0;
+	return ahead < Math.max(trusted, promised) * (waitedMs > 0 ? patienceFactor : 1);
 };
--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -177,12 +177,13 @@
 	}
 
 	const isMember = request.waitsFor === 'lane';
+	const waitedMs = isMember ? Math.max(1, nowMs - request.sinceMs) : 0;
 	if (!request.isLastTry && !isMember) {
 		// How its kind fares beside the others.
 		noteRefused(objectives, request.objectiveMs, nowMs);
 	}
 
-	if (willBeSent(lane, {ahead, leftMs, isMember}, nowMs)) {
+	if (willBeSent(lane, {ahead, leftMs, waitedMs}, nowMs)) {
 		return {type: 'wait', reason: 'lane'};
 	}
 
--- a/packages/gateway/src/load/load-relay.ts
+++ b/packages/gateway/src/load/load-relay.ts
@@ -18,7 +18,7 @@
 /** How often each relay tells those beside it; two of them make it twice as often. */
 export const turnMs = 100;
 /** How often each relay sends a digest to other zones; one alone still keeps what these know from getting old. */
-export const digestEveryMs = 300;
+export const digestEveryMs = 200;
 const turnsPerDigest = digestEveryMs / turnMs;
 /** An engine that was reported on longer ago than this is left out: its host stands still or is cut off, and the others must find that out. */
 const silentMs = 400;
--- a/packages/gateway/src/load/load-reporter.ts
+++ b/packages/gateway/src/load/load-reporter.ts
@@ -1,7 +1,7 @@
 import {randomInt} from 'node:crypto';
 import type {EngineReport} from '@bitternpaddle/coordination';
 import {createLoadSender, createSendingSocket} from './load-socket.js';
-import {relaysPerZone, toldBy, type ZonedAddress} from './relay-plan.js';
+import {reportRoutes, type ZonedAddress} from './relay-plan.js';
 
 export type LoadReporterOptions = {
 	/** Address of the engine that the reports are of. */
@@ -18,7 +18,7 @@
 	close(): void;
 };
 
-/** Where there are too few entries beside the agent to pass its reports on, every second one goes to all entries. */
+/** Where nobody passes the agent's reports on, every second one goes to all entries. */
 const farReportEvery = 2;
 const mostEpoch = 0xFF_FF_FF;
 
@@ -40,10 +40,10 @@
 			const reports = [{
 				epoch, sequence, endpointAddress, report, way: {type: 'direct', sentAtMs: performance.now()},
 			}] as const;
-			const told = toldBy(zoneId, entries());
-			sender.send({kind: 'near', reports}, told);
-			if (isTurning || (told.length < relaysPerZone && sequence % farReportEvery === 0)) {
-				sender.send({kind: 'far', reports}, entries().map(({address}) => address).filter(address => !told.includes(address)));
+			const {type, near} = reportRoutes(zoneId, entries());
+			sender.send({kind: 'near', reports}, near);
+			if (isTurning || (type === 'all' && sequence % farReportEvery === 0)) {
+				sender.send({kind: 'far', reports}, entries().map(({address}) => address).filter(address => !near.includes(address)));
 			}
 		},
 		close() {
--- a/packages/gateway/src/load/relay-plan.ts
+++ b/packages/gateway/src/load/relay-plan.ts
@@ -18,13 +18,25 @@
  */
 export const relaysPerZone = 2;
 
-/** So many entries beside it an agent tells by itself; where there are more, it tells the relays. */
+/**
+ * With so many entries each agent tells all of them by itself: what they know is a
+ * tenth of a second fresher than by relays, and costs little.
+ */
+const mostDirect = 12;
+/** So many entries beside it an agent tells by itself also in a larger fleet; where there are more, it tells the relays. */
 const mostTold = 3;
 
-/** Whom of the entries of its zone an agent tells. */
-export const toldBy = (zoneId: string, entries: readonly ZonedAddress[]): string[] => {
+/** `all`: every entry hears of every second report or more. `relayed`: the agent tells a few, which pass it on. */
+export type ReportRoutes = {readonly type: 'all' | 'relayed'; /** Told of every report. */ readonly near: readonly string[]};
+
+/** Whom an agent tells. */
+export const reportRoutes = (zoneId: string, entries: readonly ZonedAddress[]): ReportRoutes => {
 	const near = entries.filter(entry => entry.zoneId === zoneId).map(({address}) => address).toSorted();
-	return near.length > mostTold ? near.slice(0, relaysPerZone) : near;
+	if (entries.length <= mostDirect || near.length < relaysPerZone) {
+		return {type: 'all', near};
+	}
+
+	return {type: 'relayed', near: near.length > mostTold ? near.slice(0, relaysPerZone) : near};
 };
 
 export const noRelay: RelayPlan = {farAddresses: [], nearAddresses: [], passesNear: false};
@@ -33,7 +45,7 @@
  * The relays of a zone are the first of its entries by address: everybody finds
  * the same ones without asking. The first one of a zone sends to the first ones of
  * the others, the second to the second ones, so that a loss ends one of the two ways only.
- * Where a zone has fewer entries than that, its agents tell all entries themselves, and it has no relays.
+ * Where there are few entries, or a zone has fewer than that, agents tell all of them themselves, and there are no relays.
  */
 export const planRelay = (self: ZonedAddress, entries: readonly ZonedAddress[]): RelayPlan => {
 	const byZone = new Map<string, string[]>();
@@ -43,7 +55,7 @@
 
 	const own = (byZone.get(self.zoneId) ?? []).toSorted();
 	const rank = own.indexOf(self.address);
-	if (rank === -1 || rank >= relaysPerZone || own.length < relaysPerZone) {
+	if (entries.length <= mostDirect || rank === -1 || rank >= relaysPerZone || own.length < relaysPerZone) {
 		return noRelay;
 	}
 
--- a/packages/model/src/world.ts
+++ b/packages/model/src/world.ts
@@ -1,8 +1,10 @@
 import {
-	createRandom, drawShare, type Candidate, type Random,
+	createRandom, drawShare, type Candidate, type EngineReport, type Random,
 } from '@bitternpaddle/coordination';
 import {createModelEngine, type ModelEngine} from './engine.js';
-import {createModelEntry, productPolicy, type EntryPolicy, type ModelEntry} from './entry.js';
+import {
+	createModelEntry, productPolicy, type EntryPolicy, type ModelEntry,
+} from './entry.js';
 import {
 	carriedPerSecond, type EngineEvent, type ModelKind, type Scenario,
 } from './scenario.js';
@@ -23,7 +25,7 @@
 const nearWayMs = 0.5;
 const farWayMs = 3;
 const reportMs = 100;
-/** Reports reach other zones by digests. */
+/** Reports reach other zones by digests of what was last read. */
 const digestMs = 150;
 const loadMs = 300;
 /** The longest prompts have four times the usual length. */
@@ -46,12 +48,12 @@
 const zoneOf = (index: number, {zoneCount}: Scenario): string => `zone-${index % zoneCount}`;
 
 const reportEngines = ({engines, entries, timeline}: World): void => {
-	const tell = (engine: ModelEngine, to: readonly Candidate[], wayMs: number): void => {
-		const report = engine.report();
+	type Read = {readonly report: EngineReport; readonly atMs: number};
+	const tell = ({report, atMs}: Read, to: readonly Candidate[], wayMs: number): void => {
 		timeline.after(wayMs, () => {
 			for (const {load} of to) {
 				load.report = report;
-				load.reportedAtMs = timeline.nowMs();
+				load.reportedAtMs = atMs + wayMs;
 			}
 		});
 	};
@@ -69,11 +71,13 @@
 			timeline.at((index * 7) % periodMs, repeat);
 		};
 
+		let newest: Read = {report: engine.report(), atMs: 0};
 		everyMs(reportMs, () => {
-			tell(engine, near, nearWayMs);
+			newest = {report: engine.report(), atMs: timeline.nowMs()};
+			tell(newest, near, nearWayMs);
 		});
 		everyMs(digestMs, () => {
-			tell(engine, far, farWayMs);
+			tell(newest, far, farWayMs);
 		});
 	}
 };
