fix(core): who comes while a roster is kept is told of

Cause: a core host woke its followers once for a change, and where the roster was then younger than 0.4 s the old one was still in force: an agent learnt of an entry that came last only with its next question, up to 4 s later, and sent it no reports until then. Ruled out: a shorter wait of agents, whose questions were a third of what they take. Change: followers are woken at each turn for as long as a roster is given out that is not the newest. Test: of the new question, whether a roster that is given out is stale; the code before had no such question and counted the change as told.

--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -223,10 +223,10 @@
 	const pruning = setInterval(() => {
 		pruneRegistry(registry, steadyNowMs());
 	}, pruneMs);
-	let toldRevision = 0;
 	const telling = setInterval(() => {
-		if (followers.revision() !== toldRevision) {
-			toldRevision = followers.revision();
+		// A roster may be too young to be made anew at this turn: then it is at the next. Told of it only by its
+		// next question, an agent would leave an entry that has just come without reports for four seconds.
+		if (followers.isStale()) {
 			desk.wake();
 		}
 	}, rosterAgeMs);
--- a/packages/gateway/src/core/followers.ts
+++ b/packages/gateway/src/core/followers.ts
@@ -8,8 +8,8 @@
 	note(follower: Follower, nowMs: number): void;
 	/** What `follower` has to know of the others; up to `rosterAgeMs` old. */
 	roster(follower: Follower, coreAddresses: readonly string[], nowMs: number): Roster;
-	/** Grows with each change. */
-	revision(): number;
+	/** Whether someone has come or gone since a roster was made that is still given out. */
+	isStale(): boolean;
 };
 
 /** Longer than a follower's question stays open and its next one takes; one that has not asked for this long is gone or cut off. */
@@ -110,6 +110,6 @@
 			});
 			return roster;
 		},
-		revision: () => revision,
+		isStale: () => [...kept.values()].some(roster => roster.revision !== revision),
 	};
 };
--- a/packages/gateway/test/followers.test.ts
+++ b/packages/gateway/test/followers.test.ts
@@ -68,3 +68,17 @@
 	t.ok(hashes.size <= 3, `${hashes.size} rosters`);
 	t.equal(followers.roster(agent(0, 'a'), core, 1000).followers.length, 100);
 });
+
+// An entry comes while the roster of before is still given out. Agents whose question is
+// open must be told once there is a new one, or its callers find engines without reports.
+t.test('who comes while a roster is kept is not forgotten', async t => {
+	const followers = createFollowers();
+	followers.note(entry(1), 0);
+	followers.roster(agent(1, 'a'), core, 0);
+	t.notOk(followers.isStale());
+	followers.note(entry(2), 100);
+	t.equal(followers.roster(agent(1, 'a'), core, 300).followers.length, 1);
+	t.ok(followers.isStale());
+	t.equal(followers.roster(agent(1, 'a'), core, 400).followers.length, 2);
+	t.notOk(followers.isStale());
+});
