fix(link): a core host that has just started is no source of rosters

Cause: rosters come from one core host, the nearest. When that starts again it knows hardly any follower, and an agent that asks it first would have told no entry of its engine's load until the others were back; and where the source changed, the roster of the one before stayed in force if the next one had not changed. Change: a core host is a source once it has been connected for 3 s, if any is; after a change of the source its roster is taken whole.

--- a/packages/coordination/src/placement/admit.ts
+++ b/packages/coordination/src/placement/admit.ts
@@ -61,7 +61,7 @@
  * times what engines carry 430 callers in a thousand are answered in time, 279 without
  * this. While they are not, it takes nobody's place, and has no further try: held to
  * free places then too, 31 and 71 of 820 callers of the six seconds after engines were
- * added were refused for good on two played days, 10 and 24 with this.
+ * added were refused for good in two runs, 10 and 24 with this.
  */
 const hasSpareRoom = ({expectedMs, excessMs, spareMs, objectiveMs, isOverloaded}: AdmitOptions): boolean => expectedMs - excessMs
 	<= (isOverloaded ? spareMs : Math.max(spareMs, calmShare * objectiveMs));
--- a/packages/gateway/src/link/core-client.ts
+++ b/packages/gateway/src/link/core-client.ts
@@ -41,6 +41,8 @@
 	toldNumber: number;
 	answeredAtMs: number;
 	isConnected: boolean;
+	/** Since when it has been connected without a break. */
+	connectedAtMs: number;
 	failures: number;
 	/** The question that is open was cut short to ask anew. */
 	isRefreshing: boolean;
@@ -55,6 +57,8 @@
 const forgetAfterMs = 15_000;
 /** Behind the time that a question may stay open. */
 const liveSlackMs = 1800;
+/** A core host that has just started hears of all who follow it within this; entries ask every second, and retry within one. */
+const settleMs = 3000;
 const lookMs = 200;
 /** A core host of the own zone hears of a change this much later than the first at most; its bytes cost nothing. */
 const nearWaitMs = 20;
@@ -65,7 +69,7 @@
 });
 
 const createLane = (nowMs: number): Lane => ({
-	epoch: '', position: 0, rosterHash: '', versionsHash: '', zoneId: '', toldNumber: -1, answeredAtMs: nowMs, isConnected: false, failures: 0, isRefreshing: false,
+	epoch: '', position: 0, rosterHash: '', versionsHash: '', zoneId: '', toldNumber: -1, answeredAtMs: nowMs, isConnected: false, connectedAtMs: nowMs, failures: 0, isRefreshing: false,
 	abort: new AbortController(),
 });
 
@@ -81,6 +85,8 @@
 	let named: readonly string[] = [];
 	let isClosed = false;
 	let isFetching = false;
+	/** The core host whose roster is held. */
+	let rosterFrom = '';
 
 	const ask = async (address: string, lane: Lane): Promise<void> => {
 		const askedAtMs = clock.nowMs();
@@ -90,7 +96,7 @@
 		const answer = await callRpc<unknown>({
 			isPacked: true, address, method: 'gateway.watch', timeoutMs: askedMs + answerSlackMs, signal: lane.abort.signal,
 			params: {
-				follower: self, epoch: lane.epoch, position: lane.position, rosterHash: !isFirst && address === rosterSource() ? lane.rosterHash : null,
+				follower: self, epoch: lane.epoch, position: lane.position, rosterHash: !isFirst && address === rosterSource() ? heldRosterHash(address, lane) : null,
 				versionsHash: lane.versionsHash, waitMs: askedMs,
 				configurationNumber: Math.max(lane.toldNumber, configurationNumber()),
 			},
@@ -105,6 +111,7 @@
 		lane.answeredAtMs = clock.nowMs();
 		if (result.roster !== null) {
 			named = result.roster.coreAddresses;
+			rosterFrom = address;
 		}
 
 		onResult(result, askedAtMs);
@@ -153,14 +160,22 @@
 	/**
 	 * The one core host that rosters are taken from, the nearest: each of them makes a
 	 * roster of its own, and taken from five a fleet of hundreds would read five long ones
-	 * at each host that comes or goes.
+	 * at each host that comes or goes. One that has just started knows hardly anybody yet:
+	 * an agent that believed it would send its reports to no entry for a second. So others
+	 * go before it, if there are any.
 	 */
 	const rosterSource = (): string | undefined => {
+		const nowMs = clock.nowMs();
 		const connected = [...lanes].filter(([, lane]) => lane.isConnected);
-		const near = connected.find(([, lane]) => lane.zoneId === self.zoneId);
-		return (near ?? connected[0])?.[0];
+		const settled = connected.filter(([, lane]) => nowMs - lane.connectedAtMs >= settleMs);
+		const usable = settled.length > 0 ? settled : connected;
+		const near = usable.find(([, lane]) => lane.zoneId === self.zoneId);
+		return (near ?? usable[0])?.[0];
 	};
 
+	/** Empty where the roster of another core host is held: this one's may differ, though it has not changed. */
+	const heldRosterHash = (address: string, lane: Lane): string => address === rosterFrom ? lane.rosterHash : '';
+
 	const isFollowed = (address: string, lane: Lane): boolean => !isClosed && lanes.get(address) === lane;
 
 	const follow = async (address: string, lane: Lane): Promise<void> => {
@@ -182,6 +197,7 @@
 	const noteConnected = (address: string, lane: Lane): void => {
 		if (!lane.isConnected) {
 			logger.event('BP4001', {core: address});
+			lane.connectedAtMs = clock.nowMs();
 		}
 
 		lane.isConnected = true;
