fix(core): as many voters as the losses to be borne take

Cause: deploy/system.toml placed one core host in a zone, so three of the six hosts with a disk kept the log, while two disks may be lost at once. Ruled out: the leader replaced at 30.6 s and the hosts that stop in turn (all three members compacted at one index at 34 s), a damaged log (no BP1002 or BP4010), and time: the missing votes are on lost disks.

The leader already grows the group to 2f + 1 voters from hosts that stand by. Where a zone has fewer disks than such hosts, those without one follow the log in memory, answer operators and endpoints, and are never made voters.

--- a/packages/coordination/src/consensus/plan-members.ts
+++ b/packages/coordination/src/consensus/plan-members.ts
@@ -1,7 +1,7 @@
 import type {Members} from '@bitternpaddle/state';
 import {hasLeaderLease} from './lease.js';
 import {membersIndexInLog} from './log.js';
-import {hostOfMember} from './member-id.js';
+import {hasDisk, hostOfMember} from './member-id.js';
 import type {ConsensusState} from './types.js';
 
 export type PlanMembersOptions = {
@@ -93,6 +93,11 @@
 	return gone === undefined ? null : {voters: members.voters.filter(voter => voter !== gone), learners: members.learners};
 };
 
+/**
+ * Makes a learner a voter where one is missing or lost. A host without a disk
+ * stays a learner: once it restarts, an entry that it was counted for would be
+ * on fewer disks than a quorum.
+ */
 const promoteLearner = (view: View): Members | null => {
 	const {members, voterCount, state, nowMs} = view;
 	const isNeeded = members.voters.length < voterCount || members.voters.some(voter => isLost(view, voter));
@@ -101,7 +106,7 @@
 	}
 
 	const [added] = members.learners
-		.filter(learner => nowMs - answeredAtMs(view, learner) < learnerAnswerMs && state.commitIndex - matchIndexOf(view, learner) <= caughtUpEntries)
+		.filter(learner => hasDisk(learner) && nowMs - answeredAtMs(view, learner) < learnerAnswerMs && state.commitIndex - matchIndexOf(view, learner) <= caughtUpEntries)
 		.toSorted((a, b) => matchIndexOf(view, b) - matchIndexOf(view, a) || (a < b ? -1 : 1));
 	return added === undefined
 		? null
--- a/packages/coordination/test/simulation.ts
+++ b/packages/coordination/test/simulation.ts
@@ -3,7 +3,7 @@
 	HardState, LogEntry, Members, Snapshot,
 } from '@bitternpaddle/state';
 import {
-	createConsensus, createRandom, hasLeaderLease, hostOfMember, isInContact, membersAt, memberIdOf, planMembers, stepConsensus,
+	createConsensus, createRandom, hasLeaderLease, hostOfMember, isInContact, membersAt, memberIdOf, memberIdWithoutDisk, planMembers, stepConsensus,
 	type ConsensusEffect, type ConsensusEvent, type ConsensusState,
 } from '@bitternpaddle/coordination';
 
@@ -35,9 +35,16 @@
 
 const emptyDisk = (): Disk => ({hardState: {term: 0, votedFor: null}, snapshot: null, entries: []});
 const nameOf = (entry: LogEntry): string => `${entry.term}:${JSON.stringify(entry.payload)}`;
-const voterCount = 3;
+const firstVoterCount = 3;
 const replaceAfterMs = 3000;
 
+export type SimulationOptions = {
+	/** Voters that the leader aims at; there are three at first. @default 3 */
+	readonly voterCount?: number;
+	/** @default none */
+	readonly hostsWithoutDisk?: readonly string[];
+};
+
 /** Control hosts over a network and disks that fail as the schedule says. Checks what must hold after each step. */
 export class Simulation {
 	nowMs = 1000;
@@ -53,10 +60,12 @@
 	private disks = 0;
 	private readonly commitTimes: Array<{readonly atMs: number; readonly index: number}> = [];
 	private readonly initialMembers: Members;
+	private readonly voterCount: number;
 
-	constructor(hostIds: readonly string[]) {
-		const ids = hostIds.map(hostId => memberIdOf(hostId, '0'));
-		this.initialMembers = {voters: ids.slice(0, voterCount), learners: []};
+	constructor(hostIds: readonly string[], {voterCount = 3, hostsWithoutDisk = []}: SimulationOptions = {}) {
+		this.voterCount = voterCount;
+		const ids = hostIds.map(hostId => hostsWithoutDisk.includes(hostId) ? memberIdWithoutDisk(hostId, '0') : memberIdOf(hostId, '0'));
+		this.initialMembers = {voters: ids.slice(0, firstVoterCount), learners: []};
 		for (const id of ids) {
 			this.start(id, emptyDisk());
 		}
@@ -155,6 +164,16 @@
 		this.start(memberIdOf(hostOfMember(node.id), String(this.disks)), emptyDisk());
 	}
 
+	/** The host is gone for good. */
+	remove(node: Node): void {
+		this.nodes.delete(node.id);
+	}
+
+	/** A host that was added later, with an empty disk. */
+	add(hostId: string): void {
+		this.start(memberIdOf(hostId, '0'), emptyDisk());
+	}
+
 	propose(node: Node): void {
 		this.proposals++;
 		const commandId = `p${this.proposals}`;
@@ -231,7 +250,7 @@
 		}
 
 		const members = planMembers({
-			state: node.state, standbys: node.standbys, voterCount, leadingSinceMs: node.leadingSinceMs, nowMs, replaceAfterMs,
+			state: node.state, standbys: node.standbys, voterCount: this.voterCount, leadingSinceMs: node.leadingSinceMs, nowMs, replaceAfterMs,
 		});
 		if (members !== null) {
 			this.dispatch(node, {type: 'propose', token: 0, payload: {type: 'members', members}});
--- a/packages/gateway/src/core/core-identity.ts
+++ b/packages/gateway/src/core/core-identity.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
-import {readFile} from 'node:fs/promises';
+import {mkdir, readFile} from 'node:fs/promises';
 import path from 'node:path';
-import {memberIdOf} from '@bitternpaddle/coordination';
+import {memberIdOf, memberIdWithoutDisk} from '@bitternpaddle/coordination';
 import {DamagedLogError, replaceFile, type Members} from '@bitternpaddle/state';
 import * as z from 'zod';
 
@@ -15,7 +15,8 @@
 
 export type CoreIdentityOptions = {
 	readonly selfAddress: string;
-	readonly folder: string;
+	/** `null`: the host has no disk. */
+	readonly folder: string | null;
 	/** The whole system starts for the first time, with empty disks. */
 	readonly isFirstStart: boolean;
 	readonly seeds: readonly string[];
@@ -24,6 +25,8 @@
 /** The disk of a host at the very first start: all first voters can name each other without a word. */
 const firstDiskId = 'first';
 
+const newDiskId = (): string => randomUUID().slice(0, 8);
+
 const readIdentity = async (filePath: string): Promise<z.infer<typeof identitySchema> | null> => {
 	try {
 		return identitySchema.parse(JSON.parse(await readFile(filePath, 'utf8')));
@@ -43,14 +46,21 @@
  * first start of the whole system are the seeds voters by themselves; any other
  * empty disk is a new member, which the leader takes in. So the first voters
  * need not all be up to form a group: any majority of them will do.
+ *
+ * A host without a disk is a new member at each start, and never a first voter.
  */
 export const openCoreIdentity = async ({selfAddress, folder, isFirstStart, seeds}: CoreIdentityOptions): Promise<CoreIdentity> => {
+	if (folder === null) {
+		return {memberId: memberIdWithoutDisk(selfAddress, newDiskId()), initialMembers: {voters: [], learners: []}};
+	}
+
+	await mkdir(folder, {recursive: true});
 	const filePath = path.join(folder, 'identity.json');
 	let identity = await readIdentity(filePath);
 	if (identity === null) {
 		identity = isFirstStart && seeds.includes(selfAddress)
 			? {diskId: firstDiskId, firstVoters: [...seeds]}
-			: {diskId: randomUUID().slice(0, 8), firstVoters: []};
+			: {diskId: newDiskId(), firstVoters: []};
 		await replaceFile(filePath, JSON.stringify(identity));
 	}
 
--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -22,7 +22,8 @@
 	readonly selfAddress: string;
 	readonly zoneId: string;
 	readonly regionId: string;
-	readonly folder: string;
+	/** Where the log is kept; `null`: the host has no disk, and only follows the log. */
+	readonly folder: string | null;
 	/** The whole system starts for the first time, with empty disks. */
 	readonly isFirstStart: boolean;
 	seeds(): readonly string[];
--- a/packages/gateway/src/core/document-log.ts
+++ b/packages/gateway/src/core/document-log.ts
@@ -1,5 +1,4 @@
 import {randomInt} from 'node:crypto';
-import {mkdir} from 'node:fs/promises';
 import {
 	hasLeaderLease, hostOfMember, quorumHeardAtMs, type Clock,
 } from '@bitternpaddle/coordination';
@@ -8,14 +7,16 @@
 } from '@bitternpaddle/daemon/consensus';
 import type {ConsensusEnvelope} from '@bitternpaddle/protocol';
 import {
-	applyDocument, createDocumentState, decodeDocumentState, encodeDocumentState, openLogStore, type Document, type DocumentOutcome, type DocumentState, type LogEntry, type LogStore,
+	applyDocument, createDocumentState, createMemoryLogStore, decodeDocumentState, encodeDocumentState, openLogStore,
+	type Document, type DocumentOutcome, type DocumentState, type LogEntry, type LogStore,
 } from '@bitternpaddle/state';
 import type {Logger} from '@bitternpaddle/transport';
 import {openCoreIdentity} from './core-identity.js';
 
 export type DocumentLogOptions = {
 	readonly selfAddress: string;
-	readonly folder: string;
+	/** `null`: the host has no disk, and keeps the log in memory as a learner. */
+	readonly folder: string | null;
 	readonly isFirstStart: boolean;
 	seeds(): readonly string[];
 	/** Other core hosts that are known, seeds included. */
@@ -128,11 +129,10 @@
 	};
 
 	const open = async (): Promise<void> => {
-		await mkdir(folder, {recursive: true});
 		const identity = await openCoreIdentity({
 			selfAddress, folder, isFirstStart, seeds: seeds(),
 		});
-		const store = await openLogStore({folder, segmentBytes});
+		const store = folder === null ? createMemoryLogStore() : await openLogStore({folder, segmentBytes});
 		if (store.loaded.cutBytes > 0) {
 			logger.event('BP1002', {cutBytes: store.loaded.cutBytes});
 		}
--- a/packages/gateway/test/core-node.test.ts
+++ b/packages/gateway/test/core-node.test.ts
@@ -10,7 +10,7 @@
 
 const clock = createSuspendAwareClock({steadyNowMs: () => performance.now(), wallNowMs: () => Date.now()});
 
-const start = async (t: Test, selfAddress: string, seeds: readonly string[], folder: string, isFirstStart = true): Promise<CoreNode> => {
+const start = async (t: Test, selfAddress: string, seeds: readonly string[], folder: string | null, isFirstStart = true): Promise<CoreNode> => {
 	const node = await createCoreNode({
 		selfAddress, zoneId: 'z1', regionId: 'r1', folder, isFirstStart, seeds: () => seeds, lossesBorne: 1, clock, logger: silentLogger,
 	});
@@ -80,6 +80,22 @@
 	t.equal(await textOf(emptied), 'text 5', 'and the empty one has been taken in');
 });
 
+// A host that serves control has no disk. Operators may ask any control host: it
+// passes on what they change, and reads back what is in force, also after a restart.
+t.test('a host without a disk answers for the log and holds no part of it', async t => {
+	const [first, second, third, diskless] = await freeAddresses(4);
+	const seeds = [first!, second!, third!];
+	const folder = testFolder(t);
+	const nodes = await Promise.all(seeds.map(async (seed, index) => start(t, seed, seeds, path.join(folder, `c${index}`))));
+	const before = await start(t, diskless!, seeds, null);
+	t.equal(await submitted(before, 5), 'stored');
+	t.equal(await textOf(nodes[0]!), 'text 5');
+	await before.close();
+	const after = await start(t, diskless!, seeds, null, false);
+	t.equal(await textOf(after), 'text 5');
+	t.equal(await submitted(after, 6), 'stored');
+});
+
 // An endpoint announces itself to one core host only, and says later that it
 // drains. Whoever follows any other core host must hear of it as well.
 t.test('what an endpoint tells one core host, all of them tell', async t => {
--- a/packages/state/src/log/index.ts
+++ b/packages/state/src/log/index.ts
@@ -1,4 +1,5 @@
 export {DamagedLogError, encodeFrame} from './frames.js';
 export {replaceFile} from './files.js';
 export * from './log-store.js';
+export * from './memory-log-store.js';
 export * from './records.js';
