--- a/packages/bench/src/placement/placement.ts
+++ b/packages/bench/src/placement/placement.ts
@@ -1,7 +1,7 @@
 import {writeFile} from 'node:fs/promises';
 import {parseArgs} from 'node:util';
 import {
-	profileNames, resolveScenario, scenarioNames, upperBound, type Counts, type ProfileName, type Result, type ScenarioName,
+	profileNames, resolveScenario, scenarioNames, upperBound, workNames, type Counts, type ProfileName, type Result, type ScenarioName, type WorkName,
 } from '@bitternpaddle/model';
 import {mean, standardDeviation} from 'simple-statistics';
 import {playAll} from './play-all.js';
@@ -16,6 +16,7 @@
 	readonly engineCount: number;
 	readonly entryCount: number;
 	readonly profile: ProfileName;
+	readonly work: WorkName;
 	readonly plotFile: string | null;
 };
 
@@ -48,13 +49,13 @@
 		args: [...flags], options: {
 			scenario: {type: 'string', default: scenarioNames.join(',')}, seeds: {type: 'string', default: '4'}, policy: {type: 'string', default: Object.keys(baselines).join(',')},
 			without: {type: 'string', default: Object.keys(ablations).join(',')}, engines: {type: 'string', default: '36'}, entries: {type: 'string', default: '19'},
-			profile: {type: 'string', default: 'batch8'}, plot: {type: 'string'},
+			profile: {type: 'string', default: 'batch8'}, work: {type: 'string', default: 'drafts'}, plot: {type: 'string'},
 		},
 	});
 	return {
 		scenarios: among('scenario', values.scenario, scenarioNames), seeds: count('seeds', values.seeds), engineCount: count('engines', values.engines), entryCount: count('entries', values.entries),
 		policies: [product, ...someOf('policy', values.policy, Object.keys(baselines)), ...someOf('mechanism', values.without, Object.keys(ablations))],
-		profile: among('profile', values.profile, profileNames)[0]!, plotFile: values.plot ?? null,
+		profile: among('profile', values.profile, profileNames)[0]!, work: among('work', values.work, workNames)[0]!, plotFile: values.plot ?? null,
 	};
 };
 
@@ -86,9 +87,9 @@
  * switched off.
  */
 export const measurePlacement = async (flags: readonly string[]): Promise<Record<string, unknown>> => {
-	const {scenarios, policies, seeds, engineCount, entryCount, profile, plotFile} = resolveOptions(flags);
+	const {scenarios, policies, seeds, engineCount, entryCount, profile, work, plotFile} = resolveOptions(flags);
 	const jobs = scenarios.flatMap(scenario => policies.flatMap(policy => Array.from({length: seeds}, (_, index): PlayJob => ({
-		scenario, policy, seed: index + 1, engineCount, entryCount, profile,
+		scenario, policy, seed: index + 1, engineCount, entryCount, profile, work,
 	}))));
 	const plays = await playAll(jobs);
 	const of = (scenario: ScenarioName, policy: string): PlayDone[] => plays.filter(({job}) => job.scenario === scenario && job.policy === policy);
@@ -100,9 +101,9 @@
 	}
 
 	return {
-		bench: 'placement', seeds, engineCount, entryCount, profile,
+		bench: 'placement', seeds, engineCount, entryCount, profile, work,
 		scenarios: Object.fromEntries(scenarios.map(scenario => [scenario, {
-			...figuresOf(resultsOf(scenario, product)), upperBound: upperBound(resolveScenario(scenario, {engineCount, entryCount, profile})),
+			...figuresOf(resultsOf(scenario, product)), upperBound: upperBound(resolveScenario(scenario, {engineCount, entryCount, profile, work})),
 		}])),
 		baselines: against(Object.keys(baselines)), ablations: against(Object.keys(ablations)),
 	};
--- a/packages/bench/src/placement/play-worker.ts
+++ b/packages/bench/src/placement/play-worker.ts
@@ -1,6 +1,6 @@
 import {parentPort} from 'node:worker_threads';
 import {
-	playScenario, productPolicy, resolveScenario, type Counts, type EntryPolicy, type ProfileName, type Result, type ScenarioName,
+	playScenario, productPolicy, resolveScenario, type Counts, type EntryPolicy, type ProfileName, type Result, type ScenarioName, type WorkName,
 } from '@bitternpaddle/model';
 import {ablations, baselines} from './policies.js';
 
@@ -13,6 +13,7 @@
 	readonly engineCount: number;
 	readonly entryCount: number;
 	readonly profile: ProfileName;
+	readonly work: WorkName;
 };
 
 export type PlayDone = {readonly job: PlayJob; readonly result: Result; readonly bySecond: readonly Counts[]};
--- a/packages/coordination/src/placement/admit.ts
+++ b/packages/coordination/src/placement/admit.ts
@@ -24,11 +24,7 @@
 
 export type AdmitVerdict = {readonly type: 'admitted'} | {readonly type: 'refused'; readonly retryAfterMs: number; readonly reason: string};
 
-/**
- * Of the time that is left; what is expected is off by a fifth and more when
- * engines change. In a modelled deployment whose engines take turns to reload at
- * nine tenths of the load, 12 in a hundred are late with all of the time, 9 with this.
- */
+/** Of the time that is left: what is expected is off by a fifth and more when engines change, and who is admitted to the last moment is late. */
 const sureShare = 0.8;
 /** Of the objective: so long may a caller that came back wait where nobody is refused, and first-comers behind it are still in time. */
 const calmShare = 0.6;
@@ -38,8 +34,7 @@
 
 /**
  * Whether a request is sent on. Beyond what engines can carry, each further
- * request only makes all of them late: 1.35 times the load that engines carry in
- * time, without this, leaves every answer late after two seconds.
+ * request only makes all of them late.
  */
 export const admitRequest = (options: AdmitOptions): AdmitVerdict => {
 	const {retryClass, expectedMs, remainingMs} = options;
@@ -55,13 +50,11 @@
 };
 
 /**
- * A caller that came back is late, worth a quarter of one that is not, and takes as
+ * A caller that came back is late, worth less than one that is not, and takes as
  * much of an engine. While first-comers are refused for load it gets what they leave
- * over: admitted nearly like these, a third of all answers was late. In a model at 1.5
- * times what engines carry 430 callers in a thousand are answered in time, 279 without
- * this. While they are not, it takes nobody's place, and has no further try: held to
- * free places then too, 31 and 71 of 820 callers of the six seconds after engines were
- * added were refused for good in two runs, 10 and 24 with this.
+ * over: admitted like these, it would make them late, too. While they are not, it
+ * takes nobody's place, and has no further try: held to free places then too, it
+ * would be refused for good by engines that carry the load.
  */
 const hasSpareRoom = ({expectedMs, excessMs, spareMs, objectiveMs, isOverloaded}: AdmitOptions): boolean => expectedMs - excessMs
 	<= (isOverloaded ? spareMs : Math.max(spareMs, calmShare * objectiveMs));
--- a/packages/coordination/src/placement/caller-patience.ts
+++ b/packages/coordination/src/placement/caller-patience.ts
@@ -1,9 +1,8 @@
 /**
  * How long callers of a route wait when they come for the first time. A caller
  * tells only how long it still waits, and some wait longer than others: by the
- * route's timeout alone, two in three of those that come for the first time looked
- * as if they had been trying for up to a seventh of it (477 of 741 in eight calm
- * seconds); one in three was put behind the others at the engines and refused first.
+ * route's timeout alone, most of those that come for the first time look as if they
+ * had been trying for a while, and would be put behind the others and refused first.
  */
 export type CallerPatience = {readonly deadlinesMs: number[]};
 
--- a/packages/coordination/src/placement/endpoint-health.ts
+++ b/packages/coordination/src/placement/endpoint-health.ts
@@ -10,7 +10,7 @@
 
 /** Weight of one outcome in the moving share: ten outcomes tell an endpoint that fails two in five from one that fails one in seven. */
 const outcomeWeight = 0.1;
-/** Failures in a row after which an endpoint rests: with one in seven failing by itself, four in a row come once in 2,400. */
+/** Failures in a row after which an endpoint rests: some services fail one request in seven by themselves, and then so many in a row are rare. */
 const failuresToRest = 4;
 /** Above this share of failures, and twice that of the others, an endpoint rests. */
 const failureShareToRest = 0.3;
--- a/packages/coordination/src/placement/engine-model.ts
+++ b/packages/coordination/src/placement/engine-model.ts
@@ -12,8 +12,8 @@
 
 /**
  * Of the requests that a report counts as waiting none has been read; of those
- * that run, this share is still being read: a prompt of usual length takes 30 ms
- * of the second or so that a request runs.
+ * that run, this share is still being read: reading a prompt is a small part of
+ * the second or so that a request runs.
  */
 const readingShare = 0.04;
 
@@ -69,9 +69,8 @@
 
 /**
  * What begins behind a few other prompts: a place is free, and a quarter of the time
- * is for them. With two whole prompts before it, engines seemed to have
- * room under lasting overload: callers of such a day were answered in time for 0.605
- * of what they asked, weighted by worth, in place of 0.658.
+ * is for them. With whole prompts before it, engines would seem to have room under
+ * lasting overload.
  */
 const spareFactor = 1.25;
 
--- a/packages/coordination/src/placement/leaving.ts
+++ b/packages/coordination/src/placement/leaving.ts
@@ -36,9 +36,8 @@
 
 /**
  * Whether an entry that ends may still begin a request. Callers keep using the
- * connections that they have: a stream that was taken 4.6 s before the end waited
- * 2.6 s for its engine and was cut by the end of the process, after it had run.
- * What surely ends before is begun; the rest has not run, and its caller finds
- * another entry with its next connection.
+ * connections that they have, and a stream that waits for its engine would be cut
+ * by the end of the process, after it has run. What surely ends before is begun;
+ * the rest has not run, and its caller finds another entry with its next connection.
  */
 export const canEndInTime = ({expectedMs, answerBoundMs: boundMs, leftMs}: LeavingOptions): boolean => (expectedMs * expectationFactor) + boundMs < leftMs;
--- a/packages/coordination/src/placement/objective-mix.ts
+++ b/packages/coordination/src/placement/objective-mix.ts
@@ -44,10 +44,9 @@
 
 /**
  * The objective that a request is admitted by. Its own, unless stricter kinds are
- * refused for load: then theirs. By its own alone, the kind that tolerates 500 ms took
- * the engines under lasting overload, and those with 400 ms were refused four times as
- * often; by the strictest alone, kinds with 402 ms beside one with 302 were refused in
- * calm seconds for what was in time for them, three in a hundred.
+ * refused for load: then theirs. By its own alone, the kind that tolerates most takes
+ * the engines under lasting overload, and stricter ones are refused; by the strictest
+ * alone, the others are refused in calm seconds for what is in time for them.
  */
 export const boundObjectiveMs = (mix: ObjectiveMix, objectiveMs: number, nowMs: number): number => {
 	const kinds = seenKinds(mix, nowMs);
--- a/packages/coordination/src/placement/place-request.ts
+++ b/packages/coordination/src/placement/place-request.ts
@@ -40,12 +40,7 @@
 	readonly lagMs: number;
 };
 
-/**
- * What leaving the zone costs, as time: its two crossings, reports that are twice
- * as old, and more since bytes between regions are dear. With 40 ms, 45 in a hundred
- * requests of a day left their region; in the modelled deployment whose engines take
- * turns to reload, 861 in a thousand are in time with 60 ms, 853 with 40.
- */
+/** What leaving the zone costs, as time: its two crossings, reports that are twice as old, and more since bytes between regions are dear. */
 const otherZoneMs = 60;
 /** Differences below this share of the objective gain a caller nothing: there, near endpoints are taken. */
 const comfortableShare = 0.3;
@@ -172,9 +167,7 @@
  * read again each sends there: one that comes back empty gets a dozen prompts
  * within a tenth of a second and begins the last of them half a second late. So the
  * others' requests are spread over the engines first, and this one is drawn in
- * proportion to what each engine was given. In a modelled deployment of eight
- * entries whose engines take turns to reload at nine tenths of the load, this
- * answers 85 in a hundred in time where taking the best answers 78.
+ * proportion to what each engine was given.
  */
 const placeInCrowd = (ranked: readonly Ranked[], profile: EngineProfile, {othersPerSecond, random, nowMs}: PlaceOptions): Placement => {
 	const others = othersPerSecond * meanReportAgeMs(ranked, nowMs) / 1000;
--- a/packages/coordination/src/placement/urgency.ts
+++ b/packages/coordination/src/placement/urgency.ts
@@ -18,9 +18,9 @@
 
 /**
  * The place of a request in an engine's queue. Callers that came back are late and
- * go last. Of one priority, those with less time to spare go first: a prompt of 3,300
- * tokens is read for 170 ms of an objective of 400, and what is left of its time is
- * gone while others that could wait are before it.
+ * go last. Of one priority, those with less time to spare go first: a long prompt is
+ * read for a good part of its objective, and what is left of its time is gone while
+ * others that could wait are before it.
  */
 export const urgencyOf = ({priority, hasComeBack, objectiveMs, ownReadMs, usualSlackMs}: UrgencyOptions): number => {
 	if (hasComeBack) {
--- a/packages/gateway/src/agent/weight-exchange.ts
+++ b/packages/gateway/src/agent/weight-exchange.ts
@@ -110,9 +110,8 @@
 
 	/**
 	 * A host that was frozen finds that all its fetches took as long. Taken for a
-	 * narrow link, it would rest for seconds: on a day the only copy of a chunk lay
-	 * there, and the version was whole three seconds later everywhere (25.7 s after
-	 * the start of traffic in place of 22.7).
+	 * narrow link, it would rest for seconds; where the only copy of a chunk lies
+	 * there, the version is whole everywhere only after that.
 	 */
 	const noteTook = (source: ChunkSource, tookMs: number, {profile: {chunkBytes}}: LoadGoal): void => {
 		const nowMs = performance.now();
--- a/packages/gateway/src/core/followers.ts
+++ b/packages/gateway/src/core/followers.ts
@@ -49,9 +49,8 @@
 type Kept = {readonly revision: number; readonly coreText: string; readonly madeAtMs: number; readonly roster: Roster};
 
 /**
- * Rosters are kept until someone comes or goes. Made anew for each of the 200
- * questions that a core host answers in a second where 210 processes follow it,
- * they took most of its processor time.
+ * Rosters are kept until someone comes or goes. Made anew for each question of
+ * each follower, they would take most of a core host's processor time.
  */
 export const createFollowers = (): Followers => {
 	const seen = new Map<string, Seen>();
--- a/packages/gateway/src/load/load-reporter.ts
+++ b/packages/gateway/src/load/load-reporter.ts
@@ -25,9 +25,9 @@
 /**
  * Every report goes to a few entries of the agent's own zone, which pass it on.
  * By itself the agent tells all what ends or begins service, since a tenth of a
- * second of requests would go astray until they hear of it. With 39 entries a
- * report was sent 24 times in the mean, half of the bytes between regions were such
- * reports, and an entry woke 350 times a second for them.
+ * second of requests would go astray until they hear of it. Sent to all by each
+ * agent, reports would be half of the bytes between regions, and wake each entry
+ * as often as there are engines.
  */
 export const createLoadReporter = ({endpointAddress, zoneId, entries}: LoadReporterOptions): LoadReporter => {
 	const epoch = randomInt(mostEpoch);
--- a/packages/model/src/scenarios.ts
+++ b/packages/model/src/scenarios.ts
@@ -3,7 +3,9 @@
 	EngineEvent, LoadStep, ModelKind, Scenario,
 } from './scenario.js';
 
-const profileOf = (fields: Pick<EngineProfile, 'slots' | 'stepMs' | 'readTokensPerSecond' | 'usualAnswerTokens'>): EngineProfile => ({
+type ProfileFields = Pick<EngineProfile, 'slots' | 'stepMs' | 'readTokensPerSecond' | 'usualAnswerTokens'> & Partial<EngineProfile>;
+
+const profileOf = (fields: ProfileFields): EngineProfile => ({
 	stepsPerPass: 6, perSequenceMs: 0.04, contextMsPerThousand: 0.02, usualPromptTokens: 973, kvCapacityTokens: 685_000, model: 'm', chunks: 48, chunkBytes: 49_152, loadMs: 300, ...fields,
 });
 
@@ -15,6 +17,9 @@
 	batch12: profileOf({
 		slots: 12, stepMs: 8.9, readTokensPerSecond: 19_100, usualAnswerTokens: 106,
 	}),
+	batch12quick: profileOf({
+		slots: 12, stepMs: 7.4, readTokensPerSecond: 31_900, usualAnswerTokens: 113, stepsPerPass: 7,
+	}),
 	batch16: profileOf({
 		slots: 16, stepMs: 7.4, readTokensPerSecond: 31_900, usualAnswerTokens: 106,
 	}),
@@ -23,20 +28,44 @@
 export type ProfileName = keyof typeof profiles;
 export const profileNames = Object.keys(profiles) as ProfileName[];
 
-const kinds: readonly ModelKind[] = [
-	{
-		name: 'layout', share: 0.44, objectiveMs: 500, deadlineMs: 6000, promptTokens: 1330, answerTokens: 90, worth: 2.2, lateWorth: 0.56,
-	},
-	{
-		name: 'brief', share: 0.3, objectiveMs: 500, deadlineMs: 6000, promptTokens: 830, answerTokens: 90, worth: 2, lateWorth: 0.5,
-	},
-	{
-		name: 'notice', share: 0.26, objectiveMs: 400, deadlineMs: 6000, promptTokens: 650, answerTokens: 72, worth: 1.6, lateWorth: 0.4,
-	},
-];
+/** What callers ask for: mostly long drafts, or mostly short briefs with answers that are as long. */
+const works = {
+	drafts: [
+		{
+			name: 'layout', share: 0.44, objectiveMs: 500, deadlineMs: 6000, promptTokens: 1330, answerTokens: 90, worth: 2.2, lateWorth: 0.56,
+		},
+		{
+			name: 'brief', share: 0.3, objectiveMs: 500, deadlineMs: 6000, promptTokens: 830, answerTokens: 90, worth: 2, lateWorth: 0.5,
+		},
+		{
+			name: 'notice', share: 0.26, objectiveMs: 400, deadlineMs: 6000, promptTokens: 650, answerTokens: 72, worth: 1.6, lateWorth: 0.4,
+		},
+	],
+	briefs: [
+		{
+			name: 'layout', share: 0.33, objectiveMs: 400, deadlineMs: 6000, promptTokens: 1330, answerTokens: 127, worth: 2.4, lateWorth: 0.6,
+		},
+		{
+			name: 'brief', share: 0.41, objectiveMs: 400, deadlineMs: 6000, promptTokens: 830, answerTokens: 127, worth: 2.1, lateWorth: 0.53,
+		},
+		{
+			name: 'notice', share: 0.26, objectiveMs: 400, deadlineMs: 6000, promptTokens: 650, answerTokens: 70, worth: 1.4, lateWorth: 0.34,
+		},
+	],
+} as const satisfies Record<string, readonly ModelKind[]>;
+
+export type WorkName = keyof typeof works;
+export const workNames = Object.keys(works) as WorkName[];
 
 /** How large the modelled deployment is. */
-export type ScenarioSize = {readonly engineCount: number; readonly entryCount: number; /** @default 'batch8' */ readonly profile?: ProfileName};
+export type ScenarioSize = {
+	readonly engineCount: number;
+	readonly entryCount: number;
+	/** @default 'batch8' */
+	readonly profile?: ProfileName;
+	/** @default 'drafts' */
+	readonly work?: WorkName;
+};
 
 type Shape = {readonly load: readonly LoadStep[]; readonly events?: readonly EngineEvent[]};
 
@@ -67,9 +96,9 @@
 const zoneCount = 5;
 
 /** A scenario by its name, at a size. */
-export const resolveScenario = (name: ScenarioName, {profile = 'batch8', ...size}: ScenarioSize): Scenario => {
+export const resolveScenario = (name: ScenarioName, {profile = 'batch8', work = 'drafts', ...size}: ScenarioSize): Scenario => {
 	const {load, events = []}: Shape = shapes[name];
 	return {
-		name, profile: profiles[profile], kinds, zoneCount, lengthS, load, events, ...size,
+		name, profile: profiles[profile], kinds: works[work], zoneCount, lengthS, load, events, ...size,
 	};
 };
