--- a/packages/bench/src/placement/placement.ts
+++ b/packages/bench/src/placement/placement.ts
@@ -103,7 +103,9 @@
 	return {
 		bench: 'placement', seeds, engineCount, entryCount, profile, work,
 		scenarios: Object.fromEntries(scenarios.map(scenario => [scenario, {
-			...figuresOf(resultsOf(scenario, product)), upperBound: upperBound(resolveScenario(scenario, {engineCount, entryCount, profile, work})),
+			...figuresOf(resultsOf(scenario, product)), upperBound: upperBound(resolveScenario(scenario, {
+				engineCount, entryCount, profile, work,
+			})),
 		}])),
 		baselines: against(Object.keys(baselines)), ablations: against(Object.keys(ablations)),
 	};
