refactor(daemon,protocol,swarm): four import circles undone

Types that two modules need moved into modules of their own: an attempt, the names of targets, a condition, a swarm's peer. The fifth circle (routing: a tier knows its hosts, a host its tier) is one of types that contain each other and stays.

--- a/packages/coordination/src/swarm/types.ts
+++ b/packages/coordination/src/swarm/types.ts
@@ -1,9 +1,10 @@
 import type {Random} from '../utils/random.js';
 import type {ChunkPicker} from './chunk-picker.js';
 import type {OriginTickets} from './origin-tickets.js';
+import type {SwarmPeer} from './swarm-peer.js';
 import type {ZoneImports} from './zone-imports.js';
 
-export type SwarmPeer = {readonly hostId: string; readonly zoneId: string; readonly regionId: string};
+export type {SwarmPeer} from './swarm-peer.js';
 
 export type ChunkSource
 	= | {readonly type: 'origin'}
--- a/packages/coordination/src/swarm/zone-imports.ts
+++ b/packages/coordination/src/swarm/zone-imports.ts
@@ -1,5 +1,5 @@
 import {rendezvousOrder} from '../utils/rendezvous.js';
-import type {SwarmPeer} from './types.js';
+import type {SwarmPeer} from './swarm-peer.js';
 
 /**
  * Whose turn it is to bring a chunk into this host's zone. Links between zones
--- a/packages/daemon/src/entry/attempt-connection.ts
+++ b/packages/daemon/src/entry/attempt-connection.ts
@@ -2,7 +2,7 @@
 import {createHash, type Hash} from 'node:crypto';
 import type http from 'node:http';
 import {
-	createAttempt, type AttemptEffect, type AttemptEvent, type AttemptState, type Endpoint, type GiveUpCause,
+	createAttempt, type AttemptEffect, type AttemptEvent, type AttemptState, type GiveUpCause,
 } from '@bitternpaddle/coordination';
 import {
 	adapterHeader, endMarkerSchema, endMarkerTrailer, fullRefusal, incarnationHeader, refusalHeader, requestIdHeader, verdictHeader, type Issue, type SettleResult,
@@ -11,34 +11,9 @@
 import {
 	callRpc, readBody, sendHttp, TransportError,
 } from '@bitternpaddle/transport';
-import type {Peers} from '../host/peers.js';
+import type {Attempt} from './attempt.js';
 import {doorHeadersOf} from './door-headers.js';
 
-export type Attempt = {
-	readonly endpoint: Pick<Endpoint, 'address' | 'incarnation' | 'versionId'>;
-	/** `formatAdapterTag` of the adapter that must answer. @default null, the base alone */
-	readonly adapterTag?: string | null;
-	readonly requestId: string;
-	readonly attemptId: string;
-	readonly issue: Issue;
-	readonly revision: number;
-	/** What the two ends tell each other about their configuration. */
-	readonly peers?: Pick<Peers, 'headers' | 'note'>;
-	readonly method: string;
-	readonly path: string;
-	readonly contentType: string;
-	readonly body: Buffer;
-	readonly idempotencyKey: string | null;
-	/** The call may not be repeated, so its run goes on when nobody waits. */
-	readonly isOnce: boolean;
-	/** A connection without a byte for this long is settled on another. */
-	readonly suspectMs: number;
-	/** When the endpoint may stop working on it. */
-	readonly remainingMs: number;
-	/** Aborted, with a `GiveUpCause` as its reason, when nobody wants the answer any more. */
-	readonly signal: AbortSignal;
-};
-
 const settleTimeoutMs = 2000;
 /** A request that is given up on gets its answer at once; an agent that is slow to settle does not hold it up. */
 const lastSettleTimeoutMs = 500;
--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -8,7 +8,8 @@
 import {match} from 'ts-pattern';
 import type {FailingHosts} from '../host/failing-hosts.js';
 import type {Peers} from '../host/peers.js';
-import {nameOf, RefusedError, type Call} from './call.js';
+import {RefusedError, type Call} from './call.js';
+import {nameOf} from './target-names.js';
 import {dispatch, type AttemptAnswer} from './dispatch.js';
 import type {FleetOutcomes} from './fleet-outcomes.js';
 import type {
--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -43,8 +43,3 @@
 		super(refusal.message);
 	}
 }
-
-export const nameOf = (target: RouteTarget): string => target.type === 'model' ? `model ${modelNameOf(target)}` : `service ${target.serviceId}`;
-
-/** What the caller writes as the model. */
-export const modelNameOf = ({modelId, adapterId}: Extract<RouteTarget, {type: 'model'}>): string => adapterId === undefined ? modelId : `${modelId}/${adapterId}`;
--- a/packages/daemon/src/entry/dispatch.ts
+++ b/packages/daemon/src/entry/dispatch.ts
@@ -4,11 +4,12 @@
 	firstEffect, stepAttempt, type AttemptEffect, type AttemptEnd, type UnansweredCause,
 } from '@bitternpaddle/coordination';
 import {mayHaveRun, type ClaimPlace, type UnansweredVerdict} from '@bitternpaddle/state';
+import type {Attempt} from './attempt.js';
 import {
-	carryOut, createRunning, readPart, settle, type Attempt, type Running,
+	carryOut, createRunning, readPart, settle, type Running,
 } from './attempt-connection.js';
 
-export type {Attempt} from './attempt-connection.js';
+export type {Attempt} from './attempt.js';
 
 /** An answer whose head is here; `parts` gives the rest, over as many connections as it takes. */
 export type AttemptAnswer = {
--- a/packages/daemon/src/entry/door-headers.ts
+++ b/packages/daemon/src/entry/door-headers.ts
@@ -2,7 +2,7 @@
 import {
 	adapterHeader, attemptHeader, deadlineHeader, formatIssue, idempotencyKeyHeader, incarnationHeader, issueHeader, onceHeader, requestIdHeader, revisionHeader, versionHeader,
 } from '@bitternpaddle/protocol';
-import type {Attempt} from './dispatch.js';
+import type {Attempt} from './attempt.js';
 
 /** What a door must know of a request before it may start it. */
 export const doorHeadersOf = (attempt: Attempt): http.OutgoingHttpHeaders => ({
--- a/packages/daemon/src/entry/request-log.ts
+++ b/packages/daemon/src/entry/request-log.ts
@@ -3,7 +3,7 @@
 import type {RequestRecord, RequestSelection} from '@bitternpaddle/protocol';
 import type {UnansweredVerdict} from '@bitternpaddle/state';
 import {match} from 'ts-pattern';
-import {modelNameOf} from './call.js';
+import {modelNameOf} from './target-names.js';
 
 export type RequestLogOptions = {
 	readonly entryId: string;
--- a/packages/daemon/src/entry/traffic.ts
+++ b/packages/daemon/src/entry/traffic.ts
@@ -6,7 +6,8 @@
 import {notRun} from '@bitternpaddle/state';
 import type {Logger, Metrics} from '@bitternpaddle/transport';
 import {verdictOf} from './admission-verdict.js';
-import {nameOf, type Call} from './call.js';
+import type {Call} from './call.js';
+import {nameOf} from './target-names.js';
 import {createLimitShares, type EntryAddresses} from './limit-shares.js';
 import {createRoutedAttempt} from './routed-attempt.js';
 import type {
--- a/packages/protocol/src/language/statement.ts
+++ b/packages/protocol/src/language/statement.ts
@@ -4,15 +4,9 @@
 import {Left, Right, type Either} from 'purify-ts';
 import * as z from 'zod';
 import {parse, SyntaxError as PeggySyntaxError} from '../../generated/command-parser.js';
+import {conditionSchema} from './condition.js';
 import {objectionTo, subjectSchema} from './subject-fields.js';
 
-export const conditionSchema = z.object({
-	field: z.string(),
-	operator: z.enum(['=', '!=', '<', '<=', '>', '>=']),
-	value: z.string(),
-});
-export type Condition = z.infer<typeof conditionSchema>;
-
 export const showSchema = z.object({type: z.literal('show'), subject: subjectSchema, where: z.array(conditionSchema)});
 export type Show = z.infer<typeof showSchema>;
 
--- a/packages/protocol/src/language/subject-fields.ts
+++ b/packages/protocol/src/language/subject-fields.ts
@@ -1,6 +1,6 @@
 import {match} from 'ts-pattern';
 import * as z from 'zod';
-import type {Condition} from './statement.js';
+import type {Condition} from './condition.js';
 
 export const subjectSchema = z.enum(['replicas', 'transfers', 'hosts', 'revision', 'models', 'versions', 'adapters', 'fleets', 'services', 'teams', 'moves', 'requests']);
 export type Subject = z.infer<typeof subjectSchema>;
