perf(core): followers are not sent to core hosts without a disk

Cause: every entry and agent keeps a question open at every core host that its roster names; a quarter of the entry hosts of a large zone serving control (8 entries and one disk: two hosts, one without a disk) would double these questions where processor time binds first. Ruled out: leaving such hosts out of the core's own following, since endpoints may announce themselves there. Change: rosters name members with a disk alone; one without a disk names the others to whoever asks it. Fails first: core-node.test.ts, the roster named it. Not measured on the large site.

--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -108,7 +108,14 @@
 
 	const configurationNumber = (): number => log.state().configuration?.number ?? -1;
 
-	const rosterOf = (follower: Follower): Roster => followers.roster(follower, [selfAddress, ...log.memberAddresses().filter(address => address !== selfAddress)], steadyNowMs());
+	/**
+	 * Core hosts that processes should follow. One without a disk is left out: each
+	 * follower keeps a question open at each of them, and it knows nothing sooner than
+	 * those that it follows itself.
+	 */
+	const followable = (): string[] => [...new Set([...folder === null ? [] : [selfAddress], ...log.diskAddresses()])];
+
+	const rosterOf = (follower: Follower): Roster => followers.roster(follower, followable(), steadyNowMs());
 
 	const isRosterNews = ({follower, rosterHash}: WatchParameters): boolean => rosterHash !== null && rosterOf(follower).hash !== rosterHash;
 
--- a/packages/gateway/src/core/document-log.ts
+++ b/packages/gateway/src/core/document-log.ts
@@ -1,6 +1,6 @@
 import {randomInt} from 'node:crypto';
 import {
-	hasLeaderLease, hostOfMember, quorumHeardAtMs, type Clock,
+	hasDisk, hasLeaderLease, hostOfMember, quorumHeardAtMs, type Clock,
 } from '@bitternpaddle/coordination';
 import {
 	createConsensusDriver, createLogProposals, createPeerSender, createVoterRepair, handOver, repairMs, type ConsensusDriver, type VoterRepair,
@@ -36,6 +36,8 @@
 	leaderAddress(): string | null;
 	/** Addresses of the hosts in the log's membership. */
 	memberAddresses(): string[];
+	/** Of these, the ones that keep the log on a disk. */
+	diskAddresses(): string[];
 	/** Puts a document in order; rejects if this host does not lead or no majority confirms in time. */
 	propose(document: Document): Promise<DocumentOutcome>;
 	/** Resolves once a majority has confirmed that this host still leads and holds all that was acknowledged. */
@@ -172,6 +174,13 @@
 		opened?.repair.run();
 	}, repairMs);
 
+	const members = (): string[] => {
+		const {voters, learners} = opened?.driver.state.members ?? {voters: [], learners: []};
+		return [...voters, ...learners];
+	};
+
+	const addressesOf = (memberIds: readonly string[]): string[] => [...new Set(memberIds.map(member => hostOfMember(member)))];
+
 	const isLeader = (): boolean => opened !== null && hasLeaderLease(opened.driver.state, clock.nowMs());
 
 	return {
@@ -182,10 +191,8 @@
 			const address = leaderId === null ? null : hostOfMember(leaderId);
 			return address === selfAddress ? null : address;
 		},
-		memberAddresses() {
-			const members = opened?.driver.state.members ?? {voters: [], learners: []};
-			return [...new Set([...members.voters, ...members.learners].map(member => hostOfMember(member)))];
-		},
+		memberAddresses: () => addressesOf(members()),
+		diskAddresses: () => addressesOf(members().filter(member => hasDisk(member))),
 		propose: async document => proposals.propose({type: 'document', document}),
 		async confirm() {
 			await proposals.propose(noopPayload);
--- a/packages/gateway/test/core-node.test.ts
+++ b/packages/gateway/test/core-node.test.ts
@@ -90,6 +90,8 @@
 	const before = await start(t, diskless!, seeds, null);
 	t.equal(await submitted(before, 5), 'stored');
 	t.equal(await textOf(nodes[0]!), 'text 5');
+	t.same((await watch(first!)).roster?.coreAddresses.toSorted(), seeds.toSorted(), 'followers are not sent to it');
+	t.same((await watch(diskless!)).roster?.coreAddresses.toSorted(), seeds.toSorted(), 'and learn of the others there');
 	await before.close();
 	const after = await start(t, diskless!, seeds, null, false);
 	t.equal(await textOf(after), 'text 5');
