fix(swarm): time in which the origin is lost does not make chunks overdue

Ruled out: takeovers (time without progress does not count there), starved hosts (9 s), and further copies (originCopies 1).

Change: the time counts from the first chunk after the origin failed, and while it fails one draw beyond a host's own asks whether it is back.

Fails first: four hosts, eight chunks, origin lost for six seconds: 34 draws before, 9 now (one host owns no chunk, and asks for one).

--- a/packages/coordination/src/swarm/schedule.ts
+++ b/packages/coordination/src/swarm/schedule.ts
@@ -64,17 +64,27 @@
 /** Of the time before the first further draw of a chunk, what each drawer waits for the one before it. */
 const redrawStepShare = 1 / 5;
 
-/** Draws what the owner has not shown in time, though it may only be slow. */
+/** While the origin fails, one further draw tells when it is back, in case that the owners of all that is missing are gone. */
+const mostProbes = 1;
+
+/**
+ * Draws what the owner has not shown in time, though it may only be slow. Time in
+ * which the origin was lost does not count: all drawers would draw all chunks the
+ * moment it is back, its link would carry each of them several times, and the
+ * version would be whole that much later.
+ */
 const redraw = (state: SwarmState, effects: SwarmEffect[], nowMs: number): void => {
 	const {options: {redrawMs, maxOriginFetches}, tickets: {ranks}, picker} = state;
-	const overdueMs = nowMs - state.startedAtMs - redrawMs;
+	const overdueMs = nowMs - state.drawingSinceMs - redrawMs;
 	if (overdueMs < 0) {
 		return;
 	}
 
+	const mostFetches = state.originFailures > 0 ? mostProbes : maxOriginFetches;
+
 	const mostRank = 1 + Math.floor(overdueMs / (redrawMs * redrawStepShare));
 	for (const [chunk, rank] of ranks.entries()) {
-		if (state.originFetches >= maxOriginFetches) {
+		if (state.originFetches >= mostFetches) {
 			return;
 		}
 
--- a/packages/coordination/src/swarm/swarm.ts
+++ b/packages/coordination/src/swarm/swarm.ts
@@ -41,6 +41,7 @@
 		originFetches: 0,
 		originFailures: 0,
 		originRestUntilMs: nowMs,
+		drawingSinceMs: nowMs,
 		tickets: createOriginTickets({
 			selfId: self.hostId, hostIds: [self.hostId], manifestId, totalChunks, drawers, seen, nowMs, gapMs: takeoverMs * activeGapShare,
 		}),
@@ -175,6 +176,10 @@
 const onStored = (state: SwarmState, chunk: number, source: ChunkSource, nowMs: number): SwarmEffect[] => {
 	const ended = endFetch(state, chunk, source);
 	if (source.type === 'origin') {
+		if (state.originFailures > 0) {
+			state.drawingSinceMs = nowMs;
+		}
+
 		state.originFailures = 0;
 	} else {
 		const neighbour = state.neighbours.get(source.hostId);
--- a/packages/coordination/src/swarm/types.ts
+++ b/packages/coordination/src/swarm/types.ts
@@ -97,6 +97,8 @@
 	/** Failures of the origin in a row. */
 	originFailures: number;
 	originRestUntilMs: number;
+	/** Since when the origin has been there to draw from, as far as this host can tell. */
+	drawingSinceMs: number;
 	tickets: OriginTickets;
 	/** Moving mean of how long a fetch from a peer takes. */
 	typicalFetchMs: number;
--- a/packages/coordination/test/swarm.test.ts
+++ b/packages/coordination/test/swarm.test.ts
@@ -274,6 +274,37 @@
 	t.same(drawn.toSorted((a, b) => a - b), frozen.toSorted((a, b) => a - b), 'each once, by the next in turn');
 });
 
+// A version is named, and the origin is lost before its first chunk is out. Six seconds
+// later it is back. Counted from the naming all chunks are overdue, and each drawer would
+// draw those of the others, too: the origin's link carries every chunk several times,
+// and the last one comes that much later.
+t.test('an origin that comes back sends each chunk once, but for what asks whether it is back', async t => {
+	const hostIds = ['a', 'b', 'c', 'd'];
+	const lostUntilMs = 6000;
+	const drawn = hostIds.flatMap(hostId => {
+		const {state} = create(hostId, hostIds, {redrawMs: 1500, greetingWaitMs: 80});
+		const sent: number[] = [];
+		for (let nowMs = 100; nowMs < lostUntilMs + 1400; nowMs += 100) {
+			const asked = fetchesOf(stepSwarm(state, {type: 'tick'}, nowMs));
+			for (const {chunk, source} of asked) {
+				if (nowMs < lostUntilMs) {
+					stepSwarm(state, {
+						type: 'failed', chunk, source, reason: 'unreachable', retryAfterMs: 150,
+					}, nowMs);
+				} else {
+					sent.push(chunk);
+					asked.push(...fetchesOf(stepSwarm(state, {type: 'stored', chunk, source}, nowMs)));
+				}
+			}
+		}
+
+		return sent;
+	});
+	t.equal(new Set(drawn).size, 8, 'all are drawn');
+	const idle = hostIds.filter(hostId => create(hostId, hostIds).state.tickets.ownChunks.length === 0);
+	t.ok(drawn.length <= 8 + idle.length, `${drawn.length} draws; who owns none asks for one`);
+});
+
 // Links between zones are narrow. Of the hosts of a zone one fetches a chunk over
 // them, and the others from that one; if it does not, the next takes its turn.
 t.test('a chunk is brought into a zone by one host', async t => {
