--- a/packages/gateway/src/entry/attempt-limits.ts
+++ b/packages/gateway/src/entry/attempt-limits.ts
@@ -17,8 +17,8 @@
 const unreportedObjectives = 1.5;
 /**
  * An engine that its host reports on has a queue: to leave it would only put
- * the request at the end of another. Callers leave a stream after six
- * objectives; this is soon enough for one more attempt.
+ * the request at the end of another. One whose answer was lost on its way is
+ * silent for ever; this is soon enough for one more attempt.
  */
 const longestObjectives = 4.5;
 const plainObjectives = 2.5;
