--- a/packages/coordination/src/swarm/swarm-peer.ts
+++ b/packages/coordination/src/swarm/swarm-peer.ts
@@ -1,1 +1,2 @@
+/** A host that takes part in the exchange of chunks, and where it stands. */
 export type SwarmPeer = {readonly hostId: string; readonly zoneId: string; readonly regionId: string};
