feat(gateway): broken attempts tell their cause and the request's fingerprint

What callers saw: requests that broke off while engines ended one after the other. The lines of entries name request ids only, and each repeat of a request has its own; an end, a lost answer and a cut stream all read 'aborted'. So nobody could tell one request that ends engines from engines that end for a reason of their own.

BP4024 gets the cause as a closed set and a fingerprint of caller, host, path and body. The fingerprint is computed only for calls that broke.

--- /dev/null
+++ b/packages/coordination/src/quarantine/index.ts
@@ -0,0 +1,1 @@
+export * from './request-fingerprint.js';
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -29,6 +29,13 @@
 	onEvents(head: AnswerHead, events: Buffer, lastId: string | null): void;
 };
 
+/**
+ * Why an attempt broke. `disconnected`: the other side ended the connection, as
+ * it does when it dies. `silent`: given up here. `unreadable`: what came is not
+ * the answer. `outdated`: it had not begun when its weights fell out of service.
+ */
+export type BreakCause = 'disconnected' | 'silent' | 'unreadable' | 'outdated';
+
 /**
  * How an attempt ended. `unsent` and `refused` prove that the request did not
  * run there; after `broken` it may have run.
@@ -38,7 +45,7 @@
 		| {readonly type: 'streamed'; readonly head: AnswerHead}
 		| {readonly type: 'refused'; readonly head: AnswerHead; readonly body: Buffer}
 		| {readonly type: 'unsent'; readonly reason: string}
-		| {readonly type: 'broken'; readonly reason: string; readonly hasEvents: boolean}
+		| {readonly type: 'broken'; readonly cause: BreakCause; readonly reason: string; readonly hasEvents: boolean}
 		| {readonly type: 'aborted'; readonly hasEvents: boolean};
 
 /** Ten crossings between regions; an opening packet that is lost is sent again only after a second. */
@@ -48,6 +55,9 @@
 /** Larger answers would fill a small host's memory; callers here get some kilobytes. */
 const maxAnswerBytes = 16 * 1024 * 1024;
 
+/** Bytes that are no answer in the protocol. */
+const isParserError = ({code = ''}: NodeJS.ErrnoException): boolean => code.startsWith('HPE_');
+
 const isEventStream = ({headers}: http.IncomingMessage): boolean => (headers['content-type'] ?? '').startsWith('text/event-stream');
 
 /** Sends a request to one endpoint, and follows its answer to the end. */
@@ -96,8 +106,10 @@
 		giveUp({type: 'aborted', hasEvents});
 	};
 
-	const fail = (reason: string): void => {
-		giveUp(isConnected ? {type: 'broken', reason, hasEvents} : {type: 'unsent', reason});
+	const fail = (cause: BreakCause, reason: string): void => {
+		giveUp(isConnected ? {
+			type: 'broken', cause, reason, hasEvents,
+		} : {type: 'unsent', reason});
 	};
 
 	/** `sparedUntilMs`: an endpoint that its host reports on is waited for so long. */
@@ -115,7 +127,7 @@
 			}
 
 			connections.distrust(address);
-			fail('silent for too long');
+			fail('silent', 'silent for too long');
 		}, stallMs);
 	};
 
@@ -133,13 +145,13 @@
 			clearTimeout(connecting ?? undefined);
 		});
 		connecting = setTimeout(() => {
-			fail(`no connection within ${connectTimeoutMs} ms`);
+			fail('silent', `no connection within ${connectTimeoutMs} ms`);
 		}, connectTimeoutMs);
 	});
 	request.on('error', error => {
 		// The parser may complain of bytes behind an answer that is whole: they belong to no request.
 		if (answer?.complete !== true) {
-			fail(error.message);
+			fail(isParserError(error) ? 'unreadable' : 'disconnected', error.message);
 		}
 	});
 	request.on('response', response => {
@@ -148,7 +160,7 @@
 		const echoed = response.headers[headerNames.requestId];
 		if (echoed === undefined ? head.status < 300 : echoed !== requestId) {
 			// An answer that came late or twice stands where this request's answer is due.
-			fail(`the answer is to request ${String(echoed)}`);
+			fail('unreadable', `the answer is to request ${String(echoed)}`);
 			return;
 		}
 
@@ -179,14 +191,14 @@
 			if (response.complete && splitter.restBytes() === 0) {
 				settle({type: 'streamed', head});
 			} else {
-				fail('the stream ended within an event');
+				fail('disconnected', 'the stream ended within an event');
 			}
 		});
 		response.on('error', error => {
-			fail(error.message);
+			fail('disconnected', error.message);
 		});
 		response.on('close', () => {
-			fail('the stream was cut');
+			fail('disconnected', 'the stream was cut');
 		});
 	};
 
@@ -197,28 +209,28 @@
 			sizeBytes += part.length;
 			parts.push(part);
 			if (sizeBytes > maxAnswerBytes) {
-				fail(`the answer is larger than ${maxAnswerBytes} bytes`);
+				fail('unreadable', `the answer is larger than ${maxAnswerBytes} bytes`);
 			}
 		});
 		response.on('end', () => {
 			if (response.complete) {
 				settle({type: isRefused ? 'refused' : 'answered', head, body: Buffer.concat(parts)});
 			} else {
-				fail('the answer was cut');
+				fail('disconnected', 'the answer was cut');
 			}
 		});
 		response.on('error', error => {
-			fail(error.message);
+			fail('disconnected', error.message);
 		});
 		response.on('close', () => {
-			fail('the answer was cut');
+			fail('disconnected', 'the answer was cut');
 		});
 	};
 
 	watchSilence(limits.firstByteMs, performance.now() + (limits.longestFirstByteMs ?? 0));
 	if (beginWithinMs !== null) {
 		beginning = setTimeout(() => {
-			fail('it may no longer begin on these weights');
+			fail('outdated', 'it may no longer begin on these weights');
 		}, beginWithinMs);
 	}
 
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -2,7 +2,7 @@
 import {
 	hasFreshReport, noteFailure, noteNoConnection, noteSuccess, takeAttempt, type Candidate, type Placement,
 } from '@bitternpaddle/coordination';
-import type {AnswerHead, AttemptResult} from './attempt.js';
+import type {AnswerHead, AttemptResult, BreakCause} from './attempt.js';
 import type {CallContext} from './call-context.js';
 import {askedVersion} from './call-headers.js';
 import type {CallProgress} from './call-progress.js';
@@ -46,7 +46,7 @@
 			progress.sent++;
 			progress.mayHaveRun = true;
 			progress.lastReason = result.reason;
-			noteAttemptFailed(context, call, candidate, result.reason);
+			noteAttemptFailed(context, call, candidate, result.reason, result.cause);
 			noteEndpointFailure(context, call, candidate);
 			return !maySendAgain(context, call, progress);
 		}
@@ -114,9 +114,10 @@
 	load.told = {active: announcement.slots * 2, atMs: nowMs()};
 };
 
-const noteAttemptFailed = ({logger}: CallContext, {requestId}: Call, {announcement}: Candidate, reason: string): void => {
+const noteAttemptFailed = ({logger}: CallContext, call: Call, {announcement}: Candidate, reason: string, cause: BreakCause | null = null): void => {
 	logger.event('BP4024', {
-		requestId, endpointId: announcement.id, address: announcement.address, reason,
+		requestId: call.requestId, endpointId: announcement.id, address: announcement.address, reason,
+		...(cause !== null && {cause, fingerprint: call.fingerprint()}),
 	});
 };
 
--- a/packages/gateway/src/entry/serve-request.ts
+++ b/packages/gateway/src/entry/serve-request.ts
@@ -3,7 +3,7 @@
 	findRoute, type Route, type RouteTable, type Team,
 } from '@bitternpaddle/state';
 import {
-	drawShare, hasComeBefore, noteFirstDeadline, type CallerPatience, type Random,
+	drawShare, fingerprintOf, hasComeBefore, noteFirstDeadline, type CallerPatience, type FingerprintedRequest, type Random, type RequestFingerprint,
 } from '@bitternpaddle/coordination';
 import {BodyTooLargeError, readBody, type Logger} from '@bitternpaddle/transport';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
@@ -120,6 +120,15 @@
 	return findPlace(context, request);
 };
 
+/** Hashed once, and only for calls that need it. */
+const memoizeFingerprint = (request: FingerprintedRequest): () => RequestFingerprint => {
+	let fingerprint: RequestFingerprint | null = null;
+	return () => {
+		fingerprint ??= fingerprintOf(request);
+		return fingerprint;
+	};
+};
+
 /** Answers one request of a caller. */
 export const serveRequest = async (context: ServeContext, request: http.IncomingMessage, response: http.ServerResponse, {isReused}: {readonly isReused: boolean}): Promise<void> => {
 	const {protocol, random, nowMs} = context;
@@ -168,6 +177,9 @@
 	await context.run({
 		requestId: String(request.headers[protocol.headers.requestId] ?? ''), request, response, route, service, team, body, isKeyed: key !== null, receivedAtMs, deadlineAtMs, ended,
 		promptTokens: tokens.prompt, mostAnswerTokens: tokens.mostAnswer, hasComeBack: !isReused && hasComeBefore(patience, {deadlineMs, timeoutMs: route.timeoutMs}),
+		fingerprint: memoizeFingerprint({
+			method: request.method!, host: request.headers.host ?? '', path: request.url!, teamName: team?.name ?? null, body,
+		}),
 		isKeyInForce: () => key === null || context.table()?.teamsByKey.get(key)?.name === team?.name,
 	});
 };
