--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -107,9 +107,14 @@
 	};
 
 	const fail = (cause: BreakCause, reason: string): void => {
-		giveUp(isConnected ? {
+		if (!isConnected) {
+			giveUp({type: 'unsent', reason});
+			return;
+		}
+
+		giveUp({
 			type: 'broken', cause, reason, hasEvents,
-		} : {type: 'unsent', reason});
+		});
 	};
 
 	/** `sparedUntilMs`: an endpoint that its host reports on is waited for so long. */
