fix(gateway,coordination): a request that crashed three endpoints is refused by every entry

Cause: attempts are bounded per request of a caller, and nothing is kept across requests or entries. The same content, with another id at each repeat, was new to every entry, and each repeat went to as many engines as its route allows.

Ruled out: engines that end by themselves alone (H2; the repeats in the record end each engine 44 to 83 ms after it began to run them); the second attempt alone (H3: without it each repeat still ends one engine, and the bound counts all repeats).

Change: an entry notes what broke because the endpoint's side ended the connection, and confirms it once that endpoint is seen to have ended (its own host's report, a refused connection, a new start at its address). Confirmed sightings go to all entries by datagram, at once and then repeated to two at random twice a second. All entries judge by the same ledger: three ends at which a request stands out, or five. A verdict stops copies that wait or are under way, holds ten minutes behind the last end, and is lifted by a run that ends well. The caller gets 400 at once, which callers do not repeat.

Why it works: what an entry has not seen it is told within one crossing, or within a second or two if it stood still or started anew; no core host is needed. Lost answers, drains, silence and cut links confirm nothing.

--- a/packages/bench/src/fleet-cost/fleet.ts
+++ b/packages/bench/src/fleet-cost/fleet.ts
@@ -1,7 +1,7 @@
 import http from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	configurationResultSchema, createLoadSender, createSendingSocket, digestEveryMs, relaysPerZone, watchParametersSchema,
+	configurationResultSchema, createDatagramSender, createLoadSender, createSendingSocket, digestEveryMs, relaysPerZone, watchParametersSchema,
 	type Follower, type LoadReport, type ReportWay, type WatchResult,
 } from '@bitternpaddle/gateway';
 import {
@@ -86,7 +86,7 @@
 /** The load reports of `engineCount` agents to one entry: those of its own zone by themselves, the others by way of two relays of each zone. */
 export const startReports = (address: string, engineCount: number): Fleet => {
 	const socket = createSendingSocket();
-	const sender = createLoadSender(socket);
+	const sender = createLoadSender(createDatagramSender(socket));
 	let sequence = 0;
 	const reportOf = (index: number, way: ReportWay): LoadReport => ({
 		epoch: 1, sequence, endpointAddress: endpointAddressOf(index), way, report: {
--- a/packages/coordination/src/quarantine/index.ts
+++ b/packages/coordination/src/quarantine/index.ts
@@ -1,1 +1,3 @@
+export * from './broken-attempts.js';
+export * from './crash-ledger.js';
 export * from './request-fingerprint.js';
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -44,7 +44,7 @@
 	= | {readonly type: 'answered'; readonly head: AnswerHead; readonly body: Buffer}
 		| {readonly type: 'streamed'; readonly head: AnswerHead}
 		| {readonly type: 'refused'; readonly head: AnswerHead; readonly body: Buffer}
-		| {readonly type: 'unsent'; readonly reason: string}
+		| {readonly type: 'unsent'; readonly reason: string; /** The host is up, and nothing listens there. */ readonly isRefused: boolean}
 		| {readonly type: 'broken'; readonly cause: BreakCause; readonly reason: string; readonly hasEvents: boolean}
 		| {readonly type: 'aborted'; readonly hasEvents: boolean};
 
@@ -58,6 +58,8 @@
 /** Bytes that are no answer in the protocol. */
 const isParserError = ({code = ''}: NodeJS.ErrnoException): boolean => code.startsWith('HPE_');
 
+const isRefusal = ({code}: NodeJS.ErrnoException): boolean => code === 'ECONNREFUSED';
+
 const isEventStream = ({headers}: http.IncomingMessage): boolean => (headers['content-type'] ?? '').startsWith('text/event-stream');
 
 /** Sends a request to one endpoint, and follows its answer to the end. */
@@ -106,9 +108,9 @@
 		giveUp({type: 'aborted', hasEvents});
 	};
 
-	const fail = (cause: BreakCause, reason: string): void => {
+	const fail = (cause: BreakCause, reason: string, isRefused = false): void => {
 		if (!isConnected) {
-			giveUp({type: 'unsent', reason});
+			giveUp({type: 'unsent', reason, isRefused});
 			return;
 		}
 
@@ -156,7 +158,7 @@
 	request.on('error', error => {
 		// The parser may complain of bytes behind an answer that is whole: they belong to no request.
 		if (answer?.complete !== true) {
-			fail(isParserError(error) ? 'unreadable' : 'disconnected', error.message);
+			fail(isParserError(error) ? 'unreadable' : 'disconnected', error.message, isRefusal(error));
 		}
 	});
 	request.on('response', response => {
--- a/packages/gateway/src/entry/call-context.ts
+++ b/packages/gateway/src/entry/call-context.ts
@@ -4,6 +4,7 @@
 import type {Logger} from '@bitternpaddle/transport';
 import type {RequestProtocol} from '../link/request-protocol.js';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
+import type {RequestQuarantine} from '../quarantine/request-quarantine.js';
 import type {EndpointConnections} from './endpoint-connections.js';
 import type {EndpointView} from './endpoint-view.js';
 import type {WaitingRoom} from './waiting-room.js';
@@ -14,6 +15,7 @@
 	readonly connections: EndpointConnections;
 	readonly view: EndpointView;
 	readonly room: WaitingRoom;
+	readonly quarantine: RequestQuarantine;
 	readonly zoneId: string;
 	readonly random: Random;
 	readonly logger: Logger;
--- a/packages/gateway/src/entry/endpoint-view.ts
+++ b/packages/gateway/src/entry/endpoint-view.ts
@@ -47,7 +47,12 @@
 
 const noEndpoints: readonly Seen[] = [];
 
-export const createEndpointView = (): EndpointView => {
+export type EndpointViewOptions = {
+	/** Another start of an endpoint, or another endpoint, took over an address. */
+	onRestart(address: string): void;
+};
+
+export const createEndpointView = ({onRestart}: EndpointViewOptions): EndpointView => {
 	const registry = createRegistry();
 	const seen = new Map<string, Seen>();
 	/** `null` once an endpoint has come, gone or moved. */
@@ -71,18 +76,28 @@
 		}
 
 		const {announcement, heardAtMs} = entry;
+		const known = seen.get(id);
 		if (announcement.state === 'gone') {
+			if (known !== undefined) {
+				// Calls that are under way there must see that it leaves.
+				known.announcement = announcement;
+			}
+
 			remove(id);
 			return;
 		}
 
-		const known = seen.get(id);
 		// A later start of the endpoint has nothing of what was known of the one before: neither its load nor its failures.
 		if (known === undefined || isLaterStart(known.announcement, announcement)) {
+			const isRestart = (current().byAddress.get(announcement.address) ?? noEndpoints).length > 0;
 			seen.set(id, {
 				announcement, load: createEndpointLoad(), health: createEndpointHealth(), heardAtMs, isUnreachable: false,
 			});
 			lookup = null;
+			if (isRestart) {
+				onRestart(announcement.address);
+			}
+
 			return;
 		}
 
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -9,6 +9,7 @@
 import {createConfigurationHolder} from '../link/configuration-holder.js';
 import type {RequestProtocol} from '../link/request-protocol.js';
 import {createWantedVersions} from '../link/wanted-versions.js';
+import {createRequestQuarantine} from '../quarantine/request-quarantine.js';
 import {createLoadListener} from '../load/load-listener.js';
 import {createLoadRelay, turnMs} from '../load/load-relay.js';
 import {noRelay, planRelay, type RelayPlan} from '../load/relay-plan.js';
@@ -91,7 +92,14 @@
 		role: 'entry', address: selfAddress, zoneId, regionId, endpointAddress: null, serviceName: null,
 	};
 	const random = createRandom(options.randomSeed);
-	const view = createEndpointView();
+	let peers: readonly string[] = [];
+	const quarantine = createRequestQuarantine({
+		peers: () => peers, logger, metrics, random, nowMs: steadyNowMs,
+		send(data, addresses) {
+			listener.datagrams.send(data, addresses);
+		},
+	});
+	const view = createEndpointView({onRestart: quarantine.noteRestarted});
 	const connections = createEndpointConnections();
 	const room = createWaitingRoom();
 	const versions = createWantedVersions({dueMs: bounds.versionDueMs, startedAtMs: steadyNowMs()});
@@ -125,7 +133,7 @@
 	});
 
 	const context: CallContext = {
-		protocol, connections, view, room, zoneId, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs,
+		protocol, connections, view, room, quarantine, zoneId, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs,
 		allowance: allowance.of, sending: sending.of, objectives: objectives.of, spareRoom: spareRoom.of,
 		entryCount: () => entryCount,
 		leftMs: () => endsAtMs - lastMomentsMs - steadyNowMs(),
@@ -166,6 +174,7 @@
 			if (result.roster !== null) {
 				entryCount = Math.max(1, result.roster.entryCount);
 				relayPlan = planRelay(self, result.roster.followers);
+				peers = result.roster.followers.filter(({role, address}) => role === 'entry' && address !== selfAddress).map(({address}) => address);
 			}
 
 			if (result.freshAgeMs !== null) {
@@ -177,10 +186,14 @@
 		listen: selfAddress,
 		onReport(heard) {
 			view.hearReport(heard, steadyNowMs());
+			if (heard.report === null) {
+				quarantine.noteEnded(heard.endpointAddress);
+			}
 		},
 		onMessage(message) {
 			relay.hear(message, steadyNowMs());
 		},
+		onOther: quarantine.hear,
 		onError(error) {
 			logger.event('BP9003', {message: error.message});
 		},
@@ -226,6 +239,7 @@
 		clearInterval(pruning);
 		clearInterval(relaying);
 		client.close();
+		quarantine.close();
 		listener.close();
 		connections.close();
 		front.destroy();
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -4,7 +4,7 @@
 import type {CallContext} from './call-context.js';
 import {duesOf} from './call-headers.js';
 import type {CallProgress} from './call-progress.js';
-import {giveUp, leastRemainingMs} from './finish-call.js';
+import {giveUp, leastRemainingMs, refuseQuarantined} from './finish-call.js';
 import type {Call} from './gateway-call.js';
 
 /** Whose key was taken away finds no better answer before its operator has acted. */
@@ -22,6 +22,11 @@
 	const wait = createWait(context, call, progress);
 	try {
 		for (;;) {
+			const verdict = context.quarantine.verdictOn(call);
+			if (verdict !== null) {
+				return refuseQuarantined(context, call, progress, verdict);
+			}
+
 			const hindrance = hindranceOf(context, call);
 			if (hindrance !== null) {
 				return giveUp(context, call, progress, hindrance.reason, hindrance.retryAfterMs);
--- a/packages/gateway/src/entry/gateway-call.ts
+++ b/packages/gateway/src/entry/gateway-call.ts
@@ -1,6 +1,6 @@
 import type {Buffer} from 'node:buffer';
 import type http from 'node:http';
-import type {RequestFingerprint} from '@bitternpaddle/coordination';
+import type {RequestFingerprint, RequestOutline} from '@bitternpaddle/coordination';
 import type {Route, Service, Team} from '@bitternpaddle/state';
 
 /** One request of a caller, from its head to its last byte. */
@@ -24,7 +24,9 @@
 	readonly ended: AbortController;
 	/** Key needed: the lease must be held when the request is sent on. */
 	readonly isKeyed: boolean;
-	/** Computed when it is first asked for. */
+	/** What can be told of the fingerprint without the body's content. */
+	outline(): RequestOutline;
+	/** Hashed when it is first asked for. */
 	fingerprint(): RequestFingerprint;
 	/** Whether the newest configuration that is known here still gives its key to its team; `true` without a key. */
 	isKeyInForce(): boolean;
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -7,7 +7,7 @@
 import {askedVersion} from './call-headers.js';
 import type {CallProgress} from './call-progress.js';
 import {
-	endStream, exhaustedRetryMs, giveUp, passAnswer,
+	endStream, exhaustedRetryMs, giveUp, passAnswer, refuseQuarantined,
 } from './finish-call.js';
 import {isIdempotent, type Call} from './gateway-call.js';
 
@@ -18,12 +18,14 @@
 export const isFinal = (context: CallContext, call: Call, progress: CallProgress, {candidate}: Placement, result: AttemptResult): boolean => {
 	switch (result.type) {
 		case 'streamed': {
+			context.quarantine.noteCompleted(call);
 			noteSuccess(candidate.health);
 			endStream(context, call, progress, result.head);
 			return true;
 		}
 
 		case 'answered': {
+			context.quarantine.noteCompleted(call);
 			return isAnswerFinal(context, call, progress, candidate, result);
 		}
 
@@ -39,6 +41,10 @@
 			progress.lastReason = result.reason;
 			noteAttemptFailed(context, call, candidate, result.reason);
 			noteNoConnection(candidate.health, context.nowMs());
+			if (result.isRefused) {
+				context.quarantine.noteEnded(candidate.announcement.address);
+			}
+
 			return progress.unreachable > maxUnreachable && giveUp(context, call, progress, progress.lastReason, exhaustedRetryMs) === null;
 		}
 
@@ -48,18 +54,35 @@
 			progress.lastReason = result.reason;
 			noteAttemptFailed(context, call, candidate, result.reason, result.cause);
 			noteEndpointFailure(context, call, candidate);
+			noteDisconnected(context, call, candidate, result.cause);
 			return !maySendAgain(context, call, progress);
 		}
 
 		case 'aborted': {
 			progress.sent++;
 			progress.mayHaveRun = true;
-			giveUp(context, call, progress, 'the deadline passed');
+			endAborted(context, call, progress);
 			return true;
 		}
 	}
 };
 
+/** An endpoint that leaves ends its connections as one that crashes does. */
+const noteDisconnected = ({quarantine}: CallContext, call: Call, {announcement: {address, state}}: Candidate, cause: BreakCause): void => {
+	if (cause === 'disconnected' && state === 'ready') {
+		quarantine.noteBroken(call, address);
+	}
+};
+
+const endAborted = (context: CallContext, call: Call, progress: CallProgress): void => {
+	const verdict = context.quarantine.verdictOn(call);
+	if (verdict === null) {
+		giveUp(context, call, progress, 'the deadline passed');
+	} else {
+		refuseQuarantined(context, call, progress, verdict);
+	}
+};
+
 /** Statuses that promise a caller that its request has not run. */
 const promises: ReadonlySet<number> = new Set([408, 429, 503]);
 
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -13,10 +13,24 @@
 
 /** Sends a request to endpoints until one has answered it, or it is given up, and answers its caller. */
 export const runCall = async (context: CallContext, call: Call): Promise<void> => {
-	const {metrics, nowMs} = context;
+	const {nowMs} = context;
 	const progress = createCallProgress();
 	noteRequest(context.allowance(call.service.name), nowMs());
 	noteObjective(context.objectives(call.service.name), call.route.objectiveMs, nowMs());
+	const endWatch = context.quarantine.watch(call, () => {
+		// An answer that has begun goes on: its end will clear the request, or confirm the verdict.
+		if (!call.response.headersSent) {
+			call.ended.abort();
+		}
+	});
+	try {
+		await runAttempts(context, call, progress);
+	} finally {
+		endWatch();
+	}
+};
+
+const runAttempts = async (context: CallContext, call: Call, progress: CallProgress): Promise<void> => {
 	for (;;) {
 		const choice = await findEndpoint(context, call, progress);
 		if (choice === null) {
@@ -24,7 +38,7 @@
 		}
 
 		const result = await attempt(context, call, progress, choice);
-		metrics.attempt(call.service.name, result.type);
+		context.metrics.attempt(call.service.name, result.type);
 		if (isFinal(context, call, progress, choice, result)) {
 			return;
 		}
--- a/packages/gateway/src/entry/serve-request.ts
+++ b/packages/gateway/src/entry/serve-request.ts
@@ -3,7 +3,7 @@
 	findRoute, type Route, type RouteTable, type Team,
 } from '@bitternpaddle/state';
 import {
-	drawShare, fingerprintOf, hasComeBefore, noteFirstDeadline, type CallerPatience, type FingerprintedRequest, type Random, type RequestFingerprint,
+	drawShare, fingerprintOf, hasComeBefore, noteFirstDeadline, outlineOf, type CallerPatience, type Random,
 } from '@bitternpaddle/coordination';
 import {BodyTooLargeError, readBody, type Logger} from '@bitternpaddle/transport';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
@@ -120,12 +120,12 @@
 	return findPlace(context, request);
 };
 
-/** Hashed once, and only for calls that need it. */
-const memoizeFingerprint = (request: FingerprintedRequest): () => RequestFingerprint => {
-	let fingerprint: RequestFingerprint | null = null;
+/** Computes a value when it is first asked for. */
+const once = <Value>(compute: () => Value): () => Value => {
+	let computed: {readonly value: Value} | null = null;
 	return () => {
-		fingerprint ??= fingerprintOf(request);
-		return fingerprint;
+		computed ??= {value: compute()};
+		return computed.value;
 	};
 };
 
@@ -173,13 +173,14 @@
 		return;
 	}
 
+	const asked = {
+		method: request.method!, host: request.headers.host ?? '', path: request.url!, teamName: team?.name ?? null, body,
+	};
 	const tokens = protocol.readTokens(request.headers);
 	await context.run({
 		requestId: String(request.headers[protocol.headers.requestId] ?? ''), request, response, route, service, team, body, isKeyed: key !== null, receivedAtMs, deadlineAtMs, ended,
 		promptTokens: tokens.prompt, mostAnswerTokens: tokens.mostAnswer, hasComeBack: !isReused && hasComeBefore(patience, {deadlineMs, timeoutMs: route.timeoutMs}),
-		fingerprint: memoizeFingerprint({
-			method: request.method!, host: request.headers.host ?? '', path: request.url!, teamName: team?.name ?? null, body,
-		}),
+		outline: once(() => outlineOf(asked)), fingerprint: once(() => fingerprintOf(asked)),
 		isKeyInForce: () => key === null || context.table()?.teamsByKey.get(key)?.name === team?.name,
 	});
 };
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,3 +4,4 @@
 export * from './link/index.js';
 export * from './load/index.js';
 export * from './process/index.js';
+export * from './quarantine/index.js';
--- a/packages/gateway/src/load/load-listener.ts
+++ b/packages/gateway/src/load/load-listener.ts
@@ -2,20 +2,30 @@
 import type {Buffer} from 'node:buffer';
 import {parseAddress} from '@bitternpaddle/transport';
 import {decodeLoadMessage, type LoadMessage, type LoadReport} from './load-report.js';
-import {createLoadSender, type LoadSender} from './load-socket.js';
+import {
+	createDatagramSender, createLoadSender, type DatagramSender, type LoadSender,
+} from './load-socket.js';
 
 export type LoadListenerOptions = {
 	readonly listen: string;
 	/** A report that is newer than what was heard of its engine. */
 	onReport(heard: LoadReport): void;
 	onMessage(message: LoadMessage): void;
+	/** A datagram that is no load message; `false` if it is unknown here too. @default none is known */
+	onOther?(data: Buffer): boolean;
 	onError(error: Error): void;
 };
 
 /** Hears load reports, from agents and by way of other entries; late ones are dropped. */
-export type LoadListener = LoadSender & {close(): void};
+export type LoadListener = LoadSender & {
+	/** Sends datagrams of other kinds. */
+	readonly datagrams: DatagramSender;
+	close(): void;
+};
 
-export const createLoadListener = async ({listen, onReport, onMessage, onError}: LoadListenerOptions): Promise<LoadListener> => {
+export const createLoadListener = async ({
+	listen, onReport, onMessage, onOther = () => false, onError,
+}: LoadListenerOptions): Promise<LoadListener> => {
 	const newest = new Map<string, {epoch: number; sequence: number}>();
 	const socket = dgram.createSocket('udp4');
 
@@ -32,7 +42,10 @@
 	const hear = (data: Buffer): void => {
 		const message = decodeLoadMessage(data);
 		if (message === null) {
-			onError(new Error('a datagram is no load report'));
+			if (!onOther(data)) {
+				onError(new Error('a datagram of unknown kind'));
+			}
+
 			return;
 		}
 
@@ -52,8 +65,9 @@
 		socket.once('error', reject);
 		socket.bind(port, host, resolve);
 	});
+	const datagrams = createDatagramSender(socket);
 	return {
-		...createLoadSender(socket),
+		...createLoadSender(datagrams), datagrams,
 		close() {
 			socket.close();
 		},
--- a/packages/gateway/src/load/load-reporter.ts
+++ b/packages/gateway/src/load/load-reporter.ts
@@ -1,6 +1,6 @@
 import {randomInt} from 'node:crypto';
 import type {EngineReport} from '@bitternpaddle/coordination';
-import {createLoadSender, createSendingSocket} from './load-socket.js';
+import {createDatagramSender, createLoadSender, createSendingSocket} from './load-socket.js';
 import {reportRoutes, type ZonedAddress} from './relay-plan.js';
 
 export type LoadReporterOptions = {
@@ -32,7 +32,7 @@
 export const createLoadReporter = ({endpointAddress, zoneId, entries}: LoadReporterOptions): LoadReporter => {
 	const epoch = randomInt(mostEpoch);
 	const socket = createSendingSocket();
-	const sender = createLoadSender(socket);
+	const sender = createLoadSender(createDatagramSender(socket));
 	let sequence = 0;
 	return {
 		send(report, isTurning) {
--- /dev/null
+++ b/packages/gateway/src/quarantine/crash-exchange.ts
@@ -0,0 +1,117 @@
+import type {Buffer} from 'node:buffer';
+import type {
+	Clearance, CrashLedger, CrashSighting, Random,
+} from '@bitternpaddle/coordination';
+import {decodeCrashNews, encodeCrashNews, type CrashNews} from './crash-news.js';
+
+export type CrashExchangeOptions = {
+	readonly ledger: CrashLedger;
+	/** The other entries. */
+	peers(): readonly string[];
+	send(data: Uint8Array, addresses: readonly string[]): void;
+	onNews(news: CrashNews): void;
+	readonly random: Random;
+	nowMs(): number;
+};
+
+/**
+ * Brings what an entry saw to all others: at once to each of them, and again and
+ * again to a few, since datagrams get lost, and an entry may stand still, be cut off
+ * or start anew. No core host is needed for it.
+ */
+export type CrashExchange = {
+	tell(news: CrashNews): void;
+	/** `false` if the datagram is of another kind. */
+	hear(data: Buffer): boolean;
+	close(): void;
+};
+
+/** Between repetitions; an entry that missed all before knows after two or three of them. */
+const repeatMs = 500;
+/** Told at each repetition; every entry is told by as many in the mean. */
+const peersPerRepeat = 2;
+/** What is repeated besides verdicts. */
+const recentMs = 5000;
+/** In a datagram: about 60 bytes each, which fit into one packet. */
+const mostSightings = 20;
+const mostClearances = 20;
+/** In one repetition; where there is more, the next one goes on behind it. */
+const mostRepeated = 60;
+
+const chunk = <Item>(items: readonly Item[], size: number): Item[][] => {
+	const chunks: Item[][] = [];
+	for (let from = 0; from < items.length; from += size) {
+		chunks.push(items.slice(from, from + size));
+	}
+
+	return chunks;
+};
+
+const drawPeers = (peers: readonly string[], random: Random): string[] => {
+	const left = [...peers];
+	const drawn: string[] = [];
+	while (left.length > 0 && drawn.length < peersPerRepeat) {
+		drawn.push(...left.splice(random.between(0, left.length - 1), 1));
+	}
+
+	return drawn;
+};
+
+/** The evidence of verdicts, and what was seen of others lately. */
+const sightingsToRepeat = ({ends, verdicts}: CrashLedger, nowMs: number): CrashSighting[] => {
+	const evidence = [...verdicts.values()].flatMap(verdict => verdict.evidence.map(({address, atMs}) => ({fingerprint: verdict.fingerprint, address, atMs})));
+	const recent = ends.filter(end => end.culprit === null && nowMs - end.atMs < recentMs)
+		.flatMap(({address, atMs, suspects}) => [...suspects].map(fingerprint => ({fingerprint, address, atMs})));
+	return [...evidence, ...recent];
+};
+
+const clearancesToRepeat = ({clearedAtMs}: CrashLedger, nowMs: number): Clearance[] => [...clearedAtMs]
+	.filter(([, atMs]) => nowMs - atMs < recentMs)
+	.map(([fingerprint, atMs]) => ({fingerprint, atMs}))
+	.slice(-mostClearances);
+
+export const createCrashExchange = ({ledger, peers, send, onNews, random, nowMs}: CrashExchangeOptions): CrashExchange => {
+	let repeatedFrom = 0;
+
+	const sendTo = (addresses: readonly string[], {sightings, clearances}: CrashNews): void => {
+		if (addresses.length === 0) {
+			return;
+		}
+
+		const parts = chunk(sightings, mostSightings);
+		for (const part of parts) {
+			send(encodeCrashNews({sightings: part, clearances: []}, nowMs()), addresses);
+		}
+
+		for (const part of chunk(clearances, mostClearances)) {
+			send(encodeCrashNews({sightings: [], clearances: part}, nowMs()), addresses);
+		}
+	};
+
+	const repeat = (): void => {
+		const all = sightingsToRepeat(ledger, nowMs());
+		repeatedFrom = repeatedFrom < all.length ? repeatedFrom : 0;
+		const sightings = all.slice(repeatedFrom, repeatedFrom + mostRepeated);
+		repeatedFrom += sightings.length;
+		sendTo(drawPeers(peers(), random), {sightings, clearances: clearancesToRepeat(ledger, nowMs())});
+	};
+
+	const timer = setInterval(repeat, repeatMs);
+	return {
+		tell(news) {
+			sendTo(peers(), news);
+		},
+		hear(data) {
+			const news = decodeCrashNews(data, nowMs());
+			if (news === null) {
+				return false;
+			}
+
+			onNews(news);
+			return true;
+		},
+		close() {
+			clearInterval(timer);
+		},
+	};
+};
--- a/packages/gateway/test/crashing-requests.test.ts
+++ b/packages/gateway/test/crashing-requests.test.ts
@@ -1,4 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
+import type {Logger} from '@bitternpaddle/transport';
 import t from 'tap';
 import {createCrashingFleet, type CrashingFleet, type Treatment} from './support/crashing-fleet.js';
 
@@ -12,9 +13,9 @@
 const allowedSends = 3;
 
 /** Its caller repeats it, at one entry after the other, until it has ended three engines. */
-const endThree = async (fleet: CrashingFleet, entryCount: number): Promise<void> => {
+const endThree = async (fleet: CrashingFleet, entryCount: number, options: {readonly path?: string; readonly key?: string} = {}): Promise<void> => {
 	for (let repeat = 0; fleet.ends.length < 3; repeat++) {
-		await fleet.call(`repeat-${repeat}`, crashing, {entry: repeat % entryCount});
+		await fleet.call(`repeat-${repeat}`, crashing, {entry: repeat % entryCount, ...options});
 	}
 };
 
@@ -34,3 +35,85 @@
 	t.ok(sends <= allowedSends, `${sends} sends after the third crash, ${allowedSends} allowed`);
 	t.equal((await fleet.call('innocent', 'another', {entry: 1})).status, 200, 'others are served');
 });
+
+t.test('its caller gets a final answer at once, and every entry tells the evidence once', async t => {
+	const lines: Array<{event: string; fields: Record<string, unknown>}> = [];
+	const logger: Logger = {
+		event(event, fields = {}) {
+			lines.push({event, fields});
+		},
+	};
+	const fleet = await createCrashingFleet(t, {
+		entryCount: 2, engineCount: 8, treat, logger,
+	});
+	await endThree(fleet, 2);
+	await delay(1000);
+	const answers = await Promise.all([0, 1].map(async entry => fleet.call(`late-${entry}`, crashing, {entry, headers: {'x-other': String(entry)}})));
+	for (const {status, headers, text} of answers) {
+		t.equal(status, 400, 'callers do not repeat what is wrong in itself');
+		t.equal(headers['retry-after'], undefined);
+		t.match(text, /endpoints ended while they had this request/v);
+	}
+
+	const verdicts = lines.filter(({event}) => event === 'BP4029');
+	t.equal(verdicts.length, 2);
+	t.ok(verdicts.every(({fields}) => (fields.endpoints as string[]).length >= 3));
+});
+
+// Copies wait at engines, silently, when the verdict falls; each would end its engine.
+t.test('copies that are under way when the third endpoint ends are taken back', async t => {
+	const fleet = await createCrashingFleet(t, {
+		entryCount: 2, engineCount: 8, treat: (body, headers) => body === crashing && headers['x-how'] === 'wait' ? {type: 'hang'} : treat(body),
+	});
+	const waiting = [0, 1].map(async entry => fleet.call(`waiting-${entry}`, crashing, {entry, headers: {'x-how': 'wait'}, deadlineMs: 3000}));
+	while (fleet.arrivals.filter(({requestId}) => requestId.startsWith('waiting')).length < 2) {
+		await delay(10);
+	}
+
+	await endThree(fleet, 2);
+	t.same((await Promise.all(waiting)).map(({status}) => status), [400, 400]);
+	t.ok(fleet.arrivals.filter(({requestId}) => requestId.startsWith('waiting')).length <= 4, 'and are sent no further than before');
+});
+
+// A restarted entry has seen nothing; the others tell it before it counts as being in touch.
+t.test('an entry that was restarted refuses what the others know of', async t => {
+	const fleet = await createCrashingFleet(t, {entryCount: 2, engineCount: 8, treat});
+	await endThree(fleet, 2);
+	await fleet.restartEntry(1);
+	await delay(stableMs);
+	const before = fleet.arrivalsOf(crashing).length;
+	t.equal((await fleet.call('late', crashing, {entry: 1})).status, 400);
+	t.equal(fleet.arrivalsOf(crashing).length, before);
+});
+
+t.test('the same body of another team is served', async t => {
+	const fleet = await createCrashingFleet(t, {engineCount: 8, treat: (body, headers) => headers['x-team'] === 'marshals' ? treat(body) : {type: 'stream', pauseMs: 10}});
+	await endThree(fleet, 1, {path: '/keyed/1', key: 'marshals-key'});
+	t.equal((await fleet.call('late', crashing, {path: '/keyed/1', key: 'marshals-key'})).status, 400);
+	t.equal((await fleet.call('other', crashing, {path: '/keyed/1', key: 'vendors-key'})).status, 200);
+});
+
+t.test('the dozen that run beside it are sent on and served', async t => {
+	const fleet = await createCrashingFleet(t, {entryCount: 2, engineCount: 8, treat: body => body.startsWith('beside') ? {type: 'stream', pauseMs: 60} : treat(body)});
+	const over = new AbortController();
+	const statuses: number[] = [];
+	const beside = Array.from({length: 12}, async (_, caller) => {
+		for (let turn = 0; !over.signal.aborted; turn++) {
+			const {status} = await fleet.call(`beside-${caller}-${turn}`, `beside ${caller}`, {entry: caller % 2});
+			statuses.push(status);
+		}
+	});
+	await endThree(fleet, 2);
+	await delay(1000);
+	over.abort();
+	await Promise.all(beside);
+	t.notOk(statuses.includes(400));
+	t.ok(statuses.filter(status => status === 200).length > statuses.length / 2, `${statuses.length} calls`);
+});
+
+t.test('a request whose answers are lost on their way is no crash of its endpoints', async t => {
+	const fleet = await createCrashingFleet(t, {entryCount: 2, treat: body => body === 'lost' ? {type: 'loseAnswer'} : treat(body)});
+	for (let repeat = 0; repeat < 6; repeat++) {
+		t.not((await fleet.call(`lost-${repeat}`, 'lost', {entry: repeat % 2})).status, 400);
+	}
+});
--- a/packages/gateway/test/support/crashing-fleet.ts
+++ b/packages/gateway/test/support/crashing-fleet.ts
@@ -64,7 +64,7 @@
 	readonly entryCount?: number;
 	/** @default 6 */
 	readonly engineCount?: number;
-	/** How long a crashed engine is down. @default 300 */
+	/** How long a crashed engine is down. @default 600 */
 	readonly downMs?: number;
 	treat(body: string, headers: http.IncomingHttpHeaders): Treatment;
 	readonly logger?: Logger;
@@ -112,7 +112,7 @@
 const event = (id: number): string => `id: ${id}\ndata: word${id}\n\n`;
 
 /** Engines that end under some requests, entries and a core host, all in this process. */
-export const createCrashingFleet = async (t: Test, {entryCount = 1, engineCount = 6, downMs = 300, treat, logger = silentLogger}: CrashingFleetOptions): Promise<CrashingFleet> => {
+export const createCrashingFleet = async (t: Test, {entryCount = 1, engineCount = 6, downMs = 600, treat, logger = silentLogger}: CrashingFleetOptions): Promise<CrashingFleet> => {
 	const [core, ...addresses] = await freeAddresses(1 + (3 * entryCount) + engineCount);
 	const entryAddresses = addresses.slice(0, entryCount);
 	const fronts = addresses.slice(entryCount, 2 * entryCount);
--- a/packages/transport/src/logging/events.ts
+++ b/packages/transport/src/logging/events.ts
@@ -56,6 +56,7 @@
 	BP4026: {level: 'warn', text: 'an endpoint rests', advice: 'Requests go to others for a moment; look at the endpoint if it happens again.'},
 	BP4027: {level: 'info', text: 'readiness changed', advice: 'Look at the reason if the entry is not ready.'},
 	BP4028: {level: 'info', text: 'a request waits for an endpoint', advice: 'None.'},
+	BP4029: {level: 'warn', text: 'a request ends the endpoints that run it', advice: 'It is refused until the time told; look at the requests with this fingerprint, and at the endpoints named.'},
 	BP4030: {level: 'info', text: 'a version is being fetched', advice: 'None.'},
 	BP4031: {level: 'info', text: 'a version is staged whole', advice: 'None.'},
 	BP4032: {level: 'warn', text: 'staged chunks were spoilt and are replaced', advice: 'Look at the memory of the host if it happens again.'},
