fix(gateway): the start of an endpoint that was replaced at its address is sent nothing

What callers saw: from 36 to 92 s of the incident two in five arrivals at the engines were answered 421 (200 of 450 in four seconds), also while no engine ended; of 248 refusals that were logged from 41 to 47 s 170 told the caller so.

Cause: an engine that crashed announces nothing, so its start stays in an entry's view for seven seconds, or for as long as its host's reports are fresh. Reports name an address, and after the next start at that address they are fresh again: the ended start looked alive for good. An entry that asked for a version by name took the 421 for a version that had changed, and kept on.

Evidence: i-25788ee15f had started at 39.5 s and served version 2 from 40.0 s; entries asked 10.1.0.36 for an earlier start at 42.8 and 43.2 s. Tests: 32 arrivals for 30 requests after one crash (two entries, one each); 30 now.

Ruled out: weights that had changed (the agents logged no order between), addresses that were used again by another service.

Change: of two starts at one address the later one counts. One that was first heard of later but has been silent for five seconds, while the other announces itself, gives way.

Why it works: a start that runs announces itself every second and is told on every two to four, so one that holds the address wrongly loses it within five.

--- a/packages/gateway/src/entry/endpoint-view.ts
+++ b/packages/gateway/src/entry/endpoint-view.ts
@@ -25,7 +25,7 @@
  */
 const silentMs = 7000;
 
-type Seen = Candidate & {announcement: Announcement; heardAtMs: number; isUnreachable: boolean};
+type Seen = Candidate & {announcement: Announcement; readonly firstHeardAtMs: number; heardAtMs: number; isUnreachable: boolean};
 
 /** Endpoints by what they are looked up by; a fleet's reports and requests look hundreds of times a second. */
 type Lookup = {readonly byAddress: ReadonlyMap<string, readonly Seen[]>; readonly byService: ReadonlyMap<string, readonly Seen[]>};
@@ -47,6 +47,18 @@
 
 const noEndpoints: readonly Seen[] = [];
 
+/** An endpoint that still announces itself is heard of more often than this, also by way of the core. */
+const replacedMs = 5000;
+
+/**
+ * Whether `other` runs at the address that both name. The later start does, unless
+ * it has fallen silent while the other goes on: then it was the late announcement
+ * of a start that had ended, unknown here until then.
+ */
+const replaces = (other: Seen, {firstHeardAtMs, heardAtMs}: Seen): boolean => other.firstHeardAtMs > firstHeardAtMs
+	? heardAtMs - other.heardAtMs < replacedMs
+	: other.heardAtMs - heardAtMs >= replacedMs;
+
 export type EndpointViewOptions = {
 	/** Another start of an endpoint, or another endpoint, took over an address. */
 	onRestart(address: string): void;
@@ -91,7 +103,7 @@
 		if (known === undefined || isLaterStart(known.announcement, announcement)) {
 			const isRestart = (current().byAddress.get(announcement.address) ?? noEndpoints).length > 0;
 			seen.set(id, {
-				announcement, load: createEndpointLoad(), health: createEndpointHealth(), heardAtMs, isUnreachable: false,
+				announcement, load: createEndpointLoad(), health: createEndpointHealth(), firstHeardAtMs: heardAtMs, heardAtMs, isUnreachable: false,
 			});
 			lookup = null;
 			if (isRestart) {
@@ -109,7 +121,15 @@
 		known.heardAtMs = heardAtMs;
 	};
 
-	const isUsable = ({load, heardAtMs, isUnreachable}: Seen, nowMs: number): boolean => !isUnreachable && (nowMs - heardAtMs < silentMs || hasFreshReport(load, nowMs));
+	const isReplaced = (endpoint: Seen): boolean => {
+		const atAddress = current().byAddress.get(endpoint.announcement.address) ?? noEndpoints;
+		return atAddress.length > 1 && atAddress.some(other => other !== endpoint && replaces(other, endpoint));
+	};
+
+	const isUsable = (endpoint: Seen, nowMs: number): boolean => {
+		const {load, heardAtMs, isUnreachable} = endpoint;
+		return !isUnreachable && (nowMs - heardAtMs < silentMs || hasFreshReport(load, nowMs)) && !isReplaced(endpoint);
+	};
 
 	return {
 		hear(announcements, nowMs) {
--- a/packages/gateway/test/crashing-requests.test.ts
+++ b/packages/gateway/test/crashing-requests.test.ts
@@ -117,3 +117,14 @@
 		t.not((await fleet.call(`lost-${repeat}`, 'lost', {entry: repeat % 2})).status, 400);
 	}
 });
+
+// Entries went on asking for the start that had ended, and were answered 421.
+t.test('an endpoint that is back after a crash is asked for by the name of its new start', async t => {
+	const fleet = await createCrashingFleet(t, {entryCount: 2, engineCount: 3, treat});
+	fleet.crash(0);
+	await delay(1200);
+	const before = fleet.arrivals.length;
+	const statuses = await Promise.all(Array.from({length: 30}, async (_, index) => (await fleet.call(`after-${index}`, `after ${index}`, {entry: index % 2})).status));
+	t.ok(statuses.every(status => status === 200));
+	t.equal(fleet.arrivals.length - before, 30, 'each reaches one endpoint, which runs it');
+});
