fix(coordination): callers that ride on several ends are not taken for their cause

What callers saw: none yet; the rule of three ends or five was played against a series in which endpoints end one after the other for another reason and patient callers repeat.

Cause: a count alone does not tell a cause from company. In a long series some caller is at three ends by chance, and the count of ends around it began with its own first end, which favours it.

Change: a suspect is judged by its ends, the unexplained ends of the ten seconds before, whether another was at as many, and how far its answer had come each time. What ends the endpoints that run it breaks off at one stage; company breaks at any. Three ends where nothing else ended and its answers had only begun, up to eight where little speaks for it. Verdicts are told along with their evidence, since another entry may have had more to go by.

--- a/packages/coordination/src/quarantine/broken-attempts.ts
+++ b/packages/coordination/src/quarantine/broken-attempts.ts
@@ -1,7 +1,10 @@
 import type {RequestFingerprint} from './request-fingerprint.js';
 
+/** How far a request had come: its answer had not begun, had begun without a part for the caller, or was on its way. */
+export type AnswerStage = 'waiting' | 'begun' | 'answering';
+
 /** An attempt whose connection the endpoint's side ended. */
-export type BrokenAttempt = {readonly fingerprint: RequestFingerprint; readonly address: string; readonly atMs: number};
+export type BrokenAttempt = {readonly fingerprint: RequestFingerprint; readonly address: string; readonly atMs: number; readonly stage: AnswerStage};
 
 /**
  * Attempts that broke lately, until a sign tells whether their endpoint ended or
--- a/packages/coordination/src/quarantine/crash-ledger.ts
+++ b/packages/coordination/src/quarantine/crash-ledger.ts
@@ -1,7 +1,9 @@
+import type {AnswerStage, BrokenAttempt} from './broken-attempts.js';
+import {isCondemned} from './judge-suspect.js';
 import {outlineIn, type RequestFingerprint, type RequestOutline} from './request-fingerprint.js';
 
-/** A request was at an endpoint when that ended. Merged from all entries. */
-export type CrashSighting = {readonly fingerprint: RequestFingerprint; readonly address: string; /** By the reader's steady clock. */ readonly atMs: number};
+/** A request was at an endpoint when that ended; times are by the reader's steady clock. */
+export type CrashSighting = BrokenAttempt;
 
 /** A request ran to its end at some endpoint. */
 export type Clearance = {readonly fingerprint: RequestFingerprint; readonly atMs: number};
@@ -10,7 +12,8 @@
 export type EndpointEnd = {
 	readonly address: string;
 	readonly atMs: number;
-	readonly suspects: Set<RequestFingerprint>;
+	/** With how far each had come. */
+	readonly suspects: Map<RequestFingerprint, AnswerStage>;
 	/** The request that it is put down to; `null` while none stands out. */
 	culprit: RequestFingerprint | null;
 };
@@ -20,7 +23,7 @@
 	readonly fingerprint: RequestFingerprint;
 	readonly sinceMs: number;
 	/** The endpoints that ended under it, the latest last; the first of more than `mostEvidence` are dropped. */
-	readonly evidence: Array<{readonly address: string; readonly atMs: number}>;
+	readonly evidence: Array<Omit<CrashSighting, 'fingerprint'>>;
 	/** When it is tried again. */
 	untilMs: number;
 };
@@ -40,21 +43,22 @@
 	readonly outlines: Set<RequestOutline>;
 };
 
-/** Ends that must be alike before a request is refused. */
-export const endsToCondemn = 3;
-/** So many ends condemn a request also while others, or other causes, might explain them. */
-const certainEnds = 5;
+/** Fewer ends than this condemn nobody. */
+const leastEnds = 3;
 /** Sightings of one address within this are of one end: endpoints need longer to be back. */
 const sameEndMs = 500;
 /** A verdict holds this long after the last end, so that a mended endpoint gets its try. */
 const verdictMs = 600_000;
 const endsKeptMs = 600_000;
+/** Ends this close to each other may have one cause. */
+const seriesMs = 10_000;
 const clearanceKeptMs = 60_000;
 const mostEnds = 256;
 const mostSuspects = 128;
 const mostVerdicts = 256;
 const mostClearances = 1024;
-const mostEvidence = certainEnds;
+/** More than any verdict needs. */
+const mostEvidence = 8;
 
 export const createCrashLedger = (): CrashLedger => ({
 	ends: [], verdicts: new Map(), clearedAtMs: new Map(), outlines: new Set(),
@@ -74,7 +78,7 @@
 const noteOutlines = ({ends, verdicts, outlines}: CrashLedger): void => {
 	outlines.clear();
 	for (const {suspects} of ends) {
-		for (const fingerprint of suspects) {
+		for (const fingerprint of suspects.keys()) {
 			outlines.add(outlineIn(fingerprint));
 		}
 	}
@@ -120,7 +124,7 @@
 
 const addEnd = (ends: EndpointEnd[], {address, atMs}: CrashSighting): EndpointEnd => {
 	const end: EndpointEnd = {
-		address, atMs, suspects: new Set(), culprit: null,
+		address, atMs, suspects: new Map(), culprit: null,
 	};
 	const later = ends.findIndex(other => other.atMs > atMs);
 	ends.splice(later === -1 ? ends.length : later, 0, end);
@@ -128,14 +132,14 @@
 };
 
 /** A condemned request was at one more end: the verdict holds on. */
-const extendVerdict = (verdict: Verdict, {address, atMs}: CrashSighting): void => {
+const extendVerdict = (verdict: Verdict, {address, atMs, stage}: CrashSighting): void => {
 	if (verdict.evidence.some(known => known.address === address && Math.abs(known.atMs - atMs) < sameEndMs)) {
 		return;
 	}
 
-	verdict.evidence.push({address, atMs});
+	verdict.evidence.push({address, atMs, stage});
 	verdict.evidence.sort((a, b) => a.atMs - b.atMs);
-	verdict.evidence.splice(0, verdict.evidence.length - mostEvidence);
+	verdict.evidence.splice(0, Math.max(0, verdict.evidence.length - mostEvidence));
 	verdict.untilMs = Math.max(verdict.untilMs, atMs + verdictMs);
 };
 
@@ -151,7 +155,7 @@
 		return false;
 	}
 
-	end.suspects.add(fingerprint);
+	end.suspects.set(fingerprint, sighting.stage);
 	const verdict = verdicts.get(fingerprint);
 	if (verdict !== undefined) {
 		end.culprit ??= fingerprint;
@@ -163,11 +167,13 @@
 
 type Suspect = {readonly fingerprint: RequestFingerprint; readonly ends: readonly EndpointEnd[]};
 
+const isUnexplained = ({culprit, suspects}: EndpointEnd): boolean => culprit === null && suspects.size > 0;
+
 /** Who was at ends that nobody is known to have caused, the most frequent first. */
 const suspectsOf = ({ends}: CrashLedger): Suspect[] => {
 	const endsOf = new Map<RequestFingerprint, EndpointEnd[]>();
-	for (const end of ends) {
-		for (const fingerprint of end.culprit === null ? end.suspects : []) {
+	for (const end of ends.filter(each => isUnexplained(each))) {
+		for (const fingerprint of end.suspects.keys()) {
 			const known = endsOf.get(fingerprint);
 			if (known === undefined) {
 				endsOf.set(fingerprint, [end]);
@@ -180,20 +186,28 @@
 	return [...endsOf].map(([fingerprint, own]) => ({fingerprint, ends: own})).toSorted((a, b) => b.ends.length - a.ends.length);
 };
 
-/**
- * Whether the ends are this request's doing, and not only its bad luck. Where
- * endpoints end for another reason, one after the other, patient callers are at
- * several of those ends: then others are at as many, or most ends are without it.
- */
-const standsOut = ({ends}: CrashLedger, suspect: Suspect, others: readonly Suspect[]): boolean => {
-	const count = suspect.ends.length;
-	const unexplained = ends.filter(end => end.culprit === null && end.suspects.size > 0 && end.atMs >= suspect.ends[0]!.atMs);
-	return others.every(other => other === suspect || other.ends.length < count) && 2 * count >= unexplained.length;
+/** Unexplained ends around those of a suspect, its own among them. */
+const countAround = (ledger: CrashLedger, {fingerprint, ends}: Suspect): number => {
+	const lastMs = ends.at(-1)!.atMs;
+	return ledger.ends.filter(end => isUnexplained(end) && (end.suspects.has(fingerprint) || (end.atMs > lastMs - seriesMs && end.atMs <= lastMs))).length;
 };
 
-const findCulprit = (ledger: CrashLedger): Suspect | undefined => {
-	const suspects = suspectsOf(ledger);
-	return suspects.find(suspect => suspect.ends.length >= certainEnds || (suspect.ends.length >= endsToCondemn && standsOut(ledger, suspect, suspects)));
+const commonStageOf = ({fingerprint, ends}: Suspect): AnswerStage | null => {
+	const [first, ...further] = new Set(ends.map(({suspects}) => suspects.get(fingerprint)!));
+	return further.length === 0 ? first! : null;
+};
+
+const findCulprit = (ledger: CrashLedger, condemnedElsewhere: ReadonlySet<RequestFingerprint>): Suspect | undefined => {
+	const suspects = suspectsOf(ledger).filter(({ends}, index, all) => index === 0 || ends.length >= leastEnds || ends.length === all[0]!.ends.length);
+	return suspects.find(suspect => {
+		const {fingerprint, ends} = suspect;
+		return ends.length >= leastEnds && (condemnedElsewhere.has(fingerprint) || isCondemned({
+			ends: ends.length,
+			endsAround: countAround(ledger, suspect),
+			leads: suspects.every(other => other === suspect || other.ends.length < ends.length),
+			commonStage: commonStageOf(suspect),
+		}));
+	});
 };
 
 /** Puts the ends of a request down to it: for all others who were there they count no more. */
@@ -203,7 +217,8 @@
 	}
 
 	const verdict: Verdict = {
-		fingerprint, sinceMs: nowMs, evidence: ends.map(({address, atMs}) => ({address, atMs})).slice(-mostEvidence), untilMs: ends.at(-1)!.atMs + verdictMs,
+		fingerprint, sinceMs: nowMs, evidence: ends.map(({address, atMs, suspects}) => ({address, atMs, stage: suspects.get(fingerprint)!})).slice(-mostEvidence),
+		untilMs: ends.at(-1)!.atMs + verdictMs,
 	};
 	verdicts.set(fingerprint, verdict);
 	return verdict;
@@ -216,11 +231,18 @@
 	readonly verdicts: readonly Verdict[];
 };
 
-/** Takes sightings in, from this entry or another, and judges anew. */
-export const takeSightings = (ledger: CrashLedger, sightings: readonly CrashSighting[], nowMs: number): LedgerNews => {
+const noFingerprints: ReadonlySet<RequestFingerprint> = new Set();
+
+/** Takes sightings in, from this entry or another, and judges anew. Another entry may have had more to go by: its verdicts are taken over. */
+export const takeSightings = (ledger: CrashLedger, sightings: readonly CrashSighting[], nowMs: number, condemnedElsewhere = noFingerprints): LedgerNews => {
 	const news = sightings.filter(sighting => takeSighting(ledger, sighting));
+	const isJudged = [...condemnedElsewhere].every(fingerprint => ledger.verdicts.has(fingerprint));
+	if (news.length === 0 && isJudged) {
+		return {sightings: news, verdicts: []};
+	}
+
 	const verdicts: Verdict[] = [];
-	for (let culprit = findCulprit(ledger); culprit !== undefined; culprit = findCulprit(ledger)) {
+	for (let culprit = findCulprit(ledger, condemnedElsewhere); culprit !== undefined; culprit = findCulprit(ledger, condemnedElsewhere)) {
 		verdicts.push(condemn(ledger, culprit, nowMs));
 	}
 
@@ -237,7 +259,7 @@
 
 	const kept = verdict.evidence.filter(end => end.atMs > atMs);
 	verdict.evidence.splice(0, verdict.evidence.length, ...kept);
-	if (kept.length < endsToCondemn) {
+	if (kept.length < leastEnds) {
 		verdicts.delete(fingerprint);
 	}
 };
--- a/packages/coordination/src/quarantine/index.ts
+++ b/packages/coordination/src/quarantine/index.ts
@@ -1,3 +1,4 @@
 export * from './broken-attempts.js';
 export * from './crash-ledger.js';
+export * from './judge-suspect.js';
 export * from './request-fingerprint.js';
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
+import type {AnswerStage} from '@bitternpaddle/coordination';
 import type {HeaderNames} from '../link/request-protocol.js';
 import type {AttemptLimits} from './attempt-limits.js';
 import type {EndpointConnections} from './endpoint-connections.js';
@@ -45,7 +46,7 @@
 		| {readonly type: 'streamed'; readonly head: AnswerHead}
 		| {readonly type: 'refused'; readonly head: AnswerHead; readonly body: Buffer}
 		| {readonly type: 'unsent'; readonly reason: string; /** The host is up, and nothing listens there. */ readonly isRefused: boolean}
-		| {readonly type: 'broken'; readonly cause: BreakCause; readonly reason: string; readonly hasEvents: boolean}
+		| {readonly type: 'broken'; readonly cause: BreakCause; readonly reason: string; readonly stage: AnswerStage}
 		| {readonly type: 'aborted'; readonly hasEvents: boolean};
 
 /** Ten crossings between regions; an opening packet that is lost is sent again only after a second. */
@@ -108,6 +109,14 @@
 		giveUp({type: 'aborted', hasEvents});
 	};
 
+	const stage = (): AnswerStage => {
+		if (hasEvents) {
+			return 'answering';
+		}
+
+		return answer === null ? 'waiting' : 'begun';
+	};
+
 	const fail = (cause: BreakCause, reason: string, isRefused = false): void => {
 		if (!isConnected) {
 			giveUp({type: 'unsent', reason, isRefused});
@@ -115,7 +124,7 @@
 		}
 
 		giveUp({
-			type: 'broken', cause, reason, hasEvents,
+			type: 'broken', cause, reason, stage: stage(),
 		});
 	};
 
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -54,7 +54,7 @@
 			progress.lastReason = result.reason;
 			noteAttemptFailed(context, call, candidate, result.reason, result.cause);
 			noteEndpointFailure(context, call, candidate);
-			noteDisconnected(context, call, candidate, result.cause);
+			noteDisconnected(context, call, candidate, result);
 			return !maySendAgain(context, call, progress);
 		}
 
@@ -68,9 +68,9 @@
 };
 
 /** An endpoint that leaves ends its connections as one that crashes does. */
-const noteDisconnected = ({quarantine}: CallContext, call: Call, {announcement: {address, state}}: Candidate, cause: BreakCause): void => {
+const noteDisconnected = ({quarantine}: CallContext, call: Call, {announcement: {address, state}}: Candidate, {cause, stage}: Extract<AttemptResult, {type: 'broken'}>): void => {
 	if (cause === 'disconnected' && state === 'ready') {
-		quarantine.noteBroken(call, address);
+		quarantine.noteBroken(call, address, stage);
 	}
 };
 
--- a/packages/gateway/src/quarantine/crash-exchange.ts
+++ b/packages/gateway/src/quarantine/crash-exchange.ts
@@ -20,7 +20,7 @@
  * or start anew. No core host is needed for it.
  */
 export type CrashExchange = {
-	tell(news: CrashNews): void;
+	tell(news: Pick<CrashNews, 'sightings' | 'clearances'>): void;
 	/** `false` if the datagram is of another kind. */
 	hear(data: Buffer): boolean;
 	close(): void;
@@ -32,8 +32,8 @@
 const peersPerRepeat = 2;
 /** What is repeated besides verdicts. */
 const recentMs = 5000;
-/** In a datagram: about 60 bytes each, which fit into one packet. */
-const mostSightings = 20;
+/** In a datagram: with a verdict on each about 80 bytes, which fit into one packet. */
+const mostSightings = 16;
 const mostClearances = 20;
 /** In one repetition; where there is more, the next one goes on behind it. */
 const mostRepeated = 60;
@@ -59,9 +59,11 @@
 
 /** The evidence of verdicts, and what was seen of others lately. */
 const sightingsToRepeat = ({ends, verdicts}: CrashLedger, nowMs: number): CrashSighting[] => {
-	const evidence = [...verdicts.values()].flatMap(verdict => verdict.evidence.map(({address, atMs}) => ({fingerprint: verdict.fingerprint, address, atMs})));
+	const evidence = [...verdicts.values()].flatMap(verdict => verdict.evidence.map(seen => ({fingerprint: verdict.fingerprint, ...seen})));
 	const recent = ends.filter(end => end.culprit === null && nowMs - end.atMs < recentMs)
-		.flatMap(({address, atMs, suspects}) => [...suspects].map(fingerprint => ({fingerprint, address, atMs})));
+		.flatMap(({address, atMs, suspects}) => [...suspects].map(([fingerprint, stage]) => ({
+			fingerprint, address, atMs, stage,
+		})));
 	return [...evidence, ...recent];
 };
 
@@ -73,18 +75,18 @@
 export const createCrashExchange = ({ledger, peers, send, onNews, random, nowMs}: CrashExchangeOptions): CrashExchange => {
 	let repeatedFrom = 0;
 
-	const sendTo = (addresses: readonly string[], {sightings, clearances}: CrashNews): void => {
+	const sendTo = (addresses: readonly string[], {sightings, clearances}: Pick<CrashNews, 'sightings' | 'clearances'>): void => {
 		if (addresses.length === 0) {
 			return;
 		}
 
-		const parts = chunk(sightings, mostSightings);
-		for (const part of parts) {
-			send(encodeCrashNews({sightings: part, clearances: []}, nowMs()), addresses);
+		for (const part of chunk(sightings, mostSightings)) {
+			const condemned = [...new Set(part.map(({fingerprint}) => fingerprint))].filter(fingerprint => ledger.verdicts.has(fingerprint));
+			send(encodeCrashNews({sightings: part, condemned, clearances: []}, nowMs()), addresses);
 		}
 
 		for (const part of chunk(clearances, mostClearances)) {
-			send(encodeCrashNews({sightings: [], clearances: part}, nowMs()), addresses);
+			send(encodeCrashNews({sightings: [], condemned: [], clearances: part}, nowMs()), addresses);
 		}
 	};
 
--- a/packages/gateway/src/quarantine/crash-news.ts
+++ b/packages/gateway/src/quarantine/crash-news.ts
@@ -1,24 +1,35 @@
 import type {Buffer} from 'node:buffer';
-import type {Clearance, CrashSighting, RequestFingerprint} from '@bitternpaddle/coordination';
+import type {
+	AnswerStage, Clearance, CrashSighting, RequestFingerprint,
+} from '@bitternpaddle/coordination';
 import {decode, encode} from '@msgpack/msgpack';
 import * as z from 'zod';
 
 /** What an entry tells others of requests that were at endpoints when these ended. */
-export type CrashNews = {readonly sightings: readonly CrashSighting[]; readonly clearances: readonly Clearance[]};
+export type CrashNews = {
+	readonly sightings: readonly CrashSighting[];
+	/** Of these requests those that the teller has a verdict on. */
+	readonly condemned: readonly RequestFingerprint[];
+	readonly clearances: readonly Clearance[];
+};
 
 /** Tells these datagrams from the load reports that come to the same socket. */
 const kind = 'crash';
+const stages: readonly AnswerStage[] = ['waiting', 'begun', 'answering'];
 const ageSchema = z.number().nonnegative();
+const fingerprintSchema = z.string().min(1).transform(text => text as RequestFingerprint);
 const newsSchema = z.tuple([
 	z.literal(kind),
-	z.array(z.tuple([z.string().min(1), z.string().min(1), ageSchema])),
-	z.array(z.tuple([z.string().min(1), ageSchema])),
+	z.array(z.tuple([fingerprintSchema, z.string().min(1), ageSchema, z.number().int().min(0).max(stages.length - 1)])),
+	z.array(fingerprintSchema),
+	z.array(z.tuple([fingerprintSchema, ageSchema])),
 ]);
 
 /** Clocks of hosts differ, so times go as ages. */
-export const encodeCrashNews = ({sightings, clearances}: CrashNews, nowMs: number): Uint8Array => encode([
+export const encodeCrashNews = ({sightings, condemned, clearances}: CrashNews, nowMs: number): Uint8Array => encode([
 	kind,
-	sightings.map(({fingerprint, address, atMs}) => [fingerprint, address, Math.max(0, Math.round(nowMs - atMs))]),
+	sightings.map(({fingerprint, address, atMs, stage}) => [fingerprint, address, Math.max(0, Math.round(nowMs - atMs)), stages.indexOf(stage)]),
+	condemned,
 	clearances.map(({fingerprint, atMs}) => [fingerprint, Math.max(0, Math.round(nowMs - atMs))]),
 ]);
 
@@ -37,9 +48,12 @@
 		return null;
 	}
 
-	const [, sightings, clearances] = parsed.data;
+	const [, sightings, condemned, clearances] = parsed.data;
 	return {
-		sightings: sightings.map(([fingerprint, address, ageMs]) => ({fingerprint: fingerprint as RequestFingerprint, address, atMs: nowMs - ageMs})),
-		clearances: clearances.map(([fingerprint, ageMs]) => ({fingerprint: fingerprint as RequestFingerprint, atMs: nowMs - ageMs})),
+		sightings: sightings.map(([fingerprint, address, ageMs, stage]) => ({
+			fingerprint, address, atMs: nowMs - ageMs, stage: stages[stage]!,
+		})),
+		condemned,
+		clearances: clearances.map(([fingerprint, ageMs]) => ({fingerprint, atMs: nowMs - ageMs})),
 	};
 };
--- a/packages/gateway/src/quarantine/request-quarantine.ts
+++ b/packages/gateway/src/quarantine/request-quarantine.ts
@@ -1,7 +1,7 @@
 import type {Buffer} from 'node:buffer';
 import {
 	clearRequest, confirmEnded, confirmRestarted, createBrokenAttempts, createCrashLedger, isEmpty, mayBeKnown, noteBroken, pruneLedger, takeSightings, verdictOn,
-	type BrokenAttempt, type CrashSighting, type Random, type RequestFingerprint, type RequestOutline, type Verdict,
+	type AnswerStage, type BrokenAttempt, type CrashSighting, type Random, type RequestFingerprint, type RequestOutline, type Verdict,
 } from '@bitternpaddle/coordination';
 import type {Logger} from '@bitternpaddle/transport';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
@@ -33,7 +33,7 @@
 	/** Why a request must not be sent to an endpoint; `null` if it may. */
 	verdictOn(request: QuarantinedRequest): Verdict | null;
 	/** The endpoint's side ended the connection before the answer was whole. */
-	noteBroken(request: QuarantinedRequest, address: string): void;
+	noteBroken(request: QuarantinedRequest, address: string, stage: AnswerStage): void;
 	/** Nothing listens at the endpoint's address any more, or its own host cannot reach it. */
 	noteEnded(address: string): void;
 	/** Another start of an endpoint runs at the address. */
@@ -76,12 +76,8 @@
 		}
 	};
 
-	const take = (sightings: readonly CrashSighting[], isOwn: boolean): readonly CrashSighting[] => {
-		if (sightings.length === 0) {
-			return sightings;
-		}
-
-		const news = takeSightings(ledger, sightings, nowMs());
+	const take = (sightings: readonly CrashSighting[], isOwn: boolean, condemnedElsewhere?: ReadonlySet<RequestFingerprint>): readonly CrashSighting[] => {
+		const news = takeSightings(ledger, sightings, nowMs(), condemnedElsewhere);
 		for (const verdict of news.verdicts) {
 			announceVerdict(verdict, isOwn);
 		}
@@ -94,15 +90,19 @@
 	};
 
 	const takeOwn = (ended: readonly BrokenAttempt[]): void => {
+		if (ended.length === 0) {
+			return;
+		}
+
 		exchange.tell({sightings: take(ended, true), clearances: []});
 	};
 
-	const takeNews = ({sightings, clearances}: CrashNews): void => {
+	const takeNews = ({sightings, condemned, clearances}: CrashNews): void => {
 		for (const clearance of clearances) {
 			clearRequest(ledger, clearance, nowMs());
 		}
 
-		take(sightings, false);
+		take(sightings, false, new Set(condemned));
 	};
 
 	const exchange = createCrashExchange({
@@ -115,8 +115,10 @@
 	metrics.gauge('quarantine_ends', 'Ends of endpoints that requests may have caused.', () => ledger.ends.length);
 	return {
 		verdictOn: request => isKnown(request) ? verdictOn(ledger, request.fingerprint(), nowMs()) : null,
-		noteBroken(request, address) {
-			const attempt = {fingerprint: request.fingerprint(), address, atMs: nowMs()};
+		noteBroken(request, address, stage) {
+			const attempt = {
+				fingerprint: request.fingerprint(), address, atMs: nowMs(), stage,
+			};
 			if (noteBroken(broken, attempt)) {
 				takeOwn([attempt]);
 			}
