fix(test-support): tests get ports that the system gives to nobody else

What was seen: one run of the gateway's tests beside a build failed with 'bind EADDRINUSE' in entry-node.test ('an answer that ends with its connection is passed on as one').

Cause: bind, and not listen, is a datagram socket's. Addresses were free for streams only, and lay in the range from which the system takes ports by itself. A socket that only sends datagrams, as each load reporter has one, gets such a port on all IP numbers, so any test process could take an entry's. The tests of crashing requests open more of them.

Change: ports from below that range, tried for streams and for datagrams. Ruled out: another listener of the same test (its engine listens at 127.0.0.1).

--- a/packages/test-support/src/ports/free-addresses.ts
+++ b/packages/test-support/src/ports/free-addresses.ts
@@ -1,4 +1,5 @@
-import {createServer, type AddressInfo, type Server} from 'node:net';
+import dgram from 'node:dgram';
+import {createServer} from 'node:net';
 import process from 'node:process';
 
 /**
@@ -15,38 +16,61 @@
 	return `127.${bytes.join('.')}`;
 };
 
-const handedOut = new Set<number>();
+/**
+ * Below the ports that the system chooses itself: it binds a socket that only sends
+ * datagrams on all IP numbers, so any process may take such a port here as well.
+ */
+const firstPort = 10_240;
+const lastPort = 32_767;
+
+let nextPort = firstPort;
 
-const listenOnFreePort = async (): Promise<Server> => new Promise((resolve, reject) => {
+const takePort = (): number => {
+	if (nextPort > lastPort) {
+		throw new Error(`all ports from ${firstPort} to ${lastPort} have been given out`);
+	}
+
+	nextPort++;
+	return nextPort - 1;
+};
+
+const isFreeForStreams = async (port: number): Promise<boolean> => new Promise(resolve => {
 	const server = createServer();
-	server.once('error', reject);
-	server.listen(0, ownLoopbackIp(), () => {
-		resolve(server);
+	server.once('error', () => {
+		resolve(false);
+	});
+	server.listen(port, ownLoopbackIp(), () => {
+		server.close(() => {
+			resolve(true);
+		});
 	});
 });
 
-const portOf = (server: Server): number => (server.address() as AddressInfo).port;
+const isFreeForDatagrams = async (port: number): Promise<boolean> => new Promise(resolve => {
+	const socket = dgram.createSocket('udp4');
+	socket.once('error', () => {
+		socket.close();
+		resolve(false);
+	});
+	socket.bind(port, ownLoopbackIp(), () => {
+		socket.close(() => {
+			resolve(true);
+		});
+	});
+});
 
 /**
- * `ip:port` pairs on this process's own IP number, chosen by the system and
- * each given out once: for control hosts, which must know each other's before
- * they start.
+ * `ip:port` pairs on this process's own IP number, free for streams and for
+ * datagrams, each given out once: for hosts that must know each other's before they start.
  */
 export const freeAddresses = async (count: number): Promise<string[]> => {
-	const servers: Server[] = [];
-	const ports: number[] = [];
-	while (ports.length < count) {
-		// Kept open meanwhile, so that the system picks another one each time.
-		const server = await listenOnFreePort();
-		servers.push(server);
-		if (!handedOut.has(portOf(server))) {
-			handedOut.add(portOf(server));
-			ports.push(portOf(server));
+	const addresses: string[] = [];
+	while (addresses.length < count) {
+		const port = takePort();
+		if (await isFreeForStreams(port) && await isFreeForDatagrams(port)) {
+			addresses.push(`${ownLoopbackIp()}:${port}`);
 		}
 	}
 
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
-	return ports.map(port => `${ownLoopbackIp()}:${port}`);
+	return addresses;
 };
