fix(coordination,gateway,daemon): verdicts on probation, copies that waited, one place for repeated news

Cause: copies of one request at one end were noted by whoever reported first. A copy that only waited there made the stages differ, so that five ends were asked for in place of three; meanwhile the waiting copies ran into their deadline of 3 s. Now of several copies at one end the one counts that may have ended it. The test's copies also sat at engines that others ended, which made 502 a right answer; they are at engines of their own now, and have 15 s.

A verdict that has run out is on probation for an hour: one more end renews it, where three were asked for anew. What both kinds of entries tell again is in one module.

--- a/packages/coordination/src/quarantine/crash-ledger.ts
+++ b/packages/coordination/src/quarantine/crash-ledger.ts
@@ -24,7 +24,7 @@
 	readonly sinceMs: number;
 	/** The endpoints that ended under it, the latest last; the first of more than `mostEvidence` are dropped. */
 	readonly evidence: Array<Omit<CrashSighting, 'fingerprint'>>;
-	/** When it is tried again. */
+	/** When the request is tried again. */
 	untilMs: number;
 };
 
@@ -36,6 +36,7 @@
 export type CrashLedger = {
 	/** Oldest first, without those that were put down to a request long ago. */
 	readonly ends: EndpointEnd[];
+	/** Also those that have run out, while they are on probation. */
 	readonly verdicts: Map<RequestFingerprint, Verdict>;
 	/** When each request was last seen to run to its end; sightings from before count no more. */
 	readonly clearedAtMs: Map<RequestFingerprint, number>;
@@ -49,6 +50,8 @@
 const sameEndMs = 500;
 /** A verdict holds this long after the last end, so that a mended endpoint gets its try. */
 const verdictMs = 600_000;
+/** For this long behind it one more end is enough. */
+const probationMs = 3_600_000;
 const endsKeptMs = 600_000;
 /** Ends this close to each other may have one cause. */
 const seriesMs = 10_000;
@@ -104,7 +107,7 @@
 	const kept = ends.filter(({atMs, suspects}) => nowMs - atMs <= endsKeptMs && suspects.size > 0).slice(-mostEnds);
 	ends.splice(0, ends.length, ...kept);
 	for (const [fingerprint, {untilMs}] of verdicts) {
-		if (nowMs >= untilMs) {
+		if (nowMs >= untilMs + probationMs) {
 			verdicts.delete(fingerprint);
 		}
 	}
@@ -120,6 +123,9 @@
 	noteOutlines(ledger);
 };
 
+/** Of several copies at one end, that one counts which may have ended it: not one that waited behind it. */
+const stageRank: Record<AnswerStage, number> = {waiting: 0, answering: 1, begun: 2};
+
 const findEnd = (ends: readonly EndpointEnd[], {address, atMs}: CrashSighting): EndpointEnd | undefined => ends.find(end => end.address === address && Math.abs(end.atMs - atMs) < sameEndMs);
 
 const addEnd = (ends: EndpointEnd[], {address, atMs}: CrashSighting): EndpointEnd => {
@@ -131,27 +137,30 @@
 	return end;
 };
 
-/** A condemned request was at one more end: the verdict holds on. */
-const extendVerdict = (verdict: Verdict, {address, atMs, stage}: CrashSighting): void => {
+/** A condemned request was at one more end: the verdict holds on. `true` if it had run out before. */
+const extendVerdict = (verdict: Verdict, {address, atMs, stage}: CrashSighting): boolean => {
 	if (verdict.evidence.some(known => known.address === address && Math.abs(known.atMs - atMs) < sameEndMs)) {
-		return;
+		return false;
 	}
 
+	const hadRunOut = atMs >= verdict.untilMs;
 	verdict.evidence.push({address, atMs, stage});
 	verdict.evidence.sort((a, b) => a.atMs - b.atMs);
 	verdict.evidence.splice(0, Math.max(0, verdict.evidence.length - mostEvidence));
 	verdict.untilMs = Math.max(verdict.untilMs, atMs + verdictMs);
+	return hadRunOut;
 };
 
-/** Takes one sighting in; `true` if it was news. */
-const takeSighting = ({ends, verdicts, clearedAtMs}: CrashLedger, sighting: CrashSighting): boolean => {
+/** Takes one sighting in; `false` if it was known. A verdict that it renews is added to `renewed`. */
+const takeSighting = ({ends, verdicts, clearedAtMs}: CrashLedger, sighting: CrashSighting, renewed: Verdict[]): boolean => {
 	const {fingerprint, atMs} = sighting;
 	if (atMs <= (clearedAtMs.get(fingerprint) ?? Number.NEGATIVE_INFINITY)) {
 		return false;
 	}
 
 	const end = findEnd(ends, sighting) ?? addEnd(ends, sighting);
-	if (end.suspects.has(fingerprint) || end.suspects.size >= mostSuspects) {
+	const known = end.suspects.get(fingerprint);
+	if (known === undefined ? end.suspects.size >= mostSuspects : stageRank[sighting.stage] <= stageRank[known]) {
 		return false;
 	}
 
@@ -159,7 +168,9 @@
 	const verdict = verdicts.get(fingerprint);
 	if (verdict !== undefined) {
 		end.culprit ??= fingerprint;
-		extendVerdict(verdict, sighting);
+		if (extendVerdict(verdict, sighting)) {
+			renewed.push(verdict);
+		}
 	}
 
 	return true;
@@ -198,13 +209,13 @@
 };
 
 const findCulprit = (ledger: CrashLedger, condemnedElsewhere: ReadonlySet<RequestFingerprint>): Suspect | undefined => {
-	const suspects = suspectsOf(ledger).filter(({ends}, index, all) => index === 0 || ends.length >= leastEnds || ends.length === all[0]!.ends.length);
-	return suspects.find(suspect => {
+	const suspects = suspectsOf(ledger);
+	return suspects.find((suspect, index) => {
 		const {fingerprint, ends} = suspect;
 		return ends.length >= leastEnds && (condemnedElsewhere.has(fingerprint) || isCondemned({
 			ends: ends.length,
 			endsAround: countAround(ledger, suspect),
-			leads: suspects.every(other => other === suspect || other.ends.length < ends.length),
+			leads: index === 0 && (suspects[1]?.ends.length ?? 0) < ends.length,
 			commonStage: commonStageOf(suspect),
 		}));
 	});
@@ -227,7 +238,7 @@
 export type LedgerNews = {
 	/** Sightings that were not known before. */
 	readonly sightings: readonly CrashSighting[];
-	/** Verdicts that follow from them. */
+	/** Verdicts that follow from them, new ones and such as had run out. */
 	readonly verdicts: readonly Verdict[];
 };
 
@@ -235,13 +246,13 @@
 
 /** Takes sightings in, from this entry or another, and judges anew. Another entry may have had more to go by: its verdicts are taken over. */
 export const takeSightings = (ledger: CrashLedger, sightings: readonly CrashSighting[], nowMs: number, condemnedElsewhere = noFingerprints): LedgerNews => {
-	const news = sightings.filter(sighting => takeSighting(ledger, sighting));
+	const verdicts: Verdict[] = [];
+	const news = sightings.filter(sighting => takeSighting(ledger, sighting, verdicts));
 	const isJudged = [...condemnedElsewhere].every(fingerprint => ledger.verdicts.has(fingerprint));
 	if (news.length === 0 && isJudged) {
 		return {sightings: news, verdicts: []};
 	}
 
-	const verdicts: Verdict[] = [];
 	for (let culprit = findCulprit(ledger, condemnedElsewhere); culprit !== undefined; culprit = findCulprit(ledger, condemnedElsewhere)) {
 		verdicts.push(condemn(ledger, culprit, nowMs));
 	}
--- a/packages/coordination/src/quarantine/index.ts
+++ b/packages/coordination/src/quarantine/index.ts
@@ -1,4 +1,5 @@
 export * from './broken-attempts.js';
 export * from './crash-ledger.js';
 export * from './judge-suspect.js';
+export * from './repeated-news.js';
 export * from './request-fingerprint.js';
--- a/packages/coordination/test/quarantine.test.ts
+++ b/packages/coordination/test/quarantine.test.ts
@@ -89,6 +89,16 @@
 	t.ok(isRefused(ledger, named('midway'), 400));
 });
 
+t.test('copies that waited behind the one that ended an endpoint do not blur it', async t => {
+	const ledger = createCrashLedger();
+	for (const [index, address] of ['e1', 'e2', 'e3'].entries()) {
+		const [sighting] = end(address, index * 100, crashing);
+		takeSightings(ledger, [{...sighting!, stage: 'waiting'}, sighting!, {...sighting!, stage: 'waiting'}], index * 100);
+	}
+
+	t.ok(isRefused(ledger, crashing, 300));
+});
+
 t.test('a verdict of another entry is taken over with three ends of evidence', async t => {
 	const ledger = createCrashLedger();
 	const crowd = Array.from({length: 9}, (_, index) => end(`n${index}`, index * 100, named(`n${index}`))).flat();
@@ -166,8 +176,11 @@
 	const {untilMs} = verdictOn(ledger, crashing, 200)!;
 	takeSightings(ledger, end('e4', 5000, crashing), 5000);
 	t.equal(verdictOn(ledger, crashing, 5000)!.untilMs, untilMs + 4800);
-	t.notOk(isRefused(ledger, crashing, untilMs + 4800));
-	pruneLedger(ledger, untilMs + 1_000_000);
+	t.notOk(isRefused(ledger, crashing, untilMs + 4800), 'a mended endpoint gets its try');
+	const renewed = takeSightings(ledger, end('e5', untilMs + 10_000, crashing), untilMs + 10_000);
+	t.same(renewed.verdicts.map(({fingerprint}) => fingerprint), [crashing], 'one more end is enough then');
+	t.ok(isRefused(ledger, crashing, untilMs + 20_000));
+	pruneLedger(ledger, untilMs + 10_000_000);
 	t.same([ledger.ends.length, ledger.verdicts.size, mayBeKnown(ledger, outlineIn(crashing))], [0, 0, false], 'and nothing is left of it');
 });
 
--- a/packages/daemon/src/entry/request-quarantine.ts
+++ b/packages/daemon/src/entry/request-quarantine.ts
@@ -1,6 +1,6 @@
 import {
-	clearRequest, createCrashLedger, fingerprintOf, isEmpty, mayBeKnown, outlineOf, pruneLedger, takeSightings, verdictOn,
-	type AnswerStage, type CrashLedger, type CrashSighting, type FingerprintedRequest, type RequestFingerprint, type Verdict,
+	clearancesToRepeat, clearRequest, createCrashLedger, fingerprintOf, isEmpty, mayBeKnown, outlineOf, pruneLedger, sightingsToRepeat, takeSightings, verdictOn,
+	type AnswerStage, type CrashSighting, type FingerprintedRequest, type RequestFingerprint, type Verdict,
 } from '@bitternpaddle/coordination';
 import type {EntryCrashesParameters} from '@bitternpaddle/protocol';
 import type {Logger, Metrics} from '@bitternpaddle/transport';
@@ -34,23 +34,12 @@
 	close(): void;
 };
 
-/** Told again: the evidence of verdicts, and what was seen of others lately. */
-const recentMs = 5000;
 const mostRepeated = 64;
 
 const requestOf = (call: Call): FingerprintedRequest => ({
 	method: call.method, host: nameOf(call.target), path: call.path, teamName: call.teamId, body: call.body,
 });
 
-const sightingsToRepeat = ({ends, verdicts}: CrashLedger, nowMs: number): CrashSighting[] => {
-	const evidence = [...verdicts.values()].flatMap(verdict => verdict.evidence.map(seen => ({fingerprint: verdict.fingerprint, ...seen})));
-	const recent = ends.filter(({culprit, atMs}) => culprit === null && nowMs - atMs < recentMs)
-		.flatMap(({address, atMs, suspects}) => [...suspects].map(([fingerprint, stage]) => ({
-			fingerprint, address, atMs, stage,
-		})));
-	return [...evidence, ...recent].slice(0, mostRepeated);
-};
-
 const decodeSighting = ({fingerprint, address, ageMs, stage}: CrashNews['sightings'][number], nowMs: number): CrashSighting => ({
 	fingerprint: fingerprint as RequestFingerprint, address, atMs: nowMs - ageMs, stage,
 });
@@ -67,7 +56,7 @@
 				fingerprint, address, ageMs: ageMs(atMs), stage,
 			})),
 			condemned: [...new Set(sightings.map(({fingerprint}) => fingerprint))].filter(fingerprint => ledger.verdicts.has(fingerprint)),
-			clearances: [...ledger.clearedAtMs].filter(([, atMs]) => now - atMs < recentMs).slice(-mostRepeated).map(([fingerprint, atMs]) => ({fingerprint, ageMs: ageMs(atMs)})),
+			clearances: clearancesToRepeat(ledger, now).map(({fingerprint, atMs}) => ({fingerprint, ageMs: ageMs(atMs)})),
 		};
 	};
 
@@ -89,7 +78,7 @@
 
 	const repeat = async (): Promise<void> => {
 		pruneLedger(ledger, nowMs());
-		const sightings = sightingsToRepeat(ledger, nowMs());
+		const sightings = sightingsToRepeat(ledger, nowMs()).slice(0, mostRepeated);
 		if (sightings.length === 0) {
 			return;
 		}
--- a/packages/gateway/src/quarantine/crash-exchange.ts
+++ b/packages/gateway/src/quarantine/crash-exchange.ts
@@ -1,6 +1,6 @@
 import type {Buffer} from 'node:buffer';
-import type {
-	Clearance, CrashLedger, CrashSighting, Random,
+import {
+	clearancesToRepeat, sightingsToRepeat, type CrashLedger, type Random,
 } from '@bitternpaddle/coordination';
 import {decodeCrashNews, encodeCrashNews, type CrashNews} from './crash-news.js';
 
@@ -30,8 +30,6 @@
 const repeatMs = 500;
 /** Told at each repetition; every entry is told by as many in the mean. */
 const peersPerRepeat = 2;
-/** What is repeated besides verdicts. */
-const recentMs = 5000;
 /** In a datagram: with a verdict on each about 80 bytes, which fit into one packet. */
 const mostSightings = 16;
 const mostClearances = 20;
@@ -57,21 +55,6 @@
 	return drawn;
 };
 
-/** The evidence of verdicts, and what was seen of others lately. */
-const sightingsToRepeat = ({ends, verdicts}: CrashLedger, nowMs: number): CrashSighting[] => {
-	const evidence = [...verdicts.values()].flatMap(verdict => verdict.evidence.map(seen => ({fingerprint: verdict.fingerprint, ...seen})));
-	const recent = ends.filter(end => end.culprit === null && nowMs - end.atMs < recentMs)
-		.flatMap(({address, atMs, suspects}) => [...suspects].map(([fingerprint, stage]) => ({
-			fingerprint, address, atMs, stage,
-		})));
-	return [...evidence, ...recent];
-};
-
-const clearancesToRepeat = ({clearedAtMs}: CrashLedger, nowMs: number): Clearance[] => [...clearedAtMs]
-	.filter(([, atMs]) => nowMs - atMs < recentMs)
-	.map(([fingerprint, atMs]) => ({fingerprint, atMs}))
-	.slice(-mostClearances);
-
 export const createCrashExchange = ({ledger, peers, send, onNews, random, nowMs}: CrashExchangeOptions): CrashExchange => {
 	let repeatedFrom = 0;
 
--- a/packages/gateway/test/crashing-requests.test.ts
+++ b/packages/gateway/test/crashing-requests.test.ts
@@ -62,17 +62,27 @@
 
 // Copies wait at engines, silently, when the verdict falls; each would end its engine.
 t.test('copies that are under way when the third endpoint ends are taken back', async t => {
+	const held = new Set<number>();
 	const fleet = await createCrashingFleet(t, {
-		entryCount: 2, engineCount: 8, treat: (body, headers) => body === crashing && headers['x-how'] === 'wait' ? {type: 'hang'} : treat(body),
+		entryCount: 2, engineCount: 8, treat(body, headers, engine) {
+			if (body === crashing && headers['x-how'] === 'wait') {
+				held.add(engine);
+				return {type: 'hang'};
+			}
+
+			return held.has(engine) ? {type: 'loseAnswer'} : treat(body);
+		},
 	});
-	const waiting = [0, 1].map(async entry => fleet.call(`waiting-${entry}`, crashing, {entry, headers: {'x-how': 'wait'}, deadlineMs: 3000}));
+	const waiting = [0, 1].map(async entry => fleet.call(`waiting-${entry}`, crashing, {entry, headers: {'x-how': 'wait'}}));
 	while (fleet.arrivals.filter(({requestId}) => requestId.startsWith('waiting')).length < 2) {
 		await delay(10);
 	}
 
 	await endThree(fleet, 2);
 	t.same((await Promise.all(waiting)).map(({status}) => status), [400, 400]);
-	t.ok(fleet.arrivals.filter(({requestId}) => requestId.startsWith('waiting')).length <= 4, 'and are sent no further than before');
+	const before = fleet.arrivals.length;
+	await delay(500);
+	t.equal(fleet.arrivals.length, before, 'and are sent no further');
 });
 
 // A restarted entry has seen nothing; the others tell it before it counts as being in touch.
--- a/packages/gateway/test/support/crashing-fleet.ts
+++ b/packages/gateway/test/support/crashing-fleet.ts
@@ -14,7 +14,7 @@
 } from '@bitternpaddle/gateway';
 
 const route: Route = {
-	name: 'r', host: 'a.example', prefix: '/', retryClass: 'streaming', timeoutMs: 3000, objectiveMs: 400, pauseObjectiveMs: 300, priority: 1,
+	name: 'r', host: 'a.example', prefix: '/', retryClass: 'streaming', timeoutMs: 15_000, objectiveMs: 400, pauseObjectiveMs: 300, priority: 1,
 	targets: [{serviceName: 's', weight: 1}], maxAttempts: 2, isPublic: true, isResumable: true,
 };
 
@@ -66,7 +66,7 @@
 	readonly engineCount?: number;
 	/** How long a crashed engine is down. @default 600 */
 	readonly downMs?: number;
-	treat(body: string, headers: http.IncomingHttpHeaders): Treatment;
+	treat(body: string, headers: http.IncomingHttpHeaders, engine: number): Treatment;
 	readonly logger?: Logger;
 };
 
@@ -212,7 +212,7 @@
 			requestId, body, engine: index, atMs: performance.now(),
 		});
 		if (request.headers['x-expect'] === id) {
-			run(index, requestId, response, treat(body, request.headers));
+			run(index, requestId, response, treat(body, request.headers, index));
 			return;
 		}
 
@@ -314,7 +314,7 @@
 		}
 	});
 
-	const call: CrashingFleet['call'] = async (requestId, body, {entry = 0, path: callPath = '/draft/1', key, deadlineMs = 3000, headers = {}, signal} = {}) => {
+	const call: CrashingFleet['call'] = async (requestId, body, {entry = 0, path: callPath = '/draft/1', key, deadlineMs = 15_000, headers = {}, signal} = {}) => {
 		try {
 			const response = await sendHttp({
 				address: fronts[entry]!, method: 'POST', path: callPath, body, idleTimeoutMs: 5000, signal, agent: false, headers: {
