--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -10,6 +10,7 @@
 import {measureFlood} from './flood.js';
 import {measureOverhead} from './overhead.js';
 import {measurePlacement} from './placement/index.js';
+import {measureQuarantine} from './quarantine.js';
 import {measureLimits, measureRouting} from './routing.js';
 
 /** A measurement: takes its flags, prints what it likes, gives the object for the last line. */
@@ -29,5 +30,6 @@
 	limits: measureLimits,
 	overhead: measureOverhead,
 	placement: measurePlacement,
+	quarantine: measureQuarantine,
 	routing: measureRouting,
 };
