--- a/packages/gateway/src/entry/finish-call.ts
+++ b/packages/gateway/src/entry/finish-call.ts
@@ -83,28 +83,6 @@
 	return nowMs >= call.deadlineAtMs - leastRemainingMs ? {status: 504, message: `may have run: ${message}`} : {status: 502, message: `may have run: ${message}`};
 };
 
-/**
- * A request that ends the endpoints that run it gets its final answer, whether it
- * ran or not: repeated, it would only end more of them.
- */
-export const refuseQuarantined = ({metrics, logger, nowMs}: CallContext, call: Call, progress: CallProgress, {fingerprint, evidence, untilMs}: Verdict): null => {
-	const {response, requestId, service} = call;
-	const status = 400;
-	const remainingS = Math.ceil((untilMs - nowMs()) / 1000);
-	metrics.request(service.name, String(status));
-	metrics.count('quarantine_refusals', 'Requests that were refused because they end endpoints.');
-	logger.event('BP4021', {
-		requestId, status, reason: 'endpoints end under this request', fingerprint, ends: evidence.length, sent: progress.sent, heldMs: Math.round(nowMs() - call.receivedAtMs),
-	});
-	if (response.headersSent) {
-		response.destroy();
-	} else {
-		sendOwnAnswer(response, {status, message: `${evidence.length} endpoints ended while they had this request; it is sent to no other for ${remainingS} s`});
-	}
-
-	return null;
-};
-
 /** Gives the caller its final answer, or a cut if part of one was sent. */
 export const giveUp = ({metrics, logger, nowMs}: CallContext, call: Call, progress: CallProgress, message: string, retryAfterMs?: number): null => {
 	const {response, requestId, service} = call;
@@ -128,3 +106,30 @@
 
 	return null;
 };
+
+/**
+ * A request that ends the endpoints that run it gets its final answer, whether it
+ * ran or not: repeated, it would only end more of them.
+ */
+export const refuseQuarantined = (context: CallContext, call: Call, progress: CallProgress, {fingerprint, evidence, untilMs}: Verdict): null => {
+	const {metrics, logger, nowMs} = context;
+	const {response, requestId, service} = call;
+	if (response.destroyed) {
+		return giveUp(context, call, progress, 'the caller left');
+	}
+
+	const status = 400;
+	const remainingS = Math.ceil((untilMs - nowMs()) / 1000);
+	metrics.request(service.name, String(status));
+	metrics.count('quarantine_refusals', 'Requests that were refused because they end endpoints.');
+	logger.event('BP4021', {
+		requestId, status, reason: 'endpoints end under this request', fingerprint, ends: evidence.length, sent: progress.sent, heldMs: Math.round(nowMs() - call.receivedAtMs),
+	});
+	if (response.headersSent) {
+		response.destroy();
+	} else {
+		sendOwnAnswer(response, {status, message: `${evidence.length} endpoints ended while they had this request; it is sent to no other for ${remainingS} s`});
+	}
+
+	return null;
+};
