fix(daemon,coordination): copies under way are given up when the verdict on them falls

What callers would see: a copy that lay at a silent engine waited for its deadline, and ended that engine if it began to run. On the announced path such copies are taken back; on the product's own path they were not.

Change: a repeatable call is watched while it is attempted; a verdict gives it up with a cause of its own, its agent is told to cancel, and its caller gets the same 400. Calls that may not be repeated go on, since their outcome is kept for the resend. The test fails without it (both callers cut at their deadline).

--- a/packages/coordination/src/requests/attempt.ts
+++ b/packages/coordination/src/requests/attempt.ts
@@ -18,7 +18,7 @@
 	readonly maxLosses: number;
 };
 
-export type GiveUpCause = 'deadline' | 'callerGone';
+export type GiveUpCause = 'deadline' | 'callerGone' | 'quarantined';
 
 export type AttemptEvent
 	/** The door refused, or the run failed before its first byte. */
@@ -139,6 +139,7 @@
 const reasonOf = (cause: GiveUpCause): string => match(cause)
 	.with('deadline', () => 'the deadline passed')
 	.with('callerGone', () => 'the caller hung up')
+	.with('quarantined', () => 'endpoints end under this request')
 	.exhaustive();
 
 const finish = (state: AttemptState, verdict: UnansweredVerdict, cause: UnansweredCause): AttemptEffect => {
--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -12,7 +12,7 @@
 import {nameOf} from './target-names.js';
 import {dispatch, type AttemptAnswer} from './dispatch.js';
 import type {FleetOutcomes} from './fleet-outcomes.js';
-import type {RequestQuarantine} from './request-quarantine.js';
+import {refusalOf, type RequestQuarantine} from './request-quarantine.js';
 import {watchForCrash} from './watch-for-crash.js';
 import type {
 	RoutedAttempt, RoutedEnd, Routing, Turn,
@@ -119,7 +119,7 @@
 	const {call, options: {mayDispatch, nextIssue, quarantine}, endpoint} = tries;
 	const verdict = quarantine?.verdictOn(call) ?? null;
 	if (verdict !== null) {
-		throw new RefusedError({status: 400, type: 'invalid_request', message: `${verdict.evidence.length} endpoints ended while they had this request; it is sent to no other for now`});
+		throw refusalOf(verdict);
 	}
 
 	const place = placeOf(endpoint!, `${call.requestId}.${number}`, nextIssue());
--- a/packages/daemon/src/entry/request-quarantine.ts
+++ b/packages/daemon/src/entry/request-quarantine.ts
@@ -4,7 +4,7 @@
 } from '@bitternpaddle/coordination';
 import type {EntryCrashesParameters} from '@bitternpaddle/protocol';
 import type {Logger, Metrics} from '@bitternpaddle/transport';
-import type {Call} from './call.js';
+import {RefusedError, type Call} from './call.js';
 import {nameOf} from './target-names.js';
 
 /** What entries tell each other of requests that were at endpoints when these ended. */
@@ -25,6 +25,8 @@
 export type RequestQuarantine = {
 	/** Why a call must not be sent to an endpoint; `null` if it may. */
 	verdictOn(call: Call): Verdict | null;
+	/** Calls `stop` if a verdict on the call comes while it is under way; returns what ends that. */
+	watch(call: Call, stop: () => void): () => void;
 	/** An endpoint's process ended while it had the call. */
 	noteEnded(call: Call, hostId: string, stage: AnswerStage): void;
 	/** An endpoint gave the call a whole answer. */
@@ -36,6 +38,11 @@
 
 const mostRepeated = 64;
 
+/** What a caller is told whose call is sent to no endpoint. */
+export const refusalOf = ({evidence}: Verdict): RefusedError => new RefusedError({
+	status: 400, type: 'invalid_request', message: `${evidence.length} endpoints ended while they had this request; it is sent to no other for now`,
+});
+
 const requestOf = (call: Call): FingerprintedRequest => ({
 	method: call.method, host: nameOf(call.target), path: call.path, teamName: call.teamId, body: call.body,
 });
@@ -46,6 +53,7 @@
 
 export const createRequestQuarantine = ({listPeers, tell, logger, metrics, repeatMs = 1000}: RequestQuarantineOptions): RequestQuarantine => {
 	const ledger = createCrashLedger();
+	const watched = new Map<Call, () => void>();
 	const nowMs = (): number => performance.now();
 
 	const newsOf = (sightings: readonly CrashSighting[]): CrashNews => {
@@ -95,21 +103,42 @@
 	};
 
 	const take = (sightings: readonly CrashSighting[], condemnedElsewhere?: ReadonlySet<RequestFingerprint>): void => {
-		for (const {fingerprint, evidence, untilMs} of takeSightings(ledger, sightings, nowMs(), condemnedElsewhere).verdicts) {
+		const {verdicts} = takeSightings(ledger, sightings, nowMs(), condemnedElsewhere);
+		for (const {fingerprint, evidence, untilMs} of verdicts) {
 			logger.event('BP2004', {
 				fingerprint, hosts: evidence.map(({address}) => address), agesMs: evidence.map(({atMs}) => Math.round(nowMs() - atMs)), untilMs: Math.round(untilMs - nowMs()),
 			});
 			metrics?.increment('entry.quarantined', {});
 		}
+
+		if (verdicts.length > 0) {
+			stopWatched();
+		}
 	};
 
 	const isKnown = (call: Call): boolean => !isEmpty(ledger) && mayBeKnown(ledger, outlineOf(requestOf(call)));
+	const verdictOf = (call: Call): Verdict | null => isKnown(call) ? verdictOn(ledger, fingerprintOf(requestOf(call)), nowMs()) : null;
+
+	const stopWatched = (): void => {
+		for (const [call, stop] of watched) {
+			if (verdictOf(call) !== null) {
+				stop();
+			}
+		}
+	};
+
 	const timer = setInterval(() => {
 		void repeat();
 	}, repeatMs);
 	timer.unref();
 	return {
-		verdictOn: call => isKnown(call) ? verdictOn(ledger, fingerprintOf(requestOf(call)), nowMs()) : null,
+		verdictOn: verdictOf,
+		watch(call, stop) {
+			watched.set(call, stop);
+			return () => {
+				watched.delete(call);
+			};
+		},
 		noteEnded(call, hostId, stage) {
 			const sighting = {
 				fingerprint: fingerprintOf(requestOf(call)), address: hostId, atMs: nowMs(), stage,
--- a/packages/daemon/src/entry/serve-call.ts
+++ b/packages/daemon/src/entry/serve-call.ts
@@ -15,7 +15,7 @@
 import type {RequestLog} from './request-log.js';
 import type {Admit, Routing} from './routing.js';
 import type {FleetOutcomes} from './fleet-outcomes.js';
-import type {RequestQuarantine} from './request-quarantine.js';
+import {refusalOf, type RequestQuarantine} from './request-quarantine.js';
 import {createServeOnce} from './serve-once.js';
 
 export type ServeCallOptions = {
@@ -46,7 +46,9 @@
 
 /** Takes callers' requests from the gate to their answer. */
 export const createCallServer = (options: ServeCallOptions): CallServer => {
-	const {configuration, routing, admit, relay, maxRequests, isLeaving} = options;
+	const {
+		configuration, routing, admit, relay, maxRequests, quarantine, isLeaving,
+	} = options;
 	const idleWaiters = new Set<() => void>();
 	let inFlight = 0;
 
@@ -65,8 +67,26 @@
 		configuration, relay, attempt, suspectMs: options.suspectMs,
 	});
 
+	/** As `attempt`; a call on which a verdict comes meanwhile is given up, unless its answer has begun. */
+	const attemptWatched = async (call: Call): Promise<CallOutcome> => {
+		const endWatch = quarantine?.watch(call, () => {
+			call.abort.abort('quarantined');
+		});
+		try {
+			const outcome = await attempt(call);
+			const verdict = outcome.type === 'answer' ? null : quarantine?.verdictOn(call) ?? null;
+			if (verdict !== null) {
+				throw refusalOf(verdict);
+			}
+
+			return outcome;
+		} finally {
+			endWatch?.();
+		}
+	};
+
 	const serveRepeatable = async (call: Call): Promise<void> => {
-		const outcome = await attempt(call);
+		const outcome = await attemptWatched(call);
 		if (outcome.type !== 'answer') {
 			relay.sendVerdict(call, outcome.type === 'verdict' ? outcome.verdict : notRun('stopped before its first attempt'));
 			return;
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -44,6 +44,26 @@
 	});
 }
 
+// Engines that hold a copy say nothing: without a verdict the copies wait for their deadline.
+t.test('copies that are under way when the verdict falls are given up', async t => {
+	const cluster = await createRequestCluster(t, {engines: 6, entries: 2, endpointIdleMs: 60_000});
+	await cluster.load(1);
+	for (const {endpoint} of cluster.engines) {
+		endpoint.faults.isSilent = true;
+	}
+
+	const held = [0, 1].map(async entry => repeat(cluster, entry));
+	await waitUntil('both copies lie at engines', () => runsOf(cluster) === 2);
+	for (const {endpoint: {faults, runs}} of cluster.engines.filter(({endpoint}) => endpoint.runs.length === 0)) {
+		faults.isSilent = false;
+		faults.endsUnder = {content: crashing, afterTokens: 0, downMs: 100};
+	}
+
+	const others = Array.from({length: 12}, async (_, index) => repeat(cluster, index % 2));
+	t.same((await Promise.all(held)).map(answer => answer?.status), [400, 400]);
+	await Promise.all(others);
+});
+
 t.test('a request whose connections are cut is not taken for one', async t => {
 	const cluster = await createRequestCluster(t, {engines: 2});
 	await cluster.load(1);
--- a/test/support/request-cluster.ts
+++ b/test/support/request-cluster.ts
@@ -12,7 +12,7 @@
 /** Bounds that are short enough for a test and far above a step's own time. */
 export const suspectMs = 300;
 const tickMs = 50;
-const limits = {endpointIdleMs: 1500, unattendedMs: 600};
+const unattendedMs = 600;
 
 export type RequestClusterOptions = {
 	/** @default 0 */
@@ -23,6 +23,8 @@
 	readonly entries?: number;
 	/** @default 1 */
 	readonly controls?: number;
+	/** How long an endpoint may say nothing. @default 1500 */
+	readonly endpointIdleMs?: number;
 };
 
 /** One endpoint with its agent behind a relay that can fail. */
@@ -55,7 +57,10 @@
 
 /** A small system whose links between entries and agents can be made to fail. */
 export const createRequestCluster = async (t: Test, options: RequestClusterOptions = {}): Promise<RequestCluster> => {
-	const {engines: engineCount = 0, ledgers: ledgerCount = 0, entries: entryCount = 1, controls: controlCount = 1} = options;
+	const {
+		engines: engineCount = 0, ledgers: ledgerCount = 0, entries: entryCount = 1, controls: controlCount = 1, endpointIdleMs = 1500,
+	} = options;
+	const limits = {endpointIdleMs, unattendedMs};
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'bitternpaddle-test-'));
 	const closers: Array<() => unknown> = [];
 	t.teardown(async () => {
