fix(daemon): an entry reads no more from another one than before

The limit of 16 KiB on what entries send each other had been raised to 64 for news of crashes; bad-input.test.ts tells. News are kept to 32 items of a kind, which fit.

--- a/packages/daemon/src/entry/entry-peers.ts
+++ b/packages/daemon/src/entry/entry-peers.ts
@@ -24,7 +24,7 @@
 	hearCrashes(news: CrashNews): void;
 };
 
-const parameterLimitBytes = 65_536;
+const parameterLimitBytes = 16_384;
 
 /** What one entry answers to the others. */
 export const createEntryRpc = ({entryId, tokens, counter, requests, answerShares, hearCrashes}: EntryRpcOptions): RpcServer => {
--- a/packages/daemon/src/entry/request-quarantine.ts
+++ b/packages/daemon/src/entry/request-quarantine.ts
@@ -36,7 +36,8 @@
 	close(): void;
 };
 
-const mostRepeated = 64;
+/** In one call to another entry, which reads 16 KiB. */
+const mostRepeated = 32;
 
 /** What a caller is told whose call is sent to no endpoint. */
 export const refusalOf = ({evidence}: Verdict): RefusedError => new RefusedError({
@@ -64,7 +65,7 @@
 				fingerprint, address, ageMs: ageMs(atMs), stage,
 			})),
 			condemned: [...new Set(sightings.map(({fingerprint}) => fingerprint))].filter(fingerprint => ledger.verdicts.has(fingerprint)),
-			clearances: clearancesToRepeat(ledger, now).map(({fingerprint, atMs}) => ({fingerprint, ageMs: ageMs(atMs)})),
+			clearances: clearancesToRepeat(ledger, now).slice(-mostRepeated).map(({fingerprint, atMs}) => ({fingerprint, ageMs: ageMs(atMs)})),
 		};
 	};
 
--- a/packages/protocol/src/rpc/crashes.ts
+++ b/packages/protocol/src/rpc/crashes.ts
@@ -3,7 +3,7 @@
 const fingerprint = z.string().min(1).max(128);
 const ageMs = z.number().nonnegative();
 /** Above what one entry sees at the end of one endpoint. */
-const mostItems = 256;
+const mostItems = 64;
 
 /** One entry tells another which requests were at endpoints that ended; clocks of hosts differ, so times go as ages. */
 export const entryCrashesParametersSchema = z.object({
