--- a/packages/daemon/src/entry/request-quarantine.ts
+++ b/packages/daemon/src/entry/request-quarantine.ts
@@ -36,7 +36,7 @@
 	close(): void;
 };
 
-/** In one call to another entry, which reads 16 KiB. */
+/** In one call to another entry, which reads 16 KiB; where there is more, the next one goes on behind it. */
 const mostRepeated = 32;
 
 /** What a caller is told whose call is sent to no endpoint. */
@@ -55,6 +55,7 @@
 export const createRequestQuarantine = ({listPeers, tell, logger, metrics, repeatMs = 1000}: RequestQuarantineOptions): RequestQuarantine => {
 	const ledger = createCrashLedger();
 	const watched = new Map<Call, () => void>();
+	let repeatedFrom = 0;
 	const nowMs = (): number => performance.now();
 
 	const newsOf = (sightings: readonly CrashSighting[]): CrashNews => {
@@ -87,7 +88,10 @@
 
 	const repeat = async (): Promise<void> => {
 		pruneLedger(ledger, nowMs());
-		const sightings = sightingsToRepeat(ledger, nowMs()).slice(0, mostRepeated);
+		const all = sightingsToRepeat(ledger, nowMs());
+		repeatedFrom = repeatedFrom < all.length ? repeatedFrom : 0;
+		const sightings = all.slice(repeatedFrom, repeatedFrom + mostRepeated);
+		repeatedFrom += sightings.length;
 		if (sightings.length === 0) {
 			return;
 		}
@@ -99,7 +103,7 @@
 				await tellOne(peer, newsOf(sightings));
 			}
 		} catch {
-			// As above.
+			// The next repetition finds a list of entries, or the one behind it.
 		}
 	};
 
