feat(gateway,platform): entries log the limits that endpoints advertise

An endpoint may advertise in its answers the number of requests per second that it accepts from all entries together. No process read this header, so the log lines of an incident could not show which entry had received a limit, when, and what it sent afterwards. The adapter decodes the header once and distinguishes a value that is not one decimal number from a missing header. An entry keeps the newest notice for each start of an endpoint and logs when a limit begins, changes and ends (BP4040, BP4041), and when one cannot be parsed (BP4042); BP4023 includes the limit in force at each send. Metrics: limited_endpoints, limit_changes. The limit does not affect any decision yet.

--- a/packages/bench/src/fleet-cost/deployment.ts
+++ b/packages/bench/src/fleet-cost/deployment.ts
@@ -38,4 +38,5 @@
 	decodeConfiguration: () => ({type: 'configuration', configuration}),
 	readTokens: () => ({prompt: 970, mostAnswer: 80}),
 	readActive: () => null,
+	readLimit: () => ({type: 'unlimited'}),
 };
--- /dev/null
+++ b/packages/coordination/src/endpoint-limits/index.ts
@@ -0,0 +1,1 @@
+export * from './limit-ledger.js';
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -24,6 +24,8 @@
 	/** The first byte must come within this, or the request may no longer begin there; `null`: any time. */
 	readonly beginWithinMs: number | null;
 	readonly signal: AbortSignal;
+	/** The head of an answer to this request arrived, including refusals. */
+	onHead(head: AnswerHead): void;
 	/** The first byte of the answer arrived. */
 	onFirstByte(head: AnswerHead): void;
 	/** Whole events of a stream; `false` if the caller should be waited for. */
@@ -66,7 +68,7 @@
 /** Sends a request to one endpoint, and follows its answer to the end. */
 export const sendAttempt = async (options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
 	const {
-		connections, headerNames, address, method, path, headers, requestId, body, isDelicate, limits, beginWithinMs, signal, onFirstByte, onEvents,
+		connections, headerNames, address, method, path, headers, requestId, body, isDelicate, limits, beginWithinMs, signal, onHead, onFirstByte, onEvents,
 	} = options;
 	let isSettled = false;
 	let isConnected = false;
@@ -180,6 +182,7 @@
 			return;
 		}
 
+		onHead(head);
 		const isRefused = response.headers[headerNames.notRun] !== undefined || head.status === 421;
 		if (!isRefused) {
 			onFirstByte(head);
--- a/packages/gateway/src/entry/call-context.ts
+++ b/packages/gateway/src/entry/call-context.ts
@@ -2,6 +2,7 @@
 	ArrivalRate, ObjectiveMix, Random, RetryAllowance, SpareRoom, VersionDue,
 } from '@bitternpaddle/coordination';
 import type {Logger} from '@bitternpaddle/transport';
+import type {EndpointLimits} from '../limits/endpoint-limits.js';
 import type {RequestProtocol} from '../link/request-protocol.js';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
 import type {RequestQuarantine} from '../quarantine/request-quarantine.js';
@@ -16,6 +17,7 @@
 	readonly view: EndpointView;
 	readonly room: WaitingRoom;
 	readonly quarantine: RequestQuarantine;
+	readonly limits: EndpointLimits;
 	readonly zoneId: string;
 	readonly random: Random;
 	readonly logger: Logger;
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -9,6 +9,7 @@
 import {createConfigurationHolder} from '../link/configuration-holder.js';
 import type {RequestProtocol} from '../link/request-protocol.js';
 import {createWantedVersions} from '../link/wanted-versions.js';
+import {createEndpointLimits} from '../limits/endpoint-limits.js';
 import {createRequestQuarantine} from '../quarantine/request-quarantine.js';
 import {createLoadListener} from '../load/load-listener.js';
 import {createLoadRelay, turnMs} from '../load/load-relay.js';
@@ -99,6 +100,7 @@
 			listener.datagrams.send(data, addresses);
 		},
 	});
+	const limits = createEndpointLimits({logger, metrics, nowMs: steadyNowMs});
 	const view = createEndpointView({onRestart: quarantine.noteRestarted});
 	const connections = createEndpointConnections();
 	const room = createWaitingRoom();
@@ -133,7 +135,7 @@
 	});
 
 	const context: CallContext = {
-		protocol, connections, view, room, quarantine, zoneId, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs,
+		protocol, connections, view, room, quarantine, limits, zoneId, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs,
 		allowance: allowance.of, sending: sending.of, objectives: objectives.of, spareRoom: spareRoom.of,
 		entryCount: () => entryCount,
 		leftMs: () => endsAtMs - lastMomentsMs - steadyNowMs(),
@@ -240,6 +242,7 @@
 		clearInterval(relaying);
 		client.close();
 		quarantine.close();
+		limits.close();
 		listener.close();
 		connections.close();
 		front.destroy();
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -59,7 +59,7 @@
 	load.awaiting.set(key, {promptTokens: call.promptTokens, sentAtMs: startedAtMs, expectedMs});
 	logger.event('BP4023', {
 		requestId: call.requestId, endpointId: announcement.id, address: announcement.address, attempt: sequence, expectedMs: Math.round(expectedMs),
-		outstanding: load.outstanding, reportAgeMs: Number.isFinite(load.reportedAtMs) ? Math.round(startedAtMs - load.reportedAtMs) : null,
+		outstanding: load.outstanding, limitPerSecond: context.limits.perSecondOf(announcement), reportAgeMs: Number.isFinite(load.reportedAtMs) ? Math.round(startedAtMs - load.reportedAtMs) : null,
 	});
 	const result = await sendAttempt({
 		connections, headerNames: protocol.headers, address: announcement.address, method: call.request.method!, path: call.request.url!,
@@ -68,6 +68,9 @@
 		limits: attemptLimits(call, candidate, isIdempotent(call) && progress.sent + 1 < route.maxAttempts, nowMs),
 		beginWithinMs: held === null ? null : beginWithinMs(held, duesOf(context, call), startedAtMs),
 		signal: call.ended.signal,
+		onHead(head) {
+			noteLimit(context, candidate, head, startedAtMs);
+		},
 		onFirstByte(head) {
 			const tookMs = nowMs() - startedAtMs;
 			noteLoad(context, candidate, head);
@@ -110,6 +113,15 @@
 	return awaitedKeys;
 };
 
+const noteLimit = ({protocol, limits}: CallContext, {announcement}: Candidate, {status, headers}: AnswerHead, sentAtMs: number): void => {
+	// A 421 may come from another start of the endpoint, whose limit does not apply to this one.
+	if (status !== 421) {
+		limits.noteAnswer({
+			announcement, notice: protocol.readLimit(headers), hasRun: status < 500 && headers[protocol.headers.notRun] === undefined, sentAtMs,
+		});
+	}
+};
+
 const noteLoad = ({protocol, nowMs}: CallContext, {load}: Candidate, {headers}: AnswerHead): void => {
 	const text = headers[protocol.headers.load];
 	const active = typeof text === 'string' ? protocol.readActive(text) : null;
--- /dev/null
+++ b/packages/gateway/src/limits/index.ts
@@ -0,0 +1,1 @@
+export * from './endpoint-limits.js';
--- a/packages/gateway/src/link/request-protocol.ts
+++ b/packages/gateway/src/link/request-protocol.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http';
+import type {LimitNotice} from '@bitternpaddle/coordination';
 import type {RoutingConfiguration} from '@bitternpaddle/state';
 
 /** Names of headers, in lower case, between callers, entries and endpoints. */
@@ -41,4 +42,6 @@
 	readTokens(headers: http.IncomingHttpHeaders): RequestTokens;
 	/** Running and waiting requests in the load header; `null` if it cannot be read. */
 	readActive(text: string): number | null;
+	/** The request rate limit advertised in the headers of an endpoint's answer. */
+	readLimit(headers: http.IncomingHttpHeaders): LimitNotice;
 };
--- a/packages/gateway/test/attempt.test.ts
+++ b/packages/gateway/test/attempt.test.ts
@@ -48,7 +48,7 @@
 		connections, headerNames: names, address, method: 'GET', path: '/', headers: {'x-id': requestId}, requestId, body: null, isDelicate: false, limits: {
 			firstByteMs: options.stallMs ?? null, longestFirstByteMs: options.stallMs ?? null, pauseMs: null, isReported: () => false,
 		}, beginWithinMs: null,
-		signal: new AbortController().signal, onFirstByte: () => undefined, onEvents: () => undefined, ...(options.signal !== undefined && {signal: options.signal}),
+		signal: new AbortController().signal, onHead: () => undefined, onFirstByte: () => undefined, onEvents: () => undefined, ...(options.signal !== undefined && {signal: options.signal}),
 	});
 };
 
--- a/packages/gateway/test/entry-node.test.ts
+++ b/packages/gateway/test/entry-node.test.ts
@@ -41,6 +41,7 @@
 	decodeConfiguration: () => ({type: 'configuration', configuration}),
 	readTokens: headers => ({prompt: 100, mostAnswer: Number(headers['x-tokens'] ?? 10)}),
 	readActive: () => null,
+	readLimit: () => ({type: 'unlimited'}),
 };
 
 type Serve = (request: IncomingMessage, response: ServerResponse) => void;
--- a/packages/gateway/test/serve-request.test.ts
+++ b/packages/gateway/test/serve-request.test.ts
@@ -30,6 +30,7 @@
 	decodeConfiguration: () => ({type: 'invalid', problems: []}),
 	readTokens: () => ({prompt: 100, mostAnswer: 10}),
 	readActive: () => null,
+	readLimit: () => ({type: 'unlimited'}),
 };
 
 /** An entry that has just started, with a snapshot's configuration; `learn` is what the core then tells it. */
--- a/packages/gateway/test/support/crashing-fleet.ts
+++ b/packages/gateway/test/support/crashing-fleet.ts
@@ -45,6 +45,7 @@
 	decodeConfiguration: () => ({type: 'configuration', configuration}),
 	readTokens: () => ({prompt: 100, mostAnswer: 10}),
 	readActive: () => null,
+	readLimit: () => ({type: 'unlimited'}),
 };
 
 /** How an engine treats a request. */
