--- a/packages/gateway/test/support/crashing-fleet.ts
+++ b/packages/gateway/test/support/crashing-fleet.ts
@@ -45,7 +45,7 @@
 	decodeConfiguration: () => ({type: 'configuration', configuration}),
 	readTokens: () => ({prompt: 100, mostAnswer: 10}),
 	readActive: () => null,
-	readLimit: () => ({type: 'unlimited'}),
+	readLimit: ({'x-limit': limit}) => limit === undefined ? {type: 'unlimited'} : {type: 'limited', perSecond: Number(limit)},
 };
 
 /** How an engine treats a request. */
@@ -56,7 +56,9 @@
 		/** The connection is reset; the engine lives. */
 		| {readonly type: 'loseAnswer'}
 		/** Nothing comes, and nothing ends. */
-		| {readonly type: 'hang'};
+		| {readonly type: 'hang'}
+		/** Turned away without being run. */
+		| {readonly type: 'refuse'; readonly status: number};
 
 export type Arrival = {readonly requestId: string; readonly body: string; readonly engine: number; readonly atMs: number};
 
@@ -68,6 +70,8 @@
 	/** How long a crashed engine is down. @default 600 */
 	readonly downMs?: number;
 	treat(body: string, headers: http.IncomingHttpHeaders, engine: number): Treatment;
+	/** Further headers of all answers of an engine. @default none */
+	answerHeaders?(engine: number): http.OutgoingHttpHeaders;
 	readonly logger?: Logger;
 };
 
@@ -113,7 +117,10 @@
 const event = (id: number): string => `id: ${id}\ndata: word${id}\n\n`;
 
 /** Engines that end under some requests, entries and a core host, all in this process. */
-export const createCrashingFleet = async (t: Test, {entryCount = 1, engineCount = 6, downMs = 600, treat, logger = silentLogger}: CrashingFleetOptions): Promise<CrashingFleet> => {
+export const createCrashingFleet = async (t: Test, options: CrashingFleetOptions): Promise<CrashingFleet> => {
+	const {
+		entryCount = 1, engineCount = 6, downMs = 600, treat, answerHeaders = () => ({}), logger = silentLogger,
+	} = options;
 	const [core, ...addresses] = await freeAddresses(1 + (3 * entryCount) + engineCount);
 	const entryAddresses = addresses.slice(0, entryCount);
 	const fronts = addresses.slice(entryCount, 2 * entryCount);
@@ -166,20 +173,28 @@
 		}
 	};
 
-	const begin = (requestId: string, response: ServerResponse): void => {
-		response.writeHead(200, {'content-type': 'text/event-stream', 'x-id': requestId, 'x-signature': 's'});
+	const begin = (index: number, requestId: string, response: ServerResponse): void => {
+		response.writeHead(200, {
+			'content-type': 'text/event-stream', 'x-id': requestId, 'x-signature': 's', ...answerHeaders(index),
+		});
+	};
+
+	const refuse = (index: number, requestId: string, response: ServerResponse, status: number): void => {
+		response.writeHead(status, {
+			'x-id': requestId, 'x-not-run': '1', 'content-length': 0, ...answerHeaders(index),
+		}).end();
 	};
 
 	const run = (index: number, requestId: string, response: ServerResponse, treatment: Treatment): void => {
 		switch (treatment.type) {
 			case 'stream': {
-				begin(requestId, response);
+				begin(index, requestId, response);
 				stream(response, treatment.pauseMs);
 				break;
 			}
 
 			case 'crash': {
-				begin(requestId, response);
+				begin(index, requestId, response);
 				response.flushHeaders();
 				for (let id = 1; id <= treatment.events; id++) {
 					response.write(event(id));
@@ -203,6 +218,11 @@
 			case 'hang': {
 				break;
 			}
+
+			case 'refuse': {
+				refuse(index, requestId, response, treatment.status);
+				break;
+			}
 		}
 	};
 
@@ -217,7 +237,7 @@
 			return;
 		}
 
-		response.writeHead(421, {'x-id': requestId, 'x-not-run': '1', 'content-length': 0}).end();
+		refuse(index, requestId, response, 421);
 	};
 
 	const sockets = new Map<http.Server, Set<Socket>>();
