fix(gateway,coordination): enforce advertised endpoint limits across all entries

Symptom: callers saw nothing; an overloaded endpoint received several times the requests that it had advertised it accepts (44 to 51 in 4 s in the failing test, 17 allowed).

Cause: no entry read the rate limits that endpoints advertise, and a limit over all entries needs a count that no entry has, since each sees only its own requests.

The test fails without the change and needs nothing else.

Change: the entry that receives a limit sends it to all other entries at once, and every entry resends the limits it knows to two others twice a second; a started entry requests them from three others. For each limited endpoint, one entry, selected by rendezvous hashing, issues permits from a token bucket at the rate of the limit. An entry sends a request to a limited endpoint only with a permit, which expires after one second. If the issuer does not answer for 0.3 s, each entry sends its share of half the limit without permits. If every endpoint is at its limit, a request waits only if one of the next permits is left for it; others are refused at once with the time of the next permit, spread over 1 s. A limit ends with an answer that carries none, to a request that was sent after the limit was last received.

Rejected alternatives: equal shares for each entry (with a limit of 1.6 per second and twenty entries, each gets one request in 12 s, and if all traffic arrives at one entry it gets a twentieth of the limit); and counting the requests that other entries report as sent (many entries see the same free capacity at once).

--- a/packages/coordination/src/endpoint-limits/limit-ledger.ts
+++ b/packages/coordination/src/endpoint-limits/limit-ledger.ts
@@ -3,6 +3,8 @@
 /** Identifies one start of an endpoint; a limit does not carry over to the next start. */
 export type EndpointStart = string & {readonly __brand: 'EndpointStart'};
 
+export const endpointIdIn = (start: EndpointStart): string => start.slice(0, start.lastIndexOf('@'));
+
 export const endpointStartOf = ({id, startedAtMs}: Pick<Announcement, 'id' | 'startedAtMs'>): EndpointStart => `${id}@${startedAtMs}` as EndpointStart;
 
 /** The request rate that an endpoint accepts from all entries together, as advertised in the head of an answer. */
@@ -71,16 +73,34 @@
 
 const setLimit = ({limits}: LimitLedger, start: EndpointStart, perSecond: number | null, atMs: number): LimitChange | null => {
 	const before = limits.get(start);
-	const isSame = before?.perSecond === perSecond;
-	const known: KnownLimit = {perSecond, heardAtMs: Math.max(atMs, before?.heardAtMs ?? atMs), sinceMs: isSame ? before.sinceMs : atMs};
+	const previousPerSecond = before?.perSecond ?? null;
+	const isSame = previousPerSecond === perSecond;
+	const known: KnownLimit = {perSecond, heardAtMs: Math.max(atMs, before?.heardAtMs ?? atMs), sinceMs: isSame ? before?.sinceMs ?? atMs : atMs};
 	limits.set(start, known);
 	return isSame
 		? null
 		: {
-			start, previousPerSecond: before?.perSecond ?? null, previousSinceMs: before?.sinceMs ?? atMs, known,
+			start, previousPerSecond, previousSinceMs: before?.sinceMs ?? atMs, known,
 		};
 };
 
+/** A limit as exchanged between entries. */
+export type SharedLimit = {readonly start: EndpointStart; readonly perSecond: number | null; readonly heardAtMs: number};
+
+/** Updates the limit from another entry, unless a more recent one is known; returns `null` if the limit did not change. */
+export const noteSharedLimit = (ledger: LimitLedger, {start, perSecond, heardAtMs}: SharedLimit): LimitChange | null => {
+	const known = ledger.limits.get(start);
+	return known !== undefined && known.heardAtMs >= heardAtMs ? null : setLimit(ledger, start, perSecond, heardAtMs);
+};
+
+/** Exceeds the time within which all reachable entries receive that a limit was lifted. */
+const liftedRetentionMs = 5000;
+
+/** The limits to send to other entries: those in force and those lifted recently. */
+export const limitsToShare = ({limits}: LimitLedger, nowMs: number): SharedLimit[] => [...limits]
+	.filter(([, {perSecond, sinceMs}]) => perSecond !== null || nowMs - sinceMs < liftedRetentionMs)
+	.map(([start, {perSecond, heardAtMs}]) => ({start, perSecond, heardAtMs}));
+
 /** Deletes limits that have not been updated within the retention period. */
 export const pruneLimits = ({limits}: LimitLedger, nowMs: number): void => {
 	for (const [start, {heardAtMs}] of limits) {
--- a/packages/coordination/src/placement/index.ts
+++ b/packages/coordination/src/placement/index.ts
@@ -1,3 +1,4 @@
+export * from './availability.js';
 export * from './endpoint-load.js';
 export * from './engine-model.js';
 export * from './place-request.js';
--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -2,6 +2,9 @@
 import type {Random} from '../utils/random.js';
 import {admitRequest} from './admit.js';
 import {arrivalsPerSecond, type ArrivalRate} from './arrival-rate.js';
+import {
+	acceptedUntil, nextAvailableAtMs, type Availability, type Unavailability,
+} from './availability.js';
 import {readMs, spareFirstTokenMs} from './engine-model.js';
 import {answerBoundMs, canEndInTime} from './leaving.js';
 import {
@@ -11,7 +14,7 @@
 import {mayWaitForRoom, noteSpareRoom, type SpareRoom} from './spare-room.js';
 import type {VersionDue} from './version-due.js';
 import {
-	answerMs, decideWait, engineOutlook, noEngineReturnMs,
+	answerMs, briefWaitEndsAtMs, decideWait, engineOutlook, noEngineReturnMs,
 } from './wait-for-engine.js';
 
 /** What an entry keeps of one service from request to request. */
@@ -24,11 +27,15 @@
 	readonly spareRoom: SpareRoom;
 	/** Requests that are held until engines are ready. */
 	readonly heldCount: number;
+	/** Requests that wait until an endpoint accepts one more. */
+	readonly queuedCount: number;
 };
 
 /** What an entry sees of a service, and of itself, at one moment. */
 export type Surroundings = {
 	readonly candidates: readonly Candidate[];
+	/** Whether an endpoint accepts a request now. */
+	availabilityOf(candidate: Candidate): Availability;
 	/** `null`: a plain service. */
 	readonly profile: EngineProfile | null;
 	readonly zoneId: string;
@@ -64,8 +71,8 @@
 	readonly waitsFor: WaitReason | null;
 };
 
-/** `moment`: engines switch, restart or have no room. `engines`: they are being filled. */
-export type WaitReason = 'moment' | 'engines';
+/** `moment`: engines switch, restart or have no room. `engines`: they are being filled. `availability`: endpoints serve but accept no more requests for now. */
+export type WaitReason = 'moment' | 'engines' | 'availability';
 
 /** What becomes of a request now. */
 export type NextStep
@@ -107,15 +114,54 @@
 	}
 };
 
+type UnavailableCandidate = {readonly id: string; readonly unavailability: Unavailability};
+
+const unavailableCandidates = ({candidates, availabilityOf}: Surroundings, {triedIds}: SeekingRequest): UnavailableCandidate[] => candidates.flatMap(candidate => {
+	const {announcement: {id, state}} = candidate;
+	const availability = availabilityOf(candidate);
+	return availability.type === 'available' || state !== 'ready' || triedIds.has(id) ? [] : [{id, unavailability: availability}];
+});
+
+const place = (demand: ServiceDemand, surroundings: Surroundings, request: SeekingRequest, excludedIds: ReadonlySet<string>): Placement | null => placeRequest({
+	...surroundings, promptTokens: request.promptTokens, objectiveMs: request.objectiveMs, isBegun: request.isBegun, excludedIds,
+	othersPerSecond: arrivalsPerSecond(demand.sending, surroundings.nowMs) * (surroundings.entryCount - 1),
+});
+
+/** The endpoint that would be chosen if all accepted requests now; `null` if there is none or it is available. */
+export const preferredUnavailable = (demand: ServiceDemand, surroundings: Surroundings, request: SeekingRequest): Candidate | null => {
+	const preferred = place(demand, surroundings, request, request.triedIds)?.candidate ?? null;
+	return preferred === null || surroundings.availabilityOf(preferred).type === 'available' ? null : preferred;
+};
+
+/** Spreads the retries of callers after the first endpoint becomes available. */
+const availableSpreadMs = 1000;
+
+/**
+ * Handles the case that endpoints serve but accept no more requests for now. A
+ * request waits only if they are expected to accept it, behind those already
+ * waiting, within a brief wait.
+ */
+const withoutAvailable = ({queuedCount}: ServiceDemand, {random, nowMs}: Surroundings, request: SeekingRequest, unavailable: readonly UnavailableCandidate[]): NextStep => {
+	const unavailability = unavailable.map(({unavailability}) => unavailability);
+	const aheadCount = request.waitsFor === 'availability' ? queuedCount - 1 : queuedCount;
+	if (aheadCount < acceptedUntil(unavailability, briefWaitEndsAtMs(request))) {
+		return {type: 'wait', reason: 'availability'};
+	}
+
+	const nextMs = Math.max(0, nextAvailableAtMs(unavailability) - nowMs);
+	return {type: 'refuse', reason: 'every endpoint is at the limit that it names', retryAfterMs: nextMs + random.between(0, availableSpreadMs)};
+};
+
 /** What becomes of a request for which an endpoint is sought. */
 export const nextStep = (demand: ServiceDemand, surroundings: Surroundings, request: SeekingRequest): NextStep => {
 	const {profile, random, nowMs} = surroundings;
-	const placement = placeRequest({
-		...surroundings, promptTokens: request.promptTokens, objectiveMs: request.objectiveMs, isBegun: request.isBegun, excludedIds: request.triedIds,
-		othersPerSecond: arrivalsPerSecond(demand.sending, nowMs) * (surroundings.entryCount - 1),
-	});
+	const unavailable = unavailableCandidates(surroundings, request);
+	const excludedIds = unavailable.length === 0 ? request.triedIds : new Set([...request.triedIds, ...unavailable.map(({id}) => id)]);
+	const placement = place(demand, surroundings, request, excludedIds);
 	if (placement === null) {
-		return withoutEndpoint(demand, surroundings, request);
+		return unavailable.length > 0 && place(demand, surroundings, request, request.triedIds) !== null
+			? withoutAvailable(demand, surroundings, request, unavailable)
+			: withoutEndpoint(demand, surroundings, request);
 	}
 
 	if (!canEndHere(surroundings, request, placement)) {
--- a/packages/coordination/src/placement/wait-for-engine.ts
+++ b/packages/coordination/src/placement/wait-for-engine.ts
@@ -60,6 +60,10 @@
 /** Of the time for which a request holds its place when all are taken; right after a start fewer are. */
 const answerShare = 0.7;
 
+/** Until when a request may wait for an endpoint that is briefly unavailable. */
+export const briefWaitEndsAtMs = ({sinceMs, deadlineAtMs}: {readonly sinceMs: number; readonly deadlineAtMs: number}): number => sinceMs
+	+ Math.min(firstWait.mostMs, (deadlineAtMs - sinceMs) * firstWait.share);
+
 /** How long a usual answer takes from its first token to its last. */
 export const answerMs = (profile: EngineProfile): number => holdingMs(profile) * answerShare;
 
--- /dev/null
+++ b/packages/coordination/test/availability.test.ts
@@ -0,0 +1,68 @@
+import type {EngineProfile} from '@bitternpaddle/state';
+import t from 'tap';
+import {
+	createArrivalRate, createEndpointHealth, createEndpointLoad, createObjectiveMix, createRandom, createSpareRoom, nextStep, preferredUnavailable,
+	type Availability, type Candidate, type SeekingRequest, type ServiceDemand, type Surroundings,
+} from '@bitternpaddle/coordination';
+
+const nowMs = 1050;
+
+const profile: EngineProfile = {
+	slots: 16, stepsPerPass: 6, stepMs: 7.4, perSequenceMs: 0.04, contextMsPerThousand: 0.02, readTokensPerSecond: 32_000, usualPromptTokens: 973, usualAnswerTokens: 106,
+	kvCapacityTokens: 685_000, model: 'm', chunks: 48, chunkBytes: 49_152, loadMs: 300,
+};
+
+const engine = (id: string, running: number): Candidate => ({
+	announcement: {
+		id, serviceName: 's', address: `${id}:80`, zoneId: 'z1', slots: 16, state: 'ready', models: [{model: 'm', version: 1}], startedAtMs: 0, sequence: 1,
+	},
+	load: {
+		...createEndpointLoad(), reportedAtMs: 1000, report: {
+			running, queued: 0, pace: 1, isBusy: false, isStrained: false, version: 1, readyInMs: null,
+		},
+	},
+	health: createEndpointHealth(),
+});
+
+const demand = (queuedCount = 0): ServiceDemand => ({
+	sending: createArrivalRate(), objectives: createObjectiveMix(), spareRoom: createSpareRoom(), heldCount: 0, queuedCount,
+});
+
+const surroundings = (availability: Readonly<Record<string, Availability>>): Surroundings => ({
+	candidates: [engine('idle', 0), engine('busy', 16)], availabilityOf: ({announcement: {id}}) => availability[id] ?? {type: 'available'}, profile, zoneId: 'z1',
+	entryCount: 1, dues: [], leftMs: Number.POSITIVE_INFINITY, random: createRandom(1), nowMs,
+});
+
+const request = (fields: Partial<SeekingRequest> = {}): SeekingRequest => ({
+	isLastTry: false, deadlineAtMs: nowMs + 6000, retryClass: 'streaming', objectiveMs: 400, timeoutMs: 6000, promptTokens: 973, mostAnswerTokens: 100, receivedAtMs: nowMs,
+	sinceMs: nowMs, isBegun: false, sentCount: 0, triedIds: new Set(), waitsFor: null, ...fields,
+});
+
+const limited = (nextMs: number): Availability => ({type: 'limited', nextAtMs: nowMs + nextMs, gapMs: 500});
+
+t.test('an endpoint at its limit is not chosen, even if it is idle', async t => {
+	t.match(nextStep(demand(), surroundings({}), request()), {placement: {candidate: {announcement: {id: 'idle'}}}});
+	const atLimit = surroundings({idle: limited(100)});
+	t.match(nextStep(demand(), atLimit, request()), {type: 'send', placement: {candidate: {announcement: {id: 'busy'}}}});
+	t.match(nextStep(demand(), atLimit, request({sentCount: 1, triedIds: new Set(['busy']), isBegun: true})), {type: 'wait', reason: 'availability'}, 'a second attempt does not choose it either');
+	t.equal(preferredUnavailable(demand(), atLimit, request())?.announcement.id, 'idle');
+	t.equal(preferredUnavailable(demand(), surroundings({busy: limited(100)}), request()), null);
+});
+
+t.test('a request waits only if an endpoint is expected to accept it soon, behind those already waiting', async t => {
+	const both = surroundings({idle: limited(100), busy: limited(300)});
+	t.match(nextStep(demand(1), both, request()), {type: 'wait', reason: 'availability'});
+	t.match(nextStep(demand(3), both, request()), {type: 'refuse', reason: /limit/v}, 'the three requests accepted within 700 ms are taken by those already waiting');
+	t.match(nextStep(demand(3), both, request({waitsFor: 'availability'})), {type: 'wait'}, 'a request that is already waiting keeps its place');
+});
+
+t.test('a request that no endpoint accepts soon is refused at once with the time when the first one does', async t => {
+	const step = nextStep(demand(), surroundings({idle: limited(3000), busy: limited(5000)}), request());
+	t.equal(step.type, 'refuse');
+	t.ok(step.type === 'refuse' && step.retryAfterMs >= 3000 && step.retryAfterMs <= 4000);
+});
+
+t.test('an endpoint that could not serve the request anyway is not waited for', async t => {
+	const step = nextStep(demand(), {...surroundings({idle: limited(100)}), candidates: [engine('idle', 0)]}, request({triedIds: new Set(['idle']), sentCount: 1}));
+	t.not(step.type === 'wait' && step.reason, 'availability');
+});
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -100,7 +100,12 @@
 			listener.datagrams.send(data, addresses);
 		},
 	});
-	const limits = createEndpointLimits({logger, metrics, nowMs: steadyNowMs});
+	const limits = createEndpointLimits({
+		selfAddress, peers: () => peers, logger, metrics, random, nowMs: steadyNowMs,
+		send(data, addresses) {
+			listener.datagrams.send(data, addresses);
+		},
+	});
 	const view = createEndpointView({onRestart: quarantine.noteRestarted});
 	const connections = createEndpointConnections();
 	const room = createWaitingRoom();
@@ -177,6 +182,7 @@
 				entryCount = Math.max(1, result.roster.entryCount);
 				relayPlan = planRelay(self, result.roster.followers);
 				peers = result.roster.followers.filter(({role, address}) => role === 'entry' && address !== selfAddress).map(({address}) => address);
+				limits.sync();
 			}
 
 			if (result.freshAgeMs !== null) {
@@ -195,7 +201,7 @@
 		onMessage(message) {
 			relay.hear(message, steadyNowMs());
 		},
-		onOther: quarantine.hear,
+		onOther: data => quarantine.hear(data) || limits.hear(data),
 		onError(error) {
 			logger.event('BP9003', {message: error.message});
 		},
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -1,5 +1,5 @@
 import {
-	nextStep, type NextStep, type Placement, type SeekingRequest, type WaitReason,
+	nextStep, preferredUnavailable, type NextStep, type Placement, type SeekingRequest, type ServiceDemand, type Surroundings, type WaitReason,
 } from '@bitternpaddle/coordination';
 import type {CallContext} from './call-context.js';
 import {duesOf} from './call-headers.js';
@@ -68,13 +68,22 @@
 
 const lookForEndpoint = (context: CallContext, call: Call, seeking: SeekingRequest): NextStep => {
 	const {name, engine: profile} = call.service;
+	const {limits, room, random} = context;
 	const nowMs = context.nowMs();
-	return nextStep({
-		sending: context.sending(name), objectives: context.objectives(name), spareRoom: context.spareRoom(name), heldCount: context.room.heldFor(name),
-	}, {
-		candidates: context.view.candidates(name, nowMs), profile, zoneId: context.zoneId, entryCount: context.entryCount(), dues: duesOf(context, call),
-		leftMs: context.leftMs(), random: context.random, nowMs,
-	}, seeking);
+	const demand: ServiceDemand = {
+		sending: context.sending(name), objectives: context.objectives(name), spareRoom: context.spareRoom(name),
+		heldCount: room.heldFor(name, 'engines'), queuedCount: room.heldFor(name, 'availability'),
+	};
+	const surroundings: Surroundings = {
+		candidates: context.view.candidates(name, nowMs), availabilityOf: ({announcement}) => limits.stateOf(announcement), profile, zoneId: context.zoneId,
+		entryCount: context.entryCount(), dues: duesOf(context, call), leftMs: context.leftMs(), random, nowMs,
+	};
+	const preferred = limits.hasLimited() ? preferredUnavailable(demand, surroundings, seeking) : null;
+	if (preferred !== null) {
+		limits.requestPermits(preferred.announcement);
+	}
+
+	return nextStep(demand, surroundings, seeking);
 };
 
 /** What a request waits for, and its place among those that wait for the same. */
@@ -100,8 +109,9 @@
 				return null;
 			}
 
-			case 'engines': {
-				return context.room.hold(name);
+			case 'engines':
+			case 'availability': {
+				return context.room.hold(name, reason);
 			}
 		}
 	};
@@ -123,7 +133,7 @@
 			leave = enter(reason);
 			context.logger.event('BP4028', {
 				requestId: call.requestId, waitsFor: reason, remainingMs: Math.round(call.deadlineAtMs - context.nowMs()),
-				heldCount: context.room.heldFor(name),
+				heldCount: context.room.heldFor(name, 'engines'), queuedCount: context.room.heldFor(name, 'availability'),
 			});
 		},
 		end,
--- a/packages/gateway/src/entry/waiting-room.ts
+++ b/packages/gateway/src/entry/waiting-room.ts
@@ -1,8 +1,13 @@
+import type {WaitReason} from '@bitternpaddle/coordination';
+
+/** Reasons for which waiting requests are counted. */
+export type HoldReason = Exclude<WaitReason, 'moment'>;
+
 /** Requests that wait a moment for an endpoint; all look again together. */
 export type WaitingRoom = {
-	/** A request is held until engines of the service are back; returns what ends that. */
-	hold(serviceName: string): () => void;
-	heldFor(serviceName: string): number;
+	/** Counts a request as waiting for endpoints of the service; returns a function that ends the wait. */
+	hold(serviceName: string, reason: HoldReason): () => void;
+	heldFor(serviceName: string, reason: HoldReason): number;
 	/** Resolves at the next look. */
 	nextLook(): Promise<void>;
 	count(): number;
@@ -13,19 +18,19 @@
 
 export const createWaitingRoom = (): WaitingRoom => {
 	let waiting: Array<() => void> = [];
-	const held = new Map<string, number>();
-	const add = (serviceName: string, count: number): void => {
-		held.set(serviceName, (held.get(serviceName) ?? 0) + count);
+	const held: Record<HoldReason, Map<string, number>> = {engines: new Map(), availability: new Map()};
+	const add = (serviceName: string, reason: HoldReason, count: number): void => {
+		held[reason].set(serviceName, (held[reason].get(serviceName) ?? 0) + count);
 	};
 
 	return {
-		hold(serviceName) {
-			add(serviceName, 1);
+		hold(serviceName, reason) {
+			add(serviceName, reason, 1);
 			return () => {
-				add(serviceName, -1);
+				add(serviceName, reason, -1);
 			};
 		},
-		heldFor: serviceName => held.get(serviceName) ?? 0,
+		heldFor: (serviceName, reason) => held[reason].get(serviceName) ?? 0,
 		nextLook: async () => new Promise(resolve => {
 			if (waiting.length === 0) {
 				setTimeout(() => {
--- a/packages/gateway/src/limits/endpoint-limits.ts
+++ b/packages/gateway/src/limits/endpoint-limits.ts
@@ -1,8 +1,13 @@
+import type {Buffer} from 'node:buffer';
 import {
-	createLimitLedger, endpointStartOf, limitOf, noteLimitAnswer, pruneLimits, type Announcement, type LimitChange, type LimitNotice,
+	createLimitLedger, endpointIdIn, endpointStartOf, limitOf, limitsToShare, noteLimitAnswer, noteSharedLimit, pruneLimits,
+	type Announcement, type EndpointStart, type LimitChange, type LimitNotice, type PermitState, type Random, type SharedLimit,
 } from '@bitternpaddle/coordination';
 import type {Logger} from '@bitternpaddle/transport';
+import {chunk, drawPeers} from '../link/gossip.js';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
+import {decodeLimitMessage, encodeLimitMessage, type LimitMessage} from './limit-message.js';
+import {createPermitExchange} from './permit-exchange.js';
 
 /** The parts of an endpoint's answer that determine its limit. */
 export type EndpointAnswer = {
@@ -15,57 +20,221 @@
 };
 
 export type EndpointLimitsOptions = {
+	readonly selfAddress: string;
+	/** The other entries. */
+	peers(): readonly string[];
+	send(data: Uint8Array, addresses: readonly string[]): void;
 	readonly logger: Logger;
 	readonly metrics: GatewayMetrics;
+	readonly random: Random;
 	nowMs(): number;
 };
 
-/** Tracks and logs the request rate limits that endpoints advertise in their answers. */
+/** Tracks the request rate limits that endpoints advertise in their answers and enforces them jointly with the other entries. */
 export type EndpointLimits = {
 	noteAnswer(answer: EndpointAnswer): void;
 	/** Requests per second accepted from all entries together; `null` if no limit is in force. */
 	perSecondOf(announcement: Announcement): number | null;
+	/** Whether the limit of the endpoint allows a request to be sent now. */
+	stateOf(announcement: Announcement): PermitState;
+	/** Whether any limit is in force. */
+	hasLimited(): boolean;
+	/** Requests permits for an endpoint that is at its limit, unless enough are held or a request is pending. */
+	requestPermits(announcement: Announcement): void;
+	/** Consumes a permit for a request that is sent to the endpoint. */
+	usePermit(announcement: Announcement): void;
+	/** Requests the known limits from other entries, once; does nothing until there are peers. */
+	sync(): void;
+	/** Handles a datagram from another entry; `false` if it is of another kind. */
+	hear(data: Buffer): boolean;
 	close(): void;
 };
 
 const pruneMs = 5000;
+/** Interval at which queued permit requests are granted; bounds the delay of a grant. */
+const issueMs = 20;
+/** Interval at which known limits are sent again, so that entries that missed them catch up. */
+const repeatMs = 500;
+const peersPerRepeat = 2;
+const peersToSync = 3;
+/** Limits in a datagram, at about 50 bytes each; keeps it within one packet. */
+const mostLimits = 20;
+/** Limits in one repetition; the next one continues after them. */
+const mostRepeated = 60;
 
-export const createEndpointLimits = ({logger, metrics, nowMs}: EndpointLimitsOptions): EndpointLimits => {
+const available: PermitState = {type: 'available'};
+
+export const createEndpointLimits = ({selfAddress, peers, send, logger, metrics, random, nowMs}: EndpointLimitsOptions): EndpointLimits => {
 	const ledger = createLimitLedger();
+	let hasSynced = false;
+	let repeatedFrom = 0;
+	/** Number of limits in force; 0 skips the checks for each request. */
+	let limitedCount = 0;
+	let issuing: NodeJS.Timeout | null = null;
+
+	const sendMessage = (message: LimitMessage, addresses: readonly string[]): void => {
+		if (addresses.length > 0) {
+			send(encodeLimitMessage(message, nowMs()), addresses);
+		}
+	};
+
+	const shareLimits = (limits: readonly SharedLimit[], addresses: readonly string[]): void => {
+		for (const part of chunk(limits, mostLimits)) {
+			sendMessage({type: 'limits', limits: part}, addresses);
+		}
+	};
+
+	const exchange = createPermitExchange({
+		selfAddress, peers, send: sendMessage, random, nowMs,
+		limitOf(start) {
+			const known = ledger.limits.get(start);
+			return known === undefined || known.perSecond === null ? null : {start, perSecond: known.perSecond, heardAtMs: known.heardAtMs};
+		},
+		onIssuerChange({start, issuerAddress, isSilent}) {
+			logger.event(isSilent ? 'BP4043' : 'BP4044', {endpointId: endpointIdIn(start), issuerAddress});
+		},
+		onQueued() {
+			issuing ??= setInterval(issue, issueMs);
+		},
+	});
+
+	const issue = (): void => {
+		if (!exchange.issue()) {
+			clearInterval(issuing ?? undefined);
+			issuing = null;
+		}
+	};
+
+	const countLimited = (): void => {
+		limitedCount = [...ledger.limits.values()].filter(({perSecond}) => perSecond !== null).length;
+	};
 
-	const logChange = ({id, address}: Announcement, {previousPerSecond, previousSinceMs, known: {perSecond}}: LimitChange): void => {
+	const applyChange = ({start, previousPerSecond, previousSinceMs, known: {perSecond, heardAtMs}}: LimitChange, source: 'answer' | 'entry', address?: string): void => {
+		countLimited();
 		metrics.count('limit_changes', 'Limits that endpoints named, changed and lifted.');
+		const fields = {
+			endpointId: endpointIdIn(start), address, previousPerSecond, source, ageMs: Math.round(nowMs() - heardAtMs),
+		};
 		if (perSecond === null) {
-			logger.event('BP4041', {
-				endpointId: id, address, previousPerSecond, limitedForMs: Math.round(nowMs() - previousSinceMs),
-			});
-		} else {
-			logger.event('BP4040', {
-				endpointId: id, address, perSecond, previousPerSecond,
-			});
+			exchange.remove(start);
+			logger.event('BP4041', {...fields, limitedForMs: Math.round(nowMs() - previousSinceMs)});
+			return;
+		}
+
+		if (previousPerSecond !== null && perSecond < previousPerSecond) {
+			exchange.discard(start);
+		}
+
+		logger.event('BP4040', {...fields, perSecond});
+	};
+
+	const applySharedLimits = (limits: readonly SharedLimit[]): void => {
+		for (const limit of limits) {
+			const change = noteSharedLimit(ledger, limit);
+			if (change !== null) {
+				applyChange(change, 'entry');
+			}
 		}
 	};
 
+	const knownLimits = (start: EndpointStart): SharedLimit[] => {
+		const known = ledger.limits.get(start);
+		return known === undefined ? [] : [{start, perSecond: known.perSecond, heardAtMs: known.heardAtMs}];
+	};
+
+	const repeat = (): void => {
+		const all = limitsToShare(ledger, nowMs());
+		repeatedFrom = repeatedFrom < all.length ? repeatedFrom : 0;
+		const part = all.slice(repeatedFrom, repeatedFrom + mostRepeated);
+		repeatedFrom += part.length;
+		shareLimits(part, drawPeers(peers(), peersPerRepeat, random));
+	};
+
+	const handleMessage = (message: LimitMessage): void => {
+		switch (message.type) {
+			case 'limits': {
+				applySharedLimits(message.limits);
+				break;
+			}
+
+			case 'sync': {
+				shareLimits(limitsToShare(ledger, nowMs()), [message.entryAddress]);
+				break;
+			}
+
+			case 'request': {
+				const {start, perSecond} = message.limit;
+				applySharedLimits([message.limit]);
+				if (limitOf(ledger, start) !== perSecond) {
+					shareLimits(knownLimits(start), [message.entryAddress]);
+				}
+
+				exchange.hearRequest(message);
+				break;
+			}
+
+			case 'reply': {
+				applySharedLimits([message.limit]);
+				exchange.hearReply(message.limit.start, message.reply);
+				break;
+			}
+		}
+	};
+
+	const repeating = setInterval(repeat, repeatMs);
 	const pruning = setInterval(() => {
 		pruneLimits(ledger, nowMs());
+		countLimited();
+		exchange.prune();
 	}, pruneMs);
-	metrics.gauge('limited_endpoints', 'Endpoints that name a limit.', () => [...ledger.limits.values()].filter(({perSecond}) => perSecond !== null).length);
+	metrics.gauge('limited_endpoints', 'Endpoints that name a limit.', () => limitedCount);
 	return {
 		noteAnswer({announcement, notice, hasRun, sentAtMs}) {
 			if (notice.type === 'unreadable') {
 				logger.event('BP4042', {endpointId: announcement.id, address: announcement.address, text: notice.text.slice(0, 40)});
 			}
 
+			const start = endpointStartOf(announcement);
 			const change = noteLimitAnswer(ledger, {
-				start: endpointStartOf(announcement), notice, hasRun, sentAtMs,
+				start, notice, hasRun, sentAtMs,
 			}, nowMs());
 			if (change !== null) {
-				logChange(announcement, change);
+				applyChange(change, 'answer', announcement.address);
+				shareLimits(knownLimits(start), peers());
+			}
+		},
+		perSecondOf: announcement => limitedCount === 0 ? null : limitOf(ledger, endpointStartOf(announcement)),
+		stateOf: announcement => limitedCount === 0 ? available : exchange.state(endpointStartOf(announcement)),
+		hasLimited: () => limitedCount > 0,
+		requestPermits(announcement) {
+			exchange.request(endpointStartOf(announcement));
+		},
+		usePermit(announcement) {
+			if (limitedCount > 0) {
+				exchange.use(endpointStartOf(announcement));
 			}
 		},
-		perSecondOf: announcement => limitOf(ledger, endpointStartOf(announcement)),
+		sync() {
+			if (hasSynced || peers().length === 0) {
+				return;
+			}
+
+			hasSynced = true;
+			sendMessage({type: 'sync', entryAddress: selfAddress}, drawPeers(peers(), peersToSync, random));
+		},
+		hear(data) {
+			const message = decodeLimitMessage(data, nowMs());
+			if (message === null) {
+				return false;
+			}
+
+			handleMessage(message);
+			return true;
+		},
 		close() {
+			clearInterval(repeating);
 			clearInterval(pruning);
+			clearInterval(issuing ?? undefined);
 		},
 	};
 };
--- a/packages/gateway/src/quarantine/crash-exchange.ts
+++ b/packages/gateway/src/quarantine/crash-exchange.ts
@@ -2,6 +2,7 @@
 import {
 	clearancesToRepeat, sightingsToRepeat, type CrashLedger, type Random,
 } from '@bitternpaddle/coordination';
+import {chunk, drawPeers} from '../link/gossip.js';
 import {decodeCrashNews, encodeCrashNews, type CrashNews} from './crash-news.js';
 
 export type CrashExchangeOptions = {
@@ -36,25 +37,6 @@
 /** In one repetition; where there is more, the next one goes on behind it. */
 const mostRepeated = 60;
 
-const chunk = <Item>(items: readonly Item[], size: number): Item[][] => {
-	const chunks: Item[][] = [];
-	for (let from = 0; from < items.length; from += size) {
-		chunks.push(items.slice(from, from + size));
-	}
-
-	return chunks;
-};
-
-const drawPeers = (peers: readonly string[], random: Random): string[] => {
-	const left = [...peers];
-	const drawn: string[] = [];
-	while (left.length > 0 && drawn.length < peersPerRepeat) {
-		drawn.push(...left.splice(random.between(0, left.length - 1), 1));
-	}
-
-	return drawn;
-};
-
 export const createCrashExchange = ({ledger, peers, send, onNews, random, nowMs}: CrashExchangeOptions): CrashExchange => {
 	let repeatedFrom = 0;
 
@@ -78,7 +60,7 @@
 		repeatedFrom = repeatedFrom < all.length ? repeatedFrom : 0;
 		const sightings = all.slice(repeatedFrom, repeatedFrom + mostRepeated);
 		repeatedFrom += sightings.length;
-		sendTo(drawPeers(peers(), random), {sightings, clearances: clearancesToRepeat(ledger, nowMs())});
+		sendTo(drawPeers(peers(), peersPerRepeat, random), {sightings, clearances: clearancesToRepeat(ledger, nowMs())});
 	};
 
 	const timer = setInterval(repeat, repeatMs);
--- a/packages/gateway/test/request-limits.test.ts
+++ b/packages/gateway/test/request-limits.test.ts
@@ -1,17 +1,19 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import t from 'tap';
-import {createCrashingFleet, type CrashingFleet, type Treatment} from './support/crashing-fleet.js';
+import {
+	createCrashingFleet, type CallAnswer, type CrashingFleet, type Treatment,
+} from './support/crashing-fleet.js';
 
 const treat = (): Treatment => ({type: 'stream', pauseMs: 10});
 
 const windowMs = 4000;
-/** Every entry observes a limit this long after the endpoint first named it. */
-const toldMs = 1000;
+/** Every entry observes a limit within this time after the endpoint first advertises it. */
+const propagationMs = 1000;
 
-/** What an endpoint may get in a window: half as much again as its limit, and a few requests beyond. */
+/** Requests that an endpoint may receive in a window: 1.5 times its limit plus 5. */
 const allowedIn = (perSecond: number): number => Math.ceil((1.5 * perSecond * windowMs / 1000) + 5);
 
-/** Sends requests at a steady rate, to the entry that `entryOf` names for each, and waits for their answers. */
+/** Sends requests at a steady rate, each to the entry that `entryOf` returns, and waits for their answers. */
 const sendSteadily = async (fleet: CrashingFleet, {perSecond, forMs, entryOf}: {perSecond: number; forMs: number; entryOf(index: number): number}): Promise<number[]> => {
 	const calls: Array<Promise<number>> = [];
 	const startedAtMs = performance.now();
@@ -38,10 +40,68 @@
 	});
 	await sendSteadily(fleet, {perSecond: 40, forMs: 1000, entryOf: index => index % entryCount});
 	state.isLimited = true;
-	const namedAtMs = performance.now();
-	const statuses = await sendSteadily(fleet, {perSecond: 40, forMs: toldMs + windowMs + 1500, entryOf: index => index % entryCount});
-	const most = mostInWindow(fleet, 0, namedAtMs + toldMs);
+	const advertisedAtMs = performance.now();
+	const statuses = await sendSteadily(fleet, {perSecond: 40, forMs: propagationMs + windowMs + 1500, entryOf: index => index % entryCount});
+	const most = mostInWindow(fleet, 0, advertisedAtMs + propagationMs);
 	t.ok(most <= allowedIn(perSecond), `${most} requests in ${windowMs} ms, ${allowedIn(perSecond)} allowed`);
-	t.ok(most >= perSecond * windowMs / 2000, 'half of the limit is used at least');
-	t.same(statuses.filter(status => status !== 200), [], 'the other endpoints take the rest');
+	t.ok(most >= perSecond * windowMs / 2000, 'at least half of the limit is used');
+	t.same(statuses.filter(status => status !== 200), [], 'the other endpoints serve the rest');
+});
+
+t.test('every entry applies a limit that changes and is lifted', async t => {
+	const state: {limit: string | null} = {limit: '6'};
+	const fleet = await createCrashingFleet(t, {
+		entryCount: 3, engineCount: 2, treat, answerHeaders: engine => state.limit !== null && engine === 0 ? {'x-limit': state.limit} : {},
+	});
+	const send = async (forMs: number): Promise<number> => {
+		const startedAtMs = performance.now();
+		await sendSteadily(fleet, {perSecond: 40, forMs, entryOf: index => index % 3});
+		return startedAtMs;
+	};
+
+	await send(1000);
+	state.limit = '2';
+	const loweredAtMs = await send(propagationMs + windowMs);
+	const most = mostInWindow(fleet, 0, loweredAtMs + propagationMs);
+	t.ok(most <= allowedIn(2), `${most} requests in ${windowMs} ms after the limit fell, ${allowedIn(2)} allowed`);
+	state.limit = null;
+	// The endpoint still receives requests at the old limit until one is answered without a limit.
+	const liftedAtMs = await send(windowMs);
+	t.ok(mostInWindow(fleet, 0, liftedAtMs + 2000) > allowedIn(2), 'the endpoint receives its share of the requests again');
+});
+
+t.test('when every endpoint advertises a limit, no limit is exceeded and excess requests are refused with a retry time', async t => {
+	const perSecond = 2;
+	const fleet = await createCrashingFleet(t, {
+		entryCount: 2, engineCount: 2, treat, answerHeaders: () => ({'x-limit': String(perSecond)}),
+	});
+	const answers: CallAnswer[] = [];
+	const startedAtMs = performance.now();
+	await Promise.all(Array.from({length: 150}, async (_, index) => {
+		await delay(index * 40);
+		answers.push(await fleet.call(`call-${index}`, `body ${index}`, {entry: index % 2, deadlineMs: 4000}));
+	}));
+	for (const engine of [0, 1]) {
+		const most = mostInWindow(fleet, engine, startedAtMs);
+		t.ok(most <= allowedIn(perSecond) && most >= perSecond * windowMs / 2000, `${most} requests in ${windowMs} ms`);
+	}
+
+	const refused = answers.filter(({status}) => status === 503);
+	t.equal(refused.length + answers.filter(({status}) => status === 200).length, answers.length);
+	t.ok(refused.length > answers.length / 2);
+	t.ok(refused.every(({headers, text}) => Number(headers['retry-after']) >= 0 && text.includes('limit')));
+});
+
+// Guards against exceeding a limit that the entry has not itself received from the endpoint.
+t.test('a restarted entry observes a limit that only other entries received', async t => {
+	const fleet = await createCrashingFleet(t, {
+		entryCount: 2, engineCount: 2, treat, answerHeaders: engine => engine === 0 ? {'x-limit': '0'} : {},
+	});
+	await sendSteadily(fleet, {perSecond: 20, forMs: 500, entryOf: () => 0});
+	await fleet.restartEntry(1);
+	await delay(propagationMs);
+	const before = fleet.arrivals.filter(({engine}) => engine === 0).length;
+	const statuses = await sendSteadily(fleet, {perSecond: 20, forMs: 1000, entryOf: () => 1});
+	t.ok(fleet.arrivals.filter(({engine}) => engine === 0).length - before <= 2);
+	t.same(statuses.filter(status => status !== 200), []);
 });
--- a/packages/gateway/test/support/crashing-fleet.ts
+++ b/packages/gateway/test/support/crashing-fleet.ts
@@ -57,7 +57,7 @@
 		| {readonly type: 'loseAnswer'}
 		/** Nothing comes, and nothing ends. */
 		| {readonly type: 'hang'}
-		/** Turned away without being run. */
+		/** Refused without being run. */
 		| {readonly type: 'refuse'; readonly status: number};
 
 export type Arrival = {readonly requestId: string; readonly body: string; readonly engine: number; readonly atMs: number};
@@ -70,7 +70,7 @@
 	/** How long a crashed engine is down. @default 600 */
 	readonly downMs?: number;
 	treat(body: string, headers: http.IncomingHttpHeaders, engine: number): Treatment;
-	/** Further headers of all answers of an engine. @default none */
+	/** Additional headers of every answer of an engine. @default none */
 	answerHeaders?(engine: number): http.OutgoingHttpHeaders;
 	readonly logger?: Logger;
 };
--- a/packages/model/src/entry.ts
+++ b/packages/model/src/entry.ts
@@ -72,7 +72,7 @@
 	let keys = 0;
 
 	const demand = (): ServiceDemand => ({
-		sending, objectives, spareRoom, heldCount,
+		sending, objectives, spareRoom, heldCount, queuedCount: 0,
 	});
 
 	const send = (request: EntryRequest, {placement: {candidate, expectedMs}}: Extract<NextStep, {type: 'send'}>): void => {
@@ -139,7 +139,7 @@
 		const {seeking, request} = waits;
 		const nowMs = timeline.nowMs();
 		const step = policy.step(demand(), {
-			candidates: candidateList, profile, zoneId, entryCount, dues: [], leftMs: Number.POSITIVE_INFINITY, random, nowMs,
+			candidates: candidateList, availabilityOf: () => ({type: 'available'}), profile, zoneId, entryCount, dues: [], leftMs: Number.POSITIVE_INFINITY, random, nowMs,
 		}, seeking);
 		if (step.type === 'wait' && step.reason === seeking.waitsFor) {
 			waiting.push(waits);
