fix(gateway): consume the permit in the same turn as the decision to send

Cause: a permit was consumed at the start of the attempt, some microtasks after the decision to send. Waiting requests retry on one shared timer, and all requests released in the same tick saw the same permit before the first of them had consumed it.

The test fails without the change.

Change: the permit is consumed in the same turn as the decision.

--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -35,6 +35,8 @@
 			const step = lookForEndpoint(context, call, wait.seeking());
 			switch (step.type) {
 				case 'send': {
+					// Synchronous with the decision: requests released in the same tick must not all be sent with one permit.
+					context.limits.usePermit(step.placement.candidate.announcement);
 					return step.placement;
 				}
 
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -54,7 +54,6 @@
 	const key = nextAwaitedKey();
 	const held = heldVersion(context, call, candidate);
 	progress.triedIds.add(announcement.id);
-	context.limits.usePermit(announcement);
 	noteArrival(context.sending(service.name), startedAtMs);
 	load.outstanding++;
 	load.awaiting.set(key, {promptTokens: call.promptTokens, sentAtMs: startedAtMs, expectedMs});
--- a/packages/gateway/test/request-limits.test.ts
+++ b/packages/gateway/test/request-limits.test.ts
@@ -105,3 +105,21 @@
 	t.ok(fleet.arrivals.filter(({engine}) => engine === 0).length - before <= 2);
 	t.same(statuses.filter(status => status !== 200), []);
 });
+
+// Guards against sending several waiting requests with one permit.
+t.test('requests that wait for the same endpoints do not exceed the limits of those endpoints', async t => {
+	const perSecond = 5;
+	const fleet = await createCrashingFleet(t, {engineCount: 2, treat, answerHeaders: () => ({'x-limit': String(perSecond)})});
+	const startedAtMs = performance.now();
+	const calls: Array<Promise<CallAnswer>> = [];
+	for (let burst = 0; performance.now() - startedAtMs < propagationMs + windowMs + 1000; burst++) {
+		calls.push(...Array.from({length: 30}, async (_, index) => fleet.call(`burst-${burst}-${index}`, `body ${burst} ${index}`)));
+		await delay(200);
+	}
+
+	await Promise.all(calls);
+	for (const engine of [0, 1]) {
+		const most = mostInWindow(fleet, engine, startedAtMs + propagationMs);
+		t.ok(most <= allowedIn(perSecond), `${most} requests in ${windowMs} ms, ${allowedIn(perSecond)} allowed`);
+	}
+});
