fix(coordination,gateway): keep a limit in force for a window after it is no longer advertised

Symptom: in the test, an endpoint that stops advertising a limit of 2 requests per second receives 71 requests in a 4 s window that began under the limit (17 allowed).

Cause: the first answer without the limit released it for all entries at once. After seconds at its limit the endpoint looks idle, so every entry prefers it.

Two further faults: entries that shared a limit with each other made it newer by the delay of each message, so a stale limit could outlive its end; and a limit was kept for ten minutes if answers advertised only unreadable limits.

Change: a limit is released 4 s after the first answer without it, unless it is advertised again. A shared limit of the same value counts as newer only if it is newer by more than 250 ms. A limit that no answer has advertised for 30 s is released.

--- a/packages/coordination/src/endpoint-limits/limit-ledger.ts
+++ b/packages/coordination/src/endpoint-limits/limit-ledger.ts
@@ -16,11 +16,13 @@
 
 /** The latest limit of one start of an endpoint. */
 export type KnownLimit = {
-	/** `null`: the endpoint no longer advertises a limit. */
+	/** `null`: the limit was released. */
 	readonly perSecond: number | null;
 	readonly heardAtMs: number;
 	/** When `perSecond` took its current value. */
 	readonly sinceMs: number;
+	/** When the first answer without the limit was received; `null` while the endpoint advertises it. */
+	readonly unadvertisedSinceMs: number | null;
 };
 
 export type LimitLedger = {readonly limits: Map<EndpointStart, KnownLimit>};
@@ -42,8 +44,18 @@
 	readonly sentAtMs: number;
 };
 
-/** Exceeds the longest time for which an endpoint in service sends no answer. */
-const limitRetentionMs = 600_000;
+/**
+ * Time from the first answer without a limit to its release. An endpoint at its
+ * limit looks idle to every entry; releasing the limit at once would cause a
+ * burst of requests within a window that began under the limit.
+ */
+const releaseDelayMs = 4000;
+/** A limit that no answer has advertised for this long is released, even if no answer without it was received. */
+const limitExpiryMs = 30_000;
+/** Released limits are kept for this long, so that late messages from other entries do not restore them. */
+const releasedRetentionMs = 600_000;
+/** A shared limit of unchanged value is newer only by more than this, because message delays make a limit appear newer each time it is shared. */
+const messageDelayToleranceMs = 250;
 
 export const createLimitLedger = (): LimitLedger => ({limits: new Map()});
 
@@ -53,7 +65,7 @@
 /** Updates the limit from the head of an answer; returns `null` if the limit did not change. */
 export const noteLimitAnswer = (ledger: LimitLedger, {start, notice, hasRun, sentAtMs}: LimitAnswer, nowMs: number): LimitChange | null => {
 	const known = ledger.limits.get(start);
-	// Answers can arrive out of order: a limit is raised or lifted only by an answer to a request sent after the known limit was received.
+	// Answers can arrive out of order: a limit is raised or released only by an answer to a request sent after the known limit was received.
 	const isCurrent = known === undefined || sentAtMs >= known.heardAtMs;
 	switch (notice.type) {
 		case 'limited': {
@@ -62,7 +74,11 @@
 		}
 
 		case 'unlimited': {
-			return known !== undefined && known.perSecond !== null && hasRun && isCurrent ? setLimit(ledger, start, null, nowMs) : null;
+			if (known !== undefined && known.perSecond !== null && hasRun && isCurrent) {
+				ledger.limits.set(start, {...known, unadvertisedSinceMs: known.unadvertisedSinceMs ?? nowMs});
+			}
+
+			return null;
 		}
 
 		case 'unreadable': {
@@ -75,7 +91,11 @@
 	const before = limits.get(start);
 	const previousPerSecond = before?.perSecond ?? null;
 	const isSame = previousPerSecond === perSecond;
-	const known: KnownLimit = {perSecond, heardAtMs: Math.max(atMs, before?.heardAtMs ?? atMs), sinceMs: isSame ? before?.sinceMs ?? atMs : atMs};
+	const unadvertisedSinceMs = before?.unadvertisedSinceMs ?? null;
+	const known: KnownLimit = {
+		perSecond, heardAtMs: Math.max(atMs, before?.heardAtMs ?? atMs), sinceMs: isSame ? before?.sinceMs ?? atMs : atMs,
+		unadvertisedSinceMs: isSame && unadvertisedSinceMs !== null && unadvertisedSinceMs >= atMs ? unadvertisedSinceMs : null,
+	};
 	limits.set(start, known);
 	return isSame
 		? null
@@ -84,27 +104,40 @@
 		};
 };
 
-/** A limit as exchanged between entries. */
+/** Releases the limits that endpoints no longer advertise; returns the changes. */
+export const releaseLimits = (ledger: LimitLedger, nowMs: number): LimitChange[] => [...ledger.limits].flatMap(([start, {perSecond, heardAtMs, unadvertisedSinceMs}]) => {
+	const isExpired = (unadvertisedSinceMs !== null && nowMs - unadvertisedSinceMs > releaseDelayMs) || nowMs - heardAtMs > limitExpiryMs;
+	const change = perSecond !== null && isExpired ? setLimit(ledger, start, null, nowMs) : null;
+	return change === null ? [] : [change];
+});
+
+/** A limit as shared between entries. */
 export type SharedLimit = {readonly start: EndpointStart; readonly perSecond: number | null; readonly heardAtMs: number};
 
-/** Updates the limit from another entry, unless a more recent one is known; returns `null` if the limit did not change. */
+/** Updates the limit from another entry; returns `null` if the limit did not change. */
 export const noteSharedLimit = (ledger: LimitLedger, {start, perSecond, heardAtMs}: SharedLimit): LimitChange | null => {
 	const known = ledger.limits.get(start);
-	return known !== undefined && known.heardAtMs >= heardAtMs ? null : setLimit(ledger, start, perSecond, heardAtMs);
+	if (known === undefined) {
+		return setLimit(ledger, start, perSecond, heardAtMs);
+	}
+
+	// A limit that this entry shared can be returned by other entries and appear newer by the message delay.
+	const isNewer = heardAtMs - known.heardAtMs > (known.perSecond === perSecond ? messageDelayToleranceMs : 0);
+	return isNewer ? setLimit(ledger, start, perSecond, heardAtMs) : null;
 };
 
-/** Exceeds the time within which all reachable entries receive that a limit was lifted. */
-const liftedRetentionMs = 5000;
+/** Released limits are shared for this long, so that all reachable entries release them. */
+const releasedSharingMs = 5000;
 
-/** The limits to send to other entries: those in force and those lifted recently. */
+/** Returns the limits to send to other entries: those in force and those released recently. */
 export const limitsToShare = ({limits}: LimitLedger, nowMs: number): SharedLimit[] => [...limits]
-	.filter(([, {perSecond, sinceMs}]) => perSecond !== null || nowMs - sinceMs < liftedRetentionMs)
+	.filter(([, {perSecond, sinceMs}]) => perSecond !== null || nowMs - sinceMs < releasedSharingMs)
 	.map(([start, {perSecond, heardAtMs}]) => ({start, perSecond, heardAtMs}));
 
-/** Deletes limits that have not been updated within the retention period. */
+/** Deletes released limits after the retention period. */
 export const pruneLimits = ({limits}: LimitLedger, nowMs: number): void => {
-	for (const [start, {heardAtMs}] of limits) {
-		if (nowMs - heardAtMs > limitRetentionMs) {
+	for (const [start, {perSecond, heardAtMs}] of limits) {
+		if (perSecond === null && nowMs - heardAtMs > releasedRetentionMs) {
 			limits.delete(start);
 		}
 	}
--- a/packages/gateway/src/limits/endpoint-limits.ts
+++ b/packages/gateway/src/limits/endpoint-limits.ts
@@ -1,6 +1,6 @@
 import type {Buffer} from 'node:buffer';
 import {
-	createLimitLedger, endpointIdIn, endpointStartOf, limitOf, limitsToShare, noteLimitAnswer, noteSharedLimit, pruneLimits,
+	createLimitLedger, endpointIdIn, endpointStartOf, limitOf, limitsToShare, noteLimitAnswer, noteSharedLimit, pruneLimits, releaseLimits,
 	type Announcement, type EndpointStart, type LimitChange, type LimitNotice, type PermitState, type Random, type SharedLimit,
 } from '@bitternpaddle/coordination';
 import type {Logger} from '@bitternpaddle/transport';
@@ -109,7 +109,7 @@
 		limitedCount = [...ledger.limits.values()].filter(({perSecond}) => perSecond !== null).length;
 	};
 
-	const applyChange = ({start, previousPerSecond, previousSinceMs, known: {perSecond, heardAtMs}}: LimitChange, source: 'answer' | 'entry', address?: string): void => {
+	const applyChange = ({start, previousPerSecond, previousSinceMs, known: {perSecond, heardAtMs}}: LimitChange, source: 'answer' | 'entry' | 'release', address?: string): void => {
 		countLimited();
 		metrics.count('limit_changes', 'Limits that endpoints named, changed and lifted.');
 		const fields = {
@@ -142,7 +142,15 @@
 		return known === undefined ? [] : [{start, perSecond: known.perSecond, heardAtMs: known.heardAtMs}];
 	};
 
+	const release = (): void => {
+		for (const change of releaseLimits(ledger, nowMs())) {
+			applyChange(change, 'release');
+			shareLimits(knownLimits(change.start), peers());
+		}
+	};
+
 	const repeat = (): void => {
+		release();
 		const all = limitsToShare(ledger, nowMs());
 		repeatedFrom = repeatedFrom < all.length ? repeatedFrom : 0;
 		const part = all.slice(repeatedFrom, repeatedFrom + mostRepeated);
--- a/packages/gateway/test/request-limits.test.ts
+++ b/packages/gateway/test/request-limits.test.ts
@@ -25,10 +25,10 @@
 	return Promise.all(calls);
 };
 
-/** The most arrivals at an engine in any window from `fromMs` on. */
-const mostInWindow = ({arrivals}: CrashingFleet, engine: number, fromMs: number): number => {
+/** The most arrivals at an engine in any window that begins at or after `fromMs` and before `untilMs`. */
+const mostInWindow = ({arrivals}: CrashingFleet, engine: number, fromMs: number, untilMs = Number.POSITIVE_INFINITY): number => {
 	const timesMs = arrivals.filter(arrival => arrival.engine === engine && arrival.atMs >= fromMs).map(({atMs}) => atMs);
-	return Math.max(0, ...timesMs.map(startMs => timesMs.filter(atMs => atMs >= startMs && atMs < startMs + windowMs).length));
+	return Math.max(0, ...timesMs.filter(atMs => atMs < untilMs).map(startMs => timesMs.filter(atMs => atMs >= startMs && atMs < startMs + windowMs).length));
 };
 
 t.test('an endpoint gets no more requests from all entries together than the limit that it names', async t => {
@@ -65,9 +65,11 @@
 	const most = mostInWindow(fleet, 0, loweredAtMs + propagationMs);
 	t.ok(most <= allowedIn(2), `${most} requests in ${windowMs} ms after the limit fell, ${allowedIn(2)} allowed`);
 	state.limit = null;
-	// The endpoint still receives requests at the old limit until one is answered without a limit.
-	const liftedAtMs = await send(windowMs);
-	t.ok(mostInWindow(fleet, 0, liftedAtMs + 2000) > allowedIn(2), 'the endpoint receives its share of the requests again');
+	const liftedAtMs = await send((2 * windowMs) + 2000);
+	const mostUnderLimit = mostInWindow(fleet, 0, loweredAtMs + propagationMs, liftedAtMs);
+	t.ok(mostUnderLimit <= allowedIn(2), `${mostUnderLimit} requests in ${windowMs} ms that began under the limit, ${allowedIn(2)} allowed`);
+	// The limit is released one window after the first answer without it, which may take a second to arrive.
+	t.ok(mostInWindow(fleet, 0, liftedAtMs + windowMs + 2000) > allowedIn(2), 'the endpoint receives its share of the requests again');
 });
 
 t.test('when every endpoint advertises a limit, no limit is exceeded and excess requests are refused with a retry time', async t => {
