fix(coordination): requests do not wait for permits that other entries will be granted

Symptom: when every endpoint of a service was at its limit, requests waited up to 0.7 s at their entry and were then refused.

Cause: an entry expected a permit within 40 ms of each limited endpoint that it had requested none of, and further permits at the rate of the whole limit. With eight entries and fifteen endpoints limited to 1.5 requests per second, fifteen requests were allowed to wait for the two permits that would be granted.

Change: without a recent reply from the issuer, an entry expects an equal share of the limit; a renewed request keeps the issuer's last estimate. A refused request is told when an endpoint is expected to accept it, behind the requests already waiting.

--- a/packages/coordination/src/endpoint-limits/permit-account.ts
+++ b/packages/coordination/src/endpoint-limits/permit-account.ts
@@ -1,5 +1,5 @@
 import {drawShare, type Random} from '../utils/random.js';
-import {permitRate, type PermitReply} from './permit-issuer.js';
+import {permitRate, queueTimeoutMs, type PermitReply} from './permit-issuer.js';
 
 /** An entry's permits for one limited endpoint. */
 export type PermitAccount = {
@@ -84,7 +84,7 @@
 	}
 
 	account.requestedAtMs = nowMs;
-	account.expectedAtMs = null;
+	account.expectedAtMs = account.expectedAtMs !== null && account.expectedAtMs > nowMs ? account.expectedAtMs : null;
 	account.unansweredSinceMs ??= nowMs;
 	return wanted - held;
 };
@@ -133,6 +133,22 @@
 	return account.fallbackAtMs <= nowMs ? {type: 'available'} : {type: 'limited', nextAtMs: account.fallbackAtMs, gapMs};
 };
 
+/**
+ * Estimates when permits are granted: from the issuer's reply to the pending
+ * request or, without a recent one, from an equal share of the limit.
+ */
+const expectedGrantState = ({requestedAtMs, expectedAtMs, lastQueueWaitMs}: PermitAccount, {perSecond, entryCount}: PermitTerms, nowMs: number): PermitState => {
+	const intervalMs = 1000 / permitRate(perSecond);
+	const equalShareGapMs = intervalMs * entryCount;
+	if (requestedAtMs === null || nowMs - requestedAtMs > queueTimeoutMs) {
+		return {type: 'limited', nextAtMs: nowMs + equalShareGapMs, gapMs: equalShareGapMs};
+	}
+
+	return expectedAtMs === null
+		? {type: 'limited', nextAtMs: nowMs + expectedReplyMs, gapMs: equalShareGapMs}
+		: {type: 'limited', nextAtMs: Math.max(nowMs, expectedAtMs), gapMs: Math.max(intervalMs, lastQueueWaitMs)};
+};
+
 export const permitState = (account: PermitAccount, terms: PermitTerms, nowMs: number): PermitState => {
 	dropExpired(account, nowMs);
 	if (account.expiriesMs.length > 0) {
@@ -143,11 +159,7 @@
 		return fallbackState(account, terms, nowMs);
 	}
 
-	return {
-		type: 'limited',
-		nextAtMs: Math.max(nowMs, account.expectedAtMs ?? nowMs + expectedReplyMs),
-		gapMs: Math.max(account.lastQueueWaitMs, 1000 / permitRate(terms.perSecond)),
-	};
+	return expectedGrantState(account, terms, nowMs);
 };
 
 /** Consumes a permit, or the fallback turn if none is held, for a request that is sent now. */
--- a/packages/coordination/src/endpoint-limits/permit-issuer.ts
+++ b/packages/coordination/src/endpoint-limits/permit-issuer.ts
@@ -30,7 +30,7 @@
 /** The part of a second for which unrequested permits accumulate. */
 const burstShare = 0.25;
 /** Exceeds the interval at which entries renew queued requests; older ones are removed. */
-const queueTimeoutMs = 300;
+export const queueTimeoutMs = 300;
 /** Endpoints without permit requests for this long are removed. */
 const idleRetentionMs = 60_000;
 
--- a/packages/coordination/src/placement/availability.ts
+++ b/packages/coordination/src/placement/availability.ts
@@ -17,3 +17,11 @@
 
 	return count;
 };
+
+/** Estimates when the endpoints accept a request behind `aheadCount` others, at their combined rate. */
+export const acceptedAtMs = (unavailable: readonly Unavailability[], aheadCount: number): number => {
+	const nextAtMs = nextAvailableAtMs(unavailable);
+	const remainingCount = aheadCount + 1 - acceptedUntil(unavailable, nextAtMs);
+	const acceptedPerMs = unavailable.reduce((sum, {gapMs}) => sum + (1 / gapMs), 0);
+	return remainingCount <= 0 ? nextAtMs : nextAtMs + (remainingCount / acceptedPerMs);
+};
--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -3,7 +3,7 @@
 import {admitRequest} from './admit.js';
 import {arrivalsPerSecond, type ArrivalRate} from './arrival-rate.js';
 import {
-	acceptedUntil, nextAvailableAtMs, type Availability, type Unavailability,
+	acceptedAtMs, acceptedUntil, type Availability, type Unavailability,
 } from './availability.js';
 import {readMs, spareFirstTokenMs} from './engine-model.js';
 import {answerBoundMs, canEndInTime} from './leaving.js';
@@ -133,7 +133,7 @@
 	return preferred === null || surroundings.availabilityOf(preferred).type === 'available' ? null : preferred;
 };
 
-/** Spreads the retries of callers after the first endpoint becomes available. */
+/** Spreads the retries of refused callers after the time when an endpoint is expected to accept them. */
 const availableSpreadMs = 1000;
 
 /**
@@ -148,8 +148,8 @@
 		return {type: 'wait', reason: 'availability'};
 	}
 
-	const nextMs = Math.max(0, nextAvailableAtMs(unavailability) - nowMs);
-	return {type: 'refuse', reason: 'every endpoint is at the limit that it names', retryAfterMs: nextMs + random.between(0, availableSpreadMs)};
+	const waitMs = Math.max(0, acceptedAtMs(unavailability, aheadCount) - nowMs);
+	return {type: 'refuse', reason: 'every endpoint is at the limit that it names', retryAfterMs: waitMs + random.between(0, availableSpreadMs)};
 };
 
 /** What becomes of a request for which an endpoint is sought. */
--- a/packages/coordination/test/availability.test.ts
+++ b/packages/coordination/test/availability.test.ts
@@ -66,3 +66,8 @@
 	const step = nextStep(demand(), {...surroundings({idle: limited(100)}), candidates: [engine('idle', 0)]}, request({triedIds: new Set(['idle']), sentCount: 1}));
 	t.not(step.type === 'wait' && step.reason, 'availability');
 });
+
+t.test('a refused request is told to retry when an endpoint is expected to accept it, behind those already waiting', async t => {
+	const step = nextStep(demand(5), surroundings({idle: limited(100), busy: limited(300)}), request());
+	t.ok(step.type === 'refuse' && step.retryAfterMs >= 1300, 'five requests are ahead, and the endpoints accept four per second');
+});
--- /dev/null
+++ b/packages/coordination/test/permit-account.test.ts
@@ -0,0 +1,44 @@
+import t from 'tap';
+import {
+	createPermitAccount, createRandom, notePermitReply, permitState, permitsToRequest, usePermit, type PermitTerms,
+} from '@bitternpaddle/coordination';
+
+const terms: PermitTerms = {perSecond: 2, entryCount: 8, random: createRandom(1)};
+
+// Guards against requests that wait for permits that other entries will be granted.
+t.test('an entry expects an equal share of a limit without a recent reply from the issuer', async t => {
+	const account = createPermitAccount();
+	t.match(permitState(account, terms, 1000), {type: 'limited', nextAtMs: 1000 + 4000, gapMs: 4000});
+	t.equal(permitsToRequest(account, terms.perSecond, 1000), 1);
+	t.match(permitState(account, terms, 1000), {nextAtMs: 1040, gapMs: 4000}, 'the reply to the pending request is expected soon');
+	notePermitReply(account, {type: 'queued', waitMs: 1500}, 1010);
+	t.match(permitState(account, terms, 1010), {nextAtMs: 2510, gapMs: 1500});
+	t.match(permitState(account, terms, 1400), {nextAtMs: 5400, gapMs: 4000}, 'the queued request has timed out');
+});
+
+t.test('a permit is used once, and not after it has expired', async t => {
+	const account = createPermitAccount();
+	permitsToRequest(account, terms.perSecond, 1000);
+	notePermitReply(account, {type: 'granted', count: 1}, 1010);
+	t.match(permitState(account, terms, 1999), {type: 'available'});
+	usePermit(account, terms, 1999);
+	t.match(permitState(account, terms, 1999), {type: 'limited', gapMs: 4000});
+	permitsToRequest(account, terms.perSecond, 2000);
+	notePermitReply(account, {type: 'granted', count: 1}, 2010);
+	t.match(permitState(account, terms, 3011), {type: 'limited'});
+});
+
+t.test('an entry sends an equal share of half the limit while the issuer does not answer', async t => {
+	const account = createPermitAccount();
+	const sentAtMs: number[] = [];
+	for (let nowMs = 0; nowMs < 160_000; nowMs += 10) {
+		permitsToRequest(account, terms.perSecond, nowMs);
+		if (permitState(account, terms, nowMs).type === 'available') {
+			usePermit(account, terms, nowMs);
+			sentAtMs.push(nowMs);
+		}
+	}
+
+	t.ok(sentAtMs[0]! >= 300, 'nothing is sent before the issuer has timed out');
+	t.ok(Math.abs(sentAtMs.length - 20) <= 1, `${sentAtMs.length} requests in 160 s, expected one per 8 s`);
+});
