--- a/packages/coordination/src/endpoint-limits/permit-account.ts
+++ b/packages/coordination/src/endpoint-limits/permit-account.ts
@@ -11,6 +11,8 @@
 	expectedAtMs: number | null;
 	/** When the first unanswered request was sent; `null` if the issuer answered the last one. */
 	unansweredSinceMs: number | null;
+	/** The issuer's last estimate of the time of a grant; kept while the request is renewed. */
+	estimatedAtMs: number;
 	/** The last wait that the issuer estimated for a queued request. */
 	lastQueueWaitMs: number;
 	/** When the next request may be sent without a permit while the issuer does not answer; `null` if not determined. */
@@ -52,7 +54,7 @@
 const fallbackShare = 0.5;
 
 export const createPermitAccount = (): PermitAccount => ({
-	expiriesMs: [], requestedAtMs: null, expectedAtMs: null, unansweredSinceMs: null, lastQueueWaitMs: 0, fallbackAtMs: null,
+	expiriesMs: [], requestedAtMs: null, expectedAtMs: null, estimatedAtMs: Number.NEGATIVE_INFINITY, unansweredSinceMs: null, lastQueueWaitMs: 0, fallbackAtMs: null,
 });
 
 const dropExpired = (account: PermitAccount, nowMs: number): void => {
@@ -84,7 +86,7 @@
 	}
 
 	account.requestedAtMs = nowMs;
-	account.expectedAtMs = account.expectedAtMs !== null && account.expectedAtMs > nowMs ? account.expectedAtMs : null;
+	account.expectedAtMs = null;
 	account.unansweredSinceMs ??= nowMs;
 	return wanted - held;
 };
@@ -105,6 +107,7 @@
 
 		case 'queued': {
 			account.expectedAtMs = nowMs + reply.waitMs;
+			account.estimatedAtMs = account.expectedAtMs;
 			account.lastQueueWaitMs = reply.waitMs;
 			break;
 		}
@@ -137,16 +140,16 @@
  * Estimates when permits are granted: from the issuer's reply to the pending
  * request or, without a recent one, from an equal share of the limit.
  */
-const expectedGrantState = ({requestedAtMs, expectedAtMs, lastQueueWaitMs}: PermitAccount, {perSecond, entryCount}: PermitTerms, nowMs: number): PermitState => {
+const expectedGrantState = ({requestedAtMs, expectedAtMs, estimatedAtMs, lastQueueWaitMs}: PermitAccount, {perSecond, entryCount}: PermitTerms, nowMs: number): PermitState => {
 	const intervalMs = 1000 / permitRate(perSecond);
 	const equalShareGapMs = intervalMs * entryCount;
 	if (requestedAtMs === null || nowMs - requestedAtMs > queueTimeoutMs) {
 		return {type: 'limited', nextAtMs: nowMs + equalShareGapMs, gapMs: equalShareGapMs};
 	}
 
-	return expectedAtMs === null
+	return expectedAtMs === null && estimatedAtMs <= nowMs
 		? {type: 'limited', nextAtMs: nowMs + expectedReplyMs, gapMs: equalShareGapMs}
-		: {type: 'limited', nextAtMs: Math.max(nowMs, expectedAtMs), gapMs: Math.max(intervalMs, lastQueueWaitMs)};
+		: {type: 'limited', nextAtMs: Math.max(nowMs, estimatedAtMs), gapMs: Math.max(intervalMs, lastQueueWaitMs)};
 };
 
 export const permitState = (account: PermitAccount, terms: PermitTerms, nowMs: number): PermitState => {
--- a/packages/coordination/test/permit-account.test.ts
+++ b/packages/coordination/test/permit-account.test.ts
@@ -13,7 +13,10 @@
 	t.match(permitState(account, terms, 1000), {nextAtMs: 1040, gapMs: 4000}, 'the reply to the pending request is expected soon');
 	notePermitReply(account, {type: 'queued', waitMs: 1500}, 1010);
 	t.match(permitState(account, terms, 1010), {nextAtMs: 2510, gapMs: 1500});
-	t.match(permitState(account, terms, 1400), {nextAtMs: 5400, gapMs: 4000}, 'the queued request has timed out');
+	t.equal(permitsToRequest(account, terms.perSecond, 1140), 1);
+	t.match(permitState(account, terms, 1140), {nextAtMs: 2510, gapMs: 1500}, 'a renewed request keeps the estimate');
+	notePermitReply(account, {type: 'queued', waitMs: 1360}, 1150);
+	t.match(permitState(account, terms, 1450), {nextAtMs: 5450, gapMs: 4000}, 'the queued request has timed out');
 });
 
 t.test('a permit is used once, and not after it has expired', async t => {
