feat(gateway,platform): entries log the pauses that endpoints request

An endpoint that refuses a request with 503 or 429 may add Retry-After to ask that this entry send it nothing for that time. No process read the header, so no log line showed the requested time or which requests were sent before it had elapsed. The adapter now decodes the header once.

An entry logs each pause with the time left of the previous one (BP4045), each pause that cannot be parsed (BP4046), and, with every request sent, the time left of the endpoint's pause (BP4023). Metric: endpoint_pauses. The pause does not affect any decision yet.

--- a/packages/bench/src/fleet-cost/deployment.ts
+++ b/packages/bench/src/fleet-cost/deployment.ts
@@ -39,4 +39,5 @@
 	readTokens: () => ({prompt: 970, mostAnswer: 80}),
 	readActive: () => null,
 	readLimit: () => ({type: 'unlimited'}),
+	readPause: () => ({type: 'none'}),
 };
--- a/packages/coordination/src/placement/endpoint-load.ts
+++ b/packages/coordination/src/placement/endpoint-load.ts
@@ -32,12 +32,14 @@
 	/** How much later than expected its answers begin; halves in `lagHalfLifeMs`. */
 	lagMs: number;
 	lagAtMs: number;
+	/** The end of the pause that the endpoint requested; `-Infinity` if it has requested none. */
+	pausedUntilMs: number;
 };
 
 export type AwaitedRequest = {readonly promptTokens: number; readonly sentAtMs: number; /** How long it was expected to wait. */ readonly expectedMs: number};
 
 export const createEndpointLoad = (): EndpointLoad => ({
-	report: null, reportedAtMs: Number.NEGATIVE_INFINITY, path: createPathDelay(), outstanding: 0, awaiting: new Map(), told: null, lagMs: 0, lagAtMs: 0,
+	report: null, reportedAtMs: Number.NEGATIVE_INFINITY, path: createPathDelay(), outstanding: 0, awaiting: new Map(), told: null, lagMs: 0, lagAtMs: 0, pausedUntilMs: Number.NEGATIVE_INFINITY,
 });
 
 /** A request that left this long before a report was read is in the report: a crossing between regions and one reading. */
--- a/packages/coordination/src/placement/index.ts
+++ b/packages/coordination/src/placement/index.ts
@@ -1,5 +1,6 @@
 export * from './availability.js';
 export * from './endpoint-load.js';
+export * from './endpoint-pause.js';
 export * from './engine-model.js';
 export * from './place-request.js';
 export * from './endpoint-health.js';
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -1,5 +1,5 @@
 import {
-	beginWithinMs, noteArrival, noteLag, noteObjective, noteRequest, type Candidate, type Placement,
+	beginWithinMs, noteArrival, noteLag, noteObjective, notePause, noteRequest, type Candidate, type EndpointLoad, type PauseNotice, type Placement,
 } from '@bitternpaddle/coordination';
 import {sendAttempt, type AnswerHead, type AttemptResult} from './attempt.js';
 import {attemptLimits} from './attempt-limits.js';
@@ -59,7 +59,8 @@
 	load.awaiting.set(key, {promptTokens: call.promptTokens, sentAtMs: startedAtMs, expectedMs});
 	logger.event('BP4023', {
 		requestId: call.requestId, endpointId: announcement.id, address: announcement.address, attempt: sequence, expectedMs: Math.round(expectedMs),
-		outstanding: load.outstanding, limitPerSecond: context.limits.perSecondOf(announcement), reportAgeMs: Number.isFinite(load.reportedAtMs) ? Math.round(startedAtMs - load.reportedAtMs) : null,
+		outstanding: load.outstanding, limitPerSecond: context.limits.perSecondOf(announcement), pausedForMs: remainingPauseMs(load, startedAtMs),
+		reportAgeMs: Number.isFinite(load.reportedAtMs) ? Math.round(startedAtMs - load.reportedAtMs) : null,
 	});
 	const result = await sendAttempt({
 		connections, headerNames: protocol.headers, address: announcement.address, method: call.request.method!, path: call.request.url!,
@@ -70,6 +71,7 @@
 		signal: call.ended.signal,
 		onHead(head) {
 			noteLimit(context, candidate, head, startedAtMs);
+			handlePauseNotice(context, call, candidate, head);
 		},
 		onFirstByte(head) {
 			const tookMs = nowMs() - startedAtMs;
@@ -113,6 +115,9 @@
 	return awaitedKeys;
 };
 
+/** Time left of the endpoint's pause; 0 if none is in force. */
+const remainingPauseMs = ({pausedUntilMs}: EndpointLoad, nowMs: number): number => Math.max(0, Math.round(pausedUntilMs - nowMs));
+
 const noteLimit = ({protocol, limits}: CallContext, {announcement}: Candidate, {status, headers}: AnswerHead, sentAtMs: number): void => {
 	// A 421 may come from another start of the endpoint, whose limit does not apply to this one.
 	if (status !== 421) {
@@ -122,6 +127,35 @@
 	}
 };
 
+/** Answer statuses that may carry a pause; with any other status it is ignored. */
+const pauseStatuses: ReadonlySet<number> = new Set([429, 503]);
+
+const handlePauseNotice = ({protocol, logger, metrics, nowMs}: CallContext, {requestId}: Call, {announcement: {id, address}, load}: Candidate, {status, headers}: AnswerHead): void => {
+	const notice: PauseNotice = pauseStatuses.has(status) ? protocol.readPause(headers) : {type: 'none'};
+	switch (notice.type) {
+		case 'none': {
+			break;
+		}
+
+		case 'pause': {
+			const now = nowMs();
+			metrics.count('endpoint_pauses', 'Pauses that endpoints asked for.');
+			logger.event('BP4045', {
+				requestId, endpointId: id, address, pauseMs: Math.round(notice.pauseMs), remainingMs: remainingPauseMs(load, now),
+			});
+			notePause(load, notice.pauseMs, now);
+			break;
+		}
+
+		case 'unreadable': {
+			logger.event('BP4046', {
+				requestId, endpointId: id, address, text: notice.text.slice(0, 40),
+			});
+			break;
+		}
+	}
+};
+
 const noteLoad = ({protocol, nowMs}: CallContext, {load}: Candidate, {headers}: AnswerHead): void => {
 	const text = headers[protocol.headers.load];
 	const active = typeof text === 'string' ? protocol.readActive(text) : null;
--- a/packages/gateway/src/link/request-protocol.ts
+++ b/packages/gateway/src/link/request-protocol.ts
@@ -1,5 +1,5 @@
 import type http from 'node:http';
-import type {LimitNotice} from '@bitternpaddle/coordination';
+import type {LimitNotice, PauseNotice} from '@bitternpaddle/coordination';
 import type {RoutingConfiguration} from '@bitternpaddle/state';
 
 /** Names of headers, in lower case, between callers, entries and endpoints. */
@@ -44,4 +44,6 @@
 	readActive(text: string): number | null;
 	/** The request rate limit advertised in the headers of an endpoint's answer. */
 	readLimit(headers: http.IncomingHttpHeaders): LimitNotice;
+	/** The pause requested in the headers of an answer with which an endpoint refuses a request. */
+	readPause(headers: http.IncomingHttpHeaders): PauseNotice;
 };
--- a/packages/gateway/test/entry-node.test.ts
+++ b/packages/gateway/test/entry-node.test.ts
@@ -42,6 +42,7 @@
 	readTokens: headers => ({prompt: 100, mostAnswer: Number(headers['x-tokens'] ?? 10)}),
 	readActive: () => null,
 	readLimit: () => ({type: 'unlimited'}),
+	readPause: () => ({type: 'none'}),
 };
 
 type Serve = (request: IncomingMessage, response: ServerResponse) => void;
--- a/packages/gateway/test/serve-request.test.ts
+++ b/packages/gateway/test/serve-request.test.ts
@@ -31,6 +31,7 @@
 	readTokens: () => ({prompt: 100, mostAnswer: 10}),
 	readActive: () => null,
 	readLimit: () => ({type: 'unlimited'}),
+	readPause: () => ({type: 'none'}),
 };
 
 /** An entry that has just started, with a snapshot's configuration; `learn` is what the core then tells it. */
--- a/packages/transport/src/logging/events.ts
+++ b/packages/transport/src/logging/events.ts
@@ -72,6 +72,8 @@
 	BP4042: {level: 'warn', text: 'an endpoint advertises a limit that cannot be parsed', advice: 'The last known limit stays in force; correct the limit that the endpoint advertises.'},
 	BP4043: {level: 'warn', text: 'the entry that issues permits for a limited endpoint does not answer', advice: 'This entry sends its share of half the limit meanwhile; check the other entry.'},
 	BP4044: {level: 'info', text: 'permits for a limited endpoint are issued again', advice: 'None.'},
+	BP4045: {level: 'warn', text: 'an endpoint requested a pause', advice: 'None; check the endpoint if it recurs.'},
+	BP4046: {level: 'warn', text: 'an endpoint requested a pause that cannot be parsed', advice: 'The pause is ignored; correct the Retry-After value that the endpoint sends.'},
 	BP4090: {level: 'warn', text: 'log lines were left out', advice: 'None; the counts by event are in the line.'},
 	BP4091: {level: 'info', text: 'the settings were read again', advice: 'None.'},
 	BP9001: {level: 'info', text: 'the process is ready', advice: 'None.'},
