fix(coordination,gateway): send no requests to an endpoint that has asked for a pause

Cause: no entry took the Retry-After time into account in placement. After a refusal, the endpoint counted as full for 0.3 s. Then its load reports showed it as idle, because it was running nothing, and it was preferred.

Change: a paused endpoint is excluded from placement for first and second attempts, for resumed streams and as the last resort, and no permits are requested for it. A pause applies to one start of the endpoint and to one entry. It is not recorded as a failure and does not count towards a rest of the endpoint. If every endpoint is paused or at its limit, a request waits only if, behind those already waiting, it is expected to be accepted within its brief wait: by the slots of an endpoint whose pause ends by then, or under a limit. Otherwise it is refused at once, with a retry time not before the first endpoint accepts requests again. A caller whose attempts are used up is not told to retry before the first pause ends either.

--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -1,10 +1,12 @@
 import type {EngineProfile, RetryClass} from '@bitternpaddle/state';
+import type {PermitState} from '../endpoint-limits/permit-account.js';
 import type {Random} from '../utils/random.js';
 import {admitRequest} from './admit.js';
 import {arrivalsPerSecond, type ArrivalRate} from './arrival-rate.js';
 import {
-	acceptedAtMs, acceptedUntil, type Availability, type Unavailability,
+	acceptedAtMs, acceptedUntil, availabilityAt, type Unavailability,
 } from './availability.js';
+import {isPaused} from './endpoint-pause.js';
 import {readMs, spareFirstTokenMs} from './engine-model.js';
 import {answerBoundMs, canEndInTime} from './leaving.js';
 import {
@@ -34,8 +36,8 @@
 /** What an entry sees of a service, and of itself, at one moment. */
 export type Surroundings = {
 	readonly candidates: readonly Candidate[];
-	/** Whether an endpoint accepts a request now. */
-	availabilityOf(candidate: Candidate): Availability;
+	/** Whether the limit of an endpoint allows a request to be sent now. */
+	permitStateOf(candidate: Candidate): PermitState;
 	/** `null`: a plain service. */
 	readonly profile: EngineProfile | null;
 	readonly zoneId: string;
@@ -116,9 +118,9 @@
 
 type UnavailableCandidate = {readonly id: string; readonly unavailability: Unavailability};
 
-const unavailableCandidates = ({candidates, availabilityOf}: Surroundings, {triedIds}: SeekingRequest): UnavailableCandidate[] => candidates.flatMap(candidate => {
+const unavailableCandidates = ({candidates, permitStateOf, nowMs}: Surroundings, {triedIds}: SeekingRequest): UnavailableCandidate[] => candidates.flatMap(candidate => {
 	const {announcement: {id, state}} = candidate;
-	const availability = availabilityOf(candidate);
+	const availability = availabilityAt(candidate, permitStateOf(candidate), nowMs);
 	return availability.type === 'available' || state !== 'ready' || triedIds.has(id) ? [] : [{id, unavailability: availability}];
 });
 
@@ -127,10 +129,21 @@
 	othersPerSecond: arrivalsPerSecond(demand.sending, surroundings.nowMs) * (surroundings.entryCount - 1),
 });
 
-/** The endpoint that would be chosen if all accepted requests now; `null` if there is none or it is available. */
-export const preferredUnavailable = (demand: ServiceDemand, surroundings: Surroundings, request: SeekingRequest): Candidate | null => {
-	const preferred = place(demand, surroundings, request, request.triedIds)?.candidate ?? null;
-	return preferred === null || surroundings.availabilityOf(preferred).type === 'available' ? null : preferred;
+const pausedIds = ({candidates, nowMs}: Surroundings): string[] => candidates.filter(({load}) => isPaused(load, nowMs)).map(({announcement: {id}}) => id);
+
+/** The endpoint that would be chosen if limits did not apply; `null` if there is none or its limit allows a request now. */
+export const preferredLimited = (demand: ServiceDemand, surroundings: Surroundings, request: SeekingRequest): Candidate | null => {
+	const preferred = place(demand, surroundings, request, new Set([...request.triedIds, ...pausedIds(surroundings)]))?.candidate ?? null;
+	return preferred === null || surroundings.permitStateOf(preferred).type === 'available' ? null : preferred;
+};
+
+const unavailableReason = (unavailable: readonly Unavailability[]): string => {
+	const pausedCount = unavailable.filter(({type}) => type === 'paused').length;
+	if (pausedCount === 0) {
+		return 'every endpoint is at the limit that it names';
+	}
+
+	return pausedCount === unavailable.length ? 'every endpoint has asked for a pause' : 'every endpoint has asked for a pause or is at the limit that it names';
 };
 
 /** Spreads the retries of refused callers after the time when an endpoint is expected to accept them. */
@@ -149,7 +162,7 @@
 	}
 
 	const waitMs = Math.max(0, acceptedAtMs(unavailability, aheadCount) - nowMs);
-	return {type: 'refuse', reason: 'every endpoint is at the limit that it names', retryAfterMs: waitMs + random.between(0, availableSpreadMs)};
+	return {type: 'refuse', reason: unavailableReason(unavailability), retryAfterMs: waitMs + random.between(0, availableSpreadMs)};
 };
 
 /** What becomes of a request for which an endpoint is sought. */
--- a/packages/coordination/test/availability.test.ts
+++ b/packages/coordination/test/availability.test.ts
@@ -1,8 +1,8 @@
 import type {EngineProfile} from '@bitternpaddle/state';
 import t from 'tap';
 import {
-	createArrivalRate, createEndpointHealth, createEndpointLoad, createObjectiveMix, createRandom, createSpareRoom, nextStep, preferredUnavailable,
-	type Availability, type Candidate, type SeekingRequest, type ServiceDemand, type Surroundings,
+	createArrivalRate, createEndpointHealth, createEndpointLoad, createObjectiveMix, createRandom, createSpareRoom, nextStep, notePause, preferredLimited,
+	type Candidate, type PermitState, type SeekingRequest, type ServiceDemand, type Surroundings,
 } from '@bitternpaddle/coordination';
 
 const nowMs = 1050;
@@ -28,8 +28,8 @@
 	sending: createArrivalRate(), objectives: createObjectiveMix(), spareRoom: createSpareRoom(), heldCount: 0, queuedCount,
 });
 
-const surroundings = (availability: Readonly<Record<string, Availability>>): Surroundings => ({
-	candidates: [engine('idle', 0), engine('busy', 16)], availabilityOf: ({announcement: {id}}) => availability[id] ?? {type: 'available'}, profile, zoneId: 'z1',
+const surroundings = (availability: Readonly<Record<string, PermitState>>): Surroundings => ({
+	candidates: [engine('idle', 0), engine('busy', 16)], permitStateOf: ({announcement: {id}}) => availability[id] ?? {type: 'available'}, profile, zoneId: 'z1',
 	entryCount: 1, dues: [], leftMs: Number.POSITIVE_INFINITY, random: createRandom(1), nowMs,
 });
 
@@ -38,15 +38,15 @@
 	sinceMs: nowMs, isBegun: false, sentCount: 0, triedIds: new Set(), waitsFor: null, ...fields,
 });
 
-const limited = (nextMs: number): Availability => ({type: 'limited', nextAtMs: nowMs + nextMs, gapMs: 500});
+const limited = (nextMs: number): PermitState => ({type: 'limited', nextAtMs: nowMs + nextMs, gapMs: 500});
 
 t.test('an endpoint at its limit is not chosen, even if it is idle', async t => {
 	t.match(nextStep(demand(), surroundings({}), request()), {placement: {candidate: {announcement: {id: 'idle'}}}});
 	const atLimit = surroundings({idle: limited(100)});
 	t.match(nextStep(demand(), atLimit, request()), {type: 'send', placement: {candidate: {announcement: {id: 'busy'}}}});
 	t.match(nextStep(demand(), atLimit, request({sentCount: 1, triedIds: new Set(['busy']), isBegun: true})), {type: 'wait', reason: 'availability'}, 'a second attempt does not choose it either');
-	t.equal(preferredUnavailable(demand(), atLimit, request())?.announcement.id, 'idle');
-	t.equal(preferredUnavailable(demand(), surroundings({busy: limited(100)}), request()), null);
+	t.equal(preferredLimited(demand(), atLimit, request())?.announcement.id, 'idle');
+	t.equal(preferredLimited(demand(), surroundings({busy: limited(100)}), request()), null);
 });
 
 t.test('a request waits only if an endpoint is expected to accept it soon, behind those already waiting', async t => {
@@ -71,3 +71,33 @@
 	const step = nextStep(demand(5), surroundings({idle: limited(100), busy: limited(300)}), request());
 	t.ok(step.type === 'refuse' && step.retryAfterMs >= 1300, 'five requests are ahead, and the endpoints accept four per second');
 });
+
+/** Surroundings in which both endpoints requested a pause at `nowMs`; a pause of 0 has no effect. */
+const paused = (idlePauseMs: number, busyPauseMs: number): Surroundings => {
+	const pausedSurroundings = surroundings({});
+	for (const [index, pauseMs] of [idlePauseMs, busyPauseMs].entries()) {
+		notePause(pausedSurroundings.candidates[index]!.load, pauseMs, nowMs);
+	}
+
+	return pausedSurroundings;
+};
+
+t.test('an endpoint that has asked for a pause is not chosen, even by a second attempt or if no other endpoint is left', async t => {
+	t.match(nextStep(demand(), paused(3000, 0), request()), {type: 'send', placement: {candidate: {announcement: {id: 'busy'}}}});
+	t.match(nextStep(demand(), paused(3000, 0), request({sentCount: 1, triedIds: new Set(['busy']), isBegun: true})), {type: 'refuse'});
+	t.match(nextStep(demand(), {...paused(3000, 3000), profile: null}, request({retryClass: 'safe'})), {type: 'refuse'}, 'a plain service');
+});
+
+t.test('a request waits for a pause that ends soon, and is otherwise refused at once with the time when the first pause ends', async t => {
+	const step = nextStep(demand(), paused(3000, 5000), request());
+	t.match(step, {type: 'refuse', reason: 'every endpoint has asked for a pause'});
+	t.ok(step.type === 'refuse' && step.retryAfterMs >= 3000 && step.retryAfterMs <= 4000);
+	t.match(nextStep(demand(), paused(300, 5000), request()), {type: 'wait', reason: 'availability'});
+	t.match(nextStep(demand(16), paused(300, 5000), request()), {type: 'refuse'}, 'its slots are taken by those already waiting');
+});
+
+t.test('permits are not requested for an endpoint that has asked for a pause', async t => {
+	const limitedAndPaused = {...paused(3000, 0), permitStateOf: () => limited(100)};
+	t.equal(preferredLimited(demand(), limitedAndPaused, request())?.announcement.id, 'busy');
+	t.match(nextStep(demand(), limitedAndPaused, request()), {type: 'wait'});
+});
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -1,5 +1,5 @@
 import {
-	nextStep, preferredUnavailable, type NextStep, type Placement, type SeekingRequest, type ServiceDemand, type Surroundings, type WaitReason,
+	nextStep, preferredLimited, type NextStep, type Placement, type SeekingRequest, type ServiceDemand, type Surroundings, type WaitReason,
 } from '@bitternpaddle/coordination';
 import type {CallContext} from './call-context.js';
 import {duesOf} from './call-headers.js';
@@ -77,10 +77,10 @@
 		heldCount: room.heldFor(name, 'engines'), queuedCount: room.heldFor(name, 'availability'),
 	};
 	const surroundings: Surroundings = {
-		candidates: context.view.candidates(name, nowMs), availabilityOf: ({announcement}) => limits.stateOf(announcement), profile, zoneId: context.zoneId,
+		candidates: context.view.candidates(name, nowMs), permitStateOf: ({announcement}) => limits.stateOf(announcement), profile, zoneId: context.zoneId,
 		entryCount: context.entryCount(), dues: duesOf(context, call), leftMs: context.leftMs(), random, nowMs,
 	};
-	const preferred = limits.hasLimited() ? preferredUnavailable(demand, surroundings, seeking) : null;
+	const preferred = limits.hasLimited() ? preferredLimited(demand, surroundings, seeking) : null;
 	if (preferred !== null) {
 		limits.requestPermits(preferred.announcement);
 	}
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -45,7 +45,7 @@
 				context.quarantine.noteEnded(candidate.announcement.address);
 			}
 
-			return progress.unreachable > maxUnreachable && giveUp(context, call, progress, progress.lastReason, exhaustedRetryMs) === null;
+			return progress.unreachable > maxUnreachable && giveUp(context, call, progress, progress.lastReason, retryAfterMs(context, call)) === null;
 		}
 
 		case 'broken': {
@@ -170,6 +170,13 @@
 		return true;
 	}
 
-	giveUp(context, call, progress, progress.lastReason, exhaustedRetryMs);
+	giveUp(context, call, progress, progress.lastReason, retryAfterMs(context, call));
 	return false;
 };
+
+/** The retry delay for a caller whose attempts are used up: at least until the first endpoint is no longer paused. */
+const retryAfterMs = ({view, nowMs}: CallContext, {service}: Call): number => {
+	const now = nowMs();
+	const remainingPausesMs = view.candidates(service.name, now).map(({load}) => load.pausedUntilMs - now);
+	return remainingPausesMs.length === 0 ? exhaustedRetryMs : Math.max(exhaustedRetryMs, Math.min(...remainingPausesMs));
+};
--- a/packages/gateway/test/retry-after.test.ts
+++ b/packages/gateway/test/retry-after.test.ts
@@ -3,13 +3,13 @@
 import {createCrashingFleet, type CallAnswer, type CrashingFleet} from './support/crashing-fleet.js';
 
 const pauseMs = 2000;
-/** Requests under way when the endpoint asked for a pause reach it within this. */
-const underWayMs = 500;
-const allowed = 2;
+/** Requests in flight when the endpoint requests a pause arrive within this time. */
+const inFlightMs = 500;
+const maxDuringPause = 2;
 
 const entryOf = (requestId: string): number => Number(requestId.split('-', 1)[0]);
 
-/** Sends requests at a steady rate to the entries in turn; ids begin with the entry. */
+/** Sends requests to the entries in turn at a steady rate; each request id begins with the index of the entry. */
 const sendSteadily = async (fleet: CrashingFleet, {perSecond, forMs, entryCount}: {perSecond: number; forMs: number; entryCount: number}): Promise<CallAnswer[]> => {
 	const calls: Array<Promise<CallAnswer>> = [];
 	const startedAtMs = performance.now();
@@ -22,11 +22,11 @@
 	return Promise.all(calls);
 };
 
-/** The most requests that an engine got from one entry within a pause that it had asked that entry for. */
-const mostInPause = ({arrivals}: CrashingFleet, engine: number, fromMs: number): number => {
+/** The largest number of requests that an engine received from one entry during a pause requested from that entry. */
+const mostDuringPause = ({arrivals}: CrashingFleet, engine: number, fromMs: number): number => {
 	const refused = arrivals.filter(arrival => arrival.engine === engine && arrival.atMs >= fromMs)
 		.map(({atMs, requestId}) => ({atMs, entry: entryOf(requestId)}));
-	return Math.max(0, ...refused.map(({atMs, entry}) => refused.filter(other => other.entry === entry && other.atMs > atMs + underWayMs && other.atMs < atMs + pauseMs).length));
+	return Math.max(0, ...refused.map(({atMs, entry}) => refused.filter(other => other.entry === entry && other.atMs > atMs + inFlightMs && other.atMs < atMs + pauseMs).length));
 };
 
 t.test('an endpoint that refuses requests with a Retry-After gets none from that entry until the time is over', async t => {
@@ -41,11 +41,23 @@
 	state.isOverloaded = true;
 	const overloadedAtMs = performance.now();
 	const answers = await sendSteadily(fleet, {perSecond: 40, forMs: 5000, entryCount});
-	const most = mostInPause(fleet, 0, overloadedAtMs);
-	t.ok(most <= allowed, `${most} requests within a pause of ${pauseMs} ms, ${allowed} allowed`);
+	const most = mostDuringPause(fleet, 0, overloadedAtMs);
+	t.ok(most <= maxDuringPause, `${most} requests within a pause of ${pauseMs} ms, ${maxDuringPause} allowed`);
 	t.same(answers.filter(({status}) => status !== 200), [], 'the other endpoints serve all');
 	state.isOverloaded = false;
 	const recoveredAtMs = performance.now();
 	await sendSteadily(fleet, {perSecond: 40, forMs: pauseMs + 1000, entryCount});
 	t.ok(fleet.arrivals.some(({engine, atMs}) => engine === 0 && atMs > recoveredAtMs), 'the endpoint is used again');
 });
+
+t.test('while every endpoint is paused, callers are refused at once and nothing is sent to an endpoint', async t => {
+	const fleet = await createCrashingFleet(t, {
+		engineCount: 2, treat: body => body === 'first' ? {type: 'stream', pauseMs: 10} : {type: 'refuse', status: 503}, answerHeaders: () => ({'retry-after': '3'}),
+	});
+	await sendSteadily(fleet, {perSecond: 20, forMs: 200, entryCount: 1});
+	await delay(inFlightMs);
+	const arrivalCountBefore = fleet.arrivals.length;
+	const answers = await sendSteadily(fleet, {perSecond: 20, forMs: 1000, entryCount: 1});
+	t.equal(fleet.arrivals.length, arrivalCountBefore, 'nothing is sent to the endpoints');
+	t.ok(answers.every(({status, headers, text}) => status === 503 && Number(headers['retry-after']) >= 1 && text.includes('pause')));
+});
--- a/packages/model/src/entry.ts
+++ b/packages/model/src/entry.ts
@@ -139,7 +139,7 @@
 		const {seeking, request} = waits;
 		const nowMs = timeline.nowMs();
 		const step = policy.step(demand(), {
-			candidates: candidateList, availabilityOf: () => ({type: 'available'}), profile, zoneId, entryCount, dues: [], leftMs: Number.POSITIVE_INFINITY, random, nowMs,
+			candidates: candidateList, permitStateOf: () => ({type: 'available'}), profile, zoneId, entryCount, dues: [], leftMs: Number.POSITIVE_INFINITY, random, nowMs,
 		}, seeking);
 		if (step.type === 'wait' && step.reason === seeking.waitsFor) {
 			waiting.push(waits);
