fix(gateway,coordination): send no further requests to an endpoint whose answers say that it is leaving

Symptom: an endpoint that is leaving says so in its answers, and may announce it late or never. Entries kept sending requests to it for as long as its announcements said that it was ready.

Cause: the same as for the pauses: nothing read what an endpoint says about itself in its answers.

Change: the notice applies to one start of the endpoint, from the first answer that carries it and is not a 421 (which another start may have sent). From then on the endpoint is excluded from placement, also as the last resort, and the end of its connections is not attributed to any request as a crash. Logged once by each entry, as BP4047.

--- a/packages/bench/src/fleet-cost/deployment.ts
+++ b/packages/bench/src/fleet-cost/deployment.ts
@@ -40,4 +40,5 @@
 	readActive: () => null,
 	readLimit: () => ({type: 'unlimited'}),
 	readPause: () => ({type: 'none'}),
+	isLeaving: () => false,
 };
--- a/packages/coordination/src/placement/endpoint-load.ts
+++ b/packages/coordination/src/placement/endpoint-load.ts
@@ -34,12 +34,15 @@
 	lagAtMs: number;
 	/** The end of the pause that the endpoint requested; `-Infinity` if it has requested none. */
 	pausedUntilMs: number;
+	/** Whether an answer from this start of the endpoint said that it is leaving; its announcement may say so later or never. */
+	isLeaving: boolean;
 };
 
 export type AwaitedRequest = {readonly promptTokens: number; readonly sentAtMs: number; /** How long it was expected to wait. */ readonly expectedMs: number};
 
 export const createEndpointLoad = (): EndpointLoad => ({
-	report: null, reportedAtMs: Number.NEGATIVE_INFINITY, path: createPathDelay(), outstanding: 0, awaiting: new Map(), told: null, lagMs: 0, lagAtMs: 0, pausedUntilMs: Number.NEGATIVE_INFINITY,
+	report: null, reportedAtMs: Number.NEGATIVE_INFINITY, path: createPathDelay(), outstanding: 0, awaiting: new Map(), told: null, lagMs: 0, lagAtMs: 0,
+	pausedUntilMs: Number.NEGATIVE_INFINITY, isLeaving: false,
 });
 
 /** A request that left this long before a report was read is in the report: a crossing between regions and one reading. */
--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -119,9 +119,9 @@
 type UnavailableCandidate = {readonly id: string; readonly unavailability: Unavailability};
 
 const unavailableCandidates = ({candidates, permitStateOf, nowMs}: Surroundings, {triedIds}: SeekingRequest): UnavailableCandidate[] => candidates.flatMap(candidate => {
-	const {announcement: {id, state}} = candidate;
+	const {announcement: {id, state}, load: {isLeaving}} = candidate;
 	const availability = availabilityAt(candidate, permitStateOf(candidate), nowMs);
-	return availability.type === 'available' || state !== 'ready' || triedIds.has(id) ? [] : [{id, unavailability: availability}];
+	return availability.type === 'available' || state !== 'ready' || isLeaving || triedIds.has(id) ? [] : [{id, unavailability: availability}];
 });
 
 const place = (demand: ServiceDemand, surroundings: Surroundings, request: SeekingRequest, excludedIds: ReadonlySet<string>): Placement | null => placeRequest({
--- a/packages/coordination/src/placement/place-request.ts
+++ b/packages/coordination/src/placement/place-request.ts
@@ -78,7 +78,7 @@
 /** A candidate with what is expected of it, which every step of a placement goes by: worked out once for each. */
 type Weighed = {readonly candidate: Candidate; readonly expectedMs: number; /** `null`: a plain service, or none held. */ readonly version: number | null};
 
-const isOpen = ({announcement: {id, state}}: Candidate, {excludedIds}: PlaceOptions): boolean => state === 'ready' && !excludedIds.has(id);
+const isOpen = ({announcement: {id, state}, load: {isLeaving}}: Candidate, {excludedIds}: PlaceOptions): boolean => state === 'ready' && !isLeaving && !excludedIds.has(id);
 
 const weigh = (candidate: Candidate, options: PlaceOptions): Weighed => {
 	const {profile, nowMs} = options;
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -68,8 +68,8 @@
 };
 
 /** An endpoint that leaves ends its connections as one that crashes does. */
-const noteDisconnected = ({quarantine}: CallContext, call: Call, {announcement: {address, state}}: Candidate, {cause, stage}: Extract<AttemptResult, {type: 'broken'}>): void => {
-	if (cause === 'disconnected' && state === 'ready') {
+const noteDisconnected = ({quarantine}: CallContext, call: Call, {announcement: {address, state}, load: {isLeaving}}: Candidate, {cause, stage}: Extract<AttemptResult, {type: 'broken'}>): void => {
+	if (cause === 'disconnected' && state === 'ready' && !isLeaving) {
 		quarantine.noteBroken(call, address, stage);
 	}
 };
@@ -177,6 +177,6 @@
 /** The retry delay for a caller whose attempts are used up: at least until the first endpoint is no longer paused. */
 const retryAfterMs = ({view, nowMs}: CallContext, {service}: Call): number => {
 	const now = nowMs();
-	const remainingPausesMs = view.candidates(service.name, now).map(({load}) => load.pausedUntilMs - now);
+	const remainingPausesMs = view.candidates(service.name, now).filter(({load}) => !load.isLeaving).map(({load}) => load.pausedUntilMs - now);
 	return remainingPausesMs.length === 0 ? exhaustedRetryMs : Math.max(exhaustedRetryMs, Math.min(...remainingPausesMs));
 };
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -71,6 +71,7 @@
 		signal: call.ended.signal,
 		onHead(head) {
 			noteLimit(context, candidate, head, startedAtMs);
+			noteLeaving(context, candidate, head);
 			handlePauseNotice(context, call, candidate, head);
 		},
 		onFirstByte(head) {
@@ -156,6 +157,14 @@
 	}
 };
 
+const noteLeaving = ({protocol, logger}: CallContext, {announcement: {id, address}, load}: Candidate, {status, headers}: AnswerHead): void => {
+	// A 421 may come from another start of the endpoint, whose state does not apply to this one.
+	if (!load.isLeaving && status !== 421 && protocol.isLeaving(headers)) {
+		load.isLeaving = true;
+		logger.event('BP4047', {endpointId: id, address});
+	}
+};
+
 const noteLoad = ({protocol, nowMs}: CallContext, {load}: Candidate, {headers}: AnswerHead): void => {
 	const text = headers[protocol.headers.load];
 	const active = typeof text === 'string' ? protocol.readActive(text) : null;
--- a/packages/gateway/src/link/request-protocol.ts
+++ b/packages/gateway/src/link/request-protocol.ts
@@ -44,6 +44,8 @@
 	readActive(text: string): number | null;
 	/** The request rate limit advertised in the headers of an endpoint's answer. */
 	readLimit(headers: http.IncomingHttpHeaders): LimitNotice;
+	/** Whether the headers of an endpoint's answer say that it is leaving. */
+	isLeaving(headers: http.IncomingHttpHeaders): boolean;
 	/** The pause requested in the headers of an answer with which an endpoint refuses a request. */
 	readPause(headers: http.IncomingHttpHeaders): PauseNotice;
 };
--- a/packages/gateway/test/entry-node.test.ts
+++ b/packages/gateway/test/entry-node.test.ts
@@ -43,6 +43,7 @@
 	readActive: () => null,
 	readLimit: () => ({type: 'unlimited'}),
 	readPause: () => ({type: 'none'}),
+	isLeaving: () => false,
 };
 
 type Serve = (request: IncomingMessage, response: ServerResponse) => void;
--- a/packages/gateway/test/serve-request.test.ts
+++ b/packages/gateway/test/serve-request.test.ts
@@ -32,6 +32,7 @@
 	readActive: () => null,
 	readLimit: () => ({type: 'unlimited'}),
 	readPause: () => ({type: 'none'}),
+	isLeaving: () => false,
 };
 
 /** An entry that has just started, with a snapshot's configuration; `learn` is what the core then tells it. */
--- a/packages/transport/src/logging/events.ts
+++ b/packages/transport/src/logging/events.ts
@@ -74,6 +74,7 @@
 	BP4044: {level: 'info', text: 'permits for a limited endpoint are issued again', advice: 'None.'},
 	BP4045: {level: 'warn', text: 'an endpoint requested a pause', advice: 'None; check the endpoint if it recurs.'},
 	BP4046: {level: 'warn', text: 'an endpoint requested a pause that cannot be parsed', advice: 'The pause is ignored; correct the Retry-After value that the endpoint sends.'},
+	BP4047: {level: 'info', text: 'an endpoint reported in an answer that it is leaving', advice: 'None.'},
 	BP4090: {level: 'warn', text: 'log lines were left out', advice: 'None; the counts by event are in the line.'},
 	BP4091: {level: 'info', text: 'the settings were read again', advice: 'None.'},
 	BP9001: {level: 'info', text: 'the process is ready', advice: 'None.'},
