feat(gateway): entries log the answers that they cut, and the phases of a shutdown

An answer of which its caller got only a part had no line that said so: at the end of the grace period it was logged as a caller that disconnected (BP4025), and a connection that was closed as idle left no line. BP4048 names the request, the cause, what was written and what was not sent yet, whether the endpoint was still at work, and the time since the stop signal; answers_cut counts by cause. BP4049 tells the phases of a shutdown with the open connections and requests.

No logic is changed.

--- a/packages/gateway/src/entry/call-context.ts
+++ b/packages/gateway/src/entry/call-context.ts
@@ -37,6 +37,8 @@
 	dues(model: string): readonly VersionDue[];
 	/** Time until this process aborts the requests that still run; infinite unless it is shutting down. */
 	remainingGraceMs(): number;
+	/** Time since the stop signal; `null` unless the process is shutting down. */
+	sinceStopMs(): number | null;
 	holdsLease(): boolean;
 	/** Retry delay for callers while the lease is not held. */
 	lostCoreRetryMs(): number;
--- a/packages/gateway/src/entry/call-progress.ts
+++ b/packages/gateway/src/entry/call-progress.ts
@@ -9,6 +9,10 @@
 	mayHaveRun: boolean;
 	lastEventId: string | null;
 	hasEvents: boolean;
+	/** Bytes of events that were written to the caller's connection. */
+	writtenBytes: number;
+	/** Whether the last attempt was ended here while its endpoint may still have worked on it. */
+	isEndpointAtWork: boolean;
 	/** When the first byte arrived and when it was expected, relative to the arrival of the request. */
 	firstByteMs: number | null;
 	expectedMs: number | null;
@@ -16,5 +20,5 @@
 };
 
 export const createCallProgress = (): CallProgress => ({
-	triedIds: new Set(), sent: 0, unreachable: 0, mayHaveRun: false, lastEventId: null, hasEvents: false, firstByteMs: null, expectedMs: null, lastReason: '',
+	triedIds: new Set(), sent: 0, unreachable: 0, mayHaveRun: false, lastEventId: null, hasEvents: false, writtenBytes: 0, isEndpointAtWork: false, firstByteMs: null, expectedMs: null, lastReason: '',
 });
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -21,6 +21,7 @@
 import {createFrontServer} from './front-server.js';
 import {createWaitQueue} from './wait-queue.js';
 import type {CallContext} from './call-context.js';
+import {recordCut} from './cut-answer.js';
 import {runCall} from './run-call.js';
 import {serveRequest} from './serve-request.js';
 
@@ -120,6 +121,7 @@
 	let isLeaving = false;
 	let isClosed = false;
 	let exitsAtMs = Number.POSITIVE_INFINITY;
+	let stoppedAtMs: number | null = null;
 	let wasReady = false;
 
 	const configuration = createConfigurationHolder({
@@ -139,6 +141,7 @@
 		},
 	});
 
+	const sinceStopMs = (): number | null => stoppedAtMs === null ? null : Math.round(monotonicNowMs() - stoppedAtMs);
 	const context: CallContext = {
 		protocol, connections, view, waitQueue, quarantine, limits, zoneId, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs,
 		allowance: allowance.of, sendRate: sendRate.of, objectives: objectives.of, spareCapacity: spareCapacity.of,
@@ -146,6 +149,7 @@
 		remainingGraceMs: () => exitsAtMs - shutdownReserveMs - monotonicNowMs(),
 		nowMs: monotonicNowMs,
 		retryReserve: () => bounds.retryReserve / entryCount,
+		sinceStopMs,
 		dues: versions.dues,
 	};
 	const waitWhile = async (isMissing: () => boolean, maxMs: number): Promise<void> => {
@@ -167,6 +171,11 @@
 		onError(error) {
 			logger.event('BP9003', {message: error.stack ?? error.message});
 		},
+		onCut({request, response}, cause) {
+			recordCut(context, {
+				requestId: String(request.headers[protocol.headers.requestId] ?? ''), response, cause, reason: 'the entry closed the connection', progress: null,
+			});
+		},
 	});
 	const client = createCoreClient({
 		self, seeds, clock, logger, configurationNumber: configuration.number, wantsConfiguration: () => true,
@@ -238,6 +247,12 @@
 	metrics.gauge('configuration_number', 'Number of the configuration in force here.', configuration.number);
 	metrics.gauge('key_lease_age_ms', 'Since when the keys in force are surely known.', lease.ageMs);
 
+	const logPhase = (phase: 'serving' | 'draining' | 'closing'): void => {
+		logger.event('BP4049', {
+			phase, sinceStopMs: sinceStopMs(), openConnections: front.openConnections(), openRequests: front.openRequests(),
+		});
+	};
+
 	const close = (): void => {
 		if (isClosed) {
 			return;
@@ -263,19 +278,23 @@
 			isLeaving = true;
 			isReady();
 			const startedAtMs = performance.now();
+			stoppedAtMs = startedAtMs;
 			exitsAtMs = startedAtMs + bounds.graceMs;
+			logPhase('serving');
 			const servingMs = bounds.graceMs * servingShare;
 			// Callers keep using their connections, and each answer asks them to close (`connection: close`): closing a connection while a request is sent on it would lose the request.
 			while (performance.now() < startedAtMs + servingMs && (front.openConnections() > 0 || performance.now() < startedAtMs + Math.min(balancerDetectionMs, servingMs))) {
 				await delay(idlePollMs);
 			}
 
+			logPhase('draining');
 			front.closeListener();
 			while (performance.now() < exitsAtMs - shutdownReserveMs && front.openConnections() > 0) {
 				front.closeIdle();
 				await delay(idlePollMs);
 			}
 
+			logPhase('closing');
 			close();
 		},
 		close,
--- a/packages/gateway/src/entry/finish-call.ts
+++ b/packages/gateway/src/entry/finish-call.ts
@@ -5,6 +5,7 @@
 import type {AnswerHead} from './attempt.js';
 import type {CallContext} from './call-context.js';
 import type {CallProgress} from './call-progress.js';
+import {cutAnswer} from './cut-answer.js';
 import {answerHeaders} from './forwarded-headers.js';
 import type {Call} from './gateway-call.js';
 
@@ -46,7 +47,8 @@
 };
 
 /** Forwards an endpoint's complete answer. */
-export const forwardAnswer = ({metrics, logger, nowMs}: CallContext, call: Call, head: AnswerHead, body: Buffer): void => {
+export const forwardAnswer = (context: CallContext, call: Call, progress: CallProgress, head: AnswerHead, body: Buffer): void => {
+	const {metrics, logger, nowMs} = context;
 	const {response, requestId, service, receivedAtMs} = call;
 	metrics.request(service.name, String(head.status));
 	logger.event('BP4020', {requestId, status: head.status, tookMs: Math.round(nowMs() - receivedAtMs)});
@@ -55,7 +57,9 @@
 		response.end(body);
 	} else if (response.headersSent) {
 		// Another endpoint was to resume the stream but did not answer with a stream: the caller must see that the stream is incomplete.
-		response.destroy();
+		cutAnswer(context, {
+			requestId, response, cause: 'mismatch', reason: `the endpoint answered ${head.status} without a stream`, progress,
+		});
 	}
 };
 
@@ -85,7 +89,8 @@
 };
 
 /** Sends the caller its final answer, or closes the connection if part of an answer was already sent. */
-export const failCall = ({metrics, logger, nowMs}: CallContext, call: Call, progress: CallProgress, message: string, retryAfterMs?: number): null => {
+export const failCall = (context: CallContext, call: Call, progress: CallProgress, message: string, retryAfterMs?: number): null => {
+	const {metrics, logger, nowMs} = context;
 	const {response, requestId, service} = call;
 	if (response.destroyed) {
 		metrics.request(service.name, 'left');
@@ -100,7 +105,9 @@
 		hasComeBack: call.hasComeBack, heldMs: Math.round(nowMs() - call.receivedAtMs),
 	});
 	if (response.headersSent) {
-		response.destroy();
+		cutAnswer(context, {
+			requestId, response, cause: call.cancellation.signal.aborted ? 'deadline' : 'attempt', reason: message, progress,
+		});
 	} else {
 		sendLocalReply(response, answer);
 	}
@@ -127,7 +134,9 @@
 		requestId, status, reason: 'the request crashes the endpoints that run it', fingerprint, ends: evidence.length, sent: progress.sent, heldMs: Math.round(nowMs() - call.receivedAtMs),
 	});
 	if (response.headersSent) {
-		response.destroy();
+		cutAnswer(context, {
+			requestId, response, cause: 'quarantine', reason: 'the request crashes the endpoints that run it', progress,
+		});
 	} else {
 		sendLocalReply(response, {status, message: `${evidence.length} endpoints ended while they had this request; it is not sent to another one for ${remainingS} s`});
 	}
--- a/packages/gateway/src/entry/front-server.ts
+++ b/packages/gateway/src/entry/front-server.ts
@@ -7,6 +7,8 @@
 	/** `isReused`: the connection carried a request before. */
 	serve(request: http.IncomingMessage, response: http.ServerResponse, connection: {readonly isReused: boolean}): Promise<void>;
 	onError(error: Error): void;
+	/** Called before a connection is closed whose answer has not been sent completely. @default ignored */
+	readonly onCut?: (exchange: Exchange, cause: 'idleClose' | 'shutdown') => void;
 };
 
 export type FrontServer = {
@@ -29,7 +31,7 @@
 const maxHeadBytes = 32_768;
 
 /** Creates the HTTP server for callers. */
-export const createFrontServer = async ({listen, serve, onError}: FrontServerOptions): Promise<FrontServer> => {
+export const createFrontServer = async ({listen, serve, onError, onCut = () => undefined}: FrontServerOptions): Promise<FrontServer> => {
 	const exchanges = new Map<Socket, Exchange>();
 	const sockets = new Set<Socket>();
 	const usedSockets = new WeakSet<Socket>();
@@ -57,6 +59,15 @@
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 		refuseConnection(socket, error, exchanges.get(socket as Socket));
 	});
+	/** `closeIdleConnections` also closes connections whose answer has ended but not been sent completely. */
+	const reportUnsent = (): void => {
+		for (const exchange of exchanges.values()) {
+			if (exchange.response.writableEnded && !exchange.response.writableFinished) {
+				onCut(exchange, 'idleClose');
+			}
+		}
+	};
+
 	const address = await listenOn(server, listen);
 	return {
 		address,
@@ -66,12 +77,18 @@
 			server.keepAliveTimeout = idleMs + idleMarginMs;
 		},
 		closeListener() {
+			reportUnsent();
 			server.close();
 		},
 		closeIdle() {
+			reportUnsent();
 			server.closeIdleConnections();
 		},
 		destroy() {
+			for (const exchange of exchanges.values()) {
+				onCut(exchange, 'shutdown');
+			}
+
 			server.close();
 			server.closeAllConnections();
 		},
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -52,6 +52,7 @@
 			progress.sent++;
 			progress.mayHaveRun = true;
 			progress.lastReason = result.reason;
+			progress.isEndpointAtWork = result.cause === 'silent' || result.cause === 'outdated';
 			logAttemptFailure(context, call, candidate, result.reason, result.cause);
 			recordEndpointFailure(context, call, candidate);
 			recordDisconnected(context, call, candidate, result);
@@ -61,6 +62,7 @@
 		case 'aborted': {
 			progress.sent++;
 			progress.mayHaveRun = true;
+			progress.isEndpointAtWork = true;
 			failAborted(context, call, progress);
 			return true;
 		}
@@ -116,7 +118,7 @@
 		recordSuccess(candidate.health);
 	}
 
-	forwardAnswer(context, call, head, body);
+	forwardAnswer(context, call, progress, head, body);
 	return true;
 };
 
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -95,6 +95,7 @@
 
 			progress.lastEventId = lastId ?? progress.lastEventId;
 			progress.hasEvents = true;
+			progress.writtenBytes += events.length;
 			forwardEvents(call.response, head, events);
 		},
 	});
