fix(transport,gateway): a connection with unsent bytes is not closed as idle

Callers saw: a part of an answer and a closed connection, if they read late or over a slow link while an entry shut down. An endpoint had run the request and its answer had been received completely.

Cause: Node's closeIdleConnections, which Server.close calls as well, takes a connection for idle as soon as response.end() was called (it looks at 'finished' only), although the bytes still wait in the process for the client to read. Both servers used it: the one of callers in the gateway, and that of transport, which the product's entries, the request gate at the endpoint, agents and control hosts serve with. The class: taking 'handed to the connection' for 'sent'.

Change: a tracker of connections, shared by both servers. A connection is idle if all responses on it have been sent (their 'close' event), nothing waits to be written, and nothing of a request has arrived since. When a server closes, each connection closes as it becomes idle, instead of by a poll. Node also took connections that had carried nothing for busy, which held up close() for up to 60 s; they close at once. Answers that are under way at the signal ask their caller to close the connection if their head has not been sent, not only those to later requests.

--- a/packages/gateway/src/entry/cut-answer.ts
+++ b/packages/gateway/src/entry/cut-answer.ts
@@ -5,10 +5,9 @@
 /**
  * Why an answer was ended after its caller had received a part of it. `attempt`: its
  * attempt failed, and no other one may be made. `mismatch`: another endpoint did not
- * resume it. `idleClose`: the connection was closed as idle before everything was sent.
- * `shutdown`: the grace period ended.
+ * resume it. `shutdown`: the grace period ended.
  */
-export type CutCause = 'attempt' | 'deadline' | 'mismatch' | 'quarantine' | 'idleClose' | 'shutdown';
+export type CutCause = 'attempt' | 'deadline' | 'mismatch' | 'quarantine' | 'shutdown';
 
 export type CutAnswer = {
 	readonly requestId: string;
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -163,7 +163,7 @@
 		listen: options.listen,
 		serve: async (request, response, connection) => serveRequest({
 			firstAttemptDeadlines: firstAttemptDeadlines.of,
-			protocol, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs, table: configuration.table, isLeaving: () => isLeaving, nowMs: monotonicNowMs,
+			protocol, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs, table: configuration.table, nowMs: monotonicNowMs,
 			run: async call => runCall(context, call),
 			awaitConfiguration: async maxMs => waitWhile(() => configuration.table() === null, maxMs),
 			awaitLease: async maxMs => waitWhile(() => !lease.hasHeld() && !lease.holds(), maxMs),
@@ -171,9 +171,9 @@
 		onError(error) {
 			logger.event('BP9003', {message: error.stack ?? error.message});
 		},
-		onCut({request, response}, cause) {
+		onCut({request, response}) {
 			recordCut(context, {
-				requestId: String(request.headers[protocol.headers.requestId] ?? ''), response, cause, reason: 'the entry closed the connection', progress: null,
+				requestId: String(request.headers[protocol.headers.requestId] ?? ''), response, cause: 'shutdown', reason: 'the grace period ended', progress: null,
 			});
 		},
 	});
@@ -281,6 +281,7 @@
 			stoppedAtMs = startedAtMs;
 			exitsAtMs = startedAtMs + bounds.graceMs;
 			logPhase('serving');
+			front.announceClose();
 			const servingMs = bounds.graceMs * servingShare;
 			// Callers keep using their connections, and each answer asks them to close (`connection: close`): closing a connection while a request is sent on it would lose the request.
 			while (performance.now() < startedAtMs + servingMs && (front.openConnections() > 0 || performance.now() < startedAtMs + Math.min(balancerDetectionMs, servingMs))) {
@@ -288,9 +289,8 @@
 			}
 
 			logPhase('draining');
-			front.closeListener();
+			front.closeWhenIdle();
 			while (performance.now() < exitsAtMs - shutdownReserveMs && front.openConnections() > 0) {
-				front.closeIdle();
 				await delay(idlePollMs);
 			}
 
--- a/packages/gateway/src/entry/front-server.ts
+++ b/packages/gateway/src/entry/front-server.ts
@@ -1,6 +1,8 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
-import {listenOn, refuseConnection, type Exchange} from '@bitternpaddle/transport';
+import {
+	listenOn, refuseConnection, trackConnections, type Exchange,
+} from '@bitternpaddle/transport';
 
 export type FrontServerOptions = {
 	readonly listen: string;
@@ -8,7 +10,7 @@
 	serve(request: http.IncomingMessage, response: http.ServerResponse, connection: {readonly isReused: boolean}): Promise<void>;
 	onError(error: Error): void;
 	/** Called before a connection is closed whose answer has not been sent completely. @default ignored */
-	readonly onCut?: (exchange: Exchange, cause: 'idleClose' | 'shutdown') => void;
+	readonly onCut?: (exchange: Exchange) => void;
 };
 
 export type FrontServer = {
@@ -18,10 +20,10 @@
 	openConnections(): number;
 	/** Sets how long a caller's connection may be idle. */
 	setIdleTimeout(idleMs: number): void;
-	/** Stops accepting connections; open connections stay open. */
-	closeListener(): void;
-	/** Closes connections without a request in progress. */
-	closeIdle(): void;
+	/** Makes answers ask callers to close their connection. */
+	announceClose(): void;
+	/** Stops accepting connections, and closes each one once it is idle. */
+	closeWhenIdle(): void;
 	destroy(): void;
 };
 
@@ -32,17 +34,11 @@
 
 /** Creates the HTTP server for callers. */
 export const createFrontServer = async ({listen, serve, onError, onCut = () => undefined}: FrontServerOptions): Promise<FrontServer> => {
-	const exchanges = new Map<Socket, Exchange>();
-	const sockets = new Set<Socket>();
 	const usedSockets = new WeakSet<Socket>();
 	const server = http.createServer({
 		keepAliveTimeout: defaultIdleMs + idleMarginMs, maxHeaderSize: maxHeadBytes, requestTimeout: 0,
 	}, (request, response) => {
 		const {socket} = request;
-		exchanges.set(socket, {request, response});
-		response.once('close', () => {
-			exchanges.delete(socket);
-		});
 		const isReused = usedSockets.has(socket);
 		usedSockets.add(socket);
 		serve(request, response, {isReused}).catch((error: unknown) => {
@@ -50,43 +46,23 @@
 			response.destroy();
 		});
 	});
-	server.on('connection', socket => {
-		sockets.add(socket);
-		socket.once('close', () => {
-			sockets.delete(socket);
-		});
-	});
+	const tracker = trackConnections(server);
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-		refuseConnection(socket, error, exchanges.get(socket as Socket));
+		refuseConnection(socket, error, tracker.exchangeOf(socket));
 	});
-	/** `closeIdleConnections` also closes connections whose answer has ended but not been sent completely. */
-	const reportUnsent = (): void => {
-		for (const exchange of exchanges.values()) {
-			if (exchange.response.writableEnded && !exchange.response.writableFinished) {
-				onCut(exchange, 'idleClose');
-			}
-		}
-	};
-
 	const address = await listenOn(server, listen);
 	return {
 		address,
-		openRequests: () => exchanges.size,
-		openConnections: () => sockets.size,
+		openRequests: () => tracker.exchanges().length,
+		openConnections: tracker.openConnections,
 		setIdleTimeout(idleMs) {
 			server.keepAliveTimeout = idleMs + idleMarginMs;
 		},
-		closeListener() {
-			reportUnsent();
-			server.close();
-		},
-		closeIdle() {
-			reportUnsent();
-			server.closeIdleConnections();
-		},
+		announceClose: tracker.announceClose,
+		closeWhenIdle: tracker.closeWhenIdle,
 		destroy() {
-			for (const exchange of exchanges.values()) {
-				onCut(exchange, 'shutdown');
+			for (const exchange of tracker.exchanges()) {
+				onCut(exchange);
 			}
 
 			server.close();
--- a/packages/gateway/src/entry/serve-request.ts
+++ b/packages/gateway/src/entry/serve-request.ts
@@ -26,8 +26,6 @@
 	holdsLease(): boolean;
 	/** Retry delay for callers while the lease is not held. */
 	lostCoreRetryMs(): number;
-	/** Whether the process is shutting down; connections are then closed after the current answer. */
-	isLeaving(): boolean;
 	/** Deadlines of first attempts on a route, from which caller retries are recognized. */
 	firstAttemptDeadlines(routeName: string): FirstAttemptDeadlines;
 	run(call: Call): Promise<void>;
@@ -133,10 +131,6 @@
 export const serveRequest = async (context: ServeContext, request: http.IncomingMessage, response: http.ServerResponse, {isReused}: {readonly isReused: boolean}): Promise<void> => {
 	const {protocol, random, nowMs} = context;
 	const receivedAtMs = nowMs();
-	if (context.isLeaving()) {
-		response.setHeader('connection', 'close');
-	}
-
 	const matched = await awaitRouteMatch(context, request);
 	if (isLocalReply(matched)) {
 		refuse(context, request, response, matched);
--- a/packages/gateway/test/serve-request.test.ts
+++ b/packages/gateway/test/serve-request.test.ts
@@ -43,7 +43,7 @@
 	const firstAttemptDeadlines = createFirstAttemptDeadlines();
 	const context: ServeContext = {
 		protocol, random: createRandom(1), logger: silentLogger, metrics: createGatewayMetrics(), nowMs: () => performance.now(),
-		table: () => state.table, holdsLease: () => state.holdsLease, lostCoreRetryMs: () => 2000, isLeaving: () => false, firstAttemptDeadlines: () => firstAttemptDeadlines,
+		table: () => state.table, holdsLease: () => state.holdsLease, lostCoreRetryMs: () => 2000, firstAttemptDeadlines: () => firstAttemptDeadlines,
 		awaitConfiguration: async () => undefined,
 		async awaitLease(maxMs) {
 			waits.push(maxMs);
--- a/packages/transport/src/http/http-server.ts
+++ b/packages/transport/src/http/http-server.ts
@@ -1,11 +1,11 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
-import type {Duplex} from 'node:stream';
 import {createBodyBudget} from './body-budget.js';
 import {createConnectionLimit} from './connection-limit.js';
+import {trackConnections} from './connection-tracker.js';
 import {listenOn} from './listen.js';
 import type {ServerLimits} from './overload.js';
-import {refuseConnection, type Exchange} from './refuse-connection.js';
+import {refuseConnection} from './refuse-connection.js';
 import {BodyTooLargeError} from './http-client.js';
 
 export type HttpHandler = (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>;
@@ -13,7 +13,7 @@
 export type HttpServer = {
 	/** The bound `ip:port`. */
 	readonly address: string;
-	/** Stops listening and closes idle connections; resolves when the open requests are finished. */
+	/** Stops listening and closes idle connections; resolves when all responses have been sent. */
 	close(): Promise<void>;
 	/** Closes all connections immediately. */
 	destroy(): void;
@@ -30,8 +30,6 @@
 
 /** Longer than clients keep idle connections, so that the server closes none while a request is being sent on it. */
 const keepAliveTimeoutMs = 65_000;
-const closeIdleIntervalMs = 20;
-
 /** Interval of the checks for slow senders. */
 const connectionsCheckingIntervalMs = 500;
 
@@ -42,8 +40,6 @@
 	} = limits;
 	const bodies = createBodyBudget(maxBufferedBytes);
 	const connections = createConnectionLimit({maxConnections, refuseIncomplete: reason => bodies.refuseOldest(reason)});
-	const exchanges = new WeakMap<Duplex, Exchange>();
-	let isClosing = false;
 	const server = http.createServer({
 		keepAliveTimeout: keepAliveTimeoutMs, headersTimeout: headersTimeoutMs, requestTimeout: requestTimeoutMs, connectionsCheckingInterval: connectionsCheckingIntervalMs,
 	}, (request, response) => {
@@ -53,14 +49,9 @@
 		}
 
 		const meter = bodies.open(request, response);
-		exchanges.set(socket, {request, response});
 		response.once('close', () => {
-			exchanges.delete(socket);
 			connections.end(socket);
 		});
-		if (isClosing) {
-			response.setHeader('connection', 'close');
-		}
 
 		handler(request, response).catch((error: unknown) => {
 			// The sender already has its response; the handler's error only follows from the interrupted body.
@@ -85,8 +76,9 @@
 			}
 		});
 	});
+	const tracker = trackConnections(server);
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-		refuseConnection(socket, error, exchanges.get(socket));
+		refuseConnection(socket, error, tracker.exchangeOf(socket));
 	});
 	server.prependListener('connection', (socket: Socket) => {
 		connections.open(socket);
@@ -94,7 +86,7 @@
 	// A caller that never reads would keep its response in memory forever. A response with no data to send yet may take longer.
 	server.timeout = unreadTimeoutMs;
 	server.on('timeout', (socket: Socket) => {
-		if (socket.writableLength > 0 || !exchanges.has(socket)) {
+		if (socket.writableLength > 0 || tracker.exchangeOf(socket) === undefined) {
 			socket.destroy();
 		}
 	});
@@ -102,18 +94,9 @@
 	return {
 		address,
 		async close() {
-			isClosing = true;
-			// A connection becomes idle when its streamed response ends; if it were not closed then, it would delay the shutdown until its keep-alive timeout.
-			const timer = setInterval(() => {
-				server.closeIdleConnections();
-			}, closeIdleIntervalMs);
 			await new Promise<void>(resolve => {
-				server.close(() => {
-					resolve();
-				});
-				server.closeIdleConnections();
+				tracker.closeWhenIdle(resolve);
 			});
-			clearInterval(timer);
 		},
 		destroy() {
 			server.closeAllConnections();
--- a/packages/transport/src/http/index.ts
+++ b/packages/transport/src/http/index.ts
@@ -1,5 +1,6 @@
 export * from './address.js';
 export * from './connection-pool.js';
+export * from './connection-tracker.js';
 export * from './http-client.js';
 export * from './http-server.js';
 export * from './is-refusing-connections.js';
--- a/packages/transport/test/http-server.test.ts
+++ b/packages/transport/test/http-server.test.ts
@@ -62,3 +62,18 @@
 	t.equal(bodyLength(await readToEnd(client)), largeBytes);
 	await closed;
 });
+
+// Guards against closing a connection on which a part of a request has arrived, and against waiting for one on which nothing has.
+t.test('closing a server answers a request that is being received', async t => {
+	const {server, answered, connect} = await startServer(t);
+	const [idle, sending, later] = [await connect(), await connect(), await connect()];
+	sending.write('GET /small HTTP/1.1\r\nho');
+	later.write('GET /later HTTP/1.1\r\nhost: a\r\n\r\n');
+	await waitFor(() => answered.length === 1);
+	const closed = server.close();
+	t.equal((await readToEnd(idle)).length, 0, 'an idle connection is closed at once');
+	await delay(100);
+	sending.write('st: a\r\n\r\n');
+	t.match((await readToEnd(sending)).toString(), /^HTTP\/1.1 200 [\s\S]*small$/v);
+	await closed;
+});
