fix(transport,platform,daemon): no stop signal ends a process abruptly

Callers saw: their connections closed without an answer, at the moment of the signal.

The product's own daemon handled each signal once, so a second SIGTERM, or a SIGHUP at any time, ended it in the middle of its streams; a signal during the start stopped only the roles that had started, and cut the others. The class: a signal without a handler while requests may be open.

The stop waits until the role has started. The daemon stops gracefully on SIGHUP too.

--- a/packages/daemon/src/commands/run-command.ts
+++ b/packages/daemon/src/commands/run-command.ts
@@ -1,6 +1,8 @@
 import path from 'node:path';
 import process from 'node:process';
-import {createLogger, createMetrics, type Logger} from '@bitternpaddle/transport';
+import {
+	createLogger, createMetrics, handleStopSignals, ignore, type Logger,
+} from '@bitternpaddle/transport';
 import {Command, Option} from 'clipanion';
 import {
 	environmentName, resolveSettings, settingDefinitions, type SettingKey, type Settings,
@@ -27,7 +29,7 @@
 
 	static override usage = Command.Usage({
 		description: 'Run one host with one or more roles.',
-		details: 'Settings are read from flags, then environment variables, then defaults. SIGTERM and SIGINT stop the host gracefully: it refuses new requests and finishes the running ones.',
+		details: 'Settings are read from flags, then environment variables, then defaults. SIGTERM, SIGINT and SIGHUP stop the host gracefully: it refuses new requests and finishes the running ones.',
 		examples: [
 			['A control host', '$0 run --roles control --host-id c1 --listen 127.0.0.1:7001 --controls c1=127.0.0.1:7001,c2=127.0.0.1:7002,c3=127.0.0.1:7003 --data-folder ./data/c1'],
 			['An entry', '$0 run --roles entry --host-id e1 --listen 127.0.0.1:7101 --controls c1=127.0.0.1:7001 --admin-tokens administer:change-me-now'],
@@ -86,8 +88,10 @@
 	const nodes: Stoppable[] = [];
 	let onFailed = (): void => undefined;
 	const finished = new Promise<number>(resolve => {
-		const stopAll = async (exitCode = 0): Promise<void> => {
+		const stopAll = async (exitCode: number): Promise<void> => {
 			logger.event('BP9002', {});
+			// A role that is still starting may already have accepted requests.
+			await started.catch(ignore);
 			for (const node of nodes.toReversed()) {
 				await node.stop();
 			}
@@ -99,16 +103,18 @@
 			void stopAll(failureExitCode);
 		};
 
-		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-			process.once(signal, () => {
-				void stopAll();
-			});
-		}
+		handleStopSignals({
+			signals: ['SIGTERM', 'SIGINT', 'SIGHUP'],
+			stop() {
+				void stopAll(0);
+			},
+		});
+	});
+	const started = startRoles({
+		settings, nodes, logger, onFailed,
 	});
 	try {
-		await startRoles({
-			settings, nodes, logger, onFailed,
-		});
+		await started;
 	} catch (error) {
 		logger.event('BP9003', {message: (error as Error).message});
 		return failureExitCode;
--- /dev/null
+++ b/packages/transport/src/process/index.ts
@@ -0,0 +1,1 @@
+export * from './stop-signals.js';
--- a/test/processes-stop.test.ts
+++ b/test/processes-stop.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import {waitUntil} from '@bitternpaddle/daemon';
 import {checkHistory, eventsOf, type CallOutcome} from '@bitternpaddle/test-support';
 import t from 'tap';
@@ -79,15 +80,17 @@
 	t.same(checkHistory(cluster.history.events), []);
 });
 
-// Guards against a second signal that ends a process at once while it finishes its streams.
+// Guards against a signal that ends a process at once while it finishes its streams.
 t.test('an entry that receives a second stop signal completes its streams', {timeout: 120_000}, async t => {
 	const cluster = await createProcessCluster(t, {engines: 1, tokenMs: 20});
 	await cluster.load();
 	const streams = Promise.all(Array.from({length: 4}, async (_, index) => cluster.stream(`long-${index}`, {entry: 0, maxTokens: 60})));
 	await waitUntil('every stream runs', () => eventsOf(cluster.history.events, 'runStarted').length === 4, {timeoutMs: stepTimeoutMs});
 	const [entry] = cluster.entries;
-	entry!.signal('SIGTERM');
+	entry!.signal('SIGHUP');
 	await waitUntil('it handles the first signal', () => hasLogged(entry!, 'BP9002'), {timeoutMs: stepTimeoutMs});
+	entry!.signal('SIGTERM');
+	await delay(100);
 	t.strictSame(await entry!.terminate('SIGTERM'), {code: 0, signal: null});
 	t.same((await streams).filter(outcome => !isCompleteAnswer(outcome)), []);
 });
