fix(gateway): end an attempt at a silent endpoint only if the request can be resent

Callers saw: a stream that stopped in the middle and a closed connection, or 502, although the endpoint was still at work on the request.

Cause: whether a request may be repeated was decided when it was sent, and the silence timeout, on which that decision was made, then ended the attempt unconditionally. Only after that the entry found out that its retry allowance was used up, that no other endpoint would take the request, or that too little of its grace period was left, and cut the answer. The class: giving up what is held before its replacement is certain.

Change: when the timeout expires, the attempt ends only if the allowance has a retry and another endpoint accepts the request at this moment; otherwise it continues, and both are checked again every 150 ms.

--- a/packages/gateway/src/entry/attempt-limits.ts
+++ b/packages/gateway/src/entry/attempt-limits.ts
@@ -11,6 +11,8 @@
 	readonly pauseMs: number | null;
 	/** Whether the endpoint's own host still reports that it is running. */
 	isReported(): boolean;
+	/** Whether the request can be sent to another endpoint now. Otherwise the attempt continues, however long the endpoint is silent. */
+	canResend(): boolean;
 };
 
 /** Timeouts as multiples of the route's objective. An engine without fresh reports from its host may be suspended or lost. */
@@ -29,11 +31,17 @@
 const defaultPauseObjectiveMs = 1000;
 
 const noLimits: AttemptLimits = {
-	firstByteMs: null, maxFirstByteMs: null, pauseMs: null, isReported: () => false,
+	firstByteMs: null, maxFirstByteMs: null, pauseMs: null, isReported: () => false, canResend: () => false,
 };
 
-/** `canRepeat`: the request is idempotent and further attempts remain. */
-export const attemptLimits = ({service: {engine}, route}: Call, {load}: Candidate, canRepeat: boolean, nowMs: () => number): AttemptLimits => {
+export type AttemptLimitsOptions = {
+	/** Whether the request is idempotent and further attempts remain. */
+	readonly canRepeat: boolean;
+	canResend(): boolean;
+	nowMs(): number;
+};
+
+export const attemptLimits = ({service: {engine}, route}: Call, {load}: Candidate, {canRepeat, canResend, nowMs}: AttemptLimitsOptions): AttemptLimits => {
 	if (!canRepeat) {
 		return noLimits;
 	}
@@ -44,5 +52,6 @@
 		maxFirstByteMs: scaleObjective(engine === null ? plainObjectiveFactor : maxObjectiveFactor),
 		pauseMs: pauseFactor * (route.pauseObjectiveMs ?? defaultPauseObjectiveMs),
 		isReported: () => hasFreshReport(load, nowMs()),
+		canResend,
 	};
 };
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -54,8 +54,8 @@
 
 /** Ten times the one-way latency between regions; a lost SYN packet is retransmitted only after 1 s. */
 const connectTimeoutMs = 300;
-/** Interval at which fresh reports are checked for while an endpoint sends nothing. */
-const reportCheckMs = 150;
+/** Interval of the checks for fresh reports, and for another endpoint, while an endpoint sends nothing. */
+const silenceCheckMs = 150;
 /** Bounds the memory that an answer takes on a small host; usual answers are a few kilobytes. */
 const maxAnswerBytes = 16 * 1024 * 1024;
 
@@ -141,7 +141,12 @@
 		silenceTimer = setTimeout(() => {
 			const extensionMs = extendedUntilMs - performance.now();
 			if (extensionMs > 0 && limits.isReported()) {
-				startSilenceTimer(Math.min(extensionMs, reportCheckMs), extendedUntilMs);
+				startSilenceTimer(Math.min(extensionMs, silenceCheckMs), extendedUntilMs);
+				return;
+			}
+
+			if (!limits.canResend()) {
+				startSilenceTimer(silenceCheckMs, extendedUntilMs);
 				return;
 			}
 
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -68,6 +68,21 @@
 	return call.isKeyInForce() ? null : {reason: 'the key is no longer in force', retryAfterMs: revokedRetryMs};
 };
 
+/** Whether another endpoint would accept the request if its current attempt were ended now. */
+export const canPlaceAgain = (context: CallContext, call: Call, progress: CallProgress): boolean => {
+	const seeking = {...unplacedRequest(context, call, progress), sentCount: progress.sent + 1};
+	return refusalOf(context, call) === null && selectNextStep(context, call, seeking).type === 'send';
+};
+
+const unplacedRequest = (context: CallContext, call: Call, progress: CallProgress): UnplacedRequest => {
+	const {route} = call;
+	return {
+		isLastTry: call.hasComeBack, deadlineAtMs: call.deadlineAtMs, retryClass: route.retryClass, objectiveMs: route.objectiveMs, timeoutMs: route.timeoutMs,
+		promptTokens: call.promptTokens, maxAnswerTokens: call.answerTokenLimit, receivedAtMs: call.receivedAtMs, sinceMs: context.nowMs(),
+		isBegun: progress.hasEvents, sentCount: progress.sent, triedIds: progress.triedIds, waitsFor: null,
+	};
+};
+
 const selectNextStep = (context: CallContext, call: Call, seeking: UnplacedRequest): NextStep => {
 	const {name, engine: profile} = call.service;
 	const {limits, waitQueue, random} = context;
@@ -97,13 +112,9 @@
 };
 
 const createWait = (context: CallContext, call: Call, progress: CallProgress): Wait => {
-	const {service: {name}, route} = call;
+	const {service: {name}} = call;
 	let leave: (() => void) | null = null;
-	let seeking: UnplacedRequest = {
-		isLastTry: call.hasComeBack, deadlineAtMs: call.deadlineAtMs, retryClass: route.retryClass, objectiveMs: route.objectiveMs, timeoutMs: route.timeoutMs,
-		promptTokens: call.promptTokens, maxAnswerTokens: call.answerTokenLimit, receivedAtMs: call.receivedAtMs, sinceMs: context.nowMs(),
-		isBegun: progress.hasEvents, sentCount: progress.sent, triedIds: progress.triedIds, waitsFor: null,
-	};
+	let seeking = unplacedRequest(context, call, progress);
 
 	const joinQueue = (reason: WaitReason): (() => void) | null => {
 		switch (reason) {
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -1,6 +1,6 @@
 import type {Buffer} from 'node:buffer';
 import {
-	hasFreshReport, recordFailure, recordConnectionFailure, recordSuccess, takeAttempt, type Candidate, type Placement,
+	hasFreshReport, mayTakeAttempt, recordFailure, recordConnectionFailure, recordSuccess, takeAttempt, type Candidate, type Placement,
 } from '@bitternpaddle/coordination';
 import type {AnswerHead, AttemptResult, FailureCause} from './attempt.js';
 import type {CallContext} from './call-context.js';
@@ -160,6 +160,9 @@
 	}
 };
 
+/** Whether the allowance permits one more attempt now. */
+export const mayTakeRetry = ({allowance, retryReserve, nowMs}: CallContext, {service}: Call): boolean => mayTakeAttempt(allowance(service.name), retryReserve(), nowMs());
+
 /** Whether the request may be sent to one more endpoint; if so, consumes a retry from the allowance. */
 const takeRetry = (context: CallContext, call: Call, progress: CallProgress): boolean => {
 	const isAllowed = !progress.mayHaveRun || isIdempotent(call);
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -6,10 +6,10 @@
 import type {CallContext} from './call-context.js';
 import {versionDuesOf, endpointHeaders, loadedVersion} from './call-headers.js';
 import {createCallProgress, type CallProgress} from './call-progress.js';
-import {findEndpoint} from './find-endpoint.js';
+import {canPlaceAgain, findEndpoint} from './find-endpoint.js';
 import {forwardEvents} from './finish-call.js';
 import {isIdempotent, type Call} from './gateway-call.js';
-import {handleAttemptResult} from './judge-attempt.js';
+import {handleAttemptResult, mayTakeRetry} from './judge-attempt.js';
 
 /** Sends a request to endpoints until one answers or no further attempt is allowed, and sends the caller its answer. */
 export const runCall = async (context: CallContext, call: Call): Promise<void> => {
@@ -66,7 +66,9 @@
 		connections, headerNames: protocol.headers, address: announcement.address, method: call.request.method!, path: call.request.url!,
 		headers: endpointHeaders(context, call, progress, candidate), requestId: call.requestId, body: call.body,
 		requiresFreshConnection: !isIdempotent(call),
-		limits: attemptLimits(call, candidate, isIdempotent(call) && progress.sent + 1 < route.maxAttempts, nowMs),
+		limits: attemptLimits(call, candidate, {
+			canRepeat: isIdempotent(call) && progress.sent + 1 < route.maxAttempts, canResend: () => mayTakeRetry(context, call) && canPlaceAgain(context, call, progress), nowMs,
+		}),
 		beginWithinMs: engineVersion === null ? null : startWithinMs(engineVersion, versionDuesOf(context, call), startedAtMs),
 		signal: call.cancellation.signal,
 		onHead(head) {
--- a/packages/gateway/test/attempt.test.ts
+++ b/packages/gateway/test/attempt.test.ts
@@ -41,12 +41,14 @@
 
 const answer = (id: string, body: string, head = ''): string => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-signature: s\r\n${head}content-length: ${body.length}\r\n\r\n${body}`;
 
+type SendOptions = {readonly stallMs?: number | null; readonly canResend?: boolean; readonly signal?: AbortSignal; readonly requiresFreshConnection?: boolean};
+
 const create = (t: Test) => {
 	const connections = createEndpointConnections();
 	t.teardown(connections.close);
-	return async (address: string, requestId: string, options: {stallMs?: number | null; signal?: AbortSignal; requiresFreshConnection?: boolean} = {}): Promise<AttemptResult> => sendAttempt({
+	return async (address: string, requestId: string, options: SendOptions = {}): Promise<AttemptResult> => sendAttempt({
 		connections, headerNames: names, address, method: 'GET', path: '/', headers: {'x-id': requestId}, requestId, body: null, requiresFreshConnection: false, limits: {
-			firstByteMs: options.stallMs ?? null, maxFirstByteMs: options.stallMs ?? null, pauseMs: null, isReported: () => false,
+			firstByteMs: options.stallMs ?? null, maxFirstByteMs: options.stallMs ?? null, pauseMs: null, isReported: () => false, canResend: () => options.canResend ?? true,
 		}, beginWithinMs: null,
 		signal: new AbortController().signal, onHead: () => undefined, onFirstByte: () => undefined, onEvents: () => undefined, ...(options.signal !== undefined && {signal: options.signal}),
 	});
@@ -167,3 +169,17 @@
 	});
 	t.ok(isClosed);
 });
+
+// Guards against giving up an attempt whose request cannot be sent to another endpoint.
+t.test('an attempt at a silent endpoint continues while its request cannot be resent', async t => {
+	const {address} = await listen(t, (socket, request) => {
+		setTimeout(() => {
+			if (!socket.destroyed) {
+				socket.write(answer(idOf(request), 'late'));
+			}
+		}, 400);
+	});
+	const send = create(t);
+	t.match(await send(address, 'a', {stallMs: 50}), {type: 'broken', cause: 'silent'});
+	t.match(await send(address, 'b', {stallMs: 50, canResend: false}), {type: 'answered'});
+});
