fix(coordination): an entry that shuts down leaves room for slow engines

Callers saw: a stream that an entry had accepted during its shutdown ended in the middle, with the process.

Cause: a request was started if its estimated end lay before that of the entry. The estimate knows the usual speed of an engine; one that is suspended, loading or busy takes longer, and nothing bounded by how much. The class: an estimate in the place of a promise.

Change: besides, the rest of the grace period must cover four fifths of the time until the answer is due, from the caller's deadline and the route's timeout. With a grace period of 8 s and deadlines of 6 s, requests start up to 2.9 s after the signal; later ones have not run, and are told at once to come back to another entry. A request that was sent to an endpoint is no longer refused for the end of the entry when it is resent: it may have run, and a stream that has begun can be continued nowhere else.

Evidence: a stream whose engine pauses 300 ms between events was started 0.4 s into a grace period of 2 s and cut (known red); it is refused now. Ruled out: to start only what is due before the end. That refuses short answers, which end in time, from 1.7 s after the signal on.

--- a/packages/coordination/src/placement/leaving.ts
+++ b/packages/coordination/src/placement/leaving.ts
@@ -27,6 +27,8 @@
 	/** Estimated time to the answer, or to its first token. */
 	readonly expectedMs: number;
 	readonly maxAnswerMs: number;
+	/** Time until the answer is due. */
+	readonly dueInMs: number;
 	/** Time until the process aborts running requests; infinite unless it is shutting down. */
 	readonly remainingMs: number;
 };
@@ -34,11 +36,16 @@
 /** The start of a request may take half as long again as estimated. */
 const expectationFactor = 1.5;
 
+/** An answer that takes a larger share of its time is very late already, so the estimate may be exceeded up to here without an answer being aborted. */
+const minDueShare = 0.8;
+
 /**
  * Whether an entry that is shutting down may still start a request. Callers keep using
  * their connections, and a stream that waits for its engine would be aborted by the end of
- * the process after it has run. Requests that are certain to end before are started;
- * the others have not run, and their callers reach another entry with their next
- * connection.
+ * the process after it has run. A request is started if it is expected to end before that,
+ * and if that leaves it most of the time until its answer is due, because an engine may be
+ * slower than estimated. The others have not run, and their callers reach another entry
+ * with their next connection.
  */
-export const canFinishInTime = ({expectedMs, maxAnswerMs: maxMs, remainingMs}: ShutdownOptions): boolean => (expectedMs * expectationFactor) + maxMs < remainingMs;
+export const canFinishInTime = ({expectedMs, maxAnswerMs: maxMs, dueInMs, remainingMs}: ShutdownOptions): boolean => (expectedMs * expectationFactor) + maxMs < remainingMs
+	&& remainingMs >= dueInMs * minDueShare;
--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -93,10 +93,11 @@
 /** Time that a complete answer takes once it has started. An answer that is aborted at its caller's deadline is worthless but uses as much engine capacity. */
 const answerTimeMs = (profile: EngineProfile | null): number => profile === null ? 0 : answerMs(profile);
 
-/** Whether the answer is certain to end before this entry does. */
-const canFinishHere = ({profile, shutdownInMs}: PlacementContext, {timeoutMs, maxAnswerTokens}: UnplacedRequest, {expectedMs}: Placement): boolean => canFinishInTime({
-	expectedMs, remainingMs: shutdownInMs, maxAnswerMs: maxAnswerMs({profile, maxTokens: maxAnswerTokens, timeoutMs}),
-});
+/** Whether the answer ends before this entry does. A request that was sent once is not refused for that: it may have run, and no other entry can continue its answer. */
+const canFinishHere = ({profile, shutdownInMs, nowMs}: PlacementContext, {timeoutMs, maxAnswerTokens, deadlineAtMs, sentCount}: UnplacedRequest, {expectedMs}: Placement): boolean => sentCount > 0
+	|| canFinishInTime({
+		expectedMs, remainingMs: shutdownInMs, dueInMs: deadlineAtMs - nowMs, maxAnswerMs: maxAnswerMs({profile, maxTokens: maxAnswerTokens, timeoutMs}),
+	});
 
 /** Handles the case that no endpoint serves: the request waits briefly, is held until engines have loaded, or is refused with a retry time. */
 const withoutEndpoint = (demand: ServiceDemand, {profile, candidates, entryCount, random, nowMs}: PlacementContext, request: UnplacedRequest): NextStep => {
