fix(gateway): requests that still run at the end of the grace period are answered

Callers saw: a closed connection without an answer, which tells neither that the request may have run nor that another entry could take it.

Cause: the end of the grace period closed all connections at once, including those of requests that waited for an endpoint (not run) or for the first byte of an answer (may have run). The log had them as callers that disconnected. The class: closing in place of answering.

Change: after 15/16 of the grace period, open requests are cancelled with a cause of their own. One that has not run gets 503 and comes back to another entry at once, one that may have run gets 502; only an answer that has begun is cut, and BP4048 says so with the time since the signal. Connections are closed after 31/32. Both were one fixed 250 ms before, whatever the grace.

Evidence: 'a request that waits for its engine at the end of the grace period is answered' got no answer before (known red), 502 now.

--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -17,6 +17,7 @@
 import {createLazyMap} from './lazy-map.js';
 import {createEndpointConnections} from './endpoint-connections.js';
 import {createEndpointView} from './endpoint-view.js';
+import type {Call, CancelCause} from './gateway-call.js';
 import {createEntryLease} from './entry-lease.js';
 import {createFrontServer} from './front-server.js';
 import {createWaitQueue} from './wait-queue.js';
@@ -79,8 +80,10 @@
  * connection is open when it receives the stop signal.
  */
 const balancerDetectionMs = 2500;
-/** How long before the end of the grace period running requests are aborted, so that the process exits by itself. */
-const shutdownReserveMs = 250;
+/** Share of the grace period after which running requests are aborted and answered. */
+const runningShare = 15 / 16;
+/** Share of the grace period after which all connections are closed, so that the process exits by itself; timers of a busy host fire late. */
+const openShare = 31 / 32;
 const idlePollMs = 50;
 /** Clock for everything except the lease; steps of the wall clock would make reports and requests appear late or overdue. */
 const monotonicNowMs = (): number => performance.now();
@@ -116,11 +119,12 @@
 	const objectives = createLazyMap(createObjectiveMix);
 	const spareCapacity = createLazyMap(createSpareCapacity);
 	const allowance = createLazyMap(() => createRetryAllowance({windowMs: bounds.retryWindowMs, share: bounds.retryShare}));
+	const openCalls = new Set<Call>();
 	let entryCount = 1;
 	let relayPlan: RelayPlan = noRelay;
 	let isLeaving = false;
 	let isClosed = false;
-	let exitsAtMs = Number.POSITIVE_INFINITY;
+	let abortsAtMs = Number.POSITIVE_INFINITY;
 	let stoppedAtMs: number | null = null;
 	let wasReady = false;
 
@@ -146,7 +150,7 @@
 		protocol, connections, view, waitQueue, quarantine, limits, zoneId, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs,
 		allowance: allowance.of, sendRate: sendRate.of, objectives: objectives.of, spareCapacity: spareCapacity.of,
 		entryCount: () => entryCount,
-		remainingGraceMs: () => exitsAtMs - shutdownReserveMs - monotonicNowMs(),
+		remainingGraceMs: () => abortsAtMs - monotonicNowMs(),
 		nowMs: monotonicNowMs,
 		retryReserve: () => bounds.retryReserve / entryCount,
 		sinceStopMs,
@@ -164,7 +168,14 @@
 		serve: async (request, response, connection) => serveRequest({
 			firstAttemptDeadlines: firstAttemptDeadlines.of,
 			protocol, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs, table: configuration.table, nowMs: monotonicNowMs,
-			run: async call => runCall(context, call),
+			async run(call) {
+				openCalls.add(call);
+				try {
+					await runCall(context, call);
+				} finally {
+					openCalls.delete(call);
+				}
+			},
 			awaitConfiguration: async maxMs => waitWhile(() => configuration.table() === null, maxMs),
 			awaitLease: async maxMs => waitWhile(() => !lease.hasHeld() && !lease.holds(), maxMs),
 		}, request, response, connection),
@@ -253,6 +264,13 @@
 		});
 	};
 
+	/** Resolves once all callers' connections are closed, or at `untilMs`. */
+	const waitUntilClosed = async (untilMs: number): Promise<void> => {
+		while (performance.now() < untilMs && front.openConnections() > 0) {
+			await delay(idlePollMs);
+		}
+	};
+
 	const close = (): void => {
 		if (isClosed) {
 			return;
@@ -279,7 +297,7 @@
 			isReady();
 			const startedAtMs = performance.now();
 			stoppedAtMs = startedAtMs;
-			exitsAtMs = startedAtMs + bounds.graceMs;
+			abortsAtMs = startedAtMs + (bounds.graceMs * runningShare);
 			logPhase('serving');
 			front.announceClose();
 			const servingMs = bounds.graceMs * servingShare;
@@ -290,11 +308,13 @@
 
 			logPhase('draining');
 			front.closeWhenIdle();
-			while (performance.now() < exitsAtMs - shutdownReserveMs && front.openConnections() > 0) {
-				await delay(idlePollMs);
+			await waitUntilClosed(abortsAtMs);
+			logPhase('closing');
+			for (const {cancellation} of openCalls) {
+				cancellation.abort('shutdown' satisfies CancelCause);
 			}
 
-			logPhase('closing');
+			await waitUntilClosed(startedAtMs + (bounds.graceMs * openShare));
 			close();
 		},
 		close,
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -4,7 +4,9 @@
 import type {CallContext} from './call-context.js';
 import {versionDuesOf} from './call-headers.js';
 import type {CallProgress} from './call-progress.js';
-import {failCall, minRemainingMs, refuseQuarantined} from './finish-call.js';
+import {
+	failCall, failCancelled, minRemainingMs, refuseQuarantined,
+} from './finish-call.js';
 import type {Call} from './gateway-call.js';
 
 /** Retry delay for a caller whose key was revoked; earlier retries are refused as well until an operator acts. */
@@ -27,6 +29,10 @@
 				return refuseQuarantined(context, call, progress, verdict);
 			}
 
+			if (call.cancellation.signal.aborted) {
+				return failCancelled(context, call, progress);
+			}
+
 			const refusal = refusalOf(context, call);
 			if (refusal !== null) {
 				return failCall(context, call, progress, refusal.reason, refusal.retryAfterMs);
@@ -56,7 +62,7 @@
 };
 
 const refusalOf = ({nowMs, holdsLease, lostCoreRetryMs}: CallContext, call: Call): Refusal | null => {
-	if (call.cancellation.signal.aborted || call.deadlineAtMs - nowMs() < minRemainingMs) {
+	if (call.deadlineAtMs - nowMs() < minRemainingMs) {
 		return {reason: 'the deadline passed'};
 	}
 
@@ -71,7 +77,7 @@
 /** Whether another endpoint would accept the request if its current attempt were ended now. */
 export const canPlaceAgain = (context: CallContext, call: Call, progress: CallProgress): boolean => {
 	const seeking = {...unplacedRequest(context, call, progress), sentCount: progress.sent + 1};
-	return refusalOf(context, call) === null && selectNextStep(context, call, seeking).type === 'send';
+	return !call.cancellation.signal.aborted && refusalOf(context, call) === null && selectNextStep(context, call, seeking).type === 'send';
 };
 
 const unplacedRequest = (context: CallContext, call: Call, progress: CallProgress): UnplacedRequest => {
--- a/packages/gateway/src/entry/finish-call.ts
+++ b/packages/gateway/src/entry/finish-call.ts
@@ -5,9 +5,9 @@
 import type {AnswerHead} from './attempt.js';
 import type {CallContext} from './call-context.js';
 import type {CallProgress} from './call-progress.js';
-import {cutAnswer} from './cut-answer.js';
+import {cutAnswer, type CutCause} from './cut-answer.js';
 import {answerHeaders} from './forwarded-headers.js';
-import type {Call} from './gateway-call.js';
+import {cancelCauseOf, type Call, type CancelCause} from './gateway-call.js';
 
 /** With less time than this before the deadline, a request can no longer be sent and answered. */
 export const minRemainingMs = 15;
@@ -88,6 +88,32 @@
 	return nowMs >= call.deadlineAtMs - minRemainingMs ? {status: 504, message: `may have run: ${message}`} : {status: 502, message: `may have run: ${message}`};
 };
 
+const cutCauseOf = (cause: CancelCause | null): CutCause => {
+	switch (cause) {
+		case 'deadline':
+		case 'shutdown': {
+			return cause;
+		}
+
+		case 'quarantined': {
+			return 'quarantine';
+		}
+
+		case 'callerDisconnected':
+		case null: {
+			return 'attempt';
+		}
+	}
+};
+
+/** Retry delay for a caller whose request was cancelled by the shutdown before it ran; another entry can accept it at once. */
+const shutdownRetryMs = 10;
+
+/** Like `failCall`, for a request that was cancelled. */
+export const failCancelled = (context: CallContext, call: Call, progress: CallProgress): null => cancelCauseOf(call) === 'shutdown'
+	? failCall(context, call, progress, 'the grace period of the entry ended', shutdownRetryMs)
+	: failCall(context, call, progress, 'the deadline passed');
+
 /** Sends the caller its final answer, or closes the connection if part of an answer was already sent. */
 export const failCall = (context: CallContext, call: Call, progress: CallProgress, message: string, retryAfterMs?: number): null => {
 	const {metrics, logger, nowMs} = context;
@@ -106,7 +132,7 @@
 	});
 	if (response.headersSent) {
 		cutAnswer(context, {
-			requestId, response, cause: call.cancellation.signal.aborted ? 'deadline' : 'attempt', reason: message, progress,
+			requestId, response, cause: cutCauseOf(cancelCauseOf(call)), reason: message, progress,
 		});
 	} else {
 		sendLocalReply(response, answer);
--- a/packages/gateway/src/entry/gateway-call.ts
+++ b/packages/gateway/src/entry/gateway-call.ts
@@ -3,6 +3,9 @@
 import type {RequestFingerprint, RequestOutline} from '@bitternpaddle/coordination';
 import type {Route, Service, Team} from '@bitternpaddle/state';
 
+/** Why a request is no longer answered by an endpoint. `shutdown`: the grace period of the entry ends. */
+export type CancelCause = 'callerDisconnected' | 'deadline' | 'quarantined' | 'shutdown';
+
 /** A request of a caller until its answer is complete. */
 export type Call = {
 	readonly requestId: string;
@@ -20,7 +23,7 @@
 	readonly deadlineAtMs: number;
 	/** Whether this is a confirmed caller retry: it has no further retry and is already late. */
 	readonly hasComeBack: boolean;
-	/** Aborted when the caller disconnects, the deadline passes or the request is quarantined. */
+	/** Aborted with a `CancelCause` as its reason. */
 	readonly cancellation: AbortController;
 	/** Whether the route requires a key; the lease must then be held when the request is forwarded. */
 	readonly requiresKey: boolean;
@@ -32,5 +35,8 @@
 	isKeyInForce(): boolean;
 };
 
+/** Why a request was cancelled; `null` if it was not. */
+export const cancelCauseOf = ({cancellation: {signal}}: Call): CancelCause | null => signal.aborted ? signal.reason as CancelCause : null;
+
 /** Whether a request may run more than once. */
 export const isIdempotent = ({route: {retryClass, isResumable}}: Call): boolean => retryClass === 'safe' || (retryClass === 'streaming' && isResumable);
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -7,7 +7,7 @@
 import {requestedVersion} from './call-headers.js';
 import type {CallProgress} from './call-progress.js';
 import {
-	finishStream, exhaustedRetryMs, failCall, forwardAnswer, refuseQuarantined,
+	finishStream, exhaustedRetryMs, failCall, failCancelled, forwardAnswer, refuseQuarantined,
 } from './finish-call.js';
 import {isIdempotent, type Call} from './gateway-call.js';
 
@@ -79,7 +79,7 @@
 const failAborted = (context: CallContext, call: Call, progress: CallProgress): void => {
 	const verdict = context.quarantine.verdictOn(call);
 	if (verdict === null) {
-		failCall(context, call, progress, 'the deadline passed');
+		failCancelled(context, call, progress);
 	} else {
 		refuseQuarantined(context, call, progress, verdict);
 	}
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -8,7 +8,7 @@
 import {createCallProgress, type CallProgress} from './call-progress.js';
 import {canPlaceAgain, findEndpoint} from './find-endpoint.js';
 import {forwardEvents} from './finish-call.js';
-import {isIdempotent, type Call} from './gateway-call.js';
+import {isIdempotent, type Call, type CancelCause} from './gateway-call.js';
 import {handleAttemptResult, mayTakeRetry} from './judge-attempt.js';
 
 /** Sends a request to endpoints until one answers or no further attempt is allowed, and sends the caller its answer. */
@@ -20,7 +20,7 @@
 	const unwatch = context.quarantine.watch(call, () => {
 		// An answer that has started continues: its outcome clears the request or confirms the verdict.
 		if (!call.response.headersSent) {
-			call.cancellation.abort();
+			call.cancellation.abort('quarantined' satisfies CancelCause);
 		}
 	});
 	try {
--- a/packages/gateway/src/entry/serve-request.ts
+++ b/packages/gateway/src/entry/serve-request.ts
@@ -9,7 +9,7 @@
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
 import type {RequestProtocol} from '../link/request-protocol.js';
 import {sendLocalReply, type LocalReply} from './local-reply.js';
-import type {Call} from './gateway-call.js';
+import type {Call, CancelCause} from './gateway-call.js';
 
 export type ServeContext = {
 	readonly protocol: RequestProtocol;
@@ -152,13 +152,13 @@
 	const deadlineAtMs = receivedAtMs + Math.min(route.timeoutMs, deadlineMs);
 	const cancellation = new AbortController();
 	const deadline = setTimeout(() => {
-		cancellation.abort();
+		cancellation.abort('deadline' satisfies CancelCause);
 	}, Math.max(0, deadlineAtMs - nowMs()));
 	response.once('close', () => {
 		clearTimeout(deadline);
 		// Requests of callers that disconnect are aborted at once, also while they wait.
 		if (!response.writableFinished) {
-			cancellation.abort();
+			cancellation.abort('callerDisconnected' satisfies CancelCause);
 		}
 	});
 	const service = context.table()?.services.get(pickService(route, random));
