fix(gateway): keep a silent attempt until another endpoint has begun to answer

Callers saw: a stream that stopped in the middle and a closed connection, although the endpoint that ran it was only slow.

Cause: an attempt at a silent endpoint was reset before the request was sent to another one. That one was chosen by an estimate; if it refused (full, or another version), never answered or lost its answer, the attempts of the route were used up.

Change: the second attempt starts beside the first. It takes over with a head that can continue the answer (success, signature, a stream if events were sent); the first is reset then. If bytes of the first arrive before, the second is reset. If the second fails, it is recorded as before and the first continues. The numbers of attempts and the retry allowance are those of before, and requests that may not repeat are not concerned.

--- a/packages/gateway/src/entry/attempt-limits.ts
+++ b/packages/gateway/src/entry/attempt-limits.ts
@@ -11,8 +11,11 @@
 	readonly pauseMs: number | null;
 	/** Whether the endpoint's own host still reports that it is running. */
 	isReported(): boolean;
-	/** Whether the request can be sent to another endpoint now. Otherwise the attempt continues, however long the endpoint is silent. */
-	canResend(): boolean;
+	/**
+	 * Sends the request to another endpoint as well; resolves with `true` once that one has
+	 * begun to answer, and with `false` if there is none or it does not answer.
+	 */
+	handOver(): Promise<boolean>;
 };
 
 /** Timeouts as multiples of the route's objective. An engine without fresh reports from its host may be suspended or lost. */
@@ -31,17 +34,17 @@
 const defaultPauseObjectiveMs = 1000;
 
 const noLimits: AttemptLimits = {
-	firstByteMs: null, maxFirstByteMs: null, pauseMs: null, isReported: () => false, canResend: () => false,
+	firstByteMs: null, maxFirstByteMs: null, pauseMs: null, isReported: () => false, handOver: async () => false,
 };
 
 export type AttemptLimitsOptions = {
 	/** Whether the request is idempotent and further attempts remain. */
 	readonly canRepeat: boolean;
-	canResend(): boolean;
+	handOver(): Promise<boolean>;
 	nowMs(): number;
 };
 
-export const attemptLimits = ({service: {engine}, route}: Call, {load}: Candidate, {canRepeat, canResend, nowMs}: AttemptLimitsOptions): AttemptLimits => {
+export const attemptLimits = ({service: {engine}, route}: Call, {load}: Candidate, {canRepeat, handOver, nowMs}: AttemptLimitsOptions): AttemptLimits => {
 	if (!canRepeat) {
 		return noLimits;
 	}
@@ -52,6 +55,6 @@
 		maxFirstByteMs: scaleObjective(engine === null ? plainObjectiveFactor : maxObjectiveFactor),
 		pauseMs: pauseFactor * (route.pauseObjectiveMs ?? defaultPauseObjectiveMs),
 		isReported: () => hasFreshReport(load, nowMs()),
-		canResend,
+		handOver,
 	};
 };
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -30,6 +30,8 @@
 	onFirstByte(head: AnswerHead): void;
 	/** Called with complete events of a stream. */
 	onEvents(head: AnswerHead, events: Buffer, lastId: string | null): void;
+	/** Called when bytes of an answer arrive. */
+	onProgress?(): void;
 };
 
 /**
@@ -69,12 +71,13 @@
 /** Sends a request to one endpoint and reads its answer to the end. */
 export const sendAttempt = async (options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
 	const {
-		connections, headerNames, address, method, path, headers, requestId, body, requiresFreshConnection, limits, beginWithinMs, signal, onHead, onFirstByte, onEvents,
+		connections, headerNames, address, method, path, headers, requestId, body, requiresFreshConnection, limits, beginWithinMs, signal, onHead, onFirstByte, onEvents, onProgress,
 	} = options;
 	let isSettled = false;
 	let isConnected = false;
 	let hasEvents = false;
 	let answer: http.IncomingMessage | null = null;
+	let isHandingOver = false;
 	let silenceTimer: NodeJS.Timeout | null = null;
 	let connectTimer: NodeJS.Timeout | null = null;
 	let beginTimer: NodeJS.Timeout | null = null;
@@ -134,6 +137,7 @@
 	/** `extendedUntilMs`: until then the timeout is extended while the endpoint's host reports on it. */
 	const startSilenceTimer = (silenceMs: number | null, extendedUntilMs = 0): void => {
 		clearTimeout(silenceTimer ?? undefined);
+		silenceTimer = null;
 		if (silenceMs === null) {
 			return;
 		}
@@ -145,14 +149,24 @@
 				return;
 			}
 
-			if (!limits.canResend()) {
-				startSilenceTimer(silenceCheckMs, extendedUntilMs);
-				return;
+			silenceTimer = null;
+			if (!isHandingOver) {
+				void handOver(extendedUntilMs);
 			}
+		}, silenceMs);
+	};
 
+	/** Ends the attempt once another endpoint has begun to answer; until then, this one may still do so. */
+	const handOver = async (extendedUntilMs: number): Promise<void> => {
+		isHandingOver = true;
+		const isTaken = await limits.handOver();
+		isHandingOver = false;
+		if (isTaken) {
 			connections.closeIdle(address);
 			fail('silent', 'the endpoint was silent for longer than the timeout');
-		}, silenceMs);
+		} else if (!isSettled && silenceTimer === null) {
+			startSilenceTimer(silenceCheckMs, extendedUntilMs);
+		}
 	};
 
 	const request = connections.open({
@@ -180,6 +194,7 @@
 	});
 	request.on('response', response => {
 		answer = response;
+		onProgress?.();
 		const head: AnswerHead = {status: response.statusCode!, headers: response.headers};
 		const echoed = response.headers[headerNames.requestId];
 		if (echoed === undefined ? head.status < 300 : echoed !== requestId) {
@@ -204,6 +219,7 @@
 	const followEvents = (response: http.IncomingMessage, head: AnswerHead): void => {
 		const splitter = createEventSplitter();
 		response.on('data', (part: Buffer) => {
+			onProgress?.();
 			const events = splitter.push(part);
 			if (events !== null && !isSettled) {
 				hasEvents = true;
@@ -231,6 +247,7 @@
 		const parts: Buffer[] = [];
 		let sizeBytes = 0;
 		response.on('data', (part: Buffer) => {
+			onProgress?.();
 			sizeBytes += part.length;
 			parts.push(part);
 			if (sizeBytes > maxAnswerBytes) {
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -74,10 +74,14 @@
 	return call.isKeyInForce() ? null : {reason: 'the key is no longer in force', retryAfterMs: revokedRetryMs};
 };
 
-/** Whether another endpoint would accept the request if its current attempt were ended now. */
-export const canPlaceAgain = (context: CallContext, call: Call, progress: CallProgress): boolean => {
-	const seeking = {...unplacedRequest(context, call, progress), sentCount: progress.sent + 1};
-	return !call.cancellation.signal.aborted && refusalOf(context, call) === null && selectNextStep(context, call, seeking).type === 'send';
+/** Selects another endpoint for a request that is at a silent one; `null` if none accepts it now. */
+export const findAlternative = (context: CallContext, call: Call, progress: CallProgress): Placement | null => {
+	if (call.cancellation.signal.aborted || refusalOf(context, call) !== null) {
+		return null;
+	}
+
+	const step = selectNextStep(context, call, {...unplacedRequest(context, call, progress), sentCount: progress.sent + 1});
+	return step.type === 'send' ? step.placement : null;
 };
 
 const unplacedRequest = (context: CallContext, call: Call, progress: CallProgress): UnplacedRequest => {
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -1,6 +1,6 @@
 import type {Buffer} from 'node:buffer';
 import {
-	hasFreshReport, mayTakeAttempt, recordFailure, recordConnectionFailure, recordSuccess, takeAttempt, type Candidate, type Placement,
+	hasFreshReport, recordFailure, recordConnectionFailure, recordSuccess, takeAttempt, type Candidate, type Placement,
 } from '@bitternpaddle/coordination';
 import type {AnswerHead, AttemptResult, FailureCause} from './attempt.js';
 import type {CallContext} from './call-context.js';
@@ -29,11 +29,35 @@
 			return handleAnswer(context, call, progress, candidate, result);
 		}
 
+		case 'refused':
+		case 'broken': {
+			recordUnanswered(context, call, progress, candidate, result);
+			return !retryOrFail(context, call, progress);
+		}
+
+		case 'unsent': {
+			recordUnanswered(context, call, progress, candidate, result);
+			return progress.unreachable > maxUnreachable && failCall(context, call, progress, progress.lastReason, retryAfterMs(context, call)) === null;
+		}
+
+		case 'aborted': {
+			recordUnanswered(context, call, progress, candidate, result);
+			failAborted(context, call, progress);
+			return true;
+		}
+	}
+};
+
+type Unanswered = Extract<AttemptResult, {type: 'refused' | 'unsent' | 'broken' | 'aborted'}>;
+
+/** Records an attempt without an answer, without a decision about its request. */
+const recordUnanswered = (context: CallContext, call: Call, progress: CallProgress, candidate: Candidate, result: Unanswered): void => {
+	switch (result.type) {
 		case 'refused': {
 			progress.sent++;
 			progress.lastReason = `the endpoint answered ${result.head.status} and did not run it`;
 			recordRefusal(context, candidate, result.head, requestedVersion(context, call, candidate) !== null);
-			return !retryOrFail(context, call, progress);
+			break;
 		}
 
 		case 'unsent': {
@@ -45,7 +69,7 @@
 				context.quarantine.recordExit(candidate.announcement.address);
 			}
 
-			return progress.unreachable > maxUnreachable && failCall(context, call, progress, progress.lastReason, retryAfterMs(context, call)) === null;
+			break;
 		}
 
 		case 'broken': {
@@ -56,19 +80,32 @@
 			logAttemptFailure(context, call, candidate, result.reason, result.cause);
 			recordEndpointFailure(context, call, candidate);
 			recordDisconnected(context, call, candidate, result);
-			return !retryOrFail(context, call, progress);
+			break;
 		}
 
 		case 'aborted': {
 			progress.sent++;
 			progress.mayHaveRun = true;
 			progress.isEndpointAtWork = true;
-			failAborted(context, call, progress);
-			return true;
+			break;
 		}
 	}
 };
 
+/** Records an attempt whose request another endpoint answers, or continues to answer. */
+export const recordReplaced = (context: CallContext, call: Call, progress: CallProgress, {candidate}: Placement, result: AttemptResult): void => {
+	if (result.type === 'answered' || result.type === 'streamed') {
+		recordFailedAnswer(context, call, progress, candidate, `the endpoint answered ${result.head.status}`);
+	} else {
+		recordUnanswered(context, call, progress, candidate, result);
+	}
+};
+
+/** Whether the head begins an answer that can take the place of a silent attempt's. */
+export const canReplace = ({protocol}: CallContext, {hasEvents}: CallProgress, {status, headers}: AnswerHead): boolean => status < 300
+	&& headers[protocol.headers.signature] !== undefined && headers[protocol.headers.notRun] === undefined
+	&& (!hasEvents || (headers['content-type'] ?? '').startsWith('text/event-stream'));
+
 /** Ignores endpoints that are leaving: they close their connections in the same way as a crashing endpoint. */
 const recordDisconnected = ({quarantine}: CallContext, call: Call, {announcement: {address, state}, load: {isLeaving}}: Candidate, {cause, stage}: Extract<AttemptResult, {type: 'broken'}>): void => {
 	if (cause === 'disconnected' && state === 'ready' && !isLeaving) {
@@ -101,11 +138,7 @@
 const handleAnswer = (context: CallContext, call: Call, progress: CallProgress, candidate: Candidate, {head, body}: Extract<AttemptResult, {type: 'answered'}>): boolean => {
 	const fault = answerFaultOf(context, call, head);
 	if (fault !== null || head.status >= 500) {
-		progress.sent++;
-		progress.mayHaveRun = true;
-		progress.lastReason = fault ?? `the endpoint answered ${head.status}`;
-		logAttemptFailure(context, call, candidate, progress.lastReason);
-		recordEndpointFailure(context, call, candidate);
+		recordFailedAnswer(context, call, progress, candidate, fault ?? `the endpoint answered ${head.status}`);
 		if (isIdempotent(call) && takeRetry(context, call, progress)) {
 			return false;
 		}
@@ -122,6 +155,14 @@
 	return true;
 };
 
+const recordFailedAnswer = (context: CallContext, call: Call, progress: CallProgress, candidate: Candidate, reason: string): void => {
+	progress.sent++;
+	progress.mayHaveRun = true;
+	progress.lastReason = reason;
+	logAttemptFailure(context, call, candidate, reason);
+	recordEndpointFailure(context, call, candidate);
+};
+
 const recordRefusal = ({view, nowMs}: CallContext, {announcement, load, health}: Candidate, {status}: AnswerHead, hasRequestedVersion: boolean): void => {
 	if (status === 421) {
 		// Another start of the endpoint runs there, or another weight version than its host last reported.
@@ -160,9 +201,6 @@
 	}
 };
 
-/** Whether the allowance permits one more attempt now. */
-export const mayTakeRetry = ({allowance, retryReserve, nowMs}: CallContext, {service}: Call): boolean => mayTakeAttempt(allowance(service.name), retryReserve(), nowMs());
-
 /** Whether the request may be sent to one more endpoint; if so, consumes a retry from the allowance. */
 const takeRetry = (context: CallContext, call: Call, progress: CallProgress): boolean => {
 	const isAllowed = !progress.mayHaveRun || isIdempotent(call);
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -1,15 +1,16 @@
 import {
-	startWithinMs, recordArrival, recordLag, recordObjective, recordPause, recordRequest, type Candidate, type EndpointLoad, type PauseNotice, type Placement,
+	startWithinMs, recordArrival, recordLag, recordObjective, recordPause, recordRequest, takeAttempt, type Candidate, type EndpointLoad, type PauseNotice, type Placement,
 } from '@bitternpaddle/coordination';
+import {ignore} from '@bitternpaddle/transport';
 import {sendAttempt, type AnswerHead, type AttemptResult} from './attempt.js';
 import {attemptLimits} from './attempt-limits.js';
 import type {CallContext} from './call-context.js';
 import {versionDuesOf, endpointHeaders, loadedVersion} from './call-headers.js';
 import {createCallProgress, type CallProgress} from './call-progress.js';
-import {canPlaceAgain, findEndpoint} from './find-endpoint.js';
+import {findAlternative, findEndpoint} from './find-endpoint.js';
 import {forwardEvents} from './finish-call.js';
 import {isIdempotent, type Call, type CancelCause} from './gateway-call.js';
-import {handleAttemptResult, mayTakeRetry} from './judge-attempt.js';
+import {canReplace, handleAttemptResult, recordReplaced} from './judge-attempt.js';
 
 /** Sends a request to endpoints until one answers or no further attempt is allowed, and sends the caller its answer. */
 export const runCall = async (context: CallContext, call: Call): Promise<void> => {
@@ -37,15 +38,103 @@
 			return;
 		}
 
-		const result = await attempt(context, call, progress, placement);
-		context.metrics.attempt(call.service.name, result.type);
-		if (handleAttemptResult(context, call, progress, placement, result)) {
+		const {last, result} = await followAttempts(context, call, progress, startAttempt(context, call, progress, placement));
+		if (handleAttemptResult(context, call, progress, last.state.placement, result)) {
 			return;
 		}
 	}
 };
 
-const attempt = async (context: CallContext, call: Call, progress: CallProgress, {candidate, expectedMs, lagMs}: Placement): Promise<AttemptResult> => {
+type AttemptState = {
+	readonly placement: Placement;
+	readonly signal: AbortSignal;
+	/** Aborts a successor alone. */
+	readonly cancellation: AbortController;
+	/** Whether the call's answer comes from this attempt; a successor's only once it has taken over. */
+	isCurrent: boolean;
+	/** The attempt at another endpoint while this one is silent. */
+	successor: RunningAttempt | null;
+};
+
+type RunningAttempt = {readonly state: AttemptState; readonly result: Promise<AttemptResult>};
+
+/** Called with the head of a successor's answer. */
+type OnHead = (head: AnswerHead) => void;
+
+const startAttempt = (context: CallContext, call: Call, progress: CallProgress, placement: Placement, onHead: OnHead | null = null): RunningAttempt => {
+	const cancellation = new AbortController();
+	const isSuccessor = onHead !== null;
+	const state: AttemptState = {
+		placement, cancellation, isCurrent: !isSuccessor, successor: null,
+		signal: isSuccessor ? AbortSignal.any([call.cancellation.signal, cancellation.signal]) : call.cancellation.signal,
+	};
+	return {state, result: attempt(context, call, progress, {state, onHead: onHead ?? ignore})};
+};
+
+/** Waits for the result of an attempt or of the successor that has taken its place. */
+const followAttempts = async (context: CallContext, call: Call, progress: CallProgress, first: RunningAttempt): Promise<{last: RunningAttempt; result: AttemptResult}> => {
+	let last = first;
+	for (;;) {
+		const result = await last.result;
+		const {placement, successor} = last.state;
+		context.metrics.attempt(call.service.name, result.type);
+		if (successor === null || result.type !== 'broken') {
+			successor?.state.cancellation.abort();
+			return {last, result};
+		}
+
+		recordReplaced(context, call, progress, placement, result);
+		successor.state.isCurrent = true;
+		last = successor;
+	}
+};
+
+/** Tries another endpoint while an attempt is silent; resolves with `true` once that one has begun to answer. */
+const handOver = async (context: CallContext, call: Call, progress: CallProgress, state: AttemptState): Promise<boolean> => {
+	const isAllowed = state.isCurrent && state.successor === null && mayRepeat(call, progress);
+	const placement = isAllowed ? findAlternative(context, call, progress) : null;
+	if (placement === null || !takeAttempt(context.allowance(call.service.name), context.retryReserve(), context.nowMs())) {
+		return false;
+	}
+
+	context.limits.usePermit(placement.candidate.announcement);
+	return new Promise(resolve => {
+		const successor = startAttempt(context, call, progress, placement, head => {
+			if (successor.state.isCurrent) {
+				return;
+			}
+
+			if (canReplace(context, progress, head)) {
+				successor.state.isCurrent = true;
+				resolve(true);
+			} else if (head.status < 300) {
+				successor.state.cancellation.abort();
+			}
+		});
+		state.successor = successor;
+		const endUnused = (result: AttemptResult): void => {
+			if (!successor.state.isCurrent) {
+				state.successor = null;
+				context.metrics.attempt(call.service.name, result.type);
+				recordReplaced(context, call, progress, placement, result);
+				resolve(false);
+			}
+		};
+
+		successor.result.then(endUnused).catch((error: unknown) => {
+			context.logger.event('BP9003', {message: (error as Error).stack ?? String(error)});
+			resolve(false);
+		});
+	});
+};
+
+/** Whether the request may be sent to one more endpoint in addition to those that it was sent to. */
+const mayRepeat = (call: Call, {triedIds, unreachable}: CallProgress): boolean => isIdempotent(call) && triedIds.size - unreachable < call.route.maxAttempts;
+
+type AttemptHooks = {readonly state: AttemptState; readonly onHead: OnHead};
+
+const attempt = async (context: CallContext, call: Call, progress: CallProgress, {state, onHead}: AttemptHooks): Promise<AttemptResult> => {
+	const {candidate, expectedMs, lagMs} = state.placement;
 	const {protocol, connections, metrics, logger, nowMs} = context;
 	const {route, service} = call;
 	const {announcement, load} = candidate;
@@ -66,12 +155,16 @@
 		connections, headerNames: protocol.headers, address: announcement.address, method: call.request.method!, path: call.request.url!,
 		headers: endpointHeaders(context, call, progress, candidate), requestId: call.requestId, body: call.body,
 		requiresFreshConnection: !isIdempotent(call),
-		limits: attemptLimits(call, candidate, {
-			canRepeat: isIdempotent(call) && progress.sent + 1 < route.maxAttempts, canResend: () => mayTakeRetry(context, call) && canPlaceAgain(context, call, progress), nowMs,
-		}),
+		limits: attemptLimits(call, candidate, {canRepeat: mayRepeat(call, progress), handOver: async () => handOver(context, call, progress, state), nowMs}),
 		beginWithinMs: engineVersion === null ? null : startWithinMs(engineVersion, versionDuesOf(context, call), startedAtMs),
-		signal: call.cancellation.signal,
+		signal: state.signal,
+		onProgress() {
+			if (state.successor?.state.isCurrent === false) {
+				state.successor.state.cancellation.abort();
+			}
+		},
 		onHead(head) {
+			onHead(head);
 			recordLimit(context, candidate, head, startedAtMs);
 			recordLeaving(context, candidate, head);
 			handlePauseNotice(context, call, candidate, head);
