fix(gateway): answer the last requests also when timers fire late

Callers saw: on a busy host, a closed connection in place of the 502 or 503 at the end of the grace period.

Cause: the wait for the end polled every 50 ms and overslept. If the time to close had passed as well, the connections were closed in the same turn in which the requests were cancelled, before their answers were written.

Change: the poll ends at the time it waits for, and at least 100 ms are left for the answers.

--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -85,6 +85,8 @@
 /** Share of the grace period after which all connections are closed, so that the process exits by itself; timers of a busy host fire late. */
 const openShare = 31 / 32;
 const idlePollMs = 50;
+/** Minimum time to send the answers of the requests that were aborted. */
+const minFlushMs = 100;
 /** Clock for everything except the lease; steps of the wall clock would make reports and requests appear late or overdue. */
 const monotonicNowMs = (): number => performance.now();
 
@@ -267,7 +269,7 @@
 	/** Resolves once all callers' connections are closed, or at `untilMs`. */
 	const waitUntilClosed = async (untilMs: number): Promise<void> => {
 		while (performance.now() < untilMs && front.openConnections() > 0) {
-			await delay(idlePollMs);
+			await delay(Math.min(idlePollMs, untilMs - performance.now()));
 		}
 	};
 
@@ -314,7 +316,8 @@
 				cancellation.abort('shutdown' satisfies CancelCause);
 			}
 
-			await waitUntilClosed(startedAtMs + (bounds.graceMs * openShare));
+			// Timers of a busy host fire late, so this time may have passed before the answers are sent.
+			await waitUntilClosed(Math.max(startedAtMs + (bounds.graceMs * openShare), performance.now() + minFlushMs));
 			close();
 		},
 		close,
--- a/packages/gateway/test/entry-shutdown.test.ts
+++ b/packages/gateway/test/entry-shutdown.test.ts
@@ -101,3 +101,22 @@
 	await entryNode.stop();
 	t.equal((await silent.catch(() => ({status: 0}))).status, 502);
 });
+
+// Guards against closing the connections of a busy host before it has sent its last answers.
+t.test('requests are answered at the end of the grace period on a host whose timers fire late', async t => {
+	const {call, entryNode} = await deploy(t, (request, response) => {
+		if (request.headers['x-id'] !== 'silent') {
+			stream(request, response);
+		}
+	}, {graceMs: 1000});
+	const silent = call('silent');
+	await delay(100);
+	setTimeout(() => {
+		const untilMs = performance.now() + 150;
+		while (performance.now() < untilMs) {
+			// Keeps the event loop busy.
+		}
+	}, 880);
+	await entryNode.stop();
+	t.equal((await silent.catch(() => ({status: 0}))).status, 502);
+});
