fix(gateway): adopt the second attempt however the first one ends

- If the first endpoint refused the request late, or could not be connected, while the second attempt was under way, that one was reset and the attempts were used up.
Now the second attempt is followed unless the first has answered; a late refusal or server error of the first does not reset it.
'a request is answered by the second engine if the first one refuses it late' failed before.
- A silent endpoint counted as failed only once another one had taken over, and never if none did, so that more requests were sent to it.

--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -30,7 +30,7 @@
 	onFirstByte(head: AnswerHead): void;
 	/** Called with complete events of a stream. */
 	onEvents(head: AnswerHead, events: Buffer, lastId: string | null): void;
-	/** Called when bytes of an answer arrive. */
+	/** Called when bytes of an answer arrive that is neither a refusal nor a server error. */
 	onProgress?(): void;
 };
 
@@ -194,7 +194,6 @@
 	});
 	request.on('response', response => {
 		answer = response;
-		onProgress?.();
 		const head: AnswerHead = {status: response.statusCode!, headers: response.headers};
 		const echoed = response.headers[headerNames.requestId];
 		if (echoed === undefined ? head.status < 300 : echoed !== requestId) {
@@ -205,6 +204,11 @@
 
 		onHead(head);
 		const isRefused = response.headers[headerNames.notRun] !== undefined || head.status === 421;
+		const isFailure = isRefused || head.status >= 500;
+		if (!isFailure) {
+			onProgress?.();
+		}
+
 		if (!isRefused) {
 			onFirstByte(head);
 		}
@@ -247,7 +251,6 @@
 		const parts: Buffer[] = [];
 		let sizeBytes = 0;
 		response.on('data', (part: Buffer) => {
-			onProgress?.();
 			sizeBytes += part.length;
 			parts.push(part);
 			if (sizeBytes > maxAnswerBytes) {
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -77,9 +77,12 @@
 			progress.mayHaveRun = true;
 			progress.lastReason = result.reason;
 			progress.isEndpointAtWork = result.cause === 'silent' || result.cause === 'outdated';
-			logAttemptFailure(context, call, candidate, result.reason, result.cause);
-			recordEndpointFailure(context, call, candidate);
-			recordDisconnected(context, call, candidate, result);
+			if (result.cause !== 'silent') {
+				logAttemptFailure(context, call, candidate, result.reason, result.cause);
+				recordEndpointFailure(context, call, candidate);
+				recordDisconnected(context, call, candidate, result);
+			}
+
 			break;
 		}
 
@@ -92,6 +95,12 @@
 	}
 };
 
+/** Records that an endpoint has been silent for longer than the timeout; the attempt may still go on. */
+export const recordSilence = (context: CallContext, call: Call, {candidate}: Placement): void => {
+	logAttemptFailure(context, call, candidate, 'the endpoint was silent for longer than the timeout', 'silent');
+	recordEndpointFailure(context, call, candidate);
+};
+
 /** Records an attempt whose request another endpoint answers, or continues to answer. */
 export const recordReplaced = (context: CallContext, call: Call, progress: CallProgress, {candidate}: Placement, result: AttemptResult): void => {
 	if (result.type === 'answered' || result.type === 'streamed') {
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -10,7 +10,9 @@
 import {findAlternative, findEndpoint} from './find-endpoint.js';
 import {forwardEvents} from './finish-call.js';
 import {isIdempotent, type Call, type CancelCause} from './gateway-call.js';
-import {canReplace, handleAttemptResult, recordReplaced} from './judge-attempt.js';
+import {
+	canReplace, handleAttemptResult, recordReplaced, recordSilence,
+} from './judge-attempt.js';
 
 /** Sends a request to endpoints until one answers or no further attempt is allowed, and sends the caller its answer. */
 export const runCall = async (context: CallContext, call: Call): Promise<void> => {
@@ -52,6 +54,8 @@
 	readonly cancellation: AbortController;
 	/** Whether the call's answer comes from this attempt; a successor's only once it has taken over. */
 	isCurrent: boolean;
+	/** Whether the endpoint was silent for longer than the timeout. */
+	isSilent: boolean;
 	/** The attempt at another endpoint while this one is silent. */
 	successor: RunningAttempt | null;
 };
@@ -65,7 +69,7 @@
 	const cancellation = new AbortController();
 	const isSuccessor = onHead !== null;
 	const state: AttemptState = {
-		placement, cancellation, isCurrent: !isSuccessor, successor: null,
+		placement, cancellation, isCurrent: !isSuccessor, isSilent: false, successor: null,
 		signal: isSuccessor ? AbortSignal.any([call.cancellation.signal, cancellation.signal]) : call.cancellation.signal,
 	};
 	return {state, result: attempt(context, call, progress, {state, onHead: onHead ?? ignore})};
@@ -78,7 +82,7 @@
 		const result = await last.result;
 		const {placement, successor} = last.state;
 		context.metrics.attempt(call.service.name, result.type);
-		if (successor === null || result.type !== 'broken') {
+		if (successor === null || isFinal(result)) {
 			successor?.state.cancellation.abort();
 			return {last, result};
 		}
@@ -89,8 +93,33 @@
 	}
 };
 
+/** Whether the call ends with this result, even if another endpoint may still answer. */
+const isFinal = (result: AttemptResult): boolean => {
+	switch (result.type) {
+		case 'streamed':
+		case 'aborted': {
+			return true;
+		}
+
+		case 'answered': {
+			return result.head.status < 500;
+		}
+
+		case 'refused':
+		case 'unsent':
+		case 'broken': {
+			return false;
+		}
+	}
+};
+
 /** Tries another endpoint while an attempt is silent; resolves with `true` once that one has begun to answer. */
 const handOver = async (context: CallContext, call: Call, progress: CallProgress, state: AttemptState): Promise<boolean> => {
+	if (!state.isSilent) {
+		state.isSilent = true;
+		recordSilence(context, call, state.placement);
+	}
+
 	const isAllowed = state.isCurrent && state.successor === null && mayRepeat(call, progress);
 	const placement = isAllowed ? findAlternative(context, call, progress) : null;
 	if (placement === null || !takeAttempt(context.allowance(call.service.name), context.retryReserve(), context.nowMs())) {
--- a/packages/gateway/test/silent-engines.test.ts
+++ b/packages/gateway/test/silent-engines.test.ts
@@ -24,3 +24,20 @@
 		t.equal(fleet.arrivalsOf('pauses').length, 2, 'the route allows two attempts');
 	});
 }
+
+// Guards against ending the second attempt when the first one, which was silent, is refused meanwhile.
+t.test('a request is answered by the second engine if the first one refuses it late', async t => {
+	let arrivals = 0;
+	const fleet = await createCrashingFleet(t, {
+		engineCount: 3, behaviorOf(body) {
+			if (body !== 'late') {
+				return {type: 'stream', pauseMs: 5};
+			}
+
+			arrivals++;
+			return arrivals === 1 ? {type: 'refuse', status: 503, delayMs: 2100} : {type: 'stream', pauseMs: 5, delayMs: 900};
+		},
+	});
+	t.match(await fleet.call('a', 'late'), {status: 200, text: completeStream});
+	t.equal(fleet.arrivalsOf('late').length, 2);
+});
--- a/packages/gateway/test/support/crashing-fleet.ts
+++ b/packages/gateway/test/support/crashing-fleet.ts
@@ -52,7 +52,7 @@
 
 /** How an engine handles a request. */
 export type EngineBehavior
-	= | {readonly type: 'stream'; /** Delay between the three events. */ readonly pauseMs: number}
+	= | {readonly type: 'stream'; /** Delay between the three events. */ readonly pauseMs: number; /** Delay before the answer begins. @default 0 */ readonly delayMs?: number}
 		/** The engine crashes after `afterMs`, having sent `events` events. */
 		| {readonly type: 'crash'; readonly afterMs: number; readonly events: number}
 		/** The connection is reset; the engine keeps running. */
@@ -60,7 +60,7 @@
 		/** No answer is sent and the connection stays open. */
 		| {readonly type: 'hang'}
 		/** Refused without being run. */
-		| {readonly type: 'refuse'; readonly status: number};
+		| {readonly type: 'refuse'; readonly status: number; /** Delay before the refusal. @default 0 */ readonly delayMs?: number};
 
 export type Arrival = {readonly requestId: string; readonly body: string; readonly engine: number; readonly atMs: number};
 
@@ -190,8 +190,10 @@
 	const run = (index: number, requestId: string, response: ServerResponse, behavior: EngineBehavior): void => {
 		switch (behavior.type) {
 			case 'stream': {
-				begin(index, requestId, response);
-				stream(response, behavior.pauseMs);
+				later(() => {
+					begin(index, requestId, response);
+					stream(response, behavior.pauseMs);
+				}, behavior.delayMs ?? 0);
 				break;
 			}
 
@@ -222,7 +224,9 @@
 			}
 
 			case 'refuse': {
-				refuse(index, requestId, response, behavior.status);
+				later(() => {
+					refuse(index, requestId, response, behavior.status);
+				}, behavior.delayMs ?? 0);
 				break;
 			}
 		}
