fix(gateway): send a request to a second endpoint beside a silent one only if its answer has begun

A request that waits at a slow engine was sent to a second one while it kept its place at the first. Under overload, where most silent attempts are requests that wait, each then takes two places.

What needs both attempts is an answer of which the caller has received a part: it cannot be taken back.

--- a/packages/coordination/src/placement/retry-allowance.ts
+++ b/packages/coordination/src/placement/retry-allowance.ts
@@ -29,12 +29,17 @@
 	allowance.requestTimesMs.push(nowMs);
 };
 
-/** Takes one further attempt if the window allows it; `reserve` is this entry's part of the fixed allowance. */
-export const takeAttempt = (allowance: RetryAllowance, reserve: number, nowMs: number): boolean => {
+/** Whether the window allows one further attempt; `reserve` is this entry's part of the fixed allowance. */
+export const mayTakeAttempt = (allowance: RetryAllowance, reserve: number, nowMs: number): boolean => {
 	dropBefore(allowance.retryTimesMs, nowMs - allowance.windowMs);
 	dropBefore(allowance.requestTimesMs, nowMs - allowance.windowMs);
 	const allowed = usedShare * ((allowance.share * allowance.requestTimesMs.length) + reserve);
-	if (allowance.retryTimesMs.length + 1 > allowed) {
+	return allowance.retryTimesMs.length + 1 <= allowed;
+};
+
+/** Takes one further attempt if the window allows it. */
+export const takeAttempt = (allowance: RetryAllowance, reserve: number, nowMs: number): boolean => {
+	if (!mayTakeAttempt(allowance, reserve, nowMs)) {
 		return false;
 	}
 
--- a/packages/gateway/src/entry/attempt-limits.ts
+++ b/packages/gateway/src/entry/attempt-limits.ts
@@ -11,10 +11,7 @@
 	readonly pauseMs: number | null;
 	/** Whether the endpoint's own host still reports that it is running. */
 	isReported(): boolean;
-	/**
-	 * Sends the request to another endpoint as well; resolves with `true` once that one has
-	 * begun to answer, and with `false` if there is none or it does not answer.
-	 */
+	/** Called when the endpoint has been silent for too long; resolves with `true` if the attempt ends, with `false` if it goes on. */
 	handOver(): Promise<boolean>;
 };
 
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -156,7 +156,7 @@
 		}, silenceMs);
 	};
 
-	/** Ends the attempt once another endpoint has begun to answer; until then, this one may still do so. */
+	/** Ends the attempt if another endpoint takes over; until then, this one may still answer. */
 	const handOver = async (extendedUntilMs: number): Promise<void> => {
 		isHandingOver = true;
 		const isTaken = await limits.handOver();
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -1,5 +1,5 @@
 import {
-	startWithinMs, recordArrival, recordLag, recordObjective, recordPause, recordRequest, takeAttempt, type Candidate, type EndpointLoad, type PauseNotice, type Placement,
+	startWithinMs, recordArrival, recordLag, recordObjective, mayTakeAttempt, recordPause, recordRequest, takeAttempt, type Candidate, type EndpointLoad, type PauseNotice, type Placement,
 } from '@bitternpaddle/coordination';
 import {ignore} from '@bitternpaddle/transport';
 import {sendAttempt, type AnswerHead, type AttemptResult} from './attempt.js';
@@ -113,7 +113,12 @@
 	}
 };
 
-/** Tries another endpoint while an attempt is silent; resolves with `true` once that one has begun to answer. */
+/**
+ * Decides whether a silent attempt ends. An answer that has begun is kept until another
+ * endpoint has begun to continue it. A request whose answer has not begun is given up as
+ * soon as another endpoint accepts one more: sent to both, it would take the place of
+ * another request while engines are overloaded.
+ */
 const handOver = async (context: CallContext, call: Call, progress: CallProgress, state: AttemptState): Promise<boolean> => {
 	if (!state.isSilent) {
 		state.isSilent = true;
@@ -122,10 +127,16 @@
 
 	const isAllowed = state.isCurrent && state.successor === null && mayRepeat(call, progress);
 	const placement = isAllowed ? findAlternative(context, call, progress) : null;
-	if (placement === null || !takeAttempt(context.allowance(call.service.name), context.retryReserve(), context.nowMs())) {
+	const allowance = context.allowance(call.service.name);
+	if (placement === null || !mayTakeAttempt(allowance, context.retryReserve(), context.nowMs())) {
 		return false;
 	}
 
+	if (!progress.hasEvents) {
+		return true;
+	}
+
+	takeAttempt(allowance, context.retryReserve(), context.nowMs());
 	context.limits.usePermit(placement.candidate.announcement);
 	return new Promise(resolve => {
 		const successor = startAttempt(context, call, progress, placement, head => {
