fix(transport): end a server's periodic check when it has closed

Callers saw nothing; a process that closes a server and goes on kept a timer of 500 ms for each. Cause: the tracker closes the listener by the method of net.Server, which does not end the timer of http.Server. Its own method is called once no connection is left, when it can take none for idle. Found by reading the change again; no test.

--- a/packages/transport/src/http/connection-tracker.ts
+++ b/packages/transport/src/http/connection-tracker.ts
@@ -96,7 +96,11 @@
 			isClosing = true;
 			announceClose();
 			// Not the method of `http.Server`, which closes idle connections by its own rule.
-			net.Server.prototype.close.call(server, onClosed);
+			net.Server.prototype.close.call(server, () => {
+				// Ends the server's periodic check for slow senders.
+				server.close();
+				onClosed?.();
+			});
 			for (const socket of connections.keys()) {
 				closeIfIdle(socket as Socket);
 			}
