refactor(gateway): truncated answers and failover by their usual names

Two comments say what a constant and a type are instead of why they were chosen. No behaviour, check or bound changes.

--- a/packages/coordination/src/placement/leaving.ts
+++ b/packages/coordination/src/placement/leaving.ts
@@ -36,7 +36,7 @@
 /** The start of a request may take half as long again as estimated. */
 const expectationFactor = 1.5;
 
-/** An answer that takes a larger share of its time is very late already, so the estimate may be exceeded up to here without an answer being aborted. */
+/** Share of the time until an answer is due that an engine may take, however much it exceeds its estimate. */
 const minDueShare = 0.8;
 
 /**
--- a/packages/gateway/src/entry/attempt-limits.ts
+++ b/packages/gateway/src/entry/attempt-limits.ts
@@ -12,7 +12,7 @@
 	/** Whether the endpoint's own host still reports that it is running. */
 	isReported(): boolean;
 	/** Called when the endpoint has been silent for too long; resolves with `true` if the attempt ends, with `false` if it goes on. */
-	handOver(): Promise<boolean>;
+	failOver(): Promise<boolean>;
 };
 
 /** Timeouts as multiples of the route's objective. An engine without fresh reports from its host may be suspended or lost. */
@@ -31,17 +31,17 @@
 const defaultPauseObjectiveMs = 1000;
 
 const noLimits: AttemptLimits = {
-	firstByteMs: null, maxFirstByteMs: null, pauseMs: null, isReported: () => false, handOver: async () => false,
+	firstByteMs: null, maxFirstByteMs: null, pauseMs: null, isReported: () => false, failOver: async () => false,
 };
 
 export type AttemptLimitsOptions = {
 	/** Whether the request is idempotent and further attempts remain. */
 	readonly canRepeat: boolean;
-	handOver(): Promise<boolean>;
+	failOver(): Promise<boolean>;
 	nowMs(): number;
 };
 
-export const attemptLimits = ({service: {engine}, route}: Call, {load}: Candidate, {canRepeat, handOver, nowMs}: AttemptLimitsOptions): AttemptLimits => {
+export const attemptLimits = ({service: {engine}, route}: Call, {load}: Candidate, {canRepeat, failOver, nowMs}: AttemptLimitsOptions): AttemptLimits => {
 	if (!canRepeat) {
 		return noLimits;
 	}
@@ -52,6 +52,6 @@
 		maxFirstByteMs: scaleObjective(engine === null ? plainObjectiveFactor : maxObjectiveFactor),
 		pauseMs: pauseFactor * (route.pauseObjectiveMs ?? defaultPauseObjectiveMs),
 		isReported: () => hasFreshReport(load, nowMs()),
-		handOver,
+		failOver,
 	};
 };
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -77,7 +77,7 @@
 	let isConnected = false;
 	let hasEvents = false;
 	let answer: http.IncomingMessage | null = null;
-	let isHandingOver = false;
+	let isFailingOver = false;
 	let silenceTimer: NodeJS.Timeout | null = null;
 	let connectTimer: NodeJS.Timeout | null = null;
 	let beginTimer: NodeJS.Timeout | null = null;
@@ -150,17 +150,17 @@
 			}
 
 			silenceTimer = null;
-			if (!isHandingOver) {
-				void handOver(extendedUntilMs);
+			if (!isFailingOver) {
+				void failOver(extendedUntilMs);
 			}
 		}, silenceMs);
 	};
 
 	/** Ends the attempt if another endpoint takes over; until then, this one may still answer. */
-	const handOver = async (extendedUntilMs: number): Promise<void> => {
-		isHandingOver = true;
-		const isTaken = await limits.handOver();
-		isHandingOver = false;
+	const failOver = async (extendedUntilMs: number): Promise<void> => {
+		isFailingOver = true;
+		const isTaken = await limits.failOver();
+		isFailingOver = false;
 		if (isTaken) {
 			connections.closeIdle(address);
 			fail('silent', 'the endpoint was silent for longer than the timeout');
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -22,7 +22,7 @@
 import {createFrontServer} from './front-server.js';
 import {createWaitQueue} from './wait-queue.js';
 import type {CallContext} from './call-context.js';
-import {recordCut} from './cut-answer.js';
+import {recordTruncation} from './truncate-answer.js';
 import {runCall} from './run-call.js';
 import {serveRequest} from './serve-request.js';
 
@@ -184,8 +184,8 @@
 		onError(error) {
 			logger.event('BP9003', {message: error.stack ?? error.message});
 		},
-		onCut({request, response}) {
-			recordCut(context, {
+		onTruncate({request, response}) {
+			recordTruncation(context, {
 				requestId: String(request.headers[protocol.headers.requestId] ?? ''), response, cause: 'shutdown', reason: 'the grace period ended', progress: null,
 			});
 		},
--- a/packages/gateway/src/entry/finish-call.ts
+++ b/packages/gateway/src/entry/finish-call.ts
@@ -5,7 +5,7 @@
 import type {AnswerHead} from './attempt.js';
 import type {CallContext} from './call-context.js';
 import type {CallProgress} from './call-progress.js';
-import {cutAnswer, type CutCause} from './cut-answer.js';
+import {truncateAnswer, type TruncationCause} from './truncate-answer.js';
 import {answerHeaders} from './forwarded-headers.js';
 import {cancelCauseOf, type Call, type CancelCause} from './gateway-call.js';
 
@@ -57,7 +57,7 @@
 		response.end(body);
 	} else if (response.headersSent) {
 		// Another endpoint was to resume the stream but did not answer with a stream: the caller must see that the stream is incomplete.
-		cutAnswer(context, {
+		truncateAnswer(context, {
 			requestId, response, cause: 'mismatch', reason: `the endpoint answered ${head.status} without a stream`, progress,
 		});
 	}
@@ -88,7 +88,7 @@
 	return nowMs >= call.deadlineAtMs - minRemainingMs ? {status: 504, message: `may have run: ${message}`} : {status: 502, message: `may have run: ${message}`};
 };
 
-const cutCauseOf = (cause: CancelCause | null): CutCause => {
+const truncationCauseOf = (cause: CancelCause | null): TruncationCause => {
 	switch (cause) {
 		case 'deadline':
 		case 'shutdown': {
@@ -131,8 +131,8 @@
 		hasComeBack: call.hasComeBack, heldMs: Math.round(nowMs() - call.receivedAtMs),
 	});
 	if (response.headersSent) {
-		cutAnswer(context, {
-			requestId, response, cause: cutCauseOf(cancelCauseOf(call)), reason: message, progress,
+		truncateAnswer(context, {
+			requestId, response, cause: truncationCauseOf(cancelCauseOf(call)), reason: message, progress,
 		});
 	} else {
 		sendLocalReply(response, answer);
@@ -160,7 +160,7 @@
 		requestId, status, reason: 'the request crashes the endpoints that run it', fingerprint, ends: evidence.length, sent: progress.sent, heldMs: Math.round(nowMs() - call.receivedAtMs),
 	});
 	if (response.headersSent) {
-		cutAnswer(context, {
+		truncateAnswer(context, {
 			requestId, response, cause: 'quarantine', reason: 'the request crashes the endpoints that run it', progress,
 		});
 	} else {
--- a/packages/gateway/src/entry/front-server.ts
+++ b/packages/gateway/src/entry/front-server.ts
@@ -10,7 +10,7 @@
 	serve(request: http.IncomingMessage, response: http.ServerResponse, connection: {readonly isReused: boolean}): Promise<void>;
 	onError(error: Error): void;
 	/** Called before a connection is closed whose answer has not been sent completely. @default ignored */
-	readonly onCut?: (exchange: Exchange) => void;
+	readonly onTruncate?: (exchange: Exchange) => void;
 };
 
 export type FrontServer = {
@@ -33,7 +33,7 @@
 const maxHeadBytes = 32_768;
 
 /** Creates the HTTP server for callers. */
-export const createFrontServer = async ({listen, serve, onError, onCut = () => undefined}: FrontServerOptions): Promise<FrontServer> => {
+export const createFrontServer = async ({listen, serve, onError, onTruncate = () => undefined}: FrontServerOptions): Promise<FrontServer> => {
 	const usedSockets = new WeakSet<Socket>();
 	const server = http.createServer({
 		keepAliveTimeout: defaultIdleMs + idleMarginMs, maxHeaderSize: maxHeadBytes, requestTimeout: 0,
@@ -62,7 +62,7 @@
 		closeWhenIdle: tracker.closeWhenIdle,
 		destroy() {
 			for (const exchange of tracker.exchanges()) {
-				onCut(exchange);
+				onTruncate(exchange);
 			}
 
 			server.close();
--- a/packages/gateway/src/entry/gateway-call.ts
+++ b/packages/gateway/src/entry/gateway-call.ts
@@ -3,7 +3,7 @@
 import type {RequestFingerprint, RequestOutline} from '@bitternpaddle/coordination';
 import type {Route, Service, Team} from '@bitternpaddle/state';
 
-/** Why a request is no longer answered by an endpoint. `shutdown`: the grace period of the entry ends. */
+/** Why a request was cancelled. `shutdown`: the grace period of the entry ended first. */
 export type CancelCause = 'callerDisconnected' | 'deadline' | 'quarantined' | 'shutdown';
 
 /** A request of a caller until its answer is complete. */
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -114,12 +114,12 @@
 };
 
 /**
- * Decides whether a silent attempt ends. An answer that has begun is kept until another
+ * Decides whether a silent attempt fails over to another endpoint, and ends. An answer that has begun is kept until another
  * endpoint has begun to continue it. A request whose answer has not begun is given up as
  * soon as another endpoint accepts one more: sent to both, it would take the place of
  * another request while engines are overloaded.
  */
-const handOver = async (context: CallContext, call: Call, progress: CallProgress, state: AttemptState): Promise<boolean> => {
+const failOver = async (context: CallContext, call: Call, progress: CallProgress, state: AttemptState): Promise<boolean> => {
 	if (!state.isSilent) {
 		state.isSilent = true;
 		recordSilence(context, call, state.placement);
@@ -195,7 +195,7 @@
 		connections, headerNames: protocol.headers, address: announcement.address, method: call.request.method!, path: call.request.url!,
 		headers: endpointHeaders(context, call, progress, candidate), requestId: call.requestId, body: call.body,
 		requiresFreshConnection: !isIdempotent(call),
-		limits: attemptLimits(call, candidate, {canRepeat: mayRepeat(call, progress), handOver: async () => handOver(context, call, progress, state), nowMs}),
+		limits: attemptLimits(call, candidate, {canRepeat: mayRepeat(call, progress), failOver: async () => failOver(context, call, progress, state), nowMs}),
 		beginWithinMs: engineVersion === null ? null : startWithinMs(engineVersion, versionDuesOf(context, call), startedAtMs),
 		signal: state.signal,
 		onProgress() {
--- a/packages/gateway/src/process/gateway-metrics.ts
+++ b/packages/gateway/src/process/gateway-metrics.ts
@@ -8,7 +8,7 @@
 	request(service: string, outcome: string): void;
 	attempt(service: string, outcome: string): void;
 	/** Counts an answer that was ended before its caller had received all of it. */
-	cut(cause: string): void;
+	truncated(cause: string): void;
 	/** Records the time to the first byte of the answer sent to the caller. */
 	firstByte(service: string, tookMs: number): void;
 	/** Records the difference between the actual and the expected time to the first byte. */
@@ -31,8 +31,8 @@
 	const attempts = new Counter({
 		name: 'bitternpaddle_attempts_total', help: 'Requests sent to endpoints, by how that ended.', labelNames: ['service', 'outcome'], registers,
 	});
-	const cuts = new Counter({
-		name: 'bitternpaddle_answers_cut_total', help: 'Answers of which the caller received only a part, by cause.', labelNames: ['cause'], registers,
+	const truncations = new Counter({
+		name: 'bitternpaddle_answers_truncated_total', help: 'Answers of which the caller received only a part, by cause.', labelNames: ['cause'], registers,
 	});
 	const firstBytes = new Histogram({
 		name: 'bitternpaddle_first_byte_ms', help: 'Time from a request to the first byte of its answer.', labelNames: ['service'], buckets: latencyBucketsMs, registers,
@@ -48,8 +48,8 @@
 		attempt(service, outcome) {
 			attempts.inc({service, outcome});
 		},
-		cut(cause) {
-			cuts.inc({cause});
+		truncated(cause) {
+			truncations.inc({cause});
 		},
 		firstByte(service, tookMs) {
 			firstBytes.observe({service}, tookMs);
--- a/packages/gateway/test/attempt.test.ts
+++ b/packages/gateway/test/attempt.test.ts
@@ -41,14 +41,14 @@
 
 const answer = (id: string, body: string, head = ''): string => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-signature: s\r\n${head}content-length: ${body.length}\r\n\r\n${body}`;
 
-type SendOptions = {readonly stallMs?: number | null; readonly isHandedOver?: boolean; readonly signal?: AbortSignal; readonly requiresFreshConnection?: boolean};
+type SendOptions = {readonly stallMs?: number | null; readonly isFailedOver?: boolean; readonly signal?: AbortSignal; readonly requiresFreshConnection?: boolean};
 
 const create = (t: Test) => {
 	const connections = createEndpointConnections();
 	t.teardown(connections.close);
 	return async (address: string, requestId: string, options: SendOptions = {}): Promise<AttemptResult> => sendAttempt({
 		connections, headerNames: names, address, method: 'GET', path: '/', headers: {'x-id': requestId}, requestId, body: null, requiresFreshConnection: false, limits: {
-			firstByteMs: options.stallMs ?? null, maxFirstByteMs: options.stallMs ?? null, pauseMs: null, isReported: () => false, handOver: async () => options.isHandedOver ?? true,
+			firstByteMs: options.stallMs ?? null, maxFirstByteMs: options.stallMs ?? null, pauseMs: null, isReported: () => false, failOver: async () => options.isFailedOver ?? true,
 		}, beginWithinMs: null,
 		signal: new AbortController().signal, onHead: () => undefined, onFirstByte: () => undefined, onEvents: () => undefined, ...(options.signal !== undefined && {signal: options.signal}),
 	});
@@ -181,5 +181,5 @@
 	});
 	const send = create(t);
 	t.match(await send(address, 'a', {stallMs: 50}), {type: 'broken', cause: 'silent'});
-	t.match(await send(address, 'b', {stallMs: 50, isHandedOver: false}), {type: 'answered'});
+	t.match(await send(address, 'b', {stallMs: 50, isFailedOver: false}), {type: 'answered'});
 });
--- a/packages/transport/src/logging/events.ts
+++ b/packages/transport/src/logging/events.ts
@@ -76,7 +76,7 @@
 	BP4045: {level: 'warn', text: 'an endpoint requested a pause', advice: 'None; check the endpoint if it recurs.'},
 	BP4046: {level: 'warn', text: 'an endpoint requested a pause that cannot be parsed', advice: 'The pause is ignored; correct the Retry-After value that the endpoint sends.'},
 	BP4047: {level: 'info', text: 'an endpoint reported in an answer that it is leaving', advice: 'None.'},
-	BP4048: {level: 'warn', text: 'an answer was cut', advice: 'Its caller received a part of it; check the cause, and whether the endpoint was still at work.'},
+	BP4048: {level: 'warn', text: 'an answer was truncated', advice: 'Its caller received a part of it; check the cause, and whether the endpoint was still at work.'},
 	BP4049: {level: 'info', text: 'the shutdown of an entry entered its next phase', advice: 'None.'},
 	BP4090: {level: 'warn', text: 'log lines were dropped', advice: 'None; the counts by event are in the line.'},
 	BP4091: {level: 'info', text: 'the settings were reloaded', advice: 'None.'},
