--- a/packages/bench/src/fleet-cost/deployment.ts
+++ b/packages/bench/src/fleet-cost/deployment.ts
@@ -37,7 +37,7 @@
 	},
 	decodeConfiguration: () => ({type: 'configuration', configuration}),
 	readTokens: () => ({prompt: 970, maxAnswer: 80}),
-	readActive: () => null,
+	readLoad: () => null,
 	readLimit: () => ({type: 'unlimited'}),
 	readPause: () => ({type: 'none'}),
 	isLeaving: () => false,
--- a/packages/coordination/src/placement/endpoint-load.ts
+++ b/packages/coordination/src/placement/endpoint-load.ts
@@ -17,6 +17,18 @@
 	readonly readyInMs: number | null;
 };
 
+/** The load that an endpoint advertised in the head of an answer. */
+export type ReceivedLoad = {
+	/** Running and waiting requests. */
+	readonly active: number;
+	/** The number of requests that it runs concurrently; `null` if not given. */
+	readonly slots: number | null;
+	/** How long work takes on its host, relative to its usual duration (1); `null` if not given. */
+	readonly slowdown: number | null;
+	/** When the head was received. */
+	readonly atMs: number;
+};
+
 /** What an entry knows about the load of one endpoint. */
 export type EndpointLoad = {
 	report: EngineReport | null;
@@ -27,8 +39,8 @@
 	outstanding: number;
 	/** Requests of this entry that wait for their first byte, by key. */
 	readonly awaiting: Map<number, AwaitedRequest>;
-	/** Running and waiting requests as last advertised in the head of an answer; `null` if none advertised them. */
-	advertisedLoad: {readonly active: number; readonly atMs: number} | null;
+	/** The load as last advertised in the head of an answer; `null` if none advertised it. */
+	advertisedLoad: ReceivedLoad | null;
 	/** How much later than expected its answers start; halves in `lagHalfLifeMs`. */
 	lagMs: number;
 	lagAtMs: number;
--- a/packages/coordination/src/registry/types.ts
+++ b/packages/coordination/src/registry/types.ts
@@ -16,6 +16,8 @@
 	readonly models: readonly HeldModel[];
 	/** When this start of the endpoint began, in ms since 1970 by its own clock; 0 if unknown. */
 	readonly startedAtMs: number;
+	/** How much longer it is cold, counted from the announcement; 0 or absent if it is warm. */
+	readonly coldForMs?: number;
 	/** Increases with each announcement of the same start. */
 	readonly sequence: number;
 };
--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -22,6 +22,8 @@
 	readonly selfAddress: string;
 	readonly zoneId: string;
 	readonly regionId: string;
+	/** Region of each zone of the deployment, by zone id. @default no zone is known */
+	readonly regionsByZone?: ReadonlyMap<string, string>;
 	/** Folder of the log; `null` if the host has no disk and only follows the log. */
 	readonly folder: string | null;
 	/** Whether the whole system starts for the first time, with empty disks. */
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -38,6 +38,12 @@
 	readonly retryReserve: number;
 	/** Time between the stop signal and the exit of the process. */
 	readonly graceMs: number;
+	/** Time within which an acknowledged evacuation of a zone holds; `null` if the deployment has no evacuations. @default null */
+	readonly evacuationMs?: number | null;
+	/** Multiple of a cold endpoint's rate that it may receive in one second at most. @default null */
+	readonly coldOverage?: number | null;
+	/** Requests in one second beyond that multiple. @default null */
+	readonly coldSlack?: number | null;
 };
 
 export type EntryNodeOptions = {
@@ -45,6 +51,8 @@
 	readonly selfAddress: string;
 	readonly zoneId: string;
 	readonly regionId: string;
+	/** Region of each zone of the deployment, by zone id. @default no zone is known */
+	readonly regionsByZone?: ReadonlyMap<string, string>;
 	/** Address for callers. */
 	readonly listen: string;
 	/** Address for readiness probes. */
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -186,7 +186,9 @@
 	}
 
 	// The endpoint is full, whatever its last report was.
-	load.advertisedLoad = {active: announcement.slots * 2, atMs: nowMs()};
+	load.advertisedLoad = {
+		active: announcement.slots * 2, slots: announcement.slots, slowdown: null, atMs: nowMs(),
+	};
 };
 
 const logAttemptFailure = ({logger}: CallContext, call: Call, {announcement}: Candidate, reason: string, cause: FailureCause | null = null): void => {
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -303,8 +303,8 @@
 
 const recordLoad = ({protocol, nowMs}: CallContext, {load}: Candidate, {headers}: AnswerHead): void => {
 	const text = headers[protocol.headers.load];
-	const active = typeof text === 'string' ? protocol.readActive(text) : null;
-	if (active !== null) {
-		load.advertisedLoad = {active, atMs: nowMs()};
+	const advertised = typeof text === 'string' ? protocol.readLoad(text) : null;
+	if (advertised !== null) {
+		load.advertisedLoad = {...advertised, atMs: nowMs()};
 	}
 };
--- a/packages/gateway/src/link/methods.ts
+++ b/packages/gateway/src/link/methods.ts
@@ -7,6 +7,7 @@
 export const agedAnnouncementSchema = z.object({
 	id: z.string(), serviceName: z.string(), address: z.string(), zoneId: z.string(), slots: z.number(), state: z.enum(['ready', 'draining', 'gone']),
 	models: z.array(heldModelSchema).readonly(), startedAtMs: z.number(), sequence: z.number(), ageMs: z.number(),
+	coldForMs: z.number().optional(),
 });
 
 /** A process that follows the core; other processes reach it at `address`. */
--- a/packages/gateway/src/link/request-protocol.ts
+++ b/packages/gateway/src/link/request-protocol.ts
@@ -20,7 +20,7 @@
 	readonly signature: string;
 	/** Priority from 0 to 9; 0 is served first from the endpoint's queue. */
 	readonly urgency: string;
-	/** The endpoint's load, see `readActive`. */
+	/** The endpoint's load, see `readLoad`. */
 	readonly load: string;
 	/** Id of the last event that the caller received before its stream broke. */
 	readonly lastEventId: string;
@@ -34,14 +34,24 @@
 /** Number of prompt tokens and maximum number of answer tokens; 0 for a value that the request does not give. */
 export type RequestTokens = {readonly prompt: number; readonly maxAnswer: number};
 
+/** The load of an endpoint as advertised in the head of an answer. */
+export type AdvertisedLoad = {
+	/** Running and waiting requests. */
+	readonly active: number;
+	/** The number of requests that it runs concurrently; `null` if not given. */
+	readonly slots: number | null;
+	/** How long work takes on its host at the moment, relative to its usual duration (1); `null` if not given. */
+	readonly slowdown: number | null;
+};
+
 /** The protocol of callers and endpoints, as far as an entry needs it. */
 export type RequestProtocol = {
 	readonly headers: HeaderNames;
 	decodeConfiguration(text: string): DecodedConfiguration;
 	/** Reads the token counts in a request's headers. */
 	readTokens(headers: http.IncomingHttpHeaders): RequestTokens;
-	/** Parses the number of running and waiting requests in the load header; `null` if it is invalid. */
-	readActive(text: string): number | null;
+	/** Parses the load header; `null` if it is invalid. */
+	readLoad(text: string): AdvertisedLoad | null;
 	/** The request rate limit advertised in the headers of an endpoint's answer. */
 	readLimit(headers: http.IncomingHttpHeaders): LimitNotice;
 	/** Whether the headers of an endpoint's answer say that it is leaving. */
--- a/packages/gateway/test/serve-request.test.ts
+++ b/packages/gateway/test/serve-request.test.ts
@@ -29,7 +29,7 @@
 	},
 	decodeConfiguration: () => ({type: 'invalid', problems: []}),
 	readTokens: () => ({prompt: 100, maxAnswer: 10}),
-	readActive: () => null,
+	readLoad: () => null,
 	readLimit: () => ({type: 'unlimited'}),
 	readPause: () => ({type: 'none'}),
 	isLeaving: () => false,
--- a/packages/gateway/test/support/crashing-fleet.ts
+++ b/packages/gateway/test/support/crashing-fleet.ts
@@ -44,7 +44,7 @@
 	},
 	decodeConfiguration: () => ({type: 'configuration', configuration}),
 	readTokens: () => ({prompt: 100, maxAnswer: 10}),
-	readActive: () => null,
+	readLoad: () => null,
 	isLeaving: headers => headers['x-leaving'] === '1',
 	readPause: ({'retry-after': text}) => text === undefined ? {type: 'none'} : {type: 'pause', pauseMs: Number(text) * 1000},
 	readLimit: ({'x-limit': limit}) => limit === undefined ? {type: 'unlimited'} : {type: 'limited', perSecond: Number(limit)},
--- a/packages/gateway/test/support/single-entry.ts
+++ b/packages/gateway/test/support/single-entry.ts
@@ -40,7 +40,7 @@
 	},
 	decodeConfiguration: () => ({type: 'configuration', configuration}),
 	readTokens: headers => ({prompt: 100, maxAnswer: Number(headers['x-tokens'] ?? 10)}),
-	readActive: () => null,
+	readLoad: () => null,
 	readLimit: () => ({type: 'unlimited'}),
 	readPause: () => ({type: 'none'}),
 	isLeaving: () => false,
--- a/packages/state/src/routing/types.ts
+++ b/packages/state/src/routing/types.ts
@@ -28,6 +28,8 @@
 	readonly isPublic: boolean;
 	/** An interrupted stream may be resumed at another endpoint after the last received event. */
 	readonly isResumable: boolean;
+	/** Regions whose endpoints may serve the route; empty or absent for no restriction. */
+	readonly allowedRegionIds?: readonly string[];
 };
 
 /** Published performance figures of an engine; times are per step of its batch. */
@@ -53,6 +55,9 @@
 /** The origin of weights; its zone is `null` if unknown. */
 export type OriginProfile = {readonly address: string; readonly zoneId: string | null; readonly maxConnections: number; readonly linkMbps: number};
 
+/** An endpoint tolerates only a limited rate of requests for some time after its start, or after it has become cold again. */
+export type ColdStart = {readonly durationMs: number; /** Requests per second, sent by all entries together. */ readonly perSecond: number};
+
 export type Service = {
 	readonly name: string;
 	/** Maximum number of connections that an endpoint accepts from all callers together. */
@@ -60,9 +65,18 @@
 	/** `null` for plain services. */
 	readonly engine: EngineProfile | null;
 	readonly origin: OriginProfile | null;
+	/** `null` or absent if its endpoints are not limited after a start. */
+	readonly coldStart?: ColdStart | null;
 };
 
-export type Team = {readonly name: string; readonly keys: readonly string[]; readonly priority: number | null};
+export type Team = {
+	readonly name: string;
+	readonly keys: readonly string[];
+	/** Takes precedence over the priority of the route; `null` for none. */
+	readonly priority: number | null;
+	/** Regions whose endpoints may serve the team, in addition to the route's restriction; empty or absent for no restriction. */
+	readonly allowedRegionIds?: readonly string[];
+};
 
 /** Limits on callers' requests and connections. */
 export type CallerLimits = {
