feat(coordination): decide whether an evacuation order is late

An order that was stuck in a connection or in the socket of a suspended host could follow and undo a later order of the same operator. The clocks of hosts differ by more than an operator's client waits, so time stamps cannot be compared. A record of the pauses of a process tells when a call that is read now may have arrived.

--- /dev/null
+++ b/packages/coordination/src/evacuation/index.ts
@@ -0,0 +1,2 @@
+export * from './order-expiry.js';
+export * from './pause-record.js';
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -4,6 +4,7 @@
 export * from './consensus/index.js';
 export * from './door/index.js';
 export * from './endpoint-limits/index.js';
+export * from './evacuation/index.js';
 export * from './placement/index.js';
 export * from './quarantine/index.js';
 export * from './registry/index.js';
