feat(gateway): store and report the evacuations of zones

Without it, a core host has no way to record that a zone must not be used, and followers no way to learn of it. The document kind `evacuation` goes through the log like configurations; the state holds the evacuated zones and a revision that increases by one with each change. A control host reads the leader's clock and submits the order with an expiry by that clock; the leader appends it only before it expires. A call whose answer is lost is reported to the caller only once the order can no longer be appended, so that no later order can come first. Results of gateway.watch carry the evacuations, and an open poll of a follower that holds an older revision is answered at once.

--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -8,11 +8,17 @@
 	callRpc, createHttpServer, createRpcServer, RpcError, type HttpServer, type Logger,
 } from '@bitternpaddle/transport';
 import {createCoreClient, type CoreClient} from '../link/core-client.js';
+import {createEvacuatedZones} from '../link/evacuated-zones.js';
 import {
-	permitParametersSchema, readParametersSchema, readResultSchema, submitParametersSchema, submitResultSchema, watchParametersSchema,
+	clockParametersSchema, clockResultSchema, permitParametersSchema, readParametersSchema, readResultSchema, submitParametersSchema, submitResultSchema,
+	watchParametersSchema,
 	type Follower, type Roster, type SubmitOutcome, type WatchParameters, type WatchResult,
 } from '../link/methods.js';
+import {createGatewayMetrics, type GatewayMetrics} from '../process/gateway-metrics.js';
 import {createDocumentLog} from './document-log.js';
+import {
+	createEvacuationOrders, type EvacuationOrder, type OrderCaller, type OrderResult,
+} from './evacuation-orders.js';
 import {createFollowers, rosterCacheMs} from './followers.js';
 import {createPermitService} from './permit-desk.js';
 import {createWatchService} from './watch-desk.js';
@@ -31,8 +37,12 @@
 	seeds(): readonly string[];
 	/** Number of core hosts that may fail at the same time. */
 	readonly toleratedLosses: number;
+	/** Time within which an acknowledged evacuation of a zone holds; `null` if the deployment has no evacuations. @default null */
+	readonly evacuationMs?: number | null;
 	readonly clock: Clock;
 	readonly logger: Logger;
+	/** @default not served */
+	readonly metrics?: GatewayMetrics;
 };
 
 /** `unknown`: not confirmed in time; the document may still come into force later. */
@@ -42,7 +52,11 @@
 export type ReadConfiguration = {readonly type: 'text'; readonly text: string} | {readonly type: 'none'} | {readonly type: 'unsure'; readonly reason: string};
 
 export type CoreNode = {
-	submit(document: Document): Promise<SubmitResult>;
+	submit(document: Exclude<Document, {kind: 'evacuation'}>): Promise<SubmitResult>;
+	/** Evacuates an availability zone, or ends its evacuation. */
+	submitEvacuation(order: EvacuationOrder, caller: OrderCaller): Promise<OrderResult>;
+	/** Earliest time at which a call that is read now may have arrived, for `OrderCaller`. */
+	arrivedAtMs(): number;
 	read(): Promise<ReadConfiguration>;
 	/** Records an endpoint's announcement. */
 	announce(announcement: Announcement): void;
@@ -69,7 +83,8 @@
 /** One core host: its replica of the document log, the endpoint announcements and its followers. */
 export const createCoreNode = async (options: CoreNodeOptions): Promise<CoreNode> => {
 	const {
-		selfAddress, zoneId, regionId, folder, isFirstStart, seeds, toleratedLosses, clock, logger,
+		selfAddress, zoneId, regionId, folder, isFirstStart, seeds, toleratedLosses, evacuationMs = null, regionsByZone = new Map<string, string>(), clock, logger,
+		metrics = createGatewayMetrics(),
 	} = options;
 	const epoch = randomUUID();
 	const self: Follower = {
@@ -81,6 +96,7 @@
 		engineCount: serviceName => [...registry.entries.values()].filter(({announcement}) => announcement.serviceName === serviceName && announcement.state === 'ready').length,
 		nowMs: monotonicNowMs,
 	});
+	const evacuatedZones = createEvacuatedZones({logger});
 	const versionsLearnedAtMs = new Map<string, {version: number; atMs: number}>();
 	let client: CoreClient | null = null;
 
@@ -94,6 +110,12 @@
 		}
 	};
 
+	/** Logs what changed; this host itself uses the evacuations for nothing else. */
+	const recordEvacuations = (): void => {
+		const {evacuations} = log.state();
+		evacuatedZones.recordResult({evacuations, freshAgeMs: null}, monotonicNowMs());
+	};
+
 	const log = await createDocumentLog({
 		selfAddress, folder, isFirstStart, seeds, clock, logger, otherAddresses,
 		// An odd number of which the tolerated losses are a minority.
@@ -101,11 +123,15 @@
 		onChange() {
 			setImmediate(() => {
 				recordVersions();
+				recordEvacuations();
 				watchService.wake();
 			});
 		},
 	});
 
+	metrics.gauge('evacuated_zones', 'Availability zones that are evacuated.', () => log.state().evacuations.zoneIds.length);
+	metrics.gauge('evacuation_revision', 'Revision of the evacuated zones known here.', () => log.state().evacuations.revision);
+
 	const versionsHash = (): string => JSON.stringify(log.state().versions);
 
 	const configurationNumber = (): number => log.state().configuration?.number ?? -1;
@@ -134,7 +160,7 @@
 			freshAgeMs: log.freshAgeMs(),
 			versions: [...versionsLearnedAtMs].map(([model, {version, atMs}]) => ({model, version, ageMs: nowMs - atMs})),
 			roster: hasRosterUpdate(parameters) ? rosterOf(parameters.follower) : null,
-			evacuations: null,
+			evacuations: log.state().evacuations,
 		};
 	};
 
@@ -143,6 +169,7 @@
 		hasUpdate: parameters => parameters.epoch !== epoch || parameters.versionsHash !== versionsHash()
 			|| (parameters.follower.role !== 'agent' && registry.urgentPosition > parameters.position)
 			|| (parameters.follower.role === 'entry' && parameters.configurationNumber < configurationNumber())
+			|| (parameters.evacuationRevision !== null && parameters.evacuationRevision < log.state().evacuations.revision)
 			|| hasRosterUpdate(parameters),
 	});
 
@@ -163,6 +190,24 @@
 		return log.state().configuration?.text ?? null;
 	};
 
+	const orders = createEvacuationOrders({
+		evacuationMs, epoch, log, clock, logger, metrics,
+		// The evacuation of a zone that has been removed from the settings can still be revoked.
+		isKnownZone: zone => regionsByZone.has(zone) || log.state().evacuations.zoneIds.includes(zone),
+		leaderCalls: {
+			async readClock(address, timeoutMs) {
+				return clockResultSchema.parse(await callRpc<unknown>({
+					address, method: 'gateway.clock', params: {}, timeoutMs,
+				}));
+			},
+			async submit(address, order, timeoutMs) {
+				return submitResultSchema.parse(await callRpc<unknown>({
+					address, method: 'gateway.submit', params: order, timeoutMs,
+				})).outcome;
+			},
+		},
+	});
+
 	/** Runs a call at the leader, local or remote, and waits briefly for an election if there is none. */
 	const callLeader = async <Result>(locally: () => Promise<Result>, remotely: (address: string) => Promise<Result>): Promise<Result> => {
 		const deadlineAtMs = performance.now() + leaderWaitMs;
@@ -194,7 +239,16 @@
 	});
 	rpc.method('gateway.watch', watchParametersSchema, async parameters => watchService.watch(parameters));
 	rpc.method('gateway.configuration', readParametersSchema, () => log.state().configuration);
-	rpc.method('gateway.submit', submitParametersSchema, async ({document}) => ({outcome: await submitLocally(document)}));
+	rpc.method('gateway.submit', submitParametersSchema, async ({document, expiry}) => ({
+		outcome: await (document.kind === 'evacuation' ? orders.append(document, expiry) : submitLocally(document)),
+	}));
+	rpc.method('gateway.clock', clockParametersSchema, () => {
+		if (!log.isLeader()) {
+			throw notLeader();
+		}
+
+		return orders.readClock();
+	});
 	rpc.method('gateway.read', readParametersSchema, async () => ({text: await readLocally()}));
 	rpc.method('gateway.permit', permitParametersSchema, async ({agentAddress, serviceName, isDone}) => {
 		if (isDone) {
@@ -248,6 +302,7 @@
 		client?.close();
 		watchService.close();
 		permitService.close();
+		orders.close();
 		server.destroy();
 		await log.close();
 	};
@@ -268,6 +323,8 @@
 				return 'unknown';
 			}
 		},
+		submitEvacuation: orders.submit,
+		arrivedAtMs: orders.arrivedAtMs,
 		async read() {
 			try {
 				const text = await callLeader(readLocally, async address => {
--- a/packages/gateway/src/link/core-client.ts
+++ b/packages/gateway/src/link/core-client.ts
@@ -14,6 +14,8 @@
 	readonly waitMs?: number;
 	/** Number of the configuration that this process holds; -1 for none. */
 	configurationNumber(): number;
+	/** Revision of the evacuations that this process holds; -1 for none. @default the process does not use them */
+	evacuationRevision?(): number;
 	/** Whether to fetch a newer configuration that a core host announced. */
 	wantsConfiguration(): boolean;
 	onConfiguration(document: ConfigurationDocument): void;
@@ -80,7 +82,7 @@
  * fetched from a single core host, the nearest.
  */
 export const createCoreClient = (options: CoreClientOptions): CoreClient => {
-	const {self, seeds, clock, logger, waitMs = 700, configurationNumber, wantsConfiguration, onConfiguration, onResult} = options;
+	const {self, seeds, clock, logger, waitMs = 700, configurationNumber, evacuationRevision, wantsConfiguration, onConfiguration, onResult} = options;
 	const connections = new Map<string, CoreConnection>();
 	let rosterAddresses: readonly string[] = [];
 	let isClosed = false;
@@ -99,6 +101,7 @@
 				follower: self, epoch: connection.epoch, position: connection.position, rosterHash: !isFirst && address === rosterSource() ? heldRosterHash(address, connection) : null,
 				versionsHash: connection.versionsHash, waitMs: pollWaitMs,
 				configurationNumber: Math.max(connection.announcedNumber, configurationNumber()),
+				evacuationRevision: evacuationRevision?.() ?? null,
 			},
 		});
 		const result = watchResultSchema.parse(response);
--- a/packages/gateway/src/link/methods.ts
+++ b/packages/gateway/src/link/methods.ts
@@ -1,4 +1,4 @@
-import {documentSchema} from '@bitternpaddle/state';
+import {documentSchema, evacuationsSchema} from '@bitternpaddle/state';
 import * as z from 'zod';
 
 const heldModelSchema = z.object({model: z.string(), version: z.number()});
@@ -34,6 +34,8 @@
 	versionsHash: z.string(),
 	/** Hash of the follower's roster, so that a roster is sent only when it changes; `null` if it uses rosters from another core host. */
 	rosterHash: z.string().nullable(),
+	/** Revision of the evacuations that the follower holds, -1 for none; `null` or absent if it does not use them. */
+	evacuationRevision: z.number().nullable().default(null),
 	waitMs: z.number(),
 });
 export type WatchParameters = z.infer<typeof watchParametersSchema>;
@@ -49,9 +51,6 @@
 });
 export type Roster = z.infer<typeof rosterSchema>;
 
-/** The evacuated zones in order, and a number that increases by one with each change of them. */
-export const evacuationsSchema = z.object({revision: z.number(), zoneIds: z.array(z.string()).readonly()});
-
 export const watchResultSchema = z.object({
 	epoch: z.string(),
 	position: z.number(),
@@ -76,10 +75,18 @@
 export type ConfigurationDocument = NonNullable<z.infer<typeof configurationResultSchema>>;
 
 /** `gateway.submit`, at the leader: appends a document to the log. */
-export const submitParametersSchema = z.object({document: documentSchema});
+export const submitParametersSchema = z.object({
+	document: documentSchema,
+	/** For an evacuation: when it expires, by the clock of the leader's process. */
+	expiry: z.object({epoch: z.string(), atMs: z.number()}).nullable().default(null),
+});
 export const submitResultSchema = z.object({outcome: z.enum(['stored', 'known', 'conflict'])});
 export type SubmitOutcome = z.infer<typeof submitResultSchema>['outcome'];
 
+/** `gateway.clock`, at the leader: reads the clock of its process, by which orders expire. */
+export const clockParametersSchema = z.object({});
+export const clockResultSchema = z.object({epoch: z.string(), nowMs: z.number()});
+
 /** `gateway.read`, at the leader: the configuration that is confirmed to be the newest. */
 export const readParametersSchema = z.object({});
 export const readResultSchema = z.object({text: z.string().nullable()});
--- a/packages/state/src/documents/document-state.ts
+++ b/packages/state/src/documents/document-state.ts
@@ -2,9 +2,17 @@
 import * as z from 'zod';
 import type {Document} from './document.js';
 
+/** The evacuated availability zones in order, and a number that increases by one with each change of them. */
+export const evacuationsSchema = z.object({revision: z.number(), zoneIds: z.array(z.string()).readonly()});
+export type Evacuations = z.infer<typeof evacuationsSchema>;
+
+const noEvacuations: Evacuations = {revision: 0, zoneIds: []};
+
 const documentStateSchema = z.object({
 	configuration: z.object({number: z.number(), text: z.string()}).nullable(),
 	versions: z.record(z.string(), z.number()),
+	/** Absent in snapshots of earlier versions. */
+	evacuations: evacuationsSchema.default(noEvacuations),
 });
 
 /** The state that results from the documents of a log. */
@@ -19,11 +27,12 @@
 
 export type AppliedDocument = {readonly state: DocumentState; readonly outcome: DocumentOutcome};
 
-export const createDocumentState = (): DocumentState => ({configuration: null, versions: {}});
+export const createDocumentState = (): DocumentState => ({configuration: null, versions: {}, evacuations: noEvacuations});
 
 export const applyDocument = (state: DocumentState, document: Document): AppliedDocument => match(document)
 	.with({kind: 'configuration'}, ({number, text}) => applyConfiguration(state, number, text))
 	.with({kind: 'version'}, ({model, version}) => applyVersion(state, model, version))
+	.with({kind: 'evacuation'}, ({zoneId, isEvacuated}) => applyEvacuation(state, zoneId, isEvacuated))
 	.exhaustive();
 
 const applyConfiguration = (state: DocumentState, number: number, text: string): AppliedDocument => {
@@ -40,6 +49,16 @@
 	? {state: {...state, versions: {...state.versions, [model]: version}}, outcome: 'stored'}
 	: {state, outcome: 'known'};
 
+const applyEvacuation = (state: DocumentState, zoneId: string, isEvacuated: boolean): AppliedDocument => {
+	const {revision, zoneIds} = state.evacuations;
+	if (zoneIds.includes(zoneId) === isEvacuated) {
+		return {state, outcome: 'known'};
+	}
+
+	const changed = isEvacuated ? [...zoneIds, zoneId].toSorted() : zoneIds.filter(other => other !== zoneId);
+	return {state: {...state, evacuations: {revision: revision + 1, zoneIds: changed}}, outcome: 'stored'};
+};
+
 export const encodeDocumentState = (state: DocumentState): string => JSON.stringify(state);
 
 export const decodeDocumentState = (text: string): DocumentState => documentStateSchema.parse(JSON.parse(text));
