feat(coordination): decide which endpoints a request may be sent to

Requests are sent into zones that are being evacuated and into regions that their route or team does not allow, because no decision knows either rule.

Nothing uses it yet.

--- a/packages/coordination/src/placement/index.ts
+++ b/packages/coordination/src/placement/index.ts
@@ -19,3 +19,4 @@
 export * from './urgency.js';
 export * from './spare-room.js';
 export * from './next-step.js';
+export * from './permitted-endpoints.js';
