feat(gateway): send requests only into the regions that route and team allow

A route or team that lists regions has its requests sent to endpoints of any region, and their bodies with them.

Cause: the lists are decoded, and no selection of an endpoint reads them.

Change: selectNextStep, which all attempts go through, takes only permitted endpoints into account, so that first attempts, waiting requests, retries, resumed streams and alternatives to silent endpoints follow the lists. The lists are those of the newest configuration, with the route matched again, and are checked again when the connection is ready, before the first byte (BP4055, attempt outcome 'excluded'). A request that no region permits is refused at once.

Why it works: no attempt is started without a step of selectNextStep, and none is written without the check in sendAttempt.

--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
-import type {AnswerStage} from '@bitternpaddle/coordination';
+import type {AnswerStage, Exclusion} from '@bitternpaddle/coordination';
 import type {HeaderNames} from '../link/request-protocol.js';
 import type {AttemptLimits} from './attempt-limits.js';
 import type {EndpointConnections} from './endpoint-connections.js';
@@ -24,6 +24,8 @@
 	/** Time within which the answer must begin; after it the request may no longer start on the endpoint's weight version. `null` if there is no bound. */
 	readonly beginWithinMs: number | null;
 	readonly signal: AbortSignal;
+	/** Why the request must not be sent to the endpoint now; `null` if it may be. Called when the connection is ready, because the rules may change while it is established. */
+	exclusion(): Exclusion | null;
 	/** Called when the head of an answer to this request arrives, also if it is a refusal. */
 	onHead(head: AnswerHead): void;
 	/** Called when the first byte of an answer arrives that is not a refusal. */
@@ -43,7 +45,7 @@
 export type FailureCause = 'disconnected' | 'silent' | 'unreadable' | 'outdated';
 
 /**
- * Result of an attempt. `unsent` and `refused` prove that the request did not run at
+ * Result of an attempt. `unsent`, `excluded` and `refused` prove that the request did not run at
  * the endpoint; after `broken` it may have run.
  */
 export type AttemptResult
@@ -52,6 +54,8 @@
 		| {readonly type: 'refused'; readonly head: AnswerHead; readonly body: Buffer}
 		| {readonly type: 'unsent'; readonly reason: string; /** The host is reachable, but nothing listens on the port. */ readonly isRefused: boolean}
 		| {readonly type: 'broken'; readonly cause: FailureCause; readonly reason: string; readonly stage: AnswerStage}
+		/** Nothing was sent, because the request must not be sent to this endpoint any more. */
+		| {readonly type: 'excluded'; readonly exclusion: Exclusion}
 		| {readonly type: 'aborted'; readonly hasEvents: boolean};
 
 /** Ten times the one-way latency between regions; a lost SYN packet is retransmitted only after 1 s. */
@@ -71,7 +75,7 @@
 /** Sends a request to one endpoint and reads its answer to the end. */
 export const sendAttempt = async (options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
 	const {
-		connections, headerNames, address, method, path, headers, requestId, body, requiresFreshConnection, limits, beginWithinMs, signal, onHead, onFirstByte, onEvents, onProgress,
+		connections, headerNames, address, method, path, headers, requestId, body, requiresFreshConnection, limits, beginWithinMs, signal, exclusion, onHead, onFirstByte, onEvents, onProgress,
 	} = options;
 	let isSettled = false;
 	let isConnected = false;
@@ -169,18 +173,28 @@
 		}
 	};
 
+	/** Ends the attempt before its first byte is written if the request must not be sent here any more. */
+	const checkPermission = (): void => {
+		const excluded = exclusion();
+		if (excluded !== null) {
+			abandon({type: 'excluded', exclusion: excluded});
+		}
+	};
+
 	const request = connections.open({
 		address, method, path, headers, requiresFreshConnection,
 	});
 	request.on('socket', socket => {
 		isConnected = !socket.connecting;
 		if (isConnected) {
+			checkPermission();
 			return;
 		}
 
 		socket.once('connect', () => {
 			isConnected = true;
 			clearTimeout(connectTimer ?? undefined);
+			checkPermission();
 		});
 		connectTimer = setTimeout(() => {
 			fail('silent', `no connection within ${connectTimeoutMs} ms`);
--- a/packages/gateway/src/entry/call-context.ts
+++ b/packages/gateway/src/entry/call-context.ts
@@ -8,6 +8,7 @@
 import type {RequestQuarantine} from '../quarantine/request-quarantine.js';
 import type {EndpointConnections} from './endpoint-connections.js';
 import type {EndpointView} from './endpoint-view.js';
+import type {Permission} from './permission.js';
 import type {WaitQueue} from './wait-queue.js';
 
 /** Dependencies shared by all calls of an entry. */
@@ -18,6 +19,7 @@
 	readonly waitQueue: WaitQueue;
 	readonly quarantine: RequestQuarantine;
 	readonly limits: EndpointLimits;
+	readonly permission: Permission;
 	readonly zoneId: string;
 	readonly random: Random;
 	readonly logger: Logger;
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -20,6 +20,7 @@
 import type {Call, CancelCause} from './gateway-call.js';
 import {createEntryLease} from './entry-lease.js';
 import {createFrontServer} from './front-server.js';
+import {createPermission} from './permission.js';
 import {createWaitQueue} from './wait-queue.js';
 import type {CallContext} from './call-context.js';
 import {recordTruncation} from './truncate-answer.js';
@@ -123,6 +124,7 @@
 	const view = createEndpointView({onRestart: quarantine.recordRestart});
 	const connections = createEndpointConnections();
 	const waitQueue = createWaitQueue();
+	const permission = createPermission({evacuatedZoneIds: () => [], regionsByZone: options.regionsByZone ?? new Map()});
 	const versions = createWantedVersions({dueMs: bounds.versionDueMs, startedAtMs: monotonicNowMs()});
 	const firstAttemptDeadlines = createLazyMap(createFirstAttemptDeadlines);
 	const sendRate = createLazyMap(createArrivalRate);
@@ -157,7 +159,7 @@
 
 	const sinceStopMs = (): number | null => stoppedAtMs === null ? null : Math.round(monotonicNowMs() - stoppedAtMs);
 	const context: CallContext = {
-		protocol, connections, view, waitQueue, quarantine, limits, zoneId, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs,
+		protocol, connections, view, waitQueue, quarantine, limits, permission, zoneId, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs,
 		allowance: allowance.of, sendRate: sendRate.of, objectives: objectives.of, spareCapacity: spareCapacity.of,
 		entryCount: () => entryCount,
 		remainingGraceMs: () => abortsAtMs - monotonicNowMs(),
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -1,5 +1,5 @@
 import {
-	nextStep, preferredLimited, type NextStep, type Placement, type UnplacedRequest, type ServiceDemand, type PlacementContext, type WaitReason,
+	nextStep, preferredLimited, type Exclusion, type NextStep, type Placement, type UnplacedRequest, type ServiceDemand, type PlacementContext, type WaitReason,
 } from '@bitternpaddle/coordination';
 import type {CallContext} from './call-context.js';
 import {versionDuesOf} from './call-headers.js';
@@ -8,6 +8,7 @@
 	failCall, failCancelled, minRemainingMs, refuseQuarantined,
 } from './finish-call.js';
 import type {Call} from './gateway-call.js';
+import {exclusionReasons, exclusionRetryMs} from './permission.js';
 
 /** Retry delay for a caller whose key was revoked; earlier retries are refused as well until an operator acts. */
 const revokedRetryMs = 1500;
@@ -50,6 +51,10 @@
 					return failCall(context, call, progress, step.reason, step.retryAfterMs);
 				}
 
+				case 'exclude': {
+					return failExcluded(context, call, progress, step.exclusion);
+				}
+
 				case 'wait': {
 					wait.continueFor(step.reason);
 					await context.waitQueue.nextCheck();
@@ -61,6 +66,11 @@
 	}
 };
 
+const failExcluded = (context: CallContext, call: Call, progress: CallProgress, exclusion: Exclusion): null => {
+	context.metrics.count(`${exclusion}_refusals`, `Requests that were refused because ${exclusionReasons[exclusion]}.`);
+	return failCall(context, call, progress, exclusionReasons[exclusion], exclusionRetryMs);
+};
+
 const refusalOf = ({nowMs, holdsLease, lostCoreRetryMs}: CallContext, call: Call): Refusal | null => {
 	if (call.deadlineAtMs - nowMs() < minRemainingMs) {
 		return {reason: 'the deadline passed'};
@@ -93,16 +103,24 @@
 	};
 };
 
-const selectNextStep = (context: CallContext, call: Call, seeking: UnplacedRequest): NextStep => {
+/** `exclude`: there are endpoints, but the request may not be sent to any of them. */
+type Step = NextStep | {readonly type: 'exclude'; readonly exclusion: Exclusion};
+
+const selectNextStep = (context: CallContext, call: Call, seeking: UnplacedRequest): Step => {
 	const {name, engine: profile} = call.service;
 	const {limits, waitQueue, random} = context;
 	const nowMs = context.nowMs();
+	const {candidates, exclusion} = context.permission.permittedEndpoints(call, context.view.candidates(name, nowMs));
+	if (exclusion !== null) {
+		return {type: 'exclude', exclusion};
+	}
+
 	const demand: ServiceDemand = {
 		sendRate: context.sendRate(name), objectives: context.objectives(name), spareCapacity: context.spareCapacity(name),
 		heldCount: waitQueue.waitingCount(name, 'engines'), queuedCount: waitQueue.waitingCount(name, 'availability'),
 	};
 	const surroundings: PlacementContext = {
-		candidates: context.view.candidates(name, nowMs), permitStateOf: ({announcement}) => limits.stateOf(announcement), profile, zoneId: context.zoneId,
+		candidates, permitStateOf: ({announcement}) => limits.stateOf(announcement), profile, zoneId: context.zoneId,
 		entryCount: context.entryCount(), dues: versionDuesOf(context, call), shutdownInMs: context.remainingGraceMs(), random, nowMs,
 	};
 	const preferred = limits.hasLimits() ? preferredLimited(demand, surroundings, seeking) : null;
--- a/packages/gateway/src/entry/gateway-call.ts
+++ b/packages/gateway/src/entry/gateway-call.ts
@@ -1,6 +1,6 @@
 import type {Buffer} from 'node:buffer';
 import type http from 'node:http';
-import type {RequestFingerprint, RequestOutline} from '@bitternpaddle/coordination';
+import type {RegionLists, RequestFingerprint, RequestOutline} from '@bitternpaddle/coordination';
 import type {Route, Service, Team} from '@bitternpaddle/state';
 
 /** Why a request was cancelled. `shutdown`: the grace period of the entry ended first. */
@@ -33,6 +33,8 @@
 	fingerprint(): RequestFingerprint;
 	/** Whether the newest configuration known here still assigns the request's key to its team; `true` without a key. */
 	isKeyInForce(): boolean;
+	/** The regions that the newest configuration known here allows for the request. */
+	regionLists(): RegionLists;
 };
 
 /** Why a request was cancelled; `null` if it was not. */
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -1,6 +1,6 @@
 import type {Buffer} from 'node:buffer';
 import {
-	hasFreshReport, recordFailure, recordConnectionFailure, recordSuccess, takeAttempt, type Candidate, type Placement,
+	hasFreshReport, recordFailure, recordConnectionFailure, recordSuccess, takeAttempt, type Candidate, type Exclusion, type Placement,
 } from '@bitternpaddle/coordination';
 import type {AnswerHead, AttemptResult, FailureCause} from './attempt.js';
 import type {CallContext} from './call-context.js';
@@ -40,6 +40,11 @@
 			return progress.unreachable > maxUnreachable && failCall(context, call, progress, progress.lastReason, retryAfterMs(context, call)) === null;
 		}
 
+		case 'excluded': {
+			recordUnanswered(context, call, progress, candidate, result);
+			return false;
+		}
+
 		case 'aborted': {
 			recordUnanswered(context, call, progress, candidate, result);
 			failAborted(context, call, progress);
@@ -48,7 +53,7 @@
 	}
 };
 
-type Unanswered = Extract<AttemptResult, {type: 'refused' | 'unsent' | 'broken' | 'aborted'}>;
+type Unanswered = Extract<AttemptResult, {type: 'refused' | 'unsent' | 'broken' | 'excluded' | 'aborted'}>;
 
 /** Records an attempt without an answer, without a decision about its request. */
 const recordUnanswered = (context: CallContext, call: Call, progress: CallProgress, candidate: Candidate, result: Unanswered): void => {
@@ -86,6 +91,13 @@
 			break;
 		}
 
+		case 'excluded': {
+			// Nothing was sent: the attempt does not count, and the endpoint is at no fault.
+			progress.triedIds.delete(candidate.announcement.id);
+			logExcluded(context, call, candidate, result.exclusion);
+			break;
+		}
+
 		case 'aborted': {
 			progress.sent++;
 			progress.mayHaveRun = true;
@@ -95,6 +107,12 @@
 	}
 };
 
+const logExcluded = ({logger}: CallContext, {requestId}: Call, {announcement: {id, address, zoneId}}: Candidate, exclusion: Exclusion): void => {
+	logger.event('BP4055', {
+		requestId, endpointId: id, address, zoneId, exclusion,
+	});
+};
+
 /** Records that an endpoint has been silent for longer than the timeout; the attempt may still go on. */
 export const recordSilence = (context: CallContext, call: Call, {candidate}: Placement): void => {
 	logAttemptFailure(context, call, candidate, 'the endpoint was silent for longer than the timeout', 'silent');
@@ -229,8 +247,9 @@
 };
 
 /** The retry delay for a caller whose attempts are used up: at least until the first endpoint is no longer paused. */
-const retryAfterMs = ({view, nowMs}: CallContext, {service}: Call): number => {
+const retryAfterMs = ({view, permission, nowMs}: CallContext, call: Call): number => {
 	const now = nowMs();
-	const remainingPausesMs = view.candidates(service.name, now).filter(({load}) => !load.isLeaving).map(({load}) => load.pausedUntilMs - now);
+	const {candidates} = permission.permittedEndpoints(call, view.candidates(call.service.name, now));
+	const remainingPausesMs = candidates.filter(({load}) => !load.isLeaving).map(({load}) => load.pausedUntilMs - now);
 	return remainingPausesMs.length === 0 ? exhaustedRetryMs : Math.max(exhaustedRetryMs, Math.min(...remainingPausesMs));
 };
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -107,6 +107,7 @@
 
 		case 'refused':
 		case 'unsent':
+		case 'excluded':
 		case 'broken': {
 			return false;
 		}
@@ -189,7 +190,7 @@
 	logger.event('BP4023', {
 		requestId: call.requestId, endpointId: announcement.id, address: announcement.address, attempt: sequence, expectedMs: Math.round(expectedMs),
 		outstanding: load.outstanding, limitPerSecond: context.limits.perSecondOf(announcement), pausedForMs: remainingPauseMs(load, startedAtMs),
-		reportAgeMs: Number.isFinite(load.reportedAtMs) ? Math.round(startedAtMs - load.reportedAtMs) : null,
+		reportAgeMs: Number.isFinite(load.reportedAtMs) ? Math.round(startedAtMs - load.reportedAtMs) : null, ...context.permission.ruleFields(call),
 	});
 	const result = await sendAttempt({
 		connections, headerNames: protocol.headers, address: announcement.address, method: call.request.method!, path: call.request.url!,
@@ -198,6 +199,7 @@
 		limits: attemptLimits(call, candidate, {canRepeat: mayRepeat(call, progress), failOver: async () => failOver(context, call, progress, state), nowMs}),
 		beginWithinMs: engineVersion === null ? null : startWithinMs(engineVersion, versionDuesOf(context, call), startedAtMs),
 		signal: state.signal,
+		exclusion: () => context.permission.exclusionOf(call, candidate),
 		onProgress() {
 			if (state.successor?.state.isCurrent === false) {
 				state.successor.state.cancellation.abort();
--- a/packages/gateway/src/entry/serve-request.ts
+++ b/packages/gateway/src/entry/serve-request.ts
@@ -8,6 +8,7 @@
 import {BodyTooLargeError, readBody, type Logger} from '@bitternpaddle/transport';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
 import type {RequestProtocol} from '../link/request-protocol.js';
+import {createRegionLists} from './region-lists.js';
 import {sendLocalReply, type LocalReply} from './local-reply.js';
 import type {Call, CancelCause} from './gateway-call.js';
 
@@ -44,9 +45,12 @@
 
 type RouteMatch = {readonly route: Route; readonly team: Team | null; /** `null` if none is required. */ readonly key: string | null};
 
+const pathOf = ({url = '/'}: http.IncomingMessage): string => url.split('?', 1)[0]!;
+
 /** Finds the route and team of a request; returns a local reply if the request is refused. */
-const matchRoute = (context: ServeContext, {headers, url = '/'}: http.IncomingMessage): RouteMatch | LocalReply => {
+const matchRoute = (context: ServeContext, request: http.IncomingMessage): RouteMatch | LocalReply => {
 	const {table, holdsLease} = context;
+	const {headers} = request;
 	const known = table();
 	if (known === null) {
 		return {status: 503, message: 'no configuration is known here yet', retryAfterMs: context.lostCoreRetryMs()};
@@ -57,7 +61,7 @@
 		? {status, message}
 		: {status: 503, message: 'the configuration held here is not confirmed to be in force', retryAfterMs: context.lostCoreRetryMs()};
 
-	const route = findRoute(known, headers.host ?? '', url.split('?', 1)[0]!);
+	const route = findRoute(known, headers.host ?? '', pathOf(request));
 	if (route === null) {
 		return forbid(404, 'no route matches');
 	}
@@ -176,6 +180,9 @@
 		promptTokens: tokens.prompt, answerTokenLimit: tokens.maxAnswer, hasComeBack: !isReused && isCallerRetry(firstAttemptDeadlines, {deadlineMs, timeoutMs: route.timeoutMs}),
 		outline: memoize(() => outlineOf(identity)), fingerprint: memoize(() => fingerprintOf(identity)),
 		isKeyInForce: () => key === null || context.table()?.teamsByKey.get(key)?.name === team?.name,
+		regionLists: createRegionLists({
+			table: context.table, host: request.headers.host ?? '', path: pathOf(request), route, team, key,
+		}),
 	});
 };
 
--- a/packages/gateway/test/attempt.test.ts
+++ b/packages/gateway/test/attempt.test.ts
@@ -41,7 +41,7 @@
 
 const answer = (id: string, body: string, head = ''): string => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-signature: s\r\n${head}content-length: ${body.length}\r\n\r\n${body}`;
 
-type SendOptions = {readonly stallMs?: number | null; readonly isFailedOver?: boolean; readonly signal?: AbortSignal; readonly requiresFreshConnection?: boolean};
+type SendOptions = {readonly stallMs?: number | null; readonly isFailedOver?: boolean; readonly signal?: AbortSignal; readonly requiresFreshConnection?: boolean; exclusion?(): 'evacuated' | null};
 
 const create = (t: Test) => {
 	const connections = createEndpointConnections();
@@ -49,7 +49,7 @@
 	return async (address: string, requestId: string, options: SendOptions = {}): Promise<AttemptResult> => sendAttempt({
 		connections, headerNames: names, address, method: 'GET', path: '/', headers: {'x-id': requestId}, requestId, body: null, requiresFreshConnection: false, limits: {
 			firstByteMs: options.stallMs ?? null, maxFirstByteMs: options.stallMs ?? null, pauseMs: null, isReported: () => false, failOver: async () => options.isFailedOver ?? true,
-		}, beginWithinMs: null,
+		}, beginWithinMs: null, exclusion: options.exclusion ?? (() => null),
 		signal: new AbortController().signal, onHead: () => undefined, onFirstByte: () => undefined, onEvents: () => undefined, ...(options.signal !== undefined && {signal: options.signal}),
 	});
 };
@@ -183,3 +183,21 @@
 	t.match(await send(address, 'a', {stallMs: 50}), {type: 'broken', cause: 'silent'});
 	t.match(await send(address, 'b', {stallMs: 50, isFailedOver: false}), {type: 'answered'});
 });
+
+// Guards against sending a request into a zone whose evacuation came into force after the endpoint was selected,
+// while the connection was established or waited for.
+t.test('an attempt that is excluded when its connection is ready sends nothing', async t => {
+	const requests: string[] = [];
+	const endpoint = await listen(t, (socket, request) => {
+		requests.push(idOf(request));
+		socket.write(answer(idOf(request), 'x'));
+	});
+	const send = create(t);
+	t.same(await send(endpoint.address, 'a', {exclusion: () => 'evacuated'}), {type: 'excluded', exclusion: 'evacuated'}, 'on a new connection');
+	t.match(await send(endpoint.address, 'b'), {type: 'answered'});
+	const connections = endpoint.connections();
+	t.match(await send(endpoint.address, 'c', {exclusion: () => 'evacuated'}), {type: 'excluded'}, 'on a connection that is reused');
+	t.equal(endpoint.connections(), connections);
+	t.match(await send(endpoint.address, 'd'), {type: 'answered'});
+	t.same(requests, ['b', 'd']);
+});
