feat(gateway): send no request into a zone that is evacuated

Entries that know of the evacuation of a zone go on sending requests there. An entry that starts into an evacuation has not heard of it and would send there in its first moments.

Change: the permission of a request takes the evacuated zones from EvacuatedZones, so that first attempts, waiting requests, retries, resumed streams and alternatives leave the zone; streams that run there finish. With evacuationMs set, an entry is not ready and sends nothing until a core host has confirmed the zones: a caller's retry waits as for the key lease, first attempts are refused with the time to retry.

The stand-in for a core host answers every 20 ms; the time from an acknowledgement was not measured.

Why it works: every selection and the moment of sending read the newest zones held here.

--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -10,6 +10,7 @@
 import type {RequestProtocol} from '../link/request-protocol.js';
 import {createWantedVersions} from '../link/wanted-versions.js';
 import {createEndpointLimits} from '../limits/endpoint-limits.js';
+import {createEvacuatedZones} from '../link/evacuated-zones.js';
 import {createRequestQuarantine} from '../quarantine/request-quarantine.js';
 import {createLoadListener} from '../load/load-listener.js';
 import {createLoadRelay, relayIntervalMs} from '../load/load-relay.js';
@@ -19,6 +20,7 @@
 import {createEndpointView} from './endpoint-view.js';
 import type {Call, CancelCause} from './gateway-call.js';
 import {createEntryLease} from './entry-lease.js';
+import {createEvacuationGate} from './evacuation-gate.js';
 import {createFrontServer} from './front-server.js';
 import {createPermission} from './permission.js';
 import {createWaitQueue} from './wait-queue.js';
@@ -124,7 +126,11 @@
 	const view = createEndpointView({onRestart: quarantine.recordRestart});
 	const connections = createEndpointConnections();
 	const waitQueue = createWaitQueue();
-	const permission = createPermission({evacuatedZoneIds: () => [], regionsByZone: options.regionsByZone ?? new Map()});
+	const zones = createEvacuatedZones({logger});
+	const evacuationGate = createEvacuationGate({
+		zones, evacuationMs: bounds.evacuationMs ?? null, logger, startedAtMs: monotonicNowMs(),
+	});
+	const permission = createPermission({evacuatedZoneIds: zones.zoneIds, regionsByZone: options.regionsByZone ?? new Map()});
 	const versions = createWantedVersions({dueMs: bounds.versionDueMs, startedAtMs: monotonicNowMs()});
 	const firstAttemptDeadlines = createLazyMap(createFirstAttemptDeadlines);
 	const sendRate = createLazyMap(createArrivalRate);
@@ -189,6 +195,8 @@
 				}
 			},
 			awaitConfiguration: async maxMs => waitWhile(() => configuration.table() === null, maxMs),
+			knowsEvacuations: evacuationGate.isOpen,
+			awaitEvacuations: async maxMs => waitWhile(() => !evacuationGate.isOpen(), maxMs),
 			awaitLease: async maxMs => waitWhile(() => !lease.hasHeld() && !lease.holds(), maxMs),
 		}, request, response, connection),
 		onError(error) {
@@ -208,6 +216,7 @@
 		},
 		onResult(result, requestedAtMs) {
 			const nowMs = monotonicNowMs();
+			evacuationGate.recordResult(result, nowMs);
 			view.recordAnnouncements(result.announcements, nowMs);
 			versions.recordResult(result, nowMs);
 			if (result.roster !== null) {
@@ -245,7 +254,7 @@
 	}, relayIntervalMs);
 
 	const isReady = (): boolean => {
-		const ready = !isLeaving && configuration.table() !== null && lease.holds();
+		const ready = !isLeaving && configuration.table() !== null && lease.holds() && evacuationGate.isOpen();
 		if (ready !== wasReady) {
 			wasReady = ready;
 			logger.event('BP4027', {isReady: ready, isLeaving, configurationNumber: configuration.number()});
@@ -266,6 +275,8 @@
 	}, pruneMs);
 	metrics.gauge('open_requests', 'Requests that are being answered.', front.openRequests);
 	metrics.gauge('waiting_requests', 'Requests that wait for an endpoint.', waitQueue.count);
+	metrics.gauge('evacuated_zones', 'Zones that no request is sent to.', () => zones.zoneIds().length);
+	metrics.gauge('evacuations_confirmed', 'Whether the evacuated zones were confirmed since the start (1) or not (0).', () => Number(zones.isConfirmed()));
 	metrics.gauge('open_connections', 'Connections of callers.', front.openConnections);
 	metrics.gauge('configuration_number', 'Number of the configuration in force here.', configuration.number);
 	metrics.gauge('key_lease_age_ms', 'Since when the keys in force are surely known.', lease.ageMs);
--- a/packages/gateway/src/entry/serve-request.ts
+++ b/packages/gateway/src/entry/serve-request.ts
@@ -21,6 +21,10 @@
 	table(): RouteTable | null;
 	/** Resolves once a configuration is known, after `maxMs` at the latest. */
 	awaitConfiguration(maxMs: number): Promise<void>;
+	/** Whether requests may be sent with regard to evacuations: the evacuated zones were confirmed once since the start. */
+	knowsEvacuations(): boolean;
+	/** Resolves once `knowsEvacuations` returns `true`, after `maxMs` at the latest. */
+	awaitEvacuations(maxMs: number): Promise<void>;
 	/** After the start of the entry, resolves once it holds the lease, after `maxMs` at the latest. */
 	awaitLease(maxMs: number): Promise<void>;
 	/** Whether the configuration held by this entry is confirmed to be in force. */
@@ -99,27 +103,40 @@
 /** How long the caller waits for the answer; infinite if it does not state it. */
 const callerDeadlineMs = ({protocol}: ServeContext, {headers}: http.IncomingMessage): number => parsePositive(headers[protocol.headers.deadlineMs]) ?? Number.POSITIVE_INFINITY;
 
+/** Whether this entry knows what a request depends on: the evacuated zones and, if it has a key, the keys in force. */
+const isStarted = ({holdsLease, knowsEvacuations}: ServeContext, {key}: RouteMatch): boolean => knowsEvacuations() && (key === null || holdsLease());
+
+/** Refuses a request while the evacuated zones are not known: it might be sent into one of them. */
+const requireEvacuations = ({knowsEvacuations, lostCoreRetryMs}: ServeContext, matched: RouteMatch | LocalReply): RouteMatch | LocalReply => isLocalReply(matched) || knowsEvacuations()
+	? matched
+	: {status: 503, message: 'the evacuated zones are not surely known', retryAfterMs: lostCoreRetryMs()};
+
 /**
  * Like `matchRoute`, but at an entry that has just started, a caller retry waits for
- * the lease because the caller has no further retry. The route is then matched again:
- * the earlier configuration may come from a snapshot, and a key that was revoked since
- * would otherwise be accepted once the lease is held.
+ * the evacuated zones and the lease because the caller has no further retry. The route
+ * is then matched again: the earlier configuration may come from a snapshot, and a key
+ * that was revoked since would otherwise be accepted once the lease is held.
  */
 const awaitRouteMatch = async (context: ServeContext, request: http.IncomingMessage): Promise<RouteMatch | LocalReply> => {
 	const deadlineMs = callerDeadlineMs(context, request);
 	await context.awaitConfiguration(Math.min(configurationWaitMs, deadlineMs * startWaitShare));
 	const matched = matchRoute(context, request);
-	if (isLocalReply(matched) || matched.key === null || context.holdsLease()) {
+	if (isLocalReply(matched) || isStarted(context, matched)) {
 		return matched;
 	}
 
 	const {route} = matched;
 	if (!isCallerRetry(context.firstAttemptDeadlines(route.name), {deadlineMs, timeoutMs: route.timeoutMs})) {
-		return matched;
+		return requireEvacuations(context, matched);
+	}
+
+	const waitsUntilMs = context.nowMs() + Math.min(leaseWaitMs, deadlineMs * startWaitShare);
+	await context.awaitEvacuations(waitsUntilMs - context.nowMs());
+	if (matched.key !== null) {
+		await context.awaitLease(waitsUntilMs - context.nowMs());
 	}
 
-	await context.awaitLease(Math.min(leaseWaitMs, deadlineMs * startWaitShare));
-	return matchRoute(context, request);
+	return requireEvacuations(context, matchRoute(context, request));
 };
 
 /** Computes a value on the first call and returns it on later calls. */
--- a/packages/gateway/test/restricted-requests.test.ts
+++ b/packages/gateway/test/restricted-requests.test.ts
@@ -87,6 +87,31 @@
 	await pausesZ2;
 });
 
+/** A zone that moves to another region right after the next selection of an endpoint. */
+class MovingZones extends Map<string, string> {
+	isMoving = false;
+	override get(zoneId: string): string | undefined {
+		if (this.isMoving) {
+			queueMicrotask(() => {
+				this.set('z1', 'elsewhere');
+			});
+		}
+
+		return super.get(zoneId);
+	}
+}
+
+// Guards against sending a request by a rule that no longer applies when its connection is ready.
+t.test('a request whose endpoint is excluded between selection and sending goes to another one', async t => {
+	const regionsByZone = new MovingZones([['z1', 'r1'], ['z2', 'r1']]);
+	const fleet = await createZonedFleet(t, {zoneIds: ['z1', 'z2'], configuration: configurationWith(1, {routeRegions: ['r1']}), regionsByZone});
+	regionsByZone.isMoving = true;
+	t.match(await fleet.call('moved', listed), {status: 200, text: completeStream});
+	t.same(fleet.zonesOf('moved'), ['z2']);
+	t.match(fleet.eventsOf('BP4055'), [{requestId: 'moved', zoneId: 'z1', exclusion: 'region'}]);
+	t.match(await fleet.metrics.text(), /attempts_total\{service="s",outcome="excluded"\} 1/v);
+});
+
 // Guards against a body leaving the permitted regions by way of the messages between hosts. Every body is
 // sent to endpoints that crash or refuse it, which causes all notices that entries exchange about requests.
 t.test('no message to another host carries a body or a part of it', async t => {
--- a/packages/gateway/test/support/zoned-fleet.ts
+++ b/packages/gateway/test/support/zoned-fleet.ts
@@ -125,15 +125,18 @@
 	/** Whether a confirmed answer of the core is awaited before the test begins. @default true */
 	readonly awaitsReadiness?: boolean;
 	readonly initial?: Partial<CoreState>;
+	/** @default zone `zN` is in region `rN` */
+	readonly regionsByZone?: ReadonlyMap<string, string>;
 };
 
 /**
  * Starts an entry, endpoints of a plain service in zones, a stand-in for a core host and one for
- * another entry; both record what they receive. Zone `zN` is in region `rN`.
+ * another entry; both record what they receive.
  */
 export const createZonedFleet = async (t: Test, options: ZonedFleetOptions) => {
 	const {
 		zoneIds, configuration = configurationWith(1), evacuationMs = null, revocationMs = 5000, awaitsReadiness = true, initial = {},
+		regionsByZone = new Map([1, 2, 3].map(number => [`z${number}`, `r${number}`])),
 	} = options;
 	const [core, entry, front, readiness, peer, ...addresses] = await freeAddresses(5 + zoneIds.length);
 	const state: CoreState = {
@@ -216,7 +219,7 @@
 	};
 	const metrics = createGatewayMetrics();
 	const entryNode = await createEntryNode({
-		selfAddress: entry!, zoneId: 'z1', regionId: 'r1', regionsByZone: new Map([1, 2, 3].map(number => [`z${number}`, `r${number}`])), listen: front!, readinessListen: readiness!,
+		selfAddress: entry!, zoneId: 'z1', regionId: 'r1', regionsByZone, listen: front!, readinessListen: readiness!,
 		seeds: () => [core!], protocol, clock: createSuspendAwareClock({steadyNowMs: () => performance.now(), wallNowMs: () => Date.now()}), logger, metrics, randomSeed: 7,
 		bounds: {
 			revocationMs, versionDueMs: 8000, retryShare: 0.2, retryWindowMs: 10_000, retryReserve: 100, graceMs: 2000, evacuationMs,
