--- a/packages/gateway/src/entry/serve-request.ts
+++ b/packages/gateway/src/entry/serve-request.ts
@@ -8,6 +8,7 @@
 import {BodyTooLargeError, readBody, type Logger} from '@bitternpaddle/transport';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
 import type {RequestProtocol} from '../link/request-protocol.js';
+import {createRegionLists} from './region-lists.js';
 import {sendLocalReply, type LocalReply} from './local-reply.js';
 import type {Call, CancelCause} from './gateway-call.js';
 
@@ -20,6 +21,10 @@
 	table(): RouteTable | null;
 	/** Resolves once a configuration is known, after `maxMs` at the latest. */
 	awaitConfiguration(maxMs: number): Promise<void>;
+	/** Whether requests may be sent with regard to evacuations: the evacuated zones were confirmed once since the start. */
+	knowsEvacuations(): boolean;
+	/** Resolves once `knowsEvacuations` returns `true`, after `maxMs` at the latest. */
+	awaitEvacuations(maxMs: number): Promise<void>;
 	/** After the start of the entry, resolves once it holds the lease, after `maxMs` at the latest. */
 	awaitLease(maxMs: number): Promise<void>;
 	/** Whether the configuration held by this entry is confirmed to be in force. */
@@ -44,9 +49,12 @@
 
 type RouteMatch = {readonly route: Route; readonly team: Team | null; /** `null` if none is required. */ readonly key: string | null};
 
+const pathOf = ({url = '/'}: http.IncomingMessage): string => url.split('?', 1)[0]!;
+
 /** Finds the route and team of a request; returns a local reply if the request is refused. */
-const matchRoute = (context: ServeContext, {headers, url = '/'}: http.IncomingMessage): RouteMatch | LocalReply => {
+const matchRoute = (context: ServeContext, request: http.IncomingMessage): RouteMatch | LocalReply => {
 	const {table, holdsLease} = context;
+	const {headers} = request;
 	const known = table();
 	if (known === null) {
 		return {status: 503, message: 'no configuration is known here yet', retryAfterMs: context.lostCoreRetryMs()};
@@ -57,7 +65,7 @@
 		? {status, message}
 		: {status: 503, message: 'the configuration held here is not confirmed to be in force', retryAfterMs: context.lostCoreRetryMs()};
 
-	const route = findRoute(known, headers.host ?? '', url.split('?', 1)[0]!);
+	const route = findRoute(known, headers.host ?? '', pathOf(request));
 	if (route === null) {
 		return forbid(404, 'no route matches');
 	}
@@ -95,27 +103,40 @@
 /** How long the caller waits for the answer; infinite if it does not state it. */
 const callerDeadlineMs = ({protocol}: ServeContext, {headers}: http.IncomingMessage): number => parsePositive(headers[protocol.headers.deadlineMs]) ?? Number.POSITIVE_INFINITY;
 
+/** Whether this entry knows what a request depends on: the evacuated zones and, if it has a key, the keys in force. */
+const isStarted = ({holdsLease, knowsEvacuations}: ServeContext, {key}: RouteMatch): boolean => knowsEvacuations() && (key === null || holdsLease());
+
+/** Refuses a request while the evacuated zones are not known: it might be sent into one of them. */
+const requireEvacuations = ({knowsEvacuations, lostCoreRetryMs}: ServeContext, matched: RouteMatch | LocalReply): RouteMatch | LocalReply => isLocalReply(matched) || knowsEvacuations()
+	? matched
+	: {status: 503, message: 'the evacuated zones are not surely known', retryAfterMs: lostCoreRetryMs()};
+
 /**
  * Like `matchRoute`, but at an entry that has just started, a caller retry waits for
- * the lease because the caller has no further retry. The route is then matched again:
- * the earlier configuration may come from a snapshot, and a key that was revoked since
- * would otherwise be accepted once the lease is held.
+ * the evacuated zones and the lease because the caller has no further retry. The route
+ * is then matched again: the earlier configuration may come from a snapshot, and a key
+ * that was revoked since would otherwise be accepted once the lease is held.
  */
 const awaitRouteMatch = async (context: ServeContext, request: http.IncomingMessage): Promise<RouteMatch | LocalReply> => {
 	const deadlineMs = callerDeadlineMs(context, request);
 	await context.awaitConfiguration(Math.min(configurationWaitMs, deadlineMs * startWaitShare));
 	const matched = matchRoute(context, request);
-	if (isLocalReply(matched) || matched.key === null || context.holdsLease()) {
+	if (isLocalReply(matched) || isStarted(context, matched)) {
 		return matched;
 	}
 
 	const {route} = matched;
 	if (!isCallerRetry(context.firstAttemptDeadlines(route.name), {deadlineMs, timeoutMs: route.timeoutMs})) {
-		return matched;
+		return requireEvacuations(context, matched);
+	}
+
+	const waitsUntilMs = context.nowMs() + Math.min(leaseWaitMs, deadlineMs * startWaitShare);
+	await context.awaitEvacuations(waitsUntilMs - context.nowMs());
+	if (matched.key !== null) {
+		await context.awaitLease(waitsUntilMs - context.nowMs());
 	}
 
-	await context.awaitLease(Math.min(leaseWaitMs, deadlineMs * startWaitShare));
-	return matchRoute(context, request);
+	return requireEvacuations(context, matchRoute(context, request));
 };
 
 /** Computes a value on the first call and returns it on later calls. */
@@ -176,6 +197,9 @@
 		promptTokens: tokens.prompt, answerTokenLimit: tokens.maxAnswer, hasComeBack: !isReused && isCallerRetry(firstAttemptDeadlines, {deadlineMs, timeoutMs: route.timeoutMs}),
 		outline: memoize(() => outlineOf(identity)), fingerprint: memoize(() => fingerprintOf(identity)),
 		isKeyInForce: () => key === null || context.table()?.teamsByKey.get(key)?.name === team?.name,
+		regionLists: createRegionLists({
+			table: context.table, host: request.headers.host ?? '', path: pathOf(request), route, team, key,
+		}),
 	});
 };
 
