--- a/packages/state/test/documents.test.ts
+++ b/packages/state/test/documents.test.ts
@@ -41,23 +41,12 @@
 
 const evacuation = (zoneId: string, isEvacuated = true): Document => ({kind: 'evacuation', zoneId, isEvacuated});
 
-t.test('each change of the evacuated zones increases the revision by one', async t => {
-	t.same(applyAll(evacuation('z2'), evacuation('z1')).evacuations, {revision: 2, zoneIds: ['z1', 'z2']}, 'sorted');
-	t.same(applyAll(evacuation('z2'), evacuation('z1'), evacuation('z2', false)).evacuations, {revision: 3, zoneIds: ['z1']});
-});
-
-// The acknowledgement of an order is lost, so it is submitted again. If it counted as a
-// change, all followers would be told of one.
-t.test('an order that is already in force is known and changes nothing', async t => {
-	const state = applyAll(evacuation('z1'));
-	t.match(applyDocument(state, evacuation('z1')), {outcome: 'known', state});
-	t.match(applyDocument(state, evacuation('z2', false)), {outcome: 'known', state});
-});
-
-// Two operators order the opposite for one zone, and one of them another zone, at the same time.
-t.test('the order of the log decides between orders, for each zone by itself', async t => {
-	t.same(applyAll(evacuation('z1'), evacuation('z2'), evacuation('z1', false)).evacuations.zoneIds, ['z2']);
-	t.same(applyAll(evacuation('z1', false), evacuation('z2'), evacuation('z1')).evacuations.zoneIds, ['z1', 'z2']);
+// Two operators order the opposite for one zone, and one of them another zone; the
+// acknowledgement of an order is lost, so it is submitted again.
+t.test('the order of the log decides between orders, and only a change increases the revision', async t => {
+	t.same(applyAll(evacuation('z2'), evacuation('z1'), evacuation('z1'), evacuation('z2', false)).evacuations, {revision: 3, zoneIds: ['z1']});
+	t.same(applyAll(evacuation('z2', false), evacuation('z2'), evacuation('z1')).evacuations, {revision: 2, zoneIds: ['z1', 'z2']});
+	t.equal(applyDocument(applyAll(evacuation('z1')), evacuation('z1')).outcome, 'known');
 });
 
 // A core host is upgraded: its snapshot has no evacuations.
