feat(gateway): log lists of regions that can exclude every endpoint

A configuration whose lists name an unknown region, or whose route and team exclude each other, is valid and acknowledged. Its requests are then refused, and nothing tells the operator that the configuration is the reason.

The core host reads the configuration with the adapter's decoder; without one it checks nothing, as before.

--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -12,9 +12,11 @@
 	permitParametersSchema, readParametersSchema, readResultSchema, submitParametersSchema, submitResultSchema, watchParametersSchema,
 	type Follower, type Roster, type SubmitOutcome, type WatchParameters, type WatchResult,
 } from '../link/methods.js';
+import type {RequestProtocol} from '../link/request-protocol.js';
 import {createDocumentLog} from './document-log.js';
 import {createFollowers, rosterCacheMs} from './followers.js';
 import {createPermitService} from './permit-desk.js';
+import {createRegionCheck} from './region-check.js';
 import {createWatchService} from './watch-desk.js';
 
 export type CoreNodeOptions = {
@@ -24,6 +26,8 @@
 	readonly regionId: string;
 	/** Region of each zone of the deployment, by zone id. @default no zone is known */
 	readonly regionsByZone?: ReadonlyMap<string, string>;
+	/** Reads the configurations that this host stores, to log lists of regions that exclude endpoints unintentionally. @default they are not read */
+	readonly decodeConfiguration?: RequestProtocol['decodeConfiguration'];
 	/** Folder of the log; `null` if the host has no disk and only follows the log. */
 	readonly folder: string | null;
 	/** Whether the whole system starts for the first time, with empty disks. */
@@ -81,6 +85,9 @@
 		engineCount: serviceName => [...registry.entries.values()].filter(({announcement}) => announcement.serviceName === serviceName && announcement.state === 'ready').length,
 		nowMs: monotonicNowMs,
 	});
+	const checkRegions = options.decodeConfiguration === undefined
+		? null
+		: createRegionCheck({decodeConfiguration: options.decodeConfiguration, regionsByZone: options.regionsByZone ?? new Map(), logger});
 	const versionsLearnedAtMs = new Map<string, {version: number; atMs: number}>();
 	let client: CoreClient | null = null;
 
@@ -102,6 +109,7 @@
 			setImmediate(() => {
 				recordVersions();
 				watchService.wake();
+				checkRegions?.(log.state().configuration);
 			});
 		},
 	});
--- a/packages/gateway/src/core/index.ts
+++ b/packages/gateway/src/core/index.ts
@@ -1,3 +1,4 @@
 export * from './core-node.js';
 export * from './followers.js';
 export * from './permit-desk.js';
+export * from './region-check.js';
--- a/packages/state/src/routing/index.ts
+++ b/packages/state/src/routing/index.ts
@@ -1,3 +1,4 @@
 export * from './check-configuration.js';
+export * from './check-regions.js';
 export * from './route-table.js';
 export type * from './types.js';
--- a/packages/state/test/routing-configuration.test.ts
+++ b/packages/state/test/routing-configuration.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import {
-	checkConfiguration, createRouteTable, findRoute, type Route, type RoutingConfiguration,
+	checkConfiguration, checkRegions, createRouteTable, findRoute, type Route, type RoutingConfiguration, type Team,
 } from '@bitternpaddle/state';
 
 const route = (name: string, fields: Partial<Route> = {}): Route => ({
@@ -34,3 +34,22 @@
 	t.match(checkConfiguration(configuration({routes: [route('r'), route('q', {prefix: '/r/'})]})), [/two routes share/v]);
 	t.match(checkConfiguration(configuration({teams: [{name: 'a', keys: ['k'], priority: null}, {name: 'b', keys: ['k'], priority: null}]})), [/share a key/v]);
 });
+
+// Guards against requests that are refused for good because of a typing error in a valid configuration.
+t.test('lists of regions that are unknown or exclude each other are found', async t => {
+	const team = (name: string, allowedRegionIds: readonly string[]): Team => ({
+		name, keys: [name], priority: null, allowedRegionIds,
+	});
+	const routes = [route('free'), route('listed', {allowedRegionIds: ['r1', 'r9']}), route('public', {allowedRegionIds: ['r1'], isPublic: true})];
+	const check = (teams: readonly Team[] | null) => checkRegions(configuration({routes, teams}), new Set(['r1', 'r2']));
+	const unknown = {
+		type: 'unknownRegions', routeName: 'listed', teamName: null, regionIds: ['r9'],
+	};
+	t.same(check(null), [unknown]);
+	t.same(check([team('free', []), team('same', ['r1', 'r2'])]), [unknown]);
+	t.same(check([team('other', ['r2']), team('typo', ['r1', 'r8'])]), [unknown, {
+		type: 'exclusiveLists', routeName: 'listed', teamName: 'other', routeRegionIds: ['r1', 'r9'], teamRegionIds: ['r2'],
+	}, {
+		type: 'unknownRegions', routeName: null, teamName: 'typo', regionIds: ['r8'],
+	}], 'the public route has no team');
+});
--- a/packages/transport/src/logging/events.ts
+++ b/packages/transport/src/logging/events.ts
@@ -81,6 +81,7 @@
 	BP4050: {level: 'warn', text: 'an availability zone is evacuated', advice: 'No request is sent there; revoke the evacuation when the zone is to be used again.'},
 	BP4051: {level: 'info', text: 'the evacuation of an availability zone ended', advice: 'None.'},
 	BP4052: {level: 'warn', text: 'an evacuation order that arrived late was not stored', advice: 'Its caller resends it; check the load of this core host if it recurs.'},
+	BP4053: {level: 'warn', text: 'a configuration allows only regions that no endpoint can be in', advice: 'Check the lists of the route and the team that are named, and the zones of the settings.'},
 	BP4054: {level: 'info', text: 'the evacuated zones are confirmed for the first time since the start', advice: 'None.'},
 	BP4055: {level: 'info', text: 'a request was not sent to the endpoint selected for it', advice: 'None; the exclusion names the rule that came into force in between.'},
 	BP4090: {level: 'warn', text: 'log lines were dropped', advice: 'None; the counts by event are in the line.'},
