fix(gateway): admit requests with a list as others while engines are idle

With 19 entries, reports 300 ms old and a list of one of three zones, every request with the list is refused though the engines of that zone are idle.

Cause: the requests that other entries send at the same moment are estimated for the whole service, and all of them were expected at the few permitted engines.

Change: an entry keeps, while a route or team has a list, how the requests of a service would spread over zones if each were spread over its permitted endpoints, and the part of the candidates scales the estimate. Without lists the part is 1 and nothing is kept.

Why it works: the entry's own zone does not matter for the part, so that entries of all zones reach the same estimate from the same mix of requests.

--- a/packages/coordination/src/placement/arrival-rate.ts
+++ b/packages/coordination/src/placement/arrival-rate.ts
@@ -6,8 +6,9 @@
 
 export const createArrivalRate = (): ArrivalRate => ({perSecond: 0, updatedAtMs: Number.NEGATIVE_INFINITY});
 
-export const recordArrival = (rate: ArrivalRate, nowMs: number): void => {
-	rate.perSecond = arrivalsPerSecond(rate, nowMs) + (1000 / timeConstantMs);
+/** `count` may be a fraction, for an arrival of which only a part counts. */
+export const recordArrival = (rate: ArrivalRate, nowMs: number, count = 1): void => {
+	rate.perSecond = arrivalsPerSecond(rate, nowMs) + (count * 1000 / timeConstantMs);
 	rate.updatedAtMs = nowMs;
 };
 
--- a/packages/coordination/src/placement/index.ts
+++ b/packages/coordination/src/placement/index.ts
@@ -19,4 +19,5 @@
 export * from './urgency.js';
 export * from './spare-room.js';
 export * from './next-step.js';
+export * from './zone-demand.js';
 export * from './permitted-endpoints.js';
--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -42,6 +42,8 @@
 	readonly profile: EngineProfile | null;
 	readonly zoneId: string;
 	readonly entryCount: number;
+	/** Share of the service's requests that the candidates receive; less than 1 if the request may not be sent to all of its endpoints. @default 1 */
+	readonly demandShare?: number;
 	/** The versions of the weights that requests must start on, each with the time from which it is required. */
 	readonly dues: readonly VersionDue[];
 	/** Time until this entry aborts running requests; infinite unless it is shutting down. */
@@ -131,7 +133,7 @@
 
 const place = (demand: ServiceDemand, context: PlacementContext, request: UnplacedRequest, excludedIds: ReadonlySet<string>): Placement | null => placeRequest({
 	...context, promptTokens: request.promptTokens, objectiveMs: request.objectiveMs, isBegun: request.isBegun, excludedIds,
-	othersPerSecond: arrivalsPerSecond(demand.sendRate, context.nowMs) * (context.entryCount - 1),
+	othersPerSecond: arrivalsPerSecond(demand.sendRate, context.nowMs) * (context.entryCount - 1) * (context.demandShare ?? 1),
 });
 
 const pausedIds = ({candidates, nowMs}: PlacementContext): string[] => candidates.filter(({load}) => isPaused(load, nowMs)).map(({announcement: {id}}) => id);
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -149,6 +149,7 @@
 	const configuration = createConfigurationHolder({
 		protocol, logger,
 		onChange(table) {
+			permission.applyConfiguration(table.configuration);
 			front.setIdleTimeout(table.configuration.limits.idleTimeoutMs);
 			// Each configuration may add and remove routes.
 			firstAttemptDeadlines.retainOnly(table.configuration.routes.map(({name}) => name));
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -120,7 +120,7 @@
 		heldCount: waitQueue.waitingCount(name, 'engines'), queuedCount: waitQueue.waitingCount(name, 'availability'),
 	};
 	const surroundings: PlacementContext = {
-		candidates, permitStateOf: ({announcement}) => limits.stateOf(announcement), profile, zoneId: context.zoneId,
+		candidates, demandShare: context.permission.demandShare(name, candidates, nowMs), permitStateOf: ({announcement}) => limits.stateOf(announcement), profile, zoneId: context.zoneId,
 		entryCount: context.entryCount(), dues: versionDuesOf(context, call), shutdownInMs: context.remainingGraceMs(), random, nowMs,
 	};
 	const preferred = limits.hasLimits() ? preferredLimited(demand, surroundings, seeking) : null;
@@ -128,7 +128,12 @@
 		limits.requestPermits(preferred.announcement);
 	}
 
-	return nextStep(demand, surroundings, seeking);
+	const step = nextStep(demand, surroundings, seeking);
+	if (step.type === 'send') {
+		context.permission.recordDemand(name, candidates, nowMs);
+	}
+
+	return step;
 };
 
 /** What a request waits for; counts it among the waiting requests. */
--- a/packages/gateway/src/entry/permission.ts
+++ b/packages/gateway/src/entry/permission.ts
@@ -1,6 +1,8 @@
 import {
-	exclusionOf, permittedEndpoints, type Candidate, type Exclusion, type PermissionRules, type PermittedEndpoints, type RegionLists,
+	createZoneDemand, exclusionOf, permittedEndpoints, recordZoneDemand, zoneDemandShare, type Candidate, type Exclusion, type PermissionRules, type PermittedEndpoints, type RegionLists,
 } from '@bitternpaddle/coordination';
+import type {RoutingConfiguration} from '@bitternpaddle/state';
+import {createLazyMap} from './lazy-map.js';
 
 type RestrictedCall = {regionLists(): RegionLists};
 
@@ -13,6 +15,12 @@
 	/** Why a request must not be sent to an endpoint now; `null` if it may be. */
 	exclusionOf(call: RestrictedCall, candidate: Candidate): Exclusion | null;
 	ruleFields(call: RestrictedCall): RuleFields;
+	/** Must be called with each configuration that comes into force. */
+	applyConfiguration(configuration: RoutingConfiguration): void;
+	/** Records that a request is sent to one of these endpoints of the service. */
+	recordDemand(serviceName: string, permitted: readonly Candidate[], nowMs: number): void;
+	/** Share of the service's requests that these endpoints receive; 1 while no route or team has a list. */
+	demandShare(serviceName: string, permitted: readonly Candidate[], nowMs: number): number;
 };
 
 export type PermissionOptions = {
@@ -31,6 +39,8 @@
 
 export const createPermission = ({evacuatedZoneIds, regionsByZone}: PermissionOptions): Permission => {
 	const rulesOf = (call: RestrictedCall): PermissionRules => ({evacuatedZoneIds: evacuatedZoneIds(), regionsByZone, lists: call.regionLists()});
+	const zoneDemand = createLazyMap(createZoneDemand);
+	let hasLists = false;
 	return {
 		permittedEndpoints: (call, candidates) => permittedEndpoints(candidates, rulesOf(call)),
 		exclusionOf: (call, {announcement: {zoneId}}) => exclusionOf(zoneId, rulesOf(call)),
@@ -42,5 +52,14 @@
 				...(team.length > 0 && {teamRegions: team}),
 			};
 		},
+		applyConfiguration({routes, teams}) {
+			hasLists = [...routes, ...teams ?? []].some(({allowedRegionIds = []}) => allowedRegionIds.length > 0);
+		},
+		recordDemand(serviceName, permitted, nowMs) {
+			if (hasLists) {
+				recordZoneDemand(zoneDemand.of(serviceName), permitted, nowMs);
+			}
+		},
+		demandShare: (serviceName, permitted, nowMs) => hasLists ? zoneDemandShare(zoneDemand.of(serviceName), permitted, nowMs) : 1,
 	};
 };
