--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -3,7 +3,7 @@
 	announcementsSince, createRegistry, recordAnnouncement, isLaterStart, pruneRegistry, withdraw, type Announcement, type Clock,
 } from '@bitternpaddle/coordination';
 import {consensusEnvelopesSchema, rpcErrorCodes, standbyParametersSchema} from '@bitternpaddle/protocol';
-import type {Document} from '@bitternpaddle/state';
+import type {Document, RoutingConfiguration} from '@bitternpaddle/state';
 import {
 	callRpc, createHttpServer, createRpcServer, RpcError, type HttpServer, type Logger,
 } from '@bitternpaddle/transport';
@@ -21,6 +21,7 @@
 } from './evacuation-orders.js';
 import {createFollowers, rosterCacheMs} from './followers.js';
 import {createPermitService} from './permit-desk.js';
+import {createRegionCheck} from './region-check.js';
 import {createWatchService} from './watch-desk.js';
 
 export type CoreNodeOptions = {
@@ -53,6 +54,8 @@
 
 export type CoreNode = {
 	submit(document: Exclude<Document, {kind: 'evacuation'}>): Promise<SubmitResult>;
+	/** Logs the lists of regions of a stored configuration that exclude endpoints unintentionally. */
+	logRegionProblems(configuration: RoutingConfiguration): void;
 	/** Evacuates an availability zone, or ends its evacuation. */
 	submitEvacuation(order: EvacuationOrder, caller: OrderCaller): Promise<OrderResult>;
 	/** Earliest time at which a call that is read now may have arrived, for `OrderCaller`. */
@@ -323,6 +326,7 @@
 				return 'unknown';
 			}
 		},
+		logRegionProblems: createRegionCheck({regionsByZone, logger}),
 		submitEvacuation: orders.submit,
 		arrivedAtMs: orders.arrivedAtMs,
 		async read() {
