feat(coordination): estimate plain endpoints by learned time, slowdown and load

Endpoints on shared machines state how slow they are, and nothing reads it: every request of every plain service is estimated at 25 ms, a slow host in the near zone is kept for up to 60 ms of additional wait, and further attempts are sent with no time left to answer them. For a service whose endpoints send a slowdown, the estimate is now the usual time learned per endpoint, times the slowdown (its weight falls with its age to the mean of the figures), times the requests per slot. Another zone is chosen if it is faster by more than a round trip. What cannot be answered in the time left is refused at once, a further attempt too.

--- a/packages/coordination/src/placement/endpoint-load.ts
+++ b/packages/coordination/src/placement/endpoint-load.ts
@@ -1,4 +1,6 @@
 import {createPathDelay, type PathDelay} from './path-delay.js';
+import type {LearnedTime} from './plain-model.js';
+import type {Slowdown} from './slowdown.js';
 
 /** The state of an engine, as reported by the agent on its host. */
 export type EngineReport = {
@@ -41,6 +43,12 @@
 	readonly awaiting: Map<number, AwaitedRequest>;
 	/** The load as last advertised in the head of an answer; `null` if none advertised it. */
 	advertisedLoad: ReceivedLoad | null;
+	/** The slowdown that its answers have told; `null` if none told any. */
+	slowdown: Slowdown | null;
+	/** The usual time of a request at a plain endpoint; `null` until learned. */
+	learned: LearnedTime | null;
+	/** When it last refused a request as full; `-Infinity` if never. */
+	refusedAtMs: number;
 	/** How much later than expected its answers start; halves in `lagHalfLifeMs`. */
 	lagMs: number;
 	lagAtMs: number;
@@ -54,6 +62,7 @@
 
 export const createEndpointLoad = (): EndpointLoad => ({
 	report: null, reportedAtMs: Number.NEGATIVE_INFINITY, path: createPathDelay(), outstanding: 0, awaiting: new Map(), advertisedLoad: null, lagMs: 0, lagAtMs: 0,
+	slowdown: null, learned: null, refusedAtMs: Number.NEGATIVE_INFINITY,
 	pausedUntilMs: Number.NEGATIVE_INFINITY, isLeaving: false,
 });
 
--- a/packages/coordination/src/placement/index.ts
+++ b/packages/coordination/src/placement/index.ts
@@ -10,6 +10,8 @@
 export * from './key-lease.js';
 export * from './version-due.js';
 export * from './path-delay.js';
+export * from './plain-model.js';
+export * from './slowdown.js';
 export * from './arrival-rate.js';
 export * from './crowd.js';
 export * from './wait-for-engine.js';
--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -13,6 +13,7 @@
 	effectiveObjectiveOf, isOverloaded, recordRefusal, type ObjectiveMix,
 } from './objective-mix.js';
 import {placeRequest, type Candidate, type Placement} from './place-request.js';
+import {isUneven} from './plain-model.js';
 import {mayWaitForCapacity, recordSpareCapacity, type SpareCapacity} from './spare-room.js';
 import type {VersionDue} from './version-due.js';
 import {
@@ -85,11 +86,22 @@
 	= | {readonly type: 'send'; readonly placement: Placement}
 		/** Check again shortly. */
 		| {readonly type: 'wait'; readonly reason: WaitReason}
-		| {readonly type: 'refuse'; readonly reason: string; readonly retryAfterMs: number};
+		| {
+			readonly type: 'refuse';
+			readonly reason: string;
+			readonly retryAfterMs: number;
+			/** The best placement, if even that cannot answer in the time left; only for a service whose endpoints tell their slowdown. */
+			readonly tooLate?: TooLate;
+		};
+
+export type TooLate = {readonly placement: Placement; /** The time within which it must be answered, or be started to be answered completely. */ readonly remainingMs: number};
 
 /** While an entry shuts down, a caller's next connection leads to another entry; this is the time of a round trip between regions. */
 const shutdownRetryMs = 10;
 
+/** A caller whose further attempt is not sent has little time left, so it may retry at once at another entry. */
+const tooLateRetryMs = 100;
+
 /** Time that a complete answer takes once it has started. An answer that is aborted at its caller's deadline is worthless but uses as much engine capacity. */
 const answerTimeMs = (profile: EngineProfile | null): number => profile === null ? 0 : answerMs(profile);
 
@@ -186,8 +198,15 @@
 		return {type: 'refuse', reason: 'this entry ends before the answer would', retryAfterMs: shutdownRetryMs};
 	}
 
+	const timeToStartMs = request.deadlineAtMs - nowMs - answerTimeMs(profile);
+	const tooLate: TooLate | null = placement.expectedMs >= timeToStartMs && isUneven(context.candidates) ? {placement, remainingMs: timeToStartMs} : null;
 	if (request.sentCount > 0) {
-		return {type: 'send', placement};
+		// An answer that has begun is continued in any case: its caller keeps what it gets.
+		return tooLate === null || request.isBegun
+			? {type: 'send', placement}
+			: {
+				type: 'refuse', reason: 'no endpoint can answer a further attempt in the time that is left', retryAfterMs: tooLateRetryMs, tooLate,
+			};
 	}
 
 	const excessMs = profile === null ? 0 : Math.max(0, prefillMs(profile, request.promptTokens - profile.usualPromptTokens));
@@ -196,14 +215,21 @@
 		recordSpareCapacity(demand.spareCapacity, nowMs);
 	}
 
-	const timeToStartMs = request.deadlineAtMs - nowMs - answerTimeMs(profile);
 	const admission = admitRequest({
 		retryClass: request.retryClass, expectedMs: placement.expectedMs, objectiveMs: request.objectiveMs, effectiveObjectiveMs: effectiveObjectiveOf(demand.objectives, request.objectiveMs, nowMs),
 		excessMs, spareMs, isOverloaded: isOverloaded(demand.objectives, nowMs), hasComeBack: request.isLastTry, waitedMs: nowMs - request.receivedAtMs, remainingMs: timeToStartMs, random,
 	});
-	return admission.type === 'admitted'
-		? {type: 'send', placement}
-		: withoutCapacity(demand, context, request, {...admission, timeToStartMs});
+	if (admission.type === 'admitted') {
+		return {type: 'send', placement};
+	}
+
+	if (tooLate !== null && profile === null) {
+		// A caller with a deadline of a second needs the rest of its time for a retry: waiting here would use it up.
+		return {...admission, type: 'refuse', tooLate};
+	}
+
+	const step = withoutCapacity(demand, context, request, {...admission, timeToStartMs});
+	return step.type === 'refuse' && tooLate !== null ? {...step, tooLate} : step;
 };
 
 type Refusal = {readonly reason: string; readonly retryAfterMs: number; /** The time within which it can still be started and answered completely. */ readonly timeToStartMs: number};
--- a/packages/coordination/src/placement/place-request.ts
+++ b/packages/coordination/src/placement/place-request.ts
@@ -4,6 +4,9 @@
 import {hasFreshReport, lagOf, type EndpointLoad} from './endpoint-load.js';
 import {spreadRequests} from './crowd.js';
 import {demandOf, firstTokenMs, prefillMs} from './engine-model.js';
+import {
+	choosePlain, estimatePlain, isUneven, plainTimeMs, serviceTimeMs, type PlainEstimate,
+} from './plain-model.js';
 import {isMostlySwitched, mayStartOn, type VersionDue} from './version-due.js';
 import {isBackingOff, type EndpointHealth} from './endpoint-health.js';
 
@@ -38,6 +41,10 @@
 	readonly expectedMs: number;
 	/** The part of the estimate that is due to recent answers that started later than expected. */
 	readonly lagMs: number;
+	/** The factors of the estimate; missing for an engine, and for a plain service whose endpoints have told no slowdown. */
+	readonly plain?: PlainEstimate;
+	/** The best endpoint of the near zone, if one in another zone was chosen because it is faster. */
+	readonly passedNear?: {readonly candidate: Candidate; readonly expectedMs: number};
 };
 
 /** Cost of leaving the zone, as time: a network round trip, reports that are twice as old, and a surcharge because traffic between regions is expensive. */
@@ -116,6 +123,10 @@
  */
 export const placeRequest = (options: PlaceOptions): Placement | null => {
 	const {candidates, profile, dues, nowMs} = options;
+	if (profile === null && isUneven(candidates)) {
+		return placeUnevenPlain(options);
+	}
+
 	const isSwitched = profile !== null && dues.length > 0 && isMostlySwitched(candidates.map(candidate => versionOf(candidate, profile, nowMs)), dues);
 	const usable = candidates.filter(candidate => isEligible(candidate, options))
 		.map(candidate => assess(candidate, options))
@@ -147,6 +158,30 @@
 	return {candidate, expectedMs, lagMs: lagOf(candidate.load, nowMs)};
 };
 
+/** Places a request at a plain service whose endpoints tell their slowdown. */
+const placeUnevenPlain = (options: PlaceOptions): Placement | null => {
+	const {candidates, zoneId, random, nowMs} = options;
+	const eligible = candidates.filter(candidate => isEligible(candidate, options));
+	const healthy = eligible.filter(({health}) => !isBackingOff(health, nowMs));
+	const usable = healthy.length > 0 ? healthy : eligible;
+	if (usable.length === 0) {
+		return null;
+	}
+
+	const serviceMs = serviceTimeMs(candidates, nowMs);
+	const ranked = usable.map(candidate => {
+		const plain = estimatePlain(candidate, serviceMs, nowMs);
+		const lagMs = lagOf(candidate.load, nowMs);
+		return {
+			candidate, zoneId: candidate.announcement.zoneId, plain, lagMs, expectedMs: plainTimeMs(plain, candidate.load, nowMs) + lagMs,
+		};
+	});
+	const {chosen: {candidate, expectedMs, lagMs, plain}, passedNear} = choosePlain(ranked, zoneId, random);
+	return {
+		candidate, expectedMs, lagMs, plain, ...(passedNear !== null && {passedNear}),
+	};
+};
+
 /** Mean age of the fresh reports. */
 const meanReportAgeMs = (ranked: readonly Ranked[], nowMs: number): number => {
 	let count = 0;
--- /dev/null
+++ b/packages/coordination/src/placement/slowdown.ts
@@ -0,0 +1,54 @@
+/** What the answers of an endpoint have told about the slowdown of its host (1: work takes as long as usual). */
+export type Slowdown = {
+	/** The newest figure. */
+	latest: number;
+	atMs: number;
+	/** Mean of the figures, weighted by the time for which each of them stood. */
+	mean: number;
+	/** The time that the mean covers. */
+	coveredMs: number;
+};
+
+/** A figure is not trusted beyond this age: shared hosts change every 0.6 s, so an older one is as likely outdated as not. */
+export const maxFigureAgeMs = 300;
+/** The mean follows a host that is slow for some seconds after a start, and still covers several changes of a shared host. */
+const meanWindowMs = 5000;
+/** A host that shows no figures is believed to return to its usual speed, so that an endpoint that was slow when last used is tried again. */
+const returnHalfLifeMs = 2000;
+/** Bounds of a figure: a nonsensical one would make every request to the endpoint unanswerable, or its learned time meaningless. */
+const minSlowdown = 0.2;
+const maxSlowdown = 20;
+
+export const boundSlowdown = (figure: number): number => Math.min(maxSlowdown, Math.max(minSlowdown, figure));
+
+/** Records a figure; returns the updated record. */
+export const recordSlowdown = (known: Slowdown | null, figure: number, nowMs: number): Slowdown => {
+	const latest = boundSlowdown(figure);
+	if (known === null) {
+		return {
+			latest, atMs: nowMs, mean: latest, coveredMs: maxFigureAgeMs,
+		};
+	}
+
+	// A figure stands for the time since the previous one: answers are more frequent while the host is fast.
+	const standsForMs = Math.min(maxFigureAgeMs, Math.max(0, nowMs - known.atMs));
+	const coveredMs = Math.min(meanWindowMs, known.coveredMs + standsForMs);
+	return {
+		latest, atMs: nowMs, mean: known.mean + ((latest - known.mean) * standsForMs / coveredMs), coveredMs,
+	};
+};
+
+/**
+ * The slowdown to expect now: the newest figure, which loses its weight linearly to
+ * the mean of the figures until its maximum age, and then the mean, which returns to
+ * 1 while no figures arrive.
+ */
+export const slowdownAt = ({latest, atMs, mean}: Slowdown, nowMs: number): number => {
+	const ageMs = nowMs - atMs;
+	if (ageMs <= maxFigureAgeMs) {
+		const weight = 1 - (Math.max(0, ageMs) / maxFigureAgeMs);
+		return mean + ((latest - mean) * weight);
+	}
+
+	return 1 + ((mean - 1) * (0.5 ** ((ageMs - maxFigureAgeMs) / returnHalfLifeMs)));
+};
