feat(gateway): learn plain times and slowdowns from the answers of endpoints

The placement by slowdown needs what the head and the duration of an answer tell. Entries record the figure and the usual time from each complete answer, and count as lag only what the figure does not explain.

--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -1,6 +1,7 @@
 import {
 	nextStep, preferredLimited, type NextStep, type Placement, type UnplacedRequest, type ServiceDemand, type PlacementContext, type WaitReason,
 } from '@bitternpaddle/coordination';
+import {recordTooLate} from './answer-load.js';
 import type {CallContext} from './call-context.js';
 import {versionDuesOf} from './call-headers.js';
 import type {CallProgress} from './call-progress.js';
@@ -47,6 +48,7 @@
 				}
 
 				case 'refuse': {
+					recordTooLate(context, call, progress, step.tooLate);
 					return failCall(context, call, progress, step.reason, step.retryAfterMs);
 				}
 
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -3,6 +3,9 @@
 } from '@bitternpaddle/coordination';
 import {ignore} from '@bitternpaddle/transport';
 import {sendAttempt, type AnswerHead, type AttemptResult} from './attempt.js';
+import {
+	recordLoad, recordPassedZone, recordPlainAnswer, slowdownFields,
+} from './answer-load.js';
 import {attemptLimits} from './attempt-limits.js';
 import type {CallContext} from './call-context.js';
 import {versionDuesOf, endpointHeaders, loadedVersion} from './call-headers.js';
@@ -189,8 +192,9 @@
 	logger.event('BP4023', {
 		requestId: call.requestId, endpointId: announcement.id, address: announcement.address, attempt: sequence, expectedMs: Math.round(expectedMs),
 		outstanding: load.outstanding, limitPerSecond: context.limits.perSecondOf(announcement), pausedForMs: remainingPauseMs(load, startedAtMs),
-		reportAgeMs: Number.isFinite(load.reportedAtMs) ? Math.round(startedAtMs - load.reportedAtMs) : null,
+		reportAgeMs: Number.isFinite(load.reportedAtMs) ? Math.round(startedAtMs - load.reportedAtMs) : null, ...slowdownFields(candidate, startedAtMs),
 	});
+	recordPassedZone(context, call, state.placement);
 	const result = await sendAttempt({
 		connections, headerNames: protocol.headers, address: announcement.address, method: call.request.method!, path: call.request.url!,
 		headers: endpointHeaders(context, call, progress, candidate), requestId: call.requestId, body: call.body,
@@ -211,11 +215,11 @@
 		},
 		onFirstByte(head) {
 			const tookMs = nowMs() - startedAtMs;
-			recordLoad(context, candidate, head);
+			const advertised = recordLoad(context, candidate, head);
 			if (route.retryClass !== 'streaming') {
 				load.awaiting.delete(key);
 				metrics.firstByte(service.name, tookMs);
-				recordLag(load, tookMs - expectedMs + lagMs, nowMs());
+				recordLag(load, service.engine === null ? recordPlainAnswer(context, state.placement, {head, advertised, tookMs}) : tookMs - expectedMs + lagMs, nowMs());
 			}
 		},
 		onEvents(head, events, lastId) {
@@ -300,11 +304,3 @@
 		logger.event('BP4047', {endpointId: id, address});
 	}
 };
-
-const recordLoad = ({protocol, nowMs}: CallContext, {load}: Candidate, {headers}: AnswerHead): void => {
-	const text = headers[protocol.headers.load];
-	const advertised = typeof text === 'string' ? protocol.readLoad(text) : null;
-	if (advertised !== null) {
-		load.advertisedLoad = {...advertised, atMs: nowMs()};
-	}
-};
--- a/packages/gateway/test/support/single-entry.ts
+++ b/packages/gateway/test/support/single-entry.ts
@@ -15,7 +15,7 @@
 	createCoreNode, createEntryNode, createGatewayMetrics, createLoadReporter, type RequestProtocol,
 } from '@bitternpaddle/gateway';
 
-const configuration: RoutingConfiguration = {
+export const configuration: RoutingConfiguration = {
 	number: 1,
 	routes: [{
 		name: 'r', host: 'a.example', prefix: '/', retryClass: 'streaming', timeoutMs: 2000, objectiveMs: 400, pauseObjectiveMs: 300, priority: 1,
@@ -60,10 +60,12 @@
 	readonly retryReserve?: number;
 	/** Of the entry. @default silentLogger */
 	readonly logger?: Logger;
+	/** @default protocol */
+	readonly requestProtocol?: RequestProtocol;
 };
 
 /** Starts a core host, an entry and one engine in this process; `stepClockMs` steps the wall clock of the entry. */
-export const deploy = async (t: Test, serve: Serve, {graceMs = 2000, retryReserve = 10, logger = silentLogger}: DeployOptions = {}) => {
+export const deploy = async (t: Test, serve: Serve, {graceMs = 2000, retryReserve = 10, logger = silentLogger, requestProtocol = protocol}: DeployOptions = {}) => {
 	const engineState: {version: number | null; readyInMs: number | null} = {version: 1, readyInMs: null};
 	const [core, entry, front, readiness] = await freeAddresses(4);
 	const engine = createServer(serve);
@@ -77,7 +79,7 @@
 		selfAddress: core!, zoneId: 'z', regionId: 'r', folder: path.join(testFolder(t), 'core'), isFirstStart: true, seeds: () => [core!], toleratedLosses: 0, clock, logger: silentLogger,
 	});
 	const entryNode = await createEntryNode({
-		selfAddress: entry!, zoneId: 'z', regionId: 'r', listen: front!, readinessListen: readiness!, seeds: () => [core!], protocol, clock, logger, randomSeed: 7,
+		selfAddress: entry!, zoneId: 'z', regionId: 'r', listen: front!, readinessListen: readiness!, seeds: () => [core!], protocol: requestProtocol, clock, logger, randomSeed: 7,
 		metrics: createGatewayMetrics(),
 		bounds: {
 			revocationMs: 5000, versionDueMs: 8000, retryShare: 0.2, retryWindowMs: 10_000, retryReserve, graceMs,
