feat(coordination): use the slowdown of an answer as the pace of an engine

An agent's report tells the pace of its engine every 100 to 300 ms; hosts that change every 600 ms are sent work by the old pace meanwhile. A slowdown in an answer that is newer than the report now replaces the pace, and when the requests of all entries are spread, each weighs as much as its engine is slow, so that slower engines receive proportionally fewer.

--- a/packages/coordination/src/placement/engine-model.ts
+++ b/packages/coordination/src/placement/engine-model.ts
@@ -1,5 +1,6 @@
 import type {EngineProfile} from '@bitternpaddle/state';
 import {hasFreshReport, sentSinceReport, type EndpointLoad} from './endpoint-load.js';
+import {slowdownAt} from './slowdown.js';
 
 /** Requests that an engine has or is about to receive, as far as this entry knows. */
 export type EngineDemand = {
@@ -17,19 +18,29 @@
  */
 const prefillShare = 0.04;
 
+/** The pace of an engine: from its report, unless an answer has told it since. */
+const paceOf = (load: EndpointLoad, nowMs: number): number => {
+	const {slowdown, report, reportedAtMs} = load;
+	if (slowdown === null || slowdown.atMs <= reportedAtMs) {
+		return report?.pace ?? 1;
+	}
+
+	return hasFreshReport(load, nowMs) ? slowdown.latest : slowdownAt(slowdown, nowMs);
+};
+
 export const demandOf = (profile: EngineProfile, load: EndpointLoad, nowMs: number): EngineDemand => {
 	if (!hasFreshReport(load, nowMs)) {
 		const own = [...load.awaiting.values()];
-		return {active: Math.max(load.outstanding, load.report?.running ?? 0), pendingPrefillTokens: sumTokens(own), pace: load.report?.pace ?? 1};
+		return {active: Math.max(load.outstanding, load.report?.running ?? 0), pendingPrefillTokens: sumTokens(own), pace: paceOf(load, nowMs)};
 	}
 
-	const {running, queued, pace} = load.report!;
+	const {running, queued} = load.report!;
 	const since = sentSinceReport(load);
 	return {
 		// This entry's own requests count from the moment they are sent, even if the engine has not received them yet.
 		active: Math.max(running + queued + since.length, load.outstanding),
 		pendingPrefillTokens: (profile.usualPromptTokens * (queued + (running * prefillShare))) + sumTokens(since),
-		pace,
+		pace: paceOf(load, nowMs),
 	};
 };
 
--- a/packages/coordination/src/placement/place-request.ts
+++ b/packages/coordination/src/placement/place-request.ts
@@ -196,6 +196,11 @@
 	return count === 0 ? 0 : sumMs / count;
 };
 
+/** The paces by which requests are spread; `null` for a service whose engines tell no slowdown in their answers. */
+const pacesOf = (ranked: readonly Ranked[], profile: EngineProfile, {candidates, nowMs}: PlaceOptions): number[] | null => isUneven(candidates)
+	? ranked.map(({candidate: {load}}) => demandOf(profile, load, nowMs).pace)
+	: null;
+
 /**
  * Places the request among all those that entries have received since the reports were
  * taken. All entries see the same engine as the best and send to it until its next
@@ -204,10 +209,12 @@
  * spread over the engines first, and this request is assigned at random, in proportion
  * to each engine's share.
  */
-const placeAmongConcurrent = (ranked: readonly Ranked[], profile: EngineProfile, {othersPerSecond, random, nowMs}: PlaceOptions): Placement => {
+const placeAmongConcurrent = (ranked: readonly Ranked[], profile: EngineProfile, options: PlaceOptions): Placement => {
+	const {othersPerSecond, random, nowMs} = options;
 	const concurrentCount = othersPerSecond * meanReportAgeMs(ranked, nowMs) / 1000;
 	const perRequestMs = prefillMs(profile, profile.usualPromptTokens);
-	const shares = spreadRequests(ranked.map(({rankMs}) => rankMs), {count: concurrentCount + 1, perRequestMs});
+	const paces = pacesOf(ranked, profile, options);
+	const shares = spreadRequests(ranked.map(({rankMs}) => rankMs), {count: concurrentCount + 1, perRequestMs, paces});
 	let remaining = randomFraction(random) * (concurrentCount + 1);
 	const index = shares.findIndex(share => {
 		remaining -= share;
@@ -217,5 +224,5 @@
 	const chosen = index === -1 ? shares.indexOf(Math.max(...shares)) : index;
 	const {candidate, expectedMs} = ranked[chosen]!;
 	const aheadCount = shares[chosen]! * concurrentCount / (concurrentCount + 1);
-	return {candidate, expectedMs: expectedMs + (aheadCount * perRequestMs), lagMs: lagOf(candidate.load, nowMs)};
+	return {candidate, expectedMs: expectedMs + (aheadCount * perRequestMs * (paces?.[chosen] ?? 1)), lagMs: lagOf(candidate.load, nowMs)};
 };
--- a/packages/coordination/test/uneven-endpoints.test.ts
+++ b/packages/coordination/test/uneven-endpoints.test.ts
@@ -1,7 +1,8 @@
+import type {EngineProfile} from '@bitternpaddle/state';
 import t from 'tap';
 import {
-	choosePlain, createArrivalRate, createEndpointHealth, createEndpointLoad, createObjectiveMix, createRandom, createSpareCapacity, learnPlainTime, nextStep, placeRequest,
-	plainLatenessMs, recordSlowdown, slowdownAt, type Candidate, type EndpointLoad, type PlacementContext, type Slowdown, type UnplacedRequest,
+	choosePlain, createArrivalRate, createEndpointHealth, createEndpointLoad, createObjectiveMix, createRandom, createSpareCapacity, demandOf, learnPlainTime, nextStep, placeRequest,
+	plainLatenessMs, recordSlowdown, slowdownAt, spreadRequests, type Candidate, type EndpointLoad, type PlacementContext, type Slowdown, type UnplacedRequest,
 } from '@bitternpaddle/coordination';
 
 const nowMs = 10_000;
@@ -169,3 +170,24 @@
 	t.match(step([slow], {sentCount: 1, deadlineAtMs: nowMs + 140}), {type: 'refuse', tooLate: {placement: {candidate: {announcement: {id: 'a'}}}}});
 	t.equal(step([slow], {sentCount: 1, isBegun: true, deadlineAtMs: nowMs + 140}).type, 'send');
 });
+
+t.test('a figure that is newer than the report replaces the pace of an engine, an older one does not', async t => {
+	const report = {
+		running: 4, queued: 0, pace: 1.2, isBusy: false, isStrained: false, version: 1, readyInMs: null,
+	};
+	const profile: EngineProfile = {
+		slots: 16, stepsPerPass: 6, stepMs: 7.4, perSequenceMs: 0.04, contextMsPerThousand: 0.02, readTokensPerSecond: 32_000, usualPromptTokens: 973, usualAnswerTokens: 106,
+		kvCapacityTokens: 685_000, model: 'm', chunks: 48, chunkBytes: 49_152, loadMs: 300,
+	};
+	const paceWith = (ageMs: number): number => demandOf(profile, {
+		...createEndpointLoad(), report, reportedAtMs: nowMs - 100, slowdown: slowdown(2.5, ageMs),
+	}, nowMs).pace;
+	t.equal(paceWith(50), 2.5);
+	t.equal(paceWith(150), 1.2);
+});
+
+t.test('slower engines get fewer requests up to the same wait', async t => {
+	t.same(spreadRequests([0, 0], {count: 3, perRequestMs: 10, paces: [1, 2]}), [2, 1]);
+	t.same(spreadRequests([0, 100], {count: 3, perRequestMs: 10, paces: [2, 1]}), [3, 0]);
+	t.same(spreadRequests([0, 10, 100], {count: 3, perRequestMs: 10, paces: [1, 1, 1]}), spreadRequests([0, 10, 100], {count: 3, perRequestMs: 10}));
+});
