--- a/packages/coordination/src/placement/place-request.ts
+++ b/packages/coordination/src/placement/place-request.ts
@@ -4,6 +4,9 @@
 import {hasFreshReport, lagOf, type EndpointLoad} from './endpoint-load.js';
 import {spreadRequests} from './crowd.js';
 import {demandOf, firstTokenMs, prefillMs} from './engine-model.js';
+import {
+	choosePlain, estimatePlain, isUneven, plainTimeMs, serviceTimeMs, type PlainEstimate,
+} from './plain-model.js';
 import {isMostlySwitched, mayStartOn, type VersionDue} from './version-due.js';
 import {isBackingOff, type EndpointHealth} from './endpoint-health.js';
 
@@ -38,6 +41,10 @@
 	readonly expectedMs: number;
 	/** The part of the estimate that is due to recent answers that started later than expected. */
 	readonly lagMs: number;
+	/** The factors of the estimate; missing for an engine, and for a plain service whose endpoints have told no slowdown. */
+	readonly plain?: PlainEstimate;
+	/** The best endpoint of the near zone, if one in another zone was chosen because it is faster. */
+	readonly passedNear?: {readonly candidate: Candidate; readonly expectedMs: number};
 };
 
 /** Cost of leaving the zone, as time: a network round trip, reports that are twice as old, and a surcharge because traffic between regions is expensive. */
@@ -116,6 +123,10 @@
  */
 export const placeRequest = (options: PlaceOptions): Placement | null => {
 	const {candidates, profile, dues, nowMs} = options;
+	if (profile === null && isUneven(candidates)) {
+		return placeUnevenPlain(options);
+	}
+
 	const isSwitched = profile !== null && dues.length > 0 && isMostlySwitched(candidates.map(candidate => versionOf(candidate, profile, nowMs)), dues);
 	const usable = candidates.filter(candidate => isEligible(candidate, options))
 		.map(candidate => assess(candidate, options))
@@ -147,6 +158,30 @@
 	return {candidate, expectedMs, lagMs: lagOf(candidate.load, nowMs)};
 };
 
+/** Places a request at a plain service whose endpoints tell their slowdown. */
+const placeUnevenPlain = (options: PlaceOptions): Placement | null => {
+	const {candidates, zoneId, random, nowMs} = options;
+	const eligible = candidates.filter(candidate => isEligible(candidate, options));
+	const healthy = eligible.filter(({health}) => !isBackingOff(health, nowMs));
+	const usable = healthy.length > 0 ? healthy : eligible;
+	if (usable.length === 0) {
+		return null;
+	}
+
+	const serviceMs = serviceTimeMs(candidates, nowMs);
+	const ranked = usable.map(candidate => {
+		const plain = estimatePlain(candidate, serviceMs, nowMs);
+		const lagMs = lagOf(candidate.load, nowMs);
+		return {
+			candidate, zoneId: candidate.announcement.zoneId, plain, lagMs, expectedMs: plainTimeMs(plain, candidate.load, nowMs) + lagMs,
+		};
+	});
+	const {chosen: {candidate, expectedMs, lagMs, plain}, passedNear} = choosePlain(ranked, zoneId, random);
+	return {
+		candidate, expectedMs, lagMs, plain, ...(passedNear !== null && {passedNear}),
+	};
+};
+
 /** Mean age of the fresh reports. */
 const meanReportAgeMs = (ranked: readonly Ranked[], nowMs: number): number => {
 	let count = 0;
@@ -161,6 +196,11 @@
 	return count === 0 ? 0 : sumMs / count;
 };
 
+/** The paces by which requests are spread; `null` for a service whose engines tell no slowdown in their answers. */
+const pacesOf = (ranked: readonly Ranked[], profile: EngineProfile, {candidates, nowMs}: PlaceOptions): number[] | null => isUneven(candidates)
+	? ranked.map(({candidate: {load}}) => demandOf(profile, load, nowMs).pace)
+	: null;
+
 /**
  * Places the request among all those that entries have received since the reports were
  * taken. All entries see the same engine as the best and send to it until its next
@@ -169,10 +209,12 @@
  * spread over the engines first, and this request is assigned at random, in proportion
  * to each engine's share.
  */
-const placeAmongConcurrent = (ranked: readonly Ranked[], profile: EngineProfile, {othersPerSecond, random, nowMs}: PlaceOptions): Placement => {
+const placeAmongConcurrent = (ranked: readonly Ranked[], profile: EngineProfile, options: PlaceOptions): Placement => {
+	const {othersPerSecond, random, nowMs} = options;
 	const concurrentCount = othersPerSecond * meanReportAgeMs(ranked, nowMs) / 1000;
 	const perRequestMs = prefillMs(profile, profile.usualPromptTokens);
-	const shares = spreadRequests(ranked.map(({rankMs}) => rankMs), {count: concurrentCount + 1, perRequestMs});
+	const paces = pacesOf(ranked, profile, options);
+	const shares = spreadRequests(ranked.map(({rankMs}) => rankMs), {count: concurrentCount + 1, perRequestMs, paces});
 	let remaining = randomFraction(random) * (concurrentCount + 1);
 	const index = shares.findIndex(share => {
 		remaining -= share;
@@ -182,5 +224,5 @@
 	const chosen = index === -1 ? shares.indexOf(Math.max(...shares)) : index;
 	const {candidate, expectedMs} = ranked[chosen]!;
 	const aheadCount = shares[chosen]! * concurrentCount / (concurrentCount + 1);
-	return {candidate, expectedMs: expectedMs + (aheadCount * perRequestMs), lagMs: lagOf(candidate.load, nowMs)};
+	return {candidate, expectedMs: expectedMs + (aheadCount * perRequestMs * (paces?.[chosen] ?? 1)), lagMs: lagOf(candidate.load, nowMs)};
 };
--- a/packages/transport/src/logging/events.ts
+++ b/packages/transport/src/logging/events.ts
@@ -84,6 +84,8 @@
 	BP4053: {level: 'warn', text: 'a configuration allows only regions that no endpoint can be in', advice: 'Check the lists of the route and the team that are named, and the zones of the settings.'},
 	BP4054: {level: 'info', text: 'the evacuated zones are confirmed for the first time since the start', advice: 'None.'},
 	BP4055: {level: 'info', text: 'a request was not sent to the endpoint selected for it', advice: 'None; the exclusion names the rule that came into force in between.'},
+	BP4063: {level: 'info', text: 'a request was sent to another zone because the endpoints of its own would take longer', advice: 'None; check the endpoints of the zone if it persists.'},
+	BP4064: {level: 'info', text: 'no endpoint can answer a request in the time left', advice: 'None; check the load and the slowdown of the endpoint named if it recurs.'},
 	BP4090: {level: 'warn', text: 'log lines were dropped', advice: 'None; the counts by event are in the line.'},
 	BP4091: {level: 'info', text: 'the settings were reloaded', advice: 'None.'},
 	BP9001: {level: 'info', text: 'the process is ready', advice: 'None.'},
