refactor(gateway): end an excluded request before other uses of its next step

Parts that record the next step of a request would have to handle a step that is none of placement, and a fractional arrival had its own parameter.

Change: findEndpoint ends an excluded request right after the selection, and zone demand uses recordArrivals, which takes the amount. Behavior is unchanged; the tests of the restricted and evacuated requests, the zone demand and the crowd passed.

--- a/packages/coordination/src/placement/zone-demand.ts
+++ b/packages/coordination/src/placement/zone-demand.ts
@@ -1,5 +1,5 @@
 import {
-	arrivalsPerSecond, createArrivalRate, recordArrival, type ArrivalRate,
+	arrivalsPerSecond, createArrivalRate, recordArrivals, type ArrivalRate,
 } from './arrival-rate.js';
 
 /**
@@ -20,7 +20,7 @@
 	for (const {announcement: {zoneId}} of permitted) {
 		const rate = demand.get(zoneId) ?? createArrivalRate();
 		demand.set(zoneId, rate);
-		recordArrival(rate, nowMs, 1 / permitted.length);
+		recordArrivals(rate, 1 / permitted.length, nowMs);
 	}
 };
 
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -40,6 +40,10 @@
 			}
 
 			const step = selectNextStep(context, call, wait.seeking());
+			if (step.type === 'exclude') {
+				return failExcluded(context, call, progress, step.exclusion);
+			}
+
 			switch (step.type) {
 				case 'send': {
 					// Synchronous with the decision: requests released in the same tick must not all be sent with one permit.
@@ -51,10 +55,6 @@
 					return failCall(context, call, progress, step.reason, step.retryAfterMs);
 				}
 
-				case 'exclude': {
-					return failExcluded(context, call, progress, step.exclusion);
-				}
-
 				case 'wait': {
 					wait.continueFor(step.reason);
 					await context.waitQueue.nextCheck();
