feat(model): bursts of one kind, priorities and report ages

The model gave all requests one priority and varied the load of all kinds alike, so it could not show what a burst of one kind does to the others. Scenarios take priorities and teams of kinds, bursts of one kind, an additional age of reports, entries without reports, and the exchange of demand between entries.

With it, the free slot that the least urgent requests are limited to includes a quarter of the time in which an engine's next slot becomes free, and a lack begins at three quarters of it.

--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -17,7 +17,7 @@
 	recordLack, recordRefusedDemand, recordServed, workMs, type Occurrence, type PriorityDemand,
 } from './priority-demand.js';
 import {
-	hasIdleEngines, queuedAheadShare, roomLimitOf, type RoomLimit, type RoomView,
+	hasIdleEngines, lackMs, queuedAheadShare, roomLimitOf, type RoomLimit, type RoomView,
 } from './priority-room.js';
 import {mayWaitForCapacity, recordSpareCapacity, type SpareCapacity} from './spare-room.js';
 import type {VersionDue} from './version-due.js';
@@ -225,11 +225,11 @@
 	}
 
 	const isFirstCheck = request.waitsFor === null && !request.isLastTry;
-	if (isFirstCheck && placement.expectedMs - excessMs > spareMs) {
+	if (isFirstCheck && profile !== null && placement.expectedMs - excessMs > lackMs(profile)) {
 		recordIn(context, request, recordLack);
 	}
 
-	const room = roomOf(demand, context, request, spareMs);
+	const room = roomOf(demand, context, request);
 	const timeToStartMs = request.deadlineAtMs - nowMs - answerTimeMs(profile);
 	const admission = admitRequest({
 		retryClass: request.retryClass, expectedMs: placement.expectedMs, objectiveMs: request.objectiveMs,
@@ -260,14 +260,14 @@
 	}
 };
 
-const roomOf = ({objectives}: ServiceDemand, {room, profile, random, nowMs}: PlacementContext, request: UnplacedRequest, spareMs: number): RoomLimit | null => {
+const roomOf = ({objectives}: ServiceDemand, {room, profile, random, nowMs}: PlacementContext, request: UnplacedRequest): RoomLimit | null => {
 	if (room === null || profile === null) {
 		return null;
 	}
 
 	const topLimitMs = objectiveSafetyShare * Math.min(request.objectiveMs, strictestObjectiveMs(objectives, nowMs));
 	return roomLimitOf(room, {
-		...request, profile, spareMs, topLimitMs, random, nowMs,
+		...request, profile, topLimitMs, random, nowMs,
 	});
 };
 
--- a/packages/coordination/src/placement/priority-room.ts
+++ b/packages/coordination/src/placement/priority-room.ts
@@ -1,6 +1,7 @@
 import type {EngineProfile} from '@bitternpaddle/state';
 import {randomFraction, type Random} from '../utils/random.js';
 import {hasFreshReport, sentSinceReport} from './endpoint-load.js';
+import {slotWaitMs, spareFirstTokenMs} from './engine-model.js';
 import type {Candidate} from './place-request.js';
 import {
 	groupKeysOf, priorityKey, totalDemand, totalKey, type DemandFigures, type DemandSource, type DemandTotals, type PriorityDemand,
@@ -32,8 +33,6 @@
 
 export type RoomRequest = DemandSource & {
 	readonly profile: EngineProfile;
-	/** Time to the first token of a usual request at an engine with a free slot. */
-	readonly spareMs: number;
 	/** The limit for the most urgent priority. */
 	readonly topLimitMs: number;
 	readonly random: Random;
@@ -90,9 +89,27 @@
 	return requested > shareMs && randomFraction(random) >= shareMs / requested;
 };
 
+/**
+ * Parts of the time in which an engine's next slot becomes free, in addition to the
+ * time to the first token at a free slot. Estimates include requests of other entries
+ * since the reports: without the first part, the least urgent requests would leave
+ * slots free for good; at the second one, nearly all slots are surely taken.
+ */
+const freeTurnShare = 0.25;
+const lackTurnShare = 0.75;
+
+const turnMs = (profile: EngineProfile): number => slotWaitMs(profile, profile.slots);
+
+/** The limit on the expected wait that only engines with a free slot meet. */
+export const freeSlotMs = (profile: EngineProfile): number => spareFirstTokenMs(profile) + (freeTurnShare * turnMs(profile));
+
+/** The expected wait beyond which no engine has a free slot. */
+export const lackMs = (profile: EngineProfile): number => spareFirstTokenMs(profile) + (lackTurnShare * turnMs(profile));
+
 /** Decides within which expected wait a request is admitted. */
 export const roomLimitOf = ({priorities, demand}: RoomView, request: RoomRequest): RoomLimit => {
-	const {priority, profile, spareMs, topLimitMs, nowMs} = request;
+	const {priority, profile, topLimitMs, nowMs} = request;
+	const freeMs = freeSlotMs(profile);
 	const totals = totalDemand(demand, nowMs);
 	const total = totals.figuresOf(totalKey);
 	const figuresOf = (other: number): DemandFigures => totals.figuresOf(priorityKey(other));
@@ -104,7 +121,7 @@
 	}
 
 	if (exceedsTeamShare(totals, request)) {
-		return {rule: 'team', limitMs: spareMs, ...common};
+		return {rule: 'team', limitMs: Math.min(freeMs, topLimitMs), ...common};
 	}
 
 	if (!priorities.some(other => other < priority && isSignificant(figuresOf(other), total) && lacksCapacity(figuresOf(other)))) {
@@ -112,7 +129,7 @@
 	}
 
 	const strictness = Math.min(1, priorities.filter(other => other < priority).length / (priorities.length - 1));
-	return {rule: 'urgent', limitMs: topLimitMs - (strictness * Math.max(0, topLimitMs - spareMs)), ...common};
+	return {rule: 'urgent', limitMs: topLimitMs - (strictness * Math.max(0, topLimitMs - freeMs)), ...common};
 };
 
 /**
--- a/packages/coordination/test/priority-room.test.ts
+++ b/packages/coordination/test/priority-room.test.ts
@@ -3,7 +3,7 @@
 } from '@bitternpaddle/state';
 import t from 'tap';
 import {
-	createPriorityDemand, createRandom, fairShare, hasIdleEngines, prioritiesByService, queuedAheadShare, recordDemand, recordLack, recordReceivedDemand, recordRefusedDemand, recordServed,
+	createPriorityDemand, createRandom, fairShare, freeSlotMs, hasIdleEngines, prioritiesByService, queuedAheadShare, recordDemand, recordLack, recordReceivedDemand, recordRefusedDemand, recordServed,
 	roomLimitOf, totalDemand, createEndpointHealth, createEndpointLoad, type Candidate, type DemandFigures, type PriorityDemand, type RoomLimit,
 } from '@bitternpaddle/coordination';
 
@@ -12,7 +12,7 @@
 	kvCapacityTokens: 685_000, model: 'm', chunks: 48, chunkBytes: 49_152, loadMs: 300,
 };
 const nowMs = 1000;
-const spareMs = 170;
+const freeMs = freeSlotMs(profile);
 const topLimitMs = 320;
 const priorities = [0, 1, 2];
 const random = createRandom(1);
@@ -62,7 +62,7 @@
 type Source = {readonly priority: number; readonly teamName?: string | null; readonly promptTokens?: number; readonly atMs?: number};
 
 const limitOf = (demand: PriorityDemand, {priority, teamName = null, promptTokens = 973, atMs = nowMs}: Source): RoomLimit => roomLimitOf({priorities, demand}, {
-	priority, teamName, promptTokens, routeName: `route-${priority}`, profile, spareMs, topLimitMs, random, nowMs: atMs,
+	priority, teamName, promptTokens, routeName: `route-${priority}`, profile, topLimitMs, random, nowMs: atMs,
 });
 
 t.test('without a lack of capacity, each priority is limited by its own objective alone', async t => {
@@ -77,8 +77,8 @@
 t.test('while urgent requests find no free slot, less urgent ones are limited by rank', async t => {
 	const demand = demandOfGroups([{priority: 0, arrived: 50, lacking: 10}, {priority: 1, arrived: 50}, {priority: 2, arrived: 300}]);
 	t.match(limitOf(demand, {priority: 0}), {rule: 'own'});
-	t.match(limitOf(demand, {priority: 1}), {rule: 'urgent', limitMs: (topLimitMs + spareMs) / 2});
-	t.match(limitOf(demand, {priority: 2}), {rule: 'urgent', limitMs: spareMs});
+	t.match(limitOf(demand, {priority: 1}), {rule: 'urgent', limitMs: (topLimitMs + freeMs) / 2});
+	t.match(limitOf(demand, {priority: 2}), {rule: 'urgent', limitMs: freeMs});
 });
 
 t.test('a lack of capacity for less urgent requests restricts no more urgent ones', async t => {
--- a/packages/model/src/scenario.ts
+++ b/packages/model/src/scenario.ts
@@ -22,6 +22,9 @@
 /** From `fromS` on, requests arrive at `factor` times the rate that the engines sustain. */
 export type LoadStep = {readonly fromS: number; readonly factor: number};
 
+/** Callers of one class arrive at `factor` times their usual rate for some time. */
+export type ClassBurst = {readonly className: string; readonly fromS: number; readonly toS: number; readonly factor: number};
+
 /** A disturbance of the engines. */
 export type EngineEvent
 	/** Rolling reload: the engines load other weights in turn, `concurrentShare` of them at a time. */
@@ -44,6 +47,14 @@
 	/** Sorted by time; the first one starts at 0. */
 	readonly load: readonly LoadStep[];
 	readonly events: readonly EngineEvent[];
+	/** @default none */
+	readonly bursts?: readonly ClassBurst[];
+	/** Age of the newest reports that entries know. @default that of reports sent every 100 ms, or 150 ms to other zones */
+	readonly reportAgeMs?: number;
+	/** Number of entries that receive no reports. @default 0 */
+	readonly unreportedEntryCount?: number;
+	/** Whether entries exchange their demand. @default true */
+	readonly exchangesDemand?: boolean;
 };
 
 /** Requests per second that the engines of a scenario sustain with all slots in use all the time. */
--- a/packages/model/src/scenarios.ts
+++ b/packages/model/src/scenarios.ts
@@ -1,6 +1,6 @@
 import type {EngineProfile} from '@bitternpaddle/state';
 import type {
-	EngineEvent, LoadStep, CallerClass, Scenario,
+	ClassBurst, EngineEvent, LoadStep, CallerClass, Scenario,
 } from './scenario.js';
 
 type ProfileFields = Pick<EngineProfile, 'slots' | 'stepMs' | 'readTokensPerSecond' | 'usualAnswerTokens'> & Partial<EngineProfile>;
@@ -52,6 +52,18 @@
 			name: 'notice', share: 0.26, objectiveMs: 400, deadlineMs: 6000, promptTokens: 650, answerTokens: 70, worth: 1.4, lateWorth: 0.34,
 		},
 	],
+	/** Three priorities, of which the last has an objective twice as long. */
+	ranks: [
+		{
+			name: 'urgent', share: 0.35, priority: 0, objectiveMs: 403, deadlineMs: 6042, promptTokens: 973, answerTokens: 100, worth: 3.7, lateWorth: 0.37,
+		},
+		{
+			name: 'usual', share: 0.35, priority: 1, objectiveMs: 402, deadlineMs: 6036, promptTokens: 973, answerTokens: 100, worth: 1.7, lateWorth: 0.42,
+		},
+		{
+			name: 'tolerant', share: 0.3, priority: 2, objectiveMs: 802, deadlineMs: 6017, promptTokens: 973, answerTokens: 100, worth: 0.51, lateWorth: 0.19,
+		},
+	],
 } as const satisfies Record<string, readonly CallerClass[]>;
 
 export type WorkloadName = keyof typeof workloads;
@@ -67,7 +79,7 @@
 	readonly work?: WorkloadName;
 };
 
-type Shape = {readonly load: readonly LoadStep[]; readonly events?: readonly EngineEvent[]};
+type Shape = {readonly load: readonly LoadStep[]; readonly events?: readonly EngineEvent[]; readonly bursts?: readonly ClassBurst[]};
 
 const shapes = {
 	steady: {load: [{fromS: 0, factor: 0.75}]},
@@ -86,6 +98,26 @@
 			type: 'restart', atS: 5, firstReadyAfterMs: 3000, lastReadyAfterMs: 4500,
 		}],
 	},
+	/** For the workload `ranks`. */
+	'burst-tolerant': {
+		load: [{fromS: 0, factor: 0.8}], bursts: [{
+			className: 'tolerant', fromS: 4, toS: 10, factor: 2.5,
+		}],
+	},
+	/** For the workload `ranks`. */
+	'burst-urgent': {
+		load: [{fromS: 0, factor: 0.8}], bursts: [{
+			className: 'urgent', fromS: 4, toS: 10, factor: 2.5,
+		}],
+	},
+	/** For the workload `ranks`. */
+	'burst-tolerant-ramp': {
+		load: [{fromS: 0, factor: 0.6}], bursts: [{
+			className: 'tolerant', fromS: 2, toS: 8, factor: 2.5,
+		}], events: [{
+			type: 'join', atS: 0, share: 0.5, readyAfterMs: 6000,
+		}],
+	},
 	loss: {load: [{fromS: 0, factor: 0.8}], events: [{type: 'loss', atS: 5, share: 0.35}]},
 } as const satisfies Record<string, Shape>;
 
@@ -97,8 +129,8 @@
 
 /** Builds the named scenario for a deployment of the given size. */
 export const resolveScenario = (name: ScenarioName, {profile = 'batch8', work = 'drafts', ...size}: ScenarioSize): Scenario => {
-	const {load, events = []}: Shape = shapes[name];
+	const {load, events = [], bursts = []}: Shape = shapes[name];
 	return {
-		name, profile: profiles[profile], callerClasses: workloads[work], zoneCount, durationS, load, events, ...size,
+		name, profile: profiles[profile], callerClasses: workloads[work], zoneCount, durationS, load, events, bursts, ...size,
 	};
 };
--- a/packages/model/src/world.ts
+++ b/packages/model/src/world.ts
@@ -1,5 +1,5 @@
 import {
-	createRandom, randomFraction, type Candidate, type EngineReport, type Random,
+	createRandom, ownFigures, randomFraction, recordReceivedDemand, type Candidate, type EngineReport, type Random,
 } from '@bitternpaddle/coordination';
 import {createModelEngine, type ModelEngine} from './engine.js';
 import {
@@ -47,19 +47,42 @@
 
 const zoneOf = (index: number, {zoneCount}: Scenario): string => `zone-${index % zoneCount}`;
 
-const scheduleReports = ({engines, entries, timeline}: Simulation): void => {
+/** Interval of the exchange of demand between entries. */
+const demandIntervalMs = 300;
+
+const scheduleDemand = ({entries, timeline}: Simulation): void => {
+	for (const [index, {priorityDemand}] of entries.entries()) {
+		const exchange = (): void => {
+			const figures = ownFigures(priorityDemand, timeline.nowMs());
+			timeline.after(crossZoneLatencyMs, () => {
+				for (const entry of entries) {
+					if (entry.priorityDemand !== priorityDemand) {
+						recordReceivedDemand(entry.priorityDemand, `entry-${index}`, {figures, atMs: timeline.nowMs()});
+					}
+				}
+			});
+			timeline.after(demandIntervalMs, exchange);
+		};
+
+		timeline.at((index * 17) % demandIntervalMs, exchange);
+	}
+};
+
+const scheduleReports = ({scenario, engines, entries, timeline}: Simulation): void => {
+	const {reportAgeMs = 0, unreportedEntryCount = 0} = scenario;
+	const informed = entries.slice(unreportedEntryCount);
 	type Sample = {readonly report: EngineReport; readonly atMs: number};
 	const deliver = ({report, atMs}: Sample, to: readonly Candidate[], latencyMs: number): void => {
 		timeline.after(latencyMs, () => {
 			for (const {load} of to) {
 				load.report = report;
-				load.reportedAtMs = atMs + latencyMs;
+				load.reportedAtMs = atMs + latencyMs - reportAgeMs;
 			}
 		});
 	};
 
 	for (const [index, engine] of engines.entries()) {
-		const candidatesOf = (isNear: boolean): Candidate[] => entries.filter(({zoneId}) => (zoneId === engine.zoneId) === isNear).map(({candidates}) => candidates.get(engine.id)!);
+		const candidatesOf = (isNear: boolean): Candidate[] => informed.filter(({zoneId}) => (zoneId === engine.zoneId) === isNear).map(({candidates}) => candidates.get(engine.id)!);
 		const near = candidatesOf(true);
 		const far = candidatesOf(false);
 		const repeatEvery = (periodMs: number, callback: () => void): void => {
@@ -74,10 +97,10 @@
 		let latest: Sample = {report: engine.report(), atMs: 0};
 		repeatEvery(reportIntervalMs, () => {
 			latest = {report: engine.report(), atMs: timeline.nowMs()};
-			deliver(latest, near, sameZoneLatencyMs);
+			deliver(latest, near, sameZoneLatencyMs + reportAgeMs);
 		});
 		repeatEvery(digestIntervalMs, () => {
-			deliver(latest, far, crossZoneLatencyMs);
+			deliver(latest, far, crossZoneLatencyMs + reportAgeMs);
 		});
 	}
 };
@@ -124,12 +147,19 @@
 	}
 };
 
-const pickCallerClass = (callerClasses: readonly CallerClass[], random: Random): CallerClass => {
-	let remaining = randomFraction(random);
-	return callerClasses.find(({share}) => {
-		remaining -= share;
+type WeightedClass = {readonly callerClass: CallerClass; readonly weight: number};
+
+const weightsAt = ({callerClasses, bursts = []}: Scenario, nowMs: number): WeightedClass[] => callerClasses.map(callerClass => {
+	const burst = bursts.find(({className, fromS, toS}) => className === callerClass.name && nowMs >= fromS * msPerSecond && nowMs < toS * msPerSecond);
+	return {callerClass, weight: callerClass.share * (burst?.factor ?? 1)};
+});
+
+const pickCallerClass = (weighted: readonly WeightedClass[], random: Random): CallerClass => {
+	let remaining = randomFraction(random) * weighted.reduce((sum, {weight}) => sum + weight, 0);
+	return weighted.find(({weight}) => {
+		remaining -= weight;
 		return remaining < 0;
-	}) ?? callerClasses.at(-1)!;
+	})?.callerClass ?? weighted.at(-1)!.callerClass;
 };
 
 const pickRandom = <Item>(items: readonly Item[], random: Random): Item => items[random.between(0, items.length - 1)]!;
@@ -196,8 +226,9 @@
 			return;
 		}
 
-		simulateCaller(simulation, pickCallerClass(callerClasses, random));
-		const {factor} = load.findLast(({fromS}) => fromS * msPerSecond <= nowMs)!;
+		const weighted = weightsAt(scenario, nowMs);
+		simulateCaller(simulation, pickCallerClass(weighted, random));
+		const factor = load.findLast(({fromS}) => fromS * msPerSecond <= nowMs)!.factor * weighted.reduce((sum, {weight}) => sum + weight, 0);
 		timeline.after(-Math.log(1 - randomFraction(random)) * msPerSecond / (requestsPerSecond * factor), next);
 	};
 
@@ -224,6 +255,10 @@
 		scenario, timeline, random, tally, engines, entries,
 	};
 	scheduleReports(simulation);
+	if (scenario.exchangesDemand !== false && priorities.length > 1) {
+		scheduleDemand(simulation);
+	}
+
 	scheduleCallers(simulation);
 	for (const event of scenario.events) {
 		timeline.at(event.atS * msPerSecond, () => {
--- a/packages/model/test/placing.test.ts
+++ b/packages/model/test/placing.test.ts
@@ -72,3 +72,39 @@
 		t.ok(heldInVainMs < 200, `${name}: ${heldInVainMs.toFixed(0)} ms per caller`);
 	}
 });
+
+const ranked = (name: ScenarioName, fields: Partial<Scenario> = {}): Scenario => ({
+	...resolveScenario(name, {
+		engineCount: 28, entryCount: 19, profile: 'batch12', work: 'ranks',
+	}), ...fields,
+});
+
+/** Priorities have no effect on admission. */
+const withoutRoom: EntryPolicy = {...productPolicy, step: (demand, context, request) => nextStep(demand, {...context, room: null}, request)};
+
+type KindShares = Readonly<Record<'inTime' | 'served', number>>;
+
+/** Shares of the callers of a kind that are answered in time, and at all. */
+const sharesOf = (scenario: Scenario, kind: string, policy?: EntryPolicy): KindShares => {
+	const {asked, inTime, late} = simulateScenario({scenario, seed: 1, policy}).tally.byClass.get(kind)!;
+	return {inTime: inTime / asked, served: (inTime + late) / asked};
+};
+
+// Guards against a burst that takes the capacity of more urgent requests: the least
+// urgent ones are admitted to queues in which the most urgent would be late.
+t.test('a burst of the least or the most urgent kind leaves the most urgent kind its capacity', async t => {
+	for (const entryCount of [1, 8, 19]) {
+		for (const name of ['burst-tolerant', 'burst-urgent'] as const) {
+			const scenario = ranked(name, {entryCount});
+			const before = sharesOf(scenario, 'urgent', withoutRoom);
+			const after = sharesOf(scenario, 'urgent');
+			t.ok(after.inTime > 0.88 && after.inTime > before.inTime && after.served > 0.97, `${name}, ${entryCount} entries: ${format({before, after})}`);
+			const least = sharesOf(scenario, 'tolerant');
+			t.ok(least.served > 0.5, `the least urgent kind is not starved: ${format({least})}`);
+		}
+	}
+});
+
+t.test('without overload, requests of the least urgent kind are not refused for others', async t => {
+	t.ok(sharesOf(ranked('steady'), 'tolerant').inTime > 0.99);
+});
