--- a/packages/gateway/src/entry/call-context.ts
+++ b/packages/gateway/src/entry/call-context.ts
@@ -2,6 +2,7 @@
 	ArrivalRate, ObjectiveMix, Random, RetryAllowance, SpareCapacity, VersionDue,
 } from '@bitternpaddle/coordination';
 import type {Logger} from '@bitternpaddle/transport';
+import type {ServiceRooms} from '../demand/service-rooms.js';
 import type {EndpointLimits} from '../limits/endpoint-limits.js';
 import type {RequestProtocol} from '../link/request-protocol.js';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
@@ -20,6 +21,7 @@
 	readonly quarantine: RequestQuarantine;
 	readonly limits: EndpointLimits;
 	readonly permission: Permission;
+	readonly rooms: ServiceRooms;
 	readonly zoneId: string;
 	readonly random: Random;
 	readonly logger: Logger;
--- a/packages/transport/src/logging/events.ts
+++ b/packages/transport/src/logging/events.ts
@@ -86,6 +86,7 @@
 	BP4055: {level: 'info', text: 'a request was not sent to the endpoint selected for it', advice: 'None; the exclusion names the rule that came into force in between.'},
 	BP4063: {level: 'info', text: 'a request was sent to another zone because the endpoints of its own would take longer', advice: 'None; check the endpoints of the zone if it persists.'},
 	BP4064: {level: 'info', text: 'no endpoint can answer a request in the time left', advice: 'None; check the load and the slowdown of the endpoint named if it recurs.'},
+	BP4059: {level: 'warn', text: 'a request was refused for load by its priority', advice: 'Check the rule, the limit and the expected wait; add engines if it lasts.'},
 	BP4090: {level: 'warn', text: 'log lines were dropped', advice: 'None; the counts by event are in the line.'},
 	BP4091: {level: 'info', text: 'the settings were reloaded', advice: 'None.'},
 	BP9001: {level: 'info', text: 'the process is ready', advice: 'None.'},
