--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -1,8 +1,8 @@
 import {
 	nextStep, preferredLimited, type Exclusion, type NextStep, type Placement, type UnplacedRequest, type ServiceDemand, type PlacementContext, type WaitReason,
 } from '@bitternpaddle/coordination';
-import {recordTooLate} from './answer-load.js';
 import {demandSourceOf} from '../demand/service-rooms.js';
+import {recordTooLate} from './answer-load.js';
 import type {CallContext} from './call-context.js';
 import {versionDuesOf} from './call-headers.js';
 import type {CallProgress} from './call-progress.js';
