--- a/packages/gateway/test/region-check.test.ts
+++ b/packages/gateway/test/region-check.test.ts
@@ -40,7 +40,7 @@
 		clock: createSuspendAwareClock({steadyNowMs: () => performance.now(), wallNowMs: () => Date.now()}), logger,
 	});
 	const first = await start(true);
-	const configuration = configurationWith(1, {routeRegions: ['r1', 'r9']});
+	const configuration = configurationWith(1, ['r1', 'r9']);
 	let result = await first.submit(documentOf(configuration));
 	while (result === 'unknown') {
 		await delay(30);
@@ -63,10 +63,10 @@
 t.test('the number of lines for one configuration is limited', async t => {
 	const {lines, logger} = createRecorder();
 	const check = createRegionCheck({decodeConfiguration, regionsByZone, logger});
-	const {routes, ...rest} = configurationWith(1, {routeRegions: ['r9']});
+	const {routes, ...rest} = configurationWith(1, ['r9']);
 	check(documentOf({...rest, routes: Array.from({length: 50}, () => routes[1]!)}));
 	t.equal(lines.length, 20);
 	t.equal(lines.at(-1)!.omittedCount, 30);
-	check(documentOf(configurationWith(2, {routeRegions: ['r1']})));
+	check(documentOf(configurationWith(2, ['r1'])));
 	t.equal(lines.length, 20, 'a list of known regions is not logged');
 });
