--- a/packages/coordination/src/placement/endpoint-load.ts
+++ b/packages/coordination/src/placement/endpoint-load.ts
@@ -1,6 +1,6 @@
 import {createPathDelay, type PathDelay} from './path-delay.js';
 import type {LearnedTime} from './plain-model.js';
-import type {Slowdown} from './slowdown.js';
+import type {AgedFigure} from './slowdown.js';
 
 /** The state of an engine, as reported by the agent on its host. */
 export type EngineReport = {
@@ -44,7 +44,9 @@
 	/** The load as last advertised in the head of an answer; `null` if none advertised it. */
 	advertisedLoad: ReceivedLoad | null;
 	/** The slowdown that its answers have told; `null` if none told any. */
-	slowdown: Slowdown | null;
+	slowdown: AgedFigure | null;
+	/** The requests at the endpoint that its answers have told; `null` if none told any. */
+	active: AgedFigure | null;
 	/** The usual time of a request at a plain endpoint; `null` until learned. */
 	learned: LearnedTime | null;
 	/** When it last refused a request as full; `-Infinity` if never. */
@@ -62,7 +64,7 @@
 
 export const createEndpointLoad = (): EndpointLoad => ({
 	report: null, reportedAtMs: Number.NEGATIVE_INFINITY, path: createPathDelay(), outstanding: 0, awaiting: new Map(), advertisedLoad: null, lagMs: 0, lagAtMs: 0,
-	slowdown: null, learned: null, refusedAtMs: Number.NEGATIVE_INFINITY,
+	slowdown: null, active: null, learned: null, refusedAtMs: Number.NEGATIVE_INFINITY,
 	pausedUntilMs: Number.NEGATIVE_INFINITY, isLeaving: false,
 });
 
--- a/packages/coordination/src/placement/slowdown.ts
+++ b/packages/coordination/src/placement/slowdown.ts
@@ -1,5 +1,5 @@
-/** What the answers of an endpoint have told about the slowdown of its host (1: work takes as long as usual). */
-export type Slowdown = {
+/** A figure that the answers of an endpoint tell, such as the slowdown of its host (1: work takes as long as usual). */
+export type AgedFigure = {
 	/** The newest figure. */
 	latest: number;
 	atMs: number;
@@ -22,8 +22,7 @@
 export const boundSlowdown = (figure: number): number => Math.min(maxSlowdown, Math.max(minSlowdown, figure));
 
 /** Records a figure; returns the updated record. */
-export const recordSlowdown = (known: Slowdown | null, figure: number, nowMs: number): Slowdown => {
-	const latest = boundSlowdown(figure);
+const recordFigure = (known: AgedFigure | null, latest: number, nowMs: number): AgedFigure => {
 	if (known === null) {
 		return {
 			latest, atMs: nowMs, mean: latest, coveredMs: maxFigureAgeMs,
@@ -38,17 +37,27 @@
 	};
 };
 
-/**
- * The slowdown to expect now: the newest figure, which loses its weight linearly to
- * the mean of the figures until its maximum age, and then the mean, which returns to
- * 1 while no figures arrive.
- */
-export const slowdownAt = ({latest, atMs, mean}: Slowdown, nowMs: number): number => {
+const figureAt = ({latest, atMs, mean}: AgedFigure, usual: number, nowMs: number): number => {
 	const ageMs = nowMs - atMs;
 	if (ageMs <= maxFigureAgeMs) {
 		const weight = 1 - (Math.max(0, ageMs) / maxFigureAgeMs);
 		return mean + ((latest - mean) * weight);
 	}
 
-	return 1 + ((mean - 1) * (0.5 ** ((ageMs - maxFigureAgeMs) / returnHalfLifeMs)));
+	return usual + ((mean - usual) * (0.5 ** ((ageMs - maxFigureAgeMs) / returnHalfLifeMs)));
 };
+
+export const recordSlowdown = (known: AgedFigure | null, figure: number, nowMs: number): AgedFigure => recordFigure(known, boundSlowdown(figure), nowMs);
+
+/**
+ * The slowdown to expect now: the newest figure, which loses its weight linearly to
+ * the mean of the figures until its maximum age, and then the mean, which returns to
+ * 1 while no figures arrive.
+ */
+export const slowdownAt = (slowdown: AgedFigure, nowMs: number): number => figureAt(slowdown, 1, nowMs);
+
+/** Like `recordSlowdown`, for the requests at an endpoint. */
+export const recordActive = recordFigure;
+
+/** The number of requests to expect at an endpoint now; returns to 0 while no figures arrive. */
+export const activeAt = (active: AgedFigure, nowMs: number): number => figureAt(active, 0, nowMs);
--- a/packages/gateway/src/entry/answer-load.ts
+++ b/packages/gateway/src/entry/answer-load.ts
@@ -1,5 +1,5 @@
 import {
-	learnPlainTime, plainLatenessMs, recordSlowdown, type Candidate, type Placement, type TooLate,
+	learnPlainTime, plainLatenessMs, recordActive, recordSlowdown, type Candidate, type Placement, type TooLate,
 } from '@bitternpaddle/coordination';
 import type {AdvertisedLoad} from '../link/request-protocol.js';
 import type {AnswerHead} from './attempt.js';
@@ -17,6 +17,7 @@
 
 	const atMs = nowMs();
 	load.advertisedLoad = {...advertised, atMs};
+	load.active = recordActive(load.active, advertised.active, atMs);
 	// A 421 may come from another start of the endpoint, whose state does not apply to this one.
 	if (advertised.slowdown !== null && status !== 421) {
 		load.slowdown = recordSlowdown(load.slowdown, advertised.slowdown, atMs);
