feat(bench): compare estimates of uneven plain endpoints

There was no measure of what the slowdown figures are worth. `npm run bench -- uneven` plays a plain service with shared, restarting, nearly full, refusing and even endpoints in virtual time, with the fixed estimate and with the learned one, and reports the requests in time, the mean and the p99 of the answer time.

--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -12,6 +12,7 @@
 import {measurePlacement} from './placement/index.js';
 import {measureQuarantine} from './quarantine.js';
 import {measureLimits, measureRouting} from './routing.js';
+import {measureUneven} from './uneven/index.js';
 
 /** A benchmark: receives its command-line flags, may print progress, and resolves to the object that is printed as the last line. */
 export type Bench = (flags: readonly string[]) => Promise<Record<string, unknown>>;
@@ -32,4 +33,5 @@
 	placement: measurePlacement,
 	quarantine: measureQuarantine,
 	routing: measureRouting,
+	uneven: measureUneven,
 };
--- /dev/null
+++ b/packages/bench/src/uneven/index.ts
@@ -0,0 +1,1 @@
+export * from './uneven.js';
