feat(coordination): announce an endpoint that becomes cold again at once

An announcement with an unchanged state and unchanged models reached entries with the next refresh, up to 4 s later; an endpoint that became cold again would have received its usual load meanwhile. A cold period that ends later than known, by more than the 100 ms by which delays differ, is now an urgent change like a new state. A remaining time that only counts down is not.

--- a/packages/coordination/src/registry/registry.ts
+++ b/packages/coordination/src/registry/registry.ts
@@ -39,6 +39,16 @@
 	|| known.models.length !== received.models.length
 	|| known.models.some((knownModel, index) => knownModel.model !== received.models[index]!.model || knownModel.version !== received.models[index]!.version);
 
+/** Differences of the delays of announcements; a shorter extension of the cold period is attributed to them. */
+const delayToleranceMs = 100;
+
+/** When the cold period that an announcement states ends; in the past if the endpoint is warm. */
+const coldUntilMs = ({coldForMs = 0}: Announcement, madeAtMs: number): number => madeAtMs + coldForMs;
+
+/** Whether an endpoint has become cold again, or stays cold for longer than known. */
+const isColdLonger = ({announcement: known, receivedAtMs}: RegistryEntry, received: Announcement, madeAtMs: number): boolean => (received.coldForMs ?? 0) > 0
+	&& coldUntilMs(received, madeAtMs) > coldUntilMs(known, receivedAtMs) + delayToleranceMs;
+
 /** Whether `received` is from a later start than `known`. */
 export const isLaterStart = (known: Announcement, received: Announcement): boolean => received.startedAtMs > known.startedAtMs;
 
@@ -72,7 +82,7 @@
 		return false;
 	}
 
-	const isChanged = hasChanged(known.announcement, announcement);
+	const isChanged = hasChanged(known.announcement, announcement) || isColdLonger(known, announcement, nowMs - ageMs);
 	if (isChanged || nowMs - known.positionedAtMs >= refreshIntervalMs[source]) {
 		registry.position++;
 		known.position = registry.position;
--- a/packages/coordination/test/registry.test.ts
+++ b/packages/coordination/test/registry.test.ts
@@ -55,6 +55,20 @@
 	t.equal(registry.urgentPosition, registry.position, 'new weights are a change');
 });
 
+// Guards against sending a full load to an endpoint that became cold again: readers would learn of it with the next refresh, seconds later.
+t.test('an endpoint that becomes cold again is announced to readers at once', async t => {
+	const registry = createRegistry();
+	recordAnnouncement(registry, announced({coldForMs: 3000}), 0);
+	const {urgentPosition} = registry;
+	recordAnnouncement(registry, announced({sequence: 2, coldForMs: 1800}), 1250);
+	recordAnnouncement(registry, announced({sequence: 3, coldForMs: 0}), 3100);
+	t.equal(registry.urgentPosition, urgentPosition, 'the end of a cold period is known from its start');
+	const {position} = registry;
+	recordAnnouncement(registry, announced({sequence: 4, coldForMs: 2900}), 3500);
+	t.equal(registry.urgentPosition, registry.position);
+	t.match(announcementsSince(registry, position, 3600), [{coldForMs: 2900, ageMs: 100}]);
+});
+
 // Guards against ignoring a restarted endpoint. After a crash, it starts again under
 // its id, and its sequence restarts from 1, below that of its first start. It would
 // get no work for as long as the first start had run, and never if that start had
