--- a/packages/bench/src/fleet-cost/fleet.ts
+++ b/packages/bench/src/fleet-cost/fleet.ts
@@ -66,7 +66,7 @@
 			return {
 				epoch: 'e', position: sequence, announcements: follower.role === 'agent' ? [] : announcementsOf(engineCount, sequence),
 				zoneId: zones[index]!, configurationNumber: 1, versionsHash: '{}', freshAgeMs: 5, versions: [{model: 'm', version: 1, ageMs: 20_000}],
-				roster: rosterHash === null || rosterHash === roster.hash ? null : roster,
+				roster: rosterHash === null || rosterHash === roster.hash ? null : roster, evacuations: {revision: 0, zoneIds: []},
 			};
 		});
 		rpc.method('gateway.configuration', z.object({}), () => configurationResultSchema.parse({number: 1, text: '{}'}));
@@ -164,7 +164,7 @@
 			const sequence = counter.next();
 			return {
 				epoch: `e${index}`, position: sequence, announcements: announcementsOf(engineCount, sequence).filter((_, number) => number % coreCount === index + 1), zoneId: zones[index + 1]!,
-				configurationNumber: 1, versionsHash: '{}', freshAgeMs: null, versions: [], roster: null,
+				configurationNumber: 1, versionsHash: '{}', freshAgeMs: null, versions: [], roster: null, evacuations: null,
 			};
 		});
 		servers.push(await createHttpServer({listen: address, handler: async (request, response) => rpc.serve(request, response)}));
--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -134,6 +134,7 @@
 			freshAgeMs: log.freshAgeMs(),
 			versions: [...versionsLearnedAtMs].map(([model, {version, atMs}]) => ({model, version, ageMs: nowMs - atMs})),
 			roster: hasRosterUpdate(parameters) ? rosterOf(parameters.follower) : null,
+			evacuations: null,
 		};
 	};
 
--- a/packages/gateway/src/link/methods.ts
+++ b/packages/gateway/src/link/methods.ts
@@ -49,6 +49,9 @@
 });
 export type Roster = z.infer<typeof rosterSchema>;
 
+/** The evacuated zones in order, and a number that increases by one with each change of them. */
+export const evacuationsSchema = z.object({revision: z.number(), zoneIds: z.array(z.string()).readonly()});
+
 export const watchResultSchema = z.object({
 	epoch: z.string(),
 	position: z.number(),
@@ -63,6 +66,8 @@
 	/** Named versions of weights, and for how long this core host has known each of them. */
 	versions: z.array(z.object({model: z.string(), version: z.number(), ageMs: z.number()})),
 	roster: rosterSchema.nullable(),
+	/** `null` if this core host does not know them; one of an earlier version sends no such field. */
+	evacuations: evacuationsSchema.nullable().default(null),
 });
 export type WatchResult = z.infer<typeof watchResultSchema>;
 
--- a/packages/gateway/test/core-client.test.ts
+++ b/packages/gateway/test/core-client.test.ts
@@ -20,7 +20,7 @@
 		polls.roster += rosterHash === null ? 0 : 1;
 		await delay(rosterHash === null || rosterHash === roster.hash ? waitMs : 0);
 		return {
-			epoch, position: 0, announcements: [], zoneId, configurationNumber: -1, versionsHash: '{}', freshAgeMs: null, versions: [],
+			epoch, position: 0, announcements: [], zoneId, configurationNumber: -1, versionsHash: '{}', freshAgeMs: null, versions: [], evacuations: null,
 			roster: rosterHash === null || rosterHash === roster.hash ? null : roster,
 		};
 	});
