test(bench): measure the use of an endpoint's limit by several entries

No bench showed how much of a limit the entries use, nor the most requests that an endpoint gets in a second. `npm run bench -- endpoint-limits` plays 2, 8 and 20 entries with 30 requests a second in total at an endpoint with a limit of 26, all others full, in virtual time.

--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -11,7 +11,7 @@
 import {measureOverhead} from './overhead.js';
 import {measurePlacement} from './placement/index.js';
 import {measureQuarantine} from './quarantine.js';
-import {measureLimits, measureRouting} from './routing.js';
+import {measureEndpointLimits, measureLimits, measureRouting} from './routing.js';
 
 /** A benchmark: receives its command-line flags, may print progress, and resolves to the object that is printed as the last line. */
 export type Bench = (flags: readonly string[]) => Promise<Record<string, unknown>>;
@@ -25,6 +25,7 @@
 	capacity: measureCapacity,
 	control: measureControl,
 	claims: measureClaims,
+	'endpoint-limits': measureEndpointLimits,
 	'fleet-cost': measureFleetCost,
 	flood: measureFlood,
 	limits: measureLimits,
