fix(gateway): use the limit of an endpoint while other endpoints are full

A request without a permit went elsewhere, and each entry held permits in advance for a tenth of a second of the whole limit, most of which expired.

A request now waits up to 50 ms for the issuer's answer if every other endpoint is expected to be slower than that answer and than the tolerated part of the objective; a permit that arrives lets waiting requests check at once. Permits in advance follow the requests that the entry sends to that endpoint.

--- a/packages/bench/src/routing/measure-endpoint-limits.ts
+++ b/packages/bench/src/routing/measure-endpoint-limits.ts
@@ -13,10 +13,10 @@
 const warmUpMs = 2000;
 const windowMs = 1000;
 
-const createNamedExchange = ({index, addresses, nowMs, send, onGrant}: SimulatedEntry<LimitMessage>): SimulatedExchange<LimitMessage> => {
+const createNamedExchange = ({index, addresses, nowMs, send, onGrant: onGranted}: SimulatedEntry<LimitMessage>): SimulatedExchange<LimitMessage> => {
 	const exchange = createPermitExchange({
 		selfAddress: addresses[index]!, peers: () => addresses.filter((_, other) => other !== index), random: createRandom(index + 1), nowMs,
-		limitOf: () => ({start, perSecond, advertisedAtMs: nowMs()}), onIssuerChange: () => undefined, onQueued: () => undefined,
+		limitOf: () => ({start, perSecond, advertisedAtMs: nowMs()}), onIssuerChange: () => undefined, onQueued: () => undefined, onGranted,
 		send(message, [address]) {
 			send(message, address!);
 		},
@@ -37,7 +37,6 @@
 				exchange.handleRequest(message);
 			} else if (message.type === 'reply') {
 				exchange.handleReply(message.limit.start, message.reply);
-				onGrant();
 			}
 		},
 	};
--- a/packages/coordination/src/endpoint-limits/permit-account.ts
+++ b/packages/coordination/src/endpoint-limits/permit-account.ts
@@ -1,3 +1,6 @@
+import {
+	arrivalsPerSecond, createArrivalRate, recordArrival, type ArrivalRate,
+} from '../placement/arrival-rate.js';
 import {randomFraction, type Random} from '../utils/random.js';
 import {permitRate, queueTimeoutMs, type PermitReply} from './permit-issuer.js';
 
@@ -17,6 +20,8 @@
 	lastQueueWaitMs: number;
 	/** When the next request may be sent without a permit while the issuer does not answer; `null` if not determined. */
 	fallbackAtMs: number | null;
+	/** Rate of the requests that this entry sends to the endpoint. */
+	readonly useRate: ArrivalRate;
 };
 
 export type PermitTerms = {
@@ -55,6 +60,7 @@
 
 export const createPermitAccount = (): PermitAccount => ({
 	expiriesMs: [], requestedAtMs: null, expectedAtMs: null, estimatedAtMs: Number.NEGATIVE_INFINITY, unansweredSinceMs: null, lastQueueWaitMs: 0, fallbackAtMs: null,
+	useRate: createArrivalRate(),
 });
 
 const dropExpired = (account: PermitAccount, nowMs: number): void => {
@@ -71,15 +77,19 @@
 	return nowMs < (expectedAtMs === null ? requestedAtMs + resendMs : Math.min(expectedAtMs + grantSlackMs, requestedAtMs + renewMs));
 };
 
-const wantedPermits = (perSecond: number): number => Math.min(maxPermits, Math.ceil(permitRate(perSecond) * prefetchShare));
+/** Permits held in advance follow what this entry uses: with twenty entries, a share of the whole limit for each would mostly expire. */
+const wantedPermits = ({useRate}: PermitAccount, perSecond: number, nowMs: number): number => {
+	const usablePerSecond = Math.min(permitRate(perSecond), arrivalsPerSecond(useRate, nowMs));
+	return Math.max(1, Math.min(maxPermits, Math.ceil(usablePerSecond * prefetchShare)));
+};
 
-/** Whether permits are requested in advance. At a low limit, a single unused permit would waste a large part of it. */
-export const prefetchesPermits = (perSecond: number): boolean => wantedPermits(perSecond) > 1;
+/** Whether permits are requested in advance. At a low limit, or at an entry with few requests, a single unused permit would waste a large part of the limit. */
+export const prefetchesPermits = (account: PermitAccount, perSecond: number, nowMs: number): boolean => wantedPermits(account, perSecond, nowMs) > 1;
 
 /** How many permits to request now; 0 if enough are held or a request is pending. */
 export const permitsToRequest = (account: PermitAccount, perSecond: number, nowMs: number): number => {
 	dropExpired(account, nowMs);
-	const wanted = wantedPermits(perSecond);
+	const wanted = wantedPermits(account, perSecond, nowMs);
 	const held = account.expiriesMs.length;
 	if (held > wanted / 2 || isRequestPending(account, nowMs)) {
 		return 0;
@@ -167,6 +177,7 @@
 
 /** Consumes a permit, or the fallback turn if none is held, for a request that is sent now. */
 export const usePermit = (account: PermitAccount, terms: PermitTerms, nowMs: number): void => {
+	recordArrival(account.useRate, nowMs);
 	dropExpired(account, nowMs);
 	if (account.expiriesMs.length > 0) {
 		account.expiriesMs.shift();
--- a/packages/coordination/src/placement/index.ts
+++ b/packages/coordination/src/placement/index.ts
@@ -10,6 +10,7 @@
 export * from './key-lease.js';
 export * from './version-due.js';
 export * from './path-delay.js';
+export * from './permit-wait.js';
 export * from './arrival-rate.js';
 export * from './crowd.js';
 export * from './wait-for-engine.js';
--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -12,6 +12,7 @@
 import {
 	effectiveObjectiveOf, isOverloaded, recordRefusal, type ObjectiveMix,
 } from './objective-mix.js';
+import {waitsForPermit} from './permit-wait.js';
 import {placeRequest, type Candidate, type Placement} from './place-request.js';
 import {mayWaitForCapacity, recordSpareCapacity, type SpareCapacity} from './spare-room.js';
 import type {VersionDue} from './version-due.js';
@@ -136,10 +137,10 @@
 
 const pausedIds = ({candidates, nowMs}: PlacementContext): string[] => candidates.filter(({load}) => isPaused(load, nowMs)).map(({announcement: {id}}) => id);
 
-/** The endpoint that would be chosen if limits did not apply; `null` if there is none or its limit allows a request now. */
-export const preferredLimited = (demand: ServiceDemand, context: PlacementContext, request: UnplacedRequest): Candidate | null => {
-	const preferred = place(demand, context, request, new Set([...request.triedIds, ...pausedIds(context)]))?.candidate ?? null;
-	return preferred === null || context.permitStateOf(preferred).type === 'available' ? null : preferred;
+/** The placement if limits did not apply; `null` if there is none or the endpoint's limit allows a request now. */
+export const preferredLimited = (demand: ServiceDemand, context: PlacementContext, request: UnplacedRequest): Placement | null => {
+	const preferred = place(demand, context, request, new Set([...request.triedIds, ...pausedIds(context)]));
+	return preferred === null || context.permitStateOf(preferred.candidate).type === 'available' ? null : preferred;
 };
 
 const unavailableReason = (unavailable: readonly Unavailability[]): string => {
@@ -170,8 +171,8 @@
 	return {type: 'refuse', reason: unavailableReason(unavailability), retryAfterMs: waitMs + random.between(0, availableSpreadMs)};
 };
 
-/** Decides what to do with a request that needs an endpoint. */
-export const nextStep = (demand: ServiceDemand, context: PlacementContext, request: UnplacedRequest): NextStep => {
+/** Decides what to do with a request that needs an endpoint. `preferred`: the limited placement that permits were requested for; `null` if there is none or the request cannot wait. */
+export const nextStep = (demand: ServiceDemand, context: PlacementContext, request: UnplacedRequest, preferred: Placement | null = null): NextStep => {
 	const {profile, random, nowMs} = context;
 	const unavailable = unavailableCandidates(context, request);
 	const excludedIds = unavailable.length === 0 ? request.triedIds : new Set([...request.triedIds, ...unavailable.map(({id}) => id)]);
@@ -182,6 +183,12 @@
 			: withoutEndpoint(demand, context, request);
 	}
 
+	if (preferred !== null && waitsForPermit({
+		preferred, permitState: context.permitStateOf(preferred.candidate), other: placement, objectiveMs: request.objectiveMs, sinceMs: request.sinceMs, nowMs,
+	})) {
+		return {type: 'wait', reason: 'availability'};
+	}
+
 	if (!canFinishHere(context, request, placement)) {
 		return {type: 'refuse', reason: 'this entry ends before the answer would', retryAfterMs: shutdownRetryMs};
 	}
--- a/packages/coordination/test/availability.test.ts
+++ b/packages/coordination/test/availability.test.ts
@@ -45,10 +45,23 @@
 	const atLimit = createContext({idle: limited(100)});
 	t.match(nextStep(demand(), atLimit, request()), {type: 'send', placement: {candidate: {announcement: {id: 'busy'}}}});
 	t.match(nextStep(demand(), atLimit, request({sentCount: 1, triedIds: new Set(['busy']), isBegun: true})), {type: 'wait', reason: 'availability'}, 'a second attempt does not choose it either');
-	t.equal(preferredLimited(demand(), atLimit, request())?.announcement.id, 'idle');
+	t.equal(preferredLimited(demand(), atLimit, request())?.candidate.announcement.id, 'idle');
 	t.equal(preferredLimited(demand(), createContext({busy: limited(100)}), request()), null);
 });
 
+// Guards against permits that expire unused: the request that asked for one used to go to a busy endpoint before the issuer answered.
+t.test('a request waits for the reply of the issuer if every other endpoint is busy, and not for a later permit', async t => {
+	const stepWith = (nextMs: number, runningElsewhere: number, fields: Partial<UnplacedRequest> = {}) => {
+		const context: PlacementContext = {...createContext({idle: limited(nextMs)}), candidates: [engine('idle', 0), engine('busy', runningElsewhere)]};
+		return nextStep(demand(), context, request(fields), preferredLimited(demand(), context, request(fields)));
+	};
+
+	t.match(stepWith(20, 40), {type: 'wait', reason: 'availability'});
+	t.match(stepWith(20, 2), {type: 'send', placement: {candidate: {announcement: {id: 'busy'}}}}, 'another endpoint has a free slot');
+	t.not(stepWith(60, 40).type, 'wait', 'the permit is expected too late');
+	t.not(stepWith(20, 40, {sinceMs: nowMs - 40}).type, 'wait', 'it has waited long enough');
+});
+
 t.test('a request waits only if an endpoint is expected to accept it soon, behind those already waiting', async t => {
 	const both = createContext({idle: limited(100), busy: limited(300)});
 	t.match(nextStep(demand(1), both, request()), {type: 'wait', reason: 'availability'});
@@ -98,6 +111,6 @@
 
 t.test('permits are not requested for an endpoint that has asked for a pause', async t => {
 	const limitedAndPaused = {...paused(3000, 0), permitStateOf: () => limited(100)};
-	t.equal(preferredLimited(demand(), limitedAndPaused, request())?.announcement.id, 'busy');
+	t.equal(preferredLimited(demand(), limitedAndPaused, request())?.candidate.announcement.id, 'busy');
 	t.match(nextStep(demand(), limitedAndPaused, request()), {type: 'wait'});
 });
--- a/packages/coordination/test/permit-account.test.ts
+++ b/packages/coordination/test/permit-account.test.ts
@@ -45,3 +45,15 @@
 	t.ok(sentAtMs[0]! >= 300, 'nothing is sent before the issuer has timed out');
 	t.ok(Math.abs(sentAtMs.length - 20) <= 1, `${sentAtMs.length} requests in 160 s, expected one per 8 s`);
 });
+
+// Guards against entries that each hold a share of the limit that they do not use.
+t.test('an entry requests permits in advance only for the requests that it sends', async t => {
+	const account = createPermitAccount();
+	t.equal(permitsToRequest(account, 100, 1000), 1, 'nothing was sent yet');
+	for (let nowMs = 2000; nowMs < 12_000; nowMs += 20) {
+		recordPermitReply(account, {type: 'granted', count: 1}, nowMs);
+		usePermit(account, {...terms, perSecond: 100}, nowMs);
+	}
+
+	t.equal(permitsToRequest(account, 100, 12_000), 5, 'a tenth of a second of 50 requests a second');
+});
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -116,6 +116,9 @@
 	});
 	const limits = createEndpointLimits({
 		selfAddress, peers: () => peers, logger, metrics, random, nowMs: monotonicNowMs,
+		onGranted() {
+			waitQueue.checkNow();
+		},
 		send(data, addresses) {
 			listener.datagrams.send(data, addresses);
 		},
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -38,7 +38,7 @@
 				return failCall(context, call, progress, refusal.reason, refusal.retryAfterMs);
 			}
 
-			const step = selectNextStep(context, call, wait.seeking());
+			const step = selectNextStep(context, call, wait.seeking(), true);
 			switch (step.type) {
 				case 'send': {
 					// Synchronous with the decision: requests released in the same tick must not all be sent with one permit.
@@ -80,7 +80,7 @@
 		return null;
 	}
 
-	const step = selectNextStep(context, call, {...unplacedRequest(context, call, progress), sentCount: progress.sent + 1});
+	const step = selectNextStep(context, call, {...unplacedRequest(context, call, progress), sentCount: progress.sent + 1}, false);
 	return step.type === 'send' ? step.placement : null;
 };
 
@@ -93,7 +93,7 @@
 	};
 };
 
-const selectNextStep = (context: CallContext, call: Call, seeking: UnplacedRequest): NextStep => {
+const selectNextStep = (context: CallContext, call: Call, seeking: UnplacedRequest, mayWait: boolean): NextStep => {
 	const {name, engine: profile} = call.service;
 	const {limits, waitQueue, random} = context;
 	const nowMs = context.nowMs();
@@ -107,10 +107,10 @@
 	};
 	const preferred = limits.hasLimits() ? preferredLimited(demand, surroundings, seeking) : null;
 	if (preferred !== null) {
-		limits.requestPermits(preferred.announcement);
+		limits.requestPermits(preferred.candidate.announcement);
 	}
 
-	return nextStep(demand, surroundings, seeking);
+	return nextStep(demand, surroundings, seeking, mayWait ? preferred : null);
 };
 
 /** What a request waits for; counts it among the waiting requests. */
--- a/packages/gateway/src/entry/wait-queue.ts
+++ b/packages/gateway/src/entry/wait-queue.ts
@@ -10,6 +10,8 @@
 	waitingCount(serviceName: string, reason: QueueReason): number;
 	/** Resolves at the next check. */
 	nextCheck(): Promise<void>;
+	/** Lets all waiting requests check now. */
+	checkNow(): void;
 	count(): number;
 };
 
@@ -18,11 +20,22 @@
 
 export const createWaitQueue = (): WaitQueue => {
 	let waiting: Array<() => void> = [];
+	let timer: NodeJS.Timeout | null = null;
 	const held: Record<QueueReason, Map<string, number>> = {engines: new Map(), availability: new Map()};
 	const add = (serviceName: string, reason: QueueReason, count: number): void => {
 		held[reason].set(serviceName, (held[reason].get(serviceName) ?? 0) + count);
 	};
 
+	const checkNow = (): void => {
+		clearTimeout(timer ?? undefined);
+		timer = null;
+		const released = waiting;
+		waiting = [];
+		for (const release of released) {
+			release();
+		}
+	};
+
 	return {
 		countWaiting(serviceName, reason) {
 			add(serviceName, reason, 1);
@@ -32,18 +45,10 @@
 		},
 		waitingCount: (serviceName, reason) => held[reason].get(serviceName) ?? 0,
 		nextCheck: async () => new Promise(resolve => {
-			if (waiting.length === 0) {
-				setTimeout(() => {
-					const released = waiting;
-					waiting = [];
-					for (const release of released) {
-						release();
-					}
-				}, checkIntervalMs);
-			}
-
+			timer ??= setTimeout(checkNow, checkIntervalMs);
 			waiting.push(resolve);
 		}),
+		checkNow,
 		count: () => waiting.length,
 	};
 };
--- a/packages/gateway/src/limits/endpoint-limits.ts
+++ b/packages/gateway/src/limits/endpoint-limits.ts
@@ -24,6 +24,8 @@
 	/** The other entries. */
 	peers(): readonly string[];
 	send(data: Uint8Array, addresses: readonly string[]): void;
+	/** Called when permits arrive that requests may wait for. */
+	onGranted(): void;
 	readonly logger: Logger;
 	readonly metrics: GatewayMetrics;
 	readonly random: Random;
@@ -64,7 +66,7 @@
 
 const available: PermitState = {type: 'available'};
 
-export const createEndpointLimits = ({selfAddress, peers, send, logger, metrics, random, nowMs}: EndpointLimitsOptions): EndpointLimits => {
+export const createEndpointLimits = ({selfAddress, peers, send, onGranted, logger, metrics, random, nowMs}: EndpointLimitsOptions): EndpointLimits => {
 	const ledger = createLimitLedger();
 	let hasSynced = false;
 	let repeatedFrom = 0;
@@ -85,7 +87,7 @@
 	};
 
 	const exchange = createPermitExchange({
-		selfAddress, peers, send: sendMessage, random, nowMs,
+		selfAddress, peers, send: sendMessage, onGranted, random, nowMs,
 		limitOf(start) {
 			const known = ledger.limits.get(start);
 			return known === undefined || known.perSecond === null ? null : {start, perSecond: known.perSecond, advertisedAtMs: known.receivedAtMs};
--- a/packages/gateway/src/limits/permit-exchange.ts
+++ b/packages/gateway/src/limits/permit-exchange.ts
@@ -15,6 +15,8 @@
 	onIssuerChange(change: {readonly start: EndpointStart; readonly issuerAddress: string; readonly isSilent: boolean}): void;
 	/** Called when a request is queued here; `issue` must then be called periodically. */
 	onQueued(): void;
+	/** Called when permits of another entry arrive; requests may wait for them. */
+	onGranted(): void;
 	readonly random: Random;
 	nowMs(): number;
 };
@@ -44,7 +46,7 @@
 type TrackedAccount = {readonly account: PermitAccount; isIssuerSilent: boolean};
 
 export const createPermitExchange = (options: PermitExchangeOptions): PermitExchange => {
-	const {selfAddress, peers, send, limitOf, onIssuerChange, onQueued, random, nowMs} = options;
+	const {selfAddress, peers, send, limitOf, onIssuerChange, onQueued, onGranted, random, nowMs} = options;
 	const issuer = createPermitIssuer();
 	const accounts = new Map<EndpointStart, TrackedAccount>();
 
@@ -72,6 +74,9 @@
 
 		recordPermitReply(tracked.account, reply, nowMs());
 		updateIssuerState(start, tracked);
+		if (reply.type === 'granted') {
+			onGranted();
+		}
 	};
 
 	const deliver = (start: EndpointStart, entryAddress: string, reply: PermitReply): void => {
@@ -140,7 +145,7 @@
 			if (limit !== null) {
 				const {account} = trackedFor(start);
 				usePermit(account, termsOf(limit.perSecond), nowMs());
-				if (prefetchesPermits(limit.perSecond)) {
+				if (prefetchesPermits(account, limit.perSecond, nowMs())) {
 					request(start);
 				}
 			}
--- a/packages/gateway/test/support/permit-fleet.ts
+++ b/packages/gateway/test/support/permit-fleet.ts
@@ -55,7 +55,7 @@
 	const addresses = Array.from({length: entryCount}, (_, index) => `10.0.0.${index + 1}:7700`);
 
 	const createExchange = (entry: () => PermitEntry, address: string): PermitExchange => createPermitExchange({
-		selfAddress: address, peers: () => entry().peers, random, nowMs: () => nowMs, onIssuerChange: () => undefined, onQueued: () => undefined,
+		selfAddress: address, peers: () => entry().peers, random, nowMs: () => nowMs, onIssuerChange: () => undefined, onQueued: () => undefined, onGranted: () => undefined,
 		limitOf: start => ({start, perSecond: perSecond(nowMs), advertisedAtMs: nowMs}),
 		send(message, [to]) {
 			if (!entry().isPartitioned && randomFraction(random) >= lossShare) {
