--- a/packages/coordination/src/endpoint-limits/permit-account.ts
+++ b/packages/coordination/src/endpoint-limits/permit-account.ts
@@ -35,7 +35,7 @@
 export type PermitState
 	= | {readonly type: 'available'}
 		/** The next request may be sent at `nextAtMs`, further ones about `gapMs` apart. */
-		| {readonly type: 'limited'; readonly nextAtMs: number; readonly gapMs: number};
+		| {readonly type: 'limited'; readonly nextAtMs: number; readonly gapMs: number; /** Whether the endpoint is limited because it is cold. */ readonly isCold?: boolean};
 
 /** Bounds the burst from permits that entries hold unused. */
 const permitLifetimeMs = 1000;
--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -146,7 +146,9 @@
 const unavailableReason = (unavailable: readonly Unavailability[]): string => {
 	const pausedCount = unavailable.filter(({type}) => type === 'paused').length;
 	if (pausedCount === 0) {
-		return 'every endpoint is at the limit that it names';
+		return unavailable.some(unavailability => unavailability.type === 'limited' && unavailability.isCold === true)
+			? 'every endpoint is at its limit, at least one because it is cold'
+			: 'every endpoint is at the limit that it names';
 	}
 
 	return pausedCount === unavailable.length ? 'every endpoint has asked for a pause' : 'every endpoint has asked for a pause or is at the limit that it names';
