feat(gateway): send cold endpoints no more than their limit in any second

Entries sent an endpoint that had just started, or that had become cold again, as many requests as a warm one. They now share a second limit, beside the one that an endpoint names in its answers; a request needs a permit of each that is in force. An endpoint of a zone whose evacuation has ended counts as cold until it announces itself warm.

--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -1,12 +1,13 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	createArrivalRate, createFirstAttemptDeadlines, createObjectiveMix, createRandom, createRetryAllowance, createSpareCapacity, type Clock,
+	createArrivalRate, createFirstAttemptDeadlines, createObjectiveMix, createRandom, createRetryAllowance, createSpareCapacity, defaultColdBounds, type Clock,
 } from '@bitternpaddle/coordination';
 import {createHttpServer, type Logger} from '@bitternpaddle/transport';
 import {createCoreClient} from '../link/core-client.js';
 import type {Follower} from '../link/methods.js';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
 import {createConfigurationHolder} from '../link/configuration-holder.js';
+import {createEvacuatedZones} from '../link/evacuated-zones.js';
 import type {RequestProtocol} from '../link/request-protocol.js';
 import {createWantedVersions} from '../link/wanted-versions.js';
 import {createEndpointLimits} from '../limits/endpoint-limits.js';
@@ -114,7 +115,11 @@
 			listener.datagrams.send(data, addresses);
 		},
 	});
+	const evacuatedZones = createEvacuatedZones({logger});
 	const limits = createEndpointLimits({
+		bounds: {overage: bounds.coldOverage ?? defaultColdBounds.overage, slack: bounds.coldSlack ?? defaultColdBounds.slack},
+		coldStartOf: serviceName => configuration.table()?.services.get(serviceName)?.coldStart ?? null,
+		evacuationEndedAtMs: evacuatedZones.endedAtMs,
 		selfAddress, peers: () => peers, logger, metrics, random, nowMs: monotonicNowMs,
 		onGranted() {
 			waitQueue.checkNow();
@@ -144,6 +149,7 @@
 	const configuration = createConfigurationHolder({
 		protocol, logger,
 		onChange(table) {
+			limits.refresh();
 			front.setIdleTimeout(table.configuration.limits.idleTimeoutMs);
 			// Each configuration may add and remove routes.
 			firstAttemptDeadlines.retainOnly(table.configuration.routes.map(({name}) => name));
@@ -209,6 +215,7 @@
 		},
 		onResult(result, requestedAtMs) {
 			const nowMs = monotonicNowMs();
+			evacuatedZones.recordResult(result, nowMs);
 			view.recordAnnouncements(result.announcements, nowMs);
 			versions.recordResult(result, nowMs);
 			if (result.roster !== null) {
@@ -218,6 +225,10 @@
 				limits.sync();
 			}
 
+			limits.recordNews({
+				announcements: result.announcements, peers: result.roster === null ? null : peers,
+				confirmedAtMs: result.freshAgeMs === null ? null : nowMs - (clock.nowMs() - requestedAtMs) - result.freshAgeMs,
+			});
 			if (result.freshAgeMs !== null) {
 				lease.recordRenewal({number: result.configurationNumber, freshAtMs: requestedAtMs - result.freshAgeMs});
 			}
--- a/packages/gateway/src/limits/endpoint-limits.ts
+++ b/packages/gateway/src/limits/endpoint-limits.ts
@@ -6,6 +6,7 @@
 import type {Logger} from '@bitternpaddle/transport';
 import {chunk, samplePeers} from '../link/gossip.js';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
+import {createColdEndpoints, type ColdEndpointsOptions, type ColdNews} from './cold-endpoints.js';
 import {decodeLimitMessage, encodeLimitMessage, type LimitMessage} from './limit-message.js';
 import {createPermitExchange} from './permit-exchange.js';
 
@@ -19,7 +20,7 @@
 	readonly sentAtMs: number;
 };
 
-export type EndpointLimitsOptions = {
+export type EndpointLimitsOptions = Pick<ColdEndpointsOptions, 'bounds' | 'coldStartOf' | 'evacuationEndedAtMs'> & {
 	readonly selfAddress: string;
 	/** The other entries. */
 	peers(): readonly string[];
@@ -32,9 +33,17 @@
 	nowMs(): number;
 };
 
-/** Tracks the request rate limits that endpoints advertise in their answers and enforces them jointly with the other entries. */
+/**
+ * Tracks the request rate limits that endpoints advertise in their answers, and those of
+ * cold endpoints, and enforces them jointly with the other entries. If both apply to an
+ * endpoint, a request needs a permit of each, so that the smaller one holds.
+ */
 export type EndpointLimits = {
 	recordAnswer(answer: EndpointAnswer): void;
+	/** Records what a core host tells about cold endpoints. */
+	recordNews(news: ColdNews): void;
+	/** Determines again which endpoints are cold, after the configuration changed. */
+	refresh(): void;
 	/** Requests per second accepted from all entries together; `null` if no limit is in force. */
 	perSecondOf(announcement: Announcement): number | null;
 	/** Whether the limit of the endpoint allows a request to be sent now. */
@@ -66,7 +75,21 @@
 
 const available: PermitState = {type: 'available'};
 
-export const createEndpointLimits = ({selfAddress, peers, send, onGranted, logger, metrics, random, nowMs}: EndpointLimitsOptions): EndpointLimits => {
+/** The state of an endpoint with two limits. */
+const laterState = (a: PermitState, b: PermitState): PermitState => {
+	if (a.type === 'available') {
+		return b;
+	}
+
+	return b.type === 'available'
+		? a
+		: {
+			type: 'limited', nextAtMs: Math.max(a.nextAtMs, b.nextAtMs), gapMs: Math.max(a.gapMs, b.gapMs), isCold: (a.isCold ?? false) || (b.isCold ?? false),
+		};
+};
+
+export const createEndpointLimits = (options: EndpointLimitsOptions): EndpointLimits => {
+	const {selfAddress, peers, send, onGranted, logger, metrics, random, nowMs} = options;
 	const ledger = createLimitLedger();
 	let hasSynced = false;
 	let repeatedFrom = 0;
@@ -80,6 +103,8 @@
 		}
 	};
 
+	const cold = createColdEndpoints({...options, send: sendMessage});
+
 	const shareLimits = (limits: readonly SharedLimit[], addresses: readonly string[]): void => {
 		for (const part of chunk(limits, maxLimitsPerDatagram)) {
 			sendMessage({type: 'limits', limits: part}, addresses);
@@ -188,9 +213,17 @@
 				exchange.handleReply(message.limit.start, message.reply);
 				break;
 			}
+
+			case 'coldRequest':
+			case 'coldReturn':
+			case 'coldReply': {
+				cold.receive(message);
+				break;
+			}
 		}
 	};
 
+	const hasLimits = (): boolean => limitedCount > 0 || cold.hasCold();
 	const repeatTimer = setInterval(repeat, repeatMs);
 	const pruneTimer = setInterval(() => {
 		pruneLimits(ledger, nowMs());
@@ -213,15 +246,39 @@
 				shareLimits(knownLimits(start), peers());
 			}
 		},
-		perSecondOf: announcement => limitedCount === 0 ? null : limitOf(ledger, endpointStartOf(announcement)),
-		stateOf: announcement => limitedCount === 0 ? available : exchange.state(endpointStartOf(announcement)),
-		hasLimits: () => limitedCount > 0,
+		recordNews: cold.recordNews,
+		refresh: cold.refresh,
+		perSecondOf(announcement) {
+			if (!hasLimits()) {
+				return null;
+			}
+
+			const start = endpointStartOf(announcement);
+			const limits = [limitOf(ledger, start), cold.perSecondOf(start)].filter(perSecond => perSecond !== null);
+			return limits.length === 0 ? null : Math.min(...limits);
+		},
+		stateOf(announcement) {
+			if (!hasLimits()) {
+				return available;
+			}
+
+			const start = endpointStartOf(announcement);
+			return laterState(exchange.state(start), cold.stateOf(start));
+		},
+		hasLimits,
 		requestPermits(announcement) {
-			exchange.request(endpointStartOf(announcement));
+			const start = endpointStartOf(announcement);
+			exchange.request(start);
+			// A cold endpoint's permit expires soon, so it is requested once the other one is held.
+			if (exchange.state(start).type === 'available') {
+				cold.requestPermits(start);
+			}
 		},
 		usePermit(announcement) {
-			if (limitedCount > 0) {
-				exchange.use(endpointStartOf(announcement));
+			if (hasLimits()) {
+				const start = endpointStartOf(announcement);
+				exchange.use(start);
+				cold.usePermit(start);
 			}
 		},
 		sync() {
@@ -242,6 +299,7 @@
 			return true;
 		},
 		close() {
+			cold.close();
 			clearInterval(repeatTimer);
 			clearInterval(pruneTimer);
 			clearInterval(issueTimer ?? undefined);
--- a/packages/gateway/src/limits/limit-message.ts
+++ b/packages/gateway/src/limits/limit-message.ts
@@ -1,5 +1,7 @@
 import type {Buffer} from 'node:buffer';
-import type {EndpointStart, PermitReply, SharedLimit} from '@bitternpaddle/coordination';
+import type {
+	ColdReply, ColdRequest, ColdReturn, EndpointStart, PermitReply, SharedLimit,
+} from '@bitternpaddle/coordination';
 import {decode, encode} from '@msgpack/msgpack';
 import * as z from 'zod';
 
@@ -11,21 +13,31 @@
 		/** An entry requests permits from the issuer. */
 		| {readonly type: 'request'; readonly entryAddress: string; readonly count: number; readonly limit: SharedLimit}
 		/** The reply of the issuer; a queued request is granted in a later reply. */
-		| {readonly type: 'reply'; readonly limit: SharedLimit; readonly reply: PermitReply};
+		| {readonly type: 'reply'; readonly limit: SharedLimit; readonly reply: PermitReply}
+		/** An entry requests permits for a cold endpoint. */
+		| {readonly type: 'coldRequest'; readonly request: ColdRequest}
+		| {readonly type: 'coldReply'; readonly start: EndpointStart; readonly reply: ColdReply}
+		| {readonly type: 'coldReturn'; readonly returned: ColdReturn};
 
 /** Tags that distinguish these datagrams from others on the same socket. */
 const kinds = {
 	limits: 'limits', sync: 'limit-sync', request: 'permit-request', granted: 'permit-granted', queued: 'permit-queued',
+	coldRequest: 'cold-request', coldGranted: 'cold-granted', coldQueued: 'cold-queued', coldReturn: 'cold-returned',
 } as const;
 const addressSchema = z.string().min(1);
 const countSchema = z.number().int().positive().max(1000);
-const limitSchema = z.tuple([z.string().min(1).transform(text => text as EndpointStart), z.number().nonnegative().nullable(), z.number().nonnegative()]);
+const startSchema = z.string().min(1).transform(text => text as EndpointStart);
+const limitSchema = z.tuple([startSchema, z.number().nonnegative().nullable(), z.number().nonnegative()]);
 const messageSchema = z.union([
 	z.tuple([z.literal(kinds.limits), z.array(limitSchema)]),
 	z.tuple([z.literal(kinds.sync), addressSchema]),
 	z.tuple([z.literal(kinds.request), addressSchema, countSchema, limitSchema]),
 	z.tuple([z.literal(kinds.granted), limitSchema, countSchema]),
 	z.tuple([z.literal(kinds.queued), limitSchema, z.number().nonnegative()]),
+	z.tuple([z.literal(kinds.coldRequest), addressSchema, startSchema, countSchema, z.number().positive(), z.number()]),
+	z.tuple([z.literal(kinds.coldReturn), addressSchema, startSchema, countSchema, z.number()]),
+	z.tuple([z.literal(kinds.coldGranted), startSchema, countSchema, z.number(), z.number().nonnegative()]),
+	z.tuple([z.literal(kinds.coldQueued), startSchema, z.number().nonnegative(), z.number()]),
 ]);
 type EncodedLimit = z.infer<typeof limitSchema>;
 
@@ -53,6 +65,21 @@
 			const {reply} = message;
 			return encode(reply.type === 'granted' ? [kinds.granted, limit, reply.count] : [kinds.queued, limit, Math.round(reply.waitMs)]);
 		}
+
+		case 'coldRequest': {
+			const {entryAddress, start, count, perSecond, sentAtMs} = message.request;
+			return encode([kinds.coldRequest, entryAddress, start, count, perSecond, sentAtMs]);
+		}
+
+		case 'coldReturn': {
+			const {entryAddress, start, count, sentAtMs} = message.returned;
+			return encode([kinds.coldReturn, entryAddress, start, count, sentAtMs]);
+		}
+
+		case 'coldReply': {
+			const {start, reply} = message;
+			return encode(reply.type === 'granted' ? [kinds.coldGranted, start, reply.count, reply.sentAtMs, reply.heldMs] : [kinds.coldQueued, start, reply.waitMs, reply.sentAtMs]);
+		}
 	}
 };
 
@@ -94,5 +121,37 @@
 		case kinds.queued: {
 			return {type: 'reply', limit: decodeLimit(fields[1], nowMs), reply: {type: 'queued', waitMs: fields[2]}};
 		}
+
+		case kinds.coldRequest: {
+			const [, entryAddress, start, count, perSecond, sentAtMs] = fields;
+			return {
+				type: 'coldRequest', request: {
+					entryAddress, start, count, perSecond, sentAtMs,
+				},
+			};
+		}
+
+		case kinds.coldReturn: {
+			const [, entryAddress, start, count, sentAtMs] = fields;
+			return {
+				type: 'coldReturn', returned: {
+					entryAddress, start, count, sentAtMs,
+				},
+			};
+		}
+
+		case kinds.coldGranted: {
+			const [, start, count, sentAtMs, heldMs] = fields;
+			return {
+				type: 'coldReply', start, reply: {
+					type: 'granted', count, sentAtMs, heldMs,
+				},
+			};
+		}
+
+		case kinds.coldQueued: {
+			const [, start, waitMs, sentAtMs] = fields;
+			return {type: 'coldReply', start, reply: {type: 'queued', waitMs, sentAtMs}};
+		}
 	}
 };
--- a/packages/gateway/test/limit-message.test.ts
+++ b/packages/gateway/test/limit-message.test.ts
@@ -14,6 +14,22 @@
 		},
 		{type: 'reply', limit, reply: {type: 'granted', count: 2}},
 		{type: 'reply', limit, reply: {type: 'queued', waitMs: 250}},
+		{
+			type: 'coldRequest', request: {
+				entryAddress: '10.0.0.1:7700', start: limit.start, count: 1, perSecond: 26, sentAtMs: 1234.567_89,
+			},
+		},
+		{
+			type: 'coldReply', start: limit.start, reply: {
+				type: 'granted', count: 1, sentAtMs: 1234.567_89, heldMs: 3.5,
+			},
+		},
+		{type: 'coldReply', start: limit.start, reply: {type: 'queued', waitMs: 38.5, sentAtMs: 1234.567_89}},
+		{
+			type: 'coldReturn', returned: {
+				entryAddress: '10.0.0.1:7700', start: limit.start, count: 1, sentAtMs: 1234.567_89,
+			},
+		},
 	];
 	for (const message of messages) {
 		t.same(decodeLimitMessage(Buffer.from(encodeLimitMessage(message, 1000)), 1000), message);
