--- a/packages/coordination/src/placement/index.ts
+++ b/packages/coordination/src/placement/index.ts
@@ -12,6 +12,7 @@
 export * from './path-delay.js';
 export * from './plain-model.js';
 export * from './slowdown.js';
+export * from './permit-wait.js';
 export * from './arrival-rate.js';
 export * from './crowd.js';
 export * from './wait-for-engine.js';
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -1,17 +1,17 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	createArrivalRate, createFirstAttemptDeadlines, createObjectiveMix, createRandom, createRetryAllowance, createSpareCapacity, type Clock,
+	createArrivalRate, createFirstAttemptDeadlines, createObjectiveMix, createRandom, createRetryAllowance, createSpareCapacity, defaultColdBounds, type Clock,
 } from '@bitternpaddle/coordination';
 import {createHttpServer, type Logger} from '@bitternpaddle/transport';
 import {createCoreClient} from '../link/core-client.js';
 import type {Follower} from '../link/methods.js';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
 import {createConfigurationHolder} from '../link/configuration-holder.js';
+import {createEvacuatedZones} from '../link/evacuated-zones.js';
 import type {RequestProtocol} from '../link/request-protocol.js';
 import {createWantedVersions} from '../link/wanted-versions.js';
 import {createServiceRooms} from '../demand/service-rooms.js';
 import {createEndpointLimits} from '../limits/endpoint-limits.js';
-import {createEvacuatedZones} from '../link/evacuated-zones.js';
 import {createRequestQuarantine} from '../quarantine/request-quarantine.js';
 import {createLoadListener} from '../load/load-listener.js';
 import {createLoadRelay, relayIntervalMs} from '../load/load-relay.js';
@@ -118,8 +118,15 @@
 			listener.datagrams.send(data, addresses);
 		},
 	});
+	const zones = createEvacuatedZones({logger});
 	const limits = createEndpointLimits({
+		bounds: {overage: bounds.coldOverage ?? defaultColdBounds.overage, slack: bounds.coldSlack ?? defaultColdBounds.slack},
+		coldStartOf: serviceName => configuration.table()?.services.get(serviceName)?.coldStart ?? null,
+		evacuationEndedAtMs: zones.endedAtMs,
 		selfAddress, peers: () => peers, logger, metrics, random, nowMs: monotonicNowMs,
+		onGranted() {
+			waitQueue.checkNow();
+		},
 		send(data, addresses) {
 			listener.datagrams.send(data, addresses);
 		},
@@ -128,7 +135,6 @@
 	const view = createEndpointView({onRestart: quarantine.recordRestart});
 	const connections = createEndpointConnections();
 	const waitQueue = createWaitQueue();
-	const zones = createEvacuatedZones({logger});
 	const evacuationGate = createEvacuationGate({
 		zones, evacuationMs: bounds.evacuationMs ?? null, logger, startedAtMs: monotonicNowMs(),
 	});
@@ -152,6 +158,7 @@
 		protocol, logger,
 		onChange(table) {
 			permission.applyConfiguration(table.configuration);
+			limits.refresh();
 			front.setIdleTimeout(table.configuration.limits.idleTimeoutMs);
 			rooms.configure(table.configuration);
 			// Each configuration may add and remove routes.
@@ -230,6 +237,10 @@
 				limits.sync();
 			}
 
+			limits.recordNews({
+				announcements: result.announcements, peers: result.roster === null ? null : peers,
+				confirmedAtMs: result.freshAgeMs === null ? null : nowMs - (clock.nowMs() - requestedAtMs) - result.freshAgeMs,
+			});
 			if (result.freshAgeMs !== null) {
 				lease.recordRenewal({number: result.configurationNumber, freshAtMs: requestedAtMs - result.freshAgeMs});
 			}
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -41,7 +41,7 @@
 				return failCall(context, call, progress, refusal.reason, refusal.retryAfterMs);
 			}
 
-			const step = selectNextStep(context, call, wait.seeking());
+			const step = selectNextStep(context, call, wait.seeking(), true);
 			if (step.type === 'exclude') {
 				return failExcluded(context, call, progress, step.exclusion);
 			}
@@ -97,7 +97,7 @@
 		return null;
 	}
 
-	const step = selectNextStep(context, call, {...unplacedRequest(context, call, progress), sentCount: progress.sent + 1});
+	const step = selectNextStep(context, call, {...unplacedRequest(context, call, progress), sentCount: progress.sent + 1}, false);
 	return step.type === 'send' ? step.placement : null;
 };
 
@@ -113,7 +113,7 @@
 /** `exclude`: there are endpoints, but the request may not be sent to any of them. */
 type Step = NextStep | {readonly type: 'exclude'; readonly exclusion: Exclusion};
 
-const selectNextStep = (context: CallContext, call: Call, seeking: UnplacedRequest): Step => {
+const selectNextStep = (context: CallContext, call: Call, seeking: UnplacedRequest, mayWait: boolean): Step => {
 	const {name, engine: profile} = call.service;
 	const {limits, waitQueue, random} = context;
 	const nowMs = context.nowMs();
@@ -133,10 +133,10 @@
 	};
 	const preferred = limits.hasLimits() ? preferredLimited(demand, surroundings, seeking) : null;
 	if (preferred !== null) {
-		limits.requestPermits(preferred.announcement);
+		limits.requestPermits(preferred.candidate.announcement);
 	}
 
-	const step = nextStep(demand, surroundings, seeking);
+	const step = nextStep(demand, surroundings, seeking, mayWait ? preferred : null);
 	if (step.type === 'send') {
 		context.permission.recordDemand(name, candidates, nowMs);
 	}
