fix(gateway): ask for the leader again when it does not answer an order

An order that met a suspended leader waited for its answer until the order expired, although another leader may be elected within that time; the operator's client then had to resend it. The reading of the leader's clock, which sends nothing of the order, is now given up after 250 ms and repeated at the leader then known. Tests: 59 assertions passed in the evacuation tests of coordination, gateway and platform.

--- a/packages/gateway/src/core/evacuation-orders.ts
+++ b/packages/gateway/src/core/evacuation-orders.ts
@@ -63,6 +63,12 @@
  * end of its connection follows within a round trip between regions, 4 ms.
  */
 const callerCheckMs = 20;
+/**
+ * Time within which a leader must answer the reading of its clock before it is asked
+ * again: a suspended leader is replaced after 600 to 1,200 ms, and an order that waited
+ * for its answer until then would have expired. A round trip between regions takes 4 ms.
+ */
+const clockTimeoutMs = 250;
 /** Interval of attempts while no leader is reached: an election takes 600 to 1,200 ms. */
 const leaderPollIntervalMs = 25;
 
@@ -112,7 +118,7 @@
 			return append(document, {epoch, atMs: arrivedAtMs + orderValidMs});
 		}
 
-		const reading = await leaderCalls.readClock(address, remainingMs()).catch((error: unknown) => {
+		const reading = await leaderCalls.readClock(address, Math.min(clockTimeoutMs, remainingMs())).catch((error: unknown) => {
 			// The order has not been sent, so another leader may be tried.
 			throw isAnswer(error) ? error : new RpcError(rpcErrorCodes.notLeader, (error as Error).message);
 		});
