perf(gateway): match the route of a request a second time only after a change

Every request had its route matched twice, also in deployments whose routes and teams have no lists.

Cause: the lists of a request were computed from the configuration known when its body had been read, without using the match made on its arrival.

Change: the match keeps the configuration that it was made in, and the lists are taken from it until another configuration comes into force. Without a change, a check costs one comparison.

--- a/packages/gateway/src/entry/serve-request.ts
+++ b/packages/gateway/src/entry/serve-request.ts
@@ -47,7 +47,14 @@
 const startWaitShare = 0.35;
 const bearerPattern = /^bearer\s+(?<key>\S+)\s*$/iv;
 
-type RouteMatch = {readonly route: Route; readonly team: Team | null; /** `null` if none is required. */ readonly key: string | null};
+type RouteMatch = {
+	/** The configuration in which the route and the team were found. */
+	readonly table: RouteTable;
+	readonly route: Route;
+	readonly team: Team | null;
+	/** `null` if none is required. */
+	readonly key: string | null;
+};
 
 const pathOf = ({url = '/'}: http.IncomingMessage): string => url.split('?', 1)[0]!;
 
@@ -71,12 +78,20 @@
 	}
 
 	if (known.configuration.teams === null || route.isPublic) {
-		return {route, team: null, key: null};
+		return {
+			table: known, route, team: null, key: null,
+		};
 	}
 
 	const key = bearerPattern.exec(headers.authorization ?? '')?.groups?.key;
 	const team = key === undefined ? undefined : known.teamsByKey.get(key);
-	return key === undefined || team === undefined ? forbid(401, 'the key is not known') : {route, team, key};
+	if (key === undefined || team === undefined) {
+		return forbid(401, 'the key is not known');
+	}
+
+	return {
+		table: known, route, team, key,
+	};
 };
 
 const isLocalReply = (matched: RouteMatch | LocalReply): matched is LocalReply => 'status' in matched;
@@ -163,7 +178,7 @@
 		return;
 	}
 
-	const {route, team, key} = matched;
+	const {route, team, key, table: matchedIn} = matched;
 	const deadlineMs = callerDeadlineMs(context, request);
 	const firstAttemptDeadlines = context.firstAttemptDeadlines(route.name);
 	if (isReused && Number.isFinite(deadlineMs)) {
@@ -198,7 +213,7 @@
 		outline: memoize(() => outlineOf(identity)), fingerprint: memoize(() => fingerprintOf(identity)),
 		isKeyInForce: () => key === null || context.table()?.teamsByKey.get(key)?.name === team?.name,
 		regionLists: createRegionLists({
-			table: context.table, host: request.headers.host ?? '', path: pathOf(request), route, team, key,
+			table: context.table, matchedIn, host: request.headers.host ?? '', path: pathOf(request), route, team, key,
 		}),
 	});
 };
--- a/packages/gateway/test/region-lists.test.ts
+++ b/packages/gateway/test/region-lists.test.ts
@@ -8,7 +8,7 @@
 	const first = configurationWith(1, ['r1'], ['r1', 'r2']);
 	const state = {table: createRouteTable(first)};
 	const lists = createRegionLists({
-		table: () => state.table, host: 'a.example', path: '/listed/x', route: first.routes[1]!, team: first.teams![0]!, key: 'k',
+		table: () => state.table, matchedIn: state.table, host: 'a.example', path: '/listed/x', route: first.routes[1]!, team: first.teams![0]!, key: 'k',
 	});
 	t.same(lists(), {route: ['r1'], team: ['r1', 'r2']});
 	t.equal(lists(), lists(), 'computed once for each configuration');
