feat(gateway): learn how much of an objective an estimate may use up

Cause: estimates are older than the queues that they describe, and all of them are near the limit of 0.8 of the objective when engines cannot begin all that arrives.

It applies to services whose requests have several priorities or whose endpoints advertise a slowdown; others keep 0.8. A request for which an engine has a free slot is never refused by it.

--- a/packages/coordination/src/placement/admit.ts
+++ b/packages/coordination/src/placement/admit.ts
@@ -1,6 +1,7 @@
 import type {RetryClass} from '@bitternpaddle/state';
 import type {Random} from '../utils/random.js';
 import type {RoomLimit} from './priority-room.js';
+import {maxStartShare} from './start-share.js';
 
 export type AdmitOptions = {
 	readonly retryClass: RetryClass;
@@ -22,6 +23,8 @@
 	readonly remainingMs: number;
 	/** The limit by its priority; `null` if the service has one priority. */
 	readonly room: RoomLimit | null;
+	/** Share of the objective that the estimate may use up: estimates are off by a fifth or more while engines change, and a request admitted at the last moment is late. @default 0.8 */
+	readonly startShare?: number;
 	/** Whether engines have so much free capacity that nothing may be refused for load. */
 	readonly isIdle: boolean;
 	readonly random: Random;
@@ -29,8 +32,6 @@
 
 export type AdmitVerdict = {readonly type: 'admitted'} | {readonly type: 'refused'; readonly retryAfterMs: number; readonly reason: string};
 
-/** Share of the objective that the estimate may use up: estimates are off by a fifth or more while engines change, and a request admitted at the last moment is late. */
-export const objectiveSafetyShare = 0.8;
 /** Share of the objective that a caller retry may wait while no first attempts are refused; first attempts behind it still meet their objective. */
 const idleRetryShare = 0.6;
 /** The retries of refused callers are spread over this time, in which an engine's slots turn over about once. */
@@ -93,8 +94,11 @@
  * length always. In return, they go first in the engines' queues.
  */
 const canStartInTime = (options: AdmitOptions): boolean => {
-	const {expectedMs, effectiveObjectiveMs, excessMs, waitedMs} = options;
-	return expectedMs - excessMs <= Math.min(objectiveSafetyShare * (effectiveObjectiveMs - waitedMs), roomLimitMs(options));
+	const {expectedMs, effectiveObjectiveMs, excessMs, spareMs, startShare = maxStartShare, waitedMs} = options;
+	const limitMs = startShare * (effectiveObjectiveMs - waitedMs);
+	// A learned share must not refuse a request for which an engine has a free slot.
+	const isLearned = startShare < maxStartShare;
+	return expectedMs - excessMs <= Math.min(isLearned ? Math.max(limitMs, spareMs) : limitMs, roomLimitMs(options));
 };
 
 const refuse = ({random}: AdmitOptions, reason: string): AdmitVerdict => ({
--- a/packages/coordination/src/placement/index.ts
+++ b/packages/coordination/src/placement/index.ts
@@ -7,6 +7,7 @@
 export * from './retry-allowance.js';
 export * from './switch-permits.js';
 export * from './admit.js';
+export * from './start-share.js';
 export * from './key-lease.js';
 export * from './version-due.js';
 export * from './path-delay.js';
--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -1,7 +1,7 @@
 import type {EngineProfile, RetryClass} from '@bitternpaddle/state';
 import type {PermitState} from '../endpoint-limits/permit-account.js';
 import type {Random} from '../utils/random.js';
-import {admitRequest, objectiveSafetyShare} from './admit.js';
+import {admitRequest} from './admit.js';
 import {arrivalsPerSecond, type ArrivalRate} from './arrival-rate.js';
 import {
 	acceptedAtMs, acceptedUntil, availabilityAt, type Unavailability,
@@ -22,6 +22,7 @@
 	hasIdleEngines, lackMs, queuedAheadShare, roomLimitOf, type RoomLimit, type RoomView,
 } from './priority-room.js';
 import {mayWaitForCapacity, recordSpareCapacity, type SpareCapacity} from './spare-room.js';
+import {maxStartShare} from './start-share.js';
 import type {VersionDue} from './version-due.js';
 import {
 	answerMs, briefWaitEndsAtMs, decideWait, engineOutlook, noEngineRetryMs,
@@ -35,6 +36,8 @@
 	readonly objectives: ObjectiveMix;
 	/** When its engines last had a free slot. */
 	readonly spareCapacity: SpareCapacity;
+	/** Share of the objective that an estimate may use up. @default 0.8 */
+	readonly startShare?: number;
 	/** Requests that are held until engines are ready. */
 	readonly heldCount: number;
 	/** Requests that wait until an endpoint accepts one more. */
@@ -260,7 +263,7 @@
 		retryClass: request.retryClass, expectedMs: placement.expectedMs, objectiveMs: request.objectiveMs,
 		effectiveObjectiveMs: room === null ? effectiveObjectiveOf(demand.objectives, request.objectiveMs, nowMs) : request.objectiveMs,
 		excessMs, spareMs, isOverloaded: room === null ? isOverloaded(demand.objectives, nowMs) : room.isOverloaded,
-		room, isIdle: room !== null && hasIdleEngines(context.candidates, othersPerSecond(demand, context), nowMs),
+		room, startShare: demand.startShare, isIdle: room !== null && hasIdleEngines(context.candidates, othersPerSecond(demand, context), nowMs),
 		hasComeBack: request.isLastTry, waitedMs: nowMs - request.receivedAtMs, remainingMs: timeToStartMs, random,
 	});
 	if (admission.type === 'admitted') {
@@ -291,12 +294,12 @@
 	}
 };
 
-const roomOf = ({objectives}: ServiceDemand, {room, profile, random, nowMs}: PlacementContext, request: UnplacedRequest): RoomLimit | null => {
+const roomOf = ({objectives, startShare = maxStartShare}: ServiceDemand, {room, profile, random, nowMs}: PlacementContext, request: UnplacedRequest): RoomLimit | null => {
 	if (room === null || profile === null) {
 		return null;
 	}
 
-	const topLimitMs = objectiveSafetyShare * Math.min(request.objectiveMs, strictestObjectiveMs(objectives, nowMs));
+	const topLimitMs = startShare * Math.min(request.objectiveMs, strictestObjectiveMs(objectives, nowMs));
 	return roomLimitOf(room, {
 		...request, profile, topLimitMs, random, nowMs,
 	});
--- a/packages/gateway/src/entry/call-context.ts
+++ b/packages/gateway/src/entry/call-context.ts
@@ -1,5 +1,5 @@
 import type {
-	ArrivalRate, ObjectiveMix, Random, RetryAllowance, SpareCapacity, VersionDue,
+	ArrivalRate, ObjectiveMix, Random, RetryAllowance, SpareCapacity, StartShare, VersionDue,
 } from '@bitternpaddle/coordination';
 import type {Logger} from '@bitternpaddle/transport';
 import type {ServiceRooms} from '../demand/service-rooms.js';
@@ -33,6 +33,8 @@
 	objectives(serviceName: string): ObjectiveMix;
 	/** When engines of a service last had a spare slot. */
 	spareCapacity(serviceName: string): SpareCapacity;
+	/** Share of the objective that an estimate for the service may use up, as learned from its answers. */
+	startShare(serviceName: string): StartShare;
 	/** Number of serving entries, including this one. */
 	entryCount(): number;
 	/** This entry's part of the retry reserve that all entries share. */
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -1,6 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	createArrivalRate, createFirstAttemptDeadlines, createObjectiveMix, createRandom, createRetryAllowance, createSpareCapacity, defaultColdBounds, type Clock,
+	createArrivalRate, createFirstAttemptDeadlines, createObjectiveMix, createRandom, createRetryAllowance, createSpareCapacity, createStartShare, defaultColdBounds, type Clock,
 } from '@bitternpaddle/coordination';
 import {createHttpServer, type Logger} from '@bitternpaddle/transport';
 import {createCoreClient} from '../link/core-client.js';
@@ -144,6 +144,7 @@
 	const sendRate = createLazyMap(createArrivalRate);
 	const objectives = createLazyMap(createObjectiveMix);
 	const spareCapacity = createLazyMap(createSpareCapacity);
+	const startShare = createLazyMap(createStartShare);
 	const allowance = createLazyMap(() => createRetryAllowance({windowMs: bounds.retryWindowMs, share: bounds.retryShare}));
 	const openCalls = new Set<Call>();
 	let entryCount = 1;
@@ -177,7 +178,7 @@
 	const sinceStopMs = (): number | null => stoppedAtMs === null ? null : Math.round(monotonicNowMs() - stoppedAtMs);
 	const context: CallContext = {
 		protocol, connections, view, waitQueue, quarantine, limits, permission, rooms, zoneId, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs,
-		allowance: allowance.of, sendRate: sendRate.of, objectives: objectives.of, spareCapacity: spareCapacity.of,
+		allowance: allowance.of, sendRate: sendRate.of, objectives: objectives.of, spareCapacity: spareCapacity.of, startShare: startShare.of,
 		entryCount: () => entryCount,
 		remainingGraceMs: () => abortsAtMs - monotonicNowMs(),
 		nowMs: monotonicNowMs,
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -123,7 +123,7 @@
 	}
 
 	const demand: ServiceDemand = {
-		sendRate: context.sendRate(name), objectives: context.objectives(name), spareCapacity: context.spareCapacity(name),
+		sendRate: context.sendRate(name), objectives: context.objectives(name), spareCapacity: context.spareCapacity(name), startShare: context.startShare(name).share,
 		heldCount: waitQueue.waitingCount(name, 'engines'), queuedCount: waitQueue.waitingCount(name, 'availability'),
 	};
 	const surroundings: PlacementContext = {
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -1,5 +1,5 @@
 import {
-	startWithinMs, recordArrival, recordLag, recordObjective, mayTakeAttempt, recordPause, recordRequest, takeAttempt, type Candidate, type EndpointLoad, type PauseNotice, type Placement,
+	isUneven, prefillMs, recordStartDelay, startWithinMs, recordArrival, recordLag, recordObjective, mayTakeAttempt, recordPause, recordRequest, takeAttempt, type Candidate, type EndpointLoad, type PauseNotice, type Placement,
 } from '@bitternpaddle/coordination';
 import {ignore} from '@bitternpaddle/transport';
 import {sendAttempt, type AnswerHead, type AttemptResult} from './attempt.js';
@@ -232,6 +232,7 @@
 				metrics.firstByte(service.name, tookMs);
 				metrics.expectation(service.name, expectedMs, tookMs);
 				recordLag(load, tookMs - expectedMs + lagMs, nowMs());
+				recordStart(context, call, progress);
 				progress.firstByteMs ??= Math.round(nowMs() - call.receivedAtMs);
 				progress.expectedMs ??= Math.round(startedAtMs + expectedMs - call.receivedAtMs);
 			}
@@ -254,6 +255,17 @@
 	return result;
 };
 
+/** Learns from first attempts how far estimates can be trusted; only for services whose endpoints are uneven or whose requests have several priorities. */
+const recordStart = ({rooms, view, startShare, nowMs}: CallContext, {service, route, promptTokens, receivedAtMs, hasComeBack}: Call, {firstByteMs}: CallProgress): void => {
+	const {name, engine} = service;
+	if (engine === null || hasComeBack || firstByteMs !== null || (rooms.roomOf(service) === null && !isUneven(view.candidates(name, nowMs())))) {
+		return;
+	}
+
+	const excessMs = Math.max(0, prefillMs(engine, promptTokens - engine.usualPromptTokens));
+	recordStartDelay(startShare(name), {tookMs: nowMs() - receivedAtMs - excessMs, objectiveMs: route.objectiveMs});
+};
+
 let lastAwaitedKey = 0;
 const nextAwaitedKey = (): number => {
 	lastAwaitedKey++;
