feat(model): engines on shared hosts

The model had no engines that are slow for parts of a second, so what the pace and the slowdown are worth for engines could not be measured. Other scenarios draw the same random numbers as before.

--- a/packages/bench/src/placement/policies.ts
+++ b/packages/bench/src/placement/policies.ts
@@ -48,6 +48,8 @@
 	margin: withStep((demand, context, request) => nextStep(demand, context, {...request, objectiveMs: request.objectiveMs * fullObjectiveFactor})),
 	zones: withStep((demand, context, request) => nextStep(demand, {...context, zoneId: ''}, request)),
 	ownRequests: withLoads(() => ({awaiting: new Map(), outstanding: 0})),
+	/** Ignores the slowdowns in answers; the paces in reports remain. */
+	figures: withLoads(() => ({slowdown: null})),
 	lag: withLoads(() => ({lagMs: 0})),
 	urgency: {...productPolicy, urgency: () => 1},
 };
--- a/packages/model/src/engine.ts
+++ b/packages/model/src/engine.ts
@@ -23,6 +23,8 @@
 	readonly zoneId: string;
 	submit(work: EngineWork): void;
 	report(): EngineReport;
+	/** How slow its host is at the moment; `null` if its answers do not tell. */
+	slowdown(): number | null;
 	/** Finishes all queued and running requests while it reports itself busy, then loads for `loadMs`; calls `onReady` when it serves again. */
 	reload(loadMs: number, onReady: () => void): void;
 	/** Crashes the engine: aborts all its requests; it serves again at `readyAtMs`, or never if `null`. */
@@ -34,9 +36,9 @@
 /** Prompt tokens prefilled per step, beside the decoding requests. */
 const prefillTokensPerStep = 2048;
 
-export type EngineOptions = {readonly id: string; readonly zoneId: string; readonly profile: EngineProfile; readonly timeline: Timeline};
+export type EngineOptions = {readonly id: string; readonly zoneId: string; readonly profile: EngineProfile; readonly timeline: Timeline; slowdown(): number | null};
 
-export const createModelEngine = ({id, zoneId, profile, timeline}: EngineOptions): ModelEngine => {
+export const createModelEngine = ({id, zoneId, profile, timeline, slowdown}: EngineOptions): ModelEngine => {
 	const waiting: EngineWork[] = [];
 	let running: RunningRequest[] = [];
 	let isInPass = false;
@@ -110,7 +112,7 @@
 
 		const prefilledTokens = prefill();
 		const decodingCount = running.filter(({remainingPromptTokens}) => remainingPromptTokens === 0).length;
-		const passDurationMs = passMs(profile, decodingCount) + prefillMs(profile, prefilledTokens);
+		const passDurationMs = (slowdown() ?? 1) * (passMs(profile, decodingCount) + prefillMs(profile, prefilledTokens));
 		isInPass = true;
 		busyMs += passDurationMs;
 		const passGeneration = generation;
@@ -124,7 +126,7 @@
 	};
 
 	return {
-		id, zoneId,
+		id, zoneId, slowdown,
 		submit(work) {
 			if (readyAtMs === null) {
 				work.onAborted();
@@ -136,7 +138,7 @@
 			runPass();
 		},
 		report: () => ({
-			running: running.length, queued: waiting.length, pace: 1, isBusy: isReloading || (isUnavailable() && readyAtMs !== null && reloadMs > 0), isStrained: false,
+			running: running.length, queued: waiting.length, pace: slowdown() ?? 1, isBusy: isReloading || (isUnavailable() && readyAtMs !== null && reloadMs > 0), isStrained: false,
 			version: isUnavailable() && reloadMs === 0 ? null : 1, readyInMs: isUnavailable() && readyAtMs !== null && reloadMs === 0 ? readyAtMs - timeline.nowMs() : null,
 		}),
 		reload(loadMs, onReady) {
--- a/packages/model/src/entry.ts
+++ b/packages/model/src/entry.ts
@@ -1,6 +1,6 @@
 import {
 	createArrivalRate, createEndpointHealth, createEndpointLoad, createObjectiveMix, createSpareCapacity, nextStep, recordArrival, recordObjective,
-	prefillMs, strictestObjectiveMs, urgencyOf,
+	prefillMs, recordSlowdown, strictestObjectiveMs, urgencyOf,
 	type Candidate, type NextStep, type Random, type UnplacedRequest, type ServiceDemand, type WaitReason,
 } from '@bitternpaddle/coordination';
 import type {EngineProfile} from '@bitternpaddle/state';
@@ -77,6 +77,7 @@
 
 	const send = (request: EntryRequest, {placement: {candidate, expectedMs}}: Extract<NextStep, {type: 'send'}>): void => {
 		const {load, announcement} = candidate;
+		const engine = enginesById.get(announcement.id)!;
 		const nowMs = timeline.nowMs();
 		lastKey++;
 		const key = lastKey;
@@ -99,7 +100,12 @@
 				usualSlackMs: strictestObjectiveMs(objectives, nowMs) - prefillMs(profile, profile.usualPromptTokens),
 			}),
 			onFirstToken() {
+				const slowdown = engine.slowdown();
 				timeline.after(latencyMs, () => {
+					if (slowdown !== null) {
+						load.slowdown = recordSlowdown(load.slowdown, slowdown, timeline.nowMs());
+					}
+
 					load.awaiting.delete(key);
 					request.onFirstToken();
 				});
@@ -112,7 +118,7 @@
 			},
 		};
 		timeline.after(latencyMs, () => {
-			enginesById.get(announcement.id)!.submit(work);
+			engine.submit(work);
 		});
 	};
 
--- a/packages/model/src/scenario.ts
+++ b/packages/model/src/scenario.ts
@@ -29,6 +29,9 @@
 		/** Some engines are not ready at first and join later. */
 		| {readonly type: 'join'; readonly atS: number; readonly share: number; readonly readyAfterMs: number};
 
+/** Hosts that the engines share with other work: each is `factor` times as slow for `share` of the time. */
+export type HostSharing = {readonly factor: number; readonly share: number; readonly changeMs: number};
+
 export type Scenario = {
 	readonly name: string;
 	readonly profile: EngineProfile;
@@ -40,6 +43,8 @@
 	/** Sorted by time; the first one starts at 0. */
 	readonly load: readonly LoadStep[];
 	readonly events: readonly EngineEvent[];
+	/** `null`: the engines have their hosts for themselves, and their answers tell no slowdown. */
+	readonly sharing: HostSharing | null;
 };
 
 /** Requests per second that the engines of a scenario sustain with all slots in use all the time. */
--- a/packages/model/src/scenarios.ts
+++ b/packages/model/src/scenarios.ts
@@ -1,6 +1,6 @@
 import type {EngineProfile} from '@bitternpaddle/state';
 import type {
-	EngineEvent, LoadStep, CallerClass, Scenario,
+	EngineEvent, HostSharing, LoadStep, CallerClass, Scenario,
 } from './scenario.js';
 
 type ProfileFields = Pick<EngineProfile, 'slots' | 'stepMs' | 'readTokensPerSecond' | 'usualAnswerTokens'> & Partial<EngineProfile>;
@@ -67,7 +67,7 @@
 	readonly work?: WorkloadName;
 };
 
-type Shape = {readonly load: readonly LoadStep[]; readonly events?: readonly EngineEvent[]};
+type Shape = {readonly load: readonly LoadStep[]; readonly events?: readonly EngineEvent[]; readonly sharing?: HostSharing | null};
 
 const shapes = {
 	steady: {load: [{fromS: 0, factor: 0.75}]},
@@ -87,6 +87,7 @@
 		}],
 	},
 	loss: {load: [{fromS: 0, factor: 0.8}], events: [{type: 'loss', atS: 5, share: 0.35}]},
+	shared: {load: [{fromS: 0, factor: 0.75}], sharing: {factor: 2.5, share: 0.15, changeMs: 600}},
 } as const satisfies Record<string, Shape>;
 
 export type ScenarioName = keyof typeof shapes;
@@ -97,8 +98,8 @@
 
 /** Builds the named scenario for a deployment of the given size. */
 export const resolveScenario = (name: ScenarioName, {profile = 'batch8', work = 'drafts', ...size}: ScenarioSize): Scenario => {
-	const {load, events = []}: Shape = shapes[name];
+	const {load, events = [], sharing = null}: Shape = shapes[name];
 	return {
-		name, profile: profiles[profile], callerClasses: workloads[work], zoneCount, durationS, load, events, ...size,
+		name, profile: profiles[profile], callerClasses: workloads[work], zoneCount, durationS, load, events, sharing, ...size,
 	};
 };
--- a/packages/model/src/world.ts
+++ b/packages/model/src/world.ts
@@ -201,12 +201,24 @@
 	timeline.at(0, next);
 };
 
+/** Draws how slow a host is over time; from a generator of its own, so that all policies meet the same. */
+const createHost = ({sharing, durationS}: Scenario, seed: number, timeline: Timeline) => {
+	if (sharing === null) {
+		return () => null;
+	}
+
+	const {factor, share, changeMs} = sharing;
+	const random = createRandom(seed);
+	const figures = Array.from({length: Math.ceil((durationS + followUpS) * msPerSecond / changeMs) + 1}, () => randomFraction(random) < share ? factor : 1);
+	return () => figures[Math.floor(timeline.nowMs() / changeMs)]!;
+};
+
 /** Simulates a scenario in virtual time; the same seed gives the same run. */
 export const simulateScenario = ({scenario, seed, policy = productPolicy}: ScenarioRunOptions): ScenarioRun => {
 	const timeline = createTimeline();
 	const random = createRandom(seed);
 	const engines = Array.from({length: scenario.engineCount}, (_, index) => createModelEngine({
-		id: `engine-${index}`, zoneId: zoneOf(index, scenario), profile: scenario.profile, timeline,
+		id: `engine-${index}`, zoneId: zoneOf(index, scenario), profile: scenario.profile, timeline, slowdown: createHost(scenario, (seed * 1000) + index, timeline),
 	}));
 	const entries = Array.from({length: scenario.entryCount}, (_, index) => {
 		const zoneId = zoneOf(index, scenario);
