fix(coordination): do not pass over an endpoint that alone can answer in time

A near endpoint is kept within a tenth of the estimate and a round trip, so a request with little time left could be refused at the near endpoint's estimate while one in another zone could still answer it. The choice now takes the time left into account, also among equal endpoints. The load in a 421 is no longer learned, as another start of the endpoint may have sent it.

--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -142,7 +142,7 @@
 });
 
 const place = (demand: ServiceDemand, context: PlacementContext, request: UnplacedRequest, excludedIds: ReadonlySet<string>): Placement | null => placeRequest({
-	...context, promptTokens: request.promptTokens, objectiveMs: request.objectiveMs, isBegun: request.isBegun, excludedIds,
+	...context, promptTokens: request.promptTokens, objectiveMs: request.objectiveMs, dueInMs: request.deadlineAtMs - context.nowMs, isBegun: request.isBegun, excludedIds,
 	othersPerSecond: arrivalsPerSecond(demand.sendRate, context.nowMs) * (context.entryCount - 1),
 });
 
--- a/packages/coordination/src/placement/place-request.ts
+++ b/packages/coordination/src/placement/place-request.ts
@@ -24,6 +24,8 @@
 	readonly zoneId: string;
 	readonly promptTokens: number;
 	readonly objectiveMs: number;
+	/** Time until the answer is due. @default Infinity */
+	readonly dueInMs?: number;
 	/** The versions of the weights that requests must start on, each with the time from which it is required. */
 	readonly dues: readonly VersionDue[];
 	readonly excludedIds: ReadonlySet<string>;
@@ -160,7 +162,7 @@
 
 /** Places a request at a plain service whose endpoints tell their slowdown. */
 const placeUnevenPlain = (options: PlaceOptions): Placement | null => {
-	const {candidates, zoneId, random, nowMs} = options;
+	const {candidates, zoneId, dueInMs = Number.POSITIVE_INFINITY, random, nowMs} = options;
 	const eligible = candidates.filter(candidate => isEligible(candidate, options));
 	const healthy = eligible.filter(({health}) => !isBackingOff(health, nowMs));
 	const usable = healthy.length > 0 ? healthy : eligible;
@@ -176,7 +178,7 @@
 			candidate, zoneId: candidate.announcement.zoneId, plain, lagMs, expectedMs: plainTimeMs(plain, candidate.load, nowMs) + lagMs,
 		};
 	});
-	const {chosen: {candidate, expectedMs, lagMs, plain}, passedNear} = choosePlain(ranked, zoneId, random);
+	const {chosen: {candidate, expectedMs, lagMs, plain}, passedNear} = choosePlain(ranked, {zoneId, dueInMs, random});
 	return {
 		candidate, expectedMs, lagMs, plain, ...(passedNear !== null && {passedNear}),
 	};
--- a/packages/coordination/src/placement/plain-model.ts
+++ b/packages/coordination/src/placement/plain-model.ts
@@ -145,20 +145,27 @@
 
 type PlainChoice<Ranked> = {readonly chosen: Ranked; /** The best near endpoint, if one in another zone was chosen. */ readonly passedNear: Ranked | null};
 
+export type ChoosePlainOptions = {
+	readonly zoneId: string;
+	/** Time until the answer is due: an endpoint that meets it is not passed over for a nearer one that does not. */
+	readonly dueInMs: number;
+	readonly random: Random;
+};
+
 /** Chooses among the endpoints of an uneven plain service; `ranked` is not empty. */
-export const choosePlain = <Ranked extends RankedPlain>(ranked: readonly Ranked[], zoneId: string, random: Random): PlainChoice<Ranked> => {
+export const choosePlain = <Ranked extends RankedPlain>(ranked: readonly Ranked[], {zoneId, dueInMs, random}: ChoosePlainOptions): PlainChoice<Ranked> => {
 	const near = ranked.filter(endpoint => endpoint.zoneId === zoneId);
 	const other = ranked.filter(endpoint => endpoint.zoneId !== zoneId);
 	const leastMs = (endpoints: readonly Ranked[]): number => Math.min(...endpoints.map(({expectedMs}) => expectedMs));
 	const nearMs = leastMs(near);
 	const otherMs = leastMs(other);
 	// The longest estimate with which the near zone is used.
-	const nearLimitMs = (otherMs + otherZoneLatencyMs) / (1 - uncertainShare);
+	const nearLimitMs = Math.max(otherMs, Math.min(dueInMs, (otherMs + otherZoneLatencyMs) / (1 - uncertainShare)));
 	const isNear = near.length > 0 && nearMs <= nearLimitMs;
 	const group = isNear ? near : other;
-	// Within the near zone, a tie must not exceed the best of another zone.
-	const limitMs = isNear ? Math.min(nearMs + tieMs, nearLimitMs) : otherMs + tieMs;
+	const bestMs = isNear ? nearMs : otherMs;
+	const limitMs = Math.max(bestMs, Math.min(bestMs + tieMs, dueInMs, isNear ? nearLimitMs : Number.POSITIVE_INFINITY));
 	const ties = group.filter(({expectedMs}) => expectedMs <= limitMs);
-	const chosen = ties[Math.floor(randomFraction(random) * ties.length)] ?? ties[0]!;
+	const chosen = ties[Math.floor(randomFraction(random) * ties.length)]!;
 	return {chosen, passedNear: isNear ? null : near.find(({expectedMs}) => expectedMs === nearMs) ?? null};
 };
--- a/packages/coordination/test/uneven-endpoints.test.ts
+++ b/packages/coordination/test/uneven-endpoints.test.ts
@@ -145,10 +145,13 @@
 });
 
 t.test('another zone is used only if it is faster by more than the way there', async t => {
-	const choose = (nearMs: number, otherMs: number) => choosePlain([{zoneId: 'z1', expectedMs: nearMs}, {zoneId: 'z2', expectedMs: otherMs}], 'z1', createRandom(1));
+	const choose = (nearMs: number, otherMs: number, dueInMs = 1000) => choosePlain([{zoneId: 'z1', expectedMs: nearMs}, {zoneId: 'z2', expectedMs: otherMs}], {
+		zoneId: 'z1', dueInMs, random: createRandom(1),
+	});
 	t.equal(choose(70, 60).chosen.zoneId, 'z1');
+	t.equal(choose(63, 60, 62).chosen.zoneId, 'z2', 'or if only that can answer in time');
 	t.match(choose(72, 60), {chosen: {zoneId: 'z2'}, passedNear: {expectedMs: 72}});
-	t.equal(choosePlain([{zoneId: 'z2', expectedMs: 60}], 'z1', createRandom(1)).passedNear, null);
+	t.equal(choosePlain([{zoneId: 'z2', expectedMs: 60}], {zoneId: 'z1', dueInMs: 1000, random: createRandom(1)}).passedNear, null);
 });
 
 t.test('with a deadline of a second, what cannot be answered in time is refused at once, also as a last try', async t => {
--- a/packages/gateway/src/entry/answer-load.ts
+++ b/packages/gateway/src/entry/answer-load.ts
@@ -17,9 +17,13 @@
 
 	const atMs = nowMs();
 	load.advertisedLoad = {...advertised, atMs};
+	if (status === 421) {
+		// Another start of the endpoint may have sent it, whose state does not apply to this one.
+		return advertised;
+	}
+
 	load.active = recordActive(load.active, advertised.active, atMs);
-	// A 421 may come from another start of the endpoint, whose state does not apply to this one.
-	if (advertised.slowdown !== null && status !== 421) {
+	if (advertised.slowdown !== null) {
 		load.slowdown = recordSlowdown(load.slowdown, advertised.slowdown, atMs);
 	}
 
