--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -169,7 +169,7 @@
 const aheadShareOf = ({room, nowMs}: PlacementContext, {priority, isLastTry}: UnplacedRequest): number => room === null || isLastTry ? 1 : queuedAheadShare(room, priority, nowMs);
 
 const place = (demand: ServiceDemand, context: PlacementContext, request: UnplacedRequest, excludedIds: ReadonlySet<string>): Placement | null => placeRequest({
-	...context, promptTokens: request.promptTokens, objectiveMs: request.objectiveMs, isBegun: request.isBegun, excludedIds,
+	...context, promptTokens: request.promptTokens, objectiveMs: request.objectiveMs, dueInMs: request.deadlineAtMs - context.nowMs, isBegun: request.isBegun, excludedIds,
 	othersPerSecond: othersPerSecond(demand, context), queuedAheadShare: aheadShareOf(context, request),
 });
 
--- a/packages/model/src/entry.ts
+++ b/packages/model/src/entry.ts
@@ -1,6 +1,6 @@
 import {
 	createArrivalRate, createEndpointHealth, createEndpointLoad, createObjectiveMix, createPriorityDemand, createSpareCapacity, nextStep, recordArrival, recordDemand, recordObjective, requestWorkMs,
-	prefillMs, strictestObjectiveMs, urgencyOf,
+	prefillMs, recordSlowdown, strictestObjectiveMs, urgencyOf,
 	type Candidate, type NextStep, type PriorityDemand, type Random, type RoomView, type UnplacedRequest, type ServiceDemand, type WaitReason,
 } from '@bitternpaddle/coordination';
 import type {EngineProfile} from '@bitternpaddle/state';
@@ -86,6 +86,7 @@
 
 	const send = (request: EntryRequest, {placement: {candidate, expectedMs}}: Extract<NextStep, {type: 'send'}>): void => {
 		const {load, announcement} = candidate;
+		const engine = enginesById.get(announcement.id)!;
 		const nowMs = timeline.nowMs();
 		lastKey++;
 		const key = lastKey;
@@ -108,7 +109,12 @@
 				usualSlackMs: strictestObjectiveMs(objectives, nowMs) - prefillMs(profile, profile.usualPromptTokens),
 			}),
 			onFirstToken() {
+				const slowdown = engine.slowdown();
 				timeline.after(latencyMs, () => {
+					if (slowdown !== null) {
+						load.slowdown = recordSlowdown(load.slowdown, slowdown, timeline.nowMs());
+					}
+
 					load.awaiting.delete(key);
 					request.onFirstToken();
 				});
@@ -121,7 +127,7 @@
 			},
 		};
 		timeline.after(latencyMs, () => {
-			enginesById.get(announcement.id)!.submit(work);
+			engine.submit(work);
 		});
 	};
 
