fix(gateway): count what entries sent without permits against a cold endpoint's limit

A request for permits now states how many requests the entry sent without permits in the current second, and the issuer counts them.

--- a/packages/coordination/src/endpoint-limits/cold-account.ts
+++ b/packages/coordination/src/endpoint-limits/cold-account.ts
@@ -161,6 +161,12 @@
 	return unused;
 };
 
+/** Requests that were sent without permits in the current second. */
+export const unpermittedCount = ({sentAtMs}: ColdAccount, nowMs: number): number => {
+	dropBefore(sentAtMs, nowMs - coldWindowMs - arrivalJitterMs);
+	return sentAtMs.length;
+};
+
 /** Consumes a permit for a request that is sent now, or counts it as sent without one. */
 export const useColdPermit = (account: ColdAccount, nowMs: number): void => {
 	dropExpired(account, nowMs);
--- a/packages/coordination/src/endpoint-limits/cold-issuer.ts
+++ b/packages/coordination/src/endpoint-limits/cold-issuer.ts
@@ -13,6 +13,8 @@
 	readonly perSecond: number;
 	/** When the entry sent the request, by its own clock; repeated in the reply. */
 	readonly sentAtMs: number;
+	/** Requests that the entry sent without permits in the current second. */
+	readonly unpermittedCount: number;
 };
 
 export type ColdReply
@@ -35,6 +37,8 @@
 	/** Spreads the grants over the second, so that entries do not fill an idle endpoint at once. */
 	readonly bucket: TokenBucket;
 	readonly queue: Map<string, QueuedRequest>;
+	/** What entries sent without permits, as they last stated it. */
+	readonly unpermitted: Map<string, {readonly count: number; readonly statedAtMs: number}>;
 	perSecond: number;
 	requestedAtMs: number;
 };
@@ -64,18 +68,33 @@
 	}
 
 	const created: ColdEndpoint = {
-		issued: [], bucket: createTokenBucket({ratePerSecond: perSecond, burst, nowMs}), queue: new Map(), perSecond, requestedAtMs: nowMs,
+		issued: [], bucket: createTokenBucket({ratePerSecond: perSecond, burst, nowMs}), queue: new Map(), unpermitted: new Map(), perSecond, requestedAtMs: nowMs,
 	};
 	endpoints.set(start, created);
 	return created;
 };
 
+/** Requests that count in the current second, and permits that may add to it. */
+const occupiedCount = (endpoint: ColdEndpoint, nowMs: number): number => {
+	endpoint.issued = endpoint.issued.filter(({atMs}) => atMs > nowMs - occupiedMs);
+	let count = endpoint.issued.length;
+	for (const [entryAddress, stated] of endpoint.unpermitted) {
+		if (nowMs - stated.statedAtMs > coldWindowMs + arrivalJitterMs) {
+			endpoint.unpermitted.delete(entryAddress);
+		} else {
+			count += stated.count;
+		}
+	}
+
+	return count;
+};
+
 /** Takes up to `count` permits within the bound on any second. */
 const takePermits = (endpoint: ColdEndpoint, {count, entryAddress, sentAtMs}: Pick<ColdRequest, 'count' | 'entryAddress' | 'sentAtMs'>, nowMs: number): number => {
 	const {bucket, perSecond} = endpoint;
-	endpoint.issued = endpoint.issued.filter(({atMs}) => atMs > nowMs - occupiedMs);
+	const freeCount = coldWindowCount(perSecond) - occupiedCount(endpoint, nowMs);
 	let taken = 0;
-	while (taken < count && endpoint.issued.length < coldWindowCount(perSecond) && takeTokens(bucket, 1, nowMs) === 0) {
+	while (taken < Math.min(count, freeCount) && takeTokens(bucket, 1, nowMs) === 0) {
 		endpoint.issued.push({atMs: nowMs, entryAddress, sentAtMs});
 		taken++;
 	}
@@ -92,9 +111,10 @@
 };
 
 /** Estimates when the request at a place in the queue is granted. */
-const expectedWaitMs = ({issued, bucket, perSecond}: ColdEndpoint, place: number, nowMs: number): number => {
+const expectedWaitMs = (endpoint: ColdEndpoint, place: number, nowMs: number): number => {
+	const {issued, bucket, perSecond} = endpoint;
 	const pacedMs = Math.max(0, place - bucket.level) * 1000 / bucket.ratePerSecond;
-	const excessCount = issued.length + place - coldWindowCount(perSecond);
+	const excessCount = occupiedCount(endpoint, nowMs) + place - coldWindowCount(perSecond);
 	const freedAtMs = excessCount > 0 ? issued[Math.min(excessCount, issued.length) - 1]?.atMs ?? nowMs : null;
 	return Math.max(pacedMs, freedAtMs === null ? 0 : freedAtMs + occupiedMs - nowMs);
 };
@@ -103,7 +123,13 @@
 export const requestColdPermits = (issuer: ColdIssuer, request: ColdRequest, nowMs: number): ColdReply => {
 	const endpoint = endpointFor(issuer, request, nowMs);
 	const {queue} = endpoint;
-	const {entryAddress, count, sentAtMs} = request;
+	const {entryAddress, count, sentAtMs, unpermittedCount} = request;
+	if (unpermittedCount > 0) {
+		endpoint.unpermitted.set(entryAddress, {count: unpermittedCount, statedAtMs: nowMs});
+	} else {
+		endpoint.unpermitted.delete(entryAddress);
+	}
+
 	dropTimedOut(queue, nowMs);
 	const isNext = queue.size === 0 || queue.keys().next().value === entryAddress;
 	const taken = isNext ? takePermits(endpoint, request, nowMs) : 0;
--- a/packages/coordination/test/cold-permits.test.ts
+++ b/packages/coordination/test/cold-permits.test.ts
@@ -15,7 +15,7 @@
 	const timesMs: number[] = [];
 	for (let nowMs = 0; nowMs < untilMs; nowMs += intervalMs) {
 		const request = {
-			start, entryAddress: 'a', count: 1, perSecond, sentAtMs: nowMs,
+			start, entryAddress: 'a', count: 1, perSecond, sentAtMs: nowMs, unpermittedCount: 0,
 		};
 		if (requestColdPermits(issuer, request, nowMs).type === 'granted') {
 			timesMs.push(nowMs);
@@ -41,11 +41,25 @@
 	t.ok(grantTimes(10_000, {isReturned: true}).length > perSecond * 10, 'paced by the bucket only');
 });
 
+// Guards against a full limit for the issuer that returns, on top of what entries sent in the same second without it.
+t.test('requests that were sent without permits take up their part of the limit', async t => {
+	const issuer = createColdIssuer();
+	let grantedCount = 0;
+	for (let nowMs = 0; nowMs < 1000; nowMs += 10) {
+		const reply = requestColdPermits(issuer, {
+			start, entryAddress: 'a', count: 1, perSecond, sentAtMs: nowMs, unpermittedCount: 10,
+		}, nowMs);
+		grantedCount += reply.type === 'granted' ? 1 : 0;
+	}
+
+	t.equal(grantedCount, perSecond - 10);
+});
+
 // Guards against permits that are granted for requests that have gone elsewhere.
 t.test('queued requests are granted in order, unless they have not been renewed', async t => {
 	const issuer = createColdIssuer();
 	const ask = (entryAddress: string, nowMs: number): ColdReply => requestColdPermits(issuer, {
-		start, entryAddress, count: 1, perSecond, sentAtMs: nowMs,
+		start, entryAddress, count: 1, perSecond, sentAtMs: nowMs, unpermittedCount: 0,
 	}, nowMs);
 	while (ask('a', 0).type === 'granted') {
 		// Takes the permits that have accumulated.
--- a/packages/gateway/src/limits/cold-exchange.ts
+++ b/packages/gateway/src/limits/cold-exchange.ts
@@ -1,6 +1,7 @@
 import {
 	coldPermitState, coldPermitsToRequest, createColdAccount, createColdIssuer, createIssuerTerm, fallbackCount, fallbackCountOf, hasQueuedColdRequests, isColdIssuerSilent, issueColdPermits,
-	issuerOrder, noTermReason, pruneColdIssuer, recordColdReply, recordConfirmation, recordPeers, requestColdPermits, returnColdPermits, takeUnusedPermits, useColdPermit,
+	issuerOrder, noTermReason, pruneColdIssuer, recordColdReply, recordConfirmation, recordPeers, requestColdPermits, returnColdPermits, takeUnusedPermits,
+	unpermittedCount, useColdPermit,
 	type ColdAccount, type ColdBounds, type ColdReply, type ColdRequest, type ColdReturn, type ColdTerms, type EndpointStart, type NoTerm, type PermitState,
 } from '@bitternpaddle/coordination';
 import type {LimitMessage} from './limit-message.js';
@@ -172,7 +173,7 @@
 		}
 
 		const coldRequest: ColdRequest = {
-			start, entryAddress: selfAddress, count, perSecond, sentAtMs,
+			start, entryAddress: selfAddress, count, perSecond, sentAtMs, unpermittedCount: unpermittedCount(tracked.account, sentAtMs),
 		};
 		const issuerAddress = issuerOrder(start, term)[0]!;
 		if (issuerAddress === selfAddress) {
--- a/packages/gateway/src/limits/limit-message.ts
+++ b/packages/gateway/src/limits/limit-message.ts
@@ -34,7 +34,7 @@
 	z.tuple([z.literal(kinds.request), addressSchema, countSchema, limitSchema]),
 	z.tuple([z.literal(kinds.granted), limitSchema, countSchema]),
 	z.tuple([z.literal(kinds.queued), limitSchema, z.number().nonnegative()]),
-	z.tuple([z.literal(kinds.coldRequest), addressSchema, startSchema, countSchema, z.number().positive(), z.number()]),
+	z.tuple([z.literal(kinds.coldRequest), addressSchema, startSchema, countSchema, z.number().positive(), z.number(), z.number().int().nonnegative()]),
 	z.tuple([z.literal(kinds.coldReturn), addressSchema, startSchema, countSchema, z.number()]),
 	z.tuple([z.literal(kinds.coldGranted), startSchema, countSchema, z.number(), z.number().nonnegative()]),
 	z.tuple([z.literal(kinds.coldQueued), startSchema, z.number().nonnegative(), z.number()]),
@@ -67,8 +67,8 @@
 		}
 
 		case 'coldRequest': {
-			const {entryAddress, start, count, perSecond, sentAtMs} = message.request;
-			return encode([kinds.coldRequest, entryAddress, start, count, perSecond, sentAtMs]);
+			const {entryAddress, start, count, perSecond, sentAtMs, unpermittedCount} = message.request;
+			return encode([kinds.coldRequest, entryAddress, start, count, perSecond, sentAtMs, unpermittedCount]);
 		}
 
 		case 'coldReturn': {
@@ -123,10 +123,10 @@
 		}
 
 		case kinds.coldRequest: {
-			const [, entryAddress, start, count, perSecond, sentAtMs] = fields;
+			const [, entryAddress, start, count, perSecond, sentAtMs, unpermittedCount] = fields;
 			return {
 				type: 'coldRequest', request: {
-					entryAddress, start, count, perSecond, sentAtMs,
+					entryAddress, start, count, perSecond, sentAtMs, unpermittedCount,
 				},
 			};
 		}
--- a/packages/gateway/test/limit-message.test.ts
+++ b/packages/gateway/test/limit-message.test.ts
@@ -16,7 +16,7 @@
 		{type: 'reply', limit, reply: {type: 'queued', waitMs: 250}},
 		{
 			type: 'coldRequest', request: {
-				entryAddress: '10.0.0.1:7700', start: limit.start, count: 1, perSecond: 26, sentAtMs: 1234.567_89,
+				entryAddress: '10.0.0.1:7700', start: limit.start, count: 1, perSecond: 26, sentAtMs: 1234.567_89, unpermittedCount: 2,
 			},
 		},
 		{
