feat(gateway): order of requests that wait for capacity

Without it, requests that wait are rechecked in one tick in no defined order, and a caller's second try is refused where it finds no free slot, although it has no third.

A request without capacity for its priority waits for it: a first attempt for an eighth of its objective, a caller's retry as long as it can be answered completely and this entry is expected to serve those ahead of it. Waiting requests are checked by priority, first attempts before retries of the same priority, then by time left. An arrival that finds capacity while others wait for it takes its place behind them, and all are checked at once. A waiting request draws an engine repeatedly, so the limit of the least urgent priority is the bare time to the first token at a free slot again.

Services with one priority keep the order of arrival.

--- a/packages/coordination/src/placement/index.ts
+++ b/packages/coordination/src/placement/index.ts
@@ -20,4 +20,5 @@
 export * from './spare-room.js';
 export * from './priority-demand.js';
 export * from './priority-room.js';
+export * from './capacity-wait.js';
 export * from './next-step.js';
--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -6,6 +6,7 @@
 import {
 	acceptedAtMs, acceptedUntil, availabilityAt, type Unavailability,
 } from './availability.js';
+import {mayWaitInOrder} from './capacity-wait.js';
 import {isPaused} from './endpoint-pause.js';
 import {prefillMs, spareFirstTokenMs} from './engine-model.js';
 import {maxAnswerMs, canFinishInTime} from './leaving.js';
@@ -37,6 +38,8 @@
 	readonly heldCount: number;
 	/** Requests that wait until an endpoint accepts one more. */
 	readonly queuedCount: number;
+	/** Requests that wait for capacity at this entry and that the request must not overtake; without itself. */
+	readonly capacityAheadCount: number;
 };
 
 /** An entry's view of a service, and of its own state, at one moment. */
@@ -89,15 +92,15 @@
 /**
  * `moment`: engines are switching, restarting or out of capacity. `engines`: they are
  * loading weights. `availability`: endpoints serve but accept no more requests for
- * now.
+ * now. `capacity`: engines serve but have no capacity for its priority.
  */
-export type WaitReason = 'moment' | 'engines' | 'availability';
+export type WaitReason = 'moment' | 'engines' | 'availability' | 'capacity';
 
 /** What to do with a request now. */
 export type NextStep
 	= | {readonly type: 'send'; readonly placement: Placement}
-		/** Check again shortly. */
-		| {readonly type: 'wait'; readonly reason: WaitReason}
+		/** Check again shortly; at once and in order if there is capacity that those who wait for it must get first. */
+		| {readonly type: 'wait'; readonly reason: WaitReason; readonly isAtOnce?: boolean}
 		| {
 			readonly type: 'refuse';
 			readonly reason: string;
@@ -200,7 +203,6 @@
 
 /** Decides what to do with a request that needs an endpoint. */
 export const nextStep = (demand: ServiceDemand, context: PlacementContext, request: UnplacedRequest): NextStep => {
-	const {profile, random, nowMs} = context;
 	const unavailable = unavailableCandidates(context, request);
 	const excludedIds = unavailable.length === 0 ? request.triedIds : new Set([...request.triedIds, ...unavailable.map(({id}) => id)]);
 	const placement = place(demand, context, request, excludedIds);
@@ -218,6 +220,15 @@
 		return {type: 'send', placement};
 	}
 
+	return admitOrWait(demand, context, request, placement);
+};
+
+/** Whether requests that wait for capacity go before an arriving one. */
+const isOvertaking = ({capacityAheadCount}: ServiceDemand, room: RoomLimit, {waitsFor, retryClass}: UnplacedRequest): boolean => capacityAheadCount > 0
+	&& waitsFor === null && retryClass === 'streaming' && room.rule !== 'minimum';
+
+const admitOrWait = (demand: ServiceDemand, context: PlacementContext, request: UnplacedRequest, placement: Placement): NextStep => {
+	const {profile, random, nowMs} = context;
 	const excessMs = profile === null ? 0 : Math.max(0, prefillMs(profile, request.promptTokens - profile.usualPromptTokens));
 	const spareMs = profile === null ? Number.POSITIVE_INFINITY : spareFirstTokenMs(profile);
 	if (placement.expectedMs - excessMs <= spareMs) {
@@ -230,21 +241,26 @@
 	}
 
 	const room = roomOf(demand, context, request);
+	const isIdle = room !== null && hasIdleEngines(context.candidates, othersPerSecond(demand, context), nowMs);
 	const timeToStartMs = request.deadlineAtMs - nowMs - answerTimeMs(profile);
 	const admission = admitRequest({
 		retryClass: request.retryClass, expectedMs: placement.expectedMs, objectiveMs: request.objectiveMs,
 		effectiveObjectiveMs: room === null ? effectiveObjectiveOf(demand.objectives, request.objectiveMs, nowMs) : request.objectiveMs,
 		excessMs, spareMs, isOverloaded: room === null ? isOverloaded(demand.objectives, nowMs) : room.isOverloaded,
-		room, isIdle: room !== null && hasIdleEngines(context.candidates, othersPerSecond(demand, context), nowMs),
+		room, isIdle,
 		hasComeBack: request.isLastTry, waitedMs: nowMs - request.receivedAtMs, remainingMs: timeToStartMs, random,
 	});
-	if (admission.type === 'admitted') {
-		recordIn(context, request, recordServed);
-		return {type: 'send', placement};
+	if (admission.type === 'refused') {
+		const allocation = room === null ? null : {...room, expectedMs: placement.expectedMs - excessMs};
+		return withoutCapacity(demand, context, request, {...admission, timeToStartMs, allocation});
+	}
+
+	if (room !== null && !isIdle && isOvertaking(demand, room, request)) {
+		return {type: 'wait', reason: 'capacity', isAtOnce: true};
 	}
 
-	const allocation = room === null ? null : {...room, expectedMs: placement.expectedMs - excessMs};
-	return withoutCapacity(demand, context, request, {...admission, timeToStartMs, allocation});
+	recordIn(context, request, recordServed);
+	return {type: 'send', placement};
 };
 
 type RequestSize = Pick<UnplacedRequest, 'promptTokens' | 'maxAnswerTokens'>;
@@ -280,15 +296,21 @@
 };
 
 /** Handles the case that endpoints serve but have more requests than they can start in time. */
-const withoutCapacity = ({spareCapacity, objectives}: ServiceDemand, context: PlacementContext, request: UnplacedRequest, refusal: Refusal): NextStep => {
-	const {nowMs} = context;
+const withoutCapacity = ({spareCapacity, objectives, capacityAheadCount}: ServiceDemand, context: PlacementContext, request: UnplacedRequest, refusal: Refusal): NextStep => {
+	const {room, nowMs} = context;
 	const {reason, retryAfterMs, timeToStartMs, allocation} = refusal;
 	if (request.waitsFor === 'engines' && timeToStartMs > 0) {
 		// Engines are back, and held requests are sent as capacity permits: all entries see the first engine as empty at the same time, and would fill its queue for seconds.
 		return {type: 'wait', reason: 'engines'};
 	}
 
-	if (request.waitsFor !== 'engines' && request.isLastTry && timeToStartMs > 0 && mayWaitForCapacity(spareCapacity, nowMs - request.sinceMs, nowMs)) {
+	if (room !== null && request.waitsFor !== 'engines' && mayWaitInOrder({
+		...room, ...request, waitedMs: nowMs - request.sinceMs, timeToStartMs, aheadCount: capacityAheadCount, nowMs,
+	})) {
+		return {type: 'wait', reason: 'capacity'};
+	}
+
+	if (room === null && request.waitsFor !== 'engines' && request.isLastTry && timeToStartMs > 0 && mayWaitForCapacity(spareCapacity, nowMs - request.sinceMs, nowMs)) {
 		return {type: 'wait', reason: 'moment'};
 	}
 
--- a/packages/coordination/src/placement/priority-room.ts
+++ b/packages/coordination/src/placement/priority-room.ts
@@ -90,26 +90,21 @@
 };
 
 /**
- * Parts of the time in which an engine's next slot becomes free, in addition to the
- * time to the first token at a free slot. Estimates include requests of other entries
- * since the reports: without the first part, the least urgent requests would leave
- * slots free for good; at the second one, nearly all slots are surely taken.
+ * Part of the time in which an engine's next slot becomes free, in addition to the time
+ * to the first token at a free slot. Estimates include requests of other entries since
+ * the reports, so that below this part a slot may still be free.
  */
-const freeTurnShare = 0.25;
 const lackTurnShare = 0.75;
 
 const turnMs = (profile: EngineProfile): number => slotWaitMs(profile, profile.slots);
 
-/** The limit on the expected wait that only engines with a free slot meet. */
-export const freeSlotMs = (profile: EngineProfile): number => spareFirstTokenMs(profile) + (freeTurnShare * turnMs(profile));
-
 /** The expected wait beyond which no engine has a free slot. */
 export const lackMs = (profile: EngineProfile): number => spareFirstTokenMs(profile) + (lackTurnShare * turnMs(profile));
 
 /** Decides within which expected wait a request is admitted. */
 export const roomLimitOf = ({priorities, demand}: RoomView, request: RoomRequest): RoomLimit => {
 	const {priority, profile, topLimitMs, nowMs} = request;
-	const freeMs = freeSlotMs(profile);
+	const freeMs = spareFirstTokenMs(profile);
 	const totals = totalDemand(demand, nowMs);
 	const total = totals.figuresOf(totalKey);
 	const figuresOf = (other: number): DemandFigures => totals.figuresOf(priorityKey(other));
@@ -124,11 +119,12 @@
 		return {rule: 'team', limitMs: Math.min(freeMs, topLimitMs), ...common};
 	}
 
-	if (!priorities.some(other => other < priority && isSignificant(figuresOf(other), total) && lacksCapacity(figuresOf(other)))) {
+	const moreUrgent = priorities.filter(other => other < priority);
+	if (!moreUrgent.some(other => isSignificant(figuresOf(other), total) && lacksCapacity(figuresOf(other)))) {
 		return {rule: 'own', limitMs: Number.POSITIVE_INFINITY, ...common};
 	}
 
-	const strictness = Math.min(1, priorities.filter(other => other < priority).length / (priorities.length - 1));
+	const strictness = Math.min(1, moreUrgent.length / (priorities.length - 1));
 	return {rule: 'urgent', limitMs: topLimitMs - (strictness * Math.max(0, topLimitMs - freeMs)), ...common};
 };
 
--- a/packages/coordination/test/availability.test.ts
+++ b/packages/coordination/test/availability.test.ts
@@ -25,7 +25,7 @@
 });
 
 const demand = (queuedCount = 0): ServiceDemand => ({
-	sendRate: createArrivalRate(), objectives: createObjectiveMix(), spareCapacity: createSpareCapacity(), heldCount: 0, queuedCount,
+	sendRate: createArrivalRate(), objectives: createObjectiveMix(), spareCapacity: createSpareCapacity(), heldCount: 0, queuedCount, capacityAheadCount: 0,
 });
 
 const createContext = (availability: Readonly<Record<string, PermitState>>): PlacementContext => ({
--- a/packages/coordination/test/priority-room.test.ts
+++ b/packages/coordination/test/priority-room.test.ts
@@ -3,8 +3,9 @@
 } from '@bitternpaddle/state';
 import t from 'tap';
 import {
-	createPriorityDemand, createRandom, fairShare, freeSlotMs, hasIdleEngines, prioritiesByService, queuedAheadShare, recordDemand, recordLack, recordReceivedDemand, recordRefusedDemand, recordServed,
-	roomLimitOf, totalDemand, createEndpointHealth, createEndpointLoad, type Candidate, type DemandFigures, type PriorityDemand, type RoomLimit,
+	createPriorityDemand, createRandom, fairShare, hasIdleEngines, mayWaitInOrder, prioritiesByService,
+	queuedAheadShare, recordDemand, recordLack, recordReceivedDemand, recordRefusedDemand, recordServed,
+	roomLimitOf, spareFirstTokenMs, totalDemand, createEndpointHealth, createEndpointLoad, type Candidate, type DemandFigures, type PriorityDemand, type RoomLimit,
 } from '@bitternpaddle/coordination';
 
 const profile: EngineProfile = {
@@ -12,7 +13,7 @@
 	kvCapacityTokens: 685_000, model: 'm', chunks: 48, chunkBytes: 49_152, loadMs: 300,
 };
 const nowMs = 1000;
-const freeMs = freeSlotMs(profile);
+const freeMs = spareFirstTokenMs(profile);
 const topLimitMs = 320;
 const priorities = [0, 1, 2];
 const random = createRandom(1);
@@ -190,3 +191,18 @@
 	t.same(prioritiesOf([route({priority: 2})], [team(1), team(null)]), [1, 2]);
 	t.same(prioritiesOf([route({priority: 2, isPublic: true})], [team(1)]), [2], 'callers of a public route have no team');
 });
+
+t.test('a first attempt waits for an eighth of its objective, a retry for as long as it is expected to be served', async t => {
+	const demand = demandOfGroups([{priority: 0, arrived: 4}, {priority: 2, arrived: 8}]);
+	const mayWait = (fields: {priority: number; isLastTry: boolean; waitedMs?: number; timeToStartMs?: number; aheadCount?: number}): boolean => mayWaitInOrder({
+		demand, priorities, objectiveMs: 800, waitedMs: 0, timeToStartMs: 2000, aheadCount: 0, nowMs, ...fields,
+	});
+	t.ok(mayWait({priority: 2, isLastTry: false, waitedMs: 90}));
+	t.notOk(mayWait({priority: 2, isLastTry: false, waitedMs: 110}));
+	t.ok(mayWait({
+		priority: 2, isLastTry: true, waitedMs: 1000, aheadCount: 7,
+	}), 'eight are served in two seconds');
+	t.notOk(mayWait({priority: 2, isLastTry: true, aheadCount: 8}));
+	t.ok(mayWait({priority: 0, isLastTry: true, aheadCount: 8}), 'it takes the capacity of less urgent requests');
+	t.notOk(mayWait({priority: 0, isLastTry: true, timeToStartMs: 0}), 'an answer would be cut');
+});
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -1,5 +1,5 @@
 import {
-	nextStep, preferredLimited, type NextStep, type Placement, type UnplacedRequest, type ServiceDemand, type PlacementContext, type WaitReason,
+	nextStep, preferredLimited, unrankedPlace, waitPlaceOf, type NextStep, type Placement, type UnplacedRequest, type ServiceDemand, type PlacementContext, type WaitPlace, type WaitReason,
 } from '@bitternpaddle/coordination';
 import {demandSourceOf} from '../demand/service-rooms.js';
 import type {CallContext} from './call-context.js';
@@ -39,7 +39,7 @@
 				return failCall(context, call, progress, refusal.reason, refusal.retryAfterMs);
 			}
 
-			const step = selectNextStep(context, call, wait.seeking());
+			const step = selectNextStep(context, call, wait.seeking(), wait.place);
 			if (progress.sent === 0) {
 				context.rooms.recordStep(call, step);
 			}
@@ -57,7 +57,11 @@
 
 				case 'wait': {
 					wait.continueFor(step.reason);
-					await context.waitQueue.nextCheck();
+					if (step.isAtOnce) {
+						context.waitQueue.checkNow();
+					}
+
+					await context.waitQueue.nextCheck(wait.place);
 				}
 			}
 		}
@@ -85,7 +89,8 @@
 		return null;
 	}
 
-	const step = selectNextStep(context, call, {...unplacedRequest(context, call, progress), sentCount: progress.sent + 1});
+	const seeking = {...unplacedRequest(context, call, progress), sentCount: progress.sent + 1};
+	const step = selectNextStep(context, call, seeking, unrankedPlace);
 	return step.type === 'send' ? step.placement : null;
 };
 
@@ -98,13 +103,14 @@
 	};
 };
 
-const selectNextStep = (context: CallContext, call: Call, seeking: UnplacedRequest): NextStep => {
+const selectNextStep = (context: CallContext, call: Call, seeking: UnplacedRequest, place: WaitPlace): NextStep => {
 	const {name, engine: profile} = call.service;
 	const {limits, waitQueue, random} = context;
 	const nowMs = context.nowMs();
 	const demand: ServiceDemand = {
 		sendRate: context.sendRate(name), objectives: context.objectives(name), spareCapacity: context.spareCapacity(name),
 		heldCount: waitQueue.waitingCount(name, 'engines'), queuedCount: waitQueue.waitingCount(name, 'availability'),
+		capacityAheadCount: waitQueue.capacityAheadCount(name, place),
 	};
 	const surroundings: PlacementContext = {
 		candidates: context.view.candidates(name, nowMs), permitStateOf: ({announcement}) => limits.stateOf(announcement), profile, zoneId: context.zoneId,
@@ -121,6 +127,7 @@
 
 /** What a request waits for; counts it among the waiting requests. */
 type Wait = {
+	readonly place: WaitPlace;
 	seeking(): UnplacedRequest;
 	/** Continues to wait, for `reason`. */
 	continueFor(reason: WaitReason): void;
@@ -131,6 +138,7 @@
 	const {service: {name}} = call;
 	let leave: (() => void) | null = null;
 	let seeking = unplacedRequest(context, call, progress);
+	const place = waitPlaceOf(context.rooms.roomOf(call.service), seeking);
 
 	const joinQueue = (reason: WaitReason): (() => void) | null => {
 		switch (reason) {
@@ -138,6 +146,10 @@
 				return null;
 			}
 
+			case 'capacity': {
+				return context.waitQueue.joinCapacity(name, place);
+			}
+
 			case 'engines':
 			case 'availability': {
 				return context.waitQueue.countWaiting(name, reason);
@@ -151,6 +163,7 @@
 	};
 
 	return {
+		place,
 		seeking: () => seeking,
 		continueFor(reason) {
 			if (reason === seeking.waitsFor) {
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -7,3 +7,4 @@
 export * from './front-server.js';
 export * from './serve-request.js';
 export * from './entry-lease.js';
+export * from './wait-queue.js';
--- a/packages/model/src/entry.ts
+++ b/packages/model/src/entry.ts
@@ -1,7 +1,7 @@
 import {
 	createArrivalRate, createEndpointHealth, createEndpointLoad, createObjectiveMix, createPriorityDemand, createSpareCapacity, nextStep, recordArrival, recordDemand, recordObjective, requestWorkMs,
-	prefillMs, strictestObjectiveMs, urgencyOf,
-	type Candidate, type NextStep, type PriorityDemand, type Random, type RoomView, type UnplacedRequest, type ServiceDemand, type WaitReason,
+	compareWaitPlaces, prefillMs, strictestObjectiveMs, urgencyOf, waitPlaceOf,
+	type Candidate, type NextStep, type PriorityDemand, type Random, type RoomView, type UnplacedRequest, type ServiceDemand, type WaitPlace, type WaitReason,
 } from '@bitternpaddle/coordination';
 import type {EngineProfile} from '@bitternpaddle/state';
 import type {EngineWork, ModelEngine} from './engine.js';
@@ -56,7 +56,7 @@
 /** The production policy. */
 export const productPolicy: EntryPolicy = {step: nextStep, urgency: urgencyOf};
 
-type WaitingRequest = {readonly unplaced: UnplacedRequest; readonly request: EntryRequest};
+type WaitingRequest = {readonly unplaced: UnplacedRequest; readonly request: EntryRequest; readonly place: WaitPlace};
 
 /** Interval at which an entry tries again to place its waiting requests. */
 const recheckIntervalMs = 40;
@@ -78,10 +78,14 @@
 	let heldCount = 0;
 	let waiting: WaitingRequest[] = [];
 	let isRecheckScheduled = false;
+	let recheckNumber = 0;
 	let lastKey = 0;
 
-	const demand = (): ServiceDemand => ({
+	const forCapacity = new Set<WaitPlace>();
+
+	const demand = (place: WaitPlace): ServiceDemand => ({
 		sendRate: arrivalRate, objectives, spareCapacity: spareSlots, heldCount, queuedCount: 0,
+		capacityAheadCount: [...forCapacity].filter(other => other !== place && other.rank <= place.rank).length,
 	});
 
 	const send = (request: EntryRequest, {placement: {candidate, expectedMs}}: Extract<NextStep, {type: 'send'}>): void => {
@@ -125,29 +129,46 @@
 		});
 	};
 
-	const endWait = ({unplaced}: WaitingRequest): void => {
+	const endWait = ({unplaced, place}: WaitingRequest): void => {
+		forCapacity.delete(place);
 		if (unplaced.waitsFor === 'engines') {
 			heldCount--;
 		}
 	};
 
+	const scheduleRecheck = (): void => {
+		if (isRecheckScheduled) {
+			return;
+		}
+
+		isRecheckScheduled = true;
+		const number = recheckNumber;
+		timeline.after(recheckIntervalMs, () => {
+			// A check at once has taken its place.
+			if (number === recheckNumber) {
+				recheckAll();
+			}
+		});
+	};
+
 	const startWait = (waiter: WaitingRequest, reason: WaitReason): void => {
 		const unplaced = {...waiter.unplaced, waitsFor: reason};
 		if (reason === 'engines') {
 			heldCount++;
 		}
 
-		waiting.push({unplaced, request: waiter.request});
-		if (!isRecheckScheduled) {
-			isRecheckScheduled = true;
-			timeline.after(recheckIntervalMs, recheckAll);
+		if (reason === 'capacity') {
+			forCapacity.add(waiter.place);
 		}
+
+		waiting.push({...waiter, unplaced});
+		scheduleRecheck();
 	};
 
 	const placeOrWait = (waiter: WaitingRequest): void => {
 		const {unplaced, request} = waiter;
 		const nowMs = timeline.nowMs();
-		const step = policy.step(demand(), {
+		const step = policy.step(demand(waiter.place), {
 			candidates: candidateList, permitStateOf: () => ({type: 'available'}), profile, zoneId, entryCount, dues: [], shutdownInMs: Number.POSITIVE_INFINITY, room, random, nowMs,
 		}, unplaced);
 		if (step.type === 'wait' && step.reason === unplaced.waitsFor) {
@@ -169,21 +190,24 @@
 
 			case 'wait': {
 				startWait(waiter, step.reason);
+				if (step.isAtOnce) {
+					timeline.after(0, recheckAll);
+				}
 			}
 		}
 	};
 
 	const recheckAll = (): void => {
-		const rechecked = waiting;
+		const rechecked = waiting.toSorted((a, b) => compareWaitPlaces(a.place, b.place));
 		waiting = [];
+		recheckNumber++;
 		isRecheckScheduled = false;
 		for (const waiter of rechecked) {
 			placeOrWait(waiter);
 		}
 
-		if (waiting.length > 0 && !isRecheckScheduled) {
-			isRecheckScheduled = true;
-			timeline.after(recheckIntervalMs, recheckAll);
+		if (waiting.length > 0) {
+			scheduleRecheck();
 		}
 	};
 
@@ -201,7 +225,7 @@
 				recordDemand(priorityDemand, {source: unplaced, profile, nowMs}, requestWorkMs(profile, unplaced));
 			}
 
-			placeOrWait({request, unplaced});
+			placeOrWait({request, unplaced, place: waitPlaceOf(room, unplaced)});
 		},
 	};
 };
