test(gateway): the smaller of two limits holds at a cold endpoint

No test had an endpoint that is cold and names a limit as well. With 2 a second named, at most 3 requests arrive in a second; with 100 named, at most the 26 of the cold period.

--- a/packages/gateway/test/cold-endpoints.test.ts
+++ b/packages/gateway/test/cold-endpoints.test.ts
@@ -1,14 +1,20 @@
-import {endpointStartOf, type AgedAnnouncement, type PermitState} from '@bitternpaddle/coordination';
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	createRandom, endpointStartOf, type AgedAnnouncement, type PermitState,
+} from '@bitternpaddle/coordination';
 import {silentLogger, type Logger} from '@bitternpaddle/transport';
 import t, {type Test} from 'tap';
 import {
-	createColdEndpoints, createGatewayMetrics, type ColdEndpoints, type ColdNews,
+	createColdEndpoints, createEndpointLimits, createGatewayMetrics, type ColdEndpoints, type ColdNews,
 } from '@bitternpaddle/gateway';
 
 const announced = (fields: Partial<AgedAnnouncement> = {}): AgedAnnouncement => ({
 	id: 'e1', serviceName: 's', address: '10.0.0.1:80', zoneId: 'z1', slots: 12, state: 'ready', models: [], startedAtMs: 1, sequence: 1, ageMs: 0, ...fields,
 });
 
+/** After a start, issuers wait for this long before they grant permits. */
+const issuerReturnMs = 3500;
+
 type Fixture = {
 	readonly cold: ColdEndpoints;
 	readonly events: string[];
@@ -98,3 +104,41 @@
 		t.equal(fixture.stateOf(announced()), 'limited');
 	}
 });
+
+// Guards against a cold endpoint whose own limit is ignored, and against one whose own limit lifts that of its cold period.
+for (const [namedPerSecond, maxCount] of [[2, 3], [100, 26]] as const) {
+	t.test(`the smaller limit holds at a cold endpoint that names a limit of ${namedPerSecond} a second`, async t => {
+		let skippedMs = 0;
+		const nowMs = (): number => performance.now() + skippedMs;
+		const limits = createEndpointLimits({
+			selfAddress: 'a:1', peers: () => [], bounds: {overage: 1.5, slack: 5}, coldStartOf: () => ({durationMs: 3000, perSecond: 26}), evacuationEndedAtMs: () => null,
+			send: () => undefined, onGranted: () => undefined, logger: silentLogger, metrics: createGatewayMetrics(), random: createRandom(1), nowMs,
+		});
+		t.teardown(limits.close);
+		const endpoint = announced({coldForMs: 60_000});
+		limits.recordAnswer({
+			announcement: endpoint, notice: {type: 'limited', perSecond: namedPerSecond}, hasRun: true, sentAtMs: nowMs(),
+		});
+		for (; skippedMs < issuerReturnMs; skippedMs += 500) {
+			limits.recordNews({announcements: [endpoint], peers: [], confirmedAtMs: nowMs()});
+		}
+
+		const sentAtMs: number[] = [];
+		const startedAtMs = nowMs();
+		while (nowMs() < startedAtMs + 3000) {
+			limits.recordNews({announcements: [], peers: [], confirmedAtMs: nowMs()});
+			limits.requestPermits(endpoint);
+			if (limits.stateOf(endpoint).type === 'available') {
+				limits.usePermit(endpoint);
+				sentAtMs.push(nowMs());
+			}
+
+			await delay(4);
+		}
+
+		const max = Math.max(...sentAtMs.map(fromMs => sentAtMs.filter(atMs => atMs >= fromMs && atMs < fromMs + 1000).length));
+		t.ok(max <= maxCount, `${max} requests in a second`);
+		t.ok(sentAtMs.length >= 2 * Math.min(namedPerSecond, 26), `${sentAtMs.length} requests in 3 s`);
+		t.equal(limits.perSecondOf(endpoint), Math.min(namedPerSecond, 26));
+	});
+}
