fix(coordination): remember with how many requests a plain endpoint refuses

An endpoint that refuses when full counted as full for 300 ms after a refusal only; full again, it was tried as soon as others had a queue, and each refusal used up an attempt. For 10 s after a refusal, an endpoint is now expected to refuse with as many requests as it had then.

--- a/packages/bench/src/uneven/simulate.ts
+++ b/packages/bench/src/uneven/simulate.ts
@@ -73,7 +73,7 @@
 		}
 
 		if (!isRun) {
-			load.refusedAtMs = nowMs;
+			load.refusal = {atMs: nowMs, active: head.active};
 			load.advertisedLoad = {
 				active: head.slots * 2, slots: head.slots, slowdown: null, atMs: nowMs,
 			};
--- a/packages/coordination/src/placement/endpoint-load.ts
+++ b/packages/coordination/src/placement/endpoint-load.ts
@@ -49,8 +49,8 @@
 	active: AgedFigure | null;
 	/** The usual time of a request at a plain endpoint; `null` until learned. */
 	learned: LearnedTime | null;
-	/** When it last refused a request as full; `-Infinity` if never. */
-	refusedAtMs: number;
+	/** Its last refusal of a request, and the requests that it had then; `null` if there was none. */
+	refusal: {readonly atMs: number; readonly active: number} | null;
 	/** How much later than expected its answers start; halves in `lagHalfLifeMs`. */
 	lagMs: number;
 	lagAtMs: number;
@@ -64,7 +64,7 @@
 
 export const createEndpointLoad = (): EndpointLoad => ({
 	report: null, reportedAtMs: Number.NEGATIVE_INFINITY, path: createPathDelay(), outstanding: 0, awaiting: new Map(), advertisedLoad: null, lagMs: 0, lagAtMs: 0,
-	slowdown: null, active: null, learned: null, refusedAtMs: Number.NEGATIVE_INFINITY,
+	slowdown: null, active: null, learned: null, refusal: null,
 	pausedUntilMs: Number.NEGATIVE_INFINITY, isLeaving: false,
 });
 
--- a/packages/coordination/src/placement/place-request.ts
+++ b/packages/coordination/src/placement/place-request.ts
@@ -175,7 +175,7 @@
 		const plain = estimatePlain(candidate, serviceMs, nowMs);
 		const lagMs = lagOf(candidate.load, nowMs);
 		return {
-			candidate, zoneId: candidate.announcement.zoneId, plain, lagMs, expectedMs: plainTimeMs(plain, candidate.load, nowMs) + lagMs,
+			candidate, zoneId: candidate.announcement.zoneId, plain, lagMs, expectedMs: plainTimeMs(plain) + lagMs,
 		};
 	});
 	const {chosen: {candidate, expectedMs, lagMs, plain}, passedNear} = choosePlain(ranked, {zoneId, dueInMs, random});
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -186,7 +186,7 @@
 	}
 
 	// The endpoint is full, whatever its last report was.
-	load.refusedAtMs = nowMs();
+	load.refusal = {atMs: nowMs(), active: load.active?.latest ?? announcement.slots};
 	load.advertisedLoad = {
 		active: announcement.slots * 2, slots: announcement.slots, slowdown: null, atMs: nowMs(),
 	};
