fix(coordination): correct a usual time that was learned during a disturbance

If all endpoints of a plain service answered late for a while, the learned time could exceed the deadline: every request was refused at once, no answer came, and nothing corrected the time. After 5 s without an answer and with no request of this entry there, the estimate no longer refuses first attempts; they are sent one at a time, and the first usual answer bounds the learned time to three times its own. The number of requests that an endpoint tells is bounded to 500, so that a nonsensical one does not keep requests away for a minute.

--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -13,7 +13,7 @@
 	effectiveObjectiveOf, isOverloaded, recordRefusal, type ObjectiveMix,
 } from './objective-mix.js';
 import {placeRequest, type Candidate, type Placement} from './place-request.js';
-import {isUneven} from './plain-model.js';
+import {isEstimateStale, isUneven} from './plain-model.js';
 import {mayWaitForCapacity, recordSpareCapacity, type SpareCapacity} from './spare-room.js';
 import type {VersionDue} from './version-due.js';
 import {
@@ -182,6 +182,21 @@
 	return {type: 'refuse', reason: unavailableReason(unavailability), retryAfterMs: waitMs + random.between(0, availableSpreadMs)};
 };
 
+/** Applies only to a service whose endpoints tell their slowdown. */
+const tooLateAt = ({candidates}: PlacementContext, placement: Placement, remainingMs: number): TooLate | null => placement.expectedMs >= remainingMs && isUneven(candidates)
+	? {placement, remainingMs}
+	: null;
+
+const furtherAttempt = ({isBegun}: UnplacedRequest, placement: Placement, tooLate: TooLate | null): NextStep => tooLate === null || isBegun
+	// An answer that has begun is continued in any case: its caller keeps what it gets.
+	? {type: 'send', placement}
+	: {
+		type: 'refuse', reason: 'no endpoint can answer a further attempt in the time that is left', retryAfterMs: tooLateRetryMs, tooLate,
+	};
+
+/** Whether the estimate of a plain endpoint is too old to refuse a first attempt by it. */
+const mayProbe = ({profile, nowMs}: PlacementContext, {isLastTry}: UnplacedRequest, {candidate: {load}}: Placement): boolean => profile === null && !isLastTry && isEstimateStale(load, nowMs);
+
 /** Decides what to do with a request that needs an endpoint. */
 export const nextStep = (demand: ServiceDemand, context: PlacementContext, request: UnplacedRequest): NextStep => {
 	const {profile, random, nowMs} = context;
@@ -199,14 +214,13 @@
 	}
 
 	const timeToStartMs = request.deadlineAtMs - nowMs - answerTimeMs(profile);
-	const tooLate: TooLate | null = placement.expectedMs >= timeToStartMs && isUneven(context.candidates) ? {placement, remainingMs: timeToStartMs} : null;
+	const tooLate = tooLateAt(context, placement, timeToStartMs);
 	if (request.sentCount > 0) {
-		// An answer that has begun is continued in any case: its caller keeps what it gets.
-		return tooLate === null || request.isBegun
-			? {type: 'send', placement}
-			: {
-				type: 'refuse', reason: 'no endpoint can answer a further attempt in the time that is left', retryAfterMs: tooLateRetryMs, tooLate,
-			};
+		return furtherAttempt(request, placement, tooLate);
+	}
+
+	if (tooLate !== null && mayProbe(context, request, placement)) {
+		return {type: 'send', placement};
 	}
 
 	const excessMs = profile === null ? 0 : Math.max(0, prefillMs(profile, request.promptTokens - profile.usualPromptTokens));
--- a/packages/coordination/src/placement/plain-model.ts
+++ b/packages/coordination/src/placement/plain-model.ts
@@ -101,6 +101,17 @@
 	};
 };
 
+/** Beyond this age of the last answer, an estimate no longer proves that a request cannot be answered. */
+const maxProofAgeMs = 5000;
+
+/**
+ * Whether an estimate may be too old to refuse requests by it: nothing was heard of the
+ * endpoint for long, and no request of this entry is there. If requests were refused
+ * then, a usual time that was learned during a disturbance would never be corrected.
+ */
+export const isEstimateStale = ({active, slowdown, outstanding}: EndpointLoad, nowMs: number): boolean => outstanding === 0
+	&& nowMs - Math.max(active?.atMs ?? Number.NEGATIVE_INFINITY, slowdown?.atMs ?? Number.NEGATIVE_INFINITY) > maxProofAgeMs;
+
 /** A full endpoint counts as full twice over, as in other services, and for the time in which its slots turn over. */
 const fullLoadFactor = 3;
 
--- a/packages/coordination/src/placement/slowdown.ts
+++ b/packages/coordination/src/placement/slowdown.ts
@@ -21,7 +21,7 @@
 
 export const boundSlowdown = (figure: number): number => Math.min(maxSlowdown, Math.max(minSlowdown, figure));
 
-/** Records a figure; returns the updated record. */
+/** Returns the record with a further figure. */
 const recordFigure = (known: AgedFigure | null, latest: number, nowMs: number): AgedFigure => {
 	if (known === null) {
 		return {
@@ -56,8 +56,11 @@
  */
 export const slowdownAt = (slowdown: AgedFigure, nowMs: number): number => figureAt(slowdown, 1, nowMs);
 
+/** Bounds a nonsensical number of requests, whose mean would keep requests away for many seconds; no caller waits behind as many. */
+const maxActive = 500;
+
 /** Like `recordSlowdown`, for the requests at an endpoint. */
-export const recordActive = recordFigure;
+export const recordActive = (known: AgedFigure | null, active: number, nowMs: number): AgedFigure => recordFigure(known, Math.min(maxActive, Math.max(0, active)), nowMs);
 
 /** The number of requests to expect at an endpoint now; returns to 0 while no figures arrive. */
 export const activeAt = (active: AgedFigure, nowMs: number): number => figureAt(active, 0, nowMs);
--- a/packages/coordination/test/uneven-endpoints.test.ts
+++ b/packages/coordination/test/uneven-endpoints.test.ts
@@ -70,6 +70,7 @@
 
 t.test('a nonsensical figure neither makes an endpoint unanswerable nor its learned time meaningless', async t => {
 	t.ok(slowdownAt(recordSlowdown(null, 1e9, nowMs), nowMs) <= 20);
+	t.ok(recordActive(null, 1e9, nowMs).mean <= 500);
 	const {load, ...rest} = endpoint('a');
 	learnPlainTime(load, rest, {tookMs: 60, advertised: {active: 1, slots: 6, slowdown: 0.001}, estimate: null}, nowMs);
 	t.ok(load.learned!.usualMs <= 300);
@@ -167,6 +168,17 @@
 	t.equal(step([busy, endpoint('b', {}, 'z2')]).type, 'send');
 });
 
+t.test('a usual time that was learned during a disturbance is corrected: first attempts are sent again after some seconds without answers', async t => {
+	const disturbed = (ageMs: number, outstanding = 0) => endpoint('a', {learned: {usualMs: 3000, answers: 20, atMs: nowMs - ageMs}, slowdown: slowdown(1, ageMs), outstanding});
+	t.equal(step([disturbed(4000)]).type, 'refuse');
+	t.equal(step([disturbed(6000)]).type, 'send');
+	t.equal(step([disturbed(6000, 1)]).type, 'refuse', 'one at a time');
+	t.equal(step([disturbed(6000)], {isLastTry: true}).type, 'refuse');
+	const {load, ...rest} = disturbed(11_000);
+	learnPlainTime(load, rest, {tookMs: 60, advertised: {active: 1, slots: 6, slowdown: 1}, estimate: null}, nowMs);
+	t.ok(load.learned!.usualMs < 180);
+});
+
 t.test('a further attempt is sent only where it can be in time; a stream that has begun is continued', async t => {
 	const slow = endpoint('a', {learned: learned(60), slowdown: slowdown(2.5)});
 	t.equal(step([slow], {sentCount: 1, deadlineAtMs: nowMs + 160}).type, 'send');
