feat(state): evacuated zones in the replicated catalog

Without it, operators empty a zone by draining its hosts one by one, and a host that joins the zone meanwhile is assigned to a fleet and served. Drains say nothing about zones, so the planner had no reason to pass over new hosts.

The changes evacuateZone and restoreZone keep a sorted list of zones in the catalog and mark the records of their hosts, beside the status. Marked hosts are released and not eligible for a fleet; all hosts of a zone are marked before fleets are completed, so that none is replaced by another one of the same zone. Hosts that join are marked in the same way. Drains and stops remain when the zone is restored.

Both fields are missing while no zone is evacuated.

--- a/packages/state/src/catalog/apply-change.ts
+++ b/packages/state/src/catalog/apply-change.ts
@@ -3,6 +3,7 @@
 	createAdapter, loadAdapter, retireAdapter, unloadAdapter, withdrawAdapter,
 } from './adapter-changes.js';
 import {digestOf} from './digest.js';
+import {evacuateZone, restoreZone} from './evacuated-zones.js';
 import {
 	createFleet, createVersion, load, retireFleet, retireVersion, setReplicas, withdraw,
 } from './fleet-changes.js';
@@ -64,6 +65,8 @@
 	.with({type: 'drainHost'}, ({hostId}) => setStatus(catalog, hostId, 'draining', index))
 	.with({type: 'undrainHost'}, ({hostId}) => setStatus(catalog, hostId, 'serving', index))
 	.with({type: 'stopHost'}, ({hostId}) => setStatus(catalog, hostId, 'stopped', index))
+	.with({type: 'evacuateZone'}, ({zoneId}) => evacuateZone(catalog, zoneId, index))
+	.with({type: 'restoreZone'}, ({zoneId}) => restoreZone(catalog, zoneId, index))
 	.with({type: 'hostJoined'}, ({announcement}) => joinHost(catalog, announcement, index))
 	.with({type: 'hostLeft'}, ({hostId, incarnation}) => leaveHost(catalog, hostId, incarnation, index))
 	.with({type: 'replicasChanged'}, ({readiness}) => changeReplicas(catalog, readiness))
--- a/packages/state/src/catalog/host-changes.ts
+++ b/packages/state/src/catalog/host-changes.ts
@@ -1,3 +1,4 @@
+import {evacuationMark} from './evacuated-zones.js';
 import {putHost, removeHost} from './host-index.js';
 import {fillFleets, updateFleetAssignments} from './plan-assignments.js';
 import {refuse, type Outcome} from './refusal.js';
@@ -26,7 +27,7 @@
 	const status = existing?.status === 'draining' ? 'draining' : 'serving';
 	const assignment = existing?.assignment ?? null;
 	putHost(catalog, {
-		announcement, status, readyVersionId: null, assignment,
+		announcement, status, ...evacuationMark(catalog, announcement.zoneId), readyVersionId: null, assignment,
 	});
 	catalog.services[announcement.serviceId] ??= {repeatable: announcement.kind === 'engine'};
 	if (assignment !== null && isPlacementChanged(existing!.announcement, announcement)) {
--- a/packages/state/src/catalog/host-index.ts
+++ b/packages/state/src/catalog/host-index.ts
@@ -1,3 +1,4 @@
+import {mayServe} from './may-serve.js';
 import type {Catalog, HostRecord} from './types.js';
 
 /** Host ids by availability zone. */
@@ -55,6 +56,7 @@
 /** Readiness, or a new version of the same fleet, does not affect the index. */
 const isIndexUnaffected = (previous: HostRecord, after: HostRecord): boolean => previous.announcement === after.announcement
 	&& previous.status === after.status
+	&& previous.isEvacuated === after.isEvacuated
 	&& previous.assignment?.fleetId === after.assignment?.fleetId;
 
 export const removeHost = (catalog: Catalog, hostId: string): void => {
@@ -69,7 +71,7 @@
 	delete catalog.hosts[hostId];
 };
 
-const isFree = (host: HostRecord): boolean => host.assignment === null && host.status === 'serving' && host.announcement.kind === 'engine';
+const isFree = (host: HostRecord): boolean => host.assignment === null && mayServe(host) && host.announcement.kind === 'engine';
 
 const addToIndex = (index: HostIndex, host: HostRecord): void => {
 	const {hostId, zoneId, provider} = host.announcement;
--- a/packages/state/src/catalog/index.ts
+++ b/packages/state/src/catalog/index.ts
@@ -6,6 +6,8 @@
 export * from './claims.js';
 export * from './create-catalog.js';
 export * from './digest.js';
+export * from './evacuated-zones.js';
+export * from './may-serve.js';
 export {planAssignments} from './plan-assignments.js';
 export {modelOfVersion, type Refusal} from './refusal.js';
 export * from './types.js';
--- a/packages/state/src/catalog/plan-assignments.ts
+++ b/packages/state/src/catalog/plan-assignments.ts
@@ -1,4 +1,5 @@
 import {hostIndexOf, putHost, type FleetMembers} from './host-index.js';
+import {mayServe} from './may-serve.js';
 import type {Catalog, FleetRecord, HostRecord} from './types.js';
 
 /**
@@ -107,8 +108,9 @@
 
 const isAllowedZone = (fleet: FleetRecord, zoneId: string): boolean => fleet.zoneIds.length === 0 || fleet.zoneIds.includes(zoneId);
 
-const isEligible = ({status, announcement}: HostRecord, fleet: FleetRecord): boolean => status === 'serving'
-	&& announcement.kind === 'engine'
+const isEligible = (host: HostRecord, fleet: FleetRecord): boolean => mayServe(host) && isSuitable(host, fleet);
+
+const isSuitable = ({announcement}: HostRecord, fleet: FleetRecord): boolean => announcement.kind === 'engine'
 	&& announcement.provider === fleet.provider
 	&& announcement.capacity >= (fleet.minCapacity ?? 0)
 	&& isAllowedZone(fleet, announcement.zoneId);
--- a/packages/state/src/catalog/types.ts
+++ b/packages/state/src/catalog/types.ts
@@ -121,6 +121,8 @@
 	z.object({type: z.literal('drainHost'), hostId: hostIdSchema}),
 	z.object({type: z.literal('undrainHost'), hostId: hostIdSchema}),
 	z.object({type: z.literal('stopHost'), hostId: hostIdSchema}),
+	z.object({type: z.literal('evacuateZone'), zoneId: zoneIdSchema}),
+	z.object({type: z.literal('restoreZone'), zoneId: zoneIdSchema}),
 	z.object({type: z.literal('hostJoined'), announcement: announcementSchema}),
 	z.object({type: z.literal('hostLeft'), hostId: hostIdSchema, incarnation: z.number().int()}),
 	z.object({type: z.literal('replicasChanged'), readiness: z.array(readinessSchema)}),
@@ -167,6 +169,8 @@
 export type HostRecord = {
 	readonly announcement: Announcement;
 	readonly status: HostStatus;
+	/** The host is in an evacuated zone; missing otherwise. Independent of `status`, so that a restored zone keeps its drains. */
+	readonly isEvacuated?: true;
 	readonly readyVersionId: string | null;
 	/** Adapters of the ready version that the engine holds; missing if none. */
 	readonly readyAdapterIds?: readonly string[];
@@ -257,6 +261,8 @@
 	hosts: Record<string, HostRecord>;
 	/** By model. */
 	rollouts: Record<string, RolloutRecord>;
+	/** Sorted ids; missing while no zone is evacuated. */
+	evacuatedZoneIds?: readonly string[];
 };
 
 /** A claim of a call that must run at most once. */
