feat(daemon): hosts of an evacuated zone get no new requests

Without it, plain endpoints of an evacuated zone go on being served, since they have no assignment that the evacuation could release, and engines are served by entries that have not received the change.

Entries take marked hosts out of their groups, and agents refuse new requests as not run, with a reason that names the zone; the entry tries elsewhere. What runs is finished. The condition is the one that drains use, extended by the mark of the host's record, so both take the same path.

--- a/packages/coordination/src/routing/placement.ts
+++ b/packages/coordination/src/routing/placement.ts
@@ -1,4 +1,4 @@
-import type {HostRecord} from '@bitternpaddle/state';
+import {mayServe, type HostRecord} from '@bitternpaddle/state';
 import {rendezvousWeight} from '../utils/rendezvous.js';
 import {
 	addToRing, createHashRing, removeFromRing,
@@ -14,8 +14,9 @@
 } from './types.js';
 
 /** Key of the group that a host belongs to; hosts with the same key can answer the same requests. */
-const groupKeyOf = ({status, announcement, assignment, readyVersionId}: HostRecord): string | null => {
-	if (status !== 'serving') {
+const groupKeyOf = (record: HostRecord): string | null => {
+	const {announcement, assignment, readyVersionId} = record;
+	if (!mayServe(record)) {
 		return null;
 	}
 
--- a/packages/daemon/src/agent/create-agent-node.ts
+++ b/packages/daemon/src/agent/create-agent-node.ts
@@ -5,7 +5,7 @@
 	chunkAnnouncementSchema, loadParametersSchema, resolveAttemptParametersSchema, type HostReport, type LoadResult,
 } from '@bitternpaddle/protocol';
 import {
-	announcementSchema, versionIdSchema, type Announcement,
+	announcementSchema, mayServe, versionIdSchema, type Announcement,
 } from '@bitternpaddle/state';
 import {
 	createHttpServer, createRpcServer, rpcPath, sendJson, silentLogger, type Logger, type ServerLimits,
@@ -108,8 +108,8 @@
 	});
 
 	const updateGate = (): void => {
-		const status = configuration.catalog().hosts[hostId]?.status;
-		gate.isClosing = isLeaving || isPaused || (status !== undefined && status !== 'serving');
+		const host = configuration.catalog().hosts[hostId];
+		gate.isClosing = isLeaving || isPaused || (host !== undefined && !mayServe(host));
 	};
 
 	const announcement = (): Announcement => announcementSchema.parse({
--- a/packages/daemon/src/agent/request-gate-server.ts
+++ b/packages/daemon/src/agent/request-gate-server.ts
@@ -7,7 +7,9 @@
 	adapterHeader, attemptHeader, deadlineHeader, fullRefusal, idempotencyKeyHeader, incarnationHeader, issueHeader, onceHeader, parseIssue, refusalHeader, requestIdHeader, versionHeader,
 	type AttemptResolution,
 } from '@bitternpaddle/protocol';
-import {mayHaveRun, notRun, type UnansweredVerdict} from '@bitternpaddle/state';
+import {
+	mayHaveRun, mayServe, notRun, type UnansweredVerdict,
+} from '@bitternpaddle/state';
 import {readBody} from '@bitternpaddle/transport';
 import {match} from 'ts-pattern';
 import type {ConfigurationClient} from '../host/configuration-client.js';
@@ -94,9 +96,13 @@
 			return 'the host has lost contact with control';
 		}
 
-		const status = configuration.catalog().hosts[hostId]?.status;
-		if (status !== 'serving') {
-			return `the host's status is ${status ?? 'unknown'}`;
+		const host = configuration.catalog().hosts[hostId];
+		if (host?.status !== 'serving') {
+			return `the host's status is ${host?.status ?? 'unknown'}`;
+		}
+
+		if (!mayServe(host)) {
+			return `the host's zone ${host.announcement.zoneId} is evacuated`;
 		}
 
 		const loadedVersionId = loaded()?.versionId ?? null;
