feat(protocol): evacuate zone, restore zone and show zones

Without them, operators have no order for a whole zone, and no query that shows zones.

The language gets the three statements. show zones counts each zone's hosts and those that requests may be sent to, and tells whether it is evacuated; show hosts has the status "evacuated"; explain replica names the evacuation and the order that takes it back.

Tests may now name the zones of the engines of a request cluster.

--- a/packages/daemon/src/control/answer-query.ts
+++ b/packages/daemon/src/control/answer-query.ts
@@ -2,7 +2,7 @@
 	Condition, HostReport, InForceResult, QueryRow, Show,
 } from '@bitternpaddle/protocol';
 import {
-	adapterKeyOf, defaultObjective, fleetsWithAdapter, type AdapterRecord, type Catalog,
+	adapterKeyOf, defaultObjective, evacuatedZoneIds, fleetsWithAdapter, knownZoneIds, mayServe, type AdapterRecord, type Catalog, type HostRecord,
 } from '@bitternpaddle/state';
 import {match} from 'ts-pattern';
 import type {HostRegistry} from './host-view.js';
@@ -40,6 +40,7 @@
 		model: rollout.modelId, from: rollout.fromFleetId, to: rollout.toFleetId, state: rollout.state, moved: rollout.movedPercent, of: rollout.percent,
 		step: rollout.step, detail: rollout.detail,
 	})))
+	.with('zones', () => zoneRows(view))
 	// Only the entries record requests; the entry that receives the query gathers them.
 	.with('requests', () => [])
 	.exhaustive();
@@ -77,9 +78,9 @@
 }));
 
 const hostRows = (view: QueryView): QueryRow[] => {
-	const agents = Object.values(view.catalog.hosts).map(({announcement, status}) => ({
+	const agents = Object.values(view.catalog.hosts).map(({announcement, status, isEvacuated}) => ({
 		host: announcement.hostId, role: 'agent', zone: announcement.zoneId, service: announcement.serviceId, provider: announcement.provider,
-		status: isLive(view, announcement.hostId) ? status : 'silent', revision: view.registry.get(announcement.hostId)?.report.revision ?? 0,
+		status: isLive(view, announcement.hostId) ? orderedStatusOf({status, isEvacuated}) : 'silent', revision: view.registry.get(announcement.hostId)?.report.revision ?? 0,
 		address: announcement.address,
 	}));
 	const entries = liveReports(view)
@@ -90,6 +91,26 @@
 	return [...agents, ...entries];
 };
 
+/** A drain or stop is shown in preference to the evacuation, because it remains when the zone is restored. */
+const orderedStatusOf = ({status, isEvacuated}: Pick<HostRecord, 'status' | 'isEvacuated'>): string => status === 'serving' && isEvacuated ? 'evacuated' : status;
+
+/** Whether entries may send requests to the host. */
+const isServing = (view: QueryView, host: HostRecord): boolean => isLive(view, host.announcement.hostId)
+	&& mayServe(host)
+	&& (host.announcement.kind === 'plain' || (host.assignment !== null && host.readyVersionId !== null));
+
+const zoneRows = (view: QueryView): QueryRow[] => {
+	const counts = new Map(knownZoneIds(view.catalog).map(zoneId => [zoneId, {hosts: 0, serving: 0}]));
+	for (const host of Object.values(view.catalog.hosts)) {
+		const count = counts.get(host.announcement.zoneId)!;
+		count.hosts++;
+		count.serving += isServing(view, host) ? 1 : 0;
+	}
+
+	const evacuated = new Set(evacuatedZoneIds(view.catalog));
+	return [...counts].map(([zone, count]) => ({zone, ...count, evacuated: evacuated.has(zone)}));
+};
+
 const revisionRow = ({inForce}: QueryView): QueryRow => ({
 	revision: inForce.revision, inForce: inForce.inForce, hosts: inForce.hosts, missing: inForce.missing.join(', '), outOfService: inForce.outOfService.join(', '),
 });
--- a/packages/daemon/src/entry/explain.ts
+++ b/packages/daemon/src/entry/explain.ts
@@ -51,15 +51,23 @@
 	return {aspect: 'configuration', isFine, finding};
 };
 
-const statusFinding = ({status}: HostRecord, hostId: string): Finding => status === 'serving'
-	? {aspect: 'order', isFine: true, finding: 'may serve'}
+const statusFinding = ({status, isEvacuated}: HostRecord, hostId: string): Finding => status === 'serving'
+	? {aspect: 'order', isFine: true, finding: isEvacuated ? 'none for the host itself' : 'may serve'}
 	: {aspect: 'order', isFine: false, finding: `${status} by an operator's order${status === 'draining' ? `; "undrain host ${hostId}" takes it back` : ''}`};
 
-const assignmentFinding = ({announcement, assignment}: HostRecord): Finding => {
+const evacuationFinding = ({announcement: {zoneId}, isEvacuated}: HostRecord): Finding | null => isEvacuated
+	? {aspect: 'zone', isFine: false, finding: `${zoneId} is evacuated by an operator's order; "restore zone ${zoneId}" takes it back`}
+	: null;
+
+const assignmentFinding = ({announcement, assignment, isEvacuated}: HostRecord): Finding => {
 	if (announcement.kind === 'plain') {
 		return {aspect: 'assignment', isFine: true, finding: `plain service ${announcement.serviceId}, needs no assignment`};
 	}
 
+	if (assignment === null && isEvacuated) {
+		return {aspect: 'assignment', isFine: false, finding: `none while zone ${announcement.zoneId} is evacuated`};
+	}
+
 	return assignment === null
 		? {aspect: 'assignment', isFine: false, finding: `no loaded fleet of provider ${announcement.provider} needs the host in ${announcement.zoneId}`}
 		: {aspect: 'assignment', isFine: true, finding: `${assignment.versionId} for fleet ${assignment.fleetId}, fencing number ${assignment.fencingNumber}`};
@@ -110,6 +118,7 @@
 		leaseFinding(view),
 		revisionFinding(view),
 		statusFinding(host, view.hostId),
+		evacuationFinding(host),
 		assignmentFinding(host),
 		weightsFinding(host),
 		adaptersFinding(view.catalog, host),
--- a/packages/protocol/src/language/command.peggy
+++ b/packages/protocol/src/language/command.peggy
@@ -1,7 +1,7 @@
 // The operators' language. Statements begin with a verb; every rule has a name that errors can show.
 Line = _ statement:Statement _ { return statement; }
 
-Statement = Create / SetObjective / SetReplicas / Load / Unload / Withdraw / Retire / Move / RolloutOrder / HostOrder / Show / Explain
+Statement = Create / SetObjective / SetReplicas / Load / Unload / Withdraw / Retire / Move / RolloutOrder / HostOrder / ZoneOrder / Show / Explain
 
 Create
   = "create" __ "model" __ modelId:Name { return {type: 'createModel', modelId}; }
@@ -38,12 +38,14 @@
   / "roll" __ "back" __ "move" __ "of" __ modelId:Name { return {type: 'rollBack', modelId}; }
 HostOrder = verb:HostVerb __ "host" __ hostId:Name { return {type: verb, hostId}; }
 HostVerb = "drain" { return 'drainHost'; } / "undrain" { return 'undrainHost'; } / "stop" { return 'stopHost'; }
+ZoneOrder = "evacuate" __ "zone" __ zoneId:Name { return {type: 'evacuateZone', zoneId}; }
+  / "restore" __ "zone" __ zoneId:Name { return {type: 'restoreZone', zoneId}; }
 
 Show = "show" __ "requests" __ "in" __ "flight" where:Where? { return {type: 'show', subject: 'requests', where: where ?? []}; }
   / "show" __ subject:Subject where:Where? { return {type: 'show', subject, where: where ?? []}; }
 Explain = "explain" __ "request" __ id:Name { return {type: 'explain', subject: 'request', id}; }
   / "explain" __ "replica" __ id:Name { return {type: 'explain', subject: 'replica', id}; }
-Subject = "moves" / "replicas" / "transfers" / "hosts" / "revision" / "models" / "versions" / "adapters" / "fleets" / "services" / "teams"
+Subject = "moves" / "replicas" / "transfers" / "hosts" / "revision" / "models" / "versions" / "adapters" / "fleets" / "services" / "teams" / "zones"
 Where = __ "where" __ head:Condition tail:(__ "and" __ condition:Condition { return condition; })* { return [head, ...tail]; }
 Condition = field:Field _ operator:Operator _ value:Value { return {field, operator, value, column: location().start.column}; }
 Field "field name" = $[a-zA-Z]+
--- a/packages/protocol/src/language/statement-forms.ts
+++ b/packages/protocol/src/language/statement-forms.ts
@@ -156,6 +156,18 @@
 		role: 'operate',
 		example: 'stop host h17',
 	},
+	{
+		form: 'evacuate zone ZONE',
+		description: 'Takes work off all hosts of a zone, also those that join it later; what runs is finished, and the processes go on.',
+		role: 'operate',
+		example: 'evacuate zone salem-hall',
+	},
+	{
+		form: 'restore zone ZONE',
+		description: 'Takes an evacuation back; drained hosts of the zone stay drained.',
+		role: 'operate',
+		example: 'restore zone salem-hall',
+	},
 	{
 		form: 'show SUBJECT [where FIELD OPERATOR VALUE [and ...]]',
 		description: 'Rows about one subject. Text is compared in the order of the alphabet, numbers by size.',
--- a/packages/protocol/src/language/subject-fields.ts
+++ b/packages/protocol/src/language/subject-fields.ts
@@ -2,7 +2,7 @@
 import * as z from 'zod';
 import type {Condition} from './condition.js';
 
-export const subjectSchema = z.enum(['replicas', 'transfers', 'hosts', 'revision', 'models', 'versions', 'adapters', 'fleets', 'services', 'teams', 'moves', 'requests']);
+export const subjectSchema = z.enum(['replicas', 'transfers', 'hosts', 'revision', 'models', 'versions', 'adapters', 'fleets', 'services', 'teams', 'moves', 'requests', 'zones']);
 export type Subject = z.infer<typeof subjectSchema>;
 
 export type FieldType = 'text' | 'number' | 'boolean';
@@ -39,6 +39,9 @@
 	requests: {
 		request: 'text', entry: 'text', team: 'text', target: 'text', host: 'text', attempts: 'number', ageMs: 'number', answering: 'boolean',
 	},
+	zones: {
+		zone: 'text', hosts: 'number', serving: 'number', evacuated: 'boolean',
+	},
 } as const satisfies Record<Subject, Record<string, FieldType>>;
 
 export type ConditionError = {readonly message: string; readonly expected: readonly string[]};
--- a/packages/protocol/test/language.test.ts
+++ b/packages/protocol/test/language.test.ts
@@ -27,6 +27,9 @@
 		'create fleet wide provider new for pitch-desk:v2 replicas 9 in tacoma-hall at most 3 per zone capacity 4',
 		'show moves where state = running',
 		'drain host h17',
+		'evacuate zone salem-hall',
+		'restore zone salem-hall',
+		'show zones where evacuated = true',
 		'show replicas where version = pitch-desk:v2 and zone = puget-a',
 		'show requests in flight',
 		'set objective for service bp-writers whole 99.9% first token 95% within 1000 ms',
@@ -60,7 +63,7 @@
 
 t.test('completions follow from the grammar', async t => {
 	const cases: Array<[string, readonly string[]]> = [
-		['', ['create', 'drain', 'explain', 'load', 'move', 'resume', 'retire', 'roll', 'set', 'show', 'stop', 'undrain', 'unload', 'withdraw']],
+		['', ['create', 'drain', 'evacuate', 'explain', 'load', 'move', 'restore', 'resume', 'retire', 'roll', 'set', 'show', 'stop', 'undrain', 'unload', 'withdraw']],
 		['s', ['set', 'show', 'stop']],
 		['load ', ['adapter']],
 		['unload ', ['adapter']],
--- a/tap-snapshots/.test-dist/packages/protocol/test/language.test.js.test.cjs
+++ b/tap-snapshots/.test-dist/packages/protocol/test/language.test.js.test.cjs
@@ -120,9 +120,11 @@
   "expected": Array [
     "\\"create\\"",
     "\\"drain\\"",
+    "\\"evacuate\\"",
     "\\"explain\\"",
     "\\"load\\"",
     "\\"move\\"",
+    "\\"restore\\"",
     "\\"resume\\"",
     "\\"retire\\"",
     "\\"roll\\"",
@@ -133,7 +135,7 @@
     "\\"unload\\"",
     "\\"withdraw\\"",
   ],
-  "message": "Expected \\"create\\", \\"drain\\", \\"explain\\", \\"load\\", \\"move\\", \\"resume\\", \\"retire\\", \\"roll\\", \\"set\\", \\"show\\", \\"stop\\", \\"undrain\\", \\"unload\\", or \\"withdraw\\" but end of input found.",
+  "message": "Expected \\"create\\", \\"drain\\", \\"evacuate\\", \\"explain\\", \\"load\\", \\"move\\", \\"restore\\", \\"resume\\", \\"retire\\", \\"roll\\", \\"set\\", \\"show\\", \\"stop\\", \\"undrain\\", \\"unload\\", or \\"withdraw\\" but end of input found.",
 }
 `
 
@@ -237,6 +239,16 @@
 }
 `
 
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > evacuate zone salem-hall 1`] = `
+Object {
+  "change": Object {
+    "type": "evacuateZone",
+    "zoneId": "salem-hall",
+  },
+  "type": "change",
+}
+`
+
 exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > load adapter pitch-desk:v2/menu-tone on fleet fair-mornings 1`] = `
 Object {
   "change": Object {
@@ -305,6 +317,16 @@
 }
 `
 
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > restore zone salem-hall 1`] = `
+Object {
+  "change": Object {
+    "type": "restoreZone",
+    "zoneId": "salem-hall",
+  },
+  "type": "change",
+}
+`
+
 exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > resume move of pitch-desk 1`] = `
 Object {
   "change": Object {
@@ -466,6 +488,23 @@
 }
 `
 
+exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > show zones where evacuated = true 1`] = `
+Object {
+  "show": Object {
+    "subject": "zones",
+    "type": "show",
+    "where": Array [
+      Object {
+        "field": "evacuated",
+        "operator": "=",
+        "value": "true",
+      },
+    ],
+  },
+  "type": "query",
+}
+`
+
 exports[`.test-dist/packages/protocol/test/language.test.js > TAP > statements > stop move of pitch-desk 1`] = `
 Object {
   "change": Object {
--- a/tap-snapshots/.test-dist/test/operator-session.test.js.test.cjs
+++ b/tap-snapshots/.test-dist/test/operator-session.test.js.test.cjs
@@ -67,6 +67,6 @@
 400 invalid_request: replicas have no field "colour".
 
 > drian host h2
-400 invalid_request: Expected "create", "drain", "explain", "load", "move", "resume", "retire", "roll", "set", "show", "stop", "undrain", "unload", or "withdraw" but "d" found.
+400 invalid_request: Expected "create", "drain", "evacuate", "explain", "load", "move", "restore", "resume", "retire", "roll", "set", "show", "stop", "undrain", "unload", or "withdraw" but "d" found.
 
 `
--- a/tap-snapshots/.test-dist/test/sessions/errors.test.js.test.cjs
+++ b/tap-snapshots/.test-dist/test/sessions/errors.test.js.test.cjs
@@ -24,7 +24,7 @@
 $ bitternpaddle run "drian host h1"
 drian host h1
 ^
-expected "create", "drain", "explain", "load", "move", "resume", "retire", "roll", "set", "show", "stop", "undrain", "unload", "withdraw"
+expected "create", "drain", "evacuate", "explain", "load", "move", "restore", "resume", "retire", "roll", "set", "show", "stop", "undrain", "unload", "withdraw"
 (exit code 2)
 
 $ bitternpaddle run "drain hots h1"
--- a/test/docs.test.ts
+++ b/test/docs.test.ts
@@ -70,7 +70,7 @@
 	let count = 0;
 	for (const name of ['migration.md', 'burn.md', 'host-replacement.md', 'errors.md']) {
 		const text = await readFile(path.join(folder, name), 'utf8');
-		for (const {groups} of text.matchAll(/(?:`|^)(?<line>(?:create|load|move|drain|undrain|stop|withdraw|set|show|explain) [a-z][^`\n]*)(?:`|$)/gmv)) {
+		for (const {groups} of text.matchAll(/(?:`|^)(?<line>(?:create|load|move|drain|undrain|evacuate|restore|stop|withdraw|set|show|explain) [a-z][^`\n]*)(?:`|$)/gmv)) {
 			t.ok(parseStatement(groups!.line!).isRight(), `${name}: ${groups!.line}`);
 			count++;
 		}
--- a/test/support/request-cluster.ts
+++ b/test/support/request-cluster.ts
@@ -23,6 +23,8 @@
 	readonly entries?: number;
 	/** @default 1 */
 	readonly controls?: number;
+	/** Zones of the engines, in turn. @default ['tacoma-hall'] */
+	readonly zoneIds?: readonly string[];
 	/** How long an endpoint may send no data. @default 1500 */
 	readonly endpointIdleMs?: number;
 };
@@ -52,13 +54,15 @@
 	book(key: string, options?: {entry?: number; body?: unknown; headers?: Record<string, string>}): Promise<ClientAnswer>;
 };
 
+type Closable = {readonly address: string; close(): Promise<void>};
+
 const adminToken = 'test-admin';
 const teamKey = 'test-key';
 
 /** Creates a small system whose links between entries and agents can be made to fail. */
 export const createRequestCluster = async (t: Test, options: RequestClusterOptions = {}): Promise<RequestCluster> => {
 	const {
-		engines: engineCount = 0, ledgers: ledgerCount = 0, entries: entryCount = 1, controls: controlCount = 1, endpointIdleMs = 1500,
+		engines: engineCount = 0, ledgers: ledgerCount = 0, entries: entryCount = 1, controls: controlCount = 1, zoneIds = ['tacoma-hall'], endpointIdleMs = 1500,
 	} = options;
 	const limits = {endpointIdleMs, unattendedMs};
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'bitternpaddle-test-'));
@@ -93,11 +97,11 @@
 	})));
 	closers.push(async () => Promise.all(entries.map(async entry => entry.kill())));
 
-	const serveEndpoint = async <Endpoint extends {address: string; close(): Promise<void>}>(hostId: string, kind: 'engine' | 'plain', endpoint: Endpoint): Promise<ServedEndpoint<Endpoint>> => {
+	const serveEndpoint = async <Endpoint extends Closable>(hostId: string, kind: 'engine' | 'plain', endpoint: Endpoint, zoneId = 'tacoma-hall'): Promise<ServedEndpoint<Endpoint>> => {
 		const relay = await createRelay();
 		const start = async (): Promise<AgentNode> => {
 			const agent = await createAgentNode({
-				hostId, zoneId: 'tacoma-hall', regionId: 'puget', serviceId: kind === 'plain' ? 'ledger' : 'bp-writers', provider: 'new', kind, endpointAddress: endpoint.address,
+				hostId, zoneId, regionId: 'puget', serviceId: kind === 'plain' ? 'ledger' : 'bp-writers', provider: 'new', kind, endpointAddress: endpoint.address,
 				controls: controlAddresses, originAddress: origin.address, folder: path.join(folder, hostId), announcedAddress: relay.address, limits, tickMs,
 			});
 			relay.setTarget(agent.address);
@@ -119,7 +123,7 @@
 		return created;
 	};
 
-	const engines = await Promise.all(Array.from({length: engineCount}, async (_, index) => serveEndpoint(`h${index + 1}`, 'engine', await createFakeEngine())));
+	const engines = await Promise.all(Array.from({length: engineCount}, async (_, index) => serveEndpoint(`h${index + 1}`, 'engine', await createFakeEngine(), zoneIds[index % zoneIds.length])));
 	const ledgers = await Promise.all(Array.from({length: ledgerCount}, async (_, index) => serveEndpoint(`ledger-${index + 1}`, 'plain', await createFakeService())));
 
 	const admin = {address: entries.at(-1)!.address, token: adminToken};
