feat(gateway): promise refused callers the capacity of their priority

Without it, refused callers retry 0.8 to 1.8 s later, whatever the load and their priority, and a large part is refused again.

The retry time is when the capacity that the entry gives to the priority and less urgent ones, half of it left to first attempts, is expected to have served the callers refused before; older refusals come first, more urgent ones before less urgent ones. It is at most a third of the caller's time. Callers for whom no capacity is expected by then are spread over the second half of that.

--- a/packages/coordination/src/placement/index.ts
+++ b/packages/coordination/src/placement/index.ts
@@ -21,4 +21,5 @@
 export * from './priority-demand.js';
 export * from './priority-room.js';
 export * from './capacity-wait.js';
+export * from './retry-promise.js';
 export * from './next-step.js';
--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -6,7 +6,7 @@
 import {
 	acceptedAtMs, acceptedUntil, availabilityAt, type Unavailability,
 } from './availability.js';
-import {mayWaitInOrder} from './capacity-wait.js';
+import {capacityPerSecond, mayWaitInOrder} from './capacity-wait.js';
 import {isPaused} from './endpoint-pause.js';
 import {prefillMs, spareFirstTokenMs} from './engine-model.js';
 import {maxAnswerMs, canFinishInTime} from './leaving.js';
@@ -20,6 +20,7 @@
 import {
 	hasIdleEngines, lackMs, queuedAheadShare, roomLimitOf, type RoomLimit, type RoomView,
 } from './priority-room.js';
+import {promiseRetry} from './retry-promise.js';
 import {mayWaitForCapacity, recordSpareCapacity, type SpareCapacity} from './spare-room.js';
 import type {VersionDue} from './version-due.js';
 import {
@@ -295,6 +296,11 @@
 	readonly allocation: Allocation | null;
 };
 
+const promisedRetryMs = (room: RoomView, {random, nowMs}: PlacementContext, {priority, deadlineAtMs}: UnplacedRequest, {allocation}: Refusal): number => promiseRetry(room.promises, {
+	priority, capacityPerSecond: capacityPerSecond(room.demand, room.priorities, priority, nowMs), remainingMs: deadlineAtMs - nowMs, random, nowMs,
+	excessWaitMs: allocation !== null && Number.isFinite(allocation.limitMs) ? allocation.expectedMs - allocation.limitMs : 0,
+});
+
 /** Handles the case that endpoints serve but have more requests than they can start in time. */
 const withoutCapacity = ({spareCapacity, objectives, capacityAheadCount}: ServiceDemand, context: PlacementContext, request: UnplacedRequest, refusal: Refusal): NextStep => {
 	const {room, nowMs} = context;
@@ -321,6 +327,6 @@
 	}
 
 	return {
-		type: 'refuse', reason, retryAfterMs, allocation,
+		type: 'refuse', reason, retryAfterMs: room === null ? retryAfterMs : promisedRetryMs(room, context, request, refusal), allocation,
 	};
 };
--- a/packages/coordination/src/placement/priority-room.ts
+++ b/packages/coordination/src/placement/priority-room.ts
@@ -3,6 +3,7 @@
 import {hasFreshReport, sentSinceReport} from './endpoint-load.js';
 import {slotWaitMs, spareFirstTokenMs} from './engine-model.js';
 import type {Candidate} from './place-request.js';
+import type {RetryPromises} from './retry-promise.js';
 import {
 	groupKeysOf, priorityKey, totalDemand, totalKey, type DemandFigures, type DemandSource, type DemandTotals, type PriorityDemand,
 } from './priority-demand.js';
@@ -12,6 +13,8 @@
 	/** The priorities that requests can have under the configuration in force, most urgent first. */
 	readonly priorities: readonly number[];
 	readonly demand: PriorityDemand;
+	/** The retry times that this entry has given to refused callers. */
+	readonly promises: RetryPromises;
 };
 
 /**
--- a/packages/coordination/test/priority-room.test.ts
+++ b/packages/coordination/test/priority-room.test.ts
@@ -3,8 +3,8 @@
 } from '@bitternpaddle/state';
 import t from 'tap';
 import {
-	createPriorityDemand, createRandom, fairShare, hasIdleEngines, mayWaitInOrder, prioritiesByService,
-	queuedAheadShare, recordDemand, recordLack, recordReceivedDemand, recordRefusedDemand, recordServed,
+	createPriorityDemand, createRandom, createRetryPromises, fairShare, hasIdleEngines, mayWaitInOrder, prioritiesByService,
+	promiseRetry, queuedAheadShare, recordDemand, recordLack, recordReceivedDemand, recordRefusedDemand, recordServed,
 	roomLimitOf, spareFirstTokenMs, totalDemand, createEndpointHealth, createEndpointLoad, type Candidate, type DemandFigures, type PriorityDemand, type RoomLimit,
 } from '@bitternpaddle/coordination';
 
@@ -62,7 +62,7 @@
 
 type Source = {readonly priority: number; readonly teamName?: string | null; readonly promptTokens?: number; readonly atMs?: number};
 
-const limitOf = (demand: PriorityDemand, {priority, teamName = null, promptTokens = 973, atMs = nowMs}: Source): RoomLimit => roomLimitOf({priorities, demand}, {
+const limitOf = (demand: PriorityDemand, {priority, teamName = null, promptTokens = 973, atMs = nowMs}: Source): RoomLimit => roomLimitOf({priorities, demand, promises: createRetryPromises()}, {
 	priority, teamName, promptTokens, routeName: `route-${priority}`, profile, topLimitMs, random, nowMs: atMs,
 });
 
@@ -147,10 +147,12 @@
 });
 
 t.test('the estimate for a request counts the queued requests of its own and more urgent priorities', async t => {
-	const room = {priorities, demand: demandOfGroups([{priority: 0, arrived: 25}, {priority: 2, arrived: 75}])};
+	const room = {
+		priorities, demand: demandOfGroups([{priority: 0, arrived: 25}, {priority: 2, arrived: 75}]), promises: createRetryPromises(),
+	};
 	t.equal(queuedAheadShare(room, 0, nowMs), 0.25);
 	t.equal(queuedAheadShare(room, 2, nowMs), 1);
-	t.equal(queuedAheadShare({priorities, demand: createPriorityDemand()}, 0, nowMs), 1, 'all of them while nothing is known');
+	t.equal(queuedAheadShare({...room, demand: createPriorityDemand()}, 0, nowMs), 1, 'all of them while nothing is known');
 });
 
 const engine = (running: number, queued = 0): Candidate => ({
@@ -206,3 +208,18 @@
 	t.ok(mayWait({priority: 0, isLastTry: true, aheadCount: 8}), 'it takes the capacity of less urgent requests');
 	t.notOk(mayWait({priority: 0, isLastTry: true, timeToStartMs: 0}), 'an answer would be cut');
 });
+
+// Guards against refused callers that all come back at once, and find no capacity again.
+t.test('refused callers get retry times at which capacity is expected, older refusals first', async t => {
+	const promises = createRetryPromises();
+	const promise = (priority: number, capacityPerSecond = 10): number => promiseRetry(promises, {
+		priority, capacityPerSecond, excessWaitMs: 100, remainingMs: 6000, random, nowMs,
+	});
+	t.equal(promise(1), 800);
+	t.equal(promise(1), 1000, 'half of the capacity is promised');
+	t.equal(promise(2), 1200, 'behind more urgent refusals');
+	t.equal(promise(0), 800, 'before less urgent ones');
+	t.ok(Array.from({length: 50}, () => promise(1)).every(ms => ms <= 2000), 'callers wait no longer than a third of their time');
+	const late = Array.from({length: 50}, () => promise(1, 0));
+	t.ok(Math.min(...late) < 1200 && Math.max(...late) > 1800, 'without capacity they are spread');
+});
--- a/packages/gateway/src/demand/service-rooms.ts
+++ b/packages/gateway/src/demand/service-rooms.ts
@@ -1,8 +1,9 @@
 import {
-	createPriorityDemand, effectivePriority, prioritiesByService, recordDemand, requestWorkMs, type DemandSource, type NextStep, type PriorityDemand, type RoomView,
+	createPriorityDemand, createRetryPromises, effectivePriority, prioritiesByService, recordDemand, requestWorkMs, type DemandSource, type NextStep, type PriorityDemand, type RoomView,
 } from '@bitternpaddle/coordination';
 import type {RoutingConfiguration, Service} from '@bitternpaddle/state';
 import type {Logger} from '@bitternpaddle/transport';
+import {createLazyMap} from '../entry/lazy-map.js';
 import type {Call} from '../entry/gateway-call.js';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
 
@@ -32,6 +33,7 @@
 export const createServiceRooms = ({logger, metrics, nowMs}: ServiceRoomsOptions): ServiceRooms => {
 	let priorities: ReadonlyMap<string, readonly number[]> = new Map();
 	const demands = new Map<string, PriorityDemand>();
+	const promises = createLazyMap(createRetryPromises);
 
 	const roomOf = ({name, engine}: Service): RoomView | null => {
 		const servicePriorities = priorities.get(name);
@@ -41,7 +43,7 @@
 
 		const demand = demands.get(name) ?? createPriorityDemand();
 		demands.set(name, demand);
-		return {priorities: servicePriorities, demand};
+		return {priorities: servicePriorities, demand, promises: promises.of(name)};
 	};
 
 	return {
--- a/packages/model/src/entry.ts
+++ b/packages/model/src/entry.ts
@@ -1,5 +1,6 @@
 import {
-	createArrivalRate, createEndpointHealth, createEndpointLoad, createObjectiveMix, createPriorityDemand, createSpareCapacity, nextStep, recordArrival, recordDemand, recordObjective, requestWorkMs,
+	createArrivalRate, createEndpointHealth, createEndpointLoad, createObjectiveMix, createPriorityDemand, createRetryPromises, createSpareCapacity, nextStep, recordArrival,
+	recordDemand, recordObjective, requestWorkMs,
 	compareWaitPlaces, prefillMs, strictestObjectiveMs, urgencyOf, waitPlaceOf,
 	type Candidate, type NextStep, type PriorityDemand, type Random, type RoomView, type UnplacedRequest, type ServiceDemand, type WaitPlace, type WaitReason,
 } from '@bitternpaddle/coordination';
@@ -74,7 +75,7 @@
 	const objectives = createObjectiveMix();
 	const spareSlots = createSpareCapacity();
 	const priorityDemand = createPriorityDemand();
-	const room: RoomView | null = priorities.length < 2 ? null : {priorities, demand: priorityDemand};
+	const room: RoomView | null = priorities.length < 2 ? null : {priorities, demand: priorityDemand, promises: createRetryPromises()};
 	let heldCount = 0;
 	let waiting: WaitingRequest[] = [];
 	let isRecheckScheduled = false;
