feat(bench): compare admission with and without priorities

The bench had one priority, one age of reports and no figures by kind. It takes `--work ranks`, bursts of one kind and `--report-age`, plays the product without priorities as an ablation, and reports by kind the requests asked, admitted, refused and in time.

--- a/packages/bench/src/placement/placement.ts
+++ b/packages/bench/src/placement/placement.ts
@@ -17,6 +17,7 @@
 	readonly entryCount: number;
 	readonly profile: ProfileName;
 	readonly work: WorkloadName;
+	readonly reportAgeMs: number;
 	readonly plotFile: string | null;
 };
 
@@ -44,12 +45,25 @@
 	return value;
 };
 
+const parseAge = (text: string): number => {
+	const value = Number(text);
+	if (!Number.isInteger(value) || value < 0) {
+		throw new Error(`--report-age is "${text}": expected an integer of at least 0`);
+	}
+
+	return value;
+};
+
+/** Bursts of one kind exist for the workload `ranks` only. */
+const defaultScenarios = scenarioNames.filter(name => !name.startsWith('burst-'));
+
 const resolveOptions = (flags: readonly string[]): Options => {
 	const {values} = parseArgs({
 		args: [...flags], options: {
-			scenario: {type: 'string', default: scenarioNames.join(',')}, seeds: {type: 'string', default: '4'}, policy: {type: 'string', default: Object.keys(baselines).join(',')},
+			scenario: {type: 'string', default: defaultScenarios.join(',')}, seeds: {type: 'string', default: '4'}, policy: {type: 'string', default: Object.keys(baselines).join(',')},
 			without: {type: 'string', default: Object.keys(ablations).join(',')}, engines: {type: 'string', default: '36'}, entries: {type: 'string', default: '19'},
 			profile: {type: 'string', default: 'batch8'}, work: {type: 'string', default: 'drafts'}, plot: {type: 'string'},
+			'report-age': {type: 'string', default: '0'},
 		},
 	});
 	return {
@@ -57,6 +71,7 @@
 		entryCount: parseCount('entries', values.entries),
 		policies: [product, ...parseOptionalNames('policy', values.policy, Object.keys(baselines)), ...parseOptionalNames('mechanism', values.without, Object.keys(ablations))],
 		profile: parseNames('profile', values.profile, profileNames)[0]!, work: parseNames('work', values.work, workloadNames)[0]!, plotFile: values.plot ?? null,
+		reportAgeMs: parseAge(values['report-age']),
 	};
 };
 
@@ -75,6 +90,14 @@
 const differenceOf = (results: readonly Result[], baseline: readonly Result[]): Record<string, Figure> => Object.fromEntries((['worth', 'nines', 'inTime', 'refused'] as const)
 	.map(field => [field, figureOf(results.map((result, index) => result[field] - baseline[index]![field]))]));
 
+/** Requests by kind and outcome, over all seeds; `admitted` are those that were not refused for good. */
+const sumKinds = (plays: readonly PlayDone[]): Record<string, unknown> => Object.fromEntries(Object.keys(plays[0]!.byKind).map(kind => {
+	const sum = (field: keyof Counts): number => plays.reduce((total, {byKind}) => total + byKind[kind]![field], 0);
+	return [kind, {
+		asked: sum('asked'), admitted: sum('asked') - sum('refused'), refused: sum('refused'), inTime: sum('inTime'),
+	}];
+}));
+
 const sumSeconds = (plays: readonly PlayDone[]): Counts[] => plays[0]!.bySecond.map((_, second) => {
 	const sum = (field: keyof Counts): number => plays.reduce((total, {bySecond}) => total + bySecond[second]![field], 0);
 	return {
@@ -88,13 +111,14 @@
  * switched off in turn.
  */
 export const measurePlacement = async (flags: readonly string[]): Promise<Record<string, unknown>> => {
-	const {scenarios, policies, seeds, engineCount, entryCount, profile, work, plotFile} = resolveOptions(flags);
+	const {scenarios, policies, seeds, engineCount, entryCount, profile, work, reportAgeMs, plotFile} = resolveOptions(flags);
 	const jobs = scenarios.flatMap(scenario => policies.flatMap(policy => Array.from({length: seeds}, (_, index): PlayJob => ({
-		scenario, policy, seed: index + 1, engineCount, entryCount, profile, work,
+		scenario, policy, seed: index + 1, engineCount, entryCount, profile, work, reportAgeMs,
 	}))));
 	const plays = await playAll(jobs);
 	const playsOf = (scenario: ScenarioName, policy: string): PlayDone[] => plays.filter(({job}) => job.scenario === scenario && job.policy === policy);
 	const resultsOf = (scenario: ScenarioName, policy: string): Result[] => playsOf(scenario, policy).map(({result}) => result);
+	const kindsOf = (scenario: ScenarioName, policy: string): Record<string, unknown> => sumKinds(playsOf(scenario, policy));
 	const differencesOf = (names: readonly string[]): Record<string, unknown> => Object.fromEntries(names.filter(name => policies.includes(name))
 		.map(name => [name, Object.fromEntries(scenarios.map(scenario => [scenario, differenceOf(resultsOf(scenario, name), resultsOf(scenario, product))]))]));
 	if (plotFile !== null) {
@@ -102,12 +126,15 @@
 	}
 
 	return {
-		bench: 'placement', seeds, engineCount, entryCount, profile, work,
+		bench: 'placement', seeds, engineCount, entryCount, profile, work, reportAgeMs,
 		scenarios: Object.fromEntries(scenarios.map(scenario => [scenario, {
 			...figuresOf(resultsOf(scenario, product)), upperBound: upperBound(resolveScenario(scenario, {
 				engineCount, entryCount, profile, work,
 			})),
 		}])),
+		byKind: Object.fromEntries(scenarios.map(scenario => [scenario, {
+			product: kindsOf(scenario, product), ...(policies.includes('priorities') && {withoutPriorities: kindsOf(scenario, 'priorities')}),
+		}])),
 		baselines: differencesOf(Object.keys(baselines)), ablations: differencesOf(Object.keys(ablations)),
 	};
 };
--- a/packages/bench/src/placement/play-worker.ts
+++ b/packages/bench/src/placement/play-worker.ts
@@ -14,9 +14,11 @@
 	readonly entryCount: number;
 	readonly profile: ProfileName;
 	readonly work: WorkloadName;
+	/** Additional age of the reports that entries know. */
+	readonly reportAgeMs: number;
 };
 
-export type PlayDone = {readonly job: PlayJob; readonly result: Result; readonly bySecond: readonly Counts[]};
+export type PlayDone = {readonly job: PlayJob; readonly result: Result; readonly bySecond: readonly Counts[]; readonly byKind: Readonly<Record<string, Counts>>};
 
 const policyOf = (name: string): EntryPolicy => {
 	if (name === 'product') {
@@ -27,8 +29,10 @@
 };
 
 parentPort!.on('message', (job: PlayJob) => {
-	const {scenario, policy, seed, ...size} = job;
-	const {result, tally: {bySecond}} = simulateScenario({scenario: resolveScenario(scenario, size), seed, policy: policyOf(policy)});
-	const done: PlayDone = {job, result, bySecond};
+	const {scenario, policy, seed, reportAgeMs, ...size} = job;
+	const {result, tally: {bySecond, byClass}} = simulateScenario({scenario: {...resolveScenario(scenario, size), reportAgeMs}, seed, policy: policyOf(policy)});
+	const done: PlayDone = {
+		job, result, bySecond, byKind: Object.fromEntries(byClass),
+	};
 	parentPort!.postMessage(done);
 });
--- a/packages/bench/src/placement/policies.ts
+++ b/packages/bench/src/placement/policies.ts
@@ -37,6 +37,8 @@
 	strictestBound: withStep((demand, context, request) => nextStep(demand, context, {
 		...request, objectiveMs: Math.min(strictestObjectiveMs(demand.objectives, context.nowMs), request.objectiveMs),
 	})),
+	/** Ignores the priorities of requests. */
+	priorities: withStep((demand, context, request) => nextStep(demand, {...context, room: null}, request)),
 	/** Ignores the recorded spare capacity. */
 	room: withStep((demand, context, request) => nextStep({...demand, spareCapacity: createSpareCapacity()}, context, request)),
 	/** Ignores concurrent arrivals at other entries. */
