--- a/packages/bench/src/uneven/simulate.ts
+++ b/packages/bench/src/uneven/simulate.ts
@@ -44,7 +44,7 @@
 		load: createEndpointLoad(), health: createEndpointHealth(),
 	})),
 	demand: {
-		sendRate: createArrivalRate(), objectives: createObjectiveMix(), spareCapacity: createSpareCapacity(), heldCount: 0, queuedCount: 0,
+		sendRate: createArrivalRate(), objectives: createObjectiveMix(), spareCapacity: createSpareCapacity(), heldCount: 0, queuedCount: 0, capacityAheadCount: 0,
 	},
 });
 
@@ -73,7 +73,7 @@
 		}
 
 		if (!isRun) {
-			load.refusedAtMs = nowMs;
+			load.refusal = {atMs: nowMs, active: head.active};
 			load.advertisedLoad = {
 				active: head.slots * 2, slots: head.slots, slowdown: null, atMs: nowMs,
 			};
--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -1,11 +1,12 @@
 import type {EngineProfile, RetryClass} from '@bitternpaddle/state';
 import type {PermitState} from '../endpoint-limits/permit-account.js';
 import type {Random} from '../utils/random.js';
-import {admitRequest} from './admit.js';
+import {admitRequest, spreadRetryMs, tooLateReason} from './admit.js';
 import {arrivalsPerSecond, type ArrivalRate} from './arrival-rate.js';
 import {
 	acceptedAtMs, acceptedUntil, availabilityAt, type Unavailability,
 } from './availability.js';
+import {capacityPerSecond, mayWaitInOrder} from './capacity-wait.js';
 import {isPaused} from './endpoint-pause.js';
 import {prefillMs, spareFirstTokenMs} from './engine-model.js';
 import {maxAnswerMs, canFinishInTime} from './leaving.js';
@@ -14,13 +15,14 @@
 } from './objective-mix.js';
 import {waitsForPermit} from './permit-wait.js';
 import {placeRequest, type Candidate, type Placement} from './place-request.js';
-import {isUneven} from './plain-model.js';
+import {isEstimateStale, isUneven} from './plain-model.js';
 import {
 	recordLack, recordRefusedDemand, recordServed, workMs, type Occurrence, type PriorityDemand,
 } from './priority-demand.js';
 import {
 	hasIdleEngines, lackMs, queuedAheadShare, roomLimitOf, type RoomLimit, type RoomView,
 } from './priority-room.js';
+import {promiseRetry} from './retry-promise.js';
 import {mayWaitForCapacity, recordSpareCapacity, type SpareCapacity} from './spare-room.js';
 import {maxStartShare} from './start-share.js';
 import type {VersionDue} from './version-due.js';
@@ -42,6 +44,8 @@
 	readonly heldCount: number;
 	/** Requests that wait until an endpoint accepts one more. */
 	readonly queuedCount: number;
+	/** Requests that wait for capacity at this entry and that the request must not overtake; without itself. */
+	readonly capacityAheadCount: number;
 };
 
 /** An entry's view of a service, and of its own state, at one moment. */
@@ -96,15 +100,15 @@
 /**
  * `moment`: engines are switching, restarting or out of capacity. `engines`: they are
  * loading weights. `availability`: endpoints serve but accept no more requests for
- * now.
+ * now. `capacity`: engines serve but have no capacity for its priority.
  */
-export type WaitReason = 'moment' | 'engines' | 'availability';
+export type WaitReason = 'moment' | 'engines' | 'availability' | 'capacity';
 
 /** What to do with a request now. */
 export type NextStep
 	= | {readonly type: 'send'; readonly placement: Placement}
-		/** Check again shortly. */
-		| {readonly type: 'wait'; readonly reason: WaitReason}
+		/** Check again shortly; at once and in order if there is capacity that those who wait for it must get first. */
+		| {readonly type: 'wait'; readonly reason: WaitReason; readonly isAtOnce?: boolean}
 		| {
 			readonly type: 'refuse';
 			readonly reason: string;
@@ -172,7 +176,7 @@
 const aheadShareOf = ({room, nowMs}: PlacementContext, {priority, isLastTry}: UnplacedRequest): number => room === null || isLastTry ? 1 : queuedAheadShare(room, priority, nowMs);
 
 const place = (demand: ServiceDemand, context: PlacementContext, request: UnplacedRequest, excludedIds: ReadonlySet<string>): Placement | null => placeRequest({
-	...context, promptTokens: request.promptTokens, objectiveMs: request.objectiveMs, isBegun: request.isBegun, excludedIds,
+	...context, promptTokens: request.promptTokens, objectiveMs: request.objectiveMs, dueInMs: request.deadlineAtMs - context.nowMs, isBegun: request.isBegun, excludedIds,
 	othersPerSecond: othersPerSecond(demand, context), queuedAheadShare: aheadShareOf(context, request),
 });
 
@@ -214,9 +218,24 @@
 	return {type: 'refuse', reason: unavailableReason(unavailability), retryAfterMs: waitMs + random.between(0, availableSpreadMs)};
 };
 
+/** Applies only to a service whose endpoints tell their slowdown. */
+const tooLateAt = ({candidates}: PlacementContext, placement: Placement, remainingMs: number): TooLate | null => placement.expectedMs >= remainingMs && isUneven(candidates)
+	? {placement, remainingMs}
+	: null;
+
+const furtherAttempt = ({isBegun}: UnplacedRequest, placement: Placement, tooLate: TooLate | null): NextStep => tooLate === null || isBegun
+	// An answer that has begun is continued in any case: its caller keeps what it gets.
+	? {type: 'send', placement}
+	: {
+		type: 'refuse', reason: 'no endpoint can answer a further attempt in the time that is left', retryAfterMs: tooLateRetryMs, tooLate,
+	};
+
+/** Whether the estimate of a plain endpoint is too old to refuse a first attempt by it. */
+const mayProbe = ({profile, nowMs}: PlacementContext, {isLastTry}: UnplacedRequest, {candidate: {load}}: Placement): boolean => profile === null && !isLastTry && isEstimateStale(load, nowMs);
+
 /** Decides what to do with a request that needs an endpoint. `preferred`: the limited placement that permits were requested for; `null` if there is none or the request cannot wait. */
 export const nextStep = (demand: ServiceDemand, context: PlacementContext, request: UnplacedRequest, preferred: Placement | null = null): NextStep => {
-	const {profile, random, nowMs} = context;
+	const {profile, nowMs} = context;
 	const unavailable = unavailableCandidates(context, request);
 	const excludedIds = unavailable.length === 0 ? request.triedIds : new Set([...request.triedIds, ...unavailable.map(({id}) => id)]);
 	const placement = place(demand, context, request, excludedIds);
@@ -237,16 +256,45 @@
 	}
 
 	const timeToStartMs = request.deadlineAtMs - nowMs - answerTimeMs(profile);
-	const tooLate: TooLate | null = placement.expectedMs >= timeToStartMs && isUneven(context.candidates) ? {placement, remainingMs: timeToStartMs} : null;
+	const tooLate = tooLateAt(context, placement, timeToStartMs);
 	if (request.sentCount > 0) {
-		// An answer that has begun is continued in any case: its caller keeps what it gets.
-		return tooLate === null || request.isBegun
-			? {type: 'send', placement}
-			: {
-				type: 'refuse', reason: 'no endpoint can answer a further attempt in the time that is left', retryAfterMs: tooLateRetryMs, tooLate,
-			};
+		return furtherAttempt(request, placement, tooLate);
+	}
+
+	if (tooLate !== null && mayProbe(context, request, placement)) {
+		return {type: 'send', placement};
+	}
+
+	const step = admitOrWait(demand, context, request, placement);
+	if (tooLate === null || step.type === 'send') {
+		return step;
+	}
+
+	return withTooLate(context, step, tooLate);
+};
+
+/**
+ * What to do with a first attempt that no endpoint can answer in time. A caller with a
+ * deadline of a second needs the rest of its time for a retry: waiting would use it up.
+ */
+const withTooLate = ({profile, random}: PlacementContext, step: Exclude<NextStep, {type: 'send'}>, tooLate: TooLate): NextStep => {
+	if (step.type === 'refuse') {
+		return {...step, tooLate};
 	}
 
+	return profile === null
+		? {
+			type: 'refuse', reason: tooLateReason, retryAfterMs: spreadRetryMs(random), tooLate,
+		}
+		: step;
+};
+
+/** Whether requests that wait for capacity go before an arriving one. */
+const isOvertaking = ({capacityAheadCount}: ServiceDemand, room: RoomLimit, {waitsFor, retryClass}: UnplacedRequest): boolean => capacityAheadCount > 0
+	&& waitsFor === null && retryClass === 'streaming' && room.rule !== 'minimum';
+
+const admitOrWait = (demand: ServiceDemand, context: PlacementContext, request: UnplacedRequest, placement: Placement): NextStep => {
+	const {profile, random, nowMs} = context;
 	const excessMs = profile === null ? 0 : Math.max(0, prefillMs(profile, request.promptTokens - profile.usualPromptTokens));
 	const spareMs = profile === null ? Number.POSITIVE_INFINITY : spareFirstTokenMs(profile);
 	if (placement.expectedMs - excessMs <= spareMs) {
@@ -259,26 +307,26 @@
 	}
 
 	const room = roomOf(demand, context, request);
+	const isIdle = room !== null && hasIdleEngines(context.candidates, othersPerSecond(demand, context), nowMs);
+	const timeToStartMs = request.deadlineAtMs - nowMs - answerTimeMs(profile);
 	const admission = admitRequest({
 		retryClass: request.retryClass, expectedMs: placement.expectedMs, objectiveMs: request.objectiveMs,
 		effectiveObjectiveMs: room === null ? effectiveObjectiveOf(demand.objectives, request.objectiveMs, nowMs) : request.objectiveMs,
 		excessMs, spareMs, isOverloaded: room === null ? isOverloaded(demand.objectives, nowMs) : room.isOverloaded,
-		room, startShare: demand.startShare, isIdle: room !== null && hasIdleEngines(context.candidates, othersPerSecond(demand, context), nowMs),
+		room, startShare: demand.startShare, isIdle,
 		hasComeBack: request.isLastTry, waitedMs: nowMs - request.receivedAtMs, remainingMs: timeToStartMs, random,
 	});
-	if (admission.type === 'admitted') {
-		recordIn(context, request, recordServed);
-		return {type: 'send', placement};
+	if (admission.type === 'refused') {
+		const allocation = room === null ? null : {...room, expectedMs: placement.expectedMs - excessMs};
+		return withoutCapacity(demand, context, request, {...admission, timeToStartMs, allocation});
 	}
 
-	if (tooLate !== null && profile === null) {
-		// A caller with a deadline of a second needs the rest of its time for a retry: waiting here would use it up.
-		return {...admission, type: 'refuse', tooLate};
+	if (room !== null && !isIdle && isOvertaking(demand, room, request)) {
+		return {type: 'wait', reason: 'capacity', isAtOnce: true};
 	}
 
-	const allocation = room === null ? null : {...room, expectedMs: placement.expectedMs - excessMs};
-	const step = withoutCapacity(demand, context, request, {...admission, timeToStartMs, allocation});
-	return step.type === 'refuse' && tooLate !== null ? {...step, tooLate} : step;
+	recordIn(context, request, recordServed);
+	return {type: 'send', placement};
 };
 
 type RequestSize = Pick<UnplacedRequest, 'promptTokens' | 'maxAnswerTokens'>;
@@ -313,16 +361,27 @@
 	readonly allocation: Allocation | null;
 };
 
+const promisedRetryMs = (room: RoomView, {random, nowMs}: PlacementContext, {priority, deadlineAtMs}: UnplacedRequest, {allocation}: Refusal): number => promiseRetry(room.promises, {
+	priority, capacityPerSecond: capacityPerSecond(room.demand, room.priorities, priority, nowMs), remainingMs: deadlineAtMs - nowMs, random, nowMs,
+	excessWaitMs: allocation !== null && Number.isFinite(allocation.limitMs) ? allocation.expectedMs - allocation.limitMs : 0,
+});
+
 /** Handles the case that endpoints serve but have more requests than they can start in time. */
-const withoutCapacity = ({spareCapacity, objectives}: ServiceDemand, context: PlacementContext, request: UnplacedRequest, refusal: Refusal): NextStep => {
-	const {nowMs} = context;
+const withoutCapacity = ({spareCapacity, objectives, capacityAheadCount}: ServiceDemand, context: PlacementContext, request: UnplacedRequest, refusal: Refusal): NextStep => {
+	const {room, nowMs} = context;
 	const {reason, retryAfterMs, timeToStartMs, allocation} = refusal;
 	if (request.waitsFor === 'engines' && timeToStartMs > 0) {
 		// Engines are back, and held requests are sent as capacity permits: all entries see the first engine as empty at the same time, and would fill its queue for seconds.
 		return {type: 'wait', reason: 'engines'};
 	}
 
-	if (request.waitsFor !== 'engines' && request.isLastTry && timeToStartMs > 0 && mayWaitForCapacity(spareCapacity, nowMs - request.sinceMs, nowMs)) {
+	if (room !== null && request.waitsFor !== 'engines' && mayWaitInOrder({
+		...room, ...request, waitedMs: nowMs - request.sinceMs, timeToStartMs, aheadCount: capacityAheadCount, nowMs,
+	})) {
+		return {type: 'wait', reason: 'capacity'};
+	}
+
+	if (room === null && request.waitsFor !== 'engines' && request.isLastTry && timeToStartMs > 0 && mayWaitForCapacity(spareCapacity, nowMs - request.sinceMs, nowMs)) {
 		return {type: 'wait', reason: 'moment'};
 	}
 
@@ -333,6 +392,6 @@
 	}
 
 	return {
-		type: 'refuse', reason, retryAfterMs, allocation,
+		type: 'refuse', reason, retryAfterMs: room === null ? retryAfterMs : promisedRetryMs(room, context, request, refusal), allocation,
 	};
 };
--- a/packages/coordination/src/placement/plain-model.ts
+++ b/packages/coordination/src/placement/plain-model.ts
@@ -19,6 +19,8 @@
 	readonly slowdown: number;
 	/** The requests there, including the new one, per slot; at least 1. */
 	readonly loadFactor: number;
+	/** Whether it is expected to refuse a further request. */
+	readonly isFull: boolean;
 };
 
 type PlainEndpoint = {readonly announcement: Announcement; readonly load: EndpointLoad};
@@ -79,18 +81,42 @@
 
 const loadFactorOf = (active: number, slots: number): number => Math.max(1, active / Math.max(1, slots));
 
-export const estimatePlain = ({announcement, load}: PlainEndpoint, serviceMs: number, nowMs: number): PlainEstimate => ({
-	usualMs: usualMsOf(load, serviceMs, nowMs),
-	slowdown: load.slowdown === null ? 1 : slowdownAt(load.slowdown, nowMs),
-	loadFactor: loadFactorOf(requestsAt(load, nowMs) + 1, load.advertisedLoad?.slots ?? announcement.slots),
-});
+/** An endpoint that has refused is expected for this long to refuse again with as many requests; it may then have more slots. */
+const refusalMemoryMs = 10_000;
 
-/** An endpoint that has just refused counts as full twice over, as in other services, and for the time in which its slots turn over. */
-const refusedLoadFactor = 3;
+const isFull = ({refusal}: EndpointLoad, requests: number, slots: number, nowMs: number): boolean => {
+	if (refusal === null || nowMs - refusal.atMs >= refusalMemoryMs) {
+		return false;
+	}
+
+	return nowMs - refusal.atMs < maxFigureAgeMs || requests + 1 > Math.max(slots, refusal.active);
+};
+
+export const estimatePlain = ({announcement, load}: PlainEndpoint, serviceMs: number, nowMs: number): PlainEstimate => {
+	const slots = load.advertisedLoad?.slots ?? announcement.slots;
+	const requests = requestsAt(load, nowMs);
+	return {
+		usualMs: usualMsOf(load, serviceMs, nowMs), slowdown: load.slowdown === null ? 1 : slowdownAt(load.slowdown, nowMs), loadFactor: loadFactorOf(requests + 1, slots),
+		isFull: isFull(load, requests, slots, nowMs),
+	};
+};
+
+/** Beyond this age of the last answer, an estimate no longer proves that a request cannot be answered. */
+const maxProofAgeMs = 5000;
+
+/**
+ * Whether an estimate may be too old to refuse requests by it: nothing was heard of the
+ * endpoint for long, and no request of this entry is there. If requests were refused
+ * then, a usual time that was learned during a disturbance would never be corrected.
+ */
+export const isEstimateStale = ({active, slowdown, outstanding}: EndpointLoad, nowMs: number): boolean => outstanding === 0
+	&& nowMs - Math.max(active?.atMs ?? Number.NEGATIVE_INFINITY, slowdown?.atMs ?? Number.NEGATIVE_INFINITY) > maxProofAgeMs;
+
+/** A full endpoint counts as full twice over, as in other services, and for the time in which its slots turn over. */
+const fullLoadFactor = 3;
 
 /** The estimated time to an answer. An endpoint that refuses when it is full has no queue that would show in its load. */
-export const plainTimeMs = ({usualMs, slowdown, loadFactor}: PlainEstimate, {refusedAtMs}: EndpointLoad, nowMs: number): number => usualMs * slowdown
-	* (nowMs - refusedAtMs < maxFigureAgeMs ? Math.max(loadFactor, refusedLoadFactor) : loadFactor);
+export const plainTimeMs = ({usualMs, slowdown, loadFactor, isFull}: PlainEstimate): number => usualMs * slowdown * (isFull ? Math.max(loadFactor, fullLoadFactor) : loadFactor);
 
 export type PlainAnswer = {
 	readonly tookMs: number;
@@ -145,20 +171,27 @@
 
 type PlainChoice<Ranked> = {readonly chosen: Ranked; /** The best near endpoint, if one in another zone was chosen. */ readonly passedNear: Ranked | null};
 
+export type ChoosePlainOptions = {
+	readonly zoneId: string;
+	/** Time until the answer is due: an endpoint that meets it is not passed over for a nearer one that does not. */
+	readonly dueInMs: number;
+	readonly random: Random;
+};
+
 /** Chooses among the endpoints of an uneven plain service; `ranked` is not empty. */
-export const choosePlain = <Ranked extends RankedPlain>(ranked: readonly Ranked[], zoneId: string, random: Random): PlainChoice<Ranked> => {
+export const choosePlain = <Ranked extends RankedPlain>(ranked: readonly Ranked[], {zoneId, dueInMs, random}: ChoosePlainOptions): PlainChoice<Ranked> => {
 	const near = ranked.filter(endpoint => endpoint.zoneId === zoneId);
 	const other = ranked.filter(endpoint => endpoint.zoneId !== zoneId);
 	const leastMs = (endpoints: readonly Ranked[]): number => Math.min(...endpoints.map(({expectedMs}) => expectedMs));
 	const nearMs = leastMs(near);
 	const otherMs = leastMs(other);
 	// The longest estimate with which the near zone is used.
-	const nearLimitMs = (otherMs + otherZoneLatencyMs) / (1 - uncertainShare);
+	const nearLimitMs = Math.max(otherMs, Math.min(dueInMs, (otherMs + otherZoneLatencyMs) / (1 - uncertainShare)));
 	const isNear = near.length > 0 && nearMs <= nearLimitMs;
 	const group = isNear ? near : other;
-	// Within the near zone, a tie must not exceed the best of another zone.
-	const limitMs = isNear ? Math.min(nearMs + tieMs, nearLimitMs) : otherMs + tieMs;
+	const bestMs = isNear ? nearMs : otherMs;
+	const limitMs = Math.max(bestMs, Math.min(bestMs + tieMs, dueInMs, isNear ? nearLimitMs : Number.POSITIVE_INFINITY));
 	const ties = group.filter(({expectedMs}) => expectedMs <= limitMs);
-	const chosen = ties[Math.floor(randomFraction(random) * ties.length)] ?? ties[0]!;
+	const chosen = ties[Math.floor(randomFraction(random) * ties.length)]!;
 	return {chosen, passedNear: isNear ? null : near.find(({expectedMs}) => expectedMs === nearMs) ?? null};
 };
--- a/packages/coordination/src/placement/priority-room.ts
+++ b/packages/coordination/src/placement/priority-room.ts
@@ -3,6 +3,7 @@
 import {hasFreshReport, sentSinceReport} from './endpoint-load.js';
 import {slotWaitMs, spareFirstTokenMs} from './engine-model.js';
 import type {Candidate} from './place-request.js';
+import type {RetryPromises} from './retry-promise.js';
 import {
 	groupKeysOf, priorityKey, totalDemand, totalKey, type DemandFigures, type DemandSource, type DemandTotals, type PriorityDemand,
 } from './priority-demand.js';
@@ -12,6 +13,8 @@
 	/** The priorities that requests can have under the configuration in force, most urgent first. */
 	readonly priorities: readonly number[];
 	readonly demand: PriorityDemand;
+	/** The retry times that this entry has given to refused callers. */
+	readonly promises: RetryPromises;
 };
 
 /**
@@ -90,26 +93,21 @@
 };
 
 /**
- * Parts of the time in which an engine's next slot becomes free, in addition to the
- * time to the first token at a free slot. Estimates include requests of other entries
- * since the reports: without the first part, the least urgent requests would leave
- * slots free for good; at the second one, nearly all slots are surely taken.
+ * Part of the time in which an engine's next slot becomes free, in addition to the time
+ * to the first token at a free slot. Estimates include requests of other entries since
+ * the reports, so that below this part a slot may still be free.
  */
-const freeTurnShare = 0.25;
 const lackTurnShare = 0.75;
 
 const turnMs = (profile: EngineProfile): number => slotWaitMs(profile, profile.slots);
 
-/** The limit on the expected wait that only engines with a free slot meet. */
-export const freeSlotMs = (profile: EngineProfile): number => spareFirstTokenMs(profile) + (freeTurnShare * turnMs(profile));
-
 /** The expected wait beyond which no engine has a free slot. */
 export const lackMs = (profile: EngineProfile): number => spareFirstTokenMs(profile) + (lackTurnShare * turnMs(profile));
 
 /** Decides within which expected wait a request is admitted. */
 export const roomLimitOf = ({priorities, demand}: RoomView, request: RoomRequest): RoomLimit => {
 	const {priority, profile, topLimitMs, nowMs} = request;
-	const freeMs = freeSlotMs(profile);
+	const freeMs = spareFirstTokenMs(profile);
 	const totals = totalDemand(demand, nowMs);
 	const total = totals.figuresOf(totalKey);
 	const figuresOf = (other: number): DemandFigures => totals.figuresOf(priorityKey(other));
@@ -124,11 +122,12 @@
 		return {rule: 'team', limitMs: Math.min(freeMs, topLimitMs), ...common};
 	}
 
-	if (!priorities.some(other => other < priority && isSignificant(figuresOf(other), total) && lacksCapacity(figuresOf(other)))) {
+	const moreUrgent = priorities.filter(other => other < priority);
+	if (!moreUrgent.some(other => isSignificant(figuresOf(other), total) && lacksCapacity(figuresOf(other)))) {
 		return {rule: 'own', limitMs: Number.POSITIVE_INFINITY, ...common};
 	}
 
-	const strictness = Math.min(1, priorities.filter(other => other < priority).length / (priorities.length - 1));
+	const strictness = Math.min(1, moreUrgent.length / (priorities.length - 1));
 	return {rule: 'urgent', limitMs: topLimitMs - (strictness * Math.max(0, topLimitMs - freeMs)), ...common};
 };
 
--- a/packages/coordination/test/priority-room.test.ts
+++ b/packages/coordination/test/priority-room.test.ts
@@ -3,8 +3,9 @@
 } from '@bitternpaddle/state';
 import t from 'tap';
 import {
-	createPriorityDemand, createRandom, fairShare, freeSlotMs, hasIdleEngines, prioritiesByService, queuedAheadShare, recordDemand, recordLack, recordReceivedDemand, recordRefusedDemand, recordServed,
-	roomLimitOf, totalDemand, createEndpointHealth, createEndpointLoad, type Candidate, type DemandFigures, type PriorityDemand, type RoomLimit,
+	createPriorityDemand, createRandom, createRetryPromises, fairShare, hasIdleEngines, mayWaitInOrder, prioritiesByService,
+	promiseRetry, queuedAheadShare, recordDemand, recordLack, recordReceivedDemand, recordRefusedDemand, recordServed,
+	roomLimitOf, spareFirstTokenMs, totalDemand, createEndpointHealth, createEndpointLoad, type Candidate, type DemandFigures, type PriorityDemand, type RoomLimit,
 } from '@bitternpaddle/coordination';
 
 const profile: EngineProfile = {
@@ -12,7 +13,7 @@
 	kvCapacityTokens: 685_000, model: 'm', chunks: 48, chunkBytes: 49_152, loadMs: 300,
 };
 const nowMs = 1000;
-const freeMs = freeSlotMs(profile);
+const freeMs = spareFirstTokenMs(profile);
 const topLimitMs = 320;
 const priorities = [0, 1, 2];
 const random = createRandom(1);
@@ -61,7 +62,7 @@
 
 type Source = {readonly priority: number; readonly teamName?: string | null; readonly promptTokens?: number; readonly atMs?: number};
 
-const limitOf = (demand: PriorityDemand, {priority, teamName = null, promptTokens = 973, atMs = nowMs}: Source): RoomLimit => roomLimitOf({priorities, demand}, {
+const limitOf = (demand: PriorityDemand, {priority, teamName = null, promptTokens = 973, atMs = nowMs}: Source): RoomLimit => roomLimitOf({priorities, demand, promises: createRetryPromises()}, {
 	priority, teamName, promptTokens, routeName: `route-${priority}`, profile, topLimitMs, random, nowMs: atMs,
 });
 
@@ -146,10 +147,12 @@
 });
 
 t.test('the estimate for a request counts the queued requests of its own and more urgent priorities', async t => {
-	const room = {priorities, demand: demandOfGroups([{priority: 0, arrived: 25}, {priority: 2, arrived: 75}])};
+	const room = {
+		priorities, demand: demandOfGroups([{priority: 0, arrived: 25}, {priority: 2, arrived: 75}]), promises: createRetryPromises(),
+	};
 	t.equal(queuedAheadShare(room, 0, nowMs), 0.25);
 	t.equal(queuedAheadShare(room, 2, nowMs), 1);
-	t.equal(queuedAheadShare({priorities, demand: createPriorityDemand()}, 0, nowMs), 1, 'all of them while nothing is known');
+	t.equal(queuedAheadShare({...room, demand: createPriorityDemand()}, 0, nowMs), 1, 'all of them while nothing is known');
 });
 
 const engine = (running: number, queued = 0): Candidate => ({
@@ -190,3 +193,33 @@
 	t.same(prioritiesOf([route({priority: 2})], [team(1), team(null)]), [1, 2]);
 	t.same(prioritiesOf([route({priority: 2, isPublic: true})], [team(1)]), [2], 'callers of a public route have no team');
 });
+
+t.test('a first attempt waits for an eighth of its objective, a retry for as long as it is expected to be served', async t => {
+	const demand = demandOfGroups([{priority: 0, arrived: 4}, {priority: 2, arrived: 8}]);
+	const mayWait = (fields: {priority: number; isLastTry: boolean; waitedMs?: number; timeToStartMs?: number; aheadCount?: number}): boolean => mayWaitInOrder({
+		demand, priorities, objectiveMs: 800, waitedMs: 0, timeToStartMs: 2000, aheadCount: 0, nowMs, ...fields,
+	});
+	t.ok(mayWait({priority: 2, isLastTry: false, waitedMs: 90}));
+	t.notOk(mayWait({priority: 2, isLastTry: false, waitedMs: 110}));
+	t.ok(mayWait({
+		priority: 2, isLastTry: true, waitedMs: 1000, aheadCount: 7,
+	}), 'eight are served in two seconds');
+	t.notOk(mayWait({priority: 2, isLastTry: true, aheadCount: 8}));
+	t.ok(mayWait({priority: 0, isLastTry: true, aheadCount: 8}), 'it takes the capacity of less urgent requests');
+	t.notOk(mayWait({priority: 0, isLastTry: true, timeToStartMs: 0}), 'an answer would be cut');
+});
+
+// Guards against refused callers that all come back at once, and find no capacity again.
+t.test('refused callers get retry times at which capacity is expected, older refusals first', async t => {
+	const promises = createRetryPromises();
+	const promise = (priority: number, capacityPerSecond = 10): number => promiseRetry(promises, {
+		priority, capacityPerSecond, excessWaitMs: 100, remainingMs: 6000, random, nowMs,
+	});
+	t.equal(promise(1), 800);
+	t.equal(promise(1), 1000, 'half of the capacity is promised');
+	t.equal(promise(2), 1200, 'behind more urgent refusals');
+	t.equal(promise(0), 800, 'before less urgent ones');
+	t.ok(Array.from({length: 50}, () => promise(1)).every(ms => ms <= 2000), 'callers wait no longer than a third of their time');
+	const late = Array.from({length: 50}, () => promise(1, 0));
+	t.ok(Math.min(...late) < 1200 && Math.max(...late) > 1800, 'without capacity they are spread');
+});
--- a/packages/coordination/test/uneven-endpoints.test.ts
+++ b/packages/coordination/test/uneven-endpoints.test.ts
@@ -29,7 +29,7 @@
 });
 
 const step = (candidates: readonly Candidate[], fields: Partial<UnplacedRequest> = {}) => nextStep({
-	sendRate: createArrivalRate(), objectives: createObjectiveMix(), spareCapacity: createSpareCapacity(), heldCount: 0, queuedCount: 0,
+	sendRate: createArrivalRate(), objectives: createObjectiveMix(), spareCapacity: createSpareCapacity(), heldCount: 0, queuedCount: 0, capacityAheadCount: 0,
 }, context(candidates), request(fields));
 
 const place = (candidates: readonly Candidate[]) => {
@@ -70,6 +70,7 @@
 
 t.test('a nonsensical figure neither makes an endpoint unanswerable nor its learned time meaningless', async t => {
 	t.ok(slowdownAt(recordSlowdown(null, 1e9, nowMs), nowMs) <= 20);
+	t.ok(recordActive(null, 1e9, nowMs).mean <= 500);
 	const {load, ...rest} = endpoint('a');
 	learnPlainTime(load, rest, {tookMs: 60, advertised: {active: 1, slots: 6, slowdown: 0.001}, estimate: null}, nowMs);
 	t.ok(load.learned!.usualMs <= 300);
@@ -130,25 +131,32 @@
 
 t.test('an endpoint that refuses at once when full is not preferred to a slow one until its slots have turned over', async t => {
 	const refusing = (agoMs: number) => endpoint('a', {
-		slowdown: slowdown(1, agoMs), refusedAtMs: nowMs - agoMs, active: recordActive(null, 6, nowMs - agoMs),
+		slowdown: slowdown(1, agoMs), refusal: {atMs: nowMs - agoMs, active: 6}, active: recordActive(null, 6, nowMs - agoMs),
 	});
 	const slow = endpoint('b', {slowdown: slowdown(2.5)});
 	t.equal(place([refusing(10), slow])?.id, 'b');
-	t.equal(place([refusing(350), slow])?.id, 'a');
+	t.equal(place([refusing(1000), slow])?.id, 'a', 'without an answer since, it is tried again within a second');
+	const fullAgain = endpoint('a', {slowdown: slowdown(1), refusal: {atMs: nowMs - 2000, active: 6}, active: recordActive(null, 6, nowMs)});
+	t.equal(place([fullAgain, slow])?.id, 'b', 'nor when it has as many requests as when it refused');
 });
 
 t.test('what the figure of an answer explains is not counted as lag; an understated load is', async t => {
-	const estimate = {usualMs: 60, slowdown: 1, loadFactor: 1};
+	const estimate = {
+		usualMs: 60, slowdown: 1, loadFactor: 1, isFull: false,
+	};
 	t.equal(plainLatenessMs({tookMs: 150, advertised: {active: 1, slots: 6, slowdown: 2.5}, estimate}, 60), 0);
 	t.equal(plainLatenessMs({tookMs: 150, advertised: {active: 1, slots: 6, slowdown: 1}, estimate}, 60), 90);
 	t.equal(plainLatenessMs({tookMs: 150, advertised: null, estimate: null}, 60), 90);
 });
 
 t.test('another zone is used only if it is faster by more than the way there', async t => {
-	const choose = (nearMs: number, otherMs: number) => choosePlain([{zoneId: 'z1', expectedMs: nearMs}, {zoneId: 'z2', expectedMs: otherMs}], 'z1', createRandom(1));
+	const choose = (nearMs: number, otherMs: number, dueInMs = 1000) => choosePlain([{zoneId: 'z1', expectedMs: nearMs}, {zoneId: 'z2', expectedMs: otherMs}], {
+		zoneId: 'z1', dueInMs, random: createRandom(1),
+	});
 	t.equal(choose(70, 60).chosen.zoneId, 'z1');
+	t.equal(choose(63, 60, 62).chosen.zoneId, 'z2', 'or if only that can answer in time');
 	t.match(choose(72, 60), {chosen: {zoneId: 'z2'}, passedNear: {expectedMs: 72}});
-	t.equal(choosePlain([{zoneId: 'z2', expectedMs: 60}], 'z1', createRandom(1)).passedNear, null);
+	t.equal(choosePlain([{zoneId: 'z2', expectedMs: 60}], {zoneId: 'z1', dueInMs: 1000, random: createRandom(1)}).passedNear, null);
 });
 
 t.test('with a deadline of a second, what cannot be answered in time is refused at once, also as a last try', async t => {
@@ -160,6 +168,17 @@
 	t.equal(step([busy, endpoint('b', {}, 'z2')]).type, 'send');
 });
 
+t.test('a usual time that was learned during a disturbance is corrected: first attempts are sent again after some seconds without answers', async t => {
+	const disturbed = (ageMs: number, outstanding = 0) => endpoint('a', {learned: {usualMs: 3000, answers: 20, atMs: nowMs - ageMs}, slowdown: slowdown(1, ageMs), outstanding});
+	t.equal(step([disturbed(4000)]).type, 'refuse');
+	t.equal(step([disturbed(6000)]).type, 'send');
+	t.equal(step([disturbed(6000, 1)]).type, 'refuse', 'one at a time');
+	t.equal(step([disturbed(6000)], {isLastTry: true}).type, 'refuse');
+	const {load, ...rest} = disturbed(11_000);
+	learnPlainTime(load, rest, {tookMs: 60, advertised: {active: 1, slots: 6, slowdown: 1}, estimate: null}, nowMs);
+	t.ok(load.learned!.usualMs < 180);
+});
+
 t.test('a further attempt is sent only where it can be in time; a stream that has begun is continued', async t => {
 	const slow = endpoint('a', {learned: learned(60), slowdown: slowdown(2.5)});
 	t.equal(step([slow], {sentCount: 1, deadlineAtMs: nowMs + 160}).type, 'send');
--- a/packages/coordination/test/zone-demand.test.ts
+++ b/packages/coordination/test/zone-demand.test.ts
@@ -51,7 +51,7 @@
 
 	const expectedMs = (candidates: readonly Candidate[], demandShare?: number): number => {
 		const step = nextStep({
-			sendRate, objectives: createObjectiveMix(), spareCapacity: createSpareCapacity(), heldCount: 0, queuedCount: 0,
+			sendRate, objectives: createObjectiveMix(), spareCapacity: createSpareCapacity(), heldCount: 0, queuedCount: 0, capacityAheadCount: 0,
 		}, {
 			candidates, permitStateOf: () => ({type: 'available'}), profile, zoneId: 'z1', entryCount: 19, dues: [], shutdownInMs: Number.POSITIVE_INFINITY, room: null, random: createRandom(1), nowMs,
 			...(demandShare !== undefined && {demandShare}),
--- a/packages/gateway/src/demand/service-rooms.ts
+++ b/packages/gateway/src/demand/service-rooms.ts
@@ -1,8 +1,9 @@
 import {
-	createPriorityDemand, effectivePriority, prioritiesByService, recordDemand, requestWorkMs, type DemandSource, type NextStep, type PriorityDemand, type RoomView,
+	createPriorityDemand, createRetryPromises, effectivePriority, prioritiesByService, recordDemand, requestWorkMs, type DemandSource, type NextStep, type PriorityDemand, type RoomView,
 } from '@bitternpaddle/coordination';
 import type {RoutingConfiguration, Service} from '@bitternpaddle/state';
 import type {Logger} from '@bitternpaddle/transport';
+import {createLazyMap} from '../entry/lazy-map.js';
 import type {Call} from '../entry/gateway-call.js';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
 
@@ -17,6 +18,8 @@
 	configure(configuration: RoutingConfiguration): void;
 	/** `null` if all requests of the service have one priority, or if it has no engines. */
 	roomOf(service: Service): RoomView | null;
+	/** The demand by service. */
+	demands(): ReadonlyMap<string, PriorityDemand>;
 	recordArrival(call: Call): void;
 	/** Counts a decision on a request, and logs a refusal together with what decided. */
 	recordStep(call: Call, step: NextStep): void;
@@ -30,6 +33,7 @@
 export const createServiceRooms = ({logger, metrics, nowMs}: ServiceRoomsOptions): ServiceRooms => {
 	let priorities: ReadonlyMap<string, readonly number[]> = new Map();
 	const demands = new Map<string, PriorityDemand>();
+	const promises = createLazyMap(createRetryPromises);
 
 	const roomOf = ({name, engine}: Service): RoomView | null => {
 		const servicePriorities = priorities.get(name);
@@ -39,19 +43,26 @@
 
 		const demand = demands.get(name) ?? createPriorityDemand();
 		demands.set(name, demand);
-		return {priorities: servicePriorities, demand};
+		return {priorities: servicePriorities, demand, promises: promises.of(name)};
 	};
 
 	return {
 		configure(configuration) {
 			priorities = prioritiesByService(configuration);
+			const services = new Map(configuration.services.map(service => [service.name, service]));
 			for (const name of demands.keys()) {
-				if (!priorities.has(name)) {
+				if (!services.has(name)) {
 					demands.delete(name);
 				}
 			}
+
+			// Demand of other entries is recorded from the start, before the first request arrives here.
+			for (const service of services.values()) {
+				roomOf(service);
+			}
 		},
 		roomOf,
+		demands: () => demands,
 		recordArrival(call) {
 			const {service, promptTokens, answerTokenLimit, hasComeBack} = call;
 			const room = roomOf(service);
--- a/packages/model/src/scenario.ts
+++ b/packages/model/src/scenario.ts
@@ -36,6 +36,9 @@
 		/** Some engines are not ready at first and join later. */
 		| {readonly type: 'join'; readonly atS: number; readonly share: number; readonly readyAfterMs: number};
 
+/** Hosts that the engines share with other work: each is `factor` times as slow for `share` of the time. */
+export type HostSharing = {readonly factor: number; readonly share: number; readonly changeMs: number};
+
 export type Scenario = {
 	readonly name: string;
 	readonly profile: EngineProfile;
@@ -55,6 +58,8 @@
 	readonly unreportedEntryCount?: number;
 	/** Whether entries exchange their demand. @default true */
 	readonly exchangesDemand?: boolean;
+	/** `null`: the engines have their hosts for themselves, and their answers tell no slowdown. */
+	readonly sharing: HostSharing | null;
 };
 
 /** Requests per second that the engines of a scenario sustain with all slots in use all the time. */
--- a/packages/model/src/scenarios.ts
+++ b/packages/model/src/scenarios.ts
@@ -1,6 +1,6 @@
 import type {EngineProfile} from '@bitternpaddle/state';
 import type {
-	ClassBurst, EngineEvent, LoadStep, CallerClass, Scenario,
+	ClassBurst, EngineEvent, HostSharing, LoadStep, CallerClass, Scenario,
 } from './scenario.js';
 
 type ProfileFields = Pick<EngineProfile, 'slots' | 'stepMs' | 'readTokensPerSecond' | 'usualAnswerTokens'> & Partial<EngineProfile>;
@@ -79,7 +79,7 @@
 	readonly work?: WorkloadName;
 };
 
-type Shape = {readonly load: readonly LoadStep[]; readonly events?: readonly EngineEvent[]; readonly bursts?: readonly ClassBurst[]};
+type Shape = {readonly load: readonly LoadStep[]; readonly events?: readonly EngineEvent[]; readonly bursts?: readonly ClassBurst[]; readonly sharing?: HostSharing | null};
 
 const shapes = {
 	steady: {load: [{fromS: 0, factor: 0.75}]},
@@ -119,6 +119,7 @@
 		}],
 	},
 	loss: {load: [{fromS: 0, factor: 0.8}], events: [{type: 'loss', atS: 5, share: 0.35}]},
+	shared: {load: [{fromS: 0, factor: 0.75}], sharing: {factor: 2.5, share: 0.15, changeMs: 600}},
 } as const satisfies Record<string, Shape>;
 
 export type ScenarioName = keyof typeof shapes;
@@ -129,8 +130,8 @@
 
 /** Builds the named scenario for a deployment of the given size. */
 export const resolveScenario = (name: ScenarioName, {profile = 'batch8', work = 'drafts', ...size}: ScenarioSize): Scenario => {
-	const {load, events = [], bursts = []}: Shape = shapes[name];
+	const {load, events = [], bursts = [], sharing = null}: Shape = shapes[name];
 	return {
-		name, profile: profiles[profile], callerClasses: workloads[work], zoneCount, durationS, load, events, bursts, ...size,
+		name, profile: profiles[profile], callerClasses: workloads[work], zoneCount, durationS, load, events, bursts, sharing, ...size,
 	};
 };
--- a/packages/model/src/world.ts
+++ b/packages/model/src/world.ts
@@ -1,5 +1,5 @@
 import {
-	createRandom, ownFigures, randomFraction, recordReceivedDemand, type Candidate, type EngineReport, type Random,
+	createRandom, randomFraction, recordReceivedDemand, sharedFigures, type Candidate, type EngineReport, type Random,
 } from '@bitternpaddle/coordination';
 import {createModelEngine, type ModelEngine} from './engine.js';
 import {
@@ -48,12 +48,12 @@
 const zoneOf = (index: number, {zoneCount}: Scenario): string => `zone-${index % zoneCount}`;
 
 /** Interval of the exchange of demand between entries. */
-const demandIntervalMs = 300;
+const demandIntervalMs = 400;
 
 const scheduleDemand = ({entries, timeline}: Simulation): void => {
 	for (const [index, {priorityDemand}] of entries.entries()) {
 		const exchange = (): void => {
-			const figures = ownFigures(priorityDemand, timeline.nowMs());
+			const figures = sharedFigures(priorityDemand, timeline.nowMs());
 			timeline.after(crossZoneLatencyMs, () => {
 				for (const entry of entries) {
 					if (entry.priorityDemand !== priorityDemand) {
@@ -235,12 +235,24 @@
 	timeline.at(0, next);
 };
 
+/** Draws how slow a host is over time; from a generator of its own, so that all policies meet the same. */
+const createHost = ({sharing, durationS}: Scenario, seed: number, timeline: Timeline) => {
+	if (sharing === null) {
+		return () => null;
+	}
+
+	const {factor, share, changeMs} = sharing;
+	const random = createRandom(seed);
+	const figures = Array.from({length: Math.ceil((durationS + followUpS) * msPerSecond / changeMs) + 1}, () => randomFraction(random) < share ? factor : 1);
+	return () => figures[Math.floor(timeline.nowMs() / changeMs)]!;
+};
+
 /** Simulates a scenario in virtual time; the same seed gives the same run. */
 export const simulateScenario = ({scenario, seed, policy = productPolicy}: ScenarioRunOptions): ScenarioRun => {
 	const timeline = createTimeline();
 	const random = createRandom(seed);
 	const engines = Array.from({length: scenario.engineCount}, (_, index) => createModelEngine({
-		id: `engine-${index}`, zoneId: zoneOf(index, scenario), profile: scenario.profile, timeline,
+		id: `engine-${index}`, zoneId: zoneOf(index, scenario), profile: scenario.profile, timeline, slowdown: createHost(scenario, (seed * 1000) + index, timeline),
 	}));
 	const priorities = [...new Set(scenario.callerClasses.map(callerClass => priorityOf(callerClass)))].toSorted((a, b) => a - b);
 	const entries = Array.from({length: scenario.entryCount}, (_, index) => {
--- a/packages/transport/src/logging/events.ts
+++ b/packages/transport/src/logging/events.ts
@@ -88,6 +88,7 @@
 	BP4057: {level: 'info', text: 'an endpoint is no longer cold', advice: 'None.'},
 	BP4058: {level: 'info', text: 'the issuing of permits for a cold endpoint was stopped or resumed', advice: 'Entries send half the limit meanwhile; if it persists, check the link to the core.'},
 	BP4059: {level: 'warn', text: 'a request was refused for load by its priority', advice: 'Check the rule, the limit and the expected wait; add engines if it lasts.'},
+	BP4060: {level: 'info', text: 'no demand of another entry is known any more', advice: 'None if that entry has ended; otherwise check the link to it.'},
 	BP4063: {level: 'info', text: 'a request was sent to another zone because the endpoints of its own would take longer', advice: 'None; check the endpoints of the zone if it persists.'},
 	BP4064: {level: 'info', text: 'no endpoint can answer a request in the time left', advice: 'None; check the load and the slowdown of the endpoint named if it recurs.'},
 	BP4090: {level: 'warn', text: 'log lines were dropped', advice: 'None; the counts by event are in the line.'},
