style: figures are advertised and messages are received

Comments of the new parts said that endpoints tell and hosts hear. They use the terms of the surrounding code now, and lines stay within the linter's length. One local map is renamed; no behaviour changes.

--- a/packages/bench/src/uneven/simulate.ts
+++ b/packages/bench/src/uneven/simulate.ts
@@ -147,8 +147,8 @@
 		const step = nextStep(demand, {
 			candidates, permitStateOf: () => ({type: 'available'}), profile: null, zoneId, entryCount: entries.length, dues: [], shutdownInMs: Number.POSITIVE_INFINITY, room: null, random, nowMs,
 		}, {
-			isLastTry, priority: 0, teamName: null, routeName: 'r', deadlineAtMs, retryClass: 'safe', objectiveMs, timeoutMs: deadlineAtMs - receivedAtMs, promptTokens: 0, maxAnswerTokens: 0, receivedAtMs, sinceMs, isBegun: false,
-			sentCount: triedIds.size, triedIds, waitsFor: null,
+			isLastTry, priority: 0, teamName: null, routeName: 'r', deadlineAtMs, retryClass: 'safe', objectiveMs, timeoutMs: deadlineAtMs - receivedAtMs, promptTokens: 0,
+			maxAnswerTokens: 0, receivedAtMs, sinceMs, isBegun: false, sentCount: triedIds.size, triedIds, waitsFor: null,
 		});
 		switch (step.type) {
 			case 'send': {
--- a/packages/coordination/src/endpoint-limits/cold-account.ts
+++ b/packages/coordination/src/endpoint-limits/cold-account.ts
@@ -44,7 +44,7 @@
 const maxPermits = 100;
 /** Requests whose grants may still be usable. */
 const keptRequests = 4;
-/** Longer than the interval of the requests at an entry with few; an unanswered request that is older tells nothing about the issuer. */
+/** Longer than the interval of the requests at an entry with few; an older unanswered request says nothing about the issuer. */
 const staleMs = 2000;
 
 export const createColdAccount = (): ColdAccount => ({
--- a/packages/coordination/src/placement/endpoint-load.ts
+++ b/packages/coordination/src/placement/endpoint-load.ts
@@ -43,9 +43,9 @@
 	readonly awaiting: Map<number, AwaitedRequest>;
 	/** The load as last advertised in the head of an answer; `null` if none advertised it. */
 	advertisedLoad: ReceivedLoad | null;
-	/** The slowdown that its answers have told; `null` if none told any. */
+	/** The slowdown that its answers have advertised; `null` if none has. */
 	slowdown: AgedFigure | null;
-	/** The requests at the endpoint that its answers have told; `null` if none told any. */
+	/** The requests at the endpoint that its answers have advertised; `null` if none has. */
 	active: AgedFigure | null;
 	/** The usual time of a request at a plain endpoint; `null` until learned. */
 	learned: LearnedTime | null;
--- a/packages/coordination/src/placement/engine-model.ts
+++ b/packages/coordination/src/placement/engine-model.ts
@@ -18,7 +18,7 @@
  */
 const prefillShare = 0.04;
 
-/** The pace of an engine: from its report, unless an answer has told it since. */
+/** The pace of an engine: from its report, unless a later answer advertised it. */
 const paceOf = (load: EndpointLoad, nowMs: number): number => {
 	const {slowdown, report, reportedAtMs} = load;
 	if (slowdown === null || slowdown.atMs <= reportedAtMs) {
--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -112,7 +112,7 @@
 			readonly type: 'refuse';
 			readonly reason: string;
 			readonly retryAfterMs: number;
-			/** The best placement, if even that cannot answer in the time left; only for a service whose endpoints tell their slowdown. */
+			/** The best placement, if even that cannot answer in the time left; only for a service whose endpoints advertise their slowdown. */
 			readonly tooLate?: TooLate;
 			/** The limit by which it was refused for load; `null` or absent if none applied. */
 			readonly allocation?: Allocation | null;
@@ -217,7 +217,7 @@
 	return {type: 'refuse', reason: unavailableReason(unavailability), retryAfterMs: waitMs + random.between(0, availableSpreadMs)};
 };
 
-/** Applies only to a service whose endpoints tell their slowdown. */
+/** Applies only to a service whose endpoints advertise their slowdown. */
 const tooLateAt = ({candidates}: PlacementContext, placement: Placement, remainingMs: number): TooLate | null => placement.expectedMs >= remainingMs && isUneven(candidates)
 	? {placement, remainingMs}
 	: null;
--- a/packages/coordination/src/placement/place-request.ts
+++ b/packages/coordination/src/placement/place-request.ts
@@ -45,7 +45,7 @@
 	readonly expectedMs: number;
 	/** The part of the estimate that is due to recent answers that started later than expected. */
 	readonly lagMs: number;
-	/** The factors of the estimate; missing for an engine, and for a plain service whose endpoints have told no slowdown. */
+	/** The factors of the estimate; missing for an engine, and for a plain service whose endpoints have advertised no slowdown. */
 	readonly plain?: PlainEstimate;
 	/** The best endpoint of the near zone, if one in another zone was chosen because it is faster. */
 	readonly passedNear?: {readonly candidate: Candidate; readonly expectedMs: number};
@@ -162,7 +162,7 @@
 	return {candidate, expectedMs, lagMs: lagOf(candidate.load, nowMs)};
 };
 
-/** Places a request at a plain service whose endpoints tell their slowdown. */
+/** Places a request at a plain service whose endpoints advertise their slowdown. */
 const placeUnevenPlain = (options: PlaceOptions): Placement | null => {
 	const {candidates, zoneId, dueInMs = Number.POSITIVE_INFINITY, random, nowMs} = options;
 	const eligible = candidates.filter(candidate => isEligible(candidate, options));
@@ -200,7 +200,7 @@
 	return count === 0 ? 0 : sumMs / count;
 };
 
-/** The paces by which requests are spread; `null` for a service whose engines tell no slowdown in their answers. */
+/** The paces by which requests are spread; `null` for a service whose engines advertise no slowdown in their answers. */
 const pacesOf = (ranked: readonly Ranked[], profile: EngineProfile, {candidates, nowMs}: PlaceOptions): number[] | null => isUneven(candidates)
 	? ranked.map(({candidate: {load}}) => demandOf(profile, load, nowMs).pace)
 	: null;
--- a/packages/coordination/src/placement/plain-model.ts
+++ b/packages/coordination/src/placement/plain-model.ts
@@ -65,7 +65,7 @@
 	return ((answers * learned.usualMs) + (othersWeight * serviceMs)) / (answers + othersWeight);
 };
 
-/** Requests at the endpoint: those that its answers told, with this entry's requests since; at least this entry's own. */
+/** Requests at the endpoint: those that its answers advertised, with this entry's requests since; at least this entry's own. */
 const requestsAt = ({active, outstanding, awaiting}: EndpointLoad, nowMs: number): number => {
 	if (active === null) {
 		return outstanding;
@@ -105,7 +105,7 @@
 const maxProofAgeMs = 5000;
 
 /**
- * Whether an estimate may be too old to refuse requests by it: nothing was heard of the
+ * Whether an estimate may be too old to refuse requests by it: nothing was received from the
  * endpoint for long, and no request of this entry is there. If requests were refused
  * then, a usual time that was learned during a disturbance would never be corrected.
  */
--- a/packages/coordination/src/placement/slowdown.ts
+++ b/packages/coordination/src/placement/slowdown.ts
@@ -1,4 +1,4 @@
-/** A figure that the answers of an endpoint tell, such as the slowdown of its host (1: work takes as long as usual). */
+/** A figure that the answers of an endpoint advertise, such as the slowdown of its host (1: work takes as long as usual). */
 export type AgedFigure = {
 	/** The newest figure. */
 	latest: number;
--- a/packages/coordination/src/placement/zone-demand.ts
+++ b/packages/coordination/src/placement/zone-demand.ts
@@ -4,7 +4,7 @@
 
 /**
  * How the requests of a service spread over zones, if each is sent to all endpoints alike that it
- * may be sent to. The zones that an entry actually sends to would not tell this: it prefers its
+ * may be sent to. The zones that an entry actually sends to would not show this: it prefers its
  * own zone, and the entries of other zones prefer theirs.
  */
 export type ZoneDemand = Map<string, ArrivalRate>;
--- a/packages/coordination/test/uneven-endpoints.test.ts
+++ b/packages/coordination/test/uneven-endpoints.test.ts
@@ -20,11 +20,13 @@
 const learned = (usualMs: number) => ({usualMs, answers: 20, atMs: nowMs});
 
 const context = (candidates: readonly Candidate[], fields: Partial<PlacementContext> = {}): PlacementContext => ({
-	candidates, permitStateOf: () => ({type: 'available'}), profile: null, zoneId: 'z1', entryCount: 1, dues: [], shutdownInMs: Number.POSITIVE_INFINITY, room: null, random: createRandom(1), nowMs, ...fields,
+	candidates, permitStateOf: () => ({type: 'available'}), profile: null, zoneId: 'z1', entryCount: 1, dues: [], shutdownInMs: Number.POSITIVE_INFINITY,
+	room: null, random: createRandom(1), nowMs, ...fields,
 });
 
 const request = (fields: Partial<UnplacedRequest> = {}): UnplacedRequest => ({
-	isLastTry: false, priority: 0, teamName: null, routeName: 'r', deadlineAtMs: nowMs + 1000, retryClass: 'safe', objectiveMs: 245, timeoutMs: 1200, promptTokens: 0, maxAnswerTokens: 0, receivedAtMs: nowMs,
+	isLastTry: false, priority: 0, teamName: null, routeName: 'r',
+	deadlineAtMs: nowMs + 1000, retryClass: 'safe', objectiveMs: 245, timeoutMs: 1200, promptTokens: 0, maxAnswerTokens: 0, receivedAtMs: nowMs,
 	sinceMs: nowMs, isBegun: false, sentCount: 0, triedIds: new Set(), waitsFor: null, ...fields,
 });
 
--- a/packages/coordination/test/zone-demand.test.ts
+++ b/packages/coordination/test/zone-demand.test.ts
@@ -56,7 +56,8 @@
 			candidates, permitStateOf: () => ({type: 'available'}), profile, zoneId: 'z1', entryCount: 19, dues: [], shutdownInMs: Number.POSITIVE_INFINITY, room: null, random: createRandom(1), nowMs,
 			...(demandShare !== undefined && {demandShare}),
 		}, {
-			isLastTry: false, priority: 0, teamName: null, routeName: 'r', deadlineAtMs: nowMs + 6000, retryClass: 'streaming', objectiveMs: 400, timeoutMs: 6000, promptTokens: 973, maxAnswerTokens: 100, receivedAtMs: nowMs,
+			isLastTry: false, priority: 0, teamName: null, routeName: 'r',
+			deadlineAtMs: nowMs + 6000, retryClass: 'streaming', objectiveMs: 400, timeoutMs: 6000, promptTokens: 973, maxAnswerTokens: 100, receivedAtMs: nowMs,
 			sinceMs: nowMs, isBegun: false, sentCount: 0, triedIds: new Set(), waitsFor: null,
 		});
 		return step.type === 'send' ? step.placement.expectedMs : Number.POSITIVE_INFINITY;
--- a/packages/gateway/src/core/evacuation-orders.ts
+++ b/packages/gateway/src/core/evacuation-orders.ts
@@ -143,7 +143,7 @@
 			} catch (error) {
 				const untilMs = caller.arrivedAtMs + orderValidMs;
 				if (!isCertainlyRejected(error)) {
-					// The order may still arrive at the leader. If the caller were told now, it could give a later order, and this one would undo it.
+					// The order may still arrive at the leader. If the caller got an answer now, it could send a later order, and this one would undo it.
 					await delay(isAnswer(error) ? 0 : Math.max(0, untilMs - clock.nowMs()));
 					throw error;
 				}
--- a/packages/gateway/src/demand/demand-exchange.ts
+++ b/packages/gateway/src/demand/demand-exchange.ts
@@ -31,14 +31,14 @@
 /** Received demand expires after more than two intervals, so that one lost datagram has little effect. */
 export const exchangeIntervalMs = 400;
 const peersToSync = 3;
-/** An entry that is not heard for this long is logged: three intervals without pressure, as timers of a busy host fire late. */
+/** An entry without a message for this long is logged: three intervals without pressure, as timers of a busy host fire late. */
 const silentMs = 2500;
 
 export const createDemandExchange = ({selfAddress, peers, send, demands, logger, random, nowMs}: DemandExchangeOptions): DemandExchange => {
 	let hasSynced = false;
 	let tickCount = 0;
-	/** When each entry was last heard. */
-	const heardAtMs = new Map<string, number>();
+	/** When a message of each entry was last received. */
+	const lastReceivedAtMs = new Map<string, number>();
 
 	const ownServices = (): ServiceDemandFigures[] => [...demands()]
 		.map(([serviceName, demand]) => ({serviceName, figures: sharedFigures(demand, nowMs())}))
@@ -56,9 +56,9 @@
 			pruneReceivedDemand(demand, nowMs());
 		}
 
-		for (const [address, atMs] of heardAtMs) {
+		for (const [address, atMs] of lastReceivedAtMs) {
 			if (nowMs() - atMs >= silentMs) {
-				heardAtMs.delete(address);
+				lastReceivedAtMs.delete(address);
 				logger.event('BP4060', {address, ageMs: Math.round(nowMs() - atMs)});
 			}
 		}
@@ -100,7 +100,7 @@
 				const demand = demands().get(serviceName);
 				if (demand !== undefined) {
 					recordReceivedDemand(demand, entryAddress, {figures, atMs: nowMs()});
-					heardAtMs.set(entryAddress, nowMs());
+					lastReceivedAtMs.set(entryAddress, nowMs());
 				}
 			}
 
--- a/packages/gateway/src/entry/answer-load.ts
+++ b/packages/gateway/src/entry/answer-load.ts
@@ -42,7 +42,7 @@
 	return plainLatenessMs(answer, expectedMs - lagMs);
 };
 
-/** The figures of an endpoint's slowdown for the log line of an attempt; none for an endpoint that has told none. */
+/** The figures of an endpoint's slowdown for the log line of an attempt; none for an endpoint that has advertised none. */
 export const slowdownFields = ({load: {slowdown, learned}}: Candidate, nowMs: number): Record<string, number> => slowdown === null
 	? {}
 	: {slowdown: slowdown.latest, slowdownAgeMs: Math.round(nowMs - slowdown.atMs), ...(learned !== null && {usualMs: Math.round(learned.usualMs)})};
--- a/packages/gateway/src/entry/evacuation-gate.ts
+++ b/packages/gateway/src/entry/evacuation-gate.ts
@@ -2,7 +2,7 @@
 import type {EvacuatedZones} from '../link/evacuated-zones.js';
 import type {WatchResult} from '../link/methods.js';
 
-/** Prevents an entry that has started from sending requests into a zone whose evacuation it has not heard of yet. */
+/** Prevents an entry that has started from sending requests into a zone whose evacuation it does not know yet. */
 export type EvacuationGate = {
 	recordResult(result: Pick<WatchResult, 'evacuations' | 'freshAgeMs'>, nowMs: number): void;
 	/** Whether requests may be sent: the evacuated zones were confirmed once since the start, or the deployment has no evacuations. */
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -1,5 +1,6 @@
 import {
-	nextStep, preferredLimited, unrankedPlace, waitPlaceOf, type Exclusion, type NextStep, type Placement, type UnplacedRequest, type ServiceDemand, type PlacementContext, type WaitPlace, type WaitReason,
+	nextStep, preferredLimited, unrankedPlace, waitPlaceOf, type Exclusion, type NextStep,
+	type Placement, type UnplacedRequest, type ServiceDemand, type PlacementContext, type WaitPlace, type WaitReason,
 } from '@bitternpaddle/coordination';
 import {demandSourceOf} from '../demand/service-rooms.js';
 import {recordTooLate} from './answer-load.js';
--- a/packages/gateway/src/limits/cold-endpoints.ts
+++ b/packages/gateway/src/limits/cold-endpoints.ts
@@ -21,7 +21,7 @@
 	nowMs(): number;
 };
 
-/** What a watch result of a core host tells about cold endpoints. */
+/** What a watch result of a core host says about cold endpoints. */
 export type ColdNews = {
 	readonly announcements: readonly AgedAnnouncement[];
 	/** The other entries; `null` if the result has no roster. */
--- a/packages/gateway/src/limits/endpoint-limits.ts
+++ b/packages/gateway/src/limits/endpoint-limits.ts
@@ -40,7 +40,7 @@
  */
 export type EndpointLimits = {
 	recordAnswer(answer: EndpointAnswer): void;
-	/** Records what a core host tells about cold endpoints. */
+	/** Records what a core host reports about cold endpoints. */
 	recordNews(news: ColdNews): void;
 	/** Determines again which endpoints are cold, after the configuration changed. */
 	refresh(): void;
--- a/packages/gateway/src/link/evacuated-zones.ts
+++ b/packages/gateway/src/link/evacuated-zones.ts
@@ -8,7 +8,7 @@
 	isEvacuated(zoneId: string): boolean;
 	/** When the evacuation of the zone ended, by this process's clock; `null` if it was not evacuated while this process ran. */
 	endedAtMs(zoneId: string): number | null;
-	/** Whether a core host that is confirmed to hold all acknowledged documents has been heard since the start. */
+	/** Whether a core host that is confirmed to hold all acknowledged documents has answered since the start. */
 	isConfirmed(): boolean;
 	zoneIds(): readonly string[];
 	/** Revision of the evacuations held here; -1 if none were received. */
--- a/packages/model/src/engine.ts
+++ b/packages/model/src/engine.ts
@@ -23,7 +23,7 @@
 	readonly zoneId: string;
 	submit(work: EngineWork): void;
 	report(): EngineReport;
-	/** How slow its host is at the moment; `null` if its answers do not tell. */
+	/** How slow its host is at the moment; `null` if its answers do not advertise it. */
 	slowdown(): number | null;
 	/** Finishes all queued and running requests while it reports itself busy, then loads for `loadMs`; calls `onReady` when it serves again. */
 	reload(loadMs: number, onReady: () => void): void;
--- a/packages/model/src/scenario.ts
+++ b/packages/model/src/scenario.ts
@@ -58,7 +58,7 @@
 	readonly unreportedEntryCount?: number;
 	/** Whether entries exchange their demand. @default true */
 	readonly exchangesDemand?: boolean;
-	/** `null`: the engines have their hosts for themselves, and their answers tell no slowdown. */
+	/** `null`: the engines have their hosts for themselves, and their answers advertise no slowdown. */
 	readonly sharing: HostSharing | null;
 };
 
