--- a/packages/bench/src/placement/policies.ts
+++ b/packages/bench/src/placement/policies.ts
@@ -1,5 +1,5 @@
 import {
-	createObjectiveMix, createSpareCapacity, hasFreshReport, nextStep, strictestObjectiveMs,
+	createObjectiveMix, createSpareCapacity, hasFreshReport, maxStartShare, nextStep, strictestObjectiveMs,
 	type Candidate, type NextStep, type ServiceDemand, type UnplacedRequest, type PlacementContext, type WaitReason,
 } from '@bitternpaddle/coordination';
 import {productPolicy, type EntryPolicy} from '@bitternpaddle/model';
@@ -39,6 +39,8 @@
 	})),
 	/** Ignores the priorities of requests. */
 	priorities: withStep((demand, context, request) => nextStep(demand, {...context, room: null}, request)),
+	/** Lets estimates use up the same share of the objective at all times. */
+	startShare: withStep((demand, context, request) => nextStep({...demand, startShare: maxStartShare}, context, request)),
 	/** Ignores the recorded spare capacity. */
 	room: withStep((demand, context, request) => nextStep({...demand, spareCapacity: createSpareCapacity()}, context, request)),
 	/** Ignores concurrent arrivals at other entries. */
--- a/packages/model/src/entry.ts
+++ b/packages/model/src/entry.ts
@@ -1,6 +1,6 @@
 import {
-	createArrivalRate, createEndpointHealth, createEndpointLoad, createObjectiveMix, createPriorityDemand, createRetryPromises, createSpareCapacity, nextStep, recordArrival,
-	recordDemand, recordObjective, requestWorkMs,
+	createArrivalRate, createEndpointHealth, createEndpointLoad, createObjectiveMix, createPriorityDemand, createRetryPromises, createSpareCapacity, createStartShare, nextStep, recordArrival,
+	recordDemand, recordObjective, recordStartDelay, requestWorkMs,
 	compareWaitPlaces, prefillMs, recordSlowdown, strictestObjectiveMs, urgencyOf, waitPlaceOf,
 	type Candidate, type NextStep, type PriorityDemand, type Random, type RoomView, type UnplacedRequest, type ServiceDemand, type WaitPlace, type WaitReason,
 } from '@bitternpaddle/coordination';
@@ -74,6 +74,7 @@
 	const arrivalRate = createArrivalRate();
 	const objectives = createObjectiveMix();
 	const spareSlots = createSpareCapacity();
+	const startShare = createStartShare();
 	const priorityDemand = createPriorityDemand();
 	const room: RoomView | null = priorities.length < 2 ? null : {priorities, demand: priorityDemand, promises: createRetryPromises()};
 	let heldCount = 0;
@@ -85,11 +86,11 @@
 	const forCapacity = new Set<WaitPlace>();
 
 	const demand = (place: WaitPlace): ServiceDemand => ({
-		sendRate: arrivalRate, objectives, spareCapacity: spareSlots, heldCount, queuedCount: 0,
+		sendRate: arrivalRate, objectives, spareCapacity: spareSlots, startShare: startShare.share, heldCount, queuedCount: 0,
 		capacityAheadCount: [...forCapacity].filter(other => other !== place && other.rank <= place.rank).length,
 	});
 
-	const send = (request: EntryRequest, {placement: {candidate, expectedMs}}: Extract<NextStep, {type: 'send'}>): void => {
+	const send = (request: EntryRequest, {receivedAtMs}: UnplacedRequest, {placement: {candidate, expectedMs}}: Extract<NextStep, {type: 'send'}>): void => {
 		const {load, announcement} = candidate;
 		const engine = enginesById.get(announcement.id)!;
 		const nowMs = timeline.nowMs();
@@ -121,6 +122,11 @@
 					}
 
 					load.awaiting.delete(key);
+					if (!request.hasComeBack && (room !== null || slowdown !== null)) {
+						const excessMs = Math.max(0, prefillMs(profile, request.promptTokens - profile.usualPromptTokens));
+						recordStartDelay(startShare, {tookMs: timeline.nowMs() - receivedAtMs - excessMs, objectiveMs: request.objectiveMs});
+					}
+
 					request.onFirstToken();
 				});
 			},
@@ -186,7 +192,7 @@
 		endWait(waiter);
 		switch (step.type) {
 			case 'send': {
-				send(request, step);
+				send(request, unplaced, step);
 				return;
 			}
 
