fix(gateway): competing priorities are those that requests have, not those that routes name

Cause: a service counted as having several priorities if any route named them, and configurations hold hundreds of routes that hardly any request uses.

Waiting requests are rechecked at most every 10 ms, and sums of received demand are kept for 50 ms.

--- a/packages/coordination/src/placement/priority-demand.ts
+++ b/packages/coordination/src/placement/priority-demand.ts
@@ -43,9 +43,11 @@
 	readonly own: Map<DemandKey, GroupRates>;
 	/** By the address of the entry. */
 	readonly received: Map<string, ReceivedDemand>;
+	/** Sums of the received demand by group, kept for `maxSumAgeMs`. */
+	sums: ReceivedSums | null;
 };
 
-export const createPriorityDemand = (): PriorityDemand => ({own: new Map(), received: new Map()});
+export const createPriorityDemand = (): PriorityDemand => ({own: new Map(), received: new Map(), sums: null});
 
 /** Upper bounds of the size groups, relative to a usual prompt; longer prompts form the last group. */
 const sizeBounds = [0.5, 1.5, 3] as const;
@@ -147,9 +149,11 @@
 export const maxDemandAgeMs = 1000;
 
 /** Records the demand of another entry; replaces what it sent before. */
-export const recordReceivedDemand = ({received}: PriorityDemand, entryAddress: string, demand: ReceivedDemand): void => {
+export const recordReceivedDemand = (known: PriorityDemand, entryAddress: string, demand: ReceivedDemand): void => {
+	const {received} = known;
 	if ((received.get(entryAddress)?.atMs ?? Number.NEGATIVE_INFINITY) <= demand.atMs) {
 		received.set(entryAddress, {...demand, figures: withTotal(demand.figures)});
+		known.sums = null;
 	}
 };
 
@@ -173,8 +177,52 @@
 	readonly receivedAgeMs: number | null;
 };
 
+type ReceivedSums = {
+	readonly atMs: number;
+	readonly weighted: ReadonlyArray<{readonly figures: ReadonlyMap<DemandKey, DemandFigures>; readonly weight: number}>;
+	readonly ageMs: number | null;
+	/** Filled as groups are asked for. */
+	readonly byKey: Map<DemandKey, DemandFigures>;
+};
+
+/** Weights by age change by a twentieth in this time; summing up a dozen entries for each request took as long as its placement. */
+const maxSumAgeMs = 50;
+
+const receivedSums = (demand: PriorityDemand, nowMs: number): ReceivedSums => {
+	const {sums} = demand;
+	if (sums !== null && nowMs >= sums.atMs && nowMs - sums.atMs < maxSumAgeMs) {
+		return sums;
+	}
+
+	const current = [...demand.received.values()].map(entry => ({figures: entry.figures, weight: weightOf(entry, nowMs), ageMs: nowMs - entry.atMs})).filter(({weight}) => weight > 0);
+	demand.sums = {
+		atMs: nowMs, weighted: current, ageMs: current.length === 0 ? null : Math.max(...current.map(({ageMs}) => ageMs)), byKey: new Map(),
+	};
+	return demand.sums;
+};
+
+const receivedFiguresOf = ({weighted, byKey}: ReceivedSums, key: DemandKey): DemandFigures => {
+	const known = byKey.get(key);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const sum: Record<Figure, number> = {...figuresFrom(() => 0)};
+	for (const {figures, weight} of weighted) {
+		const entry = figures.get(key);
+		if (entry !== undefined) {
+			for (const figure of figureNames) {
+				sum[figure] += weight * entry[figure];
+			}
+		}
+	}
+
+	byKey.set(key, sum);
+	return sum;
+};
+
 export const totalDemand = (demand: PriorityDemand, nowMs: number): DemandTotals => {
-	const received = [...demand.received.values()].map(entry => ({figures: entry.figures, weight: weightOf(entry, nowMs), ageMs: nowMs - entry.atMs})).filter(({weight}) => weight > 0);
+	const received = receivedSums(demand, nowMs);
 	const sums = new Map<DemandKey, DemandFigures>();
 	const figuresOf = (key: DemandKey): DemandFigures => {
 		const known = sums.get(key);
@@ -183,16 +231,8 @@
 		}
 
 		const rates = demand.own.get(key);
-		const sum: Record<Figure, number> = {...figuresFrom(figure => rates === undefined ? 0 : arrivalsPerSecond(rates[figure], nowMs))};
-		for (const {figures, weight} of received) {
-			const entry = figures.get(key);
-			if (entry !== undefined) {
-				for (const figure of figureNames) {
-					sum[figure] += weight * entry[figure];
-				}
-			}
-		}
-
+		const others = receivedFiguresOf(received, key);
+		const sum = figuresFrom(figure => others[figure] + (rates === undefined ? 0 : arrivalsPerSecond(rates[figure], nowMs)));
 		sums.set(key, sum);
 		return sum;
 	};
@@ -201,11 +241,25 @@
 		figuresOf,
 		teamsOf(priority) {
 			const prefix = teamPrefix(priority);
-			const keys = new Set([...demand.own.keys(), ...received.flatMap(({figures}) => [...figures.keys()])].filter(key => key.startsWith(prefix)));
+			const keys = new Set([...demand.own.keys(), ...received.weighted.flatMap(({figures}) => [...figures.keys()])].filter(key => key.startsWith(prefix)));
 			return new Map([...keys].map(key => [key.slice(prefix.length), figuresOf(key)]));
 		},
-		receivedAgeMs: received.length === 0 ? null : Math.max(...received.map(({ageMs}) => ageMs)),
+		receivedAgeMs: received.ageMs,
+	};
+};
+
+/** Priorities with less than this share of all arrivals do not count: a configuration names routes of other priorities that hardly any request uses. */
+const competingShare = 0.05;
+
+/** Whether requests of several priorities arrive here, so that they compete for the engines. */
+export const hasCompetition = ({own}: PriorityDemand, priorities: readonly number[], nowMs: number): boolean => {
+	const arrivedOf = (key: DemandKey): number => {
+		const rates = own.get(key);
+		return rates === undefined ? 0 : arrivalsPerSecond(rates.arrived, nowMs);
 	};
+
+	const total = arrivedOf(totalKey);
+	return priorities.filter(priority => arrivedOf(priorityKey(priority)) > competingShare * total).length > 1;
 };
 
 /** The priority of a request: its team's if it has one, otherwise its route's. */
--- a/packages/gateway/src/demand/service-rooms.ts
+++ b/packages/gateway/src/demand/service-rooms.ts
@@ -1,5 +1,5 @@
 import {
-	createPriorityDemand, createRetryPromises, effectivePriority, prioritiesByService, recordDemand, requestWorkMs, type DemandSource, type NextStep, type PriorityDemand, type RoomView,
+	createPriorityDemand, createRetryPromises, effectivePriority, hasCompetition, prioritiesByService, recordDemand, requestWorkMs, type DemandSource, type NextStep, type PriorityDemand, type RoomView,
 } from '@bitternpaddle/coordination';
 import type {RoutingConfiguration, Service} from '@bitternpaddle/state';
 import type {Logger} from '@bitternpaddle/transport';
@@ -16,9 +16,9 @@
 /** The demand on the services whose requests can have more than one priority. */
 export type ServiceRooms = {
 	configure(configuration: RoutingConfiguration): void;
-	/** `null` if all requests of the service have one priority, or if it has no engines. */
+	/** `null` if the requests of the service that arrive here have one priority, or if it has no engines. */
 	roomOf(service: Service): RoomView | null;
-	/** The demand by service. */
+	/** The demand by service, for services whose requests have several priorities. */
 	demands(): ReadonlyMap<string, PriorityDemand>;
 	recordArrival(call: Call): void;
 	/** Counts a decision on a request, and logs a refusal together with what decided. */
@@ -30,12 +30,19 @@
 	priority: effectivePriority(route, team), teamName: team?.name ?? null, routeName: route.name, promptTokens,
 });
 
+/** Interval at which it is determined which services have competing requests; the rates of arrivals change within seconds. */
+const competitionIntervalMs = 250;
+
+type Competition = {readonly atMs: number; readonly isCompeting: boolean};
+
 export const createServiceRooms = ({logger, metrics, nowMs}: ServiceRoomsOptions): ServiceRooms => {
 	let priorities: ReadonlyMap<string, readonly number[]> = new Map();
 	const demands = new Map<string, PriorityDemand>();
 	const promises = createLazyMap(createRetryPromises);
+	const competitions = new Map<string, Competition>();
 
-	const roomOf = ({name, engine}: Service): RoomView | null => {
+	/** The demand on a service whose requests can have several priorities under the configuration in force. */
+	const configuredRoomOf = ({name, engine}: Service): RoomView | null => {
 		const servicePriorities = priorities.get(name);
 		if (engine === null || servicePriorities === undefined || servicePriorities.length < 2) {
 			return null;
@@ -46,6 +53,23 @@
 		return {priorities: servicePriorities, demand, promises: promises.of(name)};
 	};
 
+	const isCompeting = (serviceName: string, {demand, priorities: servicePriorities}: Pick<RoomView, 'demand' | 'priorities'>): boolean => {
+		const known = competitions.get(serviceName);
+		const atMs = nowMs();
+		if (known !== undefined && atMs - known.atMs < competitionIntervalMs) {
+			return known.isCompeting;
+		}
+
+		const current = {atMs, isCompeting: hasCompetition(demand, servicePriorities, atMs)};
+		competitions.set(serviceName, current);
+		return current.isCompeting;
+	};
+
+	const roomOf = (service: Service): RoomView | null => {
+		const room = configuredRoomOf(service);
+		return room !== null && isCompeting(service.name, room) ? room : null;
+	};
+
 	return {
 		configure(configuration) {
 			priorities = prioritiesByService(configuration);
@@ -58,14 +82,14 @@
 
 			// Demand of other entries is recorded from the start, before the first request arrives here.
 			for (const service of services.values()) {
-				roomOf(service);
+				configuredRoomOf(service);
 			}
 		},
 		roomOf,
-		demands: () => demands,
+		demands: () => new Map([...demands].filter(([name, demand]) => isCompeting(name, {priorities: priorities.get(name) ?? [], demand}))),
 		recordArrival(call) {
 			const {service, promptTokens, answerTokenLimit, hasComeBack} = call;
-			const room = roomOf(service);
+			const room = configuredRoomOf(service);
 			if (room !== null && !hasComeBack) {
 				const work = requestWorkMs(service.engine!, {promptTokens, maxAnswerTokens: answerTokenLimit});
 				recordDemand(room.demand, {source: demandSourceOf(call), profile: service.engine!, nowMs: nowMs()}, work);
--- a/packages/gateway/src/entry/wait-queue.ts
+++ b/packages/gateway/src/entry/wait-queue.ts
@@ -23,15 +23,20 @@
 
 /** Half the duration of an engine's batch pass; the spare capacity of endpoints does not change faster. */
 const checkIntervalMs = 40;
+/** Minimum interval between two checks; each arrival that waits its turn asks for one, and each checks all waiting requests. */
+const minCheckIntervalMs = 10;
 
 export const createWaitQueue = (): WaitQueue => {
 	let waiting: Array<{readonly place: WaitPlace; readonly release: () => void}> = [];
 	const forCapacity = new Map<string, Set<WaitPlace>>();
 	const held: Record<QueueReason, Map<string, number>> = {engines: new Map(), availability: new Map()};
 	let timer: NodeJS.Timeout | null = null;
+	let checkedAtMs = Number.NEGATIVE_INFINITY;
+	let isCheckScheduled = false;
 	const check = (): void => {
 		clearTimeout(timer ?? undefined);
 		timer = null;
+		checkedAtMs = performance.now();
 		const released = waiting.toSorted((a, b) => compareWaitPlaces(a.place, b.place));
 		waiting = [];
 		for (const {release} of released) {
@@ -75,7 +80,22 @@
 		}),
 		checkNow() {
 			// After the current tick, so that the request whose arrival caused it waits in its place.
-			setImmediate(check);
+			if (isCheckScheduled) {
+				return;
+			}
+
+			isCheckScheduled = true;
+			const run = (): void => {
+				isCheckScheduled = false;
+				check();
+			};
+
+			const remainingMs = checkedAtMs + minCheckIntervalMs - performance.now();
+			if (remainingMs > 0) {
+				setTimeout(run, remainingMs);
+			} else {
+				setImmediate(run);
+			}
 		},
 		count: () => waiting.length,
 	};
