fix(gateway): the priorities of teams alone do not make the kinds of a service compete

Cause: teams of all deployments have priorities, so every service had requests of two.

Where they apply, a team's priority goes before its route's as before.

--- a/packages/coordination/src/placement/priority-demand.ts
+++ b/packages/coordination/src/placement/priority-demand.ts
@@ -251,15 +251,15 @@
 /** Priorities with less than this share of all arrivals do not count: a configuration names routes of other priorities that hardly any request uses. */
 const competingShare = 0.05;
 
-/** Whether requests of several priorities arrive here, so that they compete for the engines. */
-export const hasCompetition = ({own}: PriorityDemand, priorities: readonly number[], nowMs: number): boolean => {
-	const arrivedOf = (key: DemandKey): number => {
-		const rates = own.get(key);
-		return rates === undefined ? 0 : arrivalsPerSecond(rates.arrived, nowMs);
-	};
-
-	const total = arrivedOf(totalKey);
-	return priorities.filter(priority => arrivedOf(priorityKey(priority)) > competingShare * total).length > 1;
+/**
+ * Whether requests to routes of several priorities arrive, so that they compete for the
+ * engines. The priorities of teams alone do not make a service one of competing kinds:
+ * its engines order such requests in their queues.
+ */
+export const hasCompetition = (arrivalsByRoutePriority: ReadonlyMap<number, ArrivalRate>, nowMs: number): boolean => {
+	const rates = [...arrivalsByRoutePriority.values()].map(rate => arrivalsPerSecond(rate, nowMs));
+	const total = rates.reduce((sum, rate) => sum + rate, 0);
+	return rates.filter(rate => rate > competingShare * total).length > 1;
 };
 
 /** The priority of a request: its team's if it has one, otherwise its route's. */
--- a/packages/gateway/src/demand/service-rooms.ts
+++ b/packages/gateway/src/demand/service-rooms.ts
@@ -1,5 +1,6 @@
 import {
-	createPriorityDemand, createRetryPromises, effectivePriority, hasCompetition, prioritiesByService, recordDemand, requestWorkMs, type DemandSource, type NextStep, type PriorityDemand, type RoomView,
+	createArrivalRate, createPriorityDemand, createRetryPromises, effectivePriority, hasCompetition, prioritiesByService, recordArrival, recordDemand, requestWorkMs,
+	type ArrivalRate, type DemandSource, type NextStep, type PriorityDemand, type RoomView,
 } from '@bitternpaddle/coordination';
 import type {RoutingConfiguration, Service} from '@bitternpaddle/state';
 import type {Logger} from '@bitternpaddle/transport';
@@ -16,7 +17,7 @@
 /** The demand on the services whose requests can have more than one priority. */
 export type ServiceRooms = {
 	configure(configuration: RoutingConfiguration): void;
-	/** `null` if the requests of the service that arrive here have one priority, or if it has no engines. */
+	/** `null` unless requests to routes of several priorities arrive here for the service, and it has engines. */
 	roomOf(service: Service): RoomView | null;
 	/** The demand by service, for services whose requests have several priorities. */
 	demands(): ReadonlyMap<string, PriorityDemand>;
@@ -40,6 +41,7 @@
 	const demands = new Map<string, PriorityDemand>();
 	const promises = createLazyMap(createRetryPromises);
 	const competitions = new Map<string, Competition>();
+	const arrivalsByRoutePriority = createLazyMap((): Map<number, ArrivalRate> => new Map());
 
 	/** The demand on a service whose requests can have several priorities under the configuration in force. */
 	const configuredRoomOf = ({name, engine}: Service): RoomView | null => {
@@ -53,21 +55,21 @@
 		return {priorities: servicePriorities, demand, promises: promises.of(name)};
 	};
 
-	const isCompeting = (serviceName: string, {demand, priorities: servicePriorities}: Pick<RoomView, 'demand' | 'priorities'>): boolean => {
+	const isCompeting = (serviceName: string): boolean => {
 		const known = competitions.get(serviceName);
 		const atMs = nowMs();
 		if (known !== undefined && atMs - known.atMs < competitionIntervalMs) {
 			return known.isCompeting;
 		}
 
-		const current = {atMs, isCompeting: hasCompetition(demand, servicePriorities, atMs)};
+		const current = {atMs, isCompeting: hasCompetition(arrivalsByRoutePriority.of(serviceName), atMs)};
 		competitions.set(serviceName, current);
 		return current.isCompeting;
 	};
 
 	const roomOf = (service: Service): RoomView | null => {
 		const room = configuredRoomOf(service);
-		return room !== null && isCompeting(service.name, room) ? room : null;
+		return room !== null && isCompeting(service.name) ? room : null;
 	};
 
 	return {
@@ -86,11 +88,15 @@
 			}
 		},
 		roomOf,
-		demands: () => new Map([...demands].filter(([name, demand]) => isCompeting(name, {priorities: priorities.get(name) ?? [], demand}))),
+		demands: () => new Map([...demands].filter(([name]) => isCompeting(name))),
 		recordArrival(call) {
-			const {service, promptTokens, answerTokenLimit, hasComeBack} = call;
+			const {service, route, promptTokens, answerTokenLimit, hasComeBack} = call;
 			const room = configuredRoomOf(service);
 			if (room !== null && !hasComeBack) {
+				const arrivals = arrivalsByRoutePriority.of(service.name);
+				const rate = arrivals.get(route.priority) ?? createArrivalRate();
+				arrivals.set(route.priority, rate);
+				recordArrival(rate, nowMs());
 				const work = requestWorkMs(service.engine!, {promptTokens, maxAnswerTokens: answerTokenLimit});
 				recordDemand(room.demand, {source: demandSourceOf(call), profile: service.engine!, nowMs: nowMs()}, work);
 			}
--- a/packages/gateway/test/service-rooms.test.ts
+++ b/packages/gateway/test/service-rooms.test.ts
@@ -45,3 +45,22 @@
 	t.same(rooms.roomOf(service)?.priorities, [1, 2]);
 	t.equal(rooms.demands().size, 1);
 });
+
+// Engines order the requests of urgent teams in their queues. Under the rules for competing
+// kinds, the requests of all other teams would wait or be refused for them.
+t.test('the priorities of teams alone do not make the requests of one kind compete', async t => {
+	let nowMs = 0;
+	const rooms = createServiceRooms({logger: silentLogger, metrics: createGatewayMetrics(), nowMs: () => nowMs});
+	const teams = [{name: 'urgent', keys: ['a'], priority: 0}, {name: 'usual', keys: ['b'], priority: null}];
+	rooms.configure({
+		...configuration, routes: [usual], services: [service], teams,
+	});
+	for (let index = 0; index < 200; index++) {
+		nowMs += 20;
+		rooms.recordArrival({
+			service, route: usual, team: teams[index % 2]!, promptTokens: 900, answerTokenLimit: 0, hasComeBack: false,
+		} as unknown as Parameters<ServiceRooms['recordArrival']>[0]);
+	}
+
+	t.equal(rooms.roomOf(service), null);
+});
