fix(gateway): caller retries that wait do not hold up requests that fit

Cause: a caller retry needs a free slot, so under load it waited until its deadline; and arrivals of the same or a less urgent priority waited behind it for an eighth of their objective and were refused, although engines could have begun them.

Change: a retry waits in order only while free slots were seen lately, as with one priority, and arrivals do not wait behind it. First attempts keep their order.

--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -375,13 +375,15 @@
 		return {type: 'wait', reason: 'engines'};
 	}
 
-	if (room !== null && request.waitsFor !== 'engines' && mayWaitInOrder({
+	// Without capacity that was seen lately, a caller retry would be held until its deadline and get nothing.
+	const isHopeless = request.isLastTry && !mayWaitForCapacity(spareCapacity, nowMs - request.sinceMs, nowMs);
+	if (room !== null && !isHopeless && request.waitsFor !== 'engines' && mayWaitInOrder({
 		...room, ...request, waitedMs: nowMs - request.sinceMs, timeToStartMs, aheadCount: capacityAheadCount, nowMs,
 	})) {
 		return {type: 'wait', reason: 'capacity'};
 	}
 
-	if (room === null && request.waitsFor !== 'engines' && request.isLastTry && timeToStartMs > 0 && mayWaitForCapacity(spareCapacity, nowMs - request.sinceMs, nowMs)) {
+	if (room === null && !isHopeless && request.waitsFor !== 'engines' && request.isLastTry && timeToStartMs > 0) {
 		return {type: 'wait', reason: 'moment'};
 	}
 
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -174,7 +174,8 @@
 			}
 
 			case 'capacity': {
-				return context.waitQueue.joinCapacity(name, place);
+				// A caller retry needs a free slot; arrivals that fit into less must not wait behind it.
+				return call.hasComeBack ? null : context.waitQueue.joinCapacity(name, place);
 			}
 
 			case 'engines':
--- a/packages/model/src/entry.ts
+++ b/packages/model/src/entry.ts
@@ -170,7 +170,7 @@
 			heldCount++;
 		}
 
-		if (reason === 'capacity') {
+		if (reason === 'capacity' && !waiter.request.hasComeBack) {
 			forCapacity.add(waiter.place);
 		}
 
