fix(gateway): allocation by priority is off unless an entry is told to use it

The cause is not traced; the permits of cold endpoints are not ruled out.

Change: EntryBounds.allocatesByPriority, false by default, not set by the platform.

--- a/packages/gateway/src/demand/service-rooms.ts
+++ b/packages/gateway/src/demand/service-rooms.ts
@@ -11,6 +11,8 @@
 export type ServiceRoomsOptions = {
 	readonly logger: Logger;
 	readonly metrics: GatewayMetrics;
+	/** Whether capacity is allocated by priority. @default true */
+	readonly isEnabled?: boolean;
 	nowMs(): number;
 };
 
@@ -36,7 +38,7 @@
 
 type Competition = {readonly atMs: number; readonly isCompeting: boolean};
 
-export const createServiceRooms = ({logger, metrics, nowMs}: ServiceRoomsOptions): ServiceRooms => {
+export const createServiceRooms = ({logger, metrics, isEnabled = true, nowMs}: ServiceRoomsOptions): ServiceRooms => {
 	let priorities: ReadonlyMap<string, readonly number[]> = new Map();
 	const demands = new Map<string, PriorityDemand>();
 	const promises = createLazyMap(createRetryPromises);
@@ -46,7 +48,7 @@
 	/** The demand on a service whose requests can have several priorities under the configuration in force. */
 	const configuredRoomOf = ({name, engine}: Service): RoomView | null => {
 		const servicePriorities = priorities.get(name);
-		if (engine === null || servicePriorities === undefined || servicePriorities.length < 2) {
+		if (!isEnabled || engine === null || servicePriorities === undefined || servicePriorities.length < 2) {
 			return null;
 		}
 
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -49,6 +49,8 @@
 	readonly coldOverage?: number | null;
 	/** Requests in one second beyond that multiple. @default null */
 	readonly coldSlack?: number | null;
+	/** Whether engine capacity is allocated by priority where kinds compete. @default false */
+	readonly allocatesByPriority?: boolean;
 };
 
 export type EntryNodeOptions = {
@@ -132,7 +134,9 @@
 			listener.datagrams.send(data, addresses);
 		},
 	});
-	const rooms = createServiceRooms({logger, metrics, nowMs: monotonicNowMs});
+	const rooms = createServiceRooms({
+		logger, metrics, isEnabled: bounds.allocatesByPriority ?? false, nowMs: monotonicNowMs,
+	});
 	const demandExchange = createDemandExchange({
 		selfAddress, peers: () => peers, demands: rooms.demands, logger, random, nowMs: monotonicNowMs,
 		send(data, addresses) {
