fix(state): a data folder is used by one host at a time

Cause: two core hosts opened one log. The second one read the identity of the first, followed it, and its entries sent requests to the endpoints of the other run until that run ended.

Change: core hosts and control hosts lock their folder before they read their identity. The lock of a process that has exited, or of an earlier boot, is taken over, so that a crash delays no start.

Without the lock the new test of core-node.test.ts fails in two checks: the second host reads the first one's documents and its endpoints.

--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -5,7 +5,7 @@
 } from '@bitternpaddle/coordination';
 import type {HostReport, Show} from '@bitternpaddle/protocol';
 import {
-	openLogStore, systemId, type Catalog, type Change, type CommandResult, type LogEntry, type Members,
+	openLocked, openLogStore, systemId, type Catalog, type Change, type CommandResult, type LogEntry, type Members,
 } from '@bitternpaddle/state';
 import {
 	createHttpServer, rpcPath, sendJson, silentLogger, type HttpServer, type Logger, type ServerLimits,
@@ -83,10 +83,12 @@
 		replaceAfterMs = 15_000, serverLimits, logger = silentLogger, onFailed,
 	} = options;
 	await claimDataFolder(folder, {role: 'control', hostId: selfId});
-	const identity = await withFolder(folder, async () => openMemberIdentity({
-		hostId: selfId, folder, voters, addressOf: hostId => members.get(hostId),
-	}));
-	const store = await withFolder(folder, async () => openLogStore({folder}));
+	const {identity, store, lock} = await withFolder(folder, async () => openLocked(folder, async lock => ({
+		identity: await openMemberIdentity({
+			hostId: selfId, folder, voters, addressOf: hostId => members.get(hostId),
+		}),
+		store: await openLogStore({folder}), lock,
+	})));
 	if (store.loaded.cutBytes > 0) {
 		logger.event('BP1002', {cutBytes: store.loaded.cutBytes});
 	}
@@ -274,6 +276,14 @@
 		}
 	};
 
+	const closeLog = async (): Promise<void> => {
+		try {
+			await driver.close();
+		} finally {
+			await lock.release();
+		}
+	};
+
 	return {
 		selfId,
 		address: server.address,
@@ -288,13 +298,13 @@
 			stopTimers();
 			// Consensus keeps running meanwhile, so that commands that were received here and forwarded still get their response.
 			await server.close();
-			await driver.close();
+			await closeLog();
 		},
 		async close() {
 			stopTimers();
 			hub.wake();
 			snapshots.close();
-			await driver.close();
+			await closeLog();
 			server.destroy();
 		},
 	};
--- a/packages/gateway/src/core/document-log.ts
+++ b/packages/gateway/src/core/document-log.ts
@@ -7,11 +7,11 @@
 } from '@bitternpaddle/daemon/consensus';
 import type {ConsensusEnvelope} from '@bitternpaddle/protocol';
 import {
-	applyDocument, createDocumentState, createMemoryLogStore, decodeDocumentState, encodeDocumentState, openLogStore,
-	type Document, type DocumentOutcome, type DocumentState, type LogEntry, type LogStore,
+	applyDocument, createDocumentState, createMemoryLogStore, decodeDocumentState, encodeDocumentState, openLocked, openLogStore,
+	type Document, type DocumentOutcome, type DocumentState, type FolderLock, type LogEntry, type LogStore,
 } from '@bitternpaddle/state';
 import type {Logger} from '@bitternpaddle/transport';
-import {openCoreIdentity} from './core-identity.js';
+import {openCoreIdentity, type CoreIdentity} from './core-identity.js';
 
 export type DocumentLogOptions = {
 	readonly selfAddress: string;
@@ -60,7 +60,9 @@
 /** Delay before a disk that failed a write is tried again. */
 const reopenDelayMs = 500;
 
-type OpenLog = {readonly driver: ConsensusDriver; readonly repair: VoterRepair; readonly store: LogStore};
+/** `lock` is `null` if the host has no disk. */
+type OpenData = {readonly identity: CoreIdentity; readonly store: LogStore; readonly lock: FolderLock | null};
+type OpenLog = {readonly driver: ConsensusDriver; readonly repair: VoterRepair; readonly store: LogStore; close(): Promise<void>};
 
 const noopPayload: LogEntry['payload'] = {type: 'command', command: {commandId: null, ifRevision: null, change: {type: 'noop'}}};
 
@@ -117,7 +119,7 @@
 		const failed = openLog;
 		openLog = null;
 		onChange();
-		void failed?.driver.close().catch(() => undefined);
+		void failed?.close().catch(() => undefined);
 		scheduleReopen();
 	};
 
@@ -130,11 +132,17 @@
 		}
 	};
 
-	const open = async (): Promise<void> => {
-		const identity = await openCoreIdentity({
+	const openData = async (): Promise<OpenData> => {
+		const openIdentity = async (): Promise<CoreIdentity> => openCoreIdentity({
 			selfAddress, folder, isFirstStart, seeds: seeds(),
 		});
-		const store = folder === null ? createMemoryLogStore() : await openLogStore({folder, segmentBytes});
+		return folder === null
+			? {identity: await openIdentity(), store: createMemoryLogStore(), lock: null}
+			: openLocked(folder, async lock => ({identity: await openIdentity(), store: await openLogStore({folder, segmentBytes}), lock}));
+	};
+
+	const open = async (): Promise<void> => {
+		const {identity, store, lock} = await openData();
 		if (store.loaded.cutBytes > 0) {
 			logger.event('BP1002', {cutBytes: store.loaded.cutBytes});
 		}
@@ -165,7 +173,16 @@
 			driver, voterCount, replaceAfterMs, logger, otherAddresses, leadingSinceMs: () => leadingSinceMs, nowMs: clock.nowMs,
 			identity: {memberId: identity.memberId, formation: () => ({diskId: '', accepted: null, isFormed: true}), adoptFromLog: async () => undefined},
 		});
-		openLog = {driver, repair, store};
+		openLog = {
+			driver, repair, store,
+			async close() {
+				try {
+					await driver.close();
+				} finally {
+					await lock?.release();
+				}
+			},
+		};
 		logger.event('BP4011', {memberId: identity.memberId, voters: driver.state.members.voters.join(',')});
 	};
 
@@ -226,7 +243,7 @@
 			isClosed = true;
 			clearInterval(repairTimer);
 			clearTimeout(reopenTimer ?? undefined);
-			await openLog?.driver.close();
+			await openLog?.close();
 		},
 	};
 };
--- a/packages/gateway/test/core-node.test.ts
+++ b/packages/gateway/test/core-node.test.ts
@@ -63,6 +63,24 @@
 	t.equal(await submitUntilKnown(second!, 5, 'other'), 'conflict');
 });
 
+// Guards against a core host that takes over the log of another one: entries would follow both
+// groups and send requests to the endpoints of the other one.
+t.test('a core host whose folder is in use by another one waits until it is released', async t => {
+	const [first, second] = await freeAddresses(2);
+	const folder = testFolder(t);
+	const owner = await start(t, first!, [first!], folder);
+	owner.announce(endpoint());
+	t.equal(await submitUntilKnown(owner, 5), 'stored');
+	const other = await start(t, second!, [second!], folder, false);
+	await delay(1000);
+	t.match(await other.read(), {type: 'unsure'});
+	t.same((await watch(second!)).announcements, [], 'it does not follow the other one');
+	t.equal(await submitUntilKnown(owner, 6), 'stored', 'the owner still writes its log');
+	await owner.close();
+	const successor = await start(t, first!, [first!], folder, false);
+	t.equal(await readText(successor), 'text 6');
+});
+
 // A host that lost its disk restarts at its address while another one is down.
 // It must not help to elect a leader that lacks acknowledged documents.
 t.test('a host with an empty disk does not vote as its former member', async t => {
--- a/packages/state/src/log/folder-lock.ts
+++ b/packages/state/src/log/folder-lock.ts
@@ -85,7 +85,11 @@
 
 const isInUse = async (lockPath: string, text: string): Promise<boolean> => {
 	const owner = parseOwner(text);
-	return owner !== null && (owner.pid === process.pid ? heldPaths.has(lockPath) : await isRunning(owner));
+	if (owner === null) {
+		return false;
+	}
+
+	return owner.pid === process.pid ? heldPaths.has(lockPath) : isRunning(owner);
 };
 
 let lastTemporary = 0;
--- a/packages/state/test/folder-lock.test.ts
+++ b/packages/state/test/folder-lock.test.ts
@@ -1,10 +1,11 @@
+import type {Buffer} from 'node:buffer';
 import {spawn} from 'node:child_process';
 import {readdir, readFile, writeFile} from 'node:fs/promises';
 import path from 'node:path';
 import process from 'node:process';
 import t, {type Test} from 'tap';
-import {FolderInUseError, lockFolder} from '@bitternpaddle/state';
 import {testFolder} from '@bitternpaddle/test-support';
+import {FolderInUseError, lockFolder} from '@bitternpaddle/state';
 
 const lockProgram = `
 	import {lockFolder} from '@bitternpaddle/state';
