fix(placement): retries of urgent callers go before less urgent first attempts

Cause: a caller retry needed a free slot, and less urgent first attempts, which are admitted at longer waits, kept the slots taken. Without a free slot in the last 1.5 s it did not wait either.

Evidence: all final refusals have the rule 'own'; those looked at expected 243 to 292 ms, had 5.2 s left and had seen no free slot for 1.5 to 3.2 s. Limits by more urgent kinds and lost waits are ruled out as the cause.

Change: a retry is admitted at the limit of first attempts of the next priority, and may wait up to 1.5 s while this entry serves less urgent requests.

--- a/packages/coordination/src/placement/admit.ts
+++ b/packages/coordination/src/placement/admit.ts
@@ -84,12 +84,13 @@
  * uses as much engine capacity. While first attempts are refused for load, it gets
  * only the capacity that they leave: admitted on equal terms, it would make them late
  * as well. Otherwise it displaces no request and has no further retry: if it required
- * a free slot then too, engines that carry the load would refuse it for good.
+ * a free slot then too, engines that carry the load would refuse it for good. Less
+ * urgent first attempts never get capacity that it does not.
  */
 const hasSpareCapacity = (options: AdmitOptions): boolean => {
-	const {expectedMs, excessMs, spareMs, objectiveMs, isOverloaded} = options;
+	const {expectedMs, excessMs, spareMs, objectiveMs, isOverloaded, room} = options;
 	const limitMs = isOverloaded ? spareMs : Math.max(spareMs, idleRetryShare * objectiveMs);
-	return expectedMs - excessMs <= Math.min(limitMs, roomLimitMs(options));
+	return expectedMs - excessMs <= Math.min(Math.max(limitMs, room?.retryLimitMs ?? 0), roomLimitMs(options));
 };
 
 /**
--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -23,7 +23,9 @@
 	hasIdleEngines, lackMs, queuedAheadShare, roomLimitOf, type RoomLimit, type RoomView,
 } from './priority-room.js';
 import {promiseRetry} from './retry-promise.js';
-import {mayWaitForCapacity, recordSpareCapacity, type SpareCapacity} from './spare-room.js';
+import {
+	mayWaitBeforeOthers, mayWaitForCapacity, recordSpareCapacity, type SpareCapacity,
+} from './spare-room.js';
 import {maxStartShare} from './start-share.js';
 import type {VersionDue} from './version-due.js';
 import {
@@ -366,6 +368,12 @@
 	excessWaitMs: allocation !== null && Number.isFinite(allocation.limitMs) ? allocation.expectedMs - allocation.limitMs : 0,
 });
 
+/** Whether this entry serves requests that are less urgent. */
+const servesLessUrgent = ({room, nowMs}: PlacementContext, {priority}: UnplacedRequest): boolean => {
+	const next = room?.priorities.find(other => other > priority);
+	return room !== null && next !== undefined && capacityPerSecond(room.demand, room.priorities, next, nowMs) > 0;
+};
+
 /** Handles the case that endpoints serve but have more requests than they can start in time. */
 const withoutCapacity = ({spareCapacity, objectives, capacityAheadCount}: ServiceDemand, context: PlacementContext, request: UnplacedRequest, refusal: Refusal): NextStep => {
 	const {room, nowMs} = context;
@@ -375,10 +383,11 @@
 		return {type: 'wait', reason: 'engines'};
 	}
 
-	// Without capacity that was seen lately, a caller retry would be held until its deadline and get nothing.
-	const isHopeless = request.isLastTry && !mayWaitForCapacity(spareCapacity, nowMs - request.sinceMs, nowMs);
+	// Without the prospect of capacity, a caller retry would be held until its deadline and get nothing.
+	const waitedMs = nowMs - request.sinceMs;
+	const isHopeless = request.isLastTry && !mayWaitForCapacity(spareCapacity, waitedMs, nowMs) && !(mayWaitBeforeOthers(waitedMs) && servesLessUrgent(context, request));
 	if (room !== null && !isHopeless && request.waitsFor !== 'engines' && mayWaitInOrder({
-		...room, ...request, waitedMs: nowMs - request.sinceMs, timeToStartMs, aheadCount: capacityAheadCount, nowMs,
+		...room, ...request, waitedMs, timeToStartMs, aheadCount: capacityAheadCount, nowMs,
 	})) {
 		return {type: 'wait', reason: 'capacity'};
 	}
--- a/packages/coordination/src/placement/priority-room.ts
+++ b/packages/coordination/src/placement/priority-room.ts
@@ -28,6 +28,11 @@
 export type RoomLimit = {
 	readonly rule: RoomRule;
 	readonly limitMs: number;
+	/**
+	 * The limit on a caller retry: that of first attempts of the next priority, which it goes
+	 * before; 0 for the least urgent one, whose retries get only free slots.
+	 */
+	readonly retryLimitMs: number;
 	/** Whether first attempts of its own or a more urgent priority are refused for load more often than short peaks explain. */
 	readonly isOverloaded: boolean;
 	/** Age of the oldest demand of another entry that was taken into account; `null` if only this entry's own was. */
@@ -111,8 +116,17 @@
 	const totals = totalDemand(demand, nowMs);
 	const total = totals.figuresOf(totalKey);
 	const figuresOf = (other: number): DemandFigures => totals.figuresOf(priorityKey(other));
+	const isLacking = (other: number): boolean => isSignificant(figuresOf(other), total) && lacksCapacity(figuresOf(other));
+	/** The limit that more urgent requests set; `null` if they have capacity. */
+	const urgentLimitMs = (moreUrgent: readonly number[]): number | null => {
+		const strictness = Math.min(1, moreUrgent.length / (priorities.length - 1));
+		return moreUrgent.some(other => isLacking(other)) ? topLimitMs - (strictness * Math.max(0, topLimitMs - freeMs)) : null;
+	};
+
+	const upToOwn = priorities.filter(other => other <= priority);
 	const common = {
-		isOverloaded: priorities.some(other => other <= priority && isSignificant(figuresOf(other), total) && isRefused(figuresOf(other))), demandAgeMs: totals.receivedAgeMs,
+		retryLimitMs: upToOwn.length < priorities.length ? urgentLimitMs(upToOwn) ?? topLimitMs : 0,
+		isOverloaded: upToOwn.some(other => isSignificant(figuresOf(other), total) && isRefused(figuresOf(other))), demandAgeMs: totals.receivedAgeMs,
 	};
 	if (groupKeysOf(request, profile).some(key => isBelowMinimum(totals.figuresOf(key), total))) {
 		return {rule: 'minimum', limitMs: topLimitMs, ...common};
@@ -122,13 +136,8 @@
 		return {rule: 'team', limitMs: Math.min(freeMs, topLimitMs), ...common};
 	}
 
-	const moreUrgent = priorities.filter(other => other < priority);
-	if (!moreUrgent.some(other => isSignificant(figuresOf(other), total) && lacksCapacity(figuresOf(other)))) {
-		return {rule: 'own', limitMs: Number.POSITIVE_INFINITY, ...common};
-	}
-
-	const strictness = Math.min(1, moreUrgent.length / (priorities.length - 1));
-	return {rule: 'urgent', limitMs: topLimitMs - (strictness * Math.max(0, topLimitMs - freeMs)), ...common};
+	const limitMs = urgentLimitMs(priorities.filter(other => other < priority));
+	return limitMs === null ? {rule: 'own', limitMs: Number.POSITIVE_INFINITY, ...common} : {rule: 'urgent', limitMs, ...common};
 };
 
 /**
--- a/packages/coordination/src/placement/spare-room.ts
+++ b/packages/coordination/src/placement/spare-room.ts
@@ -19,3 +19,6 @@
  * recently, and it gets its final answer at once.
  */
 export const mayWaitForCapacity = ({seenAtMs}: SpareCapacity, waitedMs: number, nowMs: number): boolean => waitedMs < maxWaitMs && nowMs - seenAtMs < recentMs;
+
+/** Whether a caller retry that goes before less urgent requests may wait for capacity that these get. */
+export const mayWaitBeforeOthers = (waitedMs: number): boolean => waitedMs < maxWaitMs;
--- a/packages/coordination/test/priority-room.test.ts
+++ b/packages/coordination/test/priority-room.test.ts
@@ -82,6 +82,14 @@
 	t.match(limitOf(demand, {priority: 2}), {rule: 'urgent', limitMs: freeMs});
 });
 
+// Guards against final refusals of urgent callers while less urgent requests are admitted.
+t.test('a caller retry gets what first attempts of the next priority get, and that of the least urgent only free slots', async t => {
+	const demand = demandOfGroups([{priority: 0, arrived: 50, lacking: 10}, {priority: 1, arrived: 50}, {priority: 2, arrived: 300}]);
+	t.equal(limitOf(demand, {priority: 0}).retryLimitMs, limitOf(demand, {priority: 1}).limitMs);
+	t.equal(limitOf(demand, {priority: 1}).retryLimitMs, limitOf(demand, {priority: 2}).limitMs);
+	t.equal(limitOf(demand, {priority: 2}).retryLimitMs, 0);
+});
+
 t.test('a lack of capacity for less urgent requests restricts no more urgent ones', async t => {
 	const demand = demandOfGroups([{priority: 0, arrived: 50}, {priority: 1, arrived: 50}, {
 		priority: 2, arrived: 300, served: 200, lacking: 300, refused: 100,
