fix(swarm): chunks of an ejected peer are fetched from the origin at once

Cause: an ejected peer still owned its chunks until it had been silent for 6 s; hosts suspect it one after the other, and what the first one fetched counted as the owner's progress. And a host that becomes the owner of a chunk while its fetch from a peer runs dropped the chunk for good.

Evidence: in the state of all hosts, printed every 3 s, the missing chunks belong to the ejected peer alone, no request runs and no other host is excluded; durations are multiples of 6 s. With the first fault fixed alone it took 21 to 40 s, and the missing chunk was owned by a host whose list was empty. A slow disk and excluded good peers are ruled out.

Change: ejecting a host takes over its chunks; a failed fetch from a peer puts its chunk back on the owner's list if no neighbour has it.

--- a/packages/coordination/src/swarm/exchange.ts
+++ b/packages/coordination/src/swarm/exchange.ts
@@ -1,7 +1,9 @@
 import {addHolder, removeHolder} from './chunk-picker.js';
 import {chooseNeighbours} from './neighbours.js';
 import {recordHolder} from './zone-imports.js';
-import {recordLost, recordSeen, requeueOwned} from './origin-tickets.js';
+import {
+	ejectFetcher, recordLost, recordSeen, requeueOwned,
+} from './origin-tickets.js';
 import type {
 	FailureReason, Neighbour, SwarmEffect, SwarmEvent, SwarmState,
 } from './types.js';
@@ -214,5 +216,8 @@
 	}
 
 	state.ejected.add(hostId);
-	return [{type: 'setAside', hostId}, ...greetNewNeighbours(state, nowMs)];
+	const effects = greetNewNeighbours(state, nowMs);
+	const {self, manifestId} = state.options;
+	ejectFetcher(state.tickets, {selfId: self.hostId, manifestId, hostId});
+	return [{type: 'setAside', hostId}, ...effects];
 };
--- a/packages/coordination/src/swarm/origin-tickets.ts
+++ b/packages/coordination/src/swarm/origin-tickets.ts
@@ -46,11 +46,13 @@
 	readonly fetcherCount: number;
 	readonly seen: Uint8Array;
 	readonly maxProgressGapMs: number;
+	/** Hosts that are not to be trusted with any chunk. @default none */
+	readonly ejected?: ReadonlySet<string>;
 	readonly nowMs: number;
 };
 
 export const createOriginTickets = (options: CreateOriginTicketsOptions): OriginTickets => {
-	const {selfId, hostIds, originZoneIds = noHosts, manifestId, totalChunks, seen, maxProgressGapMs, nowMs} = options;
+	const {selfId, hostIds, originZoneIds = noHosts, ejected = noHosts, manifestId, totalChunks, seen, maxProgressGapMs, nowMs} = options;
 	const fetchers = originZoneFirst(rendezvousOrder(`${manifestId}/origin`, hostIds), originZoneIds).slice(0, options.fetcherCount);
 	const owners: string[] = [];
 	const unseen = new Map(fetchers.map(hostId => [hostId, {count: 0, progressAtMs: nowMs, progressAtActiveMs: 0}]));
@@ -63,7 +65,7 @@
 	}
 
 	const tickets: OriginTickets = {
-		fetchers, originZoneIds, suspects: new Set(), unseen, maxRecoveredSilenceMs: 0, activeMs: 0, progressAtMs: nowMs, maxProgressGapMs,
+		fetchers, originZoneIds, suspects: new Set(fetchers.filter(hostId => ejected.has(hostId))), unseen, maxRecoveredSilenceMs: 0, activeMs: 0, progressAtMs: nowMs, maxProgressGapMs,
 		seen, owners, ownChunks: [], ranks: new Int16Array(totalChunks).fill(-1),
 	};
 	rankChunks(tickets, manifestId, selfId);
@@ -115,6 +117,16 @@
 	record.progressAtActiveMs = tickets.activeMs;
 };
 
+export type EjectFetcherOptions = {readonly selfId: string; readonly manifestId: string; readonly hostId: string};
+
+/** Takes over the chunks of a host that was ejected, which would otherwise be missing until it has been silent for long enough. */
+export const ejectFetcher = (tickets: OriginTickets, {selfId, manifestId, hostId}: EjectFetcherOptions): void => {
+	if (tickets.fetchers.includes(hostId) && !tickets.suspects.has(hostId)) {
+		tickets.suspects.add(hostId);
+		rankChunks(tickets, manifestId, selfId);
+	}
+};
+
 /** Records that no known host has the chunk any more, so that its owner fetches it again. */
 export const recordLost = (tickets: OriginTickets, chunk: number): void => {
 	if (tickets.seen[chunk] === 1) {
--- a/packages/coordination/src/swarm/swarm.ts
+++ b/packages/coordination/src/swarm/swarm.ts
@@ -1,7 +1,11 @@
 import {announceDue, announceStored} from './announcements.js';
 import {createChunkPicker, setWanted} from './chunk-picker.js';
-import {greetNewNeighbours, recordAnnouncement, onPeerFailure} from './exchange.js';
-import {createOriginTickets, recordSeen, suspectStalledFetchers} from './origin-tickets.js';
+import {
+	greetNewNeighbours, isAvailable, onPeerFailure, recordAnnouncement,
+} from './exchange.js';
+import {
+	createOriginTickets, recordSeen, requeueOwned, suspectStalledFetchers,
+} from './origin-tickets.js';
 import {schedule} from './schedule.js';
 import {createZoneImports, rankZoneImports} from './zone-imports.js';
 import type {
@@ -115,7 +119,7 @@
 		state.peers = next;
 		state.tickets = createOriginTickets({
 			selfId: self.hostId, hostIds: [self.hostId, ...next.keys()], originZoneIds: hostsInOriginZone(state, next), manifestId, totalChunks, fetcherCount,
-			seen: state.tickets.seen, nowMs, maxProgressGapMs: takeoverMs * progressGapShare,
+			seen: state.tickets.seen, ejected: state.ejected, nowMs, maxProgressGapMs: takeoverMs * progressGapShare,
 		});
 		rankZoneImports(state.imports, {self, manifestId, peers: next.values()});
 		return greetNewNeighbours(state, nowMs);
@@ -226,9 +230,15 @@
 	}
 
 	if (source.type === 'peer') {
-		return onPeerFailure(state, {
+		const effects = onPeerFailure(state, {
 			chunk, hostId: source.hostId, reason, retryAfterMs, nowMs,
 		});
+		// While the fetch ran, this host may have become the owner of the chunk, or lost its last other holder.
+		if (state.picker.wanted[chunk] === 1 && !isAvailable(state, chunk)) {
+			requeueOwned(state.tickets, chunk);
+		}
+
+		return effects;
 	}
 
 	if (state.tickets.ranks[chunk] === 0) {
--- a/packages/coordination/test/swarm.test.ts
+++ b/packages/coordination/test/swarm.test.ts
@@ -105,6 +105,36 @@
 	t.notOk(state.neighbours.has('b'));
 });
 
+// Guards against chunks that nobody fetches from the origin after the host that owned them, or announced them, is ejected.
+t.test('chunks of an ejected peer are fetched from the origin at once', async t => {
+	for (const seed of [1, 2, 3, 4, 5]) {
+		const {state} = create('a', ['a', 'b'], {random: createRandom(seed)});
+		const running: SwarmEffect[] = [];
+		const apply = (effects: readonly SwarmEffect[]): void => {
+			running.push(...fetchesIn(effects));
+		};
+
+		apply(stepSwarm(state, {
+			type: 'peerHas', hostId: 'b', chunks: [0, 1, 2, 3, 4, 5, 6, 7], isGreeting: false,
+		}, 0));
+		for (let nowMs = 0; nowMs < 1900; nowMs += 10) {
+			const ended = running.shift();
+			if (ended?.type === 'fetch') {
+				const {chunk, source} = ended;
+				apply(stepSwarm(state, source.type === 'peer'
+					? {
+						type: 'failed', chunk, source, reason: 'corrupt',
+					}
+					: {type: 'stored', chunk, source}, nowMs));
+			}
+
+			apply(stepSwarm(state, {type: 'tick'}, nowMs));
+		}
+
+		t.equal(state.held.size, 8, `seed ${seed}`);
+	}
+});
+
 // A link stalls without an error. The fetch is cancelled after a timeout, and the
 // chunk is fetched from the next host that has it.
 t.test('retries a stalled fetch at another neighbour', async t => {
