fix(state): the lock of a data folder needs no links

On the target platform link() is not implemented: core hosts logged BP4010 (ENOSYS) and had no log. The lock is created exclusively instead; an incomplete one counts as held while it is younger than 2 s.

--- a/packages/state/src/log/folder-lock.ts
+++ b/packages/state/src/log/folder-lock.ts
@@ -1,5 +1,5 @@
 import {
-	link, mkdir, readFile, rename, rm, writeFile,
+	mkdir, readFile, rename, rm, stat, writeFile,
 } from 'node:fs/promises';
 import path from 'node:path';
 import process from 'node:process';
@@ -27,6 +27,8 @@
 const lockName = 'in-use.json';
 /** Locks that may disappear between the attempt to create one and the attempt to read it. */
 const maxAttempts = 5;
+/** An incomplete lock that is older was left by a crash or a loss of power. */
+const maxWriteMs = 2000;
 
 /** Paths of the locks that this process holds: a lock of its own that is not among them was left by an earlier process with the same id. */
 const heldPaths = new Set<string>();
@@ -74,7 +76,7 @@
 	}
 };
 
-/** `null` if the lock is damaged, for example by a loss of power. */
+/** `null` if the lock is incomplete. */
 const parseOwner = (text: string): Owner | null => {
 	try {
 		return ownerSchema.parse(JSON.parse(text));
@@ -83,50 +85,47 @@
 	}
 };
 
+const isBeingWritten = async (lockPath: string): Promise<boolean> => {
+	try {
+		const {mtimeMs} = await stat(lockPath);
+		return Math.abs(Date.now() - mtimeMs) < maxWriteMs;
+	} catch (error) {
+		if ((error as NodeJS.ErrnoException).code === 'ENOENT') {
+			return false;
+		}
+
+		throw error;
+	}
+};
+
 const isInUse = async (lockPath: string, text: string): Promise<boolean> => {
 	const owner = parseOwner(text);
 	if (owner === null) {
-		return false;
+		return isBeingWritten(lockPath);
 	}
 
 	return owner.pid === process.pid ? heldPaths.has(lockPath) : isRunning(owner);
 };
 
-let lastTemporary = 0;
-
-const temporaryPath = (lockPath: string): string => {
-	lastTemporary++;
-	return `${lockPath}.${process.pid}-${lastTemporary}`;
-};
-
-/** Gives the file at `filePath` the name of the lock; `false` if there is a lock. A link appears with its content, so that no other process reads half of it. */
-const linkLock = async (filePath: string, lockPath: string): Promise<boolean> => {
+/** Creates the lock; `false` if there is one. Not every platform has links, so a lock may be seen before it has its content. */
+const createLock = async (lockPath: string, text: string): Promise<boolean> => {
 	try {
-		await link(filePath, lockPath);
+		await writeFile(lockPath, text, {flag: 'wx'});
 		return true;
 	} catch (error) {
 		if ((error as NodeJS.ErrnoException).code === 'EEXIST') {
 			return false;
 		}
 
+		// For example on a full disk: an empty lock would keep the next start waiting.
+		await rm(lockPath, {force: true});
 		throw error;
 	}
 };
 
-const createLock = async (lockPath: string, text: string): Promise<boolean> => {
-	const filePath = temporaryPath(lockPath);
-	try {
-		await writeFile(filePath, text);
-		const isCreated = await linkLock(filePath, lockPath);
-		return isCreated;
-	} finally {
-		await rm(filePath, {force: true});
-	}
-};
-
 /** Removes an abandoned lock, unless another process has replaced it in the meantime. */
 const removeAbandoned = async (lockPath: string, text: string): Promise<void> => {
-	const movedPath = temporaryPath(lockPath);
+	const movedPath = `${lockPath}.${process.pid}`;
 	try {
 		await rename(lockPath, movedPath);
 	} catch (error) {
@@ -137,8 +136,9 @@
 		throw error;
 	}
 
-	if (await readFile(movedPath, 'utf8') !== text) {
-		await linkLock(movedPath, lockPath);
+	const moved = await readFile(movedPath, 'utf8');
+	if (moved !== text) {
+		await createLock(lockPath, moved);
 	}
 
 	await rm(movedPath, {force: true});
@@ -176,7 +176,8 @@
 		}
 
 		if (await isInUse(lockPath, present.toString())) {
-			throw new FolderInUseError(`${folder} is in use by process ${parseOwner(present.toString())!.pid}; stop it, or give each process a folder of its own`);
+			const pid = parseOwner(present.toString())?.pid;
+			throw new FolderInUseError(`${folder} is in use by ${pid === undefined ? 'another process that has just started' : `process ${pid}`}; stop it, or give each process a folder of its own`);
 		}
 
 		await removeAbandoned(lockPath, present.toString());
--- a/packages/state/test/folder-lock.test.ts
+++ b/packages/state/test/folder-lock.test.ts
@@ -1,6 +1,8 @@
 import type {Buffer} from 'node:buffer';
 import {spawn} from 'node:child_process';
-import {readdir, readFile, writeFile} from 'node:fs/promises';
+import {
+	readdir, readFile, rm, utimes, writeFile,
+} from 'node:fs/promises';
 import path from 'node:path';
 import process from 'node:process';
 import t, {type Test} from 'tap';
@@ -81,8 +83,13 @@
 		'{"pid":',
 	]) {
 		await writeFile(filePath, text);
+		await utimes(filePath, 0, 0);
 		await (await lockFolder(folder)).release();
 	}
 
+	await writeFile(filePath, '{"pid":');
+	await t.rejects(lockFolder(folder), FolderInUseError, 'a lock that is being written');
+	await rm(filePath);
+
 	t.same(await readdir(folder), []);
 });
