fix(transport): time in which a process did not run does not count for its timeouts

Cause: after a stall the event loop runs timers before it reads sockets, and AbortSignal.timeout discarded an answer that had arrived.

Change: timeoutSignal is extended by as much as its timer was late, at most by the timeout again. An idle timeout of sendHttp reads what has arrived before it fails the request.

The new test of burn-fleet.test.ts fails without the change (3 of 3) and passes with it (3 of 3).

--- a/packages/daemon/src/entry/entry-peers.ts
+++ b/packages/daemon/src/entry/entry-peers.ts
@@ -6,7 +6,7 @@
 	type BurnAnswer, type RequestsAnswer, type RequestSelection,
 } from '@bitternpaddle/protocol';
 import {
-	callRpc, createRpcServer, RpcError, type RpcServer,
+	callRpc, createRpcServer, RpcError, timeoutSignal, type RpcServer,
 } from '@bitternpaddle/transport';
 import type {z} from 'zod';
 import type {ConfigurationClient} from '../host/configuration-client.js';
@@ -111,7 +111,7 @@
 
 			try {
 				return schema.parse(await callRpc<unknown>({
-					address, method, params: parameters, timeoutMs: silentMs, signal: AbortSignal.timeout(callTimeoutMs), answerLimitBytes,
+					address, method, params: parameters, timeoutMs: silentMs, signal: timeoutSignal(callTimeoutMs), answerLimitBytes,
 				}));
 			} catch {
 				return null;
--- a/packages/transport/src/http/http-client.ts
+++ b/packages/transport/src/http/http-client.ts
@@ -52,7 +52,13 @@
 			closeIdleConnections(agent, {host, port});
 		}
 
-		request.destroy(new TransportError(`received no data from ${address} for ${idleTimeoutMs} ms`, !isConnected));
+		const readBytes = request.socket?.bytesRead;
+		// After a stall of this process, timers run before the data that arrived meanwhile is read.
+		setImmediate(() => {
+			if (request.socket?.bytesRead === readBytes) {
+				request.destroy(new TransportError(`received no data from ${address} for ${idleTimeoutMs} ms`, !isConnected));
+			}
+		});
 	});
 	request.on('error', error => {
 		// Nothing can have been sent before the connection is established; afterwards it is unknown whether the server received the request.
--- a/packages/transport/src/http/index.ts
+++ b/packages/transport/src/http/index.ts
@@ -7,4 +7,5 @@
 export * from './listen.js';
 export type * from './overload.js';
 export * from './refuse-connection.js';
+export * from './timeout-signal.js';
 export * from './when-drained.js';
--- a/test/burn-fleet.test.ts
+++ b/test/burn-fleet.test.ts
@@ -1,5 +1,7 @@
+import {spawn} from 'node:child_process';
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
+import process from 'node:process';
 import t, {type Test} from 'tap';
 import {
 	addBurnAnswer, buildBurnReport, countSample, createBurnCounter, createBurnMerge, exportCounts, type BurnReport,
@@ -58,6 +60,33 @@
 	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 };
 
+const entryProgram = `
+	import {createHttpServer, createRpcServer} from '@bitternpaddle/transport';
+	import * as z from 'zod';
+	const [answer, stallMs] = JSON.parse(process.argv[1]);
+	const rpc = createRpcServer();
+	rpc.method('entry.burn', z.object({token: z.string(), nowMs: z.number()}), () => {
+		process.kill(process.ppid, 'SIGSTOP');
+		setTimeout(() => process.kill(process.ppid, 'SIGCONT'), stallMs);
+		return answer;
+	});
+	const server = await createHttpServer({listen: '127.0.0.1:0', handler: async (request, response) => rpc.serve(request, response)});
+	console.log(server.address);
+`;
+
+/** Serves the answer from another process, which suspends this one for `stallMs` before it answers. */
+const serveWithStall = async (t: Test, answer: BurnAnswer, stallMs: number): Promise<string> => {
+	const child = spawn(process.execPath, ['--input-type=module', '--eval', entryProgram, JSON.stringify([answer, stallMs])], {stdio: ['ignore', 'pipe', 'inherit']});
+	t.teardown(() => {
+		child.kill('SIGKILL');
+	});
+	return new Promise(resolve => {
+		child.stdout.once('data', (data: Uint8Array) => {
+			resolve(new TextDecoder().decode(data).trim());
+		});
+	});
+};
+
 const peersOf = (addresses: ReadonlyMap<string, string>, options: Parameters<typeof createEntryPeers>[1] = {}) => createEntryPeers({
 	query: async (): Promise<QueryResult> => ({revision: 1, rows: [...addresses].map(([host, address]) => ({host, address}))}),
 }, options);
@@ -131,6 +160,13 @@
 	t.equal(report.missingEntries.length, 59);
 });
 
+// Guards against discarding an answer that arrived while the collecting process did not run.
+t.test('a report counts an entry that answered during a stall of this process', async t => {
+	const address = await serveWithStall(t, answers[0]!, 700);
+	const report = await collect(peersOf(new Map([['entry-0', address]]), {totalTimeoutMs: 500}));
+	t.same(report.heardEntries, ['entry-0']);
+});
+
 // The responses of hundreds of entries must not be in memory at the same time: the
 // next entry's counts are requested only after a response has been processed.
 t.test('no more responses are held than the concurrency limit allows', async t => {
