fix(state): a full disk does not keep a host from reading its data

The lock of a data folder could not be written on a full disk, so that a core host that restarted there would not have served the documents that it holds. On a full disk the folder is reserved within the process only. Found by reading; an error other than an existing lock no longer removes the lock of another process either.

--- a/packages/state/src/log/folder-lock.ts
+++ b/packages/state/src/log/folder-lock.ts
@@ -1,5 +1,5 @@
 import {
-	mkdir, readFile, rename, rm, stat, writeFile,
+	mkdir, open, readFile, rename, rm, stat, type FileHandle,
 } from 'node:fs/promises';
 import path from 'node:path';
 import process from 'node:process';
@@ -107,19 +107,41 @@
 	return owner.pid === process.pid ? heldPaths.has(lockPath) : isRunning(owner);
 };
 
-/** Creates the lock; `false` if there is one. Not every platform has links, so a lock may be seen before it has its content. */
-const createLock = async (lockPath: string, text: string): Promise<boolean> => {
+/** Nothing can be written to a folder on a full disk, and its data must still be readable. */
+const fullDiskCodes: ReadonlySet<string | undefined> = new Set(['ENOSPC', 'EDQUOT']);
+
+type Creation = 'created' | 'exists' | 'diskFull';
+
+/** Creates the lock. Not every platform has links, so it may be seen before it has its content. */
+const createLock = async (lockPath: string, text: string): Promise<Creation> => {
+	let handle: FileHandle;
 	try {
-		await writeFile(lockPath, text, {flag: 'wx'});
-		return true;
+		handle = await open(lockPath, 'wx');
 	} catch (error) {
-		if ((error as NodeJS.ErrnoException).code === 'EEXIST') {
-			return false;
+		const {code} = error as NodeJS.ErrnoException;
+		if (code === 'EEXIST') {
+			return 'exists';
 		}
 
-		// For example on a full disk: an empty lock would keep the next start waiting.
+		if (fullDiskCodes.has(code)) {
+			return 'diskFull';
+		}
+
+		throw error;
+	}
+
+	try {
+		await handle.writeFile(text);
+		return 'created';
+	} catch (error) {
 		await rm(lockPath, {force: true});
+		if (fullDiskCodes.has((error as NodeJS.ErrnoException).code)) {
+			return 'diskFull';
+		}
+
 		throw error;
+	} finally {
+		await handle.close();
 	}
 };
 
@@ -147,7 +169,7 @@
 /**
  * Reserves a folder for one host in one process, or throws `FolderInUseError`. The lock of a
  * process that has exited, also by a crash, or that ran before the machine was restarted is
- * taken over.
+ * taken over. On a full disk only hosts in this process are excluded.
  */
 export const lockFolder = async (folder: string): Promise<FolderLock> => {
 	await mkdir(folder, {recursive: true});
@@ -159,11 +181,12 @@
 			break;
 		}
 
-		if (await createLock(lockPath, text)) {
+		const creation = await createLock(lockPath, text);
+		if (creation !== 'exists') {
 			heldPaths.add(lockPath);
 			return {
 				async release() {
-					if (heldPaths.delete(lockPath)) {
+					if (heldPaths.delete(lockPath) && creation === 'created') {
 						await rm(lockPath, {force: true});
 					}
 				},
