--- a/packages/coordination/src/utils/stall-meter.ts
+++ b/packages/coordination/src/utils/stall-meter.ts
@@ -22,7 +22,7 @@
 /**
  * Records that the process runs; returns the length of the stall that this observation
  * ends, otherwise 0. Called at the interval and before any duration is judged: after a
- * stall, data is read before timers run.
+ * stall, data may be read before the timer of the interval runs.
  */
 export const observeClock = (meter: StallMeter, nowMs: number): number => {
 	const gapMs = nowMs - meter.observedAtMs;
--- a/packages/state/src/log/folder-lock.ts
+++ b/packages/state/src/log/folder-lock.ts
@@ -33,11 +33,13 @@
 /** Paths of the locks that this process holds: a lock of its own that is not among them was left by an earlier process with the same id. */
 const heldPaths = new Set<string>();
 
-/**
- * The boot of the machine and the start time of a process, as in `/proc`; `null` if there is
- * no such process or it has exited and was not yet reaped. Without `/proc` it is unknown.
- */
-const readStart = async (pid: number): Promise<{readonly type: 'started'; readonly start: string} | {readonly type: 'exited'} | {readonly type: 'unknown'}> => {
+/** `exited`: also if the process was not yet reaped. `unknown`: there is no `/proc`. */
+type ProcessState
+	= | {readonly type: 'started'; /** The boot of the machine and the start time of the process. */ readonly start: string}
+		| {readonly type: 'exited'}
+		| {readonly type: 'unknown'};
+
+const readProcessState = async (pid: number): Promise<ProcessState> => {
 	let boot: string;
 	try {
 		boot = (await readFile('/proc/sys/kernel/random/boot_id', 'utf8')).trim();
@@ -56,7 +58,7 @@
 };
 
 const isRunning = async ({pid, start}: Owner): Promise<boolean> => {
-	const current = await readStart(pid);
+	const current = await readProcessState(pid);
 	switch (current.type) {
 		case 'started': {
 			return start === null || current.start === start;
@@ -174,7 +176,7 @@
 export const lockFolder = async (folder: string): Promise<FolderLock> => {
 	await mkdir(folder, {recursive: true});
 	const lockPath = path.resolve(folder, lockName);
-	const own = await readStart(process.pid);
+	const own = await readProcessState(process.pid);
 	const text = JSON.stringify({pid: process.pid, start: own.type === 'started' ? own.start : null} satisfies Owner);
 	for (let attempt = 0; attempt < maxAttempts; attempt++) {
 		if (heldPaths.has(lockPath)) {
