feat(gateway): log the prompt parts of broken attempts and the framing of answers

The lines of the incident name requests only, each with an id of its own, and an answer that ended with its connection is logged as complete. Whether one part of a prompt is common to all exits, or crashes were taken for completed answers, cannot be told from them.

BP4024 now has promptParts, BP4020 isUnframed. No decision depends on either.

--- a/packages/coordination/src/quarantine/index.ts
+++ b/packages/coordination/src/quarantine/index.ts
@@ -2,4 +2,5 @@
 export * from './crash-ledger.js';
 export * from './judge-suspect.js';
 export * from './repeated-news.js';
+export * from './prompt-part.js';
 export * from './request-fingerprint.js';
--- a/packages/gateway/src/entry/finish-call.ts
+++ b/packages/gateway/src/entry/finish-call.ts
@@ -51,7 +51,9 @@
 	const {metrics, logger, nowMs} = context;
 	const {response, requestId, service, receivedAtMs} = call;
 	metrics.request(service.name, String(head.status));
-	logger.event('BP4020', {requestId, status: head.status, tookMs: Math.round(nowMs() - receivedAtMs)});
+	logger.event('BP4020', {
+		requestId, status: head.status, isUnframed: isUnframed(head), tookMs: Math.round(nowMs() - receivedAtMs),
+	});
 	if (!response.destroyed && !response.headersSent) {
 		beginAnswer(response, head, {'content-length': body.length});
 		response.end(body);
@@ -68,7 +70,7 @@
 	const {response, requestId, service, receivedAtMs} = call;
 	metrics.request(service.name, String(head.status));
 	logger.event('BP4020', {
-		requestId, status: head.status, firstByteMs, expectedMs, hasComeBack: call.hasComeBack, tookMs: Math.round(nowMs() - receivedAtMs),
+		requestId, status: head.status, isUnframed: isUnframed(head), firstByteMs, expectedMs, hasComeBack: call.hasComeBack, tookMs: Math.round(nowMs() - receivedAtMs),
 	});
 	if (!response.destroyed) {
 		if (!response.headersSent) {
--- a/packages/gateway/src/entry/gateway-call.ts
+++ b/packages/gateway/src/entry/gateway-call.ts
@@ -1,6 +1,8 @@
 import type {Buffer} from 'node:buffer';
 import type http from 'node:http';
-import type {RegionLists, RequestFingerprint, RequestOutline} from '@bitternpaddle/coordination';
+import type {
+	PromptPart, RegionLists, RequestFingerprint, RequestOutline,
+} from '@bitternpaddle/coordination';
 import type {Route, Service, Team} from '@bitternpaddle/state';
 
 /** Why a request was cancelled. `shutdown`: the grace period of the entry ended first. */
@@ -31,6 +33,8 @@
 	outline(): RequestOutline;
 	/** Hashes the body on the first call. */
 	fingerprint(): RequestFingerprint;
+	/** The parts of its prompt that other requests may share. */
+	promptParts(): readonly PromptPart[];
 	/** Whether the newest configuration known here still assigns the request's key to its team; `true` without a key. */
 	isKeyInForce(): boolean;
 	/** The regions that the newest configuration known here allows for the request. */
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -213,7 +213,7 @@
 const logAttemptFailure = ({logger}: CallContext, call: Call, {announcement}: Candidate, reason: string, cause: FailureCause | null = null): void => {
 	logger.event('BP4024', {
 		requestId: call.requestId, endpointId: announcement.id, address: announcement.address, reason,
-		...(cause !== null && {cause, fingerprint: call.fingerprint()}),
+		...(cause !== null && {cause, fingerprint: call.fingerprint(), promptParts: call.promptParts()}),
 	});
 };
 
--- a/packages/gateway/src/entry/serve-request.ts
+++ b/packages/gateway/src/entry/serve-request.ts
@@ -3,7 +3,7 @@
 	findRoute, type Route, type RouteTable, type Team,
 } from '@bitternpaddle/state';
 import {
-	randomFraction, fingerprintOf, isCallerRetry, recordFirstDeadline, outlineOf, type FirstAttemptDeadlines, type Random,
+	randomFraction, fingerprintOf, isCallerRetry, promptPartOf, recordFirstDeadline, outlineOf, type FirstAttemptDeadlines, type Random,
 } from '@bitternpaddle/coordination';
 import {BodyTooLargeError, readBody, type Logger} from '@bitternpaddle/transport';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
@@ -211,6 +211,7 @@
 		requestId: String(request.headers[protocol.headers.requestId] ?? ''), request, response, route, service, team, body, requiresKey: key !== null, receivedAtMs, deadlineAtMs, cancellation,
 		promptTokens: tokens.prompt, answerTokenLimit: tokens.maxAnswer, hasComeBack: !isReused && isCallerRetry(firstAttemptDeadlines, {deadlineMs, timeoutMs: route.timeoutMs}),
 		outline: memoize(() => outlineOf(identity)), fingerprint: memoize(() => fingerprintOf(identity)),
+		promptParts: memoize(() => (protocol.readPromptParts?.(request.headers) ?? []).map(id => promptPartOf(service, id))),
 		isKeyInForce: () => key === null || context.table()?.teamsByKey.get(key)?.name === team?.name,
 		regionLists: createRegionLists({
 			table: context.table, matchedIn, host: request.headers.host ?? '', path: pathOf(request), route, team, key,
--- a/packages/gateway/src/link/request-protocol.ts
+++ b/packages/gateway/src/link/request-protocol.ts
@@ -50,6 +50,8 @@
 	decodeConfiguration(text: string): DecodedConfiguration;
 	/** Reads the token counts in a request's headers. */
 	readTokens(headers: http.IncomingHttpHeaders): RequestTokens;
+	/** The ids of the prompt parts that other requests may share, in order; empty if the request names none or they cannot be read. @default empty */
+	readPromptParts?(headers: http.IncomingHttpHeaders): readonly string[];
 	/** Parses the load header; `null` if it is invalid. */
 	readLoad(text: string): AdvertisedLoad | null;
 	/** The request rate limit advertised in the headers of an endpoint's answer. */
