--- a/packages/gateway/test/support/crashing-fleet.ts
+++ b/packages/gateway/test/support/crashing-fleet.ts
@@ -48,17 +48,34 @@
 	},
 	decodeConfiguration: () => ({type: 'configuration', configuration}),
 	readTokens: () => ({prompt: 100, maxAnswer: 10}),
+	readPromptParts: ({'x-parts': text}) => text === undefined ? [] : String(text).split(',').slice(0, -1),
 	readLoad: () => null,
 	isLeaving: headers => headers['x-leaving'] === '1',
 	readPause: ({'retry-after': text}) => text === undefined ? {type: 'none'} : {type: 'pause', pauseMs: Number(text) * 1000},
 	readLimit: ({'x-limit': limit}) => limit === undefined ? {type: 'unlimited'} : {type: 'limited', perSecond: Number(limit)},
 };
 
+/** What tells the end of an answer. */
+export type Framing = 'chunks' | 'length' | 'connection';
+
 /** How an engine handles a request. */
 export type EngineBehavior
-	= | {readonly type: 'stream'; /** Delay between the three events. */ readonly pauseMs: number; /** Delay before the answer begins. @default 0 */ readonly delayMs?: number}
-		/** The engine crashes after `afterMs`, having sent `events` events. */
-		| {readonly type: 'crash'; readonly afterMs: number; readonly events: number}
+	= | {
+			readonly type: 'stream'; /** Delay between the three events. */ readonly pauseMs: number; /** Delay before the answer begins. @default 0 */ readonly delayMs?: number;
+			/** @default 'chunks' */
+			readonly framing?: Framing;
+		}
+		/** Like `stream`, with an answer that is not an event stream. */
+		| {readonly type: 'plain'; readonly delayMs: number; readonly framing: Framing}
+		| {
+			readonly type: 'crash'; readonly afterMs: number; /** Sent before the engine crashes. */ readonly events: number;
+			/** @default 'chunks' */
+			readonly framing?: Framing;
+			/** Whether the answer is no event stream. @default false */
+			readonly isPlain?: boolean;
+			/** Whether its connections are closed instead of reset. @default false */
+			readonly closesConnections?: boolean;
+		}
 		/** The connection is reset; the engine keeps running. */
 		| {readonly type: 'loseAnswer'}
 		/** No answer is sent and the connection stays open. */
@@ -125,6 +142,9 @@
 const firstMs = 20;
 
 const event = (id: number): string => `id: ${id}\ndata: word${id}\n\n`;
+const eventIds = [1, 2, 3] as const;
+const plainBody = 'a plain answer';
+const streamBytes = eventIds.map(id => event(id)).join('').length;
 
 /** Creates engines that crash on some requests, entries and a core host, all in this process. */
 export const createCrashingFleet = async (t: Test, options: CrashingFleetOptions): Promise<CrashingFleet> => {
@@ -153,7 +173,7 @@
 		timers.add(timer);
 	};
 
-	const crash = (index: number): void => {
+	const crash = (index: number, closesConnections = false): void => {
 		const engine = engines[index]!;
 		if (engine.server === null) {
 			return;
@@ -162,7 +182,11 @@
 		ends.push({engine: index, atMs: performance.now()});
 		engine.server.close();
 		for (const socket of sockets.get(engine.server)!) {
-			socket.resetAndDestroy();
+			if (closesConnections) {
+				socket.destroySoon();
+			} else {
+				socket.resetAndDestroy();
+			}
 		}
 
 		engine.server = null;
@@ -173,7 +197,7 @@
 	};
 
 	const stream = (response: ServerResponse, pauseMs: number): void => {
-		for (const id of [1, 2, 3]) {
+		for (const id of eventIds) {
 			later(() => {
 				response.write(event(id));
 				if (id === 3) {
@@ -183,9 +207,14 @@
 		}
 	};
 
-	const begin = (index: number, requestId: string, response: ServerResponse): void => {
+	const begin = (index: number, requestId: string, response: ServerResponse, {framing = 'chunks', isPlain = false}: {readonly framing?: Framing; readonly isPlain?: boolean} = {}): void => {
+		if (framing === 'connection') {
+			response.removeHeader('transfer-encoding');
+		}
+
 		response.writeHead(200, {
-			'content-type': 'text/event-stream', 'x-id': requestId, 'x-signature': 's', ...answerHeaders(index),
+			'content-type': isPlain ? 'text/plain' : 'text/event-stream', 'x-id': requestId, 'x-signature': 's', ...answerHeaders(index),
+			...(framing === 'length' && {'content-length': isPlain ? plainBody.length : streamBytes}),
 		});
 	};
 
@@ -199,14 +228,22 @@
 		switch (behavior.type) {
 			case 'stream': {
 				later(() => {
-					begin(index, requestId, response);
+					begin(index, requestId, response, behavior);
 					stream(response, behavior.pauseMs);
 				}, behavior.delayMs ?? 0);
 				break;
 			}
 
+			case 'plain': {
+				later(() => {
+					begin(index, requestId, response, {...behavior, isPlain: true});
+					response.end(plainBody);
+				}, behavior.delayMs);
+				break;
+			}
+
 			case 'crash': {
-				begin(index, requestId, response);
+				begin(index, requestId, response, behavior);
 				response.flushHeaders();
 				for (let id = 1; id <= behavior.events; id++) {
 					response.write(event(id));
@@ -216,7 +253,7 @@
 				later(() => {
 					// Another request may already have crashed this start.
 					if (engines[index]!.server === server) {
-						crash(index);
+						crash(index, behavior.closesConnections);
 					}
 				}, behavior.afterMs);
 				break;
