fix(gateway): the end of a connection alone does not prove that an answer is complete

Callers of a request that crashes its engines got 200 again and again, each time from another engine that had ended.

Cause: an answer without a length or chunks ends with its connection, and so does the process that writes it. The entry recorded a completed run for both: no crash was counted, and a completion lifts a verdict.

It was a crash if the endpoint is seen to have exited within a second, by the evidence that counts for broken connections; it was complete if the same start answers a request sent later, or its host still reports on it more than a second later. Otherwise it counts for nothing. The answer is forwarded as before.

--- a/packages/coordination/src/quarantine/broken-attempts.ts
+++ b/packages/coordination/src/quarantine/broken-attempts.ts
@@ -36,10 +36,15 @@
 	}
 };
 
+/** Whether the endpoint at the address is known to have exited just now. */
+export const hasJustExited = (state: BrokenAttempts, address: string, nowMs: number): boolean => {
+	pruneExpired(state, nowMs);
+	return state.exitedAtMs.has(address);
+};
+
 /** Records a broken attempt; returns `true` if its endpoint is known to have exited. */
 export const recordBrokenAttempt = (state: BrokenAttempts, broken: BrokenAttempt): boolean => {
-	pruneExpired(state, broken.atMs);
-	if (state.exitedAtMs.has(broken.address)) {
+	if (hasJustExited(state, broken.address, broken.atMs)) {
 		return true;
 	}
 
--- a/packages/coordination/src/quarantine/index.ts
+++ b/packages/coordination/src/quarantine/index.ts
@@ -1,5 +1,6 @@
 export * from './broken-attempts.js';
 export * from './crash-ledger.js';
+export * from './ended-answers.js';
 export * from './judge-suspect.js';
 export * from './repeated-news.js';
 export * from './prompt-part.js';
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -9,6 +9,9 @@
 /** Status and headers of an endpoint's answer. */
 export type AnswerHead = {readonly status: number; readonly headers: http.IncomingHttpHeaders};
 
+/** Whether the end of the connection is all that tells the end of the answer's body. */
+export const isUnframed = ({headers}: AnswerHead): boolean => headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+
 export type AttemptOptions = {
 	readonly connections: EndpointConnections;
 	readonly headerNames: HeaderNames;
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -279,6 +279,8 @@
 			view.recordReport(loadReport, nowMs, readDelayMs(stalls, nowMs));
 			if (loadReport.report === null) {
 				quarantine.recordExit(loadReport.endpointAddress);
+			} else {
+				quarantine.recordReport(loadReport.endpointAddress);
 			}
 		},
 		onMessage(message) {
--- a/packages/gateway/src/entry/finish-call.ts
+++ b/packages/gateway/src/entry/finish-call.ts
@@ -2,7 +2,7 @@
 import type http from 'node:http';
 import type {Verdict} from '@bitternpaddle/coordination';
 import {sendLocalReply, type LocalReply} from './local-reply.js';
-import type {AnswerHead} from './attempt.js';
+import {isUnframed, type AnswerHead} from './attempt.js';
 import type {CallContext} from './call-context.js';
 import type {CallProgress} from './call-progress.js';
 import {truncateAnswer, type TruncationCause} from './truncate-answer.js';
@@ -14,9 +14,6 @@
 /** Retry delay for a caller whose request was refused by the endpoints that it was sent to. */
 export const exhaustedRetryMs = 1000;
 
-/** An answer without a length or chunked encoding ends when the connection closes. */
-const isUnframed = ({headers}: AnswerHead): boolean => headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
-
 /**
  * Sends the head of an answer with the framing that the endpoint used. Whether an
  * answer that ends with its connection is complete cannot be determined, because an
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -1,8 +1,10 @@
 import type {Buffer} from 'node:buffer';
 import {
-	hasFreshReport, recordFailure, recordConnectionFailure, recordSuccess, takeAttempt, type Candidate, type Exclusion, type Placement,
+	hasFreshReport, recordFailure, recordConnectionFailure, recordSuccess, takeAttempt, type AnswerStage, type Candidate, type Exclusion, type Placement,
 } from '@bitternpaddle/coordination';
-import type {AnswerHead, AttemptResult, FailureCause} from './attempt.js';
+import {
+	isUnframed, type AnswerHead, type AttemptResult, type FailureCause,
+} from './attempt.js';
 import type {CallContext} from './call-context.js';
 import {requestedVersion} from './call-headers.js';
 import type {CallProgress} from './call-progress.js';
@@ -18,14 +20,14 @@
 export const handleAttemptResult = (context: CallContext, call: Call, progress: CallProgress, {candidate}: Placement, result: AttemptResult): boolean => {
 	switch (result.type) {
 		case 'streamed': {
-			context.quarantine.recordCompletion(call);
+			recordAnswerEnd(context, call, candidate, result.head, progress.hasEvents ? 'answering' : 'begun');
 			recordSuccess(candidate.health);
 			finishStream(context, call, progress, result.head);
 			return true;
 		}
 
 		case 'answered': {
-			context.quarantine.recordCompletion(call);
+			recordAnswerEnd(context, call, candidate, result.head, 'begun');
 			return handleAnswer(context, call, progress, candidate, result);
 		}
 
@@ -133,6 +135,19 @@
 	&& headers[protocol.headers.signature] !== undefined && headers[protocol.headers.notRun] === undefined
 	&& (!hasEvents || (headers['content-type'] ?? '').startsWith('text/event-stream'));
 
+/** Statuses of answers without a body. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
+const mayBeCut = ({request}: Call, head: AnswerHead): boolean => isUnframed(head) && request.method !== 'HEAD' && !bodilessStatuses.has(head.status);
+
+const recordAnswerEnd = ({quarantine}: CallContext, call: Call, {announcement: {id, address, state}, load: {isLeaving}}: Candidate, head: AnswerHead, stage: AnswerStage): void => {
+	if (!mayBeCut(call, head)) {
+		quarantine.recordCompletion(call);
+	} else if (state === 'ready' && !isLeaving) {
+		quarantine.recordConnectionEnd(call, {id, address}, stage);
+	}
+};
+
 /** Ignores endpoints that are leaving: they close their connections in the same way as a crashing endpoint. */
 const recordDisconnected = ({quarantine}: CallContext, call: Call, {announcement: {address, state}, load: {isLeaving}}: Candidate, {cause, stage}: Extract<AttemptResult, {type: 'broken'}>): void => {
 	if (cause === 'disconnected' && state === 'ready' && !isLeaving) {
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -219,6 +219,7 @@
 		onHead(head) {
 			context.observeStalls();
 			onHead(head);
+			recordSignOfLife(context, candidate, head, startedAtMs);
 			recordLimit(context, candidate, head, startedAtMs);
 			recordLeaving(context, candidate, head);
 			handlePauseNotice(context, call, candidate, head);
@@ -323,6 +324,13 @@
 	}
 };
 
+const recordSignOfLife = ({quarantine}: CallContext, {announcement: {id}}: Candidate, {status}: AnswerHead, sentAtMs: number): void => {
+	// A 421 may come from another start of the endpoint.
+	if (status !== 421) {
+		quarantine.recordAnswer(id, sentAtMs);
+	}
+};
+
 const recordLeaving = ({protocol, logger}: CallContext, {announcement: {id, address}, load}: Candidate, {status, headers}: AnswerHead): void => {
 	// A 421 may come from another start of the endpoint, whose state does not apply to this one.
 	if (!load.isLeaving && status !== 421 && protocol.isLeaving(headers)) {
--- a/packages/gateway/src/quarantine/request-quarantine.ts
+++ b/packages/gateway/src/quarantine/request-quarantine.ts
@@ -1,7 +1,8 @@
 import type {Buffer} from 'node:buffer';
 import {
-	clearRequest, confirmExit, confirmRestart, createBrokenAttempts, createCrashLedger, isEmpty, mayHaveRecords, recordBrokenAttempt, pruneLedger, addSightings, verdictOn,
-	type AnswerStage, type BrokenAttempt, type CrashSighting, type Random, type RequestFingerprint, type RequestOutline, type Verdict,
+	clearRequest, confirmExit, confirmRestart, createBrokenAttempts, createCrashLedger, hasJustExited, isEmpty, mayHaveRecords, pruneEndedAnswers, recordBrokenAttempt, recordEndedAnswer, pruneLedger,
+	addSightings, takeAnswered, takeExited, takeReported, verdictOn,
+	type AnswerStage, type BrokenAttempt, type CrashSighting, type EndedAnswer, type EndedAnswers, type Random, type RequestFingerprint, type RequestOutline, type Verdict,
 } from '@bitternpaddle/coordination';
 import type {Logger} from '@bitternpaddle/transport';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
@@ -34,6 +35,12 @@
 	verdictOn(request: QuarantinedRequest): Verdict | null;
 	/** Records that the endpoint's side closed the connection before the answer was complete. */
 	recordDisconnect(request: QuarantinedRequest, address: string, stage: AnswerStage): void;
+	/** Records that an answer without a length ended with its connection: either it is complete, or the endpoint exited. */
+	recordConnectionEnd(request: QuarantinedRequest, endpoint: {readonly id: string; readonly address: string}, stage: AnswerStage): void;
+	/** Records that an endpoint answered a request that was sent to it at `sentAtMs`. */
+	recordAnswer(endpointId: string, sentAtMs: number): void;
+	/** Records that the endpoint's own host reaches it. */
+	recordReport(address: string): void;
 	/** Records that nothing listens at the endpoint's address any more, or that its own host cannot reach it. */
 	recordExit(address: string): void;
 	/** Records that another start of an endpoint runs at the address. */
@@ -54,6 +61,7 @@
 export const createRequestQuarantine = ({peers, send, logger, metrics, random, nowMs}: RequestQuarantineOptions): RequestQuarantine => {
 	const ledger = createCrashLedger();
 	const brokenAttempts = createBrokenAttempts();
+	const endedAnswers: EndedAnswers<QuarantinedRequest> = [];
 	const watchers = new Set<Watcher>();
 
 	const isKnown = (request: QuarantinedRequest): boolean => !isEmpty(ledger) && mayHaveRecords(ledger, request.outline());
@@ -97,6 +105,40 @@
 		exchange.broadcast({sightings: recordSightings(attempts, true), clearances: []});
 	};
 
+	const recordDisconnect = (request: QuarantinedRequest, address: string, stage: AnswerStage, atMs: number): void => {
+		const attempt = {
+			fingerprint: request.fingerprint(), address, atMs, stage,
+		};
+		if (recordBrokenAttempt(brokenAttempts, attempt)) {
+			recordOwn([attempt]);
+		}
+	};
+
+	/** Takes the ended answers at an address for broken attempts, because the endpoint there has exited. */
+	const breakEnded = (address: string): void => {
+		for (const {request, atMs, stage} of takeExited(endedAnswers, address, nowMs())) {
+			recordDisconnect(request, address, stage, atMs);
+		}
+	};
+
+	const recordCompletion = (request: QuarantinedRequest, atMs: number): void => {
+		if (!isKnown(request)) {
+			return;
+		}
+
+		const clearance = {fingerprint: request.fingerprint(), atMs};
+		const hadVerdict = ledger.verdicts.has(clearance.fingerprint);
+		if (clearRequest(ledger, clearance, nowMs()) && hadVerdict) {
+			exchange.broadcast({sightings: [], clearances: [clearance]});
+		}
+	};
+
+	const completeEnded = (complete: ReadonlyArray<EndedAnswer<QuarantinedRequest>>): void => {
+		for (const {request, atMs} of complete) {
+			recordCompletion(request, atMs);
+		}
+	};
+
 	const applyUpdate = ({sightings, condemned, clearances}: CrashUpdate): void => {
 		for (const clearance of clearances) {
 			clearRequest(ledger, clearance, nowMs());
@@ -110,35 +152,41 @@
 	});
 	const pruneTimer = setInterval(() => {
 		pruneLedger(ledger, nowMs());
+		pruneEndedAnswers(endedAnswers, nowMs());
 	}, pruneMs);
 	metrics.gauge('quarantine_verdicts', 'Requests that are sent to no endpoint.', () => ledger.verdicts.size);
 	metrics.gauge('quarantine_ends', 'Ends of endpoints that requests may have caused.', () => ledger.ends.length);
 	return {
 		verdictOn: request => isKnown(request) ? verdictOn(ledger, request.fingerprint(), nowMs()) : null,
 		recordDisconnect(request, address, stage) {
-			const attempt = {
-				fingerprint: request.fingerprint(), address, atMs: nowMs(), stage,
-			};
-			if (recordBrokenAttempt(brokenAttempts, attempt)) {
-				recordOwn([attempt]);
+			recordDisconnect(request, address, stage, nowMs());
+		},
+		recordConnectionEnd(request, {id, address}, stage) {
+			const atMs = nowMs();
+			if (hasJustExited(brokenAttempts, address, atMs)) {
+				recordDisconnect(request, address, stage, atMs);
+			} else {
+				recordEndedAnswer(endedAnswers, {
+					request, endpointId: id, address, atMs, stage,
+				});
 			}
 		},
+		recordAnswer(endpointId, sentAtMs) {
+			completeEnded(takeAnswered(endedAnswers, endpointId, sentAtMs));
+		},
+		recordReport(address) {
+			completeEnded(takeReported(endedAnswers, address, nowMs()));
+		},
 		recordExit(address) {
+			breakEnded(address);
 			recordOwn(confirmExit(brokenAttempts, address, nowMs()));
 		},
 		recordRestart(address) {
+			breakEnded(address);
 			recordOwn(confirmRestart(brokenAttempts, address, nowMs()));
 		},
 		recordCompletion(request) {
-			if (!isKnown(request)) {
-				return;
-			}
-
-			const clearance = {fingerprint: request.fingerprint(), atMs: nowMs()};
-			const hadVerdict = ledger.verdicts.has(clearance.fingerprint);
-			if (clearRequest(ledger, clearance, nowMs()) && hadVerdict) {
-				exchange.broadcast({sightings: [], clearances: [clearance]});
-			}
+			recordCompletion(request, nowMs());
 		},
 		watch(request, stop) {
 			const watcher = {request, stop};
--- a/packages/gateway/test/ended-connections.test.ts
+++ b/packages/gateway/test/ended-connections.test.ts
@@ -1,6 +1,11 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import t from 'tap';
+import {createRandom, type RequestFingerprint} from '@bitternpaddle/coordination';
+import {silentLogger} from '@bitternpaddle/transport';
+import t, {type Test} from 'tap';
 import {createCrashingFleet, type EngineBehavior} from './support/crashing-fleet.js';
+import {
+	createGatewayMetrics, createRequestQuarantine, type QuarantinedRequest, type RequestQuarantine,
+} from '@bitternpaddle/gateway';
 
 const crashing = 'write the handover';
 const stableMs = 3000;
@@ -31,3 +36,75 @@
 	t.ok(sends <= allowedSends, `${sends} sends after the third crash, ${allowedSends} allowed`);
 	t.same(statuses.slice(-2), [400, 400]);
 });
+
+const request: QuarantinedRequest = {outline: () => 'outline' as ReturnType<QuarantinedRequest['outline']>, fingerprint: () => 'outline.body' as RequestFingerprint};
+const endpoint = {id: 'e9', address: '10.0.0.9:80'};
+
+type Entry = RequestQuarantine & {isRefused(): boolean; advance(ms: number): void};
+
+/** An entry with a verdict on the request. */
+const createEntry = (t: Test): Entry => {
+	let nowMs = 0;
+	const quarantine = createRequestQuarantine({
+		peers: () => [], send: () => undefined, logger: silentLogger, metrics: createGatewayMetrics(), random: createRandom(1), nowMs: () => nowMs,
+	});
+	t.teardown(quarantine.close);
+	for (const address of ['10.0.0.1:80', '10.0.0.2:80', '10.0.0.3:80']) {
+		quarantine.recordDisconnect(request, address, 'begun');
+		quarantine.recordExit(address);
+	}
+
+	const entry: Entry = {
+		...quarantine, isRefused: () => quarantine.verdictOn(request) !== null,
+		advance(ms) {
+			nowMs += ms;
+		},
+	};
+	t.ok(entry.isRefused());
+	entry.advance(100);
+	entry.recordConnectionEnd(request, endpoint, 'answering');
+	t.ok(entry.isRefused(), 'the end of a connection proves nothing');
+	return entry;
+};
+
+t.test('an ended answer is complete if its endpoint answers a request that was sent later', async t => {
+	const entry = createEntry(t);
+	entry.recordAnswer(endpoint.id, 50);
+	entry.recordAnswer('another', 200);
+	t.ok(entry.isRefused(), 'neither an earlier request nor another endpoint proves it');
+	entry.advance(100);
+	entry.recordAnswer(endpoint.id, 150);
+	t.notOk(entry.isRefused());
+});
+
+t.test('an ended answer is complete if the host of its endpoint reports on it a second later', async t => {
+	const entry = createEntry(t);
+	entry.advance(900);
+	entry.recordReport(endpoint.address);
+	t.ok(entry.isRefused(), 'a report may be older than the end');
+	entry.advance(200);
+	entry.recordReport(endpoint.address);
+	t.notOk(entry.isRefused());
+});
+
+for (const [name, recordEvidence] of [
+	['exits within a second', (entry: Entry) => {
+		entry.advance(900);
+		entry.recordExit(endpoint.address);
+	}],
+	['has just exited', (entry: Entry) => {
+		entry.recordExit(endpoint.address);
+		entry.recordConnectionEnd(request, endpoint, 'begun');
+	}],
+	['is not heard of any more', (entry: Entry) => {
+		entry.advance(5000);
+	}],
+] as const) {
+	t.test(`an ended answer proves nothing if its endpoint ${name}`, async t => {
+		const entry = createEntry(t);
+		recordEvidence(entry);
+		entry.advance(1500);
+		entry.recordReport(endpoint.address);
+		t.ok(entry.isRefused());
+	});
+}
--- a/packages/gateway/test/support/crashing-fleet.ts
+++ b/packages/gateway/test/support/crashing-fleet.ts
@@ -61,27 +61,27 @@
 /** How an engine handles a request. */
 export type EngineBehavior
 	= | {
-			readonly type: 'stream'; /** Delay between the three events. */ readonly pauseMs: number; /** Delay before the answer begins. @default 0 */ readonly delayMs?: number;
-			/** @default 'chunks' */
-			readonly framing?: Framing;
-		}
+		readonly type: 'stream'; /** Delay between the three events. */ readonly pauseMs: number; /** Delay before the answer begins. @default 0 */ readonly delayMs?: number;
+		/** @default 'chunks' */
+		readonly framing?: Framing;
+	}
 		/** Like `stream`, with an answer that is not an event stream. */
-		| {readonly type: 'plain'; readonly delayMs: number; readonly framing: Framing}
-		| {
-			readonly type: 'crash'; readonly afterMs: number; /** Sent before the engine crashes. */ readonly events: number;
-			/** @default 'chunks' */
-			readonly framing?: Framing;
-			/** Whether the answer is no event stream. @default false */
-			readonly isPlain?: boolean;
-			/** Whether its connections are closed instead of reset. @default false */
-			readonly closesConnections?: boolean;
-		}
+	| {readonly type: 'plain'; readonly delayMs: number; readonly framing: Framing}
+	| {
+		readonly type: 'crash'; readonly afterMs: number; /** Sent before the engine crashes. */ readonly events: number;
+		/** @default 'chunks' */
+		readonly framing?: Framing;
+		/** Whether the answer is no event stream. @default false */
+		readonly isPlain?: boolean;
+		/** Whether its connections are closed instead of reset. @default false */
+		readonly closesConnections?: boolean;
+	}
 		/** The connection is reset; the engine keeps running. */
-		| {readonly type: 'loseAnswer'}
+	| {readonly type: 'loseAnswer'}
 		/** No answer is sent and the connection stays open. */
-		| {readonly type: 'hang'}
+	| {readonly type: 'hang'}
 		/** Refused without being run. */
-		| {readonly type: 'refuse'; readonly status: number; /** Delay before the refusal. @default 0 */ readonly delayMs?: number};
+	| {readonly type: 'refuse'; readonly status: number; /** Delay before the refusal. @default 0 */ readonly delayMs?: number};
 
 export type Arrival = {readonly requestId: string; readonly body: string; readonly engine: number; readonly atMs: number};
 
