fix(gateway): a stream that ends with its connection before its first event is broken

Callers got 200 and an empty stream when an engine that sends neither a length nor chunks crashed between its head and its first event.

Cause: the end of such a connection was taken for the end of the stream, though nothing had come; the request was not sent to another engine, which its route allows.

--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -80,6 +80,8 @@
 	const {
 		connections, headerNames, address, method, path, headers, requestId, body, requiresFreshConnection, limits, beginWithinMs, signal, exclusion, onHead, onFirstByte, onEvents, onProgress,
 	} = options;
+	/** All events may have been sent before, so that none is left. */
+	const isResumed = headers[headerNames.lastEventId] !== undefined;
 	let isSettled = false;
 	let isConnected = false;
 	let hasEvents = false;
@@ -250,10 +252,12 @@
 			}
 		});
 		response.on('end', () => {
-			if (response.complete && splitter.pendingBytes() === 0) {
-				settle({type: 'streamed', head});
-			} else {
+			if (!response.complete || splitter.pendingBytes() > 0) {
 				fail('disconnected', 'the stream ended in the middle of an event');
+			} else if (isUnframed(head) && !hasEvents && !isResumed) {
+				fail('disconnected', 'the stream ended before its first event');
+			} else {
+				settle({type: 'streamed', head});
 			}
 		});
 		response.on('error', error => {
--- a/packages/gateway/test/ended-connections.test.ts
+++ b/packages/gateway/test/ended-connections.test.ts
@@ -37,6 +37,21 @@
 	t.same(statuses.slice(-2), [400, 400]);
 });
 
+// Guards against an empty answer with status 200 when an engine crashes before its first event.
+t.test('a stream that ends with its connection before its first event is continued at another engine', async t => {
+	let starts = 0;
+	const fleet = await createCrashingFleet(t, {
+		engineCount: 4, behaviorOf(body) {
+			starts += body === crashing ? 1 : 0;
+			return body === crashing && starts === 1 ? crashAfter(0) : {type: 'stream', pauseMs: 10, framing: 'connection'};
+		},
+	});
+	const {status, text} = await fleet.call('first', crashing);
+	t.equal(status, 200);
+	t.match(text, /word3/v);
+	t.equal(fleet.arrivalsOf(crashing).length, 2);
+});
+
 const request: QuarantinedRequest = {outline: () => 'outline' as ReturnType<QuarantinedRequest['outline']>, fingerprint: () => 'outline.body' as RequestFingerprint};
 const endpoint = {id: 'e9', address: '10.0.0.9:80'};
 
