fix(daemon): quarantine messages that crash the endpoints that run them

The same fault as in the announced path: chats that differ, but share a message that crashes every engine, were run again and again; their callers got 502 each time.

Cause: the quarantine of this path fingerprints whole requests, too.

All messages of a chat but the last are its parts now, by a digest of each, which is computed only while an exit is known.

--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -147,8 +147,8 @@
 			onEndpointExit(stage) {
 				options.quarantine!.recordEndpointExit(call, endpoint.hostId, stage);
 			},
-			onComplete() {
-				options.quarantine!.recordCompletion(call);
+			onComplete(status) {
+				options.quarantine!.recordCompletion(call, status);
 			},
 		});
 	if (outcome.type === 'answer') {
--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -1,6 +1,6 @@
 import type {Buffer} from 'node:buffer';
 import type http from 'node:http';
-import type {RouteTarget} from '@bitternpaddle/coordination';
+import type {PromptPart, RouteTarget} from '@bitternpaddle/coordination';
 import type {ErrorBody} from '@bitternpaddle/protocol';
 import type {RequestTrace} from './request-log.js';
 
@@ -30,6 +30,8 @@
 	readonly priority: number;
 	/** Beginning of a long prompt, used to route requests with the same prefix to the same endpoint; `null` for other requests. */
 	readonly prefixKey: string | null;
+	/** The messages that other requests may share; computed on the first call. */
+	promptParts(): readonly PromptPart[];
 	readonly trace: RequestTrace;
 };
 
--- a/packages/daemon/src/entry/create-entry-node.ts
+++ b/packages/daemon/src/entry/create-entry-node.ts
@@ -135,7 +135,7 @@
 		},
 	});
 	const quarantine = createRequestQuarantine({
-		logger, metrics,
+		entryId, logger, metrics,
 		async listPeers() {
 			const {rows} = await configuration.query({type: 'show', subject: 'hosts', where: [{field: 'role', operator: '=', value: 'entry'}]});
 			return rows.filter(({host}) => host !== entryId).map(({address}) => String(address));
--- a/packages/daemon/src/entry/read-call.ts
+++ b/packages/daemon/src/entry/read-call.ts
@@ -1,7 +1,7 @@
 import type {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import type http from 'node:http';
-import type {RouteTarget} from '@bitternpaddle/coordination';
+import {promptPart, type PromptPart, type RouteTarget} from '@bitternpaddle/coordination';
 import {deadlineHeader, idempotencyKeyHeader, priorityHeader} from '@bitternpaddle/protocol';
 import {idempotencyKeySchema, sha256} from '@bitternpaddle/state';
 import {readBody} from '@bitternpaddle/transport';
@@ -46,7 +46,7 @@
 	if (service !== null) {
 		const target: RouteTarget = {type: 'service', serviceId: service[1]!};
 		return {
-			...shared, target, path: service[2]!, isStream: false, isOnce: isOnce(target), cost: 1, prefixKey: null,
+			...shared, target, path: service[2]!, isStream: false, isOnce: isOnce(target), cost: 1, prefixKey: null, promptParts: () => [],
 		};
 	}
 
@@ -58,6 +58,7 @@
 	return {
 		...shared, target: targetOf(parsed.data.model), path: url, isStream: parsed.data.stream, isOnce: false,
 		cost: (parsed.data.max_tokens ?? defaultAnswerTokens) + Math.ceil(body.length / bytesPerToken / prefillDiscount), prefixKey: prefixOf(parsed.data),
+		promptParts: memoize(() => promptPartsOf(parsed.data)),
 	};
 };
 
@@ -72,6 +73,24 @@
 	return text.length < prefixCharacters ? null : text.slice(0, prefixCharacters);
 };
 
+/** Further messages are not told apart from the request itself. */
+const maxPromptParts = 16;
+const partDigestLength = 16;
+
+/** All messages but the last, which belongs to the request alone. */
+const promptPartsOf = ({model, messages}: z.output<typeof chatBodySchema>): PromptPart[] => {
+	const shared = Array.isArray(messages) ? messages.slice(0, -1).slice(0, maxPromptParts) : [];
+	return [...new Set(shared.map(message => promptPart(model, sha256(JSON.stringify(message)).slice(-partDigestLength))))];
+};
+
+const memoize = <Value>(compute: () => Value): () => Value => {
+	let value: Value | undefined;
+	return () => {
+		value ??= compute();
+		return value;
+	};
+};
+
 const readPriority = (request: http.IncomingMessage): number => {
 	const text = request.headers[priorityHeader] ?? String(defaultPriority);
 	if (!/^[0-3]$/v.test(String(text))) {
--- a/packages/daemon/src/entry/request-quarantine.ts
+++ b/packages/daemon/src/entry/request-quarantine.ts
@@ -1,16 +1,19 @@
 import {
-	clearancesToRepeat, clearRequest, createCrashLedger, fingerprintOf, isEmpty, mayHaveRecords, outlineOf, pruneLedger, sightingsToRepeat, addSightings, verdictOn,
-	type AnswerStage, type CrashSighting, type FingerprintedRequest, type RequestFingerprint, type Verdict,
+	attributeToPart, clearancesToRepeat, clearRequest, createCrashLedger, fingerprintOf, isEmpty, mayHaveRecords, outlineOf, pruneLedger, sightingsToRepeat, addSightings, shortDigestIn, verdictOn,
+	type AnswerStage, type CrashSighting, type FingerprintedRequest, type PartVerdict, type RequestFingerprint, type Verdict,
 } from '@bitternpaddle/coordination';
 import type {EntryCrashesParameters} from '@bitternpaddle/protocol';
 import type {Logger, Metrics} from '@bitternpaddle/transport';
 import {RefusedError, type Call} from './call.js';
+import {createPartQuarantine} from './part-quarantine.js';
 import {targetNameOf} from './target-names.js';
 
 /** What entries report to each other about requests that endpoints had when they exited. */
 export type CrashUpdate = Omit<EntryCrashesParameters, 'token'>;
 
 export type RequestQuarantineOptions = {
+	/** By which other entries know who saw an exit. */
+	readonly entryId: string;
 	/** Addresses of the other entries. */
 	listPeers(): Promise<readonly string[]>;
 	/** Sends an update to one other entry; rejects if it cannot be reached. */
@@ -21,16 +24,19 @@
 	readonly repeatIntervalMs?: number;
 };
 
+/** Why a call is not sent: it, or a message in it, crashes endpoints. */
+export type QuarantineVerdict = Verdict | PartVerdict;
+
 /** Keeps requests that crash the endpoints that run them away from all other endpoints, at every entry. */
 export type RequestQuarantine = {
 	/** The verdict because of which a call must not be sent to an endpoint; `null` if it may be sent. */
-	verdictOn(call: Call): Verdict | null;
+	verdictOn(call: Call): QuarantineVerdict | null;
 	/** Calls `stop` if a verdict on the call is reached while it is in progress; returns a function that ends the watch. */
 	watch(call: Call, stop: () => void): () => void;
 	/** Records that an endpoint's process exited while it had the call. */
 	recordEndpointExit(call: Call, hostId: string, stage: AnswerStage): void;
 	/** Records that an endpoint answered the call completely. */
-	recordCompletion(call: Call): void;
+	recordCompletion(call: Call, status: number): void;
 	/** Processes another entry's update. */
 	receive(update: CrashUpdate): void;
 	close(): void;
@@ -40,8 +46,9 @@
 const maxRepeatedRecords = 32;
 
 /** The error for a caller whose call is quarantined. */
-export const refusalOf = ({evidence}: Verdict): RefusedError => new RefusedError({
-	status: 400, type: 'invalid_request', message: `${evidence.length} endpoints exited while they had this request; it is not sent to any other for now`,
+export const refusalOf = (verdict: QuarantineVerdict): RefusedError => new RefusedError({
+	status: 400, type: 'invalid_request',
+	message: `${verdict.evidence.length} endpoints exited while they had ${'parts' in verdict ? 'requests with one of these messages' : 'this request'}; it is not sent to any other for now`,
 });
 
 const requestOf = (call: Call): FingerprintedRequest => ({
@@ -52,7 +59,7 @@
 	fingerprint: fingerprint as RequestFingerprint, address, atMs: nowMs - ageMs, stage,
 });
 
-export const createRequestQuarantine = ({listPeers, send, logger, metrics, repeatIntervalMs = 1000}: RequestQuarantineOptions): RequestQuarantine => {
+export const createRequestQuarantine = ({entryId, listPeers, send, logger, metrics, repeatIntervalMs = 1000}: RequestQuarantineOptions): RequestQuarantine => {
 	const ledger = createCrashLedger();
 	const watched = new Map<Call, () => void>();
 	let nextRepeatIndex = 0;
@@ -86,13 +93,27 @@
 		}
 	};
 
+	const partQuarantine = createPartQuarantine({
+		entryId, logger, metrics, nowMs,
+		sendToAll(parts) {
+			void sendToAll({...updateOf([]), parts});
+		},
+		onVerdict() {
+			stopQuarantinedCalls();
+		},
+		onExplained(exits) {
+			attributeToPart(ledger, exits);
+		},
+	});
+
 	const repeatToRandomPeer = async (): Promise<void> => {
 		pruneLedger(ledger, nowMs());
 		const all = sightingsToRepeat(ledger, nowMs());
 		nextRepeatIndex = nextRepeatIndex < all.length ? nextRepeatIndex : 0;
 		const sightings = all.slice(nextRepeatIndex, nextRepeatIndex + maxRepeatedRecords);
 		nextRepeatIndex += sightings.length;
-		if (sightings.length === 0) {
+		const parts = partQuarantine.newsToRepeat();
+		if (sightings.length === 0 && parts === null) {
 			return;
 		}
 
@@ -100,7 +121,7 @@
 			const peers = await listPeers();
 			const peer = peers[Math.floor(Math.random() * peers.length)];
 			if (peer !== undefined) {
-				await sendTo(peer, updateOf(sightings));
+				await Promise.all([sendTo(peer, updateOf(sightings)), parts === null ? null : sendTo(peer, {...updateOf([]), parts})]);
 			}
 		} catch {
 			// A later repetition may obtain a list of entries.
@@ -122,7 +143,8 @@
 	};
 
 	const mayHaveVerdict = (call: Call): boolean => !isEmpty(ledger) && mayHaveRecords(ledger, outlineOf(requestOf(call)));
-	const verdictOf = (call: Call): Verdict | null => mayHaveVerdict(call) ? verdictOn(ledger, fingerprintOf(requestOf(call)), nowMs()) : null;
+	const verdictOf = (call: Call): QuarantineVerdict | null =>
+		(mayHaveVerdict(call) ? verdictOn(ledger, fingerprintOf(requestOf(call)), nowMs()) : null) ?? partQuarantine.verdictOn(call.promptParts);
 
 	const stopQuarantinedCalls = (): void => {
 		for (const [call, stop] of watched) {
@@ -150,22 +172,33 @@
 			};
 			recordAndReport([sighting]);
 			void sendToAll(updateOf([sighting]));
+			partQuarantine.recordEndpointExit({
+				address: hostId, atMs: sighting.atMs, request: shortDigestIn(sighting.fingerprint), parts: call.promptParts(),
+			});
 		},
-		recordCompletion(call) {
+		recordCompletion(call, status) {
+			if (status < 300) {
+				partQuarantine.recordCompletion(call.promptParts);
+			}
+
 			if (mayHaveVerdict(call)) {
 				clearRequest(ledger, {fingerprint: fingerprintOf(requestOf(call)), atMs: nowMs()}, nowMs());
 			}
 		},
-		receive({sightings, condemned, clearances}) {
+		receive({sightings, condemned, clearances, parts}) {
 			const now = nowMs();
 			for (const {fingerprint, ageMs} of clearances) {
 				clearRequest(ledger, {fingerprint: fingerprint as RequestFingerprint, atMs: now - ageMs}, now);
 			}
 
 			recordAndReport(sightings.map(sighting => decodeSighting(sighting, now)), new Set(condemned as RequestFingerprint[]));
+			if (parts !== undefined) {
+				partQuarantine.receive(parts);
+			}
 		},
 		close() {
 			clearInterval(timer);
+			partQuarantine.close();
 		},
 	};
 };
--- a/packages/daemon/src/entry/watch-for-crash.ts
+++ b/packages/daemon/src/entry/watch-for-crash.ts
@@ -4,7 +4,7 @@
 export type CrashWatcher = {
 	/** Called when the endpoint's process exited while it had the request. */
 	onEndpointExit(stage: AnswerStage): void;
-	onComplete(): void;
+	onComplete(status: number): void;
 };
 
 const watchParts = async function * (answer: AttemptAnswer, {onEndpointExit, onComplete}: CrashWatcher): ReturnType<AttemptAnswer['parts']> {
@@ -22,7 +22,7 @@
 		throw error;
 	}
 
-	onComplete();
+	onComplete(answer.status);
 };
 
 /** Reports how an attempt ended: immediately, or once its answer has been read. */
--- a/packages/test-support/src/engine/fake-engine.ts
+++ b/packages/test-support/src/engine/fake-engine.ts
@@ -17,6 +17,8 @@
 	stallMs?: number;
 	/** Crash on a request with this text, after this many tokens, and restart without weights after `downMs`. */
 	crashesOn?: {readonly content: string; readonly afterTokens: number; readonly downMs: number};
+	/** Like `crashesOn`, before the first token, if any message has this content; counts the crashes. */
+	crashesOnMessage?: {readonly content: string; readonly downMs: number; crashes: number};
 	/** Close the connection after this many tokens. */
 	cutAfterTokens?: number;
 	/** Hold all answers until this resolves. */
@@ -193,6 +195,13 @@
 		}
 
 		await faults.heldUntil;
+		const {crashesOnMessage} = faults;
+		if (crashesOnMessage !== undefined && messages.some(({content}) => content === crashesOnMessage.content)) {
+			crashesOnMessage.crashes++;
+			crash(crashesOnMessage.downMs);
+			return;
+		}
+
 		const ownAnswer = {requestId, text: ownText};
 		const {requestId: answeredId, text} = faults.sendsPreviousAnswer ? previous : ownAnswer;
 		previous = ownAnswer;
--- a/packages/transport/src/logging/events.ts
+++ b/packages/transport/src/logging/events.ts
@@ -24,6 +24,7 @@
 	BP2002: {level: 'warn', text: 'a request may have run', advice: 'The endpoint was lost while it ran the request; if it returns, check there whether the request ran.'},
 	BP2003: {level: 'error', text: 'a response was incomplete or mismatched', advice: 'The endpoint or its agent truncated a response or returned the response to another request.'},
 	BP2004: {level: 'warn', text: 'a request crashes the endpoints that run it', advice: 'It is refused until the time given; check the requests with this fingerprint, and the hosts named.'},
+	BP2005: {level: 'warn', text: 'a message of a prompt crashes the endpoints that run it', advice: 'Requests with it are refused until the time given; check these prompts and the hosts named.'},
 	BP2101: {level: 'warn', text: 'an endpoint was ejected', advice: 'Check the reason; if it does not respond or fails, check its host.'},
 	BP2102: {level: 'info', text: 'an ejected endpoint is tried again', advice: 'None.'},
 	BP2103: {level: 'error', text: 'too many endpoints look unhealthy', advice: 'All are used again; check the network of this entry first.'},
--- a/test/support/request-cluster.ts
+++ b/test/support/request-cluster.ts
@@ -50,7 +50,11 @@
 	query(line: string): Promise<Array<Record<string, unknown>>>;
 	/** Loads the version with that number on all engines. */
 	load(version: 1 | 2): Promise<void>;
-	chat(options: {content: string; entry?: number; stream?: boolean; maxTokens?: number; headers?: Record<string, string>}): Promise<ClientAnswer>;
+	chat(options: {
+		content: string; entry?: number; stream?: boolean; maxTokens?: number; headers?: Record<string, string>;
+		/** Contents of the messages before. @default none */
+		context?: readonly string[];
+	}): Promise<ClientAnswer>;
 	book(key: string, options?: {entry?: number; body?: unknown; headers?: Record<string, string>}): Promise<ClientAnswer>;
 };
 
@@ -157,10 +161,10 @@
 			await waitUntil('the replicas are ready', async () => (await query(`show replicas where ready = true and version = pitch-desk:v${version}`)).length === engineCount);
 			await waitUntilInForce();
 		},
-		chat: async ({content, entry = 0, stream = true, maxTokens = 10, headers}) => postJson({
+		chat: async ({content, entry = 0, stream = true, maxTokens = 10, headers, context = []}) => postJson({
 			address: entries[entry]!.address, token: teamKey, path: '/v1/chat/completions', headers,
 			body: {
-				model: 'pitch-desk', stream, max_tokens: maxTokens, messages: [{role: 'user', content}],
+				model: 'pitch-desk', stream, max_tokens: maxTokens, messages: [...context, content].map(each => ({role: 'user', content: each})),
 			},
 		}),
 		book: async (key, {entry = 0, body = {pitch: 12}, headers} = {}) => postJson({
