perf(coordination): judge only parts at four or more exits, in one pass

Every part was weighed, also those at one exit, each by all runs.

Parts at fewer than four exits are dropped before, and runs are counted once.

--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -10,6 +10,7 @@
 import {measureFlood} from './flood.js';
 import {measureOverhead} from './overhead.js';
 import {measurePlacement} from './placement/index.js';
+import {measurePromptParts} from './prompt-parts.js';
 import {measureQuarantine} from './quarantine.js';
 import {measureEndpointLimits, measureLimits, measureRouting} from './routing.js';
 import {measureUneven} from './uneven/index.js';
@@ -32,6 +33,7 @@
 	limits: measureLimits,
 	overhead: measureOverhead,
 	placement: measurePlacement,
+	'prompt-parts': measurePromptParts,
 	quarantine: measureQuarantine,
 	routing: measureRouting,
 	uneven: measureUneven,
--- a/packages/coordination/src/quarantine/index.ts
+++ b/packages/coordination/src/quarantine/index.ts
@@ -1,7 +1,7 @@
 export * from './broken-attempts.js';
 export * from './crash-ledger.js';
 export * from './ended-answers.js';
-export * from './judge-part.js';
+export {isCrashingPart, surpriseOf, type PartEvidence} from './judge-part.js';
 export * from './judge-suspect.js';
 export * from './part-ledger.js';
 export * from './repeated-news.js';
--- a/packages/coordination/src/quarantine/judge-part.ts
+++ b/packages/coordination/src/quarantine/judge-part.ts
@@ -18,7 +18,8 @@
 	readonly completions: number;
 };
 
-const minExits = 4;
+/** Fewer exits condemn no part. */
+export const minExits = 4;
 const minRequests = 3;
 /** With exits of at least `manyExits`, two repeated requests are enough. One alone is judged as a whole. */
 const minRepeatedRequests = 2;
--- a/packages/coordination/src/quarantine/part-ledger.ts
+++ b/packages/coordination/src/quarantine/part-ledger.ts
@@ -1,4 +1,6 @@
-import {isCrashingPart, surpriseOf, type PartEvidence} from './judge-part.js';
+import {
+	isCrashingPart, minExits, surpriseOf, type PartEvidence,
+} from './judge-part.js';
 import {modelOfPart, type PromptPart} from './prompt-part.js';
 
 /** A run that broke when its endpoint exited. Times are by the reader's monotonic clock. */
@@ -262,23 +264,28 @@
 	return {sightings: recorded, verdicts: [...verdicts]};
 };
 
-/** Unattributed exits at which a run with the part broke since a run with it last completed. */
-type Suspect = {readonly part: PromptPart; readonly exits: readonly PartExit[]; readonly requests: ReadonlySet<string>};
+/** Unattributed exits at which runs with the part broke since one with it last completed, oldest first. */
+type Suspect = {readonly part: PromptPart; readonly exits: Set<PartExit>; readonly requests: Set<string>; brokenRuns: number};
 
-const suspectsOf = (ledger: PartLedger, nowMs: number): Suspect[] => {
-	const suspects = new Map<PromptPart, {exits: Set<PartExit>; requests: Set<string>}>();
-	for (const exit of ledger.exits.filter(({attributedTo, atMs}) => attributedTo === null && nowMs - atMs >= settledMs)) {
+const suspectsOf = (ledger: PartLedger, exits: readonly PartExit[]): Suspect[] => {
+	const suspects = new Map<PromptPart, Suspect>();
+	for (const exit of exits) {
 		for (const [request, {parts}] of exit.runs) {
-			for (const part of parts.filter(each => !isCleared(ledger, each, exit.atMs))) {
-				const suspect = suspects.get(part) ?? {exits: new Set(), requests: new Set()};
-				suspect.exits.add(exit);
-				suspect.requests.add(request);
-				suspects.set(part, suspect);
+			for (const part of parts) {
+				if (!isCleared(ledger, part, exit.atMs)) {
+					const suspect = suspects.get(part) ?? {
+						part, exits: new Set(), requests: new Set(), brokenRuns: 0,
+					};
+					suspects.set(part, suspect);
+					suspect.exits.add(exit);
+					suspect.requests.add(request);
+					suspect.brokenRuns++;
+				}
 			}
 		}
 	}
 
-	return [...suspects].map(([part, {exits, requests}]) => ({part, exits: [...exits], requests}));
+	return [...suspects.values()].filter(suspect => suspect.exits.size >= minExits);
 };
 
 const countMoments = (exits: readonly PartExit[]): number => {
@@ -294,6 +301,15 @@
 	return moments;
 };
 
+const sumOf = (values: readonly number[]): number => {
+	let sum = 0;
+	for (const value of values) {
+		sum += value;
+	}
+
+	return sum;
+};
+
 const countCompletions = ({completionCounts}: PartLedger, model: string, sinceMs: number): number => {
 	let sum = 0;
 	for (const {fromMs, count} of completionCounts.get(model) ?? []) {
@@ -303,29 +319,32 @@
 	return sum;
 };
 
-const evidenceOf = (ledger: PartLedger, {part, exits, requests}: Suspect): PartEvidence => {
-	const {atMs: sinceMs, model} = exits[0]!;
-	const period = ledger.exits.filter(exit => exit.model === model && exit.attributedTo === null && exit.atMs >= sinceMs && exit.atMs <= exits.at(-1)!.atMs);
-	const broken = period.flatMap(({runs}) => [...runs.values()]);
+const evidenceOf = (ledger: PartLedger, exits: readonly PartExit[], {exits: own, requests, brokenRuns}: Suspect): PartEvidence => {
+	const [first] = own;
+	const {atMs: sinceMs, model} = first!;
+	const untilMs = [...own].at(-1)!.atMs;
+	const others = exits.filter(exit => exit.model === model && exit.atMs >= sinceMs && exit.atMs <= untilMs && !own.has(exit));
+	const exitSizes = [...own].map(({runs}) => runs.size);
+	const otherExitSizes = others.map(({runs}) => runs.size);
 	return {
-		exits: exits.length, otherExits: period.length - exits.length, requests: requests.size, moments: countMoments(exits),
-		brokenRuns: broken.length, brokenRunsWithPart: broken.filter(({parts}) => parts.includes(part)).length, exitSizes: exits.map(({runs}) => runs.size),
-		otherExitSizes: period.filter(exit => !exits.includes(exit)).map(({runs}) => runs.size),
-		completions: countCompletions(ledger, model, sinceMs),
+		exits: own.size, otherExits: others.length, requests: requests.size, moments: countMoments([...own]), exitSizes, otherExitSizes,
+		brokenRuns: sumOf([...exitSizes, ...otherExitSizes]), brokenRunsWithPart: brokenRuns, completions: countCompletions(ledger, model, sinceMs),
 	};
 };
 
 /** The parts that are in all runs with the suspected one that broke, and in no run that completed since: nothing tells them apart. */
 const inseparableParts = (ledger: PartLedger, {part, exits}: Suspect): PromptPart[] => {
-	const runs = exits.flatMap(exit => [...exit.runs.values()].filter(({parts}) => parts.includes(part)));
-	return runs[0]!.parts.filter(other => other === part || (!isCleared(ledger, other, exits[0]!.atMs) && runs.every(({parts}) => parts.includes(other))));
+	const [first] = exits;
+	const runs = [...exits].flatMap(exit => [...exit.runs.values()].filter(({parts}) => parts.includes(part)));
+	return runs[0]!.parts.filter(other => other === part || (!isCleared(ledger, other, first!.atMs) && runs.every(({parts}) => parts.includes(other))));
 };
 
 const condemn = (ledger: PartLedger, suspect: Suspect): PartVerdict => {
 	const {part, exits} = suspect;
+	const [first] = exits;
 	const parts = inseparableParts(ledger, suspect);
 	const verdict: PartVerdict = {
-		parts, sinceMs: exits[0]!.atMs, evidence: [], untilMs: Number.NEGATIVE_INFINITY,
+		parts, sinceMs: first!.atMs, evidence: [], untilMs: Number.NEGATIVE_INFINITY,
 	};
 	for (const exit of exits) {
 		exit.attributedTo = verdict;
@@ -373,12 +392,13 @@
 
 /** Whether another part explains the same exits and more, or the same with fewer runs, so that the part may only have been in the same requests. */
 const isDominated = ({suspect, evidence}: JudgedSuspect, others: readonly JudgedSuspect[]): boolean => others.some(other =>
-	(other.suspect.exits.length > suspect.exits.length || other.evidence.brokenRunsWithPart < evidence.brokenRunsWithPart)
-	&& suspect.exits.every(exit => other.suspect.exits.includes(exit)));
+	(other.suspect.exits.size > suspect.exits.size || other.evidence.brokenRunsWithPart < evidence.brokenRunsWithPart)
+	&& [...suspect.exits].every(exit => other.suspect.exits.has(exit)));
 
 /** The part that the most evidence speaks against. */
 const findCrashingPart = (ledger: PartLedger, nowMs: number): JudgedSuspect | undefined => {
-	const suspects = suspectsOf(ledger, nowMs).map(suspect => ({suspect, evidence: evidenceOf(ledger, suspect)}));
+	const exits = ledger.exits.filter(({attributedTo, atMs}) => attributedTo === null && nowMs - atMs >= settledMs);
+	const suspects = suspectsOf(ledger, exits).map(suspect => ({suspect, evidence: evidenceOf(ledger, exits, suspect)}));
 	return suspects
 		.filter(judged => isCrashingPart(judged.evidence) && !isDominated(judged, suspects))
 		.toSorted((a, b) => surpriseOf(b.evidence) - surpriseOf(a.evidence))[0];
@@ -389,7 +409,7 @@
 	const verdicts: NewPartVerdict[] = [];
 	for (let found = findCrashingPart(ledger, nowMs); found !== undefined; found = findCrashingPart(ledger, nowMs)) {
 		const {suspect, evidence} = found;
-		verdicts.push({verdict: condemn(ledger, suspect), evidence, exits: suspect.exits});
+		verdicts.push({verdict: condemn(ledger, suspect), evidence, exits: [...suspect.exits]});
 	}
 
 	return verdicts;
