fix(coordination): exits at which a run had all parts of a verdict do not narrow it

An entry that adopts a verdict on two parts from another one had exits of its own at which a run had both, and took them for exits with the first part only; two of these narrow a verdict.

Such exits belong to the verdict now, when it is adopted and when it is narrowed.

--- a/packages/coordination/src/quarantine/part-ledger.ts
+++ b/packages/coordination/src/quarantine/part-ledger.ts
@@ -174,6 +174,8 @@
 const isSameExit = (exit: {readonly address: string; readonly atMs: number}, {address, atMs}: {readonly address: string; readonly atMs: number}): boolean =>
 	exit.address === address && Math.abs(exit.atMs - atMs) < sameExitMs;
 
+const hasRunWith = ({runs}: PartExit, parts: readonly PromptPart[]): boolean => [...runs.values()].some(run => hasAll(run.parts, parts));
+
 const addExit = (exits: PartExit[], {address, atMs, parts}: PartSighting): PartExit => {
 	const exit: PartExit = {
 		address, atMs, model: modelOfPart(parts[0]!), runs: new Map(), attributedTo: null,
@@ -356,13 +358,14 @@
 	return verdict;
 };
 
-/** Parts of a verdict in a run that broke at an exit where no run had all of them. */
-const partsWithoutOthers = ({parts}: PartVerdict, {runs}: PartExit): PromptPart[] => parts.filter(part => [...runs.values()].some(run => run.parts.includes(part)));
+/** Parts of a verdict in runs that broke at an exit. */
+const partsAt = ({parts}: PartVerdict, {runs}: PartExit): PromptPart[] => parts.filter(part => [...runs.values()].some(run => run.parts.includes(part)));
 
 /** Removes the parts from a verdict without which further endpoints exit: they were in the requests by coincidence. */
 const narrowVerdict = (ledger: PartLedger, verdict: PartVerdict, nowMs: number): boolean => {
-	const further = ledger.exits.filter(({attributedTo, atMs}) => attributedTo === null && atMs >= verdict.sinceMs && nowMs - atMs >= settledMs);
-	const exitsOf = (part: PromptPart): PartExit[] => further.filter(exit => partsWithoutOthers(verdict, exit).includes(part));
+	const further = ledger.exits.filter(({attributedTo, atMs}) => attributedTo === null && atMs >= verdict.sinceMs && nowMs - atMs >= settledMs)
+		.filter(exit => !hasRunWith(exit, verdict.parts));
+	const exitsOf = (part: PromptPart): PartExit[] => further.filter(exit => partsAt(verdict, exit).includes(part));
 	const [most] = verdict.parts.map(part => exitsOf(part)).toSorted((a, b) => b.length - a.length);
 	if (most === undefined || most.length < minFurtherExits) {
 		return false;
@@ -466,9 +469,10 @@
 	};
 	for (const exit of evidence) {
 		addEvidence(verdict, exit);
-		for (const known of ledger.exits.filter(each => isSameExit(each, exit))) {
-			known.attributedTo ??= verdict;
-		}
+	}
+
+	for (const exit of ledger.exits.filter(each => evidence.some(known => isSameExit(each, known)) || (each.atMs >= verdict.sinceMs && hasRunWith(each, verdict.parts)))) {
+		exit.attributedTo ??= verdict;
 	}
 
 	if (covering === undefined) {
--- a/packages/coordination/test/prompt-parts.test.ts
+++ b/packages/coordination/test/prompt-parts.test.ts
@@ -102,6 +102,20 @@
 	t.same(narrowVerdicts(ledger, 5300), []);
 });
 
+t.test('an adopted verdict is not narrowed by exits at which a run had all of its parts', async t => {
+	const source = createPartLedger();
+	crashSeries(source, 5, () => 'first companion bad');
+	const [verdict] = judge(source, afterSeriesMs);
+	const ledger = createPartLedger();
+	for (const [index, address] of ['e20', 'e21', 'e22'].entries()) {
+		addPartSightings(ledger, exitOf(address, 3000 + index, 'first companion bad', 'first companion'), 3100);
+	}
+
+	adoptPartVerdict(ledger, {...verdict!, evidence: []}, 3200);
+	t.same(narrowVerdicts(ledger, afterSeriesMs), []);
+	t.same(condemnedIn(ledger), ['m/bad,m/companion']);
+});
+
 t.test('two bad parts at once are both found', async t => {
 	const ledger = createPartLedger();
 	crashSeries(ledger, 12, index => index % 2 === 0 ? 'first bad' : 'first worse');
