fix(gateway): completed runs count for the time at which they completed

The first part of all requests was condemned with nine completed runs that did not have it, though every request had it.

Cause: a run was counted as completed when its endpoint had outlived it, and by other entries when their message came, up to a second later. Runs from before an exit counted as after it, but could not clear their parts of it.

Counts have the time of their first run now, in messages, too; a period that begins before an exit does not count.

--- a/packages/coordination/src/quarantine/part-ledger.ts
+++ b/packages/coordination/src/quarantine/part-ledger.ts
@@ -42,7 +42,7 @@
 
 type Completion = {atMs: number; /** Kept until then. */ keptUntilMs: number; /** Sent to other entries until then. */ repeatedUntilMs: number};
 
-/** Number of completed runs in the period that begins at `fromMs`. */
+/** Number of runs that completed in the period that begins at `fromMs`. */
 type CompletionCount = {readonly fromMs: number; count: number};
 
 /**
@@ -75,7 +75,7 @@
 const completionRetentionMs = 60_000;
 /** By then, an update has reached all entries in reach. */
 const repeatedMs = 5000;
-const countPeriodMs = 1000;
+const countPeriodMs = 500;
 /** After this time, all entries have reported the runs that broke at an exit. */
 const settledMs = 300;
 /** Exits at which only some parts of a verdict were present that narrow it to these. */
@@ -418,15 +418,15 @@
 	return verdicts;
 };
 
-/** Counts completed runs of a model at the end of `nowMs`'s period. */
-export const countPartCompletions = ({completionCounts}: PartLedger, model: string, count: number, nowMs: number): void => {
+/** Counts runs of a model that completed at `atMs` or up to half a second later. */
+export const countPartCompletions = ({completionCounts}: PartLedger, model: string, count: number, atMs: number): void => {
 	const counts = completionCounts.get(model) ?? [];
 	completionCounts.set(model, counts);
-	const last = counts.at(-1);
-	if (last !== undefined && nowMs - last.fromMs < countPeriodMs) {
-		last.count += count;
+	const period = counts.findLast(({fromMs}) => fromMs <= atMs && atMs - fromMs < countPeriodMs);
+	if (period === undefined) {
+		counts.push({fromMs: atMs, count});
 	} else {
-		counts.push({fromMs: nowMs, count});
+		period.count += count;
 	}
 };
 
--- a/packages/coordination/test/prompt-parts.test.ts
+++ b/packages/coordination/test/prompt-parts.test.ts
@@ -116,6 +116,16 @@
 	t.same(condemnedIn(ledger), ['m/bad,m/companion']);
 });
 
+t.test('runs that completed before the exits do not count as completed without a part', async t => {
+	const ledger = createPartLedger();
+	complete(ledger, 900, 50, 'first');
+	for (let index = 0; index < 6; index++) {
+		addPartSightings(ledger, exitOf(`e${index}`, 1000 + (index * 300), 'first', `first theme${index}`), 3000);
+	}
+
+	t.same(judge(ledger, 3000), []);
+});
+
 t.test('two bad parts at once are both found', async t => {
 	const ledger = createPartLedger();
 	crashSeries(ledger, 12, index => index % 2 === 0 ? 'first bad' : 'first worse');
--- a/packages/daemon/src/entry/part-quarantine.ts
+++ b/packages/daemon/src/entry/part-quarantine.ts
@@ -42,7 +42,7 @@
 
 export const createPartQuarantine = ({entryId, sendToAll, onVerdict, onExplained, logger, metrics, nowMs}: PartQuarantineOptions): PartQuarantine => {
 	const ledger = createPartLedger();
-	const counts = new Map<string, number>();
+	const counts = new Map<string, {count: number; fromMs: number}>();
 	let nextVerdictIndex = 0;
 	const ageOf = (atMs: number): number => Math.max(0, Math.round(nowMs() - atMs));
 
@@ -90,7 +90,7 @@
 	/** Tells others of completed runs while they are evidence. */
 	const sendCounts = (): void => {
 		if (counts.size > 0 && isUndecided(ledger, nowMs())) {
-			sendToAll({...noNews, completions: completionsToRepeat(), counts: [...counts].slice(0, maxItems).map(([model, count]) => ({model, count}))});
+			sendToAll({...noNews, completions: completionsToRepeat(), counts: [...counts].slice(0, maxItems).map(([model, {count, fromMs}]) => ({model, count, ageMs: ageOf(fromMs)}))});
 		}
 
 		counts.clear();
@@ -130,7 +130,8 @@
 			const atMs = nowMs();
 			const model = modelOfPart(parts()[0]!);
 			countPartCompletions(ledger, model, 1, atMs);
-			counts.set(model, (counts.get(model) ?? 0) + 1);
+			const {count, fromMs} = counts.get(model) ?? {count: 0, fromMs: atMs};
+			counts.set(model, {count: count + 1, fromMs});
 			for (const part of knownParts(ledger, parts())) {
 				if (clearPart(ledger, part, atMs, atMs).length > 0) {
 					sendToAll({...noNews, completions: [{part, ageMs: 0}]});
@@ -151,8 +152,8 @@
 				clearPart(ledger, part as PromptPart, now - ageMs, now);
 			}
 
-			for (const {model, count} of news.counts) {
-				countPartCompletions(ledger, model, count, now);
+			for (const {model, count, ageMs} of news.counts) {
+				countPartCompletions(ledger, model, count, now - ageMs);
 			}
 
 			recordSightings(news.sightings.map(({address, ageMs, request, parts, seenBy}) => ({
--- a/packages/gateway/src/quarantine/part-exchange.ts
+++ b/packages/gateway/src/quarantine/part-exchange.ts
@@ -23,7 +23,7 @@
 export type PartExchange = {
 	broadcast(update: Partial<PartUpdate>): void;
 	/** Counts a completed run for the next message. */
-	countCompletion(model: string): void;
+	countCompletion(model: string, atMs: number): void;
 	/** Handles a datagram from another entry; `false` if it is of another kind. */
 	receive(data: Buffer): boolean;
 	close(): void;
@@ -43,7 +43,7 @@
 const rotate = <Item>(items: readonly Item[], from: number, count: number): Item[] => [...items.slice(from), ...items.slice(0, from)].slice(0, count);
 
 export const createPartExchange = ({ledger, peers, send, onUpdate, random, nowMs}: PartExchangeOptions): PartExchange => {
-	const counts = new Map<string, number>();
+	const counts = new Map<string, {count: number; fromMs: number}>();
 	let repeats = 0;
 
 	const sendTo = (addresses: readonly string[], {sightings = [], verdicts = [], completions = [], counts: sentCounts = []}: Partial<PartUpdate>): void => {
@@ -89,7 +89,7 @@
 		});
 		if (counts.size > 0 && isUndecided(ledger, nowMs())) {
 			sendTo(samplePeers(peers(), peersPerCount, random), {
-				completions, counts: [...counts].map(([model, count]) => ({model, count})),
+				completions, counts: [...counts].map(([model, count]) => ({model, ...count})),
 			});
 		}
 
@@ -102,8 +102,9 @@
 		broadcast(update) {
 			sendTo(peers(), update);
 		},
-		countCompletion(model) {
-			counts.set(model, (counts.get(model) ?? 0) + 1);
+		countCompletion(model, atMs) {
+			const {count, fromMs} = counts.get(model) ?? {count: 0, fromMs: atMs};
+			counts.set(model, {count: count + 1, fromMs: Math.min(fromMs, atMs)});
 		},
 		receive(data) {
 			const update = decodePartUpdate(data, nowMs());
--- a/packages/gateway/src/quarantine/part-quarantine.ts
+++ b/packages/gateway/src/quarantine/part-quarantine.ts
@@ -113,9 +113,9 @@
 
 	const recordProven = ({parts, atMs}: CompletedRun): void => {
 		const model = modelOfPart(parts[0]!);
-		countPartCompletions(ledger, model, 1, nowMs());
+		countPartCompletions(ledger, model, 1, atMs);
 		judgedUntilMs = nowMs() + judgedAfterMs;
-		exchange.countCompletion(model);
+		exchange.countCompletion(model, atMs);
 		for (const part of knownParts(ledger, parts)) {
 			if (clear(part, atMs)) {
 				exchange.broadcast({completions: [{part, atMs}]});
@@ -137,8 +137,8 @@
 			clear(part, atMs);
 		}
 
-		for (const {model, count} of counts) {
-			countPartCompletions(ledger, model, count, nowMs());
+		for (const {model, count, fromMs} of counts) {
+			countPartCompletions(ledger, model, count, fromMs);
 			judgedUntilMs = nowMs() + judgedAfterMs;
 		}
 
--- a/packages/gateway/src/quarantine/part-update.ts
+++ b/packages/gateway/src/quarantine/part-update.ts
@@ -11,8 +11,8 @@
 	readonly verdicts: readonly PartVerdict[];
 	/** Parts of completed runs. */
 	readonly completions: ReadonlyArray<{readonly part: PromptPart; readonly atMs: number}>;
-	/** Runs that completed since the last message with counts, by model. */
-	readonly counts: ReadonlyArray<{readonly model: string; readonly count: number}>;
+	/** Runs that completed since the last message with counts, by model, and when the first of them did. */
+	readonly counts: ReadonlyArray<{readonly model: string; readonly count: number; readonly fromMs: number}>;
 };
 
 /** Distinguishes these datagrams from others on the same socket. */
@@ -26,7 +26,7 @@
 	z.array(z.tuple([textSchema, ageSchema, textSchema, textSchema, idsSchema, z.string().max(256)])).max(maxItems),
 	z.array(z.tuple([textSchema, idsSchema, ageSchema, z.number(), z.array(z.tuple([textSchema, ageSchema, z.string().max(256)])).max(maxItems)])).max(maxItems),
 	z.array(z.tuple([textSchema, textSchema, ageSchema])).max(maxItems),
-	z.array(z.tuple([textSchema, z.number().int().nonnegative()])).max(maxItems),
+	z.array(z.tuple([textSchema, z.number().int().nonnegative(), ageSchema])).max(maxItems),
 ]);
 
 /** Encodes times as ages, because the clocks of hosts differ. */
@@ -43,7 +43,7 @@
 			evidence.map(({address, atMs, seenBy}) => [address, ageMs(atMs), seenBy]),
 		]),
 		completions.map(({part, atMs}) => [modelOfPart(part), idOfPart(part), ageMs(atMs)]),
-		counts.map(({model, count}) => [model, count]),
+		counts.map(({model, count, fromMs}) => [model, count, ageMs(fromMs)]),
 	]);
 };
 
@@ -73,6 +73,6 @@
 			evidence: evidence.map(([address, ageMs, seenBy]) => ({address, atMs: nowMs - ageMs, seenBy})),
 		})),
 		completions: completions.map(([model, id, ageMs]) => ({part: promptPart(model, id), atMs: nowMs - ageMs})),
-		counts: counts.map(([model, count]) => ({model, count})),
+		counts: counts.map(([model, count, ageMs]) => ({model, count, fromMs: nowMs - ageMs})),
 	};
 };
--- a/packages/gateway/test/part-exchange.test.ts
+++ b/packages/gateway/test/part-exchange.test.ts
@@ -83,7 +83,7 @@
 			parts: [part('b2')], sinceMs: 500, evidence: [{address: '10.0.0.1:80', atMs: 900, seenBy: '10.0.1.1:7700'}], untilMs: 9000,
 		}],
 		completions: [{part: part('a1'), atMs: 950}],
-		counts: [{model: 'org/model', count: 7}],
+		counts: [{model: 'org/model', count: 7, fromMs: 600}],
 	};
 	const data = Buffer.from(encodePartUpdate(update, 1000));
 	t.same(decodePartUpdate(data, 1000), update);
--- a/packages/protocol/src/rpc/crashes.ts
+++ b/packages/protocol/src/rpc/crashes.ts
@@ -20,8 +20,8 @@
 	})).max(maxItems),
 	/** Parts of runs that completed. */
 	completions: z.array(z.object({part: promptPart, ageMs})).max(maxItems),
-	/** Runs that completed since the last message with counts, by model. */
-	counts: z.array(z.object({model: text, count: z.number().int().nonnegative()})).max(maxItems),
+	/** Runs that completed since the last message with counts, by model, and how long ago the first of them did. */
+	counts: z.array(z.object({model: text, count: z.number().int().nonnegative(), ageMs})).max(maxItems),
 });
 
 /** Reports to another entry the requests that endpoints held when they exited. Times are sent as ages, since the hosts' clocks differ. */
