--- a/packages/bench/src/prompt-parts.ts
+++ b/packages/bench/src/prompt-parts.ts
@@ -51,7 +51,7 @@
 };
 
 const sightingsOf = (random: Random, exit: number, runs: number): PartSighting[] => Array.from({length: runs}, (_, run) => ({
-	address: `10.0.3.${exit}:8080`, atMs: exit * 1000, request: `r${exit}x${run}`, seenBy: '10.0.0.1:7700',
+	address: `10.0.3.${exit}:8080`, atMs: exit * 1000, request: `r${exit}x${run}`, seenBy: '10.0.0.1:7700', isFresh: true,
 	parts: ['first', `theme${random.between(0, 20)}`, `subject${random.between(0, 300)}`].map(id => promptPart('model-a', id)),
 }));
 
--- a/packages/coordination/src/quarantine/broken-attempts.ts
+++ b/packages/coordination/src/quarantine/broken-attempts.ts
@@ -12,6 +12,8 @@
 	readonly stage: AnswerStage;
 	/** The parts of its prompt that other requests may share. @default none */
 	readonly promptParts?: readonly PromptPart[];
+	/** Time since its answer began; 0 if it had not. @default 0 */
+	readonly answeringMs?: number;
 };
 
 /**
--- a/packages/coordination/src/quarantine/ended-answers.ts
+++ b/packages/coordination/src/quarantine/ended-answers.ts
@@ -17,6 +17,8 @@
 
 /** An exit that becomes known within this time after the end of an answer may have caused it. */
 const exitWindowMs = 1000;
+/** Reports are less old than this when they arrive, and an exit is reported at once. */
+const reportDelayMs = 300;
 /** Ends that are still undecided prove nothing: another start of the endpoint may run at the address by now. */
 const decisionTimeoutMs = 2000;
 /** An undecided end keeps its request, with the body, in memory. */
@@ -55,4 +57,4 @@
 
 /** Returns the answers that are complete because the host of the endpoint still reports on it, and forgets them. */
 export const takeReported = <Request>(ended: EndedAnswers<Request>, address: string, nowMs: number): Array<EndedAnswer<Request>> =>
-	take(ended, answer => answer.address === address && nowMs - answer.atMs > exitWindowMs && nowMs - answer.atMs <= decisionTimeoutMs);
+	take(ended, answer => answer.address === address && nowMs - answer.atMs > reportDelayMs && nowMs - answer.atMs <= decisionTimeoutMs);
--- a/packages/coordination/src/quarantine/part-ledger.ts
+++ b/packages/coordination/src/quarantine/part-ledger.ts
@@ -13,15 +13,22 @@
 	readonly parts: readonly PromptPart[];
 	/** The entry whose attempt broke. */
 	readonly seenBy: string;
+	/** Whether its answer had begun only just before, or not at all: a part crashes its endpoints when they begin to write. */
+	readonly isFresh: boolean;
 };
 
+/** How long an answer that has just begun is fresh. */
+const freshMs = 1000;
+
+export const isFreshRun = (answeringMs: number): boolean => answeringMs <= freshMs;
+
 /** One exit of an endpoint, with the runs that it broke. */
 export type PartExit = {
 	readonly address: string;
 	readonly atMs: number;
 	readonly model: string;
 	/** By request. */
-	readonly runs: Map<string, Pick<PartSighting, 'parts' | 'seenBy'>>;
+	readonly runs: Map<string, Pick<PartSighting, 'parts' | 'seenBy' | 'isFresh'>>;
 	/** The verdict that explains it. */
 	attributedTo: PartVerdict | null;
 };
@@ -238,7 +245,7 @@
 export const addPartSightings = (ledger: PartLedger, sightings: readonly PartSighting[], nowMs: number): PartUpdate => {
 	const verdicts = new Set<PartVerdict>();
 	const recorded = sightings.filter(sighting => {
-		const {parts, request, seenBy, atMs} = sighting;
+		const {parts, request, seenBy, atMs, isFresh} = sighting;
 		if (parts.length === 0 || nowMs - atMs > exitRetentionMs) {
 			return false;
 		}
@@ -248,7 +255,7 @@
 			return false;
 		}
 
-		exit.runs.set(request, {parts, seenBy});
+		exit.runs.set(request, {parts, seenBy, isFresh});
 		for (const part of parts) {
 			ledger.parts.add(part);
 		}
@@ -266,13 +273,15 @@
 	return {sightings: recorded, verdicts: [...verdicts]};
 };
 
-/** Unattributed exits at which runs with the part broke since one with it last completed, oldest first. */
+/** Unattributed exits at which fresh runs with the part broke since one with it last completed, oldest first. */
 type Suspect = {readonly part: PromptPart; readonly exits: Set<PartExit>; readonly requests: Set<string>; brokenRuns: number};
 
+const freshRunsOf = ({runs}: PartExit): Array<[string, {readonly parts: readonly PromptPart[]}]> => [...runs].filter(([, {isFresh}]) => isFresh);
+
 const suspectsOf = (ledger: PartLedger, exits: readonly PartExit[]): Suspect[] => {
 	const suspects = new Map<PromptPart, Suspect>();
 	for (const exit of exits) {
-		for (const [request, {parts}] of exit.runs) {
+		for (const [request, {parts}] of freshRunsOf(exit)) {
 			for (const part of parts) {
 				if (!isCleared(ledger, part, exit.atMs)) {
 					const suspect = suspects.get(part) ?? {
@@ -326,8 +335,8 @@
 	const {atMs: sinceMs, model} = first!;
 	const untilMs = [...own].at(-1)!.atMs;
 	const others = exits.filter(exit => exit.model === model && exit.atMs >= sinceMs && exit.atMs <= untilMs && !own.has(exit));
-	const exitSizes = [...own].map(({runs}) => runs.size);
-	const otherExitSizes = others.map(({runs}) => runs.size);
+	const exitSizes = [...own].map(exit => freshRunsOf(exit).length);
+	const otherExitSizes = others.map(exit => freshRunsOf(exit).length);
 	return {
 		exits: own.size, otherExits: others.length, requests: requests.size, moments: countMoments([...own]), exitSizes, otherExitSizes,
 		brokenRuns: sumOf([...exitSizes, ...otherExitSizes]), brokenRunsWithPart: brokenRuns, completions: countCompletions(ledger, model, sinceMs),
@@ -337,7 +346,7 @@
 /** The parts that are in all runs with the suspected one that broke, and in no run that completed since: nothing tells them apart. */
 const inseparableParts = (ledger: PartLedger, {part, exits}: Suspect): PromptPart[] => {
 	const [first] = exits;
-	const runs = [...exits].flatMap(exit => [...exit.runs.values()].filter(({parts}) => parts.includes(part)));
+	const runs = [...exits].flatMap(exit => freshRunsOf(exit).map(([, run]) => run).filter(({parts}) => parts.includes(part)));
 	return runs[0]!.parts.filter(other => other === part || (!isCleared(ledger, other, first!.atMs) && runs.every(({parts}) => parts.includes(other))));
 };
 
--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -144,8 +144,8 @@
 	const outcome = options.quarantine === undefined
 		? counted
 		: watchForCrash(counted, {
-			onEndpointExit(stage) {
-				options.quarantine!.recordEndpointExit(call, endpoint.hostId, stage);
+			onEndpointExit(stage, answeringMs) {
+				options.quarantine!.recordEndpointExit(call, endpoint.hostId, stage, answeringMs);
 			},
 			onComplete(status) {
 				options.quarantine!.recordCompletion(call, status);
--- a/packages/daemon/src/entry/part-quarantine.ts
+++ b/packages/daemon/src/entry/part-quarantine.ts
@@ -49,8 +49,8 @@
 	const encodeVerdict = ({parts, sinceMs, untilMs, evidence}: PartVerdict): PartNews['verdicts'][number] => ({
 		parts: [...parts], sinceAgeMs: ageOf(sinceMs), remainingMs: Math.round(untilMs - nowMs()), evidence: evidence.map(({address, atMs, seenBy}) => ({address, ageMs: ageOf(atMs), seenBy})),
 	});
-	const encodeSighting = ({address, atMs, request, parts, seenBy}: PartSighting): PartNews['sightings'][number] => ({
-		address, ageMs: ageOf(atMs), request, parts: [...parts], seenBy,
+	const encodeSighting = ({address, atMs, request, parts, seenBy, isFresh}: PartSighting): PartNews['sightings'][number] => ({
+		address, ageMs: ageOf(atMs), request, parts: [...parts], seenBy, isFresh,
 	});
 
 	const announce = (verdict: PartVerdict, cause: 'judged' | 'adopted' | 'narrowed' | 'renewed'): void => {
@@ -156,8 +156,8 @@
 				countPartCompletions(ledger, model, count, now - ageMs);
 			}
 
-			recordSightings(news.sightings.map(({address, ageMs, request, parts, seenBy}) => ({
-				address, atMs: now - ageMs, request, parts: parts as PromptPart[], seenBy,
+			recordSightings(news.sightings.map(({address, ageMs, request, parts, seenBy, isFresh}) => ({
+				address, atMs: now - ageMs, request, parts: parts as PromptPart[], seenBy, isFresh,
 			})));
 			for (const {parts, sinceAgeMs, remainingMs, evidence} of news.verdicts) {
 				const adopted = adoptPartVerdict(ledger, {
--- a/packages/daemon/src/entry/request-quarantine.ts
+++ b/packages/daemon/src/entry/request-quarantine.ts
@@ -1,5 +1,6 @@
 import {
-	attributeToPart, clearancesToRepeat, clearRequest, createCrashLedger, fingerprintOf, isEmpty, mayHaveRecords, outlineOf, pruneLedger, sightingsToRepeat, addSightings, shortDigestIn, verdictOn,
+	attributeToPart, clearancesToRepeat, clearRequest, createCrashLedger, fingerprintOf, isEmpty, isFreshRun, mayHaveRecords, outlineOf, pruneLedger, sightingsToRepeat, addSightings, shortDigestIn,
+	verdictOn,
 	type AnswerStage, type CrashSighting, type FingerprintedRequest, type PartVerdict, type RequestFingerprint, type Verdict,
 } from '@bitternpaddle/coordination';
 import type {EntryCrashesParameters} from '@bitternpaddle/protocol';
@@ -34,7 +35,7 @@
 	/** Calls `stop` if a verdict on the call is reached while it is in progress; returns a function that ends the watch. */
 	watch(call: Call, stop: () => void): () => void;
 	/** Records that an endpoint's process exited while it had the call. */
-	recordEndpointExit(call: Call, hostId: string, stage: AnswerStage): void;
+	recordEndpointExit(call: Call, hostId: string, stage: AnswerStage, answeringMs: number): void;
 	/** Records that an endpoint answered the call completely. */
 	recordCompletion(call: Call, status: number): void;
 	/** Processes another entry's update. */
@@ -166,14 +167,14 @@
 				watched.delete(call);
 			};
 		},
-		recordEndpointExit(call, hostId, stage) {
+		recordEndpointExit(call, hostId, stage, answeringMs) {
 			const sighting = {
 				fingerprint: fingerprintOf(requestOf(call)), address: hostId, atMs: nowMs(), stage,
 			};
 			recordAndReport([sighting]);
 			void sendToAll(updateOf([sighting]));
 			partQuarantine.recordEndpointExit({
-				address: hostId, atMs: sighting.atMs, request: shortDigestIn(sighting.fingerprint), parts: call.promptParts(),
+				address: hostId, atMs: sighting.atMs, request: shortDigestIn(sighting.fingerprint), parts: call.promptParts(), isFresh: isFreshRun(answeringMs),
 			});
 		},
 		recordCompletion(call, status) {
--- a/packages/daemon/src/entry/watch-for-crash.ts
+++ b/packages/daemon/src/entry/watch-for-crash.ts
@@ -3,11 +3,12 @@
 
 export type CrashWatcher = {
 	/** Called when the endpoint's process exited while it had the request. */
-	onEndpointExit(stage: AnswerStage): void;
+	onEndpointExit(stage: AnswerStage, /** Time since the answer began; 0 if it had not. */ answeringMs: number): void;
 	onComplete(status: number): void;
 };
 
 const watchParts = async function * (answer: AttemptAnswer, {onEndpointExit, onComplete}: CrashWatcher): ReturnType<AttemptAnswer['parts']> {
+	const beganAtMs = performance.now();
 	let stage: AnswerStage = 'begun';
 	try {
 		for await (const part of answer.parts()) {
@@ -16,7 +17,7 @@
 		}
 	} catch (error) {
 		if (error instanceof BrokenAnswerError && answer.didEndpointExit()) {
-			onEndpointExit(stage);
+			onEndpointExit(stage, performance.now() - beganAtMs);
 		}
 
 		throw error;
@@ -33,7 +34,7 @@
 	}
 
 	if (outcome.hasEndpointExited) {
-		watcher.onEndpointExit('waiting');
+		watcher.onEndpointExit('waiting', 0);
 	}
 
 	return outcome;
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -52,11 +52,11 @@
  * the endpoint; after `broken` it may have run.
  */
 export type AttemptResult
-	= | {readonly type: 'answered'; readonly head: AnswerHead; readonly body: Buffer}
-		| {readonly type: 'streamed'; readonly head: AnswerHead}
+	= | {readonly type: 'answered'; readonly head: AnswerHead; readonly body: Buffer; /** Time since the answer began. */ readonly answeringMs: number}
+		| {readonly type: 'streamed'; readonly head: AnswerHead; readonly answeringMs: number}
 		| {readonly type: 'refused'; readonly head: AnswerHead; readonly body: Buffer}
 		| {readonly type: 'unsent'; readonly reason: string; /** The host is reachable, but nothing listens on the port. */ readonly isRefused: boolean}
-		| {readonly type: 'broken'; readonly cause: FailureCause; readonly reason: string; readonly stage: AnswerStage}
+		| {readonly type: 'broken'; readonly cause: FailureCause; readonly reason: string; readonly stage: AnswerStage; /** 0 if it had not begun. */ readonly answeringMs: number}
 		/** Nothing was sent, because the request must not be sent to this endpoint any more. */
 		| {readonly type: 'excluded'; readonly exclusion: Exclusion}
 		| {readonly type: 'aborted'; readonly hasEvents: boolean};
@@ -86,6 +86,7 @@
 	let isConnected = false;
 	let hasEvents = false;
 	let answer: http.IncomingMessage | null = null;
+	let answeredAtMs: number | null = null;
 	let isFailingOver = false;
 	let silenceTimer: NodeJS.Timeout | null = null;
 	let connectTimer: NodeJS.Timeout | null = null;
@@ -132,6 +133,8 @@
 		return answer === null ? 'waiting' : 'begun';
 	};
 
+	const answeringMs = (): number => answeredAtMs === null ? 0 : performance.now() - answeredAtMs;
+
 	const fail = (cause: FailureCause, reason: string, isRefused = false): void => {
 		if (!isConnected) {
 			abandon({type: 'unsent', reason, isRefused});
@@ -139,7 +142,7 @@
 		}
 
 		abandon({
-			type: 'broken', cause, reason, stage: stage(),
+			type: 'broken', cause, reason, stage: stage(), answeringMs: answeringMs(),
 		});
 	};
 
@@ -213,6 +216,7 @@
 	});
 	request.on('response', response => {
 		answer = response;
+		answeredAtMs = performance.now();
 		const head: AnswerHead = {status: response.statusCode!, headers: response.headers};
 		const echoed = response.headers[headerNames.requestId];
 		if (echoed === undefined ? head.status < 300 : echoed !== requestId) {
@@ -257,7 +261,7 @@
 			} else if (isUnframed(head) && !hasEvents && !isResumed) {
 				fail('disconnected', 'the stream ended before its first event');
 			} else {
-				settle({type: 'streamed', head});
+				settle({type: 'streamed', head, answeringMs: answeringMs()});
 			}
 		});
 		response.on('error', error => {
@@ -280,7 +284,12 @@
 		});
 		response.on('end', () => {
 			if (response.complete) {
-				settle({type: isRefused ? 'refused' : 'answered', head, body: Buffer.concat(parts)});
+				const body = Buffer.concat(parts);
+				settle(isRefused
+					? {type: 'refused', head, body}
+					: {
+						type: 'answered', head, body, answeringMs: answeringMs(),
+					});
 			} else {
 				fail('disconnected', 'the answer was incomplete');
 			}
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -20,14 +20,14 @@
 export const handleAttemptResult = (context: CallContext, call: Call, progress: CallProgress, {candidate}: Placement, result: AttemptResult): boolean => {
 	switch (result.type) {
 		case 'streamed': {
-			recordAnswerEnd(context, call, candidate, result.head, progress.hasEvents ? 'answering' : 'begun');
+			recordAnswerEnd(context, call, candidate, result, progress.hasEvents ? 'answering' : 'begun');
 			recordSuccess(candidate.health);
 			finishStream(context, call, progress, result.head);
 			return true;
 		}
 
 		case 'answered': {
-			recordAnswerEnd(context, call, candidate, result.head, 'begun');
+			recordAnswerEnd(context, call, candidate, result, 'begun');
 			return handleAnswer(context, call, progress, candidate, result);
 		}
 
@@ -140,19 +140,22 @@
 
 const mayBeCut = ({request}: Call, head: AnswerHead): boolean => isUnframed(head) && request.method !== 'HEAD' && !bodilessStatuses.has(head.status);
 
-const recordAnswerEnd = ({quarantine}: CallContext, call: Call, {announcement: {id, address, state}, load: {isLeaving}}: Candidate, head: AnswerHead, stage: AnswerStage): void => {
+type AnswerEnd = Extract<AttemptResult, {type: 'answered' | 'streamed'}>;
+
+const recordAnswerEnd = ({quarantine}: CallContext, call: Call, {announcement: {id, address, state}, load: {isLeaving}}: Candidate, {head, answeringMs}: AnswerEnd, stage: AnswerStage): void => {
 	const isSuccess = head.status < 300;
 	if (!mayBeCut(call, head)) {
 		quarantine.recordCompletion(call, isSuccess ? address : undefined);
 	} else if (state === 'ready' && !isLeaving) {
-		quarantine.recordConnectionEnd(call, {id, address}, stage, isSuccess);
+		quarantine.recordConnectionEnd(call, {id, address}, stage, {isSuccess, answeringMs});
 	}
 };
 
 /** Ignores endpoints that are leaving: they close their connections in the same way as a crashing endpoint. */
-const recordDisconnected = ({quarantine}: CallContext, call: Call, {announcement: {address, state}, load: {isLeaving}}: Candidate, {cause, stage}: Extract<AttemptResult, {type: 'broken'}>): void => {
+const recordDisconnected = ({quarantine}: CallContext, call: Call, {announcement: {address, state}, load: {isLeaving}}: Candidate, result: Extract<AttemptResult, {type: 'broken'}>): void => {
+	const {cause, stage, answeringMs} = result;
 	if (cause === 'disconnected' && state === 'ready' && !isLeaving) {
-		quarantine.recordDisconnect(call, address, stage);
+		quarantine.recordDisconnect(call, address, stage, answeringMs);
 	}
 };
 
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -247,6 +247,7 @@
 				progress.expectedMs ??= Math.round(startedAtMs + expectedMs - call.receivedAtMs);
 			}
 
+			context.quarantine.recordActivity(announcement.id);
 			progress.lastEventId = lastId ?? progress.lastEventId;
 			progress.hasEvents = true;
 			progress.writtenBytes += events.length;
--- a/packages/gateway/src/quarantine/part-update.ts
+++ b/packages/gateway/src/quarantine/part-update.ts
@@ -23,7 +23,7 @@
 const ageSchema = z.number().nonnegative();
 const updateSchema = z.tuple([
 	z.literal(kind),
-	z.array(z.tuple([textSchema, ageSchema, textSchema, textSchema, idsSchema, z.string().max(256)])).max(maxItems),
+	z.array(z.tuple([textSchema, ageSchema, textSchema, textSchema, idsSchema, z.string().max(256), z.boolean()])).max(maxItems),
 	z.array(z.tuple([textSchema, idsSchema, ageSchema, z.number(), z.array(z.tuple([textSchema, ageSchema, z.string().max(256)])).max(maxItems)])).max(maxItems),
 	z.array(z.tuple([textSchema, textSchema, ageSchema])).max(maxItems),
 	z.array(z.tuple([textSchema, z.number().int().nonnegative(), ageSchema])).max(maxItems),
@@ -34,7 +34,7 @@
 	const ageMs = (atMs: number): number => Math.max(0, Math.round(nowMs - atMs));
 	return encode([
 		kind,
-		sightings.map(({address, atMs, request, parts, seenBy}) => [address, ageMs(atMs), request, modelOfPart(parts[0]!), parts.map(part => idOfPart(part)), seenBy]),
+		sightings.map(({address, atMs, request, parts, seenBy, isFresh}) => [address, ageMs(atMs), request, modelOfPart(parts[0]!), parts.map(part => idOfPart(part)), seenBy, isFresh]),
 		verdicts.map(({parts, sinceMs, evidence, untilMs}) => [
 			modelOfPart(parts[0]!),
 			parts.map(part => idOfPart(part)),
@@ -65,8 +65,8 @@
 	const [, sightings, verdicts, completions, counts] = parsed.data;
 	const partsOf = (model: string, ids: readonly string[]): PromptPart[] => ids.map(id => promptPart(model, id));
 	return {
-		sightings: sightings.map(([address, ageMs, request, model, ids, seenBy]) => ({
-			address, atMs: nowMs - ageMs, request, parts: partsOf(model, ids), seenBy,
+		sightings: sightings.map(([address, ageMs, request, model, ids, seenBy, isFresh]) => ({
+			address, atMs: nowMs - ageMs, request, parts: partsOf(model, ids), seenBy, isFresh,
 		})),
 		verdicts: verdicts.map(([model, ids, sinceAgeMs, remainingMs, evidence]) => ({
 			parts: partsOf(model, ids), sinceMs: nowMs - sinceAgeMs, untilMs: nowMs + remainingMs,
--- a/packages/gateway/src/quarantine/request-quarantine.ts
+++ b/packages/gateway/src/quarantine/request-quarantine.ts
@@ -1,6 +1,6 @@
 import type {Buffer} from 'node:buffer';
 import {
-	addSightings, attributeToPart, clearRequest, confirmExit, confirmRestart, createBrokenAttempts, createCrashLedger, hasJustExited, isEmpty, mayHaveRecords,
+	addSightings, attributeToPart, clearRequest, confirmExit, confirmRestart, createBrokenAttempts, createCrashLedger, hasJustExited, isEmpty, isFreshRun, mayHaveRecords,
 	pruneEndedAnswers, pruneLedger, recordBrokenAttempt, recordEndedAnswer, shortDigestIn, takeAnswered, takeExited, takeReported, verdictOn,
 	type AnswerStage, type BrokenAttempt, type CrashSighting, type EndedAnswer, type EndedAnswers, type PartVerdict, type PromptPart, type Random,
 	type RequestFingerprint, type RequestOutline, type Verdict,
@@ -23,6 +23,13 @@
 /** Why a request is not sent: it, or a part of its prompt, crashes endpoints. */
 export type QuarantineVerdict = ({readonly type: 'request'} & Verdict) | ({readonly type: 'part'} & PartVerdict);
 
+export type AnswerEnd = {
+	/** Whether the run was successful if the answer is complete. @default true */
+	readonly isSuccess?: boolean;
+	/** Time since the answer began. @default 0 */
+	readonly answeringMs?: number;
+};
+
 export type RequestQuarantineOptions = {
 	/** Address of this entry, by which others know who saw an exit. @default '' */
 	readonly selfAddress?: string;
@@ -43,11 +50,13 @@
 	/** The verdict that prevents a request from being sent; `null` if it may be sent. */
 	verdictOn(request: QuarantinedRequest): QuarantineVerdict | null;
 	/** Records that the endpoint's side closed the connection before the answer was complete. */
-	recordDisconnect(request: QuarantinedRequest, address: string, stage: AnswerStage): void;
+	recordDisconnect(request: QuarantinedRequest, address: string, stage: AnswerStage, /** Time since the answer began. @default 0 */ answeringMs?: number): void;
 	/** Records that an answer without a length ended with its connection: either it is complete, or the endpoint exited. */
-	recordConnectionEnd(request: QuarantinedRequest, endpoint: {readonly id: string; readonly address: string}, stage: AnswerStage, /** @default true */ isSuccess?: boolean): void;
+	recordConnectionEnd(request: QuarantinedRequest, endpoint: {readonly id: string; readonly address: string}, stage: AnswerStage, end?: AnswerEnd): void;
 	/** Records that an endpoint answered a request that was sent to it at `sentAtMs`. */
 	recordAnswer(endpointId: string, sentAtMs: number): void;
+	/** Records that an endpoint sent an event of some answer. */
+	recordActivity(endpointId: string): void;
 	/** Records that the endpoint's own host reaches it. */
 	recordReport(address: string): void;
 	/** Records that nothing listens at the endpoint's address any more, or that its own host cannot reach it. */
@@ -66,11 +75,13 @@
 type Watcher = {readonly request: QuarantinedRequest; stop(): void};
 
 /** An ended answer, and whether its run was successful if it is complete. */
-type EndedRequest = {readonly request: QuarantinedRequest; readonly isSuccess: boolean};
+type EndedRequest = {readonly request: QuarantinedRequest; readonly isSuccess: boolean; readonly answeringMs: number};
 
 const partsOf = (request: QuarantinedRequest): readonly PromptPart[] => request.promptParts?.() ?? [];
 
 const pruneMs = 5000;
+/** Data on another connection that arrives later than this after the end of an answer was sent after it. */
+const reorderedMs = 50;
 
 export const createRequestQuarantine = ({selfAddress = '', peers, send, logger, metrics, random, nowMs}: RequestQuarantineOptions): RequestQuarantine => {
 	const ledger = createCrashLedger();
@@ -131,14 +142,14 @@
 		}
 
 		exchange.broadcast({sightings: recordSightings(attempts, true), clearances: []});
-		partQuarantine.recordBroken(attempts.map(({fingerprint, address, atMs, promptParts = []}) => ({
-			request: shortDigestIn(fingerprint), address, atMs, parts: promptParts,
+		partQuarantine.recordBroken(attempts.map(({fingerprint, address, atMs, promptParts = [], answeringMs = 0}) => ({
+			request: shortDigestIn(fingerprint), address, atMs, parts: promptParts, isFresh: isFreshRun(answeringMs),
 		})));
 	};
 
-	const recordDisconnect = (request: QuarantinedRequest, address: string, stage: AnswerStage, atMs: number): void => {
+	const recordDisconnect = (request: QuarantinedRequest, {address, stage, atMs, answeringMs}: Omit<BrokenAttempt, 'fingerprint' | 'promptParts'>): void => {
 		const attempt = {
-			fingerprint: request.fingerprint(), address, atMs, stage, promptParts: partsOf(request),
+			fingerprint: request.fingerprint(), address, atMs, stage, answeringMs, promptParts: partsOf(request),
 		};
 		if (recordBrokenAttempt(brokenAttempts, attempt)) {
 			recordOwn([attempt]);
@@ -148,8 +159,10 @@
 	/** Takes the ended answers at an address for broken attempts, because the endpoint there has exited. Some may have been complete; they must not look like an exit of their own. */
 	const breakEnded = (address: string): void => {
 		const atMs = nowMs();
-		for (const {request: {request}, stage} of takeExited(endedAnswers, address, atMs)) {
-			recordDisconnect(request, address, stage, atMs);
+		for (const {request: {request, answeringMs}, stage} of takeExited(endedAnswers, address, atMs)) {
+			recordDisconnect(request, {
+				address, stage, atMs, answeringMs,
+			});
 		}
 	};
 
@@ -202,22 +215,31 @@
 			const partVerdict = partQuarantine.isActive() ? partQuarantine.verdictOn(partsOf(request)) : null;
 			return partVerdict === null ? null : {type: 'part', ...partVerdict};
 		},
-		recordDisconnect(request, address, stage) {
-			recordDisconnect(request, address, stage, nowMs());
+		recordDisconnect(request, address, stage, answeringMs = 0) {
+			recordDisconnect(request, {
+				address, stage, atMs: nowMs(), answeringMs,
+			});
 		},
-		recordConnectionEnd(request, {id, address}, stage, isSuccess = true) {
+		recordConnectionEnd(request, {id, address}, stage, {isSuccess = true, answeringMs = 0} = {}) {
 			const atMs = nowMs();
 			if (hasJustExited(brokenAttempts, address, atMs)) {
-				recordDisconnect(request, address, stage, atMs);
+				recordDisconnect(request, {
+					address, stage, atMs, answeringMs,
+				});
 			} else {
 				recordEndedAnswer(endedAnswers, {
-					request: {request, isSuccess}, endpointId: id, address, atMs, stage,
+					request: {request, isSuccess, answeringMs}, endpointId: id, address, atMs, stage,
 				});
 			}
 		},
 		recordAnswer(endpointId, sentAtMs) {
 			completeEnded(takeAnswered(endedAnswers, endpointId, sentAtMs));
 		},
+		recordActivity(endpointId) {
+			if (endedAnswers.length > 0) {
+				completeEnded(takeAnswered(endedAnswers, endpointId, nowMs() - reorderedMs));
+			}
+		},
 		recordReport(address) {
 			completeEnded(takeReported(endedAnswers, address, nowMs()));
 		},
--- a/packages/protocol/src/rpc/crashes.ts
+++ b/packages/protocol/src/rpc/crashes.ts
@@ -12,7 +12,7 @@
 /** What is known of prompt parts that several requests share. */
 const partsSchema = z.object({
 	sightings: z.array(z.object({
-		address: text, ageMs, request: text, parts: z.array(promptPart).min(1).max(maxParts), seenBy: z.string().max(256),
+		address: text, ageMs, request: text, parts: z.array(promptPart).min(1).max(maxParts), seenBy: z.string().max(256), isFresh: z.boolean(),
 	})).max(maxItems),
 	verdicts: z.array(z.object({
 		parts: z.array(promptPart).min(1).max(maxParts), sinceAgeMs: ageMs, remainingMs: z.number(),
