fix(coordination): a verdict is narrowed only while other runs complete

Found by reading: a verdict on two parts is narrowed to those that two further exits have in common. If the endpoints of a rack exit before any run with the first part has completed, that part remained, and all requests with it would have been refused.

Eight runs without the remaining parts must have completed since the first of these exits; a part that most requests share is cleared by them. Only fresh runs count, as in the judgement. prompt-parts.test.ts has the case.

Renames the ledger's update type, which had the name of the message's.

--- a/packages/coordination/src/quarantine/part-ledger.ts
+++ b/packages/coordination/src/quarantine/part-ledger.ts
@@ -60,7 +60,7 @@
 export type PartLedger = {
 	/** Oldest first. */
 	readonly exits: PartExit[];
-	/** Includes expired verdicts during their probation; by `keyOf` their parts. */
+	/** Includes expired verdicts during their probation; by `keyOfParts`. */
 	readonly verdicts: Map<string, PartVerdict>;
 	/** When a run with the part last completed. */
 	readonly completions: Map<PromptPart, Completion>;
@@ -87,6 +87,8 @@
 const settledMs = 300;
 /** Exits at which only some parts of a verdict were present that narrow it to these. */
 const minFurtherExits = 2;
+/** Runs without these parts that must complete meanwhile; otherwise a part that most requests share could remain. */
+const minFurtherCompletions = 8;
 const maxExits = 128;
 const maxRuns = 64;
 const maxVerdicts = 64;
@@ -234,7 +236,7 @@
 	return renewed;
 };
 
-export type PartUpdate = {
+export type PartLedgerUpdate = {
 	/** Sightings that were not known before. */
 	readonly sightings: readonly PartSighting[];
 	/** Verdicts that are renewed. */
@@ -242,7 +244,7 @@
 };
 
 /** Records runs that broke at exits; extends the verdicts on their parts. */
-export const addPartSightings = (ledger: PartLedger, sightings: readonly PartSighting[], nowMs: number): PartUpdate => {
+export const addPartSightings = (ledger: PartLedger, sightings: readonly PartSighting[], nowMs: number): PartLedgerUpdate => {
 	const verdicts = new Set<PartVerdict>();
 	const recorded = sightings.filter(sighting => {
 		const {parts, request, seenBy, atMs, isFresh} = sighting;
@@ -367,8 +369,8 @@
 	return verdict;
 };
 
-/** Parts of a verdict in runs that broke at an exit. */
-const partsAt = ({parts}: PartVerdict, {runs}: PartExit): PromptPart[] => parts.filter(part => [...runs.values()].some(run => run.parts.includes(part)));
+/** Parts of a verdict in fresh runs that broke at an exit. */
+const partsAt = ({parts}: PartVerdict, exit: PartExit): PromptPart[] => parts.filter(part => freshRunsOf(exit).some(([, run]) => run.parts.includes(part)));
 
 /** Removes the parts from a verdict without which further endpoints exit: they were in the requests by coincidence. */
 const narrowVerdict = (ledger: PartLedger, verdict: PartVerdict, nowMs: number): boolean => {
@@ -381,7 +383,8 @@
 	}
 
 	const remaining = verdict.parts.filter(part => exitsOf(part).length === most.length);
-	if (remaining.length === verdict.parts.length) {
+	const [{atMs: sinceMs, model}] = most as [PartExit];
+	if (remaining.length === verdict.parts.length || countCompletions(ledger, model, sinceMs) < minFurtherCompletions) {
 		return false;
 	}
 
--- a/packages/coordination/test/prompt-parts.test.ts
+++ b/packages/coordination/test/prompt-parts.test.ts
@@ -91,6 +91,8 @@
 
 	addPartSightings(ledger, [...exitOf('e8', 4000, 'first bad', 'first theme1'), ...exitOf('e9', 4300, 'first bad')], 4300);
 	t.same(narrowVerdicts(ledger, 4400), [], 'not before all entries have reported');
+	t.same(narrowVerdicts(ledger, 5300), [], 'nor while no other run completes');
+	complete(ledger, 5000, 8, 'first theme1');
 	t.equal(narrowVerdicts(ledger, 5300).length, 1);
 	t.same(condemnedIn(ledger), ['m/bad'], 'so do further exits without the companion');
 });
