--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -271,12 +271,13 @@
  * Starts three machines with a core and an entry each, and `workerCount` workers of a model
  * with an agent beside each.
  */
-export const deploy = async ({workerCount, routes, record}) => {
+export const deploy = async ({workerCount, routes, record, restartsCores = false, spareCount = 0, workerOptions = () => ({})}) => {
 	const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bitternpaddle-review-'));
 	const edgeCount = 3;
-	const {ips, ports} = await chooseAddresses(edgeCount + workerCount + 1);
+	const {ips, ports} = await chooseAddresses(edgeCount + workerCount + spareCount + 1);
 	const edges = ips.slice(0, edgeCount);
 	const sides = ips.slice(edgeCount, edgeCount + workerCount);
+	const spares = ips.slice(edgeCount + workerCount, -1);
 	const origin = `${ips.at(-1)}:${ports.origin}`;
 	const children = new Set();
 	const servers = [];
@@ -342,7 +343,9 @@
 		return {index, address, child};
 	};
 
+	let isClosing = false;
 	const close = async () => {
+		isClosing = true;
 		for (const child of children) {
 			child.kill('SIGKILL');
 		}
@@ -356,10 +359,38 @@
 		fs.rmSync(folder, {recursive: true, force: true});
 	};
 
+	/** The core processes that ended by themselves. */
+	const ownEnds = [];
+	/** Starts a core; the platform starts a process again that has ended, unless its machine is gone. */
+	const startCore = (ip, index, fields = {}) => {
+		const machine = {
+			ip, index, isGone: false, child: startRole('core', ip, index, fields),
+		};
+		const watch = () => {
+			machine.child.once('exit', (code, signal) => {
+				if (machine.isGone || isClosing || !restartsCores) {
+					return;
+				}
+
+				ownEnds.push({machine: index, code, signal});
+				record({ownEnd: `core-${index}`, code, signal});
+				setTimeout(() => {
+					if (!machine.isGone && !isClosing) {
+						machine.child = startRole('core', ip, index, {...fields, bootstrap: false});
+						watch();
+					}
+				}, 500);
+			});
+		};
+
+		watch();
+		return machine;
+	};
+
 	servers.push(await startOrigin(origin));
-	const cores = edges.map((ip, index) => startRole('core', ip, index));
+	const cores = edges.map((ip, index) => startCore(ip, index));
 	const entries = edges.map((ip, index) => startRole('entry', ip, index));
-	const workers = sides.map((_, index) => startWorker(index));
+	const workers = sides.map((_, index) => startWorker(index, workerOptions(index)));
 	const agents = sides.map((ip, index) => startRole('agent', ip, index, {app: `${ip}:${ports.app}`, service: 'pool'}));
 	const manifest = {
 		version: 7, routes, services: [
@@ -388,9 +419,18 @@
 	});
 
 	return {
-		folder, edges, ports, cores, entries, workers, agents, runs, manifest, submit, startWorker, startRole, close,
+		folder, edges, ports, cores, ownEnds, entries, workers, agents, runs, manifest, submit, startWorker, startRole, close,
 		frontend: index => `${edges[index]}:${ports.frontend}`,
-		control: index => `${edges[index]}:${ports.control}`,
+		control: index => `${[...edges, ...spares][index % (edgeCount + spares.length)]}:${ports.control}`,
+		/** Replaces a machine of the core for good by an empty one at another address; its entry stays as it is. */
+		async replaceCore(index) {
+			const [ip] = spares;
+			cores.push(startCore(ip, edgeCount, {bootstrap: false}));
+			record({disturbance: `core-${index} is replaced by core-${edgeCount} at another address`});
+			await delay(2000);
+			cores[index].isGone = true;
+			cores[index].child.kill('SIGTERM');
+		},
 		async ready() {
 			await submit();
 			await until('the entries are ready', async () => {
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -16,9 +16,11 @@
 let running = 0;
 let troubled = 0;
 let isTroubled = false;
-let version = 1;
+let version = options.version === undefined ? 1 : options.version;
 const staged = new Map(Array.from({length: chunkCount}, (_, chunk) => [chunk, chunkOf(1, chunk)]));
 
+const models = () => version === null ? [] : [{name: model, version, adapters: []}];
+
 const tell = fields => {
 	process.stdout.write(`${JSON.stringify(fields)}\n`);
 };
@@ -45,6 +47,9 @@
 	let sent = from;
 	let end = 'complete';
 	running++;
+	tell({
+		began: requestId, path: request.url, framing, from,
+	});
 	response.once('close', () => {
 		if (!response.writableFinished && end === 'complete') {
 			end = 'left';
@@ -107,7 +112,7 @@
 			json(200, {}, {'x-bitternpaddle-instance-id': id, 'x-bitternpaddle-instance-load': `${running},0,${slots}`});
 		} else if (url.pathname === '/v1/report') {
 			json(200, {
-				stage: 'unified', models: [{name: model, version, adapters: []}], busy: false, sequence: 0, queued: 0, running, kvUsed: 0, kvTotal: 685_000, handles: 0, pace: 1,
+				stage: 'unified', models: models(), busy: false, sequence: 0, queued: 0, running, kvUsed: 0, kvTotal: 685_000, handles: 0, pace: 1,
 			});
 		} else if (url.pathname.startsWith('/v1/stage-put/')) {
 			staged.set(chunk, body);
@@ -122,7 +127,7 @@
 			json(isWhole ? 202 : 409, {});
 		} else if (request.headers['x-bitternpaddle-expect-instance'] !== undefined && request.headers['x-bitternpaddle-expect-instance'] !== id) {
 			json(421, {}, {'x-bitternpaddle-not-executed': '1', 'x-bitternpaddle-request-id': requestId});
-		} else if (running >= slots) {
+		} else if (running >= slots || version === null) {
 			json(503, {}, {'x-bitternpaddle-not-executed': '1', 'x-bitternpaddle-request-id': requestId, 'x-bitternpaddle-instance-load': `${running},0,${slots}`});
 		} else {
 			stream(request, response, requestId).catch(error => {
@@ -137,7 +142,7 @@
 const announce = async () => {
 	sequence++;
 	const body = JSON.stringify({
-		service, address, zone, version: 'v1', slots, state: 'ready', coldRemainingMs: 0, stage: 'unified', models: [{name: model, version, adapters: []}], sequence,
+		service, address, zone, version: 'v1', slots, state: 'ready', coldRemainingMs: 0, stage: 'unified', models: models(), sequence,
 	});
 	for (const control of controls) {
 		const [ip, controlPort] = control.split(':');
