--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,91 +1,109 @@
-// Workers break off streams that they answer without a length: their connection is reset on the
-// way. The route may not be resumed, so the entry ends the consumer's answer.
+// The manifest is nearly as long as it may be, and has changed a few times. Then machines of the
+// core are replaced by empty ones, one after the other, as planned work. The leader has to send
+// each newcomer the log.
+import fs from 'node:fs';
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {
-	broken, consumerCall, couldNotRun, delay, held, runCase, until,
+	bounds, broken, couldNotRun, delay, held, plainCall, runCase, until,
 } from '../lib/deployment.mjs';
 
-const eventCount = 21;
-const workerCount = 8;
-/** Within the limits for `garble` (`unframed`): half of the workers break off 0.03 of their answers (an option of the worker), for 8 s. */
-const troubledCount = 4;
-const troubleMs = 8000;
-const callIntervalMs = 16;
+/** Makes a manifest of 3.9 MB; it may have 4,194,304 bytes. */
+const routeCount = 16_000;
+const maxManifestBytes = 4_194_304;
+/** The manifest changes until the log would take more than a disk has with one more. */
+const maxChanges = 20;
+const entryBytes = 4_500_000;
+const changeIntervalMs = 330;
+const diskBytes = 64_000_000;
+const replacementCount = 3;
+const replacementIntervalMs = 18_000;
+/** Ends of a process on one machine that break the rule, on at least half of the core. */
+const faultEnds = 3;
+const coreCount = 3;
+/** Ends this soon after a disturbance on their machine don't count. */
+const excusedMs = 1000;
+
+const routeOf = index => ({
+	name: `r-${index}`, host: 'hulo84.example', pathPrefix: `/xapu221/ny${index}/`, type: 'streaming', timeoutMs: 6000, targetLatencyMs: 401, priority: 1, service: 'pool', maxAttempts: 2,
+	public: false, sticky: true, resumable: true, itlTargetMs: 300,
+});
 
 await runCase(path.dirname(fileURLToPath(import.meta.url)), async ({record, isTrouble, deploy}) => {
 	const system = await deploy({
-		workerCount,
-		routes: [{
-			name: 'r-note', host: 'hulo84.example', pathPrefix: '/xapu221/', type: 'streaming', timeoutMs: 6000, targetLatencyMs: 401, priority: 1, service: 'pool', maxAttempts: 2, public: false,
-			sticky: true, resumable: false, itlTargetMs: 300,
-		}],
+		workerCount: 1, routes: Array.from({length: routeCount}, (_, index) => routeOf(index)), restartsCores: true, spareCount: replacementCount,
 	});
-	let count = 0;
-	const call = async () => {
-		const id = `c-${count++}`;
-		const entry = count % 3;
-		record({sent: id, entry});
-		const answer = await consumerCall({
-			address: system.frontend(entry), path: '/xapu221/note', host: 'hulo84.example', key: 'jnbanfqasnmgkcuyj8pj', id,
-			headers: {'X-Bitternpaddle-Model': 'model-a', 'X-Bitternpaddle-Token-Usage': '973,126', 'X-Bitternpaddle-Prefix-Hash': `5c1e07a2:40,${(0x10_00_00_00 + count).toString(16)}:933`},
-		});
-		const events = answer.body.split('\n\n').filter(event => event !== '').length;
-		record({
-			answered: id, status: answer.status, framing: answer.framing, end: answer.end, events,
-		});
-		return {id, ...answer, events};
-	};
-
 	await system.ready();
-	await until('a stream is answered', async () => (await call()).status === 200);
-	await delay(3000);
-	const calls = [];
-	const switchTrouble = () => {
-		for (const {child} of system.workers.slice(0, troubledCount)) {
-			child.kill('SIGUSR2');
+	const {manifest} = system;
+	const manifestBytes = JSON.stringify(manifest).length;
+	if (manifestBytes > maxManifestBytes) {
+		return couldNotRun;
+	}
+
+	const usedBytes = () => {
+		const folder = path.join(system.folder, 'core-0');
+		let sum = 0;
+		for (const name of fs.readdirSync(folder)) {
+			sum += fs.statSync(path.join(folder, name)).size;
 		}
+
+		return sum;
 	};
 
-	const startedAtMs = performance.now();
-	let isSwitchedOn = false;
-	let isSwitchedOff = false;
-	while (performance.now() - startedAtMs < 14_000) {
-		const sinceMs = performance.now() - startedAtMs;
-		if (isTrouble && !isSwitchedOn && sinceMs > 3000) {
-			isSwitchedOn = true;
-			switchTrouble();
-		}
+	for (let index = 0; index < maxChanges && usedBytes() + entryBytes < diskBytes; index++) {
+		manifest.version += 3;
+		manifest.routes[index].timeoutMs = 5000 + index;
+		await system.submit();
+		await delay(changeIntervalMs);
+	}
 
-		if (isTrouble && isSwitchedOn && !isSwitchedOff && sinceMs > 3000 + troubleMs) {
-			isSwitchedOff = true;
-			switchTrouble();
+	await delay(bounds.stableWindowMs);
+	if (system.ownEnds.length > 0) {
+		record({error: 'a process of the core ended before the disturbance'});
+		return couldNotRun;
+	}
+
+	const usedBytesBefore = usedBytes();
+	record({manifestBytes, usedBytes: usedBytesBefore});
+	if (usedBytesBefore > diskBytes) {
+		return couldNotRun;
+	}
+
+	const playStartedAtMs = performance.now();
+	/** When the platform started each newcomer, by its machine. */
+	const startedAtMs = {};
+	for (let index = 0; index < replacementCount; index++) {
+		if (isTrouble) {
+			// The machines 0 and 1 stay; each newcomer takes the place of the one before it.
+			startedAtMs[coreCount + index] = performance.now();
+			await system.replaceCore(coreCount - 1 + index);
 		}
 
-		calls.push(call());
-		await delay(callIntervalMs);
+		await delay(playStartedAtMs + ((index + 1) * replacementIntervalMs) - performance.now());
 	}
 
-	const answers = await Promise.all(calls);
-	await delay(500);
-	const served = answers.filter(({status, end, events}) => status === 200 && end === 'complete' && events === eventCount).length;
-	const early = answers.filter(({status, end, events}) => status === 200 && end === 'complete' && events < eventCount);
-	const resets = system.runs.filter(({end}) => end === 'reset');
-	for (const {id, framing, events} of early) {
-		const run = system.runs.find(({ran}) => ran === id);
-		record({
-			brokenRule: 'MIXED', id, framing, events, of: eventCount, workerEnd: run?.end, workerFraming: run?.framing,
-		});
+	const counted = system.ownEnds.filter(({machine, atMs}) => atMs - (startedAtMs[machine] ?? playStartedAtMs) > excusedMs);
+	const endsByMachine = {};
+	for (const {machine} of counted) {
+		endsByMachine[machine] = (endsByMachine[machine] ?? 0) + 1;
 	}
 
+	const read = await until('the manifest is read back', async () => {
+		for (let index = 0; index < coreCount + replacementCount; index++) {
+			const {status, text} = await plainCall({address: system.control(index), path: '/v1/config', timeoutMs: 2000});
+			record({operator: 'GET /v1/config', machine: index, status});
+			if (status === 200) {
+				return JSON.parse(text).version;
+			}
+		}
+
+		return null;
+	}, bounds.stableWindowMs).catch(() => null);
 	const summary = {
-		requests: answers.length, served, resets: resets.length, unframedResets: resets.filter(({framing}) => framing === 'none').length, looksCompleteButIsNot: early.length,
+		manifestBytes, usedBytes: usedBytesBefore, acknowledged: manifest.version, read, ownEnds: counted.length, endsByMachine,
 	};
 	record(summary);
 	console.log(JSON.stringify(summary));
-	if (served < answers.length / 2) {
-		return couldNotRun;
-	}
-
-	return early.length > 0 ? broken : held;
+	const faultyCount = Object.values(endsByMachine).filter(count => count >= faultEnds).length;
+	return faultyCount >= coreCount / 2 ? broken : held;
 });
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -356,6 +356,11 @@
 		}
 
 		await until('all processes ended', () => children.size === 0, 5000);
+		if (process.env.KEEP_LOGS === '1') {
+			console.log(`kept ${folder}`);
+			return;
+		}
+
 		fs.rmSync(folder, {recursive: true, force: true});
 	};
 
@@ -372,7 +377,9 @@
 					return;
 				}
 
-				ownEnds.push({machine: index, code, signal});
+				ownEnds.push({
+					machine: index, code, signal, atMs: performance.now(),
+				});
 				record({ownEnd: `core-${index}`, code, signal});
 				setTimeout(() => {
 					if (!machine.isGone && !isClosing) {
@@ -422,14 +429,22 @@
 		folder, edges, ports, cores, ownEnds, entries, workers, agents, runs, manifest, submit, startWorker, startRole, close,
 		frontend: index => `${edges[index]}:${ports.frontend}`,
 		control: index => `${[...edges, ...spares][index % (edgeCount + spares.length)]}:${ports.control}`,
-		/** Replaces a machine of the core for good by an empty one at another address; its entry stays as it is. */
+		/** Replaces a machine of the core for good, as planned work: an empty one starts at another address, then the old one gets SIGTERM. */
 		async replaceCore(index) {
-			const [ip] = spares;
-			cores.push(startCore(ip, edgeCount, {bootstrap: false}));
-			record({disturbance: `core-${index} is replaced by core-${edgeCount} at another address`});
+			const newIndex = cores.length;
+			const ip = spares[newIndex - edgeCount];
+			cores.push(startCore(ip, newIndex, {bootstrap: false}));
+			entries.push(startRole('entry', ip, newIndex, {bootstrap: false}));
+			record({disturbance: `machine ${index} is replaced by machine ${newIndex} at another address`});
 			await delay(2000);
-			cores[index].isGone = true;
-			cores[index].child.kill('SIGTERM');
+			const old = cores[index];
+			old.isGone = true;
+			for (const child of [old.child, entries[index]]) {
+				child.kill('SIGTERM');
+				setTimeout(() => {
+					child.kill('SIGKILL');
+				}, bounds.graceS * 1000);
+			}
 		},
 		async ready() {
 			await submit();
