--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -271,7 +271,7 @@
  * Starts three machines with a core and an entry each, and `workerCount` workers of a model
  * with an agent beside each.
  */
-export const deploy = async ({workerCount, routes, record, restartsCores = false, spareCount = 0, workerOptions = () => ({})}) => {
+export const deploy = async ({workerCount, routes, record, restartsCores = false, spareCount = 0}) => {
 	const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bitternpaddle-review-'));
 	const edgeCount = 3;
 	const {ips, ports} = await chooseAddresses(edgeCount + workerCount + spareCount + 1);
@@ -397,7 +397,7 @@
 	servers.push(await startOrigin(origin));
 	const cores = edges.map((ip, index) => startCore(ip, index));
 	const entries = edges.map((ip, index) => startRole('entry', ip, index));
-	const workers = sides.map((_, index) => startWorker(index, workerOptions(index)));
+	const workers = sides.map((_, index) => startWorker(index));
 	const agents = sides.map((ip, index) => startRole('agent', ip, index, {app: `${ip}:${ports.app}`, service: 'pool'}));
 	const manifest = {
 		version: 7, routes, services: [
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -9,17 +9,17 @@
 import {chunkCount, chunkOf, model} from './deployment.mjs';
 
 const options = JSON.parse(process.argv[2]);
-const {address, zone, service, controls, heartbeatMs, slots = 16, eventCount = 21, eventMs = 40, troubleShare = 0.03, isUnframed = false} = options;
+const {address, zone, service, controls, heartbeatMs, slots = 16, eventCount = 21, eventMs = 40, troubleShare = 0.03} = options;
 const id = options.id ?? `i-${randomUUID().slice(0, 8)}`;
 const [host, port] = address.split(':');
 let sequence = 0;
 let running = 0;
 let troubled = 0;
 let isTroubled = false;
-let version = options.version === undefined ? 1 : options.version;
+let version = 1;
 const staged = new Map(Array.from({length: chunkCount}, (_, chunk) => [chunk, chunkOf(1, chunk)]));
 
-const models = () => version === null ? [] : [{name: model, version, adapters: []}];
+const models = () => [{name: model, version, adapters: []}];
 
 const tell = fields => {
 	process.stdout.write(`${JSON.stringify(fields)}\n`);
@@ -42,7 +42,7 @@
 
 const stream = async (request, response, requestId) => {
 	const isFailing = isBrokenOff();
-	const framing = isFailing || isUnframed ? 'none' : 'chunked';
+	const framing = isFailing ? 'none' : 'chunked';
 	const from = Number(request.headers['last-event-id'] ?? 0);
 	let sent = from;
 	let end = 'complete';
@@ -127,7 +127,7 @@
 			json(isWhole ? 202 : 409, {});
 		} else if (request.headers['x-bitternpaddle-expect-instance'] !== undefined && request.headers['x-bitternpaddle-expect-instance'] !== id) {
 			json(421, {}, {'x-bitternpaddle-not-executed': '1', 'x-bitternpaddle-request-id': requestId});
-		} else if (running >= slots || version === null) {
+		} else if (running >= slots) {
 			json(503, {}, {'x-bitternpaddle-not-executed': '1', 'x-bitternpaddle-request-id': requestId, 'x-bitternpaddle-instance-load': `${running},0,${slots}`});
 		} else {
 			stream(request, response, requestId).catch(error => {
