--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -3,6 +3,7 @@
 // each newcomer the log.
 import fs from 'node:fs';
 import path from 'node:path';
+import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {
 	bounds, broken, couldNotRun, delay, held, plainCall, runCase, until,
@@ -29,7 +30,11 @@
 	public: false, sticky: true, resumable: true, itlTargetMs: 300,
 });
 
-await runCase(path.dirname(fileURLToPath(import.meta.url)), async ({record, isTrouble, deploy}) => {
+/** `TROUBLE=0` plays the same without the disruption. */
+const isTroubled = process.env.TROUBLE !== '0';
+const recordFile = path.join(path.dirname(fileURLToPath(import.meta.url)), 'record.txt');
+
+await runCase({recordFile, isTrouble: isTroubled}, async ({record, isTrouble, deploy}) => {
 	const system = await deploy({
 		workerCount: 1, routes: Array.from({length: routeCount}, (_, index) => routeOf(index)), restartsCores: true, spareCount: replacementCount,
 	});
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,6 +1,7 @@
 // Workers break off streams that they answer without a length: their connection is reset on the
 // way. The route may not be resumed, so the entry ends the consumer's answer.
 import path from 'node:path';
+import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {
 	broken, consumerCall, couldNotRun, delay, held, runCase, until,
@@ -13,7 +14,11 @@
 const troubleMs = 8000;
 const callIntervalMs = 16;
 
-await runCase(path.dirname(fileURLToPath(import.meta.url)), async ({record, isTrouble, deploy}) => {
+/** `TROUBLE=0` plays the same without the disruption. */
+const isTroubled = process.env.TROUBLE !== '0';
+const recordFile = path.join(path.dirname(fileURLToPath(import.meta.url)), 'record.txt');
+
+await runCase({recordFile, isTrouble: isTroubled}, async ({record, isTrouble, deploy}) => {
 	const system = await deploy({
 		workerCount,
 		routes: [{
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -140,10 +140,10 @@
 	return server;
 };
 
-/** Appends what was sent, answered and run to `record.txt` in the folder of the case. */
-export const createRecord = folder => {
+/** Appends what was sent, answered and run to the record of the case. */
+export const createRecord = recordFile => {
 	const startedAtMs = performance.now();
-	const file = fs.openSync(path.join(folder, 'record.txt'), 'w');
+	const file = fs.openSync(recordFile, 'w');
 	return fields => {
 		fs.writeSync(file, `${JSON.stringify({ms: Math.round(performance.now() - startedAtMs), ...fields})}\n`);
 	};
@@ -457,8 +457,8 @@
 };
 
 /** Runs a case and ends the process with its exit code; all processes that it started have ended by then. */
-export const runCase = async (folder, play) => {
-	const record = createRecord(folder);
+export const runCase = async ({recordFile, isTrouble}, play) => {
+	const record = createRecord(recordFile);
 	let system = null;
 	let code = couldNotRun;
 	const limit = setTimeout(() => {
@@ -472,7 +472,7 @@
 	}, 112_000);
 	try {
 		code = await play({
-			record, isTrouble: process.env.TROUBLE !== '0', async deploy(options) {
+			record, isTrouble, async deploy(options) {
 				system = await deploy({...options, record});
 				return system;
 			},
