--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -110,5 +110,6 @@
 	record(summary);
 	console.log(JSON.stringify(summary));
 	const faultyCount = Object.values(endsByMachine).filter(count => count >= faultEnds).length;
-	return faultyCount >= coreCount / 2 ? broken : held;
+	// Of all machines that belonged to the core in the day, also those that were replaced.
+	return faultyCount >= (coreCount + replacementCount) / 2 ? broken : held;
 });
