core: log events and gauges tell a core that lost its majority from one that elects a leader

Two of three voters lost their disks and the logs said only that the third was a preCandidate, as it is in any election. Nobody was told before the loss that the core bore one loss where the settings require two.

- BP4067 and BP4068 of the leader, at its start and on each change: whether the voters tolerate the losses of hosts, zones and regions that the settings require.
- BP4069 of a host that has known no leader for three seconds: how many voters are needed, which are silent, and which of these returned with another disk.
- Gauges for the voters, the tolerated and required losses, a known leader, an open log.
- BP4005 of entries names whether any core host answers.

No decision changes.

--- a/packages/coordination/src/consensus/index.ts
+++ b/packages/coordination/src/consensus/index.ts
@@ -8,3 +8,4 @@
 export * from './plan-members.js';
 export * from './step.js';
 export type * from './types.js';
+export * from './voter-group.js';
--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -1,6 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {
-	announcementsSince, createRegistry, recordAnnouncement, isLaterStart, pruneRegistry, withdraw, type Announcement, type Clock,
+	announcementsSince, createRegistry, recordAnnouncement, isLaterStart, pruneRegistry, withdraw, type Announcement, type Clock, type VoterPlace,
 } from '@bitternpaddle/coordination';
 import {consensusEnvelopesSchema, rpcErrorCodes, standbyParametersSchema} from '@bitternpaddle/protocol';
 import type {Document, RoutingConfiguration} from '@bitternpaddle/state';
@@ -38,6 +38,10 @@
 	seeds(): readonly string[];
 	/** Number of core hosts that may fail at the same time. */
 	readonly toleratedLosses: number;
+	/** Number of availability zones that may fail at the same time. @default 0 */
+	readonly toleratedZoneLosses?: number;
+	/** Number of regions that may fail at the same time. @default 0 */
+	readonly toleratedRegionLosses?: number;
 	/** Time within which an acknowledged evacuation of a zone holds; `null` if the deployment has no evacuations. @default null */
 	readonly evacuationMs?: number | null;
 	readonly clock: Clock;
@@ -86,8 +90,8 @@
 /** One core host: its replica of the document log, the endpoint announcements and its followers. */
 export const createCoreNode = async (options: CoreNodeOptions): Promise<CoreNode> => {
 	const {
-		selfAddress, zoneId, regionId, folder, isFirstStart, seeds, toleratedLosses, evacuationMs = null, regionsByZone = new Map<string, string>(), clock, logger,
-		metrics = createGatewayMetrics(),
+		selfAddress, zoneId, regionId, folder, isFirstStart, seeds, toleratedLosses, toleratedZoneLosses = 0, toleratedRegionLosses = 0, evacuationMs = null,
+		regionsByZone = new Map<string, string>(), clock, logger, metrics = createGatewayMetrics(),
 	} = options;
 	const epoch = randomUUID();
 	const self: Follower = {
@@ -119,8 +123,11 @@
 		evacuatedZones.recordResult({evacuations, freshAgeMs: null}, monotonicNowMs());
 	};
 
+	const places = new Map<string, VoterPlace>([[selfAddress, {zoneId, regionId}]]);
 	const log = await createDocumentLog({
-		selfAddress, folder, isFirstStart, seeds, clock, logger, otherAddresses,
+		selfAddress, folder, isFirstStart, seeds, clock, logger, metrics, otherAddresses,
+		required: {hosts: toleratedLosses, zones: toleratedZoneLosses, regions: toleratedRegionLosses},
+		placeOf: address => places.get(address) ?? null,
 		// An odd number of which the tolerated losses are a minority.
 		voterCount: (2 * toleratedLosses) + 1,
 		onChange() {
@@ -155,6 +162,11 @@
 		// Includes versions named before this process started, for which no change event arrives.
 		recordVersions();
 		followers.record(parameters.follower, nowMs);
+		if (parameters.follower.role === 'core') {
+			const {address, zoneId, regionId} = parameters.follower;
+			places.set(address, {zoneId, regionId});
+		}
+
 		return {
 			epoch, position: registry.position,
 			zoneId,
--- a/packages/gateway/src/core/document-log.ts
+++ b/packages/gateway/src/core/document-log.ts
@@ -1,6 +1,6 @@
 import {randomInt} from 'node:crypto';
 import {
-	hasDisk, hasLeaderLease, hostOfMember, quorumConfirmedAtMs, type Clock,
+	hasDisk, hasLeaderLease, hostOfMember, quorumConfirmedAtMs, type Clock, type LossTolerance, type VoterPlace,
 } from '@bitternpaddle/coordination';
 import {
 	createConsensusDriver, createLogProposals, createPeerSender, createVoterRepair, handOverLeadership, repairIntervalMs, type ConsensusDriver, type VoterRepair,
@@ -11,7 +11,9 @@
 	type Document, type DocumentOutcome, type DocumentState, type FolderLock, type LogEntry, type LogStore,
 } from '@bitternpaddle/state';
 import type {Logger} from '@bitternpaddle/transport';
+import type {GatewayMetrics} from '../process/gateway-metrics.js';
 import {openCoreIdentity, type CoreIdentity} from './core-identity.js';
+import {createVoterMonitor} from './voter-monitor.js';
 
 export type DocumentLogOptions = {
 	readonly selfAddress: string;
@@ -22,8 +24,13 @@
 	/** All other known core hosts, including seeds. */
 	otherAddresses(): string[];
 	readonly voterCount: number;
+	/** Losses that the voters must tolerate. */
+	readonly required: LossTolerance;
+	/** Zone and region of a core host; `null` if unknown. */
+	placeOf(address: string): VoterPlace | null;
 	readonly clock: Clock;
 	readonly logger: Logger;
+	readonly metrics: Pick<GatewayMetrics, 'gauge'>;
 	/** Called when the documents change or when this host gains or loses the ability to serve them. */
 	onChange(): void;
 };
@@ -68,7 +75,7 @@
 
 export const createDocumentLog = async (options: DocumentLogOptions): Promise<DocumentLog> => {
 	const {
-		selfAddress, folder, isFirstStart, seeds, otherAddresses, voterCount, clock, logger, onChange,
+		selfAddress, folder, isFirstStart, seeds, otherAddresses, voterCount, required, placeOf, clock, logger, metrics, onChange,
 	} = options;
 	const send = createPeerSender({addressOf: memberId => hostOfMember(memberId), isCompressed: true});
 	let state = createDocumentState();
@@ -84,6 +91,11 @@
 		append: payload => openLog === null ? {type: 'rejected', reason: 'notLeader'} : openLog.driver.propose(payload),
 	});
 
+	const monitor = createVoterMonitor({
+		required, placeOf, logger, metrics, nowMs: clock.nowMs,
+		consensus: () => openLog?.driver.state ?? null,
+	});
+
 	const onCommit = (entry: LogEntry): void => {
 		let outcome: DocumentOutcome = 'known';
 		if (entry.payload.type === 'document') {
@@ -189,6 +201,7 @@
 	await open().catch(onFailure);
 	const repairTimer = setInterval(() => {
 		openLog?.repair.run();
+		monitor.check();
 	}, repairIntervalMs);
 
 	const memberIds = (): string[] => {
@@ -229,9 +242,11 @@
 			return consensus.leaderId !== null && Number.isFinite(ageMs) ? Math.max(0, ageMs) : null;
 		},
 		receive(envelope) {
+			monitor.recordMessage(envelope.from);
 			openLog?.driver.receive(envelope);
 		},
 		recordStandby(memberId) {
+			monitor.recordStandby(memberId);
 			openLog?.repair.recordAnnouncement(memberId);
 		},
 		async leave() {
--- a/packages/gateway/src/core/index.ts
+++ b/packages/gateway/src/core/index.ts
@@ -3,3 +3,4 @@
 export * from './followers.js';
 export * from './permit-desk.js';
 export * from './region-check.js';
+export * from './voter-monitor.js';
--- a/packages/gateway/src/entry/entry-lease.ts
+++ b/packages/gateway/src/entry/entry-lease.ts
@@ -67,7 +67,7 @@
 		if (holdsNow !== wasHeld) {
 			wasHeld = holdsNow;
 			hasHeld ||= holdsNow;
-			logger.event(holdsNow ? 'BP4006' : 'BP4005', {ageMs: Math.round(ageMs())});
+			logger.event(holdsNow ? 'BP4006' : 'BP4005', {ageMs: Math.round(ageMs()), reachesCore: reachesCore()});
 		}
 
 		if (!holdsNow && nowMs - refreshedAtMs > refreshIntervalMs) {
