core: a member passes the announcement of a new host on to the leader

What callers would have seen: after two disks were lost and replaced, the next two lost disks ended every change for good, though the settings bear two at a time.

A host with a new disk announces itself to its seeds and to the hosts that it learns of from them. Where both other hosts that lost their disks were seeds too, it learns of nobody else, and a follower that is told of it does nothing.

Members pass the announcement on to the leader they follow, once (isForwarded); hosts without a disk pass it on to a member. The leader is reached if any seed is a member. Ruled out: rosters of new hosts; the one host that knew the members sent its roster only to followers that take it as their source.

--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -276,8 +276,8 @@
 			log.receive(envelope);
 		}
 	});
-	rpc.method('control.standby', standbyParametersSchema, ({memberId}) => {
-		log.recordStandby(memberId);
+	rpc.method('control.standby', standbyParametersSchema, ({memberId, isForwarded}) => {
+		log.recordStandby(memberId, isForwarded);
 	});
 	rpc.method('gateway.watch', watchParametersSchema, async parameters => watchService.watch(parameters));
 	rpc.method('gateway.configuration', readParametersSchema, () => log.state().configuration);
--- a/packages/gateway/src/core/core-relay.ts
+++ b/packages/gateway/src/core/core-relay.ts
@@ -1,6 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
-import {rpcErrorCodes} from '@bitternpaddle/protocol';
+import {rpcErrorCodes, standbyParametersSchema} from '@bitternpaddle/protocol';
 import type {Document} from '@bitternpaddle/state';
 import {
 	callRpc, createHttpServer, createRpcServer, RpcError, TransportError, type HttpServer,
@@ -170,6 +170,15 @@
 		}
 	};
 
+	const forwardAnnouncement = async (method: string, parameters: object): Promise<boolean> => {
+		try {
+			await callAny(method, parameters, announceTimeoutMs);
+			return true;
+		} catch {
+			return false;
+		}
+	};
+
 	const rpc = createRpcServer();
 	rpc.method('gateway.watch', watchParametersSchema, async parameters => {
 		const {address, role, hasLog} = parameters.follower;
@@ -180,21 +189,15 @@
 		return watch(parameters);
 	});
 	rpc.method('gateway.configuration', readParametersSchema, async () => callAny('gateway.configuration', {}, configurationTimeoutMs));
+	rpc.method('control.standby', standbyParametersSchema, async ({memberId}) => {
+		await forwardAnnouncement('control.standby', {memberId});
+	});
 	const server: HttpServer = await createHttpServer({
 		listen: selfAddress,
 		handler: async (request, response) => rpc.serve(request, response),
 	});
 	logger.event('BP4013', {});
 
-	const forwardAnnouncement = async (method: string, parameters: object): Promise<boolean> => {
-		try {
-			await callAny(method, parameters, announceTimeoutMs);
-			return true;
-		} catch {
-			return false;
-		}
-	};
-
 	const submitToLeader = async (document: Exclude<Document, {kind: 'evacuation'}>): Promise<SubmitOutcome> => submitResultSchema.parse(await callLeader('gateway.submit', {document})).outcome;
 
 	const close = async (): Promise<void> => {
--- a/packages/gateway/src/core/document-log.ts
+++ b/packages/gateway/src/core/document-log.ts
@@ -10,7 +10,7 @@
 	applyDocument, createDocumentState, decodeDocumentState, encodeDocumentState, openLocked, openLogStore,
 	type Document, type DocumentOutcome, type DocumentState, type FolderLock, type LogEntry, type LogStore,
 } from '@bitternpaddle/state';
-import type {Logger} from '@bitternpaddle/transport';
+import {ignore, notifyRpc, type Logger} from '@bitternpaddle/transport';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
 import {openCoreIdentity, type CoreIdentity} from './core-identity.js';
 import {createVoterMonitor} from './voter-monitor.js';
@@ -51,7 +51,8 @@
 	/** Time since this host was last confirmed to hold all acknowledged documents; `null` if it never was. */
 	freshAgeMs(): number | null;
 	receive(envelope: ConsensusEnvelope): void;
-	recordStandby(memberId: string): void;
+	/** Records that a core host announced itself as not being a member. `isForwarded`: another member passed it on. */
+	recordStandby(memberId: string, isForwarded: boolean): void;
 	/** Transfers leadership to another member. */
 	leave(): Promise<void>;
 	close(): Promise<void>;
@@ -63,6 +64,8 @@
 /** Time after which a silent member is replaced if a standby host is available: a restart takes less, and without a standby nothing changes. */
 const replaceAfterMs = 1500;
 const proposalTimeoutMs = 2500;
+/** An announcement that takes longer is sent again by the host that it is from. */
+const forwardTimeoutMs = 1000;
 /** Delay before a disk that failed a write is tried again. */
 const reopenDelayMs = 500;
 
@@ -207,16 +210,18 @@
 
 	const addressesOf = (memberIds: readonly string[]): string[] => [...new Set(memberIds.map(member => hostOfMember(member)))];
 
+	const leaderAddress = (): string | null => {
+		const leaderId = openLog?.driver.state.leaderId ?? null;
+		const address = leaderId === null ? null : hostOfMember(leaderId);
+		return address === selfAddress ? null : address;
+	};
+
 	const isLeader = (): boolean => openLog !== null && hasLeaderLease(openLog.driver.state, clock.nowMs());
 
 	return {
 		state: () => state,
 		isLeader,
-		leaderAddress() {
-			const leaderId = openLog?.driver.state.leaderId ?? null;
-			const address = leaderId === null ? null : hostOfMember(leaderId);
-			return address === selfAddress ? null : address;
-		},
+		leaderAddress,
 		memberAddresses: () => addressesOf(memberIds()),
 		diskAddresses: () => addressesOf(memberIds().filter(member => hasDisk(member))),
 		propose: async document => proposals.propose({type: 'document', document}),
@@ -241,9 +246,16 @@
 			monitor.recordMessage(envelope.from);
 			openLog?.driver.receive(envelope);
 		},
-		recordStandby(memberId) {
+		recordStandby(memberId, isForwarded) {
 			monitor.recordStandby(memberId);
 			openLog?.repair.recordAnnouncement(memberId);
+			const address = leaderAddress();
+			if (address !== null && !isForwarded) {
+				// The host repeats its announcement every second.
+				notifyRpc({
+					address, method: 'control.standby', params: {memberId, isForwarded: true}, timeoutMs: forwardTimeoutMs,
+				}).catch(ignore);
+			}
 		},
 		async leave() {
 			if (openLog !== null) {
--- a/packages/protocol/src/rpc/methods.ts
+++ b/packages/protocol/src/rpc/methods.ts
@@ -57,7 +57,11 @@
 export const formationParametersSchema = z.object({});
 
 /** A control host, as `host#disk`, that receives the log from no leader. */
-export const standbyParametersSchema = z.object({memberId: z.string()});
+export const standbyParametersSchema = z.object({
+	memberId: z.string(),
+	/** Whether a member that does not lead passed the announcement on to the leader. */
+	isForwarded: z.boolean().default(false),
+});
 
 export type ConsensusEnvelope = z.infer<typeof consensusEnvelopeSchema>;
 
