core: voters are spread so that a lost zone or region leaves a majority

Settings may ask that a zone or a region is borne (faultTolerance.zones, regions); the core read the number of machines only. With machines 0 and zones 1 it reduced itself to one voter; with machines 1 and zones 1 a lost voter was replaced by the most caught-up host, also one of a zone that had a voter already, after which one lost zone took the majority.

planMembers takes the losses and the members' places: the number of voters is the least odd one with which some choice of the live disks bears the losses, the learner is promoted that leaves the fewest voters too many in a zone or region, and a voter too many is swapped for one elsewhere, adding first. Without zones and regions to be borne nothing changes.

--- a/packages/coordination/src/consensus/plan-members.ts
+++ b/packages/coordination/src/consensus/plan-members.ts
@@ -3,18 +3,25 @@
 import {membersIndexInLog} from './log.js';
 import {hasDisk, hostOfMember} from './member-id.js';
 import type {ConsensusState} from './types.js';
+import {
+	excessVoters, requiredVoterCount, type LossTolerance, type VoterPlace,
+} from './voter-group.js';
 
 export type PlanMembersOptions = {
 	readonly state: ConsensusState;
 	/** Control hosts that announced that they are not members, with the time of the latest announcement. */
 	readonly standbys: ReadonlyMap<string, number>;
-	/** Target number of voters. */
+	/** Least number of voters to aim for. */
 	readonly voterCount: number;
 	/** Since when this host leads; members get the full timeout to respond to a new leader. */
 	readonly leadingSinceMs: number;
 	readonly nowMs: number;
 	/** A voter that is silent for this long is replaced; longer than a restart takes. @default 15000 */
 	readonly replaceAfterMs?: number;
+	/** Losses that the voters must tolerate; those of zones and regions may take more voters. @default none */
+	readonly required?: LossTolerance;
+	/** Place of a member; `null` if unknown, which is taken as a zone and region of its own. @default unknown */
+	placeOf?(member: string): VoterPlace | null;
 };
 
 type PlanContext = Required<PlanMembersOptions> & {readonly members: Members; readonly liveStandbys: readonly string[]};
@@ -35,7 +42,9 @@
  * docs/design/0011-replace-a-voter.md).
  */
 export const planMembers = (options: PlanMembersOptions): Members | null => {
-	const {state, nowMs, standbys, replaceAfterMs = 15_000} = options;
+	const {
+		state, nowMs, standbys, replaceAfterMs = 15_000, required = {hosts: 0, zones: 0, regions: 0}, placeOf = () => null,
+	} = options;
 	if (!hasLeaderLease(state, nowMs) || membersIndexInLog(state) > state.commitIndex) {
 		return null;
 	}
@@ -46,11 +55,13 @@
 		.map(([id]) => id)
 		.toSorted();
 	const context: PlanContext = {
-		...options, replaceAfterMs, members, liveStandbys,
+		...options, replaceAfterMs, required, placeOf, members, liveStandbys,
 	};
-	return removeSurplusVoter(context) ?? removeVoterWithLostDisk(context) ?? promoteLearner(context) ?? updateLearners(context);
+	return planNext({...context, voterCount: Math.max(options.voterCount, spreadVoterCount(context))});
 };
 
+const planNext = (context: PlanContext): Members | null => removeSurplusVoter(context) ?? removeVoterWithLostDisk(context) ?? promoteLearner(context) ?? updateLearners(context);
+
 const lastResponseAtMs = ({state}: PlanContext, member: string): number => state.peers.get(member)?.acknowledgedSentAtMs ?? Number.NEGATIVE_INFINITY;
 
 const matchIndexOf = ({state}: PlanContext, member: string): number => state.peers.get(member)?.matchIndex ?? 0;
@@ -66,7 +77,25 @@
 const isLost = (context: PlanContext, member: string): boolean => member !== context.state.selfId
 	&& (silentMs(context, member) > context.replaceAfterMs || hasLostDisk(context, member));
 
-/** Removes a surplus voter: a lost one before a live one, then the one with the oldest response, then the one furthest behind. */
+const placesOf = ({placeOf}: PlanContext, members: readonly string[]): VoterPlace[] => members.map(member => placeOf(member) ?? {zoneId: member, regionId: member});
+
+/** Number of voters that the losses of zones and regions take; 0 if none must be tolerated. */
+const spreadVoterCount = (context: PlanContext): number => {
+	const {required, members, nowMs} = context;
+	if (required.zones === 0 && required.regions === 0) {
+		return 0;
+	}
+
+	const learners = members.learners.filter(learner => hasDisk(learner) && nowMs - lastResponseAtMs(context, learner) < learnerResponseTimeoutMs);
+	return requiredVoterCount(placesOf(context, [...members.voters.filter(voter => !isLost(context, voter)), ...learners]), required);
+};
+
+/** Number of voters too many in the zones and regions whose loss must be tolerated. */
+const excessOf = ({required, placeOf, voterCount}: PlanContext, voters: readonly string[]): number => excessVoters(voters.map(voter => placeOf(voter) ?? {zoneId: voter, regionId: voter}), required, Math.floor((voterCount - 1) / 2));
+
+const without = (members: readonly string[], removed: string): string[] => members.filter(member => member !== removed);
+
+/** Removes a surplus voter: a lost one before a live one, then one in a zone with too many, the one with the oldest response, the one furthest behind. */
 const removeSurplusVoter = (context: PlanContext): Members | null => {
 	const {members, voterCount, state} = context;
 	if (members.voters.length <= voterCount) {
@@ -75,10 +104,11 @@
 
 	const removable = members.voters.filter(voter => voter !== state.selfId);
 	const [removed] = removable.toSorted((a, b) => Number(isLost(context, b)) - Number(isLost(context, a))
+		|| excessOf(context, without(members.voters, a)) - excessOf(context, without(members.voters, b))
 		|| lastResponseAtMs(context, a) - lastResponseAtMs(context, b)
 		|| matchIndexOf(context, a) - matchIndexOf(context, b));
 	const learners = isLost(context, removed!) ? members.learners : [...members.learners, removed!];
-	return {voters: members.voters.filter(voter => voter !== removed), learners};
+	return {voters: without(members.voters, removed!), learners};
 };
 
 /**
@@ -90,27 +120,34 @@
 const removeVoterWithLostDisk = (context: PlanContext): Members | null => {
 	const {members, state} = context;
 	const lostVoter = members.voters.find(voter => voter !== state.selfId && hasLostDisk(context, voter));
-	return lostVoter === undefined ? null : {voters: members.voters.filter(voter => voter !== lostVoter), learners: members.learners};
+	return lostVoter === undefined ? null : {voters: without(members.voters, lostVoter), learners: members.learners};
+};
+
+/** Whether a learner in the place of a voter other than this host would leave fewer voters too many in a zone or region. */
+const improvesSpread = (context: PlanContext, learner: string): boolean => {
+	const {voters} = context.members;
+	const excess = excessOf(context, voters);
+	return excess > 0 && context.placeOf(learner) !== null && voters.some(voter => voter !== context.state.selfId && excessOf(context, [...without(voters, voter), learner]) < excess);
 };
 
 /**
- * Promotes a learner to voter if a voter is missing or lost. A host without a
- * disk stays a learner: after its restart, an entry that it was counted for
- * would be on fewer disks than a quorum.
+ * Promotes a learner to voter if a voter is missing or lost, or in a zone or region with
+ * too many. A host without a disk stays a learner: after its restart, an entry that it
+ * was counted for would be on fewer disks than a quorum.
  */
 const promoteLearner = (context: PlanContext): Members | null => {
 	const {members, voterCount, state, nowMs} = context;
-	const isNeeded = members.voters.length < voterCount || members.voters.some(voter => isLost(context, voter));
-	if (!isNeeded) {
-		return null;
-	}
-
+	const isShort = members.voters.length < voterCount || members.voters.some(voter => isLost(context, voter));
+	const remaining = members.voters.filter(voter => !isLost(context, voter));
 	const [added] = members.learners
 		.filter(learner => hasDisk(learner) && nowMs - lastResponseAtMs(context, learner) < learnerResponseTimeoutMs && state.commitIndex - matchIndexOf(context, learner) <= maxLearnerLagEntries)
-		.toSorted((a, b) => matchIndexOf(context, b) - matchIndexOf(context, a) || (a < b ? -1 : 1));
+		.filter(learner => isShort || improvesSpread(context, learner))
+		.toSorted((a, b) => excessOf(context, [...remaining, a]) - excessOf(context, [...remaining, b])
+			|| matchIndexOf(context, b) - matchIndexOf(context, a)
+			|| (a < b ? -1 : 1));
 	return added === undefined
 		? null
-		: {voters: [...members.voters, added], learners: members.learners.filter(learner => learner !== added)};
+		: {voters: [...members.voters, added], learners: without(members.learners, added)};
 };
 
 /** Adds standby hosts as learners and removes lost learners. */
--- a/packages/coordination/src/consensus/voter-group.ts
+++ b/packages/coordination/src/consensus/voter-group.ts
@@ -41,3 +41,50 @@
 	const {hosts, zones, regions} = toleratedLosses(voters);
 	return hosts >= required.hosts && zones >= required.zones && regions >= required.regions;
 };
+
+/**
+ * How many voters too many are in the zones and regions whose loss must be tolerated,
+ * in a group of which up to `maxLost` voters may be lost; 0 if none.
+ */
+export const excessVoters = (voters: readonly VoterPlace[], {zones, regions}: LossTolerance, maxLost: number): number => {
+	const excessIn = (key: keyof VoterPlace, groups: number): number => {
+		let lostVoters = 0;
+		for (const size of groupSizes(voters, key).slice(0, groups)) {
+			lostVoters += size;
+		}
+
+		return Math.max(0, lostVoters - maxLost);
+	};
+
+	return excessIn('zoneId', zones) + excessIn('regionId', regions);
+};
+
+/** Chooses hosts one after the other, each so that the fewest are too many in a zone or region. */
+const chooseVoters = (places: readonly VoterPlace[], required: LossTolerance, voterCount: number): VoterPlace[] => {
+	const chosen: VoterPlace[] = [];
+	const left = [...places];
+	const sharing = (place: VoterPlace, key: keyof VoterPlace): number => chosen.filter(other => other[key] === place[key]).length;
+	while (chosen.length < voterCount && left.length > 0) {
+		const ranked = left.map((place, index) => ({
+			index, excess: excessVoters([...chosen, place], required, minority(voterCount)), inZone: sharing(place, 'zoneId'), inRegion: sharing(place, 'regionId'),
+		})).toSorted((a, b) => a.excess - b.excess || a.inZone - b.inZone || a.inRegion - b.inRegion);
+		chosen.push(...left.splice(ranked[0]!.index, 1));
+	}
+
+	return chosen;
+};
+
+/**
+ * Number of voters that tolerates the losses with the fewest of these hosts. It is odd:
+ * one more adds no tolerance. If the hosts do not suffice, the number for the losses of hosts alone.
+ */
+export const requiredVoterCount = (places: readonly VoterPlace[], required: LossTolerance): number => {
+	const least = (2 * Math.max(required.hosts, required.zones, required.regions)) + 1;
+	for (let voterCount = least; voterCount <= places.length; voterCount += 2) {
+		if (toleratesLosses(chooseVoters(places, required, voterCount), required)) {
+			return voterCount;
+		}
+	}
+
+	return Math.max(1, (2 * required.hosts) + 1);
+};
--- a/packages/daemon/src/control/voter-repair.ts
+++ b/packages/daemon/src/control/voter-repair.ts
@@ -1,9 +1,9 @@
-import {hostOfMember, planMembers} from '@bitternpaddle/coordination';
+import {hostOfMember, planMembers, type PlanMembersOptions} from '@bitternpaddle/coordination';
 import {notifyRpc, type Logger} from '@bitternpaddle/transport';
 import type {ConsensusDriver} from './consensus-driver.js';
 import type {MemberIdentity} from './member-identity.js';
 
-export type VoterRepairOptions = {
+export type VoterRepairOptions = Pick<PlanMembersOptions, 'required' | 'placeOf'> & {
 	readonly driver: ConsensusDriver;
 	readonly identity: Pick<MemberIdentity, 'memberId' | 'formation' | 'adoptFromLog'>;
 	readonly voterCount: number;
@@ -28,7 +28,7 @@
 
 /** Maintains the number of voters: standby hosts become learners, and a learner replaces a lost voter. */
 export const createVoterRepair = (options: VoterRepairOptions): VoterRepair => {
-	const {driver, identity, voterCount, replaceAfterMs, logger, nowMs: now = () => performance.now()} = options;
+	const {driver, identity, voterCount, replaceAfterMs, required, placeOf, logger, nowMs: now = () => performance.now()} = options;
 	const standbys = new Map<string, number>();
 	let lastAnnouncedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -54,7 +54,7 @@
 		}
 
 		const members = planMembers({
-			state, standbys, voterCount, leadingSinceMs: options.leadingSinceMs(), nowMs, replaceAfterMs,
+			state, standbys, voterCount, leadingSinceMs: options.leadingSinceMs(), nowMs, replaceAfterMs, required, placeOf,
 		});
 		if (members !== null) {
 			logger.event('BP1008', {
--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -1,6 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {
-	announcementsSince, createRegistry, recordAnnouncement, isLaterStart, pruneRegistry, withdraw, type Announcement, type Clock, type VoterPlace,
+	announcementsSince, createRegistry, recordAnnouncement, isLaterStart, pruneRegistry, withdraw, type Announcement, type Clock, type LossTolerance, type VoterPlace,
 } from '@bitternpaddle/coordination';
 import {consensusEnvelopesSchema, rpcErrorCodes, standbyParametersSchema} from '@bitternpaddle/protocol';
 import type {Document, RoutingConfiguration} from '@bitternpaddle/state';
@@ -130,13 +130,11 @@
 		evacuatedZones.recordResult({evacuations, freshAgeMs: null}, monotonicNowMs());
 	};
 
+	const required: LossTolerance = {hosts: toleratedLosses, zones: toleratedZoneLosses, regions: toleratedRegionLosses};
 	const places = new Map<string, VoterPlace>([[selfAddress, {zoneId, regionId}]]);
 	const log = await createDocumentLog({
 		selfAddress, folder, isFirstStart, seeds, clock, logger, metrics, otherAddresses,
-		required: {hosts: toleratedLosses, zones: toleratedZoneLosses, regions: toleratedRegionLosses},
-		placeOf: address => places.get(address) ?? null,
-		// An odd number of which the tolerated losses are a minority.
-		voterCount: (2 * toleratedLosses) + 1,
+		required, voterCount: (2 * toleratedLosses) + 1, placeOf: address => places.get(address) ?? null,
 		onChange() {
 			setImmediate(() => {
 				recordVersions();
--- a/packages/gateway/src/core/document-log.ts
+++ b/packages/gateway/src/core/document-log.ts
@@ -181,7 +181,7 @@
 			},
 		});
 		const repair = createVoterRepair({
-			driver, voterCount, replaceAfterMs, logger, otherAddresses, leadingSinceMs: () => leadingSinceMs, nowMs: clock.nowMs,
+			driver, voterCount, replaceAfterMs, required, placeOf: member => placeOf(hostOfMember(member)), logger, otherAddresses, leadingSinceMs: () => leadingSinceMs, nowMs: clock.nowMs,
 			identity: {memberId: identity.memberId, formation: () => ({diskId: '', accepted: null, isFormed: true}), adoptFromLog: async () => undefined},
 		});
 		openLog = {
