--- a/packages/coordination/src/consensus/plan-members.ts
+++ b/packages/coordination/src/consensus/plan-members.ts
@@ -91,11 +91,11 @@
 };
 
 /** Number of voters too many in the zones and regions whose loss must be tolerated. */
-const excessOf = ({required, placeOf, voterCount}: PlanContext, voters: readonly string[]): number => excessVoters(voters.map(voter => placeOf(voter) ?? {zoneId: voter, regionId: voter}), required, Math.floor((voterCount - 1) / 2));
+const excessOf = (context: PlanContext, voters: readonly string[]): number => excessVoters(placesOf(context, voters), context.required, Math.floor((context.voterCount - 1) / 2));
 
 const without = (members: readonly string[], removed: string): string[] => members.filter(member => member !== removed);
 
-/** Removes a surplus voter: a lost one before a live one, then one in a zone with too many, the one with the oldest response, the one furthest behind. */
+/** Removes a surplus voter: a lost one before a live one, then one in a zone with too many, then the one with the oldest response, then the one furthest behind. */
 const removeSurplusVoter = (context: PlanContext): Members | null => {
 	const {members, voterCount, state} = context;
 	if (members.voters.length <= voterCount) {
--- a/packages/daemon/src/commands/run-command.ts
+++ b/packages/daemon/src/commands/run-command.ts
@@ -148,6 +148,8 @@
 	if (roles.includes('control')) {
 		letYoungGenerationGrow();
 		const {createControlNode} = await import('../control/create-control-node.js');
+		const {checkVoters} = await import('../control/check-voters.js');
+		checkVoters(voters, logger);
 		const members = new Map(controls.map(({id, address}) => [id, address]));
 		const node = await createControlNode({
 			selfId: hostId, listen: nextListen(), folder: path.join(dataFolder, 'control'), members, voters, recordFile: settings.record,
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,4 +1,5 @@
 export * from './agent/create-agent-node.js';
+export * from './control/check-voters.js';
 export * from './control/consensus-driver.js';
 export * from './control/create-control-node.js';
 export * from './control/host-view.js';
