--- a/packages/coordination/test/final-faults.test.ts
+++ b/packages/coordination/test/final-faults.test.ts
@@ -10,6 +10,8 @@
 const catchUpMs = 6000;
 /** Time after the return of all hosts in which changes must be accepted again. */
 const recoveryMs = 5000;
+/** As the core replaces silent voters. */
+const replaceAfterMs = 1500;
 const changeEveryMs = 350;
 const hostNames = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
 
@@ -23,7 +25,7 @@
 	private addedHosts = 0;
 
 	constructor(private readonly random: Random, private readonly toleratedLosses: number, hostCount: number, voterCount: number) {
-		this.simulation = new Simulation(hostNames.slice(0, hostCount), {voterCount});
+		this.simulation = new Simulation(hostNames.slice(0, hostCount), {voterCount, replaceAfterMs});
 		this.simulation.run(8000, true);
 	}
 
--- a/packages/coordination/test/simulation.ts
+++ b/packages/coordination/test/simulation.ts
@@ -36,13 +36,14 @@
 const emptyDisk = (): Disk => ({hardState: {term: 0, votedFor: null}, snapshot: null, entries: []});
 const nameOf = (entry: LogEntry): string => `${entry.term}:${JSON.stringify(entry.payload)}`;
 const initialVoterCount = 3;
-const replaceAfterMs = 3000;
 
 export type SimulationOptions = {
 	/** Target number of voters; there are three initially. @default 3 */
 	readonly voterCount?: number;
 	/** @default none */
 	readonly hostsWithoutDisk?: readonly string[];
+	/** Time after which a silent voter is replaced. @default 3000 */
+	readonly replaceAfterMs?: number;
 };
 
 /** Simulates control hosts with a network and disks that fail according to the schedule. Checks the invariants after each step. */
@@ -61,9 +62,11 @@
 	private readonly commitTimes: Array<{readonly atMs: number; readonly index: number}> = [];
 	private readonly initialMembers: Members;
 	private readonly voterCount: number;
+	private readonly replaceAfterMs: number;
 
-	constructor(hostIds: readonly string[], {voterCount = 3, hostsWithoutDisk = []}: SimulationOptions = {}) {
+	constructor(hostIds: readonly string[], {voterCount = 3, hostsWithoutDisk = [], replaceAfterMs = 3000}: SimulationOptions = {}) {
 		this.voterCount = voterCount;
+		this.replaceAfterMs = replaceAfterMs;
 		const ids = hostIds.map(hostId => hostsWithoutDisk.includes(hostId) ? memberIdWithoutDisk(hostId, '0') : memberIdOf(hostId, '0'));
 		this.initialMembers = {voters: ids.slice(0, initialVoterCount), learners: []};
 		for (const id of ids) {
@@ -250,7 +253,7 @@
 		}
 
 		const members = planMembers({
-			state: node.state, standbys: node.standbys, voterCount: this.voterCount, leadingSinceMs: node.leadingSinceMs, nowMs, replaceAfterMs,
+			state: node.state, standbys: node.standbys, voterCount: this.voterCount, leadingSinceMs: node.leadingSinceMs, nowMs, replaceAfterMs: this.replaceAfterMs,
 		});
 		if (members !== null) {
 			this.dispatch(node, {type: 'propose', token: 0, payload: {type: 'members', members}});
