--- a/packages/gateway/src/core/core-relay.ts
+++ b/packages/gateway/src/core/core-relay.ts
@@ -67,7 +67,7 @@
 		},
 	});
 
-	/** Core hosts with a disk: those that respond first, of these the one in this zone. */
+	/** Core hosts with a disk. Those that respond come first, and of these the ones in this zone. */
 	const coreAddresses = (): string[] => {
 		const known = [...new Set([...rosterAddresses, ...liveCallers()])];
 		const live = client.liveAddresses().filter(address => known.includes(address));
@@ -120,7 +120,7 @@
 		}
 	};
 
-	/** Address at which the next attempt of an order is made; a different one after each rejection. */
+	/** Rejected attempts of orders; each next attempt goes to another core host until the leader is found. */
 	let orderAttempt = 0;
 	const nextLeaderAddress = (): string | null => {
 		const addresses = coreAddresses();
