--- a/packages/gateway/src/core/document-log.ts
+++ b/packages/gateway/src/core/document-log.ts
@@ -58,8 +58,15 @@
 	close(): Promise<void>;
 };
 
-/** Number of entries after which the log is compacted into a snapshot: each may hold a complete configuration, and the disk is small. */
+/** Number of entries after which the log is compacted into a snapshot. */
 const snapshotEntries = 64;
+/**
+ * Size of the entries after which the log is compacted: each may hold a complete
+ * configuration of up to 4 MB, and a disk of 64 MB holds the log and two snapshots.
+ */
+const snapshotBytes = 4 * 1024 * 1024;
+/** Assumed size of an entry without a configuration. */
+const smallEntryBytes = 200;
 const segmentBytes = 4 * 1024 * 1024;
 /** Time after which a silent member is replaced if a standby host is available: a restart takes less, and without a standby nothing changes. */
 const replaceAfterMs = 1500;
@@ -72,6 +79,8 @@
 type OpenData = {readonly identity: CoreIdentity; readonly store: LogStore; readonly lock: FolderLock};
 type OpenLog = {readonly driver: ConsensusDriver; readonly repair: VoterRepair; readonly store: LogStore; close(): Promise<void>};
 
+const entryBytes = ({payload}: LogEntry): number => payload.type === 'document' && payload.document.kind === 'configuration' ? payload.document.text.length : smallEntryBytes;
+
 const noopPayload: LogEntry['payload'] = {type: 'command', command: {commandId: null, ifRevision: null, change: {type: 'noop'}}};
 
 export const createDocumentLog = async (options: DocumentLogOptions): Promise<DocumentLog> => {
@@ -82,6 +91,8 @@
 	let state = createDocumentState();
 	let appliedIndex = 0;
 	let appliedTerm = 0;
+	/** Size of the applied entries since the last snapshot. */
+	let appliedBytes = 0;
 	let leadingSinceMs = 0;
 	let openLog: OpenLog | null = null;
 	let isClosed = false;
@@ -106,6 +117,7 @@
 
 		appliedIndex = entry.index;
 		appliedTerm = entry.term;
+		appliedBytes += entryBytes(entry);
 		proposals.settle(entry, outcome);
 		if (outcome === 'stored') {
 			onChange();
@@ -116,7 +128,8 @@
 
 	const compactIfLong = (): void => {
 		const driver = openLog?.driver;
-		if (driver !== undefined && appliedIndex - (driver.state.snapshot?.index ?? 0) >= snapshotEntries) {
+		if (driver !== undefined && (appliedBytes >= snapshotBytes || appliedIndex - (driver.state.snapshot?.index ?? 0) >= snapshotEntries)) {
+			appliedBytes = 0;
 			driver.compact({index: appliedIndex, term: appliedTerm, state: encodeDocumentState(state)});
 			logger.event('BP1003', {index: appliedIndex});
 		}
@@ -162,6 +175,7 @@
 		state = snapshot === null ? createDocumentState() : decodeDocumentState(snapshot.state);
 		appliedIndex = snapshot?.index ?? 0;
 		appliedTerm = snapshot?.term ?? 0;
+		appliedBytes = 0;
 		const driver = createConsensusDriver({
 			selfId: identity.memberId, initialMembers: identity.initialMembers, store, seed: randomInt(1, 2_147_483_647), nowMs: clock.nowMs,
 			send, onCommit, onFailure,
@@ -169,6 +183,7 @@
 				state = decodeDocumentState(installed.state);
 				appliedIndex = installed.index;
 				appliedTerm = installed.term;
+				appliedBytes = 0;
 				onChange();
 			},
 			onRoleChange({role, term, leaderId}) {
