test(gateway): replaced core hosts may be added one after the other

The test waited for a moment at which both hosts with new disks were removed at once.

It now waits until each of the two has been removed since, and there are five voters again; that is as strict and doesn't depend on the time in between.

--- a/packages/gateway/test/replaced-core-hosts.test.ts
+++ b/packages/gateway/test/replaced-core-hosts.test.ts
@@ -22,13 +22,16 @@
 	const folder = testFolder(t);
 	const folderOf = (address: string): string => path.join(folder, String(addresses.indexOf(address)));
 	let voters: string[] = [];
-	let fewestVoters = Number.POSITIVE_INFINITY;
+	const lostSeeds = seeds.slice(0, 2);
+	const removedSeeds = new Set<string>();
 	const logger: Logger = {
 		...silentLogger,
 		event(id, fields) {
 			if (id === 'BP1008') {
 				voters = String((fields as {voters: string}).voters).split(',');
-				fewestVoters = Math.min(fewestVoters, voters.length);
+				for (const seed of lostSeeds.filter(address => !voters.includes(address))) {
+					removedSeeds.add(seed);
+				}
 			}
 		},
 	};
@@ -56,14 +59,14 @@
 		await start(address, false);
 	}
 
-	fewestVoters = Number.POSITIVE_INFINITY;
-	for (const address of seeds.slice(0, 2)) {
+	removedSeeds.clear();
+	for (const address of lostSeeds) {
 		await nodes.get(address)!.close();
 		rmSync(folderOf(address), {recursive: true});
 		await start(address, false);
 	}
 
-	await until(() => fewestVoters === 3 && voters.length === 5);
+	await until(() => removedSeeds.size === lostSeeds.length && voters.length === 5);
 	await delay(500);
 	await Promise.all(addresses.slice(2, 4).map(async address => nodes.get(address)!.close()));
 	const survivor = nodes.get(addresses[4]!)!;
