state: a group commit is written in frames of bounded size

Cause: all records that wait for a sync went into one frame, as one text.

Change: a frame has up to 1 MiB of records, or one larger record, and a sync of its own, as before. A frame of the usual size is written as before.

A crash between two frames of one commit keeps a prefix of it, of which nothing was acknowledged; log-store.test.ts, which cuts and damages the log at any byte, passes.

--- a/packages/state/src/log/files.ts
+++ b/packages/state/src/log/files.ts
@@ -26,7 +26,7 @@
 };
 
 /** Atomically replaces `filePath` by `data`: after a crash the file has either the old or the complete new content. */
-export const replaceFile = async (filePath: string, data: Buffer | string | AsyncIterable<string>): Promise<void> => {
+export const replaceFile = async (filePath: string, data: Buffer | string | AsyncIterable<string> | Iterable<Buffer>): Promise<void> => {
 	const handle = await open(`${filePath}.new`, 'w');
 	try {
 		await writeFile(handle, data);
--- a/packages/state/src/log/frames.ts
+++ b/packages/state/src/log/frames.ts
@@ -8,7 +8,7 @@
 }
 
 /**
- * A frame holds all records of a group commit and is written with one sync.
+ * A frame holds the records of a group commit, or a part of them, and is written with one sync.
  * Layout: magic (4 bytes), body size, CRC-32 of the body, CRC-32 of the preceding
  * 12 bytes, then the body as JSON. The magic is not valid UTF-8, so it never
  * occurs within a body and marks the start of a frame.
@@ -30,8 +30,35 @@
 
 const bodySchema = z.array(z.union([recordSchema, segmentStartSchema]));
 
-export const encodeFrame = (records: ReadonlyArray<LogRecord | SegmentStart>): Buffer => {
-	const body = Buffer.from(JSON.stringify(records));
+/** Size of the records in a frame; a larger record has a frame of its own. */
+const maxFrameBytes = 1024 * 1024;
+
+/** Encodes records as frames of bounded size: a group commit may hold many long records. */
+export function * encodeFrames(records: Iterable<LogRecord | SegmentStart>): Generator<Buffer> {
+	let texts: string[] = [];
+	let length = 0;
+	for (const record of records) {
+		const text = JSON.stringify(record);
+		if (texts.length > 0 && length + text.length > maxFrameBytes) {
+			yield frameOf(texts);
+			texts = [];
+			length = 0;
+		}
+
+		texts.push(text);
+		length += text.length;
+	}
+
+	if (texts.length > 0) {
+		yield frameOf(texts);
+	}
+}
+
+/** Encodes records as one frame, whatever their size. */
+export const encodeFrame = (records: ReadonlyArray<LogRecord | SegmentStart>): Buffer => frameOf(records.map(record => JSON.stringify(record)));
+
+const frameOf = (recordTexts: readonly string[]): Buffer => {
+	const body = Buffer.from(`[${recordTexts.join(',')}]`);
 	const header = Buffer.alloc(headerBytes);
 	magic.copy(header);
 	header.writeUInt32LE(body.length, 4);
--- a/packages/state/src/log/log-store.ts
+++ b/packages/state/src/log/log-store.ts
@@ -1,7 +1,8 @@
+import type {Buffer} from 'node:buffer';
 import {mkdir, open, type FileHandle} from 'node:fs/promises';
 import path from 'node:path';
 import {readIfPresent, replaceFile, syncFolder} from './files.js';
-import {DamagedLogError, encodeFrame, type SegmentStart} from './frames.js';
+import {DamagedLogError, encodeFrames, type SegmentStart} from './frames.js';
 import type {
 	HardState, LogEntry, LogRecord, Snapshot,
 } from './records.js';
@@ -19,7 +20,7 @@
 /** Persistent log and state of a consensus member. */
 export type LogStore = {
 	readonly loaded: LoadedLog;
-	/** Writes all records with one sync; once the promise resolves they survive a crash. */
+	/** Writes all records, with one sync unless they are long; once the promise resolves they survive a crash. */
 	append(records: readonly LogRecord[]): Promise<void>;
 	/** Replaces the log by the snapshot, and restarts it with the entries of `tail`. */
 	saveSnapshot(snapshot: Snapshot, hardState: HardState, tail: readonly LogEntry[]): Promise<void>;
@@ -113,13 +114,20 @@
 	/** Starts the next segment, which exists durably under its name before any of its records is acknowledged. */
 	const startSegment = async (start: Omit<SegmentStart, 'type' | 'sequence'>, first: readonly LogRecord[]): Promise<void> => {
 		const next = sequence + 1;
-		const frame = encodeFrame([{type: 'segmentStart', sequence: next, ...start}, ...first]);
+		let writtenBytes = 0;
+		const frames = function * (): Generator<Buffer> {
+			for (const frame of encodeFrames([{type: 'segmentStart', sequence: next, ...start}, ...first])) {
+				writtenBytes += frame.length;
+				yield frame;
+			}
+		};
+
 		await file?.close();
 		file = null;
-		await replaceFile(segmentPath(folder, next), frame);
+		await replaceFile(segmentPath(folder, next), frames());
 		file = await open(segmentPath(folder, next), 'a');
 		sequence = next;
-		sizeBytes = frame.length;
+		sizeBytes = writtenBytes;
 	};
 
 	/** Fails all calls after a failed write or sync: the content on disk is then unknown, and a later success would acknowledge a log with a gap. */
@@ -150,15 +158,16 @@
 	return {
 		loaded,
 		append: async appended => failAfterError(async () => {
-			if (sizeBytes >= segmentBytes) {
-				await startSegment({previousBytes: sizeBytes, snapshotIndex: 0}, []);
+			for (const frame of encodeFrames(appended)) {
+				if (sizeBytes >= segmentBytes) {
+					await startSegment({previousBytes: sizeBytes, snapshotIndex: 0}, []);
+				}
+
+				await file!.appendFile(frame);
+				await file!.datasync();
+				sizeBytes += frame.length;
+				syncs++;
 			}
-
-			const frame = encodeFrame(appended);
-			await file!.appendFile(frame);
-			await file!.datasync();
-			sizeBytes += frame.length;
-			syncs++;
 		}),
 		saveSnapshot: async (saved, savedHardState, tail) => failAfterError(async () => {
 			// The old snapshot and segments are kept until the new snapshot is durable; on replay, entries that the snapshot contains are skipped.
