core: uncommitted and retained changes, and the lag of learners, are bounded in bytes

- A leader kept every proposal until a quorum confirmed it.
It now rejects proposals beyond 16 MiB of uncommitted entries at once (rpc error 1006: not accepted, may be sent again), so that callers need not wait for a time-out.

--- a/packages/coordination/src/consensus/create-consensus.ts
+++ b/packages/coordination/src/consensus/create-consensus.ts
@@ -11,12 +11,13 @@
 	const {
 		selfId, initialMembers, hardState, snapshot, entries, random, nowMs,
 		electionTimeoutMs = 600, heartbeatMs = 100, leaseMs = 450, maxBatchEntries = 512, maxBatchBytes = 1024 * 1024, maxProbeBytes = 16 * 1024,
-		maxInFlightEntries = 4096, maxInFlightBytes = 4 * 1024 * 1024, snapshotTimeoutMs = 5000, snapshotPartLength = 256 * 1024, snapshotPartTimeoutMs = 1000,
+		maxInFlightEntries = 4096, maxInFlightBytes = 4 * 1024 * 1024, maxUncommittedBytes = 16 * 1024 * 1024,
+		snapshotTimeoutMs = 5000, snapshotPartLength = 256 * 1024, snapshotPartTimeoutMs = 1000,
 	} = options;
 	const state: ConsensusState = {
 		selfId,
 		options: {
-			electionTimeoutMs, heartbeatMs, leaseMs, maxBatchEntries, maxBatchBytes, maxProbeBytes, maxInFlightEntries, maxInFlightBytes,
+			electionTimeoutMs, heartbeatMs, leaseMs, maxBatchEntries, maxBatchBytes, maxProbeBytes, maxInFlightEntries, maxInFlightBytes, maxUncommittedBytes,
 			snapshotTimeoutMs, snapshotPartLength, snapshotPartTimeoutMs,
 		},
 		random,
--- a/packages/coordination/src/consensus/lead.ts
+++ b/packages/coordination/src/consensus/lead.ts
@@ -2,7 +2,8 @@
 import type {LogEntry, Members} from '@bitternpaddle/state';
 import {adoptTerm, changeRole, resetElectionTimer} from './elect.js';
 import {hasCommittedInOwnTerm, quorumConfirmedAtMs} from './lease.js';
-import {membersIndexInLog, snapshotIndexOf} from './log.js';
+import {entryBytes, payloadBytes} from './entry-size.js';
+import {entriesFrom, membersIndexInLog, snapshotIndexOf} from './log.js';
 import {
 	advanceCommit, appendOwn, broadcastAppend, continueSnapshot, recordMatch, sendAppend, startProbe,
 } from './replicate.js';
@@ -21,6 +22,10 @@
 		return [{type: 'rejected', token, reason: 'handingOver'}];
 	}
 
+	if (isOverUncommittedLimit(state, payload)) {
+		return [{type: 'rejected', token, reason: 'tooManyUncommitted'}];
+	}
+
 	if (payload.type === 'members') {
 		const reason = rejectionReasonOf(state, payload.members);
 		if (reason !== null) {
@@ -38,6 +43,17 @@
 	];
 };
 
+/** Without the limit, a leader whose voters are slow to confirm would hold every change that arrives meanwhile. Changes of the members are small and may help. */
+const isOverUncommittedLimit = (state: ConsensusState, payload: LogEntry['payload']): boolean => {
+	const uncommitted = entriesFrom(state, state.commitIndex + 1, Number.POSITIVE_INFINITY);
+	if (payload.type === 'members' || uncommitted.length === 0) {
+		return false;
+	}
+
+	const sizeBytes = uncommitted.reduce((sum, entry) => sum + entryBytes(entry), 0);
+	return sizeBytes + payloadBytes(payload) > state.options.maxUncommittedBytes;
+};
+
 /**
  * Returns why a change of the members must be rejected, or `null`. Two
  * concurrent voter changes could leave two quorums without a common voter. The
--- a/packages/coordination/src/consensus/plan-members.ts
+++ b/packages/coordination/src/consensus/plan-members.ts
@@ -1,6 +1,7 @@
 import type {Members} from '@bitternpaddle/state';
 import {hasLeaderLease} from './lease.js';
-import {membersIndexInLog} from './log.js';
+import {entryBytes} from './entry-size.js';
+import {entriesFrom, membersIndexInLog, snapshotIndexOf} from './log.js';
 import {hasDisk, hostOfMember} from './member-id.js';
 import type {ConsensusState} from './types.js';
 import {
@@ -29,8 +30,9 @@
 const standbyTimeoutMs = 3000;
 /** A learner counts as live if its latest response is not older than this. */
 const learnerResponseTimeoutMs = 1000;
-/** Maximum number of committed entries that a learner may lack when it is promoted to voter: as many as fit into one message. */
+/** Maximum number and size of the committed entries that a learner may lack when it is promoted to voter: as many as fit into one message. */
 const maxLearnerLagEntries = 512;
+const maxLearnerLagBytes = 1024 * 1024;
 /** A learner is removed after this many times the timeout of voters, since keeping it costs little. */
 const learnerLossFactor = 4;
 
@@ -123,6 +125,18 @@
 	return lostVoter === undefined ? null : {voters: without(members.voters, lostVoter), learners: members.learners};
 };
 
+/**
+ * Whether a learner lacks so little that commits do not have to wait for it once it is a
+ * voter. A single entry may be larger than the limit.
+ */
+const isCaughtUp = ({state}: PlanContext, learner: string): boolean => {
+	const matchIndex = state.peers.get(learner)?.matchIndex ?? 0;
+	const snapshotBytes = matchIndex < snapshotIndexOf(state) ? state.snapshot!.state.length : 0;
+	const lacking = entriesFrom(state, Math.max(matchIndex, snapshotIndexOf(state)) + 1, Number.POSITIVE_INFINITY).filter(({index}) => index <= state.commitIndex);
+	const lackingBytes = lacking.length > 1 ? lacking.reduce((sum, entry) => sum + entryBytes(entry), 0) : 0;
+	return state.commitIndex - matchIndex <= maxLearnerLagEntries && snapshotBytes + lackingBytes <= maxLearnerLagBytes;
+};
+
 /** Whether a learner in the place of a voter other than this host would leave fewer voters too many in a zone or region. */
 const improvesSpread = (context: PlanContext, learner: string): boolean => {
 	const {voters} = context.members;
@@ -136,11 +150,11 @@
  * was counted for would be on fewer disks than a quorum.
  */
 const promoteLearner = (context: PlanContext): Members | null => {
-	const {members, voterCount, state, nowMs} = context;
+	const {members, voterCount, nowMs} = context;
 	const isShort = members.voters.length < voterCount || members.voters.some(voter => isLost(context, voter));
 	const remaining = members.voters.filter(voter => !isLost(context, voter));
 	const [added] = members.learners
-		.filter(learner => hasDisk(learner) && nowMs - lastResponseAtMs(context, learner) < learnerResponseTimeoutMs && state.commitIndex - matchIndexOf(context, learner) <= maxLearnerLagEntries)
+		.filter(learner => hasDisk(learner) && nowMs - lastResponseAtMs(context, learner) < learnerResponseTimeoutMs && isCaughtUp(context, learner))
 		.filter(learner => isShort || improvesSpread(context, learner))
 		.toSorted((a, b) => excessOf(context, [...remaining, a]) - excessOf(context, [...remaining, b])
 			|| matchIndexOf(context, b) - matchIndexOf(context, a)
--- a/packages/coordination/src/consensus/types.ts
+++ b/packages/coordination/src/consensus/types.ts
@@ -35,6 +35,8 @@
 	readonly maxInFlightEntries?: number;
 	/** Maximum size of the unacknowledged entries per member; a larger entry is sent if no other is unacknowledged. @default 4194304 */
 	readonly maxInFlightBytes?: number;
+	/** Maximum size of the leader's uncommitted entries; further proposals are rejected. A larger entry is accepted if no other is uncommitted. @default 16777216 */
+	readonly maxUncommittedBytes?: number;
 	/** A snapshot that is not confirmed within this time is sent again. @default 5000 */
 	readonly snapshotTimeoutMs?: number;
 	/** Length of the parts, in UTF-16 code units, in which a snapshot is sent that is longer than one. @default 262144 */
@@ -131,7 +133,7 @@
 		| {readonly type: 'formed'; readonly members: Members};
 
 /** Why a proposal was not appended. */
-export type RejectionReason = 'notLeader' | 'handingOver' | 'membersBusy' | 'invalidMembers';
+export type RejectionReason = 'notLeader' | 'handingOver' | 'membersBusy' | 'invalidMembers' | 'tooManyUncommitted';
 
 export type ConsensusEffect
 	/** Must be synced before any later `send` with `afterSync` is sent. */
--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -118,7 +118,7 @@
 			hub.wake();
 		}
 
-		snapshots.afterEntry();
+		snapshots.afterEntry(entry);
 	};
 
 	const driver: ConsensusDriver = createConsensusDriver({
--- a/packages/daemon/src/control/log-proposals.ts
+++ b/packages/daemon/src/control/log-proposals.ts
@@ -1,3 +1,4 @@
+import type {RejectionReason} from '@bitternpaddle/coordination';
 import {rpcErrorCodes} from '@bitternpaddle/protocol';
 import type {LogEntry} from '@bitternpaddle/state';
 import {RpcError} from '@bitternpaddle/transport';
@@ -20,6 +21,24 @@
 
 export const proposalTimeoutMs = 5000;
 
+const rejectionOf = (reason: RejectionReason): RpcError => {
+	switch (reason) {
+		case 'handingOver': {
+			return new RpcError(rpcErrorCodes.notLeader, 'this control host is transferring the leadership; the change was not accepted, try again');
+		}
+
+		case 'tooManyUncommitted': {
+			return new RpcError(rpcErrorCodes.tooManyChanges, 'too many bytes of changes wait for a quorum; the change was not accepted, try again');
+		}
+
+		case 'notLeader':
+		case 'membersBusy':
+		case 'invalidMembers': {
+			return new RpcError(rpcErrorCodes.notLeader, 'this control host does not lead');
+		}
+	}
+};
+
 /** Entries that this control host appended and that are neither committed nor lost yet. */
 export const createLogProposals = <Result>({timeoutMs = proposalTimeoutMs, append}: LogProposalsOptions): LogProposals<Result> => {
 	const pending = new Map<number, PendingProposal<Result>>();
@@ -27,9 +46,7 @@
 		async propose(payload) {
 			const outcome = append(payload);
 			if (outcome.type === 'rejected') {
-				throw new RpcError(rpcErrorCodes.notLeader, outcome.reason === 'handingOver'
-					? 'this control host is transferring the leadership; the change was not accepted, try again'
-					: 'this control host does not lead');
+				throw rejectionOf(outcome.reason);
 			}
 
 			return new Promise((resolve, reject) => {
--- a/packages/protocol/src/rpc/methods.ts
+++ b/packages/protocol/src/rpc/methods.ts
@@ -240,6 +240,8 @@
 	invalid: 1003,
 	unauthorized: 1004,
 	foreignSystem: 1005,
+	/** The change was not accepted and never will be; it may be sent again later. */
+	tooManyChanges: 1006,
 } as const;
 
 export type ProposeResult = CommandResult;
