--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -83,6 +83,11 @@
 const leaderWaitMs = 700;
 const leaderPollIntervalMs = 25;
 
+/** Largest call of another process: a document of 8 MiB, the largest that operators may send, whose quotes are escaped. */
+const maxCallBytes = 20 * 1024 * 1024;
+/** Bodies of calls that are being received, together. */
+const maxBufferedCallBytes = 48 * 1024 * 1024;
+
 const notLeader = (): RpcError => new RpcError(rpcErrorCodes.notLeader, 'this core host does not lead');
 
 /** Monotonic clock for announcements and followers; only the log's leases must also count the time that a host was suspended. */
@@ -266,7 +271,7 @@
 		return true;
 	};
 
-	const rpc = createRpcServer();
+	const rpc = createRpcServer({bodyLimitBytes: maxCallBytes});
 	rpc.method('gateway.announce', announceParametersSchema, async ({announcement}) => announce(announcement));
 	rpc.method('gateway.withdraw', withdrawParametersSchema, async ({id, startedAtMs}) => withdrawEndpoint(id, startedAtMs));
 	rpc.method('consensus.messages', consensusEnvelopesSchema, ({envelopes}) => {
@@ -304,7 +309,7 @@
 	});
 
 	const server: HttpServer = await createHttpServer({
-		listen: selfAddress,
+		listen: selfAddress, limits: {maxBufferedBytes: maxBufferedCallBytes},
 		handler: async (request, response) => rpc.serve(request, response),
 	});
 	client = createCoreClient({
