entry: answers without a length are framed for callers

Callers saw a 200 with a part of an answer that looked complete. It remained where no code of the entry runs (SIGKILL, out of memory), and where the endpoint's process exits behind a whole event.

Cause: the answer was passed on without a length, so that only the end of the connection told its end, and the kernel ends the connections of a process that died in the ordinary way, on either side of the entry. A stream that had begun in chunks and was resumed without a length got a last chunk behind such an end.

Change: an answer has a length if the entry holds all of it, else chunks. Before a last chunk or a length confirms an answer without one, the entry connects to the endpoint's port; if it is refused, the process has exited and the attempt counts as broken. An endpoint that is known to leave may exit behind its answer.

Why it works: a cut answer now lacks its last chunk whoever dies, and a last chunk is written only while the endpoint still listens.

--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
 import type {AnswerStage, Exclusion} from '@bitternpaddle/coordination';
+import {isRefusingConnections} from '@bitternpaddle/transport';
 import type {HeaderNames} from '../link/request-protocol.js';
 import type {AttemptLimits} from './attempt-limits.js';
 import type {EndpointConnections} from './endpoint-connections.js';
@@ -12,6 +13,12 @@
 /** Whether the end of the connection is all that tells the end of the answer's body. */
 export const isUnframed = ({headers}: AnswerHead): boolean => headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 
+/** Statuses of answers without a body. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
+/** Whether an answer has a body, which its end may cut. */
+export const hasBody = (method: string | undefined, status: number): boolean => method !== 'HEAD' && !bodilessStatuses.has(status);
+
 export type AttemptOptions = {
 	readonly connections: EndpointConnections;
 	readonly headerNames: HeaderNames;
@@ -27,6 +34,8 @@
 	/** Time within which the answer must begin; after it the request may no longer start on the endpoint's weight version. `null` if there is no bound. */
 	readonly beginWithinMs: number | null;
 	readonly signal: AbortSignal;
+	/** Whether the endpoint is expected to exit, so that its exit behind an answer doesn't tell that the answer is incomplete. @default it is not */
+	isExitExpected?(): boolean;
 	/** Why the request must not be sent to the endpoint now; `null` if it may be. Called when the connection is ready, because the rules may change while it is established. */
 	exclusion(): Exclusion | null;
 	/** Called when the head of an answer to this request arrives, also if it is a refusal. */
@@ -78,7 +87,8 @@
 /** Sends a request to one endpoint and reads its answer to the end. */
 export const sendAttempt = async (options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
 	const {
-		connections, headerNames, address, method, path, headers, requestId, body, requiresFreshConnection, limits, beginWithinMs, signal, exclusion, onHead, onFirstByte, onEvents, onProgress,
+		connections, headerNames, address, method, path, headers, requestId, body, requiresFreshConnection, limits, beginWithinMs, signal,
+		exclusion, isExitExpected = () => false, onHead, onFirstByte, onEvents, onProgress,
 	} = options;
 	/** All events may have been sent before, so that none is left. */
 	const isResumed = headers[headerNames.lastEventId] !== undefined;
@@ -88,6 +98,8 @@
 	let answer: http.IncomingMessage | null = null;
 	let answeredAtMs: number | null = null;
 	let isFailingOver = false;
+	/** Whether the answer has ended, and only the endpoint's process is still checked. */
+	let hasEnded = false;
 	let silenceTimer: NodeJS.Timeout | null = null;
 	let connectTimer: NodeJS.Timeout | null = null;
 	let beginTimer: NodeJS.Timeout | null = null;
@@ -261,17 +273,35 @@
 			} else if (isUnframed(head) && !hasEvents && !isResumed) {
 				fail('disconnected', 'the stream ended before its first event');
 			} else {
-				settle({type: 'streamed', head, answeringMs: answeringMs()});
+				void settleEnded({type: 'streamed', head, answeringMs: answeringMs()});
 			}
 		});
 		response.on('error', error => {
 			fail('disconnected', error.message);
 		});
 		response.on('close', () => {
-			fail('disconnected', 'the stream was incomplete');
+			if (!hasEnded) {
+				fail('disconnected', 'the stream was incomplete');
+			}
 		});
 	};
 
+	/**
+	 * Settles an answer that ended as its framing says. Without a length, the exit of the
+	 * endpoint's process ends it in the same way, and so nothing listens there any more.
+	 */
+	const settleEnded = async (result: Extract<AttemptResult, {type: 'answered' | 'streamed'}>): Promise<void> => {
+		hasEnded = true;
+		startSilenceTimer(null);
+		const {head} = result;
+		const mayBeCut = isUnframed(head) && hasBody(method, head.status) && !isExitExpected();
+		if (mayBeCut && await isRefusingConnections(address)) {
+			fail('disconnected', 'the endpoint exited at the end of an answer without a length');
+		} else {
+			settle(result);
+		}
+	};
+
 	const collectBody = (response: http.IncomingMessage, head: AnswerHead, isRefused: boolean): void => {
 		const parts: Buffer[] = [];
 		let sizeBytes = 0;
@@ -285,11 +315,13 @@
 		response.on('end', () => {
 			if (response.complete) {
 				const body = Buffer.concat(parts);
-				settle(isRefused
-					? {type: 'refused', head, body}
-					: {
+				if (isRefused) {
+					settle({type: 'refused', head, body});
+				} else {
+					void settleEnded({
 						type: 'answered', head, body, answeringMs: answeringMs(),
 					});
+				}
 			} else {
 				fail('disconnected', 'the answer was incomplete');
 			}
@@ -298,7 +330,9 @@
 			fail('disconnected', error.message);
 		});
 		response.on('close', () => {
-			fail('disconnected', 'the answer was incomplete');
+			if (!hasEnded) {
+				fail('disconnected', 'the answer was incomplete');
+			}
 		});
 	};
 
--- a/packages/gateway/src/entry/finish-call.ts
+++ b/packages/gateway/src/entry/finish-call.ts
@@ -3,7 +3,7 @@
 import {idOfPart} from '@bitternpaddle/coordination';
 import type {QuarantineVerdict} from '../quarantine/request-quarantine.js';
 import {sendLocalReply, type LocalReply} from './local-reply.js';
-import {isUnframed, type AnswerHead} from './attempt.js';
+import {hasBody, isUnframed, type AnswerHead} from './attempt.js';
 import type {CallContext} from './call-context.js';
 import type {CallProgress} from './call-progress.js';
 import {truncateAnswer, type TruncationCause} from './truncate-answer.js';
@@ -16,19 +16,18 @@
 export const exhaustedRetryMs = 1000;
 
 /**
- * Sends the head of an answer with the framing that the endpoint used. Whether an
- * answer that ends with its connection is complete cannot be determined, because an
- * endpoint that crashes ends it in the same way. A length or a final chunk added by
- * the entry would mark it as complete.
+ * Sends the head of an answer with a framing of its own, also if the endpoint's answer
+ * ends with its connection: the kernel ends the connections of a killed entry in the
+ * ordinary way, so without a length or chunks the caller would take a part for the whole.
  */
-const beginAnswer = (response: http.ServerResponse, head: AnswerHead, headers: http.OutgoingHttpHeaders = {}): void => {
-	if (isUnframed(head)) {
-		response.shouldKeepAlive = false;
-		response.removeHeader('transfer-encoding');
-		response.writeHead(head.status, answerHeaders(head.headers));
-	} else {
-		response.writeHead(head.status, {...answerHeaders(head.headers), ...headers});
-	}
+const beginAnswer = (response: http.ServerResponse, head: AnswerHead, framing: http.OutgoingHttpHeaders = {}): void => {
+	response.writeHead(head.status, {...answerHeaders(head.headers), ...framing});
+};
+
+/** An answer to HEAD has the length that an answer to GET would have. */
+const framingOf = ({request}: Call, {status, headers}: AnswerHead, body: Buffer): http.OutgoingHttpHeaders => {
+	const length = hasBody(request.method, status) ? body.length : headers['content-length'];
+	return length === undefined ? {} : {'content-length': length};
 };
 
 /** A stream keeps the head of the endpoint that started it, also if another endpoint resumes it. */
@@ -53,7 +52,7 @@
 		requestId, status: head.status, isUnframed: isUnframed(head), tookMs: Math.round(nowMs() - receivedAtMs),
 	});
 	if (!response.destroyed && !response.headersSent) {
-		beginAnswer(response, head, {'content-length': body.length});
+		beginAnswer(response, head, framingOf(call, head, body));
 		response.end(body);
 	} else if (response.headersSent) {
 		// Another endpoint was to resume the stream but did not answer with a stream: the caller must see that the stream is incomplete.
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -3,7 +3,7 @@
 	hasFreshReport, recordFailure, recordConnectionFailure, recordSuccess, takeAttempt, type AnswerStage, type Candidate, type Exclusion, type Placement,
 } from '@bitternpaddle/coordination';
 import {
-	isUnframed, type AnswerHead, type AttemptResult, type FailureCause,
+	hasBody, isUnframed, type AnswerHead, type AttemptResult, type FailureCause,
 } from './attempt.js';
 import type {CallContext} from './call-context.js';
 import {requestedVersion} from './call-headers.js';
@@ -135,10 +135,7 @@
 	&& headers[protocol.headers.signature] !== undefined && headers[protocol.headers.notRun] === undefined
 	&& (!hasEvents || (headers['content-type'] ?? '').startsWith('text/event-stream'));
 
-/** Statuses of answers without a body. */
-const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
-
-const mayBeCut = ({request}: Call, head: AnswerHead): boolean => isUnframed(head) && request.method !== 'HEAD' && !bodilessStatuses.has(head.status);
+const mayBeCut = ({request}: Call, head: AnswerHead): boolean => isUnframed(head) && hasBody(request.method, head.status);
 
 type AnswerEnd = Extract<AttemptResult, {type: 'answered' | 'streamed'}>;
 
