agent: no end marker behind an answer whose endpoint has exited

Versioned endpoints were asked for their version first, plain services were not.

The agent now connects to the endpoint before it takes such an answer for complete, and reports its exit otherwise. unframed-endpoint.test.ts failed before: a marker behind 'a part' of an exited endpoint.

--- a/packages/daemon/src/agent/run-on-endpoint.ts
+++ b/packages/daemon/src/agent/run-on-endpoint.ts
@@ -13,6 +13,8 @@
 	readonly adapter: LoadedAdapter | null;
 };
 
+type AnswerContext = Pick<EndpointRequest, 'method' | 'adapter'> & {readonly version: LoadedVersion | null};
+
 export type EndpointRunnerOptions = {
 	readonly endpointAddress: string;
 	/** Bytes that may be read from the endpoint ahead of the entry that reads the answer. */
@@ -67,7 +69,7 @@
 		}
 	};
 
-	const readAnswer = async (answer: http.IncomingMessage, run: EndpointRun, version: LoadedVersion | null, adapter: LoadedAdapter | null): Promise<void> => {
+	const readAnswer = async (answer: http.IncomingMessage, run: EndpointRun, {method, version, adapter}: AnswerContext): Promise<void> => {
 		run.setHead({
 			status: answer.statusCode!, contentType: answer.headers['content-type'] ?? 'application/octet-stream', versionId: version?.versionId ?? null,
 			...(adapter !== null && {adapterTag: adapter.tag}),
@@ -77,6 +79,12 @@
 			await applyBackpressure(run);
 		}
 
+		// Without a length, the exit of the endpoint ends its answer in the same way as its completion.
+		if (mayBeCut(method, answer) && await isRefusingConnections(endpointAddress)) {
+			run.fail(endpointExited('the endpoint exited at the end of an answer without a length'), performance.now());
+			return;
+		}
+
 		// If the weights changed during the answer, it mixes two versions and gets no end marker.
 		if (version !== null && !(loaded()?.versionId === version.versionId && await isStillLoaded(version, adapter))) {
 			run.fail(mayHaveRun('the weights changed during the answer'), performance.now());
@@ -107,7 +115,7 @@
 				return;
 			}
 
-			await readAnswer(answer, run, version, adapter);
+			await readAnswer(answer, run, {method, version, adapter});
 		} catch (error) {
 			const wasNotSent = error instanceof TransportError && error.isUnsent;
 			const reason = `the endpoint failed: ${reasonOf(run, error as Error)}`;
@@ -122,4 +130,11 @@
 	};
 };
 
+/** Statuses of answers without a body. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
+/** Whether only the end of its connection tells that the answer has ended. */
+const mayBeCut = (method: string, {headers, statusCode}: http.IncomingMessage): boolean => method !== 'HEAD' && !bodilessStatuses.has(statusCode!)
+	&& headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+
 const reasonOf = ({abort}: EndpointRun, error: Error): string => abort.signal.aborted ? (abort.signal.reason as Error).message : error.message;
