entry: the end of an answer without a length is not confirmed

What callers would have seen with: an answer that a worker broke off and that is framed as complete.

What stays is the connection to the endpoint's port before an end without a length is passed on: an endpoint that has exited makes the answer broken.

--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -34,6 +34,8 @@
 	/** Time within which the answer must begin; after it the request may no longer start on the endpoint's weight version. `null` if there is no bound. */
 	readonly beginWithinMs: number | null;
 	readonly signal: AbortSignal;
+	/** Whether the end of the stream is passed on as a last chunk, because another endpoint began it in chunks. @default it is not */
+	endsInChunk?(): boolean;
 	/** Whether the endpoint is expected to exit, so that its exit behind an answer doesn't tell that the answer is incomplete. @default it is not */
 	isExitExpected?(): boolean;
 	/** Why the request must not be sent to the endpoint now; `null` if it may be. Called when the connection is ready, because the rules may change while it is established. */
@@ -52,9 +54,10 @@
  * Why an attempt broke. `disconnected`: the endpoint's side closed the connection,
  * as it does when the process exits. `silent`: a timeout expired here. `unreadable`:
  * the bytes received are not an answer to this request. `outdated`: the request had
- * not started when the weight version of the endpoint became outdated.
+ * not started when the weight version of the endpoint became outdated. `unconfirmed`: a
+ * resumed stream ended without a length, and the caller was promised a last chunk.
  */
-export type FailureCause = 'disconnected' | 'silent' | 'unreadable' | 'outdated';
+export type FailureCause = 'disconnected' | 'silent' | 'unreadable' | 'outdated' | 'unconfirmed';
 
 /**
  * Result of an attempt. `unsent`, `excluded` and `refused` prove that the request did not run at
@@ -88,7 +91,7 @@
 export const sendAttempt = async (options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
 	const {
 		connections, headerNames, address, method, path, headers, requestId, body, requiresFreshConnection, limits, beginWithinMs, signal,
-		exclusion, isExitExpected = () => false, onHead, onFirstByte, onEvents, onProgress,
+		exclusion, endsInChunk = () => false, isExitExpected = () => false, onHead, onFirstByte, onEvents, onProgress,
 	} = options;
 	/** All events may have been sent before, so that none is left. */
 	const isResumed = headers[headerNames.lastEventId] !== undefined;
@@ -272,6 +275,8 @@
 				fail('disconnected', 'the stream ended in the middle of an event');
 			} else if (isUnframed(head) && !hasEvents && !isResumed) {
 				fail('disconnected', 'the stream ended before its first event');
+			} else if (isUnframed(head) && endsInChunk()) {
+				fail('unconfirmed', 'a resumed stream ended without a length');
 			} else {
 				void settleEnded({type: 'streamed', head, answeringMs: answeringMs()});
 			}
--- a/packages/gateway/src/entry/finish-call.ts
+++ b/packages/gateway/src/entry/finish-call.ts
@@ -16,12 +16,19 @@
 export const exhaustedRetryMs = 1000;
 
 /**
- * Sends the head of an answer with a framing of its own, also if the endpoint's answer
- * ends with its connection: the kernel ends the connections of a killed entry in the
- * ordinary way, so without a length or chunks the caller would take a part for the whole.
+ * Sends the head of an answer with the framing that the endpoint used. Whether an
+ * answer that ends with its connection is complete cannot be determined: an endpoint
+ * may break it off with the ordinary end of its connection. A length or a last chunk
+ * added by the entry would mark it as complete.
  */
 const beginAnswer = (response: http.ServerResponse, head: AnswerHead, framing: http.OutgoingHttpHeaders = {}): void => {
-	response.writeHead(head.status, {...answerHeaders(head.headers), ...framing});
+	if (isUnframed(head)) {
+		response.shouldKeepAlive = false;
+		response.removeHeader('transfer-encoding');
+		response.writeHead(head.status, answerHeaders(head.headers));
+	} else {
+		response.writeHead(head.status, {...answerHeaders(head.headers), ...framing});
+	}
 };
 
 /** An answer to HEAD has the length that an answer to GET would have. */
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -86,7 +86,10 @@
 			progress.isEndpointAtWork = result.cause === 'silent' || result.cause === 'outdated';
 			if (result.cause !== 'silent') {
 				logAttemptFailure(context, call, candidate, result.reason, result.cause);
-				recordEndpointFailure(context, call, candidate);
+				if (result.cause !== 'unconfirmed') {
+					recordEndpointFailure(context, call, candidate);
+				}
+
 				recordDisconnected(context, call, candidate, result);
 			}
 
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -211,6 +211,7 @@
 		beginWithinMs: engineVersion === null ? null : startWithinMs(engineVersion, versionDuesOf(context, call), startedAtMs),
 		signal: state.signal,
 		exclusion: () => context.permission.exclusionOf(call, candidate),
+		endsInChunk: () => call.response.headersSent && call.response.chunkedEncoding,
 		isExitExpected: () => load.isLeaving || announcement.state !== 'ready',
 		onProgress() {
 			if (state.successor?.state.isCurrent === false) {
