read limits: what comes from outside the process is bounded in bytes and in time

Cause: an incomplete event was joined with each new part and searched again from its end, so n bytes cost n squared, without a bound but the deadline; informational answers were not bounded at all; the body of a refusal was read to 16 MB before its head was used. Agents read reports, digests and chunks without any bound.

Change: transport/src/http/read-limits.ts has all bounds, which both request paths, agents and calls between processes use. Events are split at linear cost. A refusal is used as soon as its head has arrived. At a bound the connection is reset, the request goes on where it may, BP4070 and oversized_answers_total tell of it. An entry's 504 is sent 20 ms before its caller gives up.

--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -6,6 +6,7 @@
 import {measureCapacity} from './capacity/index.js';
 import {measureControl} from './control/control.js';
 import {measureClaims} from './control/claims.js';
+import {measureEvents} from './events.js';
 import {measureFleetCost} from './fleet-cost/index.js';
 import {measureFlood} from './flood.js';
 import {measureOverhead} from './overhead.js';
@@ -28,6 +29,7 @@
 	control: measureControl,
 	claims: measureClaims,
 	'endpoint-limits': measureEndpointLimits,
+	events: measureEvents,
 	'fleet-cost': measureFleetCost,
 	flood: measureFlood,
 	limits: measureLimits,
--- a/packages/coordination/src/requests/event-gate.ts
+++ b/packages/coordination/src/requests/event-gate.ts
@@ -8,13 +8,22 @@
 export type EventGate = {held: Buffer; isDone: boolean};
 
 const doneEventPrefix = 'data: [DONE]';
-/** A longer event is forwarded in pieces. */
+/** A longer event is forwarded in pieces; less may follow `[DONE]`. */
 const maxHeldEventBytes = 65_536;
 
+/** More bytes followed `[DONE]` than its event and the end of an answer take. */
+export class EndlessAnswerError extends Error {
+	override readonly name = 'EndlessAnswerError';
+}
+
 export const createEventGate = (): EventGate => ({held: Buffer.alloc(0), isDone: false});
 
-/** Adds received bytes to the buffer and returns those that may be forwarded. */
+/** Adds received bytes to the buffer and returns those that may be forwarded. Throws `EndlessAnswerError`. */
 export const passEvents = (gate: EventGate, part: Buffer): Buffer => {
+	if (gate.isDone && gate.held.length + part.length > maxHeldEventBytes) {
+		throw new EndlessAnswerError(`more than ${maxHeldEventBytes} bytes follow ${doneEventPrefix}`);
+	}
+
 	const all = gate.held.length === 0 ? part : Buffer.concat([gate.held, part]);
 	const doneAt = gate.isDone ? 0 : all.indexOf(doneEventPrefix);
 	if (doneAt !== -1) {
--- a/packages/daemon/src/agent/engine-client.ts
+++ b/packages/daemon/src/agent/engine-client.ts
@@ -1,4 +1,4 @@
-import {readBody, sendHttp} from '@bitternpaddle/transport';
+import {fetchHttp, readLimits} from '@bitternpaddle/transport';
 import * as z from 'zod';
 
 const statusSchema = z.object({
@@ -34,8 +34,10 @@
 const loadTimeoutMs = 600_000;
 
 export const fetchEngineStatus = async (address: string): Promise<EngineStatus> => {
-	const response = await sendHttp({address, path: '/engine/status', idleTimeoutMs: statusTimeoutMs});
-	return statusSchema.parse(JSON.parse((await readBody(response)).toString()));
+	const {body} = await fetchHttp({
+		address, path: '/engine/status', idleTimeoutMs: statusTimeoutMs, totalTimeoutMs: 2 * statusTimeoutMs, limitBytes: readLimits.report,
+	});
+	return statusSchema.parse(JSON.parse(body.toString()));
 };
 
 /** Orders the engine to load a version; status 409 means that it has received an order with a higher fencing number. */
@@ -45,15 +47,16 @@
 export const sendAdapterOrder = async (address: string, order: AdapterEngineOrder): Promise<LoadOutcome> => postOrder(address, '/engine/adapters', order);
 
 const postOrder = async (address: string, path: string, order: LoadOrder | AdapterEngineOrder): Promise<LoadOutcome> => {
-	const response = await sendHttp({
-		address, method: 'POST', path, headers: {'content-type': 'application/json'}, body: JSON.stringify(order), idleTimeoutMs: loadTimeoutMs,
+	const {status, body} = await fetchHttp({
+		address, method: 'POST', path, headers: {'content-type': 'application/json'}, body: JSON.stringify(order),
+		idleTimeoutMs: loadTimeoutMs, totalTimeoutMs: loadTimeoutMs, limitBytes: readLimits.report,
 	});
-	const text = (await readBody(response)).toString();
-	if (response.statusCode === 409) {
+	const text = body.toString();
+	if (status === 409) {
 		return {type: 'fenced'};
 	}
 
-	return response.statusCode === 200
+	return status === 200
 		? {type: 'loaded', status: statusSchema.parse(JSON.parse(text))}
-		: {type: 'failed', detail: `the engine responded with status ${response.statusCode}: ${text.slice(0, 200)}`};
+		: {type: 'failed', detail: `the engine responded with status ${status}: ${text.slice(0, 200)}`};
 };
--- a/packages/daemon/src/agent/fetch-chunk.ts
+++ b/packages/daemon/src/agent/fetch-chunk.ts
@@ -4,7 +4,7 @@
 } from '@bitternpaddle/coordination';
 import {hostHeader} from '@bitternpaddle/protocol';
 import {chunkRange, type Manifest, type ManifestId} from '@bitternpaddle/state';
-import {readBody, sendHttp} from '@bitternpaddle/transport';
+import {readBody, readLimits, sendHttp} from '@bitternpaddle/transport';
 import type {TransferLinks} from './transfer-links.js';
 
 /** How long to wait before the next request to a busy peer. */
@@ -54,7 +54,7 @@
 			return {type: 'data', data: await readPaced(response, options)};
 		}
 
-		await readBody(response);
+		await readBody(response, readLimits.refusal);
 		return response.statusCode === 503
 			? {
 				type: 'failed', reason: 'busy', detail: 'the peer is busy', retryAfterMs: Number(response.headers[retryAfterMsHeader] ?? 0),
@@ -120,7 +120,7 @@
 			return {type: 'data', data: await readPaced(response, options)};
 		}
 
-		await readBody(response);
+		await readBody(response, readLimits.refusal);
 		return response.statusCode === 429
 			? {
 				type: 'failed', reason: 'busy', detail: 'the source limits the request rate (HTTP status 429)', retryAfterMs: retryAfterMs(response),
--- a/packages/daemon/src/entry/relay.ts
+++ b/packages/daemon/src/entry/relay.ts
@@ -6,13 +6,11 @@
 } from '@bitternpaddle/protocol';
 import type {UnansweredVerdict} from '@bitternpaddle/state';
 import {
-	sendJson, whenDrained, type Logger, type Metrics,
+	readLimits, sendJson, whenDrained, type Logger, type Metrics,
 } from '@bitternpaddle/transport';
 import type {Call, Refusal} from './call.js';
 import type {AttemptAnswer} from './dispatch.js';
 
-const answerLimitBytes = 16 * 1024 * 1024;
-
 export type RelayOptions = {readonly logger: Logger; readonly metrics?: Metrics};
 
 /** Sends callers their answers, or errors in the fixed format. */
@@ -37,10 +35,16 @@
 		const {response, requestId} = call;
 		const isEvents = answer.headers['content-type']?.startsWith('text/event-stream') ?? false;
 		const gate = createEventGate();
+		let sizeBytes = 0;
 		response.writeHead(answer.status, answerHeaders(answer, requestId));
 		try {
 			for await (const part of answer.parts()) {
 				call.trace.firstByte();
+				sizeBytes += part.length;
+				if (sizeBytes > readLimits.answer) {
+					throw new Error(`the answer is larger than ${readLimits.answer} bytes`);
+				}
+
 				await writeWithBackpressure(response, isEvents ? passEvents(gate, part) : part, answer);
 			}
 		} catch (error) {
@@ -58,7 +62,7 @@
 		try {
 			for await (const part of answer.parts()) {
 				sizeBytes += part.length;
-				if (sizeBytes > answerLimitBytes) {
+				if (sizeBytes > readLimits.answer) {
 					throw new Error('the answer is too large');
 				}
 
--- a/packages/gateway/src/agent/digest-source.ts
+++ b/packages/gateway/src/agent/digest-source.ts
@@ -1,5 +1,5 @@
 import type {TransferPeer} from '@bitternpaddle/daemon/transfer';
-import {readBody, sendHttp, type Logger} from '@bitternpaddle/transport';
+import {fetchHttp, maxDigestListBytes, type Logger} from '@bitternpaddle/transport';
 import * as z from 'zod';
 import type {OriginClient} from './engine-client.js';
 import type {LoadGoal} from './version-loader.js';
@@ -22,13 +22,14 @@
 export const digestsPath = (model: string, version: number): string => `/digests/${encodeURIComponent(model)}/${version}`;
 
 export const createDigestSource = ({origin, peers, logger}: DigestSourceOptions): DigestSource => {
-	const fetchFromPeers = async (model: string, version: number): Promise<readonly string[] | null> => {
+	const fetchFromPeers = async (model: string, version: number, chunks: number): Promise<readonly string[] | null> => {
 		for (const {address} of peers()) {
 			try {
-				const response = await sendHttp({address, path: digestsPath(model, version), idleTimeoutMs: digestTimeoutMs});
-				const text = (await readBody(response)).toString();
-				if (response.statusCode === 200) {
-					return digestsSchema.parse(JSON.parse(text));
+				const {status, body} = await fetchHttp({
+					address, path: digestsPath(model, version), idleTimeoutMs: digestTimeoutMs, totalTimeoutMs: 2 * digestTimeoutMs, limitBytes: maxDigestListBytes(chunks),
+				});
+				if (status === 200) {
+					return digestsSchema.parse(JSON.parse(body.toString()));
 				}
 			} catch {
 				// The next peer is tried; if all fail, the digests are reported as unavailable.
@@ -38,9 +39,9 @@
 		return null;
 	};
 
-	return async ({profile: {model}, origin: {address}, version}) => {
+	return async ({profile: {model, chunks}, origin: {address}, version}) => {
 		try {
-			const found = await origin.digests(address, model, version);
+			const found = await origin.digests(address, model, version, chunks);
 			if (found !== null) {
 				return found;
 			}
@@ -48,6 +49,6 @@
 			logger.event('BP4037', {version, reason: (error as Error).message});
 		}
 
-		return fetchFromPeers(model, version);
+		return fetchFromPeers(model, version, chunks);
 	};
 };
--- a/packages/gateway/src/agent/engine-client.ts
+++ b/packages/gateway/src/agent/engine-client.ts
@@ -22,15 +22,15 @@
 	state(): Promise<EngineState>;
 	/** Stages a chunk; the engine does not verify it. */
 	putChunk(model: string, chunk: number, data: Uint8Array): Promise<void>;
-	/** Reads back a staged chunk; `null` if it is not staged. */
-	getChunk(model: string, chunk: number): Promise<Buffer | null>;
+	/** Reads back a staged chunk of `chunkBytes`; `null` if it is not staged. */
+	getChunk(model: string, chunk: number, chunkBytes: number): Promise<Buffer | null>;
 	/** Loads the staged weights, either after running requests finish or at once, which aborts them. */
 	load(model: string, version: number, mode: LoadMode): Promise<LoadOrderOutcome>;
 };
 
 /** Client for the origin of weights. Every call rejects if the origin does not answer in time. */
 export type OriginClient = {
-	/** Digests of a version's chunks as 64 hexadecimal digits; `null` if the origin does not have that version. */
-	digests(address: string, model: string, version: number): Promise<readonly string[] | null>;
-	chunk(address: string, options: {readonly model: string; readonly version: number; readonly chunk: number; readonly signal: AbortSignal}): Promise<Buffer>;
+	/** Digests of a version's `chunks` chunks as 64 hexadecimal digits; `null` if the origin does not have that version. */
+	digests(address: string, model: string, version: number, chunks: number): Promise<readonly string[] | null>;
+	chunk(address: string, options: {readonly model: string; readonly version: number; readonly chunk: number; readonly chunkBytes: number; readonly signal: AbortSignal}): Promise<Buffer>;
 };
--- a/packages/gateway/src/agent/staged-weights.ts
+++ b/packages/gateway/src/agent/staged-weights.ts
@@ -37,7 +37,7 @@
 });
 
 export const createStagedWeights = (options: StagedWeightsOptions): StagedWeights => {
-	const {engine, model, version, digests} = options;
+	const {engine, model, version, chunkBytes, digests} = options;
 	const manifest = manifestOf(options);
 	const chunks = new Map<number, Uint8Array>();
 
@@ -60,7 +60,7 @@
 		read: chunk => chunks.get(chunk) ?? null,
 		async readStaged() {
 			for (const chunk of digests.keys()) {
-				const data = chunks.has(chunk) ? null : await engine.getChunk(model, chunk);
+				const data = chunks.has(chunk) ? null : await engine.getChunk(model, chunk, chunkBytes);
 				if (data !== null && matchesDigest(chunk, data)) {
 					chunks.set(chunk, data);
 				}
@@ -69,7 +69,7 @@
 		async repair() {
 			let repaired = 0;
 			for (const [chunk, verified] of chunks) {
-				const staged = await engine.getChunk(model, chunk);
+				const staged = await engine.getChunk(model, chunk, chunkBytes);
 				if (staged === null || !matchesDigest(chunk, staged)) {
 					repaired++;
 					await engine.putChunk(model, chunk, verified);
--- a/packages/gateway/src/agent/weight-exchange.ts
+++ b/packages/gateway/src/agent/weight-exchange.ts
@@ -98,7 +98,7 @@
 	const fetchFromOrigin = (goal: LoadGoal) => async (chunk: number, signal: AbortSignal): Promise<FetchOutcome> => {
 		try {
 			const data = await origin.chunk(goal.origin.address, {
-				model: goal.profile.model, version: goal.version, chunk, signal,
+				model: goal.profile.model, version: goal.version, chunk, chunkBytes: goal.profile.chunkBytes, signal,
 			});
 			return {type: 'data', data};
 		} catch (error) {
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -1,8 +1,11 @@
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
 import type {AnswerStage, Exclusion} from '@bitternpaddle/coordination';
-import {isRefusingConnections} from '@bitternpaddle/transport';
+import {
+	ignore, isRefusingConnections, limitInformationalAnswers, readLimits,
+} from '@bitternpaddle/transport';
 import type {HeaderNames} from '../link/request-protocol.js';
+import {unlimitedAnswers, type AnswerBudget} from './answer-budget.js';
 import type {AttemptLimits} from './attempt-limits.js';
 import type {EndpointConnections} from './endpoint-connections.js';
 import {createEventSplitter} from './event-splitter.js';
@@ -31,6 +34,10 @@
 	readonly requiresFreshConnection: boolean;
 	/** How long the endpoint may send nothing before the attempt fails. */
 	readonly limits: AttemptLimits;
+	/** The most bytes that a stream may have; any other answer may have `readLimits.answer`. @default readLimits.answer */
+	readonly maxStreamBytes?: number;
+	/** Bounds the complete answers that are held at once. @default not bounded */
+	readonly answerBudget?: AnswerBudget;
 	/** Time within which the answer must begin; after it the request may no longer start on the endpoint's weight version. `null` if there is no bound. */
 	readonly beginWithinMs: number | null;
 	readonly signal: AbortSignal;
@@ -54,10 +61,23 @@
  * Why an attempt broke. `disconnected`: the endpoint's side closed the connection,
  * as it does when the process exits. `silent`: a timeout expired here. `unreadable`:
  * the bytes received are not an answer to this request. `outdated`: the request had
- * not started when the weight version of the endpoint became outdated. `unconfirmed`: a
- * resumed stream ended without a length, and the caller was promised a last chunk.
+ * not started when the weight version of the endpoint became outdated. `oversized`: more
+ * bytes arrived than an answer may have. `unconfirmed`: a resumed stream ended without a
+ * length, and the caller was promised a last chunk.
  */
-export type FailureCause = 'disconnected' | 'silent' | 'unreadable' | 'outdated' | 'unconfirmed';
+export type FailureCause = 'disconnected' | 'silent' | 'unreadable' | 'outdated' | 'oversized' | 'unconfirmed';
+
+/** What exceeded its bound: the head of an answer, informational answers before it, one event, the extension of a chunk, the body, or all bodies held at once. */
+export type OversizedPart = 'head' | 'informational' | 'event' | 'chunkExtension' | 'body' | 'allBodies';
+
+/** Bytes that an endpoint sent beyond a bound. */
+export type Oversize = {
+	readonly part: OversizedPart;
+	/** Bytes of the answer's body so far. */
+	readonly receivedBytes: number;
+	/** Since the request was sent. */
+	readonly tookMs: number;
+};
 
 /**
  * Result of an attempt. `unsent`, `excluded` and `refused` prove that the request did not run at
@@ -66,9 +86,15 @@
 export type AttemptResult
 	= | {readonly type: 'answered'; readonly head: AnswerHead; readonly body: Buffer; /** Time since the answer began. */ readonly answeringMs: number}
 		| {readonly type: 'streamed'; readonly head: AnswerHead; readonly answeringMs: number}
-		| {readonly type: 'refused'; readonly head: AnswerHead; readonly body: Buffer}
+		| {readonly type: 'refused'; readonly head: AnswerHead}
 		| {readonly type: 'unsent'; readonly reason: string; /** The host is reachable, but nothing listens on the port. */ readonly isRefused: boolean}
-		| {readonly type: 'broken'; readonly cause: FailureCause; readonly reason: string; readonly stage: AnswerStage; /** 0 if it had not begun. */ readonly answeringMs: number}
+		| {
+			readonly type: 'broken'; readonly cause: FailureCause; readonly reason: string; readonly stage: AnswerStage;
+			/** 0 if it had not begun. */
+			readonly answeringMs: number;
+			/** `null` unless the cause is `oversized`. */
+			readonly oversize: Oversize | null;
+		}
 		/** Nothing was sent, because the request must not be sent to this endpoint any more. */
 		| {readonly type: 'excluded'; readonly exclusion: Exclusion}
 		| {readonly type: 'aborted'; readonly hasEvents: boolean};
@@ -77,8 +103,11 @@
 const connectTimeoutMs = 300;
 /** Interval of the checks for fresh reports, and for another endpoint, while an endpoint sends nothing. */
 const silenceCheckMs = 150;
-/** Bounds the memory that an answer takes on a small host; usual answers are a few kilobytes. */
-const maxAnswerBytes = 16 * 1024 * 1024;
+/** Time within which the body of a refusal must have arrived so that its connection can be used again. */
+const refusalBodyMs = 250;
+
+/** Errors of the HTTP parser at its own bounds. */
+const oversizedByCode: Readonly<Record<string, OversizedPart>> = {HPE_HEADER_OVERFLOW: 'head', HPE_CHUNK_EXTENSIONS_OVERFLOW: 'chunkExtension'};
 
 /** Whether the HTTP parser rejected the bytes received. */
 const isParserError = ({code = ''}: NodeJS.ErrnoException): boolean => code.startsWith('HPE_');
@@ -91,7 +120,7 @@
 export const sendAttempt = async (options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
 	const {
 		connections, headerNames, address, method, path, headers, requestId, body, requiresFreshConnection, limits, beginWithinMs, signal,
-		exclusion, endsInChunk = () => false, isExitExpected = () => false, onHead, onFirstByte, onEvents, onProgress,
+		maxStreamBytes = readLimits.answer, answerBudget = unlimitedAnswers, exclusion, endsInChunk = () => false, isExitExpected = () => false, onHead, onFirstByte, onEvents, onProgress,
 	} = options;
 	/** All events may have been sent before, so that none is left. */
 	const isResumed = headers[headerNames.lastEventId] !== undefined;
@@ -100,6 +129,10 @@
 	let hasEvents = false;
 	let answer: http.IncomingMessage | null = null;
 	let answeredAtMs: number | null = null;
+	let receivedBytes = 0;
+	/** Bytes of the answer that count in `answerBudget`. */
+	let heldBytes = 0;
+	const sentAtMs = performance.now();
 	let isFailingOver = false;
 	/** Whether the answer has ended, and only the endpoint's process is still checked. */
 	let hasEnded = false;
@@ -113,6 +146,7 @@
 		}
 
 		isSettled = true;
+		answerBudget.release(heldBytes);
 		clearTimeout(silenceTimer ?? undefined);
 		clearTimeout(connectTimer ?? undefined);
 		clearTimeout(beginTimer ?? undefined);
@@ -157,7 +191,14 @@
 		}
 
 		abandon({
-			type: 'broken', cause, reason, stage: stage(), answeringMs: answeringMs(),
+			type: 'broken', cause, reason, stage: stage(), answeringMs: answeringMs(), oversize: null,
+		});
+	};
+
+	const failOversized = (part: OversizedPart, reason: string): void => {
+		abandon({
+			type: 'broken', cause: 'oversized', reason, stage: stage(), answeringMs: answeringMs(),
+			oversize: {part, receivedBytes, tookMs: Math.round(performance.now() - sentAtMs)},
 		});
 	};
 
@@ -225,10 +266,16 @@
 	});
 	request.on('error', error => {
 		// Ignores parse errors caused by bytes after a complete answer; those belong to no request.
-		if (answer?.complete !== true) {
+		const oversizedPart = oversizedByCode[(error as NodeJS.ErrnoException).code ?? ''];
+		if (answer?.complete !== true && oversizedPart !== undefined) {
+			failOversized(oversizedPart, error.message);
+		} else if (answer?.complete !== true) {
 			fail(isParserError(error) ? 'unreadable' : 'disconnected', error.message, isConnectionRefused(error));
 		}
 	});
+	limitInformationalAnswers(request, () => {
+		failOversized('informational', `the endpoint sent more than ${readLimits.informationalAnswers} informational answers`);
+	});
 	request.on('response', response => {
 		answer = response;
 		answeredAtMs = performance.now();
@@ -251,19 +298,56 @@
 			onFirstByte(head);
 		}
 
-		if (!isRefused && head.status === 200 && isEventStream(response)) {
+		if (isRefused) {
+			settle({type: 'refused', head});
+			discardBody(response);
+		} else if (head.status === 200 && isEventStream(response)) {
 			followEvents(response, head);
 		} else {
-			collectBody(response, head, isRefused);
+			collectBody(response, head);
 		}
 	});
 
+	/** Counts received bytes of the body; `false` if there are too many, and the attempt has failed. */
+	const addReceived = (sizeBytes: number, maxBytes: number): boolean => {
+		receivedBytes += sizeBytes;
+		if (receivedBytes <= maxBytes) {
+			return true;
+		}
+
+		failOversized('body', `the answer is larger than ${maxBytes} bytes`);
+		return false;
+	};
+
+	/** The head of a refusal says all; the connection is closed if the rest takes longer than another connection would. */
+	const discardBody = (response: http.IncomingMessage): void => {
+		const timer = setTimeout(() => {
+			response.destroy();
+		}, refusalBodyMs);
+		response.on('data', (part: Buffer) => {
+			receivedBytes += part.length;
+			if (receivedBytes > readLimits.refusal) {
+				response.destroy();
+			}
+		});
+		response.on('error', ignore);
+		response.once('close', () => {
+			clearTimeout(timer);
+		});
+	};
+
 	const followEvents = (response: http.IncomingMessage, head: AnswerHead): void => {
 		const splitter = createEventSplitter();
 		response.on('data', (part: Buffer) => {
+			if (isSettled || !addReceived(part.length, maxStreamBytes)) {
+				return;
+			}
+
 			onProgress?.();
 			const events = splitter.push(part);
-			if (events !== null && !isSettled) {
+			if (splitter.pendingBytes() > readLimits.event) {
+				failOversized('event', `an event is larger than ${readLimits.event} bytes`);
+			} else if (events !== null) {
 				hasEvents = true;
 				clearTimeout(beginTimer ?? undefined);
 				startSilenceTimer(limits.pauseMs);
@@ -307,26 +391,31 @@
 		}
 	};
 
-	const collectBody = (response: http.IncomingMessage, head: AnswerHead, isRefused: boolean): void => {
+	const collectBody = (response: http.IncomingMessage, head: AnswerHead): void => {
 		const parts: Buffer[] = [];
-		let sizeBytes = 0;
+		if (hasBody(method, head.status) && Number(head.headers['content-length'] ?? 0) > readLimits.answer) {
+			failOversized('body', `the answer is larger than ${readLimits.answer} bytes, by its length`);
+			return;
+		}
+
 		response.on('data', (part: Buffer) => {
-			sizeBytes += part.length;
-			parts.push(part);
-			if (sizeBytes > maxAnswerBytes) {
-				fail('unreadable', `the answer is larger than ${maxAnswerBytes} bytes`);
+			if (isSettled || !addReceived(part.length, readLimits.answer)) {
+				return;
 			}
+
+			if (!answerBudget.reserve(part.length)) {
+				failOversized('allBodies', 'too many bytes of answers are held at once');
+				return;
+			}
+
+			heldBytes += part.length;
+			parts.push(part);
 		});
 		response.on('end', () => {
 			if (response.complete) {
-				const body = Buffer.concat(parts);
-				if (isRefused) {
-					settle({type: 'refused', head, body});
-				} else {
-					void settleEnded({
-						type: 'answered', head, body, answeringMs: answeringMs(),
-					});
-				}
+				void settleEnded({
+					type: 'answered', head, body: Buffer.concat(parts), answeringMs: answeringMs(),
+				});
 			} else {
 				fail('disconnected', 'the answer was incomplete');
 			}
--- a/packages/gateway/src/entry/call-context.ts
+++ b/packages/gateway/src/entry/call-context.ts
@@ -7,6 +7,7 @@
 import type {RequestProtocol} from '../link/request-protocol.js';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
 import type {RequestQuarantine} from '../quarantine/request-quarantine.js';
+import type {AnswerBudget} from './answer-budget.js';
 import type {EndpointConnections} from './endpoint-connections.js';
 import type {EndpointView} from './endpoint-view.js';
 import type {Permission} from './permission.js';
@@ -26,6 +27,8 @@
 	readonly random: Random;
 	readonly logger: Logger;
 	readonly metrics: GatewayMetrics;
+	/** Shared by all answers that are held before they are passed on. */
+	readonly answerBudget: AnswerBudget;
 	allowance(serviceName: string): RetryAllowance;
 	/** Rate of the requests that this entry sends to a service's endpoints. */
 	sendRate(serviceName: string): ArrivalRate;
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -3,7 +3,7 @@
 	createArrivalRate, createFirstAttemptDeadlines, createObjectiveMix, createRandom, createRetryAllowance, createSpareCapacity, createStallMeter, createStartShare, defaultColdBounds,
 	observeClock, observeIntervalMs, readDelayMs, type Clock,
 } from '@bitternpaddle/coordination';
-import {createHttpServer, type Logger} from '@bitternpaddle/transport';
+import {createHttpServer, readLimits, type Logger} from '@bitternpaddle/transport';
 import {createCoreClient} from '../link/core-client.js';
 import type {Follower} from '../link/methods.js';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
@@ -19,6 +19,7 @@
 import {createLoadRelay, relayIntervalMs} from '../load/load-relay.js';
 import {noRelay, planRelay, type RelayPlan} from '../load/relay-plan.js';
 import {createLazyMap} from './lazy-map.js';
+import {createAnswerBudget} from './answer-budget.js';
 import {createEndpointConnections} from './endpoint-connections.js';
 import {createEndpointView} from './endpoint-view.js';
 import type {Call, CancelCause} from './gateway-call.js';
@@ -85,6 +86,8 @@
 };
 
 const pruneMs = 5000;
+/** Three of the largest answers. An entry has 350 MB, and what the kernel buffers for its connections counts too. */
+const maxHeldAnswerBytes = 3 * readLimits.answer;
 /**
  * Share of the grace period in which callers may still use open connections. Later
  * requests could be aborted when it ends, because the longest streams take half of it.
@@ -146,6 +149,8 @@
 	});
 	const view = createEndpointView({onRestart: quarantine.recordRestart});
 	const connections = createEndpointConnections();
+	const answerBudget = createAnswerBudget(maxHeldAnswerBytes);
+	metrics.gauge('held_answer_bytes', 'Bytes of answers that are held until they are complete.', answerBudget.heldBytes);
 	const waitQueue = createWaitQueue();
 	const evacuationGate = createEvacuationGate({
 		zones, evacuationMs: bounds.evacuationMs ?? null, logger, startedAtMs: monotonicNowMs(),
@@ -200,7 +205,7 @@
 	const observing = setInterval(observeStalls, observeIntervalMs);
 	const context: CallContext = {
 		stalls, observeStalls,
-		protocol, connections, view, waitQueue, quarantine, limits, permission, rooms, zoneId, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs,
+		protocol, connections, answerBudget, view, waitQueue, quarantine, limits, permission, rooms, zoneId, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs,
 		allowance: allowance.of, sendRate: sendRate.of, objectives: objectives.of, spareCapacity: spareCapacity.of, startShare: startShare.of,
 		entryCount: () => entryCount,
 		remainingGraceMs: () => abortsAtMs - monotonicNowMs(),
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -3,7 +3,7 @@
 	hasFreshReport, recordFailure, recordConnectionFailure, recordSuccess, takeAttempt, type AnswerStage, type Candidate, type Exclusion, type Placement,
 } from '@bitternpaddle/coordination';
 import {
-	hasBody, isUnframed, type AnswerHead, type AttemptResult, type FailureCause,
+	hasBody, isUnframed, type AnswerHead, type AttemptResult, type FailureCause, type Oversize,
 } from './attempt.js';
 import type {CallContext} from './call-context.js';
 import {requestedVersion} from './call-headers.js';
@@ -86,6 +86,7 @@
 			progress.isEndpointAtWork = result.cause === 'silent' || result.cause === 'outdated';
 			if (result.cause !== 'silent') {
 				logAttemptFailure(context, call, candidate, result.reason, result.cause);
+				recordOversize(context, call, candidate, result.oversize);
 				if (result.cause !== 'unconfirmed') {
 					recordEndpointFailure(context, call, candidate);
 				}
@@ -236,6 +237,15 @@
 	});
 };
 
+const recordOversize = ({logger, metrics}: CallContext, {requestId}: Call, {announcement: {id, address}}: Candidate, oversize: Oversize | null): void => {
+	if (oversize !== null) {
+		metrics.oversized(oversize.part);
+		logger.event('BP4070', {
+			requestId, endpointId: id, address, ...oversize,
+		});
+	}
+};
+
 const recordEndpointFailure = ({view, logger, nowMs}: CallContext, {service}: Call, candidate: Candidate): void => {
 	const now = nowMs();
 	if (hasFreshReport(candidate.load, now) && candidate.load.report!.isBusy) {
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -2,7 +2,7 @@
 	isUneven, prefillMs, recordStartDelay, startWithinMs, recordArrival, recordLag, recordObjective, mayTakeAttempt, recordPause, recordRequest, takeAttempt,
 	type AwaitedRequest, type Candidate, type EndpointLoad, type PauseNotice, type Placement,
 } from '@bitternpaddle/coordination';
-import {ignore} from '@bitternpaddle/transport';
+import {ignore, maxStreamBytes} from '@bitternpaddle/transport';
 import {sendAttempt, type AnswerHead, type AttemptResult} from './attempt.js';
 import {
 	recordLoad, recordPassedZone, recordPlainAnswer, slowdownFields,
@@ -209,7 +209,7 @@
 		requiresFreshConnection: !isIdempotent(call),
 		limits: attemptLimits(call, candidate, {canRepeat: mayRepeat(call, progress), failOver: async () => failOver(context, call, progress, state), nowMs}),
 		beginWithinMs: engineVersion === null ? null : startWithinMs(engineVersion, versionDuesOf(context, call), startedAtMs),
-		signal: state.signal,
+		signal: state.signal, maxStreamBytes: maxStreamBytes(call.answerTokenLimit), answerBudget: context.answerBudget,
 		exclusion: () => context.permission.exclusionOf(call, candidate),
 		endsInChunk: () => call.response.headersSent && call.response.chunkedEncoding,
 		isExitExpected: () => load.isLeaving || announcement.state !== 'ready',
--- a/packages/gateway/src/entry/serve-request.ts
+++ b/packages/gateway/src/entry/serve-request.ts
@@ -45,6 +45,8 @@
 const leaseWaitMs = 1500;
 /** Share of a caller's remaining time that may be spent waiting; the rest is left for the answer or the next retry. */
 const startWaitShare = 0.35;
+const maxAnswerMarginMs = 20;
+const answerMarginShare = 0.02;
 const bearerPattern = /^bearer\s+(?<key>\S+)\s*$/iv;
 
 type RouteMatch = {
@@ -118,6 +120,9 @@
 /** How long the caller waits for the answer; infinite if it does not state it. */
 const callerDeadlineMs = ({protocol}: ServeContext, {headers}: http.IncomingMessage): number => parsePositive(headers[protocol.headers.deadlineMs]) ?? Number.POSITIVE_INFINITY;
 
+/** The caller's clock started before this entry's; without a margin it would give up while its answer to the deadline is on its way. */
+const answerMarginMs = (deadlineMs: number): number => Number.isFinite(deadlineMs) ? Math.min(maxAnswerMarginMs, deadlineMs * answerMarginShare) : 0;
+
 /** Whether this entry knows what a request depends on: the evacuated zones and, if it has a key, the keys in force. */
 const isStarted = ({holdsLease, knowsEvacuations}: ServeContext, {key}: RouteMatch): boolean => knowsEvacuations() && (key === null || holdsLease());
 
@@ -185,7 +190,7 @@
 		recordFirstDeadline(firstAttemptDeadlines, deadlineMs);
 	}
 
-	const deadlineAtMs = receivedAtMs + Math.min(route.timeoutMs, deadlineMs);
+	const deadlineAtMs = receivedAtMs + Math.min(route.timeoutMs, deadlineMs - answerMarginMs(deadlineMs));
 	const cancellation = new AbortController();
 	const deadline = setTimeout(() => {
 		cancellation.abort('deadline' satisfies CancelCause);
--- a/packages/gateway/src/process/gateway-metrics.ts
+++ b/packages/gateway/src/process/gateway-metrics.ts
@@ -11,6 +11,8 @@
 	allocation(service: string, priority: number, decision: 'send' | 'refuse'): void;
 	/** Counts an answer that was ended before its caller had received all of it. */
 	truncated(cause: string): void;
+	/** Counts an answer of an endpoint that was larger than it may be, by the part that was. */
+	oversized(part: string): void;
 	/** Records the time to the first byte of the answer sent to the caller. */
 	firstByte(service: string, tookMs: number): void;
 	/** Records the difference between the actual and the expected time to the first byte. */
@@ -39,6 +41,9 @@
 	const truncations = new Counter({
 		name: 'bitternpaddle_answers_truncated_total', help: 'Answers of which the caller received only a part, by cause.', labelNames: ['cause'], registers,
 	});
+	const oversized = new Counter({
+		name: 'bitternpaddle_oversized_answers_total', help: 'Answers of endpoints that were larger than they may be, by the part that was.', labelNames: ['part'], registers,
+	});
 	const firstBytes = new Histogram({
 		name: 'bitternpaddle_first_byte_ms', help: 'Time from a request to the first byte of its answer.', labelNames: ['service'], buckets: latencyBucketsMs, registers,
 	});
@@ -59,6 +64,9 @@
 		truncated(cause) {
 			truncations.inc({cause});
 		},
+		oversized(part) {
+			oversized.inc({part});
+		},
 		firstByte(service, tookMs) {
 			firstBytes.observe({service}, tookMs);
 		},
--- a/packages/transport/src/http/http-client.ts
+++ b/packages/transport/src/http/http-client.ts
@@ -3,6 +3,8 @@
 import {parseAddress} from './address.js';
 import {bodyMeterOf} from './body-budget.js';
 import {closeIdleConnections, createPool} from './connection-pool.js';
+import {readLimits} from './read-limits.js';
+import {timeoutSignal} from './timeout-signal.js';
 
 /** A request that failed in transport, with what is known of whether the server received it. */
 export class TransportError extends Error {
@@ -60,6 +62,9 @@
 			}
 		});
 	});
+	limitInformationalAnswers(request, () => {
+		request.destroy(new TransportError(`${address} sent more than ${readLimits.informationalAnswers} informational answers`, false));
+	});
 	request.on('error', error => {
 		// Nothing can have been sent before the connection is established; afterwards it is unknown whether the server received the request.
 		reject(error instanceof TransportError ? error : new TransportError(error.message, !isConnected));
@@ -67,6 +72,34 @@
 	request.end(data);
 });
 
+/** Calls `onExceeded` once if more informational answers (1xx) arrive than allowed: the HTTP parser does not bound their number. */
+export const limitInformationalAnswers = (request: http.ClientRequest, onExceeded: () => void): void => {
+	let count = 0;
+	request.on('information', () => {
+		count++;
+		if (count === readLimits.informationalAnswers + 1) {
+			onExceeded();
+		}
+	});
+};
+
+export type FetchOptions = Omit<HttpRequestOptions, 'signal'> & {
+	readonly signal?: AbortSignal;
+	/** A larger body is an error, and its connection is closed. */
+	readonly limitBytes: number;
+	/** Time within which the complete answer must have arrived, however many bytes arrive meanwhile. */
+	readonly totalTimeoutMs: number;
+};
+
+export type FetchedAnswer = {readonly status: number; readonly headers: http.IncomingHttpHeaders; readonly body: Buffer};
+
+/** Sends one request and reads the complete answer, within bounds in bytes and in time. */
+export const fetchHttp = async ({limitBytes, totalTimeoutMs, signal, ...options}: FetchOptions): Promise<FetchedAnswer> => {
+	const timeout = timeoutSignal(totalTimeoutMs);
+	const response = await sendHttp({...options, signal: signal === undefined ? timeout : AbortSignal.any([signal, timeout])});
+	return {status: response.statusCode!, headers: response.headers, body: await readBody(response, limitBytes)};
+};
+
 /** Reads a complete body; a truncated body or one larger than `limitBytes` is an error. */
 export const readBody = async (message: http.IncomingMessage, limitBytes = Number.POSITIVE_INFINITY): Promise<Buffer> => {
 	if (Number(message.headers['content-length'] ?? 0) > limitBytes) {
--- a/packages/transport/src/http/index.ts
+++ b/packages/transport/src/http/index.ts
@@ -6,6 +6,7 @@
 export * from './is-refusing-connections.js';
 export * from './listen.js';
 export type * from './overload.js';
+export * from './read-limits.js';
 export * from './refuse-connection.js';
 export * from './timeout-signal.js';
 export * from './when-drained.js';
--- a/packages/transport/src/rpc/rpc-client.ts
+++ b/packages/transport/src/rpc/rpc-client.ts
@@ -1,6 +1,7 @@
 import type http from 'node:http';
 import {JSONRPCClient, type JSONRPCResponse} from 'json-rpc-2.0';
 import {readBody, sendHttp, TransportError} from '../http/http-client.js';
+import {readLimits} from '../http/read-limits.js';
 import {compressText, acceptCompressedHeaders, decompressText} from './packing.js';
 import {rpcPath} from './rpc-server.js';
 
@@ -13,7 +14,7 @@
 	readonly agent?: http.Agent | false;
 	/** Whether long texts are compressed in both directions, for hosts whose calls cross regions. @default false */
 	readonly isCompressed?: boolean;
-	/** A larger response is an error. @default none */
+	/** A larger response is an error. @default readLimits.callResult */
 	readonly answerLimitBytes?: number;
 	/** @default none */
 	readonly signal?: AbortSignal;
@@ -44,7 +45,7 @@
 };
 
 const post = async ({
-	address, timeoutMs, agent, signal, answerLimitBytes, isCompressed = false,
+	address, timeoutMs, agent, signal, answerLimitBytes = readLimits.callResult, isCompressed = false,
 }: RpcCallOptions, payload: unknown): Promise<string> => {
 	const text = JSON.stringify(payload);
 	const {body, headers} = isCompressed ? compressText(text) : {body: text, headers: {}};
