--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -23,59 +23,9 @@
 import {createFollowers, rosterCacheMs} from './followers.js';
 import {createPermitService} from './permit-desk.js';
 import {createRegionCheck} from './region-check.js';
+import type {CoreNode, CoreNodeOptions} from './types.js';
 import {createWatchService} from './watch-desk.js';
 
-export type CoreNodeOptions = {
-	/** Address at which other processes of the system reach this one; it also identifies this host among core hosts. */
-	readonly selfAddress: string;
-	readonly zoneId: string;
-	readonly regionId: string;
-	/** Region of each zone of the deployment, by zone id. @default no zone is known */
-	readonly regionsByZone?: ReadonlyMap<string, string>;
-	/** Folder of the log; `null` if the host has no disk and only forwards calls. */
-	readonly folder: string | null;
-	/** Whether the whole system starts for the first time, with empty disks. */
-	readonly isFirstStart: boolean;
-	seeds(): readonly string[];
-	/** Number of core hosts that may fail at the same time. */
-	readonly toleratedLosses: number;
-	/** Number of availability zones that may fail at the same time. @default 0 */
-	readonly toleratedZoneLosses?: number;
-	/** Number of regions that may fail at the same time. @default 0 */
-	readonly toleratedRegionLosses?: number;
-	/** Time within which an acknowledged evacuation of a zone holds; `null` if the deployment has no evacuations. @default null */
-	readonly evacuationMs?: number | null;
-	readonly clock: Clock;
-	readonly logger: Logger;
-	/** @default not served */
-	readonly metrics?: GatewayMetrics;
-};
-
-/** `unknown`: not confirmed in time; the document may still come into force later. */
-export type SubmitResult = SubmitOutcome | 'unknown';
-
-/** `unsure`: this host cannot determine which configuration is the newest. */
-export type ReadConfiguration = {readonly type: 'text'; readonly text: string} | {readonly type: 'none'} | {readonly type: 'unsure'; readonly reason: string};
-
-export type CoreNode = {
-	submit(document: Exclude<Document, {kind: 'evacuation'}>): Promise<SubmitResult>;
-	/** Logs the lists of regions of a stored configuration that exclude endpoints unintentionally. */
-	logRegionProblems(configuration: RoutingConfiguration): void;
-	/** Evacuates an availability zone, or ends its evacuation. */
-	submitEvacuation(order: EvacuationOrder, caller: OrderCaller): Promise<OrderResult>;
-	/** Earliest time at which a call that is read now may have arrived, for `OrderCaller`. */
-	arrivedAtMs(): number;
-	read(): Promise<ReadConfiguration>;
-	/** Records an endpoint's announcement; `false` if no core host with a disk could be reached. */
-	announce(announcement: Announcement): Promise<boolean>;
-	/** Records that an endpoint has left; `startedAtMs` identifies its start, `null` if it sent none. `false` as for `announce`. */
-	withdraw(id: string, startedAtMs: number | null): Promise<boolean>;
-	isLeader(): boolean;
-	/** Stops gracefully: transfers leadership first. */
-	stop(): Promise<void>;
-	close(): Promise<void>;
-};
-
 /** Operators' clients time out after 1 s; a document must be confirmed or reported as unknown before that. */
 const forwardTimeoutMs = 900;
 const pruneIntervalMs = 5000;
--- a/packages/gateway/src/core/core-relay.ts
+++ b/packages/gateway/src/core/core-relay.ts
@@ -10,9 +10,9 @@
 	clockResultSchema, readParametersSchema, readResultSchema, submitResultSchema, watchParametersSchema, type SubmitOutcome, type WatchParameters, type WatchResult,
 } from '../link/methods.js';
 import {createGatewayMetrics} from '../process/gateway-metrics.js';
-import type {CoreNode, CoreNodeOptions} from './core-node.js';
 import {createEvacuationOrders} from './evacuation-orders.js';
 import {createRegionCheck} from './region-check.js';
+import type {CoreNode, CoreNodeOptions} from './types.js';
 
 export type CoreRelayOptions = Omit<CoreNodeOptions, 'folder'>;
 
--- a/packages/gateway/src/core/index.ts
+++ b/packages/gateway/src/core/index.ts
@@ -4,4 +4,5 @@
 export * from './followers.js';
 export * from './permit-desk.js';
 export * from './region-check.js';
+export type * from './types.js';
 export * from './voter-monitor.js';
