core: a configuration that is sent again is appended once

Cause: an operator repeats a call at the next host when its second is over, and each repeat was appended to the log, replicated and compacted as a change of its own, while the earlier ones went on. The record shows a repeat each 1.1 s with status 0, and one 503; nothing ended and no disk was full, which rules out the heap and the log's size.

Change: the leader appends a configuration once; a repeat gets the outcome of the one that is being committed, or is acknowledged from the committed log.

Why it works: the work for a change no longer grows with the time that it takes.

--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -23,6 +23,7 @@
 import {createFollowers, rosterCacheMs} from './followers.js';
 import {createPermitService} from './permit-desk.js';
 import {createRegionCheck} from './region-check.js';
+import {createSubmitOnce} from './submit-once.js';
 import type {CoreNode, CoreNodeOptions} from './types.js';
 import {createWatchService} from './watch-desk.js';
 
@@ -144,12 +145,17 @@
 			|| hasRosterUpdate(parameters),
 	});
 
+	const submitOnce = createSubmitOnce({
+		current: () => log.state().configuration,
+		propose: log.propose,
+	});
+
 	const submitLocally = async (document: Document): Promise<SubmitOutcome> => {
 		if (!log.isLeader()) {
 			throw notLeader();
 		}
 
-		return log.propose(document);
+		return submitOnce(document);
 	};
 
 	const readLocally = async (): Promise<string | null> => {
