--- a/packages/daemon/src/entry/relay.ts
+++ b/packages/daemon/src/entry/relay.ts
@@ -35,16 +35,10 @@
 		const {response, requestId} = call;
 		const isEvents = answer.headers['content-type']?.startsWith('text/event-stream') ?? false;
 		const gate = createEventGate();
-		let sizeBytes = 0;
 		response.writeHead(answer.status, answerHeaders(answer, requestId));
 		try {
 			for await (const part of answer.parts()) {
 				call.trace.firstByte();
-				sizeBytes += part.length;
-				if (sizeBytes > readLimits.answer) {
-					throw new Error(`the answer is larger than ${readLimits.answer} bytes`);
-				}
-
 				await writeWithBackpressure(response, isEvents ? passEvents(gate, part) : part, answer);
 			}
 		} catch (error) {
