feat(gateway): tell what a further attempt was taken from

The lines told each attempt, and nothing of the budget it was taken from: an entry that divides the shared reserve by too few entries could not be told from one that has started anew, nor an attempt that waited from one that was sent when it was taken.

BP4071 and BP4072 tell, for each further attempt that is allowed or not, how many were used, for how many requests, and by how many entries the reserve was divided; two counters sum them up. No decision changes.

--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -1,6 +1,6 @@
 import type {Buffer} from 'node:buffer';
 import {
-	hasFreshReport, recordFailure, recordConnectionFailure, recordSuccess, takeAttempt, type AnswerStage, type Candidate, type Exclusion, type Placement,
+	hasFreshReport, recordFailure, recordConnectionFailure, recordSuccess, type AnswerStage, type Candidate, type Exclusion, type Placement,
 } from '@bitternpaddle/coordination';
 import {
 	hasBody, isUnframed, type AnswerHead, type AttemptResult, type FailureCause, type Oversize,
@@ -8,6 +8,7 @@
 import type {CallContext} from './call-context.js';
 import {requestedVersion} from './call-headers.js';
 import type {CallProgress} from './call-progress.js';
+import {chargeRetry} from './charge-retry.js';
 import {
 	finishStream, exhaustedRetryMs, failCall, failCancelled, forwardAnswer, refuseQuarantined,
 } from './finish-call.js';
@@ -264,7 +265,7 @@
 const takeRetry = (context: CallContext, call: Call, progress: CallProgress): boolean => {
 	const isAllowed = !progress.mayHaveRun || isIdempotent(call);
 	return isAllowed && !call.cancellation.signal.aborted && progress.sent < call.route.maxAttempts
-		&& takeAttempt(context.allowance(call.service.name), context.retryReserve(), context.nowMs());
+		&& chargeRetry(context, call);
 };
 
 const retryOrFail = (context: CallContext, call: Call, progress: CallProgress): boolean => {
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -1,5 +1,5 @@
 import {
-	isUneven, prefillMs, recordStartDelay, startWithinMs, recordArrival, recordLag, recordObjective, mayTakeAttempt, recordPause, recordRequest, takeAttempt,
+	isUneven, prefillMs, recordStartDelay, startWithinMs, recordArrival, recordLag, recordObjective, mayTakeAttempt, recordPause, recordRequest,
 	type AwaitedRequest, type Candidate, type EndpointLoad, type PauseNotice, type Placement,
 } from '@bitternpaddle/coordination';
 import {ignore, maxStreamBytes} from '@bitternpaddle/transport';
@@ -10,6 +10,7 @@
 import {attemptLimits} from './attempt-limits.js';
 import type {CallContext} from './call-context.js';
 import {versionDuesOf, endpointHeaders, loadedVersion} from './call-headers.js';
+import {chargeRetry} from './charge-retry.js';
 import {createCallProgress, type CallProgress} from './call-progress.js';
 import {findAlternative, findEndpoint} from './find-endpoint.js';
 import {forwardEvents} from './finish-call.js';
@@ -142,7 +143,7 @@
 		return true;
 	}
 
-	takeAttempt(allowance, context.retryReserve(), context.nowMs());
+	chargeRetry(context, call);
 	context.limits.usePermit(placement.candidate.announcement);
 	return new Promise(resolve => {
 		const successor = startAttempt(context, call, progress, placement, head => {
