fix(gateway): one retry budget for all entries, whatever becomes of them

Cause: each entry kept its part of one shared sum alone. The reserve was divided by the number of entries in its roster, and the window began empty with each start of the process, while what the start before it had sent was still in the window at the endpoints.

Each entry now spends, on its own, what its requests have earned within a second and a half: half of the ratio. The reserve and a further part of the ratio are granted by the voters of the core, each its 1/n, and a voter that has started again grants nothing until its earlier grants have left the window. No part is divided by a number of entries any more.

Ruled out: a share that grows with the uptime of an entry, which needs to know their number; leases of shares, which stay locked when their holder is killed.

--- a/packages/bench/src/fleet-cost/role-process.ts
+++ b/packages/bench/src/fleet-cost/role-process.ts
@@ -32,7 +32,7 @@
 			await createEntryNode({
 				...common, listen, readinessListen, protocol, metrics, randomSeed: 7,
 				bounds: {
-					revocationMs: 5000, versionDueMs: 9700, retryShare: 0.2, retryWindowMs: 10_000, retryReserve: 200, graceMs: 8000,
+					revocationMs: 5000, versionDueMs: 9700, retryShare: 0.2, retryWindowMs: 10_000, graceMs: 8000,
 				},
 			});
 			return;
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -9,6 +9,7 @@
 export * from './quarantine/index.js';
 export * from './registry/index.js';
 export * from './requests/index.js';
+export * from './retries/index.js';
 export * from './routing/index.js';
 export * from './swarm/index.js';
 export * from './utils/index.js';
--- a/packages/coordination/src/placement/index.ts
+++ b/packages/coordination/src/placement/index.ts
@@ -4,7 +4,6 @@
 export * from './engine-model.js';
 export * from './place-request.js';
 export * from './endpoint-health.js';
-export * from './retry-allowance.js';
 export * from './switch-permits.js';
 export * from './admit.js';
 export * from './start-share.js';
--- a/packages/coordination/test/placement.test.ts
+++ b/packages/coordination/test/placement.test.ts
@@ -3,8 +3,8 @@
 import {
 	effectiveObjectiveOf, createFirstAttemptDeadlines, createObjectiveMix, createSpareCapacity, isCallerRetry, isOverloaded, mayWaitForCapacity, recordFirstDeadline, recordObjective, recordRefusal,
 	recordSpareCapacity, strictestObjectiveMs, urgencyOf, type UrgencyOptions,
-	admitRequest, createEndpointHealth, createEndpointLoad, createRandom, createRetryAllowance, createSwitchPermits, demandOf, firstTokenMs, slotHoldMs, isBackingOff,
-	recordFailure, recordLag, recordRequest, recordSuccess, placeRequest, returnPermit, takeAttempt, takePermit, type Candidate, type EngineReport, type PlaceOptions,
+	admitRequest, createEndpointHealth, createEndpointLoad, createRandom, createSwitchPermits, demandOf, firstTokenMs, slotHoldMs, isBackingOff,
+	recordFailure, recordLag, recordSuccess, placeRequest, returnPermit, takePermit, type Candidate, type EngineReport, type PlaceOptions,
 } from '@bitternpaddle/coordination';
 
 const profile: EngineProfile = {
@@ -132,25 +132,6 @@
 	}
 });
 
-// Guards against exceeding the shared retry limit. Seven entries share an allowance of
-// 108 further attempts in ten seconds, on top of a fifth of the requests; each may use
-// only its part, even if all endpoints fail.
-t.test('further attempts stay within the share of the requests plus this entry\'s part of the allowance', async t => {
-	const allowance = createRetryAllowance({windowMs: 10_000, share: 0.2});
-	for (let request = 0; request < 100; request++) {
-		recordRequest(allowance, request * 10);
-	}
-
-	let taken = 0;
-	while (takeAttempt(allowance, 108 / 7, 1000)) {
-		taken++;
-	}
-
-	t.ok(taken <= (0.2 * 100) + (108 / 7), `${taken} attempts`);
-	t.ok(taken >= 20);
-	t.ok(takeAttempt(allowance, 108 / 7, 11_001), 'the window slides');
-});
-
 const admit = (fields: {expectedMs: number; hasComeBack?: boolean; isOverloaded?: boolean; excessMs?: number; retryClass?: 'streaming' | 'unsafe'}) => admitRequest({
 	retryClass: 'streaming', objectiveMs: 400, effectiveObjectiveMs: 400, isOverloaded: true, spareMs: 220, hasComeBack: false,
 	waitedMs: 0, remainingMs: 6000, excessMs: 0, room: null, isIdle: false, random: createRandom(1), ...fields,
--- a/packages/gateway/src/core/core-identity.ts
+++ b/packages/gateway/src/core/core-identity.ts
@@ -11,7 +11,12 @@
 	firstVoters: z.array(z.string()),
 });
 
-export type CoreIdentity = {readonly memberId: string; readonly initialMembers: Members};
+export type CoreIdentity = {
+	readonly memberId: string;
+	readonly initialMembers: Members;
+	/** Whether it was created now, at the first start of the whole system. */
+	readonly isFirstStart: boolean;
+};
 
 export type CoreIdentityOptions = {
 	readonly selfAddress: string;
@@ -50,15 +55,16 @@
 	await mkdir(folder, {recursive: true});
 	const filePath = path.join(folder, 'identity.json');
 	let identity = await readIdentity(filePath);
+	const isCreated = identity === null && isFirstStart && seeds.includes(selfAddress);
 	if (identity === null) {
-		identity = isFirstStart && seeds.includes(selfAddress)
+		identity = isCreated
 			? {diskId: firstDiskId, firstVoters: [...seeds]}
 			: {diskId: newDiskId(), firstVoters: []};
 		await replaceFile(filePath, JSON.stringify(identity));
 	}
 
 	return {
-		memberId: memberIdOf(selfAddress, identity.diskId),
+		memberId: memberIdOf(selfAddress, identity.diskId), isFirstStart: isCreated,
 		initialMembers: {voters: identity.firstVoters.map(host => memberIdOf(host, firstDiskId)), learners: []},
 	};
 };
--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {
-	announcementsSince, createRegistry, recordAnnouncement, isLaterStart, pruneRegistry, withdraw, type Announcement, type Clock, type LossTolerance, type VoterPlace,
+	announcementsSince, createRegistry, recordAnnouncement, isLaterStart, pruneRegistry, withdraw,
+	type Announcement, type Clock, type LossTolerance, type RetryTerms, type VoterPlace,
 } from '@bitternpaddle/coordination';
 import {consensusEnvelopesSchema, rpcErrorCodes, standbyParametersSchema} from '@bitternpaddle/protocol';
 import type {Document, RoutingConfiguration} from '@bitternpaddle/state';
@@ -11,7 +12,7 @@
 import {createEvacuatedZones} from '../link/evacuated-zones.js';
 import {
 	announceParametersSchema, clockParametersSchema, clockResultSchema, permitParametersSchema, readParametersSchema, readResultSchema, submitParametersSchema, submitResultSchema,
-	watchParametersSchema, withdrawParametersSchema,
+	takeRetriesParametersSchema, watchParametersSchema, withdrawParametersSchema,
 	type Follower, type Roster, type SubmitOutcome, type WatchParameters, type WatchResult,
 } from '../link/methods.js';
 import {createGatewayMetrics, type GatewayMetrics} from '../process/gateway-metrics.js';
@@ -23,6 +24,7 @@
 import {createFollowers, rosterCacheMs} from './followers.js';
 import {createPermitService} from './permit-desk.js';
 import {createRegionCheck} from './region-check.js';
+import {createRetryGrants} from './retry-grants.js';
 import {createSubmitOnce} from './submit-once.js';
 import type {CoreNode, CoreNodeOptions} from './types.js';
 import {createWatchService} from './watch-desk.js';
@@ -41,6 +43,9 @@
 
 const notLeader = (): RpcError => new RpcError(rpcErrorCodes.notLeader, 'this core host does not lead');
 
+/** Applies where the settings state no retry budget. */
+const defaultRetryTerms: RetryTerms = {share: 0.2, reserve: 20, windowMs: 10_000};
+
 /** Monotonic clock for announcements and followers; only the log's leases must also count the time that a host was suspended. */
 const monotonicNowMs = (): number => performance.now();
 
@@ -54,7 +59,7 @@
 const createLogNode = async (options: CoreNodeOptions & {readonly folder: string}): Promise<CoreNode> => {
 	const {
 		selfAddress, zoneId, regionId, folder, isFirstStart, seeds, toleratedLosses, toleratedZoneLosses = 0, toleratedRegionLosses = 0, evacuationMs = null,
-		regionsByZone = new Map<string, string>(), clock, logger, metrics = createGatewayMetrics(),
+		regionsByZone = new Map<string, string>(), retryTerms = defaultRetryTerms, clock, logger, metrics = createGatewayMetrics(),
 	} = options;
 	const epoch = randomUUID();
 	const self: Follower = {
@@ -100,6 +105,9 @@
 		},
 	});
 
+	const retryGrants = createRetryGrants({
+		terms: retryTerms, isFirstStart: log.isFirstStart(), voterView: () => ({voterCount: log.voterCount(), freshAgeMs: log.freshAgeMs()}), logger, metrics, nowMs: monotonicNowMs,
+	});
 	metrics.gauge('evacuated_zones', 'Availability zones that are evacuated.', () => log.state().evacuations.zoneIds.length);
 	metrics.gauge('evacuation_revision', 'Revision of the evacuated zones known here.', () => log.state().evacuations.revision);
 
@@ -238,7 +246,14 @@
 	rpc.method('control.standby', standbyParametersSchema, ({memberId, isForwarded}) => {
 		log.recordStandby(memberId, isForwarded);
 	});
-	rpc.method('gateway.watch', watchParametersSchema, async parameters => watchService.watch(parameters));
+	rpc.method('gateway.watch', watchParametersSchema, async parameters => {
+		if (parameters.requestReport !== null) {
+			retryGrants.recordReport(parameters.follower.address, parameters.requestReport);
+		}
+
+		return watchService.watch(parameters);
+	});
+	rpc.method('gateway.takeRetries', takeRetriesParametersSchema, ({serviceName, count}) => retryGrants.grant(serviceName, count));
 	rpc.method('gateway.configuration', readParametersSchema, () => log.state().configuration);
 	rpc.method('gateway.submit', submitParametersSchema, async ({document, expiry}) => ({
 		outcome: await (document.kind === 'evacuation' ? orders.append(document, expiry) : submitLocally(document)),
@@ -290,6 +305,7 @@
 		pruneRegistry(registry, monotonicNowMs());
 	}, pruneIntervalMs);
 	const rosterTimer = setInterval(() => {
+		retryGrants.tick();
 		// A roster that is too young to be rebuilt now is rebuilt at the next tick. If agents received it only at
 		// their next poll, an entry that has just joined would get no reports from them for up to four seconds.
 		if (followers.isStale()) {
--- a/packages/gateway/src/core/document-log.ts
+++ b/packages/gateway/src/core/document-log.ts
@@ -48,6 +48,10 @@
 	propose(document: Document): Promise<DocumentOutcome>;
 	/** Resolves once a majority has confirmed that this host still leads and holds all acknowledged documents. */
 	confirm(): Promise<void>;
+	/** Whether this start is the first one of the whole system. */
+	isFirstStart(): boolean;
+	/** Number of voters, if this host is one of them; `null` if it is not, or does not participate. */
+	voterCount(): number | null;
 	/** Time since this host was last confirmed to hold all acknowledged documents; `null` if it never was. */
 	freshAgeMs(): number | null;
 	receive(envelope: ConsensusEnvelope): void;
@@ -100,6 +104,7 @@
 	let appliedBytes = 0;
 	let leadingSinceMs = 0;
 	let openLog: OpenLog | null = null;
+	let wasCreated = false;
 	let isClosed = false;
 	let reopenTimer: NodeJS.Timeout | null = null;
 
@@ -181,6 +186,7 @@
 			logger.event('BP1002', {cutBytes: store.loaded.cutBytes});
 		}
 
+		wasCreated ||= identity.isFirstStart;
 		const {snapshot} = store.loaded;
 		state = snapshot === null ? createDocumentState() : decodeDocumentState(snapshot.state);
 		appliedIndex = snapshot?.index ?? 0;
@@ -253,6 +259,11 @@
 		async confirm() {
 			await proposals.propose(noopPayload);
 		},
+		isFirstStart: () => wasCreated,
+		voterCount() {
+			const voters = openLog?.driver.state.members.voters ?? [];
+			return openLog !== null && voters.includes(openLog.driver.state.selfId) ? voters.length : null;
+		},
 		freshAgeMs() {
 			if (openLog === null) {
 				return null;
--- a/packages/gateway/src/core/index.ts
+++ b/packages/gateway/src/core/index.ts
@@ -4,6 +4,7 @@
 export * from './followers.js';
 export * from './permit-desk.js';
 export * from './region-check.js';
+export * from './retry-grants.js';
 export * from './submit-once.js';
 export type * from './types.js';
 export * from './voter-monitor.js';
--- a/packages/gateway/src/core/types.ts
+++ b/packages/gateway/src/core/types.ts
@@ -1,4 +1,4 @@
-import type {Announcement, Clock} from '@bitternpaddle/coordination';
+import type {Announcement, Clock, RetryTerms} from '@bitternpaddle/coordination';
 import type {Document, RoutingConfiguration} from '@bitternpaddle/state';
 import type {Logger} from '@bitternpaddle/transport';
 import type {SubmitOutcome} from '../link/methods.js';
@@ -25,6 +25,8 @@
 	readonly toleratedRegionLosses?: number;
 	/** Time within which an acknowledged evacuation of a zone holds; `null` if the deployment has no evacuations. @default null */
 	readonly evacuationMs?: number | null;
+	/** The budget of further attempts that all entries share. @default a fifth of the requests and 20 more in 10 s */
+	readonly retryTerms?: RetryTerms;
 	readonly clock: Clock;
 	readonly logger: Logger;
 	/** @default not served */
--- a/packages/gateway/src/entry/call-context.ts
+++ b/packages/gateway/src/entry/call-context.ts
@@ -1,5 +1,5 @@
 import type {
-	ArrivalRate, ObjectiveMix, Random, RetryAllowance, SpareCapacity, StallMeter, StartShare, VersionDue,
+	ArrivalRate, ObjectiveMix, Random, SpareCapacity, StallMeter, StartShare, VersionDue,
 } from '@bitternpaddle/coordination';
 import type {Logger} from '@bitternpaddle/transport';
 import type {ServiceRooms} from '../demand/service-rooms.js';
@@ -11,6 +11,7 @@
 import type {EndpointConnections} from './endpoint-connections.js';
 import type {EndpointView} from './endpoint-view.js';
 import type {Permission} from './permission.js';
+import type {RetryBudget} from './retry-budget.js';
 import type {WaitQueue} from './wait-queue.js';
 
 /** Dependencies shared by all calls of an entry. */
@@ -29,7 +30,7 @@
 	readonly metrics: GatewayMetrics;
 	/** Shared by all answers that are held before they are passed on. */
 	readonly answerBudget: AnswerBudget;
-	allowance(serviceName: string): RetryAllowance;
+	readonly retryBudget: RetryBudget;
 	/** Rate of the requests that this entry sends to a service's endpoints. */
 	sendRate(serviceName: string): ArrivalRate;
 	/** Latency objectives of the recent requests to a service. */
@@ -40,8 +41,6 @@
 	startShare(serviceName: string): StartShare;
 	/** Number of serving entries, including this one. */
 	entryCount(): number;
-	/** This entry's part of the retry reserve that all entries share. */
-	retryReserve(): number;
 	/** From when on requests must start on which version of a model's weights. */
 	dues(model: string): readonly VersionDue[];
 	/** Time until this process aborts the requests that still run; infinite unless it is shutting down. */
--- a/packages/gateway/src/entry/call-progress.ts
+++ b/packages/gateway/src/entry/call-progress.ts
@@ -1,3 +1,5 @@
+import type {RetryCharge} from './retry-budget.js';
+
 /** State of a call after the attempts so far. */
 export type CallProgress = {
 	readonly triedIds: Set<string>;
@@ -7,6 +9,8 @@
 	unreachable: number;
 	/** Whether the request may have run somewhere. */
 	mayHaveRun: boolean;
+	/** Allows one further attempt; `null` if none was taken from the retry budget, or it was sent. */
+	charge: RetryCharge | null;
 	lastEventId: string | null;
 	hasEvents: boolean;
 	/** Bytes of events that were written to the caller's connection. */
@@ -22,6 +26,6 @@
 };
 
 export const createCallProgress = (): CallProgress => ({
-	triedIds: new Set(), sent: 0, unreachable: 0, mayHaveRun: false, lastEventId: null, hasEvents: false, writtenBytes: 0, isEndpointAtWork: false, firstByteMs: null, expectedMs: null, lastReason: '',
-	refusedBy: {},
+	triedIds: new Set(), sent: 0, unreachable: 0, mayHaveRun: false, charge: null, lastEventId: null, hasEvents: false, writtenBytes: 0, isEndpointAtWork: false, firstByteMs: null, expectedMs: null,
+	lastReason: '', refusedBy: {},
 });
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -1,11 +1,14 @@
+import {randomUUID} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	createArrivalRate, createFirstAttemptDeadlines, createObjectiveMix, createRandom, createRetryAllowance, createSpareCapacity, createStallMeter, createStartShare, defaultColdBounds,
+	createArrivalRate, createFirstAttemptDeadlines, createObjectiveMix, createRandom, createSpareCapacity, createStallMeter, createStartShare, defaultColdBounds,
 	observeClock, observeIntervalMs, readDelayMs, type Clock,
 } from '@bitternpaddle/coordination';
-import {createHttpServer, readLimits, type Logger} from '@bitternpaddle/transport';
+import {
+	callRpc, createHttpServer, readLimits, type Logger,
+} from '@bitternpaddle/transport';
 import {createCoreClient} from '../link/core-client.js';
-import type {Follower} from '../link/methods.js';
+import {retryGrantSchema, type Follower} from '../link/methods.js';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
 import {createConfigurationHolder} from '../link/configuration-holder.js';
 import {createEvacuatedZones} from '../link/evacuated-zones.js';
@@ -27,6 +30,7 @@
 import {createEvacuationGate} from './evacuation-gate.js';
 import {createFrontServer} from './front-server.js';
 import {createPermission} from './permission.js';
+import {createRetryBudget} from './retry-budget.js';
 import {createWaitQueue} from './wait-queue.js';
 import type {CallContext} from './call-context.js';
 import {recordTruncation} from './truncate-answer.js';
@@ -39,10 +43,9 @@
 	readonly revocationMs: number;
 	/** Time after the announcement of a weight version from which no request starts on an older one. */
 	readonly versionDueMs: number;
+	/** Further attempts per request that all entries may make in a window, in addition to what core hosts hold in reserve. */
 	readonly retryShare: number;
 	readonly retryWindowMs: number;
-	/** Retries per service and window, shared by all entries, in addition to `retryShare`. */
-	readonly retryReserve: number;
 	/** Time between the stop signal and the exit of the process. */
 	readonly graceMs: number;
 	/** Time within which an acknowledged evacuation of a zone holds; `null` if the deployment has no evacuations. @default null */
@@ -86,6 +89,8 @@
 };
 
 const pruneMs = 5000;
+/** A core host that takes longer is passed over, because a caller waits for the grant. */
+const grantTimeoutMs = 100;
 /** Three of the largest answers. An entry has 350 MB, and what the kernel buffers for its connections counts too. */
 const maxHeldAnswerBytes = 3 * readLimits.answer;
 /**
@@ -162,7 +167,16 @@
 	const objectives = createLazyMap(createObjectiveMix);
 	const spareCapacity = createLazyMap(createSpareCapacity);
 	const startShare = createLazyMap(createStartShare);
-	const allowance = createLazyMap(() => createRetryAllowance({windowMs: bounds.retryWindowMs, share: bounds.retryShare}));
+	const retryBudget = createRetryBudget({
+		terms: {share: bounds.retryShare, windowMs: bounds.retryWindowMs}, startId: randomUUID(), nowMs: monotonicNowMs,
+		coreAddresses() {
+			const addresses = client.liveAddresses();
+			return [...addresses.filter(address => client.zoneOf(address) === zoneId), ...addresses.filter(address => client.zoneOf(address) !== zoneId)];
+		},
+		requestGrant: async (address, serviceName, count) => retryGrantSchema.parse(await callRpc<unknown>({
+			address, method: 'gateway.takeRetries', params: {serviceName, count}, timeoutMs: grantTimeoutMs,
+		})),
+	});
 	const openCalls = new Set<Call>();
 	let entryCount = 1;
 	let relayPlan: RelayPlan = noRelay;
@@ -180,6 +194,7 @@
 			front.setIdleTimeout(table.configuration.limits.idleTimeoutMs);
 			rooms.configure(table.configuration);
 			// Each configuration may add and remove routes.
+			retryBudget.retainOnly(table.configuration.services.map(({name}) => name));
 			firstAttemptDeadlines.retainOnly(table.configuration.routes.map(({name}) => name));
 		},
 	});
@@ -206,11 +221,10 @@
 	const context: CallContext = {
 		stalls, observeStalls,
 		protocol, connections, answerBudget, view, waitQueue, quarantine, limits, permission, rooms, zoneId, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs,
-		allowance: allowance.of, sendRate: sendRate.of, objectives: objectives.of, spareCapacity: spareCapacity.of, startShare: startShare.of,
+		retryBudget, sendRate: sendRate.of, objectives: objectives.of, spareCapacity: spareCapacity.of, startShare: startShare.of,
 		entryCount: () => entryCount,
 		remainingGraceMs: () => abortsAtMs - monotonicNowMs(),
 		nowMs: monotonicNowMs,
-		retryReserve: () => bounds.retryReserve / entryCount,
 		sinceStopMs,
 		dues: versions.dues,
 	};
@@ -249,7 +263,7 @@
 		},
 	});
 	const client = createCoreClient({
-		self, seeds, clock, logger, configurationNumber: configuration.number, evacuationRevision: zones.revision, wantsConfiguration: () => true,
+		self, seeds, clock, logger, configurationNumber: configuration.number, evacuationRevision: zones.revision, requestReport: retryBudget.requestReport, wantsConfiguration: () => true,
 		onConfiguration(document) {
 			configuration.applyIfNewer(document);
 			lease.applyRenewals();
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -5,10 +5,11 @@
 import {demandSourceOf} from '../demand/service-rooms.js';
 import {recordTooLate} from './answer-load.js';
 import type {CallContext} from './call-context.js';
+import {chargeRetry, holdsCharge} from './charge-retry.js';
 import {versionDuesOf} from './call-headers.js';
 import type {CallProgress} from './call-progress.js';
 import {
-	failCall, failCancelled, minRemainingMs, refuseQuarantined,
+	exhaustedRetryMs, failCall, failCancelled, minRemainingMs, refuseQuarantined,
 } from './finish-call.js';
 import type {Call} from './gateway-call.js';
 import {exclusionReasons, exclusionRetryMs} from './permission.js';
@@ -51,6 +52,15 @@
 				context.rooms.recordStep(call, step);
 			}
 
+			if (step.type === 'send' && progress.sent > 0 && !holdsCharge(context, progress)) {
+				// It has waited for longer than its charge is valid; meanwhile, the endpoint may be used up.
+				if (await chargeRetry(context, call, progress)) {
+					continue;
+				}
+
+				return failCall(context, call, progress, progress.lastReason, exhaustedRetryMs);
+			}
+
 			switch (step.type) {
 				case 'send': {
 					// Synchronous with the decision: requests released in the same tick must not all be sent with one permit.
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -6,6 +6,7 @@
 export * from './front-server.js';
 export * from './permission.js';
 export * from './region-lists.js';
+export * from './retry-budget.js';
 export * from './serve-request.js';
 export * from './entry-lease.js';
 export * from './wait-queue.js';
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -18,7 +18,7 @@
 const maxUnreachable = 3;
 
 /** Processes the result of an attempt; `true` if the caller has its final answer. */
-export const handleAttemptResult = (context: CallContext, call: Call, progress: CallProgress, {candidate}: Placement, result: AttemptResult): boolean => {
+export const handleAttemptResult = async (context: CallContext, call: Call, progress: CallProgress, {candidate}: Placement, result: AttemptResult): Promise<boolean> => {
 	switch (result.type) {
 		case 'streamed': {
 			recordAnswerEnd(context, call, candidate, result, progress.hasEvents ? 'answering' : 'begun');
@@ -35,7 +35,7 @@
 		case 'refused':
 		case 'broken': {
 			recordUnanswered(context, call, progress, candidate, result);
-			return !retryOrFail(context, call, progress);
+			return !await retryOrFail(context, call, progress);
 		}
 
 		case 'unsent': {
@@ -183,11 +183,11 @@
 	return notRunStatuses.has(status) && !isIdempotent(call) ? `the endpoint answered ${status} without stating that it did not run the request` : null;
 };
 
-const handleAnswer = (context: CallContext, call: Call, progress: CallProgress, candidate: Candidate, {head, body}: Extract<AttemptResult, {type: 'answered'}>): boolean => {
+const handleAnswer = async (context: CallContext, call: Call, progress: CallProgress, candidate: Candidate, {head, body}: Extract<AttemptResult, {type: 'answered'}>): Promise<boolean> => {
 	const fault = answerFaultOf(context, call, head);
 	if (fault !== null || head.status >= 500) {
 		recordFailedAnswer(context, call, progress, candidate, fault ?? `the endpoint answered ${head.status}`);
-		if (isIdempotent(call) && takeRetry(context, call, progress)) {
+		if (isIdempotent(call) && await takeRetry(context, call, progress)) {
 			return false;
 		}
 
@@ -261,15 +261,18 @@
 	}
 };
 
-/** Whether the request may be sent to one more endpoint; if so, consumes a retry from the allowance. */
-const takeRetry = (context: CallContext, call: Call, progress: CallProgress): boolean => {
+/** Whether the request may be sent to one more endpoint; if so, the call holds a charge for it. */
+const takeRetry = async (context: CallContext, call: Call, progress: CallProgress): Promise<boolean> => {
 	const isAllowed = !progress.mayHaveRun || isIdempotent(call);
-	return isAllowed && !call.cancellation.signal.aborted && progress.sent < call.route.maxAttempts
-		&& chargeRetry(context, call);
+	if (!isAllowed || call.cancellation.signal.aborted || progress.sent >= call.route.maxAttempts) {
+		return false;
+	}
+
+	return chargeRetry(context, call, progress);
 };
 
-const retryOrFail = (context: CallContext, call: Call, progress: CallProgress): boolean => {
-	if (takeRetry(context, call, progress)) {
+const retryOrFail = async (context: CallContext, call: Call, progress: CallProgress): Promise<boolean> => {
+	if (await takeRetry(context, call, progress)) {
 		return true;
 	}
 
--- a/packages/gateway/src/entry/lazy-map.ts
+++ b/packages/gateway/src/entry/lazy-map.ts
@@ -1,6 +1,7 @@
 /** Map from names (of services or routes) to values that are created on first access. */
 export type LazyMap<Value> = {
 	of(name: string): Value;
+	entries(): Array<[string, Value]>;
 	/** Removes the values of all other names. */
 	retainOnly(names: readonly string[]): void;
 };
@@ -13,6 +14,7 @@
 			known.set(name, value);
 			return value;
 		},
+		entries: () => [...known],
 		retainOnly(names) {
 			const retained = new Set(names);
 			for (const name of known.keys()) {
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -1,5 +1,5 @@
 import {
-	isUneven, prefillMs, recordStartDelay, startWithinMs, recordArrival, recordLag, recordObjective, mayTakeAttempt, recordPause, recordRequest,
+	isUneven, prefillMs, recordStartDelay, startWithinMs, recordArrival, recordLag, recordObjective, recordPause,
 	type AwaitedRequest, type Candidate, type EndpointLoad, type PauseNotice, type Placement,
 } from '@bitternpaddle/coordination';
 import {ignore, maxStreamBytes} from '@bitternpaddle/transport';
@@ -10,7 +10,7 @@
 import {attemptLimits} from './attempt-limits.js';
 import type {CallContext} from './call-context.js';
 import {versionDuesOf, endpointHeaders, loadedVersion} from './call-headers.js';
-import {chargeRetry} from './charge-retry.js';
+import {chargeRetry, holdsCharge, releaseCharge} from './charge-retry.js';
 import {createCallProgress, type CallProgress} from './call-progress.js';
 import {findAlternative, findEndpoint} from './find-endpoint.js';
 import {forwardEvents} from './finish-call.js';
@@ -23,7 +23,7 @@
 export const runCall = async (context: CallContext, call: Call): Promise<void> => {
 	const {nowMs} = context;
 	const progress = createCallProgress();
-	recordRequest(context.allowance(call.service.name), nowMs());
+	context.retryBudget.recordRequest(call.service.name);
 	recordObjective(context.objectives(call.service.name), call.route.objectiveMs, nowMs());
 	context.rooms.recordArrival(call);
 	const unwatch = context.quarantine.watch(call, () => {
@@ -36,6 +36,7 @@
 		await runAttempts(context, call, progress);
 	} finally {
 		unwatch();
+		releaseCharge(context, progress);
 	}
 };
 
@@ -47,7 +48,7 @@
 		}
 
 		const {last, result} = await followAttempts(context, call, progress, startAttempt(context, call, progress, placement));
-		if (handleAttemptResult(context, call, progress, last.state.placement, result)) {
+		if (await handleAttemptResult(context, call, progress, last.state.placement, result)) {
 			return;
 		}
 	}
@@ -62,6 +63,7 @@
 	isCurrent: boolean;
 	/** Whether the endpoint was silent for longer than the timeout. */
 	isSilent: boolean;
+	hasEnded: boolean;
 	/** The attempt at another endpoint while this one is silent. */
 	successor: RunningAttempt | null;
 };
@@ -75,7 +77,7 @@
 	const cancellation = new AbortController();
 	const isSuccessor = onHead !== null;
 	const state: AttemptState = {
-		placement, cancellation, isCurrent: !isSuccessor, isSilent: false, successor: null,
+		placement, cancellation, isCurrent: !isSuccessor, isSilent: false, hasEnded: false, successor: null,
 		signal: isSuccessor ? AbortSignal.any([call.cancellation.signal, cancellation.signal]) : call.cancellation.signal,
 	};
 	return {state, result: attempt(context, call, progress, {state, onHead: onHead ?? ignore})};
@@ -132,10 +134,14 @@
 		recordSilence(context, call, state.placement);
 	}
 
-	const isAllowed = state.isCurrent && state.successor === null && mayRepeat(call, progress);
-	const placement = isAllowed ? findAlternative(context, call, progress) : null;
-	const allowance = context.allowance(call.service.name);
-	if (placement === null || !mayTakeAttempt(allowance, context.retryReserve(), context.nowMs())) {
+	const canFailOver = (): boolean => state.isCurrent && !state.hasEnded && state.successor === null && mayRepeat(call, progress);
+	if (!canFailOver() || findAlternative(context, call, progress) === null || !await chargeRetry(context, call, progress)) {
+		return false;
+	}
+
+	// The answer may have gone on while the charge was taken, and the other endpoint may accept no request any more.
+	const placement = canFailOver() ? findAlternative(context, call, progress) : null;
+	if (placement === null || !holdsCharge(context, progress)) {
 		return false;
 	}
 
@@ -143,7 +149,6 @@
 		return true;
 	}
 
-	chargeRetry(context, call);
 	context.limits.usePermit(placement.candidate.announcement);
 	return new Promise(resolve => {
 		const successor = startAttempt(context, call, progress, placement, head => {
@@ -204,6 +209,8 @@
 		...context.permission.ruleFields(call),
 	});
 	recordPassedZone(context, call, state.placement);
+	const {charge} = progress;
+	progress.charge = null;
 	const result = await sendAttempt({
 		connections, headerNames: protocol.headers, address: announcement.address, method: call.request.method!, path: call.request.url!,
 		headers: endpointHeaders(context, call, progress, candidate), requestId: call.requestId, body: call.body,
@@ -257,6 +264,12 @@
 			forwardEvents(call.response, head, events);
 		},
 	});
+	state.hasEnded = true;
+	if (charge !== null && (result.type === 'unsent' || result.type === 'excluded')) {
+		releaseCharge(context, progress);
+		progress.charge = charge;
+	}
+
 	context.observeStalls();
 	load.outstanding--;
 	if (load.awaiting.delete(key) && result.type === 'broken') {
--- a/packages/gateway/src/link/core-client.ts
+++ b/packages/gateway/src/link/core-client.ts
@@ -1,7 +1,7 @@
 import type {Clock} from '@bitternpaddle/coordination';
 import {callRpc, type Logger} from '@bitternpaddle/transport';
 import {
-	configurationResultSchema, watchResultSchema, type ConfigurationDocument, type Follower, type WatchResult,
+	configurationResultSchema, watchResultSchema, type ConfigurationDocument, type Follower, type RequestReport, type WatchResult,
 } from './methods.js';
 
 export type CoreClientOptions = {
@@ -16,6 +16,8 @@
 	configurationNumber(): number;
 	/** Revision of the evacuations that this process holds; -1 for none. @default the process does not use them */
 	evacuationRevision?(): number;
+	/** Requests that this entry has received. @default the process is no entry */
+	requestReport?(): RequestReport;
 	/** Whether the results list announcements of endpoints. @default true */
 	readonly wantsAnnouncements?: boolean;
 	/** Whether to fetch a newer configuration that a core host announced. */
@@ -87,7 +89,7 @@
  */
 export const createCoreClient = (options: CoreClientOptions): CoreClient => {
 	const {
-		self, seeds, clock, logger, waitMs = 700, wantsAnnouncements = true, configurationNumber, evacuationRevision, wantsConfiguration, onConfiguration, onResult,
+		self, seeds, clock, logger, waitMs = 700, wantsAnnouncements = true, configurationNumber, evacuationRevision, requestReport, wantsConfiguration, onConfiguration, onResult,
 	} = options;
 	const connections = new Map<string, CoreConnection>();
 	let rosterAddresses: readonly string[] = [];
@@ -109,6 +111,7 @@
 				versionsHash: connection.versionsHash, waitMs: pollWaitMs,
 				configurationNumber: Math.max(connection.announcedNumber, configurationNumber()),
 				evacuationRevision: evacuationRevision?.() ?? null,
+				requestReport: requestReport?.() ?? null,
 			},
 		});
 		const result = watchResultSchema.parse(response);
--- a/packages/gateway/src/link/methods.ts
+++ b/packages/gateway/src/link/methods.ts
@@ -25,6 +25,14 @@
 });
 export type Follower = z.infer<typeof followerSchema>;
 
+/** How many requests for each service an entry has received since it started. */
+export const requestReportSchema = z.object({
+	/** Identifies the start of the entry's process. */
+	startId: z.string(),
+	counts: z.record(z.string(), z.number().int().nonnegative()),
+});
+export type RequestReport = z.infer<typeof requestReportSchema>;
+
 /** `gateway.watch`: long poll for updates of a core host, which also registers the follower. */
 export const watchParametersSchema = z.object({
 	follower: followerSchema,
@@ -39,6 +47,8 @@
 	/** Revision of the evacuations that the follower holds, -1 for none; `null` or absent if it does not use them. */
 	evacuationRevision: z.number().nullable().default(null),
 	waitMs: z.number(),
+	/** Of an entry; `null` or absent for others and from earlier versions. */
+	requestReport: requestReportSchema.nullable().default(null),
 });
 export type WatchParameters = z.infer<typeof watchParametersSchema>;
 
@@ -99,6 +109,18 @@
 export const readParametersSchema = z.object({});
 export const readResultSchema = z.object({text: z.string().nullable()});
 
+/** Largest number of further attempts in one call of `gateway.takeRetries`. */
+export const maxRetriesPerCall = 100;
+
+/** `gateway.takeRetries`, at a voter: takes further attempts for a service from the budget that all entries share. */
+export const takeRetriesParametersSchema = z.object({serviceName: z.string(), count: z.number().int().positive().max(maxRetriesPerCall)});
+export const retryGrantSchema = z.object({
+	grantedCount: z.number().int().nonnegative(),
+	/** When this host may have more; 0 if it granted everything. */
+	retryAfterMs: z.number().nonnegative(),
+});
+export type RetryGrant = z.infer<typeof retryGrantSchema>;
+
 /** `gateway.permit`, at the leader: requests a permit for an agent's endpoint to leave service and load a version, or returns it. */
 export const permitParametersSchema = z.object({agentAddress: z.string(), serviceName: z.string(), isDone: z.boolean()});
 export const permitResultSchema = z.object({isGranted: z.boolean()});
--- a/packages/gateway/test/entry-node.test.ts
+++ b/packages/gateway/test/entry-node.test.ts
@@ -99,7 +99,7 @@
 		selfAddress: entry!, zoneId: 'z', regionId: 'r', listen: front!, readinessListen: readiness!, seeds: () => [nobody!], protocol, clock, logger: silentLogger, randomSeed: 7,
 		metrics: createGatewayMetrics(),
 		bounds: {
-			revocationMs: 5000, versionDueMs: 8000, retryShare: 0.2, retryWindowMs: 10_000, retryReserve: 10, graceMs: 2000,
+			revocationMs: 5000, versionDueMs: 8000, retryShare: 0.2, retryWindowMs: 10_000, graceMs: 2000,
 		},
 	});
 	t.teardown(() => {
--- a/packages/gateway/test/support/crashing-fleet.ts
+++ b/packages/gateway/test/support/crashing-fleet.ts
@@ -327,14 +327,14 @@
 
 	const coreNode: CoreNode = await createCoreNode({
 		selfAddress: core!, zoneId: 'z', regionId: 'r', folder: path.join(testFolder(t), 'core'), isFirstStart: true, seeds: () => [core!], toleratedLosses: 0, clock,
-		logger: silentLogger,
+		logger: silentLogger, retryTerms: {share: 0.2, reserve: 100, windowMs: 10_000},
 	});
 	const createEntry = async (index: number): Promise<EntryNode> => createEntryNode({
 		selfAddress: entryAddresses[index]!, zoneId: 'z', regionId: 'r', listen: fronts[index]!, readinessListen: readiness[index]!, seeds: () => [core!], clock, logger,
 		protocol: {...protocol, decodeConfiguration: () => ({type: 'configuration', configuration: withColdStart(coldPerSecond)})},
 		randomSeed: 7 + index, metrics: createGatewayMetrics(),
 		bounds: {
-			revocationMs: 5000, versionDueMs: 8000, retryShare: 0.2, retryWindowMs: 10_000, retryReserve: 100, graceMs: 2000,
+			revocationMs: 5000, versionDueMs: 8000, retryShare: 0.2, retryWindowMs: 10_000, graceMs: 2000,
 		},
 	});
 	const entries = await Promise.all(fronts.map(async (_, index) => createEntry(index)));
--- a/packages/gateway/test/support/single-entry.ts
+++ b/packages/gateway/test/support/single-entry.ts
@@ -77,12 +77,13 @@
 	const clock = createSuspendAwareClock({steadyNowMs: () => performance.now(), wallNowMs: () => Date.now() + addedMs});
 	const coreNode = await createCoreNode({
 		selfAddress: core!, zoneId: 'z', regionId: 'r', folder: path.join(testFolder(t), 'core'), isFirstStart: true, seeds: () => [core!], toleratedLosses: 0, clock, logger: silentLogger,
+		retryTerms: {share: 0.2, reserve: retryReserve, windowMs: 10_000},
 	});
 	const entryNode = await createEntryNode({
 		selfAddress: entry!, zoneId: 'z', regionId: 'r', listen: front!, readinessListen: readiness!, seeds: () => [core!], protocol: requestProtocol, clock, logger, randomSeed: 7,
 		metrics: createGatewayMetrics(),
 		bounds: {
-			revocationMs: 5000, versionDueMs: 8000, retryShare: 0.2, retryWindowMs: 10_000, retryReserve, graceMs,
+			revocationMs: 5000, versionDueMs: 8000, retryShare: 0.2, retryWindowMs: 10_000, graceMs,
 		},
 	});
 	const reporter = createLoadReporter({endpointAddress: engineAddress, zoneId: 'z', entries: () => [{address: entry!, zoneId: 'z'}]});
--- a/packages/gateway/test/support/zoned-fleet.ts
+++ b/packages/gateway/test/support/zoned-fleet.ts
@@ -12,7 +12,7 @@
 import type {Test} from 'tap';
 import {protocol} from './single-entry.js';
 import {
-	createEntryNode, createGatewayMetrics, readParametersSchema, watchParametersSchema, type Roster,
+	createEntryNode, createGatewayMetrics, readParametersSchema, takeRetriesParametersSchema, watchParametersSchema, type Roster,
 } from '@bitternpaddle/gateway';
 
 const route: Route = {
@@ -122,6 +122,7 @@
 		};
 	});
 	rpc.method('gateway.configuration', readParametersSchema, () => ({number: state.configuration.number, text: JSON.stringify(state.configuration)}));
+	rpc.method('gateway.takeRetries', takeRetriesParametersSchema, ({count}) => ({grantedCount: count, retryAfterMs: 0}));
 	const startCore = async () => createHttpServer({
 		listen: core!,
 		async handler(request, response) {
@@ -162,7 +163,7 @@
 			},
 		},
 		bounds: {
-			revocationMs: 1500, versionDueMs: 8000, retryShare: 0.2, retryWindowMs: 10_000, retryReserve: 100, graceMs: 2000,
+			revocationMs: 1500, versionDueMs: 8000, retryShare: 0.2, retryWindowMs: 10_000, graceMs: 2000,
 			evacuationMs: options.evacuationMs === undefined ? 5000 : options.evacuationMs,
 		},
 	});
