fix(gateway): processes do not forget each other when core hosts start again

Every bound that entries share by their number or by an order of their addresses (limits of endpoints, cold endpoints) is taken as a whole by each of them meanwhile.

Cause: a core host lists those who have polled it since it started. Other core hosts are preferred for three seconds, but if there are none, its list was in force as it came.

Until a core host has been connected for that time, its roster adds to the one that is held and removes nobody; then it applies as it is. Dead addresses are kept for at most three seconds more.

The test fails without the change: one of three entries was left.

--- a/packages/gateway/src/link/core-client.ts
+++ b/packages/gateway/src/link/core-client.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@bitternpaddle/coordination';
 import {callRpc, type Logger} from '@bitternpaddle/transport';
+import {createHeldRoster} from './held-roster.js';
 import {
 	configurationResultSchema, watchResultSchema, type ConfigurationDocument, type Follower, type RequestReport, type WatchResult,
 } from './methods.js';
@@ -97,6 +98,7 @@
 	let isFetching = false;
 	/** The core host that sent the current roster. */
 	let heldRosterAddress = '';
+	const heldRoster = createHeldRoster();
 
 	const poll = async (address: string, connection: CoreConnection): Promise<void> => {
 		const requestedAtMs = clock.nowMs();
@@ -127,7 +129,8 @@
 			heldRosterAddress = address;
 		}
 
-		onResult(result, requestedAtMs);
+		const isWarmedUp = connection.isConnected && hasWarmedUp(connection);
+		onResult({...result, roster: heldRoster.receive({address, roster: result.roster, isWarmedUp})}, requestedAtMs);
 		if (result.configurationNumber > configurationNumber() && wantsConfiguration()) {
 			void fetchConfiguration(address);
 		}
@@ -170,6 +173,8 @@
 		}
 	};
 
+	const hasWarmedUp = ({connectedAtMs}: CoreConnection): boolean => clock.nowMs() - connectedAtMs >= rosterWarmupMs;
+
 	/**
 	 * The single core host, the nearest, whose rosters are used. Each core host builds its
 	 * own roster, and with five sources a fleet of hundreds would read five long rosters
@@ -178,9 +183,8 @@
 	 * for a second. Other core hosts are therefore preferred, if there are any.
 	 */
 	const rosterSource = (): string | undefined => {
-		const nowMs = clock.nowMs();
 		const connected = [...connections].filter(([, connection]) => connection.isConnected);
-		const warmedUp = connected.filter(([, connection]) => nowMs - connection.connectedAtMs >= rosterWarmupMs);
+		const warmedUp = connected.filter(([, connection]) => hasWarmedUp(connection));
 		const usable = warmedUp.length > 0 ? warmedUp : connected;
 		const sameZoneSource = usable.find(([, connection]) => connection.zoneId === self.zoneId);
 		return (sameZoneSource ?? usable[0])?.[0];
--- a/packages/gateway/test/core-client.test.ts
+++ b/packages/gateway/test/core-client.test.ts
@@ -34,7 +34,7 @@
 	}
 };
 
-const follow = (t: Test, addresses: readonly string[]): string[] => {
+const follow = (t: Test, addresses: readonly string[], onRoster: (roster: Roster) => void = () => undefined): string[] => {
 	const hashes: string[] = [];
 	const client = createCoreClient({
 		self, seeds: () => addresses, clock: createSuspendAwareClock({steadyNowMs: () => performance.now(), wallNowMs: () => Date.now()}), logger: silentLogger, waitMs: 50,
@@ -42,6 +42,7 @@
 		onResult({roster}) {
 			if (roster !== null) {
 				hashes.push(roster.hash);
+				onRoster(roster);
 			}
 		},
 	});
@@ -75,3 +76,28 @@
 	await until(() => hashes.at(-1) === 'empty');
 	t.pass('its roster is used after the warm-up time');
 });
+
+t.test('processes do not forget each other when the only core host starts again', async t => {
+	const [core] = await freeAddresses(1) as [string];
+	const entryOf = (address: string): Follower => ({
+		role: 'entry', address, zoneId: 'near', regionId: 'r', endpointAddress: null, serviceName: null,
+	});
+	const rosterOf = (hash: string, entries: readonly string[]): Roster => ({
+		hash, coreAddresses: [core], entryCount: entries.length, followers: entries.map(address => entryOf(address)),
+	});
+	const rosters: Roster[] = [];
+	const first = await startCore(core, {zoneId: 'near', epoch: '1', roster: rosterOf('full', ['e1', 'e2', 'e3'])});
+	const hashes = follow(t, [core], roster => {
+		rosters.push(roster);
+	});
+	await until(() => hashes.includes('full'));
+	first.stop();
+	const second = await startCore(core, {zoneId: 'near', epoch: '2', roster: rosterOf('partial', ['e2', 'e4'])});
+	t.teardown(second.stop);
+	await until(() => hashes.includes('partial'));
+	const {entryCount, followers} = rosters.at(-1)!;
+	t.equal(entryCount, 4);
+	t.same(followers.map(({address}) => address).toSorted(), ['e1', 'e2', 'e3', 'e4']);
+	await until(() => rosters.at(-1)!.entryCount === 2);
+	t.same(rosters.at(-1)!.followers.map(({address}) => address), ['e2', 'e4'], 'once it has had the time to learn of all of them');
+});
