fix(gateway): an entry that does not know the others issues no permits

It now neither issues nor requests permits until it has a roster, which arrives with the second poll of a core host.

--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -123,9 +123,10 @@
 		role: 'entry', address: selfAddress, zoneId, regionId, endpointAddress: null, serviceName: null,
 	};
 	const random = createRandom(options.randomSeed);
-	let peers: readonly string[] = [];
+	/** The other entries; `null` before the first roster. */
+	let peers: readonly string[] | null = null;
 	const quarantine = createRequestQuarantine({
-		selfAddress, peers: () => peers, logger, metrics, random, nowMs: monotonicNowMs,
+		selfAddress, peers: () => peers ?? [], logger, metrics, random, nowMs: monotonicNowMs,
 		send(data, addresses) {
 			listener.datagrams.send(data, addresses);
 		},
@@ -147,7 +148,7 @@
 		logger, metrics, isEnabled: bounds.allocatesByPriority ?? false, nowMs: monotonicNowMs,
 	});
 	const demandExchange = createDemandExchange({
-		selfAddress, peers: () => peers, demands: rooms.demands, logger, random, nowMs: monotonicNowMs,
+		selfAddress, peers: () => peers ?? [], demands: rooms.demands, logger, random, nowMs: monotonicNowMs,
 		send(data, addresses) {
 			listener.datagrams.send(data, addresses);
 		},
--- a/packages/gateway/src/limits/endpoint-limits.ts
+++ b/packages/gateway/src/limits/endpoint-limits.ts
@@ -22,8 +22,8 @@
 
 export type EndpointLimitsOptions = Pick<ColdEndpointsOptions, 'bounds' | 'coldStartOf' | 'evacuationEndedAtMs'> & {
 	readonly selfAddress: string;
-	/** The other entries. */
-	peers(): readonly string[];
+	/** The other entries; `null` while they are not known. */
+	peers(): readonly string[] | null;
 	send(data: Uint8Array, addresses: readonly string[]): void;
 	/** Called when permits arrive that requests may wait for. */
 	onGranted(): void;
@@ -89,7 +89,8 @@
 };
 
 export const createEndpointLimits = (options: EndpointLimitsOptions): EndpointLimits => {
-	const {selfAddress, peers, send, onGranted, logger, metrics, random, nowMs} = options;
+	const {selfAddress, send, onGranted, logger, metrics, random, nowMs} = options;
+	const peers = (): readonly string[] => options.peers() ?? [];
 	const ledger = createLimitLedger();
 	let hasSynced = false;
 	let repeatedFrom = 0;
@@ -112,7 +113,7 @@
 	};
 
 	const exchange = createPermitExchange({
-		selfAddress, peers, send: sendMessage, onGranted, random, nowMs,
+		selfAddress, peers: options.peers, send: sendMessage, onGranted, random, nowMs,
 		limitOf(start) {
 			const known = ledger.limits.get(start);
 			return known === undefined || known.perSecond === null ? null : {start, perSecond: known.perSecond, advertisedAtMs: known.receivedAtMs};
--- a/packages/gateway/src/limits/permit-exchange.ts
+++ b/packages/gateway/src/limits/permit-exchange.ts
@@ -6,8 +6,8 @@
 
 export type PermitExchangeOptions = {
 	readonly selfAddress: string;
-	/** The other entries. */
-	peers(): readonly string[];
+	/** The other entries; `null` while they are not known. */
+	peers(): readonly string[] | null;
 	send(message: LimitMessage, addresses: readonly string[]): void;
 	/** The known limit of an endpoint; `null` if none is in force. */
 	limitOf(start: EndpointStart): (SharedLimit & {readonly perSecond: number}) | null;
@@ -27,7 +27,7 @@
  * have requests for the endpoint. Does not depend on core hosts.
  */
 export type PermitExchange = {
-	/** Requests permits unless enough are held or a request is pending. */
+	/** Requests permits unless enough are held, a request is pending, or the other entries are not known. */
 	request(start: EndpointStart): void;
 	state(start: EndpointStart): PermitState;
 	/** Consumes a permit for a request that is sent to the endpoint. */
@@ -56,13 +56,17 @@
 		return tracked;
 	};
 
-	const issuerOf = (start: EndpointStart): string => rendezvousOrder(start, [selfAddress, ...peers()])[0]!;
+	/** `null` while the other entries are not known: an entry that took itself for the only one would issue the whole limit to itself. */
+	const issuerOf = (start: EndpointStart): string | null => {
+		const others = peers();
+		return others === null ? null : rendezvousOrder(start, [selfAddress, ...others])[0]!;
+	};
 
 	const updateIssuerState = (start: EndpointStart, tracked: TrackedAccount): void => {
 		const isSilent = isIssuerSilent(tracked.account, nowMs());
 		if (isSilent !== tracked.isIssuerSilent) {
 			tracked.isIssuerSilent = isSilent;
-			onIssuerChange({start, issuerAddress: issuerOf(start), isSilent});
+			onIssuerChange({start, issuerAddress: issuerOf(start) ?? selfAddress, isSilent});
 		}
 	};
 
@@ -111,7 +115,8 @@
 
 	const request = (start: EndpointStart): void => {
 		const limit = limitOf(start);
-		if (limit === null) {
+		const issuerAddress = issuerOf(start);
+		if (limit === null || issuerAddress === null) {
 			return;
 		}
 
@@ -122,7 +127,6 @@
 			return;
 		}
 
-		const issuerAddress = issuerOf(start);
 		if (issuerAddress === selfAddress) {
 			answerRequest(selfAddress, count, limit);
 		} else {
@@ -132,7 +136,7 @@
 		}
 	};
 
-	const termsOf = (perSecond: number) => ({perSecond, entryCount: peers().length + 1, random});
+	const termsOf = (perSecond: number) => ({perSecond, entryCount: (peers()?.length ?? 0) + 1, random});
 
 	return {
 		request,
--- a/packages/gateway/test/permit-exchange.test.ts
+++ b/packages/gateway/test/permit-exchange.test.ts
@@ -73,7 +73,7 @@
 		fleet.runUntil(30_000);
 		const used = usedShare(fleet, perSecond, 12_000, 30_000);
 		for (const entry of fleet.entries) {
-			entry.peers = entry.peers.filter(address => address !== issuer.address);
+			entry.peers = entry.peers!.filter(address => address !== issuer.address);
 			fleet.runUntil(fleet.nowMs() + 50);
 		}
 
@@ -85,6 +85,30 @@
 	}
 });
 
+t.test('entries that do not know each other do not each send the whole limit', async t => {
+	const perSecond = 40;
+	for (let seed = 1; seed <= 5; seed++) {
+		const fleet = createPermitFleet({seed, entryCount: 7, perSecond: () => perSecond});
+		setDemand(fleet, perSecond);
+		fleet.runUntil(10_000);
+		const lists = fleet.entries.map(({peers}) => peers);
+		for (const entry of fleet.entries) {
+			fleet.restart(entry);
+			entry.peers = null;
+		}
+
+		fleet.runUntil(12_000);
+		for (const [index, entry] of fleet.entries.entries()) {
+			entry.peers = lists[index]!;
+		}
+
+		fleet.runUntil(20_000);
+		const max = maxInWindow(fleet.sends.map(({atMs}) => atMs));
+		t.ok(max <= allowedIn(perSecond), `${max} requests in ${windowMs} ms, ${allowedIn(perSecond)} allowed, seed ${seed}`);
+		t.ok(usedShare(fleet, perSecond, 14_000, 20_000) > 0.8, `seed ${seed}`);
+	}
+});
+
 type Fault = 'restart' | 'suspend' | 'cut';
 
 const beginFault = (entry: PermitEntry, fault: Fault): void => {
@@ -117,7 +141,7 @@
 const setListed = (fleet: PermitFleet, entry: PermitEntry, isListed: boolean): void => {
 	for (const other of fleet.entries) {
 		if (other !== entry) {
-			other.peers = other.peers.filter(address => address !== entry.address);
+			other.peers = other.peers!.filter(address => address !== entry.address);
 			if (isListed) {
 				other.peers.push(entry.address);
 			}
--- a/packages/gateway/test/support/permit-fleet.ts
+++ b/packages/gateway/test/support/permit-fleet.ts
@@ -10,7 +10,8 @@
 export type PermitEntry = {
 	readonly address: string;
 	exchange: PermitExchange;
-	peers: string[];
+	/** `null` while it does not know the others. */
+	peers: string[] | null;
 	isRunning: boolean;
 	/** Neither sends nor receives messages of other entries. */
 	isPartitioned: boolean;
