--- a/packages/coordination/src/retries/retry-credit.ts
+++ b/packages/coordination/src/retries/retry-credit.ts
@@ -35,11 +35,15 @@
 	credit.slots.push({atMs: nowMs, amount: credit.perRequest});
 };
 
+/** Attempts that may be taken now, in fractions. */
+export const creditLeft = (credit: RetryCredit, nowMs: number): number => {
+	dropExpired(credit, nowMs);
+	return credit.slots.reduce((sum, {amount}) => sum + amount, 0);
+};
+
 /** Takes one attempt, of what expires first; `null` if too little is left. */
 export const takeCredit = (credit: RetryCredit, nowMs: number): CreditCharge | null => {
-	dropExpired(credit, nowMs);
-	const total = credit.slots.reduce((sum, {amount}) => sum + amount, 0);
-	if (total < 1 - roundingError) {
+	if (creditLeft(credit, nowMs) < 1 - roundingError) {
 		return null;
 	}
 
--- a/packages/coordination/src/retries/retry-pool.ts
+++ b/packages/coordination/src/retries/retry-pool.ts
@@ -27,15 +27,19 @@
 	addCount(countsOf(pool, serviceName).requests, count, nowMs);
 };
 
-/** Grants up to `count` further attempts; `part` is this core host's part of what all of them may grant. */
-export const grantRetries = (pool: RetryPool, serviceName: string, {count, part}: {readonly count: number; readonly part: number}, nowMs: number): number => {
+/** Further attempts that may be granted now; `part` is this core host's part of what all of them may grant. */
+export const grantableRetries = (pool: RetryPool, serviceName: string, part: number, nowMs: number): number => {
 	const {share, reserve, windowMs} = pool.terms;
 	const {requests, granted} = countsOf(pool, serviceName);
 	const allowed = part * ((share * countAtLeast(requests, nowMs - windowMs)) + reserve);
-	const left = Math.floor(allowed - countAtMost(granted, nowMs - grantRetentionMs(pool.terms)));
-	const grantedCount = Math.max(0, Math.min(count, left));
+	return Math.max(0, Math.floor(allowed - countAtMost(granted, nowMs - grantRetentionMs(pool.terms))));
+};
+
+/** Grants up to `count` further attempts. */
+export const grantRetries = (pool: RetryPool, serviceName: string, {count, part}: {readonly count: number; readonly part: number}, nowMs: number): number => {
+	const grantedCount = Math.min(count, grantableRetries(pool, serviceName, part, nowMs));
 	if (grantedCount > 0) {
-		addCount(granted, grantedCount, nowMs);
+		addCount(countsOf(pool, serviceName).granted, grantedCount, nowMs);
 	}
 
 	return grantedCount;
--- a/packages/gateway/src/core/retry-grants.ts
+++ b/packages/gateway/src/core/retry-grants.ts
@@ -1,5 +1,5 @@
 import {
-	createRetryPool, createVoterPart, currentPart, grantRetries, pruneRetryPool, recordPooledRequests, recordVoters, type GrantRefusal, type RetryTerms, type VoterView,
+	createRetryPool, createVoterPart, currentPart, grantableRetries, grantRetries, pruneRetryPool, recordPooledRequests, recordVoters, type GrantRefusal, type RetryTerms, type VoterView,
 } from '@bitternpaddle/coordination';
 import type {Logger} from '@bitternpaddle/transport';
 import type {RequestReport, RetryGrant} from '../link/methods.js';
@@ -11,7 +11,7 @@
 	readonly isFirstStart: boolean;
 	voterView(): VoterView;
 	readonly logger: Logger;
-	readonly metrics: Pick<GatewayMetrics, 'count'>;
+	readonly metrics: Pick<GatewayMetrics, 'count' | 'gauge'>;
 	nowMs(): number;
 };
 
@@ -56,6 +56,16 @@
 		}
 	};
 
+	const partNow = (): number => {
+		const current = currentPart(part, voterView(), nowMs());
+		return typeof current === 'number' ? current : 0;
+	};
+
+	metrics.gauge('retry_part', 'Part of the granted retry budget that this core host may grant; 0 while it may not.', partNow);
+	metrics.gauge('retries_grantable', 'Further attempts that this core host may grant now, for all services.', () => {
+		const current = partNow();
+		return [...pool.services.keys()].reduce((sum, name) => sum + grantableRetries(pool, name, current, nowMs()), 0);
+	});
 	return {
 		recordReport(entryAddress, {startId, counts}) {
 			const now = nowMs();
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -169,7 +169,7 @@
 	const spareCapacity = createLazyMap(createSpareCapacity);
 	const startShare = createLazyMap(createStartShare);
 	const retryBudget = createRetryBudget({
-		terms: {share: bounds.retryShare, windowMs: bounds.retryWindowMs}, startId: randomUUID(), nowMs: monotonicNowMs,
+		terms: {share: bounds.retryShare, windowMs: bounds.retryWindowMs}, startId: randomUUID().slice(0, 8), nowMs: monotonicNowMs,
 		coreAddresses() {
 			const addresses = client.liveAddresses();
 			return [...addresses.filter(address => client.zoneOf(address) === zoneId), ...addresses.filter(address => client.zoneOf(address) !== zoneId)];
@@ -338,6 +338,7 @@
 	const pruning = setInterval(() => {
 		view.prune(monotonicNowMs());
 	}, pruneMs);
+	metrics.gauge('retry_credit', 'Further attempts that this entry may make without a grant of a core host.', retryBudget.creditLeft);
 	metrics.gauge('open_requests', 'Requests that are being answered.', front.openRequests);
 	metrics.gauge('waiting_requests', 'Requests that wait for an endpoint.', waitQueue.count);
 	metrics.gauge('evacuated_zones', 'Zones that no request is sent to.', () => zones.zoneIds().length);
--- a/packages/gateway/src/entry/retry-budget.ts
+++ b/packages/gateway/src/entry/retry-budget.ts
@@ -1,5 +1,5 @@
 import {
-	chargeLifeMs, createRetryCredit, earnCredit, returnCredit, takeCredit, type CreditCharge, type RetryCredit, type RetryTerms,
+	chargeLifeMs, createRetryCredit, creditLeft, earnCredit, returnCredit, takeCredit, type CreditCharge, type RetryCredit, type RetryTerms,
 } from '@bitternpaddle/coordination';
 import {maxRetriesPerCall, type RequestReport, type RetryGrant} from '../link/methods.js';
 import {createLazyMap} from './lazy-map.js';
@@ -37,6 +37,8 @@
 	isValid(charge: RetryCharge): boolean;
 	/** Returns a charge on which nothing was sent. */
 	release(charge: RetryCharge): void;
+	/** Further attempts that this entry may make on its own, for all services. */
+	creditLeft(): number;
 	requestReport(): RequestReport;
 	/** Forgets the services that are not listed. */
 	retainOnly(serviceNames: readonly string[]): void;
@@ -109,6 +111,7 @@
 				returnCredit(credit);
 			}
 		},
+		creditLeft: () => budgets.entries().reduce((sum, [, {credit}]) => sum + Math.floor(creditLeft(credit, nowMs())), 0),
 		requestReport: () => ({startId, counts: Object.fromEntries(budgets.entries().map(([serviceName, {requestCount}]) => [serviceName, requestCount]))}),
 		retainOnly: budgets.retainOnly,
 	};
