fix(gateway): a report of requests that arrives late is not counted again

An entry polls core hosts directly and through those without a disk, and aborts polls to renew them, so an older total may arrive after a newer one. It became the base of the next difference, whose requests were counted twice and raised the pool's part of the ratio. Found by reading. Totals only rise now; the test failed before (an older report lowered the base).

--- a/packages/gateway/src/core/retry-grants.ts
+++ b/packages/gateway/src/core/retry-grants.ts
@@ -24,7 +24,7 @@
 	tick(): void;
 };
 
-type Reported = {readonly startId: string; readonly counts: Readonly<Record<string, number>>; readonly atMs: number};
+type Reported = {readonly startId: string; readonly counts: Map<string, number>; atMs: number};
 
 /** Reports come with polls, which take up to 700 ms; the requests of a longer time could be older than the window. */
 const maxReportGapMs = 2500;
@@ -70,15 +70,18 @@
 		recordReport(entryAddress, {startId, counts}) {
 			const now = nowMs();
 			const known = reports.get(entryAddress);
-			reports.set(entryAddress, {startId, counts, atMs: now});
 			if (known?.startId !== startId || now - known.atMs > maxReportGapMs) {
+				reports.set(entryAddress, {startId, counts: new Map(Object.entries(counts)), atMs: now});
 				return;
 			}
 
+			known.atMs = now;
 			for (const [serviceName, count] of Object.entries(counts)) {
-				const addedCount = count - (known.counts[serviceName] ?? 0);
-				if (addedCount > 0) {
-					recordPooledRequests(pool, serviceName, addedCount, now);
+				const knownCount = known.counts.get(serviceName) ?? 0;
+				// Polls through different core hosts may arrive out of order.
+				if (count > knownCount) {
+					known.counts.set(serviceName, count);
+					recordPooledRequests(pool, serviceName, count - knownCount, now);
 				}
 			}
 		},
--- a/packages/gateway/test/retry-grants.test.ts
+++ b/packages/gateway/test/retry-grants.test.ts
@@ -56,6 +56,8 @@
 	t.equal(report('a', 5000), 0, 'they may have been received at any time');
 	state.nowMs = 700;
 	t.equal(report('a', 5500), 10, '0.06 for each of 500, of which this host has a third');
+	t.equal(report('a', 5200), 0, 'an older report that arrives late');
+	t.equal(report('a', 5500), 0);
 	state.nowMs = 1400;
 	t.equal(report('b', 6000), 0, 'another start');
 	state.nowMs = 8000;
