fix(gateway): a grant that reached a suspended entry is not used

A charge was valid from the moment at which its entry read the grant. A suspended entry reads it when it goes on, seconds after the core host has begun to count it, and the attempt could be in a window in which it does not count any more. The validity now begins when the grant is requested.

--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -53,7 +53,7 @@
 			}
 
 			if (step.type === 'send' && progress.sent > 0 && !holdsCharge(context, progress)) {
-				// It has waited for longer than its charge is valid; meanwhile, the endpoint may be used up.
+				// The request has waited for longer than its charge is valid. The endpoint may have no slot left once another charge is taken.
 				if (await chargeRetry(context, call, progress)) {
 					continue;
 				}
--- a/packages/gateway/src/entry/retry-budget.ts
+++ b/packages/gateway/src/entry/retry-budget.ts
@@ -56,11 +56,13 @@
 	}));
 
 	const requestFrom = async (address: string, serviceName: string, {waiters, exhaustedUntilMs}: ServiceBudget): Promise<void> => {
+		const requestedAtMs = nowMs();
 		try {
 			const {grantedCount, retryAfterMs} = await requestGrant(address, serviceName, Math.min(waiters.length, maxRetriesPerCall));
 			exhaustedUntilMs.set(address, nowMs() + retryAfterMs);
 			for (const answer of waiters.splice(0, grantedCount)) {
-				answer({source: 'pool', takenAtMs: nowMs(), credit: null});
+				// The grant may be older than its arrival here, if this process was suspended.
+				answer({source: 'pool', takenAtMs: requestedAtMs, credit: null});
 			}
 		} catch {
 			exhaustedUntilMs.set(address, nowMs() + unreachableMs);
--- a/packages/gateway/test/retry-budget.test.ts
+++ b/packages/gateway/test/retry-budget.test.ts
@@ -5,11 +5,12 @@
 
 const create = (granted: Record<string, number | Error>) => {
 	const calls: Call[] = [];
-	const state = {nowMs: 0};
+	const state = {nowMs: 0, grantTakesMs: 0};
 	const budget = createRetryBudget({
 		terms: {share: 0.2, windowMs: 10_000}, startId: 'a', coreAddresses: () => Object.keys(granted), nowMs: () => state.nowMs,
 		async requestGrant(address, _serviceName, count) {
 			calls.push({address, count});
+			state.nowMs += state.grantTakesMs;
 			const left = granted[address]!;
 			if (typeof left !== 'number') {
 				throw left;
@@ -77,3 +78,10 @@
 	budget.retainOnly(['s']);
 	t.same(budget.requestReport().counts, {s: 2});
 });
+
+t.test('a grant that arrives after a suspension of the entry is not used', async t => {
+	const {budget, state} = create({c1: 1});
+	state.grantTakesMs = 4000;
+	const charge = await budget.take('s');
+	t.notOk(budget.isValid(charge!));
+});
