fix(transport): a reset that is read together with the last data is no end

Cause: an answer without a length ends with its connection. If the last data and a reset are read in one turn of the event loop, the runtime reports an ordinary end, and response.complete is true; the endpoint still listens, so the check for an exit finds nothing. An idle entry reads them in two turns, which is why it shows beside load.

At the end of such an answer, entries and agents now write nothing to the connection: that fails after a reset, and only then. The answer counts as broken like any other reset.

--- a/packages/daemon/src/agent/run-on-endpoint.ts
+++ b/packages/daemon/src/agent/run-on-endpoint.ts
@@ -1,7 +1,9 @@
 import type {Buffer} from 'node:buffer';
 import type http from 'node:http';
 import {endpointExited, mayHaveRun, notRun} from '@bitternpaddle/state';
-import {isRefusingConnections, sendHttp, TransportError} from '@bitternpaddle/transport';
+import {
+	isRefusingConnections, sendHttp, TransportError, watchForReset,
+} from '@bitternpaddle/transport';
 import type {EndpointRun} from './endpoint-run.js';
 
 export type EndpointRequest = {
@@ -74,11 +76,17 @@
 			status: answer.statusCode!, contentType: answer.headers['content-type'] ?? 'application/octet-stream', versionId: version?.versionId ?? null,
 			...(adapter !== null && {adapterTag: adapter.tag}),
 		});
+		const wasReset = mayBeCut(method, answer) ? watchForReset(answer.socket) : async () => false;
 		for await (const part of answer as AsyncIterable<Buffer>) {
 			run.push(part, performance.now());
 			await applyBackpressure(run);
 		}
 
+		if (await wasReset()) {
+			run.fail(mayHaveRun('the endpoint reset the connection of an answer without a length'), performance.now());
+			return;
+		}
+
 		// Without a length, the exit of the endpoint ends its answer in the same way as its completion.
 		if (mayBeCut(method, answer) && await isRefusingConnections(endpointAddress)) {
 			run.fail(endpointExited('the endpoint exited at the end of an answer without a length'), performance.now());
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -2,7 +2,7 @@
 import type http from 'node:http';
 import type {AnswerStage, Exclusion} from '@bitternpaddle/coordination';
 import {
-	ignore, isRefusingConnections, limitInformationalAnswers, readLimits,
+	ignore, isRefusingConnections, limitInformationalAnswers, readLimits, watchForReset,
 } from '@bitternpaddle/transport';
 import type {HeaderNames} from '../link/request-protocol.js';
 import {unlimitedAnswers, type AnswerBudget} from './answer-budget.js';
@@ -136,6 +136,8 @@
 	let isFailingOver = false;
 	/** Whether the answer has ended, and only the endpoint's process is still checked. */
 	let hasEnded = false;
+	/** Whether the end of an answer without a length was a reset of its connection. */
+	let wasReset = async (): Promise<boolean> => false;
 	let silenceTimer: NodeJS.Timeout | null = null;
 	let connectTimer: NodeJS.Timeout | null = null;
 	let beginTimer: NodeJS.Timeout | null = null;
@@ -287,6 +289,10 @@
 			return;
 		}
 
+		if (isUnframed(head)) {
+			wasReset = watchForReset(response.socket);
+		}
+
 		onHead(head);
 		const isRefused = response.headers[headerNames.notRun] !== undefined || head.status === 421;
 		const isFailure = isRefused || head.status >= 500;
@@ -383,8 +389,10 @@
 		hasEnded = true;
 		startSilenceTimer(null);
 		const {head} = result;
-		const mayBeCut = isUnframed(head) && hasBody(method, head.status) && !isExitExpected();
-		if (mayBeCut && await isRefusingConnections(address)) {
+		const mayBeCut = isUnframed(head) && hasBody(method, head.status);
+		if (mayBeCut && await wasReset()) {
+			fail('disconnected', 'the connection was reset');
+		} else if (mayBeCut && !isExitExpected() && await isRefusingConnections(address)) {
 			fail('disconnected', 'the endpoint exited at the end of an answer without a length');
 		} else {
 			settle(result);
--- a/packages/gateway/test/attempt.test.ts
+++ b/packages/gateway/test/attempt.test.ts
@@ -119,6 +119,21 @@
 	t.match(await send(endpoint.address, 'reset'), {type: 'broken'});
 });
 
+// Guards against taking a reset for the end: read together with the last data, it is reported as an ordinary end.
+t.test('an answer without a length is incomplete if its connection is reset together with the last data', async t => {
+	for (const type of ['text/event-stream', 'text/plain']) {
+		const endpoint = await listen(t, (socket, request) => {
+			socket.write(`HTTP/1.1 200 OK\r\nx-id: ${idOf(request)}\r\nx-signature: s\r\ncontent-type: ${type}\r\nconnection: close\r\n\r\nid: 1\ndata: a\n\n`);
+			setTimeout(() => {
+				socket.write('id: 2\ndata: b\n\n', () => {
+					socket.resetAndDestroy();
+				});
+			}, 30);
+		});
+		t.match(await create(t)(endpoint.address, 'one'), {type: 'broken', cause: 'disconnected'}, type);
+	}
+});
+
 t.test('garbage after a complete answer is ignored', async t => {
 	const endpoint = await listen(t, (socket, request) => {
 		socket.write(`${answer(idOf(request), 'whole')}@@garbage@@`);
--- a/packages/transport/src/http/index.ts
+++ b/packages/transport/src/http/index.ts
@@ -9,4 +9,5 @@
 export * from './read-limits.js';
 export * from './refuse-connection.js';
 export * from './timeout-signal.js';
+export * from './watch-for-reset.js';
 export * from './when-drained.js';
--- a/packages/transport/src/logging/events.ts
+++ b/packages/transport/src/logging/events.ts
@@ -103,7 +103,7 @@
 	BP4069: {level: 'error', text: 'no majority of the voters of the core log can be reached', advice: 'Start the silent voters with their disks; those that lost theirs do not count.'},
 	BP4070: {level: 'warn', text: 'an endpoint sent more than an answer may have', advice: 'Its connection was reset; check the endpoint. `part` tells what was too large.'},
 	BP4071: {level: 'info', text: 'a further attempt was taken from the retry budget', advice: 'None; check the endpoints if these persist.'},
-	BP4072: {level: 'warn', text: 'a request was not sent again because the retry budget is used up', advice: 'Check the endpoints; `bitternpaddle_retries_grantable` of the core hosts tells what is left.'},
+	BP4072: {level: 'warn', text: 'a request was not sent again because the retry budget is used up', advice: 'Check the endpoints; `bitternpaddle_retries_grantable` tells what is left.'},
 	BP4073: {level: 'info', text: 'a core host began or stopped to grant further attempts', advice: 'None after a start; otherwise check its links to the other core hosts.'},
 	BP4090: {level: 'warn', text: 'log lines were dropped', advice: 'None; the counts by event are in the line.'},
 	BP4091: {level: 'info', text: 'the settings were reloaded', advice: 'None.'},
