--- a/packages/coordination/src/retries/retry-terms.ts
+++ b/packages/coordination/src/retries/retry-terms.ts
@@ -9,8 +9,8 @@
 };
 
 /**
- * The part of `share` that an entry spends on its own, without asking anybody. It is
- * earned by one request each and expires soon, so that what entries spend in a window was
+ * The part of `share` that an entry spends without a grant. Each request earns its entry
+ * a fraction of an attempt, which expires soon: what all entries spend in a window was
  * earned in little more than that window, however many of them start, end or are cut off.
  */
 const ownPart = 0.5;
