test(gateway): the reserve of the stand-ins is what it was

The stand-in core host of zoned-fleet granted every further attempt, where the entry's reserve had been 100; the cost measurement ran with the default of 20 instead of 200. Both have their numbers again. Two doc comments are reworded, nothing else of the product changes.

--- a/packages/bench/src/fleet-cost/role-process.ts
+++ b/packages/bench/src/fleet-cost/role-process.ts
@@ -40,7 +40,7 @@
 
 		case 'core': {
 			await createCoreNode({
-				...common, folder, isFirstStart: true, toleratedLosses: 0,
+				...common, folder, isFirstStart: true, toleratedLosses: 0, retryTerms: {share: 0.2, reserve: 200, windowMs: 10_000},
 			});
 			return;
 		}
--- a/packages/coordination/src/retries/retry-credit.ts
+++ b/packages/coordination/src/retries/retry-credit.ts
@@ -56,7 +56,7 @@
 	});
 };
 
-/** Returns an attempt that was not sent; what has expired in between stays lost. */
+/** Returns an attempt that was not sent; expired credit is not restored. */
 export const returnCredit = (charge: CreditCharge): void => {
 	for (const {slot, amount} of charge) {
 		slot.amount += amount;
--- a/packages/coordination/src/retries/retry-pool.ts
+++ b/packages/coordination/src/retries/retry-pool.ts
@@ -45,7 +45,7 @@
 	return grantedCount;
 };
 
-/** Removes what no longer counts, and services without anything. */
+/** Removes expired counts, and services that have none left. */
 export const pruneRetryPool = (pool: RetryPool, nowMs: number): void => {
 	const beforeMs = nowMs - grantRetentionMs(pool.terms);
 	for (const [serviceName, {requests, granted}] of pool.services) {
--- a/packages/gateway/src/core/retry-grants.ts
+++ b/packages/gateway/src/core/retry-grants.ts
@@ -20,7 +20,7 @@
 	/** Records the requests that an entry received since its last report. */
 	recordReport(entryAddress: string, report: RequestReport): void;
 	grant(serviceName: string, count: number): RetryGrant;
-	/** Records the membership and removes what no longer counts; to be called at least every second. */
+	/** Records the membership and removes expired counts; to be called at least every second. */
 	tick(): void;
 };
 
--- a/packages/gateway/test/support/zoned-fleet.ts
+++ b/packages/gateway/test/support/zoned-fleet.ts
@@ -122,7 +122,12 @@
 		};
 	});
 	rpc.method('gateway.configuration', readParametersSchema, () => ({number: state.configuration.number, text: JSON.stringify(state.configuration)}));
-	rpc.method('gateway.takeRetries', takeRetriesParametersSchema, ({count}) => ({grantedCount: count, retryAfterMs: 0}));
+	let retriesLeft = 100;
+	rpc.method('gateway.takeRetries', takeRetriesParametersSchema, ({count}) => {
+		const grantedCount = Math.min(count, retriesLeft);
+		retriesLeft -= grantedCount;
+		return {grantedCount, retryAfterMs: grantedCount < count ? 500 : 0};
+	});
 	const startCore = async () => createHttpServer({
 		listen: core!,
 		async handler(request, response) {
