fix(gateway): an entry that starts asks others for their verdicts

Cause: verdicts live in memory. A started entry serves as soon as it has a configuration, and learned of verdicts only with the next repetition of another entry. Endpoint limits and demand were asked for at the start already.

Change: with its first roster an entry asks three others for all that they know of crashes. An entry that awaits an answer itself shares what it has and does not confirm it.

Why it works: the roster comes before the configuration, so no request is matched before the question is sent, and the verdicts are sent before the confirmation that releases the requests.

--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -127,6 +127,9 @@
 	let peers: readonly string[] | null = null;
 	const quarantine = createRequestQuarantine({
 		selfAddress, peers: () => peers ?? [], logger, metrics, random, nowMs: monotonicNowMs,
+		onSynced() {
+			waitQueue.checkNow();
+		},
 		send(data, addresses) {
 			listener.datagrams.send(data, addresses);
 		},
@@ -250,6 +253,7 @@
 				}
 			},
 			awaitConfiguration: async maxMs => waitWhile(() => configuration.table() === null, maxMs),
+			awaitVerdicts: async maxMs => waitWhile(quarantine.isSyncing, maxMs),
 			knowsEvacuations: evacuationGate.isOpen,
 			awaitEvacuations: async maxMs => waitWhile(() => !evacuationGate.isOpen(), maxMs),
 			awaitLease: async maxMs => waitWhile(() => !lease.hasHeld() && !lease.holds(), maxMs),
@@ -278,6 +282,7 @@
 				entryCount = Math.max(1, result.roster.entryCount);
 				relayPlan = planRelay(self, result.roster.followers);
 				peers = result.roster.followers.filter(({role, address}) => role === 'entry' && address !== selfAddress).map(({address}) => address);
+				quarantine.sync();
 				limits.sync();
 				demandExchange.sync();
 			}
--- a/packages/gateway/src/quarantine/crash-exchange.ts
+++ b/packages/gateway/src/quarantine/crash-exchange.ts
@@ -22,6 +22,8 @@
  */
 export type CrashExchange = {
 	broadcast(update: Pick<CrashUpdate, 'sightings' | 'clearances'>): void;
+	/** Sends the evidence of the verdicts and all else that is repeated. */
+	shareWith(address: string): void;
 	/** Handles a datagram from another entry; `false` if it is of another kind. */
 	receive(data: Buffer): boolean;
 	close(): void;
@@ -36,6 +38,8 @@
 const maxClearancesPerDatagram = 20;
 /** Sightings in one repetition; the next one continues after them. */
 const maxSightingsPerRepeat = 60;
+/** Sightings for an entry that starts; their datagrams fit into a socket's buffer. The rest follows with the repetitions. */
+const maxSightingsPerSync = 240;
 
 export const createCrashExchange = ({ledger, peers, send, onUpdate, random, nowMs}: CrashExchangeOptions): CrashExchange => {
 	let repeatedFrom = 0;
@@ -68,6 +72,9 @@
 		broadcast(update) {
 			sendTo(peers(), update);
 		},
+		shareWith(address) {
+			sendTo([address], {sightings: sightingsToRepeat(ledger, nowMs()).slice(0, maxSightingsPerSync), clearances: clearancesToRepeat(ledger, nowMs())});
+		},
 		receive(data) {
 			const update = decodeCrashUpdate(data, nowMs());
 			if (update === null) {
--- a/packages/gateway/src/quarantine/part-exchange.ts
+++ b/packages/gateway/src/quarantine/part-exchange.ts
@@ -22,6 +22,8 @@
  */
 export type PartExchange = {
 	broadcast(update: Partial<PartUpdate>): void;
+	/** Sends all verdicts and what else is repeated. */
+	shareWith(address: string): void;
 	/** Counts a completed run for the next message. */
 	countCompletion(model: string, atMs: number): void;
 	/** Handles a datagram from another entry; `false` if it is of another kind. */
@@ -102,6 +104,9 @@
 		broadcast(update) {
 			sendTo(peers(), update);
 		},
+		shareWith(address) {
+			sendTo([address], {sightings: pickSightings(), verdicts: [...ledger.verdicts.values()], completions: partCompletionsToRepeat(ledger, nowMs())});
+		},
 		countCompletion(model, atMs) {
 			const {count, fromMs} = counts.get(model) ?? {count: 0, fromMs: atMs};
 			counts.set(model, {count: count + 1, fromMs: Math.min(fromMs, atMs)});
--- a/packages/gateway/src/quarantine/part-quarantine.ts
+++ b/packages/gateway/src/quarantine/part-quarantine.ts
@@ -41,6 +41,8 @@
 	recordSuccess(run: CompletedRun): void;
 	/** Records that the endpoint at the address exited: runs that completed just before may be among those that crashed it. */
 	recordExit(address: string): void;
+	/** Sends what this entry knows to another one. */
+	shareWith(address: string): void;
 	/** Handles a datagram from another entry; `false` if it is of another kind. */
 	receive(data: Buffer): boolean;
 	close(): void;
@@ -188,6 +190,7 @@
 				unproven = unproven.filter(run => run.address !== address);
 			}
 		},
+		shareWith: exchange.shareWith,
 		receive: exchange.receive,
 		close() {
 			clearInterval(judgeTimer);
--- a/packages/gateway/src/quarantine/request-quarantine.ts
+++ b/packages/gateway/src/quarantine/request-quarantine.ts
@@ -6,10 +6,12 @@
 	type RequestFingerprint, type RequestOutline, type Verdict,
 } from '@bitternpaddle/coordination';
 import type {Logger} from '@bitternpaddle/transport';
+import {samplePeers} from '../link/gossip.js';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
 import {createCrashExchange} from './crash-exchange.js';
 import type {CrashUpdate} from './crash-update.js';
 import {createPartQuarantine} from './part-quarantine.js';
+import {decodeQuarantineSync, encodeQuarantineSync, type QuarantineSyncMessage} from './quarantine-sync.js';
 
 /** The properties of a request that the quarantine uses. */
 export type QuarantinedRequest = {
@@ -36,6 +38,8 @@
 	/** The other entries. */
 	peers(): readonly string[];
 	send(data: Uint8Array, addresses: readonly string[]): void;
+	/** Called when the answer to `sync` has arrived. @default nothing */
+	onSynced?(): void;
 	readonly logger: Logger;
 	readonly metrics: GatewayMetrics;
 	readonly random: Random;
@@ -67,6 +71,10 @@
 	recordCompletion(request: QuarantinedRequest, /** Where a run was successful. @default none was */ address?: string): void;
 	/** Calls `stop` if a verdict on the request is reached while it is in progress; returns a function that removes the watch. */
 	watch(request: QuarantinedRequest, stop: () => void): () => void;
+	/** Requests what other entries know, once; does nothing until there are peers. */
+	sync(): void;
+	/** Whether the answer to `sync` is awaited; ends after a fifth of a second at the latest. */
+	isSyncing(): boolean;
 	/** Handles a datagram from another entry; `false` if it is of another kind. */
 	receive(data: Buffer): boolean;
 	close(): void;
@@ -82,12 +90,17 @@
 const pruneMs = 5000;
 /** Data on another connection that arrives later than this after the end of an answer was sent after it. */
 const reorderedMs = 50;
+const peersToSync = 3;
+/** A peer that takes longer is taken for lost; its verdicts arrive with the next repetition. */
+const maxSyncMs = 200;
 
-export const createRequestQuarantine = ({selfAddress = '', peers, send, logger, metrics, random, nowMs}: RequestQuarantineOptions): RequestQuarantine => {
+export const createRequestQuarantine = ({selfAddress = '', peers, send, onSynced, logger, metrics, random, nowMs}: RequestQuarantineOptions): RequestQuarantine => {
 	const ledger = createCrashLedger();
 	const brokenAttempts = createBrokenAttempts();
 	const endedAnswers: EndedAnswers<EndedRequest> = [];
 	const watchers = new Set<Watcher>();
+	/** `null` before the other entries were asked. */
+	let syncEndsAtMs: number | null = null;
 
 	const isKnown = (request: QuarantinedRequest): boolean => !isEmpty(ledger) && mayHaveRecords(ledger, request.outline());
 
@@ -196,6 +209,39 @@
 		recordSightings(sightings, false, new Set(condemned));
 	};
 
+	const isSyncing = (): boolean => syncEndsAtMs !== null && nowMs() < syncEndsAtMs;
+
+	const handleSync = (message: QuarantineSyncMessage): void => {
+		switch (message.type) {
+			case 'sync': {
+				exchange.shareWith(message.entryAddress);
+				partQuarantine.shareWith(message.entryAddress);
+				// An entry that awaits the answer itself doesn't know yet what it would confirm.
+				if (!isSyncing()) {
+					send(encodeQuarantineSync({type: 'synced'}), [message.entryAddress]);
+				}
+
+				break;
+			}
+
+			case 'synced': {
+				syncEndsAtMs = nowMs();
+				onSynced?.();
+				break;
+			}
+		}
+	};
+
+	const receiveSync = (data: Buffer): boolean => {
+		const message = decodeQuarantineSync(data);
+		if (message === null) {
+			return false;
+		}
+
+		handleSync(message);
+		return true;
+	};
+
 	const exchange = createCrashExchange({
 		ledger, peers, send, random, nowMs, onUpdate: applyUpdate,
 	});
@@ -263,7 +309,16 @@
 				watchers.delete(watcher);
 			};
 		},
-		receive: data => exchange.receive(data) || partQuarantine.receive(data),
+		sync() {
+			if (syncEndsAtMs !== null || peers().length === 0) {
+				return;
+			}
+
+			syncEndsAtMs = nowMs() + maxSyncMs;
+			send(encodeQuarantineSync({type: 'sync', entryAddress: selfAddress}), samplePeers(peers(), peersToSync, random));
+		},
+		isSyncing,
+		receive: data => exchange.receive(data) || partQuarantine.receive(data) || receiveSync(data),
 		close() {
 			clearInterval(pruneTimer);
 			exchange.close();
