test(promises): the partition of a leader waits for one

A leader that does not hear from a quorum for an election timeout steps down; in a run of provider-migration.test.ts beside five copies of it a leader did so 4.3 s after its election, and another one led 0.3 s later. The checks of the test are unchanged.

--- a/test/promises/configuration.test.ts
+++ b/test/promises/configuration.test.ts
@@ -29,6 +29,7 @@
 t.test('a leader that is partitioned for long and still acts as leader', {timeout: 60_000}, async t => {
 	const cluster = await startCluster(t);
 	const {history, links, controls} = cluster;
+	await waitUntil('a control host leads', () => controls.some(control => control.node()?.isLeader()));
 	const leader = controls.find(control => control.node()?.isLeader())!;
 	const controlLinks = links.adjacentTo([leader.nodeId]).filter(({from, to}) => [from, to].every(id => controls.some(control => control.nodeId === id)));
 	for (const {relay} of controlLinks) {
