refactor: name files after what they export

report-fold.ts, door/, crowd.ts, spare-room.ts, source-rests.ts, standstill.ts, fold-sender.ts, watch-place.ts, letter.ts, world.ts and three test files kept the names of identifiers that were renamed before.

--- a/packages/bench/src/capacity/estimate.ts
+++ b/packages/bench/src/capacity/estimate.ts
@@ -1,7 +1,7 @@
 import {claimLimits} from '@bitternpaddle/state';
 import {
 	changesPerSecond, targetDeployment, limits, membershipEventsPerSecond, deploymentVariants, type VariantName,
-} from './letter.js';
+} from './target-deployment.js';
 import type {SlopeName} from './definitions.js';
 import type {Slope} from './slope.js';
 
--- a/packages/bench/src/capacity/measure-tokens.ts
+++ b/packages/bench/src/capacity/measure-tokens.ts
@@ -4,7 +4,7 @@
 import {
 	build as buildHistogram, decodeFromCompressedBase64, type Histogram,
 } from 'hdr-histogram-js';
-import {targetDeployment, limits} from './letter.js';
+import {targetDeployment, limits} from './target-deployment.js';
 import {withTemporaryFolder, type Measured} from './measure-state.js';
 import {adminToken, loadReplicas, teamKey} from './measure-stream.js';
 import {measureUsage} from './process-usage.js';
--- a/packages/bench/src/capacity/page.ts
+++ b/packages/bench/src/capacity/page.ts
@@ -1,6 +1,6 @@
 import {slopeDefinitions, slopeNames, type SlopeName} from './definitions.js';
 import type {Estimate} from './estimate.js';
-import {limits} from './letter.js';
+import {limits} from './target-deployment.js';
 import type {IdleMemory} from './measure-host.js';
 import {
 	firstMultipleOverLimit, engineTokenMs, type Quantiles, type TokenRow,
--- a/packages/coordination/src/configuration/index.ts
+++ b/packages/coordination/src/configuration/index.ts
@@ -4,6 +4,6 @@
 export * from './plan-membership.js';
 export * from './plan-rollouts.js';
 export * from './presence.js';
-export * from './report-fold.js';
+export * from './report-aggregator.js';
 export * from './snapshot-codec.js';
 export * from './watch-grant.js';
--- a/packages/coordination/src/door/index.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-export * from './door.js';
-export * from './supervise.js';
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -2,7 +2,7 @@
 export * from './burn/index.js';
 export * from './configuration/index.js';
 export * from './consensus/index.js';
-export * from './door/index.js';
+export * from './request-gate/index.js';
 export * from './endpoint-limits/index.js';
 export * from './evacuation/index.js';
 export * from './placement/index.js';
--- a/packages/coordination/src/placement/next-step.ts
+++ b/packages/coordination/src/placement/next-step.ts
@@ -25,7 +25,7 @@
 import {promiseRetry} from './retry-promise.js';
 import {
 	mayWaitBeforeOthers, mayWaitForCapacity, recordSpareCapacity, type SpareCapacity,
-} from './spare-room.js';
+} from './spare-capacity.js';
 import {maxStartShare} from './start-share.js';
 import type {VersionDue} from './version-due.js';
 import {
--- a/packages/coordination/src/placement/place-request.ts
+++ b/packages/coordination/src/placement/place-request.ts
@@ -2,7 +2,7 @@
 import type {Announcement} from '../registry/types.js';
 import {randomFraction, type Random} from '../utils/random.js';
 import {hasFreshReport, lagOf, type EndpointLoad} from './endpoint-load.js';
-import {spreadRequests} from './crowd.js';
+import {spreadRequests} from './spread-requests.js';
 import {demandOf, firstTokenMs, prefillMs} from './engine-model.js';
 import {
 	choosePlain, estimatePlain, isUneven, plainTimeMs, serviceTimeMs, type PlainEstimate,
--- /dev/null
+++ b/packages/coordination/src/request-gate/index.ts
@@ -0,0 +1,2 @@
+export * from './request-gate.js';
+export * from './supervise.js';
--- a/packages/coordination/src/swarm/index.ts
+++ b/packages/coordination/src/swarm/index.ts
@@ -1,7 +1,7 @@
 export * from './link-budget.js';
 export * from './link-strain.js';
-export * from './source-rests.js';
+export * from './source-backoffs.js';
 export * from './swarm.js';
-export * from './standstill.js';
+export * from './process-stall.js';
 export * from './uploads.js';
 export type * from './types.js';
--- a/packages/coordination/test/entry-shares.test.ts
+++ b/packages/coordination/test/entry-shares.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import t from 'tap';
 import {match} from 'ts-pattern';
-import {createShareWorld, rate, type ShareWorld} from './share-world.js';
+import {createShareWorld, rate, type ShareWorld} from './share-simulation.js';
 import {
 	answerShareRequest, createEntryShares, setTeamRates, shareOf, updateEntries, applyShareAnswer, tickShares,
 } from '@bitternpaddle/coordination';
--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -14,7 +14,7 @@
 import {createRecorder} from '../recording/recorder.js';
 import {createConsensusDriver, type ConsensusDriver} from './consensus-driver.js';
 import {createControlRpc} from './control-rpc.js';
-import {createAggregateSender} from './fold-sender.js';
+import {createAggregateSender} from './aggregate-sender.js';
 import {handOverLeadership} from './hand-over.js';
 import {gatherReports, viewHosts, type SessionReport} from './host-view.js';
 import {openMemberIdentity} from './member-identity.js';
--- a/packages/daemon/src/host/configuration-client.ts
+++ b/packages/daemon/src/host/configuration-client.ts
@@ -8,7 +8,7 @@
 } from '@bitternpaddle/protocol';
 import type {Catalog, Change, Command} from '@bitternpaddle/state';
 import {callRpc, type Logger} from '@bitternpaddle/transport';
-import {createControlSelector} from './watch-place.js';
+import {createControlSelector} from './control-selector.js';
 
 export type ConfigurationClientOptions = {
 	/** Addresses of control hosts; read at each call. */
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -5,4 +5,4 @@
 export * from './tally.js';
 export * from './timeline.js';
 export * from './upper-bound.js';
-export * from './world.js';
+export * from './simulate-scenario.js';
