--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -127,9 +127,6 @@
 	let peers: readonly string[] | null = null;
 	const quarantine = createRequestQuarantine({
 		selfAddress, peers: () => peers ?? [], logger, metrics, random, nowMs: monotonicNowMs,
-		onSynced() {
-			waitQueue.checkNow();
-		},
 		send(data, addresses) {
 			listener.datagrams.send(data, addresses);
 		},
@@ -253,7 +250,6 @@
 				}
 			},
 			awaitConfiguration: async maxMs => waitWhile(() => configuration.table() === null, maxMs),
-			awaitVerdicts: async maxMs => waitWhile(quarantine.isSyncing, maxMs),
 			knowsEvacuations: evacuationGate.isOpen,
 			awaitEvacuations: async maxMs => waitWhile(() => !evacuationGate.isOpen(), maxMs),
 			awaitLease: async maxMs => waitWhile(() => !lease.hasHeld() && !lease.holds(), maxMs),
@@ -324,7 +320,7 @@
 
 	const exchangingDemand = setInterval(demandExchange.tick, exchangeIntervalMs);
 	const isReady = (): boolean => {
-		const ready = !isLeaving && configuration.table() !== null && lease.holds() && evacuationGate.isOpen();
+		const ready = !isLeaving && configuration.table() !== null && lease.holds() && evacuationGate.isOpen() && !quarantine.isSyncing();
 		if (ready !== wasReady) {
 			wasReady = ready;
 			logger.event('BP4027', {isReady: ready, isLeaving, configurationNumber: configuration.number()});
--- a/packages/gateway/src/entry/serve-request.ts
+++ b/packages/gateway/src/entry/serve-request.ts
@@ -21,8 +21,6 @@
 	table(): RouteTable | null;
 	/** Resolves once a configuration is known, after `maxMs` at the latest. */
 	awaitConfiguration(maxMs: number): Promise<void>;
-	/** After the start of the entry, resolves once it knows which requests other entries refuse because they crash endpoints, after `maxMs` at the latest. */
-	awaitVerdicts(maxMs: number): Promise<void>;
 	/** Whether requests may be sent with regard to evacuations: the evacuated zones were confirmed once since the start. */
 	knowsEvacuations(): boolean;
 	/** Resolves once `knowsEvacuations` returns `true`, after `maxMs` at the latest. */
@@ -142,7 +140,6 @@
 const awaitRouteMatch = async (context: ServeContext, request: http.IncomingMessage): Promise<RouteMatch | LocalReply> => {
 	const deadlineMs = callerDeadlineMs(context, request);
 	await context.awaitConfiguration(Math.min(configurationWaitMs, deadlineMs * startWaitShare));
-	await context.awaitVerdicts(deadlineMs * startWaitShare);
 	const matched = matchRoute(context, request);
 	if (isLocalReply(matched) || isStarted(context, matched)) {
 		return matched;
--- a/packages/gateway/src/quarantine/request-quarantine.ts
+++ b/packages/gateway/src/quarantine/request-quarantine.ts
@@ -38,8 +38,6 @@
 	/** The other entries. */
 	peers(): readonly string[];
 	send(data: Uint8Array, addresses: readonly string[]): void;
-	/** Called when the answer to `sync` has arrived. @default nothing */
-	onSynced?(): void;
 	readonly logger: Logger;
 	readonly metrics: GatewayMetrics;
 	readonly random: Random;
@@ -73,7 +71,7 @@
 	watch(request: QuarantinedRequest, stop: () => void): () => void;
 	/** Requests what other entries know, once; does nothing until there are peers. */
 	sync(): void;
-	/** Whether the answer to `sync` is awaited; ends after a fifth of a second at the latest. */
+	/** Whether the answer to `sync` is awaited; ends after a tenth of a second at the latest. */
 	isSyncing(): boolean;
 	/** Handles a datagram from another entry; `false` if it is of another kind. */
 	receive(data: Buffer): boolean;
@@ -92,9 +90,9 @@
 const reorderedMs = 50;
 const peersToSync = 3;
 /** A peer that takes longer is taken for lost; its verdicts arrive with the next repetition. */
-const maxSyncMs = 200;
+const maxSyncMs = 100;
 
-export const createRequestQuarantine = ({selfAddress = '', peers, send, onSynced, logger, metrics, random, nowMs}: RequestQuarantineOptions): RequestQuarantine => {
+export const createRequestQuarantine = ({selfAddress = '', peers, send, logger, metrics, random, nowMs}: RequestQuarantineOptions): RequestQuarantine => {
 	const ledger = createCrashLedger();
 	const brokenAttempts = createBrokenAttempts();
 	const endedAnswers: EndedAnswers<EndedRequest> = [];
@@ -226,7 +224,6 @@
 
 			case 'synced': {
 				syncEndsAtMs = nowMs();
-				onSynced?.();
 				break;
 			}
 		}
--- a/packages/gateway/test/quarantine-sync.test.ts
+++ b/packages/gateway/test/quarantine-sync.test.ts
@@ -90,7 +90,7 @@
 	t.notOk(started.isSyncing());
 	started.sync();
 	t.ok(started.isSyncing());
-	fleet.advance(200);
+	fleet.advance(100);
 	t.notOk(started.isSyncing());
 });
 
@@ -103,7 +103,7 @@
 	const second = fleet.start('b');
 	second.sync();
 	t.ok(second.isSyncing());
-	fleet.advance(200);
+	fleet.advance(100);
 	const third = fleet.start('c');
 	third.sync();
 	t.notOk(third.isSyncing());
--- a/packages/gateway/test/serve-request.test.ts
+++ b/packages/gateway/test/serve-request.test.ts
@@ -44,7 +44,7 @@
 	const context: ServeContext = {
 		protocol, random: createRandom(1), logger: silentLogger, metrics: createGatewayMetrics(), nowMs: () => performance.now(),
 		table: () => state.table, holdsLease: () => state.holdsLease, lostCoreRetryMs: () => 2000, firstAttemptDeadlines: () => firstAttemptDeadlines,
-		awaitConfiguration: async () => undefined, awaitVerdicts: async () => undefined, knowsEvacuations: () => true, awaitEvacuations: async () => undefined,
+		awaitConfiguration: async () => undefined, knowsEvacuations: () => true, awaitEvacuations: async () => undefined,
 		async awaitLease(maxMs) {
 			waits.push(maxMs);
 			state.table = received;
