feat(gateway): log what was staged when an engine accepted a load command

The hypotheses of docs/incidents/spoilt-weights.md could not be told apart: no line said how long the read-back took, when the command was answered, how many commands the engine had accepted, that a chunk could not be written, or what was staged after the command.

BP4033 and BP4034 now have readBackMs, answeredMs and orderCount, BP4039 names a chunk that could not be staged, and BP4061 tells how many staged chunks do not match after a load command. An order without an answer is logged with the same fields. No decision depends on any of it.

--- a/packages/gateway/src/agent/engine-client.ts
+++ b/packages/gateway/src/agent/engine-client.ts
@@ -8,6 +8,8 @@
 	readonly pace: number;
 	/** A load order is in progress. */
 	readonly isBusy: boolean;
+	/** Number of orders that this start of the engine has accepted. */
+	readonly orderCount: number;
 	/** Models whose weights it holds completely. */
 	readonly models: readonly HeldModel[];
 };
--- a/packages/gateway/src/agent/staged-weights.ts
+++ b/packages/gateway/src/agent/staged-weights.ts
@@ -2,6 +2,7 @@
 import {
 	manifestIdOf, sha256, type Manifest, type ManifestId,
 } from '@bitternpaddle/state';
+import type {Logger} from '@bitternpaddle/transport';
 import type {EngineClient} from './engine-client.js';
 
 /** The chunks of one version: the verified ones in memory and the copy staged at the engine. */
@@ -17,6 +18,8 @@
 	read(chunk: number): Uint8Array | null;
 	/** Reads the chunks that the engine has already staged and keeps those whose digests match. */
 	readStaged(): Promise<void>;
+	/** Reads back all staged chunks; returns those that are missing or do not match. */
+	readBack(): Promise<number[]>;
 	/** Reads back all staged chunks and replaces those that do not match; returns the number replaced. */
 	repair(): Promise<number>;
 };
@@ -28,6 +31,7 @@
 	readonly chunkBytes: number;
 	/** 64 hexadecimal digits each. */
 	readonly digests: readonly string[];
+	readonly logger: Logger;
 };
 
 /** The origin publishes digests of chunks only; a digest over all of them identifies the version as a whole. */
@@ -37,7 +41,7 @@
 });
 
 export const createStagedWeights = (options: StagedWeightsOptions): StagedWeights => {
-	const {engine, model, version, chunkBytes, digests} = options;
+	const {engine, model, version, chunkBytes, digests, logger} = options;
 	const manifest = manifestOf(options);
 	const chunks = new Map<number, Uint8Array>();
 
@@ -54,7 +58,9 @@
 
 			chunks.set(chunk, data);
 			// Staging fails while the engine is down; `repair` stages the chunk before the load order.
-			await engine.putChunk(model, chunk, data).catch(() => undefined);
+			await engine.putChunk(model, chunk, data).catch((error: unknown) => {
+				logger.event('BP4039', {version, chunk, reason: (error as Error).message});
+			});
 			return true;
 		},
 		read: chunk => chunks.get(chunk) ?? null,
@@ -66,6 +72,17 @@
 				}
 			}
 		},
+		async readBack() {
+			const mismatches: number[] = [];
+			for (const chunk of chunks.keys()) {
+				const staged = await engine.getChunk(model, chunk, chunkBytes);
+				if (staged === null || !matchesDigest(chunk, staged)) {
+					mismatches.push(chunk);
+				}
+			}
+
+			return mismatches;
+		},
 		async repair() {
 			let repaired = 0;
 			for (const [chunk, verified] of chunks) {
--- a/packages/gateway/src/agent/version-loader.ts
+++ b/packages/gateway/src/agent/version-loader.ts
@@ -119,10 +119,23 @@
 		}
 
 		const mode = running > 0 ? 'cutRunning' : 'afterRunning';
-		const outcome = await engine.load(wanted.profile.model, staged.version, mode);
-		logger.event(outcome === 'refused' ? 'BP4034' : 'BP4033', {
-			version: staged.version, outcome, mode, running, namedAgeMs: wanted.namedAgeMs === null ? null : Math.round(wanted.namedAgeMs),
+		const sentAtMs = performance.now();
+		const fields = {
+			version: staged.version, mode, running, namedAgeMs: wanted.namedAgeMs === null ? null : Math.round(wanted.namedAgeMs),
+			orderCount: engineState()?.orderCount ?? null, readBackMs: Math.round(sentAtMs - orderedAtMs),
+		};
+		const outcome = await engine.load(wanted.profile.model, staged.version, mode).catch((error: unknown) => {
+			logger.event('BP4034', {...fields, answeredMs: null, reason: (error as Error).message});
+			return null;
 		});
+		if (outcome !== null) {
+			logger.event(outcome === 'refused' ? 'BP4034' : 'BP4033', {...fields, outcome, answeredMs: Math.round(performance.now() - sentAtMs)});
+		}
+
+		if (outcome !== 'refused') {
+			const mismatches = await staged.readBack();
+			logger.event('BP4061', {version: staged.version, mismatches: mismatches.length, afterMs: Math.round(performance.now() - sentAtMs)});
+		}
 	};
 
 	/** Whether running requests have finished, except for a few stragglers that would delay the switch. */
--- a/packages/gateway/src/agent/weight-exchange.ts
+++ b/packages/gateway/src/agent/weight-exchange.ts
@@ -133,7 +133,7 @@
 		}
 
 		const staged = createStagedWeights({
-			engine, model: goal.profile.model, version: goal.version, chunkBytes: goal.profile.chunkBytes, digests,
+			engine, model: goal.profile.model, version: goal.version, chunkBytes: goal.profile.chunkBytes, digests, logger,
 		});
 		// The missing chunks are known only after the staged ones are read.
 		await staged.readStaged();
--- a/packages/gateway/test/version-loader.test.ts
+++ b/packages/gateway/test/version-loader.test.ts
@@ -29,7 +29,7 @@
 		},
 	};
 	const stateOf = (): EngineState => ({
-		running: state.running, queued: state.queued, pace: 1, isBusy: false, models: state.version === null ? [] : [{model: 'm', version: state.version}],
+		running: state.running, queued: state.queued, pace: 1, isBusy: false, orderCount: 0, models: state.version === null ? [] : [{model: 'm', version: state.version}],
 	});
 	return {
 		staged, orders, state, client, stateOf,
@@ -52,7 +52,7 @@
 const createLoader = (held: number | null, isGranted = true) => {
 	const engine = createEngine(held);
 	const weights: StagedWeights = createStagedWeights({
-		engine: engine.client, model: 'm', version: 2, chunkBytes, digests,
+		engine: engine.client, model: 'm', version: 2, chunkBytes, digests, logger: silentLogger,
 	});
 	const leaving: boolean[] = [];
 	const permits: boolean[] = [];
@@ -129,7 +129,7 @@
 t.test('a completely staged version is loaded before it is confirmed', async t => {
 	const engine = createEngine(null);
 	const weights = createStagedWeights({
-		engine: engine.client, model: 'm', version: 2, chunkBytes, digests,
+		engine: engine.client, model: 'm', version: 2, chunkBytes, digests, logger: silentLogger,
 	});
 	const opened: boolean[] = [];
 	let isConfirmed = false;
--- a/packages/gateway/test/weight-exchange.test.ts
+++ b/packages/gateway/test/weight-exchange.test.ts
@@ -10,7 +10,7 @@
 
 const engine: EngineClient = {
 	state: async () => ({
-		running: 0, queued: 0, pace: 1, isBusy: false, models: [],
+		running: 0, queued: 0, pace: 1, isBusy: false, orderCount: 0, models: [],
 	}),
 	putChunk: async () => undefined,
 	getChunk: async () => null,
