fix(gateway): an engine is used only once it was shown to hold whole weights

Cause: an agent read the staged chunks back and then ordered the load. An engine verifies nothing and loads what is staged when it accepts the order, so whatever happened between the check and the acceptance was loaded: the agent was suspended, reads were slow, the order lay in the socket of an engine that did not run, or a write that the agent had given up was carried out late. Nothing checked what had been loaded; the agent reported the version that the engine named.

Change: after an order was accepted, all chunks are read back; with no write in between, what is right then was right when it was taken. Until that is shown, for this start of the engine and this number of accepted orders, the engine counts as holding nothing. If it cannot be shown, the engine is made to load under the number 0 and then the wanted version again, because it loads nothing for a version that it already names. Writes and orders wait for their answer for as long as they may still be carried out, writes of a chunk are carried out in order, and orders name the expected number of accepted orders.

Why it works: no check before an act of another process can cover the time until that act; a check behind it can, because staged chunks do not become right again by themselves.

--- a/packages/bench/src/fleet-cost/fleet.ts
+++ b/packages/bench/src/fleet-cost/fleet.ts
@@ -243,7 +243,7 @@
 			request.resume();
 			checks++;
 			const text = JSON.stringify({
-				running: checks % slots, queued: 0, pace: 1, isBusy: false, orderCount: 0, models: [{model: 'm', version: 1}],
+				running: checks % slots, queued: 0, pace: 1, isBusy: false, orderCount: 0, startedAtMs: null, models: [{model: 'm', version: 1}],
 			});
 			response.writeHead(200, {'content-type': 'application/json', 'content-length': text.length}).end(text);
 		},
--- a/packages/bench/src/fleet-cost/role-process.ts
+++ b/packages/bench/src/fleet-cost/role-process.ts
@@ -51,9 +51,10 @@
 				engine: {
 					async state() {
 						const response = await sendHttp({address: engineAddress, path: '/', idleTimeoutMs: engineTimeoutMs});
-						return JSON.parse((await readBody(response)).toString()) as EngineState;
+						return {...JSON.parse((await readBody(response)).toString()) as EngineState, askedAtMs: performance.now()};
 					},
-					putChunk: async () => undefined,
+					identity: async () => null,
+					putChunk: async () => 'written',
 					getChunk: async () => null,
 					load: async () => 'done',
 				},
--- a/packages/coordination/src/placement/endpoint-load.ts
+++ b/packages/coordination/src/placement/endpoint-load.ts
@@ -2,6 +2,23 @@
 import type {LearnedTime} from './plain-model.js';
 import type {AgedFigure} from './slowdown.js';
 
+/**
+ * What the agent on an engine's host has shown of the weights that the engine holds.
+ * `unknown`: nothing yet, such as after a start of the agent; what was reported before still holds.
+ * `none`: no weights, or none that were shown to be whole.
+ */
+export type WeightsProof
+	= | {readonly type: 'unknown'}
+		| {readonly type: 'none'}
+		| {
+			readonly type: 'whole';
+			readonly version: number;
+			/** The id under which this start of the engine is announced; `null` if the engine does not tell. */
+			readonly engineId: string | null;
+			/** When this start of the engine began, in Unix milliseconds; `null` if the engine does not tell. */
+			readonly startedAtMs: number | null;
+		};
+
 /** The state of an engine, as reported by the agent on its host. */
 export type EngineReport = {
 	/** Requests in prefill or decoding. */
--- a/packages/gateway/src/agent/agent-node.ts
+++ b/packages/gateway/src/agent/agent-node.ts
@@ -4,6 +4,7 @@
 	chunksPrefix, createUploadServer, retryAfterMsHeader, type TransferPeer,
 } from '@bitternpaddle/daemon/transfer';
 import {chunkAnnouncementSchema} from '@bitternpaddle/protocol';
+import type {EngineProfile} from '@bitternpaddle/state';
 import {
 	callRpc, createHttpServer, createRpcServer, rpcPath, sendJson, type Logger,
 } from '@bitternpaddle/transport';
@@ -16,8 +17,9 @@
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
 import type {EngineClient, EngineState, OriginClient} from './engine-client.js';
 import {createPacedLinks} from './paced-links.js';
-import {createVersionLoader, heldVersionOf, type LoadGoal} from './version-loader.js';
+import {createVersionLoader, type LoadGoal} from './version-loader.js';
 import {createWeightExchange} from './weight-exchange.js';
+import {createWeightsProver, heldVersionOf} from './weights-prover.js';
 
 export type AgentNodeOptions = {
 	/** Address at which other processes of the system reach this one. */
@@ -91,17 +93,19 @@
 	let sentReport: EngineReport | null = null;
 	let reportSentAtMs = Number.NEGATIVE_INFINITY;
 
-	/** The version that the engine served at the last poll; `null` if none. */
-	const servedVersion = (): number | null => {
+	const profile = (): EngineProfile | null => configuration.table()?.services.get(serviceName)?.engine ?? null;
+
+	/** The version that the engine named at the last poll; `null` if none. */
+	const heldVersion = (): number | null => {
 		if (state === null) {
 			return null;
 		}
 
-		const profile = configuration.table()?.services.get(serviceName)?.engine ?? null;
-		return profile === null ? state.models[0]?.version ?? null : heldVersionOf(state, profile.model);
+		const known = profile();
+		return known === null ? state.models[0]?.version ?? null : heldVersionOf(state, known.model);
 	};
 
-	const links = createPacedLinks({bytesPerSecond: linkBytesPerSecond, share: () => servedVersion() === null ? emptyEngineLinkShare : servingLinkShare});
+	const links = createPacedLinks({bytesPerSecond: linkBytesPerSecond, share: () => heldVersion() === null ? emptyEngineLinkShare : servingLinkShare});
 	const reporter = createLoadReporter({
 		endpointAddress, zoneId, entries: () => entries,
 	});
@@ -116,27 +120,42 @@
 		selfAddress, zoneId, regionId, engine, origin, links, linkBytesPerSecond, logger, peers,
 	});
 
+	const prover = createWeightsProver({
+		engine, logger,
+		onChange() {
+			report();
+		},
+		onRestart() {
+			exchange.forgetUnknownWrites();
+		},
+	});
+
 	const goal = (): LoadGoal | null => {
 		const table = configuration.table();
-		const profile = table?.services.get(serviceName)?.engine ?? null;
+		const known = profile();
 		const source = [...table?.services.values() ?? []].find(service => service.origin !== null)?.origin ?? null;
 		const isConfirmed = versions.isDetermined(performance.now());
 		// A serving engine keeps its version until the wanted one is confirmed.
-		if (profile === null || source === null || (!isConfirmed && (servedVersion() !== null || versions.newest(profile.model) === 0))) {
+		if (known === null || source === null || (!isConfirmed && (heldVersion() !== null || versions.newest(known.model) === 0))) {
 			return null;
 		}
 
-		const version = Math.max(firstVersion, versions.newest(profile.model));
+		const version = Math.max(firstVersion, versions.newest(known.model));
 		return {
-			profile, origin: source, version, namedAgeMs: versions.ageMs(profile.model, version, performance.now()), isConfirmed,
+			profile: known, origin: source, version, namedAgeMs: versions.ageMs(known.model, version, performance.now()), isConfirmed,
 		};
 	};
 
+	const wholeVersion = (): number | null => {
+		const proof = prover.proof();
+		return proof.type === 'whole' ? proof.version : null;
+	};
+
 	/** Estimated time until the engine serves the wanted version, from the missing chunks and the link's bandwidth; `null` if it already does or the time cannot be estimated. */
 	const readyInMs = (): number | null => {
 		const loadGoal = goal();
 		const missing = exchange.missingChunks();
-		if (loadGoal === null || missing === null || (servedVersion() ?? 0) >= loadGoal.version) {
+		if (loadGoal === null || missing === null || (wholeVersion() ?? -1) >= loadGoal.version) {
 			return null;
 		}
 
@@ -146,7 +165,7 @@
 
 	const reportOf = (polled: EngineState): EngineReport => ({
 		running: polled.running, queued: polled.queued, pace: polled.pace, isBusy: polled.isBusy || isLeavingService, isStrained: exchange.isStrained(),
-		version: servedVersion(), readyInMs: readyInMs(),
+		version: wholeVersion(), readyInMs: readyInMs(),
 	});
 
 	const report = (): void => {
@@ -203,7 +222,7 @@
 	};
 
 	const loader = createVersionLoader({
-		engine, logger, goal, requestPermit, dueMs: versionDueMs,
+		engine, prover, logger, goal, profile, requestPermit, dueMs: versionDueMs,
 		engineState: () => state,
 		openWeights: exchange.open,
 		async setLeavingService(isLeaving) {
@@ -290,6 +309,7 @@
 	metrics.gauge('peer_bytes', 'Bytes of weights drawn from other hosts.', () => exchange.counters.peerBytes);
 	metrics.gauge('engine_running', 'Requests that the engine runs.', () => state?.running ?? -1);
 	metrics.gauge('engine_queued', 'Requests that wait at the engine.', () => state?.queued ?? -1);
+	metrics.gauge('whole_version', 'Version of the weights that the engine was shown to hold whole; -1 for none.', () => wholeVersion() ?? -1);
 	metrics.gauge('wanted_version', 'Version of the weights that is wanted.', () => goal()?.version ?? -1);
 	return {
 		async stop() {
--- a/packages/gateway/src/agent/staged-weights.ts
+++ b/packages/gateway/src/agent/staged-weights.ts
@@ -2,7 +2,7 @@
 import {
 	manifestIdOf, sha256, type Manifest, type ManifestId,
 } from '@bitternpaddle/state';
-import type {Logger} from '@bitternpaddle/transport';
+import type {ChunkWriter} from './chunk-writer.js';
 import type {EngineClient} from './engine-client.js';
 
 /** The chunks of one version: the verified ones in memory and the copy staged at the engine. */
@@ -11,27 +11,30 @@
 	readonly version: number;
 	readonly manifestId: ManifestId;
 	readonly manifest: Manifest;
+	readonly writer: ChunkWriter;
 	heldChunks(): readonly number[];
 	isComplete(): boolean;
-	/** Keeps and stages a chunk if its digest matches. */
+	/** Keeps a chunk if its digest matches, and begins to stage it. */
 	put(chunk: number, data: Uint8Array): Promise<boolean>;
 	read(chunk: number): Uint8Array | null;
 	/** Reads the chunks that the engine has already staged and keeps those whose digests match. */
 	readStaged(): Promise<void>;
-	/** Reads back all staged chunks; returns those that are missing or do not match. */
+	/** Reads back all staged chunks; returns those of the version that are missing or do not match. */
 	readBack(): Promise<number[]>;
-	/** Reads back all staged chunks and replaces those that do not match; returns the number replaced. */
-	repair(): Promise<number>;
+	/** Stages these chunks again, as far as they are held. */
+	rewrite(chunks: readonly number[]): Promise<void>;
 };
 
 export type StagedWeightsOptions = {
-	readonly engine: EngineClient;
+	readonly engine: Pick<EngineClient, 'getChunk'>;
+	readonly writer: ChunkWriter;
 	readonly model: string;
 	readonly version: number;
 	readonly chunkBytes: number;
 	/** 64 hexadecimal digits each. */
 	readonly digests: readonly string[];
-	readonly logger: Logger;
+	/** Whether the version is the one that is to be staged. @default always */
+	isCurrent?(): boolean;
 };
 
 /** The origin publishes digests of chunks only; a digest over all of them identifies the version as a whole. */
@@ -40,15 +43,35 @@
 	chunkDigests: digests.map(digest => `sha256:${digest}`), wholeDigest: sha256(`${model}@${version}:${digests.join(',')}`),
 });
 
+/** Chunks that are read at the same time; one after the other, a read-back takes as many round trips as there are chunks. */
+const maxReads = 8;
+
 export const createStagedWeights = (options: StagedWeightsOptions): StagedWeights => {
-	const {engine, model, version, chunkBytes, digests, logger} = options;
+	const {engine, writer, model, version, chunkBytes, digests, isCurrent = () => true} = options;
 	const manifest = manifestOf(options);
 	const chunks = new Map<number, Uint8Array>();
 
 	const matchesDigest = (chunk: number, data: Uint8Array): boolean => createHash('sha256').update(data).digest('hex') === digests[chunk];
 
+	const write = async (chunk: number, data: Uint8Array): Promise<void> => writer.write({
+		model, version, chunk, data, isWanted: isCurrent,
+	});
+
+	/** Calls `onRead` with each of these chunks and what is staged, `null` if it does not match. */
+	const readEach = async (wanted: readonly number[], onRead: (chunk: number, data: Uint8Array | null) => void): Promise<void> => {
+		const remaining = [...wanted];
+		const readNext = async (): Promise<void> => {
+			for (let chunk = remaining.shift(); chunk !== undefined; chunk = remaining.shift()) {
+				const data = await engine.getChunk(model, chunk, chunkBytes);
+				onRead(chunk, data !== null && matchesDigest(chunk, data) ? data : null);
+			}
+		};
+
+		await Promise.all(Array.from({length: maxReads}, readNext));
+	};
+
 	return {
-		model, version, manifest, manifestId: manifestIdOf(manifest),
+		model, version, manifest, manifestId: manifestIdOf(manifest), writer,
 		heldChunks: () => [...chunks.keys()],
 		isComplete: () => chunks.size === digests.length,
 		async put(chunk, data) {
@@ -56,44 +79,37 @@
 				return false;
 			}
 
-			chunks.set(chunk, data);
-			// Staging fails while the engine is down; `repair` stages the chunk before the load order.
-			await engine.putChunk(model, chunk, data).catch((error: unknown) => {
-				logger.event('BP4039', {version, chunk, reason: (error as Error).message});
-			});
+			if (!chunks.has(chunk)) {
+				chunks.set(chunk, data);
+				void write(chunk, data);
+			}
+
 			return true;
 		},
 		read: chunk => chunks.get(chunk) ?? null,
 		async readStaged() {
-			for (const chunk of digests.keys()) {
-				const data = chunks.has(chunk) ? null : await engine.getChunk(model, chunk, chunkBytes);
-				if (data !== null && matchesDigest(chunk, data)) {
+			await readEach([...digests.keys()].filter(chunk => !chunks.has(chunk)), (chunk, data) => {
+				if (data !== null) {
 					chunks.set(chunk, data);
 				}
-			}
+			});
 		},
 		async readBack() {
 			const mismatches: number[] = [];
-			for (const chunk of chunks.keys()) {
-				const staged = await engine.getChunk(model, chunk, chunkBytes);
-				if (staged === null || !matchesDigest(chunk, staged)) {
+			await readEach([...digests.keys()], (chunk, data) => {
+				if (data === null) {
 					mismatches.push(chunk);
 				}
-			}
-
+			});
 			return mismatches;
 		},
-		async repair() {
-			let repaired = 0;
-			for (const [chunk, verified] of chunks) {
-				const staged = await engine.getChunk(model, chunk, chunkBytes);
-				if (staged === null || !matchesDigest(chunk, staged)) {
-					repaired++;
-					await engine.putChunk(model, chunk, verified);
+		async rewrite(wanted) {
+			await Promise.all(wanted.map(async chunk => {
+				const data = chunks.get(chunk);
+				if (data !== undefined) {
+					await write(chunk, data);
 				}
-			}
-
-			return repaired;
+			}));
 		},
 	};
 };
--- a/packages/gateway/src/agent/version-loader.ts
+++ b/packages/gateway/src/agent/version-loader.ts
@@ -1,7 +1,9 @@
 import type {EngineProfile, OriginProfile} from '@bitternpaddle/state';
 import type {Logger} from '@bitternpaddle/transport';
-import type {EngineClient, EngineState} from './engine-client.js';
+import {match} from 'ts-pattern';
+import type {EngineClient, EngineState, LoadOrderOutcome} from './engine-client.js';
 import type {StagedWeights} from './staged-weights.js';
+import {heldVersionOf, type WeightsProver} from './weights-prover.js';
 
 /** The version that the engine should load now. */
 export type LoadGoal = {
@@ -20,10 +22,13 @@
 
 export type VersionLoaderOptions = {
 	readonly engine: EngineClient;
+	readonly prover: WeightsProver;
 	readonly logger: Logger;
 	/** Time after a version is named until no request may begin on older weights. */
 	readonly dueMs: number;
 	goal(): LoadGoal | null;
+	/** The profile of the engine; `null` while no configuration is known. */
+	profile(): EngineProfile | null;
 	/** The engine's state at the last poll; `null` while it is unreachable. */
 	engineState(): EngineState | null;
 	/** Opens the chunks of a version, whatever their source; `null` while its digests are unknown. */
@@ -60,16 +65,26 @@
 /** Requests still running after this time are aborted in any case. */
 const maxFinishMs = 1500;
 
-export const heldVersionOf = (state: EngineState, model: string): number | null => state.models.find(held => held.model === model)?.version ?? null;
+/**
+ * Number under which an engine loads what it has staged when it has to be reloaded: an
+ * engine does nothing for the version that it already names. Named versions start
+ * at 1, so no entry ever asks for weights of this number.
+ */
+const unnamedVersion = 0;
+/** Delay before another attempt to reload an engine that refused. */
+const reloadRetryMs = 3000;
 
-/** Brings the engine on the agent's host to the wanted version. It loads only complete, verified weights, and permits keep the engines of a service from leaving all at once. */
+/** Brings the engine on the agent's host to the wanted version. It orders the load of complete, verified weights only, and reloads an engine that was not shown to hold them; permits keep the engines of a service from leaving all at once. */
 export const createVersionLoader = (options: VersionLoaderOptions): VersionLoader => {
-	const {engine, logger, dueMs, goal, engineState, openWeights, requestPermit, setLeavingService} = options;
+	const {engine, prover, logger, dueMs, goal, profile, engineState, openWeights, requestPermit, setLeavingService} = options;
 	let weights: StagedWeights | null = null;
 	let isFetching = false;
 	let isStepping = false;
 	let holdsPermit = false;
 	let orderedAtMs = Number.NEGATIVE_INFINITY;
+	let reloadedAtMs = Number.NEGATIVE_INFINITY;
+	/** Whether the engine refused the last order although it had accepted the expected number of orders. */
+	let refusesExpectation = false;
 	/** When the engine left service; `null` while it serves. */
 	let leftServiceAtMs: number | null = null;
 	let servedVersion: number | null = null;
@@ -107,35 +122,74 @@
 		}
 	};
 
-	const orderLoad = async (wanted: LoadGoal, staged: StagedWeights, running: number): Promise<void> => {
+	const sendOrder = async (model: string, version: number, state: EngineState, fields: Record<string, unknown>): Promise<LoadOrderOutcome> => {
+		const {running, orderCount} = state;
+		const mode = running > 0 ? 'cutRunning' : 'afterRunning';
+		prover.beginOrder(version, orderCount);
+		const sentAtMs = performance.now();
+		const outcome = await engine.load({
+			model, version, mode, expectedOrderCount: refusesExpectation ? null : orderCount,
+		});
+		const latest = engineState();
+		refusesExpectation = outcome === 'refused' && !refusesExpectation && latest?.orderCount === orderCount && !latest.isBusy;
+		const event = match(outcome).with('begun', 'done', () => 'BP4033' as const).with('refused', 'failed', 'unknown', () => 'BP4034' as const).exhaustive();
+		logger.event(event, {
+			version, outcome, mode, running, orderCount, answeredMs: Math.round(performance.now() - sentAtMs), ...fields,
+		});
+		if (outcome === 'begun') {
+			prover.confirmOrder();
+		}
+
+		return outcome;
+	};
+
+	/** Stages again what does not match; returns whether all chunks matched in the last read. */
+	const repairStaged = async (staged: StagedWeights): Promise<boolean> => {
+		await staged.writer.settled();
+		const mismatches = await staged.readBack();
+		if (mismatches.length === 0) {
+			return true;
+		}
+
+		logger.event('BP4032', {version: staged.version, chunks: mismatches.length});
+		await staged.rewrite(mismatches);
+		const remaining = await staged.readBack();
+		return remaining.length === 0;
+	};
+
+	const orderLoad = async ({profile: {model}, namedAgeMs}: LoadGoal, staged: StagedWeights, state: EngineState): Promise<void> => {
 		orderedAtMs = performance.now();
-		// Staged chunks may become corrupted, so they are read back right before the load order.
-		const repaired = await staged.repair();
-		if (repaired > 0) {
-			logger.event('BP4032', {version: staged.version, chunks: repaired});
-			if (await staged.repair() > 0) {
-				return;
-			}
+		if (!await repairStaged(staged)) {
+			return;
 		}
 
-		const mode = running > 0 ? 'cutRunning' : 'afterRunning';
-		const sentAtMs = performance.now();
-		const fields = {
-			version: staged.version, mode, running, namedAgeMs: wanted.namedAgeMs === null ? null : Math.round(wanted.namedAgeMs),
-			orderCount: engineState()?.orderCount ?? null, readBackMs: Math.round(sentAtMs - orderedAtMs),
-		};
-		const outcome = await engine.load(wanted.profile.model, staged.version, mode).catch((error: unknown) => {
-			logger.event('BP4034', {...fields, answeredMs: null, reason: (error as Error).message});
-			return null;
+		const outcome = await sendOrder(model, staged.version, state, {
+			namedAgeMs: namedAgeMs === null ? null : Math.round(namedAgeMs), readBackMs: Math.round(performance.now() - orderedAtMs),
 		});
-		if (outcome !== null) {
-			logger.event(outcome === 'refused' ? 'BP4034' : 'BP4033', {...fields, outcome, answeredMs: Math.round(performance.now() - sentAtMs)});
+		if (outcome === 'begun') {
+			await prover.verifyOrder(staged);
 		}
+	};
 
-		if (outcome !== 'refused') {
-			const mismatches = await staged.readBack();
-			logger.event('BP4061', {version: staged.version, mismatches: mismatches.length, afterMs: Math.round(performance.now() - sentAtMs)});
+	/** Makes an engine give up weights that may not be whole; the wanted version is then loaded as into an empty one. */
+	const reload = async (wanted: LoadGoal, staged: StagedWeights, state: EngineState): Promise<void> => {
+		if (state.isBusy || !staged.isComplete() || performance.now() - reloadedAtMs < reloadRetryMs) {
+			return;
 		}
+
+		// Entries may still use what was shown before this agent started.
+		if (prover.proof().type === 'unknown') {
+			if (!await mayLeaveService(wanted)) {
+				return;
+			}
+
+			await leaveService();
+		}
+
+		reloadedAtMs = performance.now();
+		logger.event('BP4062', {version: staged.version});
+		await staged.writer.settled();
+		await sendOrder(wanted.profile.model, unnamedVersion, state, {});
 	};
 
 	/** Whether running requests have finished, except for a few stragglers that would delay the switch. */
@@ -164,27 +218,53 @@
 		}
 
 		if (hasFinished(wanted, state)) {
-			await orderLoad(wanted, staged, state.running);
+			await orderLoad(wanted, staged, state);
 		}
 	};
 
-	const advance = async (): Promise<void> => {
-		const wanted = goal();
-		const state = engineState();
-		if (wanted === null || state === null) {
-			return;
+	/** Shows what the engine holds, or reloads it if that cannot be shown. */
+	const settleHeld = async (wanted: LoadGoal | null, {model, healthPath}: EngineProfile, state: EngineState): Promise<void> => {
+		const verdict = await prover.prove({model, healthPath: healthPath ?? null, staged: weights}, state);
+		if (verdict === 'unproven' && wanted !== null && weights?.version === wanted.version && heldVersionOf(state, model) === wanted.version) {
+			await reload(wanted, weights, state);
 		}
+	};
 
+	const openWanted = async (wanted: LoadGoal): Promise<void> => {
 		const isOpen = weights?.version === wanted.version && weights.model === wanted.profile.model;
 		if (!isOpen || (wanted.isConfirmed && !isFetching)) {
 			weights = await openWeights(wanted);
 			isFetching = weights !== null && wanted.isConfirmed;
 		}
+	};
+
+	const advance = async (): Promise<void> => {
+		const wanted = goal();
+		const state = engineState();
+		const engineProfile = profile();
+		if (state === null || engineProfile === null) {
+			return;
+		}
+
+		prover.observe(state, engineProfile.model);
+		const held = heldVersionOf(state, engineProfile.model);
+		if (held !== null && prover.proof().type !== 'whole' && state.orderCount === 0) {
+			await settleHeld(null, engineProfile, state);
+		}
+
+		if (wanted === null) {
+			return;
+		}
+
+		await openWanted(wanted);
+		if (held !== null && held >= wanted.version && prover.proof().type !== 'whole') {
+			await settleHeld(wanted, engineProfile, state);
+		}
 
-		const currentVersion = heldVersionOf(state, wanted.profile.model);
-		recordServedVersion(currentVersion);
-		if (currentVersion !== null && currentVersion >= wanted.version) {
-			await returnToService();
+		const proof = prover.proof();
+		recordServedVersion(proof.type === 'whole' ? proof.version : null);
+		if (held !== null && held >= wanted.version) {
+			await (proof.type === 'whole' ? returnToService() : undefined);
 			return;
 		}
 
@@ -192,10 +272,10 @@
 			return;
 		}
 
-		if (currentVersion !== null) {
+		if (held !== null && proof.type !== 'none') {
 			await advanceServing(wanted, weights, state);
 		} else if (weights.isComplete()) {
-			await orderLoad(wanted, weights, 0);
+			await orderLoad(wanted, weights, state);
 		}
 	};
 
--- a/packages/gateway/src/agent/weight-exchange.ts
+++ b/packages/gateway/src/agent/weight-exchange.ts
@@ -6,6 +6,7 @@
 } from '@bitternpaddle/coordination';
 import type {ChunkAnnouncement} from '@bitternpaddle/protocol';
 import type {Logger} from '@bitternpaddle/transport';
+import {createChunkWriter} from './chunk-writer.js';
 import {createDigestSource} from './digest-source.js';
 import type {EngineClient, OriginClient} from './engine-client.js';
 import {createStagedWeights, type StagedWeights} from './staged-weights.js';
@@ -44,6 +45,8 @@
 	missingChunks(): number | null;
 	/** Reads a chunk for another host. */
 	readChunk(manifestId: string, chunk: number): Uint8Array | null;
+	/** Must be called when the engine has restarted: writes that its previous start did not answer cannot be carried out any more. */
+	forgetUnknownWrites(): void;
 	/** Chunk digests for another host that cannot reach the origin. */
 	digests(model: string, version: number): readonly string[] | null;
 	readonly counters: TransferCounters;
@@ -87,6 +90,7 @@
 			restartTransfer();
 		}
 	}, stallCheckIntervalMs);
+	const writer = createChunkWriter({engine, logger});
 	let currentWeights: OpenWeights | null = null;
 	let transfer: Transfer | null = null;
 	let activeFetch: ActiveFetch | null = null;
@@ -132,8 +136,10 @@
 			return null;
 		}
 
-		const staged = createStagedWeights({
-			engine, model: goal.profile.model, version: goal.version, chunkBytes: goal.profile.chunkBytes, digests, logger,
+		const staged: StagedWeights = createStagedWeights({
+			engine, writer, model: goal.profile.model, version: goal.version, chunkBytes: goal.profile.chunkBytes, digests,
+			// A chunk of the previous version that is still queued would replace one of this version.
+			isCurrent: () => currentWeights?.weights === staged,
 		});
 		// The missing chunks are known only after the staged ones are read.
 		await staged.readStaged();
@@ -212,6 +218,7 @@
 		},
 		readChunk: (manifestId, chunk) => manifestId === currentWeights?.weights.manifestId ? currentWeights.weights.read(chunk) : null,
 		digests: (model, version) => findCurrent(model, version)?.weights.manifest.chunkDigests.map(digest => digest.slice('sha256:'.length)) ?? null,
+		forgetUnknownWrites: writer.forgetUnknownWrites,
 		close() {
 			clearInterval(stallCheckTimer);
 			transfer?.close();
--- a/packages/gateway/test/weight-exchange.test.ts
+++ b/packages/gateway/test/weight-exchange.test.ts
@@ -10,9 +10,10 @@
 
 const engine: EngineClient = {
 	state: async () => ({
-		running: 0, queued: 0, pace: 1, isBusy: false, orderCount: 0, models: [],
+		running: 0, queued: 0, pace: 1, isBusy: false, orderCount: 0, startedAtMs: null, models: [], askedAtMs: performance.now(),
 	}),
-	putChunk: async () => undefined,
+	identity: async () => null,
+	putChunk: async () => 'written',
 	getChunk: async () => null,
 	load: async () => 'begun',
 };
--- a/packages/state/src/routing/types.ts
+++ b/packages/state/src/routing/types.ts
@@ -50,6 +50,8 @@
 	readonly chunkBytes: number;
 	/** Time that an engine needs to load staged weights. */
 	readonly loadMs: number;
+	/** Path at which an engine answers health checks, with its id; missing if there is none. */
+	readonly healthPath?: string;
 };
 
 /** The origin of weights; its zone is `null` if unknown. */
--- a/packages/transport/src/logging/events.ts
+++ b/packages/transport/src/logging/events.ts
@@ -96,6 +96,7 @@
 	BP4059: {level: 'warn', text: 'a request was refused for load by its priority', advice: 'Check the rule, the limit and the expected wait; add engines if it lasts.'},
 	BP4060: {level: 'info', text: 'no demand of another entry is known any more', advice: 'None if that entry has ended; otherwise check the link to it.'},
 	BP4061: {level: 'info', text: 'the staged chunks were read back after a load command', advice: 'None if `mismatches` is 0; otherwise check the memory of the host.'},
+	BP4062: {level: 'warn', text: 'the engine was not shown to hold whole weights and is reloaded', advice: 'It gets no request until it was; check the memory of the host if it recurs.'},
 	BP4063: {level: 'info', text: 'a request was sent to another zone because the endpoints of its own would take longer', advice: 'None; check the endpoints of the zone if it persists.'},
 	BP4064: {level: 'info', text: 'no endpoint can answer a request in the time left', advice: 'None; check the load and the slowdown of the endpoint named if it recurs.'},
 	BP4065: {level: 'warn', text: 'a prompt part crashes the endpoints that run it', advice: 'Requests with it are refused until the time given; check these prompts and the endpoints named.'},
