fix(gateway): an engine whose staged chunks keep being spoilt serves the older version

What callers saw, or would have: an engine left service for a newer version and stayed out of it for as long as chunks were spoilt between two read-backs, though it held the older version whole.

Change: if no order could be sent within the time that missing chunks are waited for, the engine returns to service and its permit to the core, as with missing chunks.

--- a/packages/gateway/src/agent/version-loader.ts
+++ b/packages/gateway/src/agent/version-loader.ts
@@ -54,7 +54,7 @@
  * second later, and so would the two thirds of the engines that wait for a permit.
  */
 const leaveServiceShare = 0.7;
-/** If the missing chunks do not arrive within this time, the engine returns to service. */
+/** If the missing chunks do not arrive, or staged ones are spoilt again and again, within this time, the engine returns to service. */
 const maxChunkWaitMs = 2500;
 /**
  * Share of the engine's slots. The longest streams take three times as long as
@@ -157,10 +157,11 @@
 		return remaining.length === 0;
 	};
 
-	const orderLoad = async ({profile: {model}, namedAgeMs}: LoadGoal, staged: StagedWeights, state: EngineState): Promise<void> => {
+	/** Returns whether an order was sent. */
+	const orderLoad = async ({profile: {model}, namedAgeMs}: LoadGoal, staged: StagedWeights, state: EngineState): Promise<boolean> => {
 		orderedAtMs = performance.now();
 		if (!await repairStaged(staged)) {
-			return;
+			return false;
 		}
 
 		const outcome = await sendOrder(model, staged.version, state, {
@@ -169,6 +170,8 @@
 		if (outcome === 'begun') {
 			await prover.verifyOrder(staged);
 		}
+
+		return true;
 	};
 
 	/** Makes an engine give up weights that may not be whole; the wanted version is then loaded as into an empty one. */
@@ -209,16 +212,13 @@
 			return;
 		}
 
-		if (!staged.isComplete()) {
-			if (performance.now() - leftServiceAtMs > maxChunkWaitMs) {
-				await returnToService();
-			}
-
+		if (staged.isComplete() && !hasFinished(wanted, state)) {
 			return;
 		}
 
-		if (hasFinished(wanted, state)) {
-			await orderLoad(wanted, staged, state);
+		const isOrdered = staged.isComplete() && await orderLoad(wanted, staged, state);
+		if (!isOrdered && performance.now() - leftServiceAtMs > maxChunkWaitMs) {
+			await returnToService();
 		}
 	};
 
--- a/packages/gateway/test/version-loader.test.ts
+++ b/packages/gateway/test/version-loader.test.ts
@@ -312,3 +312,21 @@
 	t.same(prover.proof(), wholeProof);
 	t.ok(engine.isWhole());
 });
+
+// Guards against an engine that stays out of service while its staged chunks are spoilt as fast as they are replaced.
+t.test('an engine whose staged chunks are spoilt again and again serves the older version', async t => {
+	const fleet = createLoader(1);
+	const {engine, leaving, put} = fleet;
+	await put(0, 1, 2, 3);
+	const {putChunk} = engine.client;
+	Object.assign(engine.client, {
+		putChunk: async (model: string, chunk: number) => putChunk(model, chunk, Buffer.alloc(chunkBytes, 99)),
+	});
+	engine.staged.set(0, Buffer.alloc(chunkBytes, 99));
+	while (leaving.length < 2) {
+		await fleet.loader.step();
+		await delay(50);
+	}
+
+	t.same([leaving, engine.orders, fleet.prover.proof()], [[true, false], [], {...wholeProof, version: 1}]);
+});
