test(daemon): late orders and lost answers of orders to an engine

The stand-in engine executed each load command at once and always answered. Engines read many gigabytes in between, so a command takes effect after its fencing number was checked, also after a newer one, and its answer can be lost.

The stand-in can now do both, and report its status late.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -29,6 +29,8 @@
 export * from './settings/settings.js';
 export * from './host/peers.js';
 export {createAdapters, type Adapters} from './agent/adapters.js';
+export {createWeights, type Weights} from './agent/weights.js';
+export {createSerialExecutor} from './agent/engine-orders.js';
 export {createEndpointRun} from './agent/endpoint-run.js';
 export {createEndpointRunner} from './agent/run-on-endpoint.js';
 export {createTransferLinks} from './agent/transfer-links.js';
--- a/packages/test-support/src/engine/fake-engine.ts
+++ b/packages/test-support/src/engine/fake-engine.ts
@@ -37,6 +37,12 @@
 	keepsAdapters?: boolean;
 	/** Delay before an adapter command is executed. */
 	adapterOrderMs?: number;
+	/** Delay between the acceptance of a load command, with the check of its fencing number, and the reading of its file. */
+	loadMs?: number;
+	/** Delay before the status is reported. */
+	statusMs?: number;
+	/** Execute load and adapter commands, and close the connection without an answer. */
+	losesOrderAnswers?: boolean;
 };
 
 export type FakeEngineOptions = {
@@ -61,6 +67,8 @@
 	readonly runs: readonly EngineRun[];
 	/** Files of the executed load commands, in order. */
 	readonly loadedFiles: readonly string[];
+	/** Number of load commands that are accepted and not yet executed. */
+	readonly pendingLoads: () => number;
 	/** Digest of the bytes that the engine actually holds. */
 	readonly heldDigest: () => string | null;
 	/** Adapters that the engine actually holds, by the name that callers use, with the digest of their bytes. */
@@ -101,6 +109,7 @@
 	const adapters: LoadedAdapters = new Map();
 	const adapterOrders: ExecutedAdapterOrder[] = [];
 	let running = 0;
+	let pendingLoads = 0;
 	let reportedLoad = {running: 0, atMs: 0};
 	let previous = {requestId: '', text: ''};
 
@@ -111,13 +120,30 @@
 			return;
 		}
 
-		const digest = await digestFile(order.filePath);
+		pendingLoads++;
+		let digest: string;
+		try {
+			await delay(faults.loadMs ?? 0);
+			digest = await digestFile(order.filePath);
+		} finally {
+			pendingLoads--;
+		}
+
 		loadedFiles.push(order.filePath);
 		loaded = {versionId: order.versionId, digest, fencingNumber: order.fencingNumber};
 		if (!faults.keepsAdapters) {
 			adapters.clear();
 		}
 
+		answerOrder(response);
+	};
+
+	const answerOrder = (response: http.ServerResponse): void => {
+		if (faults.losesOrderAnswers) {
+			response.destroy();
+			return;
+		}
+
 		sendJson(response, 200, status());
 	};
 
@@ -143,7 +169,7 @@
 		}
 
 		adapterOrders.push({...order, onVersionId: loaded.versionId});
-		sendJson(response, 200, status());
+		answerOrder(response);
 	};
 
 	const status = () => {
@@ -298,6 +324,7 @@
 				}
 
 				case 'GET /engine/status': {
+					await delay(faults.statusMs ?? 0);
 					sendJson(response, 200, status());
 
 					break;
@@ -329,6 +356,7 @@
 		faults,
 		runs,
 		loadedFiles,
+		pendingLoads: () => pendingLoads,
 		heldDigest: () => loaded?.digest ?? null,
 		heldAdapters: () => adapters,
 		adapterOrders,
