fix(daemon): a version whose order ended late can be loaded again

What operators would have seen: after a rollback to a version, a host that had been loading that version when the assignment changed never loads it again; it shows 'activating' and serves nothing until its agent restarts.

Cause: an order that the engine completes after the assignment has changed left its job in the state 'activating', in which no other attempt is started.

Change: the job returns to 'fetching', from which the next assignment of the version starts it.

The new test (an order of 200 ms, the assignment changes meanwhile and changes back later) fails before: the version was not loaded within 10 s in 2 of 2 runs. weights.test.ts passes 3 of 3.

--- a/packages/daemon/src/agent/weights.ts
+++ b/packages/daemon/src/agent/weights.ts
@@ -138,6 +138,9 @@
 			job.detail = '';
 			ready = {versionId, digest: wanted.digest};
 			logger.event('BP3002', {versionId});
+		} else {
+			// The assignment changed while the engine loaded; the version may be assigned again.
+			job.state = 'fetching';
 		}
 	};
 
--- a/packages/daemon/test/weights.test.ts
+++ b/packages/daemon/test/weights.test.ts
@@ -61,6 +61,21 @@
 	};
 };
 
+// An order is executed after the assignment has changed, and the assignment
+// changes back later.
+t.test('a version whose order ended late can be loaded again', {timeout: 30_000}, async t => {
+	const {engine, weights, catalogWith, waitUntilLoaded, firstDigest, secondDigest} = await setUp(t);
+	engine.faults.loadMs = 200;
+	weights.applyCatalog(catalogWith('m:v1', 1));
+	await waitUntil('the order is accepted', () => engine.pendingLoads() === 1);
+	weights.applyCatalog(catalogWith('m:v2', 2));
+	await waitUntil('the earlier order is executed', () => engine.loadedFiles.length > 0);
+	await waitUntilLoaded('m:v2', secondDigest);
+	weights.applyCatalog(catalogWith('m:v1', 3));
+	await waitUntilLoaded('m:v1', firstDigest);
+	t.pass();
+});
+
 // An engine accepts an order, is slow to execute it, and executes a newer one
 // meanwhile: the older order takes effect last.
 t.test('an order that takes effect after a newer one is reverted', {timeout: 30_000}, async t => {
