fix(daemon): no order to an engine after the lease expired during its status read

What callers would have seen: 'may have run' for requests that an engine ran with weights of an old assignment, until the next check of the engine. Engines that ignore fencing numbers obey the order of an agent that was suspended, or waited up to 4 s for the engine's status, while its lease expired.

Cause: activate checked that the order was in force, then read the engine's status, then sent the order. Adapters were already checked right before each load order.

Change: the order is checked again after the status was read, with nothing awaited between the check and the request.

What remains: a process that is suspended between that check and its write to the socket, and an engine that accepts the order late. Fencing numbers, the check of the engine each second and the digest of each answer cover those.

--- a/packages/daemon/src/agent/activation.ts
+++ b/packages/daemon/src/agent/activation.ts
@@ -45,6 +45,11 @@
 		return {type: 'active'};
 	}
 
+	// The lease may have expired, or a newer order may have arrived, while the status was read.
+	if (!isInForce()) {
+		return {type: 'superseded'};
+	}
+
 	const {versionId, filePath, fencingNumber} = order;
 	const outcome = await sendLoadOrder(endpointAddress, {versionId, filePath, fencingNumber});
 	if (outcome.type === 'fenced') {
--- a/packages/daemon/test/weights.test.ts
+++ b/packages/daemon/test/weights.test.ts
@@ -61,6 +61,20 @@
 	};
 };
 
+// The lease expires while the engine's status is read. Engines that ignore
+// fencing numbers would obey the order, although another one may be in force.
+t.test('no order is sent once the lease has expired', {timeout: 30_000}, async t => {
+	const {engine, weights, host, catalogWith, waitUntilLoaded, firstDigest} = await setUp(t);
+	engine.faults.statusMs = 300;
+	weights.applyCatalog(catalogWith('m:v1', 1));
+	await waitUntil('the engine is asked for its status', () => host.pauses > 0);
+	host.hasLease = false;
+	await waitUntil('another attempt was made', () => host.pauses > 1);
+	t.same(engine.loadedFiles, []);
+	host.hasLease = true;
+	await waitUntilLoaded('m:v1', firstDigest);
+});
+
 // An order is executed after the assignment has changed, and the assignment
 // changes back later.
 t.test('a version whose order ended late can be loaded again', {timeout: 30_000}, async t => {
