fix(daemon): a file that changes after its verification is verified and fetched again

What operators would have seen: a host whose disk returned other bytes later, or whose file was removed or changed before the engine read it, ordered its engine to load the same file every half second and never served again until its agent was restarted. No caller was answered from it: the engine's digest differed, so the host was not ready.

Cause: the complete file was verified once in the life of the agent, and through the agent's open file, which stays readable after the file has left the path that the engine reads. After a mismatch at the engine nothing looked at the file again.

Change: if an engine answered an order and does not hold what was verified, the verification is discarded. The next attempt reads the file at its path again, and what does not match is fetched again. A verification before every order was weighed: an engine that is down would make the agent read many gigabytes every half second.

Why it works: only the engine's digest of what it holds proves that nothing changed between the check and the read, so a failed proof, and only that, leads to another check.

--- a/packages/daemon/src/agent/activation.ts
+++ b/packages/daemon/src/agent/activation.ts
@@ -15,7 +15,9 @@
 export type ActivationOutcome
 	= | {readonly type: 'active'}
 		| {readonly type: 'superseded'}
-		| {readonly type: 'failed'; readonly detail: string};
+		| {readonly type: 'failed'; readonly detail: string}
+	/** The engine answered the order, but does not hold what was verified. Its file may have changed since. */
+		| {readonly type: 'notLoaded'; readonly detail: string};
 
 export type ActivateOptions = {
 	readonly endpointAddress: string;
@@ -57,13 +59,13 @@
 	}
 
 	if (outcome.type === 'failed') {
-		return outcome;
+		return {type: 'notLoaded', detail: outcome.detail};
 	}
 
 	const status = await fetchEngineStatus(endpointAddress);
 	return hasLoaded(status, order)
 		? {type: 'active'}
-		: {type: 'failed', detail: `the engine reports version ${status.versionId ?? 'none'} with digest ${status.digest ?? 'none'}`};
+		: {type: 'notLoaded', detail: `the engine reports version ${status.versionId ?? 'none'} with digest ${status.digest ?? 'none'}`};
 };
 
 export type EngineWatchOptions = {
--- a/packages/daemon/src/agent/fetched-chunks.ts
+++ b/packages/daemon/src/agent/fetched-chunks.ts
@@ -47,8 +47,10 @@
 	isDisposed(): boolean;
 	/** Opens the store and starts to fetch the missing chunks; `true` if none is missing. */
 	fetch(): Promise<boolean>;
-	/** Verifies the digest of the complete file, once; on `false` the set has to be fetched again. */
+	/** Verifies the digest of the complete file, unless that has been done; on `false` the set has to be fetched again. */
 	verify(): Promise<boolean>;
+	/** Makes the next `verify` read the file again, which may have changed since it was verified. */
+	discardVerification(): void;
 	isVerified(): boolean;
 	changePeers(): void;
 	/** Leaves the bandwidth to the sets that are wanted now; a complete set stays and is still served. */
@@ -138,6 +140,9 @@
 
 			return isVerified;
 		},
+		discardVerification() {
+			isVerified = false;
+		},
 		isVerified: () => isVerified,
 		changePeers() {
 			transfer?.changePeers(peers());
--- a/packages/daemon/src/agent/weights.ts
+++ b/packages/daemon/src/agent/weights.ts
@@ -2,6 +2,7 @@
 import {
 	requiredAdaptersOf, removeOtherStores, versionIdSchema, type Assignment, type Catalog, type ManifestId,
 } from '@bitternpaddle/state';
+import {match} from 'ts-pattern';
 import {activate, watchEngine, type ActivationOrder} from './activation.js';
 import {createFetchedChunks, type FetchedChunks, type FetchOptions} from './fetched-chunks.js';
 import type {TransferPeer} from './transfer.js';
@@ -35,7 +36,7 @@
 
 type Job = {
 	assignment: Assignment;
-	/** The digest of the complete file is verified once, the engine's digest after each order. */
+	/** The digest of the complete file is verified before its first order and again if the engine does not hold it after an order. */
 	readonly chunks: FetchedChunks;
 	state: TransferStatus['state'];
 	detail: string;
@@ -128,20 +129,31 @@
 		const outcome = await activate({
 			endpointAddress, order: wanted, isInForce: () => isWanted(job) && job.assignment.fencingNumber === fencingNumber && hasLease(),
 		});
-		if (outcome.type === 'failed') {
-			fail(job, outcome.detail);
-		} else if (outcome.type === 'superseded') {
-			job.state = 'fetching';
-			retry(job);
-		} else if (isWanted(job)) {
-			job.state = 'ready';
-			job.detail = '';
-			ready = {versionId, digest: wanted.digest};
-			logger.event('BP3002', {versionId});
-		} else {
-			// The assignment changed while the engine loaded; the version may be assigned again.
-			job.state = 'fetching';
-		}
+		match(outcome)
+			.with({type: 'failed'}, ({detail}) => {
+				fail(job, detail);
+			})
+			.with({type: 'notLoaded'}, ({detail}) => {
+				job.chunks.discardVerification();
+				fail(job, detail);
+			})
+			.with({type: 'superseded'}, () => {
+				job.state = 'fetching';
+				retry(job);
+			})
+			.with({type: 'active'}, () => {
+				if (!isWanted(job)) {
+					// The assignment changed while the engine loaded; the version may be assigned again.
+					job.state = 'fetching';
+					return;
+				}
+
+				job.state = 'ready';
+				job.detail = '';
+				ready = {versionId, digest: wanted.digest};
+				logger.event('BP3002', {versionId});
+			})
+			.exhaustive();
 	};
 
 	const engineWatch = watchEngine({
--- a/packages/daemon/test/weights.test.ts
+++ b/packages/daemon/test/weights.test.ts
@@ -1,4 +1,4 @@
-import {mkdtemp, rm} from 'node:fs/promises';
+import {mkdtemp, open, rm} from 'node:fs/promises';
 import os from 'node:os';
 import path from 'node:path';
 import {announcementSchema, createCatalog, type Catalog} from '@bitternpaddle/state';
@@ -61,6 +61,54 @@
 	};
 };
 
+const corruptFile = async (filePath: string): Promise<void> => {
+	const file = await open(filePath, 'r+');
+	await file.write(new Uint8Array([99]), 0, 1, 1500);
+	await file.close();
+};
+
+// The disk returns other bytes after the file was verified. The engine restarts
+// and loads them: without another verification, the host would order the same
+// file again and again and never serve.
+t.test('a file that changes after its verification is repaired', {timeout: 30_000}, async t => {
+	const {engine, weights, catalogWith, waitUntilLoaded, firstDigest} = await setUp(t);
+	weights.applyCatalog(catalogWith('m:v1', 1));
+	await waitUntilLoaded('m:v1', firstDigest);
+	await corruptFile(engine.loadedFiles[0]!);
+	engine.restart();
+	await waitUntil('the host notices the restart', () => weights.loaded() === null);
+	await waitUntilLoaded('m:v1', firstDigest);
+	t.pass();
+});
+
+// The file disappears from the path that the engine reads, while the agent still
+// has it open: a verification of the open file would succeed.
+t.test('a file that is removed after its verification is fetched again', {timeout: 30_000}, async t => {
+	const {engine, weights, catalogWith, waitUntilLoaded, firstDigest} = await setUp(t);
+	weights.applyCatalog(catalogWith('m:v1', 1));
+	await waitUntilLoaded('m:v1', firstDigest);
+	await rm(engine.loadedFiles[0]!);
+	engine.restart();
+	await waitUntil('the host notices the restart', () => weights.loaded() === null);
+	await waitUntilLoaded('m:v1', firstDigest);
+	t.pass();
+});
+
+// The file changes between its verification and the engine's read.
+t.test('an engine that reads other bytes than were verified is not used', {timeout: 30_000}, async t => {
+	const {engine, weights, catalogWith, waitUntilLoaded, secondDigest} = await setUp(t);
+	weights.applyCatalog(catalogWith('m:v2', 1));
+	await waitUntilLoaded('m:v2', secondDigest);
+	engine.faults.loadMs = 300;
+	engine.restart();
+	await waitUntil('the order is accepted', () => engine.pendingLoads() === 1);
+	await corruptFile(engine.loadedFiles[0]!);
+	await waitUntil('the engine has read the file', () => engine.loadedFiles.length > 1);
+	t.not(engine.heldDigest(), secondDigest);
+	t.equal(weights.loaded(), null);
+	await waitUntilLoaded('m:v2', secondDigest);
+});
+
 // The lease expires while the engine's status is read. Engines that ignore
 // fencing numbers would obey the order, although another one may be in force.
 t.test('no order is sent once the lease has expired', {timeout: 30_000}, async t => {
--- a/packages/state/src/chunks/chunk-store.ts
+++ b/packages/state/src/chunks/chunk-store.ts
@@ -1,3 +1,4 @@
+import {createReadStream} from 'node:fs';
 import {
 	mkdir, open, readdir, rm,
 } from 'node:fs/promises';
@@ -18,7 +19,7 @@
 	/** Stores the chunk if its digest matches; otherwise returns `false` and leaves the store unchanged. */
 	put(index: number, data: Uint8Array): Promise<boolean>;
 	read(index: number): Promise<Uint8Array>;
-	/** Reads all chunks back and compares their digest with the manifest's `wholeDigest`. */
+	/** Reads the file at `filePath`, as the engine does, and compares its digest with the manifest's `wholeDigest`. */
 	verifyComplete(): Promise<boolean>;
 	close(): Promise<void>;
 	remove(): Promise<void>;
@@ -31,6 +32,7 @@
 };
 
 const fileSuffix = '.weights';
+const readBytes = 1024 * 1024;
 
 const fileNameOf = (manifestId: ManifestId): string => `${manifestId.slice('sha256:'.length)}${fileSuffix}`;
 
@@ -121,8 +123,21 @@
 		},
 		async verifyComplete() {
 			const digest = createPacedDigest();
-			for (let index = 0; index < manifest.chunkDigests.length; index++) {
-				await digest.update(await readRange(index));
+			try {
+				// Not through `file`: that one stays readable after the file has been removed or replaced.
+				for await (const part of createReadStream(filePath, {highWaterMark: readBytes})) {
+					if (isClosed) {
+						throw new Error(`the store of ${manifestId} was closed`);
+					}
+
+					await digest.update(part as Uint8Array);
+				}
+			} catch (error) {
+				if ((error as NodeJS.ErrnoException).code === 'ENOENT') {
+					return false;
+				}
+
+				throw error;
 			}
 
 			return digest.end() === manifest.wholeDigest;
