fix(daemon): an adapter whose file changes after its verification is verified and fetched again

What operators would have seen: a host whose disk returned other bytes of an adapter later ordered its engine to load and unload them each second and never reported the adapter ready again until its agent was restarted. No caller was answered with it: the digest that the engine reported differed.

Cause: as for versions, the file was verified once in the life of the agent, and no mismatch at the engine led to another verification.

Change: an adapter that the engine was ordered to load, on the base that it was made for, and does not hold after its answer, is verified again after the retry delay, and what does not match is fetched again. An order that the engine refused as outdated says nothing about the file.

--- a/packages/daemon/src/agent/adapter-transfers.ts
+++ b/packages/daemon/src/agent/adapter-transfers.ts
@@ -21,6 +21,8 @@
 	applyCatalog(catalog: Catalog, wanted: readonly AdapterRecord[], retained: readonly AdapterRecord[]): void;
 	verified(manifestId: string): VerifiedAdapter | null;
 	updateState(manifestId: string, isReady: boolean, failure: string): void;
+	/** Verifies the adapter's file again, after the engine answered an order but does not hold what was verified. */
+	verifyAgain(manifestId: string, detail: string): void;
 	handleAnnouncement(parameters: ChunkAnnouncement): void;
 	readChunk(manifestId: string, chunk: number): Promise<Uint8Array | null>;
 	statuses(): TransferStatus[];
@@ -193,6 +195,13 @@
 				job.detail = failure;
 			}
 		},
+		verifyAgain(manifestId, detail) {
+			const job = jobs.get(manifestId);
+			if (job?.chunks.isVerified()) {
+				job.chunks.discardVerification();
+				fail(job, detail);
+			}
+		},
 		handleAnnouncement(parameters) {
 			jobs.get(parameters.manifestId)?.chunks.handleAnnouncement(parameters);
 		},
--- a/packages/daemon/src/agent/adapters.ts
+++ b/packages/daemon/src/agent/adapters.ts
@@ -5,7 +5,9 @@
 import {
 	createAdapterTransfers, fleetAdaptersOf, wantedAdaptersOf, type AdapterTransfersOptions,
 } from './adapter-transfers.js';
-import {fetchEngineStatus, sendAdapterOrder, type EngineStatus} from './engine-client.js';
+import {
+	fetchEngineStatus, sendAdapterOrder, type EngineStatus, type LoadOutcome,
+} from './engine-client.js';
 import {createSerialExecutor} from './engine-orders.js';
 import type {LoadedAdapter} from './run-on-endpoint.js';
 import type {LoadedWeights} from './weights.js';
@@ -129,16 +131,23 @@
 		// Stop new requests to surplus adapters first; each is unloaded once no request uses it.
 		setConfirmedAdapters(confirmAdapters(status, before, base));
 		const failures = new Map<string, string>();
+		let ordered: ReadonlySet<AdapterRecord> = new Set();
 		if (hasLease() && canSendOrders()) {
 			await unloadSurplus(status, before, failures);
-			await loadMissing(status, before, base, failures);
+			ordered = await loadMissing(status, before, base, failures);
 			status = await fetchEngineStatus(endpointAddress);
 		}
 
 		const wanted = wantedAdaptersFor(base);
-		setConfirmedAdapters(isBaseUnchanged(base) && isBaseLoaded(status, base) ? confirmAdapters(status, wanted, base) : []);
-		for (const [name, {manifestId}] of wanted) {
-			transfers.updateState(manifestId, confirmedAdapters.some(adapter => adapter.name === name), failures.get(name) ?? '');
+		const isOnBase = isBaseUnchanged(base) && isBaseLoaded(status, base);
+		setConfirmedAdapters(isOnBase ? confirmAdapters(status, wanted, base) : []);
+		for (const [name, record] of wanted) {
+			const {manifestId} = record;
+			const isReady = confirmedAdapters.some(adapter => adapter.name === name);
+			transfers.updateState(manifestId, isReady, failures.get(name) ?? '');
+			if (isOnBase && !isReady && ordered.has(record)) {
+				transfers.verifyAgain(manifestId, failures.get(name) ?? 'the engine does not hold the adapter that was verified');
+			}
 		}
 	};
 
@@ -154,7 +163,9 @@
 		}
 	};
 
-	const loadMissing = async (status: EngineStatus, wanted: WantedAdapters, base: LoadedWeights, failures: Map<string, string>): Promise<void> => {
+	/** Returns the adapters whose orders the engine answered, and did not refuse as outdated. */
+	const loadMissing = async (status: EngineStatus, wanted: WantedAdapters, base: LoadedWeights, failures: Map<string, string>): Promise<ReadonlySet<AdapterRecord>> => {
+		const ordered = new Set<AdapterRecord>();
 		for (const [name, record] of wanted) {
 			const verified = transfers.verified(record.manifestId);
 			const isAlreadyLoaded = status.adapters.some(adapter => adapter.name === name && adapter.digest === verified?.digest);
@@ -162,20 +173,27 @@
 			// Requests that run on an adapter loaded under the same name finish first.
 			const isInUse = referenceCounts.has(name) && status.adapters.some(adapter => adapter.name === name);
 			if (verified !== null && !isAlreadyLoaded && !isInUse && hasLease() && isBaseUnchanged(base) && wantedAdaptersFor(base).get(name) === record) {
-				await sendOrder({
+				const outcome = await sendOrder({
 					type: 'load', name, versionId: base.versionId, baseDigest: base.digest, filePath: verified.filePath, fencingNumber: fencingNumber(),
 				}, failures);
+				if (outcome.type !== 'fenced') {
+					ordered.add(record);
+				}
 			}
 		}
+
+		return ordered;
 	};
 
-	const sendOrder = async (order: Parameters<typeof sendAdapterOrder>[1], failures: Map<string, string>): Promise<void> => {
+	const sendOrder = async (order: Parameters<typeof sendAdapterOrder>[1], failures: Map<string, string>): Promise<LoadOutcome> => {
 		const outcome = await sendAdapterOrder(endpointAddress, order);
 		if (outcome.type !== 'loaded') {
 			const detail = outcome.type === 'fenced' ? 'the engine has received a newer order' : outcome.detail;
 			failures.set(order.name, detail);
 			logger.event('BP3009', {adapter: order.name, order: order.type, detail});
 		}
+
+		return outcome;
 	};
 
 	const scheduleReconcile = (): void => {
--- a/packages/daemon/test/adapters.test.ts
+++ b/packages/daemon/test/adapters.test.ts
@@ -1,4 +1,6 @@
-import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {
+	mkdtemp, open, rm, writeFile,
+} from 'node:fs/promises';
 import os from 'node:os';
 import path from 'node:path';
 import {
@@ -14,7 +16,7 @@
 const onReady = (): undefined => undefined;
 
 /** One host's adapters with an engine that ignores fencing numbers, the base `m:v1` and an order for `tone`. */
-const setUp = async (t: Test) => {
+const setUp = async (t: Test, {engineCheckMs = 600_000}: {engineCheckMs?: number} = {}) => {
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'bitternpaddle-adapters-'));
 	const origin = await createFakeOrigin();
 	const engine = await createFakeEngine({checksFencing: false});
@@ -40,7 +42,7 @@
 	});
 	const adapters = createAdapters({
 		hostId: 'h1', zoneId: 'z', regionId: 'r', folder, sources: {origin: origin.address, store: null}, originCopies: 1, links, selfAddress: () => '127.0.0.1:1',
-		logger: silentLogger, endpointAddress: engine.address, engineCheckMs: 600_000, loaded: () => host.loaded, hasLease: () => host.hasLease, onReady,
+		logger: silentLogger, endpointAddress: engine.address, engineCheckMs, loaded: () => host.loaded, hasLease: () => host.hasLease, onReady,
 	});
 	t.teardown(async () => {
 		await adapters.close();
@@ -115,3 +117,23 @@
 	t.equal(engine.adapterOrders.length, 1);
 	t.not(adapters.acquire(tag), null);
 });
+
+// The disk returns other bytes after the adapter's file was verified, and the
+// engine reads them. No request may use that adapter, and it must be fetched
+// again: otherwise the host would order the same file again and again.
+t.test('an adapter whose file changes after its verification is repaired', {timeout: 30_000}, async t => {
+	const {engine, adapters, catalog, loadBase, sendBaseOrder, tag} = await setUp(t, {engineCheckMs: 50});
+	await sendBaseOrder(loadBase);
+	adapters.applyCatalog(catalog);
+	await waitUntil('the adapter is loaded', () => adapters.readyIds().length === 1);
+	const {digest} = engine.heldAdapters().get(name)!;
+	const file = await open((engine.adapterOrders[0] as {readonly filePath: string}).filePath, 'r+');
+	await file.write(new Uint8Array([99]), 0, 1, 1500);
+	await file.close();
+	engine.dropAdapter(name);
+	await sendBaseOrder(async () => undefined);
+	t.not(engine.heldAdapters().get(name)?.digest, digest, 'the engine has read other bytes');
+	t.equal(adapters.acquire(tag), null);
+	await waitUntil('the adapter is loaded again', () => adapters.readyIds().length === 1, {timeoutMs: 10_000});
+	t.equal(engine.heldAdapters().get(name)?.digest, digest);
+});
