fix(gateway): a fast link or a busy process does not count as congestion

What operators saw: with chunks of 2,048 bytes on a link of 1,000 Mbit/s the agents logged BP4038 with slowMs 0 for nearly every fetch, backed off for 1.5 to 6 s each time, and had a version 16 to 35 s after it was named, or not all of them did. Chunks of 49,152 bytes at 10,000 Mbit/s were no better.

Cause: a fetch counted as slow if it lasted over nine times the transmission time of its bytes (0.15 ms and 0.35 ms there). A fetch also takes the round trips of its connection and request and turns of the event loops of two processes, which do not depend on the link.

Evidence: four agents with the real exchange, HTTP servers and 48 chunks. On the code before, over 70 backoffs in all until a version was complete; the fetches logged took 3 to 81 ms.

Change: a fetch of up to 110 ms is not slow: round trips between regions of up to 10 ms, and two event loops that may each be late by 50 ms, the bound that the stall meter and the time-outs use. A floor alone was not enough: with five runs that start at once on the machine, 9 of 15 and 8 of 10 runs still had a backoff, after fetches of 114 to 499 ms, while their own event loops were late by 40 to 750 ms. So the lateness of the own event loop during a fetch is taken off its duration; it is measured each 10 ms, only while chunks are missing. BP4038 has it as lateMs.

A link that carries a tenth of its 20 Mbit/s, and one of 1,000 Mbit/s at 0.1 Mbit/s, are still found congested; with a floor of 2,000 ms these two tests do not end.

Why it works: the engine's events wait behind chunks for as long as a fetch takes, so fetches under the floor do not harm them, and what the own process loses is no longer taken for the link. For 49,152 bytes at up to 32 Mbit/s the bound is what it was (177 ms at 20 Mbit/s).

No other place in coordination/swarm or daemon compares a duration with the transmission time of bytes: stalls and end-game fetches compare with measured fetches (stalls from 500 ms on), refetches start from 400 ms on.

--- a/packages/gateway/src/agent/weight-exchange.ts
+++ b/packages/gateway/src/agent/weight-exchange.ts
@@ -1,5 +1,5 @@
 import {
-	createTransfer, type FetchOutcome, type Transfer, type TransferCounters, type TransferLinks, type TransferPeer,
+	createTransfer, type FetchOutcome, type Transfer, type TransferCounters, type TransferLinks, type TransferOptions, type TransferPeer,
 } from '@bitternpaddle/daemon/transfer';
 import {
 	createLinkStrain, createProcessStall, hasStalled, isStrained, checkClock, recordFetch, stallCheckIntervalMs, strainBackoffMs, type ChunkSource, type NearOriginFetchers,
@@ -8,6 +8,7 @@
 import type {Logger} from '@bitternpaddle/transport';
 import {createDigestSource} from './digest-source.js';
 import type {EngineClient, OriginClient} from './engine-client.js';
+import {createLoopDelay} from './loop-delay.js';
 import {createStagedWeights, type StagedWeights} from './staged-weights.js';
 import type {LoadGoal} from './version-loader.js';
 
@@ -65,6 +66,14 @@
 const bitsPerMegabit = 1_000_000;
 /** A fetch is slow if it takes more than this many times what the link needs for all concurrent fetches. */
 const slowFetchFactor = 3;
+/**
+ * A fetch that takes no longer is not slow, however small the chunk and fast the link:
+ * the round trips between regions for a connection and a request take up to 10 ms, and
+ * the event loops of both processes may each be late by 50 ms without having stalled.
+ * None of this indicates the link's bandwidth. The engine's events on the same link wait
+ * no longer than a fetch takes.
+ */
+const minSlowFetchMs = 110;
 const tickMs = 60;
 /** Without a chunk for this long, ten times what one takes on a host's link, completion cannot be estimated. */
 const fetchStallMs = 1000;
@@ -81,6 +90,7 @@
 	const {selfAddress, zoneId, regionId, engine, origin, links, logger, peers} = options;
 	const counters: TransferCounters = {originBytes: 0, peerBytes: 0, lastFailure: ''};
 	const linkStrain = createLinkStrain();
+	const loopDelay = createLoopDelay();
 	const processStall = createProcessStall(performance.now());
 	const stallCheckTimer = setInterval(() => {
 		if (checkClock(processStall, performance.now())) {
@@ -112,7 +122,8 @@
 	 * After a process stall, all fetches in progress appear as slow as the stall was
 	 * long. Treated as link congestion, this would make the host back off for seconds;
 	 * if it held the only copy of a chunk, every other host would wait for that long
-	 * to complete the version.
+	 * to complete the version. The time by which the event loop was late is not the
+	 * link's either.
 	 */
 	const recordFetchDuration = (source: ChunkSource, tookMs: number, {profile: {chunkBytes}}: LoadGoal): void => {
 		const nowMs = performance.now();
@@ -120,9 +131,10 @@
 			return;
 		}
 
-		const slowMs = slowFetchFactor * maxFetches * chunkBytes * 1000 / options.linkBytesPerSecond;
-		if (recordFetch(linkStrain, source.type === 'peer' ? source.hostId : 'origin', tookMs > slowMs, nowMs)) {
-			logger.event('BP4038', {tookMs: Math.round(tookMs), slowMs: Math.round(slowMs)});
+		const slowMs = Math.max(minSlowFetchMs, slowFetchFactor * maxFetches * chunkBytes * 1000 / options.linkBytesPerSecond);
+		const lateMs = loopDelay.totalSinceMs(nowMs - tookMs);
+		if (recordFetch(linkStrain, source.type === 'peer' ? source.hostId : 'origin', tookMs - lateMs > slowMs, nowMs)) {
+			logger.event('BP4038', {tookMs: Math.round(tookMs), lateMs: Math.round(lateMs), slowMs: Math.round(slowMs)});
 		}
 	};
 
@@ -152,7 +164,12 @@
 		}
 	};
 
-	const startTransfer = ({goal, opened}: ActiveFetch): Transfer => createTransfer({
+	const startTransfer = ({goal, opened}: ActiveFetch): Transfer => {
+		loopDelay.start();
+		return createTransfer(transferOptions({goal, opened}));
+	};
+
+	const transferOptions = ({goal, opened}: ActiveFetch): TransferOptions => ({
 		store: opened.weights, self: {hostId: selfAddress, zoneId, regionId}, selfAddress: () => selfAddress,
 		sources: {origin: goal.origin.address, store: null}, originCopies: 1, peers: peers(), links, counters, logger, tickMs,
 		swarm: {
@@ -165,6 +182,7 @@
 		},
 		fetchPauseMs: () => strainBackoffMs(linkStrain, performance.now()),
 		onComplete() {
+			loopDelay.stop();
 			logger.event('BP4031', {version: goal.version, originBytes: counters.originBytes, peerBytes: counters.peerBytes});
 		},
 	});
@@ -175,6 +193,7 @@
 			// The rest of the previous version is no longer needed, and its chunks would delay the digests of this one on the links of this host and of the origin.
 			transfer?.close();
 			transfer = null;
+			loopDelay.stop();
 			const opened = findCurrent(goal.profile.model, goal.version) ?? await stageVersion(goal);
 			if (opened === null) {
 				return null;
@@ -214,6 +233,7 @@
 		digests: (model, version) => findCurrent(model, version)?.weights.manifest.chunkDigests.map(digest => digest.slice('sha256:'.length)) ?? null,
 		close() {
 			clearInterval(stallCheckTimer);
+			loopDelay.stop();
 			transfer?.close();
 		},
 	};
--- a/packages/gateway/test/weight-exchange.test.ts
+++ b/packages/gateway/test/weight-exchange.test.ts
@@ -4,6 +4,7 @@
 import t from 'tap';
 import {chunkAnnouncementSchema} from '@bitternpaddle/protocol';
 import {createHttpServer, createRpcServer, silentLogger} from '@bitternpaddle/transport';
+import {blockEventLoop} from './support/weight-agents.js';
 import {
 	createPacedLinks, createWeightExchange, type EngineClient, type LoadGoal, type OriginClient,
 } from '@bitternpaddle/gateway';
@@ -107,14 +108,6 @@
 	t.equal(exchange.missingChunks(), 0);
 });
 
-/** Blocks the event loop. */
-const blockEventLoop = (forMs: number): void => {
-	const untilMs = performance.now() + forMs;
-	while (performance.now() < untilMs) {
-		// Busy wait.
-	}
-};
-
 // The process stalls during a chunk exchange, and its peers mark it as down. When it
 // resumes, it must greet them again, and must not take the fetches that the stall slowed
 // down for link congestion.
