--- a/packages/gateway/test/support/weight-agents.ts
+++ b/packages/gateway/test/support/weight-agents.ts
@@ -74,11 +74,13 @@
 	const {logger, events} = createEventLog();
 	const engine: EngineClient = {
 		state: async () => ({
-			running: 0, queued: 0, pace: 1, isBusy: false, models: [],
+			running: 0, queued: 0, pace: 1, isBusy: false, orderCount: 0, startedAtMs: null, models: [], askedAtMs: performance.now(),
 		}),
 		async putChunk(_, chunk, data) {
 			staged.set(chunk, Buffer.from(data));
+			return 'written';
 		},
+		identity: async () => null,
 		getChunk: async (_, chunk) => staged.get(chunk) ?? null,
 		load: async () => 'begun',
 	};
