fix(gateway): a load report counts from when it was sent

An entry that was suspended reads the reports that lay in its socket meanwhile, and took each for the present state of an engine: one that had ended or was loading looked idle for up to 0.55 s. After the restart of an agent its engine looked as if it were behind a link with a delay of the uptime of the previous agent, for 8 to 16 s.

Cause: a direct report counted as taken when it was read, whatever its path and the entry's own stall had added, and a relayed one from its relay's age alone. The send times of two starts of an agent have different origins, and were compared.

Change: a direct report is as old as its send time says, compared with the fastest recent one; the first one from an agent as old as the entry's last stall allows. A relayed one is older by that stall. The path delay is learned anew from another start of an agent.

Why it works: the difference of the two clocks is constant, so what exceeds the smallest one is the time on the way and in the socket, exactly; a report that was sent just before it is read after a stall is fresh. An engine whose reports take over 0.55 s counts as one without fresh reports: it is placed with that penalty, and its silent attempts fail over earlier.

--- a/packages/coordination/src/placement/path-delay.ts
+++ b/packages/coordination/src/placement/path-delay.ts
@@ -17,8 +17,11 @@
 	minMs: Number.POSITIVE_INFINITY, previousMinMs: Number.POSITIVE_INFINITY, windowStartMs: 0, delayMs: 0,
 });
 
-/** `waitedMs`: how long the message may have waited here before it was read. */
-export const recordPathDelay = (path: PathDelay, sentAtMs: number, receivedAtMs: number, waitedMs = 0): void => {
+/**
+ * Returns how much later the message was read than on an idle path. `waitedMs`: how long it may
+ * have waited here before; taken as the result for the first message, which nothing compares with.
+ */
+export const recordPathDelay = (path: PathDelay, sentAtMs: number, receivedAtMs: number, waitedMs = 0): number => {
 	const differenceMs = receivedAtMs - sentAtMs;
 	if (receivedAtMs - path.windowStartMs > windowMs) {
 		path.previousMinMs = path.minMs;
@@ -26,6 +29,8 @@
 		path.windowStartMs = receivedAtMs;
 	}
 
+	const earlierMinMs = Math.min(path.minMs, path.previousMinMs);
 	path.minMs = Math.min(path.minMs, differenceMs);
 	path.delayMs = Math.max(0, differenceMs - Math.min(path.minMs, path.previousMinMs) - waitedMs);
+	return Number.isFinite(earlierMinMs) ? Math.max(0, differenceMs - earlierMinMs) : waitedMs;
 };
--- a/packages/gateway/src/entry/endpoint-view.ts
+++ b/packages/gateway/src/entry/endpoint-view.ts
@@ -1,5 +1,5 @@
 import {
-	createEndpointHealth, createEndpointLoad, createRegistry, excuseStall, hasFreshReport, recordAnnouncement, isLaterStart, recordPathDelay, pruneRegistry, withdraw,
+	createEndpointHealth, createEndpointLoad, createPathDelay, createRegistry, excuseStall, hasFreshReport, recordAnnouncement, isLaterStart, recordPathDelay, pruneRegistry, withdraw,
 	type AgedAnnouncement, type Announcement, type Candidate,
 } from '@bitternpaddle/coordination';
 import type {LoadReport} from '../load/load-report.js';
@@ -27,7 +27,14 @@
  */
 const silentMs = 7000;
 
-type TrackedEndpoint = Candidate & {announcement: Announcement; readonly firstAnnouncedAtMs: number; lastAnnouncedAtMs: number; isUnreachable: boolean};
+type TrackedEndpoint = Candidate & {
+	announcement: Announcement;
+	readonly firstAnnouncedAtMs: number;
+	lastAnnouncedAtMs: number;
+	isUnreachable: boolean;
+	/** Start of the agent that sent the last report directly; 0 before the first. */
+	agentEpoch: number;
+};
 
 /** Indexes of the endpoints; reports and requests look them up hundreds of times per second. */
 type Lookup = {readonly byAddress: ReadonlyMap<string, readonly TrackedEndpoint[]>; readonly byService: ReadonlyMap<string, readonly TrackedEndpoint[]>};
@@ -62,6 +69,23 @@
 	? lastAnnouncedAtMs - other.lastAnnouncedAtMs < replacedSilenceMs
 	: other.lastAnnouncedAtMs - lastAnnouncedAtMs >= replacedSilenceMs;
 
+/** The age of a report when it is read. Records the delay of its path. */
+const reportAgeMs = (endpoint: TrackedEndpoint, {epoch, delivery}: LoadReport, nowMs: number, waitedMs: number): number => {
+	const {path} = endpoint.load;
+	if (delivery.type === 'relayed') {
+		path.delayMs = delivery.delayMs;
+		return delivery.ageMs + waitedMs;
+	}
+
+	if (endpoint.agentEpoch !== epoch) {
+		// The clock of another start of the agent has another origin.
+		Object.assign(path, createPathDelay());
+		endpoint.agentEpoch = epoch;
+	}
+
+	return recordPathDelay(path, delivery.sentAtMs, nowMs, waitedMs);
+};
+
 export type EndpointViewOptions = {
 	/** Called when another start of an endpoint, or another endpoint, takes over an address. */
 	onRestart(address: string): void;
@@ -106,7 +130,7 @@
 		if (known === undefined || isLaterStart(known.announcement, announcement)) {
 			const isRestart = (current().byAddress.get(announcement.address) ?? noEndpoints).length > 0;
 			tracked.set(id, {
-				announcement, load: createEndpointLoad(), health: createEndpointHealth(), firstAnnouncedAtMs: receivedAtMs, lastAnnouncedAtMs: receivedAtMs, isUnreachable: false,
+				announcement, load: createEndpointLoad(), health: createEndpointHealth(), firstAnnouncedAtMs: receivedAtMs, lastAnnouncedAtMs: receivedAtMs, isUnreachable: false, agentEpoch: 0,
 			});
 			lookup = null;
 			if (isRestart) {
@@ -142,18 +166,18 @@
 				}
 			}
 		},
-		recordReport({endpointAddress, report, delivery}, nowMs, waitedMs = 0) {
+		recordReport(received, nowMs, waitedMs = 0) {
+			const {endpointAddress, report} = received;
 			for (const endpoint of current().byAddress.get(endpointAddress) ?? noEndpoints) {
 				const {load} = endpoint;
-				if (delivery.type === 'direct') {
-					recordPathDelay(load.path, delivery.sentAtMs, nowMs, waitedMs);
+				const sentAtMs = nowMs - reportAgeMs(endpoint, received, nowMs, waitedMs);
+				endpoint.isUnreachable = report === null;
+				if (report === null) {
+					load.reportedAtMs = Number.NEGATIVE_INFINITY;
 				} else {
-					load.path.delayMs = delivery.delayMs;
+					load.report = report;
+					load.reportedAtMs = sentAtMs;
 				}
-
-				endpoint.isUnreachable = report === null;
-				load.report = report ?? load.report;
-				load.reportedAtMs = report === null ? Number.NEGATIVE_INFINITY : nowMs - (delivery.type === 'direct' ? 0 : delivery.ageMs);
 			}
 		},
 		pathDelayMs: address => current().byAddress.get(address)?.[0]?.load.path.delayMs ?? 0,
--- a/packages/gateway/test/endpoint-view.test.ts
+++ b/packages/gateway/test/endpoint-view.test.ts
@@ -6,6 +6,8 @@
 	id, serviceName: 's', address: '10.0.0.1:80', zoneId: 'z', slots: 4, state: 'ready', models: [], startedAtMs: 0, sequence: 1, ageMs: 0, ...change,
 });
 
+type ReportFields = {readonly sentAtMs?: number; /** @default 0 */ readonly waitedMs?: number; readonly epoch?: number};
+
 const create = () => {
 	const restarts: string[] = [];
 	const view = createEndpointView({
@@ -16,14 +18,17 @@
 	const report = {
 		running: 0, queued: 0, pace: 1, isBusy: false, isStrained: false, version: 1, readyInMs: null,
 	};
-	const receiveReport = (nowMs: number): void => {
+	const receiveReport = (nowMs: number, fields: ReportFields = {}): void => {
+		const {sentAtMs = nowMs, waitedMs = 0, epoch = 1} = fields;
 		view.recordReport({
-			epoch: 1, sequence: 1, endpointAddress: '10.0.0.1:80', report, delivery: {type: 'direct', sentAtMs: nowMs},
-		}, nowMs);
+			epoch, sequence: 1, endpointAddress: '10.0.0.1:80', report, delivery: {type: 'direct', sentAtMs},
+		}, nowMs, waitedMs);
 	};
 
 	return {
-		view, restarts, receiveReport, usable: (nowMs: number, serviceName = 's') => view.candidates(serviceName, nowMs).map(({announcement: {id}}) => id),
+		view, restarts, receiveReport,
+		loadOf: (nowMs: number) => view.candidates('s', nowMs)[0]!.load,
+		usable: (nowMs: number, serviceName = 's') => view.candidates(serviceName, nowMs).map(({announcement: {id}}) => id),
 	};
 };
 
@@ -64,3 +69,32 @@
 	receiveReport(8000);
 	t.same(usable(8000), ['runs']);
 });
+
+// Guards against taking a report that lay in the socket of a suspended entry for the present state of an engine.
+t.test('a report counts from when it was sent, not from when it was read', async t => {
+	const {view, receiveReport, loadOf} = create();
+	view.recordAnnouncements([announced('e')], 0);
+	receiveReport(1000, {sentAtMs: 50, waitedMs: 300});
+	t.equal(loadOf(1000).reportedAtMs, 700, 'the first one may have waited');
+	receiveReport(1100, {sentAtMs: 150});
+	t.equal(loadOf(1100).reportedAtMs, 1100);
+	receiveReport(4000, {sentAtMs: 250, waitedMs: 2800});
+	t.equal(loadOf(4000).reportedAtMs, 1200, 'read after a suspension');
+	receiveReport(4000, {sentAtMs: 3050, waitedMs: 2800});
+	t.equal(loadOf(4000).reportedAtMs, 4000, 'sent just before it was read');
+	receiveReport(4900, {sentAtMs: 3250});
+	t.equal(loadOf(4900).reportedAtMs, 4200, 'delayed on the way');
+	view.recordReport({
+		epoch: 1, sequence: 1, endpointAddress: '10.0.0.1:80', report: loadOf(4900).report, delivery: {type: 'relayed', ageMs: 120, delayMs: 0},
+	}, 5000, 400);
+	t.equal(loadOf(5000).reportedAtMs, 4480);
+});
+
+// Guards against an engine that appears to be behind a slow link for 16 s after its agent has restarted.
+t.test('the clock of another start of an agent is not compared with that of the previous one', async t => {
+	const {view, receiveReport, loadOf} = create();
+	view.recordAnnouncements([announced('e')], 0);
+	receiveReport(1000, {sentAtMs: 500_000});
+	receiveReport(1200, {sentAtMs: 100, epoch: 2});
+	t.same([loadOf(1200).path.delayMs, loadOf(1200).reportedAtMs], [0, 1200]);
+});
