fix(gateway): requests go only to engines whose weights were shown to be whole

What callers saw: answers with status 200 that were made with spoilt weights (docs/incidents/spoilt-weights.md), and nothing that told.

Cause, at the entries: an entry took the version that an agent's report or, without a fresh report, the engine's own announcement named as fit to serve. Nobody had shown that the engine holds that version whole. A request named the version only when another one was due, so that it also ran on whatever the engine held by the time it arrived.

Change: - A report says what was shown of the weights (`WeightsProof`) in place of the version: unknown, none, or a version that is whole at one start of the engine. - An entry keeps the proven version of each start of an endpoint. An agent that does not know yet, or that is silent, leaves it as it is; another start begins without one, and the end of a start voids it for requests under way. - Placement uses this version alone, so that no retry, hedge, resumed stream or last resort reaches an engine without it. An endpoint whose id may return needs a fresh report in addition. - Every request to an engine names the version. It is compared again when the connection is ready, in the event in which the head is written; if it has changed, nothing is sent and the request is placed again (BP4055, `weights`). - A 421 to a request that named the version voids the proof; reports that were sent before it do not restore it. It no longer puts the endpoint into backoff at once, as an engine that has switched is fit again with the next report; a second one for the same version does.

Why it works: what an engine runs has been named, and the engine refuses anything else itself (421, not run, sent elsewhere within maxAttempts and the retry budget). So a proof need not be fresh to be safe, and a silent agent takes no engine out of service.

Stand-ins for agents report proofs with the id of their engine.

--- a/packages/bench/src/fleet-cost/fleet.ts
+++ b/packages/bench/src/fleet-cost/fleet.ts
@@ -36,6 +36,8 @@
 
 const endpointAddressOf = (index: number): string => `127.1.${Math.floor(index / 200)}.${1 + (index % 200)}:${endpointPort}`;
 
+const engineIdOf = (index: number): string => `engine-${index}`;
+
 const followersOf = (engineCount: number): Follower[] => [
 	...Array.from({length: engineCount}, (_, index): Follower => ({
 		role: 'agent', address: `127.2.${Math.floor(index / 200)}.${1 + (index % 200)}:7700`, zoneId: zoneOf(index), regionId: zoneOf(index),
@@ -48,7 +50,7 @@
 
 const announcementsOf = (engineCount: number, sequence: number): WatchResult['announcements'] => Array.from({length: engineCount}, (_, index) => ({
 
-	id: `engine-${index}`, serviceName, address: endpointAddressOf(index), zoneId: zoneOf(index), slots, state: 'ready', models: [{model: 'm', version: 1}], startedAtMs: 0, sequence, ageMs: 5,
+	id: engineIdOf(index), serviceName, address: endpointAddressOf(index), zoneId: zoneOf(index), slots, state: 'ready', models: [{model: 'm', version: 1}], startedAtMs: 0, sequence, ageMs: 5,
 }));
 
 /** Starts core hosts that report `engineCount` engines, and the roster of all followers, to an entry or an agent. */
@@ -90,7 +92,10 @@
 	let sequence = 0;
 	const reportOf = (index: number, delivery: ReportDelivery): LoadReport => ({
 		epoch: 1, sequence, endpointAddress: endpointAddressOf(index), delivery, report: {
-			running: (sequence + index) % slots, queued: 0, pace: 1, isBusy: false, isStrained: false, version: 1, readyInMs: null,
+			running: (sequence + index) % slots, queued: 0, pace: 1, isBusy: false, isStrained: false, readyInMs: null,
+			weights: {
+				type: 'whole', version: 1, engineId: engineIdOf(index), startedAtMs: null,
+			},
 		},
 	});
 	const indexes = Array.from({length: engineCount}, (_, index) => index);
--- a/packages/bench/src/placement/policies.ts
+++ b/packages/bench/src/placement/policies.ts
@@ -63,7 +63,7 @@
 /** Sends each request to a serving candidate, regardless of the time to the first token that is expected of it. */
 const sendTo = (choose: Choose): EntryPolicy => withStep((demand, context, request) => {
 	const {candidates, nowMs} = context;
-	const serving = candidates.filter(({load}) => hasFreshReport(load, nowMs) && load.report!.version !== null && !load.report!.isBusy);
+	const serving = candidates.filter(({load}) => hasFreshReport(load, nowMs) && load.wholeVersion !== null && !load.report!.isBusy);
 	return serving.length === 0
 		? nextStep(demand, context, request)
 		: {type: 'send', placement: {candidate: choose(serving, context), expectedMs: 0, lagMs: 0}};
--- a/packages/coordination/src/placement/endpoint-load.ts
+++ b/packages/coordination/src/placement/endpoint-load.ts
@@ -2,6 +2,18 @@
 import type {LearnedTime} from './plain-model.js';
 import type {AgedFigure} from './slowdown.js';
 
+/**
+ * What the agent on an engine's host has shown about the weights that the engine serves.
+ * `unknown`: the agent does not know yet, as after its own start; what it reported before still holds.
+ * `none`: the engine has no weights, or none that were shown to be whole.
+ * `whole`: `engineId` and `startedAtMs` are the id and the start that the engine announces, for which
+ * it was shown; `null` where the engine does not state it.
+ */
+export type WeightsProof
+	= | {readonly type: 'unknown'}
+		| {readonly type: 'none'}
+		| {readonly type: 'whole'; readonly version: number; readonly engineId: string | null; readonly startedAtMs: number | null};
+
 /** The state of an engine, as reported by the agent on its host. */
 export type EngineReport = {
 	/** Requests in prefill or decoding. */
@@ -13,8 +25,7 @@
 	readonly isBusy: boolean;
 	/** The link of its host has recently been too slow for the required traffic. */
 	readonly isStrained: boolean;
-	/** The version of the weights that it serves; `null` while it holds no complete version. */
-	readonly version: number | null;
+	readonly weights: WeightsProof;
 	/** Estimated time until it serves the wanted version; `null` if it already does or the time is unknown. */
 	readonly readyInMs: number | null;
 };
@@ -34,7 +45,12 @@
 /** What an entry knows about the load of one endpoint. */
 export type EndpointLoad = {
 	report: EngineReport | null;
+	/** When the last report was sent, as far as known. */
 	reportedAtMs: number;
+	/** The version of the weights that this start of the endpoint was shown to hold whole; `null` if none was. */
+	wholeVersion: number | null;
+	/** The last version that was proven and then refused by the endpoint; reports sent before the refusal prove nothing. `null` if there was none. */
+	disproof: {readonly version: number; readonly atMs: number} | null;
 	/** Delay on the path from the endpoint's host, measured by its reports. */
 	readonly path: PathDelay;
 	/** Requests of this entry that are in progress. */
@@ -68,7 +84,7 @@
 };
 
 export const createEndpointLoad = (): EndpointLoad => ({
-	report: null, reportedAtMs: Number.NEGATIVE_INFINITY, path: createPathDelay(), outstanding: 0, awaiting: new Map(), advertisedLoad: null, lagMs: 0, lagAtMs: 0,
+	report: null, reportedAtMs: Number.NEGATIVE_INFINITY, wholeVersion: null, disproof: null, path: createPathDelay(), outstanding: 0, awaiting: new Map(), advertisedLoad: null, lagMs: 0, lagAtMs: 0,
 	slowdown: null, active: null, learned: null, refusal: null,
 	pausedUntilMs: Number.NEGATIVE_INFINITY, isLeaving: false,
 });
--- a/packages/coordination/src/placement/place-request.ts
+++ b/packages/coordination/src/placement/place-request.ts
@@ -64,10 +64,18 @@
 /** An advertised load is used for this long. */
 const maxAdvertisedAgeMs = 300;
 
-/** The version that an endpoint serves, from its host's report if fresh, otherwise from its announcement. */
-export const versionOf = ({announcement, load}: Candidate, profile: EngineProfile, nowMs: number): number | null => hasFreshReport(load, nowMs)
-	? load.report!.version
-	: announcement.models.find(({model}) => model === profile.model)?.version ?? null;
+/** Whether the next start of an endpoint may announce the same id. */
+const mayReuseId = ({startedAtMs}: Announcement): boolean => startedAtMs > 0;
+
+/**
+ * The version that an endpoint was shown to hold whole; `null` if none was. Every request names
+ * this version and the endpoint's id, and an endpoint that holds or is another refuses it:
+ * what was shown stays valid without a fresh report. Starts with the same id cannot be told
+ * apart by a request, so a report must be fresh there.
+ */
+export const versionOf = ({announcement, load}: Candidate, nowMs: number): number | null => mayReuseId(announcement) && !hasFreshReport(load, nowMs)
+	? null
+	: load.wholeVersion;
 
 const plainExpectedMs = ({announcement: {slots}, load}: Candidate, nowMs: number): number => {
 	const advertised = load.advertisedLoad !== null && nowMs - load.advertisedLoad.atMs < maxAdvertisedAgeMs ? load.advertisedLoad.active : 0;
@@ -87,13 +95,13 @@
 const isLoading = ({load}: Candidate, nowMs: number): boolean => hasFreshReport(load, nowMs) && load.report!.isBusy;
 
 /** A candidate with the estimates that all steps of a placement use, computed once. */
-type AssessedCandidate = {readonly candidate: Candidate; readonly expectedMs: number; /** `null` for a plain service, or if no version is held. */ readonly version: number | null};
+type AssessedCandidate = {readonly candidate: Candidate; readonly expectedMs: number; /** `null` for a plain service, or if no version was shown to be whole. */ readonly version: number | null};
 
 const isEligible = ({announcement: {id, state}, load: {isLeaving}}: Candidate, {excludedIds}: PlaceOptions): boolean => state === 'ready' && !isLeaving && !excludedIds.has(id);
 
 const assess = (candidate: Candidate, options: PlaceOptions): AssessedCandidate => {
 	const {profile, nowMs} = options;
-	return {candidate, expectedMs: expectedMsOf(candidate, options), version: profile === null ? null : versionOf(candidate, profile, nowMs)};
+	return {candidate, expectedMs: expectedMsOf(candidate, options), version: profile === null ? null : versionOf(candidate, nowMs)};
 };
 
 const canServe = ({candidate, expectedMs, version}: AssessedCandidate, {profile, dues, nowMs}: PlaceOptions, isSwitched: boolean): boolean => {
@@ -131,7 +139,7 @@
 		return placeUnevenPlain(options);
 	}
 
-	const isSwitched = profile !== null && dues.length > 0 && isMostlySwitched(candidates.map(candidate => versionOf(candidate, profile, nowMs)), dues);
+	const isSwitched = profile !== null && dues.length > 0 && isMostlySwitched(candidates.map(candidate => versionOf(candidate, nowMs)), dues);
 	const usable = candidates.filter(candidate => isEligible(candidate, options))
 		.map(candidate => assess(candidate, options))
 		.filter(assessed => canServe(assessed, options, isSwitched));
--- a/packages/coordination/src/placement/priority-room.ts
+++ b/packages/coordination/src/placement/priority-room.ts
@@ -156,7 +156,7 @@
 const idleShare = 0.5;
 
 const isServing = ({announcement: {state}, load}: Candidate, nowMs: number): boolean => state === 'ready' && !load.isLeaving && hasFreshReport(load, nowMs)
-	&& load.report!.version !== null && !load.report!.isBusy;
+	&& load.wholeVersion !== null && !load.report!.isBusy;
 
 /** Whether engines have so much free capacity that nothing may be refused for load. Requests that other entries have sent since the reports count as well. */
 export const hasIdleEngines = (candidates: readonly Candidate[], othersPerSecond: number, nowMs: number): boolean => {
--- a/packages/coordination/test/availability.test.ts
+++ b/packages/coordination/test/availability.test.ts
@@ -17,8 +17,8 @@
 		id, serviceName: 's', address: `${id}:80`, zoneId: 'z1', slots: 16, state: 'ready', models: [{model: 'm', version: 1}], startedAtMs: 0, sequence: 1,
 	},
 	load: {
-		...createEndpointLoad(), reportedAtMs: 1000, report: {
-			running, queued: 0, pace: 1, isBusy: false, isStrained: false, version: 1, readyInMs: null,
+		...createEndpointLoad(), wholeVersion: 1, reportedAtMs: 1000, report: {
+			running, queued: 0, pace: 1, isBusy: false, isStrained: false, weights: {type: 'unknown'}, readyInMs: null,
 		},
 	},
 	health: createEndpointHealth(),
--- a/packages/coordination/test/placement.test.ts
+++ b/packages/coordination/test/placement.test.ts
@@ -13,14 +13,18 @@
 };
 
 const report = (fields: Partial<EngineReport> = {}): EngineReport => ({
-	running: 0, queued: 0, pace: 1, isBusy: false, isStrained: false, version: 1, readyInMs: null, ...fields,
+	running: 0, queued: 0, pace: 1, isBusy: false, isStrained: false, weights: {type: 'unknown'}, readyInMs: null, ...fields,
 });
 
-const engine = (id: string, fields: Partial<EngineReport> = {}, zoneId = 'z1'): Candidate => ({
+type EngineFields = Partial<EngineReport> & {readonly wholeVersion?: number | null};
+
+const engine = (id: string, {wholeVersion = 1, ...fields}: EngineFields = {}, zoneId = 'z1'): Candidate => ({
 	announcement: {
 		id, serviceName: 's', address: `${id}:80`, zoneId, slots: 16, state: 'ready', models: [{model: 'm', version: 1}], startedAtMs: 0, sequence: 1,
 	},
-	load: {...createEndpointLoad(), report: report(fields), reportedAtMs: 1000},
+	load: {
+		...createEndpointLoad(), report: report(fields), wholeVersion, reportedAtMs: 1000,
+	},
 	health: createEndpointHealth(),
 });
 
@@ -67,12 +71,23 @@
 
 t.test('an engine that is loading, draining or holds old weights is not chosen', async t => {
 	t.equal(place([engine('a', {isBusy: true})]), undefined);
-	t.equal(place([engine('a', {version: null})]), undefined);
-	t.equal(place([engine('a', {version: 1})], {dues: [{version: 2, dueAtMs: 1000}]}), undefined);
+	t.equal(place([engine('a', {wholeVersion: null})]), undefined);
+	t.equal(place([engine('a', {wholeVersion: 1})], {dues: [{version: 2, dueAtMs: 1000}]}), undefined);
 	const draining = engine('a');
 	t.equal(place([{...draining, announcement: {...draining.announcement, state: 'draining'}}]), undefined);
 });
 
+// Guards against answers made with weights that nobody has checked: as a last resort, an endpoint in backoff is used, one without whole weights is not.
+t.test('an engine whose weights were not shown to be whole is not chosen, even if all others are in backoff', async t => {
+	const failing = engine('failing');
+	failing.health.backoffUntilMs = 5000;
+	t.equal(place([engine('unproven', {wholeVersion: null}), failing]), 'failing');
+	t.equal(place([engine('unproven', {wholeVersion: null}), failing], {isBegun: true}), 'failing', 'nor for a stream that is resumed');
+	t.equal(place([engine('unproven', {wholeVersion: null}), failing], {excludedIds: new Set(['failing'])}), undefined);
+	const unreported = engine('unreported', {wholeVersion: null});
+	t.equal(place([{...unreported, load: {...unreported.load, reportedAtMs: Number.NEGATIVE_INFINITY}}]), undefined, 'nor for the version that it announces');
+});
+
 // Guards against starting requests on old weights after the new ones are due. A
 // request sent over a slow link in the last second before that arrives too late, is
 // started on the old weights and cannot be recalled.
@@ -83,7 +98,7 @@
 	const fastLink = [engine('old', {running: 2})];
 	t.equal(place(fastLink, {dues: [{version: 2, dueAtMs: 1050 + 1500}]}), 'old', 'over a link of full bandwidth, requests are sent until shortly before');
 	t.equal(place(fastLink, {dues: [{version: 2, dueAtMs: 1050 + 300}]}), undefined);
-	const last = [engine('old', {running: 0}), engine('new', {running: 15, version: 2}), engine('newer', {running: 15, version: 2})];
+	const last = [engine('old', {running: 0}), engine('new', {running: 15, wholeVersion: 2}), engine('newer', {running: 15, wholeVersion: 2})];
 	t.not(place(last, {dues: [{version: 2, dueAtMs: 1050 + 1500}]}), 'old', 'nor to one of the last engines to switch');
 });
 
@@ -91,7 +106,7 @@
 // after an engine switched to a new version, the next engine must not be about to
 // switch as well.
 t.test('an interrupted stream continues on an engine that already serves the new version', async t => {
-	const candidates = [engine('old', {running: 2}), engine('new', {running: 14, version: 2})];
+	const candidates = [engine('old', {running: 2}), engine('new', {running: 14, wholeVersion: 2})];
 	const dues = [{version: 2, dueAtMs: 9000}];
 	t.equal(place(candidates, {dues}), 'old');
 	t.equal(place(candidates, {dues, isBegun: true}), 'new');
--- a/packages/coordination/test/priority-room.test.ts
+++ b/packages/coordination/test/priority-room.test.ts
@@ -168,8 +168,8 @@
 		id: 'e', serviceName: 's', address: 'e:80', zoneId: 'z', slots: 12, state: 'ready', models: [], startedAtMs: 0, sequence: 1,
 	},
 	load: {
-		...createEndpointLoad(), reportedAtMs: 900, report: {
-			running, queued, pace: 1, isBusy: false, isStrained: false, version: 1, readyInMs: null,
+		...createEndpointLoad(), wholeVersion: 1, reportedAtMs: 900, report: {
+			running, queued, pace: 1, isBusy: false, isStrained: false, weights: {type: 'unknown'}, readyInMs: null,
 		},
 	},
 	health: createEndpointHealth(),
--- a/packages/coordination/test/uneven-endpoints.test.ts
+++ b/packages/coordination/test/uneven-endpoints.test.ts
@@ -2,7 +2,7 @@
 import t from 'tap';
 import {
 	choosePlain, createArrivalRate, createEndpointHealth, createEndpointLoad, createObjectiveMix, createRandom, createSpareCapacity, demandOf, learnPlainTime, nextStep, placeRequest,
-	plainLatenessMs, recordActive, recordSlowdown, slowdownAt, spreadRequests, type Candidate, type EndpointLoad, type PlacementContext, type AgedFigure, type UnplacedRequest,
+	plainLatenessMs, recordActive, recordSlowdown, slowdownAt, spreadRequests, type Candidate, type EngineReport, type EndpointLoad, type PlacementContext, type AgedFigure, type UnplacedRequest,
 } from '@bitternpaddle/coordination';
 
 const nowMs = 10_000;
@@ -189,8 +189,8 @@
 });
 
 t.test('a figure that is newer than the report replaces the pace of an engine, an older one does not', async t => {
-	const report = {
-		running: 4, queued: 0, pace: 1.2, isBusy: false, isStrained: false, version: 1, readyInMs: null,
+	const report: EngineReport = {
+		running: 4, queued: 0, pace: 1.2, isBusy: false, isStrained: false, weights: {type: 'unknown'}, readyInMs: null,
 	};
 	const profile: EngineProfile = {
 		slots: 16, stepsPerPass: 6, stepMs: 7.4, perSequenceMs: 0.04, contextMsPerThousand: 0.02, readTokensPerSecond: 32_000, usualPromptTokens: 973, usualAnswerTokens: 106,
--- a/packages/coordination/test/wait-for-engine.test.ts
+++ b/packages/coordination/test/wait-for-engine.test.ts
@@ -49,7 +49,7 @@
 		},
 		load: {
 			...createEndpointLoad(), reportedAtMs, report: {
-				running: 0, queued: 0, pace: 1, isBusy: false, isStrained: false, version: null, readyInMs,
+				running: 0, queued: 0, pace: 1, isBusy: false, isStrained: false, weights: {type: 'none'}, readyInMs,
 			},
 		},
 		health: createEndpointHealth(),
--- a/packages/coordination/test/zone-demand.test.ts
+++ b/packages/coordination/test/zone-demand.test.ts
@@ -13,8 +13,8 @@
 		id: `e${index}`, serviceName: 's', address: `10.0.0.${index}:80`, zoneId: zoneIds[index % 3]!, slots: 12, state: 'ready', models: [{model: 'm', version: 1}], startedAtMs: 0, sequence: 1,
 	},
 	load: {
-		...createEndpointLoad(), reportedAtMs: nowMs - 300, report: {
-			running: 0, queued: 0, pace: 1, isBusy: false, isStrained: false, version: 1, readyInMs: null,
+		...createEndpointLoad(), wholeVersion: 1, reportedAtMs: nowMs - 300, report: {
+			running: 0, queued: 0, pace: 1, isBusy: false, isStrained: false, weights: {type: 'unknown'}, readyInMs: null,
 		},
 	},
 	health: createEndpointHealth(),
--- a/packages/gateway/src/agent/agent-node.ts
+++ b/packages/gateway/src/agent/agent-node.ts
@@ -1,5 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import type {Clock, EngineReport} from '@bitternpaddle/coordination';
+import {isDeepStrictEqual} from 'node:util';
+import type {Clock, EngineReport, WeightsProof} from '@bitternpaddle/coordination';
 import {
 	chunksPrefix, createUploadServer, retryAfterMsHeader, type TransferPeer,
 } from '@bitternpaddle/daemon/transfer';
@@ -144,16 +145,25 @@
 		return Math.round(loadMs + (fetchTimeFactor * missing * chunkBytes * 1000 / linkBytesPerSecond));
 	};
 
+	const weightsProof = (): WeightsProof => {
+		const version = servedVersion();
+		return version === null
+			? {type: 'none'}
+			: {
+				type: 'whole', version, engineId: null, startedAtMs: null,
+			};
+	};
+
 	const reportOf = (polled: EngineState): EngineReport => ({
 		running: polled.running, queued: polled.queued, pace: polled.pace, isBusy: polled.isBusy || isLeavingService, isStrained: exchange.isStrained(),
-		version: servedVersion(), readyInMs: readyInMs(),
+		weights: weightsProof(), readyInMs: readyInMs(),
 	});
 
 	const report = (): void => {
 		const message = state === null ? null : reportOf(state);
 		const text = JSON.stringify(message);
 		const nowMs = performance.now();
-		const hasStateChange = message?.isBusy !== sentReport?.isBusy || message?.version !== sentReport?.version || (message === null) !== (sentReport === null);
+		const hasStateChange = message?.isBusy !== sentReport?.isBusy || !isDeepStrictEqual(message?.weights, sentReport?.weights) || (message === null) !== (sentReport === null);
 		if (text !== sentReportText || nowMs - reportSentAtMs >= resendIntervalMs) {
 			sentReportText = text;
 			sentReport = message;
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -22,6 +22,9 @@
 /** Whether an answer has a body, which its end may cut. */
 export const hasBody = (method: string | undefined, status: number): boolean => method !== 'HEAD' && !bodilessStatuses.has(status);
 
+/** Why nothing was sent: a rule on zones or regions, or `weights`: the engine is no longer shown to hold the version that the request names. */
+export type SendExclusion = Exclusion | 'weights';
+
 export type AttemptOptions = {
 	readonly connections: EndpointConnections;
 	readonly headerNames: HeaderNames;
@@ -30,6 +33,8 @@
 	readonly path: string;
 	readonly headers: http.OutgoingHttpHeaders;
 	readonly requestId: string;
+	/** The version of the weights that `headers` name. @default null */
+	readonly requestedVersion?: number | null;
 	readonly body: Buffer | null;
 	readonly requiresFreshConnection: boolean;
 	/** How long the endpoint may send nothing before the attempt fails. */
@@ -45,8 +50,8 @@
 	endsInChunk?(): boolean;
 	/** Whether the endpoint is expected to exit, so that its exit behind an answer doesn't tell that the answer is incomplete. @default it is not */
 	isExitExpected?(): boolean;
-	/** Why the request must not be sent to the endpoint now; `null` if it may be. Called when the connection is ready, because the rules may change while it is established. */
-	exclusion(): Exclusion | null;
+	/** Why the request must not be sent to the endpoint now; `null` if it may be. Called when the connection is ready, because the rules and the endpoint's weights may change while it is established. */
+	exclusion(): SendExclusion | null;
 	/** Called when the head of an answer to this request arrives, also if it is a refusal. */
 	onHead(head: AnswerHead): void;
 	/** Called when the first byte of an answer arrives that is not a refusal. */
@@ -86,7 +91,7 @@
 export type AttemptResult
 	= | {readonly type: 'answered'; readonly head: AnswerHead; readonly body: Buffer; /** Time since the answer began. */ readonly answeringMs: number}
 		| {readonly type: 'streamed'; readonly head: AnswerHead; readonly answeringMs: number}
-		| {readonly type: 'refused'; readonly head: AnswerHead}
+		| {readonly type: 'refused'; readonly head: AnswerHead; readonly requestedVersion: number | null}
 		| {readonly type: 'unsent'; readonly reason: string; /** The host is reachable, but nothing listens on the port. */ readonly isRefused: boolean}
 		| {
 			readonly type: 'broken'; readonly cause: FailureCause; readonly reason: string; readonly stage: AnswerStage;
@@ -96,7 +101,7 @@
 			readonly oversize: Oversize | null;
 		}
 		/** Nothing was sent, because the request must not be sent to this endpoint any more. */
-		| {readonly type: 'excluded'; readonly exclusion: Exclusion}
+		| {readonly type: 'excluded'; readonly exclusion: SendExclusion}
 		| {readonly type: 'aborted'; readonly hasEvents: boolean};
 
 /** Ten times the one-way latency between regions; a lost SYN packet is retransmitted only after 1 s. */
@@ -119,7 +124,7 @@
 /** Sends a request to one endpoint and reads its answer to the end. */
 export const sendAttempt = async (options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
 	const {
-		connections, headerNames, address, method, path, headers, requestId, body, requiresFreshConnection, limits, beginWithinMs, signal,
+		connections, headerNames, address, method, path, headers, requestId, requestedVersion = null, body, requiresFreshConnection, limits, beginWithinMs, signal,
 		maxStreamBytes = readLimits.answer, answerBudget = unlimitedAnswers, exclusion, endsInChunk = () => false, isExitExpected = () => false, onHead, onFirstByte, onEvents, onProgress,
 	} = options;
 	/** All events may have been sent before, so that none is left. */
@@ -305,7 +310,7 @@
 		}
 
 		if (isRefused) {
-			settle({type: 'refused', head});
+			settle({type: 'refused', head, requestedVersion});
 			discardBody(response);
 		} else if (head.status === 200 && isEventStream(response)) {
 			followEvents(response, head);
--- a/packages/gateway/src/entry/call-headers.ts
+++ b/packages/gateway/src/entry/call-headers.ts
@@ -8,9 +8,6 @@
 import {requestHeaders} from './forwarded-headers.js';
 import type {Call} from './gateway-call.js';
 
-/** How long before a version is due requests name the version that they expect. */
-const dueSoonMs = 500;
-
 const callUrgency = ({objectives, nowMs}: CallContext, call: Call, profile: EngineProfile): number => {
 	const {route, team, service, hasComeBack, promptTokens} = call;
 	return urgencyOf({
@@ -23,18 +20,22 @@
 
 export const versionDuesOf = ({dues}: CallContext, {service: {engine}}: Call): readonly VersionDue[] => engine === null ? noDues : dues(engine.model);
 
-/** The version that the selected engine is known to have loaded. */
-export const loadedVersion = ({nowMs}: CallContext, {service: {engine}}: Call, candidate: Candidate): number | null => engine === null ? null : versionOf(candidate, engine, nowMs());
+/**
+ * The version to name in a request to the selected engine: the one that this start of it was
+ * shown to hold whole. An engine that holds anything else by the time that the request
+ * arrives refuses it. `null` for a plain service, or if no version is shown any more.
+ */
+export const requestedVersion = ({nowMs}: CallContext, {service: {engine}}: Call, candidate: Candidate): number | null => engine === null ? null : versionOf(candidate, nowMs());
 
-/** The version to name in the request; only set once requests may no longer start on older versions, because an engine may switch versions while a request is in transit. */
-export const requestedVersion = (context: CallContext, call: Call, candidate: Candidate): number | null => {
-	const now = context.nowMs();
-	const isDue = versionDuesOf(context, call).some(({dueAtMs}) => dueAtMs < now + dueSoonMs);
-	return isDue ? loadedVersion(context, call, candidate) : null;
-};
+/** The endpoint selected for a request, and the version to name in the request. */
+export type EndpointTarget = {readonly candidate: Candidate; readonly version: number | null};
+
+/** Whether a request that names `version` must not be sent: the engine is no longer shown to hold it. */
+export const isUnproven = (context: CallContext, call: Call, {candidate, version}: EndpointTarget): boolean => call.service.engine !== null
+	&& (version === null || requestedVersion(context, call, candidate) !== version);
 
 /** The headers sent to the selected endpoint. */
-export const endpointHeaders = (context: CallContext, call: Call, progress: CallProgress, candidate: Candidate): http.OutgoingHttpHeaders => {
+export const endpointHeaders = (context: CallContext, call: Call, progress: CallProgress, {candidate, version}: EndpointTarget): http.OutgoingHttpHeaders => {
 	const {protocol: {headers: names}, nowMs} = context;
 	const {announcement} = candidate;
 	const headers = requestHeaders(call.request.headers, names);
@@ -48,7 +49,6 @@
 		headers[names.urgency] = String(callUrgency(context, call, call.service.engine));
 	}
 
-	const version = requestedVersion(context, call, candidate);
 	if (version !== null) {
 		headers[names.expectedVersion] = String(version);
 	}
--- a/packages/gateway/src/entry/endpoint-view.ts
+++ b/packages/gateway/src/entry/endpoint-view.ts
@@ -1,6 +1,6 @@
 import {
 	createEndpointHealth, createEndpointLoad, createPathDelay, createRegistry, excuseStall, hasFreshReport, recordAnnouncement, isLaterStart, recordPathDelay, pruneRegistry, withdraw,
-	type AgedAnnouncement, type Announcement, type Candidate,
+	type AgedAnnouncement, type Announcement, type Candidate, type WeightsProof,
 } from '@bitternpaddle/coordination';
 import type {LoadReport} from '../load/load-report.js';
 
@@ -69,6 +69,31 @@
 	? lastAnnouncedAtMs - other.lastAnnouncedAtMs < replacedSilenceMs
 	: other.lastAnnouncedAtMs - lastAnnouncedAtMs >= replacedSilenceMs;
 
+/** Whether a report proves the weights of the start that was announced, as far as the engine states which one it is. */
+const isOfStart = ({engineId, startedAtMs}: Extract<WeightsProof, {type: 'whole'}>, announcement: Announcement): boolean => (engineId ?? announcement.id) === announcement.id
+	&& (startedAtMs ?? announcement.startedAtMs) === announcement.startedAtMs;
+
+/** The version that an endpoint was shown to hold whole, after a report that was sent at `sentAtMs`. */
+const wholeVersionAfter = (proof: WeightsProof, {announcement, load: {wholeVersion, disproof}}: TrackedEndpoint, sentAtMs: number): number | null => {
+	switch (proof.type) {
+		case 'unknown': {
+			return wholeVersion;
+		}
+
+		case 'none': {
+			return null;
+		}
+
+		case 'whole': {
+			if (!isOfStart(proof, announcement)) {
+				return null;
+			}
+
+			return disproof !== null && sentAtMs <= disproof.atMs ? wholeVersion : proof.version;
+		}
+	}
+};
+
 /** The age of a report when it is read. Records the delay of its path. */
 const reportAgeMs = (endpoint: TrackedEndpoint, {epoch, delivery}: LoadReport, nowMs: number, waitedMs: number): number => {
 	const {path} = endpoint.load;
@@ -102,7 +127,16 @@
 		return lookup;
 	};
 
+	/** Voids what was shown about a start that has ended: requests selected for it before may not have been sent yet. */
+	const voidProof = (id: string): void => {
+		const endpoint = tracked.get(id);
+		if (endpoint !== undefined) {
+			endpoint.load.wholeVersion = null;
+		}
+	};
+
 	const remove = (id: string): void => {
+		voidProof(id);
 		if (tracked.delete(id)) {
 			lookup = null;
 		}
@@ -128,6 +162,7 @@
 
 		// A later start of the endpoint does not inherit the load and failures of the previous one.
 		if (known === undefined || isLaterStart(known.announcement, announcement)) {
+			voidProof(id);
 			const isRestart = (current().byAddress.get(announcement.address) ?? noEndpoints).length > 0;
 			tracked.set(id, {
 				announcement, load: createEndpointLoad(), health: createEndpointHealth(), firstAnnouncedAtMs: receivedAtMs, lastAnnouncedAtMs: receivedAtMs, isUnreachable: false, agentEpoch: 0,
@@ -175,6 +210,7 @@
 				if (report === null) {
 					load.reportedAtMs = Number.NEGATIVE_INFINITY;
 				} else {
+					load.wholeVersion = wholeVersionAfter(report.weights, endpoint, sentAtMs);
 					load.report = report;
 					load.reportedAtMs = sentAtMs;
 				}
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -1,12 +1,11 @@
 import type {Buffer} from 'node:buffer';
 import {
-	hasFreshReport, recordFailure, recordConnectionFailure, recordSuccess, type AnswerStage, type Candidate, type Exclusion, type Placement,
+	hasFreshReport, recordFailure, recordConnectionFailure, recordSuccess, type AnswerStage, type Candidate, type Placement,
 } from '@bitternpaddle/coordination';
 import {
-	hasBody, isUnframed, type AnswerHead, type AttemptResult, type FailureCause, type Oversize,
+	hasBody, isUnframed, type AnswerHead, type AttemptResult, type FailureCause, type Oversize, type SendExclusion,
 } from './attempt.js';
 import type {CallContext} from './call-context.js';
-import {requestedVersion} from './call-headers.js';
 import type {CallProgress} from './call-progress.js';
 import {chargeRetry} from './charge-retry.js';
 import {
@@ -64,7 +63,7 @@
 		case 'refused': {
 			progress.sent++;
 			progress.lastReason = `the endpoint answered ${result.head.status} and did not run it`;
-			recordRefusal(context, candidate, result.head, requestedVersion(context, call, candidate) !== null);
+			recordRefusal(context, candidate, result);
 			break;
 		}
 
@@ -114,7 +113,7 @@
 	}
 };
 
-const logExcluded = ({logger}: CallContext, {requestId}: Call, {announcement: {id, address, zoneId}}: Candidate, exclusion: Exclusion): void => {
+const logExcluded = ({logger}: CallContext, {requestId}: Call, {announcement: {id, address, zoneId}}: Candidate, exclusion: SendExclusion): void => {
 	logger.event('BP4055', {
 		requestId, endpointId: id, address, zoneId, exclusion,
 	});
@@ -211,14 +210,34 @@
 	recordEndpointFailure(context, call, candidate);
 };
 
-const recordRefusal = ({view, nowMs}: CallContext, {announcement, load, health}: Candidate, {status}: AnswerHead, hasRequestedVersion: boolean): void => {
+/**
+ * Another start of the endpoint runs there, or it holds another version than it was shown to:
+ * it gets no request until a later report proves a version. A later report that does not
+ * state the start may prove the same version of a start that has ended: after a
+ * second refusal, other engines are preferred.
+ */
+const recordDisproof = ({load, health}: Candidate, version: number, nowMs: number): void => {
+	if (load.wholeVersion !== version) {
+		// A report has come since the request was sent, or another request was refused before.
+		return;
+	}
+
+	if (load.disproof?.version === version) {
+		recordConnectionFailure(health, nowMs);
+	}
+
+	load.disproof = {version, atMs: nowMs};
+	load.wholeVersion = null;
+	load.reportedAtMs = Number.NEGATIVE_INFINITY;
+};
+
+const recordRefusal = ({view, nowMs}: CallContext, candidate: Candidate, {head: {status}, requestedVersion}: Extract<AttemptResult, {type: 'refused'}>): void => {
+	const {announcement, load} = candidate;
 	if (status === 421) {
-		// Another start of the endpoint runs there, or another weight version than its host last reported.
-		load.reportedAtMs = Number.NEGATIVE_INFINITY;
-		if (hasRequestedVersion) {
-			recordConnectionFailure(health, nowMs());
-		} else {
+		if (requestedVersion === null) {
 			view.markReplaced(announcement.id);
+		} else {
+			recordDisproof(candidate, requestedVersion, nowMs());
 		}
 
 		return;
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -9,7 +9,9 @@
 } from './answer-load.js';
 import {attemptLimits} from './attempt-limits.js';
 import type {CallContext} from './call-context.js';
-import {versionDuesOf, endpointHeaders, loadedVersion} from './call-headers.js';
+import {
+	versionDuesOf, endpointHeaders, isUnproven, requestedVersion,
+} from './call-headers.js';
 import {chargeRetry, holdsCharge, releaseCharge} from './charge-retry.js';
 import {createCallProgress, type CallProgress} from './call-progress.js';
 import {findAlternative, findEndpoint} from './find-endpoint.js';
@@ -193,7 +195,7 @@
 	const startedAtMs = nowMs();
 	const sequence = progress.triedIds.size;
 	const key = nextAwaitedKey();
-	const engineVersion = loadedVersion(context, call, candidate);
+	const target = {candidate, version: requestedVersion(context, call, candidate)};
 	progress.triedIds.add(announcement.id);
 	recordArrival(context.sendRate(service.name), startedAtMs);
 	load.outstanding++;
@@ -213,12 +215,12 @@
 	progress.charge = null;
 	const result = await sendAttempt({
 		connections, headerNames: protocol.headers, address: announcement.address, method: call.request.method!, path: call.request.url!,
-		headers: endpointHeaders(context, call, progress, candidate), requestId: call.requestId, body: call.body,
+		headers: endpointHeaders(context, call, progress, target), requestId: call.requestId, requestedVersion: target.version, body: call.body,
 		requiresFreshConnection: !isIdempotent(call),
 		limits: attemptLimits(call, candidate, {canRepeat: mayRepeat(call, progress), failOver: async () => failOver(context, call, progress, state), nowMs}),
-		beginWithinMs: engineVersion === null ? null : startWithinMs(engineVersion, versionDuesOf(context, call), startedAtMs),
+		beginWithinMs: target.version === null ? null : startWithinMs(target.version, versionDuesOf(context, call), startedAtMs),
 		signal: state.signal, maxStreamBytes: maxStreamBytes(call.answerTokenLimit), answerBudget: context.answerBudget,
-		exclusion: () => context.permission.exclusionOf(call, candidate),
+		exclusion: () => context.permission.exclusionOf(call, candidate) ?? (isUnproven(context, call, target) ? 'weights' : null),
 		endsInChunk: () => call.response.headersSent && call.response.chunkedEncoding,
 		isExitExpected: () => load.isLeaving || announcement.state !== 'ready',
 		onProgress() {
--- a/packages/gateway/src/load/load-relay.ts
+++ b/packages/gateway/src/load/load-relay.ts
@@ -22,8 +22,8 @@
 const ticksPerDigest = digestIntervalMs / relayIntervalMs;
 /** Engines without a report for this long are omitted: their host is stalled or disconnected, and the other entries must be able to detect that. */
 const silentMs = 400;
-/** At about 35 bytes per report, keeps a datagram within one packet. */
-const maxReportsPerDatagram = 32;
+/** At 40 to 62 bytes per report, keeps a datagram within one packet. */
+const maxReportsPerDatagram = 22;
 
 type TrackedReport = {readonly report: LoadReport; readonly atMs: number; isRelayed: boolean};
 
--- a/packages/gateway/src/load/load-report.ts
+++ b/packages/gateway/src/load/load-report.ts
@@ -1,5 +1,5 @@
 import type {Buffer} from 'node:buffer';
-import type {EngineReport} from '@bitternpaddle/coordination';
+import type {EngineReport, WeightsProof} from '@bitternpaddle/coordination';
 import {decode, encode} from '@msgpack/msgpack';
 import * as z from 'zod';
 
@@ -34,11 +34,36 @@
 /** The pace is encoded as an integer number of hundredths, because a float takes nine bytes. */
 const paceScale = 100;
 
+const proofCodes = {unknown: 0, none: 1} as const;
+
 /** Encoded without field names to save bytes; most messages between hosts are reports. */
-const reportSchema = z.tuple([z.number(), z.number(), z.number(), z.boolean(), z.boolean(), z.number().nullable(), z.number().nullable()]);
+const proofSchema = z.union([z.literal(proofCodes.unknown), z.literal(proofCodes.none), z.tuple([z.number(), z.string().nullable(), z.number().nullable()])]);
+const reportSchema = z.tuple([z.number(), z.number(), z.number(), z.boolean(), z.boolean(), proofSchema, z.number().nullable()]);
 const itemSchema = z.tuple([z.string(), z.number(), z.number(), z.union([z.literal(deliveryCodes.direct), z.literal(deliveryCodes.relayed)]), z.number(), z.number(), reportSchema.nullable()]);
 const messageSchema = z.tuple([z.number().int().min(0).max(kinds.length - 1), z.array(itemSchema)]);
 type Item = z.infer<typeof itemSchema>;
+type ProofItem = z.infer<typeof proofSchema>;
+
+const encodeProof = (proof: WeightsProof): ProofItem => proof.type === 'whole' ? [proof.version, proof.engineId, proof.startedAtMs] : proofCodes[proof.type];
+
+const decodeProof = (item: ProofItem): WeightsProof => {
+	switch (item) {
+		case proofCodes.unknown: {
+			return {type: 'unknown'};
+		}
+
+		case proofCodes.none: {
+			return {type: 'none'};
+		}
+
+		default: {
+			const [version, engineId, startedAtMs] = item;
+			return {
+				type: 'whole', version, engineId, startedAtMs,
+			};
+		}
+	}
+};
 
 const encodeItem = ({epoch, sequence, endpointAddress, report, delivery}: LoadReport): Item => [
 	endpointAddress,
@@ -47,15 +72,15 @@
 	...(delivery.type === 'direct' ? [deliveryCodes.direct, Math.round(delivery.sentAtMs), 0] as const : [deliveryCodes.relayed, Math.round(delivery.ageMs), Math.round(delivery.delayMs)] as const),
 	report === null
 		? null
-		: [report.running, report.queued, Math.round(report.pace * paceScale), report.isBusy, report.isStrained, report.version, report.readyInMs],
+		: [report.running, report.queued, Math.round(report.pace * paceScale), report.isBusy, report.isStrained, encodeProof(report.weights), report.readyInMs],
 ];
 
 const decodeDelivery = (deliveryCode: Item[3], timeMs: number, delayMs: number): ReportDelivery => deliveryCode === deliveryCodes.direct
 	? {type: 'direct', sentAtMs: timeMs}
 	: {type: 'relayed', ageMs: timeMs, delayMs};
 
-const decodeReport = ([running, queued, pace, isBusy, isStrained, version, readyInMs]: NonNullable<Item[6]>): EngineReport => ({
-	running, queued, pace: pace / paceScale, isBusy, isStrained, version, readyInMs,
+const decodeReport = ([running, queued, pace, isBusy, isStrained, proof, readyInMs]: NonNullable<Item[6]>): EngineReport => ({
+	running, queued, pace: pace / paceScale, isBusy, isStrained, weights: decodeProof(proof), readyInMs,
 });
 
 const decodeItem = ([endpointAddress, epoch, sequence, deliveryCode, timeMs, delayMs, fields]: Item): LoadReport => ({
--- a/packages/gateway/test/entry-node.test.ts
+++ b/packages/gateway/test/entry-node.test.ts
@@ -6,7 +6,9 @@
 	parseAddress, readBody, sendHttp, silentLogger,
 } from '@bitternpaddle/transport';
 import t from 'tap';
-import {deploy, protocol, stream} from './support/single-entry.js';
+import {
+	deploy, protocol, stream, wholeWeights,
+} from './support/single-entry.js';
 import {createEntryNode, createGatewayMetrics} from '@bitternpaddle/gateway';
 
 // Guards against refusing all requests after a step of the wall clock: only the lease may use that
@@ -118,7 +120,7 @@
 // engine and be answered.
 t.test('a caller retry is answered by an engine that becomes ready in time', async t => {
 	const {call, engineState} = await deploy(t, stream);
-	engineState.version = null;
+	engineState.weights = {type: 'none'};
 	engineState.readyInMs = 300;
 	await delay(150);
 	const first = await call('first-attempt');
@@ -127,14 +129,14 @@
 	t.ok(retryS >= 0.3 && retryS <= 0.8, `the engine is ready in 0.3 s, the retry delay in seconds is ${retryS}`);
 	const retry = call('retry', undefined, 1500);
 	await delay(400);
-	engineState.version = 1;
+	engineState.weights = wholeWeights(1);
 	engineState.readyInMs = null;
 	t.equal((await retry).status, 200);
 });
 
 t.test('a caller retry does not wait for an engine that becomes ready too late', async t => {
 	const {call, engineState} = await deploy(t, stream);
-	engineState.version = null;
+	engineState.weights = {type: 'none'};
 	engineState.readyInMs = 5000;
 	await delay(150);
 	const answer = await call('retry', undefined, 1500);
--- a/packages/gateway/test/load-relay.test.ts
+++ b/packages/gateway/test/load-relay.test.ts
@@ -8,7 +8,9 @@
 
 const report = (address: string, sequence = 1): LoadReport => ({
 	epoch: 7, sequence, endpointAddress: address, delivery: {type: 'direct', sentAtMs: 1000}, report: {
-		running: 3, queued: 1, pace: 1.25, isBusy: false, isStrained: true, version: 2, readyInMs: null,
+		running: 3, queued: 1, pace: 1.25, isBusy: false, isStrained: true, readyInMs: null, weights: {
+			type: 'whole', version: 2, engineId: 'i-7f3a91c2', startedAtMs: 1_764_000_000_123,
+		},
 	},
 });
 
@@ -21,6 +23,29 @@
 	t.same(decodeLoadMessage(Buffer.from(encodeLoadMessage(message))), message);
 });
 
+t.test('what is known of the weights round-trips', async t => {
+	const {report: engine, ...rest} = report('e');
+	for (const weights of [{type: 'unknown'}, {type: 'none'}, {
+		type: 'whole', version: 3, engineId: null, startedAtMs: null,
+	}] as const) {
+		const message: LoadMessage = {kind: 'near', reports: [{...rest, report: {...engine!, weights}}]};
+		t.same(decodeLoadMessage(Buffer.from(encodeLoadMessage(message))), message);
+	}
+});
+
+// Guards against taking what another version of the program says of the weights for proof.
+t.test('a datagram with malformed weights is not decoded', async t => {
+	const {report: engine, ...rest} = report('e');
+	for (const weights of [{
+		type: 'whole', version: '3', engineId: null, startedAtMs: null,
+	}, {
+		type: 'whole', version: null, engineId: 'e', startedAtMs: 0,
+	}, {type: 'other'}]) {
+		const message = {kind: 'near', reports: [{...rest, report: {...engine, weights}}]} as unknown as LoadMessage;
+		t.equal(decodeLoadMessage(Buffer.from(encodeLoadMessage(message))), null);
+	}
+});
+
 t.test('other datagrams are not decoded', async t => {
 	for (const data of [Buffer.from('hello'), Buffer.alloc(0), Buffer.from([0xC1]), Buffer.from(encodeLoadMessage({kind: 'near', reports: [report('x')]})).subarray(0, 12)]) {
 		t.equal(decodeLoadMessage(data), null);
--- a/packages/gateway/test/support/crashing-fleet.ts
+++ b/packages/gateway/test/support/crashing-fleet.ts
@@ -345,7 +345,9 @@
 		reporters[engines.indexOf(engine)]!.send(engine.server === null
 			? null
 			: {
-				running: 0, queued: 0, pace: 1, isBusy: false, isStrained: false, version: 1, readyInMs: null,
+				running: 0, queued: 0, pace: 1, isBusy: false, isStrained: false, readyInMs: null, weights: {
+					type: 'whole', version: 1, engineId: engine.id, startedAtMs: null,
+				},
 			}, true);
 	};
 
--- a/packages/gateway/test/support/single-entry.ts
+++ b/packages/gateway/test/support/single-entry.ts
@@ -4,7 +4,7 @@
 import type {AddressInfo} from 'node:net';
 import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
-import {createSuspendAwareClock} from '@bitternpaddle/coordination';
+import {createSuspendAwareClock, type WeightsProof} from '@bitternpaddle/coordination';
 import type {RoutingConfiguration} from '@bitternpaddle/state';
 import {freeAddresses, testFolder} from '@bitternpaddle/test-support';
 import {
@@ -53,6 +53,13 @@
 	response.end('id: 1\ndata: a\n\n');
 };
 
+const engineId = 'e1';
+
+/** What the agent reports once it has shown the weights of the engine to be whole. */
+export const wholeWeights = (version: number): WeightsProof => ({
+	type: 'whole', version, engineId, startedAtMs: null,
+});
+
 export type DeployOptions = {
 	/** @default 2000 */
 	readonly graceMs?: number;
@@ -62,11 +69,23 @@
 	readonly logger?: Logger;
 	/** @default protocol */
 	readonly requestProtocol?: RequestProtocol;
+	/** What is reported from the start. @default wholeWeights(1) */
+	readonly weights?: WeightsProof;
+	/** Whether the agent sends reports from the start. @default true */
+	readonly isReported?: boolean;
+	/** Whether the entry's first answer is awaited. @default true */
+	readonly isServing?: boolean;
 };
 
+/** What the agent reports on the engine; tests change it. */
+type EngineFields = {weights: WeightsProof; readyInMs: number | null; isReported: boolean};
+
 /** Starts a core host, an entry and one engine in this process; `stepClockMs` steps the wall clock of the entry. */
-export const deploy = async (t: Test, serve: Serve, {graceMs = 2000, retryReserve = 10, logger = silentLogger, requestProtocol = protocol}: DeployOptions = {}) => {
-	const engineState: {version: number | null; readyInMs: number | null} = {version: 1, readyInMs: null};
+export const deploy = async (t: Test, serve: Serve, options: DeployOptions = {}) => {
+	const {
+		graceMs = 2000, retryReserve = 10, logger = silentLogger, requestProtocol = protocol, weights = wholeWeights(1), isReported = true, isServing = true,
+	} = options;
+	const engineState: EngineFields = {weights, readyInMs: null, isReported};
 	const [core, entry, front, readiness] = await freeAddresses(4);
 	const engine = createServer(serve);
 	await new Promise<void>(resolve => {
@@ -89,12 +108,15 @@
 	const reporter = createLoadReporter({endpointAddress: engineAddress, zoneId: 'z', entries: () => [{address: entry!, zoneId: 'z'}]});
 	let sequence = 0;
 	const timer = setInterval(() => {
-		reporter.send({
-			running: 0, queued: 0, pace: 1, isBusy: false, isStrained: false, ...engineState,
-		}, true);
+		if (engineState.isReported) {
+			reporter.send({
+				running: 0, queued: 0, pace: 1, isBusy: false, isStrained: false, weights: engineState.weights, readyInMs: engineState.readyInMs,
+			}, true);
+		}
+
 		sequence++;
 		coreNode.announce({
-			id: 'e1', serviceName: 's', address: engineAddress, zoneId: 'z', slots: 4, state: 'ready', models: [{model: 'm', version: 1}], startedAtMs: 0, sequence,
+			id: engineId, serviceName: 's', address: engineAddress, zoneId: 'z', slots: 4, state: 'ready', models: [{model: 'm', version: 1}], startedAtMs: 0, sequence,
 		});
 	}, 50);
 	t.teardown(async () => {
@@ -116,12 +138,13 @@
 		await delay(30);
 	}
 
-	while (!entryNode.isReady() || (await call('first')).status !== 200) {
+	const servesFirst = async (): Promise<boolean> => !isServing || (await call('first')).status === 200;
+	while (!entryNode.isReady() || !await servesFirst()) {
 		await delay(30);
 	}
 
 	return {
-		engineState, call, coreNode, entryNode, front: front!, stepClockMs(stepMs: number) {
+		engineState, call, coreNode, entryNode, front: front!, engineAddress, entryAddress: entry!, stepClockMs(stepMs: number) {
 			addedMs += stepMs;
 		},
 	};
--- a/packages/model/src/engine.ts
+++ b/packages/model/src/engine.ts
@@ -1,4 +1,6 @@
-import {passMs, prefillMs, type EngineReport} from '@bitternpaddle/coordination';
+import {
+	passMs, prefillMs, type EngineReport, type WeightsProof,
+} from '@bitternpaddle/coordination';
 import type {EngineProfile} from '@bitternpaddle/state';
 import type {Timeline} from './timeline.js';
 
@@ -33,6 +35,13 @@
 	busyMs(): number;
 };
 
+/** The only version of the weights in the model. */
+export const modelVersion = 1;
+
+const wholeWeights = (engineId: string): WeightsProof => ({
+	type: 'whole', version: modelVersion, engineId, startedAtMs: null,
+});
+
 /** Prompt tokens prefilled per step, beside the decoding requests. */
 const prefillTokensPerStep = 2048;
 
@@ -139,7 +148,7 @@
 		},
 		report: () => ({
 			running: running.length, queued: waiting.length, pace: slowdown() ?? 1, isBusy: isReloading || (isUnavailable() && readyAtMs !== null && reloadMs > 0), isStrained: false,
-			version: isUnavailable() && reloadMs === 0 ? null : 1, readyInMs: isUnavailable() && readyAtMs !== null && reloadMs === 0 ? readyAtMs - timeline.nowMs() : null,
+			weights: isUnavailable() && reloadMs === 0 ? {type: 'none'} : wholeWeights(id), readyInMs: isUnavailable() && readyAtMs !== null && reloadMs === 0 ? readyAtMs - timeline.nowMs() : null,
 		}),
 		reload(loadMs, onReady) {
 			isReloading = true;
--- a/packages/model/src/entry.ts
+++ b/packages/model/src/entry.ts
@@ -5,7 +5,7 @@
 	type Candidate, type NextStep, type PriorityDemand, type Random, type RoomView, type UnplacedRequest, type ServiceDemand, type WaitPlace, type WaitReason,
 } from '@bitternpaddle/coordination';
 import type {EngineProfile} from '@bitternpaddle/state';
-import type {EngineWork, ModelEngine} from './engine.js';
+import {modelVersion, type EngineWork, type ModelEngine} from './engine.js';
 import type {Timeline} from './timeline.js';
 
 /** A caller's request as an entry receives it. */
@@ -66,9 +66,10 @@
 	const enginesById = new Map(engines.map(engine => [engine.id, engine]));
 	const candidates = new Map(engines.map((engine): [string, Candidate] => [engine.id, {
 		announcement: {
-			id: engine.id, serviceName: 's', address: engine.id, zoneId: engine.zoneId, slots: profile.slots, state: 'ready', models: [{model: profile.model, version: 1}], startedAtMs: 0, sequence: 1,
+			id: engine.id, serviceName: 's', address: engine.id, zoneId: engine.zoneId, slots: profile.slots, state: 'ready', models: [], startedAtMs: 0, sequence: 1,
 		},
-		load: createEndpointLoad(), health: createEndpointHealth(),
+		// Reports from before the simulated time have shown the weights, also at entries that get no reports.
+		load: {...createEndpointLoad(), wholeVersion: modelVersion}, health: createEndpointHealth(),
 	}]));
 	const candidateList = [...candidates.values()];
 	const arrivalRate = createArrivalRate();
--- a/packages/model/src/simulate-scenario.ts
+++ b/packages/model/src/simulate-scenario.ts
@@ -76,6 +76,7 @@
 		timeline.after(latencyMs, () => {
 			for (const {load} of to) {
 				load.report = report;
+				load.wholeVersion = report.weights.type === 'whole' ? report.weights.version : null;
 				load.reportedAtMs = atMs + latencyMs - reportAgeMs;
 			}
 		});
--- a/packages/transport/src/logging/events.ts
+++ b/packages/transport/src/logging/events.ts
@@ -88,7 +88,7 @@
 	BP4052: {level: 'warn', text: 'an evacuation order that arrived late was not stored', advice: 'Its caller resends it; check the load of this core host if it recurs.'},
 	BP4053: {level: 'warn', text: 'a configuration allows only regions that no endpoint can be in', advice: 'Check the lists of the route and the team that are named, and the zones of the settings.'},
 	BP4054: {level: 'info', text: 'the evacuated zones are confirmed for the first time since the start', advice: 'None.'},
-	BP4055: {level: 'info', text: 'a request was not sent to the endpoint selected for it', advice: 'None; the exclusion names the rule that came into force in between.'},
+	BP4055: {level: 'info', text: 'a request was not sent to the endpoint selected for it', advice: 'None; the exclusion names the rule or the state that changed in between.'},
 	BP4056: {level: 'info', text: 'an endpoint is cold and accepts a limited number of requests', advice: 'None.'},
 	BP4057: {level: 'info', text: 'an endpoint is no longer cold', advice: 'None.'},
 	BP4058: {level: 'info', text: 'the issuing of permits for a cold endpoint was stopped or resumed', advice: 'Entries send half the limit meanwhile; if it persists, check the link to the core.'},
