--- a/packages/coordination/src/placement/endpoint-load.ts
+++ b/packages/coordination/src/placement/endpoint-load.ts
@@ -30,8 +30,7 @@
 	readonly isBusy: boolean;
 	/** The link of its host has recently been too slow for the required traffic. */
 	readonly isStrained: boolean;
-	/** The version of the weights that it serves; `null` while it holds no complete version. */
-	readonly version: number | null;
+	readonly weights: WeightsProof;
 	/** Estimated time until it serves the wanted version; `null` if it already does or the time is unknown. */
 	readonly readyInMs: number | null;
 };
@@ -51,7 +50,12 @@
 /** What an entry knows about the load of one endpoint. */
 export type EndpointLoad = {
 	report: EngineReport | null;
+	/** When the last report was sent, as far as known. */
 	reportedAtMs: number;
+	/** The version of the weights that this start of the endpoint was shown to hold whole; `null` if none was. */
+	wholeVersion: number | null;
+	/** The last version that was proven and then refused by the endpoint; reports sent before the refusal prove nothing. `null` if there was none. */
+	disproof: {readonly version: number; readonly atMs: number} | null;
 	/** Delay on the path from the endpoint's host, measured by its reports. */
 	readonly path: PathDelay;
 	/** Requests of this entry that are in progress. */
@@ -85,7 +89,7 @@
 };
 
 export const createEndpointLoad = (): EndpointLoad => ({
-	report: null, reportedAtMs: Number.NEGATIVE_INFINITY, path: createPathDelay(), outstanding: 0, awaiting: new Map(), advertisedLoad: null, lagMs: 0, lagAtMs: 0,
+	report: null, reportedAtMs: Number.NEGATIVE_INFINITY, wholeVersion: null, disproof: null, path: createPathDelay(), outstanding: 0, awaiting: new Map(), advertisedLoad: null, lagMs: 0, lagAtMs: 0,
 	slowdown: null, active: null, learned: null, refusal: null,
 	pausedUntilMs: Number.NEGATIVE_INFINITY, isLeaving: false,
 });
--- a/packages/gateway/src/agent/agent-node.ts
+++ b/packages/gateway/src/agent/agent-node.ts
@@ -1,4 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
+import {isDeepStrictEqual} from 'node:util';
 import type {Clock, EngineReport} from '@bitternpaddle/coordination';
 import {
 	chunksPrefix, createUploadServer, retryAfterMsHeader, type TransferPeer,
@@ -165,14 +166,14 @@
 
 	const reportOf = (polled: EngineState): EngineReport => ({
 		running: polled.running, queued: polled.queued, pace: polled.pace, isBusy: polled.isBusy || isLeavingService, isStrained: exchange.isStrained(),
-		version: wholeVersion(), readyInMs: readyInMs(),
+		weights: prover.proof(), readyInMs: readyInMs(),
 	});
 
 	const report = (): void => {
 		const message = state === null ? null : reportOf(state);
 		const text = JSON.stringify(message);
 		const nowMs = performance.now();
-		const hasStateChange = message?.isBusy !== sentReport?.isBusy || message?.version !== sentReport?.version || (message === null) !== (sentReport === null);
+		const hasStateChange = message?.isBusy !== sentReport?.isBusy || !isDeepStrictEqual(message?.weights, sentReport?.weights) || (message === null) !== (sentReport === null);
 		if (text !== sentReportText || nowMs - reportSentAtMs >= resendIntervalMs) {
 			sentReportText = text;
 			sentReport = message;
