fix(gateway): lists of chunk digests are checked, and wrong ones replaced

What callers could get: the origin may send damaged answers, and the list of digests was used as it came, from the origin or from any peer. With a short list partial weights count as complete (isComplete compares with its length) and are loaded; a list of another version is loaded under the wrong name; with a damaged digest the version is never complete on that host, which passes the list on.

Evidence, on the code before with the real exchange: a list of four digests for six chunks, a longer and an empty one are taken, from the origin and from a peer; a list with a truncated digest or other characters, in upper case, or with one wrong digest never completes (stopped after 15 s).

Change: a list is used only if it has exactly the configured number of digests, each of 64 hexadecimal digits (compared in lower case), and, where the origin's answer names them, this model, version and chunk size. Otherwise BP4037 tells the source and the reason, the peers are asked, and the next step of the loader asks the origin again: after 0.1 s, doubled up to 3.2 s while its lists stay unusable, since the lists of all agents each 0.1 s would fill its link. An origin that fails in another way is asked as often as before.

A wrong digest of 64 digits is found in two ways: its chunk does not match twice, or for 1 s no chunk came or no peer announced a chunk of the same list (agents know a version by its digests, so a host with a wrong one is not heard). Then the list is requested again, from the origin and then the peers. Digests of chunks whose bytes are held stay, the others are replaced, and the exchange starts again with the chunks that are held. The weights are replaced in place because the loader keeps the object that it opened.

Why no wrong bytes pass: a chunk is kept only if its bytes have the digest that is listed for it, and a version is complete only with all configured chunks. A digest that was damaged by accident has no bytes at all, so it can only keep the version from being complete. What is held proves its digest, so a second list that is damaged elsewhere does no harm there. Not covered: an answer that lists another version and names none, or names this one.

What it costs at worst: each request (3.3 kB for 48 chunks, against 49 kB for a chunk) doubles both bounds, up to 16 s, so n mismatches of a chunk cause log2(n) requests; hosts that only wait for a lost origin ask after 1, 3, 7, 15 and 31 s and each 16 s from then on. A host with one wrong digest is delayed by about 1 s, and by 2 s more if the second list is damaged as well.

originClient.digests takes the chunk size as an optional fifth parameter; the type OriginClient is unchanged.

--- a/packages/gateway/src/agent/index.ts
+++ b/packages/gateway/src/agent/index.ts
@@ -1,4 +1,5 @@
 export * from './agent-node.js';
+export {UnusableDigestsError, type DigestOrigin} from './digest-source.js';
 export type * from './engine-client.js';
 export * from './paced-links.js';
 export * from './staged-weights.js';
--- a/packages/gateway/src/agent/weight-exchange.ts
+++ b/packages/gateway/src/agent/weight-exchange.ts
@@ -6,6 +6,7 @@
 } from '@bitternpaddle/coordination';
 import type {ChunkAnnouncement} from '@bitternpaddle/protocol';
 import type {Logger} from '@bitternpaddle/transport';
+import {correctDigests, createDigestCheck, type DigestCheck} from './digest-check.js';
 import {createDigestSource} from './digest-source.js';
 import type {EngineClient, OriginClient} from './engine-client.js';
 import {createLoopDelay} from './loop-delay.js';
@@ -27,7 +28,7 @@
 };
 
 /** `progressAtMs`: when the last chunk arrived or, before any did, when the exchange began. */
-type OpenWeights = {readonly weights: StagedWeights; progressAtMs: number};
+type OpenWeights = {readonly weights: StagedWeights; readonly digestCheck: DigestCheck; progressAtMs: number};
 
 type ActiveFetch = {readonly goal: LoadGoal; readonly opened: OpenWeights};
 
@@ -86,6 +87,9 @@
 	: {zoneId, minHosts: Math.ceil(linkMbps * bitsPerMegabit / (linkBytesPerSecond * bitsPerByte))};
 
 const originBackoffMs = 150;
+
+const digestsOf = ({manifest}: StagedWeights): string[] => manifest.chunkDigests.map(digest => digest.slice('sha256:'.length));
+
 export const createWeightExchange = (options: WeightExchangeOptions): WeightExchange => {
 	const {selfAddress, zoneId, regionId, engine, origin, links, logger, peers} = options;
 	const counters: TransferCounters = {originBytes: 0, peerBytes: 0, lastFailure: ''};
@@ -96,10 +100,14 @@
 		if (checkClock(processStall, performance.now())) {
 			restartTransfer();
 		}
+
+		void reviewDigests();
 	}, stallCheckIntervalMs);
 	let currentWeights: OpenWeights | null = null;
 	let transfer: Transfer | null = null;
 	let activeFetch: ActiveFetch | null = null;
+	/** The weights whose digests are being requested again. */
+	let reviewed: OpenWeights | null = null;
 
 	const findCurrent = (model: string, version: number): OpenWeights | null => currentWeights?.weights.model === model && currentWeights.weights.version === version ? currentWeights : null;
 
@@ -149,7 +157,64 @@
 		});
 		// The missing chunks are known only after the staged ones are read.
 		await staged.readStaged();
-		return {weights: staged, progressAtMs: performance.now()};
+		return {weights: staged, digestCheck: createDigestCheck(), progressAtMs: performance.now()};
+	};
+
+	const shouldReviewDigests = (opened: OpenWeights): boolean => {
+		const {weights, digestCheck, progressAtMs} = opened;
+		const nowMs = performance.now();
+		return reviewed !== opened && transfer !== null && !weights.isComplete() && strainBackoffMs(linkStrain, nowMs) === 0
+			&& digestCheck.isDue({progressAtMs, hasPeers: peers().length > 0, nowMs});
+	};
+
+	/** Requests the digests of the version that is being fetched again if they may be the reason why it is not complete. */
+	const reviewDigests = async (): Promise<void> => {
+		const opened = currentWeights;
+		if (opened === null || activeFetch?.opened !== opened || !shouldReviewDigests(opened)) {
+			return;
+		}
+
+		const {goal} = activeFetch;
+		reviewed = opened;
+		opened.digestCheck.recordRequest(performance.now());
+		try {
+			const listed = await findDigests(goal);
+			if (listed !== null && opened === currentWeights) {
+				await replaceDigests(opened, goal, listed);
+			}
+		} catch (error) {
+			logger.event('BP4037', {version: goal.version, source: 'review', reason: (error as Error).message});
+		} finally {
+			if (reviewed === opened) {
+				reviewed = null;
+			}
+		}
+	};
+
+	/** Replaces the weights in place, because the version loader keeps the object that it opened. */
+	const replaceDigests = async ({weights}: OpenWeights, {profile: {chunkBytes}}: LoadGoal, listed: readonly string[]): Promise<void> => {
+		const {model, version} = weights;
+		const held = weights.heldChunks();
+		const {digests, changed} = correctDigests({current: digestsOf(weights), listed, held});
+		if (changed.length === 0) {
+			return;
+		}
+
+		const replacement = createStagedWeights({
+			engine, model, version, chunkBytes, digests,
+		});
+		for (const chunk of held) {
+			await replacement.put(chunk, weights.read(chunk)!);
+		}
+
+		if (weights.heldChunks().some(chunk => changed.includes(chunk))) {
+			// A chunk that arrived meanwhile proves a digest that would be replaced; the next review takes it into account.
+			return;
+		}
+
+		logger.event('BP4037', {version, source: 'earlier list', reason: `it has other digests of the missing chunks ${changed.join(', ')}`});
+		Object.assign(weights, replacement);
+		restartTransfer();
 	};
 
 	/**
@@ -166,11 +231,23 @@
 
 	const startTransfer = ({goal, opened}: ActiveFetch): Transfer => {
 		loopDelay.start();
+		opened.digestCheck.recordStart(performance.now());
 		return createTransfer(transferOptions({goal, opened}));
 	};
 
 	const transferOptions = ({goal, opened}: ActiveFetch): TransferOptions => ({
-		store: opened.weights, self: {hostId: selfAddress, zoneId, regionId}, selfAddress: () => selfAddress,
+		store: {
+			...opened.weights,
+			async put(chunk, data) {
+				const isStored = await opened.weights.put(chunk, data);
+				if (!isStored) {
+					opened.digestCheck.recordMismatch(chunk);
+				}
+
+				return isStored;
+			},
+		},
+		self: {hostId: selfAddress, zoneId, regionId}, selfAddress: () => selfAddress,
 		sources: {origin: goal.origin.address, store: null}, originCopies: 1, peers: peers(), links, counters, logger, tickMs,
 		swarm: {
 			takeoverMs, importWaitMs, maxFetches, maxFetchesPerPeer: 1, greetingWaitMs, refetchMs: originRefetchMs(goal), nearOriginFetchers: nearOriginFetchers(goal, options.linkBytesPerSecond),
@@ -178,6 +255,10 @@
 		fetchFromOrigin: fetchFromOrigin(goal),
 		onFetched(source, tookMs) {
 			opened.progressAtMs = performance.now();
+			if (source.type === 'peer') {
+				opened.digestCheck.recordContact(opened.progressAtMs);
+			}
+
 			recordFetchDuration(source, tookMs, goal);
 		},
 		fetchPauseMs: () => strainBackoffMs(linkStrain, performance.now()),
@@ -211,6 +292,7 @@
 		},
 		receiveHave(parameters) {
 			if (parameters.manifestId === currentWeights?.weights.manifestId) {
+				currentWeights.digestCheck.recordContact(performance.now());
 				transfer?.receiveAnnouncement(parameters);
 			}
 		},
@@ -230,7 +312,10 @@
 			return missing > 0 && isStalled ? null : missing;
 		},
 		readChunk: (manifestId, chunk) => manifestId === currentWeights?.weights.manifestId ? currentWeights.weights.read(chunk) : null,
-		digests: (model, version) => findCurrent(model, version)?.weights.manifest.chunkDigests.map(digest => digest.slice('sha256:'.length)) ?? null,
+		digests(model, version) {
+			const found = findCurrent(model, version);
+			return found === null ? null : digestsOf(found.weights);
+		},
 		close() {
 			clearInterval(stallCheckTimer);
 			loopDelay.stop();
