--- a/packages/gateway/src/agent/index.ts
+++ b/packages/gateway/src/agent/index.ts
@@ -1,5 +1,6 @@
 export * from './agent-node.js';
 export * from './chunk-writer.js';
+export {UnusableDigestsError, type DigestOrigin} from './digest-source.js';
 export type * from './engine-client.js';
 export * from './paced-links.js';
 export * from './staged-weights.js';
--- a/packages/gateway/src/agent/staged-weights.ts
+++ b/packages/gateway/src/agent/staged-weights.ts
@@ -23,6 +23,8 @@
 	readBack(): Promise<number[]>;
 	/** Stages these chunks again, as far as they are held. */
 	rewrite(chunks: readonly number[]): Promise<void>;
+	/** Replaces digests of missing chunks, and with them the manifest; those of held chunks must stay. */
+	replaceDigests(digests: readonly string[]): void;
 };
 
 export type StagedWeightsOptions = {
@@ -38,7 +40,7 @@
 };
 
 /** The origin publishes digests of chunks only; a digest over all of them identifies the version as a whole. */
-const manifestOf = ({digests, chunkBytes, model, version}: StagedWeightsOptions): Manifest => ({
+const manifestOf = ({chunkBytes, model, version}: StagedWeightsOptions, digests: readonly string[]): Manifest => ({
 	formatVersion: 1, sizeBytes: digests.length * chunkBytes, chunkSizeBytes: chunkBytes,
 	chunkDigests: digests.map(digest => `sha256:${digest}`), wholeDigest: sha256(`${model}@${version}:${digests.join(',')}`),
 });
@@ -47,8 +49,10 @@
 const maxReads = 8;
 
 export const createStagedWeights = (options: StagedWeightsOptions): StagedWeights => {
-	const {engine, writer, model, version, chunkBytes, digests, isCurrent = () => true} = options;
-	const manifest = manifestOf(options);
+	const {engine, writer, model, version, chunkBytes, isCurrent = () => true} = options;
+	let {digests} = options;
+	let manifest = manifestOf(options, digests);
+	let manifestId = manifestIdOf(manifest);
 	const chunks = new Map<number, Uint8Array>();
 
 	const matchesDigest = (chunk: number, data: Uint8Array): boolean => createHash('sha256').update(data).digest('hex') === digests[chunk];
@@ -71,7 +75,13 @@
 	};
 
 	return {
-		model, version, manifest, manifestId: manifestIdOf(manifest), writer,
+		model, version, writer,
+		get manifest() {
+			return manifest;
+		},
+		get manifestId() {
+			return manifestId;
+		},
 		heldChunks: () => [...chunks.keys()],
 		isComplete: () => chunks.size === digests.length,
 		async put(chunk, data) {
@@ -111,5 +121,10 @@
 				}
 			}));
 		},
+		replaceDigests(replaced) {
+			digests = replaced;
+			manifest = manifestOf(options, replaced);
+			manifestId = manifestIdOf(manifest);
+		},
 	};
 };
