--- a/packages/gateway/test/version-loader.test.ts
+++ b/packages/gateway/test/version-loader.test.ts
@@ -437,7 +437,7 @@
 const createMovingLoader = (engine: FakeEngine, isGranted = true) => {
 	const tools = createTools(engine);
 	const leaving: boolean[] = [];
-	const moving = {goal, weights: tools.weights as StagedWeights | null};
+	const moving = {goal: goal as LoadGoal | null, weights: tools.weights as StagedWeights | null};
 	const loader = createVersionLoader({
 		engine: engine.client, prover: tools.prover, logger: silentLogger, dueMs: 8000, goal: () => moving.goal, profile: () => goal.profile, engineState: engine.stateOf,
 		openWeights: async () => moving.weights,
@@ -565,3 +565,21 @@
 
 	t.same(loads.filter(({version, isWhole}) => version === 2 && !isWhole), []);
 });
+
+// Guards against an engine that waits for the confirmation of its version, which it was loaded before so that it serves
+// earlier: an agent has no goal for an engine that names a version until the wanted one is confirmed.
+t.test('an engine that was loaded before its version was confirmed serves before that as well', async t => {
+	const engine = createEngine(null);
+	const {loader, moving, prover, put} = createMovingLoader(engine);
+	await put(0, 1, 2, 3);
+	moving.goal = {...goal, isConfirmed: false};
+	await loader.step();
+	t.ok(engine.isWhole());
+	moving.goal = null;
+	await delay(320);
+	for (let step = 0; step < 4; step++) {
+		await loader.step();
+	}
+
+	t.same(prover.proof(), wholeProof);
+});
