--- a/packages/gateway/test/load-relay.test.ts
+++ b/packages/gateway/test/load-relay.test.ts
@@ -186,3 +186,31 @@
 
 	t.same(received, [3, 4]);
 });
+
+// Guards against a late report of an agent that has ended: its successor reports that the weights are not shown to be
+// whole, and the predecessor's last report, relayed or read late, makes the engine usable again.
+t.test('a report of the previous start of an agent is dropped after one of the next', async t => {
+	const [listen, other] = await freeAddresses(2) as [string, string];
+	const received: string[] = [];
+	const listener = await createLoadListener({
+		listen, onError: () => undefined, onMessage: () => undefined, onReport({epoch, sequence}) {
+			received.push(`${epoch} ${sequence}`);
+		},
+	});
+	const sender = await createLoadListener({
+		listen: other, onReport: () => undefined, onError: () => undefined, onMessage: () => undefined,
+	});
+	t.teardown(() => {
+		listener.close();
+		sender.close();
+	});
+	for (const [epoch, sequence] of [[7, 49], [5, 1], [7, 50], [5, 2]] as const) {
+		sender.send({kind: 'passed', reports: [{...report('e', sequence), epoch}]}, [listen]);
+	}
+
+	while (!received.includes('5 2')) {
+		await delay(5);
+	}
+
+	t.same(received, ['7 49', '5 1', '5 2']);
+});
