--- a/packages/gateway/test/version-loader.test.ts
+++ b/packages/gateway/test/version-loader.test.ts
@@ -583,3 +583,30 @@
 
 	t.same(prover.proof(), wholeProof);
 });
+
+// Guards against an order without an expected number of orders, which an engine may carry out at any later time: the order
+// was refused because the engine had accepted another one, and the last poll was made before that.
+t.test('a refusal that an outdated poll does not explain does not end the expectation', async t => {
+	const engine = createEngine(null);
+	const fresh = engine.stateOf;
+	let polled = fresh();
+	engine.stateOf = () => polled;
+	const expected: Array<number | null> = [];
+	const {load} = engine.client;
+	engine.client.load = async order => {
+		expected.push(order.expectedOrderCount);
+		return load(order);
+	};
+
+	const {loader, put} = createMovingLoader(engine);
+	await put(0, 1, 2, 3);
+	await load({
+		model: 'm', version: 1, mode: 'afterRunning', expectedOrderCount: 0,
+	});
+	await loader.step();
+	polled = fresh();
+	await delay(320);
+	await loader.step();
+	await loader.step();
+	t.same(expected, [0, 1]);
+});
