fix(gateway): a proof of weights covers writes in flight, lost orders and loads in progress

Cases in which weights that are not whole were proven, or a proof could be used for another load: - A write that was sent before the engine took the chunks and carried out behind that counted as over. Writes are now open until they are answered, and a version with an open write is not proven. - A chunk was staged again while an order without an answer could still be accepted; a successor of the agent found it right. Nothing is written until the order is answered or can no longer be accepted. - An engine that may have been shown to hold a version was made to load it a second time; a request in flight could not tell the loads apart. A start of an engine now takes a version once. - What an engine names while an order is in progress was proven by the chunks of that order. - A write whose connection was reset counted as not carried out. - An order went out without the expected number of orders after an outdated poll. - A late report of an agent that has ended replaced that of its successor.

Cases in which a sound engine served nothing: a write that was answered after 10 s, a newer version named between an order and its proof, a version that was loaded before it was confirmed, and a reload without a permit that cut running requests. An engine that did not tell its id was asked for all chunks at each poll.

Writes are awaited for as long as their connection lasts; one that was lost counts as carried out once the engine has run and answered for 10 s since.

--- a/packages/gateway/src/agent/agent-node.ts
+++ b/packages/gateway/src/agent/agent-node.ts
@@ -127,7 +127,10 @@
 			report();
 		},
 		onRestart() {
-			exchange.forgetUnknownWrites();
+			exchange.writer.forgetLostWrites();
+		},
+		onResponsive(forMs) {
+			exchange.writer.recordResponsive(forMs);
 		},
 	});
 
@@ -193,6 +196,11 @@
 			}
 		}
 
+		const known = profile();
+		if (state !== null && known !== null) {
+			prover.observe(state, known.model);
+		}
+
 		if (!wasReachable && state !== null) {
 			logger.event('BP4036', {isReachable: true});
 		}
--- a/packages/gateway/src/agent/staged-weights.ts
+++ b/packages/gateway/src/agent/staged-weights.ts
@@ -46,7 +46,7 @@
 });
 
 /** Chunks that are read at the same time; one after the other, a read-back takes as many round trips as there are chunks. */
-const maxReads = 8;
+const maxReads = 4;
 
 export const createStagedWeights = (options: StagedWeightsOptions): StagedWeights => {
 	const {engine, writer, model, version, chunkBytes, isCurrent = () => true} = options;
@@ -71,7 +71,12 @@
 			}
 		};
 
-		await Promise.all(Array.from({length: maxReads}, readNext));
+		try {
+			await Promise.all(Array.from({length: maxReads}, readNext));
+		} finally {
+			// After a failed read, the others must not go on beside what is done next.
+			remaining.length = 0;
+		}
 	};
 
 	return {
--- a/packages/gateway/src/agent/version-loader.ts
+++ b/packages/gateway/src/agent/version-loader.ts
@@ -83,8 +83,8 @@
 	let holdsPermit = false;
 	let orderedAtMs = Number.NEGATIVE_INFINITY;
 	let reloadedAtMs = Number.NEGATIVE_INFINITY;
-	/** Whether the engine refused the last order although it had accepted the expected number of orders. */
-	let refusesExpectation = false;
+	/** The last order if it was refused: the expected number of orders, and when the answer came. */
+	let refused: {readonly orderCount: number; readonly atMs: number} | null = null;
 	/** When the engine left service; `null` while it serves. */
 	let leftServiceAtMs: number | null = null;
 	let servedVersion: number | null = null;
@@ -125,19 +125,23 @@
 	const sendOrder = async (model: string, version: number, state: EngineState, fields: Record<string, unknown>): Promise<LoadOrderOutcome> => {
 		const {running, orderCount} = state;
 		const mode = running > 0 ? 'cutRunning' : 'afterRunning';
+		// An engine that refused the order with the number of orders that it still names is asked without it.
+		const refusesExpectation = refused !== null && refused.orderCount === orderCount && state.askedAtMs > refused.atMs;
+		const wasOpen = prover.hasOpenOrder();
 		prover.beginOrder(version, orderCount);
 		const sentAtMs = performance.now();
 		const outcome = await engine.load({
 			model, version, mode, expectedOrderCount: refusesExpectation ? null : orderCount,
 		});
-		const latest = engineState();
-		refusesExpectation = outcome === 'refused' && !refusesExpectation && latest?.orderCount === orderCount && !latest.isBusy;
+		refused = outcome === 'refused' && !refusesExpectation ? {orderCount, atMs: performance.now()} : null;
 		const event = match(outcome).with('begun', 'done', () => 'BP4033' as const).with('refused', 'failed', 'unknown', () => 'BP4034' as const).exhaustive();
 		logger.event(event, {
 			version, outcome, mode, running, orderCount, answeredMs: Math.round(performance.now() - sentAtMs), ...fields,
 		});
 		if (outcome === 'begun') {
 			prover.confirmOrder();
+		} else if (outcome === 'done' || (outcome !== 'unknown' && !wasOpen)) {
+			prover.closeOrder();
 		}
 
 		return outcome;
@@ -160,7 +164,12 @@
 	/** Returns whether an order was sent. */
 	const orderLoad = async ({profile: {model}, namedAgeMs}: LoadGoal, staged: StagedWeights, state: EngineState): Promise<boolean> => {
 		orderedAtMs = performance.now();
-		if (!await repairStaged(staged)) {
+		if (staged.writer.hasOpenWrite(staged.version) || !prover.mayLoad(staged.version)) {
+			return false;
+		}
+
+		// While an order may still be accepted, nothing is written: nobody could tell whether the engine took it before or after that.
+		if (!prover.hasOpenOrder() && !await repairStaged(staged)) {
 			return false;
 		}
 
@@ -180,13 +189,9 @@
 			return;
 		}
 
-		// Entries may still use what was shown before this agent started.
-		if (prover.proof().type === 'unknown') {
-			if (!await mayLeaveService(wanted)) {
-				return;
-			}
-
-			await leaveService();
+		// Entries may still use what was shown before this agent started, and a request for that version may arrive late.
+		if (prover.proof().type === 'unknown' || !prover.mayLoad(staged.version)) {
+			return;
 		}
 
 		reloadedAtMs = performance.now();
@@ -238,6 +243,21 @@
 		}
 	};
 
+	/** Loads the wanted version into an engine that does not name it. */
+	const advanceLoad = async (wanted: LoadGoal, state: EngineState): Promise<void> => {
+		if (weights === null || state.isBusy || performance.now() - orderedAtMs < orderRetryMs) {
+			return;
+		}
+
+		if (heldVersionOf(state, wanted.profile.model) !== null && prover.proof().type !== 'none') {
+			await advanceServing(wanted, weights, state);
+		} else if (weights.isComplete()) {
+			await orderLoad(wanted, weights, state);
+		}
+	};
+
+	const isProven = (): boolean => prover.proof().type === 'whole';
+
 	const advance = async (): Promise<void> => {
 		const wanted = goal();
 		const state = engineState();
@@ -248,7 +268,7 @@
 
 		prover.observe(state, engineProfile.model);
 		const held = heldVersionOf(state, engineProfile.model);
-		if (held !== null && prover.proof().type !== 'whole' && state.orderCount === 0) {
+		if (held !== null && !isProven() && (state.orderCount === 0 || prover.isVerified(state, engineProfile.model))) {
 			await settleHeld(null, engineProfile, state);
 		}
 
@@ -257,25 +277,17 @@
 		}
 
 		await openWanted(wanted);
-		if (held !== null && held >= wanted.version && prover.proof().type !== 'whole') {
+		const isWanted = held !== null && held >= wanted.version;
+		if (isWanted && !isProven()) {
 			await settleHeld(wanted, engineProfile, state);
 		}
 
 		const proof = prover.proof();
 		recordServedVersion(proof.type === 'whole' ? proof.version : null);
-		if (held !== null && held >= wanted.version) {
-			await (proof.type === 'whole' ? returnToService() : undefined);
-			return;
-		}
-
-		if (weights === null || state.isBusy || performance.now() - orderedAtMs < orderRetryMs) {
-			return;
-		}
-
-		if (held !== null && proof.type !== 'none') {
-			await advanceServing(wanted, weights, state);
-		} else if (weights.isComplete()) {
-			await orderLoad(wanted, weights, state);
+		if (!isWanted) {
+			await advanceLoad(wanted, state);
+		} else if (isProven()) {
+			await returnToService();
 		}
 	};
 
--- a/packages/gateway/src/agent/weight-exchange.ts
+++ b/packages/gateway/src/agent/weight-exchange.ts
@@ -6,7 +6,7 @@
 } from '@bitternpaddle/coordination';
 import type {ChunkAnnouncement} from '@bitternpaddle/protocol';
 import type {Logger} from '@bitternpaddle/transport';
-import {createChunkWriter} from './chunk-writer.js';
+import {createChunkWriter, type ChunkWriter} from './chunk-writer.js';
 import {correctDigests, createDigestCheck, type DigestCheck} from './digest-check.js';
 import {createDigestSource} from './digest-source.js';
 import type {EngineClient, OriginClient} from './engine-client.js';
@@ -47,8 +47,7 @@
 	missingChunks(): number | null;
 	/** Reads a chunk for another host. */
 	readChunk(manifestId: string, chunk: number): Uint8Array | null;
-	/** Must be called when the engine has restarted: writes that its previous start did not answer cannot be carried out any more. */
-	forgetUnknownWrites(): void;
+	readonly writer: ChunkWriter;
 	/** Chunk digests for another host that cannot reach the origin. */
 	digests(model: string, version: number): readonly string[] | null;
 	readonly counters: TransferCounters;
@@ -303,7 +302,7 @@
 			return missing > 0 && isStalled ? null : missing;
 		},
 		readChunk: (manifestId, chunk) => manifestId === currentWeights?.weights.manifestId ? currentWeights.weights.read(chunk) : null,
-		forgetUnknownWrites: writer.forgetUnknownWrites,
+		writer,
 		digests(model, version) {
 			const found = findCurrent(model, version);
 			return found === null ? null : digestsOf(found.weights);
--- a/packages/gateway/src/load/load-listener.ts
+++ b/packages/gateway/src/load/load-listener.ts
@@ -23,19 +23,32 @@
 	close(): void;
 };
 
+/** Starts of an agent whose late reports are still recognized. */
+const maxEndedEpochs = 4;
+
 export const createLoadListener = async ({
 	listen, onReport, onMessage, onOtherDatagram = () => false, onError,
 }: LoadListenerOptions): Promise<LoadListener> => {
-	const newest = new Map<string, {epoch: number; sequence: number}>();
+	const newest = new Map<string, {epoch: number; sequence: number; readonly endedEpochs: readonly number[]}>();
 	const socket = dgram.createSocket('udp4');
 
 	const isLate = ({endpointAddress, epoch, sequence}: LoadReport): boolean => {
 		const last = newest.get(endpointAddress);
-		if (last?.epoch === epoch && last.sequence >= sequence) {
+		if (last?.epoch !== epoch) {
+			const endedEpochs = last === undefined ? [] : [last.epoch, ...last.endedEpochs].slice(0, maxEndedEpochs);
+			if (last?.endedEpochs.includes(epoch)) {
+				return true;
+			}
+
+			newest.set(endpointAddress, {epoch, sequence, endedEpochs});
+			return false;
+		}
+
+		if (last.sequence >= sequence) {
 			return true;
 		}
 
-		newest.set(endpointAddress, {epoch, sequence});
+		last.sequence = sequence;
 		return false;
 	};
 
