fix(state): a process whose incomplete lock was taken over does not hold the folder

What operators would have seen: two processes of one control or core host that write one log, which damages it: the fault of docs/incidents/shared-data-folder.md.

Cause: a lock is created empty and then written. A process that is suspended in between for over 2 s leaves a lock that counts as damaged, and another one takes it over. The first one then wrote its content into the removed file and assumed that it held the folder; nothing looked at the folder after the write.

Change: the lock is read back at its path after it was written, and counts as created only if it is the own one. While it is read back, a second host of the same process would take it for one of an earlier process with the same id (folder-lock.test.ts showed that, 2 of 2 runs), so the path is now reserved within the process before anything is awaited, and until the file is removed.

What remains: a process that is suspended between its judgement that a lock is abandoned and its rename of it may move a lock that was completed meanwhile, and restores it only when it goes on.

The new test (a process stops before it writes its lock) fails before in 2 of 2 runs: both processes held the folder. After: folder-lock.test.ts 6 of 6 runs, test/data-folders.test.ts 40 of 40.

--- a/packages/state/src/log/folder-lock.ts
+++ b/packages/state/src/log/folder-lock.ts
@@ -30,8 +30,8 @@
 /** An incomplete lock that is older was left by a crash or a loss of power. */
 const maxWriteMs = 2000;
 
-/** Paths of the locks that this process holds: a lock of its own that is not among them was left by an earlier process with the same id. */
-const heldPaths = new Set<string>();
+/** Paths of the locks that this process holds or attempts to create. */
+const reservedPaths = new Set<string>();
 
 /** `exited`: also if the process was not yet reaped. `unknown`: there is no `/proc`. */
 type ProcessState
@@ -106,7 +106,8 @@
 		return isBeingWritten(lockPath);
 	}
 
-	return owner.pid === process.pid ? heldPaths.has(lockPath) : isRunning(owner);
+	// The path is reserved for the caller, so a lock of this process id was left by an earlier process with the same id.
+	return owner.pid !== process.pid && isRunning(owner);
 };
 
 /** Nothing can be written to a folder on a full disk, and its data must still be readable. */
@@ -114,7 +115,7 @@
 
 type Creation = 'created' | 'exists' | 'diskFull';
 
-/** Creates the lock. Not every platform has links, so it may be seen before it has its content. */
+/** Creates the lock, and reads it back. Not every platform has links, so it may be seen before it has its content. */
 const createLock = async (lockPath: string, text: string): Promise<Creation> => {
 	let handle: FileHandle;
 	try {
@@ -134,7 +135,9 @@
 
 	try {
 		await handle.writeFile(text);
-		return 'created';
+		// Another process may have taken over the incomplete lock, if this one was suspended until it looked abandoned.
+		const present = await readIfPresent(lockPath);
+		return present?.toString() === text ? 'created' : 'exists';
 	} catch (error) {
 		await rm(lockPath, {force: true});
 		if (fullDiskCodes.has((error as NodeJS.ErrnoException).code)) {
@@ -178,21 +181,45 @@
 	const lockPath = path.resolve(folder, lockName);
 	const own = await readProcessState(process.pid);
 	const text = JSON.stringify({pid: process.pid, start: own.type === 'started' ? own.start : null} satisfies Owner);
-	for (let attempt = 0; attempt < maxAttempts; attempt++) {
-		if (heldPaths.has(lockPath)) {
-			break;
-		}
+	if (reservedPaths.has(lockPath)) {
+		throw new FolderInUseError(inUseByAnotherHost(folder));
+	}
 
-		const creation = await createLock(lockPath, text);
-		if (creation !== 'exists') {
-			heldPaths.add(lockPath);
-			return {
-				async release() {
-					if (heldPaths.delete(lockPath) && creation === 'created') {
+	// Before anything is awaited: the file of a host that is still creating its lock would look like one of an earlier process.
+	reservedPaths.add(lockPath);
+	try {
+		const isCreated = await acquireLock(folder, lockPath, text);
+		let isReleased = false;
+		return {
+			async release() {
+				if (isReleased) {
+					return;
+				}
+
+				isReleased = true;
+				try {
+					if (isCreated) {
 						await rm(lockPath, {force: true});
 					}
-				},
-			};
+				} finally {
+					reservedPaths.delete(lockPath);
+				}
+			},
+		};
+	} catch (error) {
+		reservedPaths.delete(lockPath);
+		throw error;
+	}
+};
+
+const inUseByAnotherHost = (folder: string): string => `${folder} is in use by another host; give each host a folder of its own`;
+
+/** Creates the lock or takes over an abandoned one; `false` if the disk is full, so that there is none. */
+const acquireLock = async (folder: string, lockPath: string, text: string): Promise<boolean> => {
+	for (let attempt = 0; attempt < maxAttempts; attempt++) {
+		const creation = await createLock(lockPath, text);
+		if (creation !== 'exists') {
+			return creation === 'created';
 		}
 
 		const present = await readIfPresent(lockPath);
@@ -208,7 +235,7 @@
 		await removeAbandoned(lockPath, present.toString());
 	}
 
-	throw new FolderInUseError(`${folder} is in use by another host; give each host a folder of its own`);
+	throw new FolderInUseError(inUseByAnotherHost(folder));
 };
 
 /** Locks a folder and opens what is in it; releases the lock if that fails. */
--- a/packages/state/test/folder-lock.test.ts
+++ b/packages/state/test/folder-lock.test.ts
@@ -20,9 +20,26 @@
 	}
 `;
 
+/** A process that stops before the content of its lock is written, until it is sent SIGUSR2. */
+const slowLockProgram = `
+	import {open} from 'node:fs/promises';
+	const handle = await open('/dev/null', 'w');
+	const prototype = Object.getPrototypeOf(handle);
+	const {writeFile} = prototype;
+	prototype.writeFile = async function (...values) {
+		await new Promise(resolve => {
+			process.once('SIGUSR2', resolve);
+		});
+		return writeFile.apply(this, values);
+	};
+	setInterval(() => undefined, 1000);
+	${lockProgram}
+`;
+
+const spawnProgram = (program: string, folder: string) => spawn(process.execPath, ['--input-type=module', '--eval', program, folder], {stdio: ['ignore', 'pipe', 'inherit']});
+
 /** Locks the folder in another process; resolves with what that process prints first, and a function that kills it. */
-const lockElsewhere = async (t: Test, folder: string): Promise<{text: string; kill(): Promise<void>}> => {
-	const child = spawn(process.execPath, ['--input-type=module', '--eval', lockProgram, folder], {stdio: ['ignore', 'pipe', 'inherit']});
+const lockElsewhere = async (t: Test, folder: string, child = spawnProgram(lockProgram, folder)): Promise<{text: string; kill(): Promise<void>}> => {
 	const exited = new Promise<void>(resolve => {
 		child.once('exit', () => {
 			resolve();
@@ -93,3 +110,23 @@
 
 	t.same(await readdir(folder), []);
 });
+
+// Guards against two hosts that write one log: a process that was suspended while
+// it wrote its lock, until the lock counted as damaged and was taken over, must
+// not assume that it holds the folder.
+t.test('a process whose incomplete lock was taken over does not hold the folder', {timeout: 30_000}, async t => {
+	const folder = testFolder(t);
+	const child = spawnProgram(slowLockProgram, folder);
+	const suspended = lockElsewhere(t, folder, child);
+	let names: string[] = [];
+	while (names.length === 0) {
+		names = await readdir(folder);
+	}
+
+	await utimes(path.join(folder, names[0]!), 0, 0);
+	const lock = await lockFolder(folder);
+	child.kill('SIGUSR2');
+	t.equal((await suspended).text, 'FolderInUseError');
+	await lock.release();
+	t.same(await readdir(folder), []);
+});
