fix(gateway): a request is not sent with a key that is not confirmed any more

What callers could have seen: a request with a revoked key served after the time by which every entry must reject it.

Cause: the lease and the key were checked when an endpoint was selected, and not again when the connection was ready, up to 0.3 s later, or as much later as the process was suspended. Evacuations and regions were checked then.

Change: the same check of lease and key is made when the connection is ready. Nothing has been written then, so the request goes back to the selection, which refuses it with the reason and retry time of a request that waited for as long.

What remains: a process that is suspended between this check and its write.

The new test (a suspension of 5 s by the entry's clock between selection and connection) fails before in 2 of 2 runs: the endpoint got the request and the caller 200.

--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -22,6 +22,9 @@
 /** Whether an answer has a body, which its end may cut. */
 export const hasBody = (method: string | undefined, status: number): boolean => method !== 'HEAD' && !bodilessStatuses.has(status);
 
+/** Why a request must not be sent to an endpoint. `key`: the key of the caller is not confirmed to be in force any more. */
+export type SendExclusion = Exclusion | 'key';
+
 export type AttemptOptions = {
 	readonly connections: EndpointConnections;
 	readonly headerNames: HeaderNames;
@@ -46,7 +49,7 @@
 	/** Whether the endpoint is expected to exit, so that its exit behind an answer doesn't tell that the answer is incomplete. @default it is not */
 	isExitExpected?(): boolean;
 	/** Why the request must not be sent to the endpoint now; `null` if it may be. Called when the connection is ready, because the rules may change while it is established. */
-	exclusion(): Exclusion | null;
+	exclusion(): SendExclusion | null;
 	/** Called when the head of an answer to this request arrives, also if it is a refusal. */
 	onHead(head: AnswerHead): void;
 	/** Called when the first byte of an answer arrives that is not a refusal. */
@@ -96,7 +99,7 @@
 			readonly oversize: Oversize | null;
 		}
 		/** Nothing was sent, because the request must not be sent to this endpoint any more. */
-		| {readonly type: 'excluded'; readonly exclusion: Exclusion}
+		| {readonly type: 'excluded'; readonly exclusion: SendExclusion}
 		| {readonly type: 'aborted'; readonly hasEvents: boolean};
 
 /** Ten times the one-way latency between regions; a lost SYN packet is retransmitted only after 1 s. */
--- a/packages/gateway/src/entry/find-endpoint.ts
+++ b/packages/gateway/src/entry/find-endpoint.ts
@@ -108,11 +108,12 @@
 	return failCall(context, call, progress, exclusionReasons[exclusion], exclusionRetryMs);
 };
 
-const refusalOf = ({nowMs, holdsLease, lostCoreRetryMs}: CallContext, call: Call): Refusal | null => {
-	if (call.deadlineAtMs - nowMs() < minRemainingMs) {
-		return {reason: 'the deadline passed'};
-	}
+const refusalOf = (context: CallContext, call: Call): Refusal | null => call.deadlineAtMs - context.nowMs() < minRemainingMs
+	? {reason: 'the deadline passed'}
+	: keyRefusalOf(context, call);
 
+/** Why a call is refused because of its key; `null` if the key is confirmed to be in force. */
+export const keyRefusalOf = ({holdsLease, lostCoreRetryMs}: Pick<CallContext, 'holdsLease' | 'lostCoreRetryMs'>, call: Pick<Call, 'requiresKey' | 'isKeyInForce'>): Refusal | null => {
 	if (call.requiresKey && !holdsLease()) {
 		return {reason: 'the keys in force are not surely known', retryAfterMs: lostCoreRetryMs()};
 	}
--- a/packages/gateway/src/entry/judge-attempt.ts
+++ b/packages/gateway/src/entry/judge-attempt.ts
@@ -1,9 +1,9 @@
 import type {Buffer} from 'node:buffer';
 import {
-	hasFreshReport, recordFailure, recordConnectionFailure, recordSuccess, type AnswerStage, type Candidate, type Exclusion, type Placement,
+	hasFreshReport, recordFailure, recordConnectionFailure, recordSuccess, type AnswerStage, type Candidate, type Placement,
 } from '@bitternpaddle/coordination';
 import {
-	hasBody, isUnframed, type AnswerHead, type AttemptResult, type FailureCause, type Oversize,
+	hasBody, isUnframed, type AnswerHead, type AttemptResult, type FailureCause, type Oversize, type SendExclusion,
 } from './attempt.js';
 import type {CallContext} from './call-context.js';
 import {requestedVersion} from './call-headers.js';
@@ -114,7 +114,7 @@
 	}
 };
 
-const logExcluded = ({logger}: CallContext, {requestId}: Call, {announcement: {id, address, zoneId}}: Candidate, exclusion: Exclusion): void => {
+const logExcluded = ({logger}: CallContext, {requestId}: Call, {announcement: {id, address, zoneId}}: Candidate, exclusion: SendExclusion): void => {
 	logger.event('BP4055', {
 		requestId, endpointId: id, address, zoneId, exclusion,
 	});
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -12,7 +12,7 @@
 import {versionDuesOf, endpointHeaders, loadedVersion} from './call-headers.js';
 import {chargeRetry, holdsCharge, releaseCharge} from './charge-retry.js';
 import {createCallProgress, type CallProgress} from './call-progress.js';
-import {findAlternative, findEndpoint} from './find-endpoint.js';
+import {findAlternative, findEndpoint, keyRefusalOf} from './find-endpoint.js';
 import {forwardEvents} from './finish-call.js';
 import {isIdempotent, type Call, type CancelCause} from './gateway-call.js';
 import {
@@ -218,7 +218,7 @@
 		limits: attemptLimits(call, candidate, {canRepeat: mayRepeat(call, progress), failOver: async () => failOver(context, call, progress, state), nowMs}),
 		beginWithinMs: engineVersion === null ? null : startWithinMs(engineVersion, versionDuesOf(context, call), startedAtMs),
 		signal: state.signal, maxStreamBytes: maxStreamBytes(call.answerTokenLimit), answerBudget: context.answerBudget,
-		exclusion: () => context.permission.exclusionOf(call, candidate),
+		exclusion: () => keyRefusalOf(context, call) === null ? context.permission.exclusionOf(call, candidate) : 'key',
 		endsInChunk: () => call.response.headersSent && call.response.chunkedEncoding,
 		isExitExpected: () => load.isLeaving || announcement.state !== 'ready',
 		onProgress() {
--- a/packages/gateway/test/permitted-requests.test.ts
+++ b/packages/gateway/test/permitted-requests.test.ts
@@ -178,6 +178,25 @@
 	t.match(await fleet.metrics.text(), /attempts_total\{service="s",outcome="excluded"\} 1/v);
 });
 
+// Guards against sending a request with a key that may have been revoked while the entry was suspended, after it had
+// selected an endpoint and before the connection was ready.
+t.test('a request whose key is no longer confirmed when its connection is ready is not sent', async t => {
+	let suspendedMs = 0;
+	const fleet = await createZonedFleet(t, {
+		zoneIds: ['z1'], clock: {nowMs: () => performance.now() + suspendedMs},
+		onEvent(event) {
+			if (event === 'BP4023') {
+				suspendedMs = 5000;
+			}
+		},
+	});
+	await fleet.until(() => fleet.eventsOf('BP4006').length > 0);
+	t.equal((await fleet.call('keyed', {path: '/keyed/x', key: 'k'})).status, 503);
+	t.same(fleet.zonesOf('keyed'), []);
+	t.match(fleet.eventsOf('BP4055'), [{requestId: 'keyed', exclusion: 'key'}]);
+	t.equal((await fleet.call('public')).status, 200, 'a request without a key is served');
+});
+
 // Guards against a body leaving the permitted regions by way of the messages between hosts. The request crashes
 // endpoints, which causes all notices that entries exchange about a request.
 t.test('no message to another host carries a body or a part of it', async t => {
--- a/packages/gateway/test/support/zoned-fleet.ts
+++ b/packages/gateway/test/support/zoned-fleet.ts
@@ -3,7 +3,7 @@
 import type {IncomingHttpHeaders, IncomingMessage, ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {gunzipSync} from 'node:zlib';
-import {createSuspendAwareClock} from '@bitternpaddle/coordination';
+import {createSuspendAwareClock, type Clock} from '@bitternpaddle/coordination';
 import type {Route, RoutingConfiguration} from '@bitternpaddle/state';
 import {freeAddresses} from '@bitternpaddle/test-support';
 import {
@@ -84,6 +84,10 @@
 	readonly evacuations?: {readonly revision: number; readonly zoneIds: readonly string[]} | null;
 	/** Whether the core host confirms what it holds; the entry is then awaited. @default true */
 	readonly isConfirmed?: boolean;
+	/** Called with each log event of the entry. */
+	onEvent?(event: string): void;
+	/** The entry's clock. @default the time since the start, including suspensions */
+	readonly clock?: Clock;
 	/** @default zone `zN` is in region `rN` */
 	readonly regionsByZone?: ReadonlyMap<string, string>;
 };
@@ -91,6 +95,7 @@
 /** Starts an entry, endpoints of a plain service in zones, a stand-in for a core host and one for another entry; both record what they receive. */
 export const createZonedFleet = async (t: Test, options: ZonedFleetOptions) => {
 	const {zoneIds, regionsByZone = new Map([1, 2, 3].map(number => [`z${number}`, `r${number}`]))} = options;
+	const clock = options.clock ?? createSuspendAwareClock({steadyNowMs: () => performance.now(), wallNowMs: () => Date.now()});
 	const [core, entry, front, readiness, peer, ...addresses] = await freeAddresses(5 + zoneIds.length);
 	/** What the core host says; tests change it while requests run. */
 	const state = {
@@ -157,7 +162,7 @@
 	const metrics = createGatewayMetrics();
 	const entryNode = await createEntryNode({
 		selfAddress: entry!, zoneId: 'z1', regionId: 'r1', regionsByZone, listen: front!, readinessListen: readiness!, seeds: () => [core!],
-		clock: createSuspendAwareClock({steadyNowMs: () => performance.now(), wallNowMs: () => Date.now()}), metrics, randomSeed: 7,
+		clock, metrics, randomSeed: 7,
 		protocol: {
 			...protocol, decodeConfiguration: text => ({type: 'configuration', configuration: JSON.parse(text) as RoutingConfiguration}),
 			readPause: ({'retry-after': text}) => text === undefined ? {type: 'none'} : {type: 'pause', pauseMs: Number(text) * 1000},
@@ -165,6 +170,7 @@
 		logger: {
 			event(event, fields = {}) {
 				events.push({event, fields});
+				options.onEvent?.(event);
 			},
 		},
 		bounds: {
