fix(daemon): no adapter is unloaded after the lease expired

What callers could have seen: 'not run' for an adapter that another agent had ordered, at engines that ignore fencing numbers, until the next check loaded it again.

Cause: the lease was checked once before the engine's status was read and a series of unload orders was sent, each of which is waited for. Load orders were already checked one by one.

Change: the lease is checked right before each unload order. Before a base order, an expired lease leaves the base as it is, like a failed unload.

--- a/packages/daemon/src/agent/adapters.ts
+++ b/packages/daemon/src/agent/adapters.ts
@@ -157,7 +157,7 @@
 			const verified = record === undefined ? null : transfers.verified(record.manifestId);
 			// While the right digest is not known here, a wanted adapter may stay loaded, but receives no requests.
 			const isSurplus = record === undefined || (verified !== null && verified.digest !== digest);
-			if (isSurplus && !referenceCounts.has(name)) {
+			if (isSurplus && !referenceCounts.has(name) && hasLease()) {
 				await sendOrder({type: 'unload', name, fencingNumber: fencingNumber()}, failures);
 			}
 		}
@@ -205,6 +205,10 @@
 	const unloadAll = async (): Promise<void> => {
 		const {adapters} = await fetchEngineStatus(endpointAddress);
 		for (const {name} of adapters) {
+			if (!hasLease()) {
+				throw new Error('the lease expired before the adapters of the earlier base were unloaded');
+			}
+
 			const outcome = await sendAdapterOrder(endpointAddress, {type: 'unload', name, fencingNumber: fencingNumber()});
 			if (outcome.type !== 'loaded') {
 				throw new Error(`adapter ${name} could not be unloaded before the base changes: ${outcome.type === 'fenced' ? 'the engine has received a newer order' : outcome.detail}`);
--- a/packages/daemon/test/adapters.test.ts
+++ b/packages/daemon/test/adapters.test.ts
@@ -118,6 +118,34 @@
 	t.not(adapters.acquire(tag), null);
 });
 
+// The lease expires while the engine's status is read. Engines that ignore
+// fencing numbers would unload an adapter that another agent may have ordered.
+t.test('no adapter is unloaded once the lease has expired', {timeout: 30_000}, async t => {
+	const {engine, adapters, catalog, host, loadBase, sendBaseOrder} = await setUp(t);
+	await sendBaseOrder(loadBase);
+	adapters.applyCatalog(catalog);
+	await waitUntil('the adapter is loaded', () => adapters.readyIds().length === 1);
+	await adapters.runWithoutOrders(async () => undefined);
+	let checks = 0;
+	Object.defineProperty(host, 'hasLease', {
+		get() {
+			checks++;
+			return checks === 1;
+		},
+	});
+	catalog.hosts.h1 = {...catalog.hosts.h1!, assignment: {fleetId: 'f', versionId: 'm:v2', fencingNumber: 3}};
+	await t.rejects(sendBaseOrder(async () => undefined), 'the base order is not sent either');
+	t.same([...engine.heldAdapters().keys()], [name], 'before a base order');
+
+	checks = 0;
+	catalog.hosts.h1 = {...catalog.hosts.h1, assignment: {fleetId: 'f', versionId: 'm:v1', fencingNumber: 3}};
+	catalog.fleets.f = {...catalog.fleets.f!, adapters: {keys: [], fencingNumber: 4}};
+	adapters.applyCatalog(catalog);
+	await adapters.runWithoutOrders(async () => undefined);
+	t.ok(checks > 1);
+	t.same([...engine.heldAdapters().keys()], [name], 'as a surplus one');
+});
+
 // The disk returns other bytes after the adapter's file was verified, and the
 // engine reads them. No request may use that adapter, and it must be fetched
 // again: otherwise the host would order the same file again and again.
