--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -22,8 +22,11 @@
 /** Whether an answer has a body, which its end may cut. */
 export const hasBody = (method: string | undefined, status: number): boolean => method !== 'HEAD' && !bodilessStatuses.has(status);
 
-/** Why nothing was sent: a rule on zones or regions, or `weights`: the engine is no longer shown to hold the version that the request names. */
-export type SendExclusion = Exclusion | 'weights';
+/**
+ * Why nothing was sent: a rule on zones or regions; `weights`: the engine is no longer shown to hold the
+ * version that the request names; `key`: the key of the caller is not confirmed to be in force any more.
+ */
+export type SendExclusion = Exclusion | 'weights' | 'key';
 
 export type AttemptOptions = {
 	readonly connections: EndpointConnections;
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -3,18 +3,20 @@
 	type AwaitedRequest, type Candidate, type EndpointLoad, type PauseNotice, type Placement,
 } from '@bitternpaddle/coordination';
 import {ignore, maxStreamBytes} from '@bitternpaddle/transport';
-import {sendAttempt, type AnswerHead, type AttemptResult} from './attempt.js';
+import {
+	sendAttempt, type AnswerHead, type AttemptResult, type SendExclusion,
+} from './attempt.js';
 import {
 	recordLoad, recordPassedZone, recordPlainAnswer, slowdownFields,
 } from './answer-load.js';
 import {attemptLimits} from './attempt-limits.js';
 import type {CallContext} from './call-context.js';
 import {
-	versionDuesOf, endpointHeaders, isUnproven, requestedVersion,
+	versionDuesOf, endpointHeaders, isUnproven, requestedVersion, type EndpointTarget,
 } from './call-headers.js';
 import {chargeRetry, holdsCharge, releaseCharge} from './charge-retry.js';
 import {createCallProgress, type CallProgress} from './call-progress.js';
-import {findAlternative, findEndpoint} from './find-endpoint.js';
+import {findAlternative, findEndpoint, keyRefusalOf} from './find-endpoint.js';
 import {forwardEvents} from './finish-call.js';
 import {isIdempotent, type Call, type CancelCause} from './gateway-call.js';
 import {
@@ -187,6 +189,15 @@
 
 type AttemptHooks = {readonly state: AttemptState; readonly onHead: OnHead};
 
+/** Why the request must not be sent to the endpoint any more. */
+const sendExclusionOf = (context: CallContext, call: Call, target: EndpointTarget): SendExclusion | null => {
+	if (keyRefusalOf(context, call) !== null) {
+		return 'key';
+	}
+
+	return context.permission.exclusionOf(call, target.candidate) ?? (isUnproven(context, call, target) ? 'weights' : null);
+};
+
 const attempt = async (context: CallContext, call: Call, progress: CallProgress, {state, onHead}: AttemptHooks): Promise<AttemptResult> => {
 	const {candidate, expectedMs, lagMs} = state.placement;
 	const {protocol, connections, metrics, logger, nowMs} = context;
@@ -220,7 +231,7 @@
 		limits: attemptLimits(call, candidate, {canRepeat: mayRepeat(call, progress), failOver: async () => failOver(context, call, progress, state), nowMs}),
 		beginWithinMs: target.version === null ? null : startWithinMs(target.version, versionDuesOf(context, call), startedAtMs),
 		signal: state.signal, maxStreamBytes: maxStreamBytes(call.answerTokenLimit), answerBudget: context.answerBudget,
-		exclusion: () => context.permission.exclusionOf(call, candidate) ?? (isUnproven(context, call, target) ? 'weights' : null),
+		exclusion: () => sendExclusionOf(context, call, target),
 		endsInChunk: () => call.response.headersSent && call.response.chunkedEncoding,
 		isExitExpected: () => load.isLeaving || announcement.state !== 'ready',
 		onProgress() {
