fix(gateway): a report of an agent without proofs is read

A report that names a bare version or null now proves nothing and is otherwise used. The case with a type that does not exist is checked on the bytes, as the encoder writes nothing for it; other malformed items are checked beside it. The new test fails before.

--- a/packages/gateway/src/load/load-report.ts
+++ b/packages/gateway/src/load/load-report.ts
@@ -34,10 +34,11 @@
 /** The pace is encoded as an integer number of hundredths, because a float takes nine bytes. */
 const paceScale = 100;
 
-const proofCodes = {unknown: 0, none: 1} as const;
+/** `null` and numbers are what agents without proofs send: no version, or one that was not shown to be whole. */
+const proofCodes = {unknown: false, none: null} as const;
 
 /** Encoded without field names to save bytes; most messages between hosts are reports. */
-const proofSchema = z.union([z.literal(proofCodes.unknown), z.literal(proofCodes.none), z.tuple([z.number(), z.string().nullable(), z.number().nullable()])]);
+const proofSchema = z.union([z.literal(proofCodes.unknown), z.null(), z.number(), z.tuple([z.number(), z.string().nullable(), z.number().nullable()])]);
 const reportSchema = z.tuple([z.number(), z.number(), z.number(), z.boolean(), z.boolean(), proofSchema, z.number().nullable()]);
 const itemSchema = z.tuple([z.string(), z.number(), z.number(), z.union([z.literal(deliveryCodes.direct), z.literal(deliveryCodes.relayed)]), z.number(), z.number(), reportSchema.nullable()]);
 const messageSchema = z.tuple([z.number().int().min(0).max(kinds.length - 1), z.array(itemSchema)]);
@@ -47,22 +48,18 @@
 const encodeProof = (proof: WeightsProof): ProofItem => proof.type === 'whole' ? [proof.version, proof.engineId, proof.startedAtMs] : proofCodes[proof.type];
 
 const decodeProof = (item: ProofItem): WeightsProof => {
-	switch (item) {
-		case proofCodes.unknown: {
-			return {type: 'unknown'};
-		}
-
-		case proofCodes.none: {
-			return {type: 'none'};
-		}
-
-		default: {
-			const [version, engineId, startedAtMs] = item;
-			return {
-				type: 'whole', version, engineId, startedAtMs,
-			};
-		}
+	if (item === proofCodes.unknown) {
+		return {type: 'unknown'};
 	}
+
+	if (item === proofCodes.none || typeof item === 'number') {
+		return {type: 'none'};
+	}
+
+	const [version, engineId, startedAtMs] = item;
+	return {
+		type: 'whole', version, engineId, startedAtMs,
+	};
 };
 
 const encodeItem = ({epoch, sequence, endpointAddress, report, delivery}: LoadReport): Item => [
--- a/packages/gateway/test/load-relay.test.ts
+++ b/packages/gateway/test/load-relay.test.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {setTimeout as delay} from 'node:timers/promises';
+import {encode} from '@msgpack/msgpack';
 import {freeAddresses} from '@bitternpaddle/test-support';
 import t, {type Test} from 'tap';
 import {
@@ -14,6 +15,9 @@
 	},
 });
 
+/** A datagram whose report has this item for the weights. */
+const datagramWith = (item: unknown): Buffer => Buffer.from(encode([0, [['e', 7, 1, 0, 1000, 0, [3, 1, 125, false, true, item, null]]]]));
+
 const entriesOf = (perZone: number): ZonedAddress[] => ['a', 'b', 'c'].flatMap(zoneId => Array.from({length: perZone}, (_, index) => ({address: `${zoneId}${index}`, zoneId})));
 
 t.test('messages round-trip', async t => {
@@ -40,10 +44,21 @@
 		type: 'whole', version: '3', engineId: null, startedAtMs: null,
 	}, {
 		type: 'whole', version: null, engineId: 'e', startedAtMs: 0,
-	}, {type: 'other'}]) {
+	}]) {
 		const message = {kind: 'near', reports: [{...rest, report: {...engine, weights}}]} as unknown as LoadMessage;
 		t.equal(decodeLoadMessage(Buffer.from(encodeLoadMessage(message))), null);
 	}
+
+	for (const item of ['other', true, [], {}]) {
+		t.equal(decodeLoadMessage(datagramWith(item)), null);
+	}
+});
+
+// Guards against an entry that loses all reports of a datagram, or trusts an announced version, because one agent still runs the previous program.
+t.test('a version from an agent that proves nothing is not a proof', async t => {
+	for (const item of [null, 2]) {
+		t.same(decodeLoadMessage(datagramWith(item))?.reports[0]!.report!.weights, {type: 'none'});
+	}
 });
 
 t.test('other datagrams are not decoded', async t => {
