fix(gateway): a write that was lost delays a load by three seconds

Operators would have seen an engine without service for 10 s after one write whose connection was reset, longer than a version may take. An engine carries out at once what it has read; three seconds cover a stalled disk.

An order that is not sent because this start of the engine held the version before is logged (BP4034).

--- a/packages/gateway/src/agent/chunk-writer.ts
+++ b/packages/gateway/src/agent/chunk-writer.ts
@@ -5,7 +5,7 @@
 export type ChunkWriterOptions = {
 	readonly engine: Pick<EngineClient, 'putChunk'>;
 	readonly logger: Logger;
-	/** Time for which an engine that answers may still carry out a write whose connection has ended. @default 10_000 */
+	/** Time for which an engine that answers may still carry out a write whose connection has ended. @default 3000 */
 	readonly lostWriteMs?: number;
 };
 
@@ -38,7 +38,8 @@
 const laneCount = 4;
 /** A write that takes longer does not delay those of other versions and chunks; longer than most suspensions of a host. */
 const maxLaneWaitMs = 10_000;
-const defaultLostWriteMs = 10_000;
+/** An engine carries out at once what it has read; the rest covers a stalled disk. */
+const defaultLostWriteMs = 3000;
 
 /** `open`: writes without an outcome. `lostForMs`: the remaining time of lost writes. */
 type VersionWrites = {open: number; lostForMs: number; lastAtMs: number};
--- a/packages/gateway/src/agent/version-loader.ts
+++ b/packages/gateway/src/agent/version-loader.ts
@@ -164,7 +164,12 @@
 	/** Returns whether an order was sent. */
 	const orderLoad = async ({profile: {model}, namedAgeMs}: LoadGoal, staged: StagedWeights, state: EngineState): Promise<boolean> => {
 		orderedAtMs = performance.now();
-		if (staged.writer.hasOpenWrite(staged.version) || !prover.mayLoad(staged.version)) {
+		if (staged.writer.hasOpenWrite(staged.version)) {
+			return false;
+		}
+
+		if (!prover.mayLoad(staged.version)) {
+			logger.event('BP4034', {version: staged.version, reason: 'this start of the engine was shown to hold the version before'});
 			return false;
 		}
 
