test: crowds of clients that exceed the limits of each listener

Callers saw an entry end when clients sent many chunked bodies that stop short of their end, or a single body of the permitted size in chunks of 1 byte. These tests start the system's own processes with the memory of the smallest hosts and few descriptors, and check that each process lives, its peak memory, its descriptors and one ordinary request afterwards.

--- /dev/null
+++ b/packages/test-support/src/crowd/index.ts
@@ -0,0 +1,3 @@
+export * from './crowd.js';
+export * from './process-usage.js';
+export * from './wire.js';
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -1,3 +1,4 @@
+export * from './crowd/index.js';
 export * from './engine/fake-engine.js';
 export * from './folder/index.js';
 export * from './history/index.js';
