fix(transport): the memory of a body follows its size, not the number of its parts

Callers saw an entry end while it received a single body of the permitted size in chunks of 1 byte; agents and control hosts ended in the same way.

Cause: Node.js hands out each chunk in a buffer of its own, which takes some hundred bytes, and `readBody` kept all of them until the body was complete. The sum of the bodies of a server counted their bytes only.

Parts are now copied into blocks that grow with the body, large ones are kept as they are, and the sum counts the blocks. The memory of a body is at most twice its size, whatever its parts. Reading begins at once, so that no parts wait in the queue of the message, and a request whose body is refused for the sum is refused until its handler has the body.

--- a/packages/transport/src/http/body-budget.ts
+++ b/packages/transport/src/http/body-budget.ts
@@ -1,10 +1,17 @@
 import type http from 'node:http';
 import {OverloadError, refuseRequest} from './overload.js';
 
-/** Counts the bytes of one request body while it is read. */
+/** Measures one request body while it is read. */
 export type BodyMeter = {
-	/** Throws `OverloadError` once the request has been refused. */
-	add(sizeBytes: number): void;
+	/**
+	 * Records a part of the body, and the memory that the body takes now, `null` if that has
+	 * not changed. Throws `OverloadError` once the request has been refused.
+	 */
+	recordPart(sizeBytes: number, heldBytes: number | null): void;
+	/** Records that the body is complete and used from now on; the request can no longer be refused. */
+	complete(heldBytes: number): void;
+	/** Records that the body is not kept. */
+	giveUp(): void;
 	isRefused(): boolean;
 };
 
@@ -15,18 +22,20 @@
 	bufferedBytes(): number;
 };
 
-type OpenBody = {readonly request: http.IncomingMessage; readonly response: http.ServerResponse; sizeBytes: number; isRefused: boolean};
+type OpenBody = {readonly request: http.IncomingMessage; readonly response: http.ServerResponse; sizeBytes: number; isReading: boolean; isUsed: boolean; isRefused: boolean};
 
 const meters = new WeakMap<http.IncomingMessage, BodyMeter>();
 
 /** The body meter of a request received by a server with a body budget. */
 export const bodyMeterOf = (message: http.IncomingMessage): BodyMeter | undefined => meters.get(message);
 
-/** Only a request that has not completely arrived can be refused with certainty that it did not run. */
-const isIncomplete = ({request, response, isRefused}: OpenBody): boolean => !isRefused && !request.complete && !response.headersSent;
+/** A request can be refused with certainty that it did not run while its body is not complete or not handed over. */
+const isIncomplete = ({
+	request, response, isReading, isUsed, isRefused,
+}: OpenBody): boolean => !isRefused && !isUsed && !response.headersSent && (isReading || !request.complete);
 
 /**
- * Bounds the total bytes of all request bodies. Without the bound, every
+ * Bounds the memory of all request bodies. Without the bound, every
  * connection could hold a body of the maximum size, and the process would be
  * killed for its memory use with every request it runs. Over the limit, the
  * request with the largest incomplete body is refused, so that a few large
@@ -42,6 +51,13 @@
 		body.sizeBytes = 0;
 	};
 
+	const setSize = (body: OpenBody, sizeBytes: number): void => {
+		if (bodies.has(body)) {
+			totalBytes += sizeBytes - body.sizeBytes;
+			body.sizeBytes = sizeBytes;
+		}
+	};
+
 	const refuse = (body: OpenBody, reason: string): void => {
 		body.isRefused = true;
 		release(body);
@@ -75,17 +91,17 @@
 	return {
 		open(request, response) {
 			const body: OpenBody = {
-				request, response, sizeBytes: 0, isRefused: false,
+				request, response, sizeBytes: 0, isReading: false, isUsed: false, isRefused: false,
 			};
 			bodies.add(body);
 			response.once('close', () => {
 				release(body);
 			});
 			const meter: BodyMeter = {
-				add(sizeBytes) {
-					if (!body.isRefused) {
-						body.sizeBytes += sizeBytes;
-						totalBytes += sizeBytes;
+				recordPart(_sizeBytes, heldBytes) {
+					body.isReading = true;
+					if (heldBytes !== null) {
+						setSize(body, heldBytes);
 						refuseWhileOverLimit();
 					}
 
@@ -93,6 +109,14 @@
 						throw new OverloadError('the request was refused before its body had arrived completely');
 					}
 				},
+				complete(heldBytes) {
+					body.isUsed = true;
+					setSize(body, heldBytes);
+				},
+				giveUp() {
+					body.isUsed = true;
+					setSize(body, 0);
+				},
 				isRefused: () => body.isRefused,
 			};
 			meters.set(request, meter);
--- a/packages/transport/src/http/http-client.ts
+++ b/packages/transport/src/http/http-client.ts
@@ -1,8 +1,8 @@
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import {parseAddress} from './address.js';
-import {bodyMeterOf} from './body-budget.js';
 import {closeIdleConnections, createPool} from './connection-pool.js';
+import {readBody} from './read-body.js';
 import {readLimits} from './read-limits.js';
 import {timeoutSignal} from './timeout-signal.js';
 
@@ -99,38 +99,3 @@
 	const response = await sendHttp({...options, signal: signal === undefined ? timeout : AbortSignal.any([signal, timeout])});
 	return {status: response.statusCode!, headers: response.headers, body: await readBody(response, limitBytes)};
 };
-
-/** Reads a complete body; a truncated body or one larger than `limitBytes` is an error. */
-export const readBody = async (message: http.IncomingMessage, limitBytes = Number.POSITIVE_INFINITY): Promise<Buffer> => {
-	if (Number(message.headers['content-length'] ?? 0) > limitBytes) {
-		// An unread response would keep its connection from returning to the pool.
-		if (typeof message.statusCode === 'number') {
-			message.destroy();
-		}
-
-		throw new BodyTooLargeError(limitBytes);
-	}
-
-	const meter = bodyMeterOf(message);
-	const parts: Buffer[] = [];
-	let sizeBytes = 0;
-	for await (const part of message as AsyncIterable<Buffer>) {
-		sizeBytes += part.length;
-		if (sizeBytes > limitBytes) {
-			throw new BodyTooLargeError(limitBytes);
-		}
-
-		meter?.add(part.length);
-		parts.push(part);
-	}
-
-	return Buffer.concat(parts);
-};
-
-export class BodyTooLargeError extends Error {
-	override readonly name = 'BodyTooLargeError';
-
-	constructor(limitBytes: number) {
-		super(`the body is larger than ${limitBytes} bytes`);
-	}
-}
--- a/packages/transport/src/http/http-server.ts
+++ b/packages/transport/src/http/http-server.ts
@@ -6,7 +6,7 @@
 import {listenOn} from './listen.js';
 import type {ServerLimits} from './overload.js';
 import {refuseConnection} from './refuse-connection.js';
-import {BodyTooLargeError} from './http-client.js';
+import {BodyTooLargeError} from './read-body.js';
 
 export type HttpHandler = (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>;
 
--- a/packages/transport/src/http/index.ts
+++ b/packages/transport/src/http/index.ts
@@ -1,4 +1,6 @@
 export * from './address.js';
+export * from './body-collector.js';
+export * from './collect-garbage.js';
 export * from './connection-pool.js';
 export * from './connection-tracker.js';
 export * from './http-client.js';
@@ -6,6 +8,7 @@
 export * from './is-refusing-connections.js';
 export * from './listen.js';
 export type * from './overload.js';
+export * from './read-body.js';
 export * from './read-limits.js';
 export * from './refuse-connection.js';
 export * from './timeout-signal.js';
--- a/packages/transport/src/rpc/packing.ts
+++ b/packages/transport/src/rpc/packing.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
 import {constants, gunzipSync, gzipSync} from 'node:zlib';
-import {BodyTooLargeError} from '../http/http-client.js';
+import {BodyTooLargeError} from '../http/read-body.js';
 
 /** For shorter texts, compression saves less than the size of a packet header. */
 const minCompressedBytes = 512;
--- a/packages/transport/src/rpc/rpc-client.ts
+++ b/packages/transport/src/rpc/rpc-client.ts
@@ -1,6 +1,7 @@
 import type http from 'node:http';
 import {JSONRPCClient, type JSONRPCResponse} from 'json-rpc-2.0';
-import {readBody, sendHttp, TransportError} from '../http/http-client.js';
+import {sendHttp, TransportError} from '../http/http-client.js';
+import {readBody} from '../http/read-body.js';
 import {readLimits} from '../http/read-limits.js';
 import {compressText, acceptCompressedHeaders, decompressText} from './packing.js';
 import {rpcPath} from './rpc-server.js';
--- a/packages/transport/src/rpc/rpc-server.ts
+++ b/packages/transport/src/rpc/rpc-server.ts
@@ -5,7 +5,7 @@
 } from 'json-rpc-2.0';
 import * as z from 'zod';
 import {ignore} from '../utils.js';
-import {readBody} from '../http/http-client.js';
+import {readBody} from '../http/read-body.js';
 import {sendJson} from '../http/http-server.js';
 import {compressText, acceptsCompressed, decompressText} from './packing.js';
 
