fix(transport): a server bounds requests, unread responses and bodies in small parts

Callers saw a core host end its work for tens of seconds, and lose its lease, while a few clients sent documents in chunks of 1 byte; the product's entry took 1,208 MB for 40 connections with pipelined requests, and a core host 288 MB for clients that did not read the configuration. All roles had more descriptors than connections allowed, as up to 256 connections are open besides while they are refused.

Causes: the event loop reads up to 32 times 64 KiB from one connection, and 64 KiB in chunks of 1 byte are 10,000 parts of about 2 us each; pipelined requests all start, though their responses wait for each other; responses were not counted; the connections being refused had a bound of their own; a body that goes on after its request was answered was read for as long as it lasted, and a body over the limit destroyed its connection before the 413 was sent.

`createGuardedServer` bounds them in one place: requests in all and on one connection, the memory of heads and bodies, unread responses (the largest is cut), bodies in small parts (8 at a time, one read of 64 KiB in a turn of the event loop), and what is read of a body that is not used (1 MiB, 1 s, after which its connection is closed). Connections being refused are a quarter of the limit at most. A limit that is met is counted and logged once a second (BP9004).

--- a/packages/gateway/src/entry/front-server.ts
+++ b/packages/gateway/src/entry/front-server.ts
@@ -1,9 +1,8 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
 import {
-	listenOn, refuseConnection, trackConnections, type Exchange,
+	cutConnection, listenOn, refuseConnection, trackConnections, type Exchange,
 } from '@bitternpaddle/transport';
-import {cutConnection} from './cut-connection.js';
 
 export type FrontServerOptions = {
 	readonly listen: string;
--- a/packages/gateway/src/entry/truncate-answer.ts
+++ b/packages/gateway/src/entry/truncate-answer.ts
@@ -1,7 +1,7 @@
 import type http from 'node:http';
+import {cutConnection} from '@bitternpaddle/transport';
 import type {CallContext} from './call-context.js';
 import type {CallProgress} from './call-progress.js';
-import {cutConnection} from './cut-connection.js';
 
 /**
  * Why a caller received only a part of an answer. `attempt`: the attempt failed, and no
--- a/packages/transport/src/http/connection-limit.ts
+++ b/packages/transport/src/http/connection-limit.ts
@@ -3,8 +3,12 @@
 
 export type ConnectionLimitOptions = {
 	readonly maxConnections: number;
+	/** Closes a connection whose request was answered before its body arrived; `false` if there is none. */
+	closeAnswered(): boolean;
 	/** Ends a connection whose request has not completely arrived; `false` if there is none. */
 	refuseIncomplete(reason: string): boolean;
+	/** Called when a connection is refused or closed. @default ignored */
+	readonly onRefused?: (socket: Duplex) => void;
 };
 
 /** Bounds the number of open connections. */
@@ -18,26 +22,29 @@
 	openCount(): number;
 };
 
-/** Refused connections that stay open until their sender has read the response; beyond this number they are destroyed at once. */
-const maxClosing = 256;
+/** Refused connections that stay open until their sender has read the response, at most and as a share of the limit; further ones are destroyed at once. */
+const maxClosingConnections = 256;
+const closingShare = 1 / 4;
 const closingTimeoutMs = 1000;
 
 /**
  * At the limit, a new connection replaces the one that has been idle for the
- * longest, or else one whose request has not completely arrived. Without this,
+ * longest, or else one whose request was answered or has not completely arrived. Without this,
  * idle connections would keep every caller out until they time out. The
  * replaced connection gets a "not run" response, which is true of any request
  * that its client is sending at that moment. Connections with a complete
  * request are never closed.
  */
-export const createConnectionLimit = ({maxConnections, refuseIncomplete}: ConnectionLimitOptions): ConnectionLimit => {
+export const createConnectionLimit = ({maxConnections, closeAnswered, refuseIncomplete, onRefused = () => undefined}: ConnectionLimitOptions): ConnectionLimit => {
 	const reason = `the server has reached its limit of ${maxConnections} connections`;
+	const maxClosing = Math.min(maxClosingConnections, Math.floor(maxConnections * closingShare));
 	const running = new Map<Duplex, number>();
 	const idle = new Set<Duplex>();
 	const closing = new Set<Duplex>();
 	let count = 0;
 
 	const refuse = (socket: Duplex): void => {
+		onRefused(socket);
 		if (closing.size >= maxClosing) {
 			socket.destroy();
 			return;
@@ -74,7 +81,7 @@
 		}
 
 		// Its connection closes after the response; until then the limit is exceeded by one.
-		return refuseIncomplete(reason);
+		return closeAnswered() || refuseIncomplete(reason);
 	};
 
 	return {
--- a/packages/transport/src/http/connection-tracker.ts
+++ b/packages/transport/src/http/connection-tracker.ts
@@ -9,6 +9,8 @@
 	/** Requests whose response has not been sent completely. */
 	exchanges(): Exchange[];
 	exchangeOf(socket: Duplex): Exchange | undefined;
+	/** Number of requests on a connection whose response has not been sent completely. */
+	pendingOn(socket: Duplex): number;
 	/** Makes responses ask the client to close its connection, as far as their head has not been sent. */
 	announceClose(): void;
 	/** Stops listening, and closes each connection once it is idle; `onClosed` is called when none is left. */
@@ -57,6 +59,10 @@
 	});
 	server.prependListener('request', (request: http.IncomingMessage, response: http.ServerResponse) => {
 		const {socket} = request;
+		if (socket.destroyed) {
+			return;
+		}
+
 		const connection = connections.get(socket)!;
 		const exchange: Exchange = {request, response};
 		connection.exchanges.add(exchange);
@@ -91,6 +97,7 @@
 		openConnections: () => connections.size,
 		exchanges: allExchanges,
 		exchangeOf: socket => [...connections.get(socket)?.exchanges ?? []][0],
+		pendingOn: socket => connections.get(socket)?.exchanges.size ?? 0,
 		announceClose,
 		closeWhenIdle(onClosed) {
 			isClosing = true;
--- a/packages/transport/src/http/http-server.ts
+++ b/packages/transport/src/http/http-server.ts
@@ -1,18 +1,17 @@
-import http from 'node:http';
-import type {Socket} from 'node:net';
-import {createBodyBudget} from './body-budget.js';
-import {createConnectionLimit} from './connection-limit.js';
-import {trackConnections} from './connection-tracker.js';
+import {Buffer} from 'node:buffer';
+import type http from 'node:http';
 import {listenOn} from './listen.js';
-import type {ServerLimits} from './overload.js';
-import {refuseConnection} from './refuse-connection.js';
+import {endAndClose, type OnLimit, type ServerLimits} from './overload.js';
 import {BodyTooLargeError} from './read-body.js';
+import type {RequestMeter} from './request-budget.js';
+import {createGuardedServer, type ServerUsage} from './server-guard.js';
 
 export type HttpHandler = (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>;
 
 export type HttpServer = {
 	/** The bound `ip:port`. */
 	readonly address: string;
+	usage(): ServerUsage;
 	/** Stops listening and closes idle connections; resolves when all responses have been sent. */
 	close(): Promise<void>;
 	/** Closes all connections immediately. */
@@ -26,73 +25,55 @@
 	readonly onError?: (error: Error) => void;
 	/** @default {} */
 	readonly limits?: ServerLimits;
+	/** @default ignored */
+	readonly onLimit?: OnLimit;
 };
 
 /** Longer than clients keep idle connections, so that the server closes none while a request is being sent on it. */
 const keepAliveTimeoutMs = 65_000;
-/** Interval of the checks for slow senders. */
-const connectionsCheckingIntervalMs = 500;
 
 export const createHttpServer = async (options: CreateHttpServerOptions): Promise<HttpServer> => {
-	const {listen, handler, onError, limits = {}} = options;
-	const {
-		maxConnections = 8192, maxBufferedBytes = 134_217_728, headersTimeoutMs = 10_000, requestTimeoutMs = 60_000, unreadTimeoutMs = 60_000,
-	} = limits;
-	const bodies = createBodyBudget(maxBufferedBytes);
-	const connections = createConnectionLimit({maxConnections, refuseIncomplete: reason => bodies.refuseOldest(reason)});
-	const server = http.createServer({
-		keepAliveTimeout: keepAliveTimeoutMs, headersTimeout: headersTimeoutMs, requestTimeout: requestTimeoutMs, connectionsCheckingInterval: connectionsCheckingIntervalMs,
-	}, (request, response) => {
-		const {socket} = request;
-		if (!connections.begin(socket)) {
-			return;
-		}
-
-		const meter = bodies.open(request, response);
-		response.once('close', () => {
-			connections.end(socket);
-		});
+	const {listen, handler, onError, limits = {}, onLimit} = options;
 
-		handler(request, response).catch((error: unknown) => {
-			// The sender already has its response; the handler's error only follows from the interrupted body.
-			if (meter.isRefused()) {
-				return;
-			}
+	const failRequest = (request: http.IncomingMessage, response: http.ServerResponse, error: Error): void => {
+		const isTooLarge = error instanceof BodyTooLargeError;
+		const isSenderDisconnected = request.destroyed && !request.complete;
+		if (!isTooLarge && !isSenderDisconnected) {
+			onError?.(error);
+		}
 
-			const isTooLarge = error instanceof BodyTooLargeError;
-			const isSenderDisconnected = request.destroyed && !request.complete;
-			if (!isTooLarge && !isSenderDisconnected) {
-				onError?.(error as Error);
-			}
+		if (response.headersSent) {
+			// The client must see a broken connection, not a response that looks complete.
+			response.destroy();
+		} else if (isTooLarge) {
+			// The rest of the body is not used, so the connection cannot carry another request.
+			endAndClose(request, response, 413, JSON.stringify({error: {type: 'invalid_request', message: error.message}}), {});
+		} else {
+			sendJson(response, 500, {error: {type: 'internal', message: error.message}});
+		}
+	};
 
-			if (response.headersSent) {
-				// The client must see a broken connection, not a response that looks complete.
-				response.destroy();
-			} else if (isTooLarge) {
-				// The rest of the body is not read, so the connection cannot carry another request.
-				sendJson(response, 413, {error: {type: 'invalid_request', message: error.message}}, {connection: 'close'});
-			} else {
-				sendJson(response, 500, {error: {type: 'internal', message: (error as Error).message}});
+	const handle = async (request: http.IncomingMessage, response: http.ServerResponse, meter: RequestMeter): Promise<void> => {
+		try {
+			await handler(request, response);
+		} catch (error) {
+			// The sender of a refused request already has its response; the handler's error only follows from the interrupted body.
+			if (!meter.isRefused()) {
+				failRequest(request, response, error as Error);
 			}
-		});
-	});
-	const tracker = trackConnections(server);
-	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-		refuseConnection(socket, error, tracker.exchangeOf(socket));
-	});
-	server.prependListener('connection', (socket: Socket) => {
-		connections.open(socket);
-	});
-	// A caller that never reads would keep its response in memory forever. A response with no data to send yet may take longer.
-	server.timeout = unreadTimeoutMs;
-	server.on('timeout', (socket: Socket) => {
-		if (socket.writableLength > 0 || tracker.exchangeOf(socket) === undefined) {
-			socket.destroy();
 		}
+	};
+
+	const {server, tracker, usage} = createGuardedServer({
+		limits, keepAliveTimeoutMs, onLimit,
+		onRequest(request, response, meter) {
+			void handle(request, response, meter);
+		},
 	});
 	const address = await listenOn(server, listen);
 	return {
 		address,
+		usage,
 		async close() {
 			await new Promise<void>(resolve => {
 				tracker.closeWhenIdle(resolve);
@@ -107,6 +88,6 @@
 
 export const sendJson = (response: http.ServerResponse, status: number, body: unknown, headers: http.OutgoingHttpHeaders = {}): void => {
 	const text = JSON.stringify(body);
-	response.writeHead(status, {...headers, 'content-type': 'application/json', 'content-length': new TextEncoder().encode(text).length});
+	response.writeHead(status, {...headers, 'content-type': 'application/json', 'content-length': Buffer.byteLength(text)});
 	response.end(text);
 };
--- a/packages/transport/src/http/read-body.ts
+++ b/packages/transport/src/http/read-body.ts
@@ -2,7 +2,7 @@
 import type http from 'node:http';
 import {createBodyCollector} from './body-collector.js';
 import {recordAllocatedBytes} from './collect-garbage.js';
-import {bodyMeterOf} from './body-budget.js';
+import {bodyMeterOf} from './request-budget.js';
 
 export class BodyTooLargeError extends Error {
 	override readonly name = 'BodyTooLargeError';
--- a/packages/transport/src/logging/events.ts
+++ b/packages/transport/src/logging/events.ts
@@ -108,11 +108,13 @@
 	BP4071: {level: 'info', text: 'a further attempt was taken from the retry budget', advice: 'None; check the endpoints if these persist.'},
 	BP4072: {level: 'warn', text: 'a request was not sent again because the retry budget is used up', advice: 'Check the endpoints; `bitternpaddle_retries_grantable` tells what is left.'},
 	BP4073: {level: 'info', text: 'a core host began or stopped to grant further attempts', advice: 'None after a start; otherwise check its links to the other core hosts.'},
+	BP4074: {level: 'warn', text: 'the configuration allows larger bodies than this host has memory for', advice: 'Lower `maxBodyBytes`, or give the host more memory.'},
 	BP4090: {level: 'warn', text: 'log lines were dropped', advice: 'None; the counts by event are in the line.'},
 	BP4091: {level: 'info', text: 'the settings were reloaded', advice: 'None.'},
 	BP9001: {level: 'info', text: 'the process is ready', advice: 'None.'},
 	BP9002: {level: 'info', text: 'the process is stopping', advice: 'None.'},
 	BP9003: {level: 'error', text: 'the process failed', advice: 'Check the message.'},
+	BP9004: {level: 'warn', text: 'a limit on what callers may use was met', advice: 'Check the callers at the address named; raise the limit if they are to be served.'},
 } as const satisfies Record<string, LogEventDefinition>;
 
 export type LogEventId = keyof typeof logEvents;
