fix(gateway): an entry bounds what its callers make it hold

Callers saw an entry end when others sent many bodies that stopped short of their end, and get no answers while others sent bodies behind heads that had been refused.

Causes: the entry's server had no bound on connections, requests or the sum of bodies; a body had no deadline, as the deadline of its request was set once it had arrived; it had no limit while no configuration was known, and its parts waited in the queue of the request meanwhile; a request timeout of 0 also turns off the time limit for heads in Node.js; answers were counted until they were complete, not until they were read.

The entry uses the guarded server now. Its limits follow from the memory and the descriptors in the settings, or from the table `callerLimits`, which is checked against them. A body is read from the start, and a request whose body has not arrived at its deadline gets 408. More requests than the process has descriptors for are refused with 503 before they are sent to an endpoint.

--- a/packages/gateway/src/entry/answer-budget.ts
+++ b/packages/gateway/src/entry/answer-budget.ts
@@ -1,6 +1,6 @@
-/** Bounds the bytes of all complete answers that an entry holds before it passes them on. */
+/** Bounds the memory of all complete answers that an entry holds before it passes them on. */
 export type AnswerBudget = {
-	/** Counts bytes that are held; `false` if there is no room for them, and they must not be held. */
+	/** Counts bytes of memory that are held; `false` if there is no room for them, and they must not be held. */
 	reserve(sizeBytes: number): boolean;
 	release(sizeBytes: number): void;
 	heldBytes(): number;
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -1,8 +1,8 @@
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import type http from 'node:http';
 import type {AnswerStage, Exclusion} from '@bitternpaddle/coordination';
 import {
-	ignore, isRefusingConnections, limitInformationalAnswers, readLimits, watchForReset,
+	createBodyCollector, ignore, isRefusingConnections, limitInformationalAnswers, readLimits, recordAllocatedBytes, watchForReset,
 } from '@bitternpaddle/transport';
 import type {HeaderNames} from '../link/request-protocol.js';
 import {unlimitedAnswers, type AnswerBudget} from './answer-budget.js';
@@ -138,7 +138,7 @@
 	let answer: http.IncomingMessage | null = null;
 	let answeredAtMs: number | null = null;
 	let receivedBytes = 0;
-	/** Bytes of the answer that count in `answerBudget`. */
+	/** Memory of the answer that counts in `answerBudget`. */
 	let heldBytes = 0;
 	const sentAtMs = performance.now();
 	let isFailingOver = false;
@@ -324,6 +324,7 @@
 
 	/** Counts received bytes of the body; `false` if there are too many, and the attempt has failed. */
 	const addReceived = (sizeBytes: number, maxBytes: number): boolean => {
+		recordAllocatedBytes(sizeBytes);
 		receivedBytes += sizeBytes;
 		if (receivedBytes <= maxBytes) {
 			return true;
@@ -407,8 +408,18 @@
 		}
 	};
 
+	/** Counts the memory of the answer in `answerBudget`; `false` if there is no room for it. */
+	const holdAnswer = (sizeBytes: number): boolean => {
+		if (!answerBudget.reserve(sizeBytes - heldBytes)) {
+			return false;
+		}
+
+		heldBytes = sizeBytes;
+		return true;
+	};
+
 	const collectBody = (response: http.IncomingMessage, head: AnswerHead): void => {
-		const parts: Buffer[] = [];
+		const collector = createBodyCollector();
 		if (hasBody(method, head.status) && Number(head.headers['content-length'] ?? 0) > readLimits.answer) {
 			failOversized('body', `the answer is larger than ${readLimits.answer} bytes, by its length`);
 			return;
@@ -419,18 +430,14 @@
 				return;
 			}
 
-			if (!answerBudget.reserve(part.length)) {
+			if (collector.add(part) && !holdAnswer(collector.heldBytes())) {
 				failOversized('allBodies', 'too many bytes of answers are held at once');
-				return;
 			}
-
-			heldBytes += part.length;
-			parts.push(part);
 		});
 		response.on('end', () => {
 			if (response.complete) {
 				void settleEnded({
-					type: 'answered', head, body: Buffer.concat(parts), answeringMs: answeringMs(),
+					type: 'answered', head, body: collector.take(), answeringMs: answeringMs(),
 				});
 			} else {
 				fail('disconnected', 'the answer was incomplete');
--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -1,15 +1,19 @@
 import {randomUUID} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
+import type {CallerLimits} from '@bitternpaddle/state';
 import {
 	createArrivalRate, createFirstAttemptDeadlines, createObjectiveMix, createRandom, createSpareCapacity, createStallMeter, createStartShare, defaultColdBounds,
 	observeClock, observeIntervalMs, readDelayMs, type Clock,
 } from '@bitternpaddle/coordination';
 import {
-	callRpc, createHttpServer, readLimits, type Logger,
+	callRpc, createHttpServer, createLimitReporter, type Exchange, type Logger, type OnLimit,
 } from '@bitternpaddle/transport';
 import {createCoreClient} from '../link/core-client.js';
 import {retryGrantSchema, type Follower} from '../link/methods.js';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
+import {
+	defaultHostLimits, entryLimits, probeLimits, type HostLimits,
+} from '../process/host-limits.js';
 import {createConfigurationHolder} from '../link/configuration-holder.js';
 import {createEvacuatedZones} from '../link/evacuated-zones.js';
 import type {RequestProtocol} from '../link/request-protocol.js';
@@ -33,7 +37,7 @@
 import {createRetryBudget} from './retry-budget.js';
 import {createWaitQueue} from './wait-queue.js';
 import type {CallContext} from './call-context.js';
-import {recordTruncation} from './truncate-answer.js';
+import {recordTruncation, type TruncationCause} from './truncate-answer.js';
 import {runCall} from './run-call.js';
 import {serveRequest} from './serve-request.js';
 
@@ -77,6 +81,8 @@
 	readonly metrics: GatewayMetrics;
 	/** Seed of the random number generator. */
 	readonly randomSeed: number;
+	/** @default defaultHostLimits */
+	readonly hostLimits?: HostLimits;
 };
 
 export type EntryNode = {
@@ -91,8 +97,6 @@
 const pruneMs = 5000;
 /** A core host that takes longer is passed over, because a caller waits for the grant. */
 const grantTimeoutMs = 100;
-/** Three of the largest answers. An entry has 350 MB, and what the kernel buffers for its connections counts too. */
-const maxHeldAnswerBytes = 3 * readLimits.answer;
 /**
  * Share of the grace period in which callers may still use open connections. Later
  * requests could be aborted when it ends, because the longest streams take half of it.
@@ -117,8 +121,11 @@
 /** Creates an entry: receives requests from callers and forwards them to endpoints. */
 export const createEntryNode = async (options: EntryNodeOptions): Promise<EntryNode> => {
 	const {
-		selfAddress, zoneId, regionId, seeds, protocol, bounds, clock, logger, metrics,
+		selfAddress, zoneId, regionId, seeds, protocol, bounds, clock, logger, metrics, hostLimits = defaultHostLimits,
 	} = options;
+	const {callers: callerLimits, maxAnswerBytes, maxRunningRequests} = entryLimits(hostLimits);
+	const limitReporter = (name: string): OnLimit => createLimitReporter({listener: name, logger, count: metrics.limit});
+	const reportCallerLimit = limitReporter('callers');
 	const self: Follower = {
 		role: 'entry', address: selfAddress, zoneId, regionId, endpointAddress: null, serviceName: null,
 	};
@@ -155,7 +162,7 @@
 	});
 	const view = createEndpointView({onRestart: quarantine.recordRestart});
 	const connections = createEndpointConnections();
-	const answerBudget = createAnswerBudget(maxHeldAnswerBytes);
+	const answerBudget = createAnswerBudget(maxAnswerBytes);
 	metrics.gauge('held_answer_bytes', 'Bytes of answers that are held until they are complete.', answerBudget.heldBytes);
 	const waitQueue = createWaitQueue();
 	const evacuationGate = createEvacuationGate({
@@ -192,7 +199,7 @@
 		onChange(table) {
 			permission.applyConfiguration(table.configuration);
 			limits.refresh();
-			front.setIdleTimeout(table.configuration.limits.idleTimeoutMs);
+			applyCallerLimits(table.configuration.limits);
 			rooms.configure(table.configuration);
 			// Each configuration may add and remove routes.
 			retryBudget.retainOnly(table.configuration.services.map(({name}) => name));
@@ -200,6 +207,14 @@
 		},
 	});
 
+	const applyCallerLimits = (limits: CallerLimits): void => {
+		front.setCallerLimits(limits);
+		const {maxBufferedBytes = 0} = callerLimits;
+		if (limits.maxBodyBytes > maxBufferedBytes) {
+			logger.event('BP4074', {maxBodyBytes: limits.maxBodyBytes, maxRequestBytes: maxBufferedBytes});
+		}
+	};
+
 	const lease = createEntryLease({
 		revocationMs: bounds.revocationMs, clock, random, logger, configurationNumber: configuration.number,
 		reachesCore: () => client.liveAddresses().length > 0,
@@ -236,11 +251,25 @@
 		}
 	};
 
+	const recordCut = ({request, response}: Exchange, cause: TruncationCause, reason: string): void => {
+		recordTruncation(context, {
+			requestId: String(request.headers[protocol.headers.requestId] ?? ''), response, cause, reason, progress: null,
+		});
+	};
+
 	const front = await createFrontServer({
 		listen: options.listen,
 		serve: async (request, response, connection) => serveRequest({
 			firstAttemptDeadlines: firstAttemptDeadlines.of,
 			protocol, random, logger, metrics, holdsLease: lease.holds, lostCoreRetryMs: lease.retryMs, table: configuration.table, nowMs: monotonicNowMs,
+			hasRoom(request) {
+				const hasRoom = openCalls.size < maxRunningRequests;
+				if (!hasRoom) {
+					reportCallerLimit('runningRequests', request.socket.remoteAddress);
+				}
+
+				return hasRoom;
+			},
 			async run(call) {
 				openCalls.add(call);
 				try {
@@ -257,10 +286,13 @@
 		onError(error) {
 			logger.event('BP9003', {message: error.stack ?? error.message});
 		},
-		onTruncate({request, response}) {
-			recordTruncation(context, {
-				requestId: String(request.headers[protocol.headers.requestId] ?? ''), response, cause: 'shutdown', reason: 'the grace period ended', progress: null,
-			});
+		onTruncate(exchange) {
+			recordCut(exchange, 'shutdown', 'the grace period ended');
+		},
+		limits: callerLimits,
+		onLimit: reportCallerLimit,
+		onUnread(exchange) {
+			recordCut(exchange, 'unread', 'the caller did not read it, and unread answers take up their memory');
 		},
 	});
 	const client = createCoreClient({
@@ -330,7 +362,7 @@
 	};
 
 	const readiness = await createHttpServer({
-		listen: options.readinessListen,
+		listen: options.readinessListen, limits: probeLimits(hostLimits), onLimit: limitReporter('readiness'),
 		async handler(request, response) {
 			request.resume();
 			response.writeHead(isReady() ? 200 : 503, {'content-length': 0}).end();
@@ -345,6 +377,8 @@
 	metrics.gauge('evacuated_zones', 'Zones that no request is sent to.', () => zones.zoneIds().length);
 	metrics.gauge('evacuations_confirmed', 'Whether the evacuated zones were confirmed since the start (1) or not (0).', () => Number(zones.isConfirmed()));
 	metrics.gauge('open_connections', 'Connections of callers.', front.openConnections);
+	metrics.gauge('request_bytes', 'Memory of the heads and bodies of callers\' requests.', () => front.usage().requestBytes);
+	metrics.gauge('unread_answer_bytes', 'Bytes of answers that wait for their callers to read.', () => front.usage().unreadBytes);
 	metrics.gauge('configuration_number', 'Number of the configuration in force here.', configuration.number);
 	metrics.gauge('key_lease_age_ms', 'Since when the keys in force are surely known.', lease.ageMs);
 
--- a/packages/gateway/src/entry/local-reply.ts
+++ b/packages/gateway/src/entry/local-reply.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http';
+import {endAndClose} from '@bitternpaddle/transport';
 
 /** A response that the entry generates itself, instead of an endpoint's answer. */
 export type LocalReply = {
@@ -17,11 +18,13 @@
 	}
 
 	const body = JSON.stringify({error: {status, message}});
-	response.writeHead(status, {
-		'content-type': 'application/json', 'content-length': body.length,
-		...(retryAfterMs !== undefined && {'retry-after': (retryAfterMs / 1000).toFixed(2)}),
-		...(isClosing && {connection: 'close'}),
-	});
+	const headers = retryAfterMs === undefined ? {} : {'retry-after': (retryAfterMs / 1000).toFixed(2)};
+	if (isClosing) {
+		endAndClose(response.req, response, status, body, headers);
+		return true;
+	}
+
+	response.writeHead(status, {'content-type': 'application/json', 'content-length': body.length, ...headers});
 	response.end(body);
 	return true;
 };
--- a/packages/gateway/src/entry/serve-request.ts
+++ b/packages/gateway/src/entry/serve-request.ts
@@ -1,3 +1,4 @@
+import type {Buffer} from 'node:buffer';
 import type http from 'node:http';
 import {
 	findRoute, type Route, type RouteTable, type Team,
@@ -5,9 +6,12 @@
 import {
 	randomFraction, fingerprintOf, isCallerRetry, promptPartOf, recordFirstDeadline, outlineOf, type FirstAttemptDeadlines, type Random,
 } from '@bitternpaddle/coordination';
-import {BodyTooLargeError, readBody, type Logger} from '@bitternpaddle/transport';
+import {
+	BodyTooLargeError, ignore, OverloadError, startReadingBody, type BodyReading, type Logger,
+} from '@bitternpaddle/transport';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
 import type {RequestProtocol} from '../link/request-protocol.js';
+import {defaultCallerLimits} from './front-server.js';
 import {createRegionLists} from './region-lists.js';
 import {sendLocalReply, type LocalReply} from './local-reply.js';
 import type {Call, CancelCause} from './gateway-call.js';
@@ -33,12 +37,16 @@
 	lostCoreRetryMs(): number;
 	/** Deadlines of first attempts on a route, from which caller retries are recognized. */
 	firstAttemptDeadlines(routeName: string): FirstAttemptDeadlines;
+	/** Whether one more request may wait for or run at endpoints. @default always */
+	hasRoom?(request: http.IncomingMessage): boolean;
 	run(call: Call): Promise<void>;
 	nowMs(): number;
 };
 
 /** Retry delay if the service of a route is unknown. Both arrive in the same configuration, so the next one will contain it. */
 const unknownServiceRetryMs = 500;
+/** Retry delay while the entry has as many requests in progress as it may have. */
+const fullRetryMs = 1000;
 /** Time after the start within which the first configuration arrives if any core host is running. */
 const configurationWaitMs = 600;
 /** An entry that starts together with the whole system gets the lease once the core has a leader, about 1 s after its own start. */
@@ -172,25 +180,32 @@
 export const serveRequest = async (context: ServeContext, request: http.IncomingMessage, response: http.ServerResponse, {isReused}: {readonly isReused: boolean}): Promise<void> => {
 	const {protocol, random, nowMs} = context;
 	const receivedAtMs = nowMs();
+	const reading = startReading(context, request);
 	const matched = await awaitRouteMatch(context, request);
 	if (isLocalReply(matched)) {
+		reading?.giveUp(new Error('the request was refused'));
 		refuse(context, request, response, matched);
 		return;
 	}
 
-	const body = await readCompleteBody(context, request, response);
+	const {route, team, key, table: matchedIn} = matched;
+	const deadlineMs = callerDeadlineMs(context, request);
+	const deadlineAtMs = receivedAtMs + Math.min(route.timeoutMs, deadlineMs - answerMarginMs(deadlineMs));
+	const body = await awaitBody(context, request, response, {reading, deadlineAtMs});
 	if (body === 'refused') {
 		return;
 	}
 
-	const {route, team, key, table: matchedIn} = matched;
-	const deadlineMs = callerDeadlineMs(context, request);
 	const firstAttemptDeadlines = context.firstAttemptDeadlines(route.name);
 	if (isReused && Number.isFinite(deadlineMs)) {
 		recordFirstDeadline(firstAttemptDeadlines, deadlineMs);
 	}
 
-	const deadlineAtMs = receivedAtMs + Math.min(route.timeoutMs, deadlineMs - answerMarginMs(deadlineMs));
+	if (context.hasRoom?.(request) === false) {
+		refuse(context, request, response, {status: 503, message: 'this entry has too many requests in progress', retryAfterMs: fullRetryMs});
+		return;
+	}
+
 	const cancellation = new AbortController();
 	const deadline = setTimeout(() => {
 		cancellation.abort('deadline' satisfies CancelCause);
@@ -229,27 +244,60 @@
 	logger.event('BP4021', {
 		requestId: request.headers[protocol.headers.requestId], status: answer.status, reason: answer.message, sent: 0, retryAfterMs: answer.retryAfterMs,
 	});
-	// Reads and discards the rest of the body, which would otherwise be parsed as the head of the next request.
+	// Reads and discards the rest of the body, which would otherwise be parsed as the head of the next request; the server bounds it.
 	request.resume();
 	sendLocalReply(response, answer);
 };
 
-const readCompleteBody = async (context: ServeContext, request: http.IncomingMessage, response: http.ServerResponse) => {
+/** Begins to read the body of a request, if it has one. */
+const startReading = ({table}: ServeContext, request: http.IncomingMessage): BodyReading | null => {
 	const {headers} = request;
 	if (headers['content-length'] === undefined && headers['transfer-encoding'] === undefined) {
 		return null;
 	}
 
+	const reading = startReadingBody(request, (table()?.configuration.limits ?? defaultCallerLimits).maxBodyBytes);
+	// The body may fail before it is awaited.
+	reading.body.catch(ignore);
+	return reading;
+};
+
+/** Thrown to the reader of a body that is not complete when its request is due. */
+class BodyOverdueError extends Error {
+	override readonly name = 'BodyOverdueError';
+}
+
+type AwaitedBody = {readonly reading: BodyReading | null; readonly deadlineAtMs: number};
+
+/** Waits for the body of a request until its deadline; answers the request if the body does not arrive or is too large. */
+const awaitBody = async (context: ServeContext, request: http.IncomingMessage, response: http.ServerResponse, {reading, deadlineAtMs}: AwaitedBody): Promise<Buffer | null | 'refused'> => {
+	if (reading === null) {
+		return null;
+	}
+
+	const timer = setTimeout(() => {
+		reading.giveUp(new BodyOverdueError('the body did not arrive before the deadline'));
+	}, Math.max(0, deadlineAtMs - context.nowMs()));
 	try {
-		return await readBody(request, context.table()?.configuration.limits.maxBodyBytes);
+		return await reading.body;
 	} catch (error) {
-		if (error instanceof BodyTooLargeError) {
-			refuse(context, request, response, {status: 413, message: error.message, isClosing: true});
-		} else {
-			context.logger.event('BP4025', {requestId: request.headers[context.protocol.headers.requestId], reason: (error as Error).message});
-			response.destroy();
-		}
-
+		refuseBody(context, request, response, error as Error);
 		return 'refused';
+	} finally {
+		clearTimeout(timer);
+	}
+};
+
+const refuseBody = (context: ServeContext, request: http.IncomingMessage, response: http.ServerResponse, error: Error): void => {
+	if (error instanceof OverloadError) {
+		// Its sender has the answer already.
+		context.metrics.request('none', '503');
+	} else if (error instanceof BodyTooLargeError) {
+		refuse(context, request, response, {status: 413, message: error.message, isClosing: true});
+	} else if (error instanceof BodyOverdueError) {
+		refuse(context, request, response, {status: 408, message: error.message, isClosing: true});
+	} else {
+		context.logger.event('BP4025', {requestId: request.headers[context.protocol.headers.requestId], reason: error.message});
+		response.destroy();
 	}
 };
--- a/packages/gateway/src/entry/truncate-answer.ts
+++ b/packages/gateway/src/entry/truncate-answer.ts
@@ -6,9 +6,10 @@
 /**
  * Why a caller received only a part of an answer. `attempt`: the attempt failed, and no
  * other one may be made. `mismatch`: the endpoint that should resume the stream sent
- * something else. `shutdown`: the grace period ended.
+ * something else. `shutdown`: the grace period ended. `unread`: the caller did not read, and
+ * others needed the memory.
  */
-export type TruncationCause = 'attempt' | 'deadline' | 'mismatch' | 'quarantine' | 'shutdown';
+export type TruncationCause = 'attempt' | 'deadline' | 'mismatch' | 'quarantine' | 'shutdown' | 'unread';
 
 export type TruncatedAnswer = {
 	readonly requestId: string;
--- a/packages/gateway/src/process/gateway-metrics.ts
+++ b/packages/gateway/src/process/gateway-metrics.ts
@@ -13,6 +13,8 @@
 	truncated(cause: string): void;
 	/** Counts an answer of an endpoint that was larger than it may be, by the part that was. */
 	oversized(part: string): void;
+	/** Counts a limit on callers that was met. */
+	limit(listener: string, limit: string): void;
 	/** Records the time to the first byte of the answer sent to the caller. */
 	firstByte(service: string, tookMs: number): void;
 	/** Records the difference between the actual and the expected time to the first byte. */
@@ -44,6 +46,9 @@
 	const oversized = new Counter({
 		name: 'bitternpaddle_oversized_answers_total', help: 'Answers of endpoints that were larger than they may be, by the part that was.', labelNames: ['part'], registers,
 	});
+	const limits = new Counter({
+		name: 'bitternpaddle_limits_met_total', help: 'Times that a limit on what callers may use was met, by listener.', labelNames: ['listener', 'limit'], registers,
+	});
 	const firstBytes = new Histogram({
 		name: 'bitternpaddle_first_byte_ms', help: 'Time from a request to the first byte of its answer.', labelNames: ['service'], buckets: latencyBucketsMs, registers,
 	});
@@ -67,6 +72,9 @@
 		oversized(part) {
 			oversized.inc({part});
 		},
+		limit(listener, limit) {
+			limits.inc({listener, limit});
+		},
 		firstByte(service, tookMs) {
 			firstBytes.observe({service}, tookMs);
 		},
--- a/packages/gateway/src/process/index.ts
+++ b/packages/gateway/src/process/index.ts
@@ -1,2 +1,3 @@
 export * from './line-logger.js';
 export * from './gateway-metrics.js';
+export * from './host-limits.js';
