fix(gateway): each listener has limits that follow from its host

Idle connections took all descriptors of entries, core hosts and agents: their servers allowed 8,192 each, and no host has as many. Calls to agents could have 64 MiB.

Calls to agents and to core hosts without a disk have 1 MiB at most.

--- a/packages/gateway/src/agent/agent-node.ts
+++ b/packages/gateway/src/agent/agent-node.ts
@@ -7,7 +7,7 @@
 import {chunkAnnouncementSchema} from '@bitternpaddle/protocol';
 import type {EngineProfile} from '@bitternpaddle/state';
 import {
-	callRpc, createHttpServer, createRpcServer, rpcPath, sendJson, type Logger,
+	callRpc, createHttpServer, createLimitReporter, createRpcServer, rpcPath, sendJson, type Logger,
 } from '@bitternpaddle/transport';
 import {createConfigurationHolder} from '../link/configuration-holder.js';
 import type {RequestProtocol} from '../link/request-protocol.js';
@@ -16,6 +16,7 @@
 import {permitResultSchema, type Follower, type Roster} from '../link/methods.js';
 import {createLoadReporter} from '../load/load-reporter.js';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
+import {agentCallLimits, defaultHostLimits, type HostLimits} from '../process/host-limits.js';
 import type {EngineClient, EngineState, OriginClient} from './engine-client.js';
 import {createPacedLinks} from './paced-links.js';
 import {createVersionLoader, type LoadGoal} from './version-loader.js';
@@ -41,6 +42,8 @@
 	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly metrics: GatewayMetrics;
+	/** @default defaultHostLimits */
+	readonly hostLimits?: HostLimits;
 };
 
 export type AgentNode = {
@@ -72,10 +75,13 @@
 const uploadPieceBytes = 8192;
 /** Retry delay that a host with a congested link sends to peers that request a chunk. */
 const congestedLinkRetryMs = 500;
+/** Largest call of a peer: what it holds of a version. */
+const maxCallBytes = 1024 * 1024;
 
 export const createAgentNode = async (options: AgentNodeOptions): Promise<AgentNode> => {
 	const {
 		selfAddress, zoneId, regionId, endpointAddress, serviceName, linkBytesPerSecond, seeds, protocol, engine, origin, versionDueMs, clock, logger, metrics,
+		hostLimits = defaultHostLimits,
 	} = options;
 	const self: Follower = {
 		role: 'agent', address: selfAddress, zoneId, regionId, endpointAddress, serviceName,
@@ -261,13 +267,13 @@
 		},
 	});
 
-	const rpc = createRpcServer();
+	const rpc = createRpcServer({bodyLimitBytes: maxCallBytes});
 	rpc.method('agent.have', chunkAnnouncementSchema, parameters => {
 		exchange.receiveHave(parameters);
 	});
 	const serveUpload = createUploadServer({links, maxWriteBytes: uploadPieceBytes, readChunk: async (manifestId, chunk) => exchange.readChunk(manifestId, chunk)});
 	const server = await createHttpServer({
-		listen: selfAddress,
+		listen: selfAddress, limits: agentCallLimits(hostLimits), onLimit: createLimitReporter({listener: 'internal', logger, count: metrics.limit}),
 		async handler(request, response) {
 			const url = request.url ?? '/';
 			if (url.startsWith(rpcPath)) {
--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -6,7 +6,7 @@
 import {consensusEnvelopesSchema, rpcErrorCodes, standbyParametersSchema} from '@bitternpaddle/protocol';
 import type {Document, RoutingConfiguration} from '@bitternpaddle/state';
 import {
-	callRpc, createHttpServer, createRpcServer, RpcError, type HttpServer, type Logger,
+	callRpc, createHttpServer, createLimitReporter, createRpcServer, RpcError, type HttpServer, type Logger,
 } from '@bitternpaddle/transport';
 import {createCoreClient, type CoreClient} from '../link/core-client.js';
 import {createEvacuatedZones} from '../link/evacuated-zones.js';
@@ -16,6 +16,7 @@
 	type Follower, type Roster, type SubmitOutcome, type WatchParameters, type WatchResult,
 } from '../link/methods.js';
 import {createGatewayMetrics, type GatewayMetrics} from '../process/gateway-metrics.js';
+import {coreCallLimits, defaultHostLimits} from '../process/host-limits.js';
 import {createCoreRelay} from './core-relay.js';
 import {createDocumentLog} from './document-log.js';
 import {
@@ -38,8 +39,6 @@
 
 /** Largest call of another process: a document of 8 MiB, the largest that operators may send, whose quotes are escaped. */
 const maxCallBytes = 20 * 1024 * 1024;
-/** Bodies of calls that are being received, together. */
-const maxBufferedCallBytes = 48 * 1024 * 1024;
 
 const notLeader = (): RpcError => new RpcError(rpcErrorCodes.notLeader, 'this core host does not lead');
 
@@ -60,6 +59,7 @@
 	const {
 		selfAddress, zoneId, regionId, folder, isFirstStart, seeds, toleratedLosses, toleratedZoneLosses = 0, toleratedRegionLosses = 0, evacuationMs = null,
 		regionsByZone = new Map<string, string>(), retryTerms = defaultRetryTerms, clock, logger, metrics = createGatewayMetrics(),
+		hostLimits = defaultHostLimits,
 	} = options;
 	const epoch = randomUUID();
 	const self: Follower = {
@@ -280,7 +280,7 @@
 	});
 
 	const server: HttpServer = await createHttpServer({
-		listen: selfAddress, limits: {maxBufferedBytes: maxBufferedCallBytes},
+		listen: selfAddress, limits: coreCallLimits(hostLimits), onLimit: createLimitReporter({listener: 'internal', logger, count: metrics.limit}),
 		handler: async (request, response) => rpc.serve(request, response),
 	});
 	client = createCoreClient({
--- a/packages/gateway/src/core/core-relay.ts
+++ b/packages/gateway/src/core/core-relay.ts
@@ -3,13 +3,14 @@
 import {rpcErrorCodes, standbyParametersSchema} from '@bitternpaddle/protocol';
 import type {Document} from '@bitternpaddle/state';
 import {
-	callRpc, createHttpServer, createRpcServer, RpcError, TransportError, type HttpServer,
+	callRpc, createHttpServer, createLimitReporter, createRpcServer, RpcError, TransportError, type HttpServer,
 } from '@bitternpaddle/transport';
 import {createCoreClient} from '../link/core-client.js';
 import {
 	clockResultSchema, readParametersSchema, readResultSchema, submitResultSchema, watchParametersSchema, type SubmitOutcome, type WatchParameters, type WatchResult,
 } from '../link/methods.js';
 import {createGatewayMetrics} from '../process/gateway-metrics.js';
+import {coreCallLimits, defaultHostLimits} from '../process/host-limits.js';
 import {createEvacuationOrders} from './evacuation-orders.js';
 import {createRegionCheck} from './region-check.js';
 import type {CoreNode, CoreNodeOptions} from './types.js';
@@ -26,6 +27,8 @@
 /** Allowance beyond the duration of a follower's long poll; below that of the follower. */
 const watchSlackMs = 400;
 const configurationTimeoutMs = 700;
+/** Largest call that is forwarded. */
+const maxCallBytes = 1024 * 1024;
 /** Duration of the long polls by which this host learns of the core hosts; the longest that they allow. */
 const watchWaitMs = 4000;
 /** A core host that has polled this host within this time may be called. */
@@ -42,6 +45,7 @@
 export const createCoreRelay = async (options: CoreRelayOptions): Promise<CoreNode> => {
 	const {
 		selfAddress, zoneId, regionId, seeds, evacuationMs = null, regionsByZone = new Map<string, string>(), clock, logger, metrics = createGatewayMetrics(),
+		hostLimits = defaultHostLimits,
 	} = options;
 	const epoch = randomUUID();
 	let rosterAddresses: readonly string[] = [];
@@ -179,7 +183,7 @@
 		}
 	};
 
-	const rpc = createRpcServer();
+	const rpc = createRpcServer({bodyLimitBytes: maxCallBytes});
 	rpc.method('gateway.watch', watchParametersSchema, async parameters => {
 		const {address, role, hasLog} = parameters.follower;
 		if (role === 'core' && hasLog) {
@@ -193,7 +197,7 @@
 		await forwardAnnouncement('control.standby', {memberId});
 	});
 	const server: HttpServer = await createHttpServer({
-		listen: selfAddress,
+		listen: selfAddress, limits: coreCallLimits(hostLimits), onLimit: createLimitReporter({listener: 'internal', logger, count: metrics.limit}),
 		handler: async (request, response) => rpc.serve(request, response),
 	});
 	logger.event('BP4013', {});
--- a/packages/gateway/src/core/types.ts
+++ b/packages/gateway/src/core/types.ts
@@ -3,6 +3,7 @@
 import type {Logger} from '@bitternpaddle/transport';
 import type {SubmitOutcome} from '../link/methods.js';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
+import type {HostLimits} from '../process/host-limits.js';
 import type {EvacuationOrder, OrderCaller, OrderResult} from './evacuation-orders.js';
 
 export type CoreNodeOptions = {
@@ -31,6 +32,8 @@
 	readonly logger: Logger;
 	/** @default not served */
 	readonly metrics?: GatewayMetrics;
+	/** @default defaultHostLimits */
+	readonly hostLimits?: HostLimits;
 };
 
 /** `unknown`: not confirmed in time; the document may still come into force later. */
