fix(daemon): answers and streams in small parts, and settings for the limits

An entry and an agent kept each part of an endpoint's answer in a buffer of its own, some hundred bytes for a part of one byte; the window of an agent for broken connections counted bytes of payload. Parts share buffers now.

Limits that are met are logged (BP9004) and counted (listener.limit) by each role.

--- a/packages/daemon/src/agent/answer-buffer.ts
+++ b/packages/daemon/src/agent/answer-buffer.ts
@@ -1,4 +1,4 @@
-import type {Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 
 export type AnswerBufferOptions = {
 	/** How many of the newest bytes can still be read. */
@@ -19,29 +19,61 @@
 	readFrom(offset: number): Buffer | null | 'gone';
 };
 
+/** A part of the answer, or several small ones in one buffer that is not full yet. */
+type Block = {readonly offset: number; readonly data: Buffer; sizeBytes: number};
+
+/** Smaller parts share a buffer: each buffer takes some hundred bytes beside its own. */
+const minOwnBlockBytes = 4096;
+
 export const createAnswerBuffer = ({windowBytes}: AnswerBufferOptions): AnswerBuffer => {
-	const parts: Array<{readonly offset: number; readonly data: Buffer}> = [];
+	const blocks: Block[] = [];
 	let startOffset = 0;
 	let endOffset = 0;
 
 	const positionOf = (offset: number): number => {
 		// Readers are nearly always at the end, where a backward search takes one step.
-		let position = parts.length - 1;
-		while (position > 0 && parts[position]!.offset > offset) {
+		let position = blocks.length - 1;
+		while (position > 0 && blocks[position]!.offset > offset) {
 			position--;
 		}
 
 		return position;
 	};
 
+	/** Copies a small part into the last block if it fits. */
+	const appendToLast = (part: Buffer): boolean => {
+		const last = blocks.at(-1);
+		if (last === undefined || last.sizeBytes + part.length > last.data.length) {
+			return false;
+		}
+
+		part.copy(last.data, last.sizeBytes);
+		last.sizeBytes += part.length;
+		return true;
+	};
+
+	const addBlock = (part: Buffer): void => {
+		if (part.length >= minOwnBlockBytes) {
+			blocks.push({offset: endOffset, data: part, sizeBytes: part.length});
+			return;
+		}
+
+		const data = Buffer.allocUnsafeSlow(minOwnBlockBytes);
+		part.copy(data);
+		blocks.push({offset: endOffset, data, sizeBytes: part.length});
+	};
+
 	return {
 		endOffset: () => endOffset,
 		sizeBytes: () => endOffset - startOffset,
 		push(part) {
-			parts.push({offset: endOffset, data: part});
+			if (!appendToLast(part)) {
+				addBlock(part);
+			}
+
 			endOffset += part.length;
-			while (parts.length > 1 && endOffset - startOffset - parts[0]!.data.length >= windowBytes) {
-				startOffset += parts.shift()!.data.length;
+			while (blocks.length > 1 && endOffset - startOffset - blocks[0]!.sizeBytes >= windowBytes) {
+				startOffset += blocks.shift()!.sizeBytes;
 			}
 		},
 		readFrom(offset) {
@@ -53,8 +85,8 @@
 				return null;
 			}
 
-			const {offset: partOffset, data} = parts[positionOf(offset)]!;
-			return data.subarray(offset - partOffset);
+			const {offset: blockOffset, data, sizeBytes} = blocks[positionOf(offset)]!;
+			return data.subarray(offset - blockOffset, sizeBytes);
 		},
 	};
 };
--- a/packages/daemon/src/agent/create-agent-node.ts
+++ b/packages/daemon/src/agent/create-agent-node.ts
@@ -8,10 +8,11 @@
 	announcementSchema, mayServe, versionIdSchema, type Announcement,
 } from '@bitternpaddle/state';
 import {
-	createHttpServer, createRpcServer, rpcPath, sendJson, silentLogger, type Logger, type ServerLimits,
+	createHttpServer, createRpcServer, rpcPath, sendJson, silentLogger, type Logger, type Metrics, type ServerLimits,
 } from '@bitternpaddle/transport';
 import {createConfigurationClient, type ConfigurationInForce} from '../host/configuration-client.js';
 import {claimDataFolder} from '../host/data-folder.js';
+import {createListenerLimitReporter} from '../host/listener-limit-reporter.js';
 import {createAdapters} from './adapters.js';
 import {answersPrefix, createGateServer, gatePrefix} from './request-gate-server.js';
 import {createTransferLinks} from './transfer-links.js';
@@ -53,6 +54,8 @@
 	readonly tickMs?: number;
 	/** Limits on connections, buffered bytes and timeouts of the HTTP server. @default {} */
 	readonly serverLimits?: ServerLimits;
+	/** @default none are sent */
+	readonly metrics?: Metrics;
 	readonly logger?: Logger;
 	/** Called when an operator has stopped this host and its running requests have finished. */
 	onStopped?(): void;
@@ -82,7 +85,7 @@
 	const {
 		hostId, zoneId, regionId, serviceId, provider, kind, endpointAddress, controls, originAddress, storeAddress, folder,
 		originCopies = 1, transferLimits = {}, keepMs, engineCheckMs,
-		listen = '127.0.0.1:0', capacity = 16, limits, tickMs, serverLimits, logger = silentLogger, onStopped,
+		listen = '127.0.0.1:0', capacity = 16, limits, tickMs, serverLimits, logger = silentLogger, metrics, onStopped,
 	} = options;
 	await claimDataFolder(folder, {role: 'agent', hostId});
 	const incarnation = Date.now();
@@ -129,7 +132,7 @@
 
 	const rpc = createRpcServer();
 	const server = await createHttpServer({
-		listen, limits: serverLimits,
+		listen, limits: serverLimits, onLimit: createListenerLimitReporter('agent', {logger, metrics}),
 		async handler(request, response) {
 			const url = request.url ?? '';
 			if (url.startsWith(`${gatePrefix}/`)) {
--- a/packages/daemon/src/commands/run-command.ts
+++ b/packages/daemon/src/commands/run-command.ts
@@ -62,6 +62,10 @@
 	maxQueuedPerService = flag('maxQueuedPerService');
 	maxConnections = flag('maxConnections');
 	maxBufferedBytes = flag('maxBufferedBytes');
+	maxOpenRequests = flag('maxOpenRequests');
+	maxUnreadBytes = flag('maxUnreadBytes');
+	maxPipelinedRequests = flag('maxPipelinedRequests');
+	maxFragmentedBodies = flag('maxFragmentedBodies');
 	headTimeoutMs = flag('headTimeoutMs');
 	requestTimeoutMs = flag('requestTimeoutMs');
 	unreadTimeoutMs = flag('unreadTimeoutMs');
@@ -144,6 +148,7 @@
 	};
 
 	const serverLimits = serverLimitsOf(settings);
+	const metrics = createMetrics({address: settings.statsd, labels: {host: hostId}});
 	const controlAddresses = controls.map(control => control.address);
 	if (roles.includes('control')) {
 		letYoungGenerationGrow();
@@ -153,7 +158,7 @@
 		const members = new Map(controls.map(({id, address}) => [id, address]));
 		const node = await createControlNode({
 			selfId: hostId, listen: nextListen(), folder: path.join(dataFolder, 'control'), members, voters, recordFile: settings.record,
-			replaceAfterMs: settings.replaceVoterAfterMs, serverLimits, logger, onFailed,
+			replaceAfterMs: settings.replaceVoterAfterMs, serverLimits, logger, metrics, onFailed,
 		});
 		nodes.push(node);
 		logger.event('BP9001', {role: 'control', address: node.address});
@@ -161,7 +166,6 @@
 
 	if (roles.includes('entry')) {
 		const {createEntryNode} = await import('../entry/create-entry-node.js');
-		const metrics = createMetrics({address: settings.statsd, labels: {host: hostId}});
 		const node = await createEntryNode({
 			entryId: hostId, listen: nextListen(), controls: controlAddresses, adminTokens: settings.adminTokens,
 			zoneId: settings.zone, regionId: settings.region, limits: limitsOf(settings), serverLimits, logger, metrics,
@@ -176,7 +180,7 @@
 			hostId, zoneId: settings.zone, regionId: settings.region, serviceId: settings.service, provider: settings.provider, kind: settings.endpointKind,
 			endpointAddress: settings.endpoint!, controls: controlAddresses, originAddress: settings.origin ?? '', storeAddress: settings.store,
 			originCopies: settings.originCopies, transferLimits: {inBytesPerSecond: settings.transferIn, outBytesPerSecond: settings.transferOut}, folder: path.join(dataFolder, 'weights'),
-			listen: nextListen(), capacity: settings.capacity, serverLimits, logger,
+			listen: nextListen(), capacity: settings.capacity, serverLimits, logger, metrics,
 			onStopped() {
 				process.kill(process.pid, 'SIGTERM');
 			},
--- a/packages/daemon/src/control/create-control-node.ts
+++ b/packages/daemon/src/control/create-control-node.ts
@@ -8,9 +8,10 @@
 	openLocked, openLogStore, systemId, type Catalog, type Change, type CommandResult, type LogEntry, type Members,
 } from '@bitternpaddle/state';
 import {
-	createHttpServer, rpcPath, sendJson, silentLogger, type HttpServer, type Logger, type ServerLimits,
+	createHttpServer, rpcPath, sendJson, silentLogger, type HttpServer, type Logger, type Metrics, type ServerLimits,
 } from '@bitternpaddle/transport';
 import {claimDataFolder, explainFolderError, withFolder} from '../host/data-folder.js';
+import {createListenerLimitReporter} from '../host/listener-limit-reporter.js';
 import {createRecorder} from '../recording/recorder.js';
 import {createConsensusDriver, type ConsensusDriver} from './consensus-driver.js';
 import {createControlRpc} from './control-rpc.js';
@@ -50,6 +51,8 @@
 	readonly recordFile?: string;
 	/** Resource limits of this host's server. @default {} */
 	readonly serverLimits?: ServerLimits;
+	/** @default none are sent */
+	readonly metrics?: Metrics;
 	readonly logger?: Logger;
 	/** Called when the log can no longer be written; this host has then stopped serving. */
 	onFailed?(error: Error): void;
@@ -80,7 +83,7 @@
 export const createControlNode = async (options: ControlNodeOptions): Promise<ControlNode> => {
 	const {
 		selfId, listen = '127.0.0.1:0', folder, members, voters, leaseMs = leaseTimes.hostLeaseMs, hostLossMs = 10_000, snapshotEntries = 8192,
-		replaceAfterMs = 15_000, serverLimits, logger = silentLogger, onFailed,
+		replaceAfterMs = 15_000, serverLimits, logger = silentLogger, metrics, onFailed,
 	} = options;
 	await claimDataFolder(folder, {role: 'control', hostId: selfId});
 	const {identity, store, lock} = await withFolder(folder, async () => openLocked(folder, async lock => ({
@@ -225,7 +228,7 @@
 	});
 
 	const server: HttpServer = await createHttpServer({
-		listen, limits: serverLimits,
+		listen, limits: serverLimits, onLimit: createListenerLimitReporter('control', {logger, metrics}),
 		async handler(request, response) {
 			if (request.method === 'POST' && request.url === rpcPath) {
 				await rpc.serve(request, response);
--- a/packages/daemon/src/entry/create-entry-node.ts
+++ b/packages/daemon/src/entry/create-entry-node.ts
@@ -5,6 +5,7 @@
 } from '@bitternpaddle/transport';
 import {createConfigurationClient, type ConfigurationInForce} from '../host/configuration-client.js';
 import {createFailingHosts} from '../host/failing-hosts.js';
+import {createListenerLimitReporter} from '../host/listener-limit-reporter.js';
 import {createFleetOutcomes} from './fleet-outcomes.js';
 import {adminPrefix, createAdminHandler} from './admin-api.js';
 import {exchangeToken, type AdminToken} from './admin-tokens.js';
@@ -83,7 +84,7 @@
 	});
 
 	const server = await createHttpServer({
-		listen, limits: serverLimits,
+		listen, limits: serverLimits, onLimit: createListenerLimitReporter('entry', {logger, metrics}),
 		async handler(request, response) {
 			const path = request.url ?? '';
 			if (path === '/healthz' || path === '/readyz') {
--- a/packages/daemon/src/entry/relay.ts
+++ b/packages/daemon/src/entry/relay.ts
@@ -1,4 +1,4 @@
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type http from 'node:http';
 import {createEventGate, passEvents} from '@bitternpaddle/coordination';
 import {
@@ -6,7 +6,7 @@
 } from '@bitternpaddle/protocol';
 import type {UnansweredVerdict} from '@bitternpaddle/state';
 import {
-	readLimits, sendJson, whenDrained, type Logger, type Metrics,
+	createBodyCollector, readLimits, sendJson, whenDrained, type Logger, type Metrics,
 } from '@bitternpaddle/transport';
 import type {Call, Refusal} from './call.js';
 import type {AttemptAnswer} from './dispatch.js';
@@ -51,23 +51,21 @@
 		response.end(gate.held);
 	},
 	async collect(requestId, answer) {
-		const parts: Buffer[] = [];
-		let sizeBytes = 0;
+		const collector = createBodyCollector();
 		try {
 			for await (const part of answer.parts()) {
-				sizeBytes += part.length;
-				if (sizeBytes > readLimits.answer) {
+				if (collector.sizeBytes() + part.length > readLimits.answer) {
 					throw new Error('the answer is too large');
 				}
 
-				parts.push(part);
+				collector.add(part);
 			}
 		} catch (error) {
 			logger.event('BP2003', {requestId, reason: (error as Error).message});
 			return null;
 		}
 
-		return Buffer.concat(parts);
+		return collector.take();
 	},
 	sendCollected(call, answer, body) {
 		call.response.writeHead(answer.status, {...answerHeaders(answer, call.requestId), 'content-length': body.length});
--- a/packages/daemon/src/settings/limits.ts
+++ b/packages/daemon/src/settings/limits.ts
@@ -8,6 +8,8 @@
 });
 
 /** The limits of the HTTP server of each role, from the settings. */
-export const serverLimitsOf = ({maxConnections, maxBufferedBytes, headTimeoutMs, requestTimeoutMs, unreadTimeoutMs}: Settings): ServerLimits => ({
-	maxConnections, maxBufferedBytes, headersTimeoutMs: headTimeoutMs, requestTimeoutMs, unreadTimeoutMs,
+export const serverLimitsOf = ({
+	maxConnections, maxOpenRequests, maxBufferedBytes, maxUnreadBytes, maxPipelinedRequests, maxFragmentedBodies, headTimeoutMs, requestTimeoutMs, unreadTimeoutMs,
+}: Settings): ServerLimits => ({
+	maxConnections, maxRequests: maxOpenRequests, maxBufferedBytes, maxUnreadBytes, maxPipelinedRequests, maxFragmentedBodies, headersTimeoutMs: headTimeoutMs, requestTimeoutMs, unreadTimeoutMs,
 });
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -77,10 +77,38 @@
 	maxBufferedBytes: define(
 		'max-buffered-bytes',
 		numberSchema(1_048_576, 1_000_000_000_000),
-		'Maximum bytes of request bodies that each role of this process buffers; at least 8388608 with the role agent, at least 67108864 with the role control.',
+		'Maximum memory of the heads and bodies of requests in each role of this process, in bytes; at least 8388608 with the role agent, at least 67108864 with the role control.',
 		'a whole number from 1048576',
 		'134217728',
 	),
+	maxOpenRequests: define(
+		'max-open-requests',
+		numberSchema(16, 1_000_000),
+		'Maximum number of requests in each role of this process that have no complete answer yet.',
+		'a whole number from 16 to 1000000',
+		'4096',
+	),
+	maxUnreadBytes: define(
+		'max-unread-bytes',
+		numberSchema(1_048_576, 1_000_000_000_000),
+		'Maximum bytes of answers in each role of this process that wait for their callers to read.',
+		'a whole number from 1048576',
+		'134217728',
+	),
+	maxPipelinedRequests: define(
+		'max-pipelined-requests',
+		numberSchema(1, 100_000),
+		'Maximum number of requests on one connection that have no complete answer yet, at most --max-open-requests.',
+		'a whole number from 1 to 100000',
+		'128',
+	),
+	maxFragmentedBodies: define(
+		'max-fragmented-bodies',
+		numberSchema(1, 10_000),
+		'Maximum number of request bodies in very small parts that each role of this process reads at the same time.',
+		'a whole number from 1 to 10000',
+		'8',
+	),
 	headTimeoutMs: define('head-timeout-ms', numberSchema(100, 600_000), 'Maximum time to receive the head of a request.', 'milliseconds from 100 to 600000', '10000'),
 	requestTimeoutMs: define(
 		'request-timeout-ms',
@@ -166,9 +194,15 @@
 /** The largest request that each role must be able to accept. */
 const largestRequestBytes: Record<Role, number> = {entry: 1_048_576, agent: 8_388_608, control: 67_108_864};
 
-const contradictingServerLimits = ({roles, maxBufferedBytes, headTimeoutMs, requestTimeoutMs}: Settings): string[] => {
+const contradictingServerLimits = ({
+	roles, maxBufferedBytes, maxOpenRequests, maxPipelinedRequests, headTimeoutMs, requestTimeoutMs,
+}: Settings): string[] => {
 	const problems = roles.filter(role => maxBufferedBytes < largestRequestBytes[role])
 		.map(role => `--max-buffered-bytes is ${maxBufferedBytes}: expected at least ${largestRequestBytes[role]} with the role ${role}`);
+	if (maxPipelinedRequests > maxOpenRequests) {
+		problems.push(`--max-pipelined-requests is ${maxPipelinedRequests}: expected at most --max-open-requests (${maxOpenRequests})`);
+	}
+
 	if (headTimeoutMs > requestTimeoutMs) {
 		problems.push(`--head-timeout-ms is ${headTimeoutMs}: expected at most --request-timeout-ms (${requestTimeoutMs})`);
 	}
--- a/packages/daemon/test/limit-settings.test.ts
+++ b/packages/daemon/test/limit-settings.test.ts
@@ -74,3 +74,8 @@
 
 	t.match(problemsOf({maxQueuedPerTeam: '9', maxQueuedPerService: '8'}), [/--max-queued-per-team is 9/v]);
 });
+
+t.test('limits on requests that contradict each other are refused', async t => {
+	t.same(problemsOf({maxOpenRequests: '64', maxPipelinedRequests: '65'}), ['--max-pipelined-requests is 65: expected at most --max-open-requests (64)']);
+	t.match(problemsOf({maxUnreadBytes: '1'}), [/--max-unread-bytes .* expected a whole number from 1048576/v]);
+});
--- a/test/support/daemon-process.ts
+++ b/test/support/daemon-process.ts
@@ -56,13 +56,18 @@
 	}
 });
 
+export type StartDaemonOptions = {
+	/** @default that of the test, with the loaders of tap */
+	readonly environment?: NodeJS.ProcessEnv;
+};
+
 /**
  * Starts a daemon that is killed when the test ends. A failed test prints how
  * its processes exited and their last log lines: to the test, a daemon that
  * failed to start looks like a slow one.
  */
-export const startDaemon = (t: Test, flags: DaemonFlags): DaemonProcess => {
-	const child = spawn(process.execPath, [daemonFile, 'run', ...flagArguments(flags)], {stdio: ['ignore', 'pipe', 'pipe']});
+export const startDaemon = (t: Test, flags: DaemonFlags, {environment = process.env}: StartDaemonOptions = {}): DaemonProcess => {
+	const child = spawn(process.execPath, [daemonFile, 'run', ...flagArguments(flags)], {stdio: ['ignore', 'pipe', 'pipe'], env: environment});
 	running.add(child);
 	let end: ProcessExit | null = null;
 	const exited = new Promise<ProcessExit>(resolve => {
