fix(transport): a refused body is freed at once

Cause: the reader of a refused body was told by the next part. A sender that has stopped sends none; the timer of the request's deadline kept the reader and its blocks until then, though they were not counted any more. The metrics told: 28 MB counted, 318 MB in buffers.

The reader is told when its request is refused and when its response has ended.

--- a/packages/transport/src/http/read-body.ts
+++ b/packages/transport/src/http/read-body.ts
@@ -98,6 +98,7 @@
 		message.on('end', onEnd);
 		message.on('close', onClose);
 		message.on('data', onData);
+		meter?.onStopped(fail);
 	}
 
 	return {body, giveUp: fail};
--- a/packages/transport/src/http/request-budget.ts
+++ b/packages/transport/src/http/request-budget.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http';
+import {ignore} from '../utils.js';
 import {OverloadError, refuseRequest} from './overload.js';
 import {createReadTurns} from './read-turns.js';
 
@@ -13,6 +14,8 @@
 	complete(heldBytes: number): void;
 	/** Records that the body is not kept. */
 	giveUp(): void;
+	/** Sets what is called when the request is refused or its response has ended while its body is read; no further part may arrive to tell. */
+	onStopped(stop: (error: Error) => void): void;
 	isRefused(): boolean;
 };
 
@@ -49,6 +52,8 @@
 	readonly headBytes: number;
 	state: RequestState;
 	isRefused: boolean;
+	/** Ends the reading of its body. */
+	stop: (error: Error) => void;
 	parts: number;
 	partBytes: number;
 };
@@ -66,6 +71,8 @@
 /** A body whose parts are smaller on average takes more time to parse than the rest of a request. */
 const minMeanPartBytes = 512;
 
+const refusedError = (): OverloadError => new OverloadError('the request was refused before its body had arrived completely');
+
 const meters = new WeakMap<http.IncomingMessage, RequestMeter>();
 
 /** The meter of a request received by a server with a request budget. */
@@ -114,6 +121,7 @@
 	const refuse = (open: OpenRequest, reason: string): void => {
 		open.isRefused = true;
 		release(open);
+		open.stop(refusedError());
 		refuseRequest(open.request, open.response, reason);
 	};
 
@@ -161,7 +169,7 @@
 
 	const requireAccepted = (open: OpenRequest): void => {
 		if (open.isRefused) {
-			throw new OverloadError('the request was refused before its body had arrived completely');
+			throw refusedError();
 		}
 	};
 
@@ -189,7 +197,7 @@
 		open(request, response, isQueued) {
 			const headBytes = headBytesOf(request);
 			const open: OpenRequest = {
-				request, response, heldBytes: 0, headBytes, state: 'arriving', isRefused: false, parts: 0, partBytes: 0,
+				request, response, heldBytes: 0, headBytes, state: 'arriving', isRefused: false, stop: ignore, parts: 0, partBytes: 0,
 			};
 			requests.add(open);
 			setHeld(open, headBytes);
@@ -205,6 +213,7 @@
 
 			response.once('close', () => {
 				release(open);
+				open.stop(new Error('the connection was closed before the body was complete'));
 			});
 			const meter: RequestMeter = {
 				recordPart(sizeBytes, heldBytes) {
@@ -224,6 +233,9 @@
 						setHeld(open, headBytes);
 					}
 				},
+				onStopped(stop) {
+					open.stop = stop;
+				},
 				isRefused: () => open.isRefused,
 			};
 			meters.set(request, meter);
