fix(transport): a large body in progress does not keep out small ones

A body that takes more than seven eighths of a server's memory for requests, alone and within its limits, made the server refuse every request that came beside it: the share kept for small bodies was taken for exceeded, and the newcomer was the only one that could be refused.

Where only the large bodies take too much, a small one is no longer refused. Found by reading; the new test failed without the change.

--- a/packages/transport/src/http/request-budget.ts
+++ b/packages/transport/src/http/request-budget.ts
@@ -87,9 +87,9 @@
 const isRefusable = ({state, request, response, isRefused}: OpenRequest): boolean => !isRefused && !response.headersSent && (state === 'reading' || (state === 'arriving' && !request.complete));
 
 /**
- * Bounds the number of all requests, and the memory of their heads and bodies. Without the bound, every connection could hold a
- * body of the maximum size, and the process would be killed for its memory use with every
- * request it runs. Over the limit, the largest request whose body is not complete is
+ * Bounds the number of all requests, and the memory of their heads and bodies. Without the
+ * bound, every connection could hold a body of the maximum size, and the process would be
+ * killed for its memory use with every request it runs. Over the limit, the largest request whose body is not complete is
  * refused, so that a few large requests do not crowd out those of usual size.
  *
  * Bodies in very small parts are bounded in number as well and read in turns, because
@@ -143,7 +143,8 @@
 	const refuseWhileOverLimit = (): void => {
 		while (isOverLimit()) {
 			const open = largestRefusable();
-			if (open === undefined) {
+			// Where only the large ones take too much, refusing a small one does not help.
+			if (open === undefined || (totalBytes <= maxBytes && !isLarge(open.heldBytes))) {
 				return;
 			}
 
--- a/packages/transport/test/server-limits.test.ts
+++ b/packages/transport/test/server-limits.test.ts
@@ -93,6 +93,19 @@
 	t.same(bodies, [200_000]);
 });
 
+// Guards against a large body in progress that keeps out all small ones.
+t.test('a small body is served beside a large one that takes nearly all of the memory', async t => {
+	const {server, met} = await startServer(t, {maxBufferedBytes: 1_000_000});
+	const size = 950_000;
+	const large = await openCrowd(t, {address: server.address, count: 1, parts: [requestHead('POST', '/slow', ['host: a', chunkedHeader]), encodeChunks(size, 50_000), lastChunk]});
+	await large.settled();
+	await waitFor(() => server.usage().requestBytes > size);
+	const {members: [small]} = await openCrowd(t, {address: server.address, count: 1, parts: [post, encodeChunks(200, 200), lastChunk]});
+	await waitFor(() => isAnswered(small));
+	t.match(small!.text(), /^HTTP\/1\.1 200 /v);
+	t.same(met, []);
+});
+
 // Guards against a crowd that fills the log.
 t.test('a limit is counted each time and logged once a second', async t => {
 	const lines: unknown[] = [];
