test: the crowds of the product start its processes without the loaders of tap

The option that was to leave them out had no effect, as tap adds them to the environment of every process of Node.js that a test starts. Crowds and bounds are unchanged.

--- a/test/crowd/product.test.ts
+++ b/test/crowd/product.test.ts
@@ -1,6 +1,5 @@
 import {Buffer} from 'node:buffer';
 import path from 'node:path';
-import process from 'node:process';
 import {waitUntil} from '@bitternpaddle/daemon';
 import {
 	chunkedHeader, createFakeService, encodeChunks, freeAddresses, openCrowd, requestHead, testFolder, watchUsage, type UsageWatch,
@@ -18,9 +17,6 @@
 const largestCallBytes = 67_108_864;
 const stepTimeoutMs = 60_000;
 
-/** The loaders of tap take 40 MB of each process. */
-const withoutLoaders = {...process.env, NODE_OPTIONS: ''};
-
 type WatchedDaemon = DaemonProcess & {readonly address: string; readonly usage: UsageWatch};
 
 /** Starts a control host, an entry and an agent with a plain service, each as a process with low limits. */
@@ -34,7 +30,7 @@
 		const daemon = startDaemon(t, {
 			roles: role, 'host-id': `${role}1`, listen: address, controls: `control1=${addresses[0]}`, 'data-folder': path.join(folder, role),
 			'max-connections': String(maxConnections), ...flags,
-		}, {environment: withoutLoaders});
+		}, {hasLoaders: false});
 		const usage = watchUsage(daemon.pid);
 		t.teardown(usage.close);
 		return {...daemon, address, usage};
--- a/test/support/daemon-process.ts
+++ b/test/support/daemon-process.ts
@@ -57,8 +57,8 @@
 });
 
 export type StartDaemonOptions = {
-	/** @default that of the test, with the loaders of tap */
-	readonly environment?: NodeJS.ProcessEnv;
+	/** Whether the loaders that tap adds to every process of Node.js are kept. @default true */
+	readonly hasLoaders?: boolean;
 };
 
 /**
@@ -66,8 +66,11 @@
  * its processes exited and their last log lines: to the test, a daemon that
  * failed to start looks like a slow one.
  */
-export const startDaemon = (t: Test, flags: DaemonFlags, {environment = process.env}: StartDaemonOptions = {}): DaemonProcess => {
-	const child = spawn(process.execPath, [daemonFile, 'run', ...flagArguments(flags)], {stdio: ['ignore', 'pipe', 'pipe'], env: environment});
+export const startDaemon = (t: Test, flags: DaemonFlags, {hasLoaders = true}: StartDaemonOptions = {}): DaemonProcess => {
+	const command = [process.execPath, daemonFile, 'run', ...flagArguments(flags)];
+	const child = hasLoaders
+		? spawn(command[0]!, command.slice(1), {stdio: ['ignore', 'pipe', 'pipe']})
+		: spawn('env', ['-u', 'NODE_OPTIONS', ...command], {stdio: ['ignore', 'pipe', 'pipe']});
 	running.add(child);
 	let end: ProcessExit | null = null;
 	const exited = new Promise<ProcessExit>(resolve => {
