--- a/packages/test-support/src/crowd/process-usage.ts
+++ b/packages/test-support/src/crowd/process-usage.ts
@@ -3,7 +3,7 @@
 const bytesPerKibibyte = 1024;
 const sampleIntervalMs = 20;
 
-/** What a process used, as far as the kernel tells: bytes of resident memory at the peak, and open descriptors. */
+/** Peak resident memory of a process in bytes, and the most descriptors that it had open. */
 export type ProcessUsage = {readonly peakMemoryBytes: number; readonly peakDescriptors: number};
 
 export type UsageWatch = {
--- a/packages/transport/src/http/request-budget.ts
+++ b/packages/transport/src/http/request-budget.ts
@@ -10,11 +10,11 @@
 	 * not changed. Throws `OverloadError` once the request has been refused.
 	 */
 	recordPart(sizeBytes: number, heldBytes: number | null): void;
-	/** Records that the body is complete and used from now on; the request can no longer be refused. */
+	/** Records that the handler has the complete body; the request can no longer be refused. */
 	complete(heldBytes: number): void;
 	/** Records that the body is not kept. */
 	giveUp(): void;
-	/** Sets what is called when the request is refused or its response has ended while its body is read; no further part may arrive to tell. */
+	/** Sets the callback for a request that is refused, or whose response ends, while its body is read; its sender may send no further part. */
 	onStopped(stop: (error: Error) => void): void;
 	isRefused(): boolean;
 };
@@ -92,9 +92,9 @@
  * killed for its memory use with every request it runs. Over the limit, the largest request whose body is not complete is
  * refused, so that a few large requests do not crowd out those of usual size.
  *
- * Bodies in very small parts are bounded in number as well and read in turns, because
- * parsing them takes far longer than their size tells. The one that has sent nothing for the
- * longest is refused.
+ * Bodies in very small parts are bounded in number as well and read in turns, because the
+ * time to parse them depends on the number of their parts. The one that has been idle for
+ * the longest is refused.
  */
 export const createRequestBudget = ({maxBytes, maxRequests, maxFragmented, onRefused = () => undefined}: RequestBudgetOptions): RequestBudget => {
 	const requests = new Set<OpenRequest>();
