--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -264,7 +264,7 @@
 
 /** Starts a stand-in of a worker as a separate process; see `worker.mjs`. */
 export const startWorker = ({record, spawned}, options) => {
-	const child = spawned(process.execPath, [path.join(import.meta.dirname, 'worker.mjs'), JSON.stringify(options)], {
+	const child = spawned(process.execPath, ['--max-http-header-size=131072', path.join(import.meta.dirname, 'worker.mjs'), JSON.stringify(options)], {
 		stdio: ['ignore', 'inherit', 'inherit', 'ipc'], env: {PATH: process.env.PATH},
 	});
 	const worker = {
