--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -268,7 +268,7 @@
 		stdio: ['ignore', 'inherit', 'inherit', 'ipc'], env: {PATH: process.env.PATH},
 	});
 	const worker = {
-		...options, child, acks: 0, runs: [],
+		...options, child, acks: 0, runs: [], told: [],
 	};
 	child.on('message', message => {
 		switch (message.type) {
@@ -284,6 +284,7 @@
 			}
 
 			default: {
+				worker.told.push(message.type);
 				record(`${options.id} ${JSON.stringify(message)}`);
 			}
 		}
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -92,28 +92,56 @@
 });
 server.keepAliveTimeout = 10_000;
 
-const announce = async () => {
+const heartbeat = () => {
 	sequence++;
-	const body = JSON.stringify({
+	return JSON.stringify({
 		service, address, zone, version: 'v1', slots, state: 'ready', coldRemainingMs: 0, sequence,
 	});
+};
+
+/** Calls one node after the other until one acknowledges within a second. */
+const callControl = async (method, body) => {
 	for (const control of controls) {
 		const isAcknowledged = await fetch(`http://${control}/v1/instances/${id}`, {
-			method: 'PUT', headers: {'content-type': 'application/json'}, body, signal: AbortSignal.timeout(1000),
+			method, headers: {'content-type': 'application/json'}, body, signal: AbortSignal.timeout(1000),
 		}).then(async response => {
 			await response.arrayBuffer();
 			return response.ok;
 		}).catch(() => false);
 		if (isAcknowledged) {
-			tell({type: 'ack', sequence});
-			return;
+			return control;
 		}
 	}
+
+	return null;
+};
+
+const leaving = new AbortController();
+
+/**
+ * Leaves without having reported `draining`: sends a DELETE and goes on to serve. A heartbeat that
+ * was made before arrives `lateMs` late.
+ */
+const leave = async ({lateMs}) => {
+	leaving.abort();
+	const late = heartbeat();
+	await delay(100);
+	const leftAtMs = performance.now();
+	tell({type: 'left', control: await callControl('DELETE')});
+	await delay(Math.max(0, leftAtMs + lateMs - performance.now()));
+	tell({type: 'late heartbeat', control: await callControl('PUT', late)});
 };
 
+process.on('message', message => {
+	leave(message);
+});
+
 server.listen({host: ip, port: Number(port)}, async () => {
-	for (;;) {
-		await announce();
+	while (!leaving.signal.aborted) {
+		if (await callControl('PUT', heartbeat()) !== null) {
+			tell({type: 'ack', sequence});
+		}
+
 		await delay(heartbeatIntervalMs);
 	}
 });
