--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -246,6 +246,11 @@
 	}));
 	return {
 		edges,
+		/** The fields that all settings files share. */
+		settings: {
+			zones: regions, internalPorts: [firstInternal, firstInternal + 15], seeds, discovery: 'registration', entry: 'vip', heartbeatIntervalMs: 1200, contracts,
+			faultTolerance: {machines: 1, zones: 0, regions: 0}, bounds, configMode: 'highest',
+		},
 		controls: edges.map(edge => edge.control),
 		/** Sends a manifest until it is acknowledged. */
 		submit: async manifest => until('the manifest is acknowledged', async () => {
@@ -262,9 +267,9 @@
 	};
 };
 
-/** Starts a stand-in of a worker as a separate process; see `worker.mjs`. */
-export const startWorker = ({record, spawned}, options) => {
-	const child = spawned(process.execPath, ['--max-http-header-size=131072', path.join(import.meta.dirname, 'worker.mjs'), JSON.stringify(options)], {
+/** Starts a stand-in of a worker as a separate process; see `worker.mjs` and `engine.mjs`. */
+export const startWorker = ({record, spawned}, options, program = 'worker.mjs') => {
+	const child = spawned(process.execPath, ['--max-http-header-size=131072', path.join(import.meta.dirname, program), JSON.stringify(options)], {
 		stdio: ['ignore', 'inherit', 'inherit', 'ipc'], env: {PATH: process.env.PATH},
 	});
 	const worker = {
@@ -292,6 +297,27 @@
 	return worker;
 };
 
+/** Starts the agent of a model worker on the machine of that worker. */
+export const startAgent = ({folder, record, spawned}, system, {ip, zone, address, service, index}) => {
+	const filePath = path.join(folder, `agent-${index}.json`);
+	writeFileSync(filePath, JSON.stringify({
+		...system.settings, nodeName: `side-${zone}-${index}`, role: 'agent', machineClass: 'side', serves: ['side'], ip, zone, region: system.settings.zones[zone],
+		listen: {}, bootstrap: true, countsAsLoss: false,
+		limits: {
+			cpuShare: 0.81, cores: 1, memoryMb: 218, maxFds: 1494, linkMbps: 6.58,
+		},
+		dataDir: null, app: address, service,
+	}));
+	const [command, ...words] = commandOf('agent');
+	const child = spawned(command, words, {env: {PATH: process.env.PATH, HOME: process.env.HOME, BITTERNPADDLE_NODE_FILE: filePath}});
+	child.stdout.resume();
+	child.stderr.resume();
+	child.once('exit', (code, signal) => {
+		record(`agent-${index} ended: code ${code}, signal ${signal}`);
+	});
+	return child;
+};
+
 export const limits = {
 	maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 };
