--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,5 +1,7 @@
-/** A manifest raises `maxHeaderBytes`; consumers go on to use their connections, with longer heads. */
-import http from 'node:http';
+/**
+ * A worker leaves, which is acknowledged, and goes on to serve; all processes of the system are
+ * killed at the same moment and start again. A heartbeat that the worker had sent before arrives late.
+ */
 import {randomUUID} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
@@ -7,24 +9,24 @@
 } from '../lib-2/system.mjs';
 
 const workerCount = 3;
-const consumerCount = 60;
-const pauseMs = 400;
+const requestsPerSecond = 40;
 const deadlineMs = 1500;
-const oldMaxHeaderBytes = 16_384;
-const newMaxHeaderBytes = 65_536;
-/** Of the longer heads; more than the old limit allows, and far less than the new one. */
-const longHeadBytes = 32_768;
+/** From the ack of the leave. */
+const killAfterMs = 300;
+const downMs = 700;
+const lateMs = 3000;
+const servesMs = 10_000;
 
-const manifestOf = (version, maxHeaderBytes) => ({
-	version,
+const manifest = {
+	version: 3,
 	routes: [{
 		name: 'queue-read', host: 'queue.example', pathPrefix: '/queue/', type: 'safe', timeoutMs: 800, targetLatencyMs: 300, priority: 1, service: 'queue-core', maxAttempts: 2, public: false,
 	}],
 	services: [{
 		name: 'queue-core', healthPath: '/healthz', maxConnections: 230, protocol: 'h1', tls: false,
 	}],
-	limits: {...limits, maxHeaderBytes}, tenants: [{name: 'carrier', apiKeys: ['key-of-carrier'], priority: 1}],
-});
+	limits, tenants: [{name: 'carrier', apiKeys: ['key-of-carrier'], priority: 1}],
+};
 
 await runCase(import.meta.dirname, async scene => {
 	const {record, hasTrouble} = scene;
@@ -32,63 +34,81 @@
 	const workers = [];
 	for (let index = 0; index < workerCount; index++) {
 		workers.push(startWorker(scene, {
-			id: `i-${index}`, address: `${ipOf(10 + index)}:${await freePort(ipOf(10 + index))}`, service: 'queue-core', zone: `zone-${'abc'[index % 3]}`, controls: system.controls,
+			id: `i-${index}`, address: `${ipOf(10 + index)}:${await freePort(ipOf(10 + index))}`, service: 'queue-core', zone: `zone-${'abc'[index]}`, controls: system.controls,
 		}));
 	}
 
-	// Without the trouble, the larger limit is in force from the start.
-	await system.submit(manifestOf(3, hasTrouble ? oldMaxHeaderBytes : newMaxHeaderBytes));
+	await system.submit(manifest);
 	await system.ready();
 	await until('all workers are registered', () => workers.every(({acks}) => acks > 0));
 
-	let phase = 'before';
-	const counts = {};
+	const sentAtMs = new Map();
 	const ending = new AbortController();
-	const consume = async index => {
-		const agent = new http.Agent({keepAlive: true, maxSockets: 1});
-		const {frontend} = system.edges[index % system.edges.length];
-		while (!ending.signal.aborted) {
-			const when = phase;
-			const requestId = randomUUID().slice(0, 16);
-			const headers = {
+	const counts = {};
+	const call = async index => {
+		const requestId = randomUUID().slice(0, 16);
+		sentAtMs.set(requestId, performance.now());
+		const {status} = await send({
+			address: system.edges[index % system.edges.length].frontend, path: `/queue/${index}`, timeoutMs: deadlineMs,
+			headers: {
 				host: 'queue.example', authorization: 'Bearer key-of-carrier', 'x-bitternpaddle-request-id': requestId, 'x-bitternpaddle-deadline-ms': String(deadlineMs),
-				...(when === 'long heads' && {'x-list': 'a'.repeat(longHeadBytes)}),
-			};
-			const answer = await send({
-				address: frontend, path: `/queue/${index}`, agent, timeoutMs: deadlineMs, headers,
-			});
-			const isOfWorker = answer.headers['x-bitternpaddle-server-signature'] !== undefined;
-			const outcome = `${answer.status}${isOfWorker ? ' of a worker' : ' of the system'}`;
-			counts[when] ??= {};
-			counts[when][outcome] = (counts[when][outcome] ?? 0) + 1;
-			record(`consumer ${index} request ${requestId} (${when}) answered ${outcome} ${isOfWorker ? '' : `${answer.reason} ${answer.text.slice(0, 160)}`}`);
-			await delay(pauseMs);
-		}
+			},
+		});
+		counts[status] = (counts[status] ?? 0) + 1;
+		record(`request ${requestId} answered ${status}`);
+	};
 
-		agent.destroy();
+	const consuming = (async () => {
+		for (let index = 0; !ending.signal.aborted; index++) {
+			call(index);
+			await delay(1000 / requestsPerSecond);
+		}
+	})();
+	const [leaver] = workers;
+	const runs = [];
+	leaver.onRun = ({requestId}) => {
+		runs.push({requestId, atMs: performance.now()});
+		record(`${leaver.id} runs ${requestId}`);
 	};
 
-	const consumers = Array.from({length: consumerCount}, async (_, index) => {
-		await delay(index * pauseMs / consumerCount);
-		await consume(index);
-	});
-	await delay(4000);
+	// Longer than `stableWindowMs`, so that all machines are in touch when the worker leaves.
+	await delay(smallBounds.stableWindowMs + 2000);
+	leaver.child.send({lateMs});
+	await until('the leave is acknowledged', () => leaver.told.includes('left'), 5000);
+	const leftAtMs = performance.now();
+	let startedAtMs = Number.NEGATIVE_INFINITY;
 	if (hasTrouble) {
-		await system.submit(manifestOf(5, newMaxHeaderBytes));
+		await delay(killAfterMs);
+		record('all processes of the system are killed');
+		for (const {core, entry} of system.edges) {
+			core.kill('SIGKILL');
+			entry.kill('SIGKILL');
+		}
+
+		await delay(downMs);
+		for (const edge of system.edges) {
+			edge.startCore();
+			edge.startEntry();
+		}
+
+		startedAtMs = performance.now();
+		record('all processes of the system start again');
 	}
 
-	await delay(smallBounds.configApplyMs + 2000);
-	record(`consumers send heads of ${longHeadBytes} bytes and more from now on`);
-	phase = 'long heads';
-	await delay(8000);
+	await delay(Math.max(0, leftAtMs + servesMs - performance.now()));
 	ending.abort();
-	await Promise.all(consumers);
-	const all = Object.values(counts).flatMap(outcomes => Object.values(outcomes)).reduce((sum, each) => sum + each, 0);
-	const denied = Object.values(counts).flatMap(outcomes => Object.entries(outcomes)).filter(([outcome]) => /^[34]\d\d of the system/v.test(outcome) && !/^4(?:08|21|29)/v.test(outcome))
-		.reduce((sum, [, each]) => sum + each, 0);
-	const bound = 5 + (all / 500);
-	record(`outcomes: ${JSON.stringify(counts)}`);
-	record(`${denied} of ${all} requests were ended with a 3xx or 4xx of the system; the rule allows ${bound}`);
-	console.log(JSON.stringify(counts), denied, bound);
-	return denied > bound;
+	await consuming;
+	await delay(500);
+	leaver.child.kill('SIGKILL');
+	// Machines are in touch again `stableWindowMs` after their start.
+	const inTouchFromMs = startedAtMs + smallBounds.stableWindowMs + 500;
+	const late = runs.filter(({requestId, atMs}) => atMs > leftAtMs + smallBounds.drainMs && sentAtMs.get(requestId) > inTouchFromMs);
+	record(`answers: ${JSON.stringify(counts)}`);
+	for (const {requestId, atMs} of late) {
+		record(`${leaver.id} ran ${requestId} ${Math.round(atMs - leftAtMs)} ms after its leave was acknowledged`);
+	}
+
+	record(`${late.length} requests reached ${leaver.id} later than ${smallBounds.drainMs} ms after its leave was acknowledged, sent by machines in touch`);
+	console.log(JSON.stringify(counts), late.length, late.slice(0, 3).map(({atMs}) => Math.round(atMs - leftAtMs)));
+	return late.length > 0;
 });
