fix(gateway): report every named version with the time since it was named

Cause: core hosts kept the newest version of a model only, with the time at which each learned of it. An entry that starts later never hears of version 2. A core host that restarts counted the newest one from its own start.

Change: each core host keeps all named versions with the earliest time that any of them reports, until ten minutes after a newer one was named. Entries already treat each version as due by itself, so they now know every due time; they forget versions older than one that is due.

The start of the core hosts in stored-departures.test.ts moves to support/core-group.ts, its checks are the same.

--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -24,6 +24,7 @@
 	createEvacuationOrders, type EvacuationOrder, type OrderCaller, type OrderResult,
 } from './evacuation-orders.js';
 import {createFollowers, rosterCacheMs} from './followers.js';
+import {createNamedVersions} from './named-versions.js';
 import {createPermitService} from './permit-desk.js';
 import {createRegionCheck} from './region-check.js';
 import {createRetryGrants} from './retry-grants.js';
@@ -73,17 +74,13 @@
 		nowMs: monotonicNowMs,
 	});
 	const evacuatedZones = createEvacuatedZones({logger});
-	const versionsLearnedAtMs = new Map<string, {version: number; atMs: number}>();
+	const namedVersions = createNamedVersions({nowMs: monotonicNowMs});
 	let client: CoreClient | null = null;
 
 	const otherAddresses = (): string[] => [...new Set([...seeds(), ...log.memberAddresses(), ...client?.addresses() ?? []])].filter(address => address !== selfAddress);
 
 	const recordVersions = (): void => {
-		for (const [model, version] of Object.entries(log.state().versions)) {
-			if (versionsLearnedAtMs.get(model)?.version !== version) {
-				versionsLearnedAtMs.set(model, {version, atMs: monotonicNowMs()});
-			}
-		}
+		namedVersions.recordLog(log.state().versions);
 	};
 
 	/** Logs what changed; this host itself uses the evacuations for nothing else. */
@@ -157,7 +154,7 @@
 			announcements: parameters.follower.role === 'agent' ? [] : announcementsSince(registry, parameters.epoch === epoch ? parameters.position : 0, nowMs),
 			configurationNumber: configurationNumber(), versionsHash: versionsHash(),
 			freshAgeMs: log.freshAgeMs(),
-			versions: [...versionsLearnedAtMs].map(([model, {version, atMs}]) => ({model, version, ageMs: nowMs - atMs})),
+			versions: namedVersions.report(),
 			roster: hasRosterUpdate(parameters) ? rosterOf(parameters.follower) : null,
 			evacuations: log.state().evacuations,
 		};
@@ -351,6 +348,7 @@
 		onConfiguration: () => undefined,
 		seeds: () => [...seeds(), ...log.memberAddresses()],
 		onResult(result) {
+			namedVersions.recordReported(result.versions);
 			let hasUpdate = false;
 			for (const announcement of result.announcements) {
 				hasUpdate = recordAnnouncement(registry, announcement, monotonicNowMs(), 'host') || hasUpdate;
--- a/packages/gateway/src/core/index.ts
+++ b/packages/gateway/src/core/index.ts
@@ -3,6 +3,7 @@
 export * from './departures.js';
 export * from './evacuation-orders.js';
 export * from './followers.js';
+export * from './named-versions.js';
 export * from './permit-desk.js';
 export * from './region-check.js';
 export * from './retry-grants.js';
--- a/packages/gateway/src/link/methods.ts
+++ b/packages/gateway/src/link/methods.ts
@@ -76,7 +76,7 @@
 	versionsHash: z.string(),
 	/** Time since this core host was last confirmed to hold all acknowledged documents; `null` if it cannot confirm that. */
 	freshAgeMs: z.number().nullable(),
-	/** Named versions of weights, and for how long this core host has known each of them. */
+	/** Named versions of weights, also those that a newer one has superseded, and for how long the core hosts have known each of them. */
 	versions: z.array(z.object({model: z.string(), version: z.number(), ageMs: z.number()})),
 	roster: rosterSchema.nullable(),
 	/** `null` if this core host does not know them; one of an earlier version sends no such field. */
--- a/packages/gateway/src/link/wanted-versions.ts
+++ b/packages/gateway/src/link/wanted-versions.ts
@@ -39,6 +39,17 @@
 	let isConfirmed = false;
 	const known = new Map<string, Map<number, number>>();
 	const dues = new Map<string, readonly VersionDue[]>();
+
+	/** Forgets versions that are older than one that is due: that one excludes all that they exclude. */
+	const forgetPast = (since: Map<number, number>, nowMs: number): void => {
+		const newestDue = Math.max(...[...since].filter(([, sinceMs]) => sinceMs + dueMs - updateLatencyMs <= nowMs).map(([version]) => version));
+		for (const version of since.keys()) {
+			if (version < newestDue) {
+				since.delete(version);
+			}
+		}
+	};
+
 	return {
 		recordResult({versions, freshAgeMs}, nowMs) {
 			isConfirmed ||= freshAgeMs !== null;
@@ -46,6 +57,10 @@
 				const since = known.get(model) ?? new Map<number, number>();
 				since.set(version, Math.min(since.get(version) ?? Number.POSITIVE_INFINITY, nowMs - ageMs));
 				known.set(model, since);
+			}
+
+			for (const [model, since] of known) {
+				forgetPast(since, nowMs);
 				dues.set(model, [...since].map(([named, sinceMs]) => ({version: named, dueAtMs: sinceMs + dueMs - updateLatencyMs})));
 			}
 		},
--- a/packages/gateway/test/stored-departures.test.ts
+++ b/packages/gateway/test/stored-departures.test.ts
@@ -1,79 +1,26 @@
-import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
-import {createSuspendAwareClock, type Announcement, type EndpointState} from '@bitternpaddle/coordination';
-import {freeAddresses, testFolder} from '@bitternpaddle/test-support';
-import {callRpc, silentLogger, type Logger} from '@bitternpaddle/transport';
+import type {Announcement, EndpointState} from '@bitternpaddle/coordination';
+import {freeAddresses} from '@bitternpaddle/test-support';
+import {silentLogger} from '@bitternpaddle/transport';
 import t, {type Test} from 'tap';
-import {createCoreNode, type CoreNode, type WatchResult} from '@bitternpaddle/gateway';
-
-const clock = createSuspendAwareClock({steadyNowMs: () => performance.now(), wallNowMs: () => Date.now()});
-
-type StartOptions = {readonly selfAddress: string; readonly seeds: readonly string[]; readonly folder: string | null; readonly isFirstStart?: boolean; readonly logger?: Logger};
-
-const start = async (t: Test, {selfAddress, seeds, folder, isFirstStart = false, logger = silentLogger}: StartOptions): Promise<CoreNode> => {
-	const node = await createCoreNode({
-		selfAddress, zoneId: 'z1', regionId: 'r1', folder, isFirstStart, seeds: () => seeds, toleratedLosses: 1, clock, logger,
-	});
-	t.teardown(async () => node.close());
-	return node;
-};
-
-const until = async (check: () => Promise<boolean>): Promise<void> => {
-	while (!await check()) {
-		await delay(30);
-	}
-};
+import {
+	createCoreGroup, startCore, until, watch, type CoreGroup,
+} from './support/core-group.js';
+import type {CoreNode} from '@bitternpaddle/gateway';
 
 const endpoint = (fields: Partial<Announcement> = {}): Announcement => ({
 	id: 'e1', serviceName: 's', address: '10.0.0.1:80', zoneId: 'z1', slots: 4, state: 'ready', models: [], startedAtMs: 0, sequence: 1, ...fields,
 });
 
-const watch = async (address: string): Promise<WatchResult> => callRpc<WatchResult>({
-	address, method: 'gateway.watch', timeoutMs: 2000, params: {
-		follower: {
-			role: 'entry', address: '127.0.0.1:1', zoneId: 'z1', regionId: 'r1', endpointAddress: null, serviceName: null,
-		}, epoch: '', position: 0, configurationNumber: -1, versionsHash: '', rosterHash: '', waitMs: 0,
-	},
-});
-
-type Group = {
-	readonly seeds: readonly string[];
-	nodes: CoreNode[];
-	/** Ends all core hosts and starts them again with their disks; resolves once they confirm what is in force. */
-	restart(): Promise<void>;
-	stateAt(index: number, id?: string): Promise<EndpointState | undefined>;
-};
-
-const createGroup = async (t: Test, logger?: Logger): Promise<Group> => {
-	const seeds = await freeAddresses(3);
-	const folder = testFolder(t);
-	const startAll = async (isFirstStart: boolean): Promise<CoreNode[]> => Promise.all(seeds.map(async (selfAddress, index) => start(t, {
-		selfAddress, seeds, folder: path.join(folder, `c${index}`), isFirstStart, logger,
-	})));
-	const group: Group = {
-		seeds, nodes: await startAll(true),
-		async restart() {
-			await Promise.all(group.nodes.map(async node => node.close()));
-			group.nodes = await startAll(false);
-			await until(async () => (await Promise.all(seeds.map(async seed => watch(seed)))).every(({freshAgeMs}) => freshAgeMs !== null));
-		},
-		async stateAt(index, id = 'e1') {
-			const {announcements} = await watch(seeds[index]!);
-			return announcements.find(announcement => announcement.id === id)?.state;
-		},
-	};
-	return group;
-};
-
-const startRelay = async (t: Test, {seeds}: Group): Promise<CoreNode> => {
+const startRelay = async (t: Test, {seeds}: CoreGroup): Promise<CoreNode> => {
 	const [selfAddress] = await freeAddresses(1);
-	return start(t, {selfAddress: selfAddress!, seeds, folder: null});
+	return startCore(t, {selfAddress: selfAddress!, seeds, folder: null});
 };
 
 const agreeWithinMs = 5000;
 
 /** Checks that all core hosts come to give an endpoint this state. */
-const isEverywhere = async (t: Test, group: Group, expected: EndpointState, id = 'e1'): Promise<void> => {
+const isEverywhere = async (t: Test, group: CoreGroup, expected: EndpointState, id = 'e1'): Promise<void> => {
 	const untilMs = performance.now() + agreeWithinMs;
 	const wanted = [expected, expected, expected];
 	for (;;) {
@@ -89,7 +36,7 @@
 
 // Guards against sending requests to an endpoint whose departure was acknowledged before all core hosts restarted.
 t.test('a late announcement does not restore an endpoint that left before all core hosts restarted', async t => {
-	const group = await createGroup(t);
+	const group = await createCoreGroup(t);
 	await until(async () => group.nodes[0]!.announce(endpoint({sequence: 4})));
 	await until(async () => group.nodes[1]!.withdraw('e1', null));
 	await group.restart();
@@ -100,7 +47,7 @@
 
 // Guards against forgetting the departure of an endpoint that no core host had heard of since its own start.
 t.test('the departure of an unknown endpoint is remembered', async t => {
-	const group = await createGroup(t);
+	const group = await createCoreGroup(t);
 	await until(async () => group.nodes[0]!.withdraw('e1', null));
 	await until(async () => group.nodes[0]!.withdraw('e2', 100));
 	await group.restart();
@@ -114,7 +61,7 @@
 
 // Guards against sending requests to an endpoint that was acknowledged as draining before all core hosts restarted.
 t.test('a late announcement does not undo draining that was acknowledged before all core hosts restarted', async t => {
-	const group = await createGroup(t);
+	const group = await createCoreGroup(t);
 	await until(async () => group.nodes[0]!.announce(endpoint({sequence: 4})));
 	await until(async () => group.nodes[1]!.announce(endpoint({sequence: 6, state: 'draining'})));
 	t.equal(await group.nodes[1]!.announce(endpoint({sequence: 7, state: 'draining'})), true);
@@ -128,7 +75,7 @@
 
 // Guards against refusing work to an endpoint that starts again under its id or at its address after its departure was stored.
 t.test('a later start is accepted at once while the departure of the earlier one is remembered', async t => {
-	const group = await createGroup(t);
+	const group = await createCoreGroup(t);
 	await until(async () => group.nodes[0]!.announce(endpoint({startedAtMs: 100, sequence: 4})));
 	await until(async () => group.nodes[0]!.withdraw('e1', 100));
 	await group.nodes[1]!.announce(endpoint({startedAtMs: 200}));
@@ -144,7 +91,7 @@
 
 // Guards against an acknowledged departure that only a core host which is cut off from the others has recorded, also by way of a host without a disk.
 t.test('a departure is not acknowledged without a majority, and announcements that an endpoint is ready are', async t => {
-	const group = await createGroup(t);
+	const group = await createCoreGroup(t);
 	await until(async () => group.nodes[0]!.announce(endpoint({sequence: 4})));
 	await until(async () => group.nodes[0]!.withdraw('before', null));
 	const relay = await startRelay(t, group);
@@ -161,7 +108,7 @@
 // Guards against a write to disk for each of the endpoints that leave at once, and for each announcement of a draining one.
 t.test('endpoints that leave at once share entries of the log', async t => {
 	const stored: unknown[] = [];
-	const group = await createGroup(t, {
+	const group = await createCoreGroup(t, {
 		...silentLogger,
 		event(id, fields) {
 			if (id === 'BP4075') {
--- a/packages/gateway/test/wanted-versions.test.ts
+++ b/packages/gateway/test/wanted-versions.test.ts
@@ -25,3 +25,15 @@
 	t.notOk(versions.isDetermined(4900));
 	t.ok(versions.isDetermined(5000));
 });
+
+// Guards against starting requests on an old version because only the newest of several named versions has a due time.
+t.test('each named version is due by itself, also for a process that starts after a newer one was named', async t => {
+	const versions = createWantedVersions({dueMs: 8000, startedAtMs: 5000});
+	versions.recordResult({versions: [{model, version: 3, ageMs: 1000}, {model, version: 2, ageMs: 4000}], freshAgeMs: 0}, 6000);
+	const [third, second] = versions.dues(model);
+	t.equal(third!.dueAtMs - second!.dueAtMs, 3000);
+	t.equal(versions.newest(model), 3);
+	versions.recordResult({versions: [{model, version: 3, ageMs: 8000}, {model, version: 2, ageMs: 11_000}], freshAgeMs: 0}, 13_000);
+	t.match(versions.dues(model), [{version: 3}], 'a version that is due covers the older ones');
+	t.equal(versions.dues(model).length, 1);
+});
