fix(transport): take only statuses that end a request for answers

What callers saw: an engine in trouble answers with the status 000, 099 or 101. The caller's connection was closed, or it got nothing until its deadline; with 600 to 999 it got that status. The engine was not charged and went on to get its share of the requests. No caller read 000 as an answer.

The entry compared statuses in ten places and checked in none whether it had one.

Change: listenForAnswer decides where bytes are read whether they are an answer, for the attempts of entries and for the client of all other calls. Anything but 200 to 599 breaks the attempt as unreadable: the connection is closed, the endpoint is charged, an idempotent request goes to another endpoint, any other gets 502.

--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -2,7 +2,7 @@
 import type http from 'node:http';
 import type {AnswerStage, Exclusion} from '@bitternpaddle/coordination';
 import {
-	createBodyCollector, ignore, isRefusingConnections, limitInformationalAnswers, readLimits, recordAllocatedBytes, watchForReset,
+	createBodyCollector, ignore, isRefusingConnections, limitInformationalAnswers, listenForAnswer, readLimits, recordAllocatedBytes, watchForReset,
 } from '@bitternpaddle/transport';
 import type {HeaderNames} from '../link/request-protocol.js';
 import {unlimitedAnswers, type AnswerBudget} from './answer-budget.js';
@@ -286,7 +286,7 @@
 	limitInformationalAnswers(request, () => {
 		failOversized('informational', `the endpoint sent more than ${readLimits.informationalAnswers} informational answers`);
 	});
-	request.on('response', response => {
+	const receive = (response: http.IncomingMessage): void => {
 		answer = response;
 		answeredAtMs = performance.now();
 		const head: AnswerHead = {status: response.statusCode!, headers: response.headers};
@@ -320,6 +320,13 @@
 		} else {
 			collectBody(response, head);
 		}
+	};
+
+	listenForAnswer(request, {
+		onAnswer: receive,
+		onInvalid(reason) {
+			fail('unreadable', reason);
+		},
 	});
 
 	/** Counts received bytes of the body; `false` if there are too many, and the attempt has failed. */
--- a/packages/gateway/test/support/crashing-fleet.ts
+++ b/packages/gateway/test/support/crashing-fleet.ts
@@ -80,6 +80,8 @@
 	| {readonly type: 'loseAnswer'}
 		/** No answer is sent and the connection stays open. */
 	| {readonly type: 'hang'}
+		/** Bytes as they are, after which the connection stays open; `ID` stands for the id of the request. */
+	| {readonly type: 'raw'; readonly text: string}
 		/** Refused without being run. */
 	| {readonly type: 'refuse'; readonly status: number; /** Delay before the refusal. @default 0 */ readonly delayMs?: number};
 
@@ -268,6 +270,11 @@
 				break;
 			}
 
+			case 'raw': {
+				response.socket!.write(behavior.text.replaceAll('ID', requestId));
+				break;
+			}
+
 			case 'refuse': {
 				later(() => {
 					refuse(index, requestId, response, behavior.status);
--- a/packages/transport/src/http/http-client.ts
+++ b/packages/transport/src/http/http-client.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import {parseAddress} from './address.js';
+import {listenForAnswer} from './answer-status.js';
 import {closeIdleConnections, createPool} from './connection-pool.js';
 import {readBody} from './read-body.js';
 import {readLimits} from './read-limits.js';
@@ -30,7 +31,7 @@
 
 const sharedAgent = createPool();
 
-/** Sends one request; resolves with the response as soon as its headers have arrived. */
+/** Sends one request; resolves with the response as soon as its headers have arrived. Rejects if its status is none that ends a request. */
 export const sendHttp = async (options: HttpRequestOptions): Promise<http.IncomingMessage> => new Promise((resolve, reject) => {
 	const {address, method = 'GET', path, headers = {}, body, idleTimeoutMs, signal, agent = sharedAgent} = options;
 	const {host, port} = parseAddress(address);
@@ -39,7 +40,13 @@
 	const request = http.request({
 		host, port, method, path, agent, signal, timeout: idleTimeoutMs,
 		headers: data === undefined ? headers : {...headers, 'content-length': data.length},
-	}, resolve);
+	});
+	listenForAnswer(request, {
+		onAnswer: resolve,
+		onInvalid(reason) {
+			reject(new TransportError(`no answer from ${address}: ${reason}`, !isConnected));
+		},
+	});
 	request.once('socket', socket => {
 		isConnected = !socket.connecting;
 		if (socket.connecting) {
--- a/packages/transport/src/http/index.ts
+++ b/packages/transport/src/http/index.ts
@@ -1,4 +1,5 @@
 export * from './address.js';
+export * from './answer-status.js';
 export * from './connection-pool.js';
 export * from './connection-tracker.js';
 export * from './cut-connection.js';
