feat(gateway): log the version that a request names and the time in which it may begin

Lines of an entry could not tell why a request began on old weights: whether the entry had not heard of the newer version, took it for younger than it was, or broke the attempt off in time. BP4023 now has weightVersion and beginWithinMs, and BP4077 says when an entry first heard of a version and how long the core knew it then.

--- a/packages/gateway/src/entry/entry-node.ts
+++ b/packages/gateway/src/entry/entry-node.ts
@@ -169,7 +169,12 @@
 		zones, evacuationMs: bounds.evacuationMs ?? null, logger, startedAtMs: monotonicNowMs(),
 	});
 	const permission = createPermission({evacuatedZoneIds: zones.zoneIds, regionsByZone: options.regionsByZone ?? new Map()});
-	const versions = createWantedVersions({dueMs: bounds.versionDueMs, startedAtMs: monotonicNowMs()});
+	const versions = createWantedVersions({
+		dueMs: bounds.versionDueMs, startedAtMs: monotonicNowMs(),
+		onNamed({model, version, ageMs}) {
+			logger.event('BP4077', {model, version, ageMs: Math.round(ageMs)});
+		},
+	});
 	const firstAttemptDeadlines = createLazyMap(createFirstAttemptDeadlines);
 	const sendRate = createLazyMap(createArrivalRate);
 	const objectives = createLazyMap(createObjectiveMix);
--- a/packages/gateway/src/entry/run-call.ts
+++ b/packages/gateway/src/entry/run-call.ts
@@ -207,6 +207,7 @@
 	const sequence = progress.triedIds.size;
 	const key = nextAwaitedKey();
 	const target = {candidate, version: requestedVersion(context, call, candidate)};
+	const beginWithinMs = target.version === null ? null : startWithinMs(target.version, versionDuesOf(context, call), startedAtMs);
 	progress.triedIds.add(announcement.id);
 	recordArrival(context.sendRate(service.name), startedAtMs);
 	load.outstanding++;
@@ -219,7 +220,7 @@
 		requestId: call.requestId, endpointId: announcement.id, address: announcement.address, attempt: sequence, expectedMs: Math.round(expectedMs),
 		outstanding: load.outstanding, limitPerSecond: context.limits.perSecondOf(announcement), pausedForMs: remainingPauseMs(load, startedAtMs),
 		reportAgeMs: Number.isFinite(load.reportedAtMs) ? Math.round(startedAtMs - load.reportedAtMs) : null, ...slowdownFields(candidate, startedAtMs),
-		...context.permission.ruleFields(call),
+		...context.permission.ruleFields(call), ...(target.version !== null && {weightVersion: target.version, beginWithinMs: beginWithinMs === null ? null : Math.round(beginWithinMs)}),
 	});
 	recordPassedZone(context, call, state.placement);
 	const {charge} = progress;
@@ -229,7 +230,7 @@
 		headers: endpointHeaders(context, call, progress, target), requestId: call.requestId, requestedVersion: target.version, body: call.body,
 		requiresFreshConnection: !isIdempotent(call),
 		limits: attemptLimits(call, candidate, {canRepeat: mayRepeat(call, progress), failOver: async () => failOver(context, call, progress, state), nowMs}),
-		beginWithinMs: target.version === null ? null : startWithinMs(target.version, versionDuesOf(context, call), startedAtMs),
+		beginWithinMs,
 		signal: state.signal, maxStreamBytes: maxStreamBytes(call.answerTokenLimit), answerBudget: context.answerBudget,
 		exclusion: () => sendExclusionOf(context, call, target),
 		endsInChunk: () => call.response.headersSent && call.response.chunkedEncoding,
--- a/packages/gateway/src/link/wanted-versions.ts
+++ b/packages/gateway/src/link/wanted-versions.ts
@@ -1,4 +1,5 @@
 import type {VersionDue} from '@bitternpaddle/coordination';
+import {ignore} from '@bitternpaddle/transport';
 import type {WatchResult} from './methods.js';
 
 /** The versions of weights that were named, and when this process learned of each. */
@@ -33,9 +34,11 @@
 	readonly dueMs: number;
 	/** When this process started to follow the core. */
 	readonly startedAtMs: number;
+	/** Called when this process hears of a version for the first time, with the time since it was named. @default nothing */
+	onNamed?(named: WatchResult['versions'][number]): void;
 };
 
-export const createWantedVersions = ({dueMs, startedAtMs}: WantedVersionsOptions): WantedVersions => {
+export const createWantedVersions = ({dueMs, startedAtMs, onNamed = ignore}: WantedVersionsOptions): WantedVersions => {
 	let isConfirmed = false;
 	const known = new Map<string, Map<number, number>>();
 	const dues = new Map<string, readonly VersionDue[]>();
@@ -55,6 +58,10 @@
 			isConfirmed ||= freshAgeMs !== null;
 			for (const {model, version, ageMs} of versions) {
 				const since = known.get(model) ?? new Map<number, number>();
+				if (!since.has(version) && version > Math.max(0, ...since.keys())) {
+					onNamed({model, version, ageMs});
+				}
+
 				since.set(version, Math.min(since.get(version) ?? Number.POSITIVE_INFINITY, nowMs - ageMs));
 				known.set(model, since);
 			}
--- a/packages/transport/src/logging/events.ts
+++ b/packages/transport/src/logging/events.ts
@@ -111,6 +111,7 @@
 	BP4074: {level: 'warn', text: 'the configuration allows larger bodies than this host has memory for', advice: 'Lower `maxBodyBytes`, or give the host more memory.'},
 	BP4075: {level: 'info', text: 'a majority of the core hosts has stored that an endpoint leaves', advice: 'None.'},
 	BP4076: {level: 'warn', text: 'the departure of an endpoint was not acknowledged', advice: 'The endpoint tries other core hosts; check the links and disks of the core hosts if it recurs.'},
+	BP4077: {level: 'info', text: 'an entry heard of a newly named version of weights', advice: 'None.'},
 	BP4090: {level: 'warn', text: 'log lines were dropped', advice: 'None; the counts by event are in the line.'},
 	BP4091: {level: 'info', text: 'the settings were reloaded', advice: 'None.'},
 	BP9001: {level: 'info', text: 'the process is ready', advice: 'None.'},
