--- a/packages/gateway/src/core/document-log.ts
+++ b/packages/gateway/src/core/document-log.ts
@@ -11,6 +11,7 @@
 	type Document, type DocumentOutcome, type DocumentState, type FolderLock, type LogEntry, type LogStore,
 } from '@bitternpaddle/state';
 import {ignore, notifyRpc, type Logger} from '@bitternpaddle/transport';
+import {match} from 'ts-pattern';
 import type {GatewayMetrics} from '../process/gateway-metrics.js';
 import {openCoreIdentity, type CoreIdentity} from './core-identity.js';
 import {createVoterMonitor} from './voter-monitor.js';
@@ -69,7 +70,7 @@
  * configuration of up to 4 MB, and a disk of 64 MB holds the log and two snapshots.
  */
 const snapshotBytes = 4 * 1024 * 1024;
-/** Assumed size of an entry without a configuration. */
+/** Assumed size of an entry without a configuration, and of each departure in one. */
 const smallEntryBytes = 200;
 const segmentBytes = 4 * 1024 * 1024;
 /** Time after which a silent member is replaced if a standby host is available: a restart takes less, and without a standby nothing changes. */
@@ -83,7 +84,13 @@
 type OpenData = {readonly identity: CoreIdentity; readonly store: LogStore; readonly lock: FolderLock};
 type OpenLog = {readonly driver: ConsensusDriver; readonly repair: VoterRepair; readonly store: LogStore; close(): Promise<void>};
 
-const entryBytes = ({payload}: LogEntry): number => payload.type === 'document' && payload.document.kind === 'configuration' ? payload.document.text.length : smallEntryBytes;
+const documentBytes = (document: Document): number => match(document)
+	.with({kind: 'configuration'}, ({text}) => text.length)
+	.with({kind: 'departures'}, ({added, removed}) => smallEntryBytes * (1 + added.length + removed.length))
+	.with({kind: 'version'}, {kind: 'evacuation'}, () => smallEntryBytes)
+	.exhaustive();
+
+const entryBytes = ({payload}: LogEntry): number => payload.type === 'document' ? documentBytes(payload.document) : smallEntryBytes;
 
 const noopPayload: LogEntry['payload'] = {type: 'command', command: {commandId: null, ifRevision: null, change: {type: 'noop'}}};
 
