fix(gateway): acknowledge departures while the leader is of an earlier version

While core hosts are updated, a host of this version that forwards a departure to a leader of an earlier one would get "method not found", and the endpoint no acknowledgement. Seen by reading; no run with two builds shows it. Each host now decides by the members that it knows whether departures can be stored, and acknowledges from memory, as before, while one of them cannot read them. docs/CAPACITY.md has what departures cost.

--- a/packages/gateway/src/core/core-node.ts
+++ b/packages/gateway/src/core/core-node.ts
@@ -106,9 +106,10 @@
 
 	/** Core hosts of earlier versions, which cannot read departures. */
 	const earlierCoreHosts = new Set<string>();
+	const hasEarlierMember = (): boolean => log.memberAddresses().some(address => earlierCoreHosts.has(address));
 	const departures = createDepartures({
 		log, nowMs: monotonicNowMs,
-		isReadable: () => !log.memberAddresses().some(address => earlierCoreHosts.has(address)),
+		isReadable: () => !hasEarlierMember(),
 		onDeparture(departure) {
 			recordAnnouncement(registry, {...announcementOfDeparture(departure), ageMs: 0}, monotonicNowMs());
 		},
@@ -229,9 +230,9 @@
 		}
 	};
 
-	/** Returns whether a majority has stored the departure, so that it outlasts a restart of all processes. */
+	/** Returns whether a majority has stored the departure, so that it outlasts a restart of all processes. While the core hosts are being updated, memory has to do. */
 	const storeDeparture = async (departure: Departure): Promise<boolean> => {
-		if (departures.isRecorded(departure, registry.entries.get(departure.id)?.readySequence ?? -1)) {
+		if (hasEarlierMember() || departures.isRecorded(departure, registry.entries.get(departure.id)?.readySequence ?? -1)) {
 			return true;
 		}
 
@@ -292,6 +293,7 @@
 	rpc.method('gateway.announce', announceParametersSchema, async ({announcement}) => requireStored(await announce(announcement)));
 	rpc.method('gateway.withdraw', withdrawParametersSchema, async ({id, startedAtMs}) => requireStored(await withdrawEndpoint(id, startedAtMs)));
 	rpc.method('gateway.depart', departParametersSchema, async ({departure}) => {
+		// The sender may not have heard of the endpoint since its own start.
 		const known = registry.entries.get(departure.id)?.announcement;
 		await departures.append(departure.startedAtMs === unknownStartMs && known !== undefined ? {...departure, startedAtMs: known.startedAtMs} : departure);
 		return {};
